--- /dev/null
+++ b/src/common/mod.ts
@@ -0,0 +1,7 @@
+/** Parts that every other module uses: time, randomness, errors, logs and resource amounts. */
+
+export * from "./clock.ts";
+export * from "./errors.ts";
+export * from "./logger.ts";
+export * from "./random.ts";
+export * from "./resources.ts";
--- /dev/null
+++ b/src/mod.ts
@@ -0,0 +1,3 @@
+/** The public library of goldcrestlug. */
+
+export * from "./common/mod.ts";
