--- /dev/null
+++ b/src/membership/mod.ts
@@ -0,0 +1,3 @@
+/** Liveness of instances. */
+
+export * from "./membership.ts";
--- /dev/null
+++ b/src/rpc/fault_metadata.ts
@@ -0,0 +1,52 @@
+/**
+ * Carries a fault over gRPC. The status code alone cannot say whether the work
+ * has run, so the whole fault travels in a binary metadata entry.
+ */
+
+import { Buffer } from "node:buffer";
+import { Metadata, type ServiceError, status } from "@grpc/grpc-js";
+import {
+  createFault,
+  type Fault,
+  FAULT_ANSWERS,
+  isFaultKind,
+  toFault,
+} from "../common/mod.ts";
+
+const FAULT_KEY = "goldcrestlug-fault-bin";
+
+/** Encodes an error as a gRPC service error. */
+export function encodeFault(error: unknown): Partial<ServiceError> {
+  const fault = toFault(error);
+  const metadata = new Metadata();
+  const { kind, message, ran, details } = fault;
+  metadata.set(
+    FAULT_KEY,
+    Buffer.from(JSON.stringify({ kind, message, ran, details })),
+  );
+  return { code: FAULT_ANSWERS[kind].rpcStatus, details: message, metadata };
+}
+
+/**
+ * Decodes a gRPC error. Without a fault in its metadata the answer was lost or
+ * never given: a call that never left is `unavailable`, any other
+ * `outcomeUnknown`.
+ */
+export function decodeFault(error: ServiceError, target: string): Fault {
+  const entry = error.metadata?.get(FAULT_KEY)[0];
+  if (entry !== undefined) {
+    const sent = JSON.parse(entry.toString());
+    if (isFaultKind(sent.kind)) {
+      return createFault(sent.kind, sent.message, {
+        ran: sent.ran,
+        details: sent.details,
+      });
+    }
+  }
+  const isRefused = error.code === status.UNAVAILABLE &&
+    /No connection established|ECONNREFUSED/.test(error.details ?? "");
+  const kind = isRefused ? "unavailable" : "outcomeUnknown";
+  return createFault(kind, `Cannot get an answer from instance "${target}"`, {
+    cause: error,
+  });
+}
--- /dev/null
+++ b/src/rpc/messages.ts
@@ -0,0 +1,187 @@
+/**
+ * Messages between instances, as `proto/goldcrestlug.proto` defines them. The
+ * file is loaded at run time, so these types are its counterpart in TypeScript
+ * and change together with it.
+ */
+
+/** An empty answer. */
+export type Empty = Record<string, never>;
+
+/** One message of a replicated log group. */
+export interface LogEnvelope {
+  group: string;
+  /** Member identity of the sender. */
+  from: string;
+  /** Member identity of the receiver. */
+  to: string;
+  /** Encoded by the replicated_log module. */
+  message: Uint8Array;
+}
+
+/** A question to a group before a member starts or joins. */
+export interface GroupQuery {
+  group: string;
+  /** Member identity of the one that asks. */
+  member: string;
+}
+
+/** What an instance knows about a group. */
+export interface GroupReply {
+  known: boolean;
+  term: number;
+  lastIndex: number;
+  /** Member identity of the leader, or empty. */
+  leader: string;
+}
+
+/** A request to become a member of a group. */
+export interface JoinRequest {
+  group: string;
+  member: string;
+  canLead: boolean;
+  /** Former identities of the same instance, which the new one replaces. */
+  instance: string;
+}
+
+/** A change of the configuration, as JSON. */
+export interface ChangeRequest {
+  change: Uint8Array;
+  hops: number;
+}
+
+/** The answer to an accepted change. */
+export interface ChangeReply {
+  version: number;
+}
+
+/** A subscription to configuration updates. */
+export interface WatchRequest {
+  instance: string;
+  version: number;
+}
+
+/** A configuration update. */
+export interface ConfigUpdate {
+  version: number;
+  snapshot: boolean;
+  data: Uint8Array;
+  ageMs: number;
+}
+
+/** A request for a slot of an endpoint. */
+export interface SlotRequest {
+  requestId: string;
+  scope: string;
+  team: string;
+  queue: string;
+  idempotent: boolean;
+  remainingMs: number;
+  bodyHash: string;
+  instance: string;
+  avoid: string[];
+  attempt: number;
+}
+
+/** The right to send one request to one endpoint. */
+export interface SlotGrantMessage {
+  token: string;
+  endpoint: string;
+  address: string;
+  epoch: number;
+  validForMs: number;
+}
+
+/** An answer of an endpoint. */
+export interface RecordedAnswerMessage {
+  status: number;
+  contentType: string;
+  body: Uint8Array;
+}
+
+/** Either a grant or the answer that was recorded for the same request. */
+export interface SlotReply {
+  outcome?: "grant" | "answer";
+  grant?: SlotGrantMessage;
+  answer?: RecordedAnswerMessage;
+}
+
+/** The end of the use of a slot. */
+export interface SlotRelease {
+  token: string;
+  outcome: string;
+  answer?: RecordedAnswerMessage;
+  durationMs: number;
+  instance: string;
+}
+
+/** An announcement or its answer, as JSON. */
+export interface JsonBody {
+  body: Uint8Array;
+}
+
+/** A job handed in by a team, as JSON. */
+export interface JobRequest {
+  team: string;
+  job: Uint8Array;
+}
+
+/** Names a job of a team. */
+export interface JobQuery {
+  team: string;
+  jobId: string;
+}
+
+/** A job and its state, as JSON. */
+export interface JobReply {
+  job: Uint8Array;
+}
+
+/** Names a request of a scope. */
+export interface RequestQuery {
+  scope: string;
+  requestId: string;
+}
+
+/** The state of a request and its answer, if recorded. */
+export interface RequestReply {
+  state: string;
+  answer?: RecordedAnswerMessage;
+}
+
+/** Amounts of a team's limits. */
+export interface LimitsMessage {
+  slots: number;
+  processors: number;
+  memoryMb: number;
+  accelerators: number;
+}
+
+/** A transfer of allotment between data centres. */
+export interface AllotmentTransfer {
+  transferId: string;
+  fromDataCentre: string;
+  toDataCentre: string;
+  team: string;
+  amount: LimitsMessage;
+}
+
+/** A request for allotment of a team. */
+export interface AllotmentAsk {
+  fromDataCentre: string;
+  team: string;
+  wanted: LimitsMessage;
+}
+
+/** State of an instance, sent as a heartbeat and in answer to one. */
+export interface HeartbeatMessage {
+  instance: string;
+  dataCentre: string;
+  incarnation: number;
+  configVersion: number;
+  /** Instance that leads the data centre log, or empty. */
+  dataCentreLeader: string;
+  dataCentreEpoch: number;
+  /** Instance that leads the fleet log, or empty. */
+  fleetLeader: string;
+  stopping: boolean;
+}
--- /dev/null
+++ b/src/rpc/mod.ts
@@ -0,0 +1,8 @@
+/** Calls and streams between instances over gRPC. */
+
+export * from "./client.ts";
+export * from "./fault_metadata.ts";
+export * from "./log_transport.ts";
+export * from "./messages.ts";
+export * from "./peers.ts";
+export * from "./server.ts";
--- /dev/null
+++ b/src/rpc/server.ts
@@ -0,0 +1,133 @@
+/**
+ * The listener for other instances. Handlers are async functions that throw
+ * faults; streams are handed out as they are.
+ */
+
+import {
+  type sendUnaryData,
+  Server,
+  ServerCredentials,
+  type ServerReadableStream,
+  type ServerUnaryCall,
+  type ServerWritableStream,
+  type UntypedServiceImplementation,
+} from "@grpc/grpc-js";
+import { createFault } from "../common/mod.ts";
+import { KEEPALIVE_PERIOD_MS, KEEPALIVE_TIMEOUT_MS } from "./client.ts";
+import { encodeFault } from "./fault_metadata.ts";
+import { type ServiceName, SERVICES } from "./services.ts";
+
+/** Context of a unary call. */
+export interface CallContext {
+  /** Aborted when the caller gave up or its connection broke. */
+  signal: AbortSignal;
+}
+
+/** Answers a unary call. */
+export type UnaryHandler = (
+  // deno-lint-ignore no-explicit-any -- the proto file fixes the type of each method
+  request: any,
+  context: CallContext,
+) => Promise<unknown>;
+
+/** Serves a stream of replies. */
+export type ReadStreamHandler = (
+  // deno-lint-ignore no-explicit-any -- as above
+  stream: ServerWritableStream<any, any>,
+) => void;
+
+/** Serves a stream of requests. */
+export type WriteStreamHandler = (
+  // deno-lint-ignore no-explicit-any -- as above
+  stream: ServerReadableStream<any, any>,
+) => void;
+
+/** Handlers of one service. */
+export interface ServiceHandlers {
+  unary?: Readonly<Record<string, UnaryHandler>>;
+  readStreams?: Readonly<Record<string, ReadStreamHandler>>;
+  writeStreams?: Readonly<Record<string, WriteStreamHandler>>;
+}
+
+/** Options of the listener. */
+export interface RpcServerOptions {
+  host: string;
+  port: number;
+  services: Partial<Record<ServiceName, ServiceHandlers>>;
+  /** Default: no encryption. */
+  credentials?: ServerCredentials;
+}
+
+/** A running listener. */
+export interface RpcServer {
+  readonly port: number;
+  /** Ends at once, without waiting for open calls. */
+  close(): void;
+}
+
+function toUnaryImplementation(handler: UnaryHandler) {
+  return (
+    call: ServerUnaryCall<unknown, unknown>,
+    callback: sendUnaryData<unknown>,
+  ) => {
+    const controller = new AbortController();
+    call.on("cancelled", () => controller.abort());
+    const answer = async () => {
+      try {
+        const reply = await handler(call.request, {
+          signal: controller.signal,
+        });
+        callback(null, reply);
+      } catch (error) {
+        callback(encodeFault(error));
+      }
+    };
+    void answer();
+  };
+}
+
+function buildImplementation(
+  handlers: ServiceHandlers,
+): UntypedServiceImplementation {
+  const implementation: UntypedServiceImplementation = {};
+  for (const [name, handler] of Object.entries(handlers.unary ?? {})) {
+    implementation[name] = toUnaryImplementation(handler);
+  }
+  for (const [name, handler] of Object.entries(handlers.readStreams ?? {})) {
+    implementation[name] = handler;
+  }
+  for (const [name, handler] of Object.entries(handlers.writeStreams ?? {})) {
+    implementation[name] = handler;
+  }
+  return implementation;
+}
+
+/** Starts the listener; fault `unavailable` when the address cannot be bound. */
+export async function startRpcServer(
+  options: RpcServerOptions,
+): Promise<RpcServer> {
+  const server = new Server({
+    "grpc.keepalive_time_ms": KEEPALIVE_PERIOD_MS,
+    "grpc.keepalive_timeout_ms": KEEPALIVE_TIMEOUT_MS,
+    "grpc.max_receive_message_length": 64 * 1024 * 1024,
+  });
+  for (const [name, handlers] of Object.entries(options.services)) {
+    server.addService(
+      SERVICES[name as ServiceName],
+      buildImplementation(handlers),
+    );
+  }
+  const address = `${options.host}:${options.port}`;
+  const credentials = options.credentials ?? ServerCredentials.createInsecure();
+  const port = await new Promise<number>((resolve, reject) => {
+    server.bindAsync(address, credentials, (error, bound) => {
+      if (error === null) return resolve(bound);
+      reject(
+        createFault("unavailable", `Cannot listen on "${address}"`, {
+          cause: error,
+        }),
+      );
+    });
+  });
+  return { port, close: () => server.forceShutdown() };
+}
