--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -12,37 +12,12 @@
   group: string;
   /** Member identity of the sender. */
   from: string;
-  /** Member identity of the receiver. */
+  /** Member identity or instance name of the receiver. */
   to: string;
   /** Encoded by the replicated_log module. */
   message: Uint8Array;
 }
 
-/** A question to a group before a member starts or joins. */
-export interface GroupQuery {
-  group: string;
-  /** Member identity of the one that asks. */
-  member: string;
-}
-
-/** What an instance knows about a group. */
-export interface GroupReply {
-  known: boolean;
-  term: number;
-  lastIndex: number;
-  /** Member identity of the leader, or empty. */
-  leader: string;
-}
-
-/** A request to become a member of a group. */
-export interface JoinRequest {
-  group: string;
-  member: string;
-  canLead: boolean;
-  /** Former identities of the same instance, which the new one replaces. */
-  instance: string;
-}
-
 /** A change of the configuration, as JSON. */
 export interface ChangeRequest {
   change: Uint8Array;
