Add the worker controller of a data centre

Decisions of the scheduler are recorded in the data centre log before a worker is told, and commands to one worker are sent in order, so that a stop never overtakes the start that it is for.

--- /dev/null
+++ b/src/data_centre/announcements.ts
@@ -0,0 +1,123 @@
+/** Checks announcements of endpoints and workers, which arrive as JSON over HTTP. */
+
+import { z } from "zod";
+import { createFault } from "../common/mod.ts";
+import type { EndpointAnnouncement } from "../requests/types.ts";
+import type { WorkerReport } from "../scheduling/types.ts";
+import { parseAttempt } from "./attempt_name.ts";
+
+const nameSchema = z.string().min(1).max(128);
+const countSchema = z.number().int().min(0);
+const addressSchema = z.string().regex(
+  /^https?:\/\/[^/\s]+$/,
+  "expected an address such as http://192.0.2.1:8080",
+);
+
+const resourcesSchema = z.strictObject({
+  processors: countSchema,
+  memoryMb: countSchema,
+  accelerators: countSchema,
+});
+
+const endpointSchema = z.strictObject({
+  endpoint: nameSchema,
+  address: addressSchema,
+  dataCentre: nameSchema,
+  incarnation: countSchema,
+  queues: z.array(nameSchema).max(1_000),
+  slots: countSchema.max(10_000),
+  connections: countSchema.max(100_000),
+  inFlight: countSchema,
+  departing: z.boolean().default(false),
+});
+
+const taskSchema = z.strictObject({
+  task: z.string().min(1).max(256),
+  epoch: countSchema,
+  state: z.enum([
+    "starting",
+    "running",
+    "finished",
+    "failed",
+    "stopped",
+    "checkpointed",
+  ]),
+  usage: resourcesSchema.optional(),
+  exitCode: z.number().int().optional(),
+  processorLimit: countSchema.optional(),
+});
+
+const workerSchema = z.strictObject({
+  worker: nameSchema,
+  address: addressSchema,
+  dataCentre: nameSchema,
+  rack: nameSchema,
+  incarnation: countSchema,
+  sequence: countSchema,
+  capacity: resourcesSchema,
+  tasks: z.array(taskSchema).max(100_000),
+  draining: z.boolean().default(false),
+});
+
+/** A checked announcement of a worker. */
+export interface WorkerAnnouncement extends WorkerReport {
+  readonly address: string;
+  readonly dataCentre: string;
+}
+
+/** The answer to a worker's announcement. */
+export interface WorkerAnnouncementReply {
+  /** Epoch of the deciding leader. */
+  epoch: number;
+  /** Length of the renewed leases, in milliseconds from the sending of the announcement. */
+  leaseMs: number;
+  /** The tasks whose leases are renewed. */
+  renewed: string[];
+}
+
+/** The answer to an endpoint's announcement. */
+export interface EndpointAnnouncementReply {
+  epoch: number;
+  /** Time after which the endpoint counts as silent, in milliseconds. */
+  leaseMs: number;
+}
+
+/** Returns the parsed value; fault `badRequest` that names each bad field. */
+export function parseWith<T>(
+  schema: z.ZodType<T>,
+  input: unknown,
+  what: string,
+): T {
+  const result = schema.safeParse(input);
+  if (result.success) return result.data;
+  const faults = result.error.issues.map((issue) => {
+    const path = issue.path.join(".") || "(top level)";
+    return `"${path}": ${issue.message}`;
+  });
+  throw createFault(
+    "badRequest",
+    `Cannot accept ${what}: ${faults.join("; ")}`,
+  );
+}
+
+/** Checks an endpoint's announcement; fault `badRequest`. */
+export function parseEndpointAnnouncement(
+  input: unknown,
+): EndpointAnnouncement {
+  return parseWith(endpointSchema, input, "the endpoint announcement");
+}
+
+/** Checks a worker's announcement; fault `badRequest`. */
+export function parseWorkerAnnouncement(input: unknown): WorkerAnnouncement {
+  const parsed = parseWith(workerSchema, input, "the worker announcement");
+  const tasks = parsed.tasks.map((task) => ({
+    ...parseAttempt(task.task),
+    state: task.state,
+    ...(task.usage === undefined ? {} : { usage: task.usage }),
+    ...(task.exitCode === undefined ? {} : { exitCode: task.exitCode }),
+    ...(task.processorLimit === undefined
+      ? {}
+      : { processorLimit: task.processorLimit }),
+  }));
+  return { ...parsed, tasks };
+}
--- /dev/null
+++ b/src/data_centre/worker_commands.ts
@@ -0,0 +1,94 @@
+/**
+ * Sends commands to workers over HTTP. Commands to one worker go one after the
+ * other, so that a stop never overtakes the start that it is for.
+ */
+
+import { Agent, request } from "undici";
+import type { Logger } from "../common/mod.ts";
+
+/** Time after which an unanswered command is given up, in milliseconds. */
+export const WORKER_COMMAND_TIMEOUT_MS = 2_000;
+
+/** The commands that a worker takes. */
+export type WorkerCommandName = "start" | "stop" | "throttle" | "checkpoint";
+
+/** A command to a worker. */
+export interface WorkerCommand {
+  readonly name: WorkerCommandName;
+  /** Sent as JSON. */
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+/** Sends commands to workers. */
+export interface WorkerCommandSender {
+  /**
+   * Queues a command. A failure is logged only: the worker's next report shows
+   * what it runs, and the scheduler decides again from that.
+   */
+  send(address: string, command: WorkerCommand): void;
+  close(): Promise<void>;
+}
+
+/** Options of a sender. */
+export interface WorkerCommandSenderOptions {
+  logger: Logger;
+  /** Asked before each send; a leader whose lease has ended must not send. */
+  holdsLease: () => boolean;
+}
+
+/** Creates a sender. */
+export function createWorkerCommandSender(
+  options: WorkerCommandSenderOptions,
+): WorkerCommandSender {
+  const agent = new Agent({
+    connections: 1,
+    pipelining: 1,
+    keepAliveTimeout: 4_000,
+    connect: { timeout: WORKER_COMMAND_TIMEOUT_MS },
+  });
+  const queues = new Map<string, Promise<void>>();
+
+  async function sendNow(
+    address: string,
+    command: WorkerCommand,
+  ): Promise<void> {
+    if (!options.holdsLease()) return;
+    try {
+      const reply = await request(`${address}/v1/tasks/${command.name}`, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(command.body),
+        dispatcher: agent,
+        headersTimeout: WORKER_COMMAND_TIMEOUT_MS,
+        bodyTimeout: WORKER_COMMAND_TIMEOUT_MS,
+      });
+      await reply.body.dump();
+      if (reply.statusCode < 300) return;
+      options.logger.warn("Worker refused a command", {
+        address,
+        command: command.name,
+        task: command.body["task"],
+        status: reply.statusCode,
+      });
+    } catch (error) {
+      options.logger.warn("Cannot send a command to a worker", {
+        address,
+        command: command.name,
+        task: command.body["task"],
+        error,
+      });
+    }
+  }
+
+  return {
+    send(address, command) {
+      const previous = queues.get(address) ?? Promise.resolve();
+      const current = previous.then(() => sendNow(address, command));
+      queues.set(address, current);
+      void current.then(() => {
+        if (queues.get(address) === current) queues.delete(address);
+      });
+    },
+    close: () => agent.destroy(),
+  };
+}
--- /dev/null
+++ b/src/data_centre/worker_controller.ts
@@ -0,0 +1,293 @@
+/**
+ * Controller of the workers of a data centre during one leadership. It feeds
+ * reports to the scheduler, records its decisions in the data centre log and
+ * only then carries them out. One reconciliation runs at a time.
+ */
+
+import type { Clock, Logger, Timer } from "../common/mod.ts";
+import type {
+  NeverRunnableReason,
+  RestoredJob,
+  RestoredTask,
+  Scheduler,
+  SchedulerAction,
+  TaskAttempt,
+} from "../scheduling/types.ts";
+import type {
+  WorkerAnnouncement,
+  WorkerAnnouncementReply,
+} from "./announcements.ts";
+import { formatAttempt } from "./attempt_name.ts";
+import type {
+  JobCommand,
+  JobRecord,
+  JobRecords,
+  RecordedJobSpec,
+} from "./job_records.ts";
+import type { WorkerCommand } from "./worker_commands.ts";
+
+/** Time between reconciliations when nothing happens, in milliseconds. */
+const IDLE_STEP_MS = 50;
+
+/** A worker that has been silent for this long is declared gone, in milliseconds. */
+export const WORKER_REMOVAL_MS = 30_000;
+
+/** Options of the controller. */
+export interface WorkerControllerOptions {
+  /** Term of the leadership. */
+  epoch: number;
+  scheduler: Scheduler;
+  records: JobRecords;
+  clock: Clock;
+  logger: Logger;
+  /** Appends commands to the data centre log; resolves once they are applied. */
+  propose: (commands: readonly JobCommand[]) => Promise<void>;
+  /** Whether this instance may still decide. */
+  holdsLease: () => boolean;
+  sendCommand: (address: string, command: WorkerCommand) => void;
+  /** Called when a proposal failed; the leadership must end, since the outcome may be unknown. */
+  handleFailure: (error: unknown) => void;
+}
+
+/** Controls the workers of a data centre. */
+export interface WorkerController {
+  /** Takes in a worker's announcement and returns the renewed leases. */
+  receiveAnnouncement(
+    announcement: WorkerAnnouncement,
+  ): WorkerAnnouncementReply;
+  /** Hands a recorded job to the scheduler. */
+  addJob(spec: RecordedJobSpec): void;
+  /** Hands a recorded cancellation to the scheduler. */
+  cancelJob(job: string): void;
+  /** Why a job cannot run at present, if so. */
+  findNeverRunnable(job: string): readonly NeverRunnableReason[] | undefined;
+  /** Workers heard of, with their addresses. */
+  listWorkers(): { worker: string; address: string; silentMs: number }[];
+  stop(): void;
+}
+
+interface WorkerEntry {
+  address: string;
+  lastSeenMs: number;
+}
+
+/** Converts a recorded job for the scheduler of a new leader. */
+export function toRestoredJob(record: JobRecord): RestoredTask[] {
+  return [...record.tasks].map(([index, task]) => {
+    const isWaiting = task.outcome === "checkpointed";
+    const state = task.final || isWaiting ? task.outcome : undefined;
+    const isKept = state === "finished" || state === "failed" ||
+      state === "cancelled" || state === "checkpointed";
+    return {
+      index,
+      attempt: task.attempt,
+      failures: task.failures,
+      ...(isKept ? { state } : {}),
+    };
+  });
+}
+
+function toCommand(action: SchedulerAction): JobCommand | undefined {
+  switch (action.type) {
+    case "assign":
+      return {
+        type: "assign",
+        job: action.job,
+        index: action.index,
+        attempt: action.attempt,
+        worker: action.worker,
+      };
+    case "endTask":
+      return {
+        type: "endTask",
+        job: action.job,
+        index: action.index,
+        attempt: action.attempt,
+        outcome: action.outcome,
+        final: action.final,
+        failures: action.failures,
+        ...(action.exitCode === undefined ? {} : { exitCode: action.exitCode }),
+      };
+    case "endJob":
+      return { type: "endJob", job: action.job, state: action.state };
+    default:
+      return undefined;
+  }
+}
+
+/** Creates the controller and restores the scheduler from the records. */
+export function createWorkerController(
+  options: WorkerControllerOptions,
+): WorkerController {
+  const { clock, scheduler, epoch } = options;
+  const workers = new Map<string, WorkerEntry>();
+  const neverRunnable = new Map<string, readonly NeverRunnableReason[]>();
+  let isRunning = false;
+  let isRequested = false;
+  let isStopped = false;
+  let timer: Timer | undefined;
+
+  function toMonotonic(wallMs: number): number {
+    return clock.now() - Math.max(0, clock.wallTime() - wallMs);
+  }
+
+  function toSpec(spec: RecordedJobSpec) {
+    const { submittedWallMs, ...rest } = spec;
+    return { ...rest, submittedAt: toMonotonic(submittedWallMs) };
+  }
+
+  function restore(): void {
+    const jobs: RestoredJob[] = [];
+    const assignments: (TaskAttempt & { worker: string })[] = [];
+    for (const record of options.records.listOpen()) {
+      const job = record.spec.id;
+      jobs.push({
+        spec: toSpec(record.spec),
+        ...(record.cancelled ? { cancelled: true } : {}),
+        tasks: toRestoredJob(record),
+      });
+      for (const [index, { attempt, worker }] of record.tasks) {
+        if (worker !== undefined) {
+          assignments.push({ job, index, attempt, worker });
+        }
+      }
+    }
+    scheduler.restore(jobs, assignments, clock.now());
+  }
+
+  function sendAction(action: SchedulerAction): void {
+    if (!("worker" in action) || action.worker === undefined) return;
+    const address = workers.get(action.worker)?.address;
+    if (address === undefined) return;
+    const send = (name: WorkerCommand["name"], body: object) =>
+      options.sendCommand(address, {
+        name,
+        body: { task: formatAttempt(action), epoch, ...body },
+      });
+    switch (action.type) {
+      case "start":
+        return send("start", {
+          team: action.spec.team,
+          policy: action.spec.policy,
+          resources: action.spec.resources,
+          payload: action.spec.payload ?? null,
+          fromCheckpoint: action.fromCheckpoint,
+          incarnation: action.incarnation,
+          sequence: action.sequence,
+          leaseMs: action.leaseMs,
+        });
+      case "stop":
+      case "checkpoint":
+        return send(action.type, { reason: action.reason });
+      case "throttle":
+        return send("throttle", {
+          processors: action.processors,
+          reason: action.reason,
+        });
+    }
+  }
+
+  function noteNeverRunnable(actions: readonly SchedulerAction[]): void {
+    for (const action of actions) {
+      if (action.type === "endJob") neverRunnable.delete(action.job);
+      if (action.type !== "neverRunnable") continue;
+      neverRunnable.set(action.job, action.reasons);
+      options.logger.warn("Job cannot run on the present fleet", {
+        job: action.job,
+        reasons: action.reasons,
+      });
+    }
+  }
+
+  /** Records what the actions change, then carries them out. */
+  async function carryOut(actions: readonly SchedulerAction[]): Promise<void> {
+    noteNeverRunnable(actions);
+    const commands = actions.map(toCommand).filter((c) => c !== undefined);
+    if (commands.length > 0) await options.propose(commands);
+    if (!options.holdsLease()) return;
+    for (const action of actions) {
+      if (action.type === "assign") scheduler.confirmAssignment(action);
+      else sendAction(action);
+    }
+    if (commands.length > 0) isRequested = true;
+  }
+
+  function removeSilentWorkers(): void {
+    const nowMs = clock.now();
+    for (const [worker, entry] of workers) {
+      if (nowMs - entry.lastSeenMs <= WORKER_REMOVAL_MS) continue;
+      workers.delete(worker);
+      scheduler.removeWorker(worker);
+      options.logger.warn("Removed a silent worker", { worker });
+    }
+  }
+
+  async function reconcile(): Promise<void> {
+    isRunning = true;
+    try {
+      do {
+        isRequested = false;
+        if (isStopped || !options.holdsLease()) break;
+        removeSilentWorkers();
+        await carryOut(scheduler.step(clock.now()));
+      } while (isRequested);
+    } catch (error) {
+      stop();
+      options.handleFailure(error);
+    } finally {
+      isRunning = false;
+      scheduleStep();
+    }
+  }
+
+  function scheduleStep(): void {
+    timer?.cancel();
+    if (isStopped) return;
+    timer = clock.setTimer(IDLE_STEP_MS, requestStep);
+  }
+
+  function requestStep(): void {
+    isRequested = true;
+    if (!isRunning && !isStopped) void reconcile();
+  }
+
+  function stop(): void {
+    isStopped = true;
+    timer?.cancel();
+  }
+
+  restore();
+  scheduleStep();
+
+  return {
+    receiveAnnouncement(announcement) {
+      workers.set(announcement.worker, {
+        address: announcement.address,
+        lastSeenMs: clock.now(),
+      });
+      const reply = scheduler.receiveWorkerReport(announcement, clock.now());
+      requestStep();
+      return {
+        epoch,
+        leaseMs: reply.leaseMs,
+        renewed: reply.renewed.map(formatAttempt),
+      };
+    },
+    addJob(spec) {
+      scheduler.addJob(toSpec(spec));
+      requestStep();
+    },
+    cancelJob(job) {
+      scheduler.cancelJob(job);
+      requestStep();
+    },
+    findNeverRunnable: (job) => neverRunnable.get(job),
+    listWorkers: () =>
+      [...workers].map(([worker, entry]) => ({
+        worker,
+        address: entry.address,
+        silentMs: clock.now() - entry.lastSeenMs,
+      })),
+    stop,
+  };
+}
