Add the settings of an instance

Cause: a process must know its addresses, roles and peers, and a wrong setting must be refused before anything starts.

settings/ checks a file as a whole with zod and lists every fault with its path, value and allowed range. Rules that span several settings run on those whose own shape is right, so that one misspelt name hides no other fault. A misspelt name is refused with the nearest known name.

Ruled out: zod refinements on the whole object, which are skipped as soon as one key is unknown; deriving "instances" from the instance's own settings, because a forgotten list would start a cell of one instance.

The value of operatorTokenHash is never shown, since a token may have been pasted in place of its hash.

--- /dev/null
+++ b/src/settings/resolve.ts
@@ -0,0 +1,226 @@
+/** Checks settings as a whole and fills in their defaults. */
+
+import { readFile } from "node:fs/promises";
+import { dirname, resolve } from "node:path";
+import { z } from "zod";
+import { createFault } from "../common/mod.ts";
+import { checkAcrossSettings, isLoopback } from "./cross_checks.ts";
+import { findNearestName } from "./nearest_name.ts";
+import { SETTINGS_SCHEMA } from "./schema.ts";
+import type { SettingName, ShapedSettings } from "./schema.ts";
+import { computeConnectionsPerEndpoint, toFrozen } from "./settings.ts";
+import type { Settings } from "./settings.ts";
+
+/** One fault of a settings file. */
+export interface SettingFault {
+  /** Path of the setting, such as `instances[2].http.port`. */
+  readonly path: string;
+  /** The value found there; `undefined` when the setting is missing. */
+  readonly value: unknown;
+  /** What is allowed there. */
+  readonly allowed: string;
+  /** The nearest known name when the name is unknown. */
+  readonly suggestion?: string;
+}
+
+type Path = readonly PropertyKey[];
+
+const VALUE_MAX_CHARACTERS = 80;
+const HIDDEN_VALUE = "(hidden)";
+
+function formatPath(path: Path): string {
+  let text = "";
+  for (const part of path) {
+    const separator = text === "" ? "" : ".";
+    text += typeof part === "number"
+      ? `[${part}]`
+      : `${separator}${String(part)}`;
+  }
+  return text === "" ? "(settings)" : text;
+}
+
+function findValue(input: unknown, path: Path): unknown {
+  let value = input;
+  for (const part of path) {
+    if (typeof value !== "object" || value === null) return undefined;
+    value = (value as Record<PropertyKey, unknown>)[part];
+  }
+  return value;
+}
+
+// A token that is pasted in place of its hash must not reach a log.
+function getShownValue(input: unknown, path: Path): unknown {
+  const value = findValue(input, path);
+  const isSecret = path[0] === "operatorTokenHash" && value !== undefined;
+  return isSecret ? HIDDEN_VALUE : value;
+}
+
+function listKnownNames(path: Path): string[] {
+  let schema: z.core.$ZodType = SETTINGS_SCHEMA;
+  for (const part of path) {
+    schema = findInner(schema);
+    if (schema instanceof z.ZodArray) schema = schema.element;
+    else if (schema instanceof z.ZodObject) {
+      schema = schema.shape[String(part)] ?? schema;
+    }
+  }
+  schema = findInner(schema);
+  return schema instanceof z.ZodObject ? Object.keys(schema.shape) : [];
+}
+
+function findInner(schema: z.core.$ZodType): z.core.$ZodType {
+  let inner = schema;
+  while (
+    inner instanceof z.ZodOptional || inner instanceof z.ZodDefault ||
+    inner instanceof z.ZodPrefault
+  ) inner = inner.unwrap();
+  return inner;
+}
+
+function createNameFault(
+  input: unknown,
+  parent: Path,
+  name: string,
+): SettingFault {
+  const known = listKnownNames(parent);
+  const suggestion = findNearestName(name, known);
+  return {
+    path: formatPath([...parent, name]),
+    value: getShownValue(input, [...parent, name]),
+    allowed: `one of the names ${known.join(", ")}`,
+    ...(suggestion === undefined ? {} : { suggestion }),
+  };
+}
+
+function createIssueFaults(
+  input: unknown,
+  issue: z.core.$ZodIssue,
+): SettingFault[] {
+  if (issue.code === "unrecognized_keys") {
+    return issue.keys.map((key) => createNameFault(input, issue.path, key));
+  }
+  return [{
+    path: formatPath(issue.path),
+    value: getShownValue(input, issue.path),
+    allowed: issue.message,
+  }];
+}
+
+interface SoundSettings {
+  readonly names: ReadonlySet<SettingName>;
+  readonly values: Partial<ShapedSettings>;
+}
+
+/** Parses each setting by itself, so that rules can run on those that are right. */
+function parseSoundSettings(input: unknown): SoundSettings {
+  const names = new Set<SettingName>();
+  const values: Record<string, unknown> = {};
+  for (const [name, schema] of Object.entries(SETTINGS_SCHEMA.shape)) {
+    const result = schema.safeParse(findValue(input, [name]));
+    if (!result.success) continue;
+    names.add(name as SettingName);
+    values[name] = result.data;
+  }
+  return { names, values };
+}
+
+/** Checks settings as a whole and lists every fault; an empty list means that they are accepted. */
+export function checkSettings(input: unknown): SettingFault[] {
+  const parsed = SETTINGS_SCHEMA.safeParse(input);
+  const issues = parsed.success ? [] : parsed.error.issues;
+  const faults = issues.flatMap((issue) => createIssueFaults(input, issue));
+  if (typeof input !== "object" || input === null || Array.isArray(input)) {
+    return faults;
+  }
+  const sound = parseSoundSettings(input);
+  const across = checkAcrossSettings(sound.values, sound.names);
+  for (const { path, allowed } of across) {
+    faults.push({
+      path: formatPath(path),
+      value: getShownValue(sound.values, path),
+      allowed,
+    });
+  }
+  return faults;
+}
+
+function formatValue(value: unknown): string {
+  if (value === HIDDEN_VALUE) return value;
+  const text = JSON.stringify(value) ?? String(value);
+  if (text.length <= VALUE_MAX_CHARACTERS) return text;
+  return `${text.slice(0, VALUE_MAX_CHARACTERS)}…`;
+}
+
+/** Formats one fault as one line. */
+export function formatSettingFault(fault: SettingFault): string {
+  const { path, value, allowed, suggestion } = fault;
+  if (suggestion !== undefined) {
+    return `${path}: unknown name, did you mean "${suggestion}"? (value ${
+      formatValue(value)
+    }; allowed: ${allowed})`;
+  }
+  const found = value === undefined ? "missing" : formatValue(value);
+  return `${path}: ${found}; allowed: ${allowed}`;
+}
+
+/**
+ * Checks settings as a whole and fills in their defaults. The result is frozen.
+ * Throws a `badRequest` fault whose message has one line for each fault and
+ * whose `details.faults` is the list of them.
+ */
+export function resolveSettings(input: unknown): Settings {
+  const faults = checkSettings(input);
+  if (faults.length > 0) {
+    const lines = faults.map((fault) => `\n  ${formatSettingFault(fault)}`);
+    throw createFault(
+      "badRequest",
+      `Cannot accept settings, number of faults ${faults.length}:${
+        lines.join("")
+      }`,
+      { details: { faults } },
+    );
+  }
+  const shaped = SETTINGS_SCHEMA.parse(input);
+  const connectionsPerEndpoint = shaped.requests.connectionsPerEndpoint ??
+    computeConnectionsPerEndpoint(shaped.instances.length);
+  return toFrozen({
+    ...shaped,
+    advertise: shaped.advertise ?? shaped.listen,
+    requests: { ...shaped.requests, connectionsPerEndpoint },
+  });
+}
+
+function parseJson(text: string, path: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch (cause) {
+    throw createFault(
+      "badRequest",
+      `Cannot parse settings file "${path}" as JSON`,
+      { cause },
+    );
+  }
+}
+
+/**
+ * Loads and resolves a settings file. A relative `dataFolder` is taken from the
+ * folder of the file, so that it does not depend on where the program starts.
+ * Throws a `badRequest` fault when the file cannot be read or accepted.
+ */
+export async function loadSettings(path: string): Promise<Settings> {
+  const text = await readFile(path, "utf8").catch((cause) => {
+    throw createFault("badRequest", `Cannot read settings file "${path}"`, {
+      cause,
+    });
+  });
+  const settings = resolveSettings(parseJson(text, path));
+  if (settings.dataFolder === undefined) return settings;
+  const dataFolder = resolve(dirname(path), settings.dataFolder);
+  return Object.freeze({ ...settings, dataFolder });
+}
+
+/** Tells whether the operators' interface takes calls without a token; this is worth a log line. */
+export function isOperatorInterfaceOpen(settings: Settings): boolean {
+  return settings.operatorTokenHash === undefined &&
+    isLoopback(settings.listen.http.host);
+}
--- /dev/null
+++ b/src/settings/schema.ts
@@ -0,0 +1,144 @@
+/**
+ * The shape of a settings file. The message of each rule is the allowed range
+ * alone; the path and the value are added when the fault is listed.
+ */
+
+import { isIP } from "node:net";
+import { z } from "zod";
+import { LOG_LEVELS } from "../common/mod.ts";
+import { DEFAULT_SETTINGS, ENDPOINT_CONNECTION_BUDGET } from "./settings.ts";
+
+const MAX_TIME_MS = 86_400_000;
+const MAX_BYTES = 67_108_864;
+
+function createInteger(min: number, max: number) {
+  const error = `an integer from ${min} to ${max}`;
+  return z.int({ error }).min(min, { error }).max(max, { error });
+}
+
+function createNumber(min: number, max: number) {
+  const error = `a number from ${min} to ${max}`;
+  return z.number({ error }).min(min, { error }).max(max, { error });
+}
+
+function createChoice<const T extends readonly [string, ...string[]]>(
+  choices: T,
+) {
+  const list = choices.map((choice) => JSON.stringify(choice)).join(", ");
+  return z.enum(choices, { error: `one of ${list}` });
+}
+
+const FLAG = z.boolean({ error: "true or false" });
+
+// "#" separates an instance from its incarnation and ":" a data centre from
+// the rest of a request identifier, so neither may occur in a name.
+const NAME_RANGE =
+  "1 to 63 lower-case letters, digits and hyphens that begin with a letter or digit";
+const NAME = z.string({ error: NAME_RANGE })
+  .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, { error: NAME_RANGE });
+
+const HOST_RANGE = "an IPv4 or IPv6 address";
+const HOST = z.string({ error: HOST_RANGE })
+  .refine((host) => isIP(host) !== 0, { error: HOST_RANGE });
+
+const ADDRESS = z.strictObject({
+  host: HOST,
+  port: createInteger(1, 65_535),
+}, { error: "an object with host and port" });
+
+const ADDRESSES = z.strictObject({
+  http: ADDRESS,
+  rpc: ADDRESS,
+}, { error: "an object with http and rpc" });
+
+const ROLES = {
+  scheduler: FLAG.default(DEFAULT_SETTINGS.roles.scheduler),
+  voter: FLAG.default(DEFAULT_SETTINGS.roles.voter),
+  witnessFor: z.array(NAME, { error: "a list of data centre names" })
+    .default(() => [...DEFAULT_SETTINGS.roles.witnessFor]),
+};
+
+const INSTANCE_ENTRY = z.strictObject({
+  instance: NAME,
+  dataCentre: NAME,
+  http: ADDRESS,
+  rpc: ADDRESS,
+  ...ROLES,
+}, { error: "an object that describes one instance" });
+
+const INSTANCES_RANGE = "a list of 1 to 1000 instances";
+const TOKEN_HASH_RANGE = "64 lower-case hexadecimal digits (a SHA-256)";
+const DATA_FOLDER_RANGE = "the path of a folder";
+const SECTION = { error: "an object" };
+
+const { requests, tasks, scheduling, log, stop } = DEFAULT_SETTINGS;
+
+const REQUESTS = z.strictObject({
+  maxBodyBytes: createInteger(1, MAX_BYTES).default(requests.maxBodyBytes),
+  maxAnswerBytes: createInteger(1, MAX_BYTES).default(requests.maxAnswerBytes),
+  recordedAnswerMaxBytes: createInteger(0, MAX_BYTES)
+    .default(requests.recordedAnswerMaxBytes),
+  defaultDeadlineMs: createInteger(1, MAX_TIME_MS)
+    .default(requests.defaultDeadlineMs),
+  maxDeadlineMs: createInteger(1, MAX_TIME_MS).default(requests.maxDeadlineMs),
+  queueLength: createInteger(1, 1_000_000).default(requests.queueLength),
+  grantValidMs: createInteger(10, 60_000).default(requests.grantValidMs),
+  connectionsPerEndpoint: createInteger(1, ENDPOINT_CONNECTION_BUDGET)
+    .optional(),
+  recordRetentionMs: createInteger(1_000, 7 * MAX_TIME_MS)
+    .default(requests.recordRetentionMs),
+  maxRecords: createInteger(1, 10_000_000).default(requests.maxRecords),
+  retryBudgetRatio: createNumber(0, 1).default(requests.retryBudgetRatio),
+}, SECTION);
+
+const TASKS = z.strictObject({
+  leaseMs: createInteger(100, 3_600_000).default(tasks.leaseMs),
+  announcePeriodMs: createInteger(10, 60_000).default(tasks.announcePeriodMs),
+}, SECTION);
+
+const SCHEDULING = z.strictObject({
+  weights: createChoice(["share", "waiting"]).default(scheduling.weights),
+  usageSafetyMargin: createNumber(0, 2).default(scheduling.usageSafetyMargin),
+}, SECTION);
+
+const LOG = z.strictObject({
+  heartbeatMs: createInteger(5, 10_000).default(log.heartbeatMs),
+  electionTimeoutMinMs: createInteger(10, 60_000)
+    .default(log.electionTimeoutMinMs),
+  electionTimeoutMaxMs: createInteger(10, 60_000)
+    .default(log.electionTimeoutMaxMs),
+  snapshotEntries: createInteger(1, 10_000_000).default(log.snapshotEntries),
+}, SECTION);
+
+const STOP = z.strictObject({
+  graceMs: createInteger(0, 3_600_000).default(stop.graceMs),
+}, SECTION);
+
+/** The schema of a settings file. */
+export const SETTINGS_SCHEMA = z.strictObject({
+  instance: NAME,
+  dataCentre: NAME,
+  roles: z.strictObject(ROLES, SECTION).prefault({}),
+  listen: ADDRESSES,
+  advertise: ADDRESSES.optional(),
+  dataFolder: z.string({ error: DATA_FOLDER_RANGE })
+    .min(1, { error: DATA_FOLDER_RANGE }).optional(),
+  instances: z.array(INSTANCE_ENTRY, { error: INSTANCES_RANGE })
+    .min(1, { error: INSTANCES_RANGE }).max(1_000, { error: INSTANCES_RANGE }),
+  operatorTokenHash: z.string({ error: TOKEN_HASH_RANGE })
+    .regex(/^[0-9a-f]{64}$/, { error: TOKEN_HASH_RANGE }).optional(),
+  requests: REQUESTS.prefault({}),
+  tasks: TASKS.prefault({}),
+  scheduling: SCHEDULING.prefault({}),
+  log: LOG.prefault({}),
+  keyStalenessLimitMs: createInteger(0, 7 * MAX_TIME_MS)
+    .default(DEFAULT_SETTINGS.keyStalenessLimitMs),
+  stop: STOP.prefault({}),
+  logLevel: createChoice(LOG_LEVELS).default(DEFAULT_SETTINGS.logLevel),
+}, SECTION);
+
+/** A settings file whose shape is right and whose defaults are filled in. */
+export type ShapedSettings = z.output<typeof SETTINGS_SCHEMA>;
+
+/** The name of a setting at the top of the file. */
+export type SettingName = keyof ShapedSettings;
