--- a/src/mod.ts
+++ b/src/mod.ts
@@ -2,3 +2,4 @@
 
 export * from "./common/mod.ts";
 export * from "./replicated_log/mod.ts";
+export * from "./settings/mod.ts";
