--- /dev/null
+++ b/src/http/http_server.ts
@@ -0,0 +1,177 @@
+/**
+ * The HTTP listener: `h3` routes, each served by a chain of filters. The
+ * listener counts open requests so that a graceful stop can wait for them.
+ */
+
+import { Buffer } from "node:buffer";
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import { H3, type H3Event, toNodeHandler } from "h3";
+import { createFault, type Logger, toFault } from "../common/mod.ts";
+import { composeFilters, type Filter } from "./filter_chain.ts";
+import {
+  createFaultAnswer,
+  type HttpAnswer,
+  type RequestContext,
+} from "./request_context.ts";
+
+/** A method of a route. */
+export type HttpMethod = "GET" | "POST" | "PUT" | "DELETE";
+
+/** A route and the filters that serve it. */
+export interface HttpRoute {
+  method: HttpMethod;
+  /** Path with named parts, such as `/v1/jobs/:id`. */
+  path: string;
+  filters: readonly Filter<RequestContext>[];
+}
+
+/** Options of the listener. */
+export interface HttpServerOptions {
+  host: string;
+  port: number;
+  routes: readonly HttpRoute[];
+  logger: Logger;
+  /** Called after each answer, with the time since the request in milliseconds. */
+  handleAnswered?: (
+    context: RequestContext,
+    status: number,
+    durationMs: number,
+  ) => void;
+}
+
+/** A running listener. */
+export interface HttpServer {
+  readonly port: number;
+  /** Number of requests without an answer yet. */
+  countOpen(): number;
+  /** Takes no new connections; open ones end after their current answer. */
+  stopAccepting(): void;
+  /** Ends all connections. */
+  close(): Promise<void>;
+}
+
+interface NodeRuntime {
+  runtime?: { node?: { req: IncomingMessage } };
+}
+
+function getNodeRequest(event: H3Event): IncomingMessage {
+  const node = (event.req as unknown as NodeRuntime).runtime?.node;
+  if (node === undefined) {
+    throw createFault("internal", "Cannot find the request of the HTTP server");
+  }
+  return node.req;
+}
+
+function toResponse(answer: HttpAnswer): Response {
+  const body = typeof answer.body === "string"
+    ? answer.body
+    : Buffer.from(answer.body);
+  return new Response(body, { status: answer.status, headers: answer.headers });
+}
+
+/** Starts the listener; fault `unavailable` when the address cannot be bound. */
+export async function startHttpServer(
+  options: HttpServerOptions,
+): Promise<HttpServer> {
+  const { logger } = options;
+  let openCount = 0;
+  let isStopping = false;
+
+  async function serve(route: HttpRoute, event: H3Event): Promise<Response> {
+    const startMs = performance.now();
+    const request = getNodeRequest(event);
+    const controller = new AbortController();
+    const handleClose = () => controller.abort();
+    request.socket.once("close", handleClose);
+    const context: RequestContext = {
+      route: `${route.method} ${route.path}`,
+      request,
+      params: event.context.params ?? {},
+      signal: controller.signal,
+      body: Buffer.alloc(0),
+      logFields: {},
+    };
+    openCount += 1;
+    const answer = await run(route, context);
+    openCount -= 1;
+    request.socket.off("close", handleClose);
+    // A kept-alive connection would hold up a graceful stop.
+    if (isStopping) answer.headers["connection"] = "close";
+    options.handleAnswered?.(
+      context,
+      answer.status,
+      performance.now() - startMs,
+    );
+    return toResponse(answer);
+  }
+
+  async function run(
+    route: HttpRoute,
+    context: RequestContext,
+  ): Promise<HttpAnswer> {
+    try {
+      await composeFilters(route.filters)(context);
+      if (context.answer !== undefined) return context.answer;
+      throw createFault("internal", "Cannot find an answer to the request");
+    } catch (error) {
+      const fault = toFault(error);
+      const level = fault.kind === "internal" ? "error" : "info";
+      logger[level]("Request failed", {
+        route: context.route,
+        ...context.logFields,
+        error: fault,
+      });
+      return createFaultAnswer(fault);
+    }
+  }
+
+  const app = new H3();
+  for (const route of options.routes) {
+    app.on(route.method, route.path, (event) => serve(route, event));
+  }
+  app.all("/**", (event) => {
+    const { pathname } = new URL(event.req.url);
+    const fault = createFault(
+      "notFound",
+      `Cannot find "${event.req.method} ${pathname}"`,
+    );
+    return toResponse(createFaultAnswer(fault));
+  });
+
+  const server: Server = createServer(toNodeHandler(app));
+  // Callers set their own deadlines; the default of five minutes would cut longer ones.
+  server.requestTimeout = 0;
+  server.keepAliveTimeout = 60_000;
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", (error) =>
+      reject(
+        createFault(
+          "unavailable",
+          `Cannot listen on "${options.host}:${options.port}"`,
+          { cause: error },
+        ),
+      ));
+    server.listen(options.port, options.host, resolve);
+  });
+  const address = server.address();
+  const port = typeof address === "object" && address !== null
+    ? address.port
+    : options.port;
+
+  return {
+    port,
+    countOpen: () => openCount,
+    stopAccepting() {
+      isStopping = true;
+      server.close();
+      server.closeIdleConnections();
+    },
+    close() {
+      server.closeAllConnections();
+      return new Promise((resolve) => {
+        if (!server.listening) return resolve();
+        server.close(() => resolve());
+      });
+    },
+  };
+}
--- /dev/null
+++ b/src/instance/leader_calls.ts
@@ -0,0 +1,155 @@
+/**
+ * Finds the leader of a data centre's log and calls its `Work` service, in this
+ * process or over gRPC. A leader that has moved is looked up again within the
+ * caller's time, so that a takeover delays a call and does not fail it.
+ */
+
+import {
+  type Clock,
+  createFault,
+  type Fault,
+  isFault,
+  toFault,
+} from "../common/mod.ts";
+import type { Membership } from "../membership/mod.ts";
+import type { PeerSet } from "../rpc/mod.ts";
+
+/** Time between two attempts to find a leader, in milliseconds. */
+const LOOKUP_PERIOD_MS = 50;
+
+/** The handlers of the `Work` service in this process. */
+export type WorkHandlers = Readonly<
+  Record<
+    string,
+    // deno-lint-ignore no-explicit-any -- the proto file fixes the type of each method
+    (request: any, context: { signal: AbortSignal }) => Promise<any>
+  >
+>;
+
+/** Options of a call. */
+export interface LeaderCallOptions {
+  dataCentre: string;
+  /** Time for the whole call with all attempts, in milliseconds. */
+  timeoutMs: number;
+  /**
+   * Time that may pass until a leader takes the call, in milliseconds. After
+   * it the call is refused as `unavailable`. Default: `timeoutMs`.
+   */
+  lookupMs?: number;
+  /** Whether the call may be repeated after its answer was lost. */
+  idempotent: boolean;
+  signal?: AbortSignal;
+}
+
+/** Calls the leaders of data centres. */
+export interface LeaderCalls {
+  call<Reply>(
+    method: string,
+    request: unknown,
+    options: LeaderCallOptions,
+  ): Promise<Reply>;
+  /** Instance that leads the data centre log, as far as is known. */
+  findLeader(dataCentre: string): string | undefined;
+}
+
+/** Options of `createLeaderCalls`. */
+export interface LeaderCallsOptions {
+  instance: string;
+  clock: Clock;
+  peers: PeerSet;
+  membership: Membership;
+  /** Leader according to this instance's own membership of the group, if any. */
+  getLocalLeader: (dataCentre: string) => string | undefined;
+  handlers: WorkHandlers;
+}
+
+function wait(clock: Clock, ms: number): Promise<void> {
+  return new Promise((resolve) => clock.setTimer(ms, resolve));
+}
+
+/** Creates the calling side of the `Work` service. */
+export function createLeaderCalls(options: LeaderCallsOptions): LeaderCalls {
+  const { clock, membership, peers } = options;
+
+  function findLeader(dataCentre: string): string | undefined {
+    const local = options.getLocalLeader(dataCentre);
+    if (local !== undefined) return local;
+    let best: { leader: string; epoch: number } | undefined;
+    for (const peer of membership.list()) {
+      if (peer.dataCentre !== dataCentre || !peer.alive) continue;
+      if (peer.dataCentreLeader === "") continue;
+      if (best !== undefined && peer.dataCentreEpoch <= best.epoch) continue;
+      best = { leader: peer.dataCentreLeader, epoch: peer.dataCentreEpoch };
+    }
+    return best?.leader;
+  }
+
+  async function callInstance<Reply>(
+    instance: string,
+    method: string,
+    request: unknown,
+    callOptions: { timeoutMs: number; signal?: AbortSignal },
+  ): Promise<Reply> {
+    if (instance !== options.instance) {
+      return await peers.get(instance).call(
+        `Work.${method}`,
+        request,
+        callOptions,
+      );
+    }
+    const handler = options.handlers[method];
+    if (handler === undefined) {
+      throw createFault("internal", `Cannot call unknown method "${method}"`);
+    }
+    const signal = callOptions.signal ?? new AbortController().signal;
+    return await handler(request, { signal });
+  }
+
+  function isWorthRepeating(fault: Fault, isIdempotent: boolean): boolean {
+    if (fault.kind === "notLeader") return true;
+    if (fault.kind === "unavailable") return fault.details["final"] !== true;
+    return fault.kind === "outcomeUnknown" && isIdempotent;
+  }
+
+  async function call<Reply>(
+    method: string,
+    request: unknown,
+    callOptions: LeaderCallOptions,
+  ): Promise<Reply> {
+    const { dataCentre, timeoutMs, signal } = callOptions;
+    const startMs = clock.now();
+    const lookupUntilMs = startMs +
+      Math.min(callOptions.lookupMs ?? timeoutMs, timeoutMs);
+    let hint: string | undefined;
+    let last: Fault | undefined;
+    do {
+      const leader = hint ?? findLeader(dataCentre);
+      hint = undefined;
+      if (leader !== undefined) {
+        try {
+          const remainingMs = Math.max(1, startMs + timeoutMs - clock.now());
+          return await callInstance<Reply>(leader, method, request, {
+            timeoutMs: remainingMs,
+            ...(signal === undefined ? {} : { signal }),
+          });
+        } catch (error) {
+          const fault = toFault(error);
+          if (!isWorthRepeating(fault, callOptions.idempotent)) throw fault;
+          last = fault;
+          const named = fault.details["leader"];
+          if (typeof named === "string" && named !== leader) hint = named;
+        }
+      }
+      if (signal?.aborted) break;
+      await wait(clock, LOOKUP_PERIOD_MS);
+    } while (clock.now() < lookupUntilMs);
+    if (isFault(last, "outcomeUnknown")) throw last;
+    throw createFault(
+      "unavailable",
+      `Cannot reach a leader of data centre "${dataCentre}"`,
+      last === undefined ? {} : { cause: last },
+    );
+  }
+
+  return { call, findLeader };
+}
