--- /dev/null
+++ b/src/instance/key_withdrawals.ts
@@ -0,0 +1,110 @@
+/**
+ * Withdrawals ahead of the fleet log. Where the log cannot be reached, a
+ * withdrawal takes effect on every instance that can be, and is merged into the
+ * log later; a withdrawal never reverts, so merging needs no expected version.
+ */
+
+import { type Clock, isFault, type Logger, type Timer } from "../common/mod.ts";
+import type { FleetChange, FleetView } from "../fleet/types.ts";
+import type { KeyWithdrawals, PeerSet } from "../rpc/mod.ts";
+
+/** Time between attempts to merge withdrawals into the fleet log, in milliseconds. */
+const MERGE_PERIOD_MS = 1_000;
+
+/** Time for telling one instance, in milliseconds. */
+const TELL_TIMEOUT_MS = 1_000;
+
+/** Options of `createKeyWithdrawals`. */
+export interface KeyWithdrawalsOptions {
+  view: FleetView;
+  peers: PeerSet;
+  listInstances: () => string[];
+  submit: (change: FleetChange) => Promise<number>;
+  clock: Clock;
+  logger: Logger;
+}
+
+/** Withdraws keys at once where it can. */
+export interface LocalKeyWithdrawals {
+  /** Withdraws keys here and on every instance that answers; returns those that did. */
+  withdraw(keyIds: readonly string[]): Promise<string[]>;
+  /** Takes withdrawals from another instance. */
+  receive(withdrawals: KeyWithdrawals): void;
+  stop(): void;
+}
+
+/** Starts the merging of withdrawals into the fleet log. */
+export function createKeyWithdrawals(
+  options: KeyWithdrawalsOptions,
+): LocalKeyWithdrawals {
+  const { view, clock } = options;
+  let timer: Timer;
+
+  async function mergeOne(keyId: string): Promise<void> {
+    const change: FleetChange = {
+      changeId: `withdraw-key:${keyId}`,
+      operations: [{ type: "withdrawKey", id: keyId }],
+    };
+    try {
+      const version = await options.submit(change);
+      view.recordMergedWithdrawal(keyId, version);
+      options.logger.info("Merged a key withdrawal", { keyId, version });
+    } catch (error) {
+      // The log never knew the key, so there is nothing left to withdraw.
+      if (isFault(error, "notFound")) {
+        view.recordMergedWithdrawal(keyId, view.getVersion());
+      }
+    }
+  }
+
+  async function mergeAll(): Promise<void> {
+    for (const withdrawal of view.getLocalWithdrawals()) {
+      if (withdrawal.mergedVersion === undefined) {
+        await mergeOne(withdrawal.keyId);
+      }
+    }
+    schedule();
+  }
+
+  function schedule(): void {
+    timer = clock.setTimer(MERGE_PERIOD_MS, () => void mergeAll());
+  }
+
+  function receive(withdrawals: KeyWithdrawals): void {
+    view.addLocalWithdrawals(
+      withdrawals.keyIds.map((keyId) => ({ keyId, at: withdrawals.at })),
+    );
+  }
+
+  async function tell(
+    instance: string,
+    withdrawals: KeyWithdrawals,
+  ): Promise<boolean> {
+    try {
+      await options.peers.get(instance).call(
+        "Fleet.WithdrawKeys",
+        withdrawals,
+        { timeoutMs: TELL_TIMEOUT_MS },
+      );
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  schedule();
+
+  return {
+    async withdraw(keyIds) {
+      const withdrawals = { keyIds: [...keyIds], at: clock.wallTime() };
+      receive(withdrawals);
+      const instances = options.listInstances();
+      const told = await Promise.all(
+        instances.map((instance) => tell(instance, withdrawals)),
+      );
+      return instances.filter((_, index) => told[index]);
+    },
+    receive,
+    stop: () => timer.cancel(),
+  };
+}
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -29,6 +29,13 @@
   version: number;
 }
 
+/** Keys that are withdrawn ahead of the fleet log. */
+export interface KeyWithdrawals {
+  keyIds: string[];
+  /** Wall time in milliseconds. */
+  at: number;
+}
+
 /** A subscription to configuration updates. */
 export interface WatchRequest {
   instance: string;
