--- /dev/null
+++ b/src/http/announce_routes.ts
@@ -0,0 +1,60 @@
+/** Routes of announcements by endpoints and workers. */
+
+import {
+  type EndpointAnnouncementReply,
+  parseEndpointAnnouncement,
+  parseWorkerAnnouncement,
+  type WorkerAnnouncementReply,
+} from "../data_centre/announcements.ts";
+import { parseJson } from "./body.ts";
+import { createBodyFilter, type HttpFilter } from "./filters.ts";
+import type { HttpRoute } from "./http_server.ts";
+import { createJsonAnswer } from "./request_context.ts";
+
+/** Largest announcement in bytes: a worker lists each of its tasks. */
+const MAX_ANNOUNCEMENT_BYTES = 4 * 1024 * 1024;
+
+/** Options of the routes. */
+export interface AnnounceRoutesOptions {
+  /** Hands a checked announcement to the leader of its data centre. */
+  announceEndpoint: (
+    dataCentre: string,
+    body: Uint8Array,
+  ) => Promise<EndpointAnnouncementReply>;
+  announceWorker: (
+    dataCentre: string,
+    body: Uint8Array,
+  ) => Promise<WorkerAnnouncementReply>;
+}
+
+/** Creates the routes. */
+export function createAnnounceRoutes(
+  options: AnnounceRoutesOptions,
+): HttpRoute[] {
+  const announceEndpoint: HttpFilter = async (context) => {
+    const { dataCentre } = parseEndpointAnnouncement(parseJson(context.body));
+    context.answer = createJsonAnswer(
+      await options.announceEndpoint(dataCentre, context.body),
+    );
+  };
+
+  const announceWorker: HttpFilter = async (context) => {
+    const { dataCentre } = parseWorkerAnnouncement(parseJson(context.body));
+    context.answer = createJsonAnswer(
+      await options.announceWorker(dataCentre, context.body),
+    );
+  };
+
+  return [
+    {
+      method: "POST",
+      path: "/v1/endpoints/announce",
+      filters: [createBodyFilter(MAX_ANNOUNCEMENT_BYTES), announceEndpoint],
+    },
+    {
+      method: "POST",
+      path: "/v1/workers/announce",
+      filters: [createBodyFilter(MAX_ANNOUNCEMENT_BYTES), announceWorker],
+    },
+  ];
+}
--- /dev/null
+++ b/src/http/job_routes.ts
@@ -0,0 +1,149 @@
+/** Routes of jobs. */
+
+import { randomUUID } from "node:crypto";
+import { z } from "zod";
+import { createFault } from "../common/mod.ts";
+import { parseWith } from "../data_centre/announcements.ts";
+import { JOB_ID_PATTERN } from "../data_centre/attempt_name.ts";
+import type { FleetView } from "../fleet/types.ts";
+import type { JobPolicy, JobSpec } from "../scheduling/types.ts";
+import { parseJson } from "./body.ts";
+import {
+  createBodyFilter,
+  createKeyFilter,
+  createStoppingFilter,
+  type HttpFilter,
+} from "./filters.ts";
+import type { HttpRoute } from "./http_server.ts";
+import { createJsonAnswer } from "./request_context.ts";
+
+/** Attempts of a task before it has failed, unless the job says otherwise. */
+export const DEFAULT_MAX_ATTEMPTS_COUNT = 3;
+
+/** Most tasks of one job. */
+export const MAX_TASKS_COUNT = 10_000;
+
+const amountSchema = z.number().int().min(0);
+
+const jobSchema = z.strictObject({
+  id: z.string().regex(JOB_ID_PATTERN).optional(),
+  queue: z.string().min(1).max(128).optional(),
+  policy: z.enum(["service", "batch", "gang"]).optional(),
+  tasks: z.number().int().min(1).max(MAX_TASKS_COUNT).default(1),
+  resources: z.strictObject({
+    processors: amountSchema.default(0),
+    memoryMb: amountSchema.default(0),
+    accelerators: amountSchema.default(0),
+  }),
+  urgent: z.boolean().default(false),
+  expectedMs: z.number().int().min(1).optional(),
+  maxAttempts: z.number().int().min(1).max(1_000_000).optional(),
+  payload: z.unknown(),
+});
+
+/** A job as a caller submits it, checked and with defaults. */
+export type SubmittedJob = Omit<JobSpec, "submittedAt" | "team">;
+
+/** A job and its state as callers see it; the fields are in docs/http.md. */
+export type JobView = Readonly<Record<string, unknown>>;
+
+/** Options of the routes. */
+export interface JobRoutesOptions {
+  dataCentre: string;
+  view: FleetView;
+  maxBodyBytes: number;
+  isStopping: () => boolean;
+  submitJob: (team: string, job: SubmittedJob) => Promise<JobView>;
+  getJob: (team: string, id: string) => Promise<JobView>;
+  cancelJob: (team: string, id: string) => Promise<JobView>;
+}
+
+function resolvePolicy(
+  view: FleetView,
+  queueName: string | undefined,
+  named: JobPolicy | undefined,
+): JobPolicy {
+  if (queueName === undefined) return named ?? "batch";
+  const queue = view.getState().queues.get(queueName);
+  if (queue === undefined) {
+    throw createFault("notFound", `Cannot find queue "${queueName}"`);
+  }
+  if (queue.policy === "requests") {
+    throw createFault(
+      "badRequest",
+      `Cannot submit a job to queue "${queueName}": it takes requests`,
+    );
+  }
+  const policy = queue.policy === "services" ? "service" : queue.policy;
+  if (named === undefined || named === policy) return policy;
+  throw createFault(
+    "badRequest",
+    `Cannot submit a job with policy "${named}" to queue "${queueName}": its policy is "${policy}"`,
+  );
+}
+
+/** Checks a submitted job and fills in its defaults; fault `badRequest` or `notFound`. */
+export function parseJob(
+  input: unknown,
+  options: Pick<JobRoutesOptions, "dataCentre" | "view">,
+): SubmittedJob {
+  const parsed = parseWith(jobSchema, input, "the job");
+  const policy = resolvePolicy(options.view, parsed.queue, parsed.policy);
+  const defaultAttempts = policy === "service"
+    ? 1_000_000
+    : DEFAULT_MAX_ATTEMPTS_COUNT;
+  return {
+    id: parsed.id ?? `${options.dataCentre}:${randomUUID()}`,
+    policy,
+    tasks: parsed.tasks,
+    resources: parsed.resources,
+    urgent: parsed.urgent,
+    ...(parsed.expectedMs === undefined
+      ? {}
+      : { expectedMs: parsed.expectedMs }),
+    maxAttempts: parsed.maxAttempts ?? defaultAttempts,
+    payload: parsed.payload ?? null,
+  };
+}
+
+/** Creates the routes. */
+export function createJobRoutes(options: JobRoutesOptions): HttpRoute[] {
+  const authenticate = createKeyFilter(options.view);
+
+  const submit: HttpFilter = async (context) => {
+    const job = parseJob(parseJson(context.body), options);
+    context.logFields["job"] = job.id;
+    const view = await options.submitJob(context.team ?? "", job);
+    context.answer = createJsonAnswer(view, 202);
+  };
+
+  const get: HttpFilter = async (context) => {
+    const id = context.params["id"] ?? "";
+    context.answer = createJsonAnswer(
+      await options.getJob(context.team ?? "", id),
+    );
+  };
+
+  const cancel: HttpFilter = async (context) => {
+    const id = context.params["id"] ?? "";
+    context.answer = createJsonAnswer(
+      await options.cancelJob(context.team ?? "", id),
+      202,
+    );
+  };
+
+  return [
+    {
+      method: "POST",
+      path: "/v1/jobs",
+      filters: [
+        createStoppingFilter(options.isStopping),
+        authenticate,
+        createBodyFilter(options.maxBodyBytes),
+        submit,
+      ],
+    },
+    { method: "GET", path: "/v1/jobs/:id", filters: [authenticate, get] },
+    { method: "DELETE", path: "/v1/jobs/:id", filters: [authenticate, cancel] },
+  ];
+}
