--- /dev/null
+++ b/test/relay.ts
@@ -0,0 +1,205 @@
+/**
+ * A TCP relay on loopback whose connections can be delayed, silenced or cut.
+ * A silent connection accepts bytes only into the buffers of the system and
+ * forwards nothing, neither data nor its end. If it is set to forward again,
+ * what was held goes on, as TCP does after a partition; one that is never set
+ * back is silent for good, as after something in between lost its state.
+ */
+
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+
+/** "cut" ends connections; new ones are ended as soon as they are accepted. */
+export type RelayMode = "forward" | "silent" | "cut";
+
+/** One relayed connection. */
+export interface RelayConnection {
+  /** Rises with each accepted connection, from 1. */
+  readonly id: number;
+  setMode(mode: RelayMode): void;
+  /** Time that is added in each direction, in milliseconds. */
+  setDelay(ms: number): void;
+}
+
+/** A running relay. */
+export interface Relay {
+  readonly port: number;
+  /** Sets the mode of open and of new connections. */
+  setMode(mode: RelayMode): void;
+  /** Sets the mode of open connections only; new ones are as before. */
+  setOpenMode(mode: RelayMode): void;
+  /** Sets the added delay of open and of new connections. */
+  setDelay(ms: number): void;
+  /** Lists open connections in the order of their acceptance. */
+  listConnections(): RelayConnection[];
+  /** Connections accepted so far. */
+  getAcceptedCount(): number;
+  stop(): Promise<void>;
+}
+
+/** Settings of a relay. */
+export interface RelayOptions {
+  readonly targetPort: number;
+  /** Default "127.0.0.1". */
+  readonly targetHost?: string;
+  /** Default 0, which takes a free port. */
+  readonly port?: number;
+}
+
+interface Pump {
+  /** Holds everything, or lets it go on. */
+  setHeld(isHeld: boolean): void;
+}
+
+/** Moves bytes, and then the end, from one socket to the other. */
+function startPump(from: Socket, to: Socket, getDelay: () => number): Pump {
+  let isHeld = false;
+  let waitsForDrain = false;
+  let lastDueMs = 0;
+  const held: (() => void)[] = [];
+
+  function deliver(action: () => void): void {
+    if (isHeld || held.length > 0) held.push(action);
+    else action();
+  }
+
+  function forward(action: () => void): void {
+    const nowMs = performance.now();
+    // A shorter delay must not overtake bytes that are still under way.
+    lastDueMs = Math.max(lastDueMs, nowMs + getDelay());
+    if (lastDueMs <= nowMs) deliver(action);
+    else setTimeout(() => deliver(action), lastDueMs - nowMs);
+  }
+
+  function updateFlow(): void {
+    if (isHeld || waitsForDrain) from.pause();
+    else from.resume();
+  }
+
+  from.on("data", (chunk) => {
+    forward(() => {
+      if (to.destroyed || to.write(chunk)) return;
+      waitsForDrain = true;
+      updateFlow();
+      to.once("drain", () => {
+        waitsForDrain = false;
+        updateFlow();
+      });
+    });
+  });
+  from.on("end", () => forward(() => to.end()));
+  return {
+    setHeld(newIsHeld) {
+      isHeld = newIsHeld;
+      while (!isHeld && held.length > 0) held.shift()?.();
+      updateFlow();
+    },
+  };
+}
+
+interface ConnectionOptions {
+  readonly id: number;
+  readonly target: { host: string; port: number };
+  readonly mode: RelayMode;
+  readonly delayMs: number;
+  readonly onClose: () => void;
+}
+
+function createConnection(
+  client: Socket,
+  options: ConnectionOptions,
+): RelayConnection {
+  let mode = options.mode;
+  let delayMs = options.delayMs;
+  let server: Socket | undefined;
+  let pumps: Pump[] = [];
+
+  function cut(): void {
+    client.destroy();
+    server?.destroy();
+  }
+
+  // A reset of one side resets the other, unless nothing may pass. An orderly
+  // end is forwarded by the pumps, after what is still delayed.
+  function handleBroken(): void {
+    if (mode !== "silent") cut();
+  }
+
+  function open(): void {
+    server = connect({ ...options.target, allowHalfOpen: true });
+    server.on("error", handleBroken);
+    const getDelay = () => delayMs;
+    pumps = [
+      startPump(client, server, getDelay),
+      startPump(server, client, getDelay),
+    ];
+  }
+
+  function setMode(newMode: RelayMode): void {
+    mode = newMode;
+    if (mode === "cut") return cut();
+    if (mode === "forward" && server === undefined) open();
+    for (const pump of pumps) pump.setHeld(mode === "silent");
+    const isReset = client.errored !== null || Boolean(server?.errored);
+    if (mode === "forward" && isReset) cut();
+  }
+
+  client.pause();
+  client.on("error", handleBroken);
+  client.on("close", options.onClose);
+  setMode(mode);
+  return {
+    id: options.id,
+    setMode,
+    setDelay: (ms) => void (delayMs = ms),
+  };
+}
+
+/** Starts a relay to a port on loopback. */
+export async function startRelay(options: RelayOptions): Promise<Relay> {
+  const target = {
+    host: options.targetHost ?? "127.0.0.1",
+    port: options.targetPort,
+  };
+  const connections = new Map<number, RelayConnection>();
+  let mode: RelayMode = "forward";
+  let delayMs = 0;
+  let acceptedCount = 0;
+
+  const server = createServer({ allowHalfOpen: true }, (client) => {
+    const id = ++acceptedCount;
+    const onClose = () => void connections.delete(id);
+    connections.set(
+      id,
+      createConnection(client, { id, target, mode, delayMs, onClose }),
+    );
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options.port ?? 0, "127.0.0.1", resolve);
+  });
+
+  function setOpenMode(newMode: RelayMode): void {
+    for (const connection of connections.values()) connection.setMode(newMode);
+  }
+
+  return {
+    port: (server.address() as AddressInfo).port,
+    setMode(newMode) {
+      mode = newMode;
+      setOpenMode(newMode);
+    },
+    setOpenMode,
+    setDelay(ms) {
+      delayMs = ms;
+      for (const connection of connections.values()) connection.setDelay(ms);
+    },
+    listConnections: () => [...connections.values()],
+    getAcceptedCount: () => acceptedCount,
+    stop: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        setOpenMode("cut");
+      }),
+  };
+}
--- /dev/null
+++ b/test/standin_tasks.ts
@@ -0,0 +1,171 @@
+/** The tasks of a stand-in worker: timers under leases. */
+
+/** Amounts of resources, as announced. */
+export interface StandinResources {
+  /** Thousandths of a core. */
+  readonly processors: number;
+  readonly memoryMb: number;
+  readonly accelerators: number;
+}
+
+/** What a task of the stand-in does. */
+export interface StandinPayload {
+  /** Run time at full speed, in milliseconds. Default 1000. */
+  readonly runMs?: number;
+  /** Exit code at the end; other than 0 means failed. Default 0. */
+  readonly exitCode?: number;
+  /** Used part of the requested resources. Default 1; above 1 overruns. */
+  readonly usageRatio?: number;
+}
+
+/** The state of a task, as announced. */
+export type StandinTaskState =
+  | "running"
+  | "finished"
+  | "failed"
+  | "stopped"
+  | "checkpointed";
+
+/** A task as `GET /tasks` lists it; times are wall time in milliseconds. */
+export interface StandinTaskStatus {
+  readonly task: string;
+  readonly epoch: number;
+  readonly state: StandinTaskState;
+  readonly startedAt: number;
+  /** When the task ended; at the latest when its lease ended. */
+  readonly endedAt: number | null;
+  /** Why the task was stopped. */
+  readonly reason: string | null;
+  readonly exitCode: number | null;
+  readonly processorLimit: number | null;
+  readonly resources: StandinResources;
+}
+
+/** What is needed to start a task. */
+export interface StandinTaskStart {
+  readonly task: string;
+  readonly epoch: number;
+  readonly resources: StandinResources;
+  readonly payload: StandinPayload;
+  /** Work that a checkpoint has saved, in milliseconds. */
+  readonly savedMs: number;
+  /** End of the first lease on the monotonic clock, in milliseconds. */
+  readonly leaseUntilMs: number;
+}
+
+/** A started task. */
+export interface StandinTask {
+  isRunning(): boolean;
+  getStatus(): StandinTaskStatus;
+  getUsage(): StandinResources;
+  /** Moves the end of the lease, never backwards. */
+  renew(leaseUntilMs: number, epoch: number): void;
+  throttle(processors: number): void;
+  /** Ends the task; resolves to the work done in milliseconds at full speed. */
+  stop(state: "stopped" | "checkpointed", reason: string): number;
+}
+
+const SLOWEST_SPEED = 0.01;
+
+/** Starts a task as a timer. */
+export function startStandinTask(options: StandinTaskStart): StandinTask {
+  const { resources, payload } = options;
+  const runMs = payload.runMs ?? 1_000;
+  const exitCode = payload.exitCode ?? 0;
+  const startedAt = Date.now();
+  let epoch = options.epoch;
+  let doneMs = options.savedMs;
+  let speed = 1;
+  let updatedAtMs = performance.now();
+  let leaseUntilMs = options.leaseUntilMs;
+  let processorLimit: number | null = null;
+  let state: StandinTaskState = "running";
+  let reason: string | null = null;
+  let endedAt: number | null = null;
+  let timer: ReturnType<typeof setTimeout>;
+
+  function updateDone(untilMs: number): void {
+    doneMs += Math.max(0, untilMs - updatedAtMs) * speed;
+    updatedAtMs = untilMs;
+  }
+
+  function end(newState: StandinTaskState, why: string | null): void {
+    clearTimeout(timer);
+    const nowMs = performance.now();
+    const lateMs = Math.max(0, nowMs - leaseUntilMs);
+    updateDone(nowMs - lateMs);
+    state = newState;
+    reason = why;
+    // A frozen process runs nothing: the task ended with its lease, not when
+    // the process noticed.
+    endedAt = Date.now() - lateMs;
+  }
+
+  function check(): void {
+    if (state !== "running") return;
+    const nowMs = performance.now();
+    updateDone(Math.min(nowMs, leaseUntilMs));
+    if (doneMs >= runMs - 0.5) {
+      return end(exitCode === 0 ? "finished" : "failed", null);
+    }
+    if (nowMs >= leaseUntilMs) return end("stopped", "lease ended");
+    schedule();
+  }
+
+  function schedule(): void {
+    clearTimeout(timer);
+    const toFinishMs = (runMs - doneMs) / speed;
+    const toLeaseEndMs = leaseUntilMs - performance.now();
+    const delayMs = Math.ceil(Math.min(toFinishMs, toLeaseEndMs));
+    timer = setTimeout(check, Math.max(0, Math.min(delayMs, 0x7fffffff)));
+  }
+
+  schedule();
+  return {
+    isRunning() {
+      check();
+      return state === "running";
+    },
+    getStatus: () => ({
+      task: options.task,
+      epoch,
+      state,
+      startedAt,
+      endedAt,
+      reason,
+      exitCode: state === "finished" || state === "failed" ? exitCode : null,
+      processorLimit,
+      resources,
+    }),
+    getUsage() {
+      const ratio = payload.usageRatio ?? 1;
+      const processors = Math.round(resources.processors * ratio);
+      return {
+        processors: Math.min(processors, processorLimit ?? processors),
+        memoryMb: Math.round(resources.memoryMb * ratio),
+        accelerators: resources.accelerators,
+      };
+    },
+    renew(untilMs, newEpoch) {
+      check();
+      if (state !== "running") return;
+      leaseUntilMs = Math.max(leaseUntilMs, untilMs);
+      epoch = Math.max(epoch, newEpoch);
+      schedule();
+    },
+    throttle(processors) {
+      check();
+      if (state !== "running") return;
+      const full = Math.max(1, resources.processors);
+      const isFull = processors >= resources.processors;
+      processorLimit = isFull ? null : processors;
+      speed = isFull ? 1 : Math.max(SLOWEST_SPEED, processors / full);
+      schedule();
+    },
+    stop(newState, why) {
+      check();
+      if (state === "running") end(newState, why);
+      return doneMs;
+    },
+  };
+}
