Add the fleet state machine, its distribution and the read copy

Changes are checked with zod both before they are proposed and when they are applied, so a malformed command is refused alike by every voter. A change works on a draft and is committed as the same delta that watchers receive; voters and views therefore run the same code.

Division of limits: a rule that moves units between data centres by a cut here and a grant there was ruled out, because data centres apply versions at different times and the sum could exceed the limit meanwhile. Each unit keeps its data centre; a removed data centre gives back its part by its own transfers, and closeDataCentre then hands its later grants and cuts to the others.

Answers are kept for 20,000 changes. Past that, a resend with an expected version conflicts, grants and withdrawals are final by identifier, and other unconditional changes are remembered as fingerprints and refused as outcomeUnknown. Remembering nothing was ruled out: an old resend would revert a later change.

--- a/src/allotments/types.ts
+++ b/src/allotments/types.ts
@@ -19,8 +19,11 @@
     readonly changes: readonly AllotmentChange[];
   }
   | {
+    /** Numbered when it is applied, so that several can be proposed at once. */
     readonly type: "transferOut";
-    readonly transfer: AllotmentTransfer;
+    readonly to: string;
+    readonly team: string;
+    readonly amount: Limits;
   }
   | {
     readonly type: "transferIn";
@@ -44,7 +47,11 @@
 
 /** What became of a command. */
 export type AllotmentResult =
-  | { readonly applied: true }
+  | {
+    readonly applied: true;
+    /** The transfer that a `transferOut` began. */
+    readonly transfer?: AllotmentTransfer;
+  }
   /** Already applied; for `transferIn` this too is acknowledged. */
   | { readonly applied: false; readonly reason: "duplicate" }
   /** Refused without effect; a refused `transferIn` is not acknowledged. */
@@ -70,12 +77,6 @@
    * `state`, or nothing when it is there already.
    */
   planConfiguration(state: FleetState): AllotmentCommand | undefined;
-  /** Builds a transfer out with the next identifier. */
-  planTransferOut(
-    to: string,
-    team: string,
-    amount: Limits,
-  ): AllotmentCommand;
 }
 
 /** What a data centre reports about one team. */
--- /dev/null
+++ b/src/fleet/draft.ts
@@ -0,0 +1,165 @@
+/**
+ * A change in progress: reads fall through to the state, writes are kept
+ * apart until the whole change is known to be valid. A change that fails half
+ * way therefore leaves nothing behind.
+ */
+
+import type { MutableFleetState } from "./state_codec.ts";
+import type {
+  Division,
+  FleetDelta,
+  FleetState,
+  Key,
+  Queue,
+  Team,
+} from "./types.ts";
+
+/** Writes to one map, kept apart from it. */
+export interface DraftMap<T> {
+  get(name: string): T | undefined;
+  set(name: string, value: T): void;
+  remove(name: string): void;
+  /** Number of entries after the writes. */
+  getSize(): number;
+  list(): T[];
+  listNames(): string[];
+  /** Entries written and names removed, compared with the state. */
+  getWrites(): { written: [string, T][]; removed: string[] };
+}
+
+function createDraftMap<T>(base: ReadonlyMap<string, T>): DraftMap<T> {
+  const writes = new Map<string, T | undefined>();
+  let size = base.size;
+
+  function get(name: string): T | undefined {
+    return writes.has(name) ? writes.get(name) : base.get(name);
+  }
+
+  function listNames(): string[] {
+    const kept = [...base.keys()].filter((name) => get(name) !== undefined);
+    const added = [...writes.keys()].filter((name) =>
+      !base.has(name) && get(name) !== undefined
+    );
+    return [...kept, ...added];
+  }
+
+  return {
+    get,
+    set(name, value) {
+      if (get(name) === undefined) size += 1;
+      writes.set(name, value);
+    },
+    remove(name) {
+      if (get(name) !== undefined) size -= 1;
+      writes.set(name, undefined);
+    },
+    getSize: () => size,
+    list: () => listNames().map((name) => get(name)!),
+    listNames,
+    getWrites() {
+      const written: [string, T][] = [];
+      const removed: string[] = [];
+      for (const [name, value] of writes) {
+        if (value !== undefined) written.push([name, value]);
+        else if (base.has(name)) removed.push(name);
+      }
+      return { written, removed };
+    },
+  };
+}
+
+/** The data centres of a draft. */
+export type DraftDataCentres = NonNullable<FleetDelta["dataCentres"]>;
+
+/** A change in progress. */
+export interface Draft {
+  readonly base: FleetState;
+  /** Wall time of the command in milliseconds. */
+  readonly at: number;
+  readonly teams: DraftMap<Team>;
+  readonly keys: DraftMap<Key>;
+  readonly queues: DraftMap<Queue>;
+  readonly divisions: DraftMap<Division>;
+  /** Keys that the change withdrew, by identifier. */
+  readonly withdrawnKeys: ReadonlyMap<string, Key>;
+  addWithdrawnKey(key: Key): void;
+  getDataCentres(): DraftDataCentres;
+  setDataCentres(dataCentres: DraftDataCentres): void;
+  /** Tells whether a key was withdrawn, in this change or before. */
+  isWithdrawn(keyId: string): boolean;
+  /** Builds the delta of the next version. */
+  buildDelta(): FleetDelta;
+}
+
+/** Options of `createDraft`. */
+export interface DraftOptions {
+  at: number;
+  isWithdrawn: (keyId: string) => boolean;
+}
+
+function addIfAny<T>(values: T[]): T[] | undefined {
+  return values.length > 0 ? values : undefined;
+}
+
+/** Creates a draft on `state`, which must not change while the draft is used. */
+export function createDraft(
+  state: MutableFleetState,
+  options: DraftOptions,
+): Draft {
+  const teams = createDraftMap<Team>(state.teams);
+  const keys = createDraftMap<Key>(state.keys);
+  const queues = createDraftMap<Queue>(state.queues);
+  const divisions = createDraftMap<Division>(state.divisions);
+  const withdrawnKeys = new Map<string, Key>();
+  let dataCentres: DraftDataCentres | undefined;
+
+  return {
+    base: state,
+    at: options.at,
+    teams,
+    keys,
+    queues,
+    divisions,
+    withdrawnKeys,
+    addWithdrawnKey: (key) => void withdrawnKeys.set(key.id, key),
+    getDataCentres: () =>
+      dataCentres ?? {
+        configured: state.dataCentres,
+        leaving: state.leavingDataCentres,
+        closed: state.closedDataCentres,
+        sets: state.dataCentreSets,
+      },
+    setDataCentres(value) {
+      dataCentres = value;
+    },
+    isWithdrawn: (keyId) =>
+      withdrawnKeys.has(keyId) || options.isWithdrawn(keyId),
+    buildDelta() {
+      const version = state.version + 1;
+      const teamWrites = teams.getWrites();
+      const queueWrites = queues.getWrites();
+      const divisionWrites = divisions.getWrites();
+      const changesLimits = teamWrites.removed.length > 0 ||
+        teamWrites.written.some(([name, team]) =>
+          state.teams.get(name)?.limits !== team.limits
+        );
+      const changesDivision = dataCentres !== undefined || changesLimits ||
+        divisionWrites.written.length > 0;
+      const entries = {
+        teams: addIfAny(teamWrites.written.map(([, team]) => team)),
+        removedTeams: addIfAny(teamWrites.removed),
+        keys: addIfAny(keys.getWrites().written.map(([, key]) => key)),
+        withdrawnKeys: addIfAny(keys.getWrites().removed),
+        queues: addIfAny(queueWrites.written.map(([, queue]) => queue)),
+        removedQueues: addIfAny(queueWrites.removed),
+        divisions: addIfAny(divisionWrites.written),
+        dataCentres,
+        divisionVersion: changesDivision ? version : undefined,
+      };
+      const present = Object.entries(entries).filter(([, value]) =>
+        value !== undefined
+      );
+      return { version, ...Object.fromEntries(present) };
+    },
+  };
+}
--- /dev/null
+++ b/src/fleet/fleet_state.ts
@@ -0,0 +1,141 @@
+/**
+ * The replicated configuration: teams, keys, queues and data centres. It
+ * applies the commands of the fleet log and fits the `StateMachine` of the
+ * replicated log. What it does depends on the commands alone, so that every
+ * voter reaches the same state and gives the same answer.
+ */
+
+import { Buffer } from "node:buffer";
+import { z } from "zod";
+import {
+  createFault,
+  type Fault,
+  renderFault,
+  toFault,
+} from "../common/mod.ts";
+import {
+  ANSWER_MEMORY_COUNT,
+  answerMemorySchema,
+  createAnswerMemory,
+} from "./answer_memory.ts";
+import { createDraft } from "./draft.ts";
+import { createFingerprintSet } from "./fingerprints.ts";
+import { applyOperations } from "./operations.ts";
+import { decodeCommand } from "./schema.ts";
+import {
+  applyDelta,
+  createEmptyState,
+  decodeJson,
+  keyRowSchema,
+  readKey,
+  readState,
+  stateRowsSchema,
+  toKeyRow,
+  toStateRows,
+} from "./state_codec.ts";
+import type {
+  ChangeAnswer,
+  FleetCommand,
+  FleetStateMachine,
+  FleetStateOptions,
+  Key,
+} from "./types.ts";
+
+/** Withdrawn keys that are kept whole for operators. */
+export const WITHDRAWN_KEY_COUNT = 1_000;
+/**
+ * Withdrawn key identifiers that are recognised. A grant of an older one would
+ * be accepted: at 1,000 withdrawals a day this is after five years.
+ */
+export const WITHDRAWN_FINGERPRINT_COUNT = 2_000_000;
+
+const SNAPSHOT_FORMAT = 1;
+
+const snapshotSchema = z.strictObject({
+  format: z.literal(SNAPSHOT_FORMAT),
+  state: stateRowsSchema,
+  memory: answerMemorySchema,
+  withdrawnKeys: z.array(keyRowSchema),
+  withdrawnFingerprints: z.string(),
+});
+
+function buildRefusal(fault: Fault): ChangeAnswer {
+  const body = renderFault(fault);
+  const hasDetails = Object.keys(fault.details).length > 0;
+  return {
+    accepted: false,
+    fault: hasDetails ? { ...body, details: fault.details } : body,
+  };
+}
+
+/** Creates the state machine of the fleet log, at version 0. */
+export function createFleetState(
+  options: FleetStateOptions = {},
+): FleetStateMachine {
+  const memory = createAnswerMemory(
+    options.answerMemoryCount ?? ANSWER_MEMORY_COUNT,
+  );
+  const withdrawn = createFingerprintSet(WITHDRAWN_FINGERPRINT_COUNT);
+  let withdrawnKeys: Key[] = [];
+  let state = createEmptyState();
+
+  function applyNew({ at, change }: FleetCommand): ChangeAnswer {
+    const { expectedVersion } = change;
+    if (expectedVersion !== undefined && expectedVersion !== state.version) {
+      return buildRefusal(createFault(
+        "versionConflict",
+        `Cannot apply change: expectedVersion: ${expectedVersion} is not the current version ${state.version}`,
+        { details: { version: state.version } },
+      ));
+    }
+    const draft = createDraft(state, { at, isWithdrawn: withdrawn.has });
+    const fault = applyOperations(draft, change.operations);
+    if (fault !== undefined) return buildRefusal(fault);
+    const delta = draft.buildDelta();
+    applyDelta(state, delta);
+    for (const key of draft.withdrawnKeys.values()) {
+      withdrawn.add(key.id);
+      withdrawnKeys.push(key);
+    }
+    withdrawnKeys = withdrawnKeys.slice(-WITHDRAWN_KEY_COUNT);
+    options.handleDelta?.(delta);
+    return { accepted: true, version: state.version };
+  }
+
+  function apply(data: Uint8Array): ChangeAnswer {
+    let command: FleetCommand;
+    try {
+      command = decodeCommand(data);
+    } catch (error) {
+      return buildRefusal(toFault(error));
+    }
+    const resendAnswer = memory.findResendAnswer(command.change);
+    if (resendAnswer !== undefined) return resendAnswer;
+    const answer = applyNew(command);
+    memory.record(command.change, answer);
+    return answer;
+  }
+
+  return {
+    apply,
+    takeSnapshot: () =>
+      Buffer.from(JSON.stringify({
+        format: SNAPSHOT_FORMAT,
+        state: toStateRows(state),
+        memory: memory.toRows(),
+        withdrawnKeys: withdrawnKeys.map(toKeyRow),
+        withdrawnFingerprints: withdrawn.encode(),
+      })),
+    restoreSnapshot(data) {
+      const snapshot = decodeJson(data, snapshotSchema, "fleet snapshot");
+      state = readState(snapshot.state);
+      memory.restore(snapshot.memory);
+      withdrawnKeys = snapshot.withdrawnKeys.map(readKey);
+      withdrawn.restore(snapshot.withdrawnFingerprints);
+      options.handleRestore?.(state);
+    },
+    getState: () => state,
+    findAnswer: (changeId) => memory.find(changeId),
+    getWithdrawnKeys: () => withdrawnKeys,
+  };
+}
--- /dev/null
+++ b/src/fleet/fleet_state_test.ts
@@ -0,0 +1,189 @@
+import t from "tap";
+import { Buffer } from "node:buffer";
+import { createFleetState } from "./fleet_state.ts";
+import { createKeySecret } from "./key_secret.ts";
+import { encodeCommand } from "./schema.ts";
+import type {
+  ChangeAnswer,
+  FleetOperation,
+  FleetStateMachine,
+} from "./types.ts";
+
+const limits = { slots: 8, processors: 4000, memoryMb: 100, accelerators: 1 };
+const createTeam = (name: string): FleetOperation => ({
+  type: "createTeam",
+  name,
+  share: 1,
+  limits,
+});
+const grantKey = (id: string, team: string): FleetOperation => ({
+  type: "grantKey",
+  id,
+  team,
+  hash: createKeySecret({ id }).hash,
+});
+const withdrawKey = (id: string): FleetOperation => ({
+  type: "withdrawKey",
+  id,
+});
+
+function apply(
+  machine: FleetStateMachine,
+  changeId: string,
+  operations: FleetOperation[],
+  expectedVersion?: number,
+): ChangeAnswer {
+  const change = { changeId, expectedVersion, operations };
+  return machine.apply(encodeCommand({ at: 1000, change }), 0);
+}
+
+function getKind(answer: ChangeAnswer): string {
+  return answer.accepted ? `version ${answer.version}` : answer.fault.kind;
+}
+
+// Guards against two operators who both believe that their change won, and
+// against a resend that is applied again or gets another answer.
+t.test("equal versions and resends", (t) => {
+  const machine = createFleetState();
+  const first = apply(machine, "c1", [createTeam("a")], 0);
+  const second = apply(machine, "c2", [createTeam("b")], 0);
+  t.equal(getKind(first), "version 1");
+  t.equal(getKind(second), "versionConflict");
+  t.equal(apply(machine, "c1", [createTeam("a")], 0), first);
+  t.equal(apply(machine, "c2", [createTeam("b")], 0), second);
+  t.equal(
+    getKind(apply(machine, "c1", [createTeam("x")], 0)),
+    "requestIdConflict",
+  );
+  t.equal(machine.getState().version, 1);
+  t.strictSame([...machine.getState().teams.keys()], ["a"]);
+  t.end();
+});
+
+// Guards against a change of which a part stays behind after a refusal.
+t.test("a refused change leaves nothing behind", (t) => {
+  const machine = createFleetState();
+  apply(machine, "c1", [createTeam("a"), grantKey("k1", "a")]);
+  const before = Buffer.from(machine.takeSnapshot()).toString();
+  const state = JSON.parse(before).state;
+  const refused: [string, FleetOperation, string][] = [
+    ["notFound", { type: "removeTeam", name: "z" }, "operations[3].name"],
+    ["notFound", { type: "updateTeam", name: "z" }, "operations[3].name"],
+    ["notFound", grantKey("k9", "z"), "operations[3].team"],
+    ["notFound", withdrawKey("k9"), "operations[3].id"],
+    ["notFound", { type: "removeQueue", name: "z" }, "operations[3].name"],
+    ["notFound", { type: "updateQueue", name: "z" }, "operations[3].name"],
+    ["badRequest", createTeam("a"), "operations[3].name"],
+    ["badRequest", grantKey("k1", "a"), "operations[3].id"],
+    [
+      "badRequest",
+      { type: "setDataCentres", names: ["x", "x"] },
+      "operations[3].names",
+    ],
+    [
+      "badRequest",
+      { type: "closeDataCentre", name: "x", appliedVersion: 9 },
+      "operations[3].type",
+    ],
+  ];
+  for (const [i, [kind, operation, path]] of refused.entries()) {
+    const operations = [
+      createTeam("b"),
+      withdrawKey("k1"),
+      { type: "createQueue", name: "q", open: false, policy: "batch" } as const,
+      operation,
+    ];
+    const answer = apply(machine, `r${i}`, operations);
+    t.equal(getKind(answer), kind, path);
+    t.match(answer, { fault: { message: path } });
+  }
+  t.strictSame(
+    JSON.parse(Buffer.from(machine.takeSnapshot()).toString()).state,
+    state,
+  );
+  t.end();
+});
+
+// Guards against a withdrawn key that works again, by a new grant, by the
+// removal of its team or after a restart.
+t.test("a withdrawal is final", (t) => {
+  const machine = createFleetState();
+  apply(machine, "c1", [createTeam("a"), grantKey("k1", "a")]);
+  apply(machine, "c2", [grantKey("k2", "a"), grantKey("k3", "a")]);
+  t.equal(getKind(apply(machine, "w1", [withdrawKey("k1")])), "version 3");
+  t.equal(getKind(apply(machine, "w2", [withdrawKey("k1")])), "version 4");
+  apply(machine, "c3", [{ type: "removeTeam", name: "a" }]);
+  apply(machine, "c4", [createTeam("a")]);
+  const restored = createFleetState();
+  restored.restoreSnapshot(machine.takeSnapshot());
+  for (const copy of [machine, restored]) {
+    for (const id of ["k1", "k2", "k3"]) {
+      const answer = apply(copy, `again-${id}`, [grantKey(id, "a")]);
+      t.match(answer, { fault: { kind: "badRequest", message: "final" } });
+    }
+    t.equal(copy.getState().keys.size, 0);
+    const withdrawn = copy.getWithdrawnKeys().map((key) => key.id);
+    t.strictSame(withdrawn, ["k1", "k2", "k3"]);
+  }
+  t.end();
+});
+
+// Guards against memory that grows without bound, and against an old resend
+// that reverts a later change once its answer is forgotten.
+t.test("a resend past the bound is never applied again", (t) => {
+  const machine = createFleetState({ answerMemoryCount: 2 });
+  const share = (value: number): FleetOperation => ({
+    type: "updateTeam",
+    name: "a",
+    share: value,
+  });
+  apply(machine, "c1", [createTeam("a")], 0);
+  apply(machine, "c2", [share(2)]);
+  apply(machine, "c3", [share(3)], 2);
+  apply(machine, "c4", [grantKey("k1", "a")]);
+  apply(machine, "c5", [withdrawKey("k1")]);
+  t.equal(machine.findAnswer("c2"), undefined);
+  const restored = createFleetState({ answerMemoryCount: 2 });
+  restored.restoreSnapshot(machine.takeSnapshot());
+  for (const copy of [machine, restored]) {
+    t.equal(getKind(apply(copy, "c2", [share(2)])), "outcomeUnknown");
+    t.equal(getKind(apply(copy, "c3", [share(3)], 2)), "versionConflict");
+    t.equal(getKind(apply(copy, "c4", [grantKey("k1", "a")])), "badRequest");
+    t.equal(copy.getState().teams.get("a")?.share, 3);
+  }
+  t.end();
+});
+
+// Guards against one malformed command that stops every replica.
+t.test("a malformed command is refused", (t) => {
+  const machine = createFleetState();
+  t.equal(getKind(machine.apply(Buffer.from("{"), 1)), "badRequest");
+  t.equal(machine.getState().version, 0);
+  t.throws(() => machine.restoreSnapshot(Buffer.from("{}")));
+  t.end();
+});
+
+// Guards against a data centre that is closed while it may still hold units
+// of a limit, and against the reuse of its name.
+t.test("a data centre is closed only when it has seen every limit", (t) => {
+  const machine = createFleetState();
+  const set = (...names: string[]): FleetOperation => ({
+    type: "setDataCentres",
+    names,
+  });
+  const close = (appliedVersion: number): FleetOperation => ({
+    type: "closeDataCentre",
+    name: "y",
+    appliedVersion,
+  });
+  apply(machine, "c1", [set("x", "y"), createTeam("a")]);
+  t.equal(getKind(apply(machine, "d1", [close(1)])), "notFound");
+  apply(machine, "c2", [set("x")]);
+  t.strictSame(machine.getState().leavingDataCentres, ["y"]);
+  t.equal(getKind(apply(machine, "d2", [close(1)])), "versionConflict");
+  apply(machine, "c3", [grantKey("k1", "a")]);
+  t.equal(getKind(apply(machine, "d3", [close(2)])), "version 4");
+  t.strictSame(machine.getState().leavingDataCentres, []);
+  t.equal(getKind(apply(machine, "c4", [set("x", "y")])), "badRequest");
+  t.end();
+});
--- /dev/null
+++ b/src/fleet/fleet_view.ts
@@ -0,0 +1,200 @@
+/**
+ * The read copy of the configuration in every instance. It only moves forward,
+ * checks keys, and keeps withdrawals that were submitted while the fleet log
+ * could not be reached.
+ */
+
+import { Buffer } from "node:buffer";
+import { z } from "zod";
+import { createFault } from "../common/mod.ts";
+import { UNCONFIRMED_AGE_MS } from "./distribution.ts";
+import { findSecretKeyId, isSecretOfHash } from "./key_secret.ts";
+import {
+  applyDelta,
+  createEmptyState,
+  decodeDelta,
+  decodeJson,
+  decodeState,
+  readState,
+  stateRowsSchema,
+  toStateRows,
+} from "./state_codec.ts";
+import type {
+  ConfigUpdate,
+  FleetState,
+  FleetView,
+  FleetViewOptions,
+  LocalWithdrawal,
+  Team,
+  UpdateResult,
+} from "./types.ts";
+
+/** How long keys are honoured without a confirmation, as the design page states. */
+export const DEFAULT_KEY_STALENESS_LIMIT_MS = 3_600_000;
+/**
+ * Age up to which a configuration counts as confirmed. Confirmations arrive
+ * about once a second, so the strict setting must allow a few lost ones; it is
+ * well below the 7 s in which a change has to be in effect.
+ */
+export const KEY_CONFIRMATION_GRACE_MS = 3_000;
+/** Withdrawals kept on a cut-off side; as many as there can be keys. */
+export const MAX_LOCAL_WITHDRAWALS = 100_000;
+
+const savedSchema = z.strictObject({
+  state: stateRowsSchema,
+  // Wall time; null before the first confirmation.
+  confirmedAt: z.number().nullable(),
+  withdrawals: z.array(z.strictObject({
+    keyId: z.string(),
+    at: z.number(),
+    mergedVersion: z.int().optional(),
+  })),
+});
+
+/** Creates a view, empty or from saved data. Throws `badRequest` when that cannot be read. */
+export function createFleetView(options: FleetViewOptions): FleetView {
+  const { clock } = options;
+  const limitMs = options.keyStalenessLimitMs ??
+    DEFAULT_KEY_STALENESS_LIMIT_MS;
+  const withdrawals = new Map<string, LocalWithdrawal>();
+  const watchers = new Set<(state: FleetState) => void>();
+  let state = createEmptyState();
+  let confirmedAtMs = -Infinity;
+
+  function restore(data: Uint8Array): void {
+    const saved = decodeJson(data, savedSchema, "saved configuration");
+    state = readState(saved.state);
+    for (const { keyId, at, mergedVersion } of saved.withdrawals) {
+      const merged = mergedVersion === undefined ? {} : { mergedVersion };
+      withdrawals.set(keyId, { keyId, at, ...merged });
+    }
+    if (saved.confirmedAt === null) return;
+    const ageMs = clock.wallTime() - saved.confirmedAt;
+    // A wall clock that was set back cannot tell the age.
+    if (ageMs >= 0) confirmedAtMs = clock.now() - ageMs;
+  }
+
+  if (options.saved !== undefined) restore(options.saved);
+
+  function confirm(ageMs: number): void {
+    if (ageMs >= UNCONFIRMED_AGE_MS) return;
+    confirmedAtMs = Math.max(confirmedAtMs, clock.now() - Math.max(0, ageMs));
+  }
+
+  function isMerged(withdrawal: LocalWithdrawal, wasKnown: boolean): boolean {
+    const { keyId, mergedVersion } = withdrawal;
+    if (mergedVersion !== undefined && mergedVersion <= state.version) {
+      return true;
+    }
+    // Someone else withdrew it: a key that is gone never returns.
+    return wasKnown && !state.keys.has(keyId);
+  }
+
+  function applyNew(update: ConfigUpdate): boolean {
+    const known = new Set(
+      [...withdrawals.keys()].filter((keyId) => state.keys.has(keyId)),
+    );
+    if (update.snapshot) {
+      const next = decodeState(update.data);
+      if (next.version !== update.version) return false;
+      state = next;
+    } else {
+      const delta = decodeDelta(update.data);
+      if (delta.version !== update.version) return false;
+      applyDelta(state, delta);
+    }
+    for (const withdrawal of [...withdrawals.values()]) {
+      const { keyId } = withdrawal;
+      if (isMerged(withdrawal, known.has(keyId))) withdrawals.delete(keyId);
+    }
+    return true;
+  }
+
+  function applyUpdate(update: ConfigUpdate): UpdateResult {
+    if (update.version < state.version) return "ignored";
+    if (update.version === state.version) {
+      confirm(update.ageMs);
+      return "ignored";
+    }
+    if (!update.snapshot && update.version !== state.version + 1) {
+      return "needsFullState";
+    }
+    try {
+      if (!applyNew(update)) return "needsFullState";
+    } catch {
+      // Data that cannot be read is replaced by the full state.
+      return "needsFullState";
+    }
+    confirm(update.ageMs);
+    options.handleChange?.("update");
+    for (const watcher of [...watchers]) watcher(state);
+    return "applied";
+  }
+
+  function checkKey(secret: string | undefined): Team {
+    const keyId = secret === undefined ? undefined : findSecretKeyId(secret);
+    const key = keyId === undefined ? undefined : state.keys.get(keyId);
+    const isKnown = isSecretOfHash(secret ?? "", key?.hash);
+    const team = key === undefined ? undefined : state.teams.get(key.team);
+    if (!isKnown || team === undefined || withdrawals.has(keyId!)) {
+      const message = secret === undefined
+        ? "Cannot accept work without a key"
+        : "Cannot accept work: the key is unknown or withdrawn";
+      throw createFault("unauthenticated", message);
+    }
+    const ageMs = clock.now() - confirmedAtMs;
+    if (ageMs > limitMs + KEY_CONFIRMATION_GRACE_MS) {
+      throw createFault(
+        "unavailable",
+        `Cannot check keys: the configuration was last confirmed ${
+          Number.isFinite(ageMs) ? `${Math.round(ageMs)} ms ago` : "never"
+        }, the limit is ${limitMs} ms`,
+      );
+    }
+    return team;
+  }
+
+  return {
+    getVersion: () => state.version,
+    getState: () => state,
+    applyUpdate,
+    confirmVersion(version, ageMs) {
+      if (version === state.version) confirm(ageMs);
+    },
+    getAgeMs: () => clock.now() - confirmedAtMs,
+    checkKey,
+    addLocalWithdrawals(added) {
+      const fresh = added.filter(({ keyId }) => !withdrawals.has(keyId));
+      if (withdrawals.size + fresh.length > MAX_LOCAL_WITHDRAWALS) {
+        throw createFault(
+          "limitReached",
+          `Cannot withdraw key: ${withdrawals.size} withdrawals wait to be merged`,
+        );
+      }
+      for (const withdrawal of fresh) {
+        withdrawals.set(withdrawal.keyId, withdrawal);
+      }
+      if (fresh.length > 0) options.handleChange?.("withdrawal");
+    },
+    getLocalWithdrawals: () => [...withdrawals.values()],
+    recordMergedWithdrawal(keyId, version) {
+      const withdrawal = withdrawals.get(keyId);
+      if (withdrawal === undefined) return;
+      if (version <= state.version) withdrawals.delete(keyId);
+      else withdrawals.set(keyId, { ...withdrawal, mergedVersion: version });
+      options.handleChange?.("withdrawal");
+    },
+    saveState: () =>
+      Buffer.from(JSON.stringify({
+        state: toStateRows(state),
+        confirmedAt: Number.isFinite(confirmedAtMs)
+          ? clock.wallTime() - (clock.now() - confirmedAtMs)
+          : null,
+        withdrawals: [...withdrawals.values()],
+      })),
+    watchVersion(callback) {
+      watchers.add(callback);
+      return () => void watchers.delete(callback);
+    },
+  };
+}
--- /dev/null
+++ b/src/fleet/mod.ts
@@ -0,0 +1,24 @@
+/** The fleet configuration: state machine, distribution, read copy, key secrets and the planners' sheet. */
+
+export { ANSWER_MEMORY_COUNT } from "./answer_memory.ts";
+export {
+  computeReach,
+  createUpdateHistory,
+  UNCONFIRMED_AGE_MS,
+} from "./distribution.ts";
+export {
+  computeGranted,
+  computeGrantedSum,
+  type DivisionSource,
+} from "./division.ts";
+export { createFleetState } from "./fleet_state.ts";
+export {
+  createFleetView,
+  DEFAULT_KEY_STALENESS_LIMIT_MS,
+  KEY_CONFIRMATION_GRACE_MS,
+} from "./fleet_view.ts";
+export * from "./key_secret.ts";
+export * from "./limits.ts";
+export { decodeCommand, encodeCommand, parseChange } from "./schema.ts";
+export { decodeDelta, decodeState, encodeState } from "./state_codec.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/src/fleet/operations.ts
@@ -0,0 +1,291 @@
+/** The effect of each operation on a draft, and the refusal of those that do not fit the state. */
+
+import { createFault, type Fault, type FaultKind } from "../common/mod.ts";
+import { closeDivision, updateDivision } from "./division.ts";
+import type { Draft } from "./draft.ts";
+import { formatValue } from "./format_value.ts";
+import { isSameLimits } from "./limits.ts";
+import type { FleetOperation, Limits, Team } from "./types.ts";
+
+/** Team names ever used. Names of removed teams count, since their divisions are kept. */
+export const MAX_TEAM_NAMES = 20_000;
+/** Keys in force at once. */
+export const MAX_KEYS = 100_000;
+/** Queues at once. */
+export const MAX_QUEUES = 10_000;
+/** Sets of data centres ever used; one for each change of the set. */
+export const MAX_DATA_CENTRE_SETS = 1_000;
+
+type Operation<T extends FleetOperation["type"]> = Extract<
+  FleetOperation,
+  { type: T }
+>;
+
+interface Problem {
+  kind: FaultKind;
+  field: string;
+  value: unknown;
+  message: string;
+}
+
+function createProblem(
+  kind: FaultKind,
+  field: string,
+  value: unknown,
+  message: string,
+): Problem {
+  return { kind, field, value, message };
+}
+
+type Outcome = Problem | undefined;
+
+function findCurrentSet(draft: Draft): number {
+  const { configured, sets } = draft.getDataCentres();
+  const text = configured.join("/");
+  return sets.findIndex((set) => set.join("/") === text);
+}
+
+function setTeam(draft: Draft, team: Team): void {
+  const old = draft.teams.get(team.name);
+  draft.teams.set(team.name, team);
+  if (old !== undefined && old.limits === team.limits) return;
+  const division = draft.divisions.get(team.name);
+  const updated = updateDivision(division, team.limits, findCurrentSet(draft));
+  if (updated !== division) draft.divisions.set(team.name, updated);
+}
+
+function applyCreateTeam(draft: Draft, op: Operation<"createTeam">): Outcome {
+  if (draft.teams.get(op.name) !== undefined) {
+    return createProblem("badRequest", "name", op.name, "exists already");
+  }
+  const isNewName = draft.divisions.get(op.name) === undefined;
+  if (isNewName && draft.divisions.getSize() >= MAX_TEAM_NAMES) {
+    const message = `is one more than ${MAX_TEAM_NAMES} team names`;
+    return createProblem("limitReached", "name", op.name, message);
+  }
+  setTeam(draft, { name: op.name, share: op.share, limits: op.limits });
+}
+
+function applyUpdateTeam(draft: Draft, op: Operation<"updateTeam">): Outcome {
+  const team = draft.teams.get(op.name);
+  if (team === undefined) {
+    return createProblem("notFound", "name", op.name, "is not a team");
+  }
+  const merged: Limits = { ...team.limits, ...op.limits };
+  const limits = isSameLimits(merged, team.limits) ? team.limits : merged;
+  setTeam(draft, { name: op.name, share: op.share ?? team.share, limits });
+}
+
+function withdraw(draft: Draft, keyId: string): void {
+  const key = draft.keys.get(keyId);
+  if (key === undefined) return;
+  draft.keys.remove(keyId);
+  draft.addWithdrawnKey({ ...key, withdrawnAt: draft.at });
+}
+
+function applyRemoveTeam(draft: Draft, op: Operation<"removeTeam">): Outcome {
+  if (draft.teams.get(op.name) === undefined) {
+    return createProblem("notFound", "name", op.name, "is not a team");
+  }
+  for (const key of draft.keys.list()) {
+    if (key.team === op.name) withdraw(draft, key.id);
+  }
+  // The division stays, so that a team of the same name that is created
+  // before some data centre has seen the removal gets no unit twice.
+  draft.teams.remove(op.name);
+}
+
+function applyGrantKey(draft: Draft, op: Operation<"grantKey">): Outcome {
+  if (draft.teams.get(op.team) === undefined) {
+    return createProblem("notFound", "team", op.team, "is not a team");
+  }
+  if (draft.isWithdrawn(op.id)) {
+    const message = "was withdrawn, which is final; use a new identifier";
+    return createProblem("badRequest", "id", op.id, message);
+  }
+  if (draft.keys.get(op.id) !== undefined) {
+    return createProblem("badRequest", "id", op.id, "is granted already");
+  }
+  if (draft.keys.getSize() >= MAX_KEYS) {
+    const message = `is one more than ${MAX_KEYS} keys`;
+    return createProblem("limitReached", "id", op.id, message);
+  }
+  draft.keys.set(op.id, {
+    id: op.id,
+    team: op.team,
+    hash: op.hash,
+    grantedAt: draft.at,
+  });
+}
+
+function applyWithdrawKey(draft: Draft, op: Operation<"withdrawKey">): Outcome {
+  if (draft.keys.get(op.id) === undefined && !draft.isWithdrawn(op.id)) {
+    return createProblem("notFound", "id", op.id, "was never granted");
+  }
+  withdraw(draft, op.id);
+}
+
+function applyCreateQueue(draft: Draft, op: Operation<"createQueue">): Outcome {
+  if (draft.queues.get(op.name) !== undefined) {
+    return createProblem("badRequest", "name", op.name, "exists already");
+  }
+  if (draft.queues.getSize() >= MAX_QUEUES) {
+    const message = `is one more than ${MAX_QUEUES} queues`;
+    return createProblem("limitReached", "name", op.name, message);
+  }
+  const { name, open, policy } = op;
+  draft.queues.set(name, { name, open, policy });
+}
+
+function applyUpdateQueue(draft: Draft, op: Operation<"updateQueue">): Outcome {
+  const queue = draft.queues.get(op.name);
+  if (queue === undefined) {
+    return createProblem("notFound", "name", op.name, "is not a queue");
+  }
+  draft.queues.set(op.name, {
+    name: op.name,
+    open: op.open ?? queue.open,
+    policy: op.policy ?? queue.policy,
+  });
+}
+
+function applyRemoveQueue(draft: Draft, op: Operation<"removeQueue">): Outcome {
+  if (draft.queues.get(op.name) === undefined) {
+    return createProblem("notFound", "name", op.name, "is not a queue");
+  }
+  draft.queues.remove(op.name);
+}
+
+function applySetDataCentres(
+  draft: Draft,
+  op: Operation<"setDataCentres">,
+): Outcome {
+  const old = draft.getDataCentres();
+  const configured = [...op.names].sort();
+  const doubled = configured.find((name, i) => name === configured[i + 1]);
+  if (doubled !== undefined) {
+    return createProblem("badRequest", "names", doubled, "is named twice");
+  }
+  const closed = configured.find((name) => old.closed.includes(name));
+  if (closed !== undefined) {
+    const message = "was closed; use a new name";
+    return createProblem("badRequest", "names", closed, message);
+  }
+  const removed = old.configured.filter((name) => !configured.includes(name));
+  const leaving = [...old.leaving, ...removed]
+    .filter((name) => !configured.includes(name))
+    .sort();
+  const isFirst = old.configured.length === 0;
+  const text = configured.join("/");
+  const isKnown = old.sets.some((set) => set.join("/") === text);
+  if (!isKnown && old.sets.length >= MAX_DATA_CENTRE_SETS) {
+    const message = `are one more than ${MAX_DATA_CENTRE_SETS} different sets`;
+    return createProblem("limitReached", "names", configured, message);
+  }
+  const sets = isFirst
+    ? [configured]
+    : isKnown
+    ? old.sets
+    : [...old.sets, configured];
+  draft.setDataCentres({ configured, leaving, closed: old.closed, sets });
+}
+
+function applyCloseDataCentre(
+  draft: Draft,
+  op: Operation<"closeDataCentre">,
+): Outcome {
+  const old = draft.getDataCentres();
+  if (!old.leaving.includes(op.name)) {
+    const message = "is not a data centre that was removed and not yet closed";
+    return createProblem("notFound", "name", op.name, message);
+  }
+  const { divisionVersion } = draft.base;
+  if (op.appliedVersion < divisionVersion) {
+    const message =
+      `is below ${divisionVersion}, the version that last changed a limit`;
+    return createProblem(
+      "versionConflict",
+      "appliedVersion",
+      op.appliedVersion,
+      message,
+    );
+  }
+  const currentSet = findCurrentSet(draft);
+  for (const team of draft.divisions.listNames()) {
+    const division = closeDivision(
+      {
+        teams: draft.teams,
+        divisions: draft.divisions,
+        dataCentreSets: old.sets,
+      },
+      team,
+      op.name,
+      currentSet,
+    );
+    if (division !== undefined) draft.divisions.set(team, division);
+  }
+  draft.setDataCentres({
+    ...old,
+    leaving: old.leaving.filter((name) => name !== op.name),
+    closed: [...old.closed, op.name].sort(),
+  });
+}
+
+function applyOperation(draft: Draft, op: FleetOperation): Outcome {
+  switch (op.type) {
+    case "createTeam":
+      return applyCreateTeam(draft, op);
+    case "updateTeam":
+      return applyUpdateTeam(draft, op);
+    case "removeTeam":
+      return applyRemoveTeam(draft, op);
+    case "grantKey":
+      return applyGrantKey(draft, op);
+    case "withdrawKey":
+      return applyWithdrawKey(draft, op);
+    case "createQueue":
+      return applyCreateQueue(draft, op);
+    case "updateQueue":
+      return applyUpdateQueue(draft, op);
+    case "removeQueue":
+      return applyRemoveQueue(draft, op);
+    case "setDataCentres":
+      return applySetDataCentres(draft, op);
+    case "closeDataCentre":
+      return applyCloseDataCentre(draft, op);
+  }
+}
+
+// `appliedVersion` proves that the data centre has seen every earlier limit,
+// but not limits that the same change sets.
+function findOrderProblem(
+  operations: readonly FleetOperation[],
+  index: number,
+): Outcome {
+  const operation = operations[index]!;
+  const previous = operations[index - 1];
+  if (operation.type !== "closeDataCentre" || previous === undefined) return;
+  if (previous.type === "closeDataCentre") return;
+  const message = "has to come before operations of other types";
+  return createProblem("badRequest", "type", operation.type, message);
+}
+
+/** Applies operations in order; returns the fault of the first that does not fit. */
+export function applyOperations(
+  draft: Draft,
+  operations: readonly FleetOperation[],
+): Fault | undefined {
+  for (const [index, operation] of operations.entries()) {
+    const problem = findOrderProblem(operations, index) ??
+      applyOperation(draft, operation);
+    if (problem === undefined) continue;
+    const path = `operations[${index}].${problem.field}`;
+    const value = formatValue(problem.value);
+    return createFault(
+      problem.kind,
+      `Cannot apply change: ${path}: ${value} ${problem.message}`,
+      { details: { problems: [{ path, value, message: problem.message }] } },
+    );
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/fleet/state_codec.ts
@@ -0,0 +1,290 @@
+/**
+ * Encoding of states and deltas as JSON with positional rows. Rows without
+ * field names make the full state of 890 teams small enough to send whole.
+ */
+
+import { Buffer } from "node:buffer";
+import { z } from "zod";
+import { createFault } from "../common/mod.ts";
+import {
+  type Division,
+  type FleetDelta,
+  type FleetState,
+  type Key,
+  type Limits,
+  type Queue,
+  QUEUE_POLICIES,
+  type Team,
+} from "./types.ts";
+
+/** A state that its owner changes. */
+export interface MutableFleetState extends FleetState {
+  version: number;
+  readonly teams: Map<string, Team>;
+  readonly keys: Map<string, Key>;
+  readonly queues: Map<string, Queue>;
+  dataCentres: readonly string[];
+  leavingDataCentres: readonly string[];
+  closedDataCentres: readonly string[];
+  dataCentreSets: readonly (readonly string[])[];
+  readonly divisions: Map<string, Division>;
+  divisionVersion: number;
+}
+
+/** Creates the state before the first change. */
+export function createEmptyState(): MutableFleetState {
+  return {
+    version: 0,
+    teams: new Map(),
+    keys: new Map(),
+    queues: new Map(),
+    dataCentres: [],
+    leavingDataCentres: [],
+    closedDataCentres: [],
+    // Units of limits that are set before the first data centre belong to the
+    // empty set, which the first `setDataCentres` fills.
+    dataCentreSets: [[]],
+    divisions: new Map(),
+    divisionVersion: 0,
+  };
+}
+
+const names = z.array(z.string());
+const limitsRow = z.tuple([z.int(), z.int(), z.int(), z.int()]);
+const teamRow = z.tuple([z.string(), z.number(), limitsRow]);
+const keyRow = z.union([
+  z.tuple([z.string(), z.string(), z.string(), z.number()]),
+  z.tuple([z.string(), z.string(), z.string(), z.number(), z.number()]),
+]);
+const queueRow = z.tuple([z.string(), z.boolean(), z.enum(QUEUE_POLICIES)]);
+const divisionRow = z.tuple([
+  z.string(),
+  z.array(z.tuple([z.int(), limitsRow])),
+  z.array(z.tuple([z.string(), limitsRow, z.int()])),
+]);
+const dataCentresRow = z.strictObject({
+  configured: names,
+  leaving: names,
+  closed: names,
+  sets: z.array(names),
+});
+
+/** The form of an encoded state. */
+export const stateRowsSchema = z.strictObject({
+  version: z.int(),
+  divisionVersion: z.int(),
+  teams: z.array(teamRow),
+  keys: z.array(keyRow),
+  queues: z.array(queueRow),
+  divisions: z.array(divisionRow),
+  dataCentres: dataCentresRow,
+});
+
+const deltaRowsSchema = z.strictObject({
+  version: z.int(),
+  divisionVersion: z.int().optional(),
+  teams: z.array(teamRow).optional(),
+  removedTeams: names.optional(),
+  keys: z.array(keyRow).optional(),
+  withdrawnKeys: names.optional(),
+  queues: z.array(queueRow).optional(),
+  removedQueues: names.optional(),
+  divisions: z.array(divisionRow).optional(),
+  dataCentres: dataCentresRow.optional(),
+});
+
+/** An encoded state as JSON rows. */
+export type StateRows = z.infer<typeof stateRowsSchema>;
+type KeyRow = z.infer<typeof keyRow>;
+type LimitsRow = z.infer<typeof limitsRow>;
+type TeamRow = z.infer<typeof teamRow>;
+type DivisionRow = z.infer<typeof divisionRow>;
+
+function toLimitsRow(limits: Limits): LimitsRow {
+  return [
+    limits.slots,
+    limits.processors,
+    limits.memoryMb,
+    limits.accelerators,
+  ];
+}
+
+function readLimits(row: LimitsRow): Limits {
+  const [slots, processors, memoryMb, accelerators] = row;
+  return { slots, processors, memoryMb, accelerators };
+}
+
+function toTeamRow(team: Team): TeamRow {
+  return [team.name, team.share, toLimitsRow(team.limits)];
+}
+
+function readTeam([name, share, limits]: TeamRow): Team {
+  return { name, share, limits: readLimits(limits) };
+}
+
+/** Encodes a key; the hash travels in base64url, a third shorter than hex. */
+export function toKeyRow(key: Key): KeyRow {
+  const hash = Buffer.from(key.hash, "hex").toString("base64url");
+  if (key.withdrawnAt === undefined) {
+    return [key.id, key.team, hash, key.grantedAt];
+  }
+  return [key.id, key.team, hash, key.grantedAt, key.withdrawnAt];
+}
+
+/** Reads an encoded key. */
+export function readKey(row: KeyRow): Key {
+  const [id, team, hashRow, grantedAt, withdrawnAt] = row;
+  const hash = Buffer.from(hashRow, "base64url").toString("hex");
+  const key = { id, team, hash, grantedAt };
+  return withdrawnAt === undefined ? key : { ...key, withdrawnAt };
+}
+
+/** The form of an encoded key. */
+export const keyRowSchema = keyRow;
+
+function toQueueRow(queue: Queue): z.infer<typeof queueRow> {
+  return [queue.name, queue.open, queue.policy];
+}
+
+function readQueue([name, open, policy]: z.infer<typeof queueRow>): Queue {
+  return { name, open, policy };
+}
+
+function toDivisionRow([team, division]: readonly [string, Division]) {
+  const segments = division.segments.map(({ set, tops }) =>
+    [set, toLimitsRow(tops)] as [number, LimitsRow]
+  );
+  const closings = division.closings.map(({ dataCentre, granted, heirs }) =>
+    [dataCentre, toLimitsRow(granted), heirs] as [string, LimitsRow, number]
+  );
+  return [team, segments, closings] as DivisionRow;
+}
+
+function readDivision(row: DivisionRow): [string, Division] {
+  const [team, segments, closings] = row;
+  return [team, {
+    segments: segments.map(([set, tops]) => ({ set, tops: readLimits(tops) })),
+    closings: closings.map(([dataCentre, granted, heirs]) => ({
+      dataCentre,
+      granted: readLimits(granted),
+      heirs,
+    })),
+  }];
+}
+
+/** Turns a state into JSON rows. */
+export function toStateRows(state: FleetState): StateRows {
+  return {
+    version: state.version,
+    divisionVersion: state.divisionVersion,
+    teams: [...state.teams.values()].map(toTeamRow),
+    keys: [...state.keys.values()].map(toKeyRow),
+    queues: [...state.queues.values()].map(toQueueRow),
+    divisions: [...state.divisions].map(toDivisionRow),
+    dataCentres: {
+      configured: [...state.dataCentres],
+      leaving: [...state.leavingDataCentres],
+      closed: [...state.closedDataCentres],
+      sets: state.dataCentreSets.map((set) => [...set]),
+    },
+  };
+}
+
+/** Reads a state from JSON rows. */
+export function readState(rows: StateRows): MutableFleetState {
+  return {
+    version: rows.version,
+    divisionVersion: rows.divisionVersion,
+    teams: new Map(rows.teams.map((row) => [row[0], readTeam(row)])),
+    keys: new Map(rows.keys.map((row) => [row[0], readKey(row)])),
+    queues: new Map(rows.queues.map((row) => [row[0], readQueue(row)])),
+    divisions: new Map(rows.divisions.map(readDivision)),
+    dataCentres: rows.dataCentres.configured,
+    leavingDataCentres: rows.dataCentres.leaving,
+    closedDataCentres: rows.dataCentres.closed,
+    dataCentreSets: rows.dataCentres.sets,
+  };
+}
+
+/** Encodes a whole state. */
+export function encodeState(state: FleetState): Uint8Array {
+  return Buffer.from(JSON.stringify(toStateRows(state)));
+}
+
+/** Parses JSON data against a schema. Throws `badRequest` that names `what`. */
+export function decodeJson<T>(
+  data: Uint8Array,
+  schema: z.ZodType<T>,
+  what: string,
+): T {
+  try {
+    return schema.parse(JSON.parse(Buffer.from(data).toString("utf8")));
+  } catch (error) {
+    throw createFault(
+      "badRequest",
+      `Cannot read ${what} of ${data.length} bytes`,
+      { cause: error },
+    );
+  }
+}
+
+/** Decodes a whole state. Throws `badRequest`. */
+export function decodeState(data: Uint8Array): MutableFleetState {
+  return readState(decodeJson(data, stateRowsSchema, "fleet state"));
+}
+
+/** Encodes a delta. */
+export function encodeDelta(delta: FleetDelta): Uint8Array {
+  const rows = {
+    ...delta,
+    teams: delta.teams?.map(toTeamRow),
+    keys: delta.keys?.map(toKeyRow),
+    queues: delta.queues?.map(toQueueRow),
+    divisions: delta.divisions?.map(toDivisionRow),
+  };
+  return Buffer.from(JSON.stringify(rows));
+}
+
+/** Decodes a delta. Throws `badRequest`. */
+export function decodeDelta(data: Uint8Array): FleetDelta {
+  const rows = decodeJson(data, deltaRowsSchema, "fleet delta");
+  const delta: { -readonly [K in keyof FleetDelta]: FleetDelta[K] } = {
+    version: rows.version,
+  };
+  if (rows.divisionVersion !== undefined) {
+    delta.divisionVersion = rows.divisionVersion;
+  }
+  if (rows.teams) delta.teams = rows.teams.map(readTeam);
+  if (rows.removedTeams) delta.removedTeams = rows.removedTeams;
+  if (rows.keys) delta.keys = rows.keys.map(readKey);
+  if (rows.withdrawnKeys) delta.withdrawnKeys = rows.withdrawnKeys;
+  if (rows.queues) delta.queues = rows.queues.map(readQueue);
+  if (rows.removedQueues) delta.removedQueues = rows.removedQueues;
+  if (rows.divisions) delta.divisions = rows.divisions.map(readDivision);
+  if (rows.dataCentres) delta.dataCentres = rows.dataCentres;
+  return delta;
+}
+
+/**
+ * Applies a delta of the next version. Voters and views run the same code on
+ * the same delta, so they cannot differ.
+ */
+export function applyDelta(state: MutableFleetState, delta: FleetDelta): void {
+  state.version = delta.version;
+  state.divisionVersion = delta.divisionVersion ?? state.divisionVersion;
+  for (const team of delta.teams ?? []) state.teams.set(team.name, team);
+  for (const name of delta.removedTeams ?? []) state.teams.delete(name);
+  for (const key of delta.keys ?? []) state.keys.set(key.id, key);
+  for (const id of delta.withdrawnKeys ?? []) state.keys.delete(id);
+  for (const queue of delta.queues ?? []) state.queues.set(queue.name, queue);
+  for (const name of delta.removedQueues ?? []) state.queues.delete(name);
+  for (const [team, division] of delta.divisions ?? []) {
+    state.divisions.set(team, division);
+  }
+  if (delta.dataCentres !== undefined) {
+    state.dataCentres = delta.dataCentres.configured;
+    state.leavingDataCentres = delta.dataCentres.leaving;
+    state.closedDataCentres = delta.dataCentres.closed;
+    state.dataCentreSets = delta.dataCentres.sets;
+  }
+}
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -275,8 +275,10 @@
 export interface UpdateHistory {
   /** Adds the delta of the next version. A gap clears the history. */
   addDelta(delta: FleetDelta): void;
-  /** Starts again from `state`, of which no earlier deltas are known. */
-  resetTo(state: FleetState): void;
+  /** Adds an update that was received and applied, so that it can be passed on as it is. */
+  addUpdate(update: ConfigUpdate): void;
+  /** Forgets all deltas, after the state was replaced as a whole. */
+  removeAll(): void;
   /**
    * Returns what a watcher at `version` has to be sent, in order: nothing,
    * the missing deltas, or the full state when that is smaller or the deltas
