--- /dev/null
+++ b/src/scheduling/deadline_wheel.ts
@@ -0,0 +1,55 @@
+/**
+ * Pending deadlines in buckets of time. Adding is constant time and a step
+ * touches only what is due, so that 350,000 leases cost no scan.
+ */
+
+/** Items with a deadline each. */
+export interface DeadlineWheel<Item> {
+  add(deadlineMs: number, item: Item): void;
+  /** Takes every item whose deadline has passed; an item is never early and at most one bucket late. */
+  takeDue(nowMs: number): Item[];
+}
+
+const BUCKET_MS = 20;
+
+/** Creates an empty wheel. */
+export function createDeadlineWheel<Item>(): DeadlineWheel<Item> {
+  const buckets = new Map<number, Item[]>();
+  let doneBucket = -Infinity;
+
+  function listDueBuckets(lastBucket: number): number[] {
+    const span = lastBucket - doneBucket;
+    if (span > buckets.size) {
+      return [...buckets.keys()].filter((bucket) => bucket <= lastBucket)
+        .sort((a, b) => a - b);
+    }
+    const due: number[] = [];
+    for (let bucket = doneBucket + 1; bucket <= lastBucket; bucket++) {
+      if (buckets.has(bucket)) due.push(bucket);
+    }
+    return due;
+  }
+
+  return {
+    add(deadlineMs, item) {
+      const bucket = Math.max(
+        Math.ceil(deadlineMs / BUCKET_MS),
+        doneBucket + 1,
+      );
+      const items = buckets.get(bucket);
+      if (items === undefined) buckets.set(bucket, [item]);
+      else items.push(item);
+    },
+    takeDue(nowMs) {
+      const lastBucket = Math.floor(nowMs / BUCKET_MS);
+      if (lastBucket <= doneBucket) return [];
+      const due: Item[] = [];
+      for (const bucket of listDueBuckets(lastBucket)) {
+        for (const item of buckets.get(bucket) ?? []) due.push(item);
+        buckets.delete(bucket);
+      }
+      doneBucket = lastBucket;
+      return due;
+    },
+  };
+}
--- /dev/null
+++ b/src/scheduling/job_queues.ts
@@ -0,0 +1,94 @@
+/**
+ * Waiting jobs, grouped by what decides their placement. A step looks at one
+ * job of each group, so a long queue of like jobs costs no more than a short
+ * one.
+ */
+
+import { createHeap } from "./heap.ts";
+import type { JobQueue, JobRecord } from "./records.ts";
+
+/** The groups of waiting jobs. */
+export interface JobQueues {
+  /** Adds a job with waiting tasks; adding it again has no effect. */
+  add(job: JobRecord): void;
+  /** Returns the first job of the group that still waits. */
+  getFirst(queue: JobQueue): JobRecord | undefined;
+  /** Takes the job that `getFirst` returned out of its group. */
+  takeFirst(queue: JobQueue): void;
+  /** Lists the groups; empty ones are dropped on the way. */
+  list(): JobQueue[];
+}
+
+/** Expected run time when none is declared. */
+export const DEFAULT_EXPECTED_MS = 60_000;
+
+function getKey(job: JobRecord): string {
+  const { spec, size } = job;
+  const expectedMs = spec.expectedMs ?? DEFAULT_EXPECTED_MS;
+  return [
+    spec.policy,
+    spec.urgent ? 1 : 0,
+    spec.policy === "gang" ? spec.tasks : 1,
+    size.processors,
+    size.memoryMb,
+    size.accelerators,
+    // Jobs within a factor of two in run time are served in order of submission.
+    Math.ceil(Math.log2(Math.max(1, expectedMs))),
+    spec.team,
+  ].join("/");
+}
+
+function compareJobs(a: JobRecord, b: JobRecord): number {
+  return a.spec.submittedAt - b.spec.submittedAt;
+}
+
+/** Tells whether the job has a task that may be placed. */
+export function isWaiting(job: JobRecord): boolean {
+  if (job.hasEnded || job.isCancelled || job.isFailing) return false;
+  if (job.neverRunnable !== undefined || job.waiting.length === 0) return false;
+  const isWhole = job.waiting.length + job.ended === job.tasks.length;
+  return job.spec.policy !== "gang" || isWhole;
+}
+
+/** Creates an empty set of groups. */
+export function createJobQueues(): JobQueues {
+  const queues = new Map<string, JobQueue>();
+
+  function getFirst(queue: JobQueue): JobRecord | undefined {
+    for (
+      let job = queue.jobs.getFirst();
+      job !== undefined;
+      job = queue.jobs.getFirst()
+    ) {
+      if (job.queue === queue && isWaiting(job)) return job;
+      queue.jobs.takeFirst();
+      if (job.queue === queue) job.queue = undefined;
+    }
+    return undefined;
+  }
+
+  return {
+    add(job) {
+      if (job.queue !== undefined || !isWaiting(job)) return;
+      const key = getKey(job);
+      let queue = queues.get(key);
+      if (queue === undefined) {
+        queue = { key, team: job.team, jobs: createHeap(compareJobs) };
+        queues.set(key, queue);
+      }
+      job.queue = queue;
+      queue.jobs.add(job);
+    },
+    getFirst,
+    takeFirst(queue) {
+      const job = queue.jobs.takeFirst();
+      if (job?.queue === queue) job.queue = undefined;
+    },
+    list() {
+      for (const [key, queue] of queues) {
+        if (getFirst(queue) === undefined) queues.delete(key);
+      }
+      return [...queues.values()];
+    },
+  };
+}
--- /dev/null
+++ b/src/scheduling/jobs.ts
@@ -0,0 +1,325 @@
+/** Jobs arriving, being cancelled, being found to be impossible, and being restored after a takeover. */
+
+import { createFault, RESOURCE_NAMES } from "../common/mod.ts";
+import { findNeverRunnableReasons } from "./feasibility.ts";
+import {
+  addHeld,
+  addWaiting,
+  endAttempt,
+  endTask,
+  hasEnded,
+  sendEnd,
+  sendStop,
+} from "./lifecycle.ts";
+import type { JobRecord, TaskRecord } from "./records.ts";
+import { getTeam, getWorker, type SchedulerState, toAttempt } from "./state.ts";
+import type {
+  JobSpec,
+  NeverRunnableReason,
+  RestoredAssignment,
+  RestoredJob,
+  RestoredTask,
+} from "./types.ts";
+
+const RESTORED_GANG_GRACE_MS = 5_000;
+
+function checkInteger(
+  spec: JobSpec,
+  field: string,
+  value: number,
+  least: number,
+): void {
+  if (Number.isSafeInteger(value) && value >= least) return;
+  throw createFault(
+    "badRequest",
+    `Cannot add job "${spec.id}": "${field}": ${value} is not an integer of at least ${least}`,
+  );
+}
+
+/** Throws a `badRequest` fault when a number of the spec is out of range. */
+function checkSpec(spec: JobSpec): void {
+  checkInteger(spec, "tasks", spec.tasks, 1);
+  checkInteger(spec, "maxAttempts", spec.maxAttempts, 1);
+  for (const name of RESOURCE_NAMES) {
+    checkInteger(spec, `resources.${name}`, spec.resources[name], 0);
+  }
+  if (RESOURCE_NAMES.some((name) => spec.resources[name] > 0)) return;
+  throw createFault(
+    "badRequest",
+    `Cannot add job "${spec.id}": "resources" asks for nothing`,
+  );
+}
+
+function buildTask(job: JobRecord, index: number): TaskRecord {
+  return {
+    job,
+    index,
+    state: "queued",
+    attempt: 0,
+    failures: 0,
+    worker: undefined,
+    held: job.size,
+    stage: "proposed",
+    isRestored: false,
+    holdUntilMs: 0,
+    sentMs: 0,
+    startsSent: 0,
+    startedMs: 0,
+    hasCheckpoint: false,
+    intervention: undefined,
+    processorLimit: undefined,
+    usage: undefined,
+    avoid: undefined,
+  };
+}
+
+function buildJob(state: SchedulerState, spec: JobSpec): JobRecord {
+  const job: JobRecord = {
+    spec,
+    team: getTeam(state, spec.team),
+    tasks: [],
+    size: spec.resources,
+    waiting: [],
+    placed: 0,
+    ended: 0,
+    isCancelled: false,
+    isFailing: false,
+    hasEnded: false,
+    neverRunnable: undefined,
+    queue: undefined,
+    waitingSinceMs: spec.submittedAt,
+    blockedSinceMs: undefined,
+    nextTryMs: 0,
+    confirmed: 0,
+    plans: 0,
+    tasksInRack: new Map(),
+    health: { hasSucceeded: false, failedWorkers: new Set() },
+  };
+  for (let index = 0; index < spec.tasks; index++) {
+    job.tasks.push(buildTask(job, index));
+  }
+  job.team.queuedTasks += spec.tasks;
+  state.jobs.set(spec.id, job);
+  return job;
+}
+
+/** Adds a job; one with a known identifier is ignored. */
+export function addJob(state: SchedulerState, spec: JobSpec): void {
+  checkSpec(spec);
+  if (state.jobs.has(spec.id)) return;
+  const job = buildJob(state, spec);
+  // The first task is taken first, from the end.
+  for (let index = spec.tasks - 1; index >= 0; index--) {
+    job.waiting.push(job.tasks[index]!);
+  }
+  state.queues.add(job);
+  state.unchecked.push(job);
+}
+
+/** Cancels a job; its tasks are ended in the following steps. */
+export function cancelJob(state: SchedulerState, id: string): boolean {
+  const job = state.jobs.get(id);
+  if (job === undefined || job.hasEnded) return false;
+  if (job.isCancelled) return true;
+  job.isCancelled = true;
+  state.neverRunnable.delete(job);
+  state.closing.push({ job, next: 0 });
+  return true;
+}
+
+function closeTask(state: SchedulerState, task: TaskRecord): void {
+  if (hasEnded(task)) return;
+  if (task.worker === undefined) {
+    state.actions.push({
+      type: "endTask",
+      ...toAttempt(task),
+      outcome: "cancelled",
+      final: true,
+      failures: task.failures,
+    });
+    endTask(state, task, "cancelled");
+  } else if (task.stage === "confirmed") {
+    endAttempt(state, task, "cancelled");
+  } else {
+    sendStop(state, task, "cancelled");
+  }
+}
+
+/** Ends tasks of cancelled jobs, up to a bound, so that a wave of cancellations does not hold up placement. */
+export function closeJobs(state: SchedulerState): void {
+  let left = state.options.maxCancellationsPerStep;
+  while (left > 0 && state.closingNext < state.closing.length) {
+    const closing = state.closing[state.closingNext]!;
+    const { job } = closing;
+    while (left > 0 && closing.next < job.tasks.length) {
+      closeTask(state, job.tasks[closing.next++]!);
+      left--;
+    }
+    if (closing.next >= job.tasks.length) {
+      state.closingNext++;
+      job.waiting.length = 0;
+    }
+  }
+  if (state.closingNext < state.closing.length) return;
+  state.closing.length = 0;
+  state.closingNext = 0;
+}
+
+function findReasons(
+  state: SchedulerState,
+  job: JobRecord,
+): NeverRunnableReason[] {
+  const { team, spec } = job;
+  return findNeverRunnableReasons({
+    resources: job.size,
+    tasksAtOnce: spec.policy === "gang" ? spec.tasks - job.ended : 1,
+    allotment: team.isKnown ? team.allotment : undefined,
+  }, state.classes.list());
+}
+
+function checkJob(
+  state: SchedulerState,
+  job: JobRecord,
+  reasons: readonly NeverRunnableReason[],
+): void {
+  if (reasons.length === 0) {
+    if (job.neverRunnable === undefined) return;
+    job.neverRunnable = undefined;
+    state.neverRunnable.delete(job);
+    state.queues.add(job);
+    return;
+  }
+  job.neverRunnable = reasons;
+  state.neverRunnable.add(job);
+  state.actions.push({ type: "neverRunnable", job: job.spec.id, reasons });
+}
+
+function isOpen(job: JobRecord): boolean {
+  return !job.hasEnded && !job.isCancelled && !job.isFailing &&
+    job.waiting.length > 0;
+}
+
+/** Jobs of one group are alike, so that one check answers for all of them. */
+function checkQueues(state: SchedulerState): void {
+  for (const queue of state.queues.list()) {
+    const first = state.queues.getFirst(queue);
+    if (first === undefined) continue;
+    const reasons = findReasons(state, first);
+    if (reasons.length === 0) continue;
+    for (const job of [...queue.jobs.list()]) {
+      if (job.queue === queue && isOpen(job)) checkJob(state, job, reasons);
+    }
+  }
+}
+
+/** Reports jobs that can never run: new ones at once, and all again when the fleet or an allotment changes. */
+export function checkFeasibility(state: SchedulerState): void {
+  if (state.nowMs < state.settledAtMs) return;
+  const unchecked = state.unchecked;
+  state.unchecked = [];
+  if (state.needsFeasibilityCheck) {
+    state.needsFeasibilityCheck = false;
+    for (const job of [...state.neverRunnable]) {
+      if (isOpen(job)) checkJob(state, job, findReasons(state, job));
+    }
+    checkQueues(state);
+  }
+  for (const job of unchecked) {
+    if (!isOpen(job) || job.neverRunnable !== undefined) continue;
+    const reasons = findReasons(state, job);
+    if (reasons.length > 0) checkJob(state, job, reasons);
+  }
+}
+
+function restoreTask(
+  task: TaskRecord,
+  recorded: RestoredTask | undefined,
+): void {
+  const { job } = task;
+  if (recorded === undefined) return;
+  task.attempt = recorded.attempt;
+  task.failures = recorded.failures;
+  if (recorded.state === undefined) return;
+  task.state = recorded.state;
+  if (recorded.state === "checkpointed") {
+    task.hasCheckpoint = true;
+    return;
+  }
+  job.ended++;
+  job.team.queuedTasks--;
+}
+
+function restoreAssignment(
+  state: SchedulerState,
+  assignment: RestoredAssignment,
+): void {
+  const task = state.jobs.get(assignment.job)?.tasks[assignment.index];
+  if (task === undefined || hasEnded(task)) return;
+  const worker = getWorker(state, assignment.worker);
+  const { attempt } = assignment;
+  state.placer.record(worker.place, task.job.size);
+  addHeld(state, task, worker);
+  task.state = "assigned";
+  task.attempt = attempt;
+  task.stage = "started";
+  task.isRestored = true;
+  task.startedMs = state.nowMs;
+  task.holdUntilMs = state.nowMs + state.holdMs;
+  worker.unseen++;
+  state.leases.add(task.holdUntilMs, { task, attempt });
+}
+
+function restoreWaiting(state: SchedulerState, job: JobRecord): void {
+  for (let index = job.tasks.length - 1; index >= 0; index--) {
+    const task = job.tasks[index]!;
+    const isFree = task.worker === undefined && !hasEnded(task);
+    if (isFree) addWaiting(state, task);
+  }
+  // A gang starts only once all its records are there, so a part of one never started.
+  const isPartial = job.spec.policy === "gang" && job.placed > 0 &&
+    job.placed + job.ended < job.tasks.length;
+  if (!isPartial) return;
+  for (const task of job.tasks) {
+    sendEnd(state, task, "gang", RESTORED_GANG_GRACE_MS);
+  }
+}
+
+/** Takes over recorded jobs. Recorded assignments count as running until their leases have ended. */
+export function restoreJobs(
+  state: SchedulerState,
+  jobs: readonly RestoredJob[],
+  assignments: readonly RestoredAssignment[],
+): void {
+  state.settledAtMs = state.nowMs + state.options.fleetSettleMs;
+  state.needsFeasibilityCheck = true;
+  const restored: JobRecord[] = [];
+  for (const { spec, tasks, cancelled } of jobs) {
+    if (state.jobs.has(spec.id)) continue;
+    const job = buildJob(state, spec);
+    for (const recorded of tasks) {
+      const task = job.tasks[recorded.index];
+      if (task !== undefined) restoreTask(task, recorded);
+    }
+    job.isCancelled = cancelled === true;
+    restored.push(job);
+  }
+  for (const assignment of assignments) restoreAssignment(state, assignment);
+  for (const job of restored) restoreJob(state, job);
+}
+
+function restoreJob(state: SchedulerState, job: JobRecord): void {
+  if (job.ended === job.tasks.length) {
+    job.hasEnded = true;
+    state.endedJobs.push(job.spec.id);
+    return;
+  }
+  const isFailing = job.spec.policy === "gang" &&
+    job.tasks.some((task) => task.state === "failed");
+  job.isFailing = isFailing;
+  if (job.isCancelled || isFailing) {
+    state.closing.push({ job, next: 0 });
+    return;
+  }
+  restoreWaiting(state, job);
+  state.unchecked.push(job);
+}
--- /dev/null
+++ b/src/scheduling/options.ts
@@ -0,0 +1,80 @@
+/** Settings of the scheduler, with their defaults and checks. */
+
+import { createFault, type Random } from "../common/mod.ts";
+import type { ShareRule } from "./shares.ts";
+import type { SchedulingWeights } from "./types.ts";
+
+/** Settings of a scheduler. */
+export interface SchedulerOptions {
+  readonly random: Random;
+  /** Default "share". */
+  readonly weights?: SchedulingWeights;
+  /** Default "dominant". */
+  readonly shareRule?: ShareRule;
+  /** Lease of a running task in milliseconds. Default 10,000. */
+  readonly leaseMs?: number;
+  /** Bound on the difference of clock rates. Default 0.01. */
+  readonly clockRateBound?: number;
+  /** A worker silent for this long gets no new task. Default 3,000 ms. */
+  readonly workerSilenceMs?: number;
+  /** After `restore`, no job is reported as never runnable for this long. Default 3,000 ms. */
+  readonly fleetSettleMs?: number;
+  /** Most placements of one `step`. Default 2,000. */
+  readonly maxPlacementsPerStep?: number;
+  /** Most ends and stops of cancelled tasks in one `step`. Default 2,000. */
+  readonly maxCancellationsPerStep?: number;
+  /** Ended jobs that are kept for `getJob`. Default 10,000. */
+  readonly maxEndedJobs?: number;
+  /**
+   * How long a team below its share waits before lent resources are reclaimed.
+   * Default 2,000 ms with weights "share", 30,000 ms with "waiting".
+   */
+  readonly reclaimAfterMs?: number;
+  /** Safety margin on usage estimates, as a part of the estimate. Default 0.1. */
+  readonly usageMargin?: number;
+  /** A reservation older than this checkpoints the batch work in its way. Default 60,000 ms. */
+  readonly reservationPatienceMs?: number;
+}
+
+/** Settings with every default filled in. */
+export type ResolvedSchedulerOptions = Required<SchedulerOptions>;
+
+/** The defaults that do not depend on another setting. */
+export const DEFAULT_SCHEDULER_OPTIONS = Object.freeze(
+  {
+    weights: "share",
+    shareRule: "dominant",
+    leaseMs: 10_000,
+    clockRateBound: 0.01,
+    workerSilenceMs: 3_000,
+    fleetSettleMs: 3_000,
+    maxPlacementsPerStep: 2_000,
+    maxCancellationsPerStep: 2_000,
+    maxEndedJobs: 10_000,
+    usageMargin: 0.1,
+    reservationPatienceMs: 60_000,
+  } as const,
+);
+
+const RECLAIM_AFTER_MS = Object.freeze({ share: 2_000, waiting: 30_000 });
+
+/** Fills in defaults; throws a `badRequest` fault when a setting is out of range. */
+export function resolveSchedulerOptions(
+  options: SchedulerOptions,
+): ResolvedSchedulerOptions {
+  const weights = options.weights ?? DEFAULT_SCHEDULER_OPTIONS.weights;
+  const resolved: ResolvedSchedulerOptions = {
+    ...DEFAULT_SCHEDULER_OPTIONS,
+    reclaimAfterMs: RECLAIM_AFTER_MS[weights],
+    ...options,
+  };
+  for (const [name, value] of Object.entries(resolved)) {
+    if (typeof value !== "number") continue;
+    if (Number.isFinite(value) && value >= 0) continue;
+    throw createFault(
+      "badRequest",
+      `Cannot create scheduler: option "${name}": ${value} is not a non-negative number`,
+    );
+  }
+  return resolved;
+}
--- /dev/null
+++ b/src/scheduling/placement.ts
@@ -0,0 +1,365 @@
+/**
+ * Placement by an index of free resources. Workers with about the same free
+ * amounts share a bucket; a decision looks at the buckets, of which there are
+ * at most a few hundred, and not at the workers.
+ */
+
+import {
+  addResources,
+  fitsWithin,
+  NO_RESOURCES,
+  type Random,
+  type Resources,
+  subtractResources,
+} from "../common/mod.ts";
+
+/** A worker as the placer sees it. Change it only through the placer. */
+export interface PlacerWorker {
+  readonly id: string;
+  readonly rack: string;
+  readonly capacity: Resources;
+  readonly committed: Resources;
+  /** Estimated usage above the committed amounts; it is kept free. */
+  readonly surcharge: Resources;
+  readonly accepting: boolean;
+}
+
+/** What is asked of the placer. */
+export interface PlacementRequest {
+  readonly resources: Resources;
+  /** "pack" leaves the least behind; "spread" prefers racks with few of the job's tasks. */
+  readonly strategy: "pack" | "spread";
+  /** Number of tasks of the same job in a rack, for "spread". */
+  readonly countInRack?: (rack: string) => number;
+  /** Identifier of a worker that is not used, such as the one where the task just failed. */
+  readonly avoid?: string;
+}
+
+/** Keeps what is committed on each worker and picks workers for tasks. */
+export interface Placer {
+  addWorker(
+    worker: { id: string; rack: string; capacity: Resources },
+  ): PlacerWorker;
+  removeWorker(worker: PlacerWorker): void;
+  setCapacity(worker: PlacerWorker, capacity: Resources): void;
+  setSurcharge(worker: PlacerWorker, surcharge: Resources): void;
+  setAccepting(worker: PlacerWorker, accepting: boolean): void;
+  /** Commits `amount`; returns false, and changes nothing, when it does not fit. */
+  commit(worker: PlacerWorker, amount: Resources): boolean;
+  /** Counts what already runs, such as after a takeover, without a check. */
+  record(worker: PlacerWorker, amount: Resources): void;
+  release(worker: PlacerWorker, amount: Resources): void;
+  /** Picks a worker that accepts work and has room; nothing is committed yet. */
+  place(request: PlacementRequest): PlacerWorker | undefined;
+}
+
+/** Settings of a placer. */
+export interface PlacerOptions {
+  readonly random: Random;
+}
+
+interface Entry extends PlacerWorker {
+  capacity: Resources;
+  committed: Resources;
+  surcharge: Resources;
+  accepting: boolean;
+  bucket: Bucket | undefined;
+  position: number;
+}
+
+interface Bucket {
+  readonly key: number;
+  /** The least that any worker of the bucket has free. */
+  readonly floor: Resources;
+  /** An upper bound, not reached, on what any worker of the bucket has free. */
+  readonly ceiling: Resources;
+  readonly entries: Entry[];
+  /** Position in the list of buckets that are not empty; -1 for none. */
+  position: number;
+}
+
+const STEPS_PER_OCTAVE = 2;
+const LEVELS = 31 * STEPS_PER_OCTAVE + 1;
+const MAX_AMOUNT = 2 ** 30;
+// Probes for "pack" in one bucket; eight make the choice close to the best of the bucket.
+const PACK_PROBES = 8;
+// Probes for "spread"; a cell of 30 workers is looked at as a whole.
+const SPREAD_PROBES = 64;
+// Probes of workers in buckets that may or may not have room, before the request waits.
+const MAX_UNSURE_PROBES = 256;
+
+function toLevel(amount: number): number {
+  if (amount <= 0) return 0;
+  const bounded = Math.min(amount, MAX_AMOUNT);
+  const octave = 31 - Math.clz32(bounded);
+  const isUpperHalf = bounded >= 1.5 * 2 ** octave;
+  return 1 + STEPS_PER_OCTAVE * octave + (isUpperHalf ? 1 : 0);
+}
+
+function toFloor(level: number): number {
+  if (level === 0) return 0;
+  const octave = Math.floor((level - 1) / STEPS_PER_OCTAVE);
+  const isUpperHalf = (level - 1) % STEPS_PER_OCTAVE === 1;
+  return Math.ceil((isUpperHalf ? 1.5 : 1) * 2 ** octave);
+}
+
+/** Returns what is free on `worker`; amounts are negative when it is overcommitted. */
+export function computeFree(worker: PlacerWorker): Resources {
+  return subtractResources(
+    subtractResources(worker.capacity, worker.committed),
+    worker.surcharge,
+  );
+}
+
+function computeEntryCount(buckets: readonly Bucket[]): number {
+  return buckets.reduce((sum, bucket) => sum + bucket.entries.length, 0);
+}
+
+/** Creates a placer without workers. */
+export function createPlacer(options: PlacerOptions): Placer {
+  const { random } = options;
+  const bucketsByKey = new Map<number, Bucket>();
+  const filledBuckets: Bucket[] = [];
+  let total: Resources = NO_RESOURCES;
+
+  function getBucket(free: Resources): Bucket {
+    const processorLevel = toLevel(free.processors);
+    const memoryLevel = toLevel(free.memoryMb);
+    const key = (free.accelerators * LEVELS + memoryLevel) * LEVELS +
+      processorLevel;
+    let bucket = bucketsByKey.get(key);
+    if (bucket === undefined) {
+      bucket = {
+        key,
+        floor: {
+          processors: toFloor(processorLevel),
+          memoryMb: toFloor(memoryLevel),
+          accelerators: free.accelerators,
+        },
+        ceiling: {
+          processors: toFloor(processorLevel + 1),
+          memoryMb: toFloor(memoryLevel + 1),
+          accelerators: free.accelerators + 1,
+        },
+        entries: [],
+        position: -1,
+      };
+      bucketsByKey.set(key, bucket);
+    }
+    return bucket;
+  }
+
+  function removeFromIndex(entry: Entry): void {
+    const bucket = entry.bucket;
+    if (bucket === undefined) return;
+    const last = bucket.entries.pop()!;
+    if (last !== entry) {
+      bucket.entries[entry.position] = last;
+      last.position = entry.position;
+    }
+    entry.bucket = undefined;
+    if (bucket.entries.length > 0) return;
+    const lastBucket = filledBuckets.pop()!;
+    if (lastBucket !== bucket) {
+      filledBuckets[bucket.position] = lastBucket;
+      lastBucket.position = bucket.position;
+    }
+    bucketsByKey.delete(bucket.key);
+  }
+
+  function updateIndex(entry: Entry): void {
+    const free = computeFree(entry);
+    const isUsable = entry.accepting && fitsWithin(NO_RESOURCES, free);
+    if (!isUsable) return removeFromIndex(entry);
+    const bucket = getBucket(free);
+    if (bucket === entry.bucket) return;
+    removeFromIndex(entry);
+    if (bucket.entries.length === 0) {
+      bucketsByKey.set(bucket.key, bucket);
+      bucket.position = filledBuckets.length;
+      filledBuckets.push(bucket);
+    }
+    entry.bucket = bucket;
+    entry.position = bucket.entries.length;
+    bucket.entries.push(entry);
+  }
+
+  /** The part of the fleet that stays unused on a worker with `free`; accelerators weigh most, as the scarcest. */
+  function computeLeftover(free: Resources, wanted: Resources): number {
+    return (free.processors - wanted.processors) / (total.processors || 1) +
+      (free.memoryMb - wanted.memoryMb) / (total.memoryMb || 1) +
+      4 * (free.accelerators - wanted.accelerators) / (total.accelerators || 1);
+  }
+
+  /** Accelerators that the request has no use for, so that such workers are taken last. */
+  function computeWaste(free: Resources, wanted: Resources): number {
+    return wanted.accelerators === 0 ? free.accelerators : 0;
+  }
+
+  function listProbes(bucket: Bucket, count: number): Entry[] {
+    const { entries } = bucket;
+    if (entries.length <= count) return entries;
+    const start = random.nextInt(entries.length);
+    const probes: Entry[] = [];
+    for (let offset = 0; offset < count; offset++) {
+      probes.push(entries[(start + offset) % entries.length]!);
+    }
+    return probes;
+  }
+
+  function pickPacked(
+    entries: readonly Entry[],
+    request: PlacementRequest,
+  ): Entry | undefined {
+    let best: Entry | undefined;
+    let bestLeftover = Infinity;
+    for (const entry of entries) {
+      const free = computeFree(entry);
+      if (entry.id === request.avoid) continue;
+      if (!fitsWithin(request.resources, free)) continue;
+      const leftover = computeLeftover(free, request.resources);
+      if (leftover >= bestLeftover) continue;
+      best = entry;
+      bestLeftover = leftover;
+    }
+    return best;
+  }
+
+  function pickSpread(
+    entries: readonly Entry[],
+    request: PlacementRequest,
+  ): Entry | undefined {
+    let best: Entry | undefined;
+    let bestCost = Infinity;
+    for (const entry of entries) {
+      if (entry.id === request.avoid) continue;
+      const free = computeFree(entry);
+      if (!fitsWithin(request.resources, free)) continue;
+      const inRack = request.countInRack?.(entry.rack) ?? 0;
+      // The rack decides; waste and room only break ties, as both stay below one.
+      const waste = computeWaste(free, request.resources) > 0 ? 0.5 : 0;
+      const room = computeLeftover(free, request.resources) / 20;
+      const cost = inRack + waste - Math.min(room, 0.4);
+      if (cost >= bestCost) continue;
+      best = entry;
+      bestCost = cost;
+    }
+    return best;
+  }
+
+  function placePacked(request: PlacementRequest): Entry | undefined {
+    const wanted = request.resources;
+    let best: Bucket | undefined;
+    let bestCost = Infinity;
+    for (const bucket of filledBuckets) {
+      if (!fitsWithin(wanted, bucket.floor)) continue;
+      const isAvoided = bucket.entries.length === 1 &&
+        bucket.entries[0]!.id === request.avoid;
+      if (isAvoided) continue;
+      const cost = 100 * computeWaste(bucket.floor, wanted) +
+        computeLeftover(bucket.floor, wanted);
+      if (cost >= bestCost) continue;
+      best = bucket;
+      bestCost = cost;
+    }
+    const sure = best === undefined
+      ? undefined
+      : pickPacked(listProbes(best, PACK_PROBES), request);
+    return sure ?? placeUnsure(request);
+  }
+
+  function listPossibleBuckets(wanted: Resources): Bucket[] {
+    return filledBuckets.filter(({ ceiling }) =>
+      wanted.processors < ceiling.processors &&
+      wanted.memoryMb < ceiling.memoryMb &&
+      wanted.accelerators < ceiling.accelerators
+    );
+  }
+
+  /** Looks where a worker may have room although its bucket does not promise it. */
+  function placeUnsure(request: PlacementRequest): Entry | undefined {
+    let probesLeft = MAX_UNSURE_PROBES;
+    for (const bucket of listPossibleBuckets(request.resources)) {
+      if (probesLeft <= 0) return undefined;
+      const probes = listProbes(bucket, probesLeft);
+      probesLeft -= probes.length;
+      const found = pickPacked(probes, request);
+      if (found !== undefined) return found;
+    }
+    return undefined;
+  }
+
+  function placeSpread(request: PlacementRequest): Entry | undefined {
+    const possible = listPossibleBuckets(request.resources);
+    const possibleCount = computeEntryCount(possible);
+    if (possibleCount <= SPREAD_PROBES) {
+      return pickSpread(possible.flatMap((bucket) => bucket.entries), request);
+    }
+    const sure = possible.filter((bucket) =>
+      fitsWithin(request.resources, bucket.floor)
+    );
+    const sureCount = computeEntryCount(sure);
+    const probes = sure.flatMap((bucket) => {
+      const part = SPREAD_PROBES * bucket.entries.length / sureCount;
+      return listProbes(bucket, Math.ceil(part));
+    });
+    return pickSpread(probes, request) ?? placeUnsure(request);
+  }
+
+  return {
+    addWorker({ id, rack, capacity }) {
+      const entry: Entry = {
+        id,
+        rack,
+        capacity,
+        committed: NO_RESOURCES,
+        surcharge: NO_RESOURCES,
+        accepting: true,
+        bucket: undefined,
+        position: -1,
+      };
+      total = addResources(total, capacity);
+      updateIndex(entry);
+      return entry;
+    },
+    removeWorker(worker) {
+      const entry = worker as Entry;
+      entry.accepting = false;
+      removeFromIndex(entry);
+      total = subtractResources(total, entry.capacity);
+    },
+    setCapacity(worker, capacity) {
+      const entry = worker as Entry;
+      total = addResources(subtractResources(total, entry.capacity), capacity);
+      entry.capacity = capacity;
+      updateIndex(entry);
+    },
+    setSurcharge(worker, surcharge) {
+      (worker as Entry).surcharge = surcharge;
+      updateIndex(worker as Entry);
+    },
+    setAccepting(worker, accepting) {
+      (worker as Entry).accepting = accepting;
+      updateIndex(worker as Entry);
+    },
+    commit(worker, amount) {
+      if (!fitsWithin(amount, computeFree(worker))) return false;
+      (worker as Entry).committed = addResources(worker.committed, amount);
+      updateIndex(worker as Entry);
+      return true;
+    },
+    record(worker, amount) {
+      (worker as Entry).committed = addResources(worker.committed, amount);
+      updateIndex(worker as Entry);
+    },
+    release(worker, amount) {
+      (worker as Entry).committed = subtractResources(worker.committed, amount);
+      updateIndex(worker as Entry);
+    },
+    place(request) {
+      return request.strategy === "pack"
+        ? placePacked(request)
+        : placeSpread(request);
+    },
+  };
+}
--- /dev/null
+++ b/src/scheduling/placing.ts
@@ -0,0 +1,175 @@
+/** One round of placement over the waiting work, and what is done for work that found no room. */
+
+import { addResources, fitsWithin, type Resources } from "../common/mod.ts";
+import { isWaiting } from "./job_queues.ts";
+import { assignTask } from "./lifecycle.ts";
+import { createServingOrder } from "./ordering.ts";
+import type { Preemption } from "./preemption.ts";
+import type { JobRecord } from "./records.ts";
+import type { Reservations } from "./reservations.ts";
+import { clearAllotment } from "./shedding.ts";
+import type { SchedulerState } from "./state.ts";
+import { computeEntitlements, type Entitlements } from "./victims.ts";
+
+// Shapes that found no room in this round; like ones are not tried again.
+const MAX_FAILED_SHAPES = 16;
+// A plan looks at 64 workers, so a step spends at most a few milliseconds on plans.
+const MAX_PLANS_PER_STEP = 50;
+const MAX_RECLAIM_PLANS_PER_STEP = 4;
+
+/** What one round came to. */
+interface Round {
+  readonly failedShapes: Resources[];
+  /** Jobs that found no room, in the order of serving. */
+  readonly blocked: JobRecord[];
+  /** Jobs that their team's allotment held back. */
+  readonly bounded: JobRecord[];
+}
+
+function fitsAllotment(job: JobRecord): boolean {
+  const { team } = job;
+  return team.isKnown &&
+    fitsWithin(addResources(team.committed, job.size), team.allotment);
+}
+
+function hasFailedShape(round: Round, size: Resources): boolean {
+  return round.failedShapes.some((shape) => fitsWithin(shape, size));
+}
+
+function placeOne(
+  state: SchedulerState,
+  job: JobRecord,
+  withAvoid: boolean,
+): boolean {
+  const task = job.waiting[job.waiting.length - 1]!;
+  const place = state.placer.place({
+    resources: job.size,
+    strategy: job.spec.policy === "service" ? "spread" : "pack",
+    countInRack: (rack) => job.tasksInRack.get(rack) ?? 0,
+    ...(withAvoid && task.avoid !== undefined ? { avoid: task.avoid } : {}),
+  });
+  if (place === undefined) return false;
+  if (!state.placer.commit(place, job.size)) return false;
+  job.waiting.pop();
+  assignTask(state, task, state.workers.get(place.id)!);
+  return true;
+}
+
+function placeSingle(
+  state: SchedulerState,
+  job: JobRecord,
+  round: Round,
+): boolean {
+  if (hasFailedShape(round, job.size)) return false;
+  if (placeOne(state, job, true)) return true;
+  const task = job.waiting[job.waiting.length - 1]!;
+  // With room only where the last attempt failed, a second try there is better than none.
+  if (task.avoid !== undefined && placeOne(state, job, false)) return true;
+  if (round.failedShapes.length < MAX_FAILED_SHAPES) {
+    round.failedShapes.push(job.size);
+  }
+  return false;
+}
+
+function runRound(state: SchedulerState, reservations: Reservations): Round {
+  const round: Round = { failedShapes: [], blocked: [], bounded: [] };
+  const order = createServingOrder(state);
+  const limit = state.placedTasks + state.options.maxPlacementsPerStep;
+  while (state.placedTasks < limit) {
+    const job = order.takeNext();
+    if (job === undefined) break;
+    if (!fitsAllotment(job)) {
+      round.bounded.push(job);
+      continue;
+    }
+    const isPlaced = job.spec.policy === "gang"
+      ? reservations.placeWhole(job)
+      : placeSingle(state, job, round);
+    if (isPlaced || reservations.placeBackfill(job)) {
+      order.add();
+      continue;
+    }
+    job.blockedSinceMs ??= state.nowMs;
+    round.blocked.push(job);
+  }
+  return round;
+}
+
+/** Lists the waiting jobs of the same group, of which a round looks only at the first. */
+function listPeers(job: JobRecord, limit: number): JobRecord[] {
+  const { queue } = job;
+  if (queue === undefined) return [job];
+  const peers: JobRecord[] = [];
+  for (const peer of queue.jobs.list()) {
+    if (peers.length >= limit) break;
+    if (peer.queue !== queue || !isWaiting(peer)) continue;
+    if (peer.plans < peer.waiting.length) peers.push(peer);
+  }
+  return peers;
+}
+
+function planUrgent(
+  state: SchedulerState,
+  round: Round,
+  preemption: Preemption,
+  entitlements: Entitlements,
+): void {
+  let left = MAX_PLANS_PER_STEP;
+  const urgent = round.blocked.filter(({ spec }) =>
+    spec.urgent && spec.policy !== "gang"
+  );
+  for (const peer of urgent.flatMap((job) => listPeers(job, left))) {
+    while (left > 0 && peer.plans < peer.waiting.length) {
+      left--;
+      if (!preemption.plan(peer, "urgent", entitlements)) break;
+    }
+  }
+  for (const job of round.bounded) {
+    const { team, spec } = job;
+    if (!spec.urgent || !team.isKnown) continue;
+    clearAllotment(state, team, job.size);
+  }
+}
+
+function planReclaim(
+  state: SchedulerState,
+  round: Round,
+  preemption: Preemption,
+  entitlements: Entitlements,
+): void {
+  const { nowMs, options } = state;
+  const starved = new Set(round.blocked.map((job) => job.team));
+  for (const team of state.teams.values()) {
+    if (!starved.has(team)) team.starvedSinceMs = undefined;
+  }
+  let left = MAX_RECLAIM_PLANS_PER_STEP;
+  for (const job of round.blocked) {
+    const { team, spec } = job;
+    if (!preemption.isBelowShare(job, entitlements)) continue;
+    team.starvedSinceMs ??= nowMs;
+    if (spec.urgent || spec.policy === "gang") continue;
+    if (nowMs - team.starvedSinceMs < options.reclaimAfterMs) continue;
+    for (const peer of listPeers(job, left)) {
+      const isAllowed = left > 0 && preemption.hasReclaimRoom() &&
+        preemption.isBelowShare(peer, entitlements);
+      if (!isAllowed) break;
+      left--;
+      preemption.plan(peer, "reclaim", entitlements);
+    }
+  }
+}
+
+/** Places what can be placed, then makes room for what could not. */
+export function runPlacements(
+  state: SchedulerState,
+  reservations: Reservations,
+  preemption: Preemption,
+): void {
+  preemption.step();
+  reservations.step();
+  const round = runRound(state, reservations);
+  reservations.propose(round.blocked);
+  const entitlements = computeEntitlements(state);
+  planUrgent(state, round, preemption, entitlements);
+  planReclaim(state, round, preemption, entitlements);
+}
--- /dev/null
+++ b/src/scheduling/preemption.ts
@@ -0,0 +1,347 @@
+/**
+ * Preemption plans. A plan holds one worker for one waiting task while the
+ * tasks in its way end. Urgent work: checkpoint at once, throttle after 0.7 s,
+ * stop after 1.5 s. Lent resources are reclaimed more slowly.
+ */
+
+import {
+  addResources,
+  fitsWithin,
+  NO_RESOURCES,
+  RESOURCE_NAMES,
+  type Resources,
+  subtractResources,
+} from "../common/mod.ts";
+import { isWaiting } from "./job_queues.ts";
+import { assignTask, sendEnd, sendStop, sendThrottle } from "./lifecycle.ts";
+import { computeFree } from "./placement.ts";
+import type {
+  JobRecord,
+  TaskRecord,
+  TeamRecord,
+  WorkerRecord,
+} from "./records.ts";
+import {
+  addCommitted,
+  isUsable,
+  type SchedulerState,
+  updateAccepting,
+} from "./state.ts";
+import { getShareFunction } from "./shares.ts";
+import {
+  compareVictims,
+  computeVictim,
+  type Entitlements,
+  isEnding,
+  isOverShare,
+  sendEndWhole,
+  type Victim,
+} from "./victims.ts";
+
+/** What a plan is for. */
+export type PlanKind = "urgent" | "reclaim";
+
+interface Plan {
+  readonly kind: PlanKind;
+  readonly job: JobRecord;
+  readonly worker: WorkerRecord;
+  readonly victims: readonly TaskRecord[];
+  readonly untilMs: number;
+}
+
+/** Makes and follows preemption plans. */
+export interface Preemption {
+  /** Makes room for one more task of the job; returns false when no worker offers it. */
+  plan(job: JobRecord, kind: PlanKind, entitlements: Entitlements): boolean;
+  /** Places tasks where room has been made, and carries out what follows a command without effect. */
+  step(): void;
+  /** Tells whether the team is below its share and stays within it with one more task of the job, open plans included. */
+  isBelowShare(job: JobRecord, entitlements: Entitlements): boolean;
+  /** Tells whether another plan to reclaim lent resources may be opened. */
+  hasReclaimRoom(): boolean;
+}
+
+const SAMPLED_WORKERS = 64;
+const THROTTLE_AFTER_MS = 700;
+const URGENT_GRACE_MS = 1_500;
+const RECLAIM_GRACE_MS = 10_000;
+// Throttled tasks keep half of their processors, so that services still answer.
+const THROTTLED_PART = 0.5;
+// A plan that has not made room by then has failed: the grace, a lease and a report.
+const PLAN_MS = 22_000;
+const MAX_UNTHROTTLED_PER_STEP = 100;
+
+function computeShortage(size: Resources, free: Resources): Resources {
+  return {
+    processors: Math.max(0, size.processors - free.processors),
+    memoryMb: Math.max(0, size.memoryMb - free.memoryMb),
+    accelerators: Math.max(0, size.accelerators - free.accelerators),
+  };
+}
+
+function isCovered(shortage: Resources): boolean {
+  return RESOURCE_NAMES.every((name) => shortage[name] <= 0);
+}
+
+function hasUse(shortage: Resources, held: Resources): boolean {
+  return RESOURCE_NAMES.some((name) => shortage[name] > 0 && held[name] > 0);
+}
+
+/** Takes victims in order until the shortage is covered, then drops those that turned out not to be needed. */
+function pickEnough(
+  victims: readonly Victim[],
+  shortage: Resources,
+): Victim[] | undefined {
+  const picked: Victim[] = [];
+  let left = shortage;
+  for (const victim of victims) {
+    if (isCovered(left)) break;
+    if (!hasUse(left, victim.task.held)) continue;
+    picked.push(victim);
+    left = subtractResources(left, victim.task.held);
+  }
+  if (!isCovered(left)) return undefined;
+  return picked.reverse().filter((victim) => {
+    const without = addResources(left, victim.task.held);
+    if (!isCovered(without)) return true;
+    left = without;
+    return false;
+  });
+}
+
+/** Creates the preemption part of a scheduler. */
+export function createPreemption(state: SchedulerState): Preemption {
+  const plans = new Set<Plan>();
+  const planByWorker = new Map<WorkerRecord, Plan>();
+
+  function closePlan(plan: Plan): void {
+    plans.delete(plan);
+    planByWorker.delete(plan.worker);
+    plan.job.plans--;
+    plan.worker.isReserved = false;
+    updateAccepting(state, plan.worker);
+  }
+
+  function listSample(): WorkerRecord[] {
+    const { fleet } = state;
+    if (fleet.length <= SAMPLED_WORKERS) return fleet;
+    const sample: WorkerRecord[] = [];
+    for (let count = 0; count < SAMPLED_WORKERS; count++) {
+      sample.push(fleet[state.options.random.nextInt(fleet.length)]!);
+    }
+    return sample;
+  }
+
+  function computeLeaving(team: TeamRecord): Resources {
+    let leaving = NO_RESOURCES;
+    for (const plan of plans) {
+      for (const task of plan.victims) {
+        if (task.job.team !== team || task.worker === undefined) continue;
+        leaving = addResources(leaving, task.held);
+      }
+    }
+    return leaving;
+  }
+
+  /** Tells whether the team stays at or above its share without the task. */
+  function isLent(task: TaskRecord, entitlements: Entitlements): boolean {
+    const { team } = task.job;
+    if (!isOverShare(state, team, entitlements)) return false;
+    const computeShare = getShareFunction(state.options.shareRule);
+    const kept = subtractResources(
+      subtractResources(team.committed, computeLeaving(team)),
+      task.held,
+    );
+    const share = computeShare(kept, state.capacity) / team.weight;
+    return share >= entitlements.weightedShare;
+  }
+
+  function listVictims(
+    worker: WorkerRecord,
+    job: JobRecord,
+    kind: PlanKind,
+    entitlements: Entitlements,
+  ): Victim[] {
+    const victims: Victim[] = [];
+    for (const task of worker.tasks) {
+      const { spec, team } = task.job;
+      if (spec.urgent || isEnding(task) || task.stage === "proposed") continue;
+      if (task.state === "lost" || task.isRestored) continue;
+      if (kind === "reclaim") {
+        if (spec.policy !== "batch" || team === job.team) continue;
+        if (!isLent(task, entitlements)) continue;
+      }
+      victims.push(computeVictim(state, task, entitlements));
+    }
+    return victims.sort(compareVictims);
+  }
+
+  function findVictims(
+    worker: WorkerRecord,
+    job: JobRecord,
+    kind: PlanKind,
+    entitlements: Entitlements,
+  ): Victim[] | undefined {
+    if (!fitsWithin(job.size, worker.place.capacity)) return undefined;
+    let free = computeFree(worker.place);
+    for (const task of worker.tasks) {
+      if (isEnding(task)) free = addResources(free, task.held);
+    }
+    const shortage = computeShortage(job.size, free);
+    if (isCovered(shortage)) return [];
+    return pickEnough(
+      listVictims(worker, job, kind, entitlements),
+      shortage,
+    );
+  }
+
+  function sendToVictim(plan: Plan, task: TaskRecord): void {
+    const { attempt } = task;
+    if (plan.kind === "reclaim") {
+      sendEnd(state, task, "share", RECLAIM_GRACE_MS);
+      return;
+    }
+    const throttled = { task, attempt, kind: "throttle" as const };
+    const stopped = { task, attempt, kind: "stop" as const };
+    if (task.job.spec.policy !== "service") {
+      sendEndWhole(state, task, {
+        reason: "urgentWork",
+        graceMs: URGENT_GRACE_MS,
+      });
+      state.escalations.add(state.nowMs + THROTTLE_AFTER_MS, throttled);
+      return;
+    }
+    sendPlanThrottle(task);
+    state.escalations.add(state.nowMs + URGENT_GRACE_MS, stopped);
+  }
+
+  function sendPlanThrottle(task: TaskRecord): void {
+    const processors = Math.floor(task.job.size.processors * THROTTLED_PART);
+    if (processors >= task.held.processors || processors === 0) return;
+    sendThrottle(state, task, processors, "urgentWork");
+    state.throttled.add(task);
+  }
+
+  /** Carries on where a command has had no effect in time. */
+  function runEscalations(): void {
+    for (const due of state.escalations.takeDue(state.nowMs)) {
+      const { task, attempt, kind } = due;
+      if (task.worker === undefined || task.attempt !== attempt) continue;
+      const plan = planByWorker.get(task.worker);
+      const isVictim = plan !== undefined && plan.victims.includes(task);
+      if (kind === "throttle") {
+        if (isVictim) sendPlanThrottle(task);
+      } else if (isVictim || isEnding(task)) {
+        sendStopNow(task);
+      }
+    }
+  }
+
+  function sendStopNow(task: TaskRecord): void {
+    const reason = task.intervention?.reason ?? "urgentWork";
+    if (task.intervention?.kind === "checkpoint") task.intervention = undefined;
+    sendStop(state, task, reason);
+  }
+
+  function stepPlan(plan: Plan): void {
+    const { job, worker } = plan;
+    const isLate = state.nowMs >= plan.untilMs;
+    if (isLate || !isWaiting(job) || !isUsable(worker)) return closePlan(plan);
+    const wanted = addResources(job.team.committed, job.size);
+    if (!fitsWithin(wanted, job.team.allotment)) return closePlan(plan);
+    if (!state.placer.commit(worker.place, job.size)) {
+      const isHopeless = plan.victims.every((task) =>
+        task.worker !== worker || !isEnding(task) && !state.throttled.has(task)
+      );
+      if (isHopeless && ![...worker.tasks].some(isEnding)) closePlan(plan);
+      return;
+    }
+    assignTask(state, job.waiting.pop()!, worker);
+    closePlan(plan);
+  }
+
+  /** Gives processors back to tasks that were throttled for urgent work. */
+  function endThrottling(): void {
+    let left = MAX_UNTHROTTLED_PER_STEP;
+    for (const task of state.throttled) {
+      if (left-- <= 0) return;
+      const { worker, job } = task;
+      if (worker === undefined) {
+        state.throttled.delete(task);
+        continue;
+      }
+      if (planByWorker.has(worker) || isEnding(task)) continue;
+      const { size, team } = job;
+      const missing = {
+        ...NO_RESOURCES,
+        processors: size.processors - task.held.processors,
+      };
+      const wanted = addResources(team.committed, missing);
+      if (!fitsWithin(wanted, team.allotment)) continue;
+      if (!state.placer.commit(worker.place, missing)) continue;
+      addCommitted(state, team, missing);
+      task.held = addResources(task.held, missing);
+      sendThrottle(state, task, size.processors, "urgentWork");
+      // A late report of the old limit must not lower what is committed.
+      task.processorLimit = undefined;
+      state.throttled.delete(task);
+    }
+  }
+
+  return {
+    plan(job, kind, entitlements) {
+      let best: { worker: WorkerRecord; victims: Victim[] } | undefined;
+      let bestRank = Infinity;
+      let bestLoss = Infinity;
+      for (const worker of listSample()) {
+        if (worker.isReserved || !isUsable(worker)) continue;
+        const victims = findVictims(worker, job, kind, entitlements);
+        if (victims === undefined) continue;
+        const rank = Math.max(-1, ...victims.map((victim) => victim.rank));
+        const loss = victims.reduce((sum, victim) => sum + victim.loss, 0);
+        const isBetter = rank < bestRank ||
+          (rank === bestRank && loss < bestLoss);
+        if (!isBetter) continue;
+        best = { worker, victims };
+        bestRank = rank;
+        bestLoss = loss;
+      }
+      if (best === undefined) return false;
+      const plan: Plan = {
+        kind,
+        job,
+        worker: best.worker,
+        victims: best.victims.map((victim) => victim.task),
+        untilMs: state.nowMs + PLAN_MS,
+      };
+      plans.add(plan);
+      planByWorker.set(plan.worker, plan);
+      job.plans++;
+      plan.worker.isReserved = true;
+      updateAccepting(state, plan.worker);
+      for (const task of plan.victims) sendToVictim(plan, task);
+      return true;
+    },
+    step() {
+      runEscalations();
+      for (const plan of [...plans]) stepPlan(plan);
+      endThrottling();
+    },
+    isBelowShare(job, entitlements) {
+      const { team } = job;
+      const computeShare = getShareFunction(state.options.shareRule);
+      let wanted = addResources(team.committed, job.size);
+      for (const plan of plans) {
+        if (plan.job.team === team) {
+          wanted = addResources(wanted, plan.job.size);
+        }
+      }
+      const share = computeShare(wanted, state.capacity) / team.weight;
+      return share <= entitlements.weightedShare;
+    },
+    hasReclaimRoom() {
+      const open = [...plans].filter((plan) => plan.kind === "reclaim").length;
+      return open < Math.max(2, Math.ceil(state.fleet.length / 20));
+    },
+  };
+}
--- /dev/null
+++ b/src/scheduling/reservations.ts
@@ -0,0 +1,254 @@
+/**
+ * Gang placement and reservations. A gang is placed whole or not at all, so
+ * two gangs never hold parts of what the other needs. The first job that finds
+ * no room reserves workers; there is one reservation at a time, which rules out
+ * deadlock, and short batch work fills the gaps until the room is there.
+ */
+
+import {
+  addResources,
+  fitsWithin,
+  multiplyResources,
+  RESOURCE_NAMES,
+  type Resources,
+  subtractResources,
+} from "../common/mod.ts";
+import { DEFAULT_EXPECTED_MS, isWaiting } from "./job_queues.ts";
+import { assignTask } from "./lifecycle.ts";
+import type { PlacerWorker } from "./placement.ts";
+import type { JobRecord, TaskRecord, WorkerRecord } from "./records.ts";
+import { isUsable, type SchedulerState, updateAccepting } from "./state.ts";
+import { isEnding, sendEndWhole } from "./victims.ts";
+
+interface Reservation {
+  readonly job: JobRecord;
+  readonly workers: readonly WorkerRecord[];
+  readonly sinceMs: number;
+  /** When the work in the way is expected to have ended. */
+  readonly readyMs: number;
+}
+
+/** Places gangs and holds workers for the first job in need of them. */
+export interface Reservations {
+  /** Places every waiting task of the job, or none. */
+  placeWhole(job: JobRecord): boolean;
+  /** Reserves workers for the first of the jobs that found no room, unless a reservation is in force. */
+  propose(blocked: readonly JobRecord[]): void;
+  /** Places one task of a short job on a reserved worker; returns false when none has room. */
+  placeBackfill(job: JobRecord): boolean;
+  /** Places the holder of the reservation if it fits now, and clears its way when it has waited too long. */
+  step(): void;
+}
+
+const GANG_RETRY_MS = 200;
+// Work other than gangs reserves a worker only when it seems to starve behind smaller work.
+const SINGLE_PATIENCE_MS = 30_000;
+const MIN_SAMPLE = 1_000;
+const PATIENCE_GRACE_MS = 10_000;
+const URGENT_GRACE_MS = 1_500;
+
+function computeTaskCount(job: JobRecord): number {
+  return job.spec.policy === "gang" ? job.waiting.length : 1;
+}
+
+function computeTasksInRoom(room: Resources, task: Resources): number {
+  let count = Infinity;
+  for (const name of RESOURCE_NAMES) {
+    if (task[name] === 0) continue;
+    count = Math.min(count, Math.floor(room[name] / task[name]));
+  }
+  return Math.max(0, count);
+}
+
+/** Creates the reservation part of a scheduler. */
+export function createReservations(state: SchedulerState): Reservations {
+  let reservation: Reservation | undefined;
+  let sampleStart = 0;
+
+  function closeReservation(): void {
+    if (reservation === undefined) return;
+    for (const worker of reservation.workers) {
+      worker.isReserved = false;
+      updateAccepting(state, worker);
+    }
+    reservation = undefined;
+  }
+
+  function hasAllotment(job: JobRecord): boolean {
+    const { team } = job;
+    const wanted = multiplyResources(job.size, computeTaskCount(job));
+    return team.isKnown &&
+      fitsWithin(addResources(team.committed, wanted), team.allotment);
+  }
+
+  function pickPlace(job: JobRecord, held: readonly WorkerRecord[]) {
+    for (const worker of held) {
+      const isTaken = isUsable(worker) &&
+        state.placer.commit(worker.place, job.size);
+      if (isTaken) return worker.place;
+    }
+    const place = state.placer.place({
+      resources: job.size,
+      strategy: "pack",
+    });
+    if (place === undefined) return undefined;
+    return state.placer.commit(place, job.size) ? place : undefined;
+  }
+
+  function hasTotalRoom(job: JobRecord): boolean {
+    const wanted = multiplyResources(job.size, computeTaskCount(job));
+    return fitsWithin(
+      wanted,
+      subtractResources(state.capacity, state.committed),
+    );
+  }
+
+  function placeWhole(job: JobRecord): boolean {
+    if (!hasAllotment(job) || !hasTotalRoom(job)) return false;
+    const held = reservation?.job === job ? reservation.workers : [];
+    const places: PlacerWorker[] = [];
+    const count = computeTaskCount(job);
+    while (places.length < count) {
+      const place = pickPlace(job, held);
+      if (place === undefined) break;
+      places.push(place);
+    }
+    if (places.length < count) {
+      for (const place of places) state.placer.release(place, job.size);
+      return false;
+    }
+    for (const place of places) {
+      assignTask(state, job.waiting.pop()!, state.workers.get(place.id)!);
+    }
+    return true;
+  }
+
+  function estimateEnd(task: TaskRecord): number {
+    const expectedMs = task.job.spec.expectedMs ?? DEFAULT_EXPECTED_MS;
+    const startedMs = task.state === "running" ? task.startedMs : state.nowMs;
+    const endMs = startedMs + expectedMs;
+    // A task past its declared time is assumed to need as long again.
+    return endMs > state.nowMs ? endMs : state.nowMs + expectedMs;
+  }
+
+  function listCandidates(count: number): WorkerRecord[] {
+    const { fleet } = state;
+    const wanted = Math.min(fleet.length, Math.max(4 * count, MIN_SAMPLE));
+    const candidates: WorkerRecord[] = [];
+    for (let offset = 0; offset < wanted; offset++) {
+      const worker = fleet[(sampleStart + offset) % fleet.length]!;
+      if (isUsable(worker) && !worker.isReserved) candidates.push(worker);
+    }
+    sampleStart = fleet.length === 0 ? 0 : (sampleStart + wanted) %
+      fleet.length;
+    return candidates;
+  }
+
+  /** Returns how many tasks of the job the worker holds once its other work has ended, and when that is. */
+  function computeOffer(worker: WorkerRecord, job: JobRecord) {
+    let room = worker.place.capacity;
+    let readyMs = state.nowMs;
+    for (const task of worker.tasks) {
+      if (task.job.spec.policy === "service") {
+        room = subtractResources(room, task.held);
+      } else {
+        readyMs = Math.max(readyMs, estimateEnd(task));
+      }
+    }
+    return { worker, readyMs, tasks: computeTasksInRoom(room, job.size) };
+  }
+
+  function openReservation(job: JobRecord): boolean {
+    const count = computeTaskCount(job);
+    const offers = listCandidates(count)
+      .map((worker) => computeOffer(worker, job))
+      .filter((offer) => offer.tasks > 0)
+      .sort((a, b) => a.readyMs - b.readyMs);
+    const workers: WorkerRecord[] = [];
+    let readyMs = state.nowMs;
+    let tasks = 0;
+    for (const offer of offers) {
+      if (tasks >= count) break;
+      workers.push(offer.worker);
+      tasks += offer.tasks;
+      readyMs = offer.readyMs;
+    }
+    if (tasks < count) return false;
+    for (const worker of workers) {
+      worker.isReserved = true;
+      updateAccepting(state, worker);
+    }
+    reservation = { job, workers, readyMs, sinceMs: state.nowMs };
+    return true;
+  }
+
+  function isCandidate(job: JobRecord): boolean {
+    if (!isWaiting(job) || !hasAllotment(job)) return false;
+    if (job.spec.policy === "gang") return true;
+    const blockedMs = state.nowMs - (job.blockedSinceMs ?? state.nowMs);
+    return !job.spec.urgent && blockedMs >= SINGLE_PATIENCE_MS;
+  }
+
+  /** Ends the batch work that is still in the way. */
+  function clearWay(held: Reservation): void {
+    const graceMs = held.job.spec.urgent ? URGENT_GRACE_MS : PATIENCE_GRACE_MS;
+    for (const worker of held.workers) {
+      for (const task of [...worker.tasks]) {
+        const { spec } = task.job;
+        const isMovable = spec.policy === "batch" ||
+          (held.job.spec.urgent && spec.policy === "gang");
+        if (!isMovable || spec.urgent || isEnding(task)) continue;
+        if (task.stage === "proposed") continue;
+        sendEndWhole(state, task, { reason: "gang", graceMs });
+      }
+    }
+  }
+
+  function stepReservation(held: Reservation): void {
+    const { job } = held;
+    const isValid = isWaiting(job) && hasAllotment(job) &&
+      held.workers.every(isUsable);
+    if (!isValid) return closeReservation();
+    if (placeWhole(job)) return closeReservation();
+    const blockedMs = state.nowMs - (job.blockedSinceMs ?? held.sinceMs);
+    const patienceMs = job.spec.urgent
+      ? 0
+      : state.options.reservationPatienceMs;
+    if (blockedMs >= patienceMs) clearWay(held);
+  }
+
+  return {
+    placeWhole(job) {
+      if (state.nowMs < job.nextTryMs) return false;
+      if (placeWhole(job)) return true;
+      job.nextTryMs = state.nowMs + GANG_RETRY_MS;
+      return false;
+    },
+    propose(blocked) {
+      const isUrgentHeld = reservation?.job.spec.urgent === true;
+      for (const job of blocked) {
+        const mayReplace = job.spec.urgent && !isUrgentHeld;
+        if (reservation !== undefined && !mayReplace) continue;
+        if (!isCandidate(job)) continue;
+        closeReservation();
+        if (openReservation(job)) return;
+      }
+    },
+    placeBackfill(job) {
+      if (reservation === undefined || job === reservation.job) return false;
+      const { expectedMs, policy } = job.spec;
+      if (policy !== "batch" || expectedMs === undefined) return false;
+      if (state.nowMs + expectedMs > reservation.readyMs) return false;
+      for (const worker of reservation.workers) {
+        if (!isUsable(worker)) continue;
+        if (!state.placer.commit(worker.place, job.size)) continue;
+        assignTask(state, job.waiting.pop()!, worker);
+        return true;
+      }
+      return false;
+    },
+    step() {
+      if (reservation !== undefined) stepReservation(reservation);
+    },
+  };
+}
--- /dev/null
+++ b/src/scheduling/scheduler.ts
@@ -0,0 +1,214 @@
+/**
+ * The scheduler: the decision library of the data centre leader. It holds no
+ * socket, clock or timer. It is told what happened, and `step` returns what is
+ * to be done.
+ */
+
+import { createFault, fitsWithin, RESOURCE_NAMES } from "../common/mod.ts";
+import {
+  addJob,
+  cancelJob,
+  checkFeasibility,
+  closeJobs,
+  restoreJobs,
+} from "./jobs.ts";
+import { addWaiting, endAttempt, hasEnded } from "./lifecycle.ts";
+import { resolveSchedulerOptions, type SchedulerOptions } from "./options.ts";
+import { runPlacements } from "./placing.ts";
+import { createPreemption } from "./preemption.ts";
+import type { JobRecord, TaskRecord, TeamRecord } from "./records.ts";
+import { receiveReport, sendStart } from "./reports.ts";
+import { createReservations } from "./reservations.ts";
+import { checkAllotments } from "./shedding.ts";
+import { createState, getTeam, type SchedulerState } from "./state.ts";
+import { buildJobView, buildStatus, buildWorkerStatus } from "./status.ts";
+import type { Scheduler, TaskAttempt, TeamSettings } from "./types.ts";
+import { checkWorkers, removeWorker } from "./workers.ts";
+
+function updateTeam(state: SchedulerState, settings: TeamSettings): void {
+  const { team: name, weight, allotment } = settings;
+  if (!(weight > 0 && Number.isFinite(weight))) {
+    throw createFault(
+      "badRequest",
+      `Cannot set team "${name}": weight ${weight} is not a number above 0`,
+    );
+  }
+  const team = getTeam(state, name);
+  const isChanged = !team.isKnown ||
+    RESOURCE_NAMES.some((resource) =>
+      team.allotment[resource] !== allotment[resource]
+    );
+  team.weight = weight;
+  team.allotment = allotment;
+  team.isKnown = true;
+  if (isChanged) state.needsFeasibilityCheck = true;
+  team.isOverAllotment = !fitsWithin(team.committed, allotment);
+}
+
+/** With a negative allotment nothing new starts, whatever the team holds. */
+function isWithinAllotment(team: TeamRecord): boolean {
+  return team.isKnown && fitsWithin(team.committed, team.allotment);
+}
+
+function findProposed(
+  state: SchedulerState,
+  { job, index, attempt }: TaskAttempt,
+): TaskRecord | undefined {
+  const task = state.jobs.get(job)?.tasks[index];
+  const isProposed = task?.worker !== undefined &&
+    task.stage === "proposed" && task.attempt === attempt;
+  return isProposed ? task : undefined;
+}
+
+function isWholeGang(job: JobRecord): boolean {
+  return job.spec.policy !== "gang" ||
+    job.placed + job.ended === job.tasks.length;
+}
+
+/** Tells whether a recorded assignment is still wanted. */
+function isWanted(task: TaskRecord): boolean {
+  const { job, worker, intervention } = task;
+  return !job.isCancelled && !job.isFailing && intervention === undefined &&
+    worker !== undefined && !worker.isGone && isWholeGang(job) &&
+    isWithinAllotment(job.team);
+}
+
+function confirmAssignment(
+  state: SchedulerState,
+  assignment: TaskAttempt,
+): boolean {
+  const task = findProposed(state, assignment);
+  if (task === undefined) return false;
+  const { job, attempt } = task;
+  task.stage = "confirmed";
+  job.confirmed++;
+  if (!isWanted(task)) {
+    endAttempt(state, task, "stopped");
+    return false;
+  }
+  state.confirmed.push({ task, attempt });
+  return true;
+}
+
+function canStart(task: TaskRecord): boolean {
+  return task.worker !== undefined && task.worker.isKnown &&
+    !task.worker.isSilent && isWanted(task);
+}
+
+function startGang(state: SchedulerState, job: JobRecord): boolean {
+  if (job.confirmed + job.ended < job.tasks.length) return false;
+  const tasks = job.tasks.filter((task) => task.stage === "confirmed");
+  const refused = tasks.find((task) => !canStart(task));
+  if (refused !== undefined) {
+    // The end of one task ends the others, none of which has started.
+    endAttempt(state, refused, "stopped");
+    return true;
+  }
+  for (const task of tasks) sendStart(state, task);
+  return true;
+}
+
+function startConfirmed(state: SchedulerState): void {
+  const pending = state.confirmed;
+  state.confirmed = [];
+  for (const entry of pending) {
+    const { task, attempt } = entry;
+    const isCurrent = task.worker !== undefined &&
+      task.stage === "confirmed" && task.attempt === attempt;
+    if (!isCurrent) continue;
+    if (task.job.spec.policy === "gang") {
+      if (!startGang(state, task.job)) state.confirmed.push(entry);
+    } else if (canStart(task)) {
+      sendStart(state, task);
+    } else {
+      endAttempt(state, task, "stopped");
+    }
+  }
+}
+
+function checkLeases(state: SchedulerState): void {
+  for (const entry of state.leases.takeDue(state.nowMs)) {
+    const { task, attempt } = entry;
+    if (task.worker === undefined || task.attempt !== attempt) continue;
+    if (task.holdUntilMs > state.nowMs) {
+      state.leases.add(task.holdUntilMs, entry);
+      continue;
+    }
+    endAttempt(state, task, "lost");
+  }
+}
+
+function checkRetries(state: SchedulerState): void {
+  for (const { task, attempt } of state.retries.takeDue(state.nowMs)) {
+    const isFree = task.worker === undefined && task.attempt === attempt &&
+      !hasEnded(task);
+    if (isFree) addWaiting(state, task);
+  }
+}
+
+/** Creates a scheduler. Throws a `badRequest` fault when an option is out of range. */
+export function createScheduler(options: SchedulerOptions): Scheduler {
+  const state = createState(resolveSchedulerOptions(options));
+  const preemption = createPreemption(state);
+  const reservations = createReservations(state);
+  let seenVersion = state.classes.getVersion();
+
+  function setTime(nowMs: number): void {
+    state.nowMs = Math.max(state.nowMs, nowMs);
+  }
+
+  function checkFleet(): void {
+    const version = state.classes.getVersion();
+    if (version === seenVersion) return;
+    seenVersion = version;
+    state.needsFeasibilityCheck = true;
+  }
+
+  return {
+    addJob: (spec) => addJob(state, spec),
+    cancelJob: (job) => cancelJob(state, job),
+    receiveWorkerReport(report, nowMs) {
+      setTime(nowMs);
+      return receiveReport(state, report);
+    },
+    removeWorker(id) {
+      const worker = state.workers.get(id);
+      if (worker !== undefined) removeWorker(state, worker);
+    },
+    setTeam: (settings) => updateTeam(state, settings),
+    restore(jobs, assignments, nowMs) {
+      setTime(nowMs);
+      restoreJobs(state, jobs, assignments);
+      for (const team of state.teams.values()) {
+        team.isOverAllotment = team.isKnown && !isWithinAllotment(team);
+      }
+    },
+    confirmAssignment: (assignment) => confirmAssignment(state, assignment),
+    abandonAssignment(assignment) {
+      const task = findProposed(state, assignment);
+      if (task !== undefined) endAttempt(state, task, "stopped");
+    },
+    step(nowMs) {
+      setTime(nowMs);
+      checkLeases(state);
+      checkRetries(state);
+      checkWorkers(state);
+      checkAllotments(state);
+      checkFleet();
+      checkFeasibility(state);
+      startConfirmed(state);
+      runPlacements(state, reservations, preemption);
+      closeJobs(state);
+      const { actions } = state;
+      state.actions = [];
+      return actions;
+    },
+    getJob(id) {
+      const job = state.jobs.get(id);
+      return job === undefined ? undefined : buildJobView(job);
+    },
+    listJobs: () => [...state.jobs.values()].map(buildJobView),
+    getStatus: () => buildStatus(state),
+    getWorker: (id) => buildWorkerStatus(state, id),
+  };
+}
--- /dev/null
+++ b/src/scheduling/scheduler_property_test.ts
@@ -0,0 +1,234 @@
+import t from "tap";
+import process from "node:process";
+import fc from "fast-check";
+import {
+  AMPLE,
+  buildResources,
+  type Cell,
+  createCell,
+} from "../../test/scheduling_cell.ts";
+import type { JobPolicy } from "./types.ts";
+
+const SEED = 20_261_204;
+
+type Event =
+  | {
+    kind: "arrive";
+    policy: JobPolicy;
+    tasks: number;
+    cores: number;
+    urgent: boolean;
+    team: string;
+  }
+  | {
+    kind:
+      | "finish"
+      | "fail"
+      | "cancel"
+      | "lose"
+      | "cut"
+      | "late"
+      | "double"
+      | "drain";
+    pick: number;
+  }
+  | { kind: "takeover" }
+  | { kind: "allot"; team: string; cores: number }
+  | { kind: "network"; dropEvery: number; delayMs: number }
+  | { kind: "settle"; confirms: boolean; count: number }
+  | { kind: "wait"; ms: number };
+
+const team = fc.constantFrom("a", "b", "c");
+const pick = fc.nat({ max: 1_000 });
+const event: fc.Arbitrary<Event> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("arrive" as const),
+      policy: fc.constantFrom<JobPolicy>("batch", "service", "gang"),
+      tasks: fc.integer({ min: 1, max: 6 }),
+      cores: fc.integer({ min: 1, max: 5 }),
+      urgent: fc.boolean(),
+      team,
+    }),
+  },
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      kind: fc.constantFrom(
+        "finish" as const,
+        "fail" as const,
+        "cancel" as const,
+        "lose" as const,
+        "cut" as const,
+        "late" as const,
+        "double" as const,
+        "drain" as const,
+      ),
+      pick,
+    }),
+  },
+  { weight: 1, arbitrary: fc.constant({ kind: "takeover" as const }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("allot" as const),
+      team,
+      cores: fc.integer({ min: -2, max: 30 }),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("network" as const),
+      dropEvery: fc.integer({ min: 2, max: 9 }),
+      delayMs: fc.constantFrom(0, 50, 2_000, 15_000),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("settle" as const),
+      confirms: fc.boolean(),
+      count: fc.integer({ min: 1, max: 20 }),
+    }),
+  },
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      kind: fc.constant("wait" as const),
+      ms: fc.constantFrom(100, 700, 1_500, 6_000, 12_000),
+    }),
+  },
+);
+
+function pickOne<Item>(items: readonly Item[], pick: number): Item | undefined {
+  return items.length === 0 ? undefined : items[pick % items.length];
+}
+
+function runEvent(cell: Cell, event: Event, number: number): void {
+  const workers = [...cell.workers.values()];
+  switch (event.kind) {
+    case "arrive":
+      cell.addJob({
+        id: `j${number}`,
+        team: event.team,
+        policy: event.policy,
+        tasks: event.tasks,
+        resources: buildResources(event.cores),
+        urgent: event.urgent,
+        expectedMs: 2_000 * event.cores,
+      });
+      break;
+    case "finish":
+    case "fail": {
+      const running = pickOne(cell.listRunning(), event.pick);
+      const state = event.kind === "finish" ? "finished" : "failed";
+      if (running !== undefined) cell.end(running.task, state);
+      break;
+    }
+    case "cancel": {
+      const job = pickOne(cell.getScheduler().listJobs(), event.pick);
+      if (job !== undefined) cell.cancelJob(job.spec.id);
+      break;
+    }
+    case "lose": {
+      // The tasks go on until their leases end; the worker may come back.
+      const worker = pickOne(workers, event.pick);
+      if (worker === undefined) break;
+      worker.isReachable = !worker.isReachable;
+      if (!worker.isReachable) cell.getScheduler().removeWorker(worker.id);
+      break;
+    }
+    case "cut": {
+      const worker = pickOne(workers, event.pick);
+      if (worker !== undefined) worker.isReachable = !worker.isReachable;
+      break;
+    }
+    case "drain": {
+      const worker = pickOne(workers, event.pick);
+      if (worker !== undefined) worker.isDraining = !worker.isDraining;
+      break;
+    }
+    case "late":
+    case "double": {
+      const worker = pickOne(workers, event.pick);
+      if (worker?.lastReport === undefined) break;
+      const report = worker.lastReport;
+      if (event.kind === "late") cell.advance(1_500);
+      cell.sendOldReport(report);
+      break;
+    }
+    case "takeover":
+      cell.restore();
+      break;
+    case "allot":
+      cell.setTeam(event.team, buildResources(event.cores));
+      break;
+    case "network":
+      cell.setNetwork(event);
+      break;
+    case "settle":
+      for (const attempt of cell.pending.splice(0, event.count)) {
+        if (event.confirms) cell.confirm(attempt);
+        else cell.abandon(attempt);
+      }
+      break;
+    case "wait":
+      cell.advance(event.ms);
+      break;
+  }
+}
+
+/** Ends all trouble and lets every job come to its end. */
+function runToEnd(cell: Cell): void {
+  cell.setNetwork({});
+  for (const name of ["a", "b", "c"]) cell.setTeam(name, AMPLE);
+  for (const worker of cell.workers.values()) {
+    worker.isReachable = true;
+    worker.isDraining = false;
+  }
+  for (let round = 0; round < 150; round++) {
+    for (const attempt of cell.pending.splice(0)) cell.confirm(attempt);
+    for (const { task } of cell.listRunning()) cell.end(task, "finished");
+    cell.advance(1_000, 500);
+    const isDone = cell.getScheduler().listJobs().every((job) =>
+      ["finished", "failed", "cancelled"].includes(job.state)
+    );
+    if (isDone && round > 30) return;
+  }
+}
+
+// Guards against overcommitted workers, teams above their allotment, gangs that
+// start in part, tasks that run twice or end twice, and tasks that are forgotten,
+// under any order of arrivals, ends, losses, late reports and takeovers.
+t.test("invariants hold over random sequences", (t) => {
+  const runs = Number(process.env["GOLDCRESTLUG_RUNS"] ?? 300);
+  t.comment(`seed ${SEED}, runs ${runs}`);
+  const events = fc.array(event, { minLength: 10, maxLength: 80 });
+  fc.assert(
+    fc.property(events, fc.nat(), (events, seed) => {
+      const cell = createCell({ seed, confirmsAtOnce: false });
+      cell.addWorker("w0", buildResources(8), "r0");
+      cell.addWorker("w1", buildResources(8), "r0");
+      cell.addWorker("w2", buildResources(16), "r1");
+      cell.addWorker("w3", buildResources(6), "r1");
+      for (const name of ["a", "b", "c"]) {
+        cell.setTeam(name, buildResources(20));
+      }
+      events.forEach((event, number) => runEvent(cell, event, number));
+      runToEnd(cell);
+      if (cell.errors.length > 0) throw new Error(cell.errors[0]);
+      const open = cell.getScheduler().listJobs().filter((job) =>
+        !["finished", "failed", "cancelled"].includes(job.state)
+      );
+      if (open.length === 0) return;
+      const { spec, state, counts } = open[0]!;
+      throw new Error(
+        `Job ${JSON.stringify({ spec, state, counts })} did not end`,
+      );
+    }),
+    { seed: SEED, numRuns: runs },
+  );
+  t.end();
+});
--- /dev/null
+++ b/src/scheduling/shedding.ts
@@ -0,0 +1,128 @@
+/** Ends work of a team that holds more than its allotment, or that stands in the way of the team's own urgent work. */
+
+import {
+  addResources,
+  fitsWithin,
+  NO_RESOURCES,
+  RESOURCE_NAMES,
+  type Resources,
+  subtractResources,
+} from "../common/mod.ts";
+import type { TaskRecord, TeamRecord } from "./records.ts";
+import type { SchedulerState } from "./state.ts";
+import type { InterventionReason } from "./types.ts";
+import {
+  compareVictims,
+  computeEntitlements,
+  computeVictim,
+  isEnding,
+  sendEndWhole,
+} from "./victims.ts";
+
+const ALLOTMENT_GRACE_MS = 2_000;
+// Leaves time for the stop, its report and the start within the 3 s of urgent work.
+const URGENT_GRACE_MS = 1_500;
+
+function hasPositive(amount: Resources): boolean {
+  return RESOURCE_NAMES.some((name) => amount[name] > 0);
+}
+
+function hasOverlap(held: Resources, excess: Resources): boolean {
+  return RESOURCE_NAMES.some((name) => held[name] > 0 && excess[name] > 0);
+}
+
+function computeEnding(team: TeamRecord): Resources {
+  let ending = NO_RESOURCES;
+  for (const task of team.placed) {
+    if (isEnding(task)) ending = addResources(ending, task.held);
+  }
+  return ending;
+}
+
+function listVictims(
+  state: SchedulerState,
+  team: TeamRecord,
+  withUrgent: boolean,
+) {
+  const entitlements = computeEntitlements(state);
+  const tasks: TaskRecord[] = [];
+  for (const task of team.placed) {
+    if (isEnding(task)) continue;
+    if (task.job.spec.urgent && !withUrgent) continue;
+    tasks.push(task);
+  }
+  return tasks.map((task) => {
+    const victim = computeVictim(state, task, entitlements);
+    // Urgent work goes last.
+    return task.job.spec.urgent
+      ? { ...victim, rank: victim.rank + 100 }
+      : victim;
+  }).sort(compareVictims);
+}
+
+function endTasks(
+  state: SchedulerState,
+  team: TeamRecord,
+  options: {
+    excess: Resources;
+    reason: InterventionReason;
+    graceMs: number;
+    withUrgent: boolean;
+  },
+): void {
+  let excess = subtractResources(options.excess, computeEnding(team));
+  if (!hasPositive(excess)) return;
+  for (const { task } of listVictims(state, team, options.withUrgent)) {
+    if (!hasPositive(excess)) return;
+    if (task.worker === undefined || isEnding(task)) continue;
+    if (!hasOverlap(task.held, excess)) continue;
+    const peers = task.job.spec.policy === "gang"
+      ? task.job.tasks.filter((peer) => peer.worker !== undefined)
+      : [task];
+    for (const peer of peers) {
+      excess = subtractResources(excess, peer.held);
+    }
+    sendEndWhole(state, task, options);
+  }
+}
+
+/** Sheds work of teams whose allotment has shrunk below what they hold. */
+export function checkAllotments(state: SchedulerState): void {
+  for (const team of state.teams.values()) {
+    if (!team.isOverAllotment) continue;
+    if (fitsWithin(team.committed, team.allotment)) {
+      team.isOverAllotment = false;
+      continue;
+    }
+    // Holding nothing of a resource is in bounds even when its allotment is negative.
+    const excess = subtractResources(team.committed, team.allotment);
+    endTasks(state, team, {
+      excess: {
+        processors: Math.min(excess.processors, team.committed.processors),
+        memoryMb: Math.min(excess.memoryMb, team.committed.memoryMb),
+        accelerators: Math.min(
+          excess.accelerators,
+          team.committed.accelerators,
+        ),
+      },
+      reason: "allotment",
+      graceMs: ALLOTMENT_GRACE_MS,
+      withUrgent: true,
+    });
+  }
+}
+
+/** Makes room under the team's allotment for a task of its own urgent work. */
+export function clearAllotment(
+  state: SchedulerState,
+  team: TeamRecord,
+  size: Resources,
+): void {
+  const wanted = addResources(team.committed, size);
+  endTasks(state, team, {
+    excess: subtractResources(wanted, team.allotment),
+    reason: "urgentWork",
+    graceMs: URGENT_GRACE_MS,
+    withUrgent: false,
+  });
+}
--- /dev/null
+++ b/src/scheduling/state.ts
@@ -0,0 +1,224 @@
+/** The state that the parts of the scheduler share. */
+
+import {
+  addResources,
+  NO_RESOURCES,
+  type Resources,
+  subtractResources,
+} from "../common/mod.ts";
+import { createDeadlineWheel, type DeadlineWheel } from "./deadline_wheel.ts";
+import { type CapacityClasses, createCapacityClasses } from "./feasibility.ts";
+import { createJobQueues, type JobQueues } from "./job_queues.ts";
+import type { ResolvedSchedulerOptions } from "./options.ts";
+import { createPlacer, type Placer } from "./placement.ts";
+import type {
+  JobRecord,
+  TaskRecord,
+  TeamRecord,
+  WorkerRecord,
+} from "./records.ts";
+import { getShareFunction } from "./shares.ts";
+import type { SchedulerAction, TaskAttempt } from "./types.ts";
+import { createWorkerHealth } from "./worker_health.ts";
+
+/** A reminder to look at a worker again. */
+export interface WorkerCheck {
+  readonly worker: WorkerRecord;
+  readonly kind: "silence" | "probe";
+}
+
+/** The shared state. */
+export interface SchedulerState {
+  readonly options: ResolvedSchedulerOptions;
+  /** Time for which a lease that was just renewed may still be in force, by this clock. */
+  readonly holdMs: number;
+  nowMs: number;
+  /** No job is reported as never runnable before this time. */
+  settledAtMs: number;
+  readonly jobs: Map<string, JobRecord>;
+  readonly endedJobs: string[];
+  readonly workers: Map<string, WorkerRecord>;
+  /** The workers of the fleet as a list, for sampling. */
+  readonly fleet: WorkerRecord[];
+  readonly teams: Map<string, TeamRecord>;
+  readonly placer: Placer;
+  readonly classes: CapacityClasses;
+  readonly queues: JobQueues;
+  capacity: Resources;
+  committed: Resources;
+  placedTasks: number;
+  ejectedWorkers: Set<WorkerRecord>;
+  actions: SchedulerAction[];
+  readonly leases: DeadlineWheel<HeldAttempt>;
+  readonly retries: DeadlineWheel<HeldAttempt>;
+  readonly workerChecks: DeadlineWheel<WorkerCheck>;
+  /** Tasks whose checkpoint is followed by a stop if it takes too long. */
+  readonly escalations: DeadlineWheel<Escalation>;
+  /** Recorded assignments whose start is sent in the next step. */
+  confirmed: HeldAttempt[];
+  /** Cancelled or failing jobs whose tasks are still to be ended. */
+  readonly closing: ClosingJob[];
+  closingNext: number;
+  /** Jobs to check for whether they can run at all. */
+  unchecked: JobRecord[];
+  readonly neverRunnable: Set<JobRecord>;
+  needsFeasibilityCheck: boolean;
+  /** Tasks with a lowered processor limit that made room for urgent work. */
+  readonly throttled: Set<TaskRecord>;
+}
+
+/** An attempt of a task; it is out of date when the task has moved on to another one. */
+export interface HeldAttempt {
+  readonly task: TaskRecord;
+  readonly attempt: number;
+}
+
+/** A follow-up to an intervention that may not have worked. */
+export interface Escalation extends HeldAttempt {
+  readonly kind: "stop" | "throttle";
+}
+
+/** A job whose tasks are being ended, and how far that has come. */
+export interface ClosingJob {
+  readonly job: JobRecord;
+  next: number;
+}
+
+/** Creates an empty state. */
+export function createState(options: ResolvedSchedulerOptions): SchedulerState {
+  return {
+    options,
+    holdMs: options.leaseMs * (1 + options.clockRateBound),
+    nowMs: 0,
+    settledAtMs: -Infinity,
+    jobs: new Map(),
+    endedJobs: [],
+    workers: new Map(),
+    fleet: [],
+    teams: new Map(),
+    placer: createPlacer(options),
+    classes: createCapacityClasses(),
+    queues: createJobQueues(),
+    capacity: NO_RESOURCES,
+    committed: NO_RESOURCES,
+    placedTasks: 0,
+    ejectedWorkers: new Set(),
+    actions: [],
+    leases: createDeadlineWheel(),
+    retries: createDeadlineWheel(),
+    workerChecks: createDeadlineWheel(),
+    escalations: createDeadlineWheel(),
+    confirmed: [],
+    closing: [],
+    closingNext: 0,
+    unchecked: [],
+    neverRunnable: new Set(),
+    needsFeasibilityCheck: false,
+    throttled: new Set(),
+  };
+}
+
+/** Returns the team, created without an allotment when it is not known yet. */
+export function getTeam(state: SchedulerState, name: string): TeamRecord {
+  let team = state.teams.get(name);
+  if (team === undefined) {
+    team = {
+      name,
+      weight: 1,
+      allotment: NO_RESOURCES,
+      isKnown: false,
+      committed: NO_RESOURCES,
+      placed: new Set(),
+      queuedTasks: 0,
+      starvedSinceMs: undefined,
+      isOverAllotment: false,
+    };
+    state.teams.set(name, team);
+  }
+  return team;
+}
+
+/** Returns the worker, created without capacity when it has not reported yet. */
+export function getWorker(state: SchedulerState, id: string): WorkerRecord {
+  let worker = state.workers.get(id);
+  if (worker === undefined) {
+    const place = state.placer.addWorker({
+      id,
+      rack: "",
+      capacity: NO_RESOURCES,
+    });
+    state.placer.setAccepting(place, false);
+    worker = {
+      id,
+      place,
+      tasks: new Set(),
+      isKnown: false,
+      isGone: false,
+      isDraining: false,
+      isSilent: false,
+      isReserved: false,
+      hasSilenceCheck: false,
+      incarnation: -1,
+      sequence: -1,
+      lastReportMs: -Infinity,
+      unseen: 0,
+      health: createWorkerHealth(),
+      probe: undefined,
+    };
+    state.workers.set(id, worker);
+  }
+  return worker;
+}
+
+/** Makes the placer use the worker only while nothing speaks against it. */
+export function updateAccepting(
+  state: SchedulerState,
+  worker: WorkerRecord,
+): void {
+  const { mode } = worker.health;
+  const isHealthy = mode === "inService" || mode === "probing";
+  const accepting = worker.isKnown && !worker.isGone && !worker.isDraining &&
+    !worker.isSilent && !worker.isReserved && isHealthy;
+  if (worker.place.accepting === accepting) return;
+  state.placer.setAccepting(worker.place, accepting);
+}
+
+/** Tells whether a reserved worker could otherwise take work. */
+export function isUsable(worker: WorkerRecord): boolean {
+  return worker.isKnown && !worker.isGone && !worker.isDraining &&
+    !worker.isSilent && worker.health.mode === "inService";
+}
+
+/** Adds to what a task's team and the cell have committed. */
+export function addCommitted(
+  state: SchedulerState,
+  team: TeamRecord,
+  amount: Resources,
+): void {
+  team.committed = addResources(team.committed, amount);
+  state.committed = addResources(state.committed, amount);
+}
+
+/** Subtracts from what a task's team and the cell have committed. */
+export function subtractCommitted(
+  state: SchedulerState,
+  team: TeamRecord,
+  amount: Resources,
+): void {
+  team.committed = subtractResources(team.committed, amount);
+  state.committed = subtractResources(state.committed, amount);
+}
+
+/** Returns the team's share by the rule in use, divided by its weight. */
+export function computeWeightedShare(
+  state: SchedulerState,
+  team: TeamRecord,
+): number {
+  const computeShare = getShareFunction(state.options.shareRule);
+  return computeShare(team.committed, state.capacity) / team.weight;
+}
+
+/** Names the attempt of a task for an action. */
+export function toAttempt(task: TaskRecord): TaskAttempt {
+  return { job: task.job.spec.id, index: task.index, attempt: task.attempt };
+}
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -3,7 +3,7 @@
  * scheduler, what the scheduler decides, and what can be asked about it.
  */
 
-import type { Random, Resources } from "../common/mod.ts";
+import type { Resources } from "../common/mod.ts";
 
 /** How the tasks of a job are placed and what may be done to them. */
 export type JobPolicy = "service" | "batch" | "gang";
@@ -314,8 +314,12 @@
   addJob(spec: JobSpec): void;
   /** Cancels a job; returns false when the job is unknown or has ended. */
   cancelJob(job: string): boolean;
-  /** Takes in a report, at the time of the last `step` or `nowMs` if given. */
-  receiveWorkerReport(report: WorkerReport, nowMs?: number): WorkerReportReply;
+  /**
+   * Takes in a report received at `nowMs`. The time is not taken from the last
+   * `step`: a lease counted from an earlier time would end here before it ends
+   * on the worker.
+   */
+  receiveWorkerReport(report: WorkerReport, nowMs: number): WorkerReportReply;
   /** Declares a worker gone; its tasks are placed again after their leases have ended. */
   removeWorker(worker: string): void;
   setTeam(settings: TeamSettings): void;
@@ -336,20 +340,3 @@
   getStatus(): SchedulerStatus;
   getWorker(worker: string): WorkerStatus | undefined;
 }
-
-/** Settings of a scheduler. */
-export interface SchedulerOptions {
-  readonly random: Random;
-  /** Default "share". */
-  readonly weights?: SchedulingWeights;
-  /** Lease of a running task in milliseconds. Default 10,000. */
-  readonly leaseMs?: number;
-  /** Bound on the difference of clock rates. Default 0.01. */
-  readonly clockRateBound?: number;
-  /** A worker silent for this long gets no new task. Default 3,000 ms. */
-  readonly workerSilenceMs?: number;
-  /** Most placements of one `step`. Default 2,000. */
-  readonly maxPlacementsPerStep?: number;
-  /** Ended jobs that are kept for `getJob`. Default 10,000. */
-  readonly maxEndedJobs?: number;
-}
--- /dev/null
+++ b/src/scheduling/usage.ts
@@ -0,0 +1,70 @@
+/**
+ * Usage estimates. Reports lag, so the estimate extends a rising trend over
+ * the time until the next report can take effect. A task that stays within its
+ * declaration is bounded by what is committed for it; only a task above it
+ * gets the safety margin.
+ */
+
+import type { Resources } from "../common/mod.ts";
+
+/** The last report on a task and the trend since the one before. */
+export interface UsageSample {
+  readonly processors: number;
+  readonly memoryMb: number;
+  readonly accelerators: number;
+  readonly atMs: number;
+  /** Change a millisecond. */
+  readonly processorsTrend: number;
+  readonly memoryTrend: number;
+}
+
+// One report interval, plus one for the command and the report that shows its effect.
+const HORIZON_MS = 2_000;
+
+/** Returns the sample that follows `previous` after a report of `usage` at `nowMs`. */
+export function updateUsage(
+  previous: UsageSample | undefined,
+  usage: Resources,
+  nowMs: number,
+): UsageSample {
+  const elapsedMs = previous === undefined ? 0 : nowMs - previous.atMs;
+  const hasTrend = previous !== undefined && elapsedMs > 0;
+  return {
+    ...usage,
+    atMs: nowMs,
+    processorsTrend: hasTrend
+      ? (usage.processors - previous.processors) / elapsedMs
+      : 0,
+    memoryTrend: hasTrend
+      ? (usage.memoryMb - previous.memoryMb) / elapsedMs
+      : 0,
+  };
+}
+
+function estimateAmount(
+  sample: { amount: number; trend: number },
+  declared: number,
+  margin: number,
+): number {
+  const predicted = sample.amount + Math.max(0, sample.trend) * HORIZON_MS;
+  const factor = predicted > declared ? 1 + margin : 1;
+  return Math.ceil(predicted * factor);
+}
+
+/** Estimates what a task will use when a command sent now takes effect. */
+export function estimateUsage(
+  sample: UsageSample,
+  declared: Resources,
+  margin: number,
+): Resources {
+  const processors = {
+    amount: sample.processors,
+    trend: sample.processorsTrend,
+  };
+  const memory = { amount: sample.memoryMb, trend: sample.memoryTrend };
+  return {
+    processors: estimateAmount(processors, declared.processors, margin),
+    memoryMb: estimateAmount(memory, declared.memoryMb, margin),
+    accelerators: sample.accelerators,
+  };
+}
--- /dev/null
+++ b/src/scheduling/workers.ts
@@ -0,0 +1,193 @@
+/** Workers joining, leaving, falling silent, and failing what they start. */
+
+import { addResources, subtractResources } from "../common/mod.ts";
+import { addRackCount, endAttempt, sendStop } from "./lifecycle.ts";
+import type { TaskRecord, WorkerRecord } from "./records.ts";
+import { getWorker, type SchedulerState, updateAccepting } from "./state.ts";
+import type { WorkerReport } from "./types.ts";
+import {
+  closeService,
+  hasEjectionRoom,
+  isSuspectJob,
+  recordQuickFailure,
+  recordSuccess,
+  removeFailureMarks,
+} from "./worker_health.ts";
+
+function updateRackCount(task: TaskRecord, from: string, to: string): void {
+  addRackCount(task.job, from, -1);
+  addRackCount(task.job, to, 1);
+}
+
+function addToFleet(
+  state: SchedulerState,
+  worker: WorkerRecord,
+  report: WorkerReport,
+): void {
+  const { placer } = state;
+  const { committed, rack: previousRack } = worker.place;
+  placer.removeWorker(worker.place);
+  worker.place = placer.addWorker({
+    id: worker.id,
+    rack: report.rack,
+    capacity: report.capacity,
+  });
+  placer.setAccepting(worker.place, false);
+  placer.record(worker.place, committed);
+  for (const task of worker.tasks) {
+    updateRackCount(task, previousRack, report.rack);
+  }
+  worker.isKnown = true;
+  worker.isGone = false;
+  state.fleet.push(worker);
+  state.classes.add(report.capacity);
+  state.capacity = addResources(state.capacity, report.capacity);
+  if (worker.hasSilenceCheck) return;
+  worker.hasSilenceCheck = true;
+  state.workerChecks.add(state.nowMs + state.options.workerSilenceMs, {
+    worker,
+    kind: "silence",
+  });
+}
+
+function removeFromFleet(state: SchedulerState, worker: WorkerRecord): void {
+  const { capacity } = worker.place;
+  const position = state.fleet.indexOf(worker);
+  const last = state.fleet.pop();
+  if (last !== undefined && last !== worker) state.fleet[position] = last;
+  state.classes.remove(capacity);
+  state.capacity = subtractResources(state.capacity, capacity);
+  state.ejectedWorkers.delete(worker);
+}
+
+/** Takes in what a report says about the worker itself. */
+export function updateWorker(
+  state: SchedulerState,
+  report: WorkerReport,
+  nowMs: number,
+): WorkerRecord {
+  const worker = getWorker(state, report.worker);
+  const { capacity, rack } = worker.place;
+  const isChanged = rack !== report.rack ||
+    capacity.processors !== report.capacity.processors ||
+    capacity.memoryMb !== report.capacity.memoryMb ||
+    capacity.accelerators !== report.capacity.accelerators;
+  const isInFleet = worker.isKnown && !worker.isGone;
+  if (isInFleet && isChanged) removeFromFleet(state, worker);
+  if (!isInFleet || isChanged) addToFleet(state, worker, report);
+  worker.incarnation = report.incarnation;
+  worker.sequence = report.sequence;
+  worker.lastReportMs = nowMs;
+  worker.isDraining = report.draining;
+  worker.isSilent = false;
+  updateAccepting(state, worker);
+  return worker;
+}
+
+/** Takes a worker out of the fleet; its tasks keep their resources until their leases have ended. */
+export function removeWorker(
+  state: SchedulerState,
+  worker: WorkerRecord,
+): void {
+  if (worker.isGone) return;
+  worker.isGone = true;
+  if (worker.isKnown) removeFromFleet(state, worker);
+  updateAccepting(state, worker);
+  for (const task of [...worker.tasks]) {
+    if (task.stage === "confirmed") endAttempt(state, task, "stopped");
+    else if (task.stage === "proposed") sendStop(state, task, "unknown");
+    else task.state = "lost";
+  }
+  if (worker.tasks.size > 0) return;
+  // Without tasks there is no later release that would drop the record.
+  if (state.workers.get(worker.id) !== worker) return;
+  state.placer.removeWorker(worker.place);
+  state.workers.delete(worker.id);
+}
+
+/** Looks at the workers that are due: silence, and probes of those out of service. */
+export function checkWorkers(state: SchedulerState): void {
+  const { nowMs, holdMs, workerChecks, options } = state;
+  for (const { worker, kind } of workerChecks.takeDue(nowMs)) {
+    if (kind === "silence") worker.hasSilenceCheck = false;
+    if (worker.isGone || state.workers.get(worker.id) !== worker) continue;
+    if (kind === "probe") {
+      openProbe(state, worker);
+      continue;
+    }
+    const silentMs = nowMs - worker.lastReportMs;
+    if (silentMs > holdMs) {
+      removeWorker(state, worker);
+      continue;
+    }
+    worker.isSilent = silentMs >= options.workerSilenceMs;
+    updateAccepting(state, worker);
+    const nextMs = worker.isSilent ? holdMs + 1 : options.workerSilenceMs;
+    worker.hasSilenceCheck = true;
+    workerChecks.add(worker.lastReportMs + nextMs, { worker, kind });
+  }
+}
+
+function openProbe(state: SchedulerState, worker: WorkerRecord): void {
+  const { health } = worker;
+  if (health.mode !== "outOfService") return;
+  if (health.probeAtMs > state.nowMs) return;
+  health.mode = "probing";
+  updateAccepting(state, worker);
+}
+
+/** Notes that a task has run long enough, or to its end, on its worker. */
+export function recordTaskSuccess(
+  state: SchedulerState,
+  task: TaskRecord,
+  worker: WorkerRecord,
+): void {
+  task.job.health.hasSucceeded = true;
+  const { health } = worker;
+  const isProof = health.mode !== "probeRunning" || worker.probe === task;
+  if (!isProof || health.mode === "outOfService") return;
+  if (health.failedJobs.size === 0 && health.mode === "inService") return;
+  recordSuccess(health);
+  worker.probe = undefined;
+  state.ejectedWorkers.delete(worker);
+  updateAccepting(state, worker);
+}
+
+/** Notes that a start failed quickly, and draws the conclusion for the worker or the job. */
+export function recordTaskFailure(
+  state: SchedulerState,
+  task: TaskRecord,
+  worker: WorkerRecord,
+): void {
+  const { job } = task;
+  const wasSuspect = isSuspectJob(job.health);
+  job.health.failedWorkers.add(worker.id);
+  if (isSuspectJob(job.health)) {
+    if (!wasSuspect) removeMarks(state, task);
+    return;
+  }
+  if (worker.probe !== task && worker.health.mode === "probeRunning") return;
+  if (!recordQuickFailure(worker.health, job.spec.id)) return;
+  const isEjected = state.ejectedWorkers.has(worker);
+  const hasRoom = hasEjectionRoom(
+    state.ejectedWorkers.size,
+    state.fleet.length,
+  );
+  if (!isEjected && !hasRoom) return;
+  worker.probe = undefined;
+  closeService(worker.health, state.nowMs);
+  state.ejectedWorkers.add(worker);
+  state.workerChecks.add(worker.health.probeAtMs, { worker, kind: "probe" });
+  updateAccepting(state, worker);
+}
+
+function removeMarks(state: SchedulerState, task: TaskRecord): void {
+  const { job } = task;
+  for (const id of job.health.failedWorkers) {
+    const worker = state.workers.get(id);
+    if (worker === undefined) continue;
+    if (!removeFailureMarks(worker.health, job.spec.id)) continue;
+    state.ejectedWorkers.delete(worker);
+    updateAccepting(state, worker);
+  }
+}
--- /dev/null
+++ b/test/scheduling_cell.ts
@@ -0,0 +1,558 @@
+/**
+ * A small cell for tests of the scheduler: fake workers that keep leases by
+ * their own clocks, a recorded log that survives a takeover, and a network that
+ * may delay or drop commands. It checks the invariants against what the workers
+ * run, not against the scheduler's own books.
+ */
+
+import {
+  createSeededRandom,
+  type Random,
+  type Resources,
+} from "../src/common/mod.ts";
+import {
+  createScheduler,
+  type JobSpec,
+  type RestoredJob,
+  type RestoredTask,
+  type Scheduler,
+  type SchedulerAction,
+  type SchedulerOptions,
+  type StartAction,
+  type TaskAttempt,
+  type WorkerReport,
+  type WorkerTaskReport,
+} from "../src/scheduling/mod.ts";
+
+// The workers' clocks run slow by almost the bound, so their leases last longer.
+const SLOW_CLOCK_FACTOR = 1.0099;
+const REPORT_INTERVAL_MS = 1_000;
+
+/** A task as a fake worker runs it. */
+export interface FakeTask extends TaskAttempt {
+  readonly spec: JobSpec;
+  state: WorkerTaskReport["state"];
+  leaseUntilMs: number;
+  limit: number | undefined;
+  usage: Resources | undefined;
+  readonly startedMs: number;
+}
+
+/** A fake worker. */
+export interface FakeWorker {
+  readonly id: string;
+  readonly rack: string;
+  readonly capacity: Resources;
+  incarnation: number;
+  sequence: number;
+  /** Reports and commands pass. */
+  isReachable: boolean;
+  isDraining: boolean;
+  readonly tasks: Map<string, FakeTask>;
+  readonly stopped: Set<string>;
+  readonly sentAt: Map<number, number>;
+  nextReportMs: number;
+  lastReport: WorkerReport | undefined;
+}
+
+/** Choices of a cell. */
+export interface CellOptions {
+  readonly seed?: number;
+  readonly scheduler?: Partial<SchedulerOptions>;
+  /** Whether a fake task obeys a checkpoint command. Default true. */
+  readonly obeysCheckpoint?: boolean;
+  /** Ends a task when it returns an end; called at each report. */
+  readonly runTask?: (
+    task: FakeTask,
+    worker: FakeWorker,
+    nowMs: number,
+  ) => "finished" | "failed" | undefined;
+  /** Whether each assignment is confirmed in the step that proposes it. Default true. */
+  readonly confirmsAtOnce?: boolean;
+}
+
+/** What the log knows about a task. */
+interface TaskLog {
+  attempt: number;
+  failures: number;
+  state?: "finished" | "failed" | "cancelled" | "checkpointed";
+  worker?: string;
+}
+
+/** The cell. */
+export interface Cell {
+  readonly random: Random;
+  getScheduler(): Scheduler;
+  readonly workers: Map<string, FakeWorker>;
+  readonly actions: SchedulerAction[];
+  readonly pending: TaskAttempt[];
+  readonly errors: string[];
+  getNowMs(): number;
+  addWorker(id: string, capacity: Resources, rack?: string): FakeWorker;
+  addJob(spec: Partial<JobSpec> & { id: string }): JobSpec;
+  cancelJob(id: string): boolean;
+  setTeam(team: string, allotment: Resources, weight?: number): void;
+  confirm(attempt: TaskAttempt): void;
+  abandon(attempt: TaskAttempt): void;
+  /** Replaces the scheduler by a new one that knows only the log. */
+  restore(): void;
+  /** Sends a report of the worker now. */
+  sendReport(worker: FakeWorker): void;
+  /** Delivers an old report again. */
+  sendOldReport(report: WorkerReport): void;
+  /** Lets time pass in steps of `stepMs`. */
+  advance(ms: number, stepMs?: number): void;
+  setNetwork(network: { dropEvery?: number; delayMs?: number }): void;
+  listRunning(): { worker: FakeWorker; task: FakeTask }[];
+  end(task: FakeTask, state: "finished" | "failed"): void;
+}
+
+/** An amount in whole cores, gibibytes and accelerators. */
+export function buildResources(
+  cores: number,
+  memoryGb = cores,
+  accelerators = 0,
+): Resources {
+  return {
+    processors: cores * 1_000,
+    memoryMb: memoryGb * 1_024,
+    accelerators,
+  };
+}
+
+/** More than any test uses. */
+export const AMPLE: Resources = buildResources(1e6, 1e6, 1e6);
+
+function getKey({ job, index }: { job: string; index: number }): string {
+  return `${job}#${index}`;
+}
+
+function isLive(task: FakeTask): boolean {
+  return task.state === "running" || task.state === "starting";
+}
+
+/** Creates an empty cell at time 1,000,000 ms. */
+export function createCell(options: CellOptions = {}): Cell {
+  const random = createSeededRandom(options.seed ?? 1);
+  let nowMs = 1_000_000;
+  let scheduler = build();
+  const workers = new Map<string, FakeWorker>();
+  const jobs = new Map<
+    string,
+    { spec: JobSpec; cancelled: boolean; ended: boolean }
+  >();
+  const log = new Map<string, TaskLog>();
+  const teams = new Map<string, { allotment: Resources; weight: number }>();
+  const actions: SchedulerAction[] = [];
+  const pending: TaskAttempt[] = [];
+  const proposals = new Map<string, { attempt: number; worker: string }>();
+  const errors: string[] = [];
+  /** Attempts whose start was sent and whose end is not recorded. */
+  const started = new Map<string, StartAction>();
+  const inFlight: { dueMs: number; deliver: () => void }[] = [];
+  let network: { dropEvery?: number; delayMs?: number } = {};
+  let sent = 0;
+
+  function build(): Scheduler {
+    return createScheduler({ random, ...options.scheduler });
+  }
+
+  function send(deliver: () => void): void {
+    sent++;
+    if (network.dropEvery !== undefined && sent % network.dropEvery === 0) {
+      return;
+    }
+    const delayMs = network.delayMs ?? 0;
+    if (delayMs === 0) return deliver();
+    inFlight.push({ dueMs: nowMs + random.nextInt(delayMs), deliver });
+  }
+
+  function checkRunning(where: string): void {
+    const seen = new Map<string, string>();
+    for (const worker of workers.values()) {
+      const used = { processors: 0, memoryMb: 0, accelerators: 0 };
+      for (const task of worker.tasks.values()) {
+        if (!isLive(task)) continue;
+        const { resources } = task.spec;
+        used.processors += Math.min(
+          resources.processors,
+          task.limit ?? Infinity,
+        );
+        used.memoryMb += resources.memoryMb;
+        used.accelerators += resources.accelerators;
+        const key = getKey(task);
+        const other = seen.get(key);
+        if (other !== undefined) {
+          errors.push(
+            `${where}: task ${key} runs on ${other} and ${worker.id}`,
+          );
+        }
+        seen.set(key, worker.id);
+      }
+      const { capacity } = worker;
+      const isOver = used.processors > capacity.processors ||
+        used.memoryMb > capacity.memoryMb ||
+        used.accelerators > capacity.accelerators;
+      if (isOver) {
+        errors.push(
+          `${where}: worker ${worker.id} runs more than its capacity`,
+        );
+      }
+    }
+  }
+
+  function checkAllotment(start: StartAction): void {
+    const team = teams.get(start.spec.team);
+    if (team === undefined) {
+      errors.push(`task of unknown team ${start.spec.team} started`);
+      return;
+    }
+    const used = { processors: 0, memoryMb: 0, accelerators: 0 };
+    for (const other of started.values()) {
+      if (other.spec.team !== start.spec.team) continue;
+      const { resources } = other.spec;
+      const limit = workers.get(other.worker)?.tasks.get(
+        `${getKey(other)}@${other.attempt}`,
+      )?.limit;
+      used.processors += Math.min(resources.processors, limit ?? Infinity);
+      used.memoryMb += resources.memoryMb;
+      used.accelerators += resources.accelerators;
+    }
+    const { allotment } = team;
+    const isOver = used.processors > allotment.processors ||
+      used.memoryMb > allotment.memoryMb ||
+      used.accelerators > allotment.accelerators;
+    if (isOver) {
+      errors.push(
+        `start of ${
+          getKey(start)
+        } takes team ${start.spec.team} above its allotment`,
+      );
+    }
+  }
+
+  function receiveStart(start: StartAction): void {
+    const worker = workers.get(start.worker);
+    if (worker === undefined || !worker.isReachable) return;
+    const key = `${getKey(start)}@${start.attempt}`;
+    if (worker.stopped.has(key) || worker.tasks.has(key)) return;
+    if (worker.incarnation !== start.incarnation) return;
+    const sentAt = worker.sentAt.get(start.sequence) ?? -Infinity;
+    const leaseUntilMs = sentAt + start.leaseMs * SLOW_CLOCK_FACTOR;
+    if (nowMs >= leaseUntilMs) return;
+    worker.tasks.set(key, {
+      job: start.job,
+      index: start.index,
+      attempt: start.attempt,
+      spec: start.spec,
+      state: "running",
+      leaseUntilMs,
+      limit: undefined,
+      usage: undefined,
+      startedMs: nowMs,
+    });
+    checkRunning("start");
+  }
+
+  function receiveCommand(action: SchedulerAction): void {
+    if (!("worker" in action) || action.worker === undefined) return;
+    const worker = workers.get(action.worker);
+    if (worker === undefined || !worker.isReachable) return;
+    const key = `${getKey(action)}@${action.attempt}`;
+    const task = worker.tasks.get(key);
+    if (action.type === "stop") {
+      worker.stopped.add(key);
+      if (task === undefined) return;
+      if (isLive(task)) task.state = "stopped";
+      else worker.tasks.delete(key);
+    } else if (action.type === "checkpoint") {
+      if (options.obeysCheckpoint === false) return;
+      if (task !== undefined && isLive(task)) task.state = "checkpointed";
+    } else if (action.type === "throttle" && task !== undefined) {
+      const isFull = action.processors >= task.spec.resources.processors;
+      task.limit = isFull ? undefined : action.processors;
+    }
+  }
+
+  function recordEnd(action: SchedulerAction): void {
+    if (action.type !== "endTask") return;
+    const key = getKey(action);
+    const known = log.get(key);
+    if (known?.state !== undefined && known.state !== "checkpointed") {
+      errors.push(`task ${key} ended twice`);
+    }
+    const entry: TaskLog = {
+      attempt: action.attempt,
+      failures: action.failures,
+    };
+    if (action.final) {
+      const { outcome } = action;
+      if (
+        outcome !== "finished" && outcome !== "failed" &&
+        outcome !== "cancelled"
+      ) {
+        errors.push(`task ${key} has the final outcome ${outcome}`);
+      } else entry.state = outcome;
+    } else if (
+      action.outcome === "checkpointed" || known?.state === "checkpointed"
+    ) {
+      entry.state = "checkpointed";
+    }
+    log.set(key, entry);
+    proposals.delete(key);
+    started.delete(key);
+  }
+
+  function confirm(attempt: TaskAttempt): void {
+    const key = getKey(attempt);
+    const proposal = proposals.get(key);
+    if (proposal?.attempt === attempt.attempt) {
+      const known = log.get(key);
+      log.set(key, {
+        attempt: attempt.attempt,
+        failures: known?.failures ?? 0,
+        worker: proposal.worker,
+        ...(known?.state === "checkpointed" ? { state: known.state } : {}),
+      });
+      proposals.delete(key);
+    }
+    scheduler.confirmAssignment(attempt);
+  }
+
+  /** A gang's starts come together, and only when every other task has ended for good. */
+  function checkGangs(taken: readonly SchedulerAction[]): void {
+    const gangs = new Map<string, Set<number>>();
+    for (const action of taken) {
+      if (action.type !== "start" || action.spec.policy !== "gang") continue;
+      const indexes = gangs.get(action.job) ?? new Set();
+      gangs.set(action.job, indexes.add(action.index));
+    }
+    for (const [job, indexes] of gangs) {
+      const { spec } = jobs.get(job)!;
+      for (let index = 0; index < spec.tasks; index++) {
+        const key = getKey({ job, index });
+        const known = log.get(key);
+        const hasEnded = known?.state !== undefined &&
+          known.state !== "checkpointed";
+        if (indexes.has(index) || hasEnded || started.has(key)) continue;
+        errors.push(`gang ${job} started without task ${index}`);
+      }
+    }
+  }
+
+  function handle(taken: readonly SchedulerAction[]): void {
+    for (const action of taken) {
+      actions.push(action);
+      if (action.type === "assign") {
+        proposals.set(getKey(action), {
+          attempt: action.attempt,
+          worker: action.worker,
+        });
+        pending.push(action);
+      } else if (action.type === "start") {
+        const known = log.get(getKey(action));
+        if (
+          known?.worker !== action.worker || known.attempt !== action.attempt
+        ) {
+          errors.push(`start of ${getKey(action)} was not recorded`);
+        }
+        started.set(getKey(action), action);
+        checkAllotment(action);
+        send(() => receiveStart(action));
+      } else if (action.type === "endJob") {
+        const job = jobs.get(action.job)!;
+        if (job.ended) errors.push(`job ${action.job} ended twice`);
+        job.ended = true;
+      } else if (action.type === "endTask") recordEnd(action);
+      else send(() => receiveCommand(action));
+    }
+    checkGangs(taken);
+    if (options.confirmsAtOnce === false) return;
+    for (const attempt of pending.splice(0)) confirm(attempt);
+  }
+
+  function checkBooks(): void {
+    for (const id of workers.keys()) {
+      const status = scheduler.getWorker(id);
+      if (status === undefined || !status.accepting) continue;
+      const { committed, capacity } = status;
+      const isOver = committed.processors > capacity.processors ||
+        committed.memoryMb > capacity.memoryMb ||
+        committed.accelerators > capacity.accelerators;
+      if (isOver) errors.push(`worker ${id} is committed beyond its capacity`);
+    }
+  }
+
+  function buildReport(worker: FakeWorker): WorkerReport {
+    worker.sequence++;
+    worker.sentAt.set(worker.sequence, nowMs);
+    const tasks = [...worker.tasks.values()].map((task): WorkerTaskReport => ({
+      job: task.job,
+      index: task.index,
+      attempt: task.attempt,
+      state: task.state,
+      ...(task.usage === undefined ? {} : { usage: task.usage }),
+      ...(task.limit === undefined ? {} : { processorLimit: task.limit }),
+    }));
+    const { id, rack, incarnation, sequence, capacity, isDraining } = worker;
+    const report = {
+      worker: id,
+      rack,
+      incarnation,
+      sequence,
+      capacity,
+      tasks,
+      draining: isDraining,
+    };
+    worker.lastReport = report;
+    return report;
+  }
+
+  function sendReport(worker: FakeWorker): void {
+    worker.nextReportMs = nowMs + REPORT_INTERVAL_MS;
+    const sentAtMs = nowMs;
+    const report = buildReport(worker);
+    if (!worker.isReachable) return;
+    send(() => {
+      const reply = scheduler.receiveWorkerReport(report, nowMs);
+      send(() => {
+        if (!worker.isReachable) return;
+        for (const attempt of reply.renewed) {
+          const task = worker.tasks.get(
+            `${getKey(attempt)}@${attempt.attempt}`,
+          );
+          if (task === undefined) continue;
+          const untilMs = sentAtMs + reply.leaseMs * SLOW_CLOCK_FACTOR;
+          task.leaseUntilMs = Math.max(task.leaseUntilMs, untilMs);
+        }
+      });
+    });
+  }
+
+  function runWorkers(): void {
+    for (const worker of workers.values()) {
+      for (const task of worker.tasks.values()) {
+        if (!isLive(task)) continue;
+        if (nowMs >= task.leaseUntilMs) task.state = "stopped";
+        else task.state = options.runTask?.(task, worker, nowMs) ?? task.state;
+      }
+      if (nowMs >= worker.nextReportMs) sendReport(worker);
+    }
+  }
+
+  function deliverDue(): void {
+    const due = inFlight.filter((message) => message.dueMs <= nowMs);
+    const later = inFlight.filter((message) => message.dueMs > nowMs);
+    inFlight.splice(0, inFlight.length, ...later);
+    for (const message of due) message.deliver();
+  }
+
+  return {
+    random,
+    getScheduler: () => scheduler,
+    workers,
+    actions,
+    pending,
+    errors,
+    getNowMs: () => nowMs,
+    addWorker(id, capacity, rack = "r0") {
+      const worker: FakeWorker = {
+        id,
+        rack,
+        capacity,
+        incarnation: 1,
+        sequence: 0,
+        isReachable: true,
+        isDraining: false,
+        tasks: new Map(),
+        stopped: new Set(),
+        sentAt: new Map(),
+        nextReportMs: nowMs,
+        lastReport: undefined,
+      };
+      workers.set(id, worker);
+      sendReport(worker);
+      return worker;
+    },
+    addJob(partial) {
+      const spec: JobSpec = {
+        team: "a",
+        policy: "batch",
+        tasks: 1,
+        resources: buildResources(1),
+        urgent: false,
+        maxAttempts: 3,
+        submittedAt: nowMs,
+        ...partial,
+      };
+      jobs.set(spec.id, { spec, cancelled: false, ended: false });
+      scheduler.addJob(spec);
+      return spec;
+    },
+    cancelJob(id) {
+      const job = jobs.get(id);
+      if (job !== undefined) job.cancelled = true;
+      return scheduler.cancelJob(id);
+    },
+    setTeam(team, allotment, weight = 1) {
+      teams.set(team, { allotment, weight });
+      scheduler.setTeam({ team, allotment, weight });
+    },
+    confirm,
+    abandon(attempt) {
+      proposals.delete(getKey(attempt));
+      scheduler.abandonAssignment(attempt);
+    },
+    restore() {
+      scheduler = build();
+      proposals.clear();
+      pending.length = 0;
+      for (const [team, settings] of teams) {
+        scheduler.setTeam({ team, ...settings });
+      }
+      const assignments = [];
+      const restored: RestoredJob[] = [];
+      for (const [id, { spec, cancelled }] of jobs) {
+        const tasks: RestoredTask[] = [];
+        for (let index = 0; index < spec.tasks; index++) {
+          const known = log.get(getKey({ job: id, index }));
+          if (known === undefined) continue;
+          const { attempt, failures, state, worker } = known;
+          tasks.push({
+            index,
+            attempt,
+            failures,
+            ...(state === undefined ? {} : { state }),
+          });
+          if (worker !== undefined) {
+            assignments.push({ job: id, index, attempt, worker });
+          }
+        }
+        restored.push({ spec, cancelled, tasks });
+      }
+      scheduler.restore(restored, assignments, nowMs);
+    },
+    sendReport,
+    sendOldReport: (report) =>
+      void scheduler.receiveWorkerReport(report, nowMs),
+    advance(ms, stepMs = 100) {
+      for (const untilMs = nowMs + ms; nowMs < untilMs;) {
+        nowMs = Math.min(untilMs, nowMs + stepMs);
+        deliverDue();
+        runWorkers();
+        handle(scheduler.step(nowMs));
+        checkBooks();
+        checkRunning("step");
+      }
+    },
+    setNetwork: (value) => void (network = value),
+    listRunning: () =>
+      [...workers.values()].flatMap((worker) =>
+        [...worker.tasks.values()].filter(isLive).map((task) => ({
+          worker,
+          task,
+        }))
+      ),
+    end: (task, state) => void (task.state = state),
+  };
+}
