--- a/src/mod.ts
+++ b/src/mod.ts
@@ -3,3 +3,4 @@
 export * from "./common/mod.ts";
 export * from "./replicated_log/mod.ts";
 export * from "./settings/mod.ts";
+export * from "./scheduling/mod.ts";
