--- /dev/null
+++ b/src/data_centre/allotment_controller.ts
@@ -0,0 +1,262 @@
+/**
+ * Controller of the allotments of a data centre during one leadership: applies
+ * configuration versions, asks other data centres for idle allotment, gives
+ * what is idle here, and repeats transfers until they are acknowledged.
+ */
+
+import { computeFairPart } from "../allotments/mod.ts";
+import type {
+  AllotmentAsk,
+  AllotmentCommand,
+  AllotmentResult,
+  Allotments,
+  AllotmentTransfer,
+  Rebalancer,
+  TeamLoad,
+} from "../allotments/mod.ts";
+import {
+  type Clock,
+  createFault,
+  type Logger,
+  type Timer,
+} from "../common/mod.ts";
+import {
+  addLimits,
+  type FleetView,
+  isZeroLimits,
+  type Limits,
+  subtractLimits,
+} from "../fleet/mod.ts";
+
+/** Time between reconciliations, in milliseconds. */
+const RECONCILE_PERIOD_MS = 200;
+
+/** Time between repetitions of a transfer, in milliseconds. */
+const TRANSFER_REPEAT_MS = 1_000;
+
+/** What a team runs and what waits to run. */
+export interface MeasuredLoad {
+  readonly running: Limits;
+  readonly waiting: Limits;
+}
+
+/** Options of the controller. */
+export interface AllotmentControllerOptions {
+  dataCentre: string;
+  allotments: Allotments;
+  rebalancer: Rebalancer;
+  view: FleetView;
+  clock: Clock;
+  logger: Logger;
+  propose: (command: AllotmentCommand) => Promise<AllotmentResult>;
+  holdsLease: () => boolean;
+  /** Running and waiting work by team. */
+  measureLoads: () => Map<string, MeasuredLoad>;
+  /** Sends an ask to the leader of `ask.to`; resolves to what it offers. */
+  sendAsk: (ask: AllotmentAsk) => Promise<Limits>;
+  /** Sends a transfer to the leader of `transfer.to`; resolves once it has it. */
+  sendTransfer: (transfer: AllotmentTransfer) => Promise<void>;
+  /** Called whenever what `computeUsable` returns may have changed. */
+  handleChange: () => void;
+  handleFailure: (error: unknown) => void;
+}
+
+/** Controls the allotments of a data centre. */
+export interface AllotmentController {
+  /**
+   * What new work of a team may use: what is held, less what is owed to other
+   * data centres or about to be given to them.
+   */
+  computeUsable(team: string, load: MeasuredLoad | undefined): Limits;
+  /** Answers another data centre's ask; what is offered follows as a transfer. */
+  receiveAsk(ask: AllotmentAsk): Promise<Limits>;
+  /** Takes a transfer; resolves once it is recorded. Fault `unavailable` when refused. */
+  receiveTransfer(transfer: AllotmentTransfer): Promise<void>;
+  stop(): void;
+}
+
+const NO_LIMITS: Limits = Object.freeze({
+  slots: 0,
+  processors: 0,
+  memoryMb: 0,
+  accelerators: 0,
+});
+
+/** Creates the controller. */
+export function createAllotmentController(
+  options: AllotmentControllerOptions,
+): AllotmentController {
+  const { allotments, rebalancer, clock } = options;
+  const sentAtMs = new Map<string, number>();
+  const pendingGifts = new Map<string, Limits>();
+  let timer: Timer | undefined;
+  let isStopped = false;
+
+  function toTeamLoad(
+    team: string,
+    load: MeasuredLoad | undefined,
+  ): TeamLoad {
+    const { teams, dataCentres } = options.view.getState();
+    return {
+      held: allotments.getHeld(team),
+      running: load?.running ?? NO_LIMITS,
+      waiting: load?.waiting ?? NO_LIMITS,
+      fair: computeFairPart(
+        teams.get(team)?.limits ?? NO_LIMITS,
+        dataCentres.length,
+      ),
+    };
+  }
+
+  function buildLoads(): Map<string, TeamLoad> {
+    const measured = options.measureLoads();
+    const names = new Set([...allotments.listTeams(), ...measured.keys()]);
+    const loads = new Map<string, TeamLoad>();
+    for (const team of names) {
+      loads.set(team, toTeamLoad(team, measured.get(team)));
+    }
+    return loads;
+  }
+
+  async function applyConfiguration(): Promise<void> {
+    const command = allotments.planConfiguration(options.view.getState());
+    if (command === undefined) return;
+    await options.propose(command);
+    options.handleChange();
+  }
+
+  function repeatTransfers(): void {
+    const open = allotments.getTransfersInProgress();
+    const openIds = new Set(open.map((transfer) => transfer.id));
+    for (const id of sentAtMs.keys()) {
+      if (!openIds.has(id)) sentAtMs.delete(id);
+    }
+    for (const transfer of open) {
+      const lastMs = sentAtMs.get(transfer.id) ?? -Infinity;
+      if (clock.now() - lastMs < TRANSFER_REPEAT_MS) continue;
+      sentAtMs.set(transfer.id, clock.now());
+      void deliver(transfer);
+    }
+  }
+
+  async function deliver(transfer: AllotmentTransfer): Promise<void> {
+    try {
+      await options.sendTransfer(transfer);
+      if (isStopped || !options.holdsLease()) return;
+      await options.propose({
+        type: "transferAcknowledged",
+        transferId: transfer.id,
+      });
+    } catch (error) {
+      options.logger.debug("Transfer will be repeated", {
+        transfer: transfer.id,
+        error,
+      });
+    }
+  }
+
+  function addPendingGift(team: string, amount: Limits): void {
+    const sum = addLimits(pendingGifts.get(team) ?? NO_LIMITS, amount);
+    if (isZeroLimits(sum)) pendingGifts.delete(team);
+    else pendingGifts.set(team, sum);
+  }
+
+  async function giveTo(
+    to: string,
+    team: string,
+    amount: Limits,
+  ): Promise<boolean> {
+    // No work may start on the amount while the transfer is being recorded.
+    addPendingGift(team, amount);
+    options.handleChange();
+    try {
+      const result = await options.propose({
+        type: "transferOut",
+        to,
+        team,
+        amount,
+      });
+      if (result.applied) repeatTransfers();
+      return result.applied;
+    } finally {
+      addPendingGift(team, subtractLimits(NO_LIMITS, amount));
+      options.handleChange();
+    }
+  }
+
+  function sendAsks(loads: ReadonlyMap<string, TeamLoad>): void {
+    const { dataCentre } = options;
+    const peers = options.view.getState().dataCentres
+      .filter((name) => name !== dataCentre);
+    for (const ask of rebalancer.planAsks(loads, peers)) {
+      void options.sendAsk(ask).then(
+        (offered) => rebalancer.recordOffer(ask, offered),
+        () => rebalancer.recordOffer(ask, NO_LIMITS),
+      );
+    }
+  }
+
+  async function returnAllotments(
+    loads: ReadonlyMap<string, TeamLoad>,
+  ): Promise<void> {
+    const { dataCentres, leavingDataCentres } = options.view.getState();
+    if (!leavingDataCentres.includes(options.dataCentre)) return;
+    for (const item of rebalancer.planReturns(loads, dataCentres)) {
+      await giveTo(item.to, item.team, item.amount);
+    }
+  }
+
+  async function reconcile(): Promise<void> {
+    try {
+      if (!options.holdsLease()) return;
+      await applyConfiguration();
+      options.handleChange();
+      const loads = buildLoads();
+      sendAsks(loads);
+      await returnAllotments(loads);
+      repeatTransfers();
+    } catch (error) {
+      stop();
+      options.handleFailure(error);
+    } finally {
+      if (!isStopped) {
+        timer = clock.setTimer(RECONCILE_PERIOD_MS, () => void reconcile());
+      }
+    }
+  }
+
+  function stop(): void {
+    isStopped = true;
+    timer?.cancel();
+  }
+
+  timer = clock.setTimer(0, () => void reconcile());
+
+  return {
+    computeUsable(team, measured) {
+      const load = toTeamLoad(team, measured);
+      const kept = addLimits(
+        rebalancer.getOwed(team, load),
+        pendingGifts.get(team) ?? NO_LIMITS,
+      );
+      return subtractLimits(load.held, kept);
+    },
+    async receiveAsk(ask) {
+      const load = options.measureLoads().get(ask.team);
+      const offer = rebalancer.computeOffer(ask, toTeamLoad(ask.team, load));
+      if (isZeroLimits(offer)) return offer;
+      return await giveTo(ask.from, ask.team, offer) ? offer : NO_LIMITS;
+    },
+    async receiveTransfer(transfer) {
+      const result = await options.propose({ type: "transferIn", transfer });
+      if (result.applied) rebalancer.recordReceipt(transfer);
+      options.handleChange();
+      if (result.applied || result.reason === "duplicate") return;
+      throw createFault(
+        "unavailable",
+        `Cannot take transfer "${transfer.id}": ${result.message}`,
+      );
+    },
+    stop,
+  };
+}
--- /dev/null
+++ b/src/data_centre/leadership.ts
@@ -0,0 +1,224 @@
+/**
+ * One leadership of a data centre log: the controllers that decide for its
+ * workers, endpoints and allotments. They are created when the lease starts
+ * and stopped when it ends; nothing of them survives but what the log records.
+ */
+
+import { createRebalancer } from "../allotments/mod.ts";
+import type { AllotmentAsk, AllotmentTransfer } from "../allotments/mod.ts";
+import type { Clock, Logger, Random } from "../common/mod.ts";
+import type { FleetView, Limits } from "../fleet/mod.ts";
+import {
+  createRecordedSlots,
+  type RecordedSlots,
+  type TeamPolicy,
+} from "../requests/mod.ts";
+import { createScheduler, type Scheduler } from "../scheduling/mod.ts";
+import type { SchedulingWeights } from "../scheduling/mod.ts";
+import {
+  type AllotmentController,
+  createAllotmentController,
+  type MeasuredLoad,
+} from "./allotment_controller.ts";
+import type {
+  DataCentreCommand,
+  DataCentreResult,
+  DataCentreState,
+} from "./state.ts";
+import {
+  createWorkerController,
+  type WorkerController,
+} from "./worker_controller.ts";
+import {
+  createWorkerCommandSender,
+  type WorkerCommandSender,
+} from "./worker_commands.ts";
+
+/** Options of a leadership. */
+export interface LeadershipOptions {
+  dataCentre: string;
+  /** Term of the data centre log. */
+  epoch: number;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  state: DataCentreState;
+  view: FleetView;
+  weights: SchedulingWeights;
+  taskLeaseMs: number;
+  /** Requests that may wait for a slot. */
+  queueLength: number;
+  grantValidMs: number;
+  /** Entry instances that may hold connections to an endpoint. */
+  maxConnectionsPerInstance: number;
+  holdsLease: () => boolean;
+  propose: (command: DataCentreCommand) => Promise<DataCentreResult>;
+  sendAsk: (ask: AllotmentAsk) => Promise<Limits>;
+  sendTransfer: (transfer: AllotmentTransfer) => Promise<void>;
+  /** Called when a proposal failed, since its outcome may be unknown. */
+  handleFailure: (error: unknown) => void;
+}
+
+/** The controllers of a leadership. */
+export interface Leadership {
+  readonly epoch: number;
+  readonly scheduler: Scheduler;
+  readonly workers: WorkerController;
+  readonly slots: RecordedSlots;
+  readonly allotments: AllotmentController;
+  stop(): Promise<void>;
+}
+
+/** Weight of work that belongs to no configured team. */
+const UNKNOWN_TEAM_SHARE = 1;
+
+/** What each team may run here at present. */
+type UsableLimits = Map<string, Limits>;
+
+/** Returns what a team may run here; an unknown team, such as that of open queues, has no limit. */
+function getTeamPolicy(
+  view: FleetView,
+  usable: UsableLimits,
+  team: string,
+): TeamPolicy {
+  const known = view.getState().teams.get(team);
+  if (known === undefined) {
+    return { weight: UNKNOWN_TEAM_SHARE, slotLimit: Infinity };
+  }
+  const slots = usable.get(team)?.slots ?? 0;
+  return { weight: known.share, slotLimit: Math.max(0, slots) };
+}
+
+function measureLoads(
+  scheduler: Scheduler,
+  slots: RecordedSlots,
+): Map<string, MeasuredLoad> {
+  const loads = new Map<string, MeasuredLoad>();
+  for (const team of scheduler.getStatus().teams) {
+    loads.set(team.team, {
+      running: { slots: 0, ...team.committed },
+      waiting: { slots: 0, ...team.queuedResources },
+    });
+  }
+  for (const team of slots.controller.getStatus().teams) {
+    const known = loads.get(team.team);
+    const none = { processors: 0, memoryMb: 0, accelerators: 0 };
+    loads.set(team.team, {
+      running: { ...none, ...known?.running, slots: team.running },
+      waiting: { ...none, ...known?.waiting, slots: team.queued },
+    });
+  }
+  return loads;
+}
+
+/** Creates a function that tells the scheduler the weight and usable limits of a team, if they changed. */
+function createTeamSetter(scheduler: Scheduler) {
+  const sent = new Map<string, string>();
+
+  return (team: string, weight: number, usable: Limits): void => {
+    const key = JSON.stringify([weight, usable]);
+    if (sent.get(team) === key) return;
+    sent.set(team, key);
+    const { processors, memoryMb, accelerators } = usable;
+    scheduler.setTeam({
+      team,
+      weight,
+      allotment: { processors, memoryMb, accelerators },
+    });
+  };
+}
+
+/** Starts the controllers of a new leader. */
+export function startLeadership(options: LeadershipOptions): Leadership {
+  const { clock, random, logger, state, epoch, propose, view } = options;
+  const scheduler = createScheduler({
+    random,
+    weights: options.weights,
+    leaseMs: options.taskLeaseMs,
+  });
+  const setTeam = createTeamSetter(scheduler);
+  const usable: UsableLimits = new Map();
+  for (const { name, share } of view.getState().teams.values()) {
+    setTeam(name, share, state.allotments.getHeld(name));
+  }
+
+  const commands: WorkerCommandSender = createWorkerCommandSender({
+    logger,
+    holdsLease: options.holdsLease,
+  });
+  const workers = createWorkerController({
+    epoch,
+    scheduler,
+    records: state.jobs,
+    clock,
+    logger,
+    propose: async (jobCommands) => {
+      await propose({ part: "jobs", commands: jobCommands });
+    },
+    holdsLease: options.holdsLease,
+    sendCommand: commands.send,
+    handleFailure: options.handleFailure,
+  });
+  const slots = createRecordedSlots({
+    clock,
+    random,
+    logger,
+    dataCentre: options.dataCentre,
+    epoch,
+    getPolicy: (team) => getTeamPolicy(view, usable, team),
+    canGrant: options.holdsLease,
+    grantValidMs: options.grantValidMs,
+    queue: { maxQueued: options.queueLength },
+    records: state.requests,
+    propose: async (command) =>
+      await propose({ part: "requests", command }) as never,
+  });
+  const updateTeams = () => {
+    const loads = measureLoads(scheduler, slots);
+    const { teams } = view.getState();
+    for (const team of new Set([...teams.keys(), ...loads.keys()])) {
+      const limits = allotments.computeUsable(team, loads.get(team));
+      usable.set(team, limits);
+      const known = teams.get(team);
+      // Work of a removed team may finish, but nothing new of it starts.
+      setTeam(team, known?.share ?? UNKNOWN_TEAM_SHARE, limits);
+    }
+    slots.controller.updatePolicies();
+  };
+  const allotments = createAllotmentController({
+    dataCentre: options.dataCentre,
+    allotments: state.allotments,
+    rebalancer: createRebalancer({
+      dataCentre: options.dataCentre,
+      clock,
+      random,
+    }),
+    view,
+    clock,
+    logger,
+    propose: async (command) =>
+      await propose({ part: "allotments", command }) as never,
+    holdsLease: options.holdsLease,
+    measureLoads: () => measureLoads(scheduler, slots),
+    sendAsk: options.sendAsk,
+    sendTransfer: options.sendTransfer,
+    handleChange: updateTeams,
+    handleFailure: options.handleFailure,
+  });
+  const stopWatching = view.watchVersion(updateTeams);
+
+  return {
+    epoch,
+    scheduler,
+    workers,
+    slots,
+    allotments,
+    async stop() {
+      stopWatching();
+      workers.stop();
+      allotments.stop();
+      slots.stop();
+      await commands.close();
+    },
+  };
+}
--- a/src/instance/config_watch.ts
+++ b/src/instance/config_watch.ts
@@ -75,7 +75,7 @@
     const source = sources[attempt % Math.max(1, sources.length)];
     if (source === undefined) return restart("no source");
     const opened = options.peers.get(source).openReadStream<ConfigUpdate>(
-      "Fleet.Watch",
+      "Fleet.watch",
       { instance: options.instance, version: view.getVersion() },
     );
     stream = opened;
--- a/src/instance/fleet_changes.ts
+++ b/src/instance/fleet_changes.ts
@@ -87,7 +87,7 @@
       { change: Uint8Array; hops: number },
       { version: number }
     >(
-      "Fleet.Propose",
+      "Fleet.propose",
       { change: Buffer.from(JSON.stringify(change)), hops: hops + 1 },
       { timeoutMs: ATTEMPT_TIMEOUT_MS },
     );
--- /dev/null
+++ b/src/instance/job_view.ts
@@ -0,0 +1,45 @@
+/** Renders a job for callers from its record and from what the scheduler knows of it. */
+
+import type { JobRecord } from "../data_centre/job_records.ts";
+import type { JobView } from "../http/mod.ts";
+import type { Job, NeverRunnableReason } from "../scheduling/mod.ts";
+
+/** What the leader knows beyond the record. */
+export interface JobKnowledge {
+  job?: Job | undefined;
+  neverRunnable?: readonly NeverRunnableReason[] | undefined;
+}
+
+function getState(record: JobRecord, job: Job | undefined): string {
+  if (record.end !== undefined) return record.end;
+  if (record.cancelled) return "cancelling";
+  return job?.state ?? "queued";
+}
+
+/** Renders a job; its tasks are those that were ever assigned. */
+export function renderJob(record: JobRecord, known: JobKnowledge): JobView {
+  const { spec } = record;
+  const tasks = [...record.tasks].map(([index, task]) => ({
+    index,
+    attempt: task.attempt,
+    failures: task.failures,
+    ...(task.worker === undefined ? {} : { worker: task.worker }),
+    ...(task.outcome === undefined ? {} : { outcome: task.outcome }),
+    ...(task.exitCode === undefined ? {} : { exitCode: task.exitCode }),
+  }));
+  return {
+    id: spec.id,
+    team: spec.team,
+    policy: spec.policy,
+    state: getState(record, known.job),
+    taskCount: spec.tasks,
+    resources: spec.resources,
+    urgent: spec.urgent,
+    submittedAt: new Date(spec.submittedWallMs).toISOString(),
+    ...(known.job === undefined ? {} : { counts: known.job.counts }),
+    ...(known.neverRunnable === undefined
+      ? {}
+      : { neverRunnable: known.neverRunnable }),
+    tasks,
+  };
+}
--- a/src/instance/key_withdrawals.ts
+++ b/src/instance/key_withdrawals.ts
@@ -82,7 +82,7 @@
   ): Promise<boolean> {
     try {
       await options.peers.get(instance).call(
-        "Fleet.WithdrawKeys",
+        "Fleet.withdrawKeys",
         withdrawals,
         { timeoutMs: TELL_TIMEOUT_MS },
       );
--- /dev/null
+++ b/src/instance/log_member.ts
@@ -0,0 +1,160 @@
+/**
+ * Runs this instance's member of one replicated log group: decides how to start
+ * (restart, first start or new identity) and connects it to the transport.
+ */
+
+import { join } from "node:path";
+import type { Clock, Logger, Random } from "../common/mod.ts";
+import {
+  createDiskStorage,
+  createMemoryStorage,
+  createReplicatedLog,
+  decodeLogMessage,
+  encodeLogMessage,
+  type LeaderLease,
+  type LogMember,
+  type LogMessage,
+  type LogStorage,
+  type LogTimings,
+  type LogTransport,
+  parseMemberId,
+  type ReplicatedLog,
+  resolveLogStart,
+  type StateMachine,
+} from "../replicated_log/mod.ts";
+import type { LogEnvelope, LogSender } from "../rpc/mod.ts";
+
+/** Options of a member. */
+export interface LogMemberOptions {
+  group: string;
+  instance: string;
+  /** Members of a first start; their identities are instance names. */
+  members: readonly LogMember[];
+  /** Folder of the log; without one the log is kept in memory. */
+  folder?: string | undefined;
+  canLead: boolean;
+  stateMachine: StateMachine;
+  timings: Partial<LogTimings>;
+  sender: LogSender;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  handleLeadership: (lease: LeaderLease | undefined) => void;
+  handleFailure: (error: unknown) => void;
+}
+
+/** A member of a group in this process. */
+export interface LogMemberHandle {
+  /** The log, once the start has been decided. */
+  getLog(): ReplicatedLog | undefined;
+  /** Instance that leads the group as far as this member knows. */
+  getLeader(): string | undefined;
+  receive(envelope: LogEnvelope): void;
+  stop(): Promise<void>;
+}
+
+const MS_PER_SECOND = 1_000;
+
+function createTransport(
+  options: LogMemberOptions,
+  getSelf: () => string,
+): LogTransport {
+  return {
+    send(to, message) {
+      options.sender.send({
+        group: options.group,
+        from: getSelf(),
+        to,
+        message: encodeLogMessage(message),
+      });
+    },
+  };
+}
+
+/** Starts the member in the background. */
+export function startLogMember(options: LogMemberOptions): LogMemberHandle {
+  const { group, instance, clock, random } = options;
+  const logger = options.logger.with({ group });
+  const storage: LogStorage = options.folder === undefined
+    ? createMemoryStorage()
+    : createDiskStorage(join(options.folder, group.replaceAll("/", "-")));
+  let self = instance;
+  let log: ReplicatedLog | undefined;
+  let isStopped = false;
+  const transport = createTransport(options, () => self);
+  const resolver = resolveLogStart({
+    group,
+    instance,
+    members: options.members,
+    storage,
+    transport,
+    clock,
+    random,
+  });
+
+  async function start(): Promise<void> {
+    const decision = await resolver.decision;
+    self = decision.self;
+    logger.info("Starting log member", { member: self, mode: decision.mode });
+    const others = options.members.map(({ id }) => id)
+      .filter((id) => id !== instance);
+    const created = await createReplicatedLog({
+      group,
+      self,
+      members: options.members,
+      bootstrap: decision.mode === "bootstrap",
+      join: others,
+      canLead: options.canLead,
+      // A group without disks that is founded again must not reuse epochs.
+      ...(options.folder === undefined
+        ? { minTerm: Math.floor(clock.wallTime() / MS_PER_SECOND) }
+        : {}),
+      storage,
+      transport,
+      clock,
+      random,
+      stateMachine: options.stateMachine,
+      timings: options.timings,
+      onLeadership: options.handleLeadership,
+      onFailure: options.handleFailure,
+      logger,
+    });
+    log = created;
+    if (isStopped) await created.stop();
+  }
+
+  const started = start().catch((error) => {
+    if (!isStopped) options.handleFailure(error);
+  });
+
+  function receiveMessage(from: string, message: LogMessage): void {
+    if (log === undefined) resolver.receive(from, message);
+    else log.receive(from, message);
+  }
+
+  return {
+    getLog: () => log,
+    getLeader() {
+      const leader = log?.getStatus().leader;
+      return leader === undefined ? undefined : parseMemberId(leader).instance;
+    },
+    receive(envelope) {
+      const isForSelf = envelope.to === self || envelope.to === instance;
+      if (!isForSelf) return;
+      try {
+        receiveMessage(envelope.from, decodeLogMessage(envelope.message));
+      } catch (error) {
+        logger.warn("Cannot read a log message", {
+          from: envelope.from,
+          error,
+        });
+      }
+    },
+    async stop() {
+      isStopped = true;
+      resolver.stop();
+      await log?.stop();
+      await started;
+    },
+  };
+}
--- /dev/null
+++ b/src/instance/work_service.ts
@@ -0,0 +1,346 @@
+/**
+ * The `Work` service of this instance: it serves while it leads the log of its
+ * data centre, and otherwise names the leader.
+ */
+
+import { Buffer } from "node:buffer";
+import type { AllotmentAsk, AllotmentTransfer } from "../allotments/mod.ts";
+import {
+  type Clock,
+  createFault,
+  isFault,
+  type Logger,
+  type Random,
+} from "../common/mod.ts";
+import {
+  type EndpointAnnouncementReply,
+  parseWorkerAnnouncement,
+} from "../data_centre/announcements.ts";
+import type { RecordedJobSpec } from "../data_centre/job_records.ts";
+import { type Leadership, startLeadership } from "../data_centre/leadership.ts";
+import {
+  type DataCentreCommand,
+  type DataCentreResult,
+  type DataCentreState,
+  encodeDataCentreCommand,
+} from "../data_centre/state.ts";
+import type { FleetView, Limits } from "../fleet/mod.ts";
+import { parseJson } from "../http/mod.ts";
+import type { LeaderLease, ReplicatedLog } from "../replicated_log/mod.ts";
+import type {
+  AllotmentAsk as AskMessage,
+  AllotmentTransfer as TransferMessage,
+  JobQuery,
+  JobReply,
+  JobRequest,
+  JsonBody,
+  RequestQuery,
+  RequestReply,
+  SlotReply,
+} from "../rpc/mod.ts";
+import type { SlotRelease, SlotRequest } from "../requests/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import { renderJob } from "./job_view.ts";
+import type { WorkHandlers } from "./leader_calls.ts";
+
+/** Announcements missed in a row before an endpoint counts as silent. */
+const MISSED_ANNOUNCEMENTS = 3;
+
+/** Options of the service. */
+export interface WorkServiceOptions {
+  settings: Settings;
+  state: DataCentreState;
+  view: FleetView;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  getLog: () => ReplicatedLog | undefined;
+  getLeader: () => string | undefined;
+  /** Sends an ask to the leader of another data centre. */
+  sendAsk: (ask: AllotmentAsk) => Promise<Limits>;
+  sendTransfer: (transfer: AllotmentTransfer) => Promise<void>;
+}
+
+/** The service and its connection to the log. */
+export interface WorkService {
+  readonly handlers: WorkHandlers;
+  /** Starts or ends the leadership of this instance. */
+  handleLeadership(lease: LeaderLease | undefined): void;
+  /** Wakes what waits for an applied command. */
+  handleApplied(): void;
+  getLeadership(): Leadership | undefined;
+  stop(): Promise<void>;
+}
+
+function encodeJson(value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value));
+}
+
+/** Creates the service. */
+export function createWorkService(options: WorkServiceOptions): WorkService {
+  const { settings, state, clock, logger, view } = options;
+  const { dataCentre } = settings;
+  let leadership: Leadership | undefined;
+  let wantedEpoch: number | undefined;
+
+  function holdsLease(epoch: number): boolean {
+    const lease = options.getLog()?.getLease();
+    return lease !== undefined && lease.term === epoch &&
+      lease.validUntilMs > clock.now();
+  }
+
+  async function propose(
+    command: DataCentreCommand,
+  ): Promise<DataCentreResult> {
+    const log = options.getLog();
+    if (log === undefined) throw createNotLeader();
+    const { result } = await log.propose(encodeDataCentreCommand(command));
+    if (isFault(result)) throw result;
+    return result as DataCentreResult;
+  }
+
+  function createNotLeader() {
+    const leader = options.getLeader();
+    return createFault(
+      "notLeader",
+      `Instance "${settings.instance}" does not lead data centre "${dataCentre}"`,
+      leader === undefined || leader === settings.instance
+        ? {}
+        : { details: { leader } },
+    );
+  }
+
+  function getLeadership(): Leadership {
+    if (leadership === undefined || !holdsLease(leadership.epoch)) {
+      throw createNotLeader();
+    }
+    return leadership;
+  }
+
+  async function begin(epoch: number): Promise<void> {
+    // Entries of former terms are applied before the controllers read the state.
+    await options.getLog()?.confirmLeadership();
+    if (wantedEpoch !== epoch || !holdsLease(epoch)) return;
+    logger.info("Leading the data centre", { epoch });
+    leadership = startLeadership({
+      dataCentre,
+      epoch,
+      clock,
+      random: options.random,
+      logger: logger.with({ epoch }),
+      state,
+      view,
+      weights: settings.scheduling.weights,
+      taskLeaseMs: settings.tasks.leaseMs,
+      queueLength: settings.requests.queueLength,
+      grantValidMs: settings.requests.grantValidMs,
+      maxConnectionsPerInstance: settings.requests.connectionsPerEndpoint,
+      holdsLease: () => holdsLease(epoch),
+      propose,
+      sendAsk: options.sendAsk,
+      sendTransfer: options.sendTransfer,
+      handleFailure: (error) => restart(epoch, error),
+    });
+  }
+
+  function end(): void {
+    const ended = leadership;
+    leadership = undefined;
+    if (ended === undefined) return;
+    logger.info("No longer leading the data centre", { epoch: ended.epoch });
+    void ended.stop();
+  }
+
+  /** Rebuilds the controllers from the log after a proposal failed. */
+  function restart(epoch: number, error: unknown): void {
+    logger.warn("Rebuilding the controllers of the data centre", {
+      epoch,
+      error,
+    });
+    end();
+    if (wantedEpoch === epoch && holdsLease(epoch)) start(epoch);
+  }
+
+  function start(epoch: number): void {
+    begin(epoch).catch((error) => {
+      logger.warn("Cannot begin to lead the data centre", { epoch, error });
+      if (wantedEpoch === epoch && holdsLease(epoch)) {
+        clock.setTimer(100, () => start(epoch));
+      }
+    });
+  }
+
+  function findJob(query: JobQuery) {
+    const record = state.jobs.get(query.jobId);
+    if (record !== undefined && record.spec.team === query.team) return record;
+    throw createFault("notFound", `Cannot find job "${query.jobId}"`);
+  }
+
+  function replyWithJob(query: JobQuery): JobReply {
+    const { workers, scheduler } = getLeadership();
+    const record = findJob(query);
+    return {
+      job: encodeJson(renderJob(record, {
+        job: scheduler.getJob(query.jobId),
+        neverRunnable: workers.findNeverRunnable(query.jobId),
+      })),
+    };
+  }
+
+  async function submitJob(request: JobRequest): Promise<JobReply> {
+    const { workers } = getLeadership();
+    const job = JSON.parse(Buffer.from(request.job).toString());
+    const spec: RecordedJobSpec = {
+      ...job,
+      team: request.team,
+      submittedWallMs: clock.wallTime(),
+    };
+    const results = await propose({
+      part: "jobs",
+      commands: [{ type: "submitJob", spec }],
+    }) as string[];
+    if (results[0] === "conflict") {
+      throw createFault(
+        "requestIdConflict",
+        `Cannot submit job "${spec.id}": another job has this identifier`,
+      );
+    }
+    if (results[0] === "applied") workers.addJob(spec);
+    return replyWithJob({ team: request.team, jobId: spec.id });
+  }
+
+  async function cancelJob(query: JobQuery): Promise<JobReply> {
+    const { workers } = getLeadership();
+    findJob(query);
+    await propose({
+      part: "jobs",
+      commands: [{ type: "cancelJob", job: query.jobId }],
+    });
+    workers.cancelJob(query.jobId);
+    return replyWithJob(query);
+  }
+
+  async function acquireSlot(
+    request: SlotRequest,
+    context: { signal: AbortSignal },
+  ): Promise<SlotReply> {
+    const { slots } = getLeadership();
+    const reply = await slots.acquire(request, context.signal);
+    return reply.kind === "grant"
+      ? { outcome: "grant", grant: reply }
+      : { outcome: "answer", answer: reply.answer };
+  }
+
+  function getRequest(query: RequestQuery): Promise<RequestReply> {
+    getLeadership();
+    const { scope, requestId } = query;
+    const record = state.requests.getRecord({ scope, requestId });
+    if (record === undefined) {
+      throw createFault("notFound", `Cannot find request "${requestId}"`);
+    }
+    return Promise.resolve({
+      state: record.state,
+      ...(record.answer === undefined ? {} : { answer: record.answer }),
+    });
+  }
+
+  function announceEndpoint(message: JsonBody): Promise<JsonBody> {
+    const { slots, epoch } = getLeadership();
+    slots.controller.receiveAnnouncement(parseJson(message.body));
+    const reply: EndpointAnnouncementReply = {
+      epoch,
+      leaseMs: settings.tasks.announcePeriodMs * MISSED_ANNOUNCEMENTS,
+    };
+    return Promise.resolve({ body: encodeJson(reply) });
+  }
+
+  function announceWorker(message: JsonBody): Promise<JsonBody> {
+    const { workers } = getLeadership();
+    const announcement = parseWorkerAnnouncement(parseJson(message.body));
+    const reply = workers.receiveAnnouncement(announcement);
+    return Promise.resolve({ body: encodeJson(reply) });
+  }
+
+  async function transferAllotment(message: TransferMessage) {
+    const { allotments } = getLeadership();
+    await allotments.receiveTransfer({
+      id: message.transferId,
+      from: message.fromDataCentre,
+      to: message.toDataCentre,
+      team: message.team,
+      amount: message.amount,
+    });
+    return {};
+  }
+
+  async function askAllotment(message: AskMessage) {
+    const { allotments } = getLeadership();
+    const offered = await allotments.receiveAsk({
+      from: message.fromDataCentre,
+      to: dataCentre,
+      team: message.team,
+      wanted: message.wanted,
+      entitled: message.entitled,
+      levelling: message.levelling,
+    });
+    return { offered };
+  }
+
+  function getStatus(): Promise<JsonBody> {
+    const { scheduler, slots, epoch, workers } = getLeadership();
+    const { allotments } = state;
+    const teams = allotments.listTeams().map((team) => ({
+      team,
+      held: allotments.getHeld(team),
+    }));
+    return Promise.resolve({
+      body: encodeJson({
+        dataCentre,
+        leader: settings.instance,
+        epoch,
+        scheduler: scheduler.getStatus(),
+        workers: workers.listWorkers(),
+        slots: slots.controller.getStatus(),
+        allotments: {
+          appliedVersion: allotments.getAppliedVersion(),
+          teams,
+          transfersInProgress: allotments.getTransfersInProgress().length,
+        },
+        requestRecords: state.requests.getStatus(),
+        jobs: state.jobs.count(),
+      }),
+    });
+  }
+
+  return {
+    handlers: {
+      acquireSlot,
+      releaseSlot: async (release: SlotRelease) => {
+        await getLeadership().slots.release(release);
+        return {};
+      },
+      announceEndpoint,
+      announceWorker,
+      submitJob,
+      getJob: (query: JobQuery) => Promise.resolve(replyWithJob(query)),
+      cancelJob,
+      getRequest,
+      transferAllotment,
+      askAllotment,
+      getStatus,
+    },
+    handleLeadership(lease) {
+      wantedEpoch = lease?.term;
+      end();
+      if (lease !== undefined) start(lease.term);
+    },
+    handleApplied: () => leadership?.slots.updateWaiting(),
+    getLeadership: () => leadership,
+    async stop() {
+      wantedEpoch = undefined;
+      const ended = leadership;
+      leadership = undefined;
+      await ended?.stop();
+    },
+  };
+}
--- a/src/rpc/client.ts
+++ b/src/rpc/client.ts
@@ -53,7 +53,7 @@
   close(): void;
 }
 
-/** Names a method as `Service.Method`. */
+/** Names a method as `Service.method`, with a lower-case first letter. */
 export type RpcPath = `${ServiceName}.${string}`;
 
 /** Options of a peer. */
@@ -69,7 +69,9 @@
 
 function findMethod(path: RpcPath): AnyMethod {
   const [service, name] = path.split(".") as [ServiceName, string];
-  const method = SERVICES[service][name];
+  // The proto file names methods in PascalCase.
+  const method =
+    SERVICES[service][name.charAt(0).toUpperCase() + name.slice(1)];
   if (method === undefined) {
     throw createFault("internal", `Cannot call unknown method "${path}"`);
   }
--- a/src/rpc/log_transport.ts
+++ b/src/rpc/log_transport.ts
@@ -42,7 +42,7 @@
   let isBackedUp = false;
 
   function open(): ClientWritableStream<LogEnvelope> {
-    const opened = peer.openWriteStream<LogEnvelope>("Consensus.Send", () => {
+    const opened = peer.openWriteStream<LogEnvelope>("Consensus.send", () => {
       if (stream === opened) stream = undefined;
       reopenAtMs = clock.now() + REOPEN_DELAY_MS;
     });
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -152,6 +152,15 @@
   fromDataCentre: string;
   team: string;
   wanted: LimitsMessage;
+  /** Part of `wanted` that brings the asker up to its fair part. */
+  entitled: LimitsMessage;
+  /** Whether nothing waits at the asker. */
+  levelling: boolean;
+}
+
+/** What a data centre gives in answer to an ask; a transfer of it follows. */
+export interface AllotmentOffer {
+  offered: LimitsMessage;
 }
 
 /** State of an instance, sent as a heartbeat and in answer to one. */
--- a/src/scheduling/jobs.ts
+++ b/src/scheduling/jobs.ts
@@ -12,7 +12,13 @@
   sendStop,
 } from "./lifecycle.ts";
 import type { JobRecord, TaskRecord } from "./records.ts";
-import { getTeam, getWorker, type SchedulerState, toAttempt } from "./state.ts";
+import {
+  addQueuedTasks,
+  getTeam,
+  getWorker,
+  type SchedulerState,
+  toAttempt,
+} from "./state.ts";
 import type {
   JobSpec,
   NeverRunnableReason,
@@ -98,7 +104,7 @@
   for (let index = 0; index < spec.tasks; index++) {
     job.tasks.push(buildTask(job, index));
   }
-  job.team.queuedTasks += spec.tasks;
+  addQueuedTasks(job, spec.tasks);
   state.jobs.set(spec.id, job);
   return job;
 }
@@ -246,7 +252,7 @@
     return;
   }
   job.ended++;
-  job.team.queuedTasks--;
+  addQueuedTasks(job, -1);
 }
 
 function restoreAssignment(
--- a/src/scheduling/lifecycle.ts
+++ b/src/scheduling/lifecycle.ts
@@ -7,6 +7,7 @@
 import type { JobRecord, TaskRecord, WorkerRecord } from "./records.ts";
 import {
   addCommitted,
+  addQueuedTasks,
   type SchedulerState,
   subtractCommitted,
   toAttempt,
@@ -61,7 +62,7 @@
   job.placed++;
   addRackCount(job, rack, 1);
   job.team.placed.add(task);
-  job.team.queuedTasks--;
+  addQueuedTasks(job, -1);
   state.placedTasks++;
   addCommitted(state, job.team, task.held);
 }
@@ -105,7 +106,7 @@
   job.placed--;
   addRackCount(job, rack, -1);
   job.team.placed.delete(task);
-  job.team.queuedTasks++;
+  addQueuedTasks(job, 1);
   state.placedTasks--;
   state.placer.release(worker.place, task.held);
   subtractCommitted(state, job.team, task.held);
@@ -158,7 +159,7 @@
   task.state = result;
   task.usage = undefined;
   job.ended++;
-  job.team.queuedTasks--;
+  addQueuedTasks(job, -1);
   const isGangFailure = result === "failed" && job.spec.policy === "gang";
   if (isGangFailure && !job.isFailing && job.ended < job.tasks.length) {
     job.isFailing = true;
--- a/src/scheduling/records.ts
+++ b/src/scheduling/records.ts
@@ -120,6 +120,8 @@
   committed: Resources;
   readonly placed: Set<TaskRecord>;
   queuedTasks: number;
+  /** What the queued tasks ask for. */
+  queuedResources: Resources;
   /** Since when the team has been below its share with work that found no room. */
   starvedSinceMs: number | undefined;
   /** Set while the team has to shed work. */
--- a/src/scheduling/state.ts
+++ b/src/scheduling/state.ts
@@ -2,6 +2,7 @@
 
 import {
   addResources,
+  multiplyResources,
   NO_RESOURCES,
   type Resources,
   subtractResources,
@@ -130,6 +131,7 @@
       committed: NO_RESOURCES,
       placed: new Set(),
       queuedTasks: 0,
+      queuedResources: NO_RESOURCES,
       starvedSinceMs: undefined,
       isOverAllotment: false,
     };
@@ -222,3 +224,13 @@
 export function toAttempt(task: TaskRecord): TaskAttempt {
   return { job: task.job.spec.id, index: task.index, attempt: task.attempt };
 }
+
+/** Adds to the number of queued tasks of the job's team. */
+export function addQueuedTasks(job: JobRecord, count: number): void {
+  const { team } = job;
+  team.queuedTasks += count;
+  team.queuedResources = addResources(
+    team.queuedResources,
+    multiplyResources(job.spec.resources, count),
+  );
+}
--- a/src/scheduling/status.ts
+++ b/src/scheduling/status.ts
@@ -64,6 +64,7 @@
       committed: team.committed,
       dominantShare: computeDominantShare(team.committed, state.capacity),
       queuedTasks: team.queuedTasks,
+      queuedResources: team.queuedResources,
     })),
   };
 }
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -282,6 +282,8 @@
   /** The largest part that the team holds of any resource of the fleet, from 0 to 1. */
   readonly dominantShare: number;
   readonly queuedTasks: number;
+  /** What the queued tasks ask for. */
+  readonly queuedResources: Resources;
 }
 
 /** Figures of the scheduler. */
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -5,6 +5,7 @@
  */
 
 import type { LogLevel } from "../common/mod.ts";
+import type { SchedulingWeights } from "../scheduling/types.ts";
 
 /** An address that a process listens on or is reached at. */
 export interface Address {
@@ -73,9 +74,6 @@
   readonly announcePeriodMs: number;
 }
 
-/** What placement weighs most: closeness to share, or waiting time. */
-export type SchedulingWeights = "share" | "waiting";
-
 /** Decisions of the data centre log leader. */
 export interface SchedulingSettings {
   readonly weights: SchedulingWeights;
