Add the consensus core, the driver and the storages of the replicated log

The core is one step function over a message, a tick, a proposal or a finished write; the driver carries out its sends and writes. A witness that holds entries which no reachable voter has wins a term only to copy its log and then hands over: refusing the vote alone would block the group after the loss of the leader. Ruled out: letting a witness push entries outside a term, which needs a safety argument of its own.

A handover to a member that was lost blocked the leader for good; the property test found it. The successor must now be in contact, and the handover is given up after an election timeout.

--- a/src/replicated_log/mod.ts
+++ b/src/replicated_log/mod.ts
@@ -1,3 +1,19 @@
 /** A replicated log with a leader lease, for state that must survive the loss of instances. */
 
+export { createMemberId, parseMemberId } from "./member_id.ts";
+export { createMemoryStorage } from "./memory_storage.ts";
+export * from "./replicated_log.ts";
+export {
+  computeFirstStartAnswers,
+  isEmptyStore,
+  type LogStart,
+  type LogStartOptions,
+  type LogStartResolver,
+  resolveLogStart,
+} from "./start.ts";
+export {
+  CLOCK_RATE_BOUND,
+  DEFAULT_LOG_TIMINGS,
+  resolveLogTimings,
+} from "./timings.ts";
 export * from "./types.ts";
--- /dev/null
+++ b/src/replicated_log/replicated_log.ts
@@ -0,0 +1,538 @@
+/**
+ * The driver of one log member: feeds time, messages, proposals and finished
+ * writes to the consensus core, and carries out what the core asks for.
+ */
+
+import { createFault, type Fault } from "../common/errors.ts";
+import { createSilentLogger } from "../common/logger.ts";
+import { type ConsensusInput, stepConsensus } from "./consensus.ts";
+import { isJoining } from "./consensus_election.ts";
+import {
+  computeQuorumValue,
+  type ConsensusOutput,
+  type ConsensusState,
+  createConsensusState,
+  getLeaderLease,
+  getMembers,
+  getMembersAt,
+  isCopying,
+} from "./consensus_state.ts";
+import { measureEntry } from "./entry_log.ts";
+import { findMember, hasVote } from "./member_id.ts";
+import { checkStoredLog, createFirstLog } from "./start.ts";
+import { createStoreQueue } from "./store_queue.ts";
+import { resolveLogTimings } from "./timings.ts";
+import type {
+  LeaderLease,
+  LogEntry,
+  LogMember,
+  LogSnapshot,
+  LogStatus,
+  MemberLag,
+  ProposeResult,
+  ReplicatedLog,
+  ReplicatedLogOptions,
+  StoredLog,
+} from "./types.ts";
+
+interface Proposal {
+  readonly command: Uint8Array;
+  readonly resolve: (result: ProposeResult) => void;
+  readonly reject: (error: Fault) => void;
+}
+
+interface PendingProposal extends Proposal {
+  readonly term: number;
+}
+
+/** Something that is checked after each step until it holds or the leadership ends. */
+interface Watch {
+  readonly term: number;
+  readonly isDone: () => boolean;
+  readonly resolve: () => void;
+  readonly reject: (error: Fault) => void;
+  /** Fault when the leadership ends first. */
+  readonly kindOnLoss: "notLeader" | "outcomeUnknown";
+}
+
+/** Opens the store and starts a member. */
+export async function createReplicatedLog(
+  options: ReplicatedLogOptions,
+): Promise<ReplicatedLog> {
+  const timings = resolveLogTimings(options.timings);
+  const loaded = await options.storage.load();
+  checkStoredLog(loaded, options);
+  const stored = options.bootstrap === true
+    ? await createFirstLog(loaded, options)
+    : loaded;
+  const state = createConsensusState({
+    self: options.self,
+    canLead: options.canLead ?? true,
+    joinTargets: options.join ?? [],
+    minTerm: options.minTerm ?? 0,
+    timings,
+    random: options.random,
+    stored,
+    nowMs: options.clock.now(),
+  });
+  return startDriver(options, { state, stored });
+}
+
+function startDriver(
+  options: ReplicatedLogOptions,
+  start: { state: ConsensusState; stored: StoredLog },
+): ReplicatedLog {
+  const { clock, stateMachine, transport, storage, group, self } = options;
+  const { state, stored } = start;
+  const { timings } = state;
+  const logger = (options.logger ?? createSilentLogger()).with({ group, self });
+
+  const inputs: ConsensusInput[] = [];
+  let isStepping = false;
+  let isStopped = false;
+  let stopping: Promise<void> | undefined;
+
+  let proposals: Proposal[] = [];
+  const pending = new Map<number, PendingProposal>();
+  let pendingBytes = 0;
+  let watches: Watch[] = [];
+  let isFlushScheduled = false;
+  let mustConfirm = false;
+
+  let appliedIndex = state.commitIndex;
+  let logBytes = stored.entries.reduce(
+    (sum, entry) => sum + measureEntry(entry),
+    0,
+  );
+  let shownLease: LeaderLease | undefined;
+  let ledTerm: number | undefined;
+
+  if (stored.snapshot !== undefined) {
+    stateMachine.restoreSnapshot(stored.snapshot.data);
+  }
+
+  const queue = createStoreQueue({
+    storage,
+    send: (message) => {
+      if (!isStopped) transport.send(message.to, message);
+    },
+    onStored: (batch) => step({ kind: "stored", ...batch }),
+    onFailure: (error) => fail(error),
+  });
+
+  function createNotLeader(): Fault {
+    const leader = state.role === "leader" ? undefined : state.leader;
+    return createFault(
+      "notLeader",
+      `Cannot use member "${self}" as leader of log "${group}"`,
+      { details: { leader } },
+    );
+  }
+
+  function createUnknown(): Fault {
+    return createFault(
+      "outcomeUnknown",
+      `Cannot tell the outcome of a proposal to log "${group}": leadership of term ${ledTerm} ended first`,
+    );
+  }
+
+  function releasePending(index: number): PendingProposal | undefined {
+    const found = pending.get(index);
+    if (found === undefined) return undefined;
+    pending.delete(index);
+    pendingBytes -= found.command.length;
+    return found;
+  }
+
+  function applyEntry(entry: LogEntry): void {
+    const result = entry.kind === "command"
+      ? stateMachine.apply(entry.data, entry.index)
+      : undefined;
+    appliedIndex = entry.index;
+    const { index, term } = entry;
+    const proposal = releasePending(index);
+    if (proposal === undefined) return;
+    if (proposal.term === term) proposal.resolve({ index, term, result });
+    // Another entry holds the position for good, so the proposal never ran.
+    else proposal.reject(createNotLeader());
+  }
+
+  function restoreSnapshot(snapshot: LogSnapshot): void {
+    stateMachine.restoreSnapshot(snapshot.data);
+    appliedIndex = snapshot.index;
+    logBytes = 0;
+    logger.info("Installed a snapshot", { index: snapshot.index });
+  }
+
+  function handleOutput(output: ConsensusOutput): void {
+    const waiting = [];
+    for (const { to, message, afterStore } of output.messages) {
+      if (afterStore) waiting.push(message);
+      else transport.send(to, message);
+    }
+    queue.add(output.store, waiting);
+    for (const request of output.store) {
+      if (request.kind !== "append") continue;
+      for (const entry of request.entries) logBytes += measureEntry(entry);
+    }
+    if (output.restored !== undefined) restoreSnapshot(output.restored);
+    for (const entry of output.committed) applyEntry(entry);
+  }
+
+  function stepOnce(input: ConsensusInput): ConsensusOutput {
+    const output = stepConsensus(state, input, clock.now());
+    handleOutput(output);
+    return output;
+  }
+
+  /** Runs `work` between steps; an input that arrives meanwhile waits for its turn. */
+  function runStep<T>(work: () => T): T | undefined {
+    if (isStopped) return undefined;
+    isStepping = true;
+    let result: T | undefined;
+    try {
+      result = work();
+      for (
+        let input = inputs.shift();
+        input !== undefined && !isStopped;
+        input = inputs.shift()
+      ) {
+        stepOnce(input);
+      }
+      takeSnapshotIfDue();
+      checkLeadership();
+      checkWatches();
+    } catch (error) {
+      fail(error);
+    }
+    isStepping = false;
+    return result;
+  }
+
+  function step(input: ConsensusInput): void {
+    if (isStopped) return;
+    inputs.push(input);
+    if (!isStepping) runStep(() => undefined);
+  }
+
+  function takeSnapshotIfDue(): void {
+    const lastBytes = state.snapshot?.data.length ?? 0;
+    // A snapshot costs as much as its size, so a large one is taken less often.
+    if (logBytes < Math.max(timings.snapshotLogBytes, lastBytes)) return;
+    const index = appliedIndex;
+    const term = state.log.getTerm(index);
+    if (term === undefined || index <= (state.snapshot?.index ?? 0)) return;
+    logBytes = 0;
+    const members = getMembersAt(state, index);
+    const data = stateMachine.takeSnapshot();
+    stepOnce({
+      kind: "snapshotTaken",
+      snapshot: { index, term, members, data },
+    });
+    logger.info("Took a snapshot", { index, bytes: data.length });
+  }
+
+  function rejectPending(): void {
+    const lost = [...pending.values()];
+    pending.clear();
+    pendingBytes = proposals.reduce(
+      (sum, { command }) => sum + command.length,
+      0,
+    );
+    for (const { reject } of lost) reject(createUnknown());
+  }
+
+  function checkLeadership(): void {
+    const leads = state.role === "leader" && !isCopying(state) && !isStopped;
+    if (ledTerm !== undefined && (!leads || ledTerm !== state.term)) {
+      rejectPending();
+      logger.info("Leadership ended", { term: ledTerm });
+      ledTerm = undefined;
+    }
+    if (leads && ledTerm === undefined) {
+      ledTerm = state.term;
+      logger.info("Leadership started", { term: ledTerm });
+    }
+    const lease = getLease();
+    const isSame = lease?.term === shownLease?.term;
+    shownLease = lease;
+    if (!isSame) options.onLeadership?.(lease);
+  }
+
+  function checkWatches(): void {
+    const open: Watch[] = [];
+    const current = watches;
+    watches = open;
+    for (const watch of current) {
+      if (watch.isDone()) watch.resolve();
+      else if (ledTerm === watch.term) open.push(watch);
+      else {
+        watch.reject(
+          watch.kindOnLoss === "notLeader"
+            ? createNotLeader()
+            : createUnknown(),
+        );
+      }
+    }
+  }
+
+  function addWatch(
+    kindOnLoss: Watch["kindOnLoss"],
+    isDone: () => boolean,
+  ): Promise<void> {
+    const term = state.term;
+    return new Promise((resolve, reject) => {
+      watches.push({ term, isDone, resolve, reject, kindOnLoss });
+    });
+  }
+
+  function getLease(): LeaderLease | undefined {
+    if (isStopped) return undefined;
+    return getLeaderLease(state, clock.now());
+  }
+
+  function closeDriver(): void {
+    isStopped = true;
+    inputs.length = 0;
+    const refused = proposals;
+    proposals = [];
+    for (const { reject } of refused) reject(createNotLeader());
+    checkLeadership();
+    checkWatches();
+  }
+
+  function fail(error: unknown): void {
+    if (isStopped) return;
+    logger.error("Log member stopped", { error });
+    closeDriver();
+    options.onFailure?.(error);
+  }
+
+  /** Hands what has gathered since the last turn to the core, as one batch. */
+  function flush(): void {
+    isFlushScheduled = false;
+    if (isStepping) return scheduleFlush();
+    runStep(() => {
+      flushProposals();
+      if (mustConfirm) stepOnce({ kind: "confirm" });
+      mustConfirm = false;
+    });
+  }
+
+  function flushProposals(): void {
+    if (proposals.length === 0) return;
+    const batch = proposals;
+    proposals = [];
+    const commands = batch.map(({ command }) => command);
+    const { term } = state;
+    const output = stepConsensus(
+      state,
+      { kind: "propose", commands },
+      clock.now(),
+    );
+    const first = output.acceptedIndex;
+    for (const [offset, proposal] of batch.entries()) {
+      if (first !== undefined) {
+        pending.set(first + offset, { ...proposal, term });
+        continue;
+      }
+      pendingBytes -= proposal.command.length;
+      proposal.reject(createNotLeader());
+    }
+    handleOutput(output);
+  }
+
+  function scheduleFlush(): void {
+    if (isFlushScheduled) return;
+    isFlushScheduled = true;
+    queueMicrotask(flush);
+  }
+
+  function propose(command: Uint8Array): Promise<ProposeResult> {
+    const { maxCommandBytes, maxPendingBytes } = timings;
+    if (command.length > maxCommandBytes) {
+      return Promise.reject(createFault(
+        "tooLarge",
+        `Cannot append a command of ${command.length} bytes: the limit is ${maxCommandBytes}`,
+      ));
+    }
+    if (isStopped || state.role !== "leader" || isCopying(state)) {
+      return Promise.reject(createNotLeader());
+    }
+    if (pendingBytes + command.length > maxPendingBytes) {
+      return Promise.reject(createFault(
+        "overloaded",
+        `Cannot append a command: ${pendingBytes} bytes of proposals are pending`,
+      ));
+    }
+    pendingBytes += command.length;
+    return new Promise((resolve, reject) => {
+      proposals.push({ command, resolve, reject });
+      scheduleFlush();
+    });
+  }
+
+  async function confirmLeadership(): Promise<void> {
+    if (isStopped || state.role !== "leader" || isCopying(state)) {
+      throw createNotLeader();
+    }
+    const round = state.round + 1;
+    const index = Math.max(state.commitIndex, state.termStartIndex);
+    const confirmed = addWatch("notLeader", () => {
+      const answered = computeQuorumValue(state, {
+        self: Infinity,
+        other: (progress) => progress.ackedRound,
+      });
+      return state.role === "leader" && answered >= round &&
+        appliedIndex >= index;
+    });
+    mustConfirm = true;
+    scheduleFlush();
+    return await confirmed;
+  }
+
+  /** Appends a list of members and waits until `isDone` holds for its index. */
+  function changeMembers(
+    members: readonly LogMember[],
+    isDone: (index: number) => boolean,
+  ): Promise<void> {
+    if (isStepping) {
+      return Promise.resolve().then(() => changeMembers(members, isDone));
+    }
+    let output: ConsensusOutput | undefined;
+    let done: Promise<void> | undefined;
+    runStep(() => {
+      output = stepOnce({ kind: "changeMembers", members });
+      const index = output.acceptedIndex;
+      if (index === undefined) return;
+      done = addWatch("outcomeUnknown", () => isDone(index));
+    });
+    if (done !== undefined) return done;
+    if (output?.refusal === "changeInProgress") {
+      return Promise.reject(createFault(
+        "versionConflict",
+        `Cannot change the members of log "${group}": another change is not committed yet`,
+      ));
+    }
+    if (output?.refusal === "badRequest") {
+      return Promise.reject(createFault(
+        "badRequest",
+        `Cannot change the members of log "${group}": more than one voter would change, or no voter would remain`,
+      ));
+    }
+    return Promise.reject(createNotLeader());
+  }
+
+  async function addMember(member: LogMember): Promise<void> {
+    if (isStopped || state.role !== "leader") throw createNotLeader();
+    const { id, role } = member;
+    if (findMember(getMembers(state), id) !== undefined) {
+      throw createFault(
+        "badRequest",
+        `Cannot add member "${id}" to log "${group}": it is a member already`,
+      );
+    }
+    const learner: LogMember = role === "learner"
+      ? member
+      : { id, role: "learner", promoteTo: role };
+    await changeMembers([...getMembers(state), learner], (index) => {
+      const found = findMember(getMembersAt(state, state.commitIndex), id);
+      if (state.commitIndex < index || found === undefined) return false;
+      return role === "learner" || hasVote(found);
+    });
+  }
+
+  async function removeMember(id: string): Promise<void> {
+    if (isStopped || state.role !== "leader") throw createNotLeader();
+    const members = getMembers(state);
+    if (findMember(members, id) === undefined) {
+      throw createFault(
+        "notFound",
+        `Cannot remove member "${id}" from log "${group}": it is not a member`,
+      );
+    }
+    await changeMembers(
+      members.filter((member) => member.id !== id),
+      (index) => state.commitIndex >= index,
+    );
+  }
+
+  function getRole(): LogStatus["role"] {
+    if (isStopped) return "stopped";
+    if (isJoining(state)) return "joining";
+    if (state.role === "preCandidate" || isCopying(state)) return "candidate";
+    return state.role;
+  }
+
+  function computeLag(): Record<string, MemberLag> {
+    const lag: Record<string, MemberLag> = {};
+    for (const [id, progress] of state.progress) {
+      lag[id] = {
+        entries: state.log.getLastIndex() - progress.matchIndex,
+        ageMs: clock.now() - progress.ackedAtMs,
+      };
+    }
+    return lag;
+  }
+
+  function getStatus(): LogStatus {
+    return {
+      group,
+      self,
+      role: getRole(),
+      term: state.term,
+      leader: isStopped ? undefined : state.leader,
+      commitIndex: state.commitIndex,
+      appliedIndex,
+      lastIndex: state.log.getLastIndex(),
+      snapshotIndex: state.snapshot?.index ?? 0,
+      members: getMembers(state),
+      lag: isStopped ? {} : computeLag(),
+    };
+  }
+
+  /** Waits until another member leads, so that this member's vote is still there for it. */
+  async function handOver(): Promise<void> {
+    if (state.role !== "leader" || state.progress.size === 0) return;
+    step({ kind: "handover" });
+    const deadlineMs = clock.now() + timings.handoverTimeoutMs;
+    const hasSuccessor = () =>
+      state.role !== "leader" && state.leader !== undefined;
+    while (!isStopped && !hasSuccessor() && clock.now() < deadlineMs) {
+      await new Promise<void>((resolve) => {
+        clock.setTimer(timings.heartbeatMs / 4, resolve);
+      });
+    }
+  }
+
+  async function runStop(): Promise<void> {
+    await handOver();
+    if (!isStopped) closeDriver();
+    timer.cancel();
+    await queue.waitUntilIdle();
+    await storage.close();
+  }
+
+  function handleTimer(): void {
+    step({ kind: "tick" });
+    if (!isStopped) {
+      timer = clock.setTimer(timings.heartbeatMs / 2, handleTimer);
+    }
+  }
+
+  let timer = clock.setTimer(0, handleTimer);
+
+  return {
+    propose,
+    confirmLeadership,
+    getLease,
+    receive: (from, message) => step({ kind: "message", from, message }),
+    addMember,
+    removeMember,
+    getStatus,
+    stop() {
+      stopping ??= runStop();
+      return stopping;
+    },
+  };
+}
--- a/src/replicated_log/types.ts
+++ b/src/replicated_log/types.ts
@@ -209,12 +209,15 @@
 export interface HistoryRequest {
   readonly kind: "historyRequest";
   readonly to: string;
+  /** Echoed in the reply, so that an answer to a former life does not count. */
+  readonly nonce: string;
 }
 
 /** Answers a history request. */
 export interface HistoryReply {
   readonly kind: "historyReply";
   readonly to: string;
+  readonly nonce: string;
   /** False only while the member's store holds nothing but a first start. */
   readonly hasHistory: boolean;
 }
