--- /dev/null
+++ b/src/cli/program.ts
@@ -0,0 +1,11 @@
+/** The command line. Each command calls one function of the library. */
+
+import { subcommands } from "cmd-ts";
+import { SERVE_COMMAND } from "./serve.ts";
+
+/** The program with all its commands. */
+export const PROGRAM = subcommands({
+  name: "goldcrestlug",
+  description: "A cluster scheduler for mixed workloads",
+  cmds: { serve: SERVE_COMMAND },
+});
--- /dev/null
+++ b/src/cli/serve.ts
@@ -0,0 +1,50 @@
+/** `goldcrestlug serve`: runs one instance until it is told to stop. */
+
+import process from "node:process";
+import { command, option, string } from "cmd-ts";
+import { createLogger } from "../common/mod.ts";
+import { startInstance } from "../instance/mod.ts";
+import { loadSettings } from "../settings/mod.ts";
+
+/** Exit code after a failure that makes it impossible to go on. */
+const FAILURE_EXIT_CODE = 1;
+
+/** Runs an instance with the settings at `path` until SIGTERM or SIGINT. */
+export async function runServe(path: string): Promise<void> {
+  const settings = await loadSettings(path);
+  const logger = createLogger({ level: settings.logLevel });
+  // Timers of the instance do not keep the process alive.
+  const keepAlive = setInterval(() => {}, 60_000);
+  const instance = await startInstance(settings, {
+    logger,
+    handleFailure: (error) => {
+      logger.error("Instance failed", {
+        instance: settings.instance,
+        dataCentre: settings.dataCentre,
+        error,
+      });
+      process.exit(FAILURE_EXIT_CODE);
+    },
+  });
+  await new Promise<void>((resolve) => {
+    process.once("SIGTERM", resolve);
+    process.once("SIGINT", resolve);
+  });
+  await instance.stop();
+  clearInterval(keepAlive);
+  process.exit(0);
+}
+
+/** The command. */
+export const SERVE_COMMAND = command({
+  name: "serve",
+  description: "Run one instance",
+  args: {
+    settings: option({
+      type: string,
+      long: "settings",
+      description: "settings file in JSON",
+    }),
+  },
+  handler: ({ settings }) => runServe(settings),
+});
--- /dev/null
+++ b/src/instance/instance.ts
@@ -0,0 +1,512 @@
+/**
+ * One instance of goldcrestlug: it connects the services to the listeners, and
+ * stops them in the order that interrupts no request.
+ */
+
+import { Buffer } from "node:buffer";
+import { createSeededRandom, createSystemClock } from "../common/mod.ts";
+import type { Clock, Logger, Random } from "../common/mod.ts";
+import type { AllotmentAsk, AllotmentTransfer } from "../allotments/mod.ts";
+import {
+  createDataCentreState,
+  type DataCentreState,
+} from "../data_centre/state.ts";
+import type { Limits } from "../fleet/mod.ts";
+import {
+  createAnnounceRoutes,
+  createJobRoutes,
+  createOperatorRoutes,
+  createRequestRoutes,
+  type HttpServer,
+  type JobView,
+  startHttpServer,
+} from "../http/mod.ts";
+import {
+  createMembership,
+  type InstanceState,
+  type Membership,
+} from "../membership/mod.ts";
+import {
+  createForwarder,
+  createHomeFinder,
+  createRetryBudget,
+} from "../requests/mod.ts";
+import type { LogMember } from "../replicated_log/mod.ts";
+import {
+  type AllotmentOffer,
+  createLogSender,
+  createPeerSet,
+  type HeartbeatMessage,
+  type JobReply,
+  type JsonBody,
+  type LogEnvelope,
+  type RpcServer,
+  startRpcServer,
+} from "../rpc/mod.ts";
+import type { Address, InstanceEntry, Settings } from "../settings/mod.ts";
+import { createFleetService, FLEET_GROUP } from "./fleet_service.ts";
+import { createLeaderCalls, type LeaderCalls } from "./leader_calls.ts";
+import { type LogMemberHandle, startLogMember } from "./log_member.ts";
+import { createRequestRouting } from "./request_routing.ts";
+import { createWorkService, type WorkService } from "./work_service.ts";
+
+/** Time that an announcement may take, in milliseconds. */
+const ANNOUNCE_TIMEOUT_MS = 1_000;
+
+/** Time for handing a job or a question about it to a leader, in milliseconds. */
+const JOB_TIMEOUT_MS = 5_000;
+
+/** Time for an ask or a transfer of allotment, in milliseconds. */
+const ALLOTMENT_TIMEOUT_MS = 1_000;
+
+/** Time for the status of one data centre, in milliseconds. */
+const STATUS_TIMEOUT_MS = 1_000;
+
+/**
+ * Time between the loss of readiness and the refusal of new work, in
+ * milliseconds, so that the platform's balancer can turn away first.
+ */
+export const DRAIN_NOTICE_MS = 1_000;
+
+/** Time between looks at the open requests during a stop, in milliseconds. */
+const DRAIN_POLL_MS = 20;
+
+/** A configuration older than this makes a starting instance wait, in milliseconds. */
+const READY_AGE_MS = 10_000;
+
+/** Options of an instance. */
+export interface InstanceOptions {
+  logger: Logger;
+  clock?: Clock;
+  random?: Random;
+  /** Called when the instance cannot go on, for example after a disk failure. */
+  handleFailure?: (error: unknown) => void;
+}
+
+/** A running instance. */
+export interface Instance {
+  readonly httpPort: number;
+  readonly rpcPort: number;
+  isReady(): boolean;
+  /** Stops gracefully: finishes requests, hands over leadership and syncs. */
+  stop(): Promise<void>;
+}
+
+function formatAddress({ host, port }: Address): string {
+  return host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`;
+}
+
+/** Returns the name of the log group of a data centre. */
+export function getDataCentreGroup(dataCentre: string): string {
+  return `data-centre/${dataCentre}`;
+}
+
+/** Lists the members of a data centre's log at its first start. */
+export function listGroupMembers(
+  instances: readonly InstanceEntry[],
+  dataCentre: string,
+): LogMember[] {
+  return instances.flatMap((entry): LogMember[] => {
+    if (entry.scheduler && entry.dataCentre === dataCentre) {
+      return [{ id: entry.instance, role: "voter" }];
+    }
+    if (entry.witnessFor.includes(dataCentre)) {
+      return [{ id: entry.instance, role: "witness" }];
+    }
+    return [];
+  });
+}
+
+/** Starts an instance; rejects with a fault when it cannot listen. */
+export async function startInstance(
+  settings: Settings,
+  options: InstanceOptions,
+): Promise<Instance> {
+  const { instance, dataCentre } = settings;
+  const clock = options.clock ?? createSystemClock();
+  const incarnation = clock.wallTime();
+  const random = options.random ??
+    createSeededRandom((incarnation ^ instance.length) | 0);
+  const logger = options.logger.with({ instance, dataCentre });
+  const handleFailure = options.handleFailure ??
+    ((error: unknown) => logger.error("Instance failed", { error }));
+  let isStopping = false;
+  let isRefusing = false;
+
+  const others = settings.instances
+    .filter((entry) => entry.instance !== instance);
+  const peers = createPeerSet({
+    peers: others.map((entry) => ({
+      instance: entry.instance,
+      address: formatAddress(entry.rpc),
+    })),
+  });
+  const sender = createLogSender({ peers, clock });
+  const members = new Map<string, LogMemberHandle>();
+
+  // The services refer to each other; what is used before its creation is
+  // reached through these functions.
+  const fleet = await createFleetService({
+    settings,
+    peers,
+    sender,
+    clock,
+    random,
+    logger,
+    getMembership: () => membership,
+    handleFailure,
+  });
+
+  function startGroupMember(
+    name: string,
+    state: DataCentreState,
+    work: WorkService | undefined,
+  ): void {
+    const group = getDataCentreGroup(name);
+    members.set(
+      group,
+      startLogMember({
+        group,
+        instance,
+        members: listGroupMembers(settings.instances, name),
+        folder: settings.dataFolder,
+        canLead: work !== undefined,
+        stateMachine: state,
+        timings: settings.log,
+        sender,
+        clock,
+        random,
+        logger,
+        handleLeadership: (lease) => work?.handleLeadership(lease),
+        handleFailure,
+      }),
+    );
+  }
+
+  function createState(name: string, handleApplied: () => void) {
+    const { recordRetentionMs, maxRecords, recordedAnswerMaxBytes } =
+      settings.requests;
+    return createDataCentreState({
+      dataCentre: name,
+      requestRecords: {
+        retentionMs: recordRetentionMs,
+        maxRecords,
+        recordedAnswerMaxBytes,
+      },
+      handleApplied: (part) => {
+        if (part === "requests") handleApplied();
+      },
+    });
+  }
+
+  async function sendAsk(ask: AllotmentAsk): Promise<Limits> {
+    const reply = await calls.call<AllotmentOffer>("askAllotment", {
+      fromDataCentre: ask.from,
+      team: ask.team,
+      wanted: ask.wanted,
+      entitled: ask.entitled,
+      levelling: ask.levelling,
+    }, {
+      dataCentre: ask.to,
+      timeoutMs: ALLOTMENT_TIMEOUT_MS,
+      idempotent: false,
+    });
+    return reply.offered;
+  }
+
+  async function sendTransfer(transfer: AllotmentTransfer): Promise<void> {
+    await calls.call("transferAllotment", {
+      transferId: transfer.id,
+      fromDataCentre: transfer.from,
+      toDataCentre: transfer.to,
+      team: transfer.team,
+      amount: transfer.amount,
+    }, {
+      dataCentre: transfer.to,
+      timeoutMs: ALLOTMENT_TIMEOUT_MS,
+      idempotent: true,
+    });
+  }
+
+  const ownGroup = getDataCentreGroup(dataCentre);
+  let work: WorkService | undefined;
+  if (settings.roles.scheduler) {
+    const state = createState(dataCentre, () => work?.handleApplied());
+    work = createWorkService({
+      settings,
+      state,
+      view: fleet.view,
+      clock,
+      random,
+      logger,
+      getLog: () => members.get(ownGroup)?.getLog(),
+      getLeader: () => members.get(ownGroup)?.getLeader(),
+      sendAsk,
+      sendTransfer,
+    });
+    startGroupMember(dataCentre, state, work);
+  }
+  for (const name of settings.roles.witnessFor) {
+    startGroupMember(name, createState(name, () => {}), undefined);
+  }
+
+  function getOwnState(): InstanceState {
+    const log = members.get(ownGroup)?.getLog();
+    return {
+      instance,
+      dataCentre,
+      incarnation,
+      configVersion: fleet.view.getVersion(),
+      dataCentreLeader: members.get(ownGroup)?.getLeader() ?? "",
+      dataCentreEpoch: log?.getStatus().term ?? 0,
+      fleetLeader: fleet.findLeader(),
+      stopping: isStopping,
+    };
+  }
+
+  const membership: Membership = createMembership({
+    peers: others,
+    dataCentre,
+    clock,
+    getOwnState,
+    sendHeartbeat: (peer, state, timeoutMs) =>
+      peers.get(peer).call<HeartbeatMessage, HeartbeatMessage>(
+        "Membership.heartbeat",
+        state,
+        { timeoutMs },
+      ),
+  });
+
+  const calls: LeaderCalls = createLeaderCalls({
+    instance,
+    clock,
+    peers,
+    membership,
+    getLocalLeader: (name) =>
+      name === dataCentre ? members.get(ownGroup)?.getLeader() : undefined,
+    handlers: work?.handlers ?? {},
+  });
+
+  function receiveEnvelope(envelope: LogEnvelope): void {
+    if (envelope.group === FLEET_GROUP) fleet.receive(envelope);
+    else members.get(envelope.group)?.receive(envelope);
+  }
+
+  const rpc: RpcServer = await startRpcServer({
+    ...settings.listen.rpc,
+    services: {
+      Consensus: {
+        writeStreams: {
+          send: (stream) => {
+            stream.on("data", receiveEnvelope);
+            stream.on("error", () => {});
+          },
+        },
+      },
+      Fleet: fleet.handlers,
+      Work: { unary: work?.handlers ?? {} },
+      Membership: {
+        unary: {
+          heartbeat: (state: InstanceState) =>
+            Promise.resolve(membership.receiveHeartbeat(state)),
+        },
+      },
+    },
+  });
+  fleet.start();
+
+  const forwarder = createForwarder({
+    clock,
+    connectionsPerEndpoint: settings.requests.connectionsPerEndpoint,
+    maxAnswerBytes: settings.requests.maxAnswerBytes,
+  });
+  const findHome = await createHomeFinder();
+  const routing = createRequestRouting({
+    instance,
+    dataCentre,
+    view: fleet.view,
+    calls,
+    forwarder,
+    retryBudget: createRetryBudget({
+      earnedPerRequest: settings.requests.retryBudgetRatio,
+    }),
+    findHome,
+    listOthers: () =>
+      fleet.view.getState().dataCentres.filter((name) => name !== dataCentre),
+    clock,
+    random,
+    logger,
+  });
+
+  async function callJob(
+    method: string,
+    request: { team: string; job?: Buffer; jobId?: string },
+    jobId: string,
+  ): Promise<JobView> {
+    const home = findHome(
+      { scope: `team:${request.team}`, requestId: jobId },
+      fleet.view.getState().dataCentres,
+    );
+    // A job's identifier makes a repeated submission harmless.
+    const reply = await calls.call<JobReply>(method, request, {
+      dataCentre: home,
+      timeoutMs: JOB_TIMEOUT_MS,
+      idempotent: true,
+    });
+    return JSON.parse(Buffer.from(reply.job).toString());
+  }
+
+  async function announce(
+    method: string,
+    name: string,
+    body: Uint8Array,
+  ) {
+    const reply = await calls.call<JsonBody>(method, { body }, {
+      dataCentre: name,
+      timeoutMs: ANNOUNCE_TIMEOUT_MS,
+      idempotent: true,
+    });
+    return JSON.parse(Buffer.from(reply.body).toString());
+  }
+
+  async function getDataCentreStatus(name: string): Promise<unknown> {
+    try {
+      const reply = await calls.call<JsonBody>("getStatus", {}, {
+        dataCentre: name,
+        timeoutMs: STATUS_TIMEOUT_MS,
+        idempotent: true,
+      });
+      return JSON.parse(Buffer.from(reply.body).toString());
+    } catch (error) {
+      return { dataCentre: name, unreachable: String(error) };
+    }
+  }
+
+  async function getStatus(): Promise<unknown> {
+    const names = fleet.view.getState().dataCentres;
+    const logs = [...members].map(([group, handle]) => ({
+      group,
+      ...handle.getLog()?.getStatus(),
+    }));
+    return {
+      self: getOwnState(),
+      fleet: fleet.getStatus(),
+      logs,
+      peers: membership.list(),
+      dataCentres: await Promise.all(names.map(getDataCentreStatus)),
+    };
+  }
+
+  function listUnreadyReasons(): string[] {
+    const reasons: string[] = [];
+    if (isStopping) reasons.push("the instance is stopping");
+    if (fleet.view.getAgeMs() > READY_AGE_MS && !hasBeenReady) {
+      reasons.push("the configuration has not been confirmed");
+    }
+    if (calls.findLeader(dataCentre) === undefined) {
+      reasons.push(`data centre "${dataCentre}" has no known leader`);
+    }
+    return reasons;
+  }
+
+  let hasBeenReady = false;
+
+  function getReadiness() {
+    const reasons = listUnreadyReasons();
+    const ready = reasons.length === 0;
+    hasBeenReady ||= ready;
+    return { ready, reasons };
+  }
+
+  const isStoppingNow = () => isRefusing;
+  const shared = {
+    dataCentre,
+    view: fleet.view,
+    maxBodyBytes: settings.requests.maxBodyBytes,
+    isStopping: isStoppingNow,
+  };
+  const http: HttpServer = await startHttpServer({
+    ...settings.listen.http,
+    logger,
+    routes: [
+      ...createRequestRoutes({
+        ...shared,
+        defaultDeadlineMs: settings.requests.defaultDeadlineMs,
+        maxDeadlineMs: settings.requests.maxDeadlineMs,
+        execute: routing.execute,
+        findRequest: routing.findRequest,
+      }),
+      ...createJobRoutes({
+        ...shared,
+        submitJob: (team, job) =>
+          callJob(
+            "submitJob",
+            { team, job: Buffer.from(JSON.stringify(job)) },
+            job.id,
+          ),
+        getJob: (team, jobId) => callJob("getJob", { team, jobId }, jobId),
+        cancelJob: (team, jobId) =>
+          callJob("cancelJob", { team, jobId }, jobId),
+      }),
+      ...createAnnounceRoutes({
+        announceEndpoint: (name, body) =>
+          announce("announceEndpoint", name, body),
+        announceWorker: (name, body) => announce("announceWorker", name, body),
+      }),
+      ...createOperatorRoutes({
+        ...(settings.operatorTokenHash === undefined
+          ? {}
+          : { tokenHash: settings.operatorTokenHash }),
+        submitChange: fleet.submitChange,
+        getState: fleet.view.getState,
+        getStatus,
+        renderMetrics: () => Promise.resolve(""),
+        getReadiness,
+      }),
+    ],
+  });
+  logger.info("Instance started", { http: http.port, rpc: rpc.port });
+
+  function sleep(ms: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, ms));
+  }
+
+  async function drain(): Promise<void> {
+    const untilMs = clock.now() + settings.stop.graceMs;
+    while (http.countOpen() > 0 && clock.now() < untilMs) {
+      await sleep(DRAIN_POLL_MS);
+    }
+    if (http.countOpen() > 0) {
+      logger.warn("Stopping with open requests", { open: http.countOpen() });
+    }
+  }
+
+  async function stop(): Promise<void> {
+    if (isStopping) return;
+    isStopping = true;
+    logger.info("Stopping");
+    await sleep(DRAIN_NOTICE_MS);
+    // Leadership moves first, so that requests queued here end as not run and
+    // are taken up by the successor while this instance still forwards.
+    await Promise.all([...members.values()].map((member) => member.stop()));
+    await work?.stop();
+    isRefusing = true;
+    http.stopAccepting();
+    await drain();
+    await forwarder.close();
+    await fleet.stop();
+    membership.stop();
+    await http.close();
+    rpc.close();
+    sender.close();
+    peers.close();
+    logger.info("Stopped");
+  }
+
+  return {
+    httpPort: http.port,
+    rpcPort: rpc.port,
+    isReady: () => getReadiness().ready,
+    stop,
+  };
+}
--- /dev/null
+++ b/src/instance/mod.ts
@@ -0,0 +1,3 @@
+/** Running instances. */
+
+export * from "./instance.ts";
--- /dev/null
+++ b/src/instance/request_routing.ts
@@ -0,0 +1,176 @@
+/**
+ * Decides in which data centre a request runs. An idempotent request stays in
+ * its own data centre while that can serve it. A non-idempotent request that a
+ * caller may resend runs in the home of its identifier, where its record is.
+ */
+
+import {
+  type Clock,
+  createFault,
+  isFault,
+  type Logger,
+  type Random,
+} from "../common/mod.ts";
+import type { FleetView } from "../fleet/mod.ts";
+import type { AdmittedRequest, RequestState } from "../http/mod.ts";
+import {
+  createRequestExecutor,
+  type Forwarder,
+  type HomeFinder,
+  type RecordedAnswer,
+  type RequestExecutor,
+  type RetryBudget,
+  type SlotClient,
+  type SlotReply,
+} from "../requests/mod.ts";
+import type {
+  RequestReply,
+  SlotReply as SlotReplyMessage,
+} from "../rpc/mod.ts";
+import type { LeaderCalls } from "./leader_calls.ts";
+
+/** Time beyond the caller's deadline in which the leader's own refusal can arrive, in milliseconds. */
+const ANSWER_MARGIN_MS = 200;
+
+/** Time for reporting the end of an exchange, in milliseconds. */
+const RELEASE_TIMEOUT_MS = 2_000;
+
+/** Time for asking about a request, in milliseconds. */
+const QUERY_TIMEOUT_MS = 2_000;
+
+/**
+ * Longest wait for a leader of the own data centre before another one is
+ * tried, in milliseconds: an election takes at most about two of the longest
+ * election timeouts.
+ */
+const LEADER_WAIT_MS = 2_500;
+
+/** Options of the routing. */
+export interface RequestRoutingOptions {
+  instance: string;
+  dataCentre: string;
+  view: FleetView;
+  calls: LeaderCalls;
+  forwarder: Forwarder;
+  retryBudget: RetryBudget;
+  findHome: HomeFinder;
+  /** Data centres in the order in which they are tried after the own one. */
+  listOthers: () => string[];
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+}
+
+/** Runs requests in the right data centre. */
+export interface RequestRouting {
+  execute(request: AdmittedRequest): Promise<RecordedAnswer>;
+  findRequest(scope: string, requestId: string): Promise<RequestState>;
+}
+
+function createSlotClient(
+  options: RequestRoutingOptions,
+  dataCentre: string,
+): SlotClient {
+  const { calls } = options;
+  return {
+    async acquire(request, signal): Promise<SlotReply> {
+      const reply = await calls.call<SlotReplyMessage>("acquireSlot", request, {
+        dataCentre,
+        timeoutMs: request.remainingMs + ANSWER_MARGIN_MS,
+        lookupMs: Math.min(request.remainingMs, LEADER_WAIT_MS),
+        // A lost grant expires unused, so asking again is safe.
+        idempotent: request.idempotent,
+        ...(signal === undefined ? {} : { signal }),
+      });
+      if (reply.outcome === "answer" && reply.answer !== undefined) {
+        return { kind: "answer", answer: reply.answer };
+      }
+      if (reply.grant === undefined || reply.grant === null) {
+        throw createFault(
+          "internal",
+          "Cannot read the reply to a slot request",
+        );
+      }
+      return { kind: "grant", ...reply.grant };
+    },
+    async release(release) {
+      await calls.call("releaseSlot", release, {
+        dataCentre,
+        timeoutMs: RELEASE_TIMEOUT_MS,
+        idempotent: true,
+      });
+    },
+  };
+}
+
+function isServedElsewhere(error: unknown): boolean {
+  if (!isFault(error) || error.ran !== "no") return false;
+  return error.kind === "unavailable" || error.kind === "overloaded";
+}
+
+/** Creates the routing. */
+export function createRequestRouting(
+  options: RequestRoutingOptions,
+): RequestRouting {
+  const { clock, dataCentre, view } = options;
+  const executors = new Map<string, RequestExecutor>();
+
+  function getExecutor(name: string): RequestExecutor {
+    const known = executors.get(name);
+    if (known !== undefined) return known;
+    const executor = createRequestExecutor({
+      clock,
+      random: options.random,
+      logger: options.logger,
+      instance: options.instance,
+      slots: createSlotClient(options, name),
+      forwarder: options.forwarder,
+      retryBudget: options.retryBudget,
+    });
+    executors.set(name, executor);
+    return executor;
+  }
+
+  async function executeAnywhere(
+    request: AdmittedRequest,
+  ): Promise<RecordedAnswer> {
+    const deadlineMs = clock.now() + request.remainingMs;
+    let last: unknown;
+    for (const name of [dataCentre, ...options.listOthers()]) {
+      const remainingMs = deadlineMs - clock.now();
+      if (remainingMs <= 0) break;
+      try {
+        return await getExecutor(name).run({ ...request, remainingMs });
+      } catch (error) {
+        if (!isServedElsewhere(error)) throw error;
+        // The refusal of the own data centre tells the caller more.
+        last ??= error;
+      }
+    }
+    throw last;
+  }
+
+  return {
+    execute(request) {
+      const isRepeatable = request.idempotent || !request.isCallerNamed;
+      if (isRepeatable) return executeAnywhere(request);
+      const home = options.findHome(request, view.getState().dataCentres);
+      return getExecutor(home).run(request);
+    },
+    async findRequest(scope, requestId) {
+      const home = options.findHome(
+        { scope, requestId },
+        view.getState().dataCentres,
+      );
+      const reply = await options.calls.call<RequestReply>(
+        "getRequest",
+        { scope, requestId },
+        { dataCentre: home, timeoutMs: QUERY_TIMEOUT_MS, idempotent: true },
+      );
+      return {
+        state: reply.state,
+        ...(reply.answer ? { answer: reply.answer } : {}),
+      };
+    },
+  };
+}
