Fix gangs that were forgotten and starts that were repeated above the allotment

Cause: the longer property run found two faults. A gang whose waiting task became placeable because its peers finished was never queued again. A start that was repeated because its worker did not list the task could take a team above an allotment that had shrunk in the meantime. Ruled out: treating the repeated start as harmless; the first one may have been lost, and then the repeated one is what starts the task.

--- a/src/scheduling/lifecycle.ts
+++ b/src/scheduling/lifecycle.ts
@@ -165,6 +165,8 @@
     state.closing.push({ job, next: 0 });
   }
   if (job.ended === job.tasks.length) endJob(state, job);
+  // The end of a gang task may leave only tasks that wait.
+  else state.queues.add(job);
 }
 
 function computeResult(
--- a/src/scheduling/reports.ts
+++ b/src/scheduling/reports.ts
@@ -5,6 +5,7 @@
 import type { TaskRecord, WorkerRecord } from "./records.ts";
 import {
   addCommitted,
+  isWithinAllotment,
   type SchedulerState,
   subtractCommitted,
   toAttempt,
@@ -212,6 +213,8 @@
   for (const task of worker.tasks) {
     if (task.stage !== "started" || task.isRestored) continue;
     if (task.intervention !== undefined) continue;
+    // The first start may have been lost, so this one may be what starts the task.
+    if (!isWithinAllotment(task.job.team)) continue;
     if (task.startsSent >= MAX_STARTS_SENT) continue;
     if (state.nowMs - task.sentMs < RESEND_MS) continue;
     sendStart(state, task);
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -16,11 +16,16 @@
 import { resolveSchedulerOptions, type SchedulerOptions } from "./options.ts";
 import { runPlacements } from "./placing.ts";
 import { createPreemption } from "./preemption.ts";
-import type { JobRecord, TaskRecord, TeamRecord } from "./records.ts";
+import type { JobRecord, TaskRecord } from "./records.ts";
 import { receiveReport, sendStart } from "./reports.ts";
 import { createReservations } from "./reservations.ts";
 import { checkAllotments } from "./shedding.ts";
-import { createState, getTeam, type SchedulerState } from "./state.ts";
+import {
+  createState,
+  getTeam,
+  isWithinAllotment,
+  type SchedulerState,
+} from "./state.ts";
 import { buildJobView, buildStatus, buildWorkerStatus } from "./status.ts";
 import type { Scheduler, TaskAttempt, TeamSettings } from "./types.ts";
 import { checkWorkers, removeWorker } from "./workers.ts";
@@ -45,11 +50,6 @@
   team.isOverAllotment = !fitsWithin(team.committed, allotment);
 }
 
-/** With a negative allotment nothing new starts, whatever the team holds. */
-function isWithinAllotment(team: TeamRecord): boolean {
-  return team.isKnown && fitsWithin(team.committed, team.allotment);
-}
-
 function findProposed(
   state: SchedulerState,
   { job, index, attempt }: TaskAttempt,
--- a/src/scheduling/state.ts
+++ b/src/scheduling/state.ts
@@ -2,6 +2,7 @@
 
 import {
   addResources,
+  fitsWithin,
   NO_RESOURCES,
   type Resources,
   subtractResources,
@@ -218,6 +219,11 @@
   return computeShare(team.committed, state.capacity) / team.weight;
 }
 
+/** Tells whether tasks of the team may start. With a negative allotment none may, whatever the team holds. */
+export function isWithinAllotment(team: TeamRecord): boolean {
+  return team.isKnown && fitsWithin(team.committed, team.allotment);
+}
+
 /** Names the attempt of a task for an action. */
 export function toAttempt(task: TaskRecord): TaskAttempt {
   return { job: task.job.spec.id, index: task.index, attempt: task.attempt };
