Test the rebalancing policy on a small exchange with delays

Asks of one team now form rounds at least 20 ms apart.

The work in the test that follows the limit from one data centre to another now runs for 6 s instead of 3: with a bound of 5 s, the first requests ended before the last could start, so the condition could not be met.

--- /dev/null
+++ b/bench/allotment_exchange.ts
@@ -0,0 +1,304 @@
+/**
+ * A small exchange of allotments between data centres, for the rebalancing
+ * tests and the bench: real allotments and policies, with messages and log
+ * commits replaced by delays of a manual clock.
+ */
+
+import {
+  type AllotmentAsk,
+  type AllotmentCommand,
+  type AllotmentResult,
+  type Allotments,
+  type AllotmentTransfer,
+  computeFairPart,
+  createAllotments,
+  createRebalancer,
+  type Rebalancer,
+  type TeamLoad,
+} from "../src/allotments/mod.ts";
+import {
+  createManualClock,
+  createSeededRandom,
+  type ManualClock,
+} from "../src/common/mod.ts";
+import {
+  addLimits,
+  createFleetState,
+  encodeCommand,
+  fitsLimits,
+  type FleetOperation,
+  type FleetState,
+  hasPositiveLimit,
+  type Limits,
+  NO_LIMITS,
+  subtractLimits,
+} from "../src/fleet/mod.ts";
+
+/** Work of one team in one data centre that waits or runs. */
+export interface Work {
+  readonly team: string;
+  readonly size: Limits;
+}
+
+/** One data centre of the exchange. */
+export interface ExchangeSite {
+  readonly name: string;
+  readonly allotments: Allotments;
+  readonly rebalancer: Rebalancer;
+  readonly waiting: Work[];
+  readonly running: Set<Work>;
+  /** Whether messages to and from it are lost. */
+  isCut: boolean;
+}
+
+/** Options of `createExchange`; times in milliseconds. */
+export interface ExchangeOptions {
+  dataCentres: string[];
+  teams: Record<string, Limits>;
+  seed: number;
+  /** One way. Default 1.5, as on the design page. */
+  latencyMs?: number;
+  /** Time to commit a command in a data centre log. Default 3. */
+  commitMs?: number;
+  /** Time between calls of the policy. Default 100. */
+  tickMs?: number;
+}
+
+/** Messages by kind. */
+export interface MessageCounts {
+  asks: number;
+  offers: number;
+  transfers: number;
+  acknowledgements: number;
+}
+
+/** The exchange. */
+export interface Exchange {
+  readonly clock: ManualClock;
+  readonly sites: ReadonlyMap<string, ExchangeSite>;
+  readonly counts: MessageCounts;
+  getSite(name: string): ExchangeSite;
+  getHeld(name: string, team: string): Limits;
+  getRunning(name: string, team: string): Limits;
+  /** Adds work; it starts as soon as the team's allotment allows, and runs for `runMs`. */
+  addWork(name: string, work: Work, runMs: number): void;
+  /** Applies operations of the configuration in every site that is not cut off. */
+  changeFleet(...operations: FleetOperation[]): void;
+  /** Advances time; returns false when `isDone` was not reached in `maxMs`. */
+  runUntil(isDone: () => boolean, maxMs: number): boolean;
+}
+
+/** Creates an exchange with all teams configured. */
+export function createExchange(options: ExchangeOptions): Exchange {
+  const { latencyMs = 1.5, commitMs = 3, tickMs = 100 } = options;
+  const clock = createManualClock();
+  const random = createSeededRandom(options.seed);
+  const machine = createFleetState();
+  const counts = { asks: 0, offers: 0, transfers: 0, acknowledgements: 0 };
+  const sites = new Map<string, ExchangeSite>();
+  const runTimes = new Map<Work, number>();
+  // Transfers out that are being committed: no work may start on them.
+  const reserved = new Map<string, Limits>();
+
+  for (const name of options.dataCentres) {
+    sites.set(name, {
+      name,
+      allotments: createAllotments(name),
+      rebalancer: createRebalancer({ dataCentre: name, clock, random }),
+      waiting: [],
+      running: new Set(),
+      isCut: false,
+    });
+  }
+
+  const getSite = (name: string) => sites.get(name)!;
+
+  function sumWork(works: Iterable<Work>, team: string): Limits {
+    let sum = NO_LIMITS;
+    for (const work of works) {
+      if (work.team === team) sum = addLimits(sum, work.size);
+    }
+    return sum;
+  }
+
+  function getState(): FleetState {
+    return machine.getState();
+  }
+
+  function getLoad(site: ExchangeSite, team: string): TeamLoad {
+    const { dataCentres, teams } = getState();
+    const isConfigured = dataCentres.includes(site.name);
+    const limits = teams.get(team)?.limits ?? NO_LIMITS;
+    const committing = reserved.get(`${site.name}/${team}`) ?? NO_LIMITS;
+    return {
+      held: subtractLimits(site.allotments.getHeld(team), committing),
+      running: sumWork(site.running, team),
+      waiting: sumWork(site.waiting, team),
+      fair: isConfigured
+        ? computeFairPart(limits, dataCentres.length)
+        : NO_LIMITS,
+    };
+  }
+
+  function startWork(site: ExchangeSite): void {
+    for (const work of [...site.waiting]) {
+      const load = getLoad(site, work.team);
+      const owed = site.rebalancer.getOwed(work.team, load);
+      const room = subtractLimits(
+        subtractLimits(load.held, owed),
+        load.running,
+      );
+      if (!fitsLimits(work.size, room)) continue;
+      site.waiting.splice(site.waiting.indexOf(work), 1);
+      site.running.add(work);
+      clock.setTimer(runTimes.get(work) ?? 0, () => {
+        site.running.delete(work);
+        startWork(site);
+      });
+    }
+  }
+
+  function send(from: string, to: string, handle: () => void): void {
+    clock.setTimer(latencyMs, () => {
+      if (!getSite(from).isCut && !getSite(to).isCut) handle();
+    });
+  }
+
+  function commit(
+    site: ExchangeSite,
+    command: AllotmentCommand,
+    handle: (result: AllotmentResult) => void,
+  ): void {
+    clock.setTimer(commitMs, () => handle(site.allotments.apply(command)));
+  }
+
+  function sendTransfer(transfer: AllotmentTransfer): void {
+    const { from, to, id } = transfer;
+    const sender = getSite(from);
+    const isOpen = sender.allotments.getTransfersInProgress()
+      .some((open) => open.id === id);
+    if (!isOpen) return;
+    counts.transfers += 1;
+    send(from, to, () => handleTransfer(getSite(to), transfer));
+    clock.setTimer(1_000, () => sendTransfer(transfer));
+  }
+
+  function handleTransfer(site: ExchangeSite, transfer: AllotmentTransfer) {
+    commit(site, { type: "transferIn", transfer }, (result) => {
+      if (result.applied) site.rebalancer.recordReceipt(transfer);
+      startWork(site);
+      counts.acknowledgements += 1;
+      const { from, id: transferId } = transfer;
+      send(site.name, from, () => {
+        const command = { type: "transferAcknowledged", transferId } as const;
+        commit(getSite(from), command, () => {});
+      });
+    });
+  }
+
+  function give(
+    site: ExchangeSite,
+    to: string,
+    team: string,
+    amount: Limits,
+    handle: (given: Limits) => void,
+  ): void {
+    const key = `${site.name}/${team}`;
+    const before = reserved.get(key) ?? NO_LIMITS;
+    reserved.set(key, addLimits(before, amount));
+    commit(site, { type: "transferOut", to, team, amount }, (result) => {
+      const after = subtractLimits(reserved.get(key)!, amount);
+      reserved.set(key, after);
+      const isGiven = result.applied && result.transfer !== undefined;
+      if (isGiven) sendTransfer(result.transfer!);
+      handle(isGiven ? amount : NO_LIMITS);
+    });
+  }
+
+  function handleAsk(site: ExchangeSite, ask: AllotmentAsk): void {
+    const offer = site.rebalancer.computeOffer(ask, getLoad(site, ask.team));
+    const answer = (offered: Limits) => {
+      counts.offers += 1;
+      send(site.name, ask.from, () => {
+        getSite(ask.from).rebalancer.recordOffer(ask, offered);
+        plan(getSite(ask.from));
+      });
+    };
+    if (!hasPositiveLimit(offer)) answer(offer);
+    else give(site, ask.from, ask.team, offer, answer);
+  }
+
+  function plan(site: ExchangeSite): void {
+    const { dataCentres, teams } = getState();
+    const isConfigured = dataCentres.includes(site.name);
+    const loads = new Map<string, TeamLoad>();
+    const names = new Set([...teams.keys(), ...site.allotments.listTeams()]);
+    for (const team of names) loads.set(team, getLoad(site, team));
+    const peers = dataCentres.filter((name) =>
+      name !== site.name && sites.has(name)
+    );
+    for (const ask of site.rebalancer.planAsks(loads, peers)) {
+      counts.asks += 1;
+      send(site.name, ask.to, () => handleAsk(getSite(ask.to), ask));
+    }
+    if (isConfigured) return;
+    const returns = site.rebalancer.planReturns(loads, dataCentres);
+    for (const { team, to, amount } of returns) {
+      give(site, to, team, amount, () => {});
+    }
+  }
+
+  function tick(site: ExchangeSite): void {
+    const command = site.isCut
+      ? undefined
+      : site.allotments.planConfiguration(getState());
+    if (command !== undefined) site.allotments.apply(command);
+    startWork(site);
+    plan(site);
+    clock.setTimer(tickMs, () => tick(site));
+  }
+
+  let changes = 0;
+  function changeFleet(...operations: FleetOperation[]): void {
+    const change = { changeId: `c${changes++}`, operations };
+    const answer = machine.apply(encodeCommand({ at: 0, change }), changes);
+    if (!answer.accepted) throw new Error(answer.fault.message);
+  }
+
+  changeFleet(
+    { type: "setDataCentres", names: options.dataCentres },
+    ...Object.entries(options.teams).map(([name, limits]) => (
+      { type: "createTeam" as const, name, share: 1, limits }
+    )),
+  );
+  // The leaders do not tick in step.
+  for (const site of sites.values()) {
+    clock.setTimer(random.nextFloat() * tickMs, () => tick(site));
+  }
+  clock.advance(tickMs);
+
+  return {
+    clock,
+    sites,
+    counts,
+    getSite,
+    getHeld: (name, team) => getSite(name).allotments.getHeld(team),
+    getRunning: (name, team) => sumWork(getSite(name).running, team),
+    addWork(name, work, runMs) {
+      runTimes.set(work, runMs);
+      const site = getSite(name);
+      site.waiting.push(work);
+      startWork(site);
+      plan(site);
+    },
+    changeFleet,
+    runUntil(isDone, maxMs) {
+      const endMs = clock.now() + maxMs;
+      while (clock.now() < endMs) {
+        if (isDone()) return true;
+        clock.advance(5);
+      }
+      return isDone();
+    },
+  };
+}
--- a/src/allotments/peer_book.ts
+++ b/src/allotments/peer_book.ts
@@ -15,6 +15,9 @@
 /** Time in milliseconds that an offered transfer may take before it is asked for elsewhere. */
 const TRANSFER_TIMEOUT_MS = 5_000;
 
+// Not -Infinity: the difference of two would not be a number.
+const NEVER_MS = Number.MIN_SAFE_INTEGER;
+
 interface Peer {
   /** The ask that is not answered yet. */
   asked: Limits | undefined;
@@ -24,6 +27,8 @@
   offeredAtMs: number;
   nextAskAtMs: number;
   intervalMs: number;
+  /** When it last got something from here; it then probably has the most. */
+  giftAtMs: number;
   /** What it gave last; nothing before the first answer. */
   lastAnswer: "none" | "part" | "all" | undefined;
 }
@@ -39,13 +44,15 @@
 
 /** The peers of one team. */
 export interface PeerBook {
-  /** Peers to ask now, in random order. */
+  /** Peers to ask now: those that got something from here last, then in random order. */
   listCandidates(peers: readonly string[]): string[];
   /** What is asked for or on its way. */
   getExpected(): Limits;
   recordAsk(ask: AllotmentAsk): void;
   recordOffer(ask: AllotmentAsk, offered: Limits): void;
   recordReceipt(from: string, amount: Limits): void;
+  /** Records that something was given to a peer. */
+  recordGift(to: string): void;
 }
 
 /** Creates a book without entries. */
@@ -63,6 +70,7 @@
         offeredAtMs: 0,
         nextAskAtMs: -Infinity,
         intervalMs: options.minAskIntervalMs,
+        giftAtMs: NEVER_MS,
         lastAnswer: undefined,
       };
       peers.set(name, peer);
@@ -114,8 +122,12 @@
       );
       const chosen = generous.length > 0 ? generous : ready;
       return chosen
-        .map((name) => ({ name, key: random.nextFloat() }))
-        .sort((a, b) => a.key - b.key)
+        .map((name) => ({
+          name,
+          key: random.nextFloat(),
+          giftAtMs: peers.get(name)?.giftAtMs ?? NEVER_MS,
+        }))
+        .sort((a, b) => b.giftAtMs - a.giftAtMs || a.key - b.key)
         .map(({ name }) => name);
     },
     getExpected() {
@@ -155,5 +167,8 @@
       peer.offered = subtractLimits(peer.offered, amount);
       peer.offeredAtMs = clock.now();
     },
+    recordGift(to) {
+      getPeer(to).giftAtMs = clock.now();
+    },
   };
 }
--- a/src/allotments/rebalancer.ts
+++ b/src/allotments/rebalancer.ts
@@ -48,6 +48,12 @@
   // target "within seconds" leaves room for two.
   keepMs: 2_000,
   stuckMs: 2_000,
+  // Work that arrives piece by piece would otherwise send an ask for each piece.
+  minRoundMs: 20,
+  // Nothing waits for levelling. With 890 teams and 35 data centres, asking
+  // as eagerly as for waiting work would flood the peers of a busy team.
+  minLevelIntervalMs: 5_000,
+  maxLevelIntervalMs: 60_000,
   // At about 50 microseconds a message, 5% of a core.
   maxAsksPerSecond: 1_000,
 });
@@ -79,7 +85,10 @@
   /** When idle allotment began to be too small for the own waiting work. */
   stuckSinceMs: number | undefined;
   lastRunning: Limits;
+  lastRoundAtMs: number;
   hasYielded: boolean;
+  nextLevelAtMs: number;
+  levelIntervalMs: number;
 }
 
 /** Computes the even part of limits, rounded down so that the parts never exceed the limit. */
@@ -160,7 +169,10 @@
         debts: new Map(),
         stuckSinceMs: undefined,
         lastRunning: NO_LIMITS,
+        lastRoundAtMs: -Infinity,
         hasYielded: false,
+        nextLevelAtMs: clock.now() + settings.minLevelIntervalMs,
+        levelIntervalMs: settings.minLevelIntervalMs,
       };
       teams.set(name, team);
     }
@@ -178,12 +190,30 @@
     team.lastRunning = load.running;
   }
 
+  function isLevellingDue(team: TeamState): boolean {
+    if (clock.now() < team.nextLevelAtMs) return false;
+    team.nextLevelAtMs = clock.now() + team.levelIntervalMs;
+    team.levelIntervalMs = Math.min(
+      settings.maxLevelIntervalMs,
+      team.levelIntervalMs * 2,
+    );
+    return true;
+  }
+
+  // The next levelling after something was given away or received.
+  function restartLevelling(team: TeamState): void {
+    team.levelIntervalMs = settings.minLevelIntervalMs;
+    team.nextLevelAtMs = clock.now() + team.levelIntervalMs;
+  }
+
   function buildAsks(
     name: string,
     load: TeamLoad,
     peers: readonly string[],
   ): AllotmentAsk[] {
     const team = getTeam(name);
+    const sinceRoundMs = clock.now() - team.lastRoundAtMs;
+    if (sinceRoundMs < settings.minRoundMs) return [];
     const shortage = computeShortage(load);
     const levelling = !hasPositiveLimit(shortage);
     const wanted = levelling ? computeLevelling(load) : shortage;
@@ -191,29 +221,40 @@
       subtractLimits(wanted, team.peers.getExpected()),
     );
     if (!hasPositiveLimit(need)) return [];
-    const candidates = team.peers.listCandidates(peers);
-    const count = computePeerCount(need, candidates.length);
-    // Rounded up for each peer: a busy peer owes no more than it has above
-    // its fair part, and only one of them may have anything above it.
+    if (levelling && !isLevellingDue(team)) return [];
+    // Each ask names the whole difference to the fair part as far as it asks
+    // for it: often only one peer has anything above its own fair part.
     const entitled = levelling
       ? NO_LIMITS
       : takePositive(subtractLimits(load.fair, load.held));
+    return sendAsks(team, peers, (to, part) => ({
+      from: dataCentre,
+      to,
+      team: name,
+      wanted: part,
+      entitled: takeSmaller(part, entitled),
+      levelling,
+    }), need);
+  }
+
+  function sendAsks(
+    team: TeamState,
+    peers: readonly string[],
+    build: (to: string, part: Limits) => AllotmentAsk,
+    need: Limits,
+  ): AllotmentAsk[] {
+    const candidates = team.peers.listCandidates(peers);
+    const count = computePeerCount(need, candidates.length);
     const asks: AllotmentAsk[] = [];
-    for (let i = 0; i < count; i++) {
+    for (const [i, to] of candidates.slice(0, count).entries()) {
       const part = computeSplit(need, count, i);
       if (!hasPositiveLimit(part)) continue;
       if (!bucket.take()) break;
-      const ask = {
-        from: dataCentre,
-        to: candidates[i]!,
-        team: name,
-        wanted: part,
-        entitled: takeSmaller(part, entitled),
-        levelling,
-      };
+      const ask = build(to, part);
       team.peers.recordAsk(ask);
       asks.push(ask);
     }
+    if (asks.length > 0) team.lastRoundAtMs = clock.now();
     return asks;
   }
 
@@ -264,6 +305,19 @@
 
   function computeOffer(ask: AllotmentAsk, load: TeamLoad): Limits {
     const team = getTeam(ask.team);
+    const offered = computeTeamOffer(team, ask, load);
+    if (hasPositiveLimit(offered)) {
+      team.peers.recordGift(ask.from);
+      restartLevelling(team);
+    }
+    return offered;
+  }
+
+  function computeTeamOffer(
+    team: TeamState,
+    ask: AllotmentAsk,
+    load: TeamLoad,
+  ): Limits {
     const free = takePositive(subtractLimits(load.held, load.running));
     const aboveFair = takePositive(subtractLimits(load.held, load.fair));
     const needed = mergeLimits(
@@ -309,6 +363,7 @@
       const team = getTeam(transfer.team);
       team.peers.recordReceipt(transfer.from, transfer.amount);
       team.hasYielded = false;
+      restartLevelling(team);
     },
     getOwed(name, load) {
       const team = teams.get(name);
--- /dev/null
+++ b/src/allotments/rebalancer_test.ts
@@ -0,0 +1,207 @@
+import t from "tap";
+import {
+  createExchange,
+  type Exchange,
+} from "../../bench/allotment_exchange.ts";
+import { createSeededRandom } from "../common/mod.ts";
+import { type Limits, NO_LIMITS } from "../fleet/mod.ts";
+
+const SEED = 20_261_204;
+const slots = (count: number): Limits => ({ ...NO_LIMITS, slots: count });
+const ONE = { team: "t", size: slots(1) };
+const LONG_MS = 3_600_000;
+
+function addRequests(
+  exchange: Exchange,
+  name: string,
+  count: number,
+  runMs: number,
+): void {
+  for (let i = 0; i < count; i++) exchange.addWork(name, { ...ONE }, runMs);
+}
+
+function sumRunning(exchange: Exchange): number {
+  let sum = 0;
+  for (const name of exchange.sites.keys()) {
+    sum += exchange.getRunning(name, "t").slots;
+  }
+  return sum;
+}
+
+const createNames = (count: number) =>
+  Array.from({ length: count }, (_, i) => `dc${i + 10}`);
+
+// Guards against a team that cannot use its limit where its work is, although
+// the other data centres are idle, and against floods of messages.
+t.test("one data centre gets the whole limit within seconds", (t) => {
+  t.comment(`seed ${SEED}`);
+  for (const count of [3, 4, 35]) {
+    const dataCentres = createNames(count);
+    const exchange = createExchange({
+      dataCentres,
+      teams: { t: slots(100) },
+      seed: SEED,
+    });
+    addRequests(exchange, dataCentres[0]!, 100, LONG_MS);
+    const isDone = () => sumRunning(exchange) === 100;
+    // "Within seconds" is taken as 5 s, and each peer may be asked and answer
+    // a few times only.
+    t.ok(exchange.runUntil(isDone, 5_000), `${count} data centres`);
+    const { asks } = exchange.counts;
+    t.ok(asks <= 3 * (count - 1), `${asks} asks to ${count - 1} peers`);
+  }
+  t.end();
+});
+
+// Guards against allotment that stays where it was used, seconds after the
+// work there has ended.
+t.test("the limit follows the work from one data centre to another", (t) => {
+  const exchange = createExchange({
+    dataCentres: ["a", "b", "c"],
+    teams: { t: slots(31) },
+    seed: SEED,
+  });
+  for (const name of ["a", "b", "c", "a"]) {
+    // The work outlasts the bound, or the first would end before the last starts.
+    addRequests(exchange, name, 31, 6_000);
+    const isFull = () => exchange.getRunning(name, "t").slots === 31;
+    t.ok(exchange.runUntil(isFull, 5_000), name);
+    exchange.runUntil(() => sumRunning(exchange) === 0, 7_000);
+  }
+  t.end();
+});
+
+// Guards against a busy data centre that never gives another one its part.
+t.test("endless work in one data centre does not starve another", (t) => {
+  const exchange = createExchange({
+    dataCentres: ["a", "b", "c"],
+    teams: { t: slots(30) },
+    seed: SEED,
+  });
+  const random = createSeededRandom(SEED);
+  const feed = (name: string) => {
+    const { waiting } = exchange.getSite(name);
+    while (waiting.length < 50) {
+      exchange.addWork(name, { ...ONE }, 500 + random.nextInt(1_000));
+    }
+  };
+  const runFor = (names: string[], ms: number) => {
+    for (let passedMs = 0; passedMs < ms; passedMs += 50) {
+      names.forEach(feed);
+      exchange.clock.advance(50);
+    }
+  };
+  runFor(["a"], 5_000);
+  t.equal(exchange.getHeld("a", "t").slots, 30);
+  runFor(["a", "b"], 15_000);
+  const held = exchange.getHeld("b", "t").slots;
+  t.ok(held >= 10, `b has ${held}, its fair part is 10`);
+  const { transfers } = exchange.counts;
+  runFor(["a", "b"], 30_000);
+  const moved = exchange.counts.transfers - transfers;
+  // Both are busy all the time, so nothing has a reason to move.
+  t.ok(moved <= 3, `${moved} transfers in 30 s of steady load`);
+  t.end();
+});
+
+// Guards against allotment that moves to and fro with the gaps between short
+// requests.
+t.test("short gaps in the work move nothing", (t) => {
+  const exchange = createExchange({
+    dataCentres: ["a", "b"],
+    teams: { t: slots(20) },
+    seed: SEED,
+  });
+  for (let round = 0; round < 60; round++) {
+    // Each has bursts of its whole part and gaps of half a second, in turn.
+    addRequests(exchange, round % 2 === 0 ? "a" : "b", 12, 400);
+    exchange.clock.advance(500);
+  }
+  const { transfers } = exchange.counts;
+  // Twelve requests for ten slots: without hysteresis each of the 60 rounds
+  // would move two slots over and back.
+  t.ok(transfers <= 10, `${transfers} transfers in 60 rounds`);
+  t.end();
+});
+
+// Guards against data centres that each keep too little for a large task and
+// wait for each other for ever.
+t.test("large tasks in all data centres run one after another", (t) => {
+  for (const count of [2, 4]) {
+    const dataCentres = createNames(count);
+    const exchange = createExchange({
+      dataCentres,
+      teams: { t: slots(10) },
+      seed: SEED,
+    });
+    const large = { team: "t", size: slots(8) };
+    for (const name of dataCentres) {
+      exchange.addWork(name, { ...large }, 1_000);
+      exchange.addWork(name, { ...large }, 1_000);
+    }
+    let most = 0;
+    const isDone = () => {
+      most = Math.max(most, sumRunning(exchange));
+      const sites = [...exchange.sites.values()];
+      return sites.every((site) =>
+        site.waiting.length === 0 && site.running.size === 0
+      );
+    };
+    t.ok(exchange.runUntil(isDone, 300_000), `${count} data centres`);
+    t.ok(most <= 10);
+    t.comment(`${count} data centres: ${exchange.clock.now()} ms`);
+  }
+  t.end();
+});
+
+// Guards against a new data centre that never gets a part, against a removed
+// one that keeps its part, and against one that was cut off and gets nothing.
+t.test("data centres that come, leave and return get and give", (t) => {
+  const exchange = createExchange({
+    dataCentres: ["a", "b", "c"],
+    teams: { t: slots(30) },
+    seed: SEED,
+  });
+  const getHeld = (name: string) => exchange.getHeld(name, "t").slots;
+  exchange.changeFleet({ type: "setDataCentres", names: ["a", "b"] });
+  t.ok(exchange.runUntil(() => getHeld("c") === 0, 2_000), "c has given back");
+  t.ok(exchange.runUntil(() => getHeld("a") + getHeld("b") === 30, 2_000));
+  exchange.changeFleet({ type: "setDataCentres", names: ["a", "b", "c"] });
+  // Levelling is not urgent: half a minute.
+  t.ok(exchange.runUntil(() => getHeld("c") >= 5, 30_000), "c has a part");
+  exchange.getSite("b").isCut = true;
+  addRequests(exchange, "a", 30, 10_000);
+  const isFull = () => getHeld("a") === 30 - getHeld("b");
+  t.ok(exchange.runUntil(isFull, 5_000), "b keeps its part");
+  exchange.getSite("b").isCut = false;
+  const all = () => exchange.getRunning("a", "t").slots === 30;
+  t.ok(exchange.runUntil(all, 10_000), "a gets the part of b");
+  t.end();
+});
+
+// Guards against a lowered limit that never comes into force because one data
+// centre holds less than nothing.
+t.test("a lowered limit comes into force", (t) => {
+  const exchange = createExchange({
+    dataCentres: ["a", "b", "c"],
+    teams: { t: slots(30) },
+    seed: SEED,
+  });
+  addRequests(exchange, "a", 30, 3_000);
+  exchange.runUntil(() => sumRunning(exchange) === 30, 5_000);
+  exchange.changeFleet({
+    type: "updateTeam",
+    name: "t",
+    limits: { slots: 6 },
+  });
+  const isInForce = () =>
+    [...exchange.sites.values()].every((site) =>
+      site.allotments.getAppliedVersion() === 2 &&
+      exchange.getRunning(site.name, "t").slots <=
+        exchange.getHeld(site.name, "t").slots
+    );
+  // The work ends after 3 s; then the others get their difference back.
+  t.ok(exchange.runUntil(isInForce, 15_000), "in force");
+  t.ok(sumRunning(exchange) <= 6);
+  t.end();
+});
--- a/src/allotments/types.ts
+++ b/src/allotments/types.ts
@@ -154,6 +154,11 @@
   keepMs?: number;
   /** How long idle allotment that is too small for the own work is kept. Default 2,000. */
   stuckMs?: number;
+  /** Least time between two rounds of asks for one team. Default 20. */
+  minRoundMs?: number;
+  /** First and longest time between two rounds of levelling asks for one team. Defaults 5,000 and 60,000. */
+  minLevelIntervalMs?: number;
+  maxLevelIntervalMs?: number;
   /** Bound on the asks of all teams together. Default 1,000. */
   maxAsksPerSecond?: number;
 }
