--- a/src/settings/resolve_test.ts
+++ b/src/settings/resolve_test.ts
@@ -422,7 +422,7 @@
   t.end();
 });
 
-async function catchFault(run: () => unknown): Promise<string> {
+async function getFaultText(run: () => unknown): Promise<string> {
   try {
     await run();
   } catch (error) {
@@ -435,7 +435,7 @@
 // Guards against a crash, in place of a fault, on input that is no object at all.
 t.test("input that is no object is refused", async (t) => {
   for (const input of [undefined, null, 3, "x", [], [createDraft()]]) {
-    const fault = await catchFault(() => resolveSettings(input));
+    const fault = await getFaultText(() => resolveSettings(input));
     t.match(fault, /^badRequest: Cannot accept settings/);
   }
 });
@@ -449,8 +449,8 @@
   const settings = await loadSettings(path);
   t.equal(settings.dataFolder, join(folder, "state"));
   await writeFile(path, "{ instance: a1 }");
-  const malformed = await catchFault(() => loadSettings(path));
+  const malformed = await getFaultText(() => loadSettings(path));
   t.match(malformed, /^badRequest: Cannot parse settings file .* as JSON: /);
-  const absent = await catchFault(() => loadSettings(join(folder, "absent")));
+  const absent = await getFaultText(() => loadSettings(join(folder, "absent")));
   t.match(absent, /^badRequest: Cannot read settings file .* ENOENT/);
 });
--- a/src/settings/settings_page_test.ts
+++ b/src/settings/settings_page_test.ts
@@ -17,15 +17,15 @@
   readonly default?: string;
 }
 
-function unwrap(schema: z.core.$ZodType): Unwrapped {
+function getInner(schema: z.core.$ZodType): Unwrapped {
   if (schema instanceof z.ZodDefault) {
     const value = JSON.stringify(schema.def.defaultValue);
-    return { ...unwrap(schema.unwrap()), default: value };
+    return { ...getInner(schema.unwrap()), default: value };
   }
   if (schema instanceof z.ZodOptional) {
-    return { ...unwrap(schema.unwrap()), default: "none" };
+    return { ...getInner(schema.unwrap()), default: "none" };
   }
-  if (schema instanceof z.ZodPrefault) return unwrap(schema.unwrap());
+  if (schema instanceof z.ZodPrefault) return getInner(schema.unwrap());
   return { schema };
 }
 
@@ -41,7 +41,7 @@
   wrapped: z.core.$ZodType,
   inherited?: string,
 ): Row[] {
-  const { schema, default: found } = unwrap(wrapped);
+  const { schema, default: found } = getInner(wrapped);
   if (schema instanceof z.ZodObject) {
     const prefix = name === "" ? "" : `${name}.`;
     return Object.entries(schema.shape).flatMap(([key, inner]) =>
