--- /dev/null
+++ b/src/requests/announcement.ts
@@ -0,0 +1,39 @@
+/** Validation of the announcements of endpoints, which come from outside. */
+
+import { z } from "zod";
+import { createFault } from "../common/mod.ts";
+import type { EndpointAnnouncement } from "./types.ts";
+
+const MAX_NAME_LENGTH = 200;
+const MAX_QUEUES = 1_000;
+/** Far above any endpoint of today; keeps a wrong announcement from drawing all work. */
+const MAX_SLOTS = 10_000;
+
+const NAME = z.string().min(1).max(MAX_NAME_LENGTH);
+
+const ANNOUNCEMENT = z.strictObject({
+  endpoint: NAME,
+  address: z.url({ protocol: /^https?$/ }).max(MAX_NAME_LENGTH),
+  dataCentre: NAME,
+  incarnation: z.int().nonnegative(),
+  queues: z.array(NAME).max(MAX_QUEUES),
+  slots: z.int().nonnegative().max(MAX_SLOTS),
+  connections: z.int().nonnegative().max(MAX_SLOTS),
+  inFlight: z.int().nonnegative(),
+  departing: z.boolean(),
+});
+
+/** Returns `input` as an announcement; throws `badRequest` naming each wrong field. */
+export function parseEndpointAnnouncement(
+  input: unknown,
+): EndpointAnnouncement {
+  const result = ANNOUNCEMENT.safeParse(input);
+  if (result.success) return result.data;
+  const problems = result.error.issues.map((issue) =>
+    `${issue.path.join(".") || "announcement"}: ${issue.message}`
+  );
+  throw createFault(
+    "badRequest",
+    `Cannot read endpoint announcement: ${problems.join("; ")}`,
+  );
+}
--- /dev/null
+++ b/src/requests/connection_budget.ts
@@ -0,0 +1,88 @@
+/**
+ * The connections that all entry instances together may hold to one endpoint.
+ *
+ * An entry instance opens a connection only for a grant, reuses an idle one
+ * when it has one, and closes it after a short idle time. The leader, which
+ * gives every grant, can therefore count the connections that may be open: one
+ * for each grant in use, and one for each ended grant until its connection has
+ * certainly been closed. A static part for each instance alone was ruled out:
+ * with more entry instances than connections it is below one connection.
+ */
+
+/** Settings of a connection budget. */
+export interface ConnectionBudgetOptions {
+  /** Milliseconds after the end of a grant at which its connection is closed. */
+  readonly idleMs: number;
+  /** Connections that one entry instance may hold to one endpoint. */
+  readonly maxPerInstance: number;
+}
+
+/** The connections to one endpoint. */
+export interface ConnectionBudget {
+  /** Tells whether `instance` may use one more connection. */
+  hasRoom(instance: string, connections: number, nowMs: number): boolean;
+  openGrant(instance: string): void;
+  closeGrant(instance: string, nowMs: number): void;
+  /** Connections that may be open now. */
+  getCount(nowMs: number): number;
+}
+
+interface Holding {
+  busy: number;
+  /** Times at which idle connections are closed, earliest first. */
+  idleUntilMs: number[];
+}
+
+/** Returns the part of `connections` that each of `instances` may hold, at least 1. */
+export function computeConnectionShare(
+  connections: number,
+  instances: number,
+): number {
+  return Math.max(1, Math.floor(connections / Math.max(1, instances)));
+}
+
+/** Creates the budget of one endpoint. */
+export function createConnectionBudget(
+  options: ConnectionBudgetOptions,
+): ConnectionBudget {
+  const { idleMs, maxPerInstance } = options;
+  const holdings = new Map<string, Holding>();
+
+  function removeClosed(nowMs: number): number {
+    let count = 0;
+    for (const [instance, holding] of holdings) {
+      const firstOpen = holding.idleUntilMs.findIndex((ms) => ms > nowMs);
+      if (firstOpen < 0) holding.idleUntilMs.length = 0;
+      else if (firstOpen > 0) holding.idleUntilMs.splice(0, firstOpen);
+      const held = holding.busy + holding.idleUntilMs.length;
+      if (held === 0) holdings.delete(instance);
+      count += held;
+    }
+    return count;
+  }
+
+  return {
+    hasRoom(instance, connections, nowMs) {
+      const count = removeClosed(nowMs);
+      const holding = holdings.get(instance);
+      if (holding === undefined) return count < connections;
+      if (holding.idleUntilMs.length > 0) return true;
+      return count < connections && holding.busy < maxPerInstance;
+    },
+    openGrant(instance) {
+      const holding = holdings.get(instance) ?? { busy: 0, idleUntilMs: [] };
+      holdings.set(instance, holding);
+      holding.busy += 1;
+      // Which idle connection is reused is not known; assuming the one that
+      // closes first never counts too few.
+      holding.idleUntilMs.shift();
+    },
+    closeGrant(instance, nowMs) {
+      const holding = holdings.get(instance);
+      if (holding === undefined) return;
+      holding.busy -= 1;
+      holding.idleUntilMs.push(nowMs + idleMs);
+    },
+    getCount: removeClosed,
+  };
+}
--- /dev/null
+++ b/src/requests/endpoints.ts
@@ -0,0 +1,399 @@
+/**
+ * The endpoint table of the data centre leader: which endpoints may be used,
+ * and how many slots and connections of each are taken. It lives in memory and
+ * is rebuilt from announcements after a takeover.
+ */
+
+import { type Clock, createFault, type Random } from "../common/mod.ts";
+import { parseEndpointAnnouncement } from "./announcement.ts";
+import {
+  type ConnectionBudget,
+  createConnectionBudget,
+} from "./connection_budget.ts";
+import {
+  ANNOUNCE_PERIOD_MS,
+  ANNOUNCEMENT_DELAY_MS,
+  ARRIVAL_MS,
+  CONNECTION_IDLE_MS,
+  GRANT_GRACE_MS,
+  GRANT_VALID_MS,
+  MISSED_ANNOUNCEMENTS,
+} from "./constants.ts";
+import type { QueuePool } from "./fair_queue_types.ts";
+import {
+  createOutlierDetector,
+  type EndpointHealth,
+  type OutlierOptions,
+} from "./outliers.ts";
+import {
+  createSlotLedger,
+  type LedgerGrant,
+  type SlotLedger,
+} from "./slot_ledger.ts";
+import type { EndpointAnnouncement, RequestOutcome } from "./types.ts";
+
+/** Settings of an endpoint table; times in milliseconds. */
+export interface EndpointTableOptions {
+  clock: Clock;
+  /** Breaks ties between equally loaded endpoints. */
+  random: Random;
+  dataCentre: string;
+  /**
+   * Monotonic time from which announcements count. Earlier ones may have been
+   * taken before the last request of a former leader reached the endpoint.
+   * Default: at once.
+   */
+  acceptFromMs?: number;
+  /** Default 1,000. */
+  announcePeriodMs?: number;
+  /** Longest age of an announcement when it arrives. Default 500. */
+  announcementDelayMs?: number;
+  /** How long a grant may be unused. Default 1,000. */
+  grantValidMs?: number;
+  /** Time after which an entry instance closes an idle connection. Default 2,000. */
+  connectionIdleMs?: number;
+  /** Connections of one entry instance to one endpoint. Default 6: 60 over 9. */
+  connectionsPerEndpoint?: number;
+  outliers?: OutlierOptions;
+}
+
+/** What a request needs from an endpoint. */
+export interface EndpointNeed {
+  readonly queue: string;
+  readonly instance: string;
+  readonly idempotent: boolean;
+  readonly avoid: readonly string[];
+}
+
+/** An open grant at an endpoint. */
+export interface EndpointGrant {
+  readonly endpoint: string;
+  readonly address: string;
+  readonly instance: string;
+}
+
+/** How a grant at an endpoint ended; "expired" when nobody released it. */
+export interface EndpointGrantEnd {
+  readonly outcome: RequestOutcome | "expired";
+  readonly durationMs: number;
+}
+
+/** The state of an endpoint as operators see it. */
+export interface EndpointStatus {
+  readonly endpoint: string;
+  readonly address: string;
+  readonly incarnation: number;
+  readonly slots: number;
+  readonly open: number;
+  /** Requests that may be running without an open grant. */
+  readonly excess: number;
+  readonly connections: number;
+  readonly health: EndpointHealth;
+  readonly isAnnounced: boolean;
+  readonly isDeparting: boolean;
+  readonly isRecounting: boolean;
+}
+
+/** The endpoint table. */
+export interface EndpointTable {
+  /**
+   * Takes an announcement; false when it is of an older incarnation or came
+   * too early to count. Throws `badRequest` when it is malformed or is meant
+   * for another data centre.
+   */
+  receiveAnnouncement(input: unknown): boolean;
+  /** Picks the least loaded usable endpoint; undefined when none has room. */
+  pick(need: EndpointNeed): string | undefined;
+  /** Takes a slot at an endpoint that `pick` returned. */
+  openGrant(endpoint: string, instance: string): EndpointGrant;
+  closeGrant(grant: EndpointGrant, end: EndpointGrantEnd): void;
+  /** Tells whether some usable endpoint has a free slot. */
+  hasFreeSlot(): boolean;
+  /** Slots of the usable endpoints that serve a queue, and the queues they share. */
+  getPool(queue: string): QueuePool;
+  list(): EndpointStatus[];
+}
+
+interface EndpointState {
+  announcement: EndpointAnnouncement;
+  queues: ReadonlySet<string>;
+  announcedAtMs: number;
+  isDeparting: boolean;
+  isRecounting: boolean;
+  ledger: SlotLedger;
+  connections: ConnectionBudget;
+}
+
+interface GrantState extends EndpointGrant {
+  readonly state: EndpointState;
+  readonly ledgerGrant: LedgerGrant;
+  isOpen: boolean;
+}
+
+const DEFAULT_CONNECTIONS_PER_ENDPOINT = 6;
+
+/** Part of the endpoints that may be counted anew at once: each pauses meanwhile. */
+const MAX_RECOUNTING_PART = 0.1;
+
+/** Announcement periods after which a silent endpoint without grants is forgotten. */
+const FORGET_PERIODS = 60;
+
+/** Creates an empty endpoint table. */
+export function createEndpointTable(
+  options: EndpointTableOptions,
+): EndpointTable {
+  const { clock, random, dataCentre } = options;
+  const acceptFromMs = options.acceptFromMs ?? -Infinity;
+  const announcePeriodMs = options.announcePeriodMs ?? ANNOUNCE_PERIOD_MS;
+  const announcementDelayMs = options.announcementDelayMs ??
+    ANNOUNCEMENT_DELAY_MS;
+  const grantValidMs = options.grantValidMs ?? GRANT_VALID_MS;
+  const suspectAfterMs = announcePeriodMs * MISSED_ANNOUNCEMENTS;
+  // A recount pauses an endpoint until its grants are settled and it announces.
+  const recountPauseMs = grantValidMs + ARRIVAL_MS + announcementDelayMs +
+    announcePeriodMs;
+  const endpoints = new Map<string, EndpointState>();
+  const outliers = createOutlierDetector(clock, options.outliers);
+
+  function isAnnounced(state: EndpointState): boolean {
+    return clock.now() - state.announcedAtMs <= suspectAfterMs;
+  }
+
+  /** Usable as far as announcements go; ejection is judged apart. */
+  function isPresent(state: EndpointState): boolean {
+    return isAnnounced(state) && !state.isDeparting;
+  }
+
+  function isUsable(state: EndpointState): boolean {
+    return isPresent(state) &&
+      outliers.getHealth(state.announcement.endpoint) !== "ejected";
+  }
+
+  function hasSlot(state: EndpointState): boolean {
+    if (!isUsable(state) || state.isRecounting) return false;
+    const inUse = state.ledger.getInUse();
+    if (inUse >= state.announcement.slots) return false;
+    const health = outliers.getHealth(state.announcement.endpoint);
+    return health === "healthy" || state.ledger.getOpenCount() === 0;
+  }
+
+  function hasRoomFor(state: EndpointState, need: EndpointNeed): boolean {
+    if (!state.queues.has(need.queue) || !hasSlot(state)) return false;
+    const { endpoint, connections } = state.announcement;
+    // A probe may fail, so work that cannot be repeated is no probe while
+    // another endpoint serves its queue.
+    if (
+      !need.idempotent && outliers.getHealth(endpoint) === "probing" &&
+      hasOther(need.queue, (other) => isHealthy(other))
+    ) return false;
+    return state.connections.hasRoom(need.instance, connections, clock.now());
+  }
+
+  function isHealthy(state: EndpointState): boolean {
+    return isUsable(state) &&
+      outliers.getHealth(state.announcement.endpoint) === "healthy";
+  }
+
+  function hasOther(
+    queue: string,
+    accepts: (state: EndpointState) => boolean,
+  ): boolean {
+    for (const state of endpoints.values()) {
+      if (state.queues.has(queue) && accepts(state)) return true;
+    }
+    return false;
+  }
+
+  function pick(need: EndpointNeed): string | undefined {
+    const { avoid } = need;
+    // To wait for a slot elsewhere is better than to fail again at the same
+    // endpoint, but only while there is an elsewhere.
+    const isAvoiding = avoid.length > 0 && hasOther(
+      need.queue,
+      (other) =>
+        isUsable(other) && !avoid.includes(other.announcement.endpoint),
+    );
+    let best: string | undefined;
+    let bestLoad = Infinity;
+    let ties = 0;
+    for (const [endpoint, state] of endpoints) {
+      if (isAvoiding && avoid.includes(endpoint)) continue;
+      if (!hasRoomFor(state, need)) continue;
+      const load = state.ledger.getInUse() / state.announcement.slots;
+      if (load > bestLoad) continue;
+      ties = load < bestLoad ? 1 : ties + 1;
+      if (ties === 1 || random.nextInt(ties) === 0) best = endpoint;
+      bestLoad = load;
+    }
+    return best;
+  }
+
+  function updateRecount(state: EndpointState): void {
+    const { ledger, announcement } = state;
+    const sinceMs = ledger.getExcessSince();
+    if (state.isRecounting) {
+      // While paused all grants settle, so that this report is exact.
+      const isDone = sinceMs === undefined || ledger.isSettled(clock.now());
+      if (isDone) state.isRecounting = false;
+      return;
+    }
+    if (sinceMs === undefined) return;
+    // Under steady load reports never fall below the excess. It is counted
+    // anew once it has cost as much slot time as the pause will.
+    const lostMs = ledger.getExcess() * (clock.now() - sinceMs);
+    if (lostMs < announcement.slots * recountPauseMs) return;
+    let recounting = 0;
+    for (const other of endpoints.values()) {
+      if (other.isRecounting) recounting += 1;
+    }
+    const atMost = Math.max(
+      1,
+      Math.floor(endpoints.size * MAX_RECOUNTING_PART),
+    );
+    if (recounting < atMost) state.isRecounting = true;
+  }
+
+  function addEndpoint(announcement: EndpointAnnouncement): void {
+    endpoints.set(announcement.endpoint, {
+      announcement,
+      queues: new Set(announcement.queues),
+      announcedAtMs: clock.now(),
+      isDeparting: announcement.departing,
+      isRecounting: false,
+      ledger: createSlotLedger(announcement.inFlight, clock.now(), {
+        announcementDelayMs,
+        grantValidMs,
+        arrivalMs: ARRIVAL_MS,
+      }),
+      connections: createConnectionBudget({
+        // Covers an idle timer that fires late.
+        idleMs: GRANT_GRACE_MS +
+          (options.connectionIdleMs ?? CONNECTION_IDLE_MS),
+        maxPerInstance: options.connectionsPerEndpoint ??
+          DEFAULT_CONNECTIONS_PER_ENDPOINT,
+      }),
+    });
+    outliers.add(announcement.endpoint);
+  }
+
+  function updateEndpoint(
+    state: EndpointState,
+    announcement: EndpointAnnouncement,
+  ): void {
+    const hasRestarted =
+      announcement.incarnation > state.announcement.incarnation;
+    // Announcements may be reordered, so a departure holds for the whole
+    // incarnation.
+    state.isDeparting = announcement.departing ||
+      (state.isDeparting && !hasRestarted);
+    state.announcement = announcement;
+    state.queues = new Set(announcement.queues);
+    state.announcedAtMs = clock.now();
+    const { inFlight } = announcement;
+    state.ledger.receiveReport({ inFlight, hasRestarted }, clock.now());
+    updateRecount(state);
+  }
+
+  function removeForgotten(): void {
+    for (const [endpoint, state] of endpoints) {
+      const silentMs = clock.now() - state.announcedAtMs;
+      if (silentMs <= announcePeriodMs * FORGET_PERIODS) continue;
+      if (state.ledger.getOpenCount() > 0) continue;
+      endpoints.delete(endpoint);
+      outliers.remove(endpoint);
+    }
+  }
+
+  function receiveAnnouncement(input: unknown): boolean {
+    const announcement = parseEndpointAnnouncement(input);
+    if (announcement.dataCentre !== dataCentre) {
+      throw createFault(
+        "badRequest",
+        `Cannot take announcement of endpoint "${announcement.endpoint}": ` +
+          `its data centre is "${announcement.dataCentre}", not "${dataCentre}"`,
+      );
+    }
+    if (clock.now() < acceptFromMs) return false;
+    removeForgotten();
+    const state = endpoints.get(announcement.endpoint);
+    if (state === undefined) {
+      addEndpoint(announcement);
+      return true;
+    }
+    if (announcement.incarnation < state.announcement.incarnation) return false;
+    updateEndpoint(state, announcement);
+    return true;
+  }
+
+  function getPool(queue: string): QueuePool {
+    let slots = 0;
+    const queues = new Set<string>();
+    for (const state of endpoints.values()) {
+      if (!state.queues.has(queue) || !isUsable(state)) continue;
+      slots += state.announcement.slots;
+      for (const name of state.queues) queues.add(name);
+    }
+    return { slots, queues };
+  }
+
+  function closeGrant(grant: EndpointGrant, end: EndpointGrantEnd): void {
+    const granted = grant as GrantState;
+    if (!granted.isOpen) return;
+    granted.isOpen = false;
+    const { state, ledgerGrant, endpoint, instance } = granted;
+    const { outcome, durationMs } = end;
+    const hasEnded = outcome !== "unknown" && outcome !== "expired";
+    state.ledger.closeGrant(ledgerGrant, { hasEnded, durationMs }, clock.now());
+    state.connections.closeGrant(instance, clock.now());
+    // An expired grant says more about the entry instance than the endpoint.
+    if (outcome === "expired") return;
+    outliers.recordOutcome(endpoint, outcome === "answered", () => {
+      const isOther = (other: EndpointState) =>
+        other !== state && isUsable(other);
+      return [...state.queues].every((queue) => hasOther(queue, isOther));
+    });
+  }
+
+  return {
+    receiveAnnouncement,
+    pick,
+    openGrant(endpoint, instance) {
+      const state = endpoints.get(endpoint);
+      if (state === undefined) {
+        throw createFault("internal", `Cannot use endpoint "${endpoint}"`);
+      }
+      state.connections.openGrant(instance);
+      const grant: GrantState = {
+        endpoint,
+        address: state.announcement.address,
+        instance,
+        state,
+        ledgerGrant: state.ledger.openGrant(clock.now()),
+        isOpen: true,
+      };
+      return grant;
+    },
+    closeGrant,
+    hasFreeSlot() {
+      for (const state of endpoints.values()) {
+        if (hasSlot(state)) return true;
+      }
+      return false;
+    },
+    getPool,
+    list: () =>
+      [...endpoints].map(([endpoint, state]) => ({
+        endpoint,
+        address: state.announcement.address,
+        incarnation: state.announcement.incarnation,
+        slots: state.announcement.slots,
+        open: state.ledger.getOpenCount(),
+        excess: state.ledger.getExcess(),
+        connections: state.connections.getCount(clock.now()),
+        health: outliers.getHealth(endpoint),
+        isAnnounced: isAnnounced(state),
+        isDeparting: state.isDeparting,
+        isRecounting: state.isRecounting,
+      })),
+  };
+}
--- /dev/null
+++ b/src/requests/fair_queue_test.ts
@@ -0,0 +1,325 @@
+import fc from "fast-check";
+import t from "tap";
+import { createManualClock, type Fault, isFault } from "../common/mod.ts";
+import { buildWanted } from "../../test/requests_helpers.ts";
+import { createFairQueue } from "./fair_queue.ts";
+import type { FairQueueOptions, QueueEntry } from "./fair_queue_types.ts";
+import type { TeamPolicy } from "./types.ts";
+
+const SEED = 20261204;
+const DURATION_MS = 100;
+fc.configureGlobal({ seed: SEED, numRuns: 200 });
+
+interface Job {
+  team: string;
+  number: number;
+}
+
+interface Setup {
+  policies?: Record<string, TeamPolicy>;
+  slots?: number;
+  options?: Partial<FairQueueOptions<Job>>;
+}
+
+function createSetup({ policies = {}, slots = 4, options = {} }: Setup = {}) {
+  const clock = createManualClock();
+  const refused: { job: Job; fault: Fault }[] = [];
+  const queue = createFairQueue<Job>({
+    clock,
+    getPolicy: (team) => policies[team] ?? { weight: 1, slotLimit: 1_000 },
+    getPool: () => ({ slots, queues: new Set(["q"]) }),
+    onRefuse: (job, fault) => void refused.push({ job, fault }),
+    defaultDurationMs: DURATION_MS,
+    maxQueued: 100_000,
+    ...options,
+  });
+  let next = 0;
+  function add(
+    team: string,
+    remainingMs = 1e9,
+    lane = "q",
+    canStartNow = true,
+  ) {
+    const value = { team, number: next++ };
+    const deadlineMs = clock.now() + remainingMs;
+    const item = { team, queue: "q", lane, deadlineMs, value };
+    return queue.add(item, { canStartNow });
+  }
+  return { clock, queue, refused, add };
+}
+
+function createPolicies(weights: readonly number[]) {
+  const teams = weights.map((_, index) => `t${index}`);
+  const policies = Object.fromEntries(
+    weights.map((weight, i) => [`t${i}`, { weight, slotLimit: 1_000 }]),
+  );
+  return { teams, policies };
+}
+
+const WEIGHTS = fc.array(fc.integer({ min: 1, max: 9 }), {
+  minLength: 2,
+  maxLength: 6,
+});
+
+// Guards against shares that drift from the weights: with equal costs the
+// served time per weight of two busy teams differs by at most one request of each.
+t.test("busy teams are served by weight within the bound", (t) => {
+  fc.assert(
+    fc.property(WEIGHTS, fc.integer({ min: 1, max: 16 }), (weights, slots) => {
+      const { teams, policies } = createPolicies(weights);
+      const { queue, add } = createSetup({ policies, slots });
+      const running: QueueEntry<Job>[] = [];
+      const served = new Map(teams.map((team) => [team, 0]));
+      for (let step = 0; step < 300; step++) {
+        for (const team of teams) add(team);
+        if (running.length === slots) {
+          queue.release(running.shift()!, DURATION_MS);
+        }
+        const entry = queue.take(() => true)!;
+        running.push(entry);
+        const { team } = entry.item;
+        served.set(team, served.get(team)! + DURATION_MS);
+        for (const [i, a] of teams.entries()) {
+          for (const [j, b] of teams.entries()) {
+            const wa = weights[i]!, wb = weights[j]!;
+            const gap = Math.abs(served.get(a)! / wa - served.get(b)! / wb);
+            const bound = DURATION_MS / wa + DURATION_MS / wb + 1e-6;
+            if (gap > bound) throw new Error(`gap ${gap} over ${bound}`);
+          }
+        }
+      }
+    }),
+  );
+  t.end();
+});
+
+// Guards against teams with long requests taking more slot time than their
+// weight allows because requests are counted instead of time. The bound is that
+// of start-time fair queueing with `slots` servers.
+t.test("slot time is shared by weight when durations differ", (t) => {
+  const durations = fc.array(fc.integer({ min: 10, max: 400 }), {
+    minLength: 6,
+    maxLength: 6,
+  });
+  fc.assert(
+    fc.property(
+      WEIGHTS,
+      durations,
+      fc.integer({ min: 1, max: 8 }),
+      (weights, lengths, slots) => {
+        const { teams, policies } = createPolicies(weights);
+        const { clock, queue, add } = createSetup({ policies, slots });
+        const held = new Map(teams.map((team) => [team, 0]));
+        for (const team of teams) for (let i = 0; i < 2_000; i++) add(team);
+        const running: {
+          endMs: number;
+          entry: QueueEntry<Job>;
+          lengthMs: number;
+        }[] = [];
+        for (let step = 0; step < 600; step++) {
+          while (running.length < slots) {
+            const entry = queue.take(() => true)!;
+            const lengthMs = lengths[Number(entry.item.team.slice(1))]!;
+            running.push({ endMs: clock.now() + lengthMs, entry, lengthMs });
+          }
+          running.sort((a, b) => a.endMs - b.endMs);
+          const first = running.shift()!;
+          clock.advance(first.endMs - clock.now());
+          queue.release(first.entry, first.lengthMs);
+          held.set(
+            first.entry.item.team,
+            held.get(first.entry.item.team)! + first.lengthMs,
+          );
+        }
+        for (const [i, a] of teams.entries()) {
+          for (const [j, b] of teams.entries()) {
+            const wa = weights[i]!, wb = weights[j]!;
+            const gap = Math.abs(held.get(a)! / wa - held.get(b)! / wb);
+            const longest = (index: number) =>
+              Math.max(lengths[index]!, DURATION_MS);
+            const bound = (slots + 1) * (longest(i) / wa + longest(j) / wb);
+            if (gap > bound) throw new Error(`gap ${gap} over ${bound}`);
+          }
+        }
+      },
+    ),
+    { numRuns: 50 },
+  );
+  t.end();
+});
+
+// Guards against starvation: a request of a quiet team waits for at most one
+// request of each flooding team.
+t.test("a quiet team is not starved by floods", (t) => {
+  fc.assert(
+    fc.property(
+      WEIGHTS,
+      fc.integer({ min: 0, max: 200 }),
+      (weights, before) => {
+        const { teams, policies } = createPolicies(weights);
+        const { queue, add } = createSetup({ policies });
+        for (const team of teams) for (let i = 0; i < 300; i++) add(team);
+        for (let i = 0; i < before; i++) {
+          queue.release(queue.take(() => true)!, DURATION_MS);
+        }
+        add("quiet");
+        for (let taken = 0;; taken++) {
+          const entry = queue.take(() => true)!;
+          if (entry.item.team === "quiet") break;
+          queue.release(entry, DURATION_MS);
+          if (taken >= teams.length) {
+            throw new Error(`quiet team waited for ${taken + 1}`);
+          }
+        }
+      },
+    ),
+  );
+  t.end();
+});
+
+// Guards against requests of a lane that overtake each other, against more
+// running than a team's limit, and against entries lost or served twice when
+// requests are cancelled, blocked or released in any order.
+t.test("order, limits and counts hold under any operations", (t) => {
+  const operation = fc.record({
+    kind: fc.constantFrom(
+      "add",
+      "add",
+      "take",
+      "take",
+      "release",
+      "remove",
+      "block",
+      "wait",
+    ),
+    index: fc.nat(20),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(operation, { maxLength: 200 }),
+      fc.integer({ min: 0, max: 4 }),
+      (operations, slotLimit) => {
+        const teams = ["a", "b", "c"];
+        const policies = { b: { weight: 2, slotLimit } };
+        const { clock, queue, refused, add } = createSetup({ policies });
+        const queued: QueueEntry<Job>[] = [];
+        const running: QueueEntry<Job>[] = [];
+        let added = 0, taken = 0, removed = 0;
+        const lastByLane = new Map<string, number>();
+        function take(canRun: (job: Job) => boolean) {
+          const entry = queue.take(canRun);
+          if (entry === undefined) return;
+          taken += 1;
+          running.push(entry);
+          const { team, lane, value } = entry.item;
+          const key = `${team}/${lane}`;
+          if (value.number < (lastByLane.get(key) ?? -1)) {
+            throw new Error("overtaken");
+          }
+          lastByLane.set(key, value.number);
+        }
+        for (const { kind, index } of operations) {
+          if (kind === "add") {
+            queued.push(
+              add(teams[index % 3]!, 50 + index * 10, `l${index % 2}`),
+            );
+            added += 1;
+          } else if (kind === "take") take(() => true);
+          else if (kind === "block") take((job) => job.number % 3 !== 0);
+          else if (kind === "wait") clock.advance(index);
+          else if (kind === "remove" && queued.length > 0) {
+            if (queue.remove(queued[index % queued.length]!)) removed += 1;
+          } else if (kind === "release" && running.length > 0) {
+            queue.release(
+              running.splice(index % running.length, 1)[0]!,
+              index * 20,
+            );
+          }
+          const ofB = running.filter((entry) => entry.item.team === "b").length;
+          if (ofB > slotLimit) throw new Error(`${ofB} of team b are running`);
+          const expected = added - taken - removed - refused.length;
+          if (queue.getSize() !== expected) throw new Error("wrong size");
+        }
+        clock.advance(1_000);
+        if (queue.getSize() !== 0) {
+          throw new Error(
+            "a request outlived its deadline",
+          );
+        }
+        if (refused.some(({ fault }) => fault.ran !== "no")) {
+          throw new Error(
+            "not run is not claimed",
+          );
+        }
+      },
+    ),
+  );
+  t.end();
+});
+
+// Guards against a team that comes back from its limit, or from an idle time,
+// and takes all slots to make up for it.
+t.test("no credit is saved at the limit or while idle", (t) => {
+  const policies = { limited: { weight: 1, slotLimit: 1 } };
+  const { queue, add } = createSetup({ policies });
+  for (let i = 0; i < 100; i++) {
+    add("limited");
+    add("busy");
+  }
+  const first = queue.take((job) => job.team === "limited")!;
+  for (let i = 0; i < 50; i++) {
+    queue.release(queue.take(() => true)!, DURATION_MS);
+  }
+  queue.release(first, DURATION_MS);
+  const next = [1, 2, 3, 4].map(() => {
+    const entry = queue.take(() => true)!;
+    queue.release(entry, DURATION_MS);
+    return entry.item.team;
+  });
+  t.equal(next.filter((team) => team === "limited").length, 2);
+  t.end();
+});
+
+// Guards against work that waits only to be refused late, and against a
+// refusal of work that could start at once.
+t.test("work that cannot start in time is refused at once", (t) => {
+  const { queue, add } = createSetup({ slots: 1 });
+  for (let i = 0; i < 10; i++) add("a");
+  t.ok(queue.estimateWait("a", "q") >= 10 * DURATION_MS);
+  t.throws(() => add("a", 500, "q", false), buildWanted("overloaded", "no"));
+  t.doesNotThrow(
+    () => add("b", 500, "q", false),
+    "another team is not behind the backlog",
+  );
+  t.throws(() => add("a", 0), buildWanted("deadlineExceeded", "no"));
+  t.end();
+});
+
+// Guards against one team's flood filling the queue and shutting out others.
+t.test("a full queue pushes out the team with the longest queue", (t) => {
+  const { queue, refused, add } = createSetup({
+    options: { maxQueued: 10, maxQueuedPerTeam: 9 },
+  });
+  for (let i = 0; i < 9; i++) add("flood");
+  t.throws(() => add("flood"), buildWanted("limitReached", "no"));
+  add("quiet");
+  add("quiet");
+  t.equal(queue.getSize(), 10);
+  t.strictSame(refused.map(({ job }) => job.number), [8]);
+  t.ok(isFault(refused[0]?.fault, "overloaded"));
+  t.end();
+});
+
+// Guards against requests that are left without an answer at a stop.
+t.test("stop refuses everything as not run", (t) => {
+  const { queue, refused, add } = createSetup();
+  add("a");
+  add("b");
+  queue.stop();
+  t.strictSame(refused.map(({ fault }) => [fault.kind, fault.ran]), [
+    ["unavailable", "no"],
+    ["unavailable", "no"],
+  ]);
+  t.throws(() => add("a"), buildWanted("unavailable", "no"));
+  t.end();
+});
--- /dev/null
+++ b/src/requests/fair_queue_wait.ts
@@ -0,0 +1,58 @@
+/**
+ * The estimate of the time that a new request would wait. It treats slot time
+ * as a fluid: until the new request's turn, every team that competes for the
+ * same endpoints is served up to its weighted part, or up to its backlog when
+ * that is less. Work that arrives later is not foreseen, so the estimate errs
+ * towards admission; a request admitted too early is refused at its deadline.
+ */
+
+import type { QueuePool } from "./fair_queue_types.ts";
+import type { TeamState } from "./fair_queue_team.ts";
+import type { TeamPolicy } from "./types.ts";
+
+/** What the estimate is computed from. */
+export interface WaitInput<T> {
+  readonly team: TeamState<T>;
+  readonly teams: Iterable<TeamState<T>>;
+  readonly pool: QueuePool;
+  readonly virtualTime: number;
+  readonly getPolicy: (team: string) => TeamPolicy;
+}
+
+function getBacklogMs<T>(team: TeamState<T>, pool: QueuePool): number {
+  let count = 0;
+  for (const [queue, queued] of team.queuedByQueue) {
+    if (pool.queues.has(queue)) count += queued;
+  }
+  return count * team.durationMs;
+}
+
+/** Returns the estimated wait in milliseconds, `Infinity` when no slot exists. */
+export function estimateWait<T>(input: WaitInput<T>): number {
+  const { team, pool, virtualTime, getPolicy } = input;
+  if (pool.slots <= 0) return Infinity;
+  const policy = getPolicy(team.name);
+  const ownBacklogMs = getBacklogMs(team, pool);
+  const turn = Math.max(0, team.startTag - virtualTime) +
+    ownBacklogMs / policy.weight;
+  let aheadMs = ownBacklogMs;
+  for (const other of input.teams) {
+    if (other.name === team.name || other.queued === 0) continue;
+    const lead = turn - Math.max(0, other.startTag - virtualTime);
+    if (lead <= 0) continue;
+    const weighted = lead * getPolicy(other.name).weight;
+    aheadMs += Math.min(weighted, getBacklogMs(other, pool));
+  }
+  // All slots are busy: the first becomes free after about one part of a request.
+  const sharedWaitMs = (aheadMs + team.durationMs) / pool.slots;
+  return Math.max(sharedWaitMs, estimateLimitWait(team, policy));
+}
+
+/** The wait that the team's own slot limit imposes. */
+function estimateLimitWait<T>(team: TeamState<T>, policy: TeamPolicy): number {
+  const excess = team.running + team.queued + 1 - policy.slotLimit;
+  if (excess <= 0) return 0;
+  // With no allotment the wait cannot be told: more may be transferred at any time.
+  if (policy.slotLimit <= 0) return 0;
+  return excess * team.durationMs / policy.slotLimit;
+}
--- /dev/null
+++ b/src/requests/outliers.ts
@@ -0,0 +1,208 @@
+/**
+ * Takes endpoints that fail much more than the others out of use for a time,
+ * over the outcomes that entry instances report. A fault that all endpoints
+ * share, such as a request that fails everywhere, ejects none of them.
+ */
+
+import type { Clock } from "../common/mod.ts";
+
+/** Settings of outlier ejection; times in milliseconds. */
+export interface OutlierOptions {
+  /** Failures in a row that eject an endpoint. Default 5. */
+  consecutiveFailures?: number;
+  /** Outcomes needed before the failure rate counts. Default 20. */
+  minOutcomes?: number;
+  /** Distance above twice the rate of the others that ejects. Default 0.2. */
+  rateMargin?: number;
+  /** Time over which old outcomes lose half of their weight. Default 10,000. */
+  halfLifeMs?: number;
+  /** First ejection time; doubled with each further one. Default 5,000. */
+  baseEjectionMs?: number;
+  /** Longest ejection time. Default 300,000. */
+  maxEjectionMs?: number;
+  /** Part of the endpoints that may be ejected at once. Default 0.3. */
+  maxEjectedPart?: number;
+  /** Probes that must succeed before an endpoint is used fully. Default 3. */
+  probeSuccesses?: number;
+}
+
+/** Defaults of outlier ejection. */
+export const DEFAULT_OUTLIER_OPTIONS: Readonly<Required<OutlierOptions>> =
+  Object.freeze({
+    consecutiveFailures: 5,
+    minOutcomes: 20,
+    rateMargin: 0.2,
+    halfLifeMs: 10_000,
+    baseEjectionMs: 5_000,
+    maxEjectionMs: 300_000,
+    maxEjectedPart: 0.3,
+    probeSuccesses: 3,
+  });
+
+/** Whether an endpoint may be used: fully, one probe at a time, or not. */
+export type EndpointHealth = "healthy" | "probing" | "ejected";
+
+/** Decides which endpoints are ejected. */
+export interface OutlierDetector {
+  add(endpoint: string): void;
+  remove(endpoint: string): void;
+  getHealth(endpoint: string): EndpointHealth;
+  /** Records an outcome; `canEject` is asked before an ejection. */
+  recordOutcome(
+    endpoint: string,
+    hasSucceeded: boolean,
+    canEject?: () => boolean,
+  ): void;
+}
+
+/** Failure rate of the others from which the fault is taken to be common. */
+const COMMON_FAILURE_RATE = 0.5;
+
+/** Healthy time, in ejection times, after which former ejections are forgotten. */
+const FORGET_FACTOR = 4;
+
+interface Member {
+  successes: number;
+  failures: number;
+  countedAtMs: number;
+  consecutive: number;
+  ejections: number;
+  ejectedUntilMs: number;
+  isProbing: boolean;
+  probesPassed: number;
+  healthySinceMs: number;
+}
+
+/** Creates a detector without endpoints. */
+export function createOutlierDetector(
+  clock: Clock,
+  options: OutlierOptions = {},
+): OutlierDetector {
+  const settings = { ...DEFAULT_OUTLIER_OPTIONS, ...options };
+  const members = new Map<string, Member>();
+
+  function updateCounts(member: Member): void {
+    const elapsedMs = clock.now() - member.countedAtMs;
+    const factor = 2 ** (-elapsedMs / settings.halfLifeMs);
+    member.successes *= factor;
+    member.failures *= factor;
+    member.countedAtMs = clock.now();
+  }
+
+  function getOthersRate(member: Member): number {
+    let failures = 0;
+    let outcomes = 0;
+    for (const other of members.values()) {
+      if (other === member) continue;
+      updateCounts(other);
+      failures += other.failures;
+      outcomes += other.failures + other.successes;
+    }
+    return outcomes === 0 ? 0 : failures / outcomes;
+  }
+
+  function isOutlier(member: Member): boolean {
+    const othersRate = getOthersRate(member);
+    if (othersRate >= COMMON_FAILURE_RATE) return false;
+    if (member.consecutive >= settings.consecutiveFailures) return true;
+    const outcomes = member.failures + member.successes;
+    if (outcomes < settings.minOutcomes) return false;
+    return member.failures / outcomes > 2 * othersRate + settings.rateMargin;
+  }
+
+  function isEjected(member: Member): boolean {
+    return clock.now() < member.ejectedUntilMs;
+  }
+
+  function hasRoomToEject(): boolean {
+    let ejected = 0;
+    for (const member of members.values()) {
+      if (isEjected(member)) ejected += 1;
+    }
+    // With two or three endpoints one of them may be ejected; a single one never.
+    const atMost = Math.max(
+      Math.floor(members.size * settings.maxEjectedPart),
+      members.size >= 2 ? 1 : 0,
+    );
+    return ejected < atMost;
+  }
+
+  function computeEjectionMs(ejections: number): number {
+    return Math.min(
+      settings.maxEjectionMs,
+      settings.baseEjectionMs * 2 ** (ejections - 1),
+    );
+  }
+
+  function handleEjection(member: Member): void {
+    const lastMs = computeEjectionMs(Math.max(1, member.ejections));
+    const healthyMs = clock.now() - member.healthySinceMs;
+    if (!member.isProbing && healthyMs > FORGET_FACTOR * lastMs) {
+      member.ejections = 0;
+    }
+    member.ejections += 1;
+    member.ejectedUntilMs = clock.now() + computeEjectionMs(member.ejections);
+    member.isProbing = true;
+    member.probesPassed = 0;
+    member.consecutive = 0;
+    member.successes = 0;
+    member.failures = 0;
+  }
+
+  function handleProbe(member: Member, hasSucceeded: boolean): void {
+    if (!hasSucceeded) {
+      // A failed probe replaces an ejection that has just ended, so the bound
+      // on the ejected part may only be met by asking again.
+      if (hasRoomToEject()) handleEjection(member);
+      else member.probesPassed = 0;
+      return;
+    }
+    member.probesPassed += 1;
+    if (member.probesPassed < settings.probeSuccesses) return;
+    member.isProbing = false;
+    member.healthySinceMs = clock.now();
+  }
+
+  return {
+    add(endpoint) {
+      if (members.has(endpoint)) return;
+      members.set(endpoint, {
+        successes: 0,
+        failures: 0,
+        countedAtMs: clock.now(),
+        consecutive: 0,
+        ejections: 0,
+        ejectedUntilMs: -Infinity,
+        isProbing: false,
+        probesPassed: 0,
+        healthySinceMs: clock.now(),
+      });
+    },
+    remove: (endpoint) => void members.delete(endpoint),
+    getHealth(endpoint) {
+      const member = members.get(endpoint);
+      if (member === undefined) return "healthy";
+      if (isEjected(member)) return "ejected";
+      return member.isProbing ? "probing" : "healthy";
+    },
+    recordOutcome(endpoint, hasSucceeded, canEject = () => true) {
+      const member = members.get(endpoint);
+      // Outcomes of requests that were under way at the ejection tell nothing new.
+      if (member === undefined || isEjected(member)) return;
+      if (member.isProbing) {
+        handleProbe(member, hasSucceeded);
+        return;
+      }
+      updateCounts(member);
+      if (hasSucceeded) {
+        member.successes += 1;
+        member.consecutive = 0;
+        return;
+      }
+      member.failures += 1;
+      member.consecutive += 1;
+      if (!isOutlier(member) || !hasRoomToEject() || !canEject()) return;
+      handleEjection(member);
+    },
+  };
+}
--- /dev/null
+++ b/src/requests/slots.ts
@@ -0,0 +1,381 @@
+/**
+ * Slot grants of the data centre leader: joins the fair queue and the endpoint
+ * table. A grant is the only right to send a request to an endpoint; it is
+ * fenced by the leader's epoch, and a new leader waits until those of its
+ * predecessor have expired.
+ */
+
+import {
+  type Clock,
+  createFault,
+  type Fault,
+  type Logger,
+  type Random,
+  toFault,
+} from "../common/mod.ts";
+import {
+  ANNOUNCEMENT_DELAY_MS,
+  CLOCK_RATE_ERROR,
+  GRANT_GRACE_MS,
+  GRANT_VALID_MS,
+} from "./constants.ts";
+import {
+  createEndpointTable,
+  type EndpointGrant,
+  type EndpointStatus,
+  type EndpointTableOptions,
+} from "./endpoints.ts";
+import { createExpiryQueue, type ExpiryEntry } from "./expiry_queue.ts";
+import { createFairQueue } from "./fair_queue.ts";
+import type {
+  FairQueueOptions,
+  QueueEntry,
+  TeamQueueStatus,
+} from "./fair_queue_types.ts";
+import type {
+  RequestOutcome,
+  SlotGrant,
+  SlotRequest,
+  TeamPolicy,
+} from "./types.ts";
+
+/** Settings of a slot controller; times in milliseconds. */
+export interface SlotControllerOptions {
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  dataCentre: string;
+  /** Term of this leader; part of each grant. */
+  epoch: number;
+  /** The weight and the slot allotment of a team at this data centre. */
+  getPolicy: (team: string) => TeamPolicy;
+  /** False once the leader lease has ended; asked before each grant. */
+  canGrant?: () => boolean;
+  /**
+   * Runs with the slot reserved, before the grant is returned, for example to
+   * record the start of a non-idempotent request. Its fault frees the slot and
+   * becomes the answer.
+   */
+  beforeGrant?: (request: SlotRequest, token: string) => Promise<void>;
+  /** Default: `grantValidMs` and the clock rate bound, that is 1,020. */
+  takeoverWaitMs?: number;
+  /** How long a grant may be unused. Default 1,000. */
+  grantValidMs?: number;
+  /** Time after the deadline at which a grant ends. Default 500. */
+  grantGraceMs?: number;
+  queue?: Pick<
+    FairQueueOptions<unknown>,
+    "maxQueued" | "maxQueuedPerTeam" | "defaultDurationMs"
+  >;
+  endpoints?: Omit<
+    EndpointTableOptions,
+    "clock" | "random" | "dataCentre" | "acceptFromMs" | "grantValidMs"
+  >;
+}
+
+/** Counts of a slot controller. */
+export interface SlotStatus {
+  readonly epoch: number;
+  readonly isReady: boolean;
+  readonly queued: number;
+  readonly granted: number;
+  readonly teams: readonly TeamQueueStatus[];
+  readonly endpoints: readonly EndpointStatus[];
+}
+
+/** Which queued requests to cancel. */
+export interface CancelOptions {
+  /** Only those of this scope. */
+  scope?: string;
+  /** Only those of this entry instance. */
+  instance?: string;
+}
+
+/** Gives slots to requests. */
+export interface SlotController {
+  /** Waits for a slot; rejects with a fault that is not run. */
+  acquire(request: SlotRequest): Promise<SlotGrant>;
+  /** Ends a grant; false when the token is unknown, ended or of another epoch. */
+  release(token: string, outcome: RequestOutcome, durationMs: number): boolean;
+  /** Refuses queued requests of the identifier as cancelled, not run; returns their number. */
+  cancel(requestId: string, options?: CancelOptions): number;
+  /** Takes an endpoint's announcement; see `EndpointTable`. */
+  receiveAnnouncement(input: unknown): boolean;
+  /** Considers teams again whose weight or allotment has changed. */
+  updatePolicies(): void;
+  getStatus(): SlotStatus;
+  /** Refuses all queued work as not run. Grants that were given stay valid. */
+  stop(): void;
+}
+
+interface Waiter {
+  readonly request: SlotRequest;
+  readonly receivedAtMs: number;
+  readonly deadlineMs: number;
+  readonly resolve: (grant: SlotGrant) => void;
+  readonly reject: (fault: Fault) => void;
+  entry: QueueEntry<Waiter> | undefined;
+}
+
+interface GrantState {
+  readonly token: string;
+  readonly waiter: Waiter;
+  readonly entry: QueueEntry<Waiter>;
+  readonly endpointGrant: EndpointGrant;
+  readonly grantedAtMs: number;
+  expiry: ExpiryEntry<GrantState> | undefined;
+}
+
+/** Creates the slot controller of a new leader. */
+export function createSlotController(
+  options: SlotControllerOptions,
+): SlotController {
+  const { clock, random, logger, epoch, getPolicy, beforeGrant } = options;
+  const canGrant = options.canGrant ?? (() => true);
+  const grantValidMs = options.grantValidMs ?? GRANT_VALID_MS;
+  const grantGraceMs = options.grantGraceMs ?? GRANT_GRACE_MS;
+  const readyAtMs = clock.now() + (options.takeoverWaitMs ??
+    grantValidMs * (1 + 2 * CLOCK_RATE_ERROR));
+  const announcementDelayMs = options.endpoints?.announcementDelayMs ??
+    ANNOUNCEMENT_DELAY_MS;
+  const acceptFromMs = readyAtMs + announcementDelayMs;
+  const endpoints = createEndpointTable({
+    ...options.endpoints,
+    clock,
+    random,
+    dataCentre: options.dataCentre,
+    acceptFromMs,
+    grantValidMs,
+  });
+  const queue = createFairQueue<Waiter>({
+    ...options.queue,
+    clock,
+    getPolicy,
+    getPool: endpoints.getPool,
+    onRefuse: handleRefusal,
+  });
+  const waiters = new Map<string, Set<Waiter>>();
+  const grants = new Map<string, GrantState>();
+  const expiries = createExpiryQueue<GrantState>({
+    clock,
+    onExpire: handleExpiry,
+  });
+  let nextToken = 0;
+  let isStopped = false;
+
+  function removeWaiter(waiter: Waiter): void {
+    const { requestId } = waiter.request;
+    const same = waiters.get(requestId);
+    same?.delete(waiter);
+    if (same?.size === 0) waiters.delete(requestId);
+  }
+
+  function handleRefusal(waiter: Waiter, fault: Fault): void {
+    removeWaiter(waiter);
+    waiter.reject(fault);
+  }
+
+  function isReady(): boolean {
+    return !isStopped && clock.now() >= readyAtMs && canGrant();
+  }
+
+  function closeGrant(
+    grant: GrantState,
+    outcome: RequestOutcome | "expired",
+    durationMs: number,
+  ): void {
+    grants.delete(grant.token);
+    if (grant.expiry !== undefined) expiries.remove(grant.expiry);
+    endpoints.closeGrant(grant.endpointGrant, { outcome, durationMs });
+    const heldMs = outcome === "notSent" ? 0 : clock.now() - grant.grantedAtMs;
+    queue.release(grant.entry, heldMs);
+    startWaiting();
+  }
+
+  function handleExpiry(grant: GrantState): void {
+    logger.warn("Grant ended without release", {
+      requestId: grant.waiter.request.requestId,
+      endpoint: grant.endpointGrant.endpoint,
+      instance: grant.waiter.request.instance,
+    });
+    closeGrant(grant, "expired", 0);
+  }
+
+  function createToken(): string {
+    nextToken += 1;
+    // The random part keeps an entry instance from releasing the grant of another by mistake.
+    return `${epoch}.${nextToken}.${random.nextInt(2 ** 31).toString(36)}`;
+  }
+
+  function replyWithGrant(grant: GrantState): void {
+    const { waiter, token, endpointGrant, grantedAtMs } = grant;
+    waiter.resolve({
+      kind: "grant",
+      token,
+      endpoint: endpointGrant.endpoint,
+      address: endpointGrant.address,
+      epoch,
+      validForMs: grantedAtMs - waiter.receivedAtMs + grantValidMs,
+    });
+  }
+
+  async function runBeforeGrant(
+    grant: GrantState,
+    hook: (request: SlotRequest, token: string) => Promise<void>,
+  ): Promise<void> {
+    try {
+      await hook(grant.waiter.request, grant.token);
+    } catch (error) {
+      closeGrant(grant, "notSent", 0);
+      grant.waiter.reject(toFault(error));
+      return;
+    }
+    // The lease may have ended while the hook ran, and with it the right to grant.
+    if (isReady() && grants.has(grant.token)) {
+      replyWithGrant(grant);
+      return;
+    }
+    if (grants.has(grant.token)) closeGrant(grant, "notSent", 0);
+    grant.waiter.reject(
+      createFault("unavailable", "Cannot give a slot: no longer the leader"),
+    );
+  }
+
+  function startGrant(entry: QueueEntry<Waiter>, endpoint: string): void {
+    const waiter = entry.item.value;
+    removeWaiter(waiter);
+    const grant: GrantState = {
+      token: createToken(),
+      waiter,
+      entry,
+      endpointGrant: endpoints.openGrant(endpoint, waiter.request.instance),
+      grantedAtMs: clock.now(),
+      expiry: undefined,
+    };
+    grants.set(grant.token, grant);
+    grant.expiry = expiries.add(waiter.deadlineMs + grantGraceMs, grant);
+    if (beforeGrant === undefined) replyWithGrant(grant);
+    else void runBeforeGrant(grant, beforeGrant);
+  }
+
+  function startWaiting(): void {
+    if (!isReady()) return;
+    while (queue.getSize() > 0 && endpoints.hasFreeSlot()) {
+      let endpoint: string | undefined;
+      const entry = queue.take((waiter) => {
+        endpoint = endpoints.pick(waiter.request);
+        return endpoint !== undefined;
+      });
+      if (entry === undefined || endpoint === undefined) return;
+      startGrant(entry, endpoint);
+    }
+  }
+
+  /** Work that waits for the first announcements after a takeover is queued. */
+  function checkPool(request: SlotRequest): void {
+    const periodMs = options.endpoints?.announcePeriodMs ?? 1_000;
+    const isRebuilding = clock.now() < acceptFromMs + 2 * periodMs;
+    if (isRebuilding) {
+      const waitMs = acceptFromMs - clock.now();
+      if (waitMs < request.remainingMs) return;
+      throw createFault(
+        "unavailable",
+        `Cannot give a slot: the new leader waits ${
+          Math.ceil(waitMs)
+        } ms for former grants to expire`,
+      );
+    }
+    if (endpoints.getPool(request.queue).slots > 0) return;
+    throw createFault(
+      "unavailable",
+      `Cannot give a slot: no endpoint serves queue "${request.queue}"`,
+    );
+  }
+
+  function addWaiter(waiter: Waiter): void {
+    const { request, deadlineMs } = waiter;
+    if (isStopped) {
+      throw createFault("unavailable", "Cannot give a slot: stopping");
+    }
+    if (!canGrant()) {
+      throw createFault("notLeader", "Cannot give a slot: no leader lease");
+    }
+    checkPool(request);
+    const isRebuilding = endpoints.getPool(request.queue).slots === 0;
+    waiter.entry = queue.add({
+      team: request.team,
+      queue: request.queue,
+      // Requests that differ in where they may run must not hold up each other.
+      lane: [request.queue, request.instance, ...request.avoid].join("\n"),
+      deadlineMs,
+      value: waiter,
+    }, {
+      canStartNow: isRebuilding || endpoints.pick(request) !== undefined,
+    });
+    const same = waiters.get(request.requestId) ?? new Set();
+    waiters.set(request.requestId, same.add(waiter));
+    startWaiting();
+  }
+
+  return {
+    acquire(request) {
+      return new Promise<SlotGrant>((resolve, reject) => {
+        const receivedAtMs = clock.now();
+        addWaiter({
+          request,
+          receivedAtMs,
+          deadlineMs: receivedAtMs + request.remainingMs,
+          resolve,
+          reject,
+          entry: undefined,
+        });
+      });
+    },
+    release(token, outcome, durationMs) {
+      const grant = grants.get(token);
+      if (grant === undefined) return false;
+      closeGrant(grant, outcome, durationMs);
+      return true;
+    },
+    cancel(requestId, { scope, instance } = {}) {
+      let count = 0;
+      for (const waiter of [...waiters.get(requestId) ?? []]) {
+        const { request, entry } = waiter;
+        if (scope !== undefined && request.scope !== scope) continue;
+        if (instance !== undefined && request.instance !== instance) continue;
+        if (entry === undefined || !queue.remove(entry)) continue;
+        count += 1;
+        handleRefusal(
+          waiter,
+          createFault(
+            "cancelled",
+            `Cancelled request "${requestId}" in the queue`,
+            { ran: "no" },
+          ),
+        );
+      }
+      return count;
+    },
+    receiveAnnouncement(input) {
+      const isTaken = endpoints.receiveAnnouncement(input);
+      if (isTaken) startWaiting();
+      return isTaken;
+    },
+    updatePolicies() {
+      queue.updatePolicies();
+      startWaiting();
+    },
+    getStatus: () => ({
+      epoch,
+      isReady: isReady(),
+      queued: queue.getSize(),
+      granted: grants.size,
+      teams: queue.listTeams(),
+      endpoints: endpoints.list(),
+    }),
+    stop() {
+      isStopped = true;
+      queue.stop();
+    },
+  };
+}
--- /dev/null
+++ b/src/requests/slots_test.ts
@@ -0,0 +1,412 @@
+import fc from "fast-check";
+import t from "tap";
+import { createManualClock, createSeededRandom } from "../common/mod.ts";
+import {
+  acquireNow,
+  buildAnnouncement,
+  buildRequest,
+  buildWanted,
+  createController,
+  READY_MS,
+} from "../../test/requests_helpers.ts";
+import type { SlotController } from "./slots.ts";
+import type { RequestOutcome, SlotGrant } from "./types.ts";
+
+const SEED = 20261204;
+fc.configureGlobal({ seed: SEED });
+
+interface Endpoint {
+  name: string;
+  incarnation: number;
+  inFlight: Set<object>;
+  peak: number;
+}
+
+interface Simulation {
+  seed: number;
+  slots: number;
+  lostReleases: number;
+  unknownOutcomes: number;
+  takeovers: number;
+  restarts: number;
+}
+
+/**
+ * Runs requests against endpoints whose real number in flight is known. Sends
+ * start late, releases are lost, endpoints work past the deadline, leaders
+ * change, and announcements travel up to the allowed delay and overtake each other.
+ */
+async function runSimulation(input: Simulation): Promise<Endpoint[]> {
+  const random = createSeededRandom(input.seed);
+  const clock = createManualClock();
+  const endpoints: Endpoint[] = ["e1", "e2"].map((name) => ({
+    name,
+    incarnation: 1,
+    inFlight: new Set(),
+    peak: 0,
+  }));
+  let epoch = 1;
+  let controller = createController(clock, { epoch });
+
+  function runExchange(
+    grant: SlotGrant,
+    askedAtMs: number,
+    owner: SlotController,
+  ) {
+    const endpoint = endpoints.find(({ name }) => name === grant.endpoint)!;
+    const latestMs = askedAtMs + grant.validForMs;
+    const delayMs = random.nextInt(3) === 0
+      ? random.nextFloat() * (latestMs - clock.now())
+      : random.nextFloat() * 5;
+    const durationMs = random.nextInt(8) === 0
+      ? 3_000 * random.nextFloat()
+      : 150 * random.nextFloat();
+    const request = {};
+    clock.setTimer(delayMs, () => {
+      // The way to the endpoint takes a little longer than the sender knows.
+      clock.setTimer(random.nextFloat() * 20, () => {
+        endpoint.inFlight.add(request);
+        endpoint.peak = Math.max(endpoint.peak, endpoint.inFlight.size);
+      });
+      const isUnknown = random.nextFloat() < input.unknownOutcomes;
+      const outcome: RequestOutcome = isUnknown ? "unknown" : "answered";
+      const workMs = isUnknown
+        ? durationMs + 20 + random.nextInt(20_000)
+        : durationMs + 20;
+      clock.setTimer(workMs, () => void endpoint.inFlight.delete(request));
+      if (random.nextFloat() < input.lostReleases) return;
+      const answeredMs = isUnknown
+        ? durationMs
+        : workMs + random.nextFloat() * 20;
+      const releaseDelayMs = random.nextInt(10) === 0
+        ? 1_500 * random.nextFloat()
+        : 1;
+      clock.setTimer(answeredMs + releaseDelayMs, () => {
+        owner.release(grant.token, outcome, answeredMs);
+      });
+    });
+  }
+
+  function sendRequest() {
+    const owner = controller;
+    const askedAtMs = clock.now();
+    const remainingMs = 200 + random.nextInt(4_000);
+    owner.acquire(
+      buildRequest({ remainingMs, instance: `entry${random.nextInt(9)}` }),
+    )
+      .then((grant) => runExchange(grant, askedAtMs, owner), () => {});
+  }
+
+  for (let step = 0; step < 2_000; step++) {
+    for (let i = random.nextInt(4); i > 0; i--) sendRequest();
+    if (step % 100 === 0) {
+      for (const endpoint of endpoints) {
+        const announcement = buildAnnouncement({
+          endpoint: endpoint.name,
+          incarnation: endpoint.incarnation,
+          slots: input.slots,
+          inFlight: endpoint.inFlight.size,
+        });
+        clock.setTimer(random.nextFloat() * 490, () => {
+          controller.receiveAnnouncement(announcement);
+        });
+      }
+    }
+    if (random.nextFloat() < input.takeovers) {
+      controller.stop();
+      epoch += 1;
+      controller = createController(clock, { epoch });
+    }
+    if (random.nextFloat() < input.restarts) {
+      const endpoint = endpoints[random.nextInt(2)]!;
+      endpoint.incarnation += 1;
+      endpoint.inFlight.clear();
+    }
+    clock.advance(10);
+    await Promise.resolve();
+    await Promise.resolve();
+  }
+  return endpoints;
+}
+
+// Guards against overcommitment by lost releases, unknown outcomes, late
+// announcements, restarts of endpoints and changes of the leader.
+t.test("an endpoint never has more in flight than its slots", async () => {
+  const chance = fc.constantFrom(0, 0.05, 0.3);
+  await fc.assert(
+    fc.asyncProperty(
+      fc.record({
+        seed: fc.integer({ min: 1, max: 1e9 }),
+        slots: fc.constantFrom(1, 2, 8),
+        lostReleases: chance,
+        unknownOutcomes: chance,
+        takeovers: fc.constantFrom(0, 0.002),
+        restarts: fc.constantFrom(0, 0.002),
+      }),
+      async (input) => {
+        const endpoints = await runSimulation(input);
+        for (const { name, peak } of endpoints) {
+          if (peak > input.slots) {
+            throw new Error(`${name} had ${peak} in flight`);
+          }
+        }
+        const most = Math.max(...endpoints.map(({ peak }) => peak));
+        if (most === 0) throw new Error("nothing ran");
+      },
+    ),
+    { numRuns: 40 },
+  );
+});
+
+// Guards against slots that stay lost after lost releases under steady load.
+t.test("slots of lost releases are found again", async (t) => {
+  const clock = createManualClock();
+  const controller = createController(clock);
+  clock.advance(READY_MS);
+  controller.receiveAnnouncement(buildAnnouncement());
+  for (let i = 0; i < 8; i++) {
+    t.ok(
+      await acquireNow(controller, {
+        remainingMs: 1_000,
+        instance: `entry${i}`,
+      }),
+    );
+  }
+  t.notOk(
+    await acquireNow(controller, { remainingMs: 1_000 }),
+    "all slots are taken",
+  );
+  // The grants end at 1.5 s; from 1 s later on a report was taken after any late arrival.
+  clock.advance(2_600);
+  t.notOk(
+    await acquireNow(controller, { remainingMs: 1_000 }),
+    "they may still be running",
+  );
+  controller.receiveAnnouncement(buildAnnouncement({ inFlight: 0 }));
+  t.ok(await acquireNow(controller), "the report shows that they are not");
+
+  // Steady load: reports never fall below the load, so only a recount can tell.
+  const held: SlotGrant[] = [];
+  const lost = await acquireNow(controller, { remainingMs: 100 });
+  t.ok(lost);
+  let best = 0;
+  for (let second = 0; second < 60; second++) {
+    for (const grant of held.splice(0)) {
+      controller.release(grant.token, "answered", 900);
+    }
+    for (let i = 0; i < 8; i++) {
+      const grant = await acquireNow(controller, {
+        remainingMs: 50_000,
+        instance: `entry${i}`,
+      }).catch(() => undefined);
+      if (grant !== undefined) held.push(grant);
+    }
+    best = Math.max(best, second > 10 ? held.length : 0);
+    clock.advance(1_000);
+    controller.receiveAnnouncement(
+      buildAnnouncement({ inFlight: held.length }),
+    );
+  }
+  t.equal(best, 8);
+});
+
+// Guards against a new leader that grants before former grants have expired or
+// from announcements that were taken before the last former request arrived.
+t.test("a new leader waits for former grants and fresh announcements", async (t) => {
+  const clock = createManualClock();
+  const controller = createController(clock, { epoch: 7 });
+  t.equal(controller.receiveAnnouncement(buildAnnouncement()), false);
+  let granted: SlotGrant | undefined;
+  const acquired = controller.acquire(buildRequest()).then((grant) => {
+    granted = grant;
+  });
+  clock.advance(1_100);
+  t.equal(controller.receiveAnnouncement(buildAnnouncement()), false);
+  clock.advance(READY_MS - 1_100);
+  await Promise.resolve();
+  t.equal(granted, undefined);
+  controller.receiveAnnouncement(buildAnnouncement({ inFlight: 8 }));
+  await Promise.resolve();
+  t.equal(
+    granted,
+    undefined,
+    "requests of the former leader fill the endpoint",
+  );
+  controller.receiveAnnouncement(buildAnnouncement({ inFlight: 7 }));
+  await acquired;
+  t.equal(granted?.epoch, 7);
+  t.equal(granted?.validForMs, READY_MS + 1_000, "counted from the acquire");
+  await t.rejects(
+    createController(clock).acquire(buildRequest({ remainingMs: 1_000 })),
+    buildWanted("unavailable", "no"),
+  );
+});
+
+// Guards against new work for endpoints that are departing, silent or of an
+// older incarnation, and against announcements that revive them by coming late.
+t.test("departing, silent and former endpoints get no work", async (t) => {
+  const clock = createManualClock();
+  const controller = createController(clock);
+  clock.advance(READY_MS);
+  controller.receiveAnnouncement(buildAnnouncement({ incarnation: 5 }));
+  t.ok(await acquireNow(controller));
+  clock.advance(3_001);
+  await t.rejects(
+    controller.acquire(buildRequest()),
+    buildWanted("unavailable", "no"),
+  );
+  controller.receiveAnnouncement(buildAnnouncement({ incarnation: 5 }));
+  t.ok(await acquireNow(controller));
+  controller.receiveAnnouncement(
+    buildAnnouncement({ incarnation: 5, departing: true }),
+  );
+  t.equal(
+    controller.receiveAnnouncement(buildAnnouncement({ incarnation: 4 })),
+    false,
+  );
+  controller.receiveAnnouncement(buildAnnouncement({ incarnation: 5 }));
+  await t.rejects(
+    controller.acquire(buildRequest()),
+    buildWanted("unavailable", "no"),
+  );
+  controller.receiveAnnouncement(buildAnnouncement({ incarnation: 6 }));
+  t.ok(await acquireNow(controller));
+  t.throws(
+    () => controller.receiveAnnouncement(buildAnnouncement({ slots: -1 })),
+    buildWanted("badRequest"),
+  );
+  t.throws(
+    () =>
+      controller.receiveAnnouncement(
+        buildAnnouncement({ dataCentre: "other" }),
+      ),
+    buildWanted("badRequest"),
+  );
+});
+
+// Guards against more connections to an endpoint than it accepts: idle ones
+// count until they have certainly been closed.
+t.test("the connection budget holds over all entry instances", async (t) => {
+  const clock = createManualClock();
+  const controller = createController(clock);
+  clock.advance(READY_MS);
+  const announce = () =>
+    controller.receiveAnnouncement(buildAnnouncement({ connections: 3 }));
+  announce();
+  for (const instance of ["a", "b", "c"]) {
+    const grant = await acquireNow(controller, { instance });
+    controller.release(grant!.token, "answered", 1);
+  }
+  t.notOk(
+    await acquireNow(controller, { instance: "d" }),
+    "three idle connections",
+  );
+  t.ok(
+    await acquireNow(controller, { instance: "a" }),
+    "an idle one is reused",
+  );
+  clock.advance(2_600);
+  announce();
+  t.equal(controller.getStatus().endpoints[0]?.connections, 1);
+  t.ok(await acquireNow(controller, { instance: "d" }));
+});
+
+// Guards against a failing endpoint that keeps drawing work, against ejecting
+// all endpoints for a fault that they share, and against ejection for good.
+t.test("outliers are ejected, probed and readmitted within the bound", async (t) => {
+  const clock = createManualClock();
+  const controller = createController(clock);
+  clock.advance(READY_MS);
+  const names = ["e1", "e2", "e3", "e4"];
+  const announce = () =>
+    names.forEach((endpoint) =>
+      controller.receiveAnnouncement(buildAnnouncement({ endpoint }))
+    );
+  announce();
+  async function runRound(failing: readonly string[], count = 80) {
+    const seen = new Map<string, number>();
+    for (let i = 0; i < count; i++) {
+      const grant = (await acquireNow(controller))!;
+      seen.set(grant.endpoint, (seen.get(grant.endpoint) ?? 0) + 1);
+      controller.release(
+        grant.token,
+        failing.includes(grant.endpoint) ? "failed" : "answered",
+        5,
+      );
+    }
+    return seen;
+  }
+  const getHealth = () =>
+    controller.getStatus().endpoints.map(({ health }) => health);
+  await runRound(["e1"]);
+  t.strictSame(getHealth(), ["ejected", "healthy", "healthy", "healthy"]);
+  t.notOk((await runRound([])).has("e1"));
+  await runRound(["e2"]);
+  t.equal(
+    getHealth().filter((health) => health === "ejected").length,
+    1,
+    "the bound holds",
+  );
+  await runRound([]);
+  for (let i = 0; i < 5; i++) clock.advance(1_000), announce();
+  t.equal(getHealth()[0], "probing");
+  await runRound(["e1"]);
+  t.equal(getHealth()[0], "ejected");
+  for (let i = 0; i < 6; i++) clock.advance(1_000), announce();
+  t.equal(getHealth()[0], "ejected", "the second ejection is longer");
+  for (let i = 0; i < 4; i++) clock.advance(1_000), announce();
+  await runRound([]);
+  t.equal(getHealth()[0], "healthy");
+  await runRound(names);
+  t.ok(
+    getHealth().filter((health) => health === "ejected").length <= 1,
+    "a common fault is no outlier",
+  );
+});
+
+// Guards against refusals that claim too much, and against work that stays queued after a stop.
+t.test("cancel, stop and a lost lease refuse queued work as not run", async (t) => {
+  const clock = createManualClock();
+  let isLeader = true;
+  const controller = createController(clock, { canGrant: () => isLeader });
+  clock.advance(READY_MS);
+  controller.receiveAnnouncement(buildAnnouncement({ slots: 1 }));
+  const grant = (await acquireNow(controller, { requestId: "first" }))!;
+  const cancelled = controller.acquire(buildRequest({ requestId: "second" }));
+  const other = controller.acquire(
+    buildRequest({ requestId: "second", scope: "other" }),
+  );
+  t.equal(controller.cancel("second", { scope: "team" }), 1);
+  await t.rejects(cancelled, buildWanted("cancelled", "no"));
+  t.equal(
+    controller.cancel("first"),
+    0,
+    "a granted request is ended by its release",
+  );
+  isLeader = false;
+  t.ok(controller.release(grant.token, "answered", 1));
+  t.notOk(controller.release(grant.token, "answered", 1));
+  t.equal(controller.getStatus().granted, 0, "no grant without the lease");
+  await t.rejects(
+    controller.acquire(buildRequest()),
+    buildWanted("notLeader", "no"),
+  );
+  controller.stop();
+  await t.rejects(other, buildWanted("unavailable", "no"));
+});
+
+// Guards against a slot that stays taken, and a caller left waiting, when the
+// start of a request cannot be recorded.
+t.test("a failed start record frees the slot", async (t) => {
+  const clock = createManualClock();
+  let isFailing = true;
+  const controller = createController(clock, {
+    beforeGrant: () =>
+      isFailing ? Promise.reject(new Error("no quorum")) : Promise.resolve(),
+  });
+  clock.advance(READY_MS);
+  controller.receiveAnnouncement(buildAnnouncement({ slots: 1 }));
+  await t.rejects(controller.acquire(buildRequest()), buildWanted("internal"));
+  isFailing = false;
+  t.ok(await acquireNow(controller));
+});
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -186,5 +186,5 @@
 /** Runs requests of callers from slot to answer. */
 export interface RequestExecutor {
   /** Resolves to the endpoint's (or the recorded) answer, or rejects with a fault. */
-  execute(request: ExecuteRequest): Promise<RecordedAnswer>;
+  run(request: ExecuteRequest): Promise<RecordedAnswer>;
 }
--- /dev/null
+++ b/test/requests_helpers.ts
@@ -0,0 +1,90 @@
+/** Builders that the tests of the request path share. */
+
+import {
+  createSeededRandom,
+  createSilentLogger,
+  type FaultKind,
+  type ManualClock,
+  type Ran,
+} from "../src/common/mod.ts";
+import {
+  createSlotController,
+  type SlotController,
+  type SlotControllerOptions,
+} from "../src/requests/slots.ts";
+import type { SlotGrant, SlotRequest } from "../src/requests/types.ts";
+
+const SEED = 20261204;
+
+/** What a test expects of a fault, in the form that `throws` and `rejects` take. */
+export function buildWanted(kind: FaultKind, ran?: Ran): Error {
+  const wanted = ran === undefined ? { kind } : { kind, ran };
+  return wanted as unknown as Error;
+}
+
+export function createController(
+  clock: ManualClock,
+  options: Partial<SlotControllerOptions> = {},
+): SlotController {
+  return createSlotController({
+    clock,
+    random: createSeededRandom(SEED),
+    logger: createSilentLogger(),
+    dataCentre: "kochi",
+    epoch: 1,
+    getPolicy: () => ({ weight: 1, slotLimit: 1_000 }),
+    ...options,
+  });
+}
+
+export function buildRequest(request: Partial<SlotRequest> = {}): SlotRequest {
+  return {
+    requestId: "r1",
+    scope: "team",
+    team: "team",
+    queue: "orders",
+    idempotent: true,
+    remainingMs: 10_000,
+    bodyHash: "",
+    instance: "entry1",
+    avoid: [],
+    attempt: 0,
+    ...request,
+  };
+}
+
+export function buildAnnouncement(fields: Record<string, unknown> = {}) {
+  return {
+    endpoint: "e1",
+    address: "http://127.0.0.1:9",
+    dataCentre: "kochi",
+    incarnation: 1,
+    queues: ["orders"],
+    slots: 8,
+    connections: 60,
+    inFlight: 0,
+    departing: false,
+    ...fields,
+  };
+}
+
+/** Past the takeover wait and the delay of announcements with their defaults. */
+export const READY_MS = 1_600;
+
+let nextRequest = 0;
+
+/** Acquires a slot if one is free at once, else cancels the request. */
+export async function acquireNow(
+  controller: SlotController,
+  request: Partial<SlotRequest> = {},
+): Promise<SlotGrant | undefined> {
+  const requestId = request.requestId ?? `now${nextRequest++}`;
+  const acquired = controller.acquire(buildRequest({ ...request, requestId }));
+  acquired.catch(() => {});
+  const grant = await Promise.race([
+    acquired,
+    new Promise<undefined>((resolve) => setImmediate(() => resolve(undefined))),
+  ]);
+  if (grant === undefined) controller.cancel(requestId);
+  return grant;
+}
