--- /dev/null
+++ b/test/cell.ts
@@ -0,0 +1,208 @@
+/**
+ * A cell of real processes on loopback for tests: settings for several data
+ * centres with several instances each, and calls to them as an operator or a
+ * caller makes them.
+ */
+
+import { randomUUID } from "node:crypto";
+import type { FleetOperation, Limits } from "../src/fleet/mod.ts";
+import { createKeySecret, type KeySecret } from "../src/fleet/mod.ts";
+import { callJson, type JsonAnswer, waitUntil } from "./json_http.ts";
+import {
+  createTestFolder,
+  findFreePorts,
+  type InstanceProcess,
+  startInstance,
+  type TestScope,
+} from "./processes.ts";
+
+const HOST = "127.0.0.1";
+
+/** Shape of a cell. */
+export interface CellOptions {
+  /** Number of instances by data centre; the first of each has a disk and votes. */
+  readonly dataCentres: Readonly<Record<string, number>>;
+  /** Settings that differ from the defaults, for all instances. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+}
+
+interface CellInstance {
+  readonly instance: string;
+  readonly dataCentre: string;
+  readonly http: { host: string; port: number };
+  readonly rpc: { host: string; port: number };
+  readonly scheduler: boolean;
+  readonly voter: boolean;
+  readonly witnessFor: string[];
+}
+
+/** A cell of child processes. */
+export interface Cell {
+  readonly instances: ReadonlyMap<string, InstanceProcess>;
+  /** Base addresses of all instances. */
+  readonly addresses: readonly string[];
+  get(instance: string): InstanceProcess;
+  /** Starts an ended instance again with its former settings and folder. */
+  restart(instance: string): Promise<InstanceProcess>;
+  /** Base addresses of the instances of a data centre. */
+  listAddresses(dataCentre: string): string[];
+  /** Hands in a change through the first instance. */
+  change(operations: FleetOperation[]): Promise<JsonAnswer>;
+  /** Creates a team and a key for it; resolves to the key. */
+  addTeam(name: string, limits?: Partial<Limits>): Promise<KeySecret>;
+}
+
+async function createInstances(options: CellOptions): Promise<CellInstance[]> {
+  const names = Object.entries(options.dataCentres);
+  const count = names.reduce((sum, [, instances]) => sum + instances, 0);
+  const ports = await findFreePorts(count * 2);
+  const takePort = () => ({ host: HOST, port: ports.pop() ?? 0 });
+  const firstOf = (dataCentre: string) => `${dataCentre}-1`;
+  return names.flatMap(([dataCentre, instances], position) => {
+    const previous = names[(position + names.length - 1) % names.length];
+    // The first instance of a data centre is the witness of the next one.
+    const next = names[(position + 1) % names.length];
+    const needsWitness = next !== undefined && next[1] === 2 &&
+      previous !== undefined && names.length > 1;
+    return Array.from({ length: instances }, (_, index): CellInstance => ({
+      instance: `${dataCentre}-${index + 1}`,
+      dataCentre,
+      http: takePort(),
+      rpc: takePort(),
+      scheduler: true,
+      voter: `${dataCentre}-${index + 1}` === firstOf(dataCentre),
+      witnessFor: index === 0 && needsWitness ? [next[0]] : [],
+    }));
+  });
+}
+
+function buildSettings(
+  entry: CellInstance,
+  instances: readonly CellInstance[],
+  options: CellOptions,
+) {
+  const { instance, dataCentre, http, rpc, scheduler, voter, witnessFor } =
+    entry;
+  return {
+    instance,
+    dataCentre,
+    roles: { scheduler, voter, witnessFor },
+    listen: { http, rpc },
+    ...(voter ? { dataFolder: `${instance}-data` } : {}),
+    instances,
+    ...options.settings,
+  };
+}
+
+/** Starts every instance and waits until all are ready. */
+export async function startCell(
+  t: TestScope,
+  options: CellOptions,
+): Promise<Cell> {
+  const entries = await createInstances(options);
+  const folder = await createTestFolder(t);
+  const running = new Map<string, InstanceProcess>();
+
+  async function start(entry: CellInstance): Promise<InstanceProcess> {
+    const settings = buildSettings(entry, entries, options);
+    const started = await startInstance(t, settings, { folder });
+    running.set(entry.instance, started);
+    return started;
+  }
+
+  await Promise.all(entries.map(start));
+  await Promise.all([...running.values()].map((one) => one.waitUntilReady()));
+
+  function get(instance: string): InstanceProcess {
+    const found = running.get(instance);
+    if (found === undefined) throw new Error(`no instance "${instance}"`);
+    return found;
+  }
+
+  const addresses = entries.map(({ http }) => `http://${HOST}:${http.port}`);
+
+  async function change(operations: FleetOperation[]): Promise<JsonAnswer> {
+    return await callJson(`${addresses[0]}/v1/changes`, {
+      method: "POST",
+      body: { changeId: randomUUID(), operations },
+      timeoutMs: 10_000,
+    });
+  }
+
+  return {
+    instances: running,
+    addresses,
+    get,
+    async restart(instance) {
+      const entry = entries.find((one) => one.instance === instance);
+      if (entry === undefined) throw new Error(`no instance "${instance}"`);
+      return await start(entry);
+    },
+    listAddresses: (dataCentre) =>
+      entries.filter((entry) => entry.dataCentre === dataCentre)
+        .map(({ http }) => `http://${HOST}:${http.port}`),
+    change,
+    async addTeam(name, limits) {
+      const key = createKeySecret();
+      const answer = await change([
+        {
+          type: "createTeam",
+          name,
+          share: 1,
+          limits: {
+            slots: 100,
+            processors: 100_000,
+            memoryMb: 100_000,
+            accelerators: 100,
+            ...limits,
+          },
+        },
+        { type: "grantKey", id: key.id, team: name, hash: key.hash },
+      ]);
+      if (answer.status !== 200) throw new Error(JSON.stringify(answer.body));
+      return key;
+    },
+  };
+}
+
+/** Options of a caller's request. */
+export interface SendOptions {
+  readonly key?: string;
+  readonly body?: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly timeoutMs?: number;
+}
+
+/** Sends a caller's request to a queue. */
+export async function sendRequest(
+  address: string,
+  queue: string,
+  options: SendOptions = {},
+): Promise<JsonAnswer> {
+  return await callJson(`${address}/v1/queues/${queue}/requests`, {
+    method: "POST",
+    body: options.body ?? {},
+    headers: {
+      ...(options.key === undefined
+        ? {}
+        : { authorization: `Bearer ${options.key}` }),
+      ...options.headers,
+    },
+    timeoutMs: options.timeoutMs ?? 15_000,
+  });
+}
+
+/** Repeats `send` until it answers 200, for what becomes usable within seconds. */
+export async function waitForAnswer(
+  send: () => Promise<JsonAnswer>,
+  timeoutMs = 10_000,
+): Promise<JsonAnswer> {
+  return await waitUntil(
+    async () => {
+      const answer = await send();
+      return answer.status === 200 ? answer : undefined;
+    },
+    timeoutMs,
+    "an answer with status 200",
+  );
+}
