Add table tests of policies, leases and takeover; pack the last gap of a worker

Cause: batch work of whole cores left the last gap of each worker empty, because the bucket of such a worker does not promise room. The tightest bucket is now tried first. Throttling for urgent work came before the report on a quick checkpoint could arrive; it now waits just over one report interval. Ruled out: finer buckets, which make every decision look at more of them.

--- /dev/null
+++ b/src/scheduling/leases_test.ts
@@ -0,0 +1,165 @@
+import t from "tap";
+import {
+  AMPLE,
+  buildResources,
+  type Cell,
+  createCell,
+} from "../../test/scheduling_cell.ts";
+
+function createBusyCell(): Cell {
+  const cell = createCell();
+  cell.addWorker("w0", buildResources(1));
+  cell.addWorker("w1", buildResources(1));
+  cell.setTeam("a", AMPLE);
+  cell.addJob({ id: "j" });
+  cell.advance(1_000);
+  return cell;
+}
+
+interface TakeoverCase {
+  name: string;
+  /** Milliseconds after the restore at which the worker is heard again; undefined for never. */
+  heardAfterMs: number | undefined;
+  /** Milliseconds after the restore until which the task must not be placed again. */
+  heldMs: number;
+  isMoved: boolean;
+}
+
+const TAKEOVER_CASES: TakeoverCase[] = [
+  {
+    name: "the worker reports at once",
+    heardAfterMs: 0,
+    heldMs: 30_000,
+    isMoved: false,
+  },
+  {
+    name: "the worker reports just before the lease ends",
+    heardAfterMs: 9_800,
+    heldMs: 30_000,
+    isMoved: false,
+  },
+  {
+    name: "the worker stays silent",
+    heardAfterMs: undefined,
+    heldMs: 10_100,
+    isMoved: true,
+  },
+];
+
+// Guards against a task that runs twice because the successor placed it while it may still have been running.
+for (const { name, heardAfterMs, heldMs, isMoved } of TAKEOVER_CASES) {
+  t.test(`after a takeover, ${name}`, (t) => {
+    const cell = createBusyCell();
+    const { worker } = cell.listRunning()[0]!;
+    worker.isReachable = false;
+    cell.restore();
+    const before = cell.actions.length;
+    const hasMoved = () =>
+      cell.actions.slice(before).some((action) => action.type === "assign");
+    if (heardAfterMs !== undefined) {
+      cell.advance(heardAfterMs);
+      worker.isReachable = true;
+      cell.sendReport(worker);
+    }
+    cell.advance(heldMs - 100 - (heardAfterMs ?? 0));
+    t.equal(hasMoved(), false);
+    cell.advance(1_000);
+    t.equal(hasMoved(), isMoved);
+    t.strictSame(cell.errors, []);
+    t.end();
+  });
+}
+
+// Guards against attempts that a new leader does not know and that run on unseen.
+t.test("a report of an unknown task or an old attempt gets a stop", (t) => {
+  const cell = createBusyCell();
+  const { worker, task } = cell.listRunning()[0]!;
+  const entries = [
+    { job: "nowhere", index: 0, attempt: 1 },
+    { job: "j", index: 0, attempt: 0 },
+    { job: "j", index: 7, attempt: 1 },
+  ];
+  const tasks = [...entries, { job: "j", index: 0, attempt: task.attempt }]
+    .map((entry) => ({ ...entry, state: "running" as const }));
+  const report = {
+    ...worker.lastReport!,
+    sequence: worker.sequence + 100,
+    tasks,
+  };
+  const reply = cell.getScheduler().receiveWorkerReport(
+    report,
+    cell.getNowMs(),
+  );
+  t.strictSame(reply.renewed, [{ job: "j", index: 0, attempt: 1 }]);
+  const stops = cell.getScheduler().step(cell.getNowMs()).filter((action) =>
+    action.type === "stop"
+  );
+  t.strictSame(
+    stops.map(({ job, index, attempt }) => ({ job, index, attempt })),
+    entries,
+  );
+  t.end();
+});
+
+// Guards against a late report that renews a lease or ends an attempt twice.
+t.test("a late or doubled report changes nothing", (t) => {
+  const cell = createBusyCell();
+  const { worker, task } = cell.listRunning()[0]!;
+  cell.advance(1_000);
+  const old = worker.lastReport!;
+  cell.end(task, "finished");
+  cell.advance(1_000);
+  const { length } = cell.actions;
+  t.strictSame(
+    cell.getScheduler().receiveWorkerReport(old, cell.getNowMs()).renewed,
+    [],
+  );
+  const ends = cell.actions.filter((action) => action.type === "endTask");
+  t.equal(ends.length, 1);
+  t.strictSame(cell.getScheduler().step(cell.getNowMs()), []);
+  t.equal(cell.actions.length, length);
+  t.end();
+});
+
+const REFUSALS = ["cancelled", "worker removed", "allotment gone", "abandoned"];
+
+// Guards against a start that is sent although the reason for it has gone while the record was written.
+for (const refusal of REFUSALS) {
+  t.test(`an assignment does not start when it is ${refusal}`, (t) => {
+    const cell = createCell({ confirmsAtOnce: false });
+    cell.addWorker("w0", buildResources(1));
+    cell.setTeam("a", AMPLE);
+    cell.addJob({ id: "j" });
+    cell.advance(100);
+    const assignment = cell.pending.splice(0)[0]!;
+    if (refusal === "cancelled") cell.cancelJob("j");
+    if (refusal === "worker removed") cell.getScheduler().removeWorker("w0");
+    if (refusal === "allotment gone") cell.setTeam("a", buildResources(0));
+    if (refusal === "abandoned") cell.abandon(assignment);
+    else t.equal(cell.getScheduler().confirmAssignment(assignment), false);
+    cell.advance(100);
+    t.notOk(cell.actions.some((action) => action.type === "start"));
+    t.equal(
+      cell.getScheduler().getStatus().committed.processors > 0,
+      refusal === "abandoned",
+    );
+    t.end();
+  });
+}
+
+// Guards against a task that is never run because its start command was lost.
+t.test("a lost start is sent again", (t) => {
+  const cell = createCell({ confirmsAtOnce: false });
+  const worker = cell.addWorker("w0", buildResources(1));
+  cell.setTeam("a", AMPLE);
+  cell.addJob({ id: "j" });
+  cell.advance(100);
+  for (const attempt of cell.pending.splice(0)) cell.confirm(attempt);
+  worker.isReachable = false;
+  cell.advance(100);
+  worker.isReachable = true;
+  cell.advance(2_500);
+  t.equal(cell.listRunning().length, 1);
+  t.equal(cell.actions.filter((action) => action.type === "start").length, 2);
+  t.end();
+});
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -247,25 +247,39 @@
     return best;
   }
 
+  /**
+   * Tries the bucket that would leave the least behind first, even when it does
+   * not promise room, as the last gap of a worker is always in such a bucket.
+   */
   function placePacked(request: PlacementRequest): Entry | undefined {
     const wanted = request.resources;
-    let best: Bucket | undefined;
-    let bestCost = Infinity;
+    let sure: Bucket | undefined;
+    let sureCost = Infinity;
+    let tight: Bucket | undefined;
+    let tightCost = Infinity;
     for (const bucket of filledBuckets) {
-      if (!fitsWithin(wanted, bucket.floor)) continue;
-      const isAvoided = bucket.entries.length === 1 &&
-        bucket.entries[0]!.id === request.avoid;
-      if (isAvoided) continue;
+      const { ceiling } = bucket;
+      const isPossible = wanted.processors < ceiling.processors &&
+        wanted.memoryMb < ceiling.memoryMb &&
+        wanted.accelerators < ceiling.accelerators;
+      if (!isPossible) continue;
       const cost = 100 * computeWaste(bucket.floor, wanted) +
         computeLeftover(bucket.floor, wanted);
-      if (cost >= bestCost) continue;
-      best = bucket;
-      bestCost = cost;
+      if (fitsWithin(wanted, bucket.floor)) {
+        if (cost >= sureCost) continue;
+        sure = bucket;
+        sureCost = cost;
+      } else if (cost < tightCost) {
+        tight = bucket;
+        tightCost = cost;
+      }
+    }
+    for (const bucket of tightCost < sureCost ? [tight, sure] : [sure]) {
+      if (bucket === undefined) continue;
+      const found = pickPacked(listProbes(bucket, PACK_PROBES), request);
+      if (found !== undefined) return found;
     }
-    const sure = best === undefined
-      ? undefined
-      : pickPacked(listProbes(best, PACK_PROBES), request);
-    return sure ?? placeUnsure(request);
+    return placeUnsure(request);
   }
 
   function listPossibleBuckets(wanted: Resources): Bucket[] {
--- /dev/null
+++ b/src/scheduling/policies_test.ts
@@ -0,0 +1,308 @@
+import t from "tap";
+import {
+  AMPLE,
+  buildResources,
+  type Cell,
+  createCell,
+} from "../../test/scheduling_cell.ts";
+import type { JobSpec } from "./types.ts";
+
+function createRackedCell(racks: number, perRack: number, cores = 8): Cell {
+  const cell = createCell();
+  for (let number = 0; number < racks * perRack; number++) {
+    const rack = `r${Math.floor(number / perRack)}`;
+    cell.addWorker(`w${number}`, buildResources(cores), rack);
+  }
+  for (const team of ["a", "b", "c"]) cell.setTeam(team, AMPLE);
+  return cell;
+}
+
+function countByWorker(cell: Cell, job: string): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { worker, task } of cell.listRunning()) {
+    if (task.job !== job) continue;
+    counts.set(worker.id, (counts.get(worker.id) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function countRunning(cell: Cell, job: string): number {
+  return cell.listRunning().filter(({ task }) => task.job === job).length;
+}
+
+// Guards against a service that is lost with one rack, and batch work that scatters and blocks large tasks.
+t.test("services are spread over racks and batch work is packed", (t) => {
+  const cell = createRackedCell(4, 2);
+  cell.addJob({ id: "s", policy: "service", tasks: 8 });
+  cell.addJob({ id: "b", policy: "batch", tasks: 7, team: "b" });
+  cell.advance(500);
+  const racks = new Map<string, number>();
+  for (const [id, count] of countByWorker(cell, "s")) {
+    const { rack } = cell.workers.get(id)!;
+    racks.set(rack, (racks.get(rack) ?? 0) + count);
+  }
+  t.strictSame([...racks.values()], [2, 2, 2, 2]);
+  t.equal(countByWorker(cell, "b").size, 1);
+  t.strictSame(cell.errors, []);
+  t.end();
+});
+
+// Guards against a service that stays down after its worker is lost, and one that runs twice meanwhile.
+t.test("a service moves when its worker is lost", (t) => {
+  const cell = createRackedCell(2, 1);
+  cell.addJob({ id: "s", policy: "service", tasks: 2 });
+  cell.advance(500);
+  const lost = cell.workers.get("w0")!;
+  lost.isReachable = false;
+  cell.getScheduler().removeWorker("w0");
+  cell.advance(9_000);
+  t.equal(cell.getScheduler().getJob("s")?.counts.lost, 1);
+  cell.advance(2_500);
+  t.equal(countByWorker(cell, "s").get("w1"), 2);
+  t.strictSame(cell.errors, []);
+  t.end();
+});
+
+// Guards against a service that is given up although it runs well between failures.
+t.test("a service that ran well starts counting failures again", (t) => {
+  const cell = createRackedCell(1, 3);
+  cell.addJob({ id: "s", policy: "service", maxAttempts: 2 });
+  for (let failure = 0; failure < 4; failure++) {
+    cell.advance(15_000);
+    cell.end(cell.listRunning()[0]!.task, "failed");
+  }
+  cell.advance(5_000);
+  t.equal(countRunning(cell, "s"), 1);
+  t.end();
+});
+
+// Guards against two gangs that each hold half of what the other needs.
+t.test("two gangs that do not fit together run one after the other", (t) => {
+  const cell = createRackedCell(2, 2);
+  cell.addJob({
+    id: "g1",
+    policy: "gang",
+    tasks: 3,
+    resources: buildResources(8),
+  });
+  cell.addJob({
+    id: "g2",
+    policy: "gang",
+    tasks: 3,
+    resources: buildResources(8),
+    team: "b",
+  });
+  cell.advance(2_000);
+  const first = countRunning(cell, "g1") === 3 ? "g1" : "g2";
+  const second = first === "g1" ? "g2" : "g1";
+  t.equal(countRunning(cell, first), 3);
+  t.equal(countRunning(cell, second), 0);
+  for (const { task } of cell.listRunning()) cell.end(task, "finished");
+  cell.advance(3_000);
+  t.equal(countRunning(cell, second), 3);
+  t.strictSame(cell.errors, []);
+  t.end();
+});
+
+// Guards against a gang that goes on without a task that failed.
+t.test("a gang starts again as a whole after one task fails", (t) => {
+  const cell = createRackedCell(1, 3);
+  cell.addJob({
+    id: "g",
+    policy: "gang",
+    tasks: 3,
+    resources: buildResources(5),
+  });
+  cell.advance(1_000);
+  cell.end(cell.listRunning()[0]!.task, "failed");
+  cell.advance(8_000);
+  t.equal(countRunning(cell, "g"), 3);
+  t.ok(cell.listRunning().every(({ task }) => task.attempt === 2));
+  t.strictSame(cell.errors, []);
+  t.end();
+});
+
+const STREAMS = [
+  // Declared times that hold: the gaps before the gang are filled.
+  {
+    name: "short declared jobs",
+    expectedMs: 2_000,
+    runMs: 2_000,
+    isFilled: true,
+  },
+  // Declared times that are far off: patience ends and the way is cleared.
+  {
+    name: "jobs that overrun",
+    expectedMs: 2_000,
+    runMs: 200_000,
+    isFilled: true,
+  },
+];
+
+// Guards against a gang that starves behind a steady stream of small jobs.
+for (const { name, expectedMs, runMs } of STREAMS) {
+  t.test(`a gang is not starved by ${name}`, (t) => {
+    const cell = createCell({
+      runTask: (task, _worker, nowMs) =>
+        task.job.startsWith("s") && nowMs - task.startedMs >= runMs
+          ? "finished"
+          : undefined,
+    });
+    for (const id of ["w0", "w1", "w2"]) cell.addWorker(id, buildResources(4));
+    for (const team of ["a", "b"]) cell.setTeam(team, AMPLE);
+    for (let second = 0; second < 90; second++) {
+      for (let number = 0; number < 8; number++) {
+        cell.addJob({ id: `s${second}-${number}`, team: "b", expectedMs });
+      }
+      if (second === 5) {
+        cell.addJob({
+          id: "g",
+          policy: "gang",
+          tasks: 3,
+          resources: buildResources(4),
+        });
+      }
+      cell.advance(1_000, 250);
+    }
+    t.equal(countRunning(cell, "g"), 3);
+    t.strictSame(cell.errors, []);
+    t.end();
+  });
+}
+
+// Guards against reserved workers that stand idle, and against long work that delays the gang.
+t.test("only work that ends in time fills reserved workers", (t) => {
+  const cell = createRackedCell(1, 2);
+  cell.addJob({ id: "long", resources: buildResources(6), expectedMs: 30_000 });
+  cell.addJob({
+    id: "other",
+    resources: buildResources(6),
+    expectedMs: 30_000,
+  });
+  cell.advance(1_000);
+  cell.addJob({
+    id: "g",
+    policy: "gang",
+    tasks: 2,
+    resources: buildResources(8),
+    team: "b",
+  });
+  cell.advance(500);
+  cell.addJob({ id: "short", expectedMs: 5_000, team: "c" });
+  cell.addJob({ id: "late", expectedMs: 60_000, team: "c" });
+  cell.advance(1_000);
+  t.equal(countRunning(cell, "short"), 1);
+  t.equal(countRunning(cell, "late"), 0);
+  t.end();
+});
+
+interface UrgentCase {
+  name: string;
+  /** What fills the cell before. */
+  filler: Partial<JobSpec>;
+  wanted: Partial<JobSpec>;
+  obeysCheckpoint: boolean;
+  commands: string[];
+}
+
+const URGENT_CASES: UrgentCase[] = [
+  {
+    name: "batch work that saves its progress",
+    filler: { policy: "batch" },
+    wanted: {},
+    obeysCheckpoint: true,
+    commands: ["checkpoint"],
+  },
+  {
+    name:
+      "batch work that ignores the checkpoint; a throttle does not free memory",
+    filler: { policy: "batch" },
+    wanted: {},
+    obeysCheckpoint: false,
+    commands: ["checkpoint", "throttle", "stop"],
+  },
+  {
+    name: "services, which are throttled and keep running",
+    filler: { policy: "service", resources: buildResources(2, 1) },
+    wanted: { resources: buildResources(1, 1) },
+    obeysCheckpoint: true,
+    commands: ["throttle"],
+  },
+  {
+    name: "an urgent gang",
+    filler: { policy: "batch" },
+    wanted: { policy: "gang", tasks: 2, resources: buildResources(8) },
+    obeysCheckpoint: true,
+    commands: ["checkpoint"],
+  },
+];
+
+// Guards against urgent work that starts later than 3 s in a full cell, and victims that are treated too harshly.
+for (
+  const { name, filler, wanted, obeysCheckpoint, commands } of URGENT_CASES
+) {
+  t.test(`urgent work starts within 3 s beside ${name}`, (t) => {
+    const cell = createCell({ obeysCheckpoint });
+    cell.addWorker("w0", buildResources(8), "r0");
+    cell.addWorker("w1", buildResources(8), "r1");
+    for (const team of ["a", "b"]) cell.setTeam(team, AMPLE);
+    const cores = (filler.resources?.processors ?? 1_000) / 1_000;
+    cell.addJob({ id: "f", tasks: 16 / cores, ...filler });
+    cell.advance(20_000);
+    t.equal(cell.getScheduler().getStatus().committed.processors, 16_000);
+    const before = cell.actions.length;
+    cell.addJob({ id: "u", team: "b", urgent: true, ...wanted });
+    cell.advance(3_000);
+    t.equal(countRunning(cell, "u"), wanted.tasks ?? 1);
+    const sent = cell.actions.slice(before).filter((action) =>
+      "worker" in action && action.job === "f" && "reason" in action &&
+      action.reason !== "unknown"
+    ).map((action) => action.type);
+    t.strictSame([...new Set(sent)], commands);
+    t.strictSame(cell.errors, []);
+    t.end();
+  });
+}
+
+// Guards against throttled tasks that are never given their processors back.
+t.test("throttling ends when the urgent work has ended", (t) => {
+  const cell = createRackedCell(1, 1);
+  cell.addJob({
+    id: "s",
+    policy: "service",
+    tasks: 4,
+    resources: buildResources(2, 1),
+  });
+  cell.advance(2_000);
+  cell.addJob({
+    id: "u",
+    urgent: true,
+    resources: buildResources(1, 1),
+    team: "b",
+  });
+  cell.advance(3_000);
+  t.ok(cell.listRunning().some(({ task }) => task.limit === 1_000));
+  cell.end(
+    cell.listRunning().find(({ task }) => task.job === "u")!.task,
+    "finished",
+  );
+  cell.advance(3_000);
+  t.notOk(cell.listRunning().some(({ task }) => task.limit !== undefined));
+  t.strictSame(cell.errors, []);
+  t.end();
+});
+
+// Guards against victims that lose hours of work, and against victims from a team within its share.
+t.test("victims are over their share and lose least", (t) => {
+  const cell = createRackedCell(1, 1);
+  cell.addJob({ id: "small-share", team: "b" });
+  cell.addJob({ id: "old", team: "a", tasks: 4 });
+  cell.advance(60_000);
+  cell.addJob({ id: "young", team: "a", tasks: 3 });
+  cell.advance(2_000);
+  cell.addJob({ id: "u", team: "c", urgent: true });
+  cell.advance(3_000);
+  const victims = cell.actions.filter((action) => action.type === "checkpoint");
+  t.strictSame(victims.map((action) => action.job), ["young"]);
+  t.end();
+});
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -1,7 +1,7 @@
 /**
  * Preemption plans. A plan holds one worker for one waiting task while the
- * tasks in its way end. Urgent work: checkpoint at once, throttle after 0.7 s,
- * stop after 1.5 s. Lent resources are reclaimed more slowly.
+ * tasks in its way end. Urgent work: checkpoint at once, throttle after 1.05 s,
+ * stop after 1.6 s. Lent resources are reclaimed more slowly.
  */
 
 import {
@@ -62,8 +62,10 @@
 }
 
 const SAMPLED_WORKERS = 64;
-const THROTTLE_AFTER_MS = 700;
-const URGENT_GRACE_MS = 1_500;
+// Just over one report interval, in which a quick checkpoint shows.
+const THROTTLE_AFTER_MS = 1_050;
+// Leaves a report interval of 1 s and the start within the 3 s of urgent work.
+const URGENT_GRACE_MS = 1_600;
 const RECLAIM_GRACE_MS = 10_000;
 // Throttled tasks keep half of their processors, so that services still answer.
 const THROTTLED_PART = 0.5;
