--- /dev/null
+++ b/src/cli/change_commands.ts
@@ -0,0 +1,249 @@
+/** Commands that change the configuration: teams, keys, queues and sheets. */
+
+import { readFile } from "node:fs/promises";
+import {
+  command,
+  flag,
+  number,
+  option,
+  optional,
+  positional,
+  string,
+  subcommands,
+} from "cmd-ts";
+import { grantKey, submitOperations, withdrawKey } from "../client/mod.ts";
+import type { FleetOperation, Limits, QueuePolicy } from "../fleet/mod.ts";
+import { QUEUE_POLICIES } from "../fleet/mod.ts";
+import type { ChangeReport } from "../http/mod.ts";
+import { createFault } from "../common/mod.ts";
+import {
+  CHANGE_ID_OPTION,
+  CONNECTION_OPTIONS,
+  type ConnectionArgs,
+  createOperatorClient,
+  runCommand,
+  writeOutput,
+} from "./shared.ts";
+
+const nameArgument = positional({ type: string, displayName: "name" });
+
+const limitOption = (name: string, description: string) =>
+  option({ type: optional(number), long: name, description });
+
+const LIMIT_OPTIONS = {
+  slots: limitOption("slots", "requests that may run at once"),
+  processors: limitOption("processors", "thousandths of a core"),
+  memoryMb: limitOption("memory-mb", "mebibytes of memory"),
+  accelerators: limitOption("accelerators", "whole accelerators"),
+};
+
+type LimitArgs = Record<keyof Limits, number | undefined>;
+
+function pickLimits(args: LimitArgs): Partial<Limits> {
+  const { slots, processors, memoryMb, accelerators } = args;
+  const entries = Object.entries({ slots, processors, memoryMb, accelerators });
+  return Object.fromEntries(
+    entries.filter(([, value]) => value !== undefined),
+  ) as Partial<Limits>;
+}
+
+/** Renders how far a change has spread. */
+export function renderReport(report: ChangeReport): string {
+  const version = report.version === undefined
+    ? "The fleet log cannot be reached; the withdrawal will be merged later."
+    : `Accepted as version ${report.version}.`;
+  const inForce = `In force in: ${report.inForce.join(", ") || "none yet"}.`;
+  if (report.pending.length === 0) return `${version}\n${inForce}`;
+  return `${version}\n${inForce}\nNot confirmed by: ${
+    report.pending.join(", ")
+  }.`;
+}
+
+async function submit(
+  args: ConnectionArgs & { changeId?: string | undefined },
+  operations: FleetOperation[],
+): Promise<void> {
+  const report = await submitOperations(
+    createOperatorClient(args),
+    operations,
+    args.changeId === undefined ? {} : { changeId: args.changeId },
+  );
+  writeOutput(args.json, report, () => renderReport(report));
+}
+
+const createTeamCommand = command({
+  name: "create",
+  description:
+    "Create a team, e.g. `team create lace --share 2 --slots 40 --processors 64000 --memory-mb 262144`",
+  args: {
+    name: nameArgument,
+    share: option({ type: number, long: "share", defaultValue: () => 1 }),
+    ...LIMIT_OPTIONS,
+    changeId: CHANGE_ID_OPTION,
+    ...CONNECTION_OPTIONS,
+  },
+  handler: (args) =>
+    runCommand(() =>
+      submit(args, [{
+        type: "createTeam",
+        name: args.name,
+        share: args.share,
+        limits: {
+          slots: 0,
+          processors: 0,
+          memoryMb: 0,
+          accelerators: 0,
+          ...pickLimits(args),
+        },
+      }])
+    ),
+});
+
+const updateTeamCommand = command({
+  name: "update",
+  description: "Change a team, e.g. `team update lace --slots 60`",
+  args: {
+    name: nameArgument,
+    share: option({ type: optional(number), long: "share" }),
+    ...LIMIT_OPTIONS,
+    changeId: CHANGE_ID_OPTION,
+    ...CONNECTION_OPTIONS,
+  },
+  handler: (args) =>
+    runCommand(() =>
+      submit(args, [{
+        type: "updateTeam",
+        name: args.name,
+        ...(args.share === undefined ? {} : { share: args.share }),
+        limits: pickLimits(args),
+      }])
+    ),
+});
+
+const removeTeamCommand = command({
+  name: "remove",
+  description: "Remove a team and withdraw its keys, e.g. `team remove lace`",
+  args: {
+    name: nameArgument,
+    changeId: CHANGE_ID_OPTION,
+    ...CONNECTION_OPTIONS,
+  },
+  handler: (args) =>
+    runCommand(() => submit(args, [{ type: "removeTeam", name: args.name }])),
+});
+
+/** `goldcrestlug team`. */
+export const TEAM_COMMANDS = subcommands({
+  name: "team",
+  description: "Teams, their shares and limits",
+  cmds: {
+    create: createTeamCommand,
+    update: updateTeamCommand,
+    remove: removeTeamCommand,
+  },
+});
+
+const grantKeyCommand = command({
+  name: "grant",
+  description: "Grant a key to a team, e.g. `key grant lace`; it is shown once",
+  args: {
+    team: positional({ type: string, displayName: "team" }),
+    ...CONNECTION_OPTIONS,
+  },
+  handler: (args) =>
+    runCommand(async () => {
+      const granted = await grantKey(createOperatorClient(args), args.team);
+      const { id, secret, report } = granted;
+      writeOutput(
+        args.json,
+        { id, secret, ...report },
+        () => `Key ${id}, shown only now:\n${secret}\n${renderReport(report)}`,
+      );
+    }),
+});
+
+const withdrawKeyCommand = command({
+  name: "withdraw",
+  description: "Withdraw a key by its identifier, e.g. `key withdraw 4f2a`",
+  args: {
+    id: positional({ type: string, displayName: "id" }),
+    ...CONNECTION_OPTIONS,
+  },
+  handler: (args) =>
+    runCommand(async () => {
+      const report = await withdrawKey(createOperatorClient(args), args.id);
+      writeOutput(args.json, report, () => renderReport(report));
+    }),
+});
+
+/** `goldcrestlug key`. */
+export const KEY_COMMANDS = subcommands({
+  name: "key",
+  description: "Keys of teams",
+  cmds: { grant: grantKeyCommand, withdraw: withdrawKeyCommand },
+});
+
+function parsePolicy(text: string): QueuePolicy {
+  const policy = QUEUE_POLICIES.find((name) => name === text);
+  if (policy !== undefined) return policy;
+  throw createFault(
+    "badRequest",
+    `Cannot use policy "${text}": expected one of ${QUEUE_POLICIES.join(", ")}`,
+  );
+}
+
+const createQueueCommand = command({
+  name: "create",
+  description: "Create a queue, e.g. `queue create orders --policy requests`",
+  args: {
+    name: nameArgument,
+    policy: option({
+      type: string,
+      long: "policy",
+      defaultValue: () => "requests",
+      description: QUEUE_POLICIES.join(", "),
+    }),
+    open: flag({ long: "open", description: "accept work without a key" }),
+    changeId: CHANGE_ID_OPTION,
+    ...CONNECTION_OPTIONS,
+  },
+  handler: (args) =>
+    runCommand(() =>
+      submit(args, [{
+        type: "createQueue",
+        name: args.name,
+        open: args.open,
+        policy: parsePolicy(args.policy),
+      }])
+    ),
+});
+
+const removeQueueCommand = command({
+  name: "remove",
+  description: "Remove a queue, e.g. `queue remove orders`",
+  args: {
+    name: nameArgument,
+    changeId: CHANGE_ID_OPTION,
+    ...CONNECTION_OPTIONS,
+  },
+  handler: (args) =>
+    runCommand(() => submit(args, [{ type: "removeQueue", name: args.name }])),
+});
+
+/** `goldcrestlug queue`. */
+export const QUEUE_COMMANDS = subcommands({
+  name: "queue",
+  description: "Queues",
+  cmds: { create: createQueueCommand, remove: removeQueueCommand },
+});
+
+/** Reads a text file; fault `badRequest` when it cannot be read. */
+export async function readTextFile(path: string): Promise<string> {
+  try {
+    return await readFile(path, "utf8");
+  } catch (error) {
+    throw createFault("badRequest", `Cannot read file "${path}"`, {
+      cause: error,
+    });
+  }
+}
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,12 +1,36 @@
 /** The command line. Each command calls one function of the library. */
 
 import { subcommands } from "cmd-ts";
+import {
+  KEY_COMMANDS,
+  QUEUE_COMMANDS,
+  TEAM_COMMANDS,
+} from "./change_commands.ts";
 import { DEV_COMMAND } from "./dev.ts";
 import { SERVE_COMMAND } from "./serve.ts";
+import {
+  CHECK_COMMAND,
+  CONFIG_COMMAND,
+  STATUS_COMMAND,
+  VERSION_COMMAND,
+} from "./status_commands.ts";
+import { JOB_COMMANDS, REQUEST_COMMANDS } from "./work_commands.ts";
 
 /** The program with all its commands. */
 export const PROGRAM = subcommands({
   name: "goldcrestlug",
   description: "A cluster scheduler for mixed workloads",
-  cmds: { dev: DEV_COMMAND, serve: SERVE_COMMAND },
+  cmds: {
+    serve: SERVE_COMMAND,
+    dev: DEV_COMMAND,
+    check: CHECK_COMMAND,
+    team: TEAM_COMMANDS,
+    key: KEY_COMMANDS,
+    queue: QUEUE_COMMANDS,
+    job: JOB_COMMANDS,
+    request: REQUEST_COMMANDS,
+    config: CONFIG_COMMAND,
+    status: STATUS_COMMAND,
+    version: VERSION_COMMAND,
+  },
 });
--- /dev/null
+++ b/src/cli/shared.ts
@@ -0,0 +1,136 @@
+/** Arguments and output that several commands share. */
+
+import process from "node:process";
+import { flag, option, optional, string } from "cmd-ts";
+import { type Client, createClient } from "../client/mod.ts";
+import { type FaultKind, toFault } from "../common/mod.ts";
+
+const DEFAULT_ADDRESS = "http://127.0.0.1:8080";
+
+/** Environment variable with the operators' token, so that it stays out of the process list. */
+export const TOKEN_VARIABLE = "GOLDCRESTLUG_TOKEN";
+
+/** Environment variable with the key of a team. */
+export const KEY_VARIABLE = "GOLDCRESTLUG_KEY";
+
+/**
+ * Exit codes. A script can tell a refusal that may be repeated from one that
+ * must be corrected and from one whose outcome has to be looked up.
+ */
+export const EXIT_CODES = Object.freeze({
+  success: 0,
+  failure: 1,
+  badInput: 2,
+  refused: 3,
+  notReachable: 4,
+  outcomeUnknown: 5,
+});
+
+const EXIT_CODE_BY_KIND: Partial<Record<FaultKind, number>> = {
+  badRequest: EXIT_CODES.badInput,
+  notFound: EXIT_CODES.badInput,
+  tooLarge: EXIT_CODES.badInput,
+  unauthenticated: EXIT_CODES.refused,
+  forbidden: EXIT_CODES.refused,
+  versionConflict: EXIT_CODES.refused,
+  requestIdConflict: EXIT_CODES.refused,
+  limitReached: EXIT_CODES.refused,
+  neverRunnable: EXIT_CODES.refused,
+  overloaded: EXIT_CODES.notReachable,
+  unavailable: EXIT_CODES.notReachable,
+  deadlineExceeded: EXIT_CODES.outcomeUnknown,
+  outcomeUnknown: EXIT_CODES.outcomeUnknown,
+};
+
+const NEXT_STEP_BY_KIND: Partial<Record<FaultKind, string>> = {
+  unauthenticated:
+    `Set ${TOKEN_VARIABLE} (operators) or ${KEY_VARIABLE} (teams) and try again.`,
+  versionConflict:
+    "Look at the present configuration with `goldcrestlug config` and try again.",
+  unavailable:
+    "Try another instance with --address, or look at `goldcrestlug status`.",
+  overloaded: "Try again later.",
+  outcomeUnknown:
+    "Repeat the command with the same identifier, or look at the present state first.",
+};
+
+/** Options of every command that calls an instance. */
+export const CONNECTION_OPTIONS = {
+  address: option({
+    type: string,
+    long: "address",
+    defaultValue: () => DEFAULT_ADDRESS,
+    description: "base address of any instance",
+  }),
+  json: flag({ long: "json", description: "print JSON" }),
+};
+
+/** Optional change identifier, for resending a change whose answer was lost. */
+export const CHANGE_ID_OPTION = option({
+  type: optional(string),
+  long: "change-id",
+  description: "identifier of the change; repeat it to resend safely",
+});
+
+/** Values of `CONNECTION_OPTIONS`. */
+export interface ConnectionArgs {
+  address: string;
+  json: boolean;
+}
+
+/** Creates a client with the operators' token of the environment. */
+export function createOperatorClient(args: ConnectionArgs): Client {
+  return createClientWith(args, process.env[TOKEN_VARIABLE]);
+}
+
+/** Creates a client with the team's key of the environment. */
+export function createTeamClient(args: ConnectionArgs): Client {
+  return createClientWith(args, process.env[KEY_VARIABLE]);
+}
+
+function createClientWith(args: ConnectionArgs, token?: string): Client {
+  return createClient({
+    address: args.address.replace(/\/$/, ""),
+    ...(token === undefined ? {} : { token }),
+  });
+}
+
+/** Prints a value as JSON, or as `text` for people. */
+export function writeOutput(
+  json: boolean,
+  value: unknown,
+  text: () => string,
+): void {
+  const output = json ? JSON.stringify(value, null, 2) : text();
+  process.stdout.write(output.endsWith("\n") ? output : output + "\n");
+}
+
+/** Runs a command; a fault is printed with what to do next, and sets the exit code. */
+export async function runCommand(action: () => Promise<void>): Promise<void> {
+  try {
+    await action();
+  } catch (error) {
+    const fault = toFault(error);
+    const next = NEXT_STEP_BY_KIND[fault.kind];
+    process.stderr.write(`${fault.kind}: ${fault.message}\n`);
+    if (next !== undefined) process.stderr.write(`${next}\n`);
+    process.exitCode = EXIT_CODE_BY_KIND[fault.kind] ?? EXIT_CODES.failure;
+  }
+}
+
+/** Renders rows under headings, with columns as wide as their longest cell. */
+export function renderTable(
+  headings: readonly string[],
+  rows: readonly (readonly unknown[])[],
+): string {
+  const cells = [headings, ...rows].map((row) => row.map(String));
+  const widths = headings.map((_, column) =>
+    Math.max(...cells.map((row) => row[column]?.length ?? 0))
+  );
+  return cells
+    .map((row) =>
+      row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join("  ")
+        .trimEnd()
+    )
+    .join("\n");
+}
--- /dev/null
+++ b/src/cli/status_commands.ts
@@ -0,0 +1,172 @@
+/** Commands that only look: configuration, status, settings check and version. */
+
+import { command, positional, string } from "cmd-ts";
+import { loadSettings } from "../settings/mod.ts";
+import {
+  CONNECTION_OPTIONS,
+  createOperatorClient,
+  renderTable,
+  runCommand,
+  writeOutput,
+} from "./shared.ts";
+
+/** Version of the program, as in package.json. */
+export const VERSION = "0.1.0";
+
+interface StatusAnswer {
+  self: { instance: string; configVersion: number };
+  fleet: { leader: string; version: number; ageMs: number | null };
+  peers: {
+    instance: string;
+    dataCentre: string;
+    alive: boolean;
+    configVersion: number;
+    stopping: boolean;
+  }[];
+  dataCentres: {
+    dataCentre: string;
+    unreachable?: string;
+    leader?: string;
+    epoch?: number;
+    scheduler?: { workers: number; queuedTasks: number; placedTasks: number };
+    slots?: { queued: number; granted: number; endpoints: unknown[] };
+  }[];
+}
+
+function renderStatus(status: StatusAnswer): string {
+  const instances = renderTable(
+    ["instance", "data centre", "state", "configuration"],
+    status.peers.map((peer) => [
+      peer.instance,
+      peer.dataCentre,
+      peer.stopping ? "stopping" : peer.alive ? "alive" : "silent",
+      peer.configVersion,
+    ]),
+  );
+  const dataCentres = renderTable(
+    ["data centre", "leader", "epoch", "workers", "endpoints", "queued"],
+    status.dataCentres.map((one) =>
+      one.unreachable === undefined
+        ? [
+          one.dataCentre,
+          one.leader,
+          one.epoch,
+          one.scheduler?.workers,
+          one.slots?.endpoints.length,
+          (one.scheduler?.queuedTasks ?? 0) + (one.slots?.queued ?? 0),
+        ]
+        : [one.dataCentre, "not reachable", "", "", "", ""]
+    ),
+  );
+  const { fleet, self } = status;
+  return [
+    `Asked ${self.instance}. Configuration version ${fleet.version}, fleet log led by ${
+      fleet.leader || "nobody known"
+    }.`,
+    "",
+    instances,
+    "",
+    dataCentres,
+  ].join("\n");
+}
+
+/** `goldcrestlug status`. */
+export const STATUS_COMMAND = command({
+  name: "status",
+  description: "Show instances, data centres, workers and endpoints",
+  args: CONNECTION_OPTIONS,
+  handler: (args) =>
+    runCommand(async () => {
+      const status = await createOperatorClient(args).call("/v1/status");
+      writeOutput(
+        args.json,
+        status,
+        () => renderStatus(status as StatusAnswer),
+      );
+    }),
+});
+
+interface ConfigAnswer {
+  version: number;
+  dataCentres: string[];
+  teams: { name: string; share: number; limits: Record<string, number> }[];
+  queues: { name: string; open: boolean; policy: string }[];
+  keys: { id: string; team: string }[];
+}
+
+function renderConfigText(config: ConfigAnswer): string {
+  return [
+    `Version ${config.version}; data centres: ${
+      config.dataCentres.join(", ")
+    }.`,
+    "",
+    renderTable(
+      ["team", "share", "slots", "processors", "memoryMb", "accelerators"],
+      config.teams.map(({ name, share, limits }) => [
+        name,
+        share,
+        limits["slots"],
+        limits["processors"],
+        limits["memoryMb"],
+        limits["accelerators"],
+      ]),
+    ),
+    "",
+    renderTable(
+      ["queue", "policy", "open"],
+      config.queues.map(({ name, policy, open }) => [name, policy, open]),
+    ),
+    "",
+    renderTable(
+      ["key", "team"],
+      config.keys.map(({ id, team }) => [id, team]),
+    ),
+  ].join("\n");
+}
+
+/** `goldcrestlug config`. */
+export const CONFIG_COMMAND = command({
+  name: "config",
+  description: "Show the configuration in force at an instance",
+  args: CONNECTION_OPTIONS,
+  handler: (args) =>
+    runCommand(async () => {
+      const config = await createOperatorClient(args).call("/v1/config");
+      writeOutput(
+        args.json,
+        config,
+        () => renderConfigText(config as ConfigAnswer),
+      );
+    }),
+});
+
+/** `goldcrestlug check`. */
+export const CHECK_COMMAND = command({
+  name: "check",
+  description: "Check a settings file, e.g. `check settings.json`",
+  args: {
+    file: positional({ type: string, displayName: "file" }),
+    json: CONNECTION_OPTIONS.json,
+  },
+  handler: (args) =>
+    runCommand(async () => {
+      const settings = await loadSettings(args.file);
+      writeOutput(
+        args.json,
+        settings,
+        () => `The settings of instance "${settings.instance}" are in order.`,
+      );
+    }),
+});
+
+/** `goldcrestlug version`. */
+export const VERSION_COMMAND = command({
+  name: "version",
+  description: "Print the version",
+  args: { json: CONNECTION_OPTIONS.json },
+  handler: (args) =>
+    runCommand(async () => {
+      writeOutput(args.json, { version: VERSION }, () => VERSION);
+      await Promise.resolve();
+    }),
+});
--- /dev/null
+++ b/src/client/client.ts
@@ -0,0 +1,100 @@
+/**
+ * Calls to an instance's HTTP interface, for the command line and for programs
+ * that embed it.
+ */
+
+import { request } from "undici";
+import { createFault, isFaultKind, type Ran } from "../common/mod.ts";
+
+/** Time for one call, in milliseconds. */
+export const DEFAULT_CALL_TIMEOUT_MS = 15_000;
+
+/** Options of a client. */
+export interface ClientOptions {
+  /** Base address of any instance, such as `http://192.0.2.1:8080`. */
+  address: string;
+  /** Key of a team, or the operators' token. */
+  token?: string;
+  /** Time for one call, in milliseconds. Default 15,000. */
+  timeoutMs?: number;
+}
+
+/** Options of one call. */
+export interface ClientCallOptions {
+  method?: "GET" | "POST" | "DELETE";
+  /** Sent as JSON. */
+  body?: unknown;
+  headers?: Readonly<Record<string, string>>;
+}
+
+/** Calls an instance. */
+export interface Client {
+  /** Resolves to the parsed answer; rejects with the fault of a refusal. */
+  call(path: string, options?: ClientCallOptions): Promise<unknown>;
+}
+
+interface FaultAnswer {
+  kind?: unknown;
+  message?: unknown;
+  ran?: unknown;
+}
+
+function parseAnswer(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return text;
+  }
+}
+
+function createAnswerFault(status: number, answer: unknown): Error {
+  const { kind, message, ran } = (answer ?? {}) as FaultAnswer;
+  if (isFaultKind(kind)) {
+    return createFault(kind, String(message), { ran: ran as Ran });
+  }
+  return createFault(
+    "internal",
+    `Cannot read the answer with status ${status}`,
+  );
+}
+
+/** Creates a client; nothing is sent until a call is made. */
+export function createClient(options: ClientOptions): Client {
+  const timeoutMs = options.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
+
+  async function call(
+    path: string,
+    callOptions: ClientCallOptions = {},
+  ): Promise<unknown> {
+    const { body } = callOptions;
+    let reply;
+    try {
+      reply = await request(`${options.address}${path}`, {
+        method: callOptions.method ?? "GET",
+        headers: {
+          ...(options.token === undefined
+            ? {}
+            : { authorization: `Bearer ${options.token}` }),
+          ...(body === undefined ? {} : { "content-type": "application/json" }),
+          ...callOptions.headers,
+        },
+        ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+      });
+    } catch (error) {
+      throw createFault(
+        "outcomeUnknown",
+        `Cannot get an answer from "${options.address}"`,
+        { cause: error },
+      );
+    }
+    const answer = parseAnswer(await reply.body.text());
+    if (reply.statusCode >= 400) {
+      throw createAnswerFault(reply.statusCode, answer);
+    }
+    return answer;
+  }
+
+  return { call };
+}
--- /dev/null
+++ b/src/client/mod.ts
@@ -0,0 +1,4 @@
+/** Clients of the HTTP interface. */
+
+export * from "./client.ts";
+export * from "./operator.ts";
--- a/src/dev/dev_cell.ts
+++ b/src/dev/dev_cell.ts
@@ -149,6 +149,7 @@
         name: "worker-1",
         dataCentre: DEV_NAME,
         rack: "rack-1",
+        capacity: { processors: 16_000, memoryMb: 65_536, accelerators: 0 },
         entries: [address],
       }),
     );
--- a/test/thin_path_test.ts
+++ b/test/thin_path_test.ts
@@ -23,6 +23,7 @@
   name: "w1",
   dataCentre: "south",
   rack: "r1",
+  capacity: { processors: 16_000, memoryMb: 65_536, accelerators: 0 },
   entries: cell.listAddresses("south"),
 });
 t.teardown(() => worker.stop());
