Add the planners' sheet

Planners export the sheet each morning from spreadsheets of different countries. A number such as 1.500 means 1500 or 1.5 depending on the country; guessing from the delimiter was ruled out, since a wrong guess changes a limit by a factor of 1000, so such a cell is refused with row and column. What the sheet does not name stays as it is, so a truncated export removes nothing. The change identifier is derived from the content and the expected version. A test with 1,000 random texts ends in a plan that the fleet log accepts or in a fault.

--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -27,3 +27,14 @@
   encodeState,
 } from "./state_codec.ts";
 export * from "./types.ts";
+export {
+  type KeyRow,
+  parseSheet,
+  type QueueRow,
+  SHEET_COLUMNS,
+  type SheetColumn,
+  type SheetProblem,
+  type SheetRow,
+  type TeamRow,
+} from "./sheet.ts";
+export { planSheet, type SheetPlan } from "./sheet_plan.ts";
--- /dev/null
+++ b/src/fleet/sheet.ts
@@ -0,0 +1,346 @@
+/**
+ * The planners' sheet: a CSV file with a header row and one row for each
+ * team, key or queue. Exports from spreadsheets differ in delimiter, line
+ * ends, byte order mark and number format; what is clear is read, and
+ * everything else is refused with its row and column.
+ */
+
+import { CsvError, parse } from "csv-parse/sync";
+import { createFault, type Fault } from "../common/mod.ts";
+import { formatValue } from "./format_value.ts";
+import {
+  type CellResult,
+  createPatternReader,
+  createWordReader,
+  parseBooleanCell,
+  parseCoresCell,
+  parseIntegerCell,
+  parseShareCell,
+} from "./sheet_values.ts";
+import { QUEUE_POLICIES, type QueuePolicy } from "./types.ts";
+
+/** Characters of a sheet; 890 teams with all their keys take a tenth of it. */
+export const MAX_SHEET_LENGTH = 4_194_304;
+/** Problems named in one message; the rest are counted. */
+const MAX_LISTED_PROBLEM_COUNT = 10;
+
+/** The columns of a sheet. Case, spaces, dashes and underscores in the header do not matter. */
+export const SHEET_COLUMNS = Object.freeze(
+  [
+    "kind",
+    "name",
+    "action",
+    "share",
+    "slots",
+    "processors",
+    "memoryMb",
+    "accelerators",
+    "team",
+    "hash",
+    "open",
+    "policy",
+  ] as const,
+);
+
+/** The name of a column. */
+export type SheetColumn = (typeof SHEET_COLUMNS)[number];
+
+interface RowBase {
+  /** Row in the file; the header is usually row 1. */
+  readonly row: number;
+  readonly name: string;
+}
+
+/** A team to create, update or remove. Empty cells leave a value as it is. */
+export interface TeamRow extends RowBase {
+  readonly kind: "team";
+  readonly action: "set" | "remove";
+  readonly share?: number;
+  readonly slots?: number;
+  /** Thousandths of a core; the sheet has cores. */
+  readonly processors?: number;
+  readonly memoryMb?: number;
+  readonly accelerators?: number;
+}
+
+/** A key to grant or withdraw; `name` is its identifier. */
+export interface KeyRow extends RowBase {
+  readonly kind: "key";
+  readonly action: "grant" | "withdraw";
+  readonly team?: string;
+  readonly hash?: string;
+}
+
+/** A queue to create, update or remove. */
+export interface QueueRow extends RowBase {
+  readonly kind: "queue";
+  readonly action: "set" | "remove";
+  readonly open?: boolean;
+  readonly policy?: QueuePolicy;
+}
+
+/** A row that was read. */
+export type SheetRow = TeamRow | KeyRow | QueueRow;
+
+/** One thing that is wrong with a sheet. */
+export interface SheetProblem {
+  readonly row: number;
+  readonly column: string;
+  readonly value: string;
+  readonly message: string;
+}
+
+/** Creates the fault that lists the problems of a sheet. */
+export function createSheetFault(problems: readonly SheetProblem[]): Fault {
+  const listed = problems.slice(0, MAX_LISTED_PROBLEM_COUNT);
+  const texts = listed.map(({ row, column, value, message }) =>
+    `row ${row}, column "${column}": ${value} ${message}`
+  );
+  const restCount = problems.length - listed.length;
+  if (restCount > 0) texts.push(`and ${restCount} more`);
+  return createFault(
+    "badRequest",
+    `Cannot parse sheet: ${texts.join("; ")}`,
+    { details: { problems: listed } },
+  );
+}
+
+const nameProblem =
+  "is not a name of 1 to 63 letters, digits, dots, dashes or underscores";
+const readName = createPatternReader(
+  /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/,
+  nameProblem,
+);
+const readKeyId = createPatternReader(
+  /^[A-Za-z0-9][A-Za-z0-9-]{0,62}$/,
+  "is not a key identifier of 1 to 63 letters, digits or dashes",
+);
+const readHash = createPatternReader(
+  /^[0-9a-f]{64}$/,
+  "is not a SHA-256 hash of 64 lower-case hex digits",
+);
+const readSetAction = createWordReader(["set", "remove"]);
+
+type CellReader = (text: string) => CellResult<unknown>;
+
+// A cell in a column that its kind does not have is refused: it would be
+// ignored silently otherwise.
+const READERS: Readonly<
+  Record<SheetRow["kind"], Partial<Record<SheetColumn, CellReader>>>
+> = Object.freeze({
+  team: {
+    name: readName,
+    action: readSetAction,
+    share: parseShareCell,
+    slots: parseIntegerCell,
+    processors: parseCoresCell,
+    memoryMb: parseIntegerCell,
+    accelerators: parseIntegerCell,
+  },
+  key: {
+    name: readKeyId,
+    action: createWordReader(["grant", "withdraw"]),
+    team: readName,
+    hash: readHash,
+  },
+  queue: {
+    name: readName,
+    action: readSetAction,
+    open: parseBooleanCell,
+    policy: createWordReader(QUEUE_POLICIES),
+  },
+});
+
+function findDelimiter(line: string): string {
+  const bare = line.replace(/"[^"]*"/g, "");
+  const counts = [";", ",", "\t"].map((delimiter) => ({
+    delimiter,
+    count: bare.split(delimiter).length,
+  }));
+  return counts.reduce((best, next) => next.count > best.count ? next : best)
+    .delimiter;
+}
+
+function parseRecords(text: string): string[][] {
+  const firstLine =
+    text.split(/\r\n|\n|\r/).find((line) => line.trim() !== "") ?? "";
+  // Some spreadsheets write the delimiter in a line of its own.
+  const stated = /^\uFEFF?sep=(.)$/.exec(firstLine)?.[1];
+  try {
+    return parse(text, {
+      bom: true,
+      delimiter: stated ?? findDelimiter(firstLine),
+      // Mixed line ends come from files that were edited by hand.
+      record_delimiter: ["\r\n", "\n", "\r"],
+      relax_column_count: true,
+      trim: true,
+    });
+  } catch (error) {
+    if (!(error instanceof CsvError)) throw error;
+    const { lines, column } = error as { lines?: number; column?: unknown };
+    throw createFault(
+      "badRequest",
+      `Cannot parse sheet: line ${lines ?? 1}, column ${
+        typeof column === "number" ? column + 1 : 1
+      }: the quotes are not closed or stand inside a value`,
+      { cause: error },
+    );
+  }
+}
+
+function toPlainName(text: string): string {
+  return text.toLowerCase().replace(/[\s_-]/g, "");
+}
+
+interface Header {
+  row: number;
+  columns: (SheetColumn | undefined)[];
+}
+
+function readHeader(records: readonly string[][]): Header {
+  const index = records.findIndex((record) =>
+    record.some((cell) => cell !== "") && !/^sep=/.test(record[0] ?? "")
+  );
+  const cells = records[index] ?? [];
+  const row = index + 1;
+  const problems: SheetProblem[] = [];
+  const columns = cells.map((cell, i) => {
+    if (cell === "") return undefined;
+    const column = SHEET_COLUMNS.find((name) =>
+      toPlainName(name) === toPlainName(cell)
+    );
+    const isDouble = cells.slice(0, i).some((other) =>
+      toPlainName(other) === toPlainName(cell)
+    );
+    if (column === undefined || isDouble) {
+      const message = isDouble
+        ? "is named twice"
+        : `is not one of ${SHEET_COLUMNS.join(", ")}`;
+      problems.push({ row, column: cell, value: formatValue(cell), message });
+    }
+    return column;
+  });
+  for (const column of ["kind", "name"] as const) {
+    if (columns.includes(column)) continue;
+    const message = "is missing in the header";
+    problems.push({ row: Math.max(1, row), column, value: '""', message });
+  }
+  if (problems.length > 0) throw createSheetFault(problems);
+  return { row, columns };
+}
+
+function createRowReader(header: Header, problems: SheetProblem[]) {
+  function addProblem(
+    row: number,
+    column: string,
+    text: string,
+    message: string,
+  ): undefined {
+    problems.push({ row, column, value: formatValue(text), message });
+    return undefined;
+  }
+
+  function readCells(
+    cells: readonly string[],
+    row: number,
+  ): Map<SheetColumn, string> {
+    const found = new Map<SheetColumn, string>();
+    for (const [i, cell] of cells.entries()) {
+      const column = header.columns[i];
+      if (cell === "") continue;
+      // Exports end with empty columns; a value there has no meaning.
+      if (column === undefined) {
+        addProblem(row, String(i + 1), cell, "stands in a column without name");
+      } else if (cell.includes("\uFFFD") || cell.includes("\0")) {
+        addProblem(row, column, cell, "is not UTF-8 text");
+      } else {
+        found.set(column, cell);
+      }
+    }
+    return found;
+  }
+
+  return function readRow(
+    cells: readonly string[],
+    row: number,
+  ): SheetRow | undefined {
+    const values = readCells(cells, row);
+    if (values.size === 0) return undefined;
+    const kindText = values.get("kind") ?? "";
+    const kind = (["team", "key", "queue"] as const).find((word) =>
+      word === kindText.toLowerCase()
+    );
+    if (kind === undefined) {
+      return addProblem(
+        row,
+        "kind",
+        kindText,
+        "is not one of team, key, queue",
+      );
+    }
+    values.delete("kind");
+    const entry: Record<string, unknown> = { row, kind };
+    for (const [column, text] of values) {
+      const read = READERS[kind][column];
+      const result = read?.(text) ??
+        { problem: `does not belong to a row of kind "${kind}"` };
+      if ("problem" in result) addProblem(row, column, text, result.problem);
+      else entry[column] = result.value;
+    }
+    if (!values.has("name")) addProblem(row, "name", "", "is empty");
+    if (kind !== "key") entry["action"] ??= "set";
+    else if (!values.has("action")) {
+      addProblem(row, "action", "", "is neither grant nor withdraw");
+    }
+    if (kind === "key" && entry["action"] === "grant") {
+      for (const column of ["team", "hash"] as const) {
+        if (!values.has(column)) addProblem(row, column, "", "is empty");
+      }
+    }
+    return entry as unknown as SheetRow;
+  };
+}
+
+function addDoubles(rows: readonly SheetRow[], problems: SheetProblem[]): void {
+  const seen = new Map<string, number>();
+  for (const { kind, name, row } of rows) {
+    const key = `${kind}/${name}`;
+    const first = seen.get(key);
+    if (first === undefined) {
+      seen.set(key, row);
+      continue;
+    }
+    const message = `is named in row ${first} already`;
+    const value = formatValue(name);
+    problems.push({ row, column: "name", value, message });
+  }
+}
+
+/** Reads a sheet. Throws `badRequest` that lists row and column of each problem. */
+export function parseSheet(text: string): SheetRow[] {
+  if (text.length > MAX_SHEET_LENGTH) {
+    throw createFault(
+      "tooLarge",
+      `Cannot parse sheet: ${text.length} characters are more than ${MAX_SHEET_LENGTH}`,
+    );
+  }
+  if (/^(?:\uFFFD|.?\0)/.test(text)) {
+    throw createFault(
+      "badRequest",
+      "Cannot parse sheet: the file is not UTF-8 text; export it as CSV UTF-8",
+    );
+  }
+  const records = parseRecords(text);
+  const header = readHeader(records);
+  const problems: SheetProblem[] = [];
+  const readRow = createRowReader(header, problems);
+  const rows: SheetRow[] = [];
+  for (const [i, cells] of records.entries()) {
+    if (i < header.row) continue;
+    const row = readRow(cells, i + 1);
+    if (row !== undefined) rows.push(row);
+  }
+  addDoubles(rows, problems);
+  if (problems.length > 0) throw createSheetFault(problems);
+  return rows;
+}
--- /dev/null
+++ b/src/fleet/sheet_plan.ts
@@ -0,0 +1,262 @@
+/**
+ * The difference between the planners' sheet and the configuration. What the
+ * sheet does not name stays as it is, so that a truncated export removes
+ * nothing.
+ */
+
+import { createHash } from "node:crypto";
+import { formatValue } from "./format_value.ts";
+import { isSameLimits } from "./limits.ts";
+import {
+  createSheetFault,
+  type KeyRow,
+  type QueueRow,
+  type SheetProblem,
+  type SheetRow,
+  type TeamRow,
+} from "./sheet.ts";
+import {
+  type FleetChange,
+  type FleetOperation,
+  type FleetState,
+  LIMIT_NAMES,
+  type LimitName,
+  type Limits,
+} from "./types.ts";
+
+/** What a sheet would change. */
+export interface SheetPlan {
+  /** One line for each difference, for humans. */
+  readonly lines: readonly string[];
+  /** Rows that change nothing but may be a mistake. */
+  readonly notes: readonly string[];
+  /** The change to send, or nothing without a difference. It can be resent safely. */
+  readonly change?: FleetChange;
+}
+
+interface Planner {
+  readonly state: FleetState;
+  readonly lines: string[];
+  readonly notes: string[];
+  readonly problems: SheetProblem[];
+  readonly operations: FleetOperation[];
+  /** Teams that the sheet creates or keeps, and those that it removes. */
+  readonly setTeams: ReadonlySet<string>;
+  readonly removedTeams: ReadonlySet<string>;
+}
+
+function addProblem(
+  planner: Planner,
+  row: SheetRow,
+  column: string,
+  value: unknown,
+  message: string,
+): void {
+  const text = formatValue(value ?? "");
+  planner.problems.push({ row: row.row, column, value: text, message });
+}
+
+function formatCores(thousandths: number): string {
+  return String(thousandths / 1_000);
+}
+
+function formatLimit(name: LimitName, amount: number): string {
+  return name === "processors" ? formatCores(amount) : String(amount);
+}
+
+function formatLimits(limits: Limits): string {
+  return LIMIT_NAMES.map((name) => `${name} ${formatLimit(name, limits[name])}`)
+    .join(", ");
+}
+
+function planNewTeam(planner: Planner, row: TeamRow): void {
+  const columns = ["share", ...LIMIT_NAMES] as const;
+  const missing = columns.filter((column) => row[column] === undefined);
+  for (const column of missing) {
+    addProblem(planner, row, column, "", "is empty, and the team is new");
+  }
+  if (missing.length > 0) return;
+  const limits = Object.fromEntries(
+    LIMIT_NAMES.map((name) => [name, row[name]]),
+  ) as unknown as Limits;
+  const { name } = row;
+  const share = row.share!;
+  planner.lines.push(
+    `team "${name}": create with share ${share}, ${formatLimits(limits)}`,
+  );
+  planner.operations.push({ type: "createTeam", name, share, limits });
+}
+
+function planTeam(planner: Planner, row: TeamRow): void {
+  const { name } = row;
+  const team = planner.state.teams.get(name);
+  if (row.action === "remove") {
+    if (team === undefined) {
+      planner.notes.push(`row ${row.row}: team "${name}" does not exist`);
+      return;
+    }
+    const keys = [...planner.state.keys.values()].filter((key) =>
+      key.team === name
+    );
+    planner.lines.push(
+      `team "${name}": remove, withdraw its ${keys.length} keys`,
+    );
+    planner.operations.push({ type: "removeTeam", name });
+    return;
+  }
+  if (team === undefined) {
+    planNewTeam(planner, row);
+    return;
+  }
+  const share = row.share ?? team.share;
+  const limits = Object.fromEntries(
+    LIMIT_NAMES.map((limit) => [limit, row[limit] ?? team.limits[limit]]),
+  ) as unknown as Limits;
+  const differences = LIMIT_NAMES
+    .filter((limit) => limits[limit] !== team.limits[limit])
+    .map((limit) =>
+      `${limit} ${formatLimit(limit, team.limits[limit])} → ${
+        formatLimit(limit, limits[limit])
+      }`
+    );
+  if (share !== team.share) {
+    differences.unshift(`share ${team.share} → ${share}`);
+  }
+  if (differences.length === 0) return;
+  planner.lines.push(`team "${name}": ${differences.join(", ")}`);
+  planner.operations.push({
+    type: "updateTeam",
+    name,
+    ...(share === team.share ? {} : { share }),
+    ...(isSameLimits(limits, team.limits) ? {} : { limits }),
+  });
+}
+
+function planGrant(planner: Planner, row: KeyRow): void {
+  const { name: id } = row;
+  const team = row.team!;
+  const hash = row.hash!;
+  const key = planner.state.keys.get(id);
+  if (planner.removedTeams.has(team)) {
+    addProblem(planner, row, "team", team, "is removed by this sheet");
+    return;
+  }
+  if (!planner.state.teams.has(team) && !planner.setTeams.has(team)) {
+    addProblem(planner, row, "team", team, "is not a team");
+    return;
+  }
+  if (key === undefined) {
+    planner.lines.push(`key "${id}": grant to team "${team}"`);
+    planner.operations.push({ type: "grantKey", id, team, hash });
+    return;
+  }
+  if (key.team !== team || key.hash !== hash) {
+    const message =
+      `is granted to team "${key.team}" already, with another team or hash; use a new identifier`;
+    addProblem(planner, row, "name", id, message);
+  }
+}
+
+function planKey(planner: Planner, row: KeyRow): void {
+  if (row.action === "grant") {
+    planGrant(planner, row);
+    return;
+  }
+  const { name: id } = row;
+  const key = planner.state.keys.get(id);
+  if (key === undefined) {
+    planner.notes.push(
+      `row ${row.row}: key "${id}" is not in force: withdrawn already, or a mistyped identifier`,
+    );
+    return;
+  }
+  if (row.team !== undefined && row.team !== key.team) {
+    addProblem(planner, row, "team", row.team, `does not have the key "${id}"`);
+    return;
+  }
+  planner.lines.push(`key "${id}" of team "${key.team}": withdraw`);
+  planner.operations.push({ type: "withdrawKey", id });
+}
+
+function planQueue(planner: Planner, row: QueueRow): void {
+  const { name } = row;
+  const queue = planner.state.queues.get(name);
+  if (row.action === "remove") {
+    if (queue === undefined) {
+      planner.notes.push(`row ${row.row}: queue "${name}" does not exist`);
+      return;
+    }
+    planner.lines.push(`queue "${name}": remove`);
+    planner.operations.push({ type: "removeQueue", name });
+    return;
+  }
+  // A queue that is open by mistake accepts work of anyone.
+  const open = row.open ?? queue?.open ?? false;
+  const policy = row.policy ?? queue?.policy;
+  if (policy === undefined) {
+    addProblem(planner, row, "policy", "", "is empty, and the queue is new");
+    return;
+  }
+  const text = `${open ? "open" : "with keys"}, policy ${policy}`;
+  if (queue === undefined) {
+    planner.lines.push(`queue "${name}": create, ${text}`);
+    planner.operations.push({ type: "createQueue", name, open, policy });
+    return;
+  }
+  if (queue.open === open && queue.policy === policy) return;
+  planner.lines.push(`queue "${name}": ${text}`);
+  planner.operations.push({ type: "updateQueue", name, open, policy });
+}
+
+function isRemoval(row: SheetRow): boolean {
+  return row.kind === "team" && row.action === "remove";
+}
+
+function buildChange(
+  expectedVersion: number,
+  operations: FleetOperation[],
+): FleetChange {
+  const content = JSON.stringify([expectedVersion, operations]);
+  const hash = createHash("sha256").update(content).digest("hex");
+  return {
+    changeId: `sheet-${expectedVersion}-${hash.slice(0, 32)}`,
+    expectedVersion,
+    operations,
+  };
+}
+
+/**
+ * Plans the change that brings the configuration to the sheet. The change
+ * identifier follows from the content and the expected version: the same
+ * sheet on the same version gives the same change, and a resend gets the
+ * first answer. Throws `badRequest` with row and column when a row does not
+ * fit the state.
+ */
+export function planSheet(
+  state: FleetState,
+  rows: readonly SheetRow[],
+): SheetPlan {
+  const teamRows = rows.filter((row) => row.kind === "team");
+  const listNames = (action: TeamRow["action"]) =>
+    teamRows.filter((row) => row.action === action).map((row) => row.name);
+  const planner: Planner = {
+    state,
+    lines: [],
+    notes: [],
+    problems: [],
+    operations: [],
+    setTeams: new Set(listNames("set")),
+    removedTeams: new Set(listNames("remove")),
+  };
+  // Keys after the teams that they need; removals last.
+  const queueRows = rows.filter((row) => row.kind === "queue");
+  const keyRows = rows.filter((row) => row.kind === "key");
+  for (const row of queueRows) planQueue(planner, row);
+  for (const row of teamRows) if (!isRemoval(row)) planTeam(planner, row);
+  for (const row of keyRows) planKey(planner, row);
+  for (const row of teamRows) if (isRemoval(row)) planTeam(planner, row);
+  if (planner.problems.length > 0) throw createSheetFault(planner.problems);
+  const { lines, notes, operations } = planner;
+  if (operations.length === 0) return { lines, notes };
+  return { lines, notes, change: buildChange(state.version, operations) };
+}
--- /dev/null
+++ b/src/fleet/sheet_test.ts
@@ -0,0 +1,282 @@
+import t from "tap";
+import fc from "fast-check";
+import { isFault } from "../common/mod.ts";
+import { createFleetState } from "./fleet_state.ts";
+import { encodeCommand } from "./schema.ts";
+import { parseSheet } from "./sheet.ts";
+import { planSheet } from "./sheet_plan.ts";
+import type { FleetChange } from "./types.ts";
+
+const SEED = 20_261_204;
+const HASH = "ab".repeat(32);
+const HEADER =
+  "kind;name;action;share;slots;processors;memoryMb;accelerators;team;hash;open;policy";
+
+// A real export: byte order mark, semicolons, quotes, decimal commas, empty
+// rows, trailing columns and CR LF.
+const EXPORT = "\uFEFF" + [
+  HEADER.replace("memoryMb", '"Memory MB"') + ";;",
+  'team;"kochi-laces";;1,5;8;2,25;4096;0;;;;;;',
+  ";;;;;;;;;;;;;",
+  "",
+  "Team;thrissur.cords;set;2;4;0,5;1024,0;1;;;;",
+  `key;k-1;grant;;;;;;kochi-laces;${HASH};;;;`,
+  "queue;orders;;;;;;;;;no;requests",
+  "queue;retail;;;;;;;;;YES;requests;;",
+].join("\r\n") + "\r\n";
+
+const cases: [string, string, string][] = [
+  ["empty file", "", 'row 1, column "kind": "" is missing in the header'],
+  [
+    "no header",
+    "team;a;set",
+    'row 1, column "a": "a" is not one of kind',
+  ],
+  [
+    "unknown column",
+    "kind,name,colour\nteam,a,red",
+    'row 1, column "colour": "colour" is not one of kind',
+  ],
+  [
+    "column twice",
+    "kind,name,memoryMb,Memory_MB",
+    'row 1, column "Memory_MB": "Memory_MB" is named twice',
+  ],
+  [
+    "open quote",
+    'kind;name\nteam;"a',
+    "the quotes are not closed",
+  ],
+  [
+    "stray quote",
+    'kind;name\nteam;a"b"',
+    "the quotes are not closed or stand inside",
+  ],
+  [
+    "value past the header",
+    "kind;name\nteam;a;;7",
+    'row 2, column "4": "7" stands in a column without name',
+  ],
+  ["unknown kind", "kind;name\n\nteams;a", 'row 3, column "kind": "teams" is'],
+  ["no name", "kind;name;slots\nteam;;4", 'row 2, column "name": "" is empty'],
+  ["bad name", "kind;name\nteam;a/b", 'row 2, column "name": "a/b" is not'],
+  [
+    "row counted after empty rows",
+    "kind;name;slots\r\nteam;a;1\r\n;;\r\n\r\nteam;b;-3",
+    'row 5, column "slots": "-3" is not a non-negative integer',
+  ],
+  [
+    "row counted after a line break in quotes",
+    'kind;name;slots\nteam;"a\nb";1\nteam;c;x',
+    'row 3, column "slots": "x" is not a non-negative integer',
+  ],
+  [
+    "fraction of a slot",
+    "kind;name;slots\nteam;a;1,5",
+    '"1,5" is not a non-negative integer',
+  ],
+  [
+    "thousands separator",
+    "kind;name;memoryMb\nteam;a;4.096",
+    '"4.096" can mean a thousand times as much',
+  ],
+  [
+    "thousands separator in cores",
+    'kind,name,processors\nteam,a,"1,500"',
+    '"1,500" can mean a thousand times as much',
+  ],
+  [
+    "two separators",
+    "kind;name;processors\nteam;a;1.234,5",
+    '"1.234,5" is not a number of cores',
+  ],
+  [
+    "too fine",
+    "kind;name;processors\nteam;a;0,0001",
+    '"0,0001" is not a number of cores',
+  ],
+  ["share 0", "kind;name;share\nteam;a;0,0", '"0,0" is not a number above 0'],
+  ["exponent", "kind;name;slots\nteam;a;1E+05", '"1E+05" is not'],
+  ["formula error", "kind;name;slots\nteam;a;#REF!", '"#REF!" is not'],
+  [
+    "too large",
+    "kind;name;slots\nteam;a;9999999999999",
+    "is more than 1000000000000",
+  ],
+  [
+    "cell of another kind",
+    "kind;name;slots\nqueue;a;4",
+    'row 2, column "slots": "4" does not belong to a row of kind "queue"',
+  ],
+  [
+    "key without action",
+    "kind;name\nkey;k1",
+    'row 2, column "action": "" is neither grant nor withdraw',
+  ],
+  [
+    "grant without hash",
+    "kind;name;action;team\nkey;k1;grant;a",
+    'row 2, column "hash": "" is empty',
+  ],
+  [
+    "secret instead of a hash",
+    `kind;name;action;team;hash\nkey;k1;grant;a;gcl_k1_${"x".repeat(43)}`,
+    'column "hash": "gcl_k1_***" is not a SHA-256 hash',
+  ],
+  [
+    "name twice",
+    "kind;name;slots\nteam;a;1\nteam;a;2",
+    'row 3, column "name": "a" is named in row 2 already',
+  ],
+  [
+    "wrong character set",
+    "kind;name\nteam;caf\uFFFD",
+    'row 2, column "name": "caf\uFFFD" is not UTF-8 text',
+  ],
+  ["UTF-16", "k\0i\0n\0d\0", "the file is not UTF-8 text"],
+  ["UTF-16 mark", "\uFFFD\uFFFDk\0", "the file is not UTF-8 text"],
+];
+
+// Guards against exports that are misread or refused without a place.
+t.test("faults of a sheet are named with row and column", (t) => {
+  for (const [name, text, expected] of cases) {
+    try {
+      parseSheet(text);
+      t.fail(name);
+    } catch (error) {
+      t.ok(isFault(error, "badRequest"), name);
+      const { message } = error as Error;
+      t.ok(message.includes(expected), `${name}: ${message}`);
+    }
+  }
+  t.end();
+});
+
+// Guards against real exports that are refused or read wrongly.
+t.test("a real export is read", (t) => {
+  const rows = parseSheet(EXPORT);
+  t.strictSame(rows[0], {
+    row: 2,
+    kind: "team",
+    name: "kochi-laces",
+    share: 1.5,
+    slots: 8,
+    processors: 2250,
+    memoryMb: 4096,
+    accelerators: 0,
+    action: "set",
+  });
+  t.match(rows[1], { row: 5, name: "thrissur.cords", memoryMb: 1024 });
+  t.equal(rows.length, 5);
+  const variants = [
+    EXPORT.replaceAll("\r\n", "\n"),
+    EXPORT.replaceAll("\r\n", "\r"),
+    EXPORT.replaceAll(";", "\t"),
+    EXPORT.replaceAll(",", ".").replaceAll(";", ","),
+    EXPORT.slice(1),
+  ];
+  for (const text of variants) t.strictSame(parseSheet(text), rows);
+  const stated = parseSheet("sep=;\r\n" + EXPORT.slice(1));
+  t.strictSame(stated, rows.map((row) => ({ ...row, row: row.row + 1 })));
+  t.end();
+});
+
+function createFleet() {
+  const machine = createFleetState();
+  const send = (change: FleetChange) =>
+    machine.apply(encodeCommand({ at: 0, change }), 0);
+  return { machine, send };
+}
+
+// Guards against a sheet that is applied twice, that changes what it does not
+// name, or whose difference is not shown.
+t.test("a sheet becomes one change that can be resent", (t) => {
+  const { machine, send } = createFleet();
+  const rows = parseSheet(EXPORT);
+  const plan = planSheet(machine.getState(), rows);
+  t.equal(plan.lines.length, 5);
+  const created =
+    'team "kochi-laces": create with share 1.5, slots 8, processors 2.25, memoryMb 4096, accelerators 0';
+  t.ok(plan.lines.includes(created));
+  t.strictSame(planSheet(machine.getState(), rows).change, plan.change);
+  const answer = send(plan.change!);
+  t.match(answer, { accepted: true, version: 1 });
+  t.equal(send(plan.change!), answer);
+  t.strictSame(planSheet(machine.getState(), rows), { lines: [], notes: [] });
+
+  const next = planSheet(
+    machine.getState(),
+    parseSheet(
+      "kind,name,action,slots\nteam,kochi-laces,,9\nteam,thrissur.cords,remove,\n" +
+        "key,k-1,withdraw,\nkey,k-2,withdraw,\nqueue,none,remove,",
+    ),
+  );
+  t.strictSame(next.lines, [
+    'team "kochi-laces": slots 8 → 9',
+    'key "k-1" of team "kochi-laces": withdraw',
+    'team "thrissur.cords": remove, withdraw its 0 keys',
+  ]);
+  t.equal(next.notes.length, 2);
+  t.match(send(next.change!), { accepted: true, version: 2 });
+  t.equal(machine.getState().teams.get("kochi-laces")?.share, 1.5);
+  t.not(next.change?.changeId, plan.change?.changeId);
+  t.end();
+});
+
+// Guards against rows that fit no state and would fail only after sending.
+t.test("rows that do not fit the state are named", (t) => {
+  const { machine, send } = createFleet();
+  send(planSheet(machine.getState(), parseSheet(EXPORT)).change!);
+  const header = "kind;name;action;team;hash;slots;policy\n";
+  const misfits: [string, string][] = [
+    ["team;new;;;;4;", 'row 2, column "share": "" is empty, and the team'],
+    ["queue;new;;;;;", 'row 2, column "policy": "" is empty, and the queue'],
+    [`key;k-9;grant;none;${HASH};;`, 'column "team": "none" is not a team'],
+    [
+      `key;k-1;grant;kochi-laces;${"cd".repeat(32)};;`,
+      'column "name": "k-1" is granted to team "kochi-laces" already',
+    ],
+    ["key;k-1;withdraw;thrissur.cords;;;", 'does not have the key "k-1"'],
+    [
+      `team;kochi-laces;remove;;;;\nkey;k-9;grant;kochi-laces;${HASH};;`,
+      'row 3, column "team": "kochi-laces" is removed by this sheet',
+    ],
+  ];
+  for (const [text, expected] of misfits) {
+    try {
+      planSheet(machine.getState(), parseSheet(header + text));
+      t.fail(text);
+    } catch (error) {
+      t.ok(isFault(error, "badRequest"));
+      t.ok((error as Error).message.includes(expected), expected);
+    }
+  }
+  t.end();
+});
+
+// Guards against a sheet that makes the parser fail with anything but a fault,
+// or that yields a change which the fleet log cannot read.
+t.test("any text is read or refused with a fault", (t) => {
+  t.comment(`seed ${SEED}`);
+  const cell = fc.oneof(
+    fc.constantFrom("", "team", "key", "queue", "a", "1,5", "8", '"', "set"),
+    fc.constantFrom("grant", "withdraw", HASH, "no", "batch", "\r\n", "\0"),
+    fc.string(),
+  );
+  const text = fc.array(fc.array(cell, { maxLength: 14 }), { maxLength: 8 })
+    .map((rows) => [HEADER, ...rows.map((row) => row.join(";"))].join("\n"));
+  fc.assert(
+    fc.property(text, (text) => {
+      const { machine, send } = createFleet();
+      try {
+        const plan = planSheet(machine.getState(), parseSheet(text));
+        if (plan.change === undefined) return true;
+        return send(plan.change).accepted;
+      } catch (error) {
+        return isFault(error, "badRequest");
+      }
+    }),
+    { seed: SEED, numRuns: 1_000 },
+  );
+  t.end();
+});
