--- a/src/instance/log_member.ts
+++ b/src/instance/log_member.ts
@@ -14,6 +14,7 @@
   type LeaderLease,
   type LogMember,
   type LogMessage,
+  type LogStartResolver,
   type LogStorage,
   type LogTimings,
   type LogTransport,
@@ -75,24 +76,29 @@
 export function startLogMember(options: LogMemberOptions): LogMemberHandle {
   const { group, instance, clock, random } = options;
   const logger = options.logger.with({ group });
-  const storage: LogStorage = options.folder === undefined
-    ? createMemoryStorage()
-    : createDiskStorage(join(options.folder, group.replaceAll("/", "-")));
   let self = instance;
+  let resolver: LogStartResolver | undefined;
   let log: ReplicatedLog | undefined;
   let isStopped = false;
   const transport = createTransport(options, () => self);
-  const resolver = resolveLogStart({
-    group,
-    instance,
-    members: options.members,
-    storage,
-    transport,
-    clock,
-    random,
-  });
+
+  async function openStorage(): Promise<LogStorage> {
+    if (options.folder === undefined) return createMemoryStorage();
+    const folder = join(options.folder, group.replaceAll("/", "-"));
+    return await createDiskStorage({ folder });
+  }
 
   async function start(): Promise<void> {
+    const storage = await openStorage();
+    resolver = resolveLogStart({
+      group,
+      instance,
+      members: options.members,
+      storage,
+      transport,
+      clock,
+      random,
+    });
     const decision = await resolver.decision;
     self = decision.self;
     logger.info("Starting log member", { member: self, mode: decision.mode });
@@ -128,15 +134,18 @@
   });
 
   function receiveMessage(from: string, message: LogMessage): void {
-    if (log === undefined) resolver.receive(from, message);
+    if (log === undefined) resolver?.receive(from, message);
     else log.receive(from, message);
   }
 
   return {
     getLog: () => log,
     getLeader() {
-      const leader = log?.getStatus().leader;
-      return leader === undefined ? undefined : parseMemberId(leader).instance;
+      const status = log?.getStatus();
+      if (status?.leader === undefined || status.role === "stopped") {
+        return undefined;
+      }
+      return parseMemberId(status.leader).instance;
     },
     receive(envelope) {
       const isForSelf = envelope.to === self || envelope.to === instance;
@@ -152,7 +161,7 @@
     },
     async stop() {
       isStopped = true;
-      resolver.stop();
+      resolver?.stop();
       await log?.stop();
       await started;
     },
