Do not repeat a slot request that the leader itself has refused

A request to a data centre without endpoints for its queue was repeated for 2.5 s before another data centre was tried, because a refusal by the leader looked like a lost leader.

--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -220,12 +220,27 @@
     return replyWithJob(query);
   }
 
+  /** Tells the refusal of a leader, which is final, from that of a former one. */
+  function toFinalRefusal(asked: Leadership, error: unknown): unknown {
+    if (!isFault(error, "unavailable")) return error;
+    if (leadership !== asked || !holdsLease(asked.epoch)) {
+      return createNotLeader();
+    }
+    return createFault(error.kind, error.message, {
+      ran: error.ran,
+      details: { ...error.details, final: true },
+    });
+  }
+
   async function acquireSlot(
     request: SlotRequest,
     context: { signal: AbortSignal },
   ): Promise<SlotReply> {
-    const { slots } = getLeadership();
-    const reply = await slots.acquire(request, context.signal);
+    const current = getLeadership();
+    const reply = await current.slots.acquire(request, context.signal)
+      .catch((error) => {
+        throw toFinalRefusal(current, error);
+      });
     return reply.kind === "grant"
       ? { outcome: "grant", grant: reply }
       : { outcome: "answer", answer: reply.answer };
