--- a/test/cell.ts
+++ b/test/cell.ts
@@ -197,12 +197,17 @@
   send: () => Promise<JsonAnswer>,
   timeoutMs = 10_000,
 ): Promise<JsonAnswer> {
-  return await waitUntil(
-    async () => {
-      const answer = await send();
-      return answer.status === 200 ? answer : undefined;
-    },
-    timeoutMs,
-    "an answer with status 200",
-  );
+  let last: JsonAnswer | undefined;
+  try {
+    return await waitUntil(
+      async () => {
+        last = await send();
+        return last.status === 200 ? last : undefined;
+      },
+      timeoutMs,
+      "an answer with status 200",
+    );
+  } catch (error) {
+    throw new Error(`Last answer: ${JSON.stringify(last)}`, { cause: error });
+  }
 }
