--- a/src/replicated_log/consensus_election.ts
+++ b/src/replicated_log/consensus_election.ts
@@ -184,18 +184,26 @@
   }
 }
 
-/** Tells whether this member waits to be listed by the group. */
-export function isJoining(state: ConsensusState): boolean {
-  return state.joinTargets.length > 0 &&
-    state.memberLists.every(({ members }) =>
-      findMember(members, state.self) === undefined
-    );
+/**
+ * Tells whether this member must ask to be added. A learner that hears from no
+ * leader asks again, because the entry that added it may have been replaced. A
+ * voter that was removed does not ask, since that would undo the removal.
+ */
+function mustAskToJoin(context: StepContext): boolean {
+  const { state, nowMs } = context;
+  if (state.joinTargets.length === 0) return false;
+  const wasListed = state.memberLists.some(({ members }) =>
+    findMember(members, state.self) !== undefined
+  );
+  if (!wasListed) return true;
+  return findMember(getMembers(state), state.self)?.role === "learner" &&
+    nowMs - state.leaderContactMs >= state.timings.electionTimeoutMaxMs;
 }
 
 /** Does the work of a member without leadership that falls due with time. */
 export function handleFollowerTick(context: StepContext): void {
   const { state, nowMs } = context;
-  if (isJoining(state)) return sendJoinRequests(context);
+  if (mustAskToJoin(context)) return sendJoinRequests(context);
   const { electionTimeoutMinMs } = state.timings;
   const isWitness = findMember(getMembers(state), state.self)?.role ===
     "witness";
--- a/src/replicated_log/replicated_log.ts
+++ b/src/replicated_log/replicated_log.ts
@@ -6,7 +6,6 @@
 import { createFault, type Fault } from "../common/errors.ts";
 import { createSilentLogger } from "../common/logger.ts";
 import { type ConsensusInput, stepConsensus } from "./consensus.ts";
-import { isJoining } from "./consensus_election.ts";
 import {
   computeQuorumValue,
   type ConsensusOutput,
@@ -459,7 +458,10 @@
 
   function getRole(): LogStatus["role"] {
     if (isStopped) return "stopped";
-    if (isJoining(state)) return "joining";
+    const listed = findMember(getMembers(state), self);
+    const isLearner = listed?.role === "learner" &&
+      listed.promoteTo !== undefined;
+    if (listed === undefined || isLearner) return "joining";
     if (state.role === "preCandidate" || isCopying(state)) return "candidate";
     return state.role;
   }
--- a/src/replicated_log/types.ts
+++ b/src/replicated_log/types.ts
@@ -264,7 +264,7 @@
 export interface LogStatus {
   readonly group: string;
   readonly self: string;
-  /** "joining" until the group lists the member; "stopped" after `stop` or a storage failure. */
+  /** "joining" until the group counts the member as a voter or witness; "stopped" after `stop` or a storage failure. */
   readonly role:
     | "leader"
     | "candidate"
