--- a/src/replicated_log/consensus_test.ts
+++ b/src/replicated_log/consensus_test.ts
@@ -4,6 +4,13 @@
   createScheduleArbitrary,
   runSchedule,
 } from "../../test/log_schedule.ts";
+import { createSeededRandom } from "../common/random.ts";
+import { stepConsensus } from "./consensus.ts";
+import { createConsensusState } from "./consensus_state.ts";
+import { createMemoryStorage } from "./memory_storage.ts";
+import { createFirstLog } from "./start.ts";
+import { resolveLogTimings } from "./timings.ts";
+import type { LogMember, LogMessage } from "./types.ts";
 
 /** Fixed so that a failure in CI can be repeated; the soak run uses other seeds. */
 const SEED = 20_261_204;
@@ -21,3 +28,97 @@
   t.pass(`${RUNS} schedules from seed ${SEED}`);
   t.end();
 });
+
+const MEMBERS: LogMember[] = ["a", "b", "c"].map((id) => ({
+  id,
+  role: "voter",
+}));
+
+/** Opens member "a" from its store at `nowMs` and returns a way to send it messages. */
+async function openMember(
+  storage: ReturnType<typeof createMemoryStorage>,
+  nowMs: number,
+) {
+  const state = createConsensusState({
+    self: "a",
+    canLead: true,
+    joinTargets: [],
+    minTerm: 0,
+    timings: resolveLogTimings(),
+    random: createSeededRandom(1),
+    stored: await storage.load(),
+    nowMs,
+  });
+  return (from: string, message: LogMessage, atMs: number) =>
+    stepConsensus(state, { kind: "message", from, message }, atMs);
+}
+
+function createVoteRequest(term: number, preVote = false): LogMessage {
+  return {
+    kind: "voteRequest",
+    to: "a",
+    term,
+    preVote,
+    handover: false,
+    witness: false,
+    lastIndex: 1,
+    lastTerm: 1,
+  };
+}
+
+const HEARTBEAT: LogMessage = {
+  kind: "append",
+  to: "a",
+  term: 2,
+  prevIndex: 1,
+  prevTerm: 1,
+  entries: [],
+  commitIndex: 1,
+  round: 1,
+  sentAtMs: 0,
+};
+
+// Guards against a second vote in one term after a restart, which elects two leaders.
+t.test("a vote is stored before it is sent and survives a restart", async (t) => {
+  const storage = createMemoryStorage();
+  await createFirstLog({ entries: [] }, {
+    self: "a",
+    members: MEMBERS,
+    storage,
+  });
+  const send = await openMember(storage, 0);
+  const { messages, store } = send("b", createVoteRequest(2), 1_000);
+  t.match(messages, [{ afterStore: true, message: { granted: true } }]);
+  for (const request of store) {
+    if (request.kind === "vote") await storage.saveVote(request.vote);
+  }
+  const sendAgain = await openMember(storage, 2_000);
+  const again = sendAgain("c", createVoteRequest(2), 3_000);
+  t.match(again.messages, [{ message: { granted: false } }]);
+  const repeated = sendAgain("b", createVoteRequest(2), 3_000);
+  t.match(repeated.messages, [{ message: { granted: true } }]);
+});
+
+// Guards against an election while a leader still holds the lease that this member confirmed.
+t.test("a member keeps its promise to a leader, also after a restart", async (t) => {
+  const storage = createMemoryStorage();
+  await createFirstLog({ entries: [] }, {
+    self: "a",
+    members: MEMBERS,
+    storage,
+  });
+  const send = await openMember(storage, 0);
+  send("b", HEARTBEAT, 1_000);
+  t.strictSame(send("c", createVoteRequest(3), 1_499).messages, []);
+  t.match(send("c", createVoteRequest(3, true), 1_499).messages, [{
+    message: { preVote: true, granted: false },
+  }]);
+  t.match(send("c", createVoteRequest(3, true), 1_500).messages, [{
+    message: { preVote: true, granted: true },
+  }]);
+  const sendAgain = await openMember(storage, 1_100);
+  t.strictSame(sendAgain("c", createVoteRequest(3), 1_599).messages, []);
+  t.match(sendAgain("c", createVoteRequest(3), 1_600).messages, [{
+    message: { granted: true },
+  }]);
+});
--- a/src/replicated_log/replicated_log.ts
+++ b/src/replicated_log/replicated_log.ts
@@ -517,9 +517,18 @@
 
   function handleTimer(): void {
     step({ kind: "tick" });
-    if (!isStopped) {
-      timer = clock.setTimer(timings.heartbeatMs / 2, handleTimer);
-    }
+    if (!isStopped) timer = clock.setTimer(computeTickMs(), handleTimer);
+  }
+
+  /**
+   * An election starts at its deadline and not at the next of a few ticks:
+   * members that share ticks would start at once and split the votes.
+   */
+  function computeTickMs(): number {
+    const tickMs = timings.heartbeatMs / 2;
+    if (state.role === "leader") return tickMs;
+    const untilElectionMs = state.electionDeadlineMs - clock.now();
+    return Math.max(1, Math.min(tickMs, untilElectionMs));
   }
 
   let timer = clock.setTimer(0, handleTimer);
