--- a/src/replicated_log/replicated_log.ts
+++ b/src/replicated_log/replicated_log.ts
@@ -6,7 +6,6 @@
 import { createFault, type Fault } from "../common/errors.ts";
 import { createSilentLogger } from "../common/logger.ts";
 import { type ConsensusInput, stepConsensus } from "./consensus.ts";
-import { isJoining } from "./consensus_election.ts";
 import {
   computeQuorumValue,
   type ConsensusOutput,
@@ -459,7 +458,10 @@
 
   function getRole(): LogStatus["role"] {
     if (isStopped) return "stopped";
-    if (isJoining(state)) return "joining";
+    const listed = findMember(getMembers(state), self);
+    const isLearner = listed?.role === "learner" &&
+      listed.promoteTo !== undefined;
+    if (listed === undefined || isLearner) return "joining";
     if (state.role === "preCandidate" || isCopying(state)) return "candidate";
     return state.role;
   }
@@ -515,9 +517,18 @@
 
   function handleTimer(): void {
     step({ kind: "tick" });
-    if (!isStopped) {
-      timer = clock.setTimer(timings.heartbeatMs / 2, handleTimer);
-    }
+    if (!isStopped) timer = clock.setTimer(computeTickMs(), handleTimer);
+  }
+
+  /**
+   * An election starts at its deadline and not at the next of a few ticks:
+   * members that share ticks would start at once and split the votes.
+   */
+  function computeTickMs(): number {
+    const tickMs = timings.heartbeatMs / 2;
+    if (state.role === "leader") return tickMs;
+    const untilElectionMs = state.electionDeadlineMs - clock.now();
+    return Math.max(1, Math.min(tickMs, untilElectionMs));
   }
 
   let timer = clock.setTimer(0, handleTimer);
