Count failures against workers only for sound jobs; tell a stop from a command to forget

Jobs that fail everywhere took good workers out of service until they had failed on three of them. A worker due for a probe was never picked, because packing prefers workers that are in use. A throttle to the declared amount could not be told from the end of throttling. A cancellation that met a finished attempt made the worker forget the end. Ruled out: counting every quick failure and taking it back later; the worker was out of service in between. A failure now counts once its job has run well somewhere, so the first ejection waits until a retry has succeeded.

--- a/src/scheduling/jobs.ts
+++ b/src/scheduling/jobs.ts
@@ -65,6 +65,7 @@
     sentMs: 0,
     startsSent: 0,
     startedMs: 0,
+    isProven: false,
     hasCheckpoint: false,
     intervention: undefined,
     processorLimit: undefined,
@@ -93,7 +94,7 @@
     confirmed: 0,
     plans: 0,
     tasksInRack: new Map(),
-    health: { hasSucceeded: false, failedWorkers: new Set() },
+    health: { isSound: false, failedWorkers: new Set() },
   };
   for (let index = 0; index < spec.tasks; index++) {
     job.tasks.push(buildTask(job, index));
--- a/src/scheduling/lifecycle.ts
+++ b/src/scheduling/lifecycle.ts
@@ -10,7 +10,6 @@
   type SchedulerState,
   subtractCommitted,
   toAttempt,
-  updateAccepting,
 } from "./state.ts";
 import type { EndTaskAction, InterventionReason, JobState } from "./types.ts";
 
@@ -78,6 +77,7 @@
   task.stage = "proposed";
   task.isRestored = false;
   task.startsSent = 0;
+  task.isProven = false;
   task.intervention = undefined;
   task.processorLimit = undefined;
   task.usage = undefined;
@@ -85,7 +85,7 @@
   if (worker.health.mode === "probing") {
     worker.health.mode = "probeRunning";
     worker.probe = task;
-    updateAccepting(state, worker);
+    state.probingWorkers.delete(worker);
   }
   state.actions.push({
     type: "assign",
@@ -122,7 +122,7 @@
   if (worker.health.mode !== "probeRunning") return;
   // The probe ended without a verdict, such as by a cancellation.
   worker.health.mode = "probing";
-  updateAccepting(state, worker);
+  state.probingWorkers.add(worker);
 }
 
 /** Ends a job all of whose tasks have ended. */
@@ -291,11 +291,11 @@
   });
 }
 
-/** Asks the worker to limit the processors of a task; the full size ends throttling. */
+/** Asks the worker to limit the processors of a task; `undefined` ends throttling. */
 export function sendThrottle(
   state: SchedulerState,
   task: TaskRecord,
-  processors: number,
+  processors: number | undefined,
   reason: InterventionReason,
 ): void {
   const isStarted = task.stage === "started" || task.stage === "seen";
@@ -305,7 +305,7 @@
     type: "throttle",
     ...toAttempt(task),
     worker: task.worker.id,
-    processors,
+    ...(processors === undefined ? {} : { processors }),
     reason,
   });
 }
--- a/src/scheduling/placing.ts
+++ b/src/scheduling/placing.ts
@@ -55,11 +55,28 @@
   return true;
 }
 
+/** Gives a worker that is to prove itself one task of batch work. */
+function placeProbe(state: SchedulerState, job: JobRecord): boolean {
+  if (job.spec.policy !== "batch" || job.spec.urgent) return false;
+  const task = job.waiting[job.waiting.length - 1]!;
+  for (const worker of state.probingWorkers) {
+    const isUsable = !worker.isSilent && !worker.isDraining &&
+      !worker.isReserved && worker.id !== task.avoid;
+    if (!isUsable || !state.placer.commit(worker.place, job.size)) continue;
+    job.waiting.pop();
+    assignTask(state, task, worker);
+    return true;
+  }
+  return false;
+}
+
 function placeSingle(
   state: SchedulerState,
   job: JobRecord,
   round: Round,
 ): boolean {
+  const isProbe = state.probingWorkers.size > 0 && placeProbe(state, job);
+  if (isProbe) return true;
   if (hasFailedShape(round, job.size)) return false;
   if (placeOne(state, job, true)) return true;
   const task = job.waiting[job.waiting.length - 1]!;
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -283,9 +283,8 @@
       if (!state.placer.commit(worker.place, missing)) continue;
       addCommitted(state, team, missing);
       task.held = addResources(task.held, missing);
-      sendThrottle(state, task, size.processors, "urgentWork");
-      // A late report of the old limit must not lower what is committed.
-      task.processorLimit = undefined;
+      // With no limit wanted, a late report of the old one does not lower what is committed.
+      sendThrottle(state, task, undefined, "urgentWork");
       state.throttled.delete(task);
     }
   }
--- a/src/scheduling/records.ts
+++ b/src/scheduling/records.ts
@@ -46,6 +46,8 @@
   sentMs: number;
   startsSent: number;
   startedMs: number;
+  /** The attempt has run long enough to count as a success of its worker. */
+  isProven: boolean;
   hasCheckpoint: boolean;
   intervention: Intervention | undefined;
   /** The processor limit that the worker was last asked to set. */
--- a/src/scheduling/reports.ts
+++ b/src/scheduling/reports.ts
@@ -84,8 +84,7 @@
   if (wanted === undefined) {
     if (processorLimit === undefined) return;
     // The command that ended throttling was lost; the full amount is committed already.
-    sendThrottle(state, task, task.held.processors, "urgentWork");
-    task.processorLimit = undefined;
+    sendThrottle(state, task, undefined, "urgentWork");
     return;
   }
   if (processorLimit === undefined || processorLimit > wanted) {
@@ -133,9 +132,12 @@
   if (listed.usage !== undefined) {
     task.usage = updateUsage(task.usage, listed.usage, nowMs);
   }
-  const isProven = task.state === "running" &&
+  const isProof = !task.isProven && task.state === "running" &&
     nowMs - task.startedMs >= QUICK_FAILURE_MS;
-  if (isProven) recordTaskSuccess(state, task, worker);
+  if (!isProof) return;
+  // Counted once: old tasks that run on must not hide that every new start fails.
+  task.isProven = true;
+  recordTaskSuccess(state, task, worker);
 }
 
 function receiveEnd(
--- /dev/null
+++ b/src/scheduling/shares_test.ts
@@ -0,0 +1,150 @@
+import t from "tap";
+import {
+  AMPLE,
+  buildResources,
+  type Cell,
+  createCell,
+} from "../../test/scheduling_cell.ts";
+import {
+  computeAssetShare,
+  computeDominantShare,
+  computeJainIndex,
+} from "./shares.ts";
+
+function createFullCell(weights: Record<string, number>, runMs: number): Cell {
+  const cell = createCell({
+    runTask: (task, _worker, nowMs) =>
+      nowMs - task.startedMs >= runMs ? "finished" : undefined,
+  });
+  for (const id of ["w0", "w1", "w2", "w3"]) {
+    cell.addWorker(id, buildResources(10));
+  }
+  for (const [team, weight] of Object.entries(weights)) {
+    cell.setTeam(team, AMPLE, weight);
+  }
+  return cell;
+}
+
+function countCores(cell: Cell, team: string): number {
+  return cell.listRunning().filter(({ task }) => task.spec.team === team)
+    .reduce((sum, { task }) => sum + task.spec.resources.processors / 1_000, 0);
+}
+
+const SHARE_CASES: {
+  name: string;
+  weights: Record<string, number>;
+  cores: Record<string, number>;
+}[] = [
+  { name: "equal weights", weights: { a: 1, b: 1 }, cores: { a: 20, b: 20 } },
+  {
+    name: "weights of 3 to 1",
+    weights: { a: 3, b: 1 },
+    cores: { a: 30, b: 10 },
+  },
+  {
+    name: "three teams",
+    weights: { a: 2, b: 1, c: 1 },
+    cores: { a: 20, b: 10, c: 10 },
+  },
+];
+
+// Guards against a team that gets more or less than its weight entitles it to in a full cell.
+for (const { name, weights, cores } of SHARE_CASES) {
+  t.test(`a full cell is divided by ${name}`, (t) => {
+    const cell = createFullCell(weights, 4_000);
+    // The team that comes first floods the cell; the others arrive a second later.
+    for (const [position, team] of Object.keys(weights).entries()) {
+      cell.addJob({ id: team, team, tasks: 300, expectedMs: 4_000 });
+      if (position === 0) cell.advance(1_000);
+    }
+    cell.advance(15_000);
+    for (const [team, expected] of Object.entries(cores)) {
+      const found = countCores(cell, team);
+      t.ok(
+        Math.abs(found - expected) <= 1,
+        `${team} holds ${found} of ${expected} cores`,
+      );
+    }
+    t.end();
+  });
+}
+
+// Guards against idle resources that are withheld, and lent ones that do not come back.
+t.test("idle share is lent and reclaimed", (t) => {
+  const cell = createFullCell({ a: 1, b: 1 }, Infinity);
+  cell.addJob({ id: "a", tasks: 100, expectedMs: 3_600_000 });
+  cell.advance(2_000);
+  t.equal(countCores(cell, "a"), 40);
+  cell.addJob({ id: "b", team: "b", tasks: 100, expectedMs: 3_600_000 });
+  cell.advance(30_000);
+  t.equal(countCores(cell, "a"), 20);
+  t.equal(countCores(cell, "b"), 20);
+  cell.advance(30_000);
+  t.equal(countCores(cell, "a"), 20, "what was reclaimed stays");
+  t.strictSame(cell.errors, []);
+  t.end();
+});
+
+const ALLOTMENT_CASES = [
+  {
+    name: "processors",
+    before: buildResources(12),
+    after: buildResources(5, 1e3),
+  },
+  { name: "memory", before: buildResources(12), after: buildResources(1e3, 5) },
+  {
+    name: "everything, below zero",
+    before: buildResources(12),
+    after: buildResources(-3),
+  },
+];
+
+// Guards against a team above its allotment, at the start of a task and after the allotment has shrunk.
+for (const { name, before, after } of ALLOTMENT_CASES) {
+  t.test(`an allotment that shrinks in ${name} is kept`, (t) => {
+    const cell = createFullCell({ a: 1 }, Infinity);
+    cell.setTeam("a", before);
+    cell.addJob({ id: "s", policy: "service", tasks: 3 });
+    cell.addJob({ id: "g", policy: "gang", tasks: 3 });
+    cell.addJob({ id: "b", tasks: 30 });
+    cell.advance(3_000);
+    t.equal(countCores(cell, "a"), 12);
+    cell.setTeam("a", after);
+    cell.advance(5_000);
+    const bound = Math.max(
+      0,
+      Math.min(after.processors / 1_000, after.memoryMb / 1_024),
+    );
+    t.ok(
+      countCores(cell, "a") <= bound,
+      `${countCores(cell, "a")} of ${bound} cores`,
+    );
+    t.strictSame(cell.errors, []);
+    t.end();
+  });
+}
+
+// Guards against urgent work that is kept waiting by the allotment that its own team's batch work fills.
+t.test("urgent work takes the place of its team's own batch work", (t) => {
+  const cell = createFullCell({ a: 1 }, Infinity);
+  cell.setTeam("a", buildResources(4));
+  cell.addJob({ id: "b", tasks: 9 });
+  cell.advance(2_000);
+  cell.addJob({ id: "u", urgent: true });
+  cell.advance(3_000);
+  t.ok(cell.listRunning().some(({ task }) => task.job === "u"));
+  t.equal(countCores(cell, "a"), 4);
+  t.strictSame(cell.errors, []);
+  t.end();
+});
+
+// Guards against a rule that overlooks the scarce resource of a team, and figures that do not compare.
+t.test("shares and the fairness index", (t) => {
+  const total = buildResources(100, 100, 10);
+  const held = buildResources(10, 20, 5);
+  t.equal(computeDominantShare(held, total), 0.5);
+  t.ok(Math.abs(computeAssetShare(held, total) - 0.8 / 3) < 1e-9);
+  t.equal(computeJainIndex([1, 1, 1, 1]), 1);
+  t.equal(computeJainIndex([4, 0, 0, 0]), 0.25);
+  t.end();
+});
--- a/src/scheduling/state.ts
+++ b/src/scheduling/state.ts
@@ -48,7 +48,9 @@
   capacity: Resources;
   committed: Resources;
   placedTasks: number;
-  ejectedWorkers: Set<WorkerRecord>;
+  readonly ejectedWorkers: Set<WorkerRecord>;
+  /** Workers out of service that are due for one task to prove themselves. */
+  readonly probingWorkers: Set<WorkerRecord>;
   actions: SchedulerAction[];
   readonly leases: DeadlineWheel<HeldAttempt>;
   readonly retries: DeadlineWheel<HeldAttempt>;
@@ -104,6 +106,7 @@
     committed: NO_RESOURCES,
     placedTasks: 0,
     ejectedWorkers: new Set(),
+    probingWorkers: new Set(),
     actions: [],
     leases: createDeadlineWheel(),
     retries: createDeadlineWheel(),
@@ -176,10 +179,9 @@
   state: SchedulerState,
   worker: WorkerRecord,
 ): void {
-  const { mode } = worker.health;
-  const isHealthy = mode === "inService" || mode === "probing";
   const accepting = worker.isKnown && !worker.isGone && !worker.isDraining &&
-    !worker.isSilent && !worker.isReserved && isHealthy;
+    !worker.isSilent && !worker.isReserved &&
+    worker.health.mode === "inService";
   if (worker.place.accepting === accepting) return;
   state.placer.setAccepting(worker.place, accepting);
 }
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -203,7 +203,12 @@
   | "overrun"
   | "gang";
 
-/** Send the stop command. Send it only after the records of earlier actions are durable. */
+/**
+ * Send the stop command. Send it only after the records of earlier actions are
+ * durable. With the reason "unknown" the worker also forgets an attempt that
+ * has ended; with any other it goes on reporting the end, so that a task that
+ * finished just before is not taken for a stopped one.
+ */
 export interface StopAction extends TaskAttempt {
   readonly type: "stop";
   readonly worker: string;
@@ -221,8 +226,8 @@
 export interface ThrottleAction extends TaskAttempt {
   readonly type: "throttle";
   readonly worker: string;
-  /** The new processor limit in thousandths of a core; the full request ends throttling. */
-  readonly processors: number;
+  /** The new processor limit in thousandths of a core; absent, it ends throttling. */
+  readonly processors?: number;
   readonly reason: InterventionReason;
 }
 
--- /dev/null
+++ b/src/scheduling/usage_test.ts
@@ -0,0 +1,117 @@
+import t from "tap";
+import {
+  AMPLE,
+  buildResources,
+  createCell,
+  type FakeTask,
+} from "../../test/scheduling_cell.ts";
+
+interface UsageCase {
+  name: string;
+  /** Usage of the under-declared task, in cores and gibibytes, t seconds after its start. */
+  usage: (seconds: number) => [number, number];
+  command: "throttle" | "checkpoint" | undefined;
+}
+
+const USAGE_CASES: UsageCase[] = [
+  {
+    name: "stays within its declaration",
+    usage: () => [2, 2],
+    command: undefined,
+  },
+  {
+    name: "uses idle processors of its worker",
+    usage: () => [3, 2],
+    command: undefined,
+  },
+  {
+    name: "grows in processors",
+    usage: (seconds) => [2 + 0.5 * seconds, 2],
+    command: "throttle",
+  },
+  {
+    name: "grows in memory",
+    usage: (seconds) => [2, 2 + 0.5 * seconds],
+    command: "checkpoint",
+  },
+];
+
+// Guards against a worker that is overrun by tasks that declared too little, and honest tasks that pay for it.
+for (const { name, usage, command } of USAGE_CASES) {
+  t.test(`a task that ${name}`, (t) => {
+    const honest = { ...buildResources(4) };
+    let overrunSeen = false;
+    let liar: FakeTask | undefined;
+    const cell = createCell({
+      runTask(task, _worker, nowMs) {
+        task.usage = honest;
+        if (task.job !== "liar") return undefined;
+        liar = task;
+        const [cores, memoryGb] = usage((nowMs - task.startedMs) / 1_000);
+        const wanted = buildResources(cores, memoryGb);
+        task.usage = {
+          ...wanted,
+          processors: Math.min(wanted.processors, task.limit ?? Infinity),
+        };
+        overrunSeen ||= task.usage.processors + honest.processors > 8_000 ||
+          task.usage.memoryMb + honest.memoryMb > 8 * 1_024;
+        return undefined;
+      },
+    });
+    cell.addWorker("w0", buildResources(8));
+    cell.setTeam("a", AMPLE);
+    cell.addJob({ id: "honest", resources: honest });
+    cell.addJob({ id: "liar", resources: buildResources(2) });
+    cell.advance(10_000);
+    const sent = cell.actions.filter((action) =>
+      action.type === "throttle" || action.type === "checkpoint"
+    );
+    t.strictSame(
+      [...new Set(sent.map((action) => action.type))],
+      command === undefined ? [] : [command],
+    );
+    t.ok(sent.every((action) => action.job === "liar"));
+    t.equal(overrunSeen, false);
+    t.ok(liar !== undefined);
+    t.end();
+  });
+}
+
+// Guards against new work on a worker whose tasks use more than they declared.
+t.test("usage above the declaration is kept free", (t) => {
+  const cell = createCell({
+    runTask(task) {
+      if (task.job === "liar") task.usage = buildResources(3, 2);
+      return undefined;
+    },
+  });
+  cell.addWorker("w0", buildResources(4));
+  cell.setTeam("a", AMPLE);
+  cell.addJob({ id: "liar", resources: buildResources(2) });
+  cell.advance(3_000);
+  cell.addJob({ id: "next", resources: buildResources(2) });
+  cell.advance(2_000);
+  t.equal(cell.getScheduler().getJob("next")?.state, "queued");
+  t.end();
+});
+
+// Guards against an under-declared job that is checkpointed again and again on the same small room.
+t.test("a job that ran out of memory is given more the next time", (t) => {
+  const cell = createCell({
+    runTask(task, worker, nowMs) {
+      const grown = Math.min(6, 1 + (nowMs - task.startedMs) / 1_000);
+      task.usage = buildResources(
+        1,
+        worker.id === "w0" && task.attempt === 1 ? grown : 1,
+      );
+      return undefined;
+    },
+  });
+  cell.addWorker("w0", buildResources(4));
+  cell.setTeam("a", AMPLE);
+  cell.addJob({ id: "liar", resources: buildResources(1) });
+  cell.advance(6_000);
+  const before = cell.getScheduler().getStatus().committed.memoryMb;
+  t.ok(before > 1_024, `${before} MB committed`);
+  t.end();
+});
--- a/src/scheduling/worker_health.ts
+++ b/src/scheduling/worker_health.ts
@@ -1,16 +1,16 @@
 /**
  * Health of workers. A worker whose starts fail quickly for several different
  * jobs in a row is taken out of service, probed with one task after a pause,
- * and readmitted when the probe succeeds. A job that fails on several workers
- * and never succeeds is suspect, and its failures do not count against any.
+ * and readmitted when the probe succeeds. A failure counts against a worker
+ * only once the job has run well somewhere, so a job that fails everywhere
+ * condemns no worker.
  */
 
-/** A task that runs this long, in milliseconds, shows that its worker can start work. */
+/** A task that runs this long, in milliseconds, shows that its job and its worker are sound. */
 export const QUICK_FAILURE_MS = 10_000;
 
 // Three jobs: two could share a fault, such as the same image.
 const FAILED_JOBS_LIMIT = 3;
-const SUSPECT_WORKERS_LIMIT = 3;
 const FIRST_PAUSE_MS = 30_000;
 const MAX_PAUSE_MS = 600_000;
 // When more workers than this part fail, the cause is shared and ejection would stop the cell.
@@ -19,15 +19,17 @@
 /** The health of one worker. */
 export interface WorkerHealth {
   mode: "inService" | "outOfService" | "probing" | "probeRunning";
-  /** Jobs whose last start here failed quickly, since the last success. */
+  /** Sound jobs that failed quickly here since the last success. */
   readonly failedJobs: Set<string>;
   pauseMs: number;
   probeAtMs: number;
 }
 
-/** What is known about where a job has failed. */
+/** What is known about how the starts of a job went. */
 export interface JobHealth {
-  hasSucceeded: boolean;
+  /** A task of the job has finished, or has run long enough. */
+  isSound: boolean;
+  /** Workers where the job failed quickly while it was not known to be sound. */
   readonly failedWorkers: Set<string>;
 }
 
@@ -41,11 +43,6 @@
   };
 }
 
-/** Tells whether failures of the job say nothing about workers. */
-export function isSuspectJob(job: JobHealth): boolean {
-  return !job.hasSucceeded && job.failedWorkers.size >= SUSPECT_WORKERS_LIMIT;
-}
-
 /** Tells whether one more worker may be taken out of service. */
 export function hasEjectionRoom(ejected: number, workers: number): boolean {
   return ejected + 1 <= Math.max(1, Math.floor(workers * MAX_EJECTED_PART));
@@ -58,10 +55,9 @@
   health.pauseMs = FIRST_PAUSE_MS;
 }
 
-/** Notes a quick failure of a job that is not suspect; returns true when the worker should leave service. */
+/** Notes a quick failure of a sound job; returns true when the worker should leave service. */
 export function recordQuickFailure(health: WorkerHealth, job: string): boolean {
   health.failedJobs.add(job);
-  if (health.mode === "probeRunning") return true;
   return health.mode === "inService" &&
     health.failedJobs.size >= FAILED_JOBS_LIMIT;
 }
@@ -72,12 +68,3 @@
   health.probeAtMs = nowMs + health.pauseMs;
   health.pauseMs = Math.min(2 * health.pauseMs, MAX_PAUSE_MS);
 }
-
-/** Removes the marks of a job that turned out to be suspect; returns true when that readmits the worker. */
-export function removeFailureMarks(health: WorkerHealth, job: string): boolean {
-  if (!health.failedJobs.delete(job)) return false;
-  const isCleared = health.mode === "outOfService" &&
-    health.failedJobs.size < FAILED_JOBS_LIMIT;
-  if (isCleared) health.mode = "inService";
-  return isCleared;
-}
--- a/src/scheduling/workers.ts
+++ b/src/scheduling/workers.ts
@@ -2,16 +2,14 @@
 
 import { addResources, subtractResources } from "../common/mod.ts";
 import { addRackCount, endAttempt, sendStop } from "./lifecycle.ts";
-import type { TaskRecord, WorkerRecord } from "./records.ts";
+import type { JobRecord, TaskRecord, WorkerRecord } from "./records.ts";
 import { getWorker, type SchedulerState, updateAccepting } from "./state.ts";
 import type { WorkerReport } from "./types.ts";
 import {
   closeService,
   hasEjectionRoom,
-  isSuspectJob,
   recordQuickFailure,
   recordSuccess,
-  removeFailureMarks,
 } from "./worker_health.ts";
 
 function updateRackCount(task: TaskRecord, from: string, to: string): void {
@@ -58,6 +56,7 @@
   state.classes.remove(capacity);
   state.capacity = subtractResources(state.capacity, capacity);
   state.ejectedWorkers.delete(worker);
+  state.probingWorkers.delete(worker);
 }
 
 /** Takes in what a report says about the worker itself. */
@@ -133,61 +132,69 @@
   if (health.mode !== "outOfService") return;
   if (health.probeAtMs > state.nowMs) return;
   health.mode = "probing";
+  state.probingWorkers.add(worker);
+}
+
+function closeWorker(state: SchedulerState, worker: WorkerRecord): void {
+  worker.probe = undefined;
+  closeService(worker.health, state.nowMs);
+  state.ejectedWorkers.add(worker);
+  state.probingWorkers.delete(worker);
+  state.workerChecks.add(worker.health.probeAtMs, { worker, kind: "probe" });
   updateAccepting(state, worker);
 }
 
+function recordSoundFailure(
+  state: SchedulerState,
+  worker: WorkerRecord,
+  job: string,
+): void {
+  if (!recordQuickFailure(worker.health, job)) return;
+  const ejected = state.ejectedWorkers.size;
+  if (hasEjectionRoom(ejected, state.fleet.length)) closeWorker(state, worker);
+}
+
+/** Counts the earlier failures of a job that has now been seen to be sound. */
+function setSound(state: SchedulerState, job: JobRecord): void {
+  job.health.isSound = true;
+  for (const id of job.health.failedWorkers) {
+    const worker = state.workers.get(id);
+    if (worker === undefined || worker.isGone) continue;
+    recordSoundFailure(state, worker, job.spec.id);
+  }
+  job.health.failedWorkers.clear();
+}
+
 /** Notes that a task has run long enough, or to its end, on its worker. */
 export function recordTaskSuccess(
   state: SchedulerState,
   task: TaskRecord,
   worker: WorkerRecord,
 ): void {
-  task.job.health.hasSucceeded = true;
-  const { health } = worker;
-  const isProof = health.mode !== "probeRunning" || worker.probe === task;
-  if (!isProof || health.mode === "outOfService") return;
-  if (health.failedJobs.size === 0 && health.mode === "inService") return;
+  const { health, probe } = worker;
+  task.job.health.failedWorkers.delete(worker.id);
+  if (!task.job.health.isSound) setSound(state, task.job);
+  const isProbe = health.mode === "probeRunning" && probe === task;
+  if (!isProbe && health.mode !== "inService") return;
+  if (!isProbe && health.failedJobs.size === 0) return;
   recordSuccess(health);
   worker.probe = undefined;
   state.ejectedWorkers.delete(worker);
   updateAccepting(state, worker);
 }
 
-/** Notes that a start failed quickly, and draws the conclusion for the worker or the job. */
+/** Notes that a start failed quickly. A failed probe keeps its worker out of service. */
 export function recordTaskFailure(
   state: SchedulerState,
   task: TaskRecord,
   worker: WorkerRecord,
 ): void {
   const { job } = task;
-  const wasSuspect = isSuspectJob(job.health);
-  job.health.failedWorkers.add(worker.id);
-  if (isSuspectJob(job.health)) {
-    if (!wasSuspect) removeMarks(state, task);
-    return;
-  }
-  if (worker.probe !== task && worker.health.mode === "probeRunning") return;
-  if (!recordQuickFailure(worker.health, job.spec.id)) return;
-  const isEjected = state.ejectedWorkers.has(worker);
-  const hasRoom = hasEjectionRoom(
-    state.ejectedWorkers.size,
-    state.fleet.length,
-  );
-  if (!isEjected && !hasRoom) return;
-  worker.probe = undefined;
-  closeService(worker.health, state.nowMs);
-  state.ejectedWorkers.add(worker);
-  state.workerChecks.add(worker.health.probeAtMs, { worker, kind: "probe" });
-  updateAccepting(state, worker);
-}
-
-function removeMarks(state: SchedulerState, task: TaskRecord): void {
-  const { job } = task;
-  for (const id of job.health.failedWorkers) {
-    const worker = state.workers.get(id);
-    if (worker === undefined) continue;
-    if (!removeFailureMarks(worker.health, job.spec.id)) continue;
-    state.ejectedWorkers.delete(worker);
-    updateAccepting(state, worker);
+  if (worker.health.mode === "probeRunning" && worker.probe === task) {
+    closeWorker(state, worker);
+  } else if (job.health.isSound) {
+    recordSoundFailure(state, worker, job.spec.id);
+  } else {
+    job.health.failedWorkers.add(worker.id);
   }
 }
