Add the exchange with an endpoint

An answer must be whole and belong to its request, and a failure must say whether a byte may have been sent: only "notSent" allows the retry of a non-idempotent request.

The point at which the client library starts to write decides; error codes were ruled out, since a reset may come before or after the first byte. A connection whose exchange fails is destroyed.

Contract tests run 15 fault cases against a raw TCP stand-in, plus late, doubled and mixed answers, refusal, abort and idle connections.

--- a/src/requests/mod.ts
+++ b/src/requests/mod.ts
@@ -5,6 +5,7 @@
 export * from "./endpoints.ts";
 export * from "./fair_queue.ts";
 export * from "./fair_queue_types.ts";
+export * from "./forward.ts";
 export * from "./home.ts";
 export * from "./outliers.ts";
 export * from "./records.ts";
