Add retries, the request executor and slots with records

The executor runs a request from slot to answer inside the caller's deadline. A request is sent again only when nothing was sent or when it is idempotent, and a fault claims "not run" only while no attempt may have started; a property over random courses of events checks both.

A first attempt of an idempotent request is given up after three times the slowest recent answer, if at least half of the deadline remains: a silent connection would otherwise leave no time for a retry. A fixed part of the deadline was ruled out, since a request that needs longer than that part would fail on every attempt.

Slots with records propose the start with the slot reserved and before the grant is returned. Recording before the queue was ruled out: a refusal in the queue would need a second quorum round trip to take the record back.

The answer does not wait for the "finished" record; the started record alone keeps the request from running twice.

--- /dev/null
+++ b/src/requests/answer_times.ts
@@ -0,0 +1,83 @@
+/**
+ * When to give up the first attempt of an idempotent request. A connection
+ * that has gone silent would otherwise use up the whole deadline and leave no
+ * time for a retry.
+ */
+
+import type { Clock } from "../common/mod.ts";
+
+/** The slowest answers of each queue. */
+export interface AnswerTimes {
+  record(queue: string, durationMs: number): void;
+  /** Milliseconds for the first attempt, at most `remainingMs`. */
+  getFirstTimeout(queue: string, remainingMs: number): number;
+}
+
+/** Length of a window in milliseconds; the last two are looked at. */
+const WINDOW_MS = 60_000;
+
+/** Answers needed before the slowest one says anything. */
+const MIN_SAMPLES = 20;
+
+/** No attempt is given up earlier, in milliseconds: covers a pause of the endpoint. */
+const MIN_TIMEOUT_MS = 1_000;
+
+/** Multiple of the slowest answer after which an attempt is given up. */
+const SLOWEST_FACTOR = 3;
+
+/** Queues whose times are kept. */
+const MAX_QUEUES = 1_000;
+
+interface Window {
+  startedAtMs: number;
+  samples: number;
+  slowestMs: number;
+  formerSamples: number;
+  formerSlowestMs: number;
+}
+
+/** Creates answer times without samples. */
+export function createAnswerTimes(clock: Clock): AnswerTimes {
+  const windows = new Map<string, Window>();
+
+  function getWindow(queue: string): Window {
+    let window = windows.get(queue);
+    if (window === undefined) {
+      if (windows.size >= MAX_QUEUES) windows.clear();
+      window = {
+        startedAtMs: clock.now(),
+        samples: 0,
+        slowestMs: 0,
+        formerSamples: 0,
+        formerSlowestMs: 0,
+      };
+      windows.set(queue, window);
+    }
+    if (clock.now() - window.startedAtMs >= WINDOW_MS) {
+      window.formerSamples = window.samples;
+      window.formerSlowestMs = window.slowestMs;
+      window.samples = 0;
+      window.slowestMs = 0;
+      window.startedAtMs = clock.now();
+    }
+    return window;
+  }
+
+  return {
+    record(queue, durationMs) {
+      const window = getWindow(queue);
+      window.samples += 1;
+      window.slowestMs = Math.max(window.slowestMs, durationMs);
+    },
+    getFirstTimeout(queue, remainingMs) {
+      const window = getWindow(queue);
+      if (window.samples + window.formerSamples < MIN_SAMPLES) {
+        return remainingMs;
+      }
+      const slowestMs = Math.max(window.slowestMs, window.formerSlowestMs);
+      const timeoutMs = Math.max(MIN_TIMEOUT_MS, SLOWEST_FACTOR * slowestMs);
+      // A retry needs at least as long as the first attempt was given.
+      return timeoutMs <= remainingMs / 2 ? timeoutMs : remainingMs;
+    },
+  };
+}
--- /dev/null
+++ b/src/requests/attempt.ts
@@ -0,0 +1,271 @@
+/**
+ * One attempt of a request: acquire a slot, forward, release. It tells whether
+ * the request is done, may be tried again, or has failed for good.
+ */
+
+import {
+  type Clock,
+  createFault,
+  type Fault,
+  type Logger,
+  type Ran,
+  type Random,
+  toFault,
+} from "../common/mod.ts";
+import { type AnswerTimes, createAnswerTimes } from "./answer_times.ts";
+import { createReleaser } from "./release.ts";
+import type {
+  ExecuteRequest,
+  Forwarder,
+  ForwardResult,
+  RecordedAnswer,
+  RequestOutcome,
+  SlotClient,
+  SlotGrant,
+  SlotReply,
+} from "./types.ts";
+
+/** What an attempt needs. */
+export interface AttemptOptions {
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  /** Name of this entry instance. */
+  instance: string;
+  slots: SlotClient;
+  forwarder: Forwarder;
+}
+
+/** A request under way. */
+export interface Run {
+  readonly request: ExecuteRequest;
+  /** Monotonic time of the caller's deadline. */
+  readonly deadlineMs: number;
+  /** Endpoints that it has been sent to. */
+  readonly avoid: string[];
+  /** True once a byte may have been sent. */
+  mayHaveStarted: boolean;
+}
+
+/** What one attempt came to: an end, or a reason to try again. */
+export type AttemptEnd =
+  | { readonly kind: "done"; readonly answer: RecordedAnswer }
+  | {
+    readonly kind: "retry";
+    /** The endpoint's own answer, passed on when there is no further attempt. */
+    readonly answer?: RecordedAnswer;
+    /** What the caller gets otherwise. */
+    readonly fault?: Fault;
+  };
+
+/** Runs attempts. */
+export interface AttemptRunner {
+  /** Runs attempt number `attempt`, from 0; rejects with a fault that ends the request. */
+  run(run: Run, attempt: number, signal?: AbortSignal): Promise<AttemptEnd>;
+}
+
+/** Statuses by which an endpoint, or something before it, says that it could not serve. */
+const RETRY_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
+
+function getRan(run: Run): Ran {
+  return run.mayHaveStarted ? "unknown" : "no";
+}
+
+/** The fault of a request whose deadline has passed. */
+export function createDeadlineFault(run: Run, cause?: unknown): Fault {
+  return createFault(
+    "deadlineExceeded",
+    `Cannot answer request "${run.request.requestId}": its deadline passed`,
+    { ran: getRan(run), cause },
+  );
+}
+
+function createCancelFault(run: Run): Fault {
+  return createFault(
+    "cancelled",
+    `Request "${run.request.requestId}" was cancelled by its caller`,
+    { ran: getRan(run) },
+  );
+}
+
+function createSendFault(run: Run, grant: SlotGrant, cause?: Error): Fault {
+  const { requestId } = run.request;
+  if (run.mayHaveStarted) {
+    return createFault(
+      "outcomeUnknown",
+      `Request "${requestId}" was sent to endpoint "${grant.endpoint}" and no whole answer was received`,
+      { cause },
+    );
+  }
+  return createFault(
+    "unavailable",
+    `Cannot send request "${requestId}" to endpoint "${grant.endpoint}"`,
+    { cause },
+  );
+}
+
+function parseOutcome(result: ForwardResult): RequestOutcome {
+  if (result.kind !== "answered") return result.kind;
+  return result.answer.status >= 500 ? "failed" : "answered";
+}
+
+/** Creates a runner of attempts. */
+export function createAttemptRunner(options: AttemptOptions): AttemptRunner {
+  const { clock, slots, forwarder, instance } = options;
+  const releaser = createReleaser(options);
+  const answerTimes: AnswerTimes = createAnswerTimes(clock);
+
+  function acquire(
+    run: Run,
+    attempt: number,
+    signal: AbortSignal | undefined,
+  ): Promise<SlotReply> {
+    const { request } = run;
+    const remainingMs = run.deadlineMs - clock.now();
+    if (signal?.aborted === true) throw createCancelFault(run);
+    if (remainingMs <= 0) throw createDeadlineFault(run);
+    return slots.acquire({
+      requestId: request.requestId,
+      scope: request.scope,
+      team: request.team,
+      queue: request.queue,
+      idempotent: request.idempotent,
+      remainingMs: Math.floor(remainingMs),
+      bodyHash: request.bodyHash,
+      instance,
+      avoid: [...run.avoid],
+      attempt,
+    }, signal);
+  }
+
+  /** A leader that never answers must not hold the caller past its deadline. */
+  function waitForReply(
+    run: Run,
+    acquired: Promise<SlotReply>,
+    signal: AbortSignal | undefined,
+  ): Promise<SlotReply> {
+    return new Promise((resolve, reject) => {
+      let isGivenUp = false;
+      const handleGivenUp = (fault: Fault) => {
+        isGivenUp = true;
+        reject(fault);
+      };
+      const timer = clock.setTimer(
+        run.deadlineMs - clock.now(),
+        () => handleGivenUp(createDeadlineFault(run)),
+      );
+      const handleAbort = () => handleGivenUp(createCancelFault(run));
+      const stop = () => {
+        timer.cancel();
+        signal?.removeEventListener("abort", handleAbort);
+      };
+      signal?.addEventListener("abort", handleAbort);
+      acquired.then((reply) => {
+        stop();
+        if (!isGivenUp) resolve(reply);
+        // The slot would stay taken until the deadline if it were not returned.
+        else if (reply.kind === "grant") {
+          void releaser.release({ grant: reply, outcome: "notSent" });
+        }
+      }, (error) => {
+        stop();
+        reject(toFault(error));
+      });
+    });
+  }
+
+  function getTimeout(run: Run, attempt: number): number {
+    const remainingMs = run.deadlineMs - clock.now();
+    const { idempotent, queue } = run.request;
+    if (!idempotent || attempt > 0) return remainingMs;
+    return answerTimes.getFirstTimeout(queue, remainingMs);
+  }
+
+  function handleResult(
+    run: Run,
+    grant: SlotGrant,
+    result: ForwardResult,
+    signal: AbortSignal | undefined,
+  ): AttemptEnd {
+    const { request } = run;
+    if (result.kind === "answered") {
+      const { status, contentType, body, durationMs } = result.answer;
+      const answer = { status, contentType, body };
+      answerTimes.record(request.queue, durationMs);
+      const isFinal = !request.idempotent || !RETRY_STATUSES.has(status);
+      return isFinal ? { kind: "done", answer } : { kind: "retry", answer };
+    }
+    if (signal?.aborted === true) throw createCancelFault(run);
+    if (result.failure === "tooLarge") {
+      throw createFault(
+        "endpointFailed",
+        `Cannot pass on the answer to request "${request.requestId}": it is larger than allowed`,
+        { cause: result.cause },
+      );
+    }
+    if (clock.now() >= run.deadlineMs) {
+      throw createDeadlineFault(run, result.cause);
+    }
+    const fault = createSendFault(run, grant, result.cause);
+    if (!request.idempotent && run.mayHaveStarted) throw fault;
+    return { kind: "retry", fault };
+  }
+
+  async function send(
+    run: Run,
+    grant: SlotGrant,
+    attempt: number,
+    signal: AbortSignal | undefined,
+  ): Promise<AttemptEnd> {
+    const { request } = run;
+    run.avoid.push(grant.endpoint);
+    const result = await forwarder.send({
+      address: grant.address,
+      requestId: request.requestId,
+      queue: request.queue,
+      contentType: request.contentType,
+      body: request.body,
+      timeoutMs: getTimeout(run, attempt),
+      ...(signal === undefined ? {} : { signal }),
+    });
+    if (result.kind !== "notSent") run.mayHaveStarted = true;
+    const answer = result.kind === "answered" ? result.answer : undefined;
+    const released = releaser.release({
+      grant,
+      outcome: parseOutcome(result),
+      durationMs: result.kind === "answered"
+        ? result.answer.durationMs
+        : result.durationMs,
+      ...(answer === undefined || request.idempotent ? {} : { answer }),
+    });
+    // The next attempt of a non-idempotent request would otherwise meet the
+    // record of this one.
+    if (!request.idempotent && result.kind === "notSent") await released;
+    return handleResult(run, grant, result, signal);
+  }
+
+  async function handleUnusable(run: Run, grant: SlotGrant) {
+    const released = releaser.release({ grant, outcome: "notSent" });
+    if (!run.request.idempotent) await released;
+    const fault = createFault(
+      "unavailable",
+      `Cannot send request "${run.request.requestId}": its grant came too late`,
+      { ran: getRan(run) },
+    );
+    return { kind: "retry", fault } as const;
+  }
+
+  return {
+    async run(run, attempt, signal) {
+      const askedAtMs = clock.now();
+      const acquired = acquire(run, attempt, signal);
+      const reply = await waitForReply(run, acquired, signal);
+      if (reply.kind === "answer") {
+        return { kind: "done", answer: reply.answer };
+      }
+      const isLate = clock.now() - askedAtMs >= reply.validForMs;
+      if (isLate) return await handleUnusable(run, reply);
+      return await send(run, reply, attempt, signal);
+    },
+  };
+}
--- /dev/null
+++ b/src/requests/execute.ts
@@ -0,0 +1,122 @@
+/**
+ * Runs a caller's request to its answer, with retries inside the caller's
+ * deadline and the team's retry budget.
+ *
+ * A request is sent again only when the last attempt certainly sent nothing,
+ * or when it is idempotent. A refusal claims "not run" only while no attempt
+ * may have started.
+ */
+
+import { createFault, type Fault, toFault } from "../common/mod.ts";
+import {
+  type AttemptEnd,
+  type AttemptOptions,
+  createAttemptRunner,
+  createDeadlineFault,
+  type Run,
+} from "./attempt.ts";
+import { runHedged } from "./hedge.ts";
+import {
+  type BackoffOptions,
+  computeBackoff,
+  type RetryBudget,
+} from "./retry_budget.ts";
+import type { RecordedAnswer, RequestExecutor } from "./types.ts";
+
+/** Settings of a request executor. */
+export interface RequestExecutorOptions extends AttemptOptions {
+  retryBudget: RetryBudget;
+  backoff?: BackoffOptions;
+  /** Attempts of one request, the first included. Default 4. */
+  maxAttempts?: number;
+  /**
+   * Time in milliseconds after which an idempotent request is sent to a second
+   * endpoint while the first still works on it. Default: never.
+   */
+  hedgeAfterMs?: number;
+}
+
+const DEFAULT_MAX_ATTEMPTS = 4;
+
+/** Keeps the claim of a fault true when an earlier attempt may have started. */
+function updateRan(run: Run, fault: Fault): Fault {
+  if (!run.mayHaveStarted || fault.ran !== "no") return fault;
+  return createFault(fault.kind, fault.message, {
+    ran: "unknown",
+    details: fault.details,
+  });
+}
+
+/** Creates a request executor. */
+export function createRequestExecutor(
+  options: RequestExecutorOptions,
+): RequestExecutor {
+  const { clock, random, retryBudget, hedgeAfterMs } = options;
+  const maxAttempts = options.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
+  const attempts = createAttemptRunner(options);
+
+  function runFirst(run: Run): Promise<AttemptEnd> {
+    const { team, idempotent, signal } = run.request;
+    if (hedgeAfterMs === undefined || !idempotent) {
+      return attempts.run(run, 0, signal);
+    }
+    return runHedged({
+      clock,
+      hedgeAfterMs,
+      takeToken: () => retryBudget.take(team),
+      runCopy: (copy, stopSignal) => attempts.run(run, copy, stopSignal),
+      ...(signal === undefined ? {} : { signal }),
+    });
+  }
+
+  /** Tells whether another attempt is allowed and can end before the deadline. */
+  function canRetry(run: Run, nextAttempt: number, pauseMs: number): boolean {
+    return nextAttempt < maxAttempts &&
+      clock.now() + pauseMs < run.deadlineMs &&
+      retryBudget.take(run.request.team);
+  }
+
+  async function runAttempts(run: Run): Promise<RecordedAnswer> {
+    let ownAnswer: RecordedAnswer | undefined;
+    for (let attempt = 0;; attempt++) {
+      let end: AttemptEnd;
+      try {
+        end = attempt === 0
+          ? await runFirst(run)
+          : await attempts.run(run, attempt, run.request.signal);
+      } catch (error) {
+        // A whole answer of an endpoint says more than the failure to get a better one.
+        const isCancelled = run.request.signal?.aborted === true;
+        if (ownAnswer !== undefined && !isCancelled) return ownAnswer;
+        throw error;
+      }
+      if (end.kind === "done") return end.answer;
+      ownAnswer = end.answer ?? ownAnswer;
+      const pauseMs = computeBackoff(attempt, random, options.backoff);
+      if (!canRetry(run, attempt + 1, pauseMs)) {
+        if (ownAnswer !== undefined) return ownAnswer;
+        throw end.fault ?? createDeadlineFault(run);
+      }
+      await new Promise<void>((resolve) => {
+        clock.setTimer(pauseMs, resolve);
+      });
+    }
+  }
+
+  return {
+    async run(request) {
+      const run: Run = {
+        request,
+        deadlineMs: clock.now() + request.remainingMs,
+        avoid: [],
+        mayHaveStarted: false,
+      };
+      retryBudget.recordRequest(request.team);
+      try {
+        return await runAttempts(run);
+      } catch (error) {
+        throw updateRan(run, toFault(error));
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/requests/execute_test.ts
@@ -0,0 +1,439 @@
+import { Buffer } from "node:buffer";
+import fc from "fast-check";
+import t from "tap";
+import { buildWanted } from "../../test/requests_helpers.ts";
+import {
+  createFault,
+  createManualClock,
+  createSeededRandom,
+  createSilentLogger,
+  isFault,
+  type ManualClock,
+} from "../common/mod.ts";
+import {
+  createRequestExecutor,
+  type RequestExecutorOptions,
+} from "./execute.ts";
+import { createRetryBudget } from "./retry_budget.ts";
+import type {
+  ExecuteRequest,
+  ForwardFailure,
+  ForwardResult,
+  SlotClient,
+  SlotGrant,
+  SlotRelease,
+  SlotReply,
+  SlotRequest,
+} from "./types.ts";
+
+const SEED = 20261204;
+fc.configureGlobal({ seed: SEED, numRuns: 300 });
+
+const ANSWER = {
+  contentType: "text/plain",
+  body: new Uint8Array(Buffer.from("ok")),
+};
+
+/** What the endpoint does with one send: a status, or a failure; after some time. */
+interface Step {
+  status?: number;
+  kind?: "notSent" | "unknown";
+  failure?: ForwardFailure;
+  afterMs?: number;
+}
+
+function createResult(step: Step): ForwardResult {
+  const durationMs = step.afterMs ?? 5;
+  if (step.status !== undefined) {
+    return {
+      kind: "answered",
+      answer: { ...ANSWER, status: step.status, durationMs },
+    };
+  }
+  const { kind = "unknown", failure = "connectionLost" } = step;
+  return { kind, failure, durationMs };
+}
+
+interface Setup {
+  steps?: Step[];
+  options?: Partial<RequestExecutorOptions>;
+  acquire?: (request: SlotRequest, grant: SlotGrant) => Promise<SlotReply>;
+  failReleases?: number;
+}
+
+function createSetup(
+  { steps = [], options = {}, acquire, failReleases = 0 }: Setup = {},
+) {
+  const clock = createManualClock();
+  const acquired: SlotRequest[] = [];
+  const released: SlotRelease[] = [];
+  const sent: string[] = [];
+  // Sends that the endpoint may have seen.
+  const started: string[] = [];
+  let releaseFailures = failReleases;
+  const slots: SlotClient = {
+    acquire(request) {
+      acquired.push(request);
+      const endpoint =
+        ["e1", "e2", "e3", "e4", "e5"].find((name) =>
+          !request.avoid.includes(name)
+        ) ?? "e1";
+      const grant: SlotGrant = {
+        kind: "grant",
+        token: `t${acquired.length}`,
+        endpoint,
+        address: endpoint,
+        epoch: 1,
+        validForMs: 1_000,
+      };
+      return acquire?.(request, grant) ?? Promise.resolve(grant);
+    },
+    release(release) {
+      if (releaseFailures-- > 0) {
+        return Promise.reject(createFault("unavailable", "lost"));
+      }
+      released.push(release);
+      return Promise.resolve();
+    },
+  };
+  const executor = createRequestExecutor({
+    clock,
+    random: createSeededRandom(SEED),
+    logger: createSilentLogger(),
+    instance: "entry1",
+    slots,
+    retryBudget: createRetryBudget(),
+    forwarder: {
+      send(request) {
+        const step = steps[sent.length] ?? { status: 200 };
+        sent.push(request.address);
+        return new Promise((resolve) => {
+          let isSettled = false;
+          const settle = (result: ForwardResult) => {
+            if (!isSettled && result.kind !== "notSent") {
+              started.push(request.address);
+            }
+            isSettled = true;
+            timers.forEach((timer) => timer.cancel());
+            resolve(result);
+          };
+          const timers = [
+            clock.setTimer(step.afterMs ?? 5, () => settle(createResult(step))),
+            clock.setTimer(
+              request.timeoutMs,
+              () => settle(createResult({ failure: "deadline" })),
+            ),
+          ];
+          request.signal?.addEventListener(
+            "abort",
+            () => settle(createResult({ failure: "aborted" })),
+          );
+        });
+      },
+      setEndpoints() {},
+      close: () => Promise.resolve(),
+    },
+    ...options,
+  });
+  function run(request: Partial<ExecuteRequest> = {}) {
+    return settleWith(
+      clock,
+      executor.run({
+        requestId: "r1",
+        scope: "team",
+        team: "team",
+        queue: "orders",
+        idempotent: true,
+        contentType: "text/plain",
+        body: new Uint8Array(),
+        bodyHash: "x",
+        remainingMs: 10_000,
+        ...request,
+      }),
+    );
+  }
+  return { clock, acquired, released, sent, started, run };
+}
+
+/** Moves the clock until the promise is settled. */
+async function settleWith<T>(
+  clock: ManualClock,
+  promise: Promise<T>,
+): Promise<T> {
+  let isDone = false;
+  const stop = () => {
+    isDone = true;
+  };
+  promise.then(stop, stop);
+  for (let i = 0; i < 4_000 && !isDone; i++) {
+    await new Promise<void>((resolve) => setImmediate(() => resolve()));
+    if (!isDone) clock.advance(5);
+  }
+  return promise;
+}
+
+// Guards against a second run of a non-idempotent request, a refusal that
+// claims "not run" falsely, a slot that is not given back, and retries without end.
+t.test("no rule is broken under any course of events", async (t) => {
+  const step: fc.Arbitrary<Step> = fc.oneof(
+    fc.record({
+      status: fc.constantFrom(200, 404, 500, 502, 503, 504),
+      afterMs: fc.nat(300),
+    }),
+    fc.record({
+      kind: fc.constantFrom("notSent" as const, "unknown" as const),
+      failure: fc.constantFrom<ForwardFailure>(
+        "connectionLost",
+        "malformed",
+        "tooLarge",
+      ),
+      afterMs: fc.nat(300),
+    }),
+  );
+  await fc.assert(fc.asyncProperty(
+    fc.array(step, { maxLength: 6 }),
+    fc.boolean(),
+    fc.integer({ min: 1, max: 600 }),
+    fc.array(fc.constantFrom("grant", "refuse", "late"), { maxLength: 6 }),
+    async (steps, idempotent, remainingMs, acquires) => {
+      let next = 0;
+      const { clock, acquired, released, sent, started, run } = createSetup({
+        steps,
+        acquire(_request, grant) {
+          const kind = acquires[next++];
+          if (kind === "refuse") {
+            return Promise.reject(createFault("overloaded", "full"));
+          }
+          if (kind !== "late") return Promise.resolve(grant);
+          return new Promise((resolve) =>
+            void clock.setTimer(1_100, () => resolve(grant))
+          );
+        },
+      });
+      const end = await run({ idempotent, remainingMs }).then(
+        () => undefined,
+        (error) => error,
+      );
+      clock.advance(3_000);
+      await new Promise<void>((resolve) => setImmediate(() => resolve()));
+      const mayHaveStarted = started.length;
+      if (!idempotent && mayHaveStarted > 1) throw new Error("sent twice");
+      if (sent.length > 4) throw new Error("too many attempts");
+      if (end !== undefined && !isFault(end)) throw end;
+      if (end?.ran === "no" && mayHaveStarted > 0) {
+        throw new Error(`"${end.kind}" claims not run`);
+      }
+      const granted = acquired.filter((_, i) =>
+        acquires[i] !== "refuse"
+      ).length;
+      if (released.length !== granted) {
+        throw new Error(
+          `${granted} grants, ${released.length} releases`,
+        );
+      }
+    },
+  ));
+  t.end();
+});
+
+// Guards against each mistake that its name contradicts.
+t.test("what becomes of a request by the course of its attempts", async (t) => {
+  const cases: {
+    name: string;
+    steps: Step[];
+    idempotent: boolean;
+    sends: number;
+    status?: number;
+    fault?: Error;
+  }[] = [
+    {
+      name: "idempotent, connection lost: another endpoint",
+      steps: [{}],
+      idempotent: true,
+      sends: 2,
+      status: 200,
+    },
+    {
+      name: "non-idempotent, connection lost: unknown",
+      steps: [{}],
+      idempotent: false,
+      sends: 1,
+      fault: buildWanted("outcomeUnknown", "unknown"),
+    },
+    {
+      name: "non-idempotent, refused: another endpoint",
+      steps: [{ kind: "notSent" }],
+      idempotent: false,
+      sends: 2,
+      status: 200,
+    },
+    {
+      name: "idempotent, 503: another endpoint",
+      steps: [{ status: 503 }],
+      idempotent: true,
+      sends: 2,
+      status: 200,
+    },
+    {
+      name: "non-idempotent, 503: passed on",
+      steps: [{ status: 503 }],
+      idempotent: false,
+      sends: 1,
+      status: 503,
+    },
+    {
+      name: "idempotent, 500: passed on",
+      steps: [{ status: 500 }],
+      idempotent: true,
+      sends: 1,
+      status: 500,
+    },
+    {
+      name: "idempotent, only 502: passed on in the end",
+      steps: Array(9).fill({ status: 502 }),
+      idempotent: true,
+      sends: 4,
+      status: 502,
+    },
+    {
+      name: "502, then lost: the endpoint's own answer",
+      steps: [{ status: 502 }, {}, {}, {}],
+      idempotent: true,
+      sends: 4,
+      status: 502,
+    },
+    {
+      name: "refused everywhere: not run",
+      steps: Array(9).fill({ kind: "notSent" }),
+      idempotent: false,
+      sends: 4,
+      fault: buildWanted("unavailable", "no"),
+    },
+    {
+      name: "answer too large: not sent again",
+      steps: [{ failure: "tooLarge" }],
+      idempotent: true,
+      sends: 1,
+      fault: buildWanted("endpointFailed", "yes"),
+    },
+    {
+      name: "past the deadline while sent: unknown",
+      steps: [{ afterMs: 1e6 }],
+      idempotent: false,
+      sends: 1,
+      fault: buildWanted("deadlineExceeded", "unknown"),
+    },
+  ];
+  for (const { name, steps, idempotent, sends, status, fault } of cases) {
+    const { sent, released, run } = createSetup({ steps });
+    if (fault !== undefined) await t.rejects(run({ idempotent }), fault, name);
+    else t.equal((await run({ idempotent })).status, status, name);
+    t.equal(sent.length, sends, name);
+    t.equal(new Set(sent).size, sends, "each at another endpoint");
+    t.equal(released.length, sends);
+  }
+});
+
+// Guards against callers held past their deadline by a leader that does not
+// answer, and against slots lost by grants that come after it.
+t.test("a leader that never answers, or too late", async (t) => {
+  let grantLate = () => {};
+  const { sent, released, run } = createSetup({
+    acquire: (_request, grant) =>
+      new Promise((resolve) => (grantLate = () => resolve(grant))),
+  });
+  await t.rejects(
+    run({ remainingMs: 300 }),
+    buildWanted("deadlineExceeded", "no"),
+  );
+  grantLate();
+  await new Promise<void>((resolve) => setImmediate(() => resolve()));
+  t.strictSame(released.map(({ outcome }) => outcome), ["notSent"]);
+  t.equal(sent.length, 0);
+});
+
+// Guards against a cancelled request that is sent, sent again, or reported as
+// not run when it may have run.
+t.test("a caller's cancel ends the request", async (t) => {
+  const queued = createSetup({ acquire: () => new Promise(() => {}) });
+  const stop = new AbortController();
+  queued.clock.setTimer(50, () => stop.abort());
+  await t.rejects(
+    queued.run({ signal: stop.signal }),
+    buildWanted("cancelled", "no"),
+  );
+  const running = createSetup({ steps: [{ afterMs: 1_000 }] });
+  const stopRunning = new AbortController();
+  running.clock.setTimer(50, () => stopRunning.abort());
+  await t.rejects(
+    running.run({ signal: stopRunning.signal }),
+    buildWanted("cancelled", "unknown"),
+  );
+  t.equal(running.sent.length, 1);
+});
+
+// Guards against a lost release, which costs a slot until the deadline, and
+// against answers of non-idempotent requests that are not recorded.
+t.test("releases are repeated and carry the answer for the record", async (t) => {
+  const { clock, released, run } = createSetup({ failReleases: 2 });
+  await run({ idempotent: false });
+  for (let i = 0; i < 20; i++) {
+    clock.advance(10);
+    await new Promise<void>((resolve) => setImmediate(() => resolve()));
+  }
+  t.match(released, [{ outcome: "answered", answer: { status: 200 } }]);
+});
+
+// Guards against retries beyond the team's budget.
+t.test("retries stop when the budget is used up", async (t) => {
+  const retryBudget = createRetryBudget({ maxTokens: 1 });
+  const { sent, run } = createSetup({
+    steps: Array(9).fill({ status: 503 }),
+    options: { retryBudget },
+  });
+  await run();
+  t.equal(sent.length, 2);
+  await run();
+  t.equal(sent.length, 3);
+});
+
+// Guards against a connection that went silent and uses up the whole deadline.
+t.test("a silent first attempt leaves time for a retry", async (t) => {
+  const steps: Step[] = [...Array(20).fill({ status: 200 }), { afterMs: 1e6 }];
+  const { clock, sent, run } = createSetup({ steps });
+  for (let i = 0; i < 20; i++) await run();
+  const startMs = clock.now();
+  t.equal((await run()).status, 200);
+  t.equal(sent.length, 22);
+  t.ok(clock.now() - startMs < 5_000);
+  const other = createSetup({ steps });
+  for (let i = 0; i < 20; i++) await other.run();
+  await t.rejects(
+    other.run({ idempotent: false }),
+    buildWanted("deadlineExceeded", "unknown"),
+  );
+});
+
+// Guards against a hedge that waits for the slow copy, or that is sent for
+// work that must not run twice.
+t.test("hedging takes the first answer of idempotent requests", async (t) => {
+  const options = { hedgeAfterMs: 50 };
+  const { clock, sent, released, run } = createSetup({
+    steps: [{ status: 200, afterMs: 2_000 }],
+    options,
+  });
+  t.equal((await run()).status, 200);
+  t.ok(clock.now() < 500);
+  t.equal(new Set(sent).size, 2);
+  await new Promise<void>((resolve) => setImmediate(() => resolve()));
+  t.strictSame(released.map(({ outcome }) => outcome).sort(), [
+    "answered",
+    "unknown",
+  ]);
+  const other = createSetup({
+    steps: [{ status: 200, afterMs: 2_000 }],
+    options,
+  });
+  await other.run({ idempotent: false });
+  t.equal(other.sent.length, 1);
+});
--- /dev/null
+++ b/src/requests/recorded_slots.ts
@@ -0,0 +1,210 @@
+/**
+ * Slots with request records: what the leader of a data centre offers to entry
+ * instances. A non-idempotent request is recorded as started before its grant
+ * is returned, and its answer when the grant is released. It is asked for at
+ * the leader of its home data centre, which also gives the slot.
+ */
+
+import { createFault, type Fault } from "../common/mod.ts";
+import { GRANT_GRACE_MS } from "./constants.ts";
+import type {
+  RecordCommand,
+  RecordDecision,
+  RequestRecords,
+} from "./records_types.ts";
+import {
+  createSlotController,
+  type SlotController,
+  type SlotControllerOptions,
+} from "./slots.ts";
+import type { SlotClient, SlotRelease, SlotRequest } from "./types.ts";
+
+/** Settings of slots with records. */
+export interface RecordedSlotsOptions
+  extends Omit<SlotControllerOptions, "beforeGrant"> {
+  /** The records as this instance has applied them. */
+  records: RequestRecords;
+  /** Replicates a command and resolves to what `apply` returned for it. */
+  propose: (command: RecordCommand) => Promise<RecordDecision | boolean>;
+}
+
+/** The leader's slots and records. */
+export interface RecordedSlots extends SlotClient {
+  readonly controller: SlotController;
+  /** Wakes resends that wait for a first answer; call after each applied command. */
+  updateWaiting(): void;
+  stop(): void;
+}
+
+/** Thrown by the hook when another run was recorded first; never leaves this file. */
+const DECISION_CHANGED = Symbol("decisionChanged");
+
+function createRefusalFault(
+  decision: RecordDecision & { kind: "refuse" },
+): Fault {
+  return createFault(decision.fault, decision.message, { ran: decision.ran });
+}
+
+function createStopFault(): Fault {
+  return createFault("unavailable", "Cannot run the request: stopping");
+}
+
+/** Creates the slots and records of a new leader. */
+export function createRecordedSlots(
+  options: RecordedSlotsOptions,
+): RecordedSlots {
+  const { clock, records, propose } = options;
+  const graceMs = options.grantGraceMs ?? GRANT_GRACE_MS;
+  const controller = createSlotController({
+    ...options,
+    beforeGrant: recordStart,
+  });
+  const waiting = new Set<() => void>();
+  let isStopped = false;
+
+  async function recordStart(
+    request: SlotRequest,
+    token: string,
+  ): Promise<void> {
+    if (request.idempotent) return;
+    const { scope, requestId, bodyHash } = request;
+    const atMs = clock.wallTime();
+    const decision = await propose({
+      type: "start",
+      scope,
+      requestId,
+      bodyHash,
+      runId: token,
+      atMs,
+      endsAtMs: atMs + request.remainingMs + graceMs,
+    }).catch((error: unknown) => {
+      // The record may still come to be, but without a grant nothing is sent.
+      throw createFault(
+        "unavailable",
+        `Cannot run request "${requestId}": its start could not be recorded`,
+        { ran: "no", cause: error },
+      );
+    });
+    if (typeof decision === "object" && decision.kind === "run") return;
+    throw createFault("unavailable", "Another run was recorded first", {
+      details: { [DECISION_CHANGED]: true },
+    });
+  }
+
+  function isDecisionChanged(error: unknown): boolean {
+    const details = (error as Partial<Fault>).details as
+      | Record<symbol, unknown>
+      | undefined;
+    return details?.[DECISION_CHANGED] === true;
+  }
+
+  function waitForChange(maxMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const stop = () => {
+        timer.cancel();
+        waiting.delete(stop);
+        signal?.removeEventListener("abort", stop);
+        resolve();
+      };
+      const timer = clock.setTimer(maxMs, stop);
+      waiting.add(stop);
+      signal?.addEventListener("abort", stop);
+    });
+  }
+
+  function checkWait(
+    request: SlotRequest,
+    deadlineMs: number,
+    signal?: AbortSignal,
+  ): void {
+    if (isStopped) throw createStopFault();
+    const { requestId } = request;
+    // The first run is under way, so neither fault may claim "not run".
+    if (signal?.aborted === true) {
+      throw createFault("cancelled", `Cancelled request "${requestId}"`);
+    }
+    if (clock.now() < deadlineMs) return;
+    throw createFault(
+      "deadlineExceeded",
+      `Cannot answer request "${requestId}": its first run is still under way`,
+    );
+  }
+
+  function acquireSlot(request: SlotRequest, signal?: AbortSignal) {
+    const { requestId, scope, instance } = request;
+    if (signal === undefined) return controller.acquire(request);
+    const cancel = () => controller.cancel(requestId, { scope, instance });
+    signal.addEventListener("abort", cancel);
+    return controller.acquire(request).finally(() =>
+      signal.removeEventListener("abort", cancel)
+    );
+  }
+
+  async function acquireRecorded(request: SlotRequest, signal?: AbortSignal) {
+    const { scope, requestId, bodyHash } = request;
+    const deadlineMs = clock.now() + request.remainingMs;
+    const receivedAtMs = clock.now();
+    for (;;) {
+      const decision = records.getDecision({
+        scope,
+        requestId,
+        bodyHash,
+        nowMs: clock.wallTime(),
+      });
+      if (decision.kind === "answer") return decision;
+      if (decision.kind === "refuse") throw createRefusalFault(decision);
+      if (decision.kind === "wait") {
+        checkWait(request, deadlineMs, signal);
+        const untilEndMs = decision.endsAtMs - clock.wallTime();
+        const untilDeadlineMs = deadlineMs - clock.now();
+        await waitForChange(
+          Math.max(1, Math.min(untilEndMs, untilDeadlineMs)),
+          signal,
+        );
+        continue;
+      }
+      try {
+        const waitedMs = clock.now() - receivedAtMs;
+        const remainingMs = deadlineMs - clock.now();
+        const grant = await acquireSlot({ ...request, remainingMs }, signal);
+        return { ...grant, validForMs: grant.validForMs + waitedMs };
+      } catch (error) {
+        if (!isDecisionChanged(error)) throw error;
+      }
+    }
+  }
+
+  function buildCommand(release: SlotRelease): RecordCommand | undefined {
+    const record = records.findByRun(release.token);
+    if (record === undefined) return undefined;
+    const { scope, requestId, runId } = record;
+    const base = { scope, requestId, runId, atMs: clock.wallTime() };
+    if (release.outcome === "notSent") return { type: "forget", ...base };
+    const { answer } = release;
+    return { type: "finish", ...base, ...(answer && { answer }) };
+  }
+
+  return {
+    controller,
+    acquire(request, signal) {
+      return request.idempotent
+        ? acquireSlot(request, signal)
+        : acquireRecorded(request, signal);
+    },
+    async release(release) {
+      const { token, outcome, durationMs } = release;
+      controller.release(token, outcome, durationMs);
+      // Also for a grant that has expired or that a former leader gave.
+      const command = buildCommand(release);
+      if (command !== undefined) await propose(command);
+    },
+    updateWaiting() {
+      for (const wake of [...waiting]) wake();
+    },
+    stop() {
+      isStopped = true;
+      controller.stop();
+      for (const wake of [...waiting]) wake();
+    },
+  };
+}
--- /dev/null
+++ b/src/requests/recorded_slots_test.ts
@@ -0,0 +1,193 @@
+import { Buffer } from "node:buffer";
+import t from "tap";
+import {
+  buildAnnouncement,
+  buildRequest,
+  buildWanted,
+  READY_MS,
+} from "../../test/requests_helpers.ts";
+import {
+  createFault,
+  createManualClock,
+  createSeededRandom,
+  createSilentLogger,
+} from "../common/mod.ts";
+import { createRecordedSlots, type RecordedSlots } from "./recorded_slots.ts";
+import { createRequestRecords } from "./records.ts";
+import type { RecordCommand, RecordDecision } from "./records_types.ts";
+import type { SlotGrant, SlotReply, SlotRequest } from "./types.ts";
+
+const ANSWER = {
+  status: 201,
+  contentType: "text/plain",
+  body: new Uint8Array(Buffer.from("done")),
+};
+
+function createSetup() {
+  const clock = createManualClock();
+  const records = createRequestRecords();
+  const leaders: RecordedSlots[] = [];
+  let isCutOff = false;
+  async function propose(
+    command: RecordCommand,
+  ): Promise<RecordDecision | boolean> {
+    // The quorum round trip: decisions may change while it runs.
+    await Promise.resolve();
+    if (isCutOff) throw createFault("outcomeUnknown", "no quorum");
+    const result = records.apply(command);
+    for (const leader of leaders) leader.updateWaiting();
+    return result;
+  }
+  function createLeader(epoch: number) {
+    const leader = createRecordedSlots({
+      clock,
+      random: createSeededRandom(epoch),
+      logger: createSilentLogger(),
+      dataCentre: "kochi",
+      epoch,
+      getPolicy: () => ({ weight: 1, slotLimit: 100 }),
+      records,
+      propose,
+    });
+    leaders.push(leader);
+    clock.advance(READY_MS);
+    leader.controller.receiveAnnouncement(buildAnnouncement());
+    return leader;
+  }
+  const setCutOff = (value: boolean) => {
+    isCutOff = value;
+  };
+  return { clock, records, createLeader, setCutOff };
+}
+
+const buildOrder = (fields: Partial<SlotRequest> = {}) =>
+  buildRequest({ idempotent: false, bodyHash: "x", ...fields });
+
+function getGrant(reply: SlotReply): SlotGrant {
+  if (reply.kind !== "grant") throw new Error("not a grant");
+  return reply;
+}
+
+function buildRelease(
+  grant: SlotGrant,
+  outcome: "answered" | "unknown" | "notSent",
+) {
+  const answer = outcome === "answered" ? { answer: ANSWER } : {};
+  return {
+    token: grant.token,
+    outcome,
+    durationMs: 5,
+    instance: "entry1",
+    ...answer,
+  };
+}
+
+async function flush() {
+  await new Promise<void>((resolve) => setImmediate(() => resolve()));
+}
+
+// Guards against two grants for one identifier when resends reach the leader
+// while the first is queued, recorded or running.
+t.test("resends wait for the first answer", async (t) => {
+  const { records, createLeader } = createSetup();
+  const leader = createLeader(1);
+  const replies: SlotReply[] = [];
+  const all = [1, 2, 3].map((i) =>
+    leader.acquire(buildOrder({ instance: `entry${i}` })).then((reply) =>
+      replies.push(reply)
+    )
+  );
+  await flush();
+  t.equal(replies.length, 1);
+  t.equal(
+    leader.controller.getStatus().granted,
+    1,
+    "slots of the others are free again",
+  );
+  t.equal(
+    records.getRecord({ scope: "team", requestId: "r1" })?.state,
+    "started",
+  );
+  await t.rejects(
+    leader.acquire(buildOrder({ bodyHash: "y" })),
+    buildWanted("requestIdConflict", "no"),
+  );
+  await leader.release(buildRelease(getGrant(replies[0]!), "answered"));
+  await Promise.all(all);
+  t.match(replies.slice(1), [{ kind: "answer", answer: ANSWER }, {
+    kind: "answer",
+    answer: ANSWER,
+  }]);
+});
+
+// Guards against a second run after an unknown outcome, a lost release or a
+// change of the leader, and against a recorded answer lost by that change.
+t.test("an unknown outcome stays unknown, a late answer is kept", async (t) => {
+  const { clock, createLeader } = createSetup();
+  const first = createLeader(1);
+  const unknown = getGrant(await first.acquire(buildOrder({ requestId: "a" })));
+  await first.release(buildRelease(unknown, "unknown"));
+  await t.rejects(
+    first.acquire(buildOrder({ requestId: "a" })),
+    buildWanted("outcomeUnknown", "unknown"),
+  );
+  const lost = getGrant(
+    await first.acquire(buildOrder({ requestId: "b", remainingMs: 2_000 })),
+  );
+  const second = createLeader(2);
+  clock.advance(2_600);
+  await t.rejects(
+    second.acquire(buildOrder({ requestId: "b" })),
+    buildWanted("outcomeUnknown", "unknown"),
+  );
+  await second.release(buildRelease(lost, "answered"));
+  t.match(await second.acquire(buildOrder({ requestId: "b" })), {
+    kind: "answer",
+    answer: ANSWER,
+  });
+});
+
+// Guards against a request that can never run because an attempt was recorded
+// of which nothing was sent.
+t.test("a request that was not sent may run again", async (t) => {
+  const { createLeader } = createSetup();
+  const leader = createLeader(1);
+  const grant = getGrant(await leader.acquire(buildOrder()));
+  await leader.release(buildRelease(grant, "notSent"));
+  const again = getGrant(await leader.acquire(buildOrder()));
+  t.not(again.token, grant.token);
+  await leader.release(buildRelease(grant, "notSent"));
+  const stop = AbortSignal.abort();
+  await t.rejects(
+    leader.acquire(buildOrder(), stop),
+    buildWanted("cancelled", "unknown"),
+  );
+});
+
+// Guards against a grant without a recorded start.
+t.test("no start record, no grant", async (t) => {
+  const { createLeader, setCutOff } = createSetup();
+  const leader = createLeader(1);
+  setCutOff(true);
+  await t.rejects(
+    leader.acquire(buildOrder()),
+    buildWanted("unavailable", "no"),
+  );
+  t.equal(leader.controller.getStatus().granted, 0);
+  t.match(
+    await leader.acquire(buildRequest()),
+    { kind: "grant" },
+    "idempotent work goes on",
+  );
+});
+
+// Guards against resends left waiting at a stop.
+t.test("stop wakes resends that wait", async (t) => {
+  const { createLeader } = createSetup();
+  const leader = createLeader(1);
+  await leader.acquire(buildOrder());
+  const resend = leader.acquire(buildOrder());
+  await flush();
+  leader.stop();
+  await t.rejects(resend, buildWanted("unavailable"));
+});
