--- a/src/allotments/peer_book.ts
+++ b/src/allotments/peer_book.ts
@@ -12,6 +12,12 @@
 } from "../fleet/mod.ts";
 import type { AllotmentAsk } from "./types.ts";
 
+/**
+ * Growth of the wait after each empty answer. A peer keeps what it used in the
+ * last 2 s; with a factor of 2, the fifth ask came 3 s after the first.
+ */
+const INTERVAL_FACTOR = 1.5;
+
 /** Time in milliseconds that an offered transfer may take before it is asked for elsewhere. */
 const TRANSFER_TIMEOUT_MS = 5_000;
 
@@ -46,6 +52,10 @@
 export interface PeerBook {
   /** Peers to ask now: those that got something from here last, then in random order. */
   listCandidates(peers: readonly string[]): string[];
+  /** Whether some peer may be asked now; cheaper than listing them. */
+  hasCandidates(peers: readonly string[]): boolean;
+  /** Whether some ask is not answered yet. */
+  hasOpenAsks(): boolean;
   /** What is asked for or on its way. */
   getExpected(): Limits;
   recordAsk(ask: AllotmentAsk): void;
@@ -59,6 +69,10 @@
 export function createPeerBook(options: PeerBookOptions): PeerBook {
   const { clock, random } = options;
   const peers = new Map<string, Peer>();
+  // None of that many peers can be asked before this time. A peer that becomes
+  // reachable changes the number.
+  let quietUntilMs = NEVER_MS;
+  let quietPeerCount = 0;
 
   function getPeer(name: string): Peer {
     let peer = peers.get(name);
@@ -84,7 +98,7 @@
     peer.nextAskAtMs = clock.now() + peer.intervalMs * jitter;
     peer.intervalMs = Math.min(
       options.maxAskIntervalMs,
-      peer.intervalMs * 2,
+      peer.intervalMs * INTERVAL_FACTOR,
     );
   }
 
@@ -110,7 +124,36 @@
     return peer.asked === undefined && peer.nextAskAtMs <= nowMs;
   }
 
+  // With 890 teams short and 34 peers each, looking at every peer on every
+  // call took a third of a core.
+  function computeQuietUntil(names: readonly string[]): number {
+    let earliestMs = Infinity;
+    for (const name of names) {
+      const peer = peers.get(name);
+      if (peer === undefined) return NEVER_MS;
+      const readyAtMs = peer.asked === undefined
+        ? peer.nextAskAtMs
+        : peer.askedAtMs + options.askTimeoutMs;
+      earliestMs = Math.min(earliestMs, readyAtMs);
+    }
+    return earliestMs;
+  }
+
   return {
+    hasCandidates(names) {
+      const nowMs = clock.now();
+      const isQuiet = nowMs < quietUntilMs && names.length === quietPeerCount;
+      if (isQuiet) return false;
+      removeExpired();
+      if (names.some((name) => isReady(name, nowMs))) return true;
+      quietUntilMs = computeQuietUntil(names);
+      quietPeerCount = names.length;
+      return false;
+    },
+    hasOpenAsks() {
+      removeExpired();
+      return [...peers.values()].some((peer) => peer.asked !== undefined);
+    },
     listCandidates(names) {
       removeExpired();
       const nowMs = clock.now();
@@ -155,6 +198,7 @@
       peer.offeredAtMs = clock.now();
       const isAll = fitsLimits(ask.wanted, offered);
       const isPart = !isAll && hasPositiveLimit(offered);
+      quietUntilMs = NEVER_MS;
       peer.lastAnswer = isAll ? "all" : isPart ? "part" : "none";
       // A peer that gives something again is asked again soon, such as one
       // that owes the rest until its work ends.
--- a/src/allotments/rebalancer.ts
+++ b/src/allotments/rebalancer.ts
@@ -18,7 +18,6 @@
  *   then serve when it is cut off later.
  */
 
-import type { Clock } from "../common/mod.ts";
 import {
   addLimits,
   buildLimits,
@@ -29,6 +28,7 @@
   NO_LIMITS,
   subtractLimits,
 } from "../fleet/mod.ts";
+import { createAskBucket } from "./ask_bucket.ts";
 import { createPeerBook, type PeerBook } from "./peer_book.ts";
 import { createPeakTracker, type PeakTracker } from "./peak_tracker.ts";
 import type {
@@ -48,7 +48,8 @@
   // target "within seconds" leaves room for two.
   keepMs: 2_000,
   stuckMs: 2_000,
-  // Work that arrives piece by piece would otherwise send an ask for each piece.
+  // Work that arrives piece by piece would otherwise send an ask for each
+  // piece; once all asks are answered, the next round need not wait.
   minRoundMs: 20,
   // Nothing waits for levelling. With 890 teams and 35 data centres, asking
   // as eagerly as for waiting work would flood the peers of a busy team.
@@ -135,28 +136,12 @@
   });
 }
 
-function createBucket(clock: Pick<Clock, "now">, perSecond: number) {
-  let tokens = perSecond;
-  let filledAtMs = clock.now();
-  return {
-    take(): boolean {
-      const nowMs = clock.now();
-      const added = (nowMs - filledAtMs) * perSecond / 1_000;
-      tokens = Math.min(perSecond, tokens + added);
-      filledAtMs = nowMs;
-      if (tokens < 1) return false;
-      tokens -= 1;
-      return true;
-    },
-  };
-}
-
 /** Creates the policy of one data centre's leader. Its memory may be lost with the leader. */
 export function createRebalancer(options: RebalancerOptions): Rebalancer {
   const { dataCentre, clock, random } = options;
   const settings = { ...DEFAULT_REBALANCER_OPTIONS, ...options };
   const teams = new Map<string, TeamState>();
-  const bucket = createBucket(clock, settings.maxAsksPerSecond);
+  const bucket = createAskBucket(clock, settings.maxAsksPerSecond);
   // Where the next call goes on, so that the bound on asks starves no team.
   let nextTeam: string | undefined;
 
@@ -206,17 +191,22 @@
     team.nextLevelAtMs = clock.now() + team.levelIntervalMs;
   }
 
+  function isInRound(team: TeamState): boolean {
+    const sinceRoundMs = clock.now() - team.lastRoundAtMs;
+    return sinceRoundMs < settings.minRoundMs && team.peers.hasOpenAsks();
+  }
+
   function buildAsks(
     name: string,
     load: TeamLoad,
     peers: readonly string[],
   ): AllotmentAsk[] {
     const team = getTeam(name);
-    const sinceRoundMs = clock.now() - team.lastRoundAtMs;
-    if (sinceRoundMs < settings.minRoundMs) return [];
     const shortage = computeShortage(load);
     const levelling = !hasPositiveLimit(shortage);
     const wanted = levelling ? computeLevelling(load) : shortage;
+    if (!hasPositiveLimit(wanted)) return [];
+    if (isInRound(team) || !team.peers.hasCandidates(peers)) return [];
     const need = takePositive(
       subtractLimits(wanted, team.peers.getExpected()),
     );
@@ -279,6 +269,7 @@
     const order = listFromNext(loads);
     nextTeam = order[0];
     for (const [i, name] of order.entries()) {
+      if (!bucket.hasTokens()) break;
       const built = buildAsks(name, loads.get(name)!, peers);
       asks.push(...built);
       if (built.length > 0) nextTeam = order[i + 1] ?? order[0];
--- a/src/allotments/rebalancer_test.ts
+++ b/src/allotments/rebalancer_test.ts
@@ -3,8 +3,10 @@
   createExchange,
   type Exchange,
 } from "../../bench/allotment_exchange.ts";
-import { createSeededRandom } from "../common/mod.ts";
+import { createManualClock, createSeededRandom } from "../common/mod.ts";
 import { type Limits, NO_LIMITS } from "../fleet/mod.ts";
+import { createRebalancer } from "./rebalancer.ts";
+import type { TeamLoad } from "./types.ts";
 
 const SEED = 20_261_204;
 const slots = (count: number): Limits => ({ ...NO_LIMITS, slots: count });
@@ -205,3 +207,39 @@
   t.ok(sumRunning(exchange) <= 6);
   t.end();
 });
+
+// Guards against a policy that never asks again once no peer was reachable, and
+// against more asks than the bound allows or a team that never gets its turn.
+t.test("asks are bounded and every team gets its turn", (t) => {
+  const clock = createManualClock();
+  const rebalancer = createRebalancer({
+    dataCentre: "a",
+    clock,
+    random: createSeededRandom(SEED),
+    maxAsksPerSecond: 10,
+  });
+  const load: TeamLoad = {
+    held: slots(0),
+    running: slots(0),
+    waiting: slots(5),
+    fair: slots(2),
+  };
+  const names = Array.from({ length: 40 }, (_, i) => `team-${i}`);
+  const loads = new Map(names.map((name) => [name, load]));
+  t.strictSame(rebalancer.planAsks(loads, []), []);
+  const asked = new Set<string>();
+  let count = 0;
+  for (let i = 0; i < 200; i++) {
+    const asks = rebalancer.planAsks(loads, ["b", "c"]);
+    for (const ask of asks) {
+      asked.add(ask.team);
+      rebalancer.recordOffer(ask, NO_LIMITS);
+    }
+    count += asks.length;
+    clock.advance(100);
+  }
+  // A full bucket and 20 s of refill.
+  t.ok(count <= 10 + 200, `${count} asks in 20 s`);
+  t.equal(asked.size, names.length);
+  t.end();
+});
