Add service-level burn and metrics

Cause: operators judge the system by team: answered on time, answered at all, waiting time and distance from share. Each instance counts by itself and the report adds the counts.

Keeping counts on disk is left out: after a restart an instance counts from 0, and the report says since when each one counts.

The HTML page has not been looked at in a browser.

--- a/src/mod.ts
+++ b/src/mod.ts
@@ -2,3 +2,4 @@
 
 export * from "./common/mod.ts";
 export * from "./settings/mod.ts";
+export * from "./report/mod.ts";
--- /dev/null
+++ b/src/report/burn_html.ts
@@ -0,0 +1,129 @@
+/** Renders a burn report as one HTML page without scripts or outside parts. */
+
+import { BURN_ALERTS } from "./burn.ts";
+import type { BurnReport, ObjectiveBurn, TeamBurn } from "./burn.ts";
+import {
+  listBurnHeadings,
+  listBurnRows,
+  listTimeHeadings,
+  listTimeRows,
+  listUnreachedLines,
+} from "./burn_table.ts";
+
+const PLOT_WIDTH = 360;
+const PLOT_HEIGHT = 90;
+
+const STYLE = `
+body { font: 14px/1.4 system-ui, sans-serif; margin: 2em; color: #222; }
+table { border-collapse: collapse; margin: 1em 0; }
+th, td { padding: 0.2em 0.8em; border-bottom: 1px solid #ccc; text-align: left; }
+.missing { color: #a00; font-weight: bold; }
+figure { display: inline-block; margin: 0 1em 1em 0; }
+svg { border: 1px solid #ccc; background: #fff; }
+.rate { fill: none; stroke: #06c; stroke-width: 1.5; }
+.bound { stroke: #c00; stroke-dasharray: 4 3; }
+`;
+
+// Team names come from operators and must not become markup.
+function encodeText(text: string): string {
+  return text.replaceAll("&", "&amp;").replaceAll("<", "&lt;")
+    .replaceAll(">", "&gt;").replaceAll('"', "&quot;");
+}
+
+function renderRow(cells: readonly string[], tag: "th" | "td"): string {
+  const parts = cells.map((cell) => `<${tag}>${encodeText(cell)}</${tag}>`);
+  return `<tr>${parts.join("")}</tr>`;
+}
+
+function renderTable(headings: string[], rows: readonly string[][]): string {
+  const body = rows.map((row) => renderRow(row, "td")).join("\n");
+  return `<table>\n${renderRow(headings, "th")}\n${body}\n</table>`;
+}
+
+/** Lists the unbroken runs of points; a step without an event breaks the line. */
+function listRuns(
+  rates: readonly (number | null)[],
+  toPoint: (index: number, rate: number) => string,
+): string[][] {
+  const runs: string[][] = [[]];
+  for (const [index, rate] of rates.entries()) {
+    if (rate === null) runs.push([]);
+    else runs.at(-1)?.push(toPoint(index, rate));
+  }
+  return runs.filter((run) => run.length > 0);
+}
+
+function renderPlot(objective: ObjectiveBurn): string {
+  const { rates } = objective.series;
+  const bounds = BURN_ALERTS.map(({ rate }) => rate);
+  const known = rates.filter((rate) => rate !== null);
+  const top = Math.max(...bounds, ...known) * 1.1;
+  const toY = (rate: number) => (PLOT_HEIGHT * (1 - rate / top)).toFixed(1);
+  const stepWidth = PLOT_WIDTH / Math.max(1, rates.length - 1);
+  const runs = listRuns(
+    rates,
+    (index, rate) => `${(index * stepWidth).toFixed(1)},${toY(rate)}`,
+  );
+  const lines = runs.map((run) => {
+    // A single point would draw nothing as a line.
+    const points = run.length === 1 ? [...run, ...run] : run;
+    return `<polyline class="rate" stroke-linecap="round" points="${
+      points.join(" ")
+    }"/>`;
+  });
+  const marks = bounds.map((rate) =>
+    `<line class="bound" x1="0" x2="${PLOT_WIDTH}" y1="${toY(rate)}" y2="${
+      toY(rate)
+    }"><title>burn rate ${rate}</title></line>`
+  );
+  return `<svg width="${PLOT_WIDTH}" height="${PLOT_HEIGHT}" viewBox="0 0 ${PLOT_WIDTH} ${PLOT_HEIGHT}" role="img">
+${[...marks, ...lines].join("\n")}
+</svg>`;
+}
+
+function renderFigure(team: string, objective: ObjectiveBurn): string {
+  const startMs = objective.series.startMs;
+  const endMs = startMs +
+    objective.series.stepMs * objective.series.rates.length;
+  const caption = `${team}: ${objective.name}, ${
+    new Date(startMs).toISOString()
+  } to ${new Date(endMs).toISOString()}`;
+  return `<figure>\n${renderPlot(objective)}\n<figcaption>${
+    encodeText(caption)
+  }</figcaption>\n</figure>`;
+}
+
+function renderFigures({ team, objectives }: TeamBurn): string {
+  return objectives.map((objective) => renderFigure(team, objective))
+    .join("\n");
+}
+
+/** Renders the report as a self-contained page with a plot for each objective. */
+export function renderBurnHtml(report: BurnReport): string {
+  const missing = listUnreachedLines(report)
+    .map((line) => `<p class="missing">${encodeText(line)}</p>`);
+  const reached = report.reached.map(({ instance, sinceMs, takenAtMs }) => [
+    instance,
+    new Date(sinceMs).toISOString(),
+    new Date(takenAtMs).toISOString(),
+  ]);
+  return `<!doctype html>
+<html lang="en">
+<meta charset="utf-8">
+<title>Service-level burn</title>
+<style>${STYLE}</style>
+<h1>Service-level burn</h1>
+${missing.join("\n")}
+${renderTable(["reached", "recording since", "read at"], reached)}
+<h2>Objectives</h2>
+${renderTable(listBurnHeadings(), report.teams.flatMap(listBurnRows))}
+<h2>Times</h2>
+${renderTable(listTimeHeadings(), report.teams.flatMap(listTimeRows))}
+<h2>Burn rates of the last six hours</h2>
+<p>The dashed lines are the rates of the alerts: ${
+    BURN_ALERTS.map(({ name, rate }) => `${name} ${rate}`).join(", ")
+  }.</p>
+${report.teams.map(renderFigures).join("\n")}
+</html>
+`;
+}
--- /dev/null
+++ b/src/report/metric_definitions.ts
@@ -0,0 +1,123 @@
+/** The metrics of an instance. */
+
+/** A metric. */
+export interface MetricDefinition {
+  /** A counter only rises, a gauge is set, and a duration has a histogram. */
+  readonly kind: "counter" | "gauge" | "duration";
+  readonly help: string;
+  readonly labels: readonly string[];
+}
+
+/** Every metric by its name; on the page each begins with `goldcrestlug_`. */
+export const METRIC_DEFINITIONS = Object.freeze(
+  {
+    http_answers_total: {
+      kind: "counter",
+      help: "Answers by route and HTTP status",
+      labels: ["route", "status"],
+    },
+    requests_total: {
+      kind: "counter",
+      help: "Requests by team and outcome: answered, or an error kind",
+      labels: ["team", "outcome"],
+    },
+    request_retries_total: {
+      kind: "counter",
+      help: "Retries of requests by team",
+      labels: ["team"],
+    },
+    slot_grants_total: {
+      kind: "counter",
+      help: "Slot grants given by this instance as leader",
+      labels: [],
+    },
+    endpoint_ejections_total: {
+      kind: "counter",
+      help: "Endpoints taken out of use after failures",
+      labels: [],
+    },
+    task_starts_total: {
+      kind: "counter",
+      help: "Tasks started by policy",
+      labels: ["policy"],
+    },
+    task_ends_total: {
+      kind: "counter",
+      help: "Ended task attempts by outcome",
+      labels: ["outcome"],
+    },
+    log_elections_total: {
+      kind: "counter",
+      help: "Leaderships gained by this instance, by log group",
+      labels: ["group"],
+    },
+    requests_waiting: {
+      kind: "gauge",
+      help: "Requests that wait for a slot at this leader",
+      labels: [],
+    },
+    requests_open: {
+      kind: "gauge",
+      help: "Requests at this entry instance without an answer yet",
+      labels: [],
+    },
+    endpoints: {
+      kind: "gauge",
+      help: "Endpoints known to this leader by state",
+      labels: ["state"],
+    },
+    workers: {
+      kind: "gauge",
+      help: "Workers known to this leader by state",
+      labels: ["state"],
+    },
+    config_version: {
+      kind: "gauge",
+      help: "Version of the configuration in force here",
+      labels: [],
+    },
+    log_commit_index: {
+      kind: "gauge",
+      help: "Highest committed entry by log group",
+      labels: ["group"],
+    },
+    log_is_leader: {
+      kind: "gauge",
+      help: "1 while this instance leads the log group",
+      labels: ["group"],
+    },
+    http_duration_ms: {
+      kind: "duration",
+      help: "Time from request to answer by route",
+      labels: ["route"],
+    },
+    request_duration_ms: {
+      kind: "duration",
+      help: "Time of a team's requests at this entry instance",
+      labels: ["team"],
+    },
+    request_wait_ms: {
+      kind: "duration",
+      help: "Time that a team's requests waited for a slot at this leader",
+      labels: ["team"],
+    },
+    task_wait_ms: {
+      kind: "duration",
+      help: "Time from the submission of a task to its start, by policy",
+      labels: ["policy"],
+    },
+    placement_ms: {
+      kind: "duration",
+      help: "Time of one placement decision",
+      labels: [],
+    },
+    log_propose_ms: {
+      kind: "duration",
+      help: "Time from proposal to commitment by log group",
+      labels: ["group"],
+    },
+  } as const satisfies Record<string, MetricDefinition>,
+);
+
+/** The name of a metric. */
+export type MetricName = keyof typeof METRIC_DEFINITIONS;
