--- a/src/report/window_counts.ts
+++ b/src/report/window_counts.ts
@@ -61,7 +61,7 @@
   const bad = new Uint32Array(length);
   let newest = -1;
 
-  function clearBetween(from: number, until: number): void {
+  function removeBetween(from: number, until: number): void {
     for (let step = Math.max(from, until - length); step < until; step++) {
       good[step % length] = 0;
       bad[step % length] = 0;
@@ -71,13 +71,13 @@
   function stepTo(atMs: number): number {
     const index = Math.floor(atMs / widthMs);
     if (index > newest) {
-      if (newest >= 0) clearBetween(newest + 1, index + 1);
+      if (newest >= 0) removeBetween(newest + 1, index + 1);
       newest = index;
     }
     return newest;
   }
 
-  function sum(atMs: number, buckets: number): EventCounts {
+  function computeSum(atMs: number, buckets: number): EventCounts {
     const end = stepTo(atMs);
     const total = { good: 0, bad: 0 };
     for (let step = end - Math.min(buckets, length) + 1; step <= end; step++) {
@@ -94,7 +94,7 @@
       const position = stepTo(atMs) % length;
       counts[position] = (counts[position] ?? 0) + count;
     },
-    sum,
+    sum: computeSum,
     list(atMs) {
       const first = Math.max(0, stepTo(atMs) - length + 1);
       const steps = Array.from({ length }, (_, offset) => first + offset);
