--- a/src/mod.ts
+++ b/src/mod.ts
@@ -6,3 +6,4 @@
 export * from "./replicated_log/mod.ts";
 export * from "./scheduling/mod.ts";
 export * from "./settings/mod.ts";
+export * from "./report/mod.ts";
