Refuse queued work of a queue that no endpoint serves

Cause: work accepted while a new leader waited for announcements stayed queued until its deadline when no endpoint of its queue ever announced itself, so another data centre was never tried. Seen in the thin path test: a request through the south data centre ended after 10 s. The unserved work is now refused as not run once the announcements were due.

--- a/src/replicated_log/mod.ts
+++ b/src/replicated_log/mod.ts
@@ -1,5 +1,7 @@
 /** A replicated log with a leader lease, for state that must survive the loss of instances. */
 
+export { decodeLogMessage, encodeLogMessage } from "./codec.ts";
+export { createDiskStorage, type DiskStorageOptions } from "./disk_storage.ts";
 export { createMemberId, parseMemberId } from "./member_id.ts";
 export { createMemoryStorage } from "./memory_storage.ts";
 export * from "./replicated_log.ts";
--- a/src/requests/slots.ts
+++ b/src/requests/slots.ts
@@ -126,6 +126,13 @@
   expiry: ExpiryEntry<GrantState> | undefined;
 }
 
+function createUnservedFault(queue: string): Fault {
+  return createFault(
+    "unavailable",
+    `Cannot give a slot: no endpoint serves queue "${queue}"`,
+  );
+}
+
 /** Creates the slot controller of a new leader. */
 export function createSlotController(
   options: SlotControllerOptions,
@@ -138,6 +145,7 @@
     grantValidMs * (1 + 2 * CLOCK_RATE_ERROR));
   const announcementDelayMs = options.endpoints?.announcementDelayMs ??
     ANNOUNCEMENT_DELAY_MS;
+  const announcePeriodMs = options.endpoints?.announcePeriodMs ?? 1_000;
   const acceptFromMs = readyAtMs + announcementDelayMs;
   const endpoints = createEndpointTable({
     ...options.endpoints,
@@ -273,8 +281,7 @@
 
   /** Work that waits for the first announcements after a takeover is queued. */
   function checkPool(request: SlotRequest): void {
-    const periodMs = options.endpoints?.announcePeriodMs ?? 1_000;
-    const isRebuilding = clock.now() < acceptFromMs + 2 * periodMs;
+    const isRebuilding = clock.now() < acceptFromMs + 2 * announcePeriodMs;
     if (isRebuilding) {
       const waitMs = acceptFromMs - clock.now();
       if (waitMs < request.remainingMs) return;
@@ -286,12 +293,30 @@
       );
     }
     if (endpoints.getPool(request.queue).slots > 0) return;
-    throw createFault(
-      "unavailable",
-      `Cannot give a slot: no endpoint serves queue "${request.queue}"`,
-    );
+    throw createUnservedFault(request.queue);
+  }
+
+  /**
+   * Refuses work that waits for a queue without endpoints, so that its entry
+   * instance can try another data centre while the deadline still allows it.
+   */
+  function refuseUnserved(): void {
+    for (const same of [...waiters.values()]) {
+      for (const waiter of [...same]) {
+        const { queue: name } = waiter.request;
+        if (endpoints.getPool(name).slots > 0) continue;
+        if (waiter.entry === undefined || !queue.remove(waiter.entry)) continue;
+        handleRefusal(waiter, createUnservedFault(name));
+      }
+    }
+    unservedTimer = clock.setTimer(announcePeriodMs, refuseUnserved);
   }
 
+  let unservedTimer = clock.setTimer(
+    acceptFromMs + 2 * announcePeriodMs - clock.now(),
+    refuseUnserved,
+  );
+
   function addWaiter(waiter: Waiter): void {
     const { request, deadlineMs } = waiter;
     if (isStopped) {
@@ -375,6 +400,7 @@
     }),
     stop() {
       isStopped = true;
+      unservedTimer.cancel();
       queue.stop();
     },
   };
--- a/src/requests/slots_test.ts
+++ b/src/requests/slots_test.ts
@@ -410,3 +410,17 @@
   isFailing = false;
   t.ok(await acquireNow(controller));
 });
+
+// Guards against work that waits until its deadline for a queue that nothing serves here,
+// while another data centre could have answered it.
+t.test("work queued during a takeover is refused when no endpoint comes", async (t) => {
+  const clock = createManualClock();
+  const controller = createController(clock, { epoch: 2 });
+  const refused = controller.acquire(
+    buildRequest({ remainingMs: 60_000 }),
+  ).catch((fault) => fault);
+  clock.advance(READY_MS + 2_000);
+  t.match(await refused, { kind: "unavailable", ran: "no" });
+  t.equal(controller.getStatus().queued, 0);
+  controller.stop();
+});
