--- /dev/null
+++ b/test/load.ts
@@ -0,0 +1,148 @@
+/**
+ * Callers that send requests through a cell as a platform's balancer spreads
+ * them: each attempt goes to another instance, and what was refused as not run
+ * is sent again. Every answer is checked against its own request.
+ */
+
+import { request } from "undici";
+import { isFaultKind } from "../src/common/mod.ts";
+import { wait } from "./json_http.ts";
+
+/** Options of a load. */
+export interface LoadOptions {
+  /** Base addresses of entry instances. */
+  readonly addresses: readonly string[];
+  readonly queue: string;
+  readonly key: string;
+  /** Requests under way at any time. Default 10. */
+  readonly callers?: number;
+  /** Whether the requests are idempotent. Default true. */
+  readonly idempotent?: boolean;
+  /** Distinguishes the identifiers of several loads. */
+  readonly prefix: string;
+  /** Time that the endpoint takes, in milliseconds. Default 20. */
+  readonly delayMs?: number;
+  /** Time until a caller gives up, in milliseconds. Default 20,000. */
+  readonly patienceMs?: number;
+}
+
+/** What became of the requests of a load. */
+export interface LoadResult {
+  /** Requests that were answered whole. */
+  answered: number;
+  /** Refusals that said "not run"; each was followed by another attempt. */
+  refused: number;
+  /** Attempts that broke off or whose outcome the answer called unknown. */
+  interrupted: string[];
+  /** Requests that ended without an answer. */
+  unanswered: string[];
+  /** Answers that belong to another request. */
+  mixedUp: string[];
+  /** Longest time from the first attempt to the answer, in milliseconds. */
+  longestMs: number;
+  /** Identifiers of all answered requests. */
+  answeredIds: string[];
+}
+
+/** A running load. */
+export interface Load {
+  readonly result: LoadResult;
+  /** Sends nothing new, and waits for what is under way. */
+  stop(): Promise<LoadResult>;
+}
+
+type Attempt =
+  | { kind: "answered"; body: { requestId?: string; body?: unknown } }
+  | { kind: "refused" }
+  | { kind: "interrupted"; reason: string };
+
+const RETRY_PAUSE_MS = 50;
+
+/** Starts the callers. */
+export function startLoad(options: LoadOptions): Load {
+  const { addresses, queue, key, prefix } = options;
+  const idempotent = options.idempotent ?? true;
+  const patienceMs = options.patienceMs ?? 20_000;
+  const result: LoadResult = {
+    answered: 0,
+    refused: 0,
+    interrupted: [],
+    unanswered: [],
+    mixedUp: [],
+    longestMs: 0,
+    answeredIds: [],
+  };
+  let nextId = 0;
+  let nextAddress = 0;
+  let isStopped = false;
+
+  async function attempt(id: string): Promise<Attempt> {
+    const address = addresses[nextAddress++ % addresses.length];
+    try {
+      const reply = await request(`${address}/v1/queues/${queue}/requests`, {
+        method: "POST",
+        headers: {
+          authorization: `Bearer ${key}`,
+          "content-type": "application/json",
+          "goldcrestlug-request-id": id,
+          "goldcrestlug-idempotent": String(idempotent),
+        },
+        body: JSON.stringify({ id, delayMs: options.delayMs ?? 20 }),
+        // A connection of its own, so that a closed idle one is not mistaken
+        // for an interrupted request.
+        reset: true,
+      });
+      const text = await reply.body.text();
+      const body = JSON.parse(text);
+      if (reply.statusCode === 200) return { kind: "answered", body };
+      if (isFaultKind(body.kind) && body.ran === "no") {
+        return { kind: "refused" };
+      }
+      return { kind: "interrupted", reason: `${id}: ${text.trim()}` };
+    } catch (error) {
+      const { code } = error as { code?: string };
+      if (code === "ECONNREFUSED") return { kind: "refused" };
+      return { kind: "interrupted", reason: `${id}: ${code} ${error}` };
+    }
+  }
+
+  function recordAnswer(id: string, answer: Attempt, startMs: number): void {
+    if (answer.kind !== "answered") return;
+    const sent = answer.body.body as { id?: string } | undefined;
+    const isOwn = answer.body.requestId === id && sent?.id === id;
+    if (!isOwn) result.mixedUp.push(id);
+    result.answered += 1;
+    result.answeredIds.push(id);
+    result.longestMs = Math.max(result.longestMs, performance.now() - startMs);
+  }
+
+  async function runOne(id: string): Promise<void> {
+    const startMs = performance.now();
+    while (performance.now() - startMs < patienceMs) {
+      const ended = await attempt(id);
+      if (ended.kind === "answered") return recordAnswer(id, ended, startMs);
+      if (ended.kind === "interrupted") result.interrupted.push(ended.reason);
+      else result.refused += 1;
+      await wait(RETRY_PAUSE_MS);
+    }
+    result.unanswered.push(id);
+  }
+
+  async function runCaller(): Promise<void> {
+    while (!isStopped) await runOne(`${prefix}-${nextId++}`);
+  }
+
+  const callers = Array.from(
+    { length: options.callers ?? 10 },
+    () => runCaller(),
+  );
+
+  return {
+    result,
+    async stop() {
+      isStopped = true;
+      await Promise.all(callers);
+      return result;
+    },
+  };
+}
