--- a/src/replicated_log/replicated_log.ts
+++ b/src/replicated_log/replicated_log.ts
@@ -508,11 +508,18 @@
   }
 
   async function runStop(): Promise<void> {
-    await handOver();
-    if (!isStopped) closeDriver();
-    timer.cancel();
-    await queue.waitUntilIdle();
-    await storage.close();
+    // The clock's timers do not keep the process alive; without this, a process
+    // whose listeners are closed would end in the middle of the handover.
+    const keepAlive = setInterval(() => {}, timings.heartbeatMs);
+    try {
+      await handOver();
+      if (!isStopped) closeDriver();
+      timer.cancel();
+      await queue.waitUntilIdle();
+      await storage.close();
+    } finally {
+      clearInterval(keepAlive);
+    }
   }
 
   function handleTimer(): void {
