Add the benchmark of the scheduler

Cause: placement cost, load, shares, waiting and urgent starts need figures. Ruled out: a general cluster simulator; a list of arrivals and a manual clock are enough.

--- /dev/null
+++ b/bench/scheduling/fcfs.ts
@@ -0,0 +1,71 @@
+/** The baseline: first come, first served, first fit, with no regard to shares and no preemption. */
+
+import {
+  addResources,
+  fitsWithin,
+  NO_RESOURCES,
+  type Resources,
+  subtractResources,
+} from "../../src/common/mod.ts";
+import type { JobSpec } from "../../src/scheduling/mod.ts";
+import type { DrivenScheduler, DrivenStart } from "./driver.ts";
+
+/** Creates the baseline. The first job that does not fit holds up those behind it. */
+export function createFcfs(capacities: readonly Resources[]): DrivenScheduler {
+  const free = [...capacities];
+  const queue: { spec: JobSpec; index: number }[] = [];
+  let next = 0;
+
+  function place(amount: Resources): number {
+    const worker = free.findIndex((room) => fitsWithin(amount, room));
+    if (worker >= 0) free[worker] = subtractResources(free[worker]!, amount);
+    return worker;
+  }
+
+  function placeGang(spec: JobSpec): number[] | undefined {
+    const workers: number[] = [];
+    for (let index = 0; index < spec.tasks; index++) {
+      const worker = place(spec.resources);
+      if (worker >= 0) {
+        workers.push(worker);
+        continue;
+      }
+      for (const taken of workers) {
+        free[taken] = addResources(free[taken] ?? NO_RESOURCES, spec.resources);
+      }
+      return undefined;
+    }
+    return workers;
+  }
+
+  return {
+    addJob(spec) {
+      for (let index = 0; index < spec.tasks; index++) {
+        queue.push({ spec, index });
+      }
+    },
+    report() {},
+    step() {
+      const starts: DrivenStart[] = [];
+      while (next < queue.length) {
+        const { spec, index } = queue[next]!;
+        const isGang = spec.policy === "gang";
+        const workers = isGang ? placeGang(spec) : [place(spec.resources)];
+        if (workers === undefined || workers[0]! < 0) break;
+        workers.forEach((worker, offset) =>
+          starts.push({
+            spec,
+            index: index + offset,
+            attempt: 1,
+            worker,
+          })
+        );
+        next += workers.length;
+      }
+      return { starts, stops: [] };
+    },
+    end({ worker, spec }) {
+      free[worker] = addResources(free[worker]!, spec.resources);
+    },
+  };
+}
--- /dev/null
+++ b/bench/scheduling/load_bench.ts
@@ -0,0 +1,209 @@
+/**
+ * The whole scheduler under load: 2,000 decisions a second with every worker
+ * reporting every task once a second, and its memory by worker and by task.
+ */
+
+import process from "node:process";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { createSeededRandom } from "../../src/common/mod.ts";
+import {
+  createScheduler,
+  type JobSpec,
+  type Scheduler,
+  type SchedulerAction,
+  type TaskAttempt,
+  type WorkerReport,
+} from "../../src/scheduling/mod.ts";
+import { buildCapacities, computeQuantile } from "./placement_bench.ts";
+
+/** Figures of one fleet size. */
+export interface LoadFigures {
+  readonly workers: number;
+  readonly runningTasks: number;
+  readonly decisions: number;
+  readonly stepP50Ms: number;
+  readonly stepP99Ms: number;
+  /** Processor time of all steps, by decision. */
+  readonly decisionUs: number;
+  /** Processor time of taking in one report. */
+  readonly reportUs: number;
+  /** Processor time of everything over a second of load, in seconds. */
+  readonly cpuPerSecond: number;
+  readonly workerBytes: number;
+  readonly taskBytes: number;
+  readonly rssMb: number;
+}
+
+const STEP_MS = 50;
+const DECISIONS_PER_SECOND = 2_000;
+const TEAMS = 890;
+
+interface LoadTask extends TaskAttempt {
+  state: "running" | "finished";
+}
+
+interface LoadWorker {
+  readonly id: string;
+  readonly number: number;
+  sequence: number;
+  tasks: LoadTask[];
+}
+
+function takeHeap(): number {
+  setFlagsFromString("--expose-gc");
+  (runInNewContext("gc") as () => void)();
+  return process.memoryUsage().heapUsed;
+}
+
+/** Runs the load on a fleet of `count` workers with about `tasks` tasks running. */
+export function measureLoad(
+  count: number,
+  options: { tasks: number; seconds: number; seed: number },
+): LoadFigures {
+  const random = createSeededRandom(options.seed);
+  const heapAtStart = takeHeap();
+  const scheduler: Scheduler = createScheduler({ random });
+  const capacities = buildCapacities(count);
+  const workers = capacities.map((_capacity, number): LoadWorker => ({
+    id: `w${number}`,
+    number,
+    sequence: 0,
+    tasks: [],
+  }));
+  const byId = new Map(workers.map((worker) => [worker.id, worker]));
+  const allotment = {
+    processors: 1e12,
+    memoryMb: 1e12,
+    accelerators: 1e9,
+  };
+  for (let team = 0; team < TEAMS; team++) {
+    scheduler.setTeam({ team: `t${team}`, weight: 1 + team % 4, allotment });
+  }
+  let nowMs = 0;
+  let nextJob = 0;
+
+  function buildReport(worker: LoadWorker): WorkerReport {
+    worker.sequence++;
+    const report = {
+      worker: worker.id,
+      rack: `r${Math.floor(worker.number / 8)}`,
+      incarnation: 1,
+      sequence: worker.sequence,
+      capacity: capacities[worker.number]!,
+      tasks: worker.tasks.map((task) => ({
+        ...task,
+        usage: { processors: 200, memoryMb: 256, accelerators: 0 },
+      })),
+      draining: false,
+    };
+    worker.tasks = worker.tasks.filter((task) => task.state === "running");
+    return report;
+  }
+
+  function addJob(): void {
+    const number = nextJob++;
+    const spec: JobSpec = {
+      id: `j${number}`,
+      team: `t${number % TEAMS}`,
+      policy: number % 5 === 0 ? "service" : "batch",
+      tasks: 1,
+      resources: {
+        processors: 250 * 2 ** (number % 3),
+        memoryMb: 512 * (1 + number % 5),
+        accelerators: 0,
+      },
+      urgent: false,
+      expectedMs: 1_000 * 2 ** (number % 10),
+      maxAttempts: 3,
+      submittedAt: nowMs,
+    };
+    scheduler.addJob(spec);
+  }
+
+  function handle(actions: readonly SchedulerAction[]): number {
+    let assigned = 0;
+    for (const action of actions) {
+      if (action.type === "assign") {
+        assigned++;
+        scheduler.confirmAssignment(action);
+      } else if (action.type === "start") {
+        const { job, index, attempt } = action;
+        const task = { job, index, attempt, state: "running" as const };
+        byId.get(action.worker)!.tasks.push(task);
+      }
+    }
+    return assigned;
+  }
+
+  for (const worker of workers) {
+    scheduler.receiveWorkerReport(buildReport(worker), nowMs);
+  }
+  scheduler.step(nowMs);
+  const heapWithWorkers = takeHeap();
+
+  let placed = 0;
+  while (placed < options.tasks) {
+    for (let added = 0; added < 2_000 && nextJob < options.tasks; added++) {
+      addJob();
+    }
+    nowMs += 1;
+    placed += handle(scheduler.step(nowMs));
+  }
+  handle(scheduler.step(nowMs + 1));
+  const heapWithTasks = takeHeap();
+  // The fake tasks of the bench itself are part of the heap, so they are measured too.
+  const copies = workers.map((worker) => worker.tasks.map((t) => ({ ...t })));
+  const heapWithCopies = takeHeap();
+  const ownTaskBytes = (heapWithCopies - heapWithTasks) / placed;
+  copies.length = 0;
+
+  const stepMs: number[] = [];
+  let decisions = 0;
+  let reports = 0;
+  let stepTotalMs = 0;
+  let reportTotalMs = 0;
+  const stepsPerSecond = 1_000 / STEP_MS;
+  const perStep = DECISIONS_PER_SECOND / stepsPerSecond;
+  const cpuBefore = process.cpuUsage();
+  for (let step = 0; step < options.seconds * stepsPerSecond; step++) {
+    nowMs += STEP_MS;
+    // As many tasks end as arrive, each on a random worker.
+    for (let ended = 0; ended < perStep; ended++) {
+      const worker = workers[random.nextInt(count)]!;
+      const task = worker.tasks[random.nextInt(worker.tasks.length || 1)];
+      if (task !== undefined) task.state = "finished";
+    }
+    for (let added = 0; added < perStep; added++) addJob();
+    const beforeReports = performance.now();
+    for (
+      let number = step % stepsPerSecond;
+      number < count;
+      number += stepsPerSecond
+    ) {
+      scheduler.receiveWorkerReport(buildReport(workers[number]!), nowMs);
+      reports++;
+    }
+    const beforeStep = performance.now();
+    const actions = scheduler.step(nowMs);
+    const afterStep = performance.now();
+    decisions += handle(actions);
+    stepMs.push(afterStep - beforeStep);
+    stepTotalMs += afterStep - beforeStep;
+    reportTotalMs += beforeStep - beforeReports;
+  }
+  const cpu = process.cpuUsage(cpuBefore);
+  return {
+    workers: count,
+    runningTasks: scheduler.getStatus().placedTasks,
+    decisions,
+    stepP50Ms: computeQuantile(stepMs, 0.5),
+    stepP99Ms: computeQuantile(stepMs, 0.99),
+    decisionUs: 1_000 * stepTotalMs / Math.max(1, decisions),
+    reportUs: 1_000 * reportTotalMs / Math.max(1, reports),
+    cpuPerSecond: (cpu.user + cpu.system) / 1e6 / options.seconds,
+    workerBytes: (heapWithWorkers - heapAtStart) / count,
+    taskBytes: (heapWithTasks - heapWithWorkers) / placed - ownTaskBytes,
+    rssMb: process.memoryUsage().rss / 2 ** 20,
+  };
+}
--- /dev/null
+++ b/bench/scheduling/placement_bench.ts
@@ -0,0 +1,148 @@
+/** Cost of one placement decision by fleet size, for the library's index and the ways it was compared with. */
+
+import {
+  createSeededRandom,
+  type Random,
+  type Resources,
+} from "../../src/common/mod.ts";
+import {
+  type ComparedPlacer,
+  createIndexPlacer,
+  createSamplingPlacer,
+  createScanPlacer,
+} from "./placers.ts";
+
+/** Figures of one way at one size. */
+export interface PlacementFigures {
+  readonly way: string;
+  readonly workers: number;
+  readonly p50Us: number;
+  readonly p99Us: number;
+  /** Part of the decisions that found no worker although one had room. */
+  readonly missed: number;
+  /** Part of the processors that is committed when the first decision finds no worker. */
+  readonly filled: number;
+}
+
+const FILL = 0.9;
+const DECISIONS = 20_000;
+// A scan of 25,000 workers is slow, so it is measured over fewer decisions.
+const SCAN_DECISIONS = 400;
+
+/** Capacities like those of both users, one worker in five with accelerators. */
+export function buildCapacities(count: number): Resources[] {
+  return Array.from({ length: count }, (_, number) => {
+    const isLarge = number % 2 === 1;
+    return {
+      processors: isLarge ? 32_000 : 16_000,
+      memoryMb: isLarge ? 131_072 : 65_536,
+      accelerators: number % 5 === 0 ? 6 : 0,
+    };
+  });
+}
+
+/** Task sizes from a quarter of a core to eight cores, with memory that does not follow them. */
+export function buildSize(random: Random): Resources {
+  const processors = 250 * 2 ** random.nextInt(6);
+  const memoryMb = 256 * (1 + random.nextInt(48));
+  const accelerators = random.nextInt(20) === 0 ? 1 : 0;
+  return { processors, memoryMb, accelerators };
+}
+
+/** Returns the value below which `part` of the sorted values lie. */
+export function computeQuantile(
+  values: readonly number[],
+  part: number,
+): number {
+  if (values.length === 0) return 0;
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor(part * sorted.length))]!;
+}
+
+function measureFill(
+  placer: ComparedPlacer,
+  total: number,
+  random: Random,
+): { filled: number; held: { worker: number; size: Resources }[] } {
+  const held: { worker: number; size: Resources }[] = [];
+  let used = 0;
+  while (true) {
+    const size = buildSize(random);
+    const worker = placer.place(size);
+    if (worker < 0) return { filled: used / total, held };
+    held.push({ worker, size });
+    used += size.processors;
+  }
+}
+
+function measureWay(
+  way: string,
+  workers: number,
+  seed: number,
+): PlacementFigures {
+  const random = createSeededRandom(seed);
+  const capacities = buildCapacities(workers);
+  const total = capacities.reduce((sum, { processors }) => sum + processors, 0);
+  const create = () =>
+    way === "index"
+      ? createIndexPlacer(capacities, random)
+      : way === "sampling"
+      ? createSamplingPlacer(capacities, random)
+      : createScanPlacer(capacities);
+  const decisions = way === "scan" ? SCAN_DECISIONS : DECISIONS;
+  // Filling 25,000 workers by scans takes minutes, so the scan starts from an index fill.
+  const isSlow = way === "scan" && workers > 1_000;
+  const { filled } = isSlow
+    ? { filled: NaN }
+    : measureFill(create(), total, createSeededRandom(seed));
+
+  const placer = create();
+  const held: { worker: number; size: Resources }[] = [];
+  let used = 0;
+  const fillDecisions = isSlow ? 200 : Infinity;
+  for (let count = 0; used < FILL * total && count < fillDecisions;) {
+    const size = buildSize(random);
+    const worker = placer.place(size);
+    count++;
+    if (worker < 0) break;
+    held.push({ worker, size });
+    used += size.processors;
+  }
+  const times: number[] = [];
+  let missed = 0;
+  for (let decision = 0; decision < decisions; decision++) {
+    const position = random.nextInt(held.length);
+    const leaving = held[position]!;
+    held[position] = held[held.length - 1]!;
+    held.pop();
+    placer.release(leaving.worker, leaving.size);
+    // The same size fits where it has just been released, so that a failure is a miss.
+    const { size } = leaving;
+    const before = performance.now();
+    let worker = placer.place(size);
+    times.push(1_000 * (performance.now() - before));
+    if (worker < 0) {
+      missed++;
+      while (worker < 0) worker = placer.place(size);
+    }
+    held.push({ worker, size });
+  }
+  return {
+    way,
+    workers,
+    p50Us: computeQuantile(times, 0.5),
+    p99Us: computeQuantile(times, 0.99),
+    missed: missed / decisions,
+    filled,
+  };
+}
+
+/** Measures every way at every size. */
+export function measurePlacement(
+  sizes: readonly number[],
+  seed: number,
+): PlacementFigures[] {
+  return sizes.flatMap((workers) =>
+    ["index", "sampling", "scan"].map((way) => measureWay(way, workers, seed))
+  );
+}
--- /dev/null
+++ b/bench/scheduling/scenarios.ts
@@ -0,0 +1,143 @@
+/** The event lists of the benchmark, each fixed by its seed. */
+
+import {
+  createSeededRandom,
+  multiplyResources,
+  type Resources,
+} from "../../src/common/mod.ts";
+import type { JobPolicy, JobSpec } from "../../src/scheduling/mod.ts";
+import type { Arrival, Scenario } from "./driver.ts";
+
+const CORE: Resources = { processors: 1_000, memoryMb: 4_096, accelerators: 0 };
+
+function buildFleet(workers: number): Resources[] {
+  return Array.from({ length: workers }, () => multiplyResources(CORE, 16));
+}
+
+function buildSpec(
+  fields: Pick<JobSpec, "id" | "team" | "submittedAt"> & Partial<JobSpec>,
+): JobSpec {
+  return {
+    policy: "batch",
+    tasks: 1,
+    resources: CORE,
+    urgent: false,
+    maxAttempts: 3,
+    ...fields,
+  };
+}
+
+/**
+ * Uneven load on a cell of 30 workers for 20 minutes: one team floods the cell
+ * from the start, others arrive in bursts, declared times are off by up to a
+ * factor of four, and gangs need a quarter of the cell at once.
+ */
+export function buildUnevenScenario(seed: number): Scenario {
+  const random = createSeededRandom(seed);
+  const weights = { flood: 1, burst: 2, steady: 1, gangs: 1, services: 1 };
+  const arrivals: Arrival[] = [];
+  let number = 0;
+
+  function add(
+    team: string,
+    submittedAt: number,
+    options: {
+      policy?: JobPolicy;
+      tasks?: number;
+      cores?: number;
+      runMs: number;
+    },
+  ): void {
+    const factor = 2 ** (4 * random.nextFloat() - 2);
+    const { policy = "batch", tasks = 1, cores = 1, runMs } = options;
+    arrivals.push({
+      runMs,
+      spec: buildSpec({
+        id: `${team}-${number++}`,
+        team,
+        submittedAt,
+        policy,
+        tasks,
+        resources: multiplyResources(CORE, cores),
+        expectedMs: Math.ceil(runMs * factor),
+      }),
+    });
+  }
+
+  add("services", 0, { policy: "service", tasks: 48, runMs: 1e9 });
+  for (let count = 0; count < 500; count++) {
+    const cores = 1 + random.nextInt(4);
+    add("flood", 100, { cores, runMs: 60_000 + random.nextInt(180_000) });
+  }
+  for (let second = 30; second < 1_200; second++) {
+    const atMs = second * 1_000;
+    if (second % 2 === 0) {
+      add("flood", atMs, { cores: 2, runMs: 60_000 + random.nextInt(120_000) });
+    }
+    for (let count = 0; count < 2; count++) {
+      add("steady", atMs, { runMs: 5_000 + random.nextInt(55_000) });
+    }
+    if (second % 120 === 0) {
+      for (let count = 0; count < 150; count++) {
+        add("burst", atMs, { runMs: 20_000 + random.nextInt(80_000) });
+      }
+    }
+    if (second % 150 === 60) {
+      add("gangs", atMs, {
+        policy: "gang",
+        tasks: 15,
+        cores: 8,
+        runMs: 60_000,
+      });
+    }
+  }
+  arrivals.sort((a, b) => a.spec.submittedAt - b.spec.submittedAt);
+  return {
+    weights,
+    capacities: buildFleet(30),
+    arrivals,
+    untilMs: 1_200_000,
+  };
+}
+
+/** A full cell into which urgent tasks arrive one by one; half of the work ignores checkpoints. */
+export function buildUrgentScenario(workers: number, seed: number): Scenario {
+  const random = createSeededRandom(seed);
+  const arrivals: Arrival[] = [];
+  const cores = 16 * workers;
+  for (let count = 0; count < cores / 2; count++) {
+    const payload = count % 2 === 0 ? "stubborn" : "obedient";
+    const policy = count % 5 === 0 ? "service" : "batch";
+    arrivals.push({
+      runMs: 1e9,
+      spec: buildSpec({
+        id: `fill-${count}`,
+        team: "fill",
+        submittedAt: 0,
+        policy,
+        payload,
+        resources: multiplyResources(CORE, 2),
+      }),
+    });
+  }
+  for (let count = 0; count < 100; count++) {
+    arrivals.push({
+      runMs: 10_000,
+      spec: buildSpec({
+        id: `urgent-${count}`,
+        team: "urgent",
+        submittedAt: 20_000 + count * 137 + random.nextInt(100),
+        urgent: true,
+        expectedMs: 10_000,
+        resources: multiplyResources(CORE, 1 + random.nextInt(4)),
+      }),
+    });
+  }
+  arrivals.sort((a, b) => a.spec.submittedAt - b.spec.submittedAt);
+  return {
+    weights: { fill: 1, urgent: 1 },
+    capacities: buildFleet(workers),
+    arrivals,
+    untilMs: 60_000,
+  };
+}
--- /dev/null
+++ b/bench/scheduling_bench.ts
@@ -0,0 +1,189 @@
+/**
+ * Benchmark of the scheduler. Prints tables, writes the figures as JSON to the
+ * path given as the first argument, and exits with code 1 when a bound from the
+ * design page is broken.
+ */
+
+import { writeFileSync } from "node:fs";
+import process from "node:process";
+import { createFcfs } from "./scheduling/fcfs.ts";
+import {
+  createDrivenLibrary,
+  type RunFigures,
+  runScenario,
+  type Scenario,
+} from "./scheduling/driver.ts";
+import { measureLoad } from "./scheduling/load_bench.ts";
+import { measurePlacement } from "./scheduling/placement_bench.ts";
+import {
+  buildUnevenScenario,
+  buildUrgentScenario,
+} from "./scheduling/scenarios.ts";
+
+const SEEDS = Object.freeze({
+  placement: 11,
+  load: 12,
+  uneven: 13,
+  urgent: 14,
+});
+const SMALL_FLEET = 30;
+const LARGE_FLEET = 25_000;
+const LARGE_TASKS = 350_000;
+// "Decided in milliseconds": single figures, for a decision and for the step that holds it.
+const MAX_DECISION_MS = 10;
+// Linear growth would be a factor of 833; a tenth of it is clearly less than linear.
+const MAX_SLOPE = 0.1 * LARGE_FLEET / SMALL_FLEET;
+const MAX_URGENT_MS = 3_000;
+
+const broken: string[] = [];
+
+function checkBound(name: string, value: number, bound: number): void {
+  const holds = value <= bound;
+  const line = `${name}: ${value.toFixed(3)} (bound ${bound.toFixed(3)})`;
+  console.log(`${holds ? "holds " : "BROKEN"} ${line}`);
+  if (!holds) broken.push(line);
+}
+
+function formatRow(row: object): Record<string, unknown> {
+  return Object.fromEntries(
+    Object.entries(row).map(([name, value]) => [
+      name,
+      typeof value === "number" ? Number(value.toFixed(3)) : value,
+    ]),
+  );
+}
+
+function formatDistances(figures: RunFigures) {
+  const { distance, ...rest } = figures;
+  const byTeam = Object.entries(distance).map(([team, value]) =>
+    [`distance ${team}`, value] as const
+  );
+  return { ...rest, ...Object.fromEntries(byTeam) };
+}
+
+function runPlacement() {
+  console.log(`\nOne placement decision (seed ${SEEDS.placement})`);
+  const rows = measurePlacement([SMALL_FLEET, LARGE_FLEET], SEEDS.placement);
+  console.table(rows.map(formatRow));
+  const [small, large] = [SMALL_FLEET, LARGE_FLEET].map((workers) =>
+    rows.find((row) => row.way === "index" && row.workers === workers)!
+  );
+  const slope = large!.p50Us / small!.p50Us;
+  checkBound(
+    "placement p99 at 25,000 workers, ms",
+    large!.p99Us / 1_000,
+    MAX_DECISION_MS,
+  );
+  checkBound("placement p50, 25,000 to 30 workers", slope, MAX_SLOPE);
+  return { rows, slope };
+}
+
+function runLoad() {
+  console.log(`\n2,000 decisions a second (seed ${SEEDS.load})`);
+  const rows = [
+    measureLoad(SMALL_FLEET, { tasks: 600, seconds: 5, seed: SEEDS.load }),
+    measureLoad(LARGE_FLEET, {
+      tasks: LARGE_TASKS,
+      seconds: 5,
+      seed: SEEDS.load,
+    }),
+  ];
+  console.table(rows.map(formatRow));
+  const large = rows[1]!;
+  checkBound(
+    "step p99 at 25,000 workers, ms",
+    large.stepP99Ms,
+    MAX_DECISION_MS,
+  );
+  return { rows };
+}
+
+function runPolicies() {
+  console.log(`\nShares, waiting and packing (seed ${SEEDS.uneven})`);
+  const scenario = buildUnevenScenario(SEEDS.uneven);
+  const runs: Record<string, RunFigures> = {
+    "first come": runScenario(scenario, createFcfs(scenario.capacities)),
+    "share, dominant": runLibrary(scenario, { weights: "share" }),
+    "share, asset": runLibrary(scenario, {
+      weights: "share",
+      shareRule: "asset",
+    }),
+    "waiting": runLibrary(scenario, { weights: "waiting" }),
+  };
+  for (const [name, figures] of Object.entries(runs)) {
+    console.log(name);
+    console.table([formatRow(formatDistances(figures))]);
+  }
+  const baseline = runs["first come"]!;
+  const share = runs["share, dominant"]!;
+  const waiting = runs["waiting"]!;
+  checkBound(
+    "distance, weights share, to first come",
+    share.meanDistance / baseline.meanDistance,
+    1,
+  );
+  checkBound(
+    "median wait, weights waiting, to first come",
+    waiting.waitP50Ms / baseline.waitP50Ms,
+    1,
+  );
+  checkBound(
+    "distance, weights share, to weights waiting",
+    share.meanDistance / waiting.meanDistance,
+    1,
+  );
+  checkBound(
+    "median wait, weights waiting, to weights share",
+    waiting.waitP50Ms / Math.max(1, share.waitP50Ms),
+    1,
+  );
+  return runs;
+}
+
+function runLibrary(
+  scenario: Scenario,
+  options: Parameters<typeof createDrivenLibrary>[1],
+): RunFigures {
+  return runScenario(scenario, createDrivenLibrary(scenario, options));
+}
+
+function runUrgent() {
+  console.log(`\nUrgent work in a full cell (seed ${SEEDS.urgent})`);
+  return [SMALL_FLEET, 1_000].map((workers) => {
+    const scenario = buildUrgentScenario(workers, SEEDS.urgent);
+    const { urgentMaxMs, urgentP50Ms, urgentTasks, lostMs, decisionUs } =
+      runLibrary(scenario, {});
+    const row = {
+      workers,
+      urgentTasks,
+      urgentP50Ms,
+      urgentMaxMs,
+      lostMs,
+      decisionUs,
+    };
+    console.table([formatRow(row)]);
+    checkBound(
+      `urgent start at ${workers} workers, ms`,
+      urgentMaxMs,
+      MAX_URGENT_MS,
+    );
+    return row;
+  });
+}
+
+const figures = {
+  seeds: SEEDS,
+  placement: runPlacement(),
+  urgent: runUrgent(),
+  policies: runPolicies(),
+  load: runLoad(),
+  broken,
+};
+const path = process.argv[2];
+if (path !== undefined) {
+  writeFileSync(path, JSON.stringify(figures, undefined, 2) + "\n");
+}
+if (broken.length > 0) {
+  console.error(`Bounds broken: ${broken.join("; ")}`);
+  process.exitCode = 1;
+}
