--- a/test/standin_worker.ts
+++ b/test/standin_worker.ts
@@ -307,6 +307,8 @@
     const isIdle = () =>
       worker.getStatus().tasks.every((task) => task.state !== "running");
     await waitUntil(isIdle, 3_600_000, "running tasks");
+    // Reports the ends; otherwise the leader waits for the leases to end.
+    await worker.drain();
     process.exit(0);
   });
   process.stdout.write(`listening on ${worker.address}\n`);
--- a/test/standin_worker_test.ts
+++ b/test/standin_worker_test.ts
@@ -171,3 +171,22 @@
   const ranMs = (status?.endedAt ?? 0) - (status?.startedAt ?? 0);
   t.ok(ranMs <= 600, `ran for ${ranMs} ms under a lease of 500 ms`);
 });
+
+// Guards against a drained worker that ends before its tasks, or without reporting their ends.
+t.test("the program drains on SIGTERM", async (t) => {
+  const recorder = await startEntryRecorder();
+  t.teardown(() => recorder.stop());
+  const child = startProcess(t, "test/standin_worker.js", [
+    ...["--name", "w8", "--data-centre", "a", "--rack", "r"],
+    ...["--entry", recorder.address],
+  ]);
+  const line = await child.waitForLine(/^listening on /);
+  const address = line.replace("listening on ", "");
+  await callJson(`${address}/v1/tasks/start`, {
+    body: { task: "a", epoch: 1, payload: { runMs: 600 } },
+  });
+  t.strictSame(await child.stop(), { code: 0, signal: null });
+  const last = recorder.seen.at(-1);
+  t.equal(last.draining, true);
+  t.match(last.tasks, [{ task: "a", state: "finished", exitCode: 0 }]);
+});
