--- /dev/null
+++ b/src/fleet/mod.ts
@@ -0,0 +1,40 @@
+/** The fleet configuration: state machine, distribution, read copy, key secrets and the planners' sheet. */
+
+export { ANSWER_MEMORY_COUNT } from "./answer_memory.ts";
+export {
+  computeReach,
+  createUpdateHistory,
+  UNCONFIRMED_AGE_MS,
+} from "./distribution.ts";
+export {
+  computeGranted,
+  computeGrantedSum,
+  type DivisionSource,
+} from "./division.ts";
+export { createFleetState } from "./fleet_state.ts";
+export {
+  createFleetView,
+  DEFAULT_KEY_STALENESS_LIMIT_MS,
+  KEY_CONFIRMATION_GRACE_MS,
+} from "./fleet_view.ts";
+export * from "./key_secret.ts";
+export * from "./limits.ts";
+export { decodeCommand, encodeCommand, parseChange } from "./schema.ts";
+export {
+  decodeDelta,
+  decodeJson,
+  decodeState,
+  encodeState,
+} from "./state_codec.ts";
+export * from "./types.ts";
+export {
+  type KeyRow,
+  parseSheet,
+  type QueueRow,
+  SHEET_COLUMNS,
+  type SheetColumn,
+  type SheetProblem,
+  type SheetRow,
+  type TeamRow,
+} from "./sheet.ts";
+export { planSheet, type SheetPlan } from "./sheet_plan.ts";
