Check the example sheets with the sheet's own parser

Cause: the sheets named a thousand times too many processors, and a test that reads them as plain CSV did not notice.

The test now uses parseSheet and holds each limit against the size of the cell, which is stricter than before: it also refuses what the program refuses.

Ruled out: the planner as well, since a plan depends on a configuration.

--- a/test/examples_test.ts
+++ b/test/examples_test.ts
@@ -1,7 +1,7 @@
 import { readdir, readFile } from "node:fs/promises";
 import { fileURLToPath } from "node:url";
-import { parse } from "csv-parse/sync";
 import t from "tap";
+import { parseSheet } from "../src/fleet/mod.ts";
 import { loadSettings } from "../src/settings/mod.ts";
 
 const EXAMPLES = fileURLToPath(new URL("../../examples/", import.meta.url));
@@ -123,16 +123,27 @@
   }
 });
 
-// Guards against a sheet without the six queues, or with a queue that no endpoint serves.
-t.test("the example sheets have six queues", async (t) => {
-  for (const { folder } of CASES) {
+// Guards against a sheet that the program refuses, that lacks the six queues, or whose limits no fleet of this size could hold.
+t.test("the example sheets are accepted", async (t) => {
+  for (const { folder, cores, memoryGb } of CASES) {
     const text = await readFile(`${EXAMPLES}${folder}/sheet.csv`, "utf8");
-    const rows: Record<string, string>[] = parse(text, { columns: true });
-    const queues = rows.filter(({ kind }) => kind === "queue");
+    const rows = parseSheet(text);
+    const queues = rows.filter((row) => row.kind === "queue");
     t.equal(queues.length, 6);
-    const teams = rows.filter(({ kind }) => kind === "team");
+    const teams = rows.filter((row) => row.kind === "team");
     t.ok(teams.length >= 6);
-    t.ok(teams.every(({ share }) => Number(share) > 0));
+    t.ok(teams.every(({ share = 0 }) => share > 0));
+    for (const { name, slots = 0, processors = 0, memoryMb = 0 } of teams) {
+      t.ok(slots > 0 && slots <= 30 * 8, `${name}: slots`);
+      t.ok(
+        processors > 0 && processors <= 30 * cores * 1_000,
+        `${name}: cores`,
+      );
+      t.ok(
+        memoryMb > 0 && memoryMb <= 30 * memoryGb * 1_024,
+        `${name}: memory`,
+      );
+    }
     const path = `${EXAMPLES}${folder}/${LIST_NAME}`;
     const list = JSON.parse(await readFile(path, "utf8"));
     const served = new Set(
