--- a/src/data_centre/announcements.ts
+++ b/src/data_centre/announcements.ts
@@ -1,8 +1,7 @@
-/** Checks announcements of endpoints and workers, which arrive as JSON over HTTP. */
+/** Checks announcements of workers, which arrive as JSON over HTTP, and the answers to announcements. */
 
 import { z } from "zod";
 import { createFault } from "../common/mod.ts";
-import type { EndpointAnnouncement } from "../requests/types.ts";
 import type { WorkerReport } from "../scheduling/types.ts";
 import { parseAttempt } from "./attempt_name.ts";
 
@@ -19,18 +18,6 @@
   accelerators: countSchema,
 });
 
-const endpointSchema = z.strictObject({
-  endpoint: nameSchema,
-  address: addressSchema,
-  dataCentre: nameSchema,
-  incarnation: countSchema,
-  queues: z.array(nameSchema).max(1_000),
-  slots: countSchema.max(10_000),
-  connections: countSchema.max(100_000),
-  inFlight: countSchema,
-  departing: z.boolean().default(false),
-});
-
 const taskSchema = z.strictObject({
   task: z.string().min(1).max(256),
   epoch: countSchema,
@@ -100,13 +87,6 @@
   );
 }
 
-/** Checks an endpoint's announcement; fault `badRequest`. */
-export function parseEndpointAnnouncement(
-  input: unknown,
-): EndpointAnnouncement {
-  return parseWith(endpointSchema, input, "the endpoint announcement");
-}
-
 /** Checks a worker's announcement; fault `badRequest`. */
 export function parseWorkerAnnouncement(input: unknown): WorkerAnnouncement {
   const parsed = parseWith(workerSchema, input, "the worker announcement");
--- a/src/http/announce_routes.ts
+++ b/src/http/announce_routes.ts
@@ -2,10 +2,10 @@
 
 import {
   type EndpointAnnouncementReply,
-  parseEndpointAnnouncement,
   parseWorkerAnnouncement,
   type WorkerAnnouncementReply,
 } from "../data_centre/announcements.ts";
+import { parseEndpointAnnouncement } from "../requests/mod.ts";
 import { parseJson } from "./body.ts";
 import { createBodyFilter, type HttpFilter } from "./filters.ts";
 import type { HttpRoute } from "./http_server.ts";
--- a/src/mod.ts
+++ b/src/mod.ts
@@ -8,5 +8,6 @@
 export * from "./membership/mod.ts";
 export * from "./replicated_log/mod.ts";
 export * from "./report/mod.ts";
+export * from "./requests/mod.ts";
 export * from "./scheduling/mod.ts";
 export * from "./settings/mod.ts";
--- a/test/cell.ts
+++ b/test/cell.ts
@@ -8,6 +8,7 @@
 import type { FleetOperation, Limits } from "../src/fleet/mod.ts";
 import { createKeySecret, type KeySecret } from "../src/fleet/mod.ts";
 import { callJson, type JsonAnswer, waitUntil } from "./json_http.ts";
+import { type Relay, type RelayMode, startRelay } from "./relay.ts";
 import {
   createTestFolder,
   findFreePorts,
@@ -22,6 +23,8 @@
 export interface CellOptions {
   /** Number of instances by data centre; the first of each has a disk and votes. */
   readonly dataCentres: Readonly<Record<string, number>>;
+  /** Whether connections between data centres go through relays, so that they can be cut. */
+  readonly hasRelays?: boolean;
   /** Settings that differ from the defaults, for all instances. */
   readonly settings?: Readonly<Record<string, unknown>>;
 }
@@ -44,6 +47,8 @@
   get(instance: string): InstanceProcess;
   /** Starts an ended instance again with its former settings and folder. */
   restart(instance: string): Promise<InstanceProcess>;
+  /** Sets the mode of every connection between a data centre and the others. */
+  setLinks(dataCentre: string, mode: RelayMode): void;
   /** Base addresses of the instances of a data centre. */
   listAddresses(dataCentre: string): string[];
   /** Hands in a change through the first instance. */
@@ -76,6 +81,42 @@
   });
 }
 
+/** The relays between data centres. */
+interface Links {
+  /** Returns the instances as `entry` must see them, through its relays. */
+  listInstances(entry: CellInstance): CellInstance[];
+  setMode(dataCentre: string, mode: RelayMode): void;
+}
+
+async function createLinks(
+  t: TestScope,
+  entries: readonly CellInstance[],
+): Promise<Links> {
+  const relays = new Map<string, { relay: Relay; ends: string[] }>();
+  for (const from of entries) {
+    for (const to of entries) {
+      if (from.dataCentre === to.dataCentre) continue;
+      const relay = await startRelay({ targetPort: to.rpc.port });
+      t.teardown(() => relay.stop());
+      const ends = [from.dataCentre, to.dataCentre];
+      relays.set(`${from.instance}>${to.instance}`, { relay, ends });
+    }
+  }
+  return {
+    listInstances: (entry) =>
+      entries.map((to) => {
+        const link = relays.get(`${entry.instance}>${to.instance}`);
+        if (link === undefined) return to;
+        return { ...to, rpc: { host: HOST, port: link.relay.port } };
+      }),
+    setMode(dataCentre, mode) {
+      for (const { relay, ends } of relays.values()) {
+        if (ends.includes(dataCentre)) relay.setMode(mode);
+      }
+    },
+  };
+}
+
 function buildSettings(
   entry: CellInstance,
   instances: readonly CellInstance[],
@@ -101,10 +142,14 @@
 ): Promise<Cell> {
   const entries = await createInstances(options);
   const folder = await createTestFolder(t);
+  const links = options.hasRelays === true
+    ? await createLinks(t, entries)
+    : undefined;
   const running = new Map<string, InstanceProcess>();
 
   async function start(entry: CellInstance): Promise<InstanceProcess> {
-    const settings = buildSettings(entry, entries, options);
+    const seen = links?.listInstances(entry) ?? entries;
+    const settings = buildSettings(entry, seen, options);
     const started = await startInstance(t, settings, { folder });
     running.set(entry.instance, started);
     return started;
@@ -138,6 +183,7 @@
       if (entry === undefined) throw new Error(`no instance "${instance}"`);
       return await start(entry);
     },
+    setLinks: (dataCentre, mode) => links?.setMode(dataCentre, mode),
     listAddresses: (dataCentre) =>
       entries.filter((entry) => entry.dataCentre === dataCentre)
         .map(({ http }) => `http://${HOST}:${http.port}`),
--- a/test/instance_faults_test.ts
+++ b/test/instance_faults_test.ts
@@ -79,96 +79,114 @@
 }
 
 // Guards against a planned stop that breaks off requests or loses them.
-t.test("a rolling restart interrupts no request", { timeout: 120_000 }, async (t) => {
-  const load = startLoad({
-    addresses: cell.addresses,
-    queue: QUEUE,
-    key: key.secret,
-    prefix: "rolling",
-  });
-  for (const [name, instance] of [...cell.instances]) {
-    const exit = await instance.stop();
-    t.strictSame(exit, { code: 0, signal: null }, `${name} stopped`);
-    await (await cell.restart(name)).waitUntilReady(20_000);
-  }
-  const result = await load.stop();
-  checkResult(t, result);
-  t.strictSame(result.interrupted, [], "no request was interrupted");
-  t.strictSame(result.unanswered, [], "every request was answered");
-});
+t.test(
+  "a rolling restart interrupts no request",
+  { timeout: 120_000 },
+  async (t) => {
+    const load = startLoad({
+      addresses: cell.addresses,
+      queue: QUEUE,
+      key: key.secret,
+      prefix: "rolling",
+    });
+    for (const [name, instance] of [...cell.instances]) {
+      const exit = await instance.stop();
+      t.strictSame(exit, { code: 0, signal: null }, `${name} stopped`);
+      await (await cell.restart(name)).waitUntilReady(20_000);
+    }
+    const result = await load.stop();
+    checkResult(t, result);
+    t.strictSame(result.interrupted, [], "no request was interrupted");
+    t.strictSame(result.unanswered, [], "every request was answered");
+  },
+);
 
 // Guards against a second run of non-idempotent requests when the leader that recorded them dies.
-t.test("a killed leader doubles and loses nothing", { timeout: 120_000 }, async (t) => {
-  const survivors = cell.addresses.filter((address) =>
-    !address.includes(new URL(cell.get("south-1").address).port)
-  );
-  const idempotent = startLoad({
-    addresses: cell.addresses,
-    queue: QUEUE,
-    key: key.secret,
-    prefix: "kill",
-  });
-  const once = startLoad({
-    addresses: cell.addresses,
-    queue: QUEUE,
-    key: key.secret,
-    prefix: "kill-once",
-    idempotent: false,
-    patienceMs: 8_000,
-  });
-  await wait(1_000);
-  const leader = await findLeader(survivors[0] ?? "", "south") ?? "south-1";
-  const killedAtMs = performance.now();
-  await cell.get(leader).kill();
-  const other = leader === "south-1" ? "south-2" : "south-1";
-  await waitUntil(
-    async () => await findLeader(cell.get(other).address, "south") === other,
-    10_000,
-    "a successor",
-  );
-  t.comment(`successor after ${Math.round(performance.now() - killedAtMs)} ms`);
-  await wait(3_000);
-  await (await cell.restart(leader)).waitUntilReady(20_000);
-  const result = await idempotent.stop();
-  const onceResult = await once.stop();
-  checkResult(t, result);
-  checkResult(t, onceResult);
-  t.strictSame(result.unanswered, [], "every idempotent request was answered");
-  const doubled = onceResult.answeredIds.filter((id) => countRuns(id) !== 1);
-  t.strictSame(doubled, [], "each answered request ran once");
-  const twice = onceResult.unanswered.filter((id) => countRuns(id) > 1);
-  t.strictSame(twice, [], "no unanswered request ran twice");
-});
+t.test(
+  "a killed leader doubles and loses nothing",
+  { timeout: 120_000 },
+  async (t) => {
+    const survivors = cell.addresses.filter((address) =>
+      !address.includes(new URL(cell.get("south-1").address).port)
+    );
+    const idempotent = startLoad({
+      addresses: cell.addresses,
+      queue: QUEUE,
+      key: key.secret,
+      prefix: "kill",
+    });
+    const once = startLoad({
+      addresses: cell.addresses,
+      queue: QUEUE,
+      key: key.secret,
+      prefix: "kill-once",
+      idempotent: false,
+      patienceMs: 8_000,
+    });
+    await wait(1_000);
+    const leader = await findLeader(survivors[0] ?? "", "south") ?? "south-1";
+    const killedAtMs = performance.now();
+    await cell.get(leader).kill();
+    const other = leader === "south-1" ? "south-2" : "south-1";
+    await waitUntil(
+      async () => await findLeader(cell.get(other).address, "south") === other,
+      10_000,
+      "a successor",
+    );
+    t.comment(
+      `successor after ${Math.round(performance.now() - killedAtMs)} ms`,
+    );
+    await wait(3_000);
+    await (await cell.restart(leader)).waitUntilReady(20_000);
+    const result = await idempotent.stop();
+    const onceResult = await once.stop();
+    checkResult(t, result);
+    checkResult(t, onceResult);
+    t.strictSame(
+      result.unanswered,
+      [],
+      "every idempotent request was answered",
+    );
+    const doubled = onceResult.answeredIds.filter((id) => countRuns(id) !== 1);
+    t.strictSame(doubled, [], "each answered request ran once");
+    const twice = onceResult.unanswered.filter((id) => countRuns(id) > 1);
+    t.strictSame(twice, [], "no unanswered request ran twice");
+  },
+);
 
 // Guards against a leader that decides on after a pause in which another one took over.
-t.test("a frozen leader does no harm when it wakes", { timeout: 120_000 }, async (t) => {
-  const leader = await findLeader(cell.get("west-1").address, "west") ??
-    "west-1";
-  const other = leader === "west-1" ? "west-2" : "west-1";
-  const load = startLoad({
-    addresses: cell.addresses.filter((address) =>
-      address !== cell.get(leader).address
-    ),
-    queue: QUEUE,
-    key: key.secret,
-    prefix: "freeze",
-    idempotent: false,
-    patienceMs: 8_000,
-  });
-  await wait(500);
-  cell.get(leader).freeze();
-  await waitUntil(
-    async () => await findLeader(cell.get(other).address, "west") === other,
-    10_000,
-    "a successor",
-  );
-  await wait(2_000);
-  cell.get(leader).resume();
-  await wait(2_000);
-  const result = await load.stop();
-  checkResult(t, result);
-  const doubled = [...result.answeredIds, ...result.unanswered]
-    .filter((id) => countRuns(id) > 1);
-  t.strictSame(doubled, [], "no request ran twice");
-  await waitForRequest(cell.get(leader).address);
-});
+t.test(
+  "a frozen leader does no harm when it wakes",
+  { timeout: 120_000 },
+  async (t) => {
+    const leader = await findLeader(cell.get("west-1").address, "west") ??
+      "west-1";
+    const other = leader === "west-1" ? "west-2" : "west-1";
+    const load = startLoad({
+      addresses: cell.addresses.filter((address) =>
+        address !== cell.get(leader).address
+      ),
+      queue: QUEUE,
+      key: key.secret,
+      prefix: "freeze",
+      idempotent: false,
+      patienceMs: 8_000,
+    });
+    await wait(500);
+    cell.get(leader).freeze();
+    await waitUntil(
+      async () => await findLeader(cell.get(other).address, "west") === other,
+      10_000,
+      "a successor",
+    );
+    await wait(2_000);
+    cell.get(leader).resume();
+    await wait(2_000);
+    const result = await load.stop();
+    checkResult(t, result);
+    const doubled = [...result.answeredIds, ...result.unanswered]
+      .filter((id) => countRuns(id) > 1);
+    t.strictSame(doubled, [], "no request ran twice");
+    await waitForRequest(cell.get(leader).address);
+  },
+);
