Serve only after the configuration was confirmed since the start

Cause: a restarted voter counted as ready with its saved configuration when that was younger than 10 s; in the recovery test it answered with version 302 while 303 was accepted. Readiness, and with it new work, now waits for a confirmation by a source or by its own leadership since the start of the process, or for 10 s in a data centre that cannot get one.

--- a/src/http/filters.ts
+++ b/src/http/filters.ts
@@ -11,14 +11,14 @@
 /** A filter of an HTTP route. */
 export type HttpFilter = Filter<RequestContext>;
 
-/** Refuses new work once the instance is stopping; the work has not run. */
-export function createStoppingFilter(isStopping: () => boolean): HttpFilter {
+/** Refuses new work while `getRefusal` gives a reason; the work has not run. */
+export function createRefusalFilter(
+  getRefusal: () => string | undefined,
+): HttpFilter {
   return async (_context, next) => {
-    if (isStopping()) {
-      throw createFault(
-        "unavailable",
-        "Cannot take new work: the instance is stopping",
-      );
+    const reason = getRefusal();
+    if (reason !== undefined) {
+      throw createFault("unavailable", `Cannot take new work: ${reason}`);
     }
     await next();
   };
--- a/src/http/job_routes.ts
+++ b/src/http/job_routes.ts
@@ -11,7 +11,7 @@
 import {
   createBodyFilter,
   createKeyFilter,
-  createStoppingFilter,
+  createRefusalFilter,
   type HttpFilter,
 } from "./filters.ts";
 import type { HttpRoute } from "./http_server.ts";
@@ -38,7 +38,7 @@
   urgent: z.boolean().default(false),
   expectedMs: z.number().int().min(1).optional(),
   maxAttempts: z.number().int().min(1).max(1_000_000).optional(),
-  payload: z.unknown(),
+  payload: z.unknown().optional(),
 });
 
 /** A job as a caller submits it, checked and with defaults. */
@@ -52,7 +52,8 @@
   dataCentre: string;
   view: FleetView;
   maxBodyBytes: number;
-  isStopping: () => boolean;
+  /** Why new work is refused at present, if it is. */
+  getRefusal: () => string | undefined;
   submitJob: (team: string, job: SubmittedJob) => Promise<JobView>;
   getJob: (team: string, id: string) => Promise<JobView>;
   cancelJob: (team: string, id: string) => Promise<JobView>;
@@ -137,7 +138,7 @@
       method: "POST",
       path: "/v1/jobs",
       filters: [
-        createStoppingFilter(options.isStopping),
+        createRefusalFilter(options.getRefusal),
         authenticate,
         createBodyFilter(options.maxBodyBytes),
         submit,
--- a/src/http/request_routes.ts
+++ b/src/http/request_routes.ts
@@ -7,7 +7,7 @@
 import type { ExecuteRequest, RecordedAnswer } from "../requests/types.ts";
 import {
   createBodyFilter,
-  createStoppingFilter,
+  createRefusalFilter,
   type HttpFilter,
 } from "./filters.ts";
 import type { HttpRoute } from "./http_server.ts";
@@ -52,7 +52,8 @@
   maxBodyBytes: number;
   defaultDeadlineMs: number;
   maxDeadlineMs: number;
-  isStopping: () => boolean;
+  /** Why new work is refused at present, if it is. */
+  getRefusal: () => string | undefined;
   /** Runs a request to its answer. */
   execute: (request: AdmittedRequest) => Promise<RecordedAnswer>;
   /** Asks the home data centre of an identifier. */
@@ -205,7 +206,7 @@
       method: "POST",
       path: "/v1/queues/:queue/requests",
       filters: [
-        createStoppingFilter(options.isStopping),
+        createRefusalFilter(options.getRefusal),
         createQueueFilter(options),
         createBodyFilter(options.maxBodyBytes),
         createExecuteFilter(options),
--- a/src/instance/config_watch.ts
+++ b/src/instance/config_watch.ts
@@ -15,6 +15,9 @@
 /** A stream without a message for this long is dropped, in milliseconds. */
 const STREAM_SILENCE_MS = 3_000;
 
+/** A confirmation counts as current up to this age, in milliseconds. */
+const CURRENT_AGE_MS = 5_000;
+
 /** Time before another source is asked, in milliseconds. */
 const REOPEN_DELAY_MS = 200;
 
@@ -27,6 +30,8 @@
   logger: Logger;
   /** Instances to ask, best first; asked for at each attempt. */
   listSources: () => string[];
+  /** Called when a source has confirmed that the view is as current as its own. */
+  handleConfirmed: () => void;
 }
 
 /** A running watch. */
@@ -67,6 +72,7 @@
     }
     if (view.getVersion() >= update.version) {
       view.confirmVersion(update.version, update.ageMs);
+      if (update.ageMs <= CURRENT_AGE_MS) options.handleConfirmed();
     }
   }
 
--- a/src/instance/fleet_service.ts
+++ b/src/instance/fleet_service.ts
@@ -76,6 +76,8 @@
 export interface FleetService {
   readonly view: FleetView;
   readonly handlers: ServiceHandlers;
+  /** Whether the configuration was confirmed as current since this process started. */
+  hasBeenConfirmed(): boolean;
   /** Instance that leads the fleet log, or an empty string. */
   findLeader(): string;
   /** Hands in a change and waits a moment for it to spread. */
@@ -119,10 +121,12 @@
     handleChange: saveView,
   });
   let member: LogMemberHandle | undefined;
+  let state: FleetStateMachine | undefined;
   let source: ConfigSource | undefined;
   let watch: ConfigWatch | undefined;
   let withdrawals: LocalKeyWithdrawals | undefined;
   let saving = Promise.resolve();
+  let isConfirmed = false;
 
   async function loadSaved(): Promise<{ saved?: Uint8Array }> {
     const saved = await loadView(settings);
@@ -170,17 +174,18 @@
       handleLeadership: (lease) => {
         if (lease === undefined) return;
         logger.info("Leading the fleet log", { term: lease.term });
-        proposeDataCentres(state).catch((error) =>
-          logger.warn("Cannot record the data centres", { error })
+        startLeading(state).catch((error) =>
+          logger.warn("Cannot begin to lead the fleet log", { error })
         );
       },
       handleFailure: options.handleFailure,
     });
   }
 
-  /** Records the data centres of the settings in a new fleet. */
-  async function proposeDataCentres(state: FleetStateMachine): Promise<void> {
+  /** Confirms the own state, and records the data centres of the settings in a new fleet. */
+  async function startLeading(state: FleetStateMachine): Promise<void> {
     await member?.getLog()?.confirmLeadership();
+    isConfirmed = true;
     if (state.getState().version > 0) return;
     const names = [
       ...new Set(settings.instances.map(({ dataCentre }) => dataCentre)),
@@ -306,7 +311,7 @@
   };
 
   if (settings.roles.voter) {
-    const state = createFleetState({
+    state = createFleetState({
       handleDelta: (delta) => {
         history.addDelta(delta);
         feedView(history);
@@ -329,6 +334,7 @@
   return {
     view,
     handlers,
+    hasBeenConfirmed: () => isConfirmed,
     findLeader,
     submitChange,
     receive: (envelope) => member?.receive(envelope),
@@ -340,9 +346,10 @@
       leader: findLeader(),
       watchers: source?.countWatchers() ?? 0,
       localWithdrawals: view.getLocalWithdrawals().length,
-      ...(member?.getLog() === undefined
-        ? {}
-        : { log: member.getLog()?.getStatus() }),
+      ...(member?.getLog() === undefined ? {} : {
+        log: member.getLog()?.getStatus(),
+        logVersion: state?.getState().version,
+      }),
     }),
     start() {
       withdrawals = createKeyWithdrawals({
@@ -362,6 +369,7 @@
         clock,
         logger,
         listSources,
+        handleConfirmed: () => isConfirmed = true,
       });
     },
     async stop() {
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -71,8 +71,12 @@
 /** Time between looks at the open requests during a stop, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
-/** A configuration older than this makes a starting instance wait, in milliseconds. */
-const READY_AGE_MS = 10_000;
+/**
+ * Time for which a starting instance waits for a confirmed configuration, in
+ * milliseconds. A cut-off data centre cannot get one, so after this time it
+ * serves with what it has; the limit on the age of keys still applies.
+ */
+const CONFIRM_WAIT_MS = 10_000;
 
 /** Options of an instance. */
 export interface InstanceOptions {
@@ -125,6 +129,7 @@
   const { instance, dataCentre } = settings;
   const clock = options.clock ?? createSystemClock();
   const incarnation = clock.wallTime();
+  const startedAtMs = clock.now();
   const random = options.random ??
     createSeededRandom((incarnation ^ instance.length) | 0);
   const logger = options.logger.with({ instance, dataCentre });
@@ -397,10 +402,16 @@
     };
   }
 
+  function hasConfiguration(): boolean {
+    if (fleet.hasBeenConfirmed()) return true;
+    const waitedMs = clock.now() - startedAtMs;
+    return waitedMs > CONFIRM_WAIT_MS && fleet.view.getVersion() > 0;
+  }
+
   function listUnreadyReasons(): string[] {
     const reasons: string[] = [];
     if (isStopping) reasons.push("the instance is stopping");
-    if (fleet.view.getAgeMs() > READY_AGE_MS && !hasBeenReady) {
+    if (!hasBeenReady && !hasConfiguration()) {
       reasons.push("the configuration has not been confirmed");
     }
     if (calls.findLeader(dataCentre) === undefined) {
@@ -418,12 +429,20 @@
     return { ready, reasons };
   }
 
-  const isStoppingNow = () => isRefusing;
+  /** A former configuration must not be served, so work waits for readiness. */
+  function getRefusal(): string | undefined {
+    if (isRefusing) return "the instance is stopping";
+    if (!hasBeenReady && !getReadiness().ready) {
+      return "the instance is starting";
+    }
+    return undefined;
+  }
+
   const shared = {
     dataCentre,
     view: fleet.view,
     maxBodyBytes: settings.requests.maxBodyBytes,
-    isStopping: isStoppingNow,
+    getRefusal,
   };
   const http: HttpServer = await startHttpServer({
     ...settings.listen.http,
