Stop reservations from preempting what they let in; order waiting by work

Nothing is let in any more once the way is being cleared. Estimates of usage allocated several objects a task. Ruled out: a longer patience for gangs above their share; the distance from share grew.

--- a/bench/scheduling/driver.ts
+++ b/bench/scheduling/driver.ts
@@ -11,6 +11,7 @@
   computeJainIndex,
   createScheduler,
   type JobSpec,
+  type SchedulerAction,
   type SchedulerOptions,
 } from "../../src/scheduling/mod.ts";
 import { computeQuantile } from "./placement_bench.ts";
@@ -70,7 +71,9 @@
   readonly meanDistance: number;
   /** Mean over time of Jain's index of holdings in proportion to the fair share. */
   readonly jain: number;
+  readonly waitMeanMs: number;
   readonly waitP50Ms: number;
+  readonly waitP90Ms: number;
   readonly waitP99Ms: number;
   /** Mean part of the processors in use while work was waiting. */
   readonly packing: number;
@@ -93,6 +96,7 @@
 export function createDrivenLibrary(
   scenario: Scenario,
   options: Omit<SchedulerOptions, "random">,
+  onAction: (action: SchedulerAction) => void = () => {},
 ): DrivenScheduler {
   const scheduler = createScheduler({
     random: createSeededRandom(7),
@@ -134,6 +138,7 @@
       const starts: DrivenStart[] = [];
       const stops: DrivenStop[] = [];
       for (const action of scheduler.step(nowMs)) {
+        onAction(action);
         if (action.type === "assign") scheduler.confirmAssignment(action);
         else if (action.type === "start") {
           const { spec, index, attempt } = action;
@@ -383,7 +388,9 @@
     distance,
     meanDistance: mean(Object.values(distance)),
     jain: mean(jain),
+    waitMeanMs: mean(waits),
     waitP50Ms: computeQuantile(waits, 0.5),
+    waitP90Ms: computeQuantile(waits, 0.9),
     waitP99Ms: computeQuantile(waits, 0.99),
     packing: mean(packing),
     decisionUs: 1_000 * decisionMs / Math.max(1, started),
--- a/src/scheduling/jobs.ts
+++ b/src/scheduling/jobs.ts
@@ -93,8 +93,8 @@
     nextTryMs: 0,
     confirmed: 0,
     plans: 0,
-    tasksInRack: new Map(),
-    health: { isSound: false, failedWorkers: new Set() },
+    tasksInRack: spec.policy === "service" ? new Map() : undefined,
+    health: { isSound: false, failedWorkers: undefined },
   };
   for (let index = 0; index < spec.tasks; index++) {
     job.tasks.push(buildTask(job, index));
--- a/src/scheduling/lifecycle.ts
+++ b/src/scheduling/lifecycle.ts
@@ -41,6 +41,7 @@
   rack: string,
   change: number,
 ): void {
+  if (job.tasksInRack === undefined) return;
   const count = (job.tasksInRack.get(rack) ?? 0) + change;
   if (count > 0) job.tasksInRack.set(rack, count);
   else job.tasksInRack.delete(rack);
--- a/src/scheduling/ordering.ts
+++ b/src/scheduling/ordering.ts
@@ -1,10 +1,11 @@
 /**
  * The order in which waiting groups are served. Urgent work comes first. With
  * weights "share" the team with the lowest weighted share goes next; with
- * "waiting" the job that has waited longest in proportion to its run time, as
- * that keeps both the median and the tail of waiting times low.
+ * "waiting" the job with the least work in proportion to its waiting time, as
+ * short work first keeps the mean low and aging keeps long work from starving.
  */
 
+import { PROCESSOR_UNITS_PER_CORE } from "../common/mod.ts";
 import { createHeap } from "./heap.ts";
 import { DEFAULT_EXPECTED_MS } from "./job_queues.ts";
 import type { JobQueue, JobRecord } from "./records.ts";
@@ -27,11 +28,15 @@
   add(): void;
 }
 
-/** Waiting time and run time together, as a multiple of the run time. */
-export function computeResponseRatio(job: JobRecord, nowMs: number): number {
+// After a minute of waiting a job counts as if it were half as long.
+const AGING_MS = 60_000;
+
+/** Returns how soon a job should go to keep waiting short: its waiting time against the core milliseconds of a task. */
+export function computeHaste(job: JobRecord, nowMs: number): number {
   const expectedMs = Math.max(1, job.spec.expectedMs ?? DEFAULT_EXPECTED_MS);
   const waitedMs = Math.max(0, nowMs - job.spec.submittedAt);
-  return (waitedMs + expectedMs) / expectedMs;
+  const cores = Math.max(1, job.size.processors) / PROCESSOR_UNITS_PER_CORE;
+  return (waitedMs + AGING_MS) / (expectedMs * cores);
 }
 
 function compareCandidates(a: Candidate, b: Candidate): number {
@@ -48,10 +53,10 @@
 
   function updateCandidate(candidate: Candidate, job: JobRecord): void {
     const share = computeWeightedShare(state, candidate.queue.team);
-    const ratio = computeResponseRatio(job, state.nowMs);
+    const haste = computeHaste(job, state.nowMs);
     candidate.isUrgent = job.spec.urgent;
-    candidate.score = isShareFirst ? share : -ratio;
-    candidate.tieScore = isShareFirst ? -ratio : share;
+    candidate.score = isShareFirst ? share : -haste;
+    candidate.tieScore = isShareFirst ? -haste : share;
     candidate.submittedAt = job.spec.submittedAt;
   }
 
--- a/src/scheduling/placing.ts
+++ b/src/scheduling/placing.ts
@@ -45,7 +45,7 @@
   const place = state.placer.place({
     resources: job.size,
     strategy: job.spec.policy === "service" ? "spread" : "pack",
-    countInRack: (rack) => job.tasksInRack.get(rack) ?? 0,
+    countInRack: (rack) => job.tasksInRack?.get(rack) ?? 0,
     ...(withAvoid && task.avoid !== undefined ? { avoid: task.avoid } : {}),
   });
   if (place === undefined) return false;
--- a/src/scheduling/policies_test.ts
+++ b/src/scheduling/policies_test.ts
@@ -47,6 +47,20 @@
   t.end();
 });
 
+// Guards against a service most of which is lost with the rack that has the most free workers.
+t.test("a small rack takes as much of a service as a large one", (t) => {
+  const cell = createCell();
+  for (let number = 0; number < 6; number++) {
+    cell.addWorker(`large${number}`, buildResources(8), "r0");
+  }
+  cell.addWorker("small", buildResources(8), "r1");
+  cell.setTeam("a", AMPLE);
+  cell.addJob({ id: "s", policy: "service", tasks: 6 });
+  cell.advance(500);
+  t.equal(countByWorker(cell, "s").get("small"), 3);
+  t.end();
+});
+
 // Guards against a service that stays down after its worker is lost, and one that runs twice meanwhile.
 t.test("a service moves when its worker is lost", (t) => {
   const cell = createRackedCell(2, 1);
@@ -104,6 +118,51 @@
   t.end();
 });
 
+// Guards against a gang that keeps hold of a part when the free room is in pieces that are too small.
+t.test("a gang that does not fit holds nothing", (t) => {
+  const cell = createCell();
+  cell.addWorker("w0", buildResources(8));
+  cell.addWorker("w1", buildResources(4));
+  cell.addWorker("w2", buildResources(4));
+  cell.addWorker("w3", buildResources(8)).isDraining = true;
+  cell.setTeam("a", AMPLE);
+  cell.advance(1_500);
+  cell.addJob({
+    id: "g",
+    policy: "gang",
+    tasks: 2,
+    resources: buildResources(5),
+  });
+  cell.advance(3_000);
+  t.equal(cell.getScheduler().getStatus().committed.processors, 0);
+  t.notOk(cell.actions.some((action) => action.type === "assign"));
+  t.end();
+});
+
+// Guards against a gang whose last task is forgotten because its peers finished while it was lost.
+t.test("a lost gang task runs again after its peers have finished", (t) => {
+  const cell = createCell({ obeysCheckpoint: false });
+  for (const id of ["w0", "w1", "w2"]) cell.addWorker(id, buildResources(4));
+  cell.setTeam("a", AMPLE);
+  cell.addJob({
+    id: "g",
+    policy: "gang",
+    tasks: 3,
+    resources: buildResources(4),
+  });
+  cell.advance(1_000);
+  cell.workers.get("w0")!.isReachable = false;
+  cell.getScheduler().removeWorker("w0");
+  cell.advance(10_500);
+  const left = cell.listRunning().filter(({ worker }) => worker.id !== "w0");
+  for (const { task } of left) cell.end(task, "finished");
+  cell.advance(2_000);
+  t.strictSame(cell.getScheduler().getJob("g")?.counts.finished, 2);
+  t.equal(countRunning(cell, "g"), 1);
+  t.strictSame(cell.errors, []);
+  t.end();
+});
+
 // Guards against a gang that goes on without a task that failed.
 t.test("a gang starts again as a whole after one task fails", (t) => {
   const cell = createRackedCell(1, 3);
--- a/src/scheduling/records.ts
+++ b/src/scheduling/records.ts
@@ -85,7 +85,8 @@
   confirmed: number;
   /** Open preemption plans for the job. */
   plans: number;
-  readonly tasksInRack: Map<string, number>;
+  /** Tasks by rack, kept for services only. */
+  readonly tasksInRack: Map<string, number> | undefined;
   readonly health: JobHealth;
 }
 
--- a/src/scheduling/reports.ts
+++ b/src/scheduling/reports.ts
@@ -1,6 +1,6 @@
 /** What worker reports change: leases, ends of attempts, usage and limits in force. */
 
-import { addResources, NO_RESOURCES, type Resources } from "../common/mod.ts";
+import { NO_RESOURCES, type Resources } from "../common/mod.ts";
 import { endAttempt, sendEnd, sendThrottle } from "./lifecycle.ts";
 import type { TaskRecord, WorkerRecord } from "./records.ts";
 import {
@@ -16,7 +16,7 @@
   WorkerReportReply,
   WorkerTaskReport,
 } from "./types.ts";
-import { estimateUsage, updateUsage } from "./usage.ts";
+import { estimateMemory, estimateProcessors, updateUsage } from "./usage.ts";
 import { QUICK_FAILURE_MS } from "./worker_health.ts";
 import {
   recordTaskFailure,
@@ -230,17 +230,17 @@
   readonly surcharge: Resources;
 }
 
-function estimateTask(state: SchedulerState, task: TaskRecord): Resources {
-  if (task.usage === undefined) return task.held;
-  return estimateUsage(task.usage, task.held, state.options.usageMargin);
-}
-
-function computeExcess(estimate: Resources, held: Resources): Resources {
-  return {
-    processors: Math.max(0, estimate.processors - held.processors),
-    memoryMb: Math.max(0, estimate.memoryMb - held.memoryMb),
-    accelerators: 0,
-  };
+function estimateTask(
+  state: SchedulerState,
+  task: TaskRecord,
+  resource: "processors" | "memoryMb",
+): number {
+  const { usage, held } = task;
+  if (usage === undefined) return held[resource];
+  const estimate = resource === "processors"
+    ? estimateProcessors
+    : estimateMemory;
+  return estimate(usage, held, state.options.usageMargin);
 }
 
 /** Estimates what the tasks of a worker will use when a command sent now takes effect. */
@@ -248,14 +248,30 @@
   state: SchedulerState,
   worker: WorkerRecord,
 ): WorkerEstimate {
-  let usage = NO_RESOURCES;
-  let surcharge = NO_RESOURCES;
+  // Sums of plain numbers: at 25,000 workers this runs for 350,000 tasks a second.
+  let processors = 0;
+  let memoryMb = 0;
+  let accelerators = 0;
+  let processorsAbove = 0;
+  let memoryAbove = 0;
   for (const task of worker.tasks) {
-    const estimate = estimateTask(state, task);
-    usage = addResources(usage, estimate);
-    surcharge = addResources(surcharge, computeExcess(estimate, task.held));
+    const { held } = task;
+    const taskProcessors = estimateTask(state, task, "processors");
+    const taskMemory = estimateTask(state, task, "memoryMb");
+    processors += taskProcessors;
+    memoryMb += taskMemory;
+    accelerators += held.accelerators;
+    processorsAbove += Math.max(0, taskProcessors - held.processors);
+    memoryAbove += Math.max(0, taskMemory - held.memoryMb);
   }
-  return { usage, surcharge };
+  const surcharge = processorsAbove === 0 && memoryAbove === 0
+    ? NO_RESOURCES
+    : {
+      processors: processorsAbove,
+      memoryMb: memoryAbove,
+      accelerators: 0,
+    };
+  return { usage: { processors, memoryMb, accelerators }, surcharge };
 }
 
 function findLargestExcess(
@@ -270,8 +286,7 @@
     if (resource === "processors" && task.processorLimit !== undefined) {
       continue;
     }
-    const excess =
-      computeExcess(estimateTask(state, task), task.held)[resource];
+    const excess = estimateTask(state, task, resource) - task.held[resource];
     if (excess <= largest) continue;
     found = task;
     largest = excess;
@@ -282,7 +297,7 @@
 /** Gives the next attempts of the job what this one was seen to need, as far as a worker can hold it. */
 function updateSize(state: SchedulerState, task: TaskRecord): void {
   const { job } = task;
-  const needed = estimateTask(state, task).memoryMb;
+  const needed = estimateTask(state, task, "memoryMb");
   const largest = state.classes.list().filter(({ capacity }) =>
     capacity.processors >= job.size.processors &&
     capacity.accelerators >= job.size.accelerators
--- a/src/scheduling/reservations.ts
+++ b/src/scheduling/reservations.ts
@@ -26,6 +26,8 @@
   readonly sinceMs: number;
   /** When the work in the way is expected to have ended. */
   readonly readyMs: number;
+  /** The work in the way is being ended; nothing new is let in. */
+  isClearing: boolean;
 }
 
 /** Places gangs and holds workers for the first job in need of them. */
@@ -178,7 +180,13 @@
       worker.isReserved = true;
       updateAccepting(state, worker);
     }
-    reservation = { job, workers, readyMs, sinceMs: state.nowMs };
+    reservation = {
+      job,
+      workers,
+      readyMs,
+      sinceMs: state.nowMs,
+      isClearing: false,
+    };
     return true;
   }
 
@@ -214,7 +222,9 @@
     const patienceMs = job.spec.urgent
       ? 0
       : state.options.reservationPatienceMs;
-    if (blockedMs >= patienceMs) clearWay(held);
+    if (blockedMs < patienceMs) return;
+    held.isClearing = true;
+    clearWay(held);
   }
 
   return {
@@ -235,7 +245,8 @@
       }
     },
     placeBackfill(job) {
-      if (reservation === undefined || job === reservation.job) return false;
+      if (reservation === undefined || reservation.isClearing) return false;
+      if (job === reservation.job) return false;
       const { expectedMs, policy } = job.spec;
       if (policy !== "batch" || expectedMs === undefined) return false;
       if (state.nowMs + expectedMs > reservation.readyMs) return false;
--- a/src/scheduling/usage.ts
+++ b/src/scheduling/usage.ts
@@ -30,7 +30,9 @@
   const elapsedMs = previous === undefined ? 0 : nowMs - previous.atMs;
   const hasTrend = previous !== undefined && elapsedMs > 0;
   return {
-    ...usage,
+    processors: usage.processors,
+    memoryMb: usage.memoryMb,
+    accelerators: usage.accelerators,
     atMs: nowMs,
     processorsTrend: hasTrend
       ? (usage.processors - previous.processors) / elapsedMs
@@ -42,29 +44,36 @@
 }
 
 function estimateAmount(
-  sample: { amount: number; trend: number },
+  amount: number,
+  trend: number,
   declared: number,
   margin: number,
 ): number {
-  const predicted = sample.amount + Math.max(0, sample.trend) * HORIZON_MS;
-  const factor = predicted > declared ? 1 + margin : 1;
-  return Math.ceil(predicted * factor);
+  const predicted = amount + Math.max(0, trend) * HORIZON_MS;
+  return predicted > declared ? Math.ceil(predicted * (1 + margin)) : predicted;
 }
 
-/** Estimates what a task will use when a command sent now takes effect. */
-export function estimateUsage(
+/** Estimates the processors that a task will use when a command sent now takes effect. */
+export function estimateProcessors(
   sample: UsageSample,
   declared: Resources,
   margin: number,
-): Resources {
-  const processors = {
-    amount: sample.processors,
-    trend: sample.processorsTrend,
-  };
-  const memory = { amount: sample.memoryMb, trend: sample.memoryTrend };
-  return {
-    processors: estimateAmount(processors, declared.processors, margin),
-    memoryMb: estimateAmount(memory, declared.memoryMb, margin),
-    accelerators: sample.accelerators,
-  };
+): number {
+  const { processors, processorsTrend } = sample;
+  return estimateAmount(
+    processors,
+    processorsTrend,
+    declared.processors,
+    margin,
+  );
+}
+
+/** Estimates the memory that a task will use when a command sent now takes effect, in mebibytes. */
+export function estimateMemory(
+  sample: UsageSample,
+  declared: Resources,
+  margin: number,
+): number {
+  const { memoryMb, memoryTrend } = sample;
+  return estimateAmount(memoryMb, memoryTrend, declared.memoryMb, margin);
 }
--- a/src/scheduling/worker_health.ts
+++ b/src/scheduling/worker_health.ts
@@ -30,7 +30,7 @@
   /** A task of the job has finished, or has run long enough. */
   isSound: boolean;
   /** Workers where the job failed quickly while it was not known to be sound. */
-  readonly failedWorkers: Set<string>;
+  failedWorkers: Set<string> | undefined;
 }
 
 /** Creates the health of a new worker. */
--- a/src/scheduling/workers.ts
+++ b/src/scheduling/workers.ts
@@ -157,12 +157,12 @@
 /** Counts the earlier failures of a job that has now been seen to be sound. */
 function setSound(state: SchedulerState, job: JobRecord): void {
   job.health.isSound = true;
-  for (const id of job.health.failedWorkers) {
+  for (const id of job.health.failedWorkers ?? []) {
     const worker = state.workers.get(id);
     if (worker === undefined || worker.isGone) continue;
     recordSoundFailure(state, worker, job.spec.id);
   }
-  job.health.failedWorkers.clear();
+  job.health.failedWorkers = undefined;
 }
 
 /** Notes that a task has run long enough, or to its end, on its worker. */
@@ -172,7 +172,7 @@
   worker: WorkerRecord,
 ): void {
   const { health, probe } = worker;
-  task.job.health.failedWorkers.delete(worker.id);
+  task.job.health.failedWorkers?.delete(worker.id);
   if (!task.job.health.isSound) setSound(state, task.job);
   const isProbe = health.mode === "probeRunning" && probe === task;
   if (!isProbe && health.mode !== "inService") return;
@@ -195,6 +195,7 @@
   } else if (job.health.isSound) {
     recordSoundFailure(state, worker, job.spec.id);
   } else {
+    job.health.failedWorkers ??= new Set();
     job.health.failedWorkers.add(worker.id);
   }
 }
