Test the reserved slot time and the avoidance of failed endpoints

Both rules had no test of their own: a request that can no longer be answered in time is refused in the queue, and a retry waits for another endpoint only while one serves its queue.

--- a/src/requests/fair_queue_test.ts
+++ b/src/requests/fair_queue_test.ts
@@ -295,6 +295,19 @@
   t.end();
 });
 
+// Guards against slots given to work that can no longer be answered in time:
+// at twice the capacity that cost a fifth of the useful work.
+t.test("a queued request is refused once too little time remains", (t) => {
+  const { clock, queue, refused, add } = createSetup({ slots: 1 });
+  add("a", 1_000);
+  clock.advance(899);
+  t.equal(queue.getSize(), 1);
+  clock.advance(1);
+  t.equal(queue.getSize(), 0);
+  t.match(refused, [{ fault: { kind: "overloaded", ran: "no" } }]);
+  t.end();
+});
+
 // Guards against one team's flood filling the queue and shutting out others.
 t.test("a full queue pushes out the team with the longest queue", (t) => {
   const { queue, refused, add } = createSetup({
--- a/src/requests/slots_test.ts
+++ b/src/requests/slots_test.ts
@@ -284,6 +284,26 @@
   );
 });
 
+// Guards against a retry that goes back to the endpoint that failed it, and
+// against one that waits for another endpoint when there is none.
+t.test("a retry avoids endpoints only while there are others", async (t) => {
+  const clock = createManualClock();
+  const controller = createController(clock);
+  clock.advance(READY_MS);
+  controller.receiveAnnouncement(buildAnnouncement());
+  const avoid = ["e1"];
+  t.equal((await acquireNow(controller, { avoid }))?.endpoint, "e1");
+  controller.receiveAnnouncement(
+    buildAnnouncement({ endpoint: "e2", slots: 1 }),
+  );
+  t.equal((await acquireNow(controller, { avoid }))?.endpoint, "e2");
+  t.notOk(
+    await acquireNow(controller, { avoid }),
+    "it waits for the other one",
+  );
+  t.equal((await acquireNow(controller))?.endpoint, "e1");
+});
+
 // Guards against more connections to an endpoint than it accepts: idle ones
 // count until they have certainly been closed.
 t.test("the connection budget holds over all entry instances", async (t) => {
