--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -237,6 +237,7 @@
       contentType: request.contentType,
       body: request.body,
       timeoutMs: getTimeout(run, attempt),
+      needsFreshConnection: !request.idempotent,
       ...(signal === undefined ? {} : { signal }),
     });
     if (result.kind !== "notSent") run.mayHaveStarted = true;
--- a/src/requests/forward.ts
+++ b/src/requests/forward.ts
@@ -3,8 +3,6 @@
  * whole answer; everything else is a failure that says whether a byte may have
  * been sent.
  *
- * A connection carries one exchange at a time and is destroyed when its
- * exchange fails, so a late or partial answer never meets another request.
  * "notSent" is decided by the point at which the client library is about to
  * write the request: before it, no byte has left; after it, the outcome is
  * unknown. Error codes alone were ruled out, since a reset may come before or
@@ -12,8 +10,12 @@
  */
 
 import { Buffer } from "node:buffer";
-import { Agent, type Dispatcher, errors } from "undici";
+import { type Client, type Dispatcher, errors } from "undici";
 import type { Clock, Timer } from "../common/mod.ts";
+import {
+  type ConnectionPool,
+  createConnectionPool,
+} from "./connection_pool.ts";
 import { CONNECTION_IDLE_MS } from "./constants.ts";
 import type {
   Forwarder,
@@ -39,9 +41,6 @@
 const DEFAULT_MAX_ANSWER_BYTES = 16_777_216;
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 
-/** Bytes of an answer's headers; the rest of the answer is bounded apart. */
-const MAX_HEADER_BYTES = 16_384;
-
 const REQUEST_ID_HEADER = "goldcrestlug-request-id";
 const QUEUE_HEADER = "goldcrestlug-queue";
 const DEFAULT_CONTENT_TYPE = "application/octet-stream";
@@ -69,7 +68,7 @@
 }
 
 interface ExchangeOptions {
-  readonly agent: Dispatcher;
+  readonly pool: ConnectionPool;
   readonly request: ForwardRequest;
   readonly clock: Clock;
   readonly maxAnswerBytes: number;
@@ -77,11 +76,12 @@
 
 /** Runs one exchange; the promise never rejects. */
 function runExchange(options: ExchangeOptions): Promise<ForwardResult> {
-  const { agent, request, clock, maxAnswerBytes } = options;
+  const { pool, request, clock, maxAnswerBytes } = options;
   const startedAtMs = clock.now();
 
   return new Promise((resolve) => {
-    let controller: Dispatcher.DispatchController | undefined;
+    let client: Client | undefined;
+    let stopWaiting: () => void = () => {};
     const timer: Timer = clock.setTimer(
       request.timeoutMs,
       () => handleFailure("deadline"),
@@ -100,6 +100,11 @@
       isDone = true;
       timer.cancel();
       request.signal?.removeEventListener("abort", handleAbort);
+      stopWaiting();
+      // Nothing that still arrives on a failed connection may be used.
+      if (client !== undefined) {
+        pool.release(client, result.kind === "answered");
+      }
       resolve(result);
     }
 
@@ -113,8 +118,6 @@
         durationMs: getDuration(),
         ...(cause === undefined ? {} : { cause }),
       });
-      // Destroys the connection, so that nothing that still arrives on it is used.
-      controller?.abort(cause ?? new Error(`Exchange ended: ${failure}`));
     }
 
     function handleAbort(): void {
@@ -123,7 +126,6 @@
 
     const handler: Dispatcher.DispatchHandler = {
       onRequestStart(current) {
-        controller = current;
         if (isDone) {
           // Given up while waiting for a connection: nothing may be written now.
           current.abort(new Error("Exchange ended before it started"));
@@ -173,11 +175,17 @@
       return;
     }
     request.signal?.addEventListener("abort", handleAbort);
-    try {
-      agent.dispatch(buildDispatch(request), handler);
-    } catch (error) {
-      handleFailure("connectionLost", error as Error);
-    }
+    stopWaiting = pool.acquire({
+      isFresh: request.needsFreshConnection === true,
+      onConnection(connection) {
+        client = connection;
+        try {
+          client.dispatch(buildDispatch(request), handler);
+        } catch (error) {
+          handleFailure("connectionLost", error as Error);
+        }
+      },
+    });
   });
 }
 
@@ -193,40 +201,32 @@
       [QUEUE_HEADER]: request.queue,
     },
     body: request.body,
-    // The exchange has its own deadline; these would only add a second one.
-    headersTimeout: 0,
-    bodyTimeout: 0,
   };
 }
 
 /** Creates a forwarder without connections. */
 export function createForwarder(options: ForwarderOptions): Forwarder {
   const { clock } = options;
-  const connections = options.connectionsPerEndpoint ??
+  const maxConnections = options.connectionsPerEndpoint ??
     DEFAULT_CONNECTIONS_PER_ENDPOINT;
+  const connectTimeoutMs = options.connectTimeoutMs ??
+    DEFAULT_CONNECT_TIMEOUT_MS;
   const connectionIdleMs = options.connectionIdleMs ?? CONNECTION_IDLE_MS;
   const maxAnswerBytes = options.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES;
-  const agents = new Map<string, Agent>();
+  const pools = new Map<string, ConnectionPool>();
   let isClosed = false;
 
-  function getAgent(address: string): Agent {
-    let agent = agents.get(address);
-    if (agent === undefined) {
-      agent = new Agent({
-        connections,
-        // One exchange at a time on a connection.
-        pipelining: 1,
-        keepAliveTimeout: connectionIdleMs,
-        // An endpoint's keep-alive hint may shorten the idle time, never extend it.
-        keepAliveMaxTimeout: connectionIdleMs,
-        maxHeaderSize: MAX_HEADER_BYTES,
-        connect: {
-          timeout: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
-        },
+  function getPool(address: string): ConnectionPool {
+    let pool = pools.get(address);
+    if (pool === undefined) {
+      pool = createConnectionPool(new URL(address).origin, {
+        maxConnections,
+        idleMs: connectionIdleMs,
+        connectTimeoutMs,
       });
-      agents.set(address, agent);
+      pools.set(address, pool);
     }
-    return agent;
+    return pool;
   }
 
   return {
@@ -238,23 +238,23 @@
           durationMs: 0,
         });
       }
-      const agent = getAgent(request.address);
-      return runExchange({ agent, request, clock, maxAnswerBytes });
+      const pool = getPool(request.address);
+      return runExchange({ pool, request, clock, maxAnswerBytes });
     },
     setEndpoints(addresses) {
       const wanted = new Set(addresses);
-      for (const [address, agent] of agents) {
+      for (const [address, pool] of pools) {
         if (wanted.has(address)) continue;
-        agents.delete(address);
+        pools.delete(address);
         // Running exchanges end first; an endpoint may be departing.
-        void agent.close();
+        void pool.close();
       }
     },
     async close() {
       isClosed = true;
-      const open = [...agents.values()];
-      agents.clear();
-      await Promise.all(open.map((agent) => agent.close()));
+      const open = [...pools.values()];
+      pools.clear();
+      await Promise.all(open.map((pool) => pool.close()));
     },
   };
 }
--- a/src/requests/forward_test.ts
+++ b/src/requests/forward_test.ts
@@ -260,6 +260,32 @@
   t.equal(describeResult(await send()), "notSent aborted");
 });
 
+// Guards against a non-idempotent request on a connection that has gone silent
+// while idle, and against a new connection beyond the budget.
+t.test("a request that needs a fresh connection gets one", async (t) => {
+  const { endpoint, send } = await createSetup(undefined, {
+    connectionsPerEndpoint: 2,
+  });
+  await Promise.all([send(), send()]);
+  endpoint.setBehaviour((socket, request) => {
+    // Connections 0 and 1 have gone silent; new ones work.
+    if (request.connection > 1) handleEcho(socket, request);
+  });
+  t.equal(
+    describeResult(await send({ needsFreshConnection: true })),
+    "answered 200 echo body 2",
+  );
+  t.equal(
+    describeResult(await send({ needsFreshConnection: true })),
+    "answered 200 echo body 3",
+  );
+  t.strictSame(endpoint.seen.map(({ connection }) => connection).slice(2), [
+    2,
+    3,
+  ]);
+  t.ok(endpoint.getPeak() <= 3, "a closed one may overlap with its successor");
+});
+
 // Guards against headers or a body that the endpoint does not get as they were given.
 t.test("the request carries its headers and body", async (t) => {
   const { endpoint, send } = await createSetup();
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -127,6 +127,11 @@
   readonly body: Uint8Array;
   /** Milliseconds until the exchange is given up. */
   readonly timeoutMs: number;
+  /**
+   * True for a request that must not end with an unknown outcome because its
+   * connection had gone silent before: it gets a new connection.
+   */
+  readonly needsFreshConnection?: boolean;
   readonly signal?: AbortSignal;
 }
 
