--- a/src/fleet/fleet_state_test.ts
+++ b/src/fleet/fleet_state_test.ts
@@ -3,6 +3,7 @@
 import { createFleetState } from "./fleet_state.ts";
 import { createKeySecret } from "./key_secret.ts";
 import { encodeCommand } from "./schema.ts";
+import { buildWithdrawalChange } from "./withdrawal.ts";
 import type {
   ChangeAnswer,
   FleetOperation,
@@ -128,6 +129,22 @@
   t.end();
 });
 
+// Guards against a merged withdrawal that is refused because others changed
+// the configuration meanwhile, or that counts again for each instance.
+t.test("a withdrawal from a cut-off data centre is merged once", (t) => {
+  const machine = createFleetState();
+  apply(machine, "c1", [createTeam("a"), grantKey("k1", "a")], 0);
+  apply(machine, "c2", [createTeam("b")], 1);
+  const { changeId, operations } = buildWithdrawalChange({ keyId: "k1" });
+  for (let i = 0; i < 3; i++) {
+    t.equal(getKind(apply(machine, changeId, operations)), "version 3");
+  }
+  t.equal(getKind(apply(machine, "w1", [withdrawKey("k1")])), "version 4");
+  t.equal(machine.getState().keys.size, 0);
+  t.equal(machine.getWithdrawnKeys().length, 1);
+  t.end();
+});
+
 // Guards against memory that grows without bound, and against an old resend
 // that reverts a later change once its answer is forgotten.
 t.test("a resend past the bound is never applied again", (t) => {
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -38,3 +38,4 @@
   type TeamRow,
 } from "./sheet.ts";
 export { planSheet, type SheetPlan } from "./sheet_plan.ts";
+export { buildWithdrawalChange } from "./withdrawal.ts";
