Compare the HTTP and report pages with the program

Cause: docs/http.md and docs/burn_report.md name routes, objectives and metrics that may change without them.

Ruled out: comparing bodies and headers, whose schemas are not exported. Conclusion: a route, objective target or metric that is on one side only fails the test.

--- a/test/docs_test.ts
+++ b/test/docs_test.ts
@@ -1,6 +1,11 @@
 import { access, readdir, readFile } from "node:fs/promises";
 import t from "tap";
 import { FAULT_ANSWERS } from "../src/common/mod.ts";
+import { createAnnounceRoutes } from "../src/http/announce_routes.ts";
+import { createJobRoutes } from "../src/http/job_routes.ts";
+import { createOperatorRoutes } from "../src/http/operator_routes.ts";
+import { createRequestRoutes } from "../src/http/request_routes.ts";
+import { DEFAULT_OBJECTIVES, METRIC_DEFINITIONS } from "../src/report/mod.ts";
 
 const ROOT = new URL("../../", import.meta.url);
 
@@ -28,6 +33,50 @@
   t.ok(rows.every((cells) => cells.length === 6 && cells[5] !== ""));
 });
 
+// Guards against a path that is served but not described, or described but not served.
+t.test("the HTTP page names every route", async (t) => {
+  // The options are read when a request arrives, which none does here.
+  const options = {} as never;
+  const routes = [
+    ...createRequestRoutes(options),
+    ...createJobRoutes(options),
+    ...createAnnounceRoutes(options),
+    ...createOperatorRoutes(options),
+  ];
+  const served = routes.map(({ method, path }) => `${method} ${path}`);
+  const rows = await readTable("docs/http.md");
+  const described = rows.map(([first = ""]) => first)
+    .filter((cell) => /^(GET|POST|PUT|DELETE) /.test(cell));
+  t.strictSame(described.sort(), served.sort());
+});
+
+// Guards against operators who read figures by the wrong objective or metric.
+t.test("the report page names objectives and metrics", async (t) => {
+  const rows = await readTable("docs/burn_report.md");
+  const objectives = rows.filter(([name = ""]) =>
+    Object.hasOwn(DEFAULT_OBJECTIVES, name)
+  );
+  const expectedObjectives = Object.entries(DEFAULT_OBJECTIVES);
+  t.strictSame(
+    objectives.map(([name, , , target]) => [name, target]),
+    expectedObjectives.map((
+      [name, { target }],
+    ) => [name, `${Number((target * 100).toFixed(3))} %`]),
+  );
+  const metrics = rows.filter(([, kind = ""]) =>
+    ["counter", "gauge", "duration"].includes(kind)
+  );
+  t.strictSame(
+    metrics,
+    Object.entries(METRIC_DEFINITIONS).map(([name, definition]) => [
+      name,
+      definition.kind,
+      definition.labels.join(", "),
+      definition.help,
+    ]),
+  );
+});
+
 function listLinks(text: string): string[] {
   const links = [...text.matchAll(/\]\(([^)#\s]+)/g)];
   return links.map(([, link = ""]) => link)
