--- a/src/common/logger.ts
+++ b/src/common/logger.ts
@@ -37,18 +37,18 @@
   write?: (line: string) => void;
 }
 
-function describeError(error: Error): Record<string, unknown> {
+function renderError(error: Error): Record<string, unknown> {
   const kind = (error as { kind?: unknown }).kind;
   const cause = (error as { jse_cause?: unknown }).jse_cause ?? error.cause;
   return {
     ...(kind === undefined ? {} : { kind }),
     message: error.message,
-    ...(cause instanceof Error ? { cause: describeError(cause) } : {}),
+    ...(cause instanceof Error ? { cause: renderError(cause) } : {}),
   };
 }
 
 function encodeField(_key: string, value: unknown): unknown {
-  if (value instanceof Error) return describeError(value);
+  if (value instanceof Error) return renderError(value);
   if (typeof value === "bigint") return value.toString();
   return value;
 }
--- a/src/data_centre/allotment_controller.ts
+++ b/src/data_centre/allotment_controller.ts
@@ -125,7 +125,7 @@
     options.handleChange();
   }
 
-  function repeatTransfers(): void {
+  function sendTransfers(): void {
     const open = allotments.getTransfersInProgress();
     const openIds = new Set(open.map((transfer) => transfer.id));
     for (const id of sentAtMs.keys()) {
@@ -135,11 +135,13 @@
       const lastMs = sentAtMs.get(transfer.id) ?? -Infinity;
       if (clock.now() - lastMs < TRANSFER_REPEAT_MS) continue;
       sentAtMs.set(transfer.id, clock.now());
-      void deliver(transfer);
+      void sendAndAcknowledge(transfer);
     }
   }
 
-  async function deliver(transfer: AllotmentTransfer): Promise<void> {
+  async function sendAndAcknowledge(
+    transfer: AllotmentTransfer,
+  ): Promise<void> {
     try {
       await options.sendTransfer(transfer);
       if (isStopped || !options.holdsLease()) return;
@@ -161,7 +163,7 @@
     else pendingGifts.set(team, sum);
   }
 
-  async function giveTo(
+  async function sendTo(
     to: string,
     team: string,
     amount: Limits,
@@ -176,7 +178,7 @@
         team,
         amount,
       });
-      if (result.applied) repeatTransfers();
+      if (result.applied) sendTransfers();
       return result.applied;
     } finally {
       addPendingGift(team, subtractLimits(NO_LIMITS, amount));
@@ -196,13 +198,13 @@
     }
   }
 
-  async function returnAllotments(
+  async function sendReturns(
     loads: ReadonlyMap<string, TeamLoad>,
   ): Promise<void> {
     const { dataCentres, leavingDataCentres } = options.view.getState();
     if (!leavingDataCentres.includes(options.dataCentre)) return;
     for (const item of rebalancer.planReturns(loads, dataCentres)) {
-      await giveTo(item.to, item.team, item.amount);
+      await sendTo(item.to, item.team, item.amount);
     }
   }
 
@@ -213,8 +215,8 @@
       options.handleChange();
       const loads = buildLoads();
       sendAsks(loads);
-      await returnAllotments(loads);
-      repeatTransfers();
+      await sendReturns(loads);
+      sendTransfers();
     } catch (error) {
       stop();
       options.handleFailure(error);
@@ -245,7 +247,7 @@
       const load = options.measureLoads().get(ask.team);
       const offer = rebalancer.computeOffer(ask, toTeamLoad(ask.team, load));
       if (isZeroLimits(offer)) return offer;
-      return await giveTo(ask.from, ask.team, offer) ? offer : NO_LIMITS;
+      return await sendTo(ask.from, ask.team, offer) ? offer : NO_LIMITS;
     },
     async receiveTransfer(transfer) {
       const result = await options.propose({ type: "transferIn", transfer });
--- a/src/data_centre/job_records.ts
+++ b/src/data_centre/job_records.ts
@@ -107,7 +107,7 @@
   // Insertion order is order of ending, which is the order of removal.
   const ended = new Set<string>();
 
-  function submit(spec: RecordedJobSpec): JobCommandResult {
+  function applySubmission(spec: RecordedJobSpec): JobCommandResult {
     const known = jobs.get(spec.id);
     if (known !== undefined) {
       return isSameSubmission(known.spec, spec) ? "exists" : "conflict";
@@ -116,7 +116,7 @@
     return "applied";
   }
 
-  function assign(
+  function applyAssignment(
     job: JobRecord,
     command: JobCommand & { type: "assign" },
   ): JobCommandResult {
@@ -134,7 +134,7 @@
     return "applied";
   }
 
-  function endTask(
+  function applyTaskEnd(
     job: JobRecord,
     command: JobCommand & { type: "endTask" },
   ): JobCommandResult {
@@ -150,7 +150,7 @@
     return "applied";
   }
 
-  function endJob(job: JobRecord, state: JobEnd): JobCommandResult {
+  function applyJobEnd(job: JobRecord, state: JobEnd): JobCommandResult {
     if (job.end !== undefined) return "stale";
     job.end = state;
     ended.add(job.spec.id);
@@ -163,7 +163,7 @@
   }
 
   function apply(command: JobCommand): JobCommandResult {
-    if (command.type === "submitJob") return submit(command.spec);
+    if (command.type === "submitJob") return applySubmission(command.spec);
     const job = jobs.get(command.job);
     if (job === undefined) return "unknownJob";
     switch (command.type) {
@@ -172,11 +172,11 @@
         job.cancelled = true;
         return "applied";
       case "assign":
-        return assign(job, command);
+        return applyAssignment(job, command);
       case "endTask":
-        return endTask(job, command);
+        return applyTaskEnd(job, command);
       case "endJob":
-        return endJob(job, command.state);
+        return applyJobEnd(job, command.state);
     }
   }
 
--- a/src/data_centre/state.ts
+++ b/src/data_centre/state.ts
@@ -80,7 +80,7 @@
   }
 }
 
-function joinParts(parts: readonly Uint8Array[]): Buffer {
+function encodeParts(parts: readonly Uint8Array[]): Buffer {
   const pieces: Uint8Array[] = [];
   for (const part of parts) {
     const length = Buffer.alloc(LENGTH_BYTES);
@@ -90,7 +90,7 @@
   return Buffer.concat(pieces);
 }
 
-function splitParts(data: Uint8Array): Buffer[] {
+function decodeParts(data: Uint8Array): Buffer[] {
   const buffer = Buffer.from(data.buffer, data.byteOffset, data.length);
   const parts: Buffer[] = [];
   let offset = 0;
@@ -141,13 +141,13 @@
       }
     },
     takeSnapshot: () =>
-      joinParts([
+      encodeParts([
         Buffer.from(JSON.stringify(jobs.toJson())),
         allotments.takeSnapshot(),
         requests.takeSnapshot(),
       ]),
     restoreSnapshot(data) {
-      const [jobPart, allotmentPart, requestPart] = splitParts(data);
+      const [jobPart, allotmentPart, requestPart] = decodeParts(data);
       jobs.restoreJson(JSON.parse((jobPart ?? Buffer.alloc(0)).toString()));
       allotments.restoreSnapshot(allotmentPart ?? Buffer.alloc(0));
       requests.restoreSnapshot(requestPart ?? Buffer.alloc(0));
--- a/src/data_centre/worker_controller.ts
+++ b/src/data_centre/worker_controller.ts
@@ -187,7 +187,7 @@
     }
   }
 
-  function noteNeverRunnable(actions: readonly SchedulerAction[]): void {
+  function recordNeverRunnable(actions: readonly SchedulerAction[]): void {
     for (const action of actions) {
       if (action.type === "endJob") neverRunnable.delete(action.job);
       if (action.type !== "neverRunnable") continue;
@@ -200,8 +200,10 @@
   }
 
   /** Records what the actions change, then carries them out. */
-  async function carryOut(actions: readonly SchedulerAction[]): Promise<void> {
-    noteNeverRunnable(actions);
+  async function runActions(
+    actions: readonly SchedulerAction[],
+  ): Promise<void> {
+    recordNeverRunnable(actions);
     const commands = actions.map(toCommand).filter((c) => c !== undefined);
     if (commands.length > 0) await options.propose(commands);
     if (!options.holdsLease()) return;
@@ -229,24 +231,24 @@
         isRequested = false;
         if (isStopped || !options.holdsLease()) break;
         removeSilentWorkers();
-        await carryOut(scheduler.step(clock.now()));
+        await runActions(scheduler.step(clock.now()));
       } while (isRequested);
     } catch (error) {
       stop();
       options.handleFailure(error);
     } finally {
       isRunning = false;
-      scheduleStep();
+      setStepTimer();
     }
   }
 
-  function scheduleStep(): void {
+  function setStepTimer(): void {
     timer?.cancel();
     if (isStopped) return;
-    timer = clock.setTimer(IDLE_STEP_MS, requestStep);
+    timer = clock.setTimer(IDLE_STEP_MS, startStep);
   }
 
-  function requestStep(): void {
+  function startStep(): void {
     isRequested = true;
     if (!isRunning && !isStopped) void reconcile();
   }
@@ -257,7 +259,7 @@
   }
 
   restore();
-  scheduleStep();
+  setStepTimer();
 
   return {
     receiveAnnouncement(announcement) {
@@ -266,7 +268,7 @@
         lastSeenMs: clock.now(),
       });
       const reply = scheduler.receiveWorkerReport(announcement, clock.now());
-      requestStep();
+      startStep();
       return {
         epoch,
         leaseMs: reply.leaseMs,
@@ -275,11 +277,11 @@
     },
     addJob(spec) {
       scheduler.addJob(toSpec(spec));
-      requestStep();
+      startStep();
     },
     cancelJob(job) {
       scheduler.cancelJob(job);
-      requestStep();
+      startStep();
     },
     findNeverRunnable: (job) => neverRunnable.get(job),
     listWorkers: () =>
--- a/src/dev/dev_cell.ts
+++ b/src/dev/dev_cell.ts
@@ -87,7 +87,7 @@
   ];
 }
 
-async function configure(address: string): Promise<string> {
+async function applyFirstChange(address: string): Promise<string> {
   const key = createKeySecret();
   const answer = await callJson(`${address}/v1/changes`, {
     method: "POST",
@@ -137,7 +137,7 @@
     });
     running.push(instance);
     await waitUntil(() => instance.isReady(), START_TIMEOUT_MS, "readiness");
-    const key = await configure(address);
+    const key = await applyFirstChange(address);
     running.push(
       await startStandinEndpoint({
         name: "endpoint-1",
--- a/src/http/filter_chain.ts
+++ b/src/http/filter_chain.ts
@@ -10,7 +10,7 @@
 ) => Promise<void>;
 
 /** Joins filters into one function that runs them in order. */
-export function composeFilters<Context>(
+export function createFilterChain<Context>(
   filters: readonly Filter<Context>[],
 ): (context: Context) => Promise<void> {
   async function runFrom(index: number, context: Context): Promise<void> {
--- a/src/http/http_server.ts
+++ b/src/http/http_server.ts
@@ -7,7 +7,7 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import { H3, type H3Event, toNodeHandler } from "h3";
 import { createFault, type Logger, toFault } from "../common/mod.ts";
-import { composeFilters, type Filter } from "./filter_chain.ts";
+import { createFilterChain, type Filter } from "./filter_chain.ts";
 import {
   createFaultAnswer,
   type HttpAnswer,
@@ -77,7 +77,7 @@
   let openCount = 0;
   let isStopping = false;
 
-  async function serve(route: HttpRoute, event: H3Event): Promise<Response> {
+  async function handle(route: HttpRoute, event: H3Event): Promise<Response> {
     const startMs = performance.now();
     const request = getNodeRequest(event);
     const controller = new AbortController();
@@ -110,7 +110,7 @@
     context: RequestContext,
   ): Promise<HttpAnswer> {
     try {
-      await composeFilters(route.filters)(context);
+      await createFilterChain(route.filters)(context);
       if (context.answer !== undefined) return context.answer;
       throw createFault("internal", "Cannot find an answer to the request");
     } catch (error) {
@@ -127,7 +127,7 @@
 
   const app = new H3();
   for (const route of options.routes) {
-    app.on(route.method, route.path, (event) => serve(route, event));
+    app.on(route.method, route.path, (event) => handle(route, event));
   }
   app.all("/**", (event) => {
     const { pathname } = new URL(event.req.url);
--- a/src/instance/fleet_service.ts
+++ b/src/instance/fleet_service.ts
@@ -151,7 +151,7 @@
     return Math.min(view.getAgeMs(), UNCONFIRMED_AGE_MS);
   }
 
-  function feedView(history: UpdateHistory): void {
+  function updateView(history: UpdateHistory): void {
     const updates = history.buildUpdates(view.getVersion(), getAgeMs());
     for (const update of updates) view.applyUpdate(update);
     source?.sendUpdates();
@@ -314,11 +314,11 @@
     state = createFleetState({
       handleDelta: (delta) => {
         history.addDelta(delta);
-        feedView(history);
+        updateView(history);
       },
       handleRestore: () => {
         history.removeAll();
-        feedView(history);
+        updateView(history);
       },
     });
     const history = createUpdateHistory(state.getState);
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -343,7 +343,7 @@
     logger,
   });
 
-  async function callJob(
+  async function sendJobCall(
     method: string,
     request: { team: string; job?: Buffer; jobId?: string },
     jobId: string,
@@ -458,14 +458,14 @@
       ...createJobRoutes({
         ...shared,
         submitJob: (team, job) =>
-          callJob(
+          sendJobCall(
             "submitJob",
             { team, job: Buffer.from(JSON.stringify(job)) },
             job.id,
           ),
-        getJob: (team, jobId) => callJob("getJob", { team, jobId }, jobId),
+        getJob: (team, jobId) => sendJobCall("getJob", { team, jobId }, jobId),
         cancelJob: (team, jobId) =>
-          callJob("cancelJob", { team, jobId }, jobId),
+          sendJobCall("cancelJob", { team, jobId }, jobId),
       }),
       ...createAnnounceRoutes({
         announceEndpoint: (name, body) =>
@@ -486,14 +486,14 @@
   });
   logger.info("Instance started", { http: http.port, rpc: rpc.port });
 
-  function sleep(ms: number): Promise<void> {
+  function wait(ms: number): Promise<void> {
     return new Promise((resolve) => setTimeout(resolve, ms));
   }
 
-  async function drain(): Promise<void> {
+  async function waitForOpenRequests(): Promise<void> {
     const untilMs = clock.now() + settings.stop.graceMs;
     while (http.countOpen() > 0 && clock.now() < untilMs) {
-      await sleep(DRAIN_POLL_MS);
+      await wait(DRAIN_POLL_MS);
     }
     if (http.countOpen() > 0) {
       logger.warn("Stopping with open requests", { open: http.countOpen() });
@@ -504,14 +504,14 @@
     if (isStopping) return;
     isStopping = true;
     logger.info("Stopping");
-    await sleep(DRAIN_NOTICE_MS);
+    await wait(DRAIN_NOTICE_MS);
     // Leadership moves first, so that requests queued here end as not run and
     // are taken up by the successor while this instance still forwards.
     await Promise.all([...members.values()].map((member) => member.stop()));
     await work?.stop();
     isRefusing = true;
     http.stopAccepting();
-    await drain();
+    await waitForOpenRequests();
     await forwarder.close();
     await fleet.stop();
     membership.stop();
--- a/src/instance/key_withdrawals.ts
+++ b/src/instance/key_withdrawals.ts
@@ -63,10 +63,10 @@
         await mergeOne(withdrawal.keyId);
       }
     }
-    schedule();
+    setMergeTimer();
   }
 
-  function schedule(): void {
+  function setMergeTimer(): void {
     timer = clock.setTimer(MERGE_PERIOD_MS, () => void mergeAll());
   }
 
@@ -76,7 +76,7 @@
     );
   }
 
-  async function tell(
+  async function sendTo(
     instance: string,
     withdrawals: KeyWithdrawals,
   ): Promise<boolean> {
@@ -92,7 +92,7 @@
     }
   }
 
-  schedule();
+  setMergeTimer();
 
   return {
     async withdraw(keyIds) {
@@ -100,7 +100,7 @@
       receive(withdrawals);
       const instances = options.listInstances();
       const told = await Promise.all(
-        instances.map((instance) => tell(instance, withdrawals)),
+        instances.map((instance) => sendTo(instance, withdrawals)),
       );
       return instances.filter((_, index) => told[index]);
     },
--- a/src/instance/leader_calls.ts
+++ b/src/instance/leader_calls.ts
@@ -84,7 +84,7 @@
     return best?.leader;
   }
 
-  async function callInstance<Reply>(
+  async function sendTo<Reply>(
     instance: string,
     method: string,
     request: unknown,
@@ -128,7 +128,7 @@
       if (leader !== undefined) {
         try {
           const remainingMs = Math.max(1, startMs + timeoutMs - clock.now());
-          return await callInstance<Reply>(leader, method, request, {
+          return await sendTo<Reply>(leader, method, request, {
             timeoutMs: remainingMs,
             ...(signal === undefined ? {} : { signal }),
           });
--- a/src/instance/request_routing.ts
+++ b/src/instance/request_routing.ts
@@ -131,7 +131,7 @@
     return executor;
   }
 
-  async function executeAnywhere(
+  async function runAnywhere(
     request: AdmittedRequest,
   ): Promise<RecordedAnswer> {
     const deadlineMs = clock.now() + request.remainingMs;
@@ -153,7 +153,7 @@
   return {
     execute(request) {
       const isRepeatable = request.idempotent || !request.isCallerNamed;
-      if (isRepeatable) return executeAnywhere(request);
+      if (isRepeatable) return runAnywhere(request);
       const home = options.findHome(request, view.getState().dataCentres);
       return getExecutor(home).run(request);
     },
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -83,7 +83,7 @@
   let leadership: Leadership | undefined;
   let wantedEpoch: number | undefined;
 
-  function holdsLease(epoch: number): boolean {
+  function hasLease(epoch: number): boolean {
     const lease = options.getLog()?.getLease();
     return lease !== undefined && lease.term === epoch &&
       lease.validUntilMs > clock.now();
@@ -111,16 +111,16 @@
   }
 
   function getLeadership(): Leadership {
-    if (leadership === undefined || !holdsLease(leadership.epoch)) {
+    if (leadership === undefined || !hasLease(leadership.epoch)) {
       throw createNotLeader();
     }
     return leadership;
   }
 
-  async function begin(epoch: number): Promise<void> {
+  async function startEpoch(epoch: number): Promise<void> {
     // Entries of former terms are applied before the controllers read the state.
     await options.getLog()?.confirmLeadership();
-    if (wantedEpoch !== epoch || !holdsLease(epoch)) return;
+    if (wantedEpoch !== epoch || !hasLease(epoch)) return;
     logger.info("Leading the data centre", { epoch });
     leadership = startLeadership({
       dataCentre,
@@ -135,7 +135,7 @@
       queueLength: settings.requests.queueLength,
       grantValidMs: settings.requests.grantValidMs,
       maxConnectionsPerInstance: settings.requests.connectionsPerEndpoint,
-      holdsLease: () => holdsLease(epoch),
+      holdsLease: () => hasLease(epoch),
       propose,
       sendAsk: options.sendAsk,
       sendTransfer: options.sendTransfer,
@@ -143,7 +143,7 @@
     });
   }
 
-  function end(): void {
+  function stopLeadership(): void {
     const ended = leadership;
     leadership = undefined;
     if (ended === undefined) return;
@@ -157,14 +157,14 @@
       epoch,
       error,
     });
-    end();
-    if (wantedEpoch === epoch && holdsLease(epoch)) start(epoch);
+    stopLeadership();
+    if (wantedEpoch === epoch && hasLease(epoch)) start(epoch);
   }
 
   function start(epoch: number): void {
-    begin(epoch).catch((error) => {
+    startEpoch(epoch).catch((error) => {
       logger.warn("Cannot begin to lead the data centre", { epoch, error });
-      if (wantedEpoch === epoch && holdsLease(epoch)) {
+      if (wantedEpoch === epoch && hasLease(epoch)) {
         clock.setTimer(100, () => start(epoch));
       }
     });
@@ -176,7 +176,7 @@
     throw createFault("notFound", `Cannot find job "${query.jobId}"`);
   }
 
-  function replyWithJob(query: JobQuery): JobReply {
+  function renderReply(query: JobQuery): JobReply {
     const { workers, scheduler } = getLeadership();
     const record = findJob(query);
     return {
@@ -206,7 +206,7 @@
       );
     }
     if (results[0] === "applied") workers.addJob(spec);
-    return replyWithJob({ team: request.team, jobId: spec.id });
+    return renderReply({ team: request.team, jobId: spec.id });
   }
 
   async function cancelJob(query: JobQuery): Promise<JobReply> {
@@ -217,13 +217,13 @@
       commands: [{ type: "cancelJob", job: query.jobId }],
     });
     workers.cancelJob(query.jobId);
-    return replyWithJob(query);
+    return renderReply(query);
   }
 
   /** Tells the refusal of a leader, which is final, from that of a former one. */
   function toFinalRefusal(asked: Leadership, error: unknown): unknown {
     if (!isFault(error, "unavailable")) return error;
-    if (leadership !== asked || !holdsLease(asked.epoch)) {
+    if (leadership !== asked || !hasLease(asked.epoch)) {
       return createNotLeader();
     }
     return createFault(error.kind, error.message, {
@@ -337,7 +337,7 @@
       announceEndpoint,
       announceWorker,
       submitJob,
-      getJob: (query: JobQuery) => Promise.resolve(replyWithJob(query)),
+      getJob: (query: JobQuery) => Promise.resolve(renderReply(query)),
       cancelJob,
       getRequest,
       transferAllotment,
@@ -346,7 +346,7 @@
     },
     handleLeadership(lease) {
       wantedEpoch = lease?.term;
-      end();
+      stopLeadership();
       if (lease !== undefined) start(lease.term);
     },
     handleApplied: () => leadership?.slots.updateWaiting(),
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -93,7 +93,7 @@
     });
   }
 
-  async function exchange(peer: MembershipPeer): Promise<void> {
+  async function sendTo(peer: MembershipPeer): Promise<void> {
     const periodMs = getPeriodMs(peer);
     try {
       record(
@@ -106,11 +106,11 @@
     } catch {
       // Silence is judged by `lastSeenMs`; a failed exchange adds nothing.
     }
-    if (!isStopped) schedule(peer, periodMs);
+    if (!isStopped) setTimerFor(peer, periodMs);
   }
 
-  function schedule(peer: MembershipPeer, delayMs: number): void {
-    const timer = clock.setTimer(delayMs, () => void exchange(peer));
+  function setTimerFor(peer: MembershipPeer, delayMs: number): void {
+    const timer = clock.setTimer(delayMs, () => void sendTo(peer));
     timers.set(peer.instance, timer);
   }
 
@@ -120,7 +120,7 @@
     return { ...state, alive };
   }
 
-  for (const peer of options.peers) schedule(peer, 0);
+  for (const peer of options.peers) setTimerFor(peer, 0);
 
   return {
     receiveHeartbeat(state) {
