Do not write a request after its grant has expired

The grant was checked before the exchange began, but connecting may take up to a second, and a slot that a new leader has given away by then would be used twice. The time left is now passed on and checked at the point at which the request is written; past it, the request is certainly not sent.

A pause of the process between this check and the write remains; the endpoint takes no epoch that could fence it.

--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -66,6 +66,12 @@
   readonly onSend?: () => void;
 }
 
+interface SendOptions extends AttemptWatch {
+  readonly attempt: number;
+  /** What is left of the grant, in milliseconds. */
+  readonly startWithinMs: number;
+}
+
 /** Runs attempts. */
 export interface AttemptRunner {
   /** Runs attempt number `attempt`, from 0; rejects with a fault that ends the request. */
@@ -224,8 +230,7 @@
   async function send(
     run: Run,
     grant: SlotGrant,
-    attempt: number,
-    { signal, onSend }: AttemptWatch,
+    { signal, onSend, attempt, startWithinMs }: SendOptions,
   ): Promise<AttemptEnd> {
     const { request } = run;
     run.avoid.push(grant.endpoint);
@@ -237,6 +242,7 @@
       contentType: request.contentType,
       body: request.body,
       timeoutMs: getTimeout(run, attempt),
+      startWithinMs,
       needsFreshConnection: !request.idempotent,
       ...(signal === undefined ? {} : { signal }),
     });
@@ -277,9 +283,9 @@
       if (reply.kind === "answer") {
         return { kind: "done", answer: reply.answer };
       }
-      const isLate = clock.now() - askedAtMs >= reply.validForMs;
-      if (isLate) return await handleUnusable(run, reply);
-      return await send(run, reply, attempt, watch);
+      const startWithinMs = askedAtMs + reply.validForMs - clock.now();
+      if (startWithinMs <= 0) return await handleUnusable(run, reply);
+      return await send(run, reply, { ...watch, attempt, startWithinMs });
     },
   };
 }
--- a/src/requests/forward.ts
+++ b/src/requests/forward.ts
@@ -77,6 +77,7 @@
 /** Runs one exchange; the promise never rejects. */
 function runExchange(options: ExchangeOptions): Promise<ForwardResult> {
   const { pool, request, clock, maxAnswerBytes } = options;
+  const { startWithinMs = Infinity } = request;
   const startedAtMs = clock.now();
 
   return new Promise((resolve) => {
@@ -126,6 +127,8 @@
 
     const handler: Dispatcher.DispatchHandler = {
       onRequestStart(current) {
+        // Connecting, or a pause of this process, may have outlasted the grant.
+        if (getDuration() > startWithinMs) handleFailure("expired");
         if (isDone) {
           // Given up while waiting for a connection: nothing may be written now.
           current.abort(new Error("Exchange ended before it started"));
--- a/src/requests/forward_test.ts
+++ b/src/requests/forward_test.ts
@@ -286,6 +286,20 @@
   t.ok(endpoint.getPeak() <= 3, "a closed one may overlap with its successor");
 });
 
+// Guards against a request that reaches its endpoint after its grant has
+// expired, when another leader may have given the slot away.
+t.test("a request that waits too long for a connection is not sent", async (t) => {
+  const { endpoint, send } = await createSetup((socket, request) => {
+    setTimeout(() => handleEcho(socket, request), 100);
+  }, { connectionsPerEndpoint: 1 });
+  const first = send({ timeoutMs: 2_000 });
+  const second = send({ timeoutMs: 2_000, startWithinMs: 50 });
+  t.equal(describeResult(await second), "notSent expired");
+  t.equal(describeResult(await first), "answered 200 echo body 0");
+  t.equal(describeResult(await send()), "answered 200 echo body 2");
+  t.strictSame(endpoint.seen.map(({ body }) => body), ["body 0", "body 2"]);
+});
+
 // Guards against headers or a body that the endpoint does not get as they were given.
 t.test("the request carries its headers and body", async (t) => {
   const { endpoint, send } = await createSetup();
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -127,6 +127,11 @@
   readonly body: Uint8Array;
   /** Milliseconds until the exchange is given up. */
   readonly timeoutMs: number;
+  /**
+   * Milliseconds within which the request must be written, else it is not
+   * sent: what is left of its grant. Default: no bound.
+   */
+  readonly startWithinMs?: number;
   /**
    * True for a request that must not end with an unknown outcome because its
    * connection had gone silent before: it gets a new connection.
@@ -141,9 +146,10 @@
   readonly durationMs: number;
 }
 
-/** Why no usable answer was received. */
+/** Why no usable answer was received; "expired" means after `startWithinMs`. */
 export type ForwardFailure =
   | "refused"
+  | "expired"
   | "connectionLost"
   | "deadline"
   | "aborted"
