--- a/src/requests/execute_test.ts
+++ b/src/requests/execute_test.ts
@@ -355,6 +355,26 @@
   t.equal(sent.length, 0);
 });
 
+// Guards against a request sent under a grant that has expired on its way,
+// when a new leader may have given the slot away.
+t.test("a grant that comes too late is given back", async (t) => {
+  let isLate = true;
+  const { clock, acquired, released, sent, run } = createSetup({
+    acquire: (_request, grant) =>
+      new Promise((resolve) => {
+        clock.setTimer(isLate ? 1_000 : 10, () => resolve(grant));
+        isLate = false;
+      }),
+  });
+  t.equal((await run({ idempotent: false })).status, 200);
+  t.equal(acquired.length, 2);
+  t.equal(sent.length, 1);
+  t.strictSame(released.map(({ token, outcome }) => [token, outcome]), [
+    ["t1", "notSent"],
+    ["t2", "answered"],
+  ]);
+});
+
 // Guards against a cancelled request that is sent, sent again, or reported as
 // not run when it may have run.
 t.test("a caller's cancel ends the request", async (t) => {
