--- a/src/allotments/allotments_property_test.ts
+++ b/src/allotments/allotments_property_test.ts
@@ -72,6 +72,12 @@
       ([dc, to, count]) => build("give", { dc, to, count }),
     ),
   },
+  {
+    weight: 4,
+    arbitrary: fc.tuple(index, index).map(([dc, to]) =>
+      build("give", { dc, to, count: 1_000 })
+    ),
+  },
   { weight: 10, arbitrary: nat.map((pick) => build("deliver", { pick })) },
   { weight: 2, arbitrary: index.map((dc) => build("repeat", { dc })) },
   {
@@ -86,8 +92,8 @@
       ([dc, size]) => build("end", { dc, size }),
     ),
   },
-  { weight: 1, arbitrary: index.map((dc) => build("snapshot", { dc })) },
-  { weight: 2, arbitrary: index.map((dc) => build("restart", { dc })) },
+  { weight: 3, arbitrary: index.map((dc) => build("snapshot", { dc })) },
+  { weight: 3, arbitrary: index.map((dc) => build("restart", { dc })) },
   {
     weight: 1,
     arbitrary: fc.tuple(index, fc.boolean()).map(([dc, isCut]) =>
--- a/src/allotments/allotments_test.ts
+++ b/src/allotments/allotments_test.ts
@@ -1,7 +1,12 @@
 import t from "tap";
-import { NO_LIMITS } from "../fleet/mod.ts";
+import {
+  createFleetState,
+  encodeCommand,
+  type FleetOperation,
+  NO_LIMITS,
+} from "../fleet/mod.ts";
 import { createAllotments } from "./allotments.ts";
-import { isLimitInForce } from "./limit_status.ts";
+import { isLimitInForce, planClose } from "./limit_status.ts";
 import type { AllotmentCommand, AllotmentTransfer } from "./types.ts";
 
 const slots = (count: number) => ({ ...NO_LIMITS, slots: count });
@@ -80,6 +85,67 @@
   t.end();
 });
 
+// Guards against a restart in the middle of a transfer that forgets which
+// transfers were received out of order, begun or given a number.
+t.test("a restart keeps open transfers", (t) => {
+  const a = createAllotments("a");
+  a.apply(configure(0, 1, 5));
+  a.apply({ type: "transferIn", transfer: transfer(3) });
+  const out = { type: "transferOut", to: "b", team: "t" } as const;
+  a.apply({ ...out, amount: slots(2) });
+  const restarted = createAllotments("a");
+  restarted.restoreSnapshot(a.takeSnapshot());
+  const receive = (number: number) =>
+    restarted.apply({ type: "transferIn", transfer: transfer(number) });
+  t.match(receive(3), { reason: "duplicate" });
+  t.match(receive(1), { applied: true });
+  t.equal(restarted.getHeld("t").slots, 5);
+  t.strictSame(restarted.getTransfersInProgress(), a.getTransfersInProgress());
+  t.match(restarted.apply({ ...out, amount: slots(1) }), {
+    transfer: { id: "a/b/2" },
+  });
+  t.throws(() => createAllotments("b").restoreSnapshot(a.takeSnapshot()));
+  t.end();
+});
+
+// Guards against a data centre that is closed, and may be switched off, while
+// it runs something, holds something or has a transfer under way.
+t.test("a data centre is closed only when it is empty", (t) => {
+  const machine = createFleetState();
+  const change = (...operations: FleetOperation[]) => {
+    const changeId = `c${machine.getState().version}`;
+    const command = { at: 0, change: { changeId, operations } };
+    machine.apply(encodeCommand(command), 0);
+  };
+  change(
+    { type: "setDataCentres", names: ["a", "b"] },
+    { type: "createTeam", name: "t", share: 1, limits: slots(4) },
+  );
+  const a = createAllotments("a");
+  const plan = (hasRunningWork = false) =>
+    planClose(a, machine.getState(), hasRunningWork);
+  const apply = () => a.apply(a.planConfiguration(machine.getState())!);
+  apply();
+  t.equal(plan(), undefined, "configured");
+  change({ type: "setDataCentres", names: ["b"] });
+  t.equal(plan(), undefined, "has not applied its removal");
+  apply();
+  t.equal(plan(), undefined, "holds two");
+  const amount = slots(2);
+  a.apply({ type: "transferOut", to: "b", team: "t", amount });
+  t.equal(plan(), undefined, "the transfer is not acknowledged");
+  a.apply({ type: "transferAcknowledged", transferId: "a/b/1" });
+  t.equal(plan(true), undefined, "runs work above a cut");
+  const close = { type: "closeDataCentre", name: "a", appliedVersion: 2 };
+  t.strictSame(plan(), close);
+  change({ type: "updateTeam", name: "t", limits: { slots: 2 } });
+  t.equal(plan(), undefined, "has not applied the cut");
+  apply();
+  t.equal(a.getHeld("t").slots, -1);
+  t.equal(plan(), undefined, "holds less than nothing");
+  t.end();
+});
+
 // Guards against a limit that is reported to be in force while a data centre
 // has not applied it, is not heard of, or runs more than it holds.
 t.test("a limit is in force only when it is so everywhere", (t) => {
