Wire metrics, burn report and the planners' sheet into the program

Each instance counts answers, waits, task starts and distances from share; GET /v1/burn collects the counts of all instances over gRPC and names those that did not answer. The metric of ejections is removed, since nothing counts it.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -7,6 +7,7 @@
   TEAM_COMMANDS,
 } from "./change_commands.ts";
 import { DEV_COMMAND } from "./dev.ts";
+import { REPORT_COMMANDS, SHEET_COMMANDS } from "./report_commands.ts";
 import { SERVE_COMMAND } from "./serve.ts";
 import {
   CHECK_COMMAND,
@@ -27,10 +28,12 @@
     team: TEAM_COMMANDS,
     key: KEY_COMMANDS,
     queue: QUEUE_COMMANDS,
+    sheet: SHEET_COMMANDS,
     job: JOB_COMMANDS,
     request: REQUEST_COMMANDS,
     config: CONFIG_COMMAND,
     status: STATUS_COMMAND,
+    report: REPORT_COMMANDS,
     version: VERSION_COMMAND,
   },
 });
--- /dev/null
+++ b/src/cli/report_commands.ts
@@ -0,0 +1,118 @@
+/** `goldcrestlug report` and `goldcrestlug sheet`. */
+
+import { writeFile } from "node:fs/promises";
+import {
+  command,
+  option,
+  optional,
+  positional,
+  string,
+  subcommands,
+} from "cmd-ts";
+import { type Client, readFleetState, submitChange } from "../client/mod.ts";
+import { createFault } from "../common/mod.ts";
+import { parseSheet, planSheet, type SheetPlan } from "../fleet/mod.ts";
+import {
+  buildBurnReport,
+  type BurnSnapshots,
+  renderBurnHtml,
+  renderBurnJson,
+  renderBurnTable,
+} from "../report/mod.ts";
+import { readTextFile, renderReport } from "./change_commands.ts";
+import {
+  CONNECTION_OPTIONS,
+  createOperatorClient,
+  runCommand,
+  writeOutput,
+} from "./shared.ts";
+
+const burnCommand = command({
+  name: "burn",
+  description:
+    "Report how each team is served, e.g. `report burn --html burn.html`",
+  args: {
+    html: option({
+      type: optional(string),
+      long: "html",
+      description: "write one self-contained HTML page to this file",
+    }),
+    ...CONNECTION_OPTIONS,
+  },
+  handler: (args) =>
+    runCommand(async () => {
+      const snapshots = await createOperatorClient(args).call("/v1/burn");
+      const report = buildBurnReport(snapshots as BurnSnapshots);
+      if (args.html !== undefined) {
+        await writeFile(args.html, renderBurnHtml(report));
+      }
+      writeOutput(
+        args.json,
+        JSON.parse(renderBurnJson(report)),
+        () => renderBurnTable(report),
+      );
+    }),
+});
+
+/** `goldcrestlug report`. */
+export const REPORT_COMMANDS = subcommands({
+  name: "report",
+  description: "Reports",
+  cmds: { burn: burnCommand },
+});
+
+async function planFile(client: Client, path: string): Promise<SheetPlan> {
+  const rows = parseSheet(await readTextFile(path));
+  return planSheet(await readFleetState(client), rows);
+}
+
+function renderPlan(plan: SheetPlan): string {
+  const lines = plan.lines.length === 0
+    ? ["The sheet changes nothing."]
+    : plan.lines;
+  return [...lines, ...plan.notes.map((note) => `Note: ${note}`)].join("\n");
+}
+
+const fileArgument = positional({ type: string, displayName: "file" });
+
+const planCommand = command({
+  name: "plan",
+  description: "Show what a sheet would change, e.g. `sheet plan teams.csv`",
+  args: { file: fileArgument, ...CONNECTION_OPTIONS },
+  handler: (args) =>
+    runCommand(async () => {
+      const plan = await planFile(createOperatorClient(args), args.file);
+      writeOutput(args.json, plan, () => renderPlan(plan));
+    }),
+});
+
+const applyCommand = command({
+  name: "apply",
+  description:
+    "Apply a sheet whole or not at all, e.g. `sheet apply teams.csv`",
+  args: { file: fileArgument, ...CONNECTION_OPTIONS },
+  handler: (args) =>
+    runCommand(async () => {
+      const client = createOperatorClient(args);
+      const plan = await planFile(client, args.file);
+      if (plan.change === undefined) {
+        return writeOutput(args.json, plan, () => renderPlan(plan));
+      }
+      const report = await submitChange(client, plan.change);
+      if (report.version === undefined) {
+        throw createFault("outcomeUnknown", "The sheet was not confirmed");
+      }
+      writeOutput(
+        args.json,
+        { ...plan, report },
+        () => `${renderPlan(plan)}\n${renderReport(report)}`,
+      );
+    }),
+});
+
+/** `goldcrestlug sheet`. */
+export const SHEET_COMMANDS = subcommands({
+  name: "sheet",
+  description: "The planners' sheet",
+  cmds: { plan: planCommand, apply: applyCommand },
+});
--- a/src/client/operator.ts
+++ b/src/client/operator.ts
@@ -3,10 +3,12 @@
 import { randomUUID } from "node:crypto";
 import {
   createKeySecret,
+  type FleetChange,
   type FleetOperation,
+  type FleetState,
   type KeySecret,
 } from "../fleet/mod.ts";
-import type { ChangeReport } from "../http/mod.ts";
+import type { ChangeReport, RenderedConfig } from "../http/mod.ts";
 import type { Client } from "./client.ts";
 
 /** Options of a change. */
@@ -17,6 +19,36 @@
   changeId?: string;
 }
 
+/** Hands in a change as it is; sending it again gets the first answer. */
+export async function submitChange(
+  client: Client,
+  change: FleetChange,
+): Promise<ChangeReport> {
+  return await client.call("/v1/changes", {
+    method: "POST",
+    body: change,
+  }) as ChangeReport;
+}
+
+/** Reads the configuration in force at an instance. */
+export async function readFleetState(client: Client): Promise<FleetState> {
+  const config = await client.call("/v1/config") as RenderedConfig;
+  const toMap = <T>(list: readonly T[], getKey: (item: T) => string) =>
+    new Map(list.map((item) => [getKey(item), item]));
+  return {
+    version: config.version,
+    teams: toMap(config.teams, ({ name }) => name),
+    keys: toMap(config.keys, ({ id }) => id),
+    queues: toMap(config.queues, ({ name }) => name),
+    dataCentres: config.dataCentres,
+    leavingDataCentres: [],
+    closedDataCentres: [],
+    dataCentreSets: [],
+    divisions: new Map(),
+    divisionVersion: 0,
+  };
+}
+
 /** Hands in operations as one change; fault of a refusal. */
 export async function submitOperations(
   client: Client,
@@ -24,14 +56,11 @@
   options: SubmitOptions = {},
 ): Promise<ChangeReport> {
   const { expectedVersion } = options;
-  return await client.call("/v1/changes", {
-    method: "POST",
-    body: {
-      changeId: options.changeId ?? randomUUID(),
-      ...(expectedVersion === undefined ? {} : { expectedVersion }),
-      operations,
-    },
-  }) as ChangeReport;
+  return await submitChange(client, {
+    changeId: options.changeId ?? randomUUID(),
+    ...(expectedVersion === undefined ? {} : { expectedVersion }),
+    operations: [...operations],
+  });
 }
 
 /** Grants a new key to a team; the secret is in the answer and nowhere else. */
--- a/src/data_centre/leadership.ts
+++ b/src/data_centre/leadership.ts
@@ -14,12 +14,13 @@
   type TeamPolicy,
 } from "../requests/mod.ts";
 import { createScheduler, type Scheduler } from "../scheduling/mod.ts";
-import type { SchedulingWeights } from "../scheduling/mod.ts";
+import type { JobSpec, SchedulingWeights } from "../scheduling/mod.ts";
 import {
   type AllotmentController,
   createAllotmentController,
   type MeasuredLoad,
 } from "./allotment_controller.ts";
+import type { TaskOutcome } from "./job_records.ts";
 import type {
   DataCentreCommand,
   DataCentreResult,
@@ -55,6 +56,12 @@
   propose: (command: DataCentreCommand) => Promise<DataCentreResult>;
   sendAsk: (ask: AllotmentAsk) => Promise<Limits>;
   sendTransfer: (transfer: AllotmentTransfer) => Promise<void>;
+  /** Called for each start command, with the time since the submission in milliseconds. */
+  handleTaskStart?: (spec: JobSpec, waitedMs: number) => void;
+  /** Called with the time of one placement decision, in milliseconds. */
+  handlePlacement?: (durationMs: number) => void;
+  /** Called for each recorded end of an attempt. */
+  handleTaskEnd?: (outcome: TaskOutcome) => void;
   /** Called when a proposal failed, since its outcome may be unknown. */
   handleFailure: (error: unknown) => void;
 }
@@ -157,6 +164,15 @@
     },
     holdsLease: options.holdsLease,
     sendCommand: commands.send,
+    ...(options.handleTaskStart === undefined
+      ? {}
+      : { handleStart: options.handleTaskStart }),
+    ...(options.handlePlacement === undefined
+      ? {}
+      : { handlePlacement: options.handlePlacement }),
+    ...(options.handleTaskEnd === undefined
+      ? {}
+      : { handleEnd: options.handleTaskEnd }),
     handleFailure: options.handleFailure,
   });
   const slots = createRecordedSlots({
--- a/src/data_centre/worker_controller.ts
+++ b/src/data_centre/worker_controller.ts
@@ -6,6 +6,7 @@
 
 import type { Clock, Logger, Timer } from "../common/mod.ts";
 import type {
+  JobSpec,
   NeverRunnableReason,
   RestoredJob,
   RestoredTask,
@@ -23,6 +24,7 @@
   JobRecord,
   JobRecords,
   RecordedJobSpec,
+  TaskOutcome,
 } from "./job_records.ts";
 import type { WorkerCommand } from "./worker_commands.ts";
 
@@ -45,6 +47,12 @@
   /** Whether this instance may still decide. */
   holdsLease: () => boolean;
   sendCommand: (address: string, command: WorkerCommand) => void;
+  /** Called for each start command, with the time since the submission in milliseconds. */
+  handleStart?: (spec: JobSpec, waitedMs: number) => void;
+  /** Called with the time of one placement decision, in milliseconds. */
+  handlePlacement?: (durationMs: number) => void;
+  /** Called for each recorded end of an attempt. */
+  handleEnd?: (outcome: TaskOutcome) => void;
   /** Called when a proposal failed; the leadership must end, since the outcome may be unknown. */
   handleFailure: (error: unknown) => void;
 }
@@ -166,6 +174,10 @@
       });
     switch (action.type) {
       case "start":
+        options.handleStart?.(
+          action.spec,
+          clock.now() - action.spec.submittedAt,
+        );
         return send("start", {
           team: action.spec.team,
           policy: action.spec.policy,
@@ -206,6 +218,9 @@
     recordNeverRunnable(actions);
     const commands = actions.map(toCommand).filter((c) => c !== undefined);
     if (commands.length > 0) await options.propose(commands);
+    for (const command of commands) {
+      if (command.type === "endTask") options.handleEnd?.(command.outcome);
+    }
     if (!options.holdsLease()) return;
     for (const action of actions) {
       if (action.type === "assign") scheduler.confirmAssignment(action);
@@ -224,6 +239,16 @@
     }
   }
 
+  function runStep(): SchedulerAction[] {
+    const startMs = clock.now();
+    const actions = scheduler.step(startMs);
+    const placed = actions.filter(({ type }) => type === "assign").length;
+    if (placed > 0) {
+      options.handlePlacement?.((clock.now() - startMs) / placed);
+    }
+    return actions;
+  }
+
   async function reconcile(): Promise<void> {
     isRunning = true;
     try {
@@ -231,7 +256,7 @@
         isRequested = false;
         if (isStopped || !options.holdsLease()) break;
         removeSilentWorkers();
-        await runActions(scheduler.step(clock.now()));
+        await runActions(runStep());
       } while (isRequested);
     } catch (error) {
       stop();
--- a/src/http/operator_routes.ts
+++ b/src/http/operator_routes.ts
@@ -2,7 +2,7 @@
 
 import { z } from "zod";
 import { parseWith } from "../data_centre/announcements.ts";
-import type { FleetState } from "../fleet/types.ts";
+import type { FleetState, Key, Queue, Team } from "../fleet/types.ts";
 import { parseJson } from "./body.ts";
 import {
   createBodyFilter,
@@ -40,6 +40,8 @@
   /** State of this instance and of what it can see of the others. */
   getStatus: () => Promise<unknown>;
   renderMetrics: () => Promise<string>;
+  /** Service-level counts of all instances that can be reached. */
+  getBurn: () => Promise<unknown>;
   getReadiness: () => Readiness;
 }
 
@@ -48,15 +50,24 @@
   operations: z.array(z.unknown()).min(1),
 });
 
-/** Renders the configuration without the hashes of keys. */
-export function renderConfig(state: FleetState): unknown {
-  const keys = [...state.keys.values()].map(({ hash: _hash, ...key }) => key);
+/** The configuration as operators see it. */
+export interface RenderedConfig {
+  version: number;
+  dataCentres: readonly string[];
+  teams: Team[];
+  queues: Queue[];
+  /** Keys in force, with the hashes that a sheet names; a secret cannot be told from its hash. */
+  keys: Key[];
+}
+
+/** Renders the configuration for operators. */
+export function renderConfig(state: FleetState): RenderedConfig {
   return {
     version: state.version,
     dataCentres: state.dataCentres,
     teams: [...state.teams.values()],
     queues: [...state.queues.values()],
-    keys,
+    keys: [...state.keys.values()],
   };
 }
 
@@ -92,6 +103,10 @@
     };
   };
 
+  const getBurn: HttpFilter = async (context) => {
+    context.answer = createJsonAnswer(await options.getBurn());
+  };
+
   const getHealth: HttpFilter = async (context) => {
     context.answer = createJsonAnswer({ healthy: true });
     await Promise.resolve();
@@ -111,6 +126,7 @@
     },
     { method: "GET", path: "/v1/config", filters: [authenticate, getConfig] },
     { method: "GET", path: "/v1/status", filters: [authenticate, getStatus] },
+    { method: "GET", path: "/v1/burn", filters: [authenticate, getBurn] },
     { method: "GET", path: "/metrics", filters: [authenticate, getMetrics] },
     { method: "GET", path: "/healthz", filters: [getHealth] },
     { method: "GET", path: "/readyz", filters: [getReady] },
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -45,6 +45,8 @@
 } from "../rpc/mod.ts";
 import type { Address, InstanceEntry, Settings } from "../settings/mod.ts";
 import { createFleetService, FLEET_GROUP } from "./fleet_service.ts";
+import { readAllBurn } from "./burn_collection.ts";
+import { createObserver } from "./observer.ts";
 import { createLeaderCalls, type LeaderCalls } from "./leader_calls.ts";
 import { type LogMemberHandle, startLogMember } from "./log_member.ts";
 import { createRequestRouting } from "./request_routing.ts";
@@ -68,6 +70,9 @@
  */
 export const DRAIN_NOTICE_MS = 1_000;
 
+/** Time between samples of the distance from share, in milliseconds. */
+const SHARE_SAMPLE_MS = 10_000;
+
 /** Time between looks at the open requests during a stop, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
@@ -182,7 +187,10 @@
         clock,
         random,
         logger,
-        handleLeadership: (lease) => work?.handleLeadership(lease),
+        handleLeadership: (lease) => {
+          if (lease !== undefined) observer.recordElection(group);
+          work?.handleLeadership(lease);
+        },
         handleFailure,
       }),
     );
@@ -234,6 +242,7 @@
   }
 
   const ownGroup = getDataCentreGroup(dataCentre);
+  const observer = createObserver({ instance, dataCentre, clock });
   let work: WorkService | undefined;
   if (settings.roles.scheduler) {
     const state = createState(dataCentre, () => work?.handleApplied());
@@ -244,6 +253,7 @@
       clock,
       random,
       logger,
+      observer,
       getLog: () => members.get(ownGroup)?.getLog(),
       getLeader: () => members.get(ownGroup)?.getLeader(),
       sendAsk,
@@ -314,6 +324,10 @@
         unary: {
           heartbeat: (state: InstanceState) =>
             Promise.resolve(membership.receiveHeartbeat(state)),
+          getBurn: async () => {
+            const snapshot = await observer.burn.takeSnapshot();
+            return { body: Buffer.from(JSON.stringify(snapshot)) };
+          },
         },
       },
     },
@@ -387,6 +401,43 @@
     }
   }
 
+  function renderMetrics(): Promise<string> {
+    const { metrics } = observer;
+    metrics.setGauge("config_version", fleet.view.getVersion());
+    metrics.setGauge("requests_open", http.countOpen());
+    for (const [group, handle] of members) {
+      const log = handle.getLog();
+      if (log === undefined) continue;
+      const isLeading = log.getLease() !== undefined;
+      metrics.setGauge("log_is_leader", isLeading ? 1 : 0, { group });
+      metrics.setGauge("log_commit_index", log.getStatus().commitIndex, {
+        group,
+      });
+    }
+    const leadership = work?.getLeadership();
+    if (leadership !== undefined) {
+      const { queued, endpoints } = leadership.slots.controller.getStatus();
+      const { workers, workersOutOfService } = leadership.scheduler.getStatus();
+      metrics.setGauge("requests_waiting", queued);
+      metrics.setGauge("endpoints", endpoints.length, { state: "known" });
+      metrics.setGauge("workers", workers, { state: "known" });
+      metrics.setGauge("workers", workersOutOfService.length, {
+        state: "outOfService",
+      });
+    }
+    return metrics.render();
+  }
+
+  function recordShares(): void {
+    const leadership = work?.getLeadership();
+    if (leadership !== undefined) {
+      observer.recordShares(leadership.scheduler.getStatus());
+    }
+    shareTimer = clock.setTimer(SHARE_SAMPLE_MS, recordShares);
+  }
+
+  let shareTimer = clock.setTimer(SHARE_SAMPLE_MS, recordShares);
+
   async function getStatus(): Promise<unknown> {
     const names = fleet.view.getState().dataCentres;
     const logs = [...members].map(([group, handle]) => ({
@@ -447,12 +498,15 @@
   const http: HttpServer = await startHttpServer({
     ...settings.listen.http,
     logger,
+    handleAnswered: (context, status, durationMs) =>
+      observer.recordHttpAnswer(context.route, status, durationMs),
     routes: [
       ...createRequestRoutes({
         ...shared,
         defaultDeadlineMs: settings.requests.defaultDeadlineMs,
         maxDeadlineMs: settings.requests.maxDeadlineMs,
-        execute: routing.execute,
+        execute: (request) =>
+          observer.runRequest(request.team, () => routing.execute(request)),
         findRequest: routing.findRequest,
       }),
       ...createJobRoutes({
@@ -479,7 +533,14 @@
         submitChange: fleet.submitChange,
         getState: fleet.view.getState,
         getStatus,
-        renderMetrics: () => Promise.resolve(""),
+        renderMetrics,
+        getBurn: () =>
+          readAllBurn({
+            instance,
+            instances: settings.instances.map((entry) => entry.instance),
+            recorder: observer.burn,
+            peers,
+          }),
         getReadiness,
       }),
     ],
@@ -515,6 +576,7 @@
     await forwarder.close();
     await fleet.stop();
     membership.stop();
+    shareTimer.cancel();
     await http.close();
     rpc.close();
     sender.close();
--- /dev/null
+++ b/src/instance/observer.ts
@@ -0,0 +1,149 @@
+/**
+ * What one instance counts about itself: metrics for the text page and
+ * service-level events for the burn report.
+ */
+
+import {
+  type Clock,
+  type Fault,
+  type FaultKind,
+  isFault,
+  toFault,
+} from "../common/mod.ts";
+import type { TaskOutcome } from "../data_centre/job_records.ts";
+import {
+  type BurnRecorder,
+  createBurnRecorder,
+  createMetrics,
+  type Metrics,
+  resolveObjectives,
+} from "../report/mod.ts";
+import type { JobSpec, SchedulerStatus } from "../scheduling/mod.ts";
+
+/**
+ * Kinds that are the caller's own doing, or the operators' limits at work; they
+ * do not count against the service.
+ */
+const NOT_COUNTED: ReadonlySet<FaultKind> = new Set([
+  "badRequest",
+  "unauthenticated",
+  "forbidden",
+  "notFound",
+  "requestIdConflict",
+  "tooLarge",
+  "limitReached",
+  "cancelled",
+]);
+
+/** Options of an observer. */
+export interface ObserverOptions {
+  instance: string;
+  dataCentre: string;
+  clock: Clock;
+}
+
+/** Counts what an instance does. */
+export interface Observer {
+  readonly metrics: Metrics;
+  readonly burn: BurnRecorder;
+  recordHttpAnswer(route: string, status: number, durationMs: number): void;
+  /** Runs a caller's request and counts how it ended. */
+  runRequest<T>(team: string, run: () => Promise<T>): Promise<T>;
+  /** Counts a slot that was given after a wait. */
+  recordSlot(team: string, waitedMs: number, attempt: number): void;
+  recordTaskStart(spec: JobSpec, waitedMs: number): void;
+  recordTaskEnd(outcome: TaskOutcome): void;
+  recordElection(group: string): void;
+  /** Samples how far each team that waits is below its share. */
+  recordShares(status: SchedulerStatus): void;
+}
+
+/**
+ * Computes how far a team is below its share, from 0 to 1, among the teams
+ * that run or wait. A team without waiting work has what it wants.
+ */
+export function computeShareDistances(
+  status: SchedulerStatus,
+): Map<string, number> {
+  const active = status.teams.filter((team) =>
+    team.dominantShare > 0 || team.queuedTasks > 0
+  );
+  const totalWeight = active.reduce((sum, team) => sum + team.weight, 0);
+  const totalShare = active.reduce((sum, team) => sum + team.dominantShare, 0);
+  const distances = new Map<string, number>();
+  for (const team of active) {
+    const due = team.weight / totalWeight;
+    const got = totalShare > 0 ? team.dominantShare / totalShare : 0;
+    const isWaiting = team.queuedTasks > 0;
+    distances.set(team.team, isWaiting ? Math.max(0, due - got) : 0);
+  }
+  return distances;
+}
+
+/** Creates an observer with empty counts. */
+export function createObserver(options: ObserverOptions): Observer {
+  const { instance, dataCentre, clock } = options;
+  const metrics = createMetrics({
+    labels: { instance, data_centre: dataCentre },
+  });
+  const burn = createBurnRecorder({
+    instance,
+    clock,
+    objectives: resolveObjectives(),
+  });
+
+  function recordFault(team: string, fault: Fault, durationMs: number): void {
+    metrics.addCount("requests_total", { team, outcome: fault.kind });
+    if (NOT_COUNTED.has(fault.kind)) return;
+    burn.recordAnswer(team, {
+      answered: fault.ran === "no",
+      onTime: false,
+      durationMs,
+    });
+  }
+
+  return {
+    metrics,
+    burn,
+    recordHttpAnswer(route, status, durationMs) {
+      metrics.addCount("http_answers_total", { route, status: String(status) });
+      metrics.recordDuration("http_duration_ms", durationMs, { route });
+    },
+    async runRequest(team, run) {
+      const startMs = clock.now();
+      try {
+        const answer = await run();
+        const durationMs = clock.now() - startMs;
+        metrics.addCount("requests_total", { team, outcome: "answered" });
+        metrics.recordDuration("request_duration_ms", durationMs, { team });
+        burn.recordAnswer(team, { answered: true, onTime: true, durationMs });
+        return answer;
+      } catch (error) {
+        const fault = isFault(error) ? error : toFault(error);
+        recordFault(team, fault, clock.now() - startMs);
+        throw error;
+      }
+    },
+    recordSlot(team, waitedMs, attempt) {
+      metrics.addCount("slot_grants_total");
+      if (attempt > 0) metrics.addCount("request_retries_total", { team });
+      metrics.recordDuration("request_wait_ms", waitedMs, { team });
+      burn.recordWaiting(team, waitedMs);
+    },
+    recordTaskStart(spec, waitedMs) {
+      const { policy, team } = spec;
+      metrics.addCount("task_starts_total", { policy });
+      metrics.recordDuration("task_wait_ms", waitedMs, { policy });
+      burn.recordWaiting(team, waitedMs);
+    },
+    recordTaskEnd: (outcome) =>
+      metrics.addCount("task_ends_total", { outcome }),
+    recordElection: (group) =>
+      metrics.addCount("log_elections_total", { group }),
+    recordShares(status) {
+      for (const [team, distance] of computeShareDistances(status)) {
+        burn.recordShare(team, distance);
+      }
+    },
+  };
+}
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -42,6 +42,7 @@
 import type { Settings } from "../settings/mod.ts";
 import { renderJob } from "./job_view.ts";
 import type { WorkHandlers } from "./leader_calls.ts";
+import type { Observer } from "./observer.ts";
 
 /** Announcements missed in a row before an endpoint counts as silent. */
 const MISSED_ANNOUNCEMENTS = 3;
@@ -54,6 +55,7 @@
   clock: Clock;
   random: Random;
   logger: Logger;
+  observer: Observer;
   getLog: () => ReplicatedLog | undefined;
   getLeader: () => string | undefined;
   /** Sends an ask to the leader of another data centre. */
@@ -78,7 +80,7 @@
 
 /** Creates the service. */
 export function createWorkService(options: WorkServiceOptions): WorkService {
-  const { settings, state, clock, logger, view } = options;
+  const { settings, state, clock, logger, view, observer } = options;
   const { dataCentre } = settings;
   let leadership: Leadership | undefined;
   let wantedEpoch: number | undefined;
@@ -94,7 +96,11 @@
   ): Promise<DataCentreResult> {
     const log = options.getLog();
     if (log === undefined) throw createNotLeader();
+    const startMs = clock.now();
     const { result } = await log.propose(encodeDataCentreCommand(command));
+    observer.metrics.recordDuration("log_propose_ms", clock.now() - startMs, {
+      group: "data centre",
+    });
     if (isFault(result)) throw result;
     return result as DataCentreResult;
   }
@@ -139,6 +145,10 @@
       propose,
       sendAsk: options.sendAsk,
       sendTransfer: options.sendTransfer,
+      handleTaskStart: observer.recordTaskStart,
+      handleTaskEnd: observer.recordTaskEnd,
+      handlePlacement: (durationMs) =>
+        observer.metrics.recordDuration("placement_ms", durationMs),
       handleFailure: (error) => restart(epoch, error),
     });
   }
@@ -237,13 +247,17 @@
     context: { signal: AbortSignal },
   ): Promise<SlotReply> {
     const current = getLeadership();
+    const startMs = clock.now();
     const reply = await current.slots.acquire(request, context.signal)
       .catch((error) => {
         throw toFinalRefusal(current, error);
       });
-    return reply.kind === "grant"
-      ? { outcome: "grant", grant: reply }
-      : { outcome: "answer", answer: reply.answer };
+    if (reply.kind === "answer") {
+      return { outcome: "answer", answer: reply.answer };
+    }
+    const waitedMs = clock.now() - startMs;
+    observer.recordSlot(request.team, waitedMs, request.attempt);
+    return { outcome: "grant", grant: reply };
   }
 
   function getRequest(query: RequestQuery): Promise<RequestReply> {
--- a/src/report/metric_definitions.ts
+++ b/src/report/metric_definitions.ts
@@ -31,11 +31,6 @@
       help: "Slot grants given by this instance as leader",
       labels: [],
     },
-    endpoint_ejections_total: {
-      kind: "counter",
-      help: "Endpoints taken out of use after failures",
-      labels: [],
-    },
     task_starts_total: {
       kind: "counter",
       help: "Tasks started by policy",
--- /dev/null
+++ b/test/cli_test.ts
@@ -0,0 +1,147 @@
+/** The command line against a whole cell in one process, as an operator uses it. */
+
+import { execFile } from "node:child_process";
+import { readFile, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import t from "tap";
+import { createSilentLogger } from "../src/common/mod.ts";
+import { type DevCell, startDevCell } from "../src/dev/dev_cell.ts";
+import { callJson, waitUntil } from "./json_http.ts";
+import { createTestFolder, findFreePorts } from "./processes.ts";
+
+t.setTimeout(120_000);
+
+const MAIN = fileURLToPath(new URL("../src/main.js", import.meta.url));
+
+let cell: DevCell;
+let folder = "";
+
+t.before(async () => {
+  const [httpPort = 0, rpcPort = 0] = await findFreePorts(2);
+  cell = await startDevCell({
+    httpPort,
+    rpcPort,
+    logger: createSilentLogger(),
+  });
+  t.teardown(() => cell.stop());
+  folder = await createTestFolder(t);
+});
+
+interface Run {
+  code: number;
+  stdout: string;
+  stderr: string;
+}
+
+function runProgram(...args: string[]): Promise<Run> {
+  return new Promise((resolve) => {
+    execFile(
+      process.execPath,
+      [MAIN, ...args, "--address", cell.address],
+      { env: { ...process.env, GOLDCRESTLUG_KEY: cell.key } },
+      (error, stdout, stderr) => {
+        const code = typeof error?.code === "number" ? error.code : 0;
+        resolve({ code, stdout, stderr });
+      },
+    );
+  });
+}
+
+async function runJson(...args: string[]): Promise<Record<string, unknown>> {
+  const { stdout, stderr, code } = await runProgram(...args, "--json");
+  if (code !== 0) throw new Error(stderr);
+  return JSON.parse(stdout);
+}
+
+// Guards against a key that the operator gets but no instance accepts.
+t.test("a team and a key that an operator creates work", async (t) => {
+  const created = await runProgram(
+    "team",
+    "create",
+    "lace",
+    "--share",
+    "2",
+    "--slots",
+    "4",
+  );
+  t.match(created.stdout, /Accepted as version \d+/);
+  const granted = await runJson("key", "grant", "lace");
+  const secret = String(granted["secret"]);
+  const send = (key: string) =>
+    callJson(`${cell.address}/v1/queues/demo/requests`, {
+      method: "POST",
+      body: {},
+      headers: { authorization: `Bearer ${key}` },
+      timeoutMs: 15_000,
+    });
+  await waitUntil(
+    async () => (await send(secret)).status === 200,
+    10_000,
+    "an answer",
+  );
+  const shown = await runProgram("config");
+  t.notMatch(shown.stdout, secret, "the secret is shown once");
+  t.match(shown.stdout, String(granted["id"]));
+  await runJson("key", "withdraw", String(granted["id"]));
+  t.equal((await send(secret)).status, 401);
+});
+
+// Guards against exit codes and messages from which a script cannot tell what to do.
+t.test("refusals have exit codes and say what to do", async (t) => {
+  const bad = await runProgram("team", "create", "x", "--share", "-1");
+  t.equal(bad.code, 2);
+  t.match(bad.stderr, "badRequest: Cannot read change");
+  const missing = await runProgram("job", "show", "none");
+  t.equal(missing.code, 2);
+  t.match(missing.stderr, "notFound");
+  const again = await runProgram("team", "create", "demo");
+  t.not(again.code, 0);
+});
+
+// Guards against a sheet that is applied in part, or twice.
+t.test("a sheet is planned and applied whole", async (t) => {
+  const file = join(folder, "sheet.csv");
+  await writeFile(file, await readExampleSheet());
+  const plan = await runProgram("sheet", "plan", file);
+  t.equal(plan.code, 0, plan.stderr);
+  const applied = await runProgram("sheet", "apply", file);
+  t.equal(applied.code, 0, applied.stderr);
+  const second = await runProgram("sheet", "plan", file);
+  t.match(second.stdout, "changes nothing");
+});
+
+async function readExampleSheet(): Promise<string> {
+  const path = fileURLToPath(
+    new URL("../../examples/consortium/sheet.csv", import.meta.url),
+  );
+  return await readFile(path, "utf8");
+}
+
+// Guards against jobs and reports that the command line cannot reach.
+t.test("a job is submitted and the burn report counts requests", async (t) => {
+  const file = join(folder, "job.json");
+  const job = {
+    id: "demo:job-1",
+    resources: { processors: 100, memoryMb: 10 },
+    payload: { runMs: 50 },
+  };
+  await writeFile(file, JSON.stringify(job));
+  await runJson("job", "submit", file);
+  await waitUntil(
+    async () =>
+      (await runJson("job", "show", "demo:job-1"))["state"] === "finished",
+    20_000,
+    "the end of the job",
+  );
+  const html = join(folder, "burn.html");
+  const report = await runProgram("report", "burn", "--html", html);
+  t.equal(report.code, 0, report.stderr);
+  t.match(report.stdout, "demo");
+  t.match(await readFile(html, "utf8"), "<svg");
+  const metrics = await fetch(`${cell.address}/metrics`);
+  const page = await metrics.text();
+  t.match(page, /goldcrestlug_requests_total\{.*team="demo".*\} \d+/);
+  t.match(page, "goldcrestlug_task_starts_total");
+});
