--- a/src/replicated_log/consensus_test.ts
+++ b/src/replicated_log/consensus_test.ts
@@ -6,10 +6,14 @@
 } from "../../test/log_schedule.ts";
 import { createSeededRandom } from "../common/random.ts";
 import { stepConsensus } from "./consensus.ts";
-import { createConsensusState } from "./consensus_state.ts";
+import { createConsensusState, getLeaderLease } from "./consensus_state.ts";
 import { createMemoryStorage } from "./memory_storage.ts";
 import { createFirstLog } from "./start.ts";
-import { resolveLogTimings } from "./timings.ts";
+import {
+  CLOCK_RATE_BOUND,
+  computeLeaseMs,
+  resolveLogTimings,
+} from "./timings.ts";
 import type { LogMember, LogMessage } from "./types.ts";
 
 /** Fixed so that a failure in CI can be repeated; the soak run uses other seeds. */
@@ -124,9 +128,10 @@
   }]);
 });
 
-// Guards against the loss of an entry that a quorum holds from an earlier term: a member with a
-// later entry of its own can still be elected and replace it.
-t.test("an entry of an earlier term is committed only by a later one", async (t) => {
+// Guards against the loss of an entry that a quorum holds from an earlier term, which a member
+// with a later entry can still replace, of one that the leader has not synced, and against a
+// lease that counts from an answer.
+t.test("a leader commits and leads only by what a quorum has confirmed", async (t) => {
   const storage = createMemoryStorage();
   await createFirstLog({ entries: [] }, {
     self: "a",
@@ -142,11 +147,6 @@
   send("b", { ...vote, preVote: true }, 1_500);
   send("b", { ...vote, preVote: false }, 1_500);
   t.equal(state.role, "leader");
-  stepConsensus(state, {
-    kind: "stored",
-    voteChange: state.voteChanges,
-    positions: [{ index: 3, term: 3 }],
-  }, 1_500);
   const createReply = (matchIndex: number): LogMessage => ({
     kind: "appendReply",
     to: "a",
@@ -157,7 +157,24 @@
     sentAtMs: 1_500,
   });
   t.strictSame(send("b", createReply(2), 1_510).committed, []);
-  t.match(send("b", createReply(3), 1_520).committed, [{ index: 2 }, {
-    index: 3,
-  }]);
+  // The leader's own copy does not count before it is synced.
+  t.strictSame(send("b", createReply(3), 1_600).committed, []);
+  const { committed } = stepConsensus(state, {
+    kind: "stored",
+    voteChange: state.voteChanges,
+    positions: [{ index: 3, term: 3 }],
+  }, 1_600);
+  t.match(committed, [{ index: 2 }, { index: 3 }]);
+  // The lease runs from the sending of the message, not from its answer.
+  const lease = getLeaderLease(state, 1_600);
+  t.equal(lease?.validUntilMs, 1_500 + computeLeaseMs(resolveLogTimings()));
+});
+
+// Guards against a lease on a slow clock that outlives the promises on fast ones.
+t.test("a lease ends before the promises behind it at the bound of the rates", (t) => {
+  const timings = resolveLogTimings();
+  const leaseRealMs = computeLeaseMs(timings) / (1 - CLOCK_RATE_BOUND);
+  const promiseRealMs = timings.electionTimeoutMinMs / (1 + CLOCK_RATE_BOUND);
+  t.ok(leaseRealMs <= promiseRealMs + 1e-9);
+  t.end();
 });
