--- a/src/replicated_log/mod.ts
+++ b/src/replicated_log/mod.ts
@@ -1,8 +1,11 @@
 /** A replicated log with a leader lease, for state that must survive the loss of instances. */
 
+export { decodeLogMessage, encodeLogMessage } from "./codec.ts";
+export { createDiskStorage, type DiskStorageOptions } from "./disk_storage.ts";
+export { createLogFiles, type LogFile, type LogFiles } from "./log_files.ts";
 export { createMemberId, parseMemberId } from "./member_id.ts";
 export { createMemoryStorage } from "./memory_storage.ts";
-export * from "./replicated_log.ts";
+export { createReplicatedLog } from "./replicated_log.ts";
 export {
   computeFirstStartAnswers,
   isEmptyStore,
@@ -13,6 +16,7 @@
 } from "./start.ts";
 export {
   CLOCK_RATE_BOUND,
+  computeLeaseMs,
   DEFAULT_LOG_TIMINGS,
   resolveLogTimings,
 } from "./timings.ts";
