--- a/src/replicated_log/consensus_election.ts
+++ b/src/replicated_log/consensus_election.ts
@@ -189,7 +189,7 @@
  * leader asks again, because the entry that added it may have been replaced. A
  * voter that was removed does not ask, since that would undo the removal.
  */
-function mustAskToJoin(context: StepContext): boolean {
+function hasToJoin(context: StepContext): boolean {
   const { state, nowMs } = context;
   if (state.joinTargets.length === 0) return false;
   const wasListed = state.memberLists.some(({ members }) =>
@@ -203,7 +203,7 @@
 /** Does the work of a member without leadership that falls due with time. */
 export function handleFollowerTick(context: StepContext): void {
   const { state, nowMs } = context;
-  if (mustAskToJoin(context)) return sendJoinRequests(context);
+  if (hasToJoin(context)) return sendJoinRequests(context);
   const { electionTimeoutMinMs } = state.timings;
   const isWitness = findMember(getMembers(state), state.self)?.role ===
     "witness";
--- a/src/replicated_log/consensus_follower.ts
+++ b/src/replicated_log/consensus_follower.ts
@@ -25,7 +25,7 @@
 }
 
 /** Accepts the sender as leader; false when its term is over. */
-function acceptLeader(
+function checkLeader(
   context: StepContext,
   from: string,
   message: LeaderMessage,
@@ -112,7 +112,7 @@
       createAppendReply(context, { to: from, request, matched, matchIndex }),
       { afterStore },
     );
-  if (!acceptLeader(context, from, request)) return reply(false, 0);
+  if (!checkLeader(context, from, request)) return reply(false, 0);
 
   const { log } = state;
   const { prevIndex, prevTerm, entries } = request;
@@ -129,7 +129,7 @@
   reply(true, Math.min(lastSent, state.storedIndex));
 }
 
-function collectChunk(
+function appendChunk(
   context: StepContext,
   chunk: SnapshotChunk,
 ): Uint8Array | undefined {
@@ -159,7 +159,10 @@
   return data;
 }
 
-function installSnapshot(context: StepContext, snapshot: LogSnapshot): void {
+function restoreFromSnapshot(
+  context: StepContext,
+  snapshot: LogSnapshot,
+): void {
   const { state, output } = context;
   setSnapshot(context, snapshot, 0);
   state.commitIndex = snapshot.index;
@@ -174,7 +177,7 @@
   chunk: SnapshotChunk,
 ): void {
   const { state } = context;
-  if (!acceptLeader(context, from, chunk)) {
+  if (!checkLeader(context, from, chunk)) {
     const stale = { to: from, request: chunk, matched: false, matchIndex: 0 };
     return sendMessage(context, createAppendReply(context, stale));
   }
@@ -190,11 +193,11 @@
       sentAtMs: chunk.sentAtMs,
     }, { afterStore: installed });
   if (chunk.index <= state.commitIndex) return reply(chunk.totalBytes, true);
-  const data = collectChunk(context, chunk);
+  const data = appendChunk(context, chunk);
   if (data === undefined) {
     return reply(state.incoming?.receivedBytes ?? 0, false);
   }
-  installSnapshot(context, {
+  restoreFromSnapshot(context, {
     index: chunk.index,
     term: chunk.snapshotTerm,
     members: chunk.members,
--- a/src/replicated_log/consensus_leader.ts
+++ b/src/replicated_log/consensus_leader.ts
@@ -335,7 +335,7 @@
 }
 
 /** Returns the progress of the sender when its reply counts, and steps down on a later term. */
-function acceptReply(
+function checkReply(
   context: StepContext,
   from: string,
   reply: { term: number; round: number; sentAtMs: number },
@@ -357,7 +357,7 @@
   from: string,
   reply: AppendReply,
 ): void {
-  const progress = acceptReply(context, from, reply);
+  const progress = checkReply(context, from, reply);
   if (progress === undefined) return;
   if (!reply.matched) {
     if (progress.mode === "snapshot" || reply.round < progress.probeRound) {
@@ -393,7 +393,7 @@
   from: string,
   reply: SnapshotReply,
 ): void {
-  const progress = acceptReply(context, from, reply);
+  const progress = checkReply(context, from, reply);
   if (progress === undefined) return;
   if (reply.installed) recordMatch(context, progress, reply.index);
   const { transfer } = progress;
--- a/src/replicated_log/disk_storage.ts
+++ b/src/replicated_log/disk_storage.ts
@@ -225,10 +225,10 @@
     if (vote === undefined && (entries.length > 0 || snapshot !== undefined)) {
       throw createCorrupt(VOTE_FILE, "it is missing beside a log");
     }
-    return await finishLoad({ vote, snapshot, entries });
+    return await loadRest({ vote, snapshot, entries });
   }
 
-  async function finishLoad(
+  async function loadRest(
     loaded: {
       vote: Vote | undefined;
       snapshot: LogSnapshot | undefined;
@@ -244,7 +244,7 @@
     if (snapshot !== undefined) {
       // The process may have ended between saving the snapshot and the rest.
       const fits = hasEntryOf(snapshot) || stored.first === snapshot.index + 1;
-      if (!fits) await resetLog(snapshot.index);
+      if (!fits) await removeLog(snapshot.index);
       else await removeCovered(snapshot);
       kept = fits
         ? entries.filter((entry) => entry.index > snapshot.index)
@@ -285,7 +285,7 @@
   }
 
   /** Drops the whole log; the next entry follows `index`. */
-  async function resetLog(index: number): Promise<void> {
+  async function removeLog(index: number): Promise<void> {
     await openSegment();
     await appendRecord({ first: index + 1, reset: true, entries: [] });
     stored = { first: index + 1, terms: [] };
@@ -337,7 +337,7 @@
       const fits = hasEntryOf(snapshot);
       await saveFile(SNAPSHOT_FILE, encodeSnapshotRecord(snapshot));
       if (fits) await removeCovered(snapshot);
-      else await resetLog(snapshot.index);
+      else await removeLog(snapshot.index);
     });
   }
 
--- a/src/replicated_log/log_files.ts
+++ b/src/replicated_log/log_files.ts
@@ -26,7 +26,7 @@
   syncFolder(): Promise<void>;
 }
 
-async function syncPath(target: string): Promise<void> {
+async function commitPath(target: string): Promise<void> {
   const handle = await fs.open(target, "r");
   try {
     await handle.sync();
@@ -42,7 +42,7 @@
     async list() {
       await fs.mkdir(folder, { recursive: true });
       // A new folder is durable only once its parent is synced.
-      await syncPath(path.dirname(path.resolve(folder)));
+      await commitPath(path.dirname(path.resolve(folder)));
       return (await fs.readdir(folder)).sort();
     },
     read: (name) => fs.readFile(resolve(name)),
@@ -67,6 +67,6 @@
     },
     rename: (from, to) => fs.rename(resolve(from), resolve(to)),
     remove: (name) => fs.rm(resolve(name), { force: true }),
-    syncFolder: () => syncPath(folder),
+    syncFolder: () => commitPath(folder),
   };
 }
--- a/src/replicated_log/replicated_log.ts
+++ b/src/replicated_log/replicated_log.ts
@@ -116,7 +116,7 @@
       if (!isStopped) transport.send(message.to, message);
     },
     onStored: (batch) => step({ kind: "stored", ...batch }),
-    onFailure: (error) => fail(error),
+    onFailure: (error) => stopOnFailure(error),
   });
 
   function createNotLeader(): Fault {
@@ -202,7 +202,7 @@
       checkLeadership();
       checkWatches();
     } catch (error) {
-      fail(error);
+      stopOnFailure(error);
     }
     isStepping = false;
     return result;
@@ -231,7 +231,7 @@
     logger.info("Took a snapshot", { index, bytes: data.length });
   }
 
-  function rejectPending(): void {
+  function releaseAllPending(): void {
     const lost = [...pending.values()];
     pending.clear();
     pendingBytes = proposals.reduce(
@@ -244,7 +244,7 @@
   function checkLeadership(): void {
     const leads = state.role === "leader" && !isCopying(state) && !isStopped;
     if (ledTerm !== undefined && (!leads || ledTerm !== state.term)) {
-      rejectPending();
+      releaseAllPending();
       logger.info("Leadership ended", { term: ledTerm });
       ledTerm = undefined;
     }
@@ -300,7 +300,7 @@
     checkWatches();
   }
 
-  function fail(error: unknown): void {
+  function stopOnFailure(error: unknown): void {
     if (isStopped) return;
     logger.error("Log member stopped", { error });
     closeDriver();
@@ -308,17 +308,17 @@
   }
 
   /** Hands what has gathered since the last turn to the core, as one batch. */
-  function flush(): void {
+  function stepGathered(): void {
     isFlushScheduled = false;
-    if (isStepping) return scheduleFlush();
+    if (isStepping) return planFlush();
     runStep(() => {
-      flushProposals();
+      stepProposals();
       if (mustConfirm) stepOnce({ kind: "confirm" });
       mustConfirm = false;
     });
   }
 
-  function flushProposals(): void {
+  function stepProposals(): void {
     if (proposals.length === 0) return;
     const batch = proposals;
     proposals = [];
@@ -341,10 +341,10 @@
     handleOutput(output);
   }
 
-  function scheduleFlush(): void {
+  function planFlush(): void {
     if (isFlushScheduled) return;
     isFlushScheduled = true;
-    queueMicrotask(flush);
+    queueMicrotask(stepGathered);
   }
 
   function propose(command: Uint8Array): Promise<ProposeResult> {
@@ -367,7 +367,7 @@
     pendingBytes += command.length;
     return new Promise((resolve, reject) => {
       proposals.push({ command, resolve, reject });
-      scheduleFlush();
+      planFlush();
     });
   }
 
@@ -386,17 +386,17 @@
         appliedIndex >= index;
     });
     mustConfirm = true;
-    scheduleFlush();
+    planFlush();
     return await confirmed;
   }
 
   /** Appends a list of members and waits until `isDone` holds for its index. */
-  function changeMembers(
+  function updateMembers(
     members: readonly LogMember[],
     isDone: (index: number) => boolean,
   ): Promise<void> {
     if (isStepping) {
-      return Promise.resolve().then(() => changeMembers(members, isDone));
+      return Promise.resolve().then(() => updateMembers(members, isDone));
     }
     let output: ConsensusOutput | undefined;
     let done: Promise<void> | undefined;
@@ -434,7 +434,7 @@
     const learner: LogMember = role === "learner"
       ? member
       : { id, role: "learner", promoteTo: role };
-    await changeMembers([...getMembers(state), learner], (index) => {
+    await updateMembers([...getMembers(state), learner], (index) => {
       const found = findMember(getMembersAt(state, state.commitIndex), id);
       if (state.commitIndex < index || found === undefined) return false;
       return role === "learner" || hasVote(found);
@@ -450,7 +450,7 @@
         `Cannot remove member "${id}" from log "${group}": it is not a member`,
       );
     }
-    await changeMembers(
+    await updateMembers(
       members.filter((member) => member.id !== id),
       (index) => state.commitIndex >= index,
     );
@@ -494,7 +494,7 @@
   }
 
   /** Waits until another member leads, so that this member's vote is still there for it. */
-  async function handOver(): Promise<void> {
+  async function runHandover(): Promise<void> {
     if (state.role !== "leader" || state.progress.size === 0) return;
     step({ kind: "handover" });
     const deadlineMs = clock.now() + timings.handoverTimeoutMs;
@@ -512,7 +512,7 @@
     // whose listeners are closed would end in the middle of the handover.
     const keepAlive = setInterval(() => {}, timings.heartbeatMs);
     try {
-      await handOver();
+      await runHandover();
       if (!isStopped) closeDriver();
       timer.cancel();
       await queue.waitUntilIdle();
--- a/src/replicated_log/start.ts
+++ b/src/replicated_log/start.ts
@@ -154,38 +154,40 @@
     reject = rejectDecision;
   });
 
-  function finish(start: LogStart): void {
+  function resolveDecision(start: LogStart): void {
     if (isDone) return;
     isDone = true;
     timer?.cancel();
     settle(start);
   }
 
-  function finishJoin(): void {
-    finish({ mode: "join", self: createMemberId(instance, options) });
+  function resolveJoin(): void {
+    resolveDecision({ mode: "join", self: createMemberId(instance, options) });
   }
 
   function check(): void {
-    if (empty.size >= needed) finish({ mode: "bootstrap", self: instance });
+    if (empty.size >= needed) {
+      resolveDecision({ mode: "bootstrap", self: instance });
+    }
   }
 
-  function ask(): void {
+  function sendRequests(): void {
     if (isDone) return;
     for (const to of others) {
       transport.send(to, { kind: "historyRequest", to, nonce });
     }
-    timer = clock.setTimer(options.retryMs ?? 250, ask);
+    timer = clock.setTimer(options.retryMs ?? 250, sendRequests);
   }
 
   let timer = clock.setTimer(0, () => {
     options.storage.load().then((stored) => {
       const owner = stored.vote?.member;
       if (!isEmptyStore(stored) && owner !== undefined) {
-        return finish({ mode: "restart", self: owner });
+        return resolveDecision({ mode: "restart", self: owner });
       }
-      if (!voters.includes(instance)) return finishJoin();
+      if (!voters.includes(instance)) return resolveJoin();
       check();
-      ask();
+      sendRequests();
     }).catch((error) => {
       isDone = true;
       reject(error);
@@ -205,7 +207,7 @@
         });
       }
       if (message.kind !== "historyReply" || message.nonce !== nonce) return;
-      if (message.hasHistory) return finishJoin();
+      if (message.hasHistory) return resolveJoin();
       const sender = parseMemberId(from).instance;
       if (others.includes(sender)) empty.add(sender);
       check();
