--- a/bench/scheduling/scenarios.ts
+++ b/bench/scheduling/scenarios.ts
@@ -101,6 +101,46 @@
   };
 }
 
+/**
+ * Three teams of equal weight that each need mostly one resource, with more
+ * waiting than the cell holds; the rules for shares differ only in such a cell.
+ */
+export function buildMixedScenario(seed: number): Scenario {
+  const random = createSeededRandom(seed);
+  const sizes: Record<string, Resources> = {
+    cores: { processors: 4_000, memoryMb: 2_048, accelerators: 0 },
+    memory: { processors: 1_000, memoryMb: 16_384, accelerators: 0 },
+    accelerators: { processors: 2_000, memoryMb: 8_192, accelerators: 1 },
+  };
+  const arrivals: Arrival[] = [];
+  for (let count = 0; count < 1_500; count++) {
+    for (const [team, resources] of Object.entries(sizes)) {
+      const runMs = 10_000 + random.nextInt(20_000);
+      const submittedAt = 100 + 300 * count;
+      const id = `${team}-${count}`;
+      arrivals.push({
+        runMs,
+        spec: buildSpec({
+          id,
+          team,
+          submittedAt,
+          resources,
+          expectedMs: runMs,
+        }),
+      });
+    }
+  }
+  return {
+    weights: { cores: 1, memory: 1, accelerators: 1 },
+    capacities: buildFleet(12).map((capacity) => ({
+      ...capacity,
+      accelerators: 4,
+    })),
+    arrivals,
+    untilMs: 450_000,
+  };
+}
+
 /** A full cell into which urgent tasks arrive one by one; half of the work ignores checkpoints. */
 export function buildUrgentScenario(workers: number, seed: number): Scenario {
   const random = createSeededRandom(seed);
--- a/bench/scheduling_bench.ts
+++ b/bench/scheduling_bench.ts
@@ -16,6 +16,7 @@
 import { measureLoad } from "./scheduling/load_bench.ts";
 import { measurePlacement } from "./scheduling/placement_bench.ts";
 import {
+  buildMixedScenario,
   buildUnevenScenario,
   buildUrgentScenario,
 } from "./scheduling/scenarios.ts";
@@ -24,6 +25,7 @@
   placement: 11,
   load: 12,
   uneven: 13,
+  mixed: 15,
   urgent: 14,
 });
 const SMALL_FLEET = 30;
@@ -108,10 +110,6 @@
   const runs: Record<string, RunFigures> = {
     "first come": runScenario(scenario, createFcfs(scenario.capacities)),
     "share, dominant": runLibrary(scenario, { weights: "share" }),
-    "share, asset": runLibrary(scenario, {
-      weights: "share",
-      shareRule: "asset",
-    }),
     "waiting": runLibrary(scenario, { weights: "waiting" }),
   };
   for (const [name, figures] of Object.entries(runs)) {
@@ -142,6 +140,22 @@
   return runs;
 }
 
+/** Compares the rules for shares where teams need different resources. */
+function runShareRules() {
+  console.log(`\nRules for shares with mixed resources (seed ${SEEDS.mixed})`);
+  const scenario = buildMixedScenario(SEEDS.mixed);
+  const runs: Record<string, RunFigures> = {
+    "first come": runScenario(scenario, createFcfs(scenario.capacities)),
+    "share, dominant": runLibrary(scenario, { shareRule: "dominant" }),
+    "share, asset": runLibrary(scenario, { shareRule: "asset" }),
+  };
+  for (const [name, figures] of Object.entries(runs)) {
+    console.log(name);
+    console.table([formatRow(formatDistances(figures))]);
+  }
+  return runs;
+}
+
 function runLibrary(
   scenario: Scenario,
   options: Parameters<typeof createDrivenLibrary>[1],
@@ -178,6 +192,7 @@
   placement: runPlacement(),
   urgent: runUrgent(),
   policies: runPolicies(),
+  shareRules: runShareRules(),
   load: await runLoad(),
   broken,
 };
