Split the fake worker from the test cell; restart workers in the property test

Cause: the test cell was one long file, and no sequence restarted a worker with a new incarnation. Ruled out: separate cells for each test; they would drift apart.

--- a/src/scheduling/scheduler_property_test.ts
+++ b/src/scheduling/scheduler_property_test.ts
@@ -7,6 +7,7 @@
   type Cell,
   createCell,
 } from "../../test/scheduling_cell.ts";
+import { restartWorker } from "../../test/fake_worker.ts";
 import type { JobPolicy } from "./types.ts";
 
 const SEED = 20_261_204;
@@ -29,7 +30,8 @@
       | "cut"
       | "late"
       | "double"
-      | "drain";
+      | "drain"
+      | "restart";
     pick: number;
   }
   | { kind: "takeover" }
@@ -64,6 +66,7 @@
         "late" as const,
         "double" as const,
         "drain" as const,
+        "restart" as const,
       ),
       pick,
     }),
@@ -150,6 +153,11 @@
       if (worker !== undefined) worker.isDraining = !worker.isDraining;
       break;
     }
+    case "restart": {
+      const worker = pickOne(workers, event.pick);
+      if (worker !== undefined) restartWorker(worker);
+      break;
+    }
     case "late":
     case "double": {
       const worker = pickOne(workers, event.pick);
--- a/test/scheduling_cell.ts
+++ b/test/scheduling_cell.ts
@@ -7,6 +7,7 @@
 
 import {
   createSeededRandom,
+  fitsWithin,
   type Random,
   type Resources,
 } from "../src/common/mod.ts";
@@ -21,39 +22,24 @@
   type StartAction,
   type TaskAttempt,
   type WorkerReport,
-  type WorkerTaskReport,
 } from "../src/scheduling/mod.ts";
+import {
+  buildReport,
+  computeUsed,
+  createFakeWorker,
+  type FakeTask,
+  type FakeWorker,
+  getAttemptKey,
+  getTaskKey,
+  isLive,
+  receiveCommand,
+  receiveReply,
+  receiveStart,
+} from "./fake_worker.ts";
 
-// The workers' clocks run slow by almost the bound, so their leases last longer.
-const SLOW_CLOCK_FACTOR = 1.0099;
-const REPORT_INTERVAL_MS = 1_000;
-
-/** A task as a fake worker runs it. */
-export interface FakeTask extends TaskAttempt {
-  readonly spec: JobSpec;
-  state: WorkerTaskReport["state"];
-  leaseUntilMs: number;
-  limit: number | undefined;
-  usage: Resources | undefined;
-  readonly startedMs: number;
-}
+export type { FakeTask, FakeWorker };
 
-/** A fake worker. */
-export interface FakeWorker {
-  readonly id: string;
-  readonly rack: string;
-  readonly capacity: Resources;
-  incarnation: number;
-  sequence: number;
-  /** Reports and commands pass. */
-  isReachable: boolean;
-  isDraining: boolean;
-  readonly tasks: Map<string, FakeTask>;
-  readonly stopped: Set<string>;
-  readonly sentAt: Map<number, number>;
-  nextReportMs: number;
-  lastReport: WorkerReport | undefined;
-}
+const REPORT_INTERVAL_MS = 1_000;
 
 /** Choices of a cell. */
 export interface CellOptions {
@@ -123,14 +109,6 @@
 /** More than any test uses. */
 export const AMPLE: Resources = buildResources(1e6, 1e6, 1e6);
 
-function getKey({ job, index }: { job: string; index: number }): string {
-  return `${job}#${index}`;
-}
-
-function isLive(task: FakeTask): boolean {
-  return task.state === "running" || task.state === "starting";
-}
-
 /** Creates an empty cell at time 1,000,000 ms. */
 export function createCell(options: CellOptions = {}): Cell {
   const random = createSeededRandom(options.seed ?? 1);
@@ -169,113 +147,48 @@
 
   function checkRunning(where: string): void {
     const seen = new Map<string, string>();
-    for (const worker of workers.values()) {
-      const used = { processors: 0, memoryMb: 0, accelerators: 0 };
-      for (const task of worker.tasks.values()) {
-        if (!isLive(task)) continue;
-        const { resources } = task.spec;
-        used.processors += Math.min(
-          resources.processors,
-          task.limit ?? Infinity,
-        );
-        used.memoryMb += resources.memoryMb;
-        used.accelerators += resources.accelerators;
-        const key = getKey(task);
+    for (const { id, tasks, capacity } of workers.values()) {
+      const live = [...tasks.values()].filter(isLive);
+      for (const task of live) {
+        const key = getTaskKey(task);
         const other = seen.get(key);
         if (other !== undefined) {
-          errors.push(
-            `${where}: task ${key} runs on ${other} and ${worker.id}`,
-          );
+          errors.push(`${where}: task ${key} runs on ${other} and ${id}`);
         }
-        seen.set(key, worker.id);
-      }
-      const { capacity } = worker;
-      const isOver = used.processors > capacity.processors ||
-        used.memoryMb > capacity.memoryMb ||
-        used.accelerators > capacity.accelerators;
-      if (isOver) {
-        errors.push(
-          `${where}: worker ${worker.id} runs more than its capacity`,
-        );
+        seen.set(key, id);
       }
+      if (fitsWithin(computeUsed(live), capacity)) continue;
+      errors.push(`${where}: worker ${id} runs more than its capacity`);
     }
   }
 
-  function checkAllotment(start: StartAction): void {
-    const team = teams.get(start.spec.team);
-    if (team === undefined) {
-      errors.push(`task of unknown team ${start.spec.team} started`);
-      return;
-    }
-    const used = { processors: 0, memoryMb: 0, accelerators: 0 };
-    for (const other of started.values()) {
-      if (other.spec.team !== start.spec.team) continue;
-      const { resources } = other.spec;
-      const limit = workers.get(other.worker)?.tasks.get(
-        `${getKey(other)}@${other.attempt}`,
-      )?.limit;
-      used.processors += Math.min(resources.processors, limit ?? Infinity);
-      used.memoryMb += resources.memoryMb;
-      used.accelerators += resources.accelerators;
-    }
-    const { allotment } = team;
-    const isOver = used.processors > allotment.processors ||
-      used.memoryMb > allotment.memoryMb ||
-      used.accelerators > allotment.accelerators;
-    if (isOver) {
-      errors.push(
-        `start of ${
-          getKey(start)
-        } takes team ${start.spec.team} above its allotment`,
-      );
-    }
-  }
-
-  function receiveStart(start: StartAction): void {
-    const worker = workers.get(start.worker);
-    if (worker === undefined || !worker.isReachable) return;
-    const key = `${getKey(start)}@${start.attempt}`;
-    if (worker.stopped.has(key) || worker.tasks.has(key)) return;
-    if (worker.incarnation !== start.incarnation) return;
-    const sentAt = worker.sentAt.get(start.sequence) ?? -Infinity;
-    const leaseUntilMs = sentAt + start.leaseMs * SLOW_CLOCK_FACTOR;
-    if (nowMs >= leaseUntilMs) return;
-    worker.tasks.set(key, {
-      job: start.job,
-      index: start.index,
-      attempt: start.attempt,
-      spec: start.spec,
-      state: "running",
-      leaseUntilMs,
-      limit: undefined,
-      usage: undefined,
-      startedMs: nowMs,
-    });
-    checkRunning("start");
+  function checkAllotment({ spec }: StartAction): void {
+    const team = teams.get(spec.team);
+    const peers = [...started.values()].filter((other) =>
+      other.spec.team === spec.team
+    );
+    const used = computeUsed(peers.map((other) => {
+      const task = workers.get(other.worker)?.tasks.get(getAttemptKey(other));
+      return { spec: other.spec, limit: task?.limit };
+    }));
+    if (team !== undefined && fitsWithin(used, team.allotment)) return;
+    errors.push(`a start takes team ${spec.team} above its allotment`);
   }
 
-  function receiveCommand(action: SchedulerAction): void {
+  function sendCommand(action: SchedulerAction): void {
     if (!("worker" in action) || action.worker === undefined) return;
     const worker = workers.get(action.worker);
-    if (worker === undefined || !worker.isReachable) return;
-    const key = `${getKey(action)}@${action.attempt}`;
-    const task = worker.tasks.get(key);
-    if (action.type === "stop") {
-      worker.stopped.add(key);
-      if (task === undefined) return;
-      if (isLive(task)) task.state = "stopped";
-      else if (action.reason === "unknown") worker.tasks.delete(key);
-    } else if (action.type === "checkpoint") {
-      if (options.obeysCheckpoint === false) return;
-      if (task !== undefined && isLive(task)) task.state = "checkpointed";
-    } else if (action.type === "throttle" && task !== undefined) {
-      task.limit = action.processors;
-    }
+    send(() => {
+      if (worker === undefined || !worker.isReachable) return;
+      if (action.type === "start") receiveStart(worker, action, nowMs);
+      else receiveCommand(worker, action, options.obeysCheckpoint ?? true);
+      checkRunning("command");
+    });
   }
 
   function recordEnd(action: SchedulerAction): void {
     if (action.type !== "endTask") return;
-    const key = getKey(action);
+    const key = getTaskKey(action);
     const known = log.get(key);
     if (known?.state !== undefined && known.state !== "checkpointed") {
       errors.push(`task ${key} ended twice`);
@@ -303,7 +216,7 @@
   }
 
   function confirm(attempt: TaskAttempt): void {
-    const key = getKey(attempt);
+    const key = getTaskKey(attempt);
     const proposal = proposals.get(key);
     if (proposal?.attempt === attempt.attempt) {
       const known = log.get(key);
@@ -322,7 +235,7 @@
   function checkGang(job: string): void {
     const { spec } = jobs.get(job)!;
     for (let index = 0; index < spec.tasks; index++) {
-      const key = getKey({ job, index });
+      const key = getTaskKey({ job, index });
       const known = log.get(key);
       const hasEnded = known?.state !== undefined &&
         known.state !== "checkpointed";
@@ -345,28 +258,28 @@
     for (const action of taken) {
       actions.push(action);
       if (action.type === "assign") {
-        proposals.set(getKey(action), {
+        proposals.set(getTaskKey(action), {
           attempt: action.attempt,
           worker: action.worker,
         });
         pending.push(action);
       } else if (action.type === "start") {
-        const known = log.get(getKey(action));
+        const known = log.get(getTaskKey(action));
         if (
           known?.worker !== action.worker || known.attempt !== action.attempt
         ) {
-          errors.push(`start of ${getKey(action)} was not recorded`);
+          errors.push(`start of ${getTaskKey(action)} was not recorded`);
         }
-        started.set(getKey(action), action);
+        started.set(getTaskKey(action), action);
         checkAllotment(action);
         if (isLastStart(taken, action)) checkGang(action.job);
-        send(() => receiveStart(action));
+        sendCommand(action);
       } else if (action.type === "endJob") {
         const job = jobs.get(action.job)!;
         if (job.ended) errors.push(`job ${action.job} ended twice`);
         job.ended = true;
       } else if (action.type === "endTask") recordEnd(action);
-      else send(() => receiveCommand(action));
+      else sendCommand(action);
     }
     if (options.confirmsAtOnce === false) return;
     for (const attempt of pending.splice(0)) confirm(attempt);
@@ -379,55 +292,20 @@
       const { committed, capacity } = status;
       // After a takeover the capacity is not known before the first report.
       if (capacity.processors === 0) continue;
-      const isOver = committed.processors > capacity.processors ||
-        committed.memoryMb > capacity.memoryMb ||
-        committed.accelerators > capacity.accelerators;
-      if (isOver) errors.push(`worker ${id} is committed beyond its capacity`);
+      if (fitsWithin(committed, capacity)) continue;
+      errors.push(`worker ${id} is committed beyond its capacity`);
     }
   }
 
-  function buildReport(worker: FakeWorker): WorkerReport {
-    worker.sequence++;
-    worker.sentAt.set(worker.sequence, nowMs);
-    const tasks = [...worker.tasks.values()].map((task): WorkerTaskReport => ({
-      job: task.job,
-      index: task.index,
-      attempt: task.attempt,
-      state: task.state,
-      ...(task.usage === undefined ? {} : { usage: task.usage }),
-      ...(task.limit === undefined ? {} : { processorLimit: task.limit }),
-    }));
-    const { id, rack, incarnation, sequence, capacity, isDraining } = worker;
-    const report = {
-      worker: id,
-      rack,
-      incarnation,
-      sequence,
-      capacity,
-      tasks,
-      draining: isDraining,
-    };
-    worker.lastReport = report;
-    return report;
-  }
-
   function sendReport(worker: FakeWorker): void {
     worker.nextReportMs = nowMs + REPORT_INTERVAL_MS;
     const sentAtMs = nowMs;
-    const report = buildReport(worker);
+    const report = buildReport(worker, nowMs);
     if (!worker.isReachable) return;
     send(() => {
       const reply = scheduler.receiveWorkerReport(report, nowMs);
       send(() => {
-        if (!worker.isReachable) return;
-        for (const attempt of reply.renewed) {
-          const task = worker.tasks.get(
-            `${getKey(attempt)}@${attempt.attempt}`,
-          );
-          if (task === undefined) continue;
-          const untilMs = sentAtMs + reply.leaseMs * SLOW_CLOCK_FACTOR;
-          task.leaseUntilMs = Math.max(task.leaseUntilMs, untilMs);
-        }
+        if (worker.isReachable) receiveReply(worker, reply, sentAtMs);
       });
     });
   }
@@ -459,20 +337,7 @@
     errors,
     getNowMs: () => nowMs,
     addWorker(id, capacity, rack = "r0") {
-      const worker: FakeWorker = {
-        id,
-        rack,
-        capacity,
-        incarnation: 1,
-        sequence: 0,
-        isReachable: true,
-        isDraining: false,
-        tasks: new Map(),
-        stopped: new Set(),
-        sentAt: new Map(),
-        nextReportMs: nowMs,
-        lastReport: undefined,
-      };
+      const worker = createFakeWorker({ id, rack, capacity });
       workers.set(id, worker);
       sendReport(worker);
       return worker;
@@ -503,7 +368,7 @@
     },
     confirm,
     abandon(attempt) {
-      proposals.delete(getKey(attempt));
+      proposals.delete(getTaskKey(attempt));
       scheduler.abandonAssignment(attempt);
     },
     restore() {
@@ -518,7 +383,7 @@
       for (const [id, { spec, cancelled }] of jobs) {
         const tasks: RestoredTask[] = [];
         for (let index = 0; index < spec.tasks; index++) {
-          const known = log.get(getKey({ job: id, index }));
+          const known = log.get(getTaskKey({ job: id, index }));
           if (known === undefined) continue;
           const { attempt, failures, state, worker } = known;
           tasks.push({
