Cancel a queued request by itself

An aborted acquire cancelled every queued request with its identifier and entry instance, so a caller that gave up also cancelled a resend through the same instance. The controller now takes the signal and cancels that request alone; one whose signal is already aborted is not queued.

--- a/src/requests/mod.ts
+++ b/src/requests/mod.ts
@@ -19,5 +19,6 @@
 export * from "./records_types.ts";
 export * from "./request_id.ts";
 export * from "./retry_budget.ts";
-export * from "./slots.ts";
+export { createSlotController } from "./slots.ts";
+export * from "./slots_types.ts";
 export * from "./types.ts";
--- a/src/requests/recorded_slots.ts
+++ b/src/requests/recorded_slots.ts
@@ -12,12 +12,8 @@
   RecordDecision,
   RequestRecords,
 } from "./records_types.ts";
-import {
-  computeSureWait,
-  createSlotController,
-  type SlotController,
-  type SlotControllerOptions,
-} from "./slots.ts";
+import { computeSureWait, createSlotController } from "./slots.ts";
+import type { SlotController, SlotControllerOptions } from "./slots_types.ts";
 import type { SlotClient, SlotRelease, SlotRequest } from "./types.ts";
 
 /** Settings of slots with records. */
@@ -131,16 +127,6 @@
     );
   }
 
-  function acquireSlot(request: SlotRequest, signal?: AbortSignal) {
-    const { requestId, scope, instance } = request;
-    if (signal === undefined) return controller.acquire(request);
-    const cancel = () => controller.cancel(requestId, { scope, instance });
-    signal.addEventListener("abort", cancel);
-    return controller.acquire(request).finally(() =>
-      signal.removeEventListener("abort", cancel)
-    );
-  }
-
   async function acquireRecorded(request: SlotRequest, signal?: AbortSignal) {
     const { scope, requestId, bodyHash } = request;
     const deadlineMs = clock.now() + request.remainingMs;
@@ -167,7 +153,10 @@
       try {
         const waitedMs = computeSureWait(clock.now() - receivedAtMs);
         const remainingMs = deadlineMs - clock.now();
-        const grant = await acquireSlot({ ...request, remainingMs }, signal);
+        const grant = await controller.acquire(
+          { ...request, remainingMs },
+          signal,
+        );
         return { ...grant, validForMs: grant.validForMs + waitedMs };
       } catch (error) {
         if (!isDecisionChanged(error)) throw error;
@@ -189,7 +178,7 @@
     controller,
     acquire(request, signal) {
       return request.idempotent
-        ? acquireSlot(request, signal)
+        ? controller.acquire(request, signal)
         : acquireRecorded(request, signal);
     },
     async release(release) {
--- a/src/requests/slots.ts
+++ b/src/requests/slots.ts
@@ -5,14 +5,7 @@
  * predecessor have expired.
  */
 
-import {
-  type Clock,
-  createFault,
-  type Fault,
-  type Logger,
-  type Random,
-  toFault,
-} from "../common/mod.ts";
+import { createFault, type Fault, toFault } from "../common/mod.ts";
 import {
   ANNOUNCEMENT_DELAY_MS,
   CLOCK_RATE_ERROR,
@@ -20,93 +13,12 @@
   GRANT_VALID_MS,
 } from "./constants.ts";
 import { createEndpointTable } from "./endpoints.ts";
-import type {
-  EndpointGrant,
-  EndpointStatus,
-  EndpointTableOptions,
-} from "./endpoints_types.ts";
+import type { EndpointGrant } from "./endpoints_types.ts";
 import { createExpiryQueue, type ExpiryEntry } from "./expiry_queue.ts";
 import { createFairQueue } from "./fair_queue.ts";
-import type {
-  FairQueueOptions,
-  QueueEntry,
-  TeamQueueStatus,
-} from "./fair_queue_types.ts";
-import type {
-  RequestOutcome,
-  SlotGrant,
-  SlotRequest,
-  TeamPolicy,
-} from "./types.ts";
-
-/** Settings of a slot controller; times in milliseconds. */
-export interface SlotControllerOptions {
-  clock: Clock;
-  random: Random;
-  logger: Logger;
-  dataCentre: string;
-  /** Term of this leader; part of each grant. */
-  epoch: number;
-  /** The weight and the slot allotment of a team at this data centre. */
-  getPolicy: (team: string) => TeamPolicy;
-  /** False once the leader lease has ended; asked before each grant. */
-  canGrant?: () => boolean;
-  /**
-   * Runs with the slot reserved, before the grant is returned, for example to
-   * record the start of a non-idempotent request. Its fault frees the slot and
-   * becomes the answer.
-   */
-  beforeGrant?: (request: SlotRequest, token: string) => Promise<void>;
-  /** Default: `grantValidMs` and the clock rate bound, that is 1,020. */
-  takeoverWaitMs?: number;
-  /** How long a grant may be unused. Default 1,000. */
-  grantValidMs?: number;
-  /** Time after the deadline at which a grant ends. Default 500. */
-  grantGraceMs?: number;
-  queue?: Pick<
-    FairQueueOptions<unknown>,
-    "maxQueued" | "maxQueuedPerTeam" | "defaultDurationMs"
-  >;
-  endpoints?: Omit<
-    EndpointTableOptions,
-    "clock" | "random" | "dataCentre" | "acceptFromMs" | "grantValidMs"
-  >;
-}
-
-/** Counts of a slot controller. */
-export interface SlotStatus {
-  readonly epoch: number;
-  readonly isReady: boolean;
-  readonly queued: number;
-  readonly granted: number;
-  readonly teams: readonly TeamQueueStatus[];
-  readonly endpoints: readonly EndpointStatus[];
-}
-
-/** Which queued requests to cancel. */
-export interface CancelOptions {
-  /** Only those of this scope. */
-  scope?: string;
-  /** Only those of this entry instance. */
-  instance?: string;
-}
-
-/** Gives slots to requests. */
-export interface SlotController {
-  /** Waits for a slot; rejects with a fault that is not run. */
-  acquire(request: SlotRequest): Promise<SlotGrant>;
-  /** Ends a grant; false when the token is unknown, ended or of another epoch. */
-  release(token: string, outcome: RequestOutcome, durationMs: number): boolean;
-  /** Refuses queued requests of the identifier as cancelled, not run; returns their number. */
-  cancel(requestId: string, options?: CancelOptions): number;
-  /** Takes an endpoint's announcement; see `EndpointTable`. */
-  receiveAnnouncement(input: unknown): boolean;
-  /** Considers teams again whose weight or allotment has changed. */
-  updatePolicies(): void;
-  getStatus(): SlotStatus;
-  /** Refuses all queued work as not run. Grants that were given stay valid. */
-  stop(): void;
-}
+import type { QueueEntry } from "./fair_queue_types.ts";
+import type { SlotController, SlotControllerOptions } from "./slots_types.ts";
+import type { RequestOutcome, SlotGrant, SlotRequest } from "./types.ts";
 
 interface Waiter {
   readonly request: SlotRequest;
@@ -329,18 +241,47 @@
     startWaiting();
   }
 
+  function createCancelFault(request: SlotRequest): Fault {
+    return createFault(
+      "cancelled",
+      `Cancelled request "${request.requestId}" in the queue`,
+      { ran: "no" },
+    );
+  }
+
+  function cancelWaiter(waiter: Waiter): boolean {
+    if (waiter.entry === undefined || !queue.remove(waiter.entry)) return false;
+    handleRefusal(waiter, createCancelFault(waiter.request));
+    return true;
+  }
+
   return {
-    acquire(request) {
+    acquire(request, signal) {
       return new Promise<SlotGrant>((resolve, reject) => {
         const receivedAtMs = clock.now();
-        addWaiter({
+        let isSettled = false;
+        const stop = () => {
+          isSettled = true;
+          signal?.removeEventListener("abort", handleAbort);
+        };
+        const waiter: Waiter = {
           request,
           receivedAtMs,
           deadlineMs: receivedAtMs + request.remainingMs,
-          resolve,
-          reject,
+          resolve(grant) {
+            stop();
+            resolve(grant);
+          },
+          reject(fault) {
+            stop();
+            reject(fault);
+          },
           entry: undefined,
-        });
+        };
+        const handleAbort = () => void cancelWaiter(waiter);
+        if (signal?.aborted === true) throw createCancelFault(request);
+        addWaiter(waiter);
+        if (!isSettled) signal?.addEventListener("abort", handleAbort);
       });
     },
     release(token, outcome, durationMs) {
@@ -352,19 +293,10 @@
     cancel(requestId, { scope, instance } = {}) {
       let count = 0;
       for (const waiter of [...waiters.get(requestId) ?? []]) {
-        const { request, entry } = waiter;
+        const { request } = waiter;
         if (scope !== undefined && request.scope !== scope) continue;
         if (instance !== undefined && request.instance !== instance) continue;
-        if (entry === undefined || !queue.remove(entry)) continue;
-        count += 1;
-        handleRefusal(
-          waiter,
-          createFault(
-            "cancelled",
-            `Cancelled request "${requestId}" in the queue`,
-            { ran: "no" },
-          ),
-        );
+        if (cancelWaiter(waiter)) count += 1;
       }
       return count;
     },
--- a/src/requests/slots_test.ts
+++ b/src/requests/slots_test.ts
@@ -9,7 +9,7 @@
   createController,
   READY_MS,
 } from "../../test/requests_helpers.ts";
-import type { SlotController } from "./slots.ts";
+import type { SlotController } from "./slots_types.ts";
 import type { RequestOutcome, SlotGrant } from "./types.ts";
 
 const SEED = 20261204;
@@ -422,6 +422,14 @@
   const other = controller.acquire(
     buildRequest({ requestId: "second", scope: "other" }),
   );
+  const stop = new AbortController();
+  const aborted = controller.acquire(
+    buildRequest({ requestId: "second" }),
+    stop.signal,
+  );
+  stop.abort();
+  await t.rejects(aborted, buildWanted("cancelled", "no"));
+  t.equal(controller.getStatus().queued, 2, "only the aborted one is gone");
   t.equal(controller.cancel("second", { scope: "team" }), 1);
   await t.rejects(cancelled, buildWanted("cancelled", "no"));
   t.equal(
--- a/test/requests_helpers.ts
+++ b/test/requests_helpers.ts
@@ -7,11 +7,11 @@
   type ManualClock,
   type Ran,
 } from "../src/common/mod.ts";
-import {
-  createSlotController,
-  type SlotController,
-  type SlotControllerOptions,
-} from "../src/requests/slots.ts";
+import { createSlotController } from "../src/requests/slots.ts";
+import type {
+  SlotController,
+  SlotControllerOptions,
+} from "../src/requests/slots_types.ts";
 import type { SlotGrant, SlotRequest } from "../src/requests/types.ts";
 
 const SEED = 20261204;
