--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -4,7 +4,7 @@
 import { command, option, string } from "cmd-ts";
 import { createLogger } from "../common/mod.ts";
 import { startInstance } from "../instance/mod.ts";
-import { loadSettings } from "../settings/mod.ts";
+import { isOperatorInterfaceOpen, loadSettings } from "../settings/mod.ts";
 
 /** Exit code after a failure that makes it impossible to go on. */
 const FAILURE_EXIT_CODE = 1;
@@ -13,6 +13,11 @@
 export async function runServe(path: string): Promise<void> {
   const settings = await loadSettings(path);
   const logger = createLogger({ level: settings.logLevel });
+  if (isOperatorInterfaceOpen(settings)) {
+    logger.warn("The operators' interface is open: no token hash is set", {
+      instance: settings.instance,
+    });
+  }
   // Timers of the instance do not keep the process alive.
   const keepAlive = setInterval(() => {}, 60_000);
   const instance = await startInstance(settings, {
--- a/src/data_centre/leadership.ts
+++ b/src/data_centre/leadership.ts
@@ -46,12 +46,16 @@
   state: DataCentreState;
   view: FleetView;
   weights: SchedulingWeights;
+  /** Reserve on top of reported usage, as a part of it. */
+  usageMargin: number;
+  /** Expected time between announcements, in milliseconds. */
+  announcePeriodMs: number;
   taskLeaseMs: number;
   /** Requests that may wait for a slot. */
   queueLength: number;
   grantValidMs: number;
-  /** Entry instances that may hold connections to an endpoint. */
-  maxConnectionsPerInstance: number;
+  /** Connections that one entry instance may hold to one endpoint. */
+  connectionsPerEndpoint: number;
   holdsLease: () => boolean;
   propose: (command: DataCentreCommand) => Promise<DataCentreResult>;
   sendAsk: (ask: AllotmentAsk) => Promise<Limits>;
@@ -141,6 +145,7 @@
   const scheduler = createScheduler({
     random,
     weights: options.weights,
+    usageMargin: options.usageMargin,
     leaseMs: options.taskLeaseMs,
   });
   const setTeam = createTeamSetter(scheduler);
@@ -185,6 +190,10 @@
     canGrant: options.holdsLease,
     grantValidMs: options.grantValidMs,
     queue: { maxQueued: options.queueLength },
+    endpoints: {
+      announcePeriodMs: options.announcePeriodMs,
+      connectionsPerEndpoint: options.connectionsPerEndpoint,
+    },
     records: state.requests,
     propose: async (command) =>
       await propose({ part: "requests", command }) as never,
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -242,7 +242,12 @@
   }
 
   const ownGroup = getDataCentreGroup(dataCentre);
-  const observer = createObserver({ instance, dataCentre, clock });
+  const observer = createObserver({
+    instance,
+    dataCentre,
+    clock,
+    objectives: settings.objectives,
+  });
   let work: WorkService | undefined;
   if (settings.roles.scheduler) {
     const state = createState(dataCentre, () => work?.handleApplied());
--- a/src/instance/observer.ts
+++ b/src/instance/observer.ts
@@ -16,8 +16,14 @@
   createBurnRecorder,
   createMetrics,
   type Metrics,
+  OBJECTIVE_NAMES,
+  type Objectives,
   resolveObjectives,
 } from "../report/mod.ts";
+import type {
+  ObjectiveSetSettings,
+  ObjectiveSettings,
+} from "../settings/mod.ts";
 import type { JobSpec, SchedulerStatus } from "../scheduling/mod.ts";
 
 /**
@@ -40,6 +46,8 @@
   instance: string;
   dataCentre: string;
   clock: Clock;
+  /** Service-level objectives that differ from the defaults. */
+  objectives?: ObjectiveSettings | undefined;
 }
 
 /** Counts what an instance does. */
@@ -80,6 +88,21 @@
   return distances;
 }
 
+function toObjectives(settings: ObjectiveSettings = {}): Objectives {
+  const pickSet = (set: ObjectiveSetSettings) =>
+    Object.fromEntries(
+      OBJECTIVE_NAMES.flatMap((name) =>
+        set[name] === undefined ? [] : [[name, set[name]]]
+      ),
+    );
+  return resolveObjectives({
+    default: pickSet(settings.default ?? {}),
+    teams: Object.fromEntries(
+      (settings.teams ?? []).map((set) => [set.team, pickSet(set)]),
+    ),
+  });
+}
+
 /** Creates an observer with empty counts. */
 export function createObserver(options: ObserverOptions): Observer {
   const { instance, dataCentre, clock } = options;
@@ -89,7 +112,7 @@
   const burn = createBurnRecorder({
     instance,
     clock,
-    objectives: resolveObjectives(),
+    objectives: toObjectives(options.objectives),
   });
 
   function recordFault(team: string, fault: Fault, durationMs: number): void {
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -107,13 +107,41 @@
     .default(log.electionTimeoutMinMs),
   electionTimeoutMaxMs: createInteger(10, 60_000)
     .default(log.electionTimeoutMaxMs),
-  snapshotEntries: createInteger(1, 10_000_000).default(log.snapshotEntries),
+  snapshotLogBytes: createInteger(65_536, 1_073_741_824)
+    .default(log.snapshotLogBytes),
 }, SECTION);
 
 const STOP = z.strictObject({
   graceMs: createInteger(0, 3_600_000).default(stop.graceMs),
 }, SECTION);
 
+const OBJECTIVE = z.strictObject({
+  target: createNumber(0, 1),
+  limit: createNumber(0, MAX_TIME_MS).optional(),
+}, SECTION);
+
+const OBJECTIVE_SET = {
+  answeredOnTime: OBJECTIVE.optional(),
+  answered: OBJECTIVE.optional(),
+  waiting: OBJECTIVE.optional(),
+  share: OBJECTIVE.optional(),
+};
+
+const TEAM_NAME_RANGE = "the name of a team";
+const OBJECTIVE_TEAMS_RANGE = "a list of teams with their objectives";
+
+const OBJECTIVES = z.strictObject({
+  default: z.strictObject(OBJECTIVE_SET, SECTION).optional(),
+  teams: z.array(
+    z.strictObject({
+      team: z.string({ error: TEAM_NAME_RANGE })
+        .min(1, { error: TEAM_NAME_RANGE }),
+      ...OBJECTIVE_SET,
+    }, SECTION),
+    { error: OBJECTIVE_TEAMS_RANGE },
+  ).optional(),
+}, SECTION);
+
 /** The schema of a settings file. */
 export const SETTINGS_SCHEMA = z.strictObject({
   instance: NAME,
@@ -134,6 +162,7 @@
   keyStalenessLimitMs: createInteger(0, 7 * MAX_TIME_MS)
     .default(DEFAULT_SETTINGS.keyStalenessLimitMs),
   stop: STOP.prefault({}),
+  objectives: OBJECTIVES.optional(),
   logLevel: createChoice(LOG_LEVELS).default(DEFAULT_SETTINGS.logLevel),
 }, SECTION);
 
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -5,6 +5,7 @@
  */
 
 import type { LogLevel } from "../common/mod.ts";
+import type { Objective, ObjectiveName } from "../report/objectives.ts";
 import type { SchedulingWeights } from "../scheduling/types.ts";
 
 /** An address that a process listens on or is reached at. */
@@ -89,8 +90,8 @@
   readonly electionTimeoutMinMs: number;
   /** Longest election timeout, in milliseconds. */
   readonly electionTimeoutMaxMs: number;
-  /** Applied entries after which a snapshot is taken. */
-  readonly snapshotEntries: number;
+  /** Bytes of log after which a snapshot is taken. */
+  readonly snapshotLogBytes: number;
 }
 
 /** A planned stop. */
@@ -99,6 +100,23 @@
   readonly graceMs: number;
 }
 
+/** Service-level objectives by name; see `docs/burn_report.md`. */
+export type ObjectiveSetSettings = Readonly<
+  { [Name in ObjectiveName]?: Objective | undefined }
+>;
+
+/** Objectives of one team. */
+export interface TeamObjectiveSettings extends ObjectiveSetSettings {
+  readonly team: string;
+}
+
+/** Service-level objectives of all teams. */
+export interface ObjectiveSettings {
+  readonly default?: ObjectiveSetSettings | undefined;
+  /** Deviations by team. */
+  readonly teams?: readonly TeamObjectiveSettings[] | undefined;
+}
+
 /** The complete settings of one instance. */
 export interface Settings {
   readonly instance: string;
@@ -120,6 +138,8 @@
   /** How long keys are honoured without contact to the fleet log, in milliseconds; 0 is strict. */
   readonly keyStalenessLimitMs: number;
   readonly stop: StopSettings;
+  /** Service-level objectives that differ from the defaults. */
+  readonly objectives?: ObjectiveSettings | undefined;
   readonly logLevel: LogLevel;
 }
 
@@ -164,12 +184,12 @@
     retryBudgetRatio: 0.1,
   },
   tasks: { leaseMs: 10_000, announcePeriodMs: 1_000 },
-  scheduling: { weights: "share", usageSafetyMargin: 0.2 },
+  scheduling: { weights: "share", usageSafetyMargin: 0.1 },
   log: {
     heartbeatMs: 100,
     electionTimeoutMinMs: 500,
     electionTimeoutMaxMs: 1_000,
-    snapshotEntries: 10_000,
+    snapshotLogBytes: 8_388_608,
   },
   keyStalenessLimitMs: 3_600_000,
   stop: { graceMs: 30_000 },
