--- a/src/replicated_log/types.ts
+++ b/src/replicated_log/types.ts
@@ -366,7 +366,11 @@
   random: Random;
   stateMachine: StateMachine;
   timings?: Partial<LogTimings>;
-  /** Called when a lease starts and when it ends, not at each renewal. */
+  /**
+   * Called when a lease starts and when it ends, not at each renewal. The call
+   * at the end can be late, for instance after a pause of the process; what
+   * depends on the lease must check `getLease` just before it acts.
+   */
   onLeadership?: (lease: LeaderLease | undefined) => void;
   /** Called once when the store fails; the member has stopped by then. */
   onFailure?: (error: unknown) => void;
