--- a/src/replicated_log/consensus_test.ts
+++ b/src/replicated_log/consensus_test.ts
@@ -160,6 +160,10 @@
     sentAtMs: 1_500,
   });
   t.strictSame(send("b", createReply(2), 1_510).committed, []);
+  // Two leaders could each have appended a change that the other does not know.
+  const members = MEMBERS.slice(0, 2);
+  const change = { kind: "changeMembers", members } as const;
+  t.equal(stepConsensus(state, change, 1_510).refusal, "changeInProgress");
   // The leader's own copy does not count before it is synced.
   t.strictSame(send("b", createReply(3), 1_600).committed, []);
   const { committed } = stepConsensus(state, {
