--- a/src/replicated_log/consensus_test.ts
+++ b/src/replicated_log/consensus_test.ts
@@ -177,6 +177,38 @@
   t.equal(lease?.validUntilMs, 1_500 + computeLeaseMs(resolveLogTimings()));
 });
 
+// Guards against entries of a replaced leader that stay behind a snapshot they do not belong to.
+t.test("a snapshot drops a log that differs at its index", async (t) => {
+  const data = new Uint8Array(0);
+  for (const term of [2, 3]) {
+    const storage = createMemoryStorage();
+    await createFirstLog({ entries: [] }, {
+      self: "a",
+      members: MEMBERS,
+      storage,
+    });
+    const entry = { term: 2, kind: "command", data } as const;
+    await storage.append([{ index: 2, ...entry }, { index: 3, ...entry }]);
+    await storage.saveVote({ member: "a", term: 3 });
+    const { state, send } = await openMember(storage, 0);
+    const { restored } = send("b", {
+      kind: "snapshot",
+      to: "a",
+      term: 3,
+      index: 2,
+      snapshotTerm: term,
+      members: MEMBERS,
+      offset: 0,
+      totalBytes: 0,
+      data,
+      round: 1,
+      sentAtMs: 0,
+    }, 10);
+    t.equal(restored?.index, 2);
+    t.equal(state.log.getLastIndex(), term === 2 ? 3 : 2);
+  }
+});
+
 // Guards against a lease on a slow clock that outlives the promises on fast ones.
 t.test("a lease ends before the promises behind it at the bound of the rates", (t) => {
   const timings = resolveLogTimings();
