Stop a round once one failure answers for all that waits

Ruled out: keeping the order between steps; waiting times change all scores. Conclusion: the round ends when a task no larger than any other found no room; failed plans to reclaim are not tried again for half a second.

--- a/src/scheduling/heap.ts
+++ b/src/scheduling/heap.ts
@@ -10,11 +10,14 @@
   list(): readonly Item[];
 }
 
-/** Creates an empty heap; `compare` is negative when its first argument comes first. */
+/** Creates a heap of `items`, which it takes over; `compare` is negative when its first argument comes first. */
 export function createHeap<Item>(
   compare: (a: Item, b: Item) => number,
+  items: Item[] = [],
 ): Heap<Item> {
-  const items: Item[] = [];
+  for (let position = (items.length >> 1) - 1; position >= 0; position--) {
+    updateDownwards(position);
+  }
 
   function updateUpwards(start: number): void {
     const item = items[start]!;
@@ -28,9 +31,9 @@
     items[position] = item;
   }
 
-  function updateDownwards(): void {
-    const item = items[0]!;
-    let position = 0;
+  function updateDownwards(start: number): void {
+    const item = items[start]!;
+    let position = start;
     while (true) {
       let child = 2 * position + 1;
       if (child >= items.length) break;
@@ -56,7 +59,7 @@
       const last = items.pop();
       if (items.length > 0 && last !== undefined) {
         items[0] = last;
-        updateDownwards();
+        updateDownwards(0);
       }
       return first;
     },
--- a/src/scheduling/ordering.ts
+++ b/src/scheduling/ordering.ts
@@ -5,7 +5,7 @@
  * short work first keeps the mean low and aging keeps long work from starving.
  */
 
-import { PROCESSOR_UNITS_PER_CORE } from "../common/mod.ts";
+import { PROCESSOR_UNITS_PER_CORE, type Resources } from "../common/mod.ts";
 import { createHeap } from "./heap.ts";
 import { DEFAULT_EXPECTED_MS } from "./job_queues.ts";
 import type { JobQueue, JobRecord } from "./records.ts";
@@ -26,6 +26,10 @@
   takeNext(): JobRecord | undefined;
   /** Puts the group of the job that was taken last back in. */
   add(): void;
+  /** The first jobs of the groups that were not taken: urgent ones and gangs in order, then the others. */
+  listRest(): JobRecord[];
+  /** No waiting task is smaller than this in any resource. */
+  readonly leastSize: Resources;
 }
 
 // After a minute of waiting a job counts as if it were half as long.
@@ -47,8 +51,13 @@
 
 /** Creates the order of one step. */
 export function createServingOrder(state: SchedulerState): ServingOrder {
-  const heap = createHeap<Candidate>(compareCandidates);
   const isShareFirst = state.options.weights === "share";
+  const candidates: Candidate[] = [];
+  const least = {
+    processors: Infinity,
+    memoryMb: Infinity,
+    accelerators: Infinity,
+  };
   let last: Candidate | undefined;
 
   function updateCandidate(candidate: Candidate, job: JobRecord): void {
@@ -60,24 +69,26 @@
     candidate.submittedAt = job.spec.submittedAt;
   }
 
-  function addCandidate(candidate: Candidate): void {
-    const job = state.queues.getFirst(candidate.queue);
-    if (job === undefined) return;
-    updateCandidate(candidate, job);
-    heap.add(candidate);
-  }
-
   for (const queue of state.queues.list()) {
-    addCandidate({
+    const job = state.queues.getFirst(queue);
+    if (job === undefined) continue;
+    const candidate = {
       queue,
       isUrgent: false,
       score: 0,
       tieScore: 0,
       submittedAt: 0,
-    });
+    };
+    updateCandidate(candidate, job);
+    candidates.push(candidate);
+    least.processors = Math.min(least.processors, job.size.processors);
+    least.memoryMb = Math.min(least.memoryMb, job.size.memoryMb);
+    least.accelerators = Math.min(least.accelerators, job.size.accelerators);
   }
+  const heap = createHeap(compareCandidates, candidates);
 
   return {
+    leastSize: least,
     takeNext() {
       for (
         let candidate = heap.takeFirst();
@@ -102,8 +113,26 @@
       return undefined;
     },
     add() {
-      if (last !== undefined) addCandidate(last);
+      if (last === undefined) return;
+      const job = state.queues.getFirst(last.queue);
+      if (job === undefined) return;
+      updateCandidate(last, job);
+      heap.add(last);
       last = undefined;
     },
+    listRest() {
+      const ordered: Candidate[] = [];
+      const others: JobRecord[] = [];
+      for (const candidate of heap.list()) {
+        const job = state.queues.getFirst(candidate.queue);
+        if (job === undefined) continue;
+        const needsOrder = job.spec.urgent || job.spec.policy === "gang";
+        if (needsOrder) ordered.push(candidate);
+        else others.push(job);
+      }
+      ordered.sort(compareCandidates);
+      const first = ordered.map(({ queue }) => state.queues.getFirst(queue)!);
+      return [...first, ...others];
+    },
   };
 }
--- a/src/scheduling/placing.ts
+++ b/src/scheduling/placing.ts
@@ -9,17 +9,23 @@
 import type { Reservations } from "./reservations.ts";
 import { clearAllotment } from "./shedding.ts";
 import type { SchedulerState } from "./state.ts";
-import { computeEntitlements, type Entitlements } from "./victims.ts";
+import {
+  computeEntitlements,
+  type Entitlements,
+  isOverShare,
+} from "./victims.ts";
 
 // Shapes that found no room in this round; like ones are not tried again.
 const MAX_FAILED_SHAPES = 16;
 // A plan looks at 64 workers, so a step spends at most a few milliseconds on plans.
 const MAX_PLANS_PER_STEP = 50;
 const MAX_RECLAIM_PLANS_PER_STEP = 4;
+// Holdings change by reports, which come once a second.
+const RECLAIM_RETRY_MS = 500;
 
 /** What one round came to. */
 interface Round {
-  readonly failedShapes: Resources[];
+  failedShapes: Resources[];
   /** Jobs that found no room, in the order of serving. */
   readonly blocked: JobRecord[];
   /** Jobs that their team's allotment held back. */
@@ -82,12 +88,16 @@
   const task = job.waiting[job.waiting.length - 1]!;
   // With room only where the last attempt failed, a second try there is better than none.
   if (task.avoid !== undefined && placeOne(state, job, false)) return true;
-  if (round.failedShapes.length < MAX_FAILED_SHAPES) {
-    round.failedShapes.push(job.size);
-  }
+  addFailedShape(round, job.size);
   return false;
 }
 
+function addFailedShape(round: Round, size: Resources): void {
+  const kept = round.failedShapes.filter((shape) => !fitsWithin(size, shape));
+  if (kept.length < MAX_FAILED_SHAPES) kept.push(size);
+  round.failedShapes = kept;
+}
+
 function runRound(state: SchedulerState, reservations: Reservations): Round {
   const round: Round = { failedShapes: [], blocked: [], bounded: [] };
   const order = createServingOrder(state);
@@ -106,12 +116,28 @@
       order.add();
       continue;
     }
-    job.blockedSinceMs ??= state.nowMs;
-    round.blocked.push(job);
+    addBlocked(state, round, job);
+    // In a full cell one failure answers for all that waits, however much that is.
+    const isFull = hasFailedShape(round, order.leastSize) &&
+      state.probingWorkers.size === 0 && !reservations.hasBackfillRoom();
+    if (isFull) break;
+  }
+  for (const job of order.listRest()) {
+    if (fitsAllotment(job)) addBlocked(state, round, job);
+    else round.bounded.push(job);
   }
   return round;
 }
 
+function addBlocked(
+  state: SchedulerState,
+  round: Round,
+  job: JobRecord,
+): void {
+  job.blockedSinceMs ??= state.nowMs;
+  round.blocked.push(job);
+}
+
 /** Lists the waiting jobs of the same group, of which a round looks only at the first. */
 function listPeers(job: JobRecord, limit: number): JobRecord[] {
   const { queue } = job;
@@ -162,16 +188,20 @@
   let left = MAX_RECLAIM_PLANS_PER_STEP;
   for (const job of round.blocked) {
     const { team, spec } = job;
+    if (isOverShare(state, team, entitlements)) continue;
     if (!preemption.isBelowShare(job, entitlements)) continue;
     team.starvedSinceMs ??= nowMs;
     if (spec.urgent || spec.policy === "gang") continue;
     if (nowMs - team.starvedSinceMs < options.reclaimAfterMs) continue;
+    if (nowMs < team.nextReclaimMs) continue;
     for (const peer of listPeers(job, left)) {
       const isAllowed = left > 0 && preemption.hasReclaimRoom() &&
         preemption.isBelowShare(peer, entitlements);
       if (!isAllowed) break;
       left--;
-      preemption.plan(peer, "reclaim", entitlements);
+      if (preemption.plan(peer, "reclaim", entitlements)) continue;
+      team.nextReclaimMs = nowMs + RECLAIM_RETRY_MS;
+      break;
     }
   }
 }
--- a/src/scheduling/records.ts
+++ b/src/scheduling/records.ts
@@ -125,6 +125,8 @@
   queuedTasks: number;
   /** Since when the team has been below its share with work that found no room. */
   starvedSinceMs: number | undefined;
+  /** No plan to reclaim lent resources is tried before this time. */
+  nextReclaimMs: number;
   /** Set while the team has to shed work. */
   isOverAllotment: boolean;
 }
--- a/src/scheduling/reservations.ts
+++ b/src/scheduling/reservations.ts
@@ -38,6 +38,8 @@
   propose(blocked: readonly JobRecord[]): void;
   /** Places one task of a short job on a reserved worker; returns false when none has room. */
   placeBackfill(job: JobRecord): boolean;
+  /** Tells whether short work may still be placed on reserved workers in this step. */
+  hasBackfillRoom(): boolean;
   /** Places the holder of the reservation if it fits now, and clears its way when it has waited too long. */
   step(): void;
 }
@@ -267,6 +269,9 @@
       }
       return false;
     },
+    hasBackfillRoom: () =>
+      reservation !== undefined && !reservation.isClearing &&
+      backfillProbesLeft > 0,
     step() {
       backfillProbesLeft = MAX_BACKFILL_PROBES;
       if (reservation !== undefined) stepReservation(reservation);
--- a/src/scheduling/state.ts
+++ b/src/scheduling/state.ts
@@ -138,6 +138,7 @@
       placed: new Set(),
       queuedTasks: 0,
       starvedSinceMs: undefined,
+      nextReclaimMs: 0,
       isOverAllotment: false,
     };
     state.teams.set(name, team);
