--- a/src/scheduling/state.ts
+++ b/src/scheduling/state.ts
@@ -140,6 +140,7 @@
       queuedTasks: 0,
       queuedResources: NO_RESOURCES,
       starvedSinceMs: undefined,
+      nextReclaimMs: 0,
       isOverAllotment: false,
     };
     state.teams.set(name, team);
