--- a/src/instance/job_view.ts
+++ b/src/instance/job_view.ts
@@ -19,6 +19,7 @@
 /** Renders a job; its tasks are those that were ever assigned. */
 export function renderJob(record: JobRecord, known: JobKnowledge): JobView {
   const { spec } = record;
+  const neverRunnable = known.job?.neverRunnable ?? known.neverRunnable;
   const tasks = [...record.tasks].map(([index, task]) => ({
     index,
     attempt: task.attempt,
@@ -37,9 +38,7 @@
     urgent: spec.urgent,
     submittedAt: new Date(spec.submittedWallMs).toISOString(),
     ...(known.job === undefined ? {} : { counts: known.job.counts }),
-    ...(known.neverRunnable === undefined
-      ? {}
-      : { neverRunnable: known.neverRunnable }),
+    ...(neverRunnable === undefined ? {} : { neverRunnable }),
     tasks,
   };
 }
--- a/src/instance/request_routing.ts
+++ b/src/instance/request_routing.ts
@@ -67,6 +67,14 @@
   findRequest(scope: string, requestId: string): Promise<RequestState>;
 }
 
+/** Without a grant nothing was sent, so a lost reply of the leader means "not run". */
+function toNotRun(error: unknown): unknown {
+  if (!isFault(error, "outcomeUnknown")) return error;
+  return createFault("unavailable", "Cannot get a slot: the leader was lost", {
+    cause: error,
+  });
+}
+
 function createSlotClient(
   options: RequestRoutingOptions,
   dataCentre: string,
@@ -81,6 +89,8 @@
         // A lost grant expires unused, so asking again is safe.
         idempotent: request.idempotent,
         ...(signal === undefined ? {} : { signal }),
+      }).catch((error) => {
+        throw toNotRun(error);
       });
       if (reply.outcome === "answer" && reply.answer !== undefined) {
         return { kind: "answer", answer: reply.answer };
