Keep a majority of each example group on disks

Cause: three members of which one has a disk do not come back when the data centre loses power, since two of three copies are gone. Now two schedulers, the first with a disk, and a witness with a disk elsewhere; the third instance of a data centre is an entry instance only.

--- a/examples/build.mjs
+++ b/examples/build.mjs
@@ -7,8 +7,13 @@
 
 const EXAMPLE_TOKEN = "replace-this-token";
 
-// A data centre with two instances has a witness elsewhere. The voters are the
-// witnesses too, so three instances with a disk are enough.
+/** Instances of a data centre in its log group; a further one is an entry instance only. */
+const GROUP_SCHEDULERS = 2;
+
+// Two instances of each data centre are in its log group, the first with a disk,
+// and a witness with a disk in another data centre is the third member. So a
+// majority of each group is on disks, and a data centre that loses power whole
+// comes back by itself. Three members without a disk would not.
 const CELLS = [
   {
     folder: "consortium",
@@ -19,8 +24,10 @@
       { name: "kollam", network: "198.51.100.1", instances: 2, racks: [6] },
       { name: "trivandrum", network: "203.0.113.1", instances: 2, racks: [6] },
     ],
-    voters: {
+    voters: ["kochi-1", "kollam-1", "trivandrum-1"],
+    witnesses: {
       "kochi-1": ["alappuzha"],
+      "alappuzha-1": ["kochi"],
       "kollam-1": ["trivandrum"],
       "trivandrum-1": ["kollam"],
     },
@@ -35,7 +42,12 @@
       { name: "itagui", network: "198.51.100.1", instances: 3, racks: [8] },
       { name: "rionegro", network: "203.0.113.1", instances: 3, racks: [6] },
     ],
-    voters: { "medellin-1": [], "itagui-1": [], "rionegro-1": [] },
+    voters: ["medellin-1", "itagui-1", "rionegro-1"],
+    witnesses: {
+      "medellin-1": ["itagui"],
+      "itagui-1": ["rionegro"],
+      "rionegro-1": ["medellin"],
+    },
     queues: ["plans", "lots", "quotes"],
     worker: { cores: 32, memoryGb: 128, accelerators: 0 },
   },
@@ -45,7 +57,7 @@
   return Array.from({ length: count }, (_, index) => index + 1);
 }
 
-function listInstances({ dataCentres, voters }) {
+function listInstances({ dataCentres, voters, witnesses }) {
   return dataCentres.flatMap(({ name, network, instances }) =>
     listNumbers(instances).map((number) => {
       const instance = `${name}-${number}`;
@@ -55,9 +67,9 @@
         dataCentre: name,
         http: { host, port: 8080 },
         rpc: { host, port: 9090 },
-        scheduler: true,
-        voter: instance in voters,
-        witnessFor: voters[instance] ?? [],
+        scheduler: number <= GROUP_SCHEDULERS,
+        voter: voters.includes(instance),
+        witnessFor: witnesses[instance] ?? [],
       };
     })
   );
@@ -70,7 +82,7 @@
     dataCentre,
     roles: { scheduler, voter, witnessFor },
     listen: { http, rpc },
-    ...(voter ? { dataFolder: `data/${instance}` } : {}),
+    ...(witnessFor.length > 0 ? { dataFolder: `data/${instance}` } : {}),
     operatorTokenHash: createHash("sha256").update(EXAMPLE_TOKEN).digest("hex"),
     scheduling: { weights: cell.weights },
     instances,
