Give requests without an identifier one that carries its time

Their records can then be forgotten after the retention time; an identifier without a time leaves a digest for good. An announcement of an endpoint is given up after the 500 ms that the leader's slot count assumes.

--- a/src/http/request_routes.ts
+++ b/src/http/request_routes.ts
@@ -1,9 +1,10 @@
 /** Routes of callers' requests to endpoints. */
 
 import { Buffer } from "node:buffer";
-import { createHash, randomUUID } from "node:crypto";
+import { createHash, randomBytes } from "node:crypto";
 import { createFault } from "../common/mod.ts";
 import type { FleetView, Queue } from "../fleet/types.ts";
+import { createTimedRequestId } from "../requests/mod.ts";
 import type { ExecuteRequest, RecordedAnswer } from "../requests/types.ts";
 import {
   createBodyFilter,
@@ -133,7 +134,11 @@
     const queue = context.params["queue"] ?? "";
     const named = getSingleHeader(context, REQUEST_ID_HEADER);
     if (named !== undefined) checkRequestId(named);
-    const requestId = named ?? `${options.dataCentre}:${randomUUID()}`;
+    // With its creation time the record can be forgotten safely after a while.
+    const requestId = named ??
+      `${options.dataCentre}:${
+        createTimedRequestId(Date.now(), randomBytes(10))
+      }`;
     context.logFields["requestId"] = requestId;
     const idempotent = getIdempotent(context);
     const contentType = getSingleHeader(context, "content-type") ??
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -52,8 +52,14 @@
 import { createRequestRouting } from "./request_routing.ts";
 import { createWorkService, type WorkService } from "./work_service.ts";
 
-/** Time that an announcement may take, in milliseconds. */
-const ANNOUNCE_TIMEOUT_MS = 1_000;
+/** Time that an announcement of a worker may take, in milliseconds. */
+const WORKER_ANNOUNCE_TIMEOUT_MS = 1_000;
+
+/**
+ * Time that an announcement of an endpoint may take, in milliseconds. The
+ * leader counts slots on the assumption that none is older when it arrives.
+ */
+const ENDPOINT_ANNOUNCE_TIMEOUT_MS = 500;
 
 /** Time for handing a job or a question about it to a leader, in milliseconds. */
 const JOB_TIMEOUT_MS = 5_000;
@@ -382,12 +388,11 @@
 
   async function announce(
     method: string,
-    name: string,
     body: Uint8Array,
+    target: { dataCentre: string; timeoutMs: number },
   ) {
     const reply = await calls.call<JsonBody>(method, { body }, {
-      dataCentre: name,
-      timeoutMs: ANNOUNCE_TIMEOUT_MS,
+      ...target,
       idempotent: true,
     });
     return JSON.parse(Buffer.from(reply.body).toString());
@@ -528,8 +533,15 @@
       }),
       ...createAnnounceRoutes({
         announceEndpoint: (name, body) =>
-          announce("announceEndpoint", name, body),
-        announceWorker: (name, body) => announce("announceWorker", name, body),
+          announce("announceEndpoint", body, {
+            dataCentre: name,
+            timeoutMs: ENDPOINT_ANNOUNCE_TIMEOUT_MS,
+          }),
+        announceWorker: (name, body) =>
+          announce("announceWorker", body, {
+            dataCentre: name,
+            timeoutMs: WORKER_ANNOUNCE_TIMEOUT_MS,
+          }),
       }),
       ...createOperatorRoutes({
         ...(settings.operatorTokenHash === undefined
