Restore a log group from a survivor

A group whose majority was lost for good had no way back. The recovery test runs it after a double loss: the group had its three members again.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -8,6 +8,7 @@
 } from "./change_commands.ts";
 import { DEV_COMMAND } from "./dev.ts";
 import { REPORT_COMMANDS, SHEET_COMMANDS } from "./report_commands.ts";
+import { RECOVER_COMMAND } from "./recover.ts";
 import { SERVE_COMMAND } from "./serve.ts";
 import {
   CHECK_COMMAND,
@@ -34,6 +35,7 @@
     config: CONFIG_COMMAND,
     status: STATUS_COMMAND,
     report: REPORT_COMMANDS,
+    recover: RECOVER_COMMAND,
     version: VERSION_COMMAND,
   },
 });
--- a/src/data_centre/allotment_controller.ts
+++ b/src/data_centre/allotment_controller.ts
@@ -100,7 +100,10 @@
     return {
       held: allotments.getHeld(team),
       running: load?.running ?? NO_LIMITS,
-      waiting: load?.waiting ?? NO_LIMITS,
+      // A data centre that is leaving asks for nothing new.
+      waiting: dataCentres.includes(options.dataCentre)
+        ? load?.waiting ?? NO_LIMITS
+        : NO_LIMITS,
       fair: computeFairPart(
         teams.get(team)?.limits ?? NO_LIMITS,
         dataCentres.length,
--- a/src/instance/log_member.ts
+++ b/src/instance/log_member.ts
@@ -72,6 +72,11 @@
   };
 }
 
+/** Returns the folder of a group's store within the data folder. */
+export function getStoreFolder(dataFolder: string, group: string): string {
+  return join(dataFolder, group.replaceAll("/", "-"));
+}
+
 /** Starts the member in the background. */
 export function startLogMember(options: LogMemberOptions): LogMemberHandle {
   const { group, instance, clock, random } = options;
@@ -84,8 +89,8 @@
 
   async function openStorage(): Promise<LogStorage> {
     if (options.folder === undefined) return createMemoryStorage();
-    const folder = join(options.folder, group.replaceAll("/", "-"));
-    return await createDiskStorage({ folder });
+    const folder = getStoreFolder(options.folder, group);
+    return await createDiskStorage({ folder, logger });
   }
 
   async function start(): Promise<void> {
--- a/src/replicated_log/mod.ts
+++ b/src/replicated_log/mod.ts
@@ -5,6 +5,12 @@
 export { createLogFiles, type LogFile, type LogFiles } from "./log_files.ts";
 export { createMemberId, parseMemberId } from "./member_id.ts";
 export { createMemoryStorage } from "./memory_storage.ts";
+export {
+  readStoreSummary,
+  RECOVERY_TERM_STEP,
+  restoreGroup,
+  type StoreSummary,
+} from "./recover.ts";
 export { createReplicatedLog } from "./replicated_log.ts";
 export {
   computeFirstStartAnswers,
--- a/test/recovery_test.ts
+++ b/test/recovery_test.ts
@@ -9,6 +9,7 @@
 import t from "tap";
 import { type Cell, startCell } from "./cell.ts";
 import { callJson, waitUntil } from "./json_http.ts";
+import { startProcess } from "./processes.ts";
 
 t.setTimeout(240_000);
 
@@ -143,3 +144,36 @@
   await Promise.all(restarted.map((one) => one.waitUntilReady(40_000)));
   for (const name of names) t.equal(await getVersion(name), version, name);
 });
+
+// Guards against a data centre that stays without a leader for good after a double loss.
+t.test("a group is founded again from a survivor", {
+  timeout: 120_000,
+}, async (t) => {
+  const survivor = cell.get("west-1");
+  const witness = cell.get("south-1");
+  await Promise.all([
+    survivor.kill(),
+    cell.get("west-2").kill(),
+    witness.kill(),
+  ]);
+  await rm(join(witness.folder, "south-1-data"), { recursive: true });
+  const recovery = startProcess(t, "src/main.js", [
+    "recover",
+    "--settings",
+    join(survivor.folder, "west-1.json"),
+    "--group",
+    "data-centre/west",
+    "--confirm",
+  ]);
+  t.equal((await recovery.exited).code, 0, recovery.getLines().join("\n"));
+  for (const name of ["west-1", "west-2", "south-1"]) {
+    await (await cell.restart(name)).waitUntilReady(40_000);
+  }
+  await waitForRepair("west-1", "data-centre/west", "west-2");
+  const members = await waitForRepair(
+    "west-1",
+    "data-centre/west",
+    "south-1",
+  );
+  t.equal(members.length, 3, members.join(", "));
+});
