--- a/src/allotments/allotments_property_test.ts
+++ b/src/allotments/allotments_property_test.ts
@@ -153,7 +153,7 @@
     return dc.allotments.apply(command);
   }
 
-  function configure(dc: DataCentre, version: number): void {
+  function applyVersion(dc: DataCentre, version: number): void {
     const command = dc.allotments.planConfiguration(states[version - 1]!);
     if (command !== undefined) apply(dc, command);
   }
@@ -168,14 +168,14 @@
     if (operation !== undefined) change(operation);
   }
 
-  function give(dc: DataCentre, to: string, count: number): void {
+  function sendAmount(dc: DataCentre, to: string, count: number): void {
     if (count <= 0 || to === dc.name) return;
     const out = { type: "transferOut", to, team: TEAM } as const;
     const result = apply(dc, { ...out, amount: slots(count) });
     if (result.applied) send(result.transfer!);
   }
 
-  function deliver(message: Message): void {
+  function handleMessage(message: Message): void {
     const dc = find(message.to);
     if (dc.isCut || find(message.from).isCut) return;
     if (message.type === "acknowledge") {
@@ -231,28 +231,28 @@
           name !== dc.name
         );
         if (names.length > 0) change({ type: "setDataCentres", names });
-        configure(dc, states.length);
+        applyVersion(dc, states.length);
         dc.running = 0;
-        give(dc, to, getHeld(dc));
+        sendAmount(dc, to, getHeld(dc));
         dc.allotments.getTransfersInProgress().forEach(send);
-        for (const message of [...messages]) deliver(message);
-        for (const message of [...messages]) deliver(message);
+        for (const message of [...messages]) handleMessage(message);
+        for (const message of [...messages]) handleMessage(message);
         close(dc);
         break;
       }
       case "configure": {
         const applied = dc.allotments.getAppliedVersion();
         if (dc.isCut || applied >= newest) break;
-        configure(dc, applied + 1 + (step.pick % (newest - applied)));
+        applyVersion(dc, applied + 1 + (step.pick % (newest - applied)));
         break;
       }
       case "give":
-        give(dc, NAMES[step.to]!, Math.min(step.count, idle));
+        sendAmount(dc, NAMES[step.to]!, Math.min(step.count, idle));
         break;
       case "deliver": {
         // Any message, in any order, any number of times or never.
         const message = messages[step.pick % Math.max(1, messages.length)];
-        if (message !== undefined) deliver(message);
+        if (message !== undefined) handleMessage(message);
         break;
       }
       case "repeat":
@@ -288,14 +288,14 @@
     return sum;
   }
 
-  function sum(getValue: (dc: DataCentre) => number): number {
+  function computeSum(getValue: (dc: DataCentre) => number): number {
     return dataCentres.reduce((total, dc) => total + getValue(dc), 0);
   }
 
   function check(): void {
     const versions = dataCentres.map((dc) => dc.allotments.getAppliedVersion());
-    const total = sum(getHeld) + getTransit();
-    const granted = sum((dc) => {
+    const total = computeSum(getHeld) + getTransit();
+    const granted = computeSum((dc) => {
       const version = dc.allotments.getAppliedVersion();
       if (version === 0) return 0;
       return computeGranted(states[version - 1]!, TEAM, dc.name).slots;
@@ -328,34 +328,36 @@
     }
     const limits = states.slice(Math.max(0, inForceVersion - 1)).map(getLimit);
     const bound = Math.max(...limits);
-    const running = sum((dc) => dc.running);
+    const running = computeSum((dc) => dc.running);
     if (running > bound) {
       throw new Error(`${running} run, the limit in force is ${bound}`);
     }
   }
 
-  function heal(): void {
+  function restoreLinks(): void {
     const newest = states.length;
     for (const dc of dataCentres) {
       dc.isCut = false;
-      if (dc.allotments.getAppliedVersion() < newest) configure(dc, newest);
+      if (dc.allotments.getAppliedVersion() < newest) applyVersion(dc, newest);
       dc.allotments.getTransfersInProgress().forEach(send);
     }
-    for (const message of [...messages]) deliver(message);
+    for (const message of [...messages]) handleMessage(message);
     for (const message of [...messages]) {
-      if (message.type === "acknowledge") deliver(message);
+      if (message.type === "acknowledge") handleMessage(message);
     }
     check();
     if (getTransit() !== 0) throw new Error("A transfer did not arrive");
-    const waiting = sum((dc) => dc.allotments.getTransfersInProgress().length);
+    const waiting = computeSum((dc) =>
+      dc.allotments.getTransfersInProgress().length
+    );
     if (waiting > 0) throw new Error("A transfer is repeated for ever");
   }
 
   // Starts with something to move, or most runs would end before they held any.
   change({ type: "setDataCentres", names: NAMES.slice(0, 3) });
   change({ type: "createTeam", name: TEAM, share: 1, limits: slots(20) });
-  for (const dc of dataCentres) configure(dc, 2);
-  return { run, heal };
+  for (const dc of dataCentres) applyVersion(dc, 2);
+  return { run, restoreLinks };
 }
 
 // Guards against units of a limit that appear twice or get lost by lost, late,
@@ -369,7 +371,7 @@
     fc.property(fc.array(step, { maxLength: 80, size: "max" }), (steps) => {
       const model = createModel();
       for (const step of steps) model.run(step);
-      model.heal();
+      model.restoreLinks();
     }),
     { seed: SEED, numRuns: 1_500 },
   );
--- a/src/allotments/peak_tracker.ts
+++ b/src/allotments/peak_tracker.ts
@@ -19,7 +19,7 @@
   let previous = NO_LIMITS;
   let startedAtMs = clock.now();
 
-  function roll(): void {
+  function startWindow(): void {
     const elapsedMs = clock.now() - startedAtMs;
     if (elapsedMs < windowMs) return;
     previous = elapsedMs < 2 * windowMs ? current : NO_LIMITS;
@@ -29,11 +29,11 @@
 
   return {
     record(needed) {
-      roll();
+      startWindow();
       current = mergeLimits(current, needed);
     },
     getPeak() {
-      roll();
+      startWindow();
       return mergeLimits(current, previous);
     },
   };
--- a/src/allotments/rebalancer_test.ts
+++ b/src/allotments/rebalancer_test.ts
@@ -22,7 +22,7 @@
   for (let i = 0; i < count; i++) exchange.addWork(name, { ...ONE }, runMs);
 }
 
-function sumRunning(exchange: Exchange): number {
+function computeRunning(exchange: Exchange): number {
   let sum = 0;
   for (const name of exchange.sites.keys()) {
     sum += exchange.getRunning(name, "t").slots;
@@ -45,7 +45,7 @@
       seed: SEED,
     });
     addRequests(exchange, dataCentres[0]!, 100, LONG_MS);
-    const isDone = () => sumRunning(exchange) === 100;
+    const isDone = () => computeRunning(exchange) === 100;
     // "Within seconds" is taken as 5 s, and each peer may be asked and answer
     // a few times only.
     t.ok(exchange.runUntil(isDone, 5_000), `${count} data centres`);
@@ -68,7 +68,7 @@
     addRequests(exchange, name, 31, 6_000);
     const isFull = () => exchange.getRunning(name, "t").slots === 31;
     t.ok(exchange.runUntil(isFull, 5_000), name);
-    exchange.runUntil(() => sumRunning(exchange) === 0, 7_000);
+    exchange.runUntil(() => computeRunning(exchange) === 0, 7_000);
   }
   t.end();
 });
@@ -143,7 +143,7 @@
     }
     let most = 0;
     const isDone = () => {
-      most = Math.max(most, sumRunning(exchange));
+      most = Math.max(most, computeRunning(exchange));
       const sites = [...exchange.sites.values()];
       return sites.every((site) =>
         site.waiting.length === 0 && site.running.size === 0
@@ -190,7 +190,7 @@
     seed: SEED,
   });
   addRequests(exchange, "a", 30, 3_000);
-  exchange.runUntil(() => sumRunning(exchange) === 30, 5_000);
+  exchange.runUntil(() => computeRunning(exchange) === 30, 5_000);
   exchange.changeFleet({
     type: "updateTeam",
     name: "t",
@@ -204,7 +204,7 @@
     );
   // The work ends after 3 s; then the others get their difference back.
   t.ok(exchange.runUntil(isInForce, 15_000), "in force");
-  t.ok(sumRunning(exchange) <= 6);
+  t.ok(computeRunning(exchange) <= 6);
   t.end();
 });
 
--- a/src/common/random.ts
+++ b/src/common/random.ts
@@ -19,10 +19,7 @@
 export function createSeededRandom(seed: number): Random {
   const generator = xoroshiro128plus(seed);
 
-  function nextFloat(): number {
-    return (generator.next() >>> 0) / FLOAT_STEPS;
-  }
-
+  const nextFloat = () => (generator.next() >>> 0) / FLOAT_STEPS;
   return {
     nextFloat,
     nextInt: (bound) => Math.floor(nextFloat() * bound),
--- a/src/fleet/answer_memory.ts
+++ b/src/fleet/answer_memory.ts
@@ -69,7 +69,7 @@
   return computeFingerprint(JSON.stringify([expectedVersion, operations]));
 }
 
-function canRevert(change: FleetChange, answer: ChangeAnswer): boolean {
+function isRevertible(change: FleetChange, answer: ChangeAnswer): boolean {
   return answer.accepted && change.expectedVersion === undefined &&
     change.operations.some((operation) =>
       operation.type !== "withdrawKey" && operation.type !== "grantKey"
@@ -112,7 +112,7 @@
     record(change, answer) {
       entries.set(change.changeId, {
         content: computeContent(change),
-        canRevert: canRevert(change, answer),
+        canRevert: isRevertible(change, answer),
         answer,
       });
       while (entries.size > maxCount) removeOldest();
--- a/src/fleet/fleet_property_test.ts
+++ b/src/fleet/fleet_property_test.ts
@@ -161,7 +161,7 @@
     inFlight.push(...history.buildUpdates(state.version - 1, 0));
   }
 
-  function resend(pick: number): void {
+  function sendAgain(pick: number): void {
     const first = sent[pick % sent.length];
     if (first === undefined) return;
     const before = encodeText(machine.getState());
@@ -202,7 +202,7 @@
         submit({ changeId, operations: step.operations });
         break;
       case "resend":
-        resend(step.pick);
+        sendAgain(step.pick);
         break;
       case "restart": {
         const snapshot = machine.takeSnapshot();
--- a/src/replicated_log/disk_storage_test.ts
+++ b/src/replicated_log/disk_storage_test.ts
@@ -50,7 +50,7 @@
   return path.join(folder, name ?? "");
 }
 
-function flipByte(file: string, at: number): void {
+function changeByte(file: string, at: number): void {
   const data = fs.readFileSync(file);
   data[at] = (data[at] ?? 0) ^ 0xff;
   fs.writeFileSync(file, data);
@@ -88,18 +88,18 @@
     name: "the bytes of the last record are wrong",
     damage: (folder) => {
       const file = findLastSegment(folder);
-      flipByte(file, fs.statSync(file).size - 1);
+      changeByte(file, fs.statSync(file).size - 1);
     },
     expected: 5,
   },
   {
     name: "a byte in the middle is wrong",
-    damage: (folder) => flipByte(findLastSegment(folder), 40),
+    damage: (folder) => changeByte(findLastSegment(folder), 40),
     expected: /log-0000000002" is corrupt: the record at byte 0 is damaged/,
   },
   {
     name: "a length in the middle is wrong",
-    damage: (folder) => flipByte(findLastSegment(folder), 7),
+    damage: (folder) => changeByte(findLastSegment(folder), 7),
     expected: /log-0000000002" is corrupt/,
   },
   {
@@ -117,7 +117,7 @@
   },
   {
     name: "the vote is damaged",
-    damage: (folder) => flipByte(path.join(folder, "vote"), 20),
+    damage: (folder) => changeByte(path.join(folder, "vote"), 20),
     expected: /vote" is corrupt/,
   },
   {
@@ -238,13 +238,13 @@
   let history: Map<string, FakeInode>[] = [];
   const disk = { callsLeft: Infinity };
 
-  function spendCall(): void {
+  function recordCall(): void {
     if (disk.callsLeft <= 0) throw new Error("power lost");
     disk.callsLeft--;
   }
 
   function changeNames(change: () => void): void {
-    spendCall();
+    recordCall();
     history.push(new Map(names));
     change();
   }
@@ -280,7 +280,7 @@
       });
     },
     truncate(name, size) {
-      spendCall();
+      recordCall();
       const inode = names.get(name) as FakeInode;
       inode.bytes = inode.bytes.subarray(0, size);
       inode.syncedLength = size;
@@ -299,7 +299,7 @@
     },
     // deno-lint-ignore require-await
     async syncFolder() {
-      spendCall();
+      recordCall();
       durableNames = new Map(names);
       history = [];
     },
--- a/src/replicated_log/replicated_log_test.ts
+++ b/src/replicated_log/replicated_log_test.ts
@@ -27,14 +27,17 @@
 }
 
 /** Runs the group until the promise settles. */
-async function settle<T>(group: TestGroup, promise: Promise<T>): Promise<T> {
+async function waitForAll<T>(
+  group: TestGroup,
+  promise: Promise<T>,
+): Promise<T> {
   let isSettled = false;
   promise.then(() => isSettled = true, () => isSettled = true);
   await group.runUntil(() => isSettled);
   return await promise;
 }
 
-async function rejectsAs(
+async function checkRejection(
   t: Test,
   promise: Promise<unknown>,
   kind: FaultKind,
@@ -55,18 +58,18 @@
 t.test("commands are applied once by each member, in one order", async (t) => {
   const group = await startTestGroup(THREE);
   const leader = await group.waitForLeader();
-  const results = await settle(
+  const results = await waitForAll(
     group,
     Promise.all(["x", "y", "z"].map((text) => propose(leader, text))),
   );
   t.strictSame(results.map(({ result }) => result), [1, 2, 3]);
-  await settle(group, leader.log.confirmLeadership());
+  await waitForAll(group, leader.log.confirmLeadership());
   await group.runFor(300);
   for (const { machine } of group.members.values()) {
     t.strictSame(machine.commands, ["x", "y", "z"]);
   }
   const [follower] = findOthers(group, leader);
-  await rejectsAs(t, propose(follower as GroupMember, "no"), "notLeader");
+  await checkRejection(t, propose(follower as GroupMember, "no"), "notLeader");
   t.strictSame(leader.leases.length, 1);
 });
 
@@ -83,12 +86,12 @@
   confirmed.catch(() => {});
   await group.runUntil(() => leader.log.getLease() === undefined, 505);
   t.ok(group.clock.now() - cutAtMs <= 505);
-  await rejectsAs(t, settle(group, lost), "outcomeUnknown");
-  await rejectsAs(t, settle(group, confirmed), "notLeader");
+  await checkRejection(t, waitForAll(group, lost), "outcomeUnknown");
+  await checkRejection(t, waitForAll(group, confirmed), "notLeader");
   t.equal(leader.leases.at(-1), undefined);
   const next = await group.waitForLeader();
   t.not(next, leader);
-  await settle(group, propose(next, "kept"));
+  await waitForAll(group, propose(next, "kept"));
   group.drop = () => false;
   await group.runUntil(() => leader.machine.commands.length === 1);
   t.strictSame(leader.machine.commands, ["kept"]);
@@ -115,7 +118,7 @@
   const first = propose(leader, "first");
   await Promise.resolve();
   const rest = Array.from({ length: 99 }, (_, at) => propose(leader, `${at}`));
-  await settle(group, Promise.all([first, ...rest]));
+  await waitForAll(group, Promise.all([first, ...rest]));
   t.equal(appends, 2);
 });
 
@@ -138,7 +141,7 @@
   broken.add(findInstance(group, leader));
   group.drop = (_from, _to, message) => message.kind === "append";
   const lost = propose(leader, "lost");
-  await rejectsAs(t, settle(group, lost), "outcomeUnknown");
+  await checkRejection(t, waitForAll(group, lost), "outcomeUnknown");
   t.equal(leader.log.getStatus().role, "stopped");
   t.equal(leader.failures.length, 1);
   t.equal(leader.leases.at(-1), undefined);
@@ -163,7 +166,7 @@
   let chunks = 0;
   group.drop = (_from, to) => to === name;
   for (let at = 0; at < 100; at++) {
-    await settle(group, propose(leader, `command ${at}`));
+    await waitForAll(group, propose(leader, `command ${at}`));
   }
   t.ok(leader.log.getStatus().snapshotIndex > 0);
   group.drop = (_from, _to, message) => {
@@ -183,10 +186,10 @@
   });
   const { log, machine, storage } = await group.waitForLeader();
   for (let at = 0; at < 50; at++) {
-    await settle(group, log.propose(Buffer.from(`command ${at}`)));
+    await waitForAll(group, log.propose(Buffer.from(`command ${at}`)));
   }
   const { snapshotIndex } = log.getStatus();
-  await settle(group, log.stop());
+  await waitForAll(group, log.stop());
   group.kill("a");
   const again = await group.start("a", { storage });
   await group.waitForLeader();
@@ -203,9 +206,9 @@
   await Promise.resolve();
   const startedMs = group.clock.now();
   const stopped = leader.log.stop();
-  await settle(group, Promise.all(results));
+  await waitForAll(group, Promise.all(results));
   await group.runUntil(() => group.findLeader() !== undefined);
-  await settle(group, stopped);
+  await waitForAll(group, stopped);
   t.ok(group.clock.now() - startedMs < 250);
   const next = await group.waitForLeader();
   t.not(next, leader);
@@ -217,13 +220,13 @@
 t.test("a member with a lost store replaces its former identity", async (t) => {
   const group = await startTestGroup(THREE);
   const leader = await group.waitForLeader();
-  await settle(group, propose(leader, "x"));
+  await waitForAll(group, propose(leader, "x"));
   const [lost] = findOthers(group, leader) as [GroupMember];
   const name = findInstance(group, lost);
   group.kill(name);
   const storage = createMemoryStorage();
   const resolver = group.resolveStart(name, { members: THREE, storage });
-  const start = await settle(group, resolver.decision);
+  const start = await waitForAll(group, resolver.decision);
   t.equal(start.mode, "join");
   t.match(start.self, new RegExp(`^${name}#`));
   const instances = THREE.map(({ id }) => id);
@@ -242,7 +245,7 @@
   // The new identity is durable: the next start is a plain restart.
   group.kill(name);
   const next = group.resolveStart(name, { members: THREE, storage });
-  t.strictSame(await settle(group, next.decision), {
+  t.strictSame(await waitForAll(group, next.decision), {
     mode: "restart",
     self: start.self,
   });
@@ -256,39 +259,39 @@
   const name = findInstance(group, leader);
   const behind = name === "a" ? "b" : "a";
   group.drop = (_from, to) => to === behind;
-  for (const text of ["x", "y"]) await settle(group, propose(leader, text));
+  for (const text of ["x", "y"]) await waitForAll(group, propose(leader, text));
   group.kill(name);
   group.drop = () => false;
   const next = await group.waitForLeader();
   t.equal(findInstance(group, next), behind);
   t.strictSame(next.machine.commands, ["x", "y"]);
   t.strictSame(group.members.get("w")?.leases, []);
-  await settle(group, propose(next, "z"));
+  await waitForAll(group, propose(next, "z"));
 });
 
 // Guards against a learner that is promoted early, and against two changes at once.
 t.test("members are added and removed one at a time", async (t) => {
   const group = await startTestGroup(THREE);
   const leader = await group.waitForLeader();
-  await settle(group, propose(leader, "x"));
+  await waitForAll(group, propose(leader, "x"));
   const added = leader.log.addMember({ id: "d", role: "voter" });
   added.catch(() => {});
-  await rejectsAs(t, leader.log.removeMember("a"), "versionConflict");
+  await checkRejection(t, leader.log.removeMember("a"), "versionConflict");
   await group.runFor(1_000);
   const role = () =>
     leader.log.getStatus().members.find(({ id }) => id === "d")?.role;
   t.equal(role(), "learner");
   const joined = await group.start("d", { join: ["a", "b", "c"] });
-  await settle(group, added);
+  await waitForAll(group, added);
   t.equal(role(), "voter");
   t.strictSame(joined.machine.commands, ["x"]);
-  await rejectsAs(
+  await checkRejection(
     t,
     leader.log.addMember({ id: "d", role: "voter" }),
     "badRequest",
   );
   const name = findInstance(group, leader);
-  await settle(group, leader.log.removeMember(name));
+  await waitForAll(group, leader.log.removeMember(name));
   group.kill(name);
   const next = await group.waitForLeader();
   t.not(next, leader);
@@ -376,7 +379,7 @@
     },
   ];
   for (const { options, message } of cases) {
-    await rejectsAs(t, group.start("a", options), "badRequest", message);
+    await checkRejection(t, group.start("a", options), "badRequest", message);
   }
 });
 
@@ -386,11 +389,11 @@
     timings: { maxCommandBytes: 100, maxPendingBytes: 150 },
   });
   const leader = await group.waitForLeader();
-  await rejectsAs(t, propose(leader, "x".repeat(101)), "tooLarge");
+  await checkRejection(t, propose(leader, "x".repeat(101)), "tooLarge");
   const first = propose(leader, "x".repeat(100));
   const second = await propose(leader, "x".repeat(100)).catch((error) => error);
   t.ok(isFault(second, "overloaded"));
   t.equal(second.ran, "no");
-  await settle(group, first);
-  await settle(group, propose(leader, "x".repeat(100)));
+  await waitForAll(group, first);
+  await waitForAll(group, propose(leader, "x".repeat(100)));
 });
--- a/src/requests/execute.ts
+++ b/src/requests/execute.ts
@@ -74,7 +74,11 @@
   }
 
   /** Tells whether another attempt is allowed and can end before the deadline. */
-  function canRetry(run: Run, nextAttempt: number, pauseMs: number): boolean {
+  function isRetryAllowed(
+    run: Run,
+    nextAttempt: number,
+    pauseMs: number,
+  ): boolean {
     return nextAttempt < maxAttempts &&
       clock.now() + pauseMs < run.deadlineMs &&
       retryBudget.take(run.request.team);
@@ -97,7 +101,7 @@
       if (end.kind === "done") return end.answer;
       ownAnswer = end.answer ?? ownAnswer;
       const pauseMs = computeBackoff(attempt, random, options.backoff);
-      if (!canRetry(run, attempt + 1, pauseMs)) {
+      if (!isRetryAllowed(run, attempt + 1, pauseMs)) {
         if (ownAnswer !== undefined) return ownAnswer;
         throw end.fault ?? createDeadlineFault(run);
       }
--- a/src/requests/execute_test.ts
+++ b/src/requests/execute_test.ts
@@ -139,7 +139,7 @@
     ...options,
   });
   function run(request: Partial<ExecuteRequest> = {}) {
-    return settleWith(
+    return resolveWith(
       clock,
       executor.run({
         requestId: "r1",
@@ -159,7 +159,7 @@
 }
 
 /** Moves the clock until the promise is settled. */
-async function settleWith<T>(
+async function resolveWith<T>(
   clock: ManualClock,
   promise: Promise<T>,
 ): Promise<T> {
--- a/src/requests/forward_test.ts
+++ b/src/requests/forward_test.ts
@@ -52,7 +52,7 @@
 }
 
 /** A short form of a result for comparisons. */
-function describeResult(result: ForwardResult): string {
+function renderResult(result: ForwardResult): string {
   if (result.kind !== "answered") return `${result.kind} ${result.failure}`;
   const { status, body } = result.answer;
   return `answered ${status} ${Buffer.from(body).toString()}`;
@@ -172,10 +172,10 @@
       await wait(20);
       clock.advance(TIMEOUT_MS);
     }
-    t.equal(describeResult(await sending), expected);
+    t.equal(renderResult(await sending), expected);
     t.equal(endpoint.seen.length, 1, "sent once");
     endpoint.setBehaviour(handleEcho);
-    t.equal(describeResult(await send()), "answered 200 echo body 1");
+    t.equal(renderResult(await send()), "answered 200 echo body 1");
     if (!expected.startsWith("answered")) {
       t.not(endpoint.seen[1]?.connection, endpoint.seen[0]?.connection);
     }
@@ -190,11 +190,11 @@
   const late = send();
   await waitUntil(() => endpoint.seen.length === 1);
   clock.advance(TIMEOUT_MS);
-  t.equal(describeResult(await late), "unknown deadline");
+  t.equal(renderResult(await late), "unknown deadline");
   endpoint.setBehaviour((socket, request) => {
     setTimeout(() => handleEcho(socket, request), 100);
   });
-  t.equal(describeResult(await send()), "answered 200 echo body 1");
+  t.equal(renderResult(await send()), "answered 200 echo body 1");
 });
 
 // Guards against a second, unasked answer on a connection that is then reused.
@@ -203,10 +203,10 @@
     handleEcho(socket, request);
     handleEcho(socket, request);
   });
-  t.equal(describeResult(await send()), "answered 200 echo body 0");
+  t.equal(renderResult(await send()), "answered 200 echo body 0");
   endpoint.setBehaviour(handleEcho);
   await wait(20);
-  t.equal(describeResult(await send()), "answered 200 echo body 1");
+  t.equal(renderResult(await send()), "answered 200 echo body 1");
 });
 
 // Guards against a refused connection that is reported as possibly run, which
@@ -214,7 +214,7 @@
 t.test("a refused connection is certainly not sent", async (t) => {
   const { endpoint, send } = await createSetup();
   await endpoint.close();
-  t.equal(describeResult(await send()), "notSent refused");
+  t.equal(renderResult(await send()), "notSent refused");
 });
 
 // Guards against "not sent" for a request that was cancelled on its way, and
@@ -224,7 +224,7 @@
     connectionsPerEndpoint: 1,
   });
   t.equal(
-    describeResult(await send({ signal: AbortSignal.abort() })),
+    renderResult(await send({ signal: AbortSignal.abort() })),
     "notSent aborted",
   );
   const stop = new AbortController();
@@ -233,14 +233,14 @@
   const waiting = send({ timeoutMs: 50 });
   clock.advance(50);
   t.equal(
-    describeResult(await waiting),
+    renderResult(await waiting),
     "notSent deadline",
     "it waited for the only connection",
   );
   stop.abort();
-  t.equal(describeResult(await running), "unknown aborted");
+  t.equal(renderResult(await running), "unknown aborted");
   endpoint.setBehaviour(handleEcho);
-  t.equal(describeResult(await send()), "answered 200 echo body 3");
+  t.equal(renderResult(await send()), "answered 200 echo body 3");
   t.strictSame(endpoint.seen.map(({ body }) => body), ["body 1", "body 3"]);
 });
 
@@ -255,7 +255,7 @@
     Array.from({ length: 60 }, () => send({ timeoutMs: 5_000 })),
   );
   for (const [i, result] of results.entries()) {
-    t.equal(describeResult(result), `answered 200 echo body ${i}`);
+    t.equal(renderResult(result), `answered 200 echo body ${i}`);
   }
   t.ok(endpoint.getPeak() <= 3);
 });
@@ -274,7 +274,7 @@
   await waitUntil(() => long.endpoint.getOpenCount() === 0);
   t.equal(long.endpoint.getOpenCount(), 0);
   await long.forwarder.close();
-  t.equal(describeResult(await long.send()), "notSent aborted");
+  t.equal(renderResult(await long.send()), "notSent aborted");
 });
 
 // Guards against a non-idempotent request on a connection that has gone silent
@@ -289,11 +289,11 @@
     if (request.connection > 1) handleEcho(socket, request);
   });
   t.equal(
-    describeResult(await send({ needsFreshConnection: true })),
+    renderResult(await send({ needsFreshConnection: true })),
     "answered 200 echo body 2",
   );
   t.equal(
-    describeResult(await send({ needsFreshConnection: true })),
+    renderResult(await send({ needsFreshConnection: true })),
     "answered 200 echo body 3",
   );
   t.strictSame(endpoint.seen.map(({ connection }) => connection).slice(2), [
@@ -314,9 +314,9 @@
   const second = send({ timeoutMs: 2_000, startWithinMs: 50 });
   await waitUntil(() => endpoint.seen.length === 1);
   clock.advance(51);
-  t.equal(describeResult(await second), "notSent expired");
-  t.equal(describeResult(await first), "answered 200 echo body 0");
-  t.equal(describeResult(await send()), "answered 200 echo body 2");
+  t.equal(renderResult(await second), "notSent expired");
+  t.equal(renderResult(await first), "answered 200 echo body 0");
+  t.equal(renderResult(await send()), "answered 200 echo body 2");
   t.strictSame(endpoint.seen.map(({ body }) => body), ["body 0", "body 2"]);
 });
 
--- a/src/requests/recorded_slots_test.ts
+++ b/src/requests/recorded_slots_test.ts
@@ -82,7 +82,7 @@
   };
 }
 
-async function flush() {
+async function waitForProposals() {
   await new Promise<void>((resolve) => setImmediate(() => resolve()));
 }
 
@@ -97,7 +97,7 @@
       replies.push(reply)
     )
   );
-  await flush();
+  await waitForProposals();
   t.equal(replies.length, 1);
   t.equal(
     leader.controller.getStatus().granted,
@@ -187,7 +187,7 @@
   const leader = createLeader(1);
   await leader.acquire(buildOrder());
   const resend = leader.acquire(buildOrder());
-  await flush();
+  await waitForProposals();
   leader.stop();
   await t.rejects(resend, buildWanted("unavailable"));
 });
--- a/src/scheduling/lifecycle.ts
+++ b/src/scheduling/lifecycle.ts
@@ -215,12 +215,12 @@
     });
   }
   if (result !== undefined) endTask(state, task, result);
-  else requeueTask(state, task, outcome);
+  else addBack(state, task, outcome);
   const isGangBroken = job.spec.policy === "gang" && outcome !== "finished";
   if (isGangBroken) stopGang(state, job);
 }
 
-function requeueTask(
+function addBack(
   state: SchedulerState,
   task: TaskRecord,
   outcome: AttemptOutcome,
--- a/src/scheduling/placing.ts
+++ b/src/scheduling/placing.ts
@@ -7,7 +7,7 @@
 import type { Preemption } from "./preemption.ts";
 import type { JobRecord } from "./records.ts";
 import type { Reservations } from "./reservations.ts";
-import { clearAllotment } from "./shedding.ts";
+import { removeAllotment } from "./shedding.ts";
 import type { SchedulerState } from "./state.ts";
 import {
   computeEntitlements,
@@ -170,7 +170,7 @@
   for (const job of round.bounded) {
     const { team, spec } = job;
     if (!spec.urgent || !team.isKnown) continue;
-    clearAllotment(state, team, job.size);
+    removeAllotment(state, team, job.size);
   }
 }
 
--- a/src/scheduling/reservations.ts
+++ b/src/scheduling/reservations.ts
@@ -205,7 +205,7 @@
   }
 
   /** Ends the batch work that is still in the way. */
-  function clearWay(held: Reservation): void {
+  function removeBlockers(held: Reservation): void {
     const graceMs = held.job.spec.urgent ? URGENT_GRACE_MS : PATIENCE_GRACE_MS;
     for (const worker of held.workers) {
       for (const task of [...worker.tasks]) {
@@ -231,7 +231,7 @@
       : state.options.reservationPatienceMs;
     if (blockedMs < patienceMs) return;
     held.isClearing = true;
-    clearWay(held);
+    removeBlockers(held);
   }
 
   return {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -94,7 +94,7 @@
   return true;
 }
 
-function canStart(task: TaskRecord): boolean {
+function isStartable(task: TaskRecord): boolean {
   return task.worker !== undefined && task.worker.isKnown &&
     !task.worker.isSilent && isWanted(task);
 }
@@ -102,7 +102,7 @@
 function startGang(state: SchedulerState, job: JobRecord): boolean {
   if (job.confirmed + job.ended < job.tasks.length) return false;
   const tasks = job.tasks.filter((task) => task.stage === "confirmed");
-  const refused = tasks.find((task) => !canStart(task));
+  const refused = tasks.find((task) => !isStartable(task));
   if (refused !== undefined) {
     // The end of one task ends the others, none of which has started.
     endAttempt(state, refused, "stopped");
@@ -122,7 +122,7 @@
     if (!isCurrent) continue;
     if (task.job.spec.policy === "gang") {
       if (!startGang(state, task.job)) state.confirmed.push(entry);
-    } else if (canStart(task)) {
+    } else if (isStartable(task)) {
       sendStart(state, task);
     } else {
       endAttempt(state, task, "stopped");
--- a/src/scheduling/shedding.ts
+++ b/src/scheduling/shedding.ts
@@ -113,7 +113,7 @@
 }
 
 /** Makes room under the team's allotment for a task of its own urgent work. */
-export function clearAllotment(
+export function removeAllotment(
   state: SchedulerState,
   team: TeamRecord,
   size: Resources,
