--- /dev/null
+++ b/bench/instance/counted_cell.ts
@@ -0,0 +1,189 @@
+/**
+ * A cell of three data centres with two instances each, whose connections
+ * between instances all pass through counting relays.
+ */
+
+import { randomUUID } from "node:crypto";
+import { createKeySecret, type FleetOperation } from "../../src/fleet/mod.ts";
+import { callJson, waitUntil } from "../../test/json_http.ts";
+import {
+  createTestFolder,
+  findFreePorts,
+  type InstanceProcess,
+  startInstance,
+  type TestScope,
+} from "../../test/processes.ts";
+import { type CountingRelay, startCountingRelay } from "./counting_relay.ts";
+import { type ProcessUsage, readProcessUsage } from "./process_usage.ts";
+
+const HOST = "127.0.0.1";
+const DATA_CENTRES = ["north", "south", "west"] as const;
+
+/** What the instances have used so far. */
+export interface CellUsage {
+  readonly atMs: number;
+  readonly instances: ReadonlyMap<string, ProcessUsage & { bytes: number }>;
+}
+
+/** Who leads what, by instance name. */
+export interface CellRoles {
+  readonly fleetLeader: string;
+  readonly leaders: Readonly<Record<string, string>>;
+}
+
+/** A running cell. */
+export interface CountedCell {
+  getAddress(instance: string): string;
+  /** Address and port of the rpc listener behind a relay for parties outside the cell. */
+  openRelay(instance: string): Promise<CountingRelay>;
+  readUsage(): CellUsage;
+  readRoles(): Promise<CellRoles>;
+  change(operations: FleetOperation[]): Promise<number>;
+  /** Creates a team without tight limits; resolves to its key. */
+  addTeam(name: string): Promise<string>;
+}
+
+interface Entry {
+  instance: string;
+  dataCentre: string;
+  http: { host: string; port: number };
+  rpc: { host: string; port: number };
+  scheduler: boolean;
+  voter: boolean;
+  witnessFor: string[];
+}
+
+function createEntries(ports: number[]): Entry[] {
+  const takePort = () => ({ host: HOST, port: ports.pop() ?? 0 });
+  return DATA_CENTRES.flatMap((dataCentre, position) =>
+    [1, 2].map((number) => ({
+      instance: `${dataCentre}-${number}`,
+      dataCentre,
+      http: takePort(),
+      rpc: takePort(),
+      scheduler: true,
+      voter: number === 1,
+      witnessFor: number === 1
+        ? [DATA_CENTRES[(position + 1) % DATA_CENTRES.length] ?? ""]
+        : [],
+    }))
+  );
+}
+
+/** Starts the cell and waits until it is ready. */
+export async function startCountedCell(t: TestScope): Promise<CountedCell> {
+  const entries = createEntries(await findFreePorts(12));
+  const folder = await createTestFolder(t);
+  const running = new Map<string, InstanceProcess>();
+  const links: { ends: string[]; relay: CountingRelay }[] = [];
+
+  async function addRelay(ends: string[], port: number) {
+    const relay = await startCountingRelay(port);
+    t.teardown(() => relay.stop());
+    links.push({ ends, relay });
+    return relay;
+  }
+
+  async function listSeen(from: Entry): Promise<Entry[]> {
+    const seen: Entry[] = [];
+    for (const to of entries) {
+      if (to === from) seen.push(to);
+      else {
+        const relay = await addRelay([from.instance, to.instance], to.rpc.port);
+        seen.push({ ...to, rpc: { host: HOST, port: relay.port } });
+      }
+    }
+    return seen;
+  }
+
+  async function start(entry: Entry): Promise<void> {
+    const { http, rpc, scheduler, voter, witnessFor, ...names } = entry;
+    const settings = {
+      ...names,
+      roles: { scheduler, voter, witnessFor },
+      listen: { http, rpc },
+      ...(voter ? { dataFolder: `${entry.instance}-data` } : {}),
+      instances: await listSeen(entry),
+      logLevel: "warn",
+    };
+    running.set(entry.instance, await startInstance(t, settings, { folder }));
+  }
+
+  await Promise.all(entries.map(start));
+  await Promise.all([...running.values()].map((one) => one.waitUntilReady()));
+
+  function getAddress(instance: string): string {
+    const found = running.get(instance);
+    if (found === undefined) throw new Error(`no instance "${instance}"`);
+    return found.address;
+  }
+
+  function countBytes(instance: string): number {
+    return links.reduce(
+      (sum, { ends, relay }) =>
+        ends.includes(instance) ? sum + relay.getBytes() : sum,
+      0,
+    );
+  }
+
+  async function change(operations: FleetOperation[]): Promise<number> {
+    const answer = await callJson(`${getAddress("north-2")}/v1/changes`, {
+      body: { changeId: randomUUID(), operations },
+      timeoutMs: 10_000,
+    });
+    return answer.status;
+  }
+
+  async function readRoles(): Promise<CellRoles> {
+    const leaders: Record<string, string> = {};
+    let fleetLeader = "";
+    for (const dataCentre of DATA_CENTRES) {
+      const { body } = await callJson(
+        `${getAddress(`${dataCentre}-1`)}/v1/status`,
+      );
+      const { self } = body as { self: Record<string, string> };
+      leaders[dataCentre] = self["dataCentreLeader"] ?? "";
+      fleetLeader = self["fleetLeader"] ?? fleetLeader;
+    }
+    return { fleetLeader, leaders };
+  }
+
+  return {
+    getAddress,
+    openRelay(instance) {
+      const entry = entries.find((one) => one.instance === instance);
+      return addRelay([instance], entry?.rpc.port ?? 0);
+    },
+    readUsage: () => ({
+      atMs: performance.now(),
+      instances: new Map(
+        [...running].map(([name, { pid }]) => [
+          name,
+          { ...readProcessUsage(pid), bytes: countBytes(name) },
+        ]),
+      ),
+    }),
+    readRoles,
+    change,
+    async addTeam(name) {
+      const key = createKeySecret();
+      const limits = {
+        slots: 100_000,
+        processors: 1_000_000_000,
+        memoryMb: 1_000_000_000,
+        accelerators: 100_000,
+      };
+      const status = await waitUntil(
+        async () =>
+          await change([
+            { type: "createTeam", name, share: 1, limits },
+            { type: "grantKey", id: key.id, team: name, hash: key.hash },
+          ]) === 200,
+        15_000,
+        "the team",
+      );
+      if (!status) throw new Error(`Cannot create team "${name}"`);
+      return key.secret;
+    },
+  };
+}
