--- a/src/data_centre/leadership.ts
+++ b/src/data_centre/leadership.ts
@@ -14,12 +14,13 @@
   type TeamPolicy,
 } from "../requests/mod.ts";
 import { createScheduler, type Scheduler } from "../scheduling/mod.ts";
-import type { SchedulingWeights } from "../scheduling/mod.ts";
+import type { JobSpec, SchedulingWeights } from "../scheduling/mod.ts";
 import {
   type AllotmentController,
   createAllotmentController,
   type MeasuredLoad,
 } from "./allotment_controller.ts";
+import type { TaskOutcome } from "./job_records.ts";
 import type {
   DataCentreCommand,
   DataCentreResult,
@@ -45,16 +46,26 @@
   state: DataCentreState;
   view: FleetView;
   weights: SchedulingWeights;
+  /** Reserve on top of reported usage, as a part of it. */
+  usageMargin: number;
+  /** Expected time between announcements, in milliseconds. */
+  announcePeriodMs: number;
   taskLeaseMs: number;
   /** Requests that may wait for a slot. */
   queueLength: number;
   grantValidMs: number;
-  /** Entry instances that may hold connections to an endpoint. */
-  maxConnectionsPerInstance: number;
+  /** Connections that one entry instance may hold to one endpoint. */
+  connectionsPerEndpoint: number;
   holdsLease: () => boolean;
   propose: (command: DataCentreCommand) => Promise<DataCentreResult>;
   sendAsk: (ask: AllotmentAsk) => Promise<Limits>;
   sendTransfer: (transfer: AllotmentTransfer) => Promise<void>;
+  /** Called for each start command, with the time since the submission in milliseconds. */
+  handleTaskStart?: (spec: JobSpec, waitedMs: number) => void;
+  /** Called with the time of one placement decision, in milliseconds. */
+  handlePlacement?: (durationMs: number) => void;
+  /** Called for each recorded end of an attempt. */
+  handleTaskEnd?: (outcome: TaskOutcome) => void;
   /** Called when a proposal failed, since its outcome may be unknown. */
   handleFailure: (error: unknown) => void;
 }
@@ -134,6 +145,7 @@
   const scheduler = createScheduler({
     random,
     weights: options.weights,
+    usageMargin: options.usageMargin,
     leaseMs: options.taskLeaseMs,
   });
   const setTeam = createTeamSetter(scheduler);
@@ -157,6 +169,15 @@
     },
     holdsLease: options.holdsLease,
     sendCommand: commands.send,
+    ...(options.handleTaskStart === undefined
+      ? {}
+      : { handleStart: options.handleTaskStart }),
+    ...(options.handlePlacement === undefined
+      ? {}
+      : { handlePlacement: options.handlePlacement }),
+    ...(options.handleTaskEnd === undefined
+      ? {}
+      : { handleEnd: options.handleTaskEnd }),
     handleFailure: options.handleFailure,
   });
   const slots = createRecordedSlots({
@@ -169,6 +190,10 @@
     canGrant: options.holdsLease,
     grantValidMs: options.grantValidMs,
     queue: { maxQueued: options.queueLength },
+    endpoints: {
+      announcePeriodMs: options.announcePeriodMs,
+      connectionsPerEndpoint: options.connectionsPerEndpoint,
+    },
     records: state.requests,
     propose: async (command) =>
       await propose({ part: "requests", command }) as never,
--- a/src/data_centre/worker_controller.ts
+++ b/src/data_centre/worker_controller.ts
@@ -6,6 +6,7 @@
 
 import type { Clock, Logger, Timer } from "../common/mod.ts";
 import type {
+  JobSpec,
   NeverRunnableReason,
   RestoredJob,
   RestoredTask,
@@ -23,6 +24,7 @@
   JobRecord,
   JobRecords,
   RecordedJobSpec,
+  TaskOutcome,
 } from "./job_records.ts";
 import type { WorkerCommand } from "./worker_commands.ts";
 
@@ -45,6 +47,12 @@
   /** Whether this instance may still decide. */
   holdsLease: () => boolean;
   sendCommand: (address: string, command: WorkerCommand) => void;
+  /** Called for each start command, with the time since the submission in milliseconds. */
+  handleStart?: (spec: JobSpec, waitedMs: number) => void;
+  /** Called with the time of one placement decision, in milliseconds. */
+  handlePlacement?: (durationMs: number) => void;
+  /** Called for each recorded end of an attempt. */
+  handleEnd?: (outcome: TaskOutcome) => void;
   /** Called when a proposal failed; the leadership must end, since the outcome may be unknown. */
   handleFailure: (error: unknown) => void;
 }
@@ -166,6 +174,10 @@
       });
     switch (action.type) {
       case "start":
+        options.handleStart?.(
+          action.spec,
+          clock.now() - action.spec.submittedAt,
+        );
         return send("start", {
           team: action.spec.team,
           policy: action.spec.policy,
@@ -187,7 +199,7 @@
     }
   }
 
-  function noteNeverRunnable(actions: readonly SchedulerAction[]): void {
+  function recordNeverRunnable(actions: readonly SchedulerAction[]): void {
     for (const action of actions) {
       if (action.type === "endJob") neverRunnable.delete(action.job);
       if (action.type !== "neverRunnable") continue;
@@ -200,10 +212,15 @@
   }
 
   /** Records what the actions change, then carries them out. */
-  async function carryOut(actions: readonly SchedulerAction[]): Promise<void> {
-    noteNeverRunnable(actions);
+  async function runActions(
+    actions: readonly SchedulerAction[],
+  ): Promise<void> {
+    recordNeverRunnable(actions);
     const commands = actions.map(toCommand).filter((c) => c !== undefined);
     if (commands.length > 0) await options.propose(commands);
+    for (const command of commands) {
+      if (command.type === "endTask") options.handleEnd?.(command.outcome);
+    }
     if (!options.holdsLease()) return;
     for (const action of actions) {
       if (action.type === "assign") scheduler.confirmAssignment(action);
@@ -222,6 +239,16 @@
     }
   }
 
+  function runStep(): SchedulerAction[] {
+    const startMs = clock.now();
+    const actions = scheduler.step(startMs);
+    const placed = actions.filter(({ type }) => type === "assign").length;
+    if (placed > 0) {
+      options.handlePlacement?.((clock.now() - startMs) / placed);
+    }
+    return actions;
+  }
+
   async function reconcile(): Promise<void> {
     isRunning = true;
     try {
@@ -229,24 +256,24 @@
         isRequested = false;
         if (isStopped || !options.holdsLease()) break;
         removeSilentWorkers();
-        await carryOut(scheduler.step(clock.now()));
+        await runActions(runStep());
       } while (isRequested);
     } catch (error) {
       stop();
       options.handleFailure(error);
     } finally {
       isRunning = false;
-      scheduleStep();
+      setStepTimer();
     }
   }
 
-  function scheduleStep(): void {
+  function setStepTimer(): void {
     timer?.cancel();
     if (isStopped) return;
-    timer = clock.setTimer(IDLE_STEP_MS, requestStep);
+    timer = clock.setTimer(IDLE_STEP_MS, startStep);
   }
 
-  function requestStep(): void {
+  function startStep(): void {
     isRequested = true;
     if (!isRunning && !isStopped) void reconcile();
   }
@@ -257,7 +284,7 @@
   }
 
   restore();
-  scheduleStep();
+  setStepTimer();
 
   return {
     receiveAnnouncement(announcement) {
@@ -266,7 +293,7 @@
         lastSeenMs: clock.now(),
       });
       const reply = scheduler.receiveWorkerReport(announcement, clock.now());
-      requestStep();
+      startStep();
       return {
         epoch,
         leaseMs: reply.leaseMs,
@@ -275,11 +302,11 @@
     },
     addJob(spec) {
       scheduler.addJob(toSpec(spec));
-      requestStep();
+      startStep();
     },
     cancelJob(job) {
       scheduler.cancelJob(job);
-      requestStep();
+      startStep();
     },
     findNeverRunnable: (job) => neverRunnable.get(job),
     listWorkers: () =>
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -42,6 +42,7 @@
 import type { Settings } from "../settings/mod.ts";
 import { renderJob } from "./job_view.ts";
 import type { WorkHandlers } from "./leader_calls.ts";
+import type { Observer } from "./observer.ts";
 
 /** Announcements missed in a row before an endpoint counts as silent. */
 const MISSED_ANNOUNCEMENTS = 3;
@@ -54,6 +55,7 @@
   clock: Clock;
   random: Random;
   logger: Logger;
+  observer: Observer;
   getLog: () => ReplicatedLog | undefined;
   getLeader: () => string | undefined;
   /** Sends an ask to the leader of another data centre. */
@@ -78,12 +80,12 @@
 
 /** Creates the service. */
 export function createWorkService(options: WorkServiceOptions): WorkService {
-  const { settings, state, clock, logger, view } = options;
+  const { settings, state, clock, logger, view, observer } = options;
   const { dataCentre } = settings;
   let leadership: Leadership | undefined;
   let wantedEpoch: number | undefined;
 
-  function holdsLease(epoch: number): boolean {
+  function hasLease(epoch: number): boolean {
     const lease = options.getLog()?.getLease();
     return lease !== undefined && lease.term === epoch &&
       lease.validUntilMs > clock.now();
@@ -94,7 +96,11 @@
   ): Promise<DataCentreResult> {
     const log = options.getLog();
     if (log === undefined) throw createNotLeader();
+    const startMs = clock.now();
     const { result } = await log.propose(encodeDataCentreCommand(command));
+    observer.metrics.recordDuration("log_propose_ms", clock.now() - startMs, {
+      group: "data centre",
+    });
     if (isFault(result)) throw result;
     return result as DataCentreResult;
   }
@@ -111,16 +117,16 @@
   }
 
   function getLeadership(): Leadership {
-    if (leadership === undefined || !holdsLease(leadership.epoch)) {
+    if (leadership === undefined || !hasLease(leadership.epoch)) {
       throw createNotLeader();
     }
     return leadership;
   }
 
-  async function begin(epoch: number): Promise<void> {
+  async function startEpoch(epoch: number): Promise<void> {
     // Entries of former terms are applied before the controllers read the state.
     await options.getLog()?.confirmLeadership();
-    if (wantedEpoch !== epoch || !holdsLease(epoch)) return;
+    if (wantedEpoch !== epoch || !hasLease(epoch)) return;
     logger.info("Leading the data centre", { epoch });
     leadership = startLeadership({
       dataCentre,
@@ -134,16 +140,22 @@
       taskLeaseMs: settings.tasks.leaseMs,
       queueLength: settings.requests.queueLength,
       grantValidMs: settings.requests.grantValidMs,
-      maxConnectionsPerInstance: settings.requests.connectionsPerEndpoint,
-      holdsLease: () => holdsLease(epoch),
+      connectionsPerEndpoint: settings.requests.connectionsPerEndpoint,
+      usageMargin: settings.scheduling.usageSafetyMargin,
+      announcePeriodMs: settings.tasks.announcePeriodMs,
+      holdsLease: () => hasLease(epoch),
       propose,
       sendAsk: options.sendAsk,
       sendTransfer: options.sendTransfer,
+      handleTaskStart: observer.recordTaskStart,
+      handleTaskEnd: observer.recordTaskEnd,
+      handlePlacement: (durationMs) =>
+        observer.metrics.recordDuration("placement_ms", durationMs),
       handleFailure: (error) => restart(epoch, error),
     });
   }
 
-  function end(): void {
+  function stopLeadership(): void {
     const ended = leadership;
     leadership = undefined;
     if (ended === undefined) return;
@@ -157,14 +169,14 @@
       epoch,
       error,
     });
-    end();
-    if (wantedEpoch === epoch && holdsLease(epoch)) start(epoch);
+    stopLeadership();
+    if (wantedEpoch === epoch && hasLease(epoch)) start(epoch);
   }
 
   function start(epoch: number): void {
-    begin(epoch).catch((error) => {
+    startEpoch(epoch).catch((error) => {
       logger.warn("Cannot begin to lead the data centre", { epoch, error });
-      if (wantedEpoch === epoch && holdsLease(epoch)) {
+      if (wantedEpoch === epoch && hasLease(epoch)) {
         clock.setTimer(100, () => start(epoch));
       }
     });
@@ -176,7 +188,7 @@
     throw createFault("notFound", `Cannot find job "${query.jobId}"`);
   }
 
-  function replyWithJob(query: JobQuery): JobReply {
+  function renderReply(query: JobQuery): JobReply {
     const { workers, scheduler } = getLeadership();
     const record = findJob(query);
     return {
@@ -206,7 +218,7 @@
       );
     }
     if (results[0] === "applied") workers.addJob(spec);
-    return replyWithJob({ team: request.team, jobId: spec.id });
+    return renderReply({ team: request.team, jobId: spec.id });
   }
 
   async function cancelJob(query: JobQuery): Promise<JobReply> {
@@ -217,13 +229,13 @@
       commands: [{ type: "cancelJob", job: query.jobId }],
     });
     workers.cancelJob(query.jobId);
-    return replyWithJob(query);
+    return renderReply(query);
   }
 
   /** Tells the refusal of a leader, which is final, from that of a former one. */
   function toFinalRefusal(asked: Leadership, error: unknown): unknown {
     if (!isFault(error, "unavailable")) return error;
-    if (leadership !== asked || !holdsLease(asked.epoch)) {
+    if (leadership !== asked || !hasLease(asked.epoch)) {
       return createNotLeader();
     }
     return createFault(error.kind, error.message, {
@@ -237,13 +249,17 @@
     context: { signal: AbortSignal },
   ): Promise<SlotReply> {
     const current = getLeadership();
+    const startMs = clock.now();
     const reply = await current.slots.acquire(request, context.signal)
       .catch((error) => {
         throw toFinalRefusal(current, error);
       });
-    return reply.kind === "grant"
-      ? { outcome: "grant", grant: reply }
-      : { outcome: "answer", answer: reply.answer };
+    if (reply.kind === "answer") {
+      return { outcome: "answer", answer: reply.answer };
+    }
+    const waitedMs = clock.now() - startMs;
+    observer.recordSlot(request.team, waitedMs, request.attempt);
+    return { outcome: "grant", grant: reply };
   }
 
   function getRequest(query: RequestQuery): Promise<RequestReply> {
@@ -337,7 +353,7 @@
       announceEndpoint,
       announceWorker,
       submitJob,
-      getJob: (query: JobQuery) => Promise.resolve(replyWithJob(query)),
+      getJob: (query: JobQuery) => Promise.resolve(renderReply(query)),
       cancelJob,
       getRequest,
       transferAllotment,
@@ -346,7 +362,7 @@
     },
     handleLeadership(lease) {
       wantedEpoch = lease?.term;
-      end();
+      stopLeadership();
       if (lease !== undefined) start(lease.term);
     },
     handleApplied: () => leadership?.slots.updateWaiting(),
