--- a/bench/instance/counted_cell.ts
+++ b/bench/instance/counted_cell.ts
@@ -1,6 +1,6 @@
 /**
- * A cell of three data centres with two instances each, whose connections
- * between instances all pass through counting relays.
+ * A cell of data centres with two instances each, whose connections between
+ * instances all pass through counting relays.
  */
 
 import { randomUUID } from "node:crypto";
@@ -17,7 +17,10 @@
 import { type ProcessUsage, readProcessUsage } from "./process_usage.ts";
 
 const HOST = "127.0.0.1";
-const DATA_CENTRES = ["north", "south", "west"] as const;
+const DATA_CENTRES = ["north", "south", "west"];
+
+/** A fleet log has 3 or 5 voters. */
+const MAX_VOTERS = 5;
 
 /** What the instances have used so far. */
 export interface CellUsage {
@@ -34,6 +37,7 @@
 /** A running cell. */
 export interface CountedCell {
   getAddress(instance: string): string;
+  listInstances(): string[];
   /** Address and port of the rpc listener behind a relay for parties outside the cell. */
   openRelay(instance: string): Promise<CountingRelay>;
   readUsage(): CellUsage;
@@ -50,29 +54,39 @@
   rpc: { host: string; port: number };
   scheduler: boolean;
   voter: boolean;
+  hasDisk: boolean;
   witnessFor: string[];
 }
 
-function createEntries(ports: number[]): Entry[] {
+function createEntries(
+  dataCentres: readonly string[],
+  ports: number[],
+): Entry[] {
   const takePort = () => ({ host: HOST, port: ports.pop() ?? 0 });
-  return DATA_CENTRES.flatMap((dataCentre, position) =>
+  const count = dataCentres.length;
+  return dataCentres.flatMap((dataCentre, position) =>
     [1, 2].map((number) => ({
       instance: `${dataCentre}-${number}`,
       dataCentre,
       http: takePort(),
       rpc: takePort(),
       scheduler: true,
-      voter: number === 1,
+      voter: number === 1 && position < MAX_VOTERS,
+      hasDisk: number === 1,
       witnessFor: number === 1
-        ? [DATA_CENTRES[(position + 1) % DATA_CENTRES.length] ?? ""]
+        ? [dataCentres[(position + 1) % count] ?? ""]
         : [],
     }))
   );
 }
 
 /** Starts the cell and waits until it is ready. */
-export async function startCountedCell(t: TestScope): Promise<CountedCell> {
-  const entries = createEntries(await findFreePorts(12));
+export async function startCountedCell(
+  t: TestScope,
+  dataCentres: readonly string[] = DATA_CENTRES,
+): Promise<CountedCell> {
+  const ports = await findFreePorts(dataCentres.length * 4);
+  const entries = createEntries(dataCentres, ports);
   const folder = await createTestFolder(t);
   const running = new Map<string, InstanceProcess>();
   const links: { ends: string[]; relay: CountingRelay }[] = [];
@@ -97,20 +111,25 @@
   }
 
   async function start(entry: Entry): Promise<void> {
-    const { http, rpc, scheduler, voter, witnessFor, ...names } = entry;
+    const { http, rpc, scheduler, voter, witnessFor, hasDisk } = entry;
     const settings = {
-      ...names,
+      instance: entry.instance,
+      dataCentre: entry.dataCentre,
       roles: { scheduler, voter, witnessFor },
       listen: { http, rpc },
-      ...(voter ? { dataFolder: `${entry.instance}-data` } : {}),
-      instances: await listSeen(entry),
+      ...(hasDisk ? { dataFolder: `${entry.instance}-data` } : {}),
+      instances: (await listSeen(entry)).map((
+        { hasDisk: _hasDisk, ...seen },
+      ) => seen),
       logLevel: "warn",
     };
     running.set(entry.instance, await startInstance(t, settings, { folder }));
   }
 
   await Promise.all(entries.map(start));
-  await Promise.all([...running.values()].map((one) => one.waitUntilReady()));
+  await Promise.all(
+    [...running.values()].map((one) => one.waitUntilReady(60_000)),
+  );
 
   function getAddress(instance: string): string {
     const found = running.get(instance);
@@ -127,17 +146,21 @@
   }
 
   async function change(operations: FleetOperation[]): Promise<number> {
-    const answer = await callJson(`${getAddress("north-2")}/v1/changes`, {
-      body: { changeId: randomUUID(), operations },
-      timeoutMs: 10_000,
-    });
+    const [first] = entries;
+    const answer = await callJson(
+      `${first && getAddress(first.instance)}/v1/changes`,
+      {
+        body: { changeId: randomUUID(), operations },
+        timeoutMs: 10_000,
+      },
+    );
     return answer.status;
   }
 
   async function readRoles(): Promise<CellRoles> {
     const leaders: Record<string, string> = {};
     let fleetLeader = "";
-    for (const dataCentre of DATA_CENTRES) {
+    for (const dataCentre of dataCentres) {
       const { body } = await callJson(
         `${getAddress(`${dataCentre}-1`)}/v1/status`,
       );
@@ -150,6 +173,7 @@
 
   return {
     getAddress,
+    listInstances: () => entries.map(({ instance }) => instance),
     openRelay(instance) {
       const entry = entries.find((one) => one.instance === instance);
       return addRelay([instance], entry?.rpc.port ?? 0);
--- a/bench/instance_bench.ts
+++ b/bench/instance_bench.ts
@@ -4,7 +4,7 @@
  * each, and how they grow with watchers, changes, endpoints, requests, task
  * starts, workers and tasks.
  *
- * `node --expose-gc dist/bench/instance_bench.js [FILE]` takes about three
+ * `node --expose-gc dist/bench/instance_bench.js [FILE]` takes about four
  * minutes, prints tables and writes the same as JSON to FILE. It judges no
  * bound: docs/CAPACITY.md derives the figures at the two-year size from it.
  */
@@ -259,8 +259,12 @@
   await set.stop();
 }
 
-async function runIdleWorkers(cell: CountedCell, entry: string) {
-  for (const count of [10, 100, 200, 1_000]) {
+async function runIdleWorkers(
+  cell: CountedCell,
+  options: { scenario: string; entry: string; counts: readonly number[] },
+) {
+  const { scenario, entry } = options;
+  for (const count of options.counts) {
     const set = await startWorkerSet({
       prefix: "idle",
       count,
@@ -268,7 +272,7 @@
       entries: [entry],
     });
     await measureStep(cell, {
-      scenario: "workers without tasks",
+      scenario,
       load: count,
       read: readSet(set),
     });
@@ -442,7 +446,16 @@
   await runStarts(cell, getEntry(west), key);
   await runWatchers(cell, roles);
   await runChanges(cell);
-  await runIdleWorkers(cell, getEntry(south));
+  await runIdleWorkers(cell, {
+    scenario: "workers without tasks",
+    entry: getEntry(south),
+    counts: [10, 100, 200, 1_000],
+  });
+  await runIdleWorkers(cell, {
+    scenario: "workers without tasks, at the leader",
+    entry: cell.getAddress(south.leader),
+    counts: [100, 200],
+  });
   const rolesBeforeTasks = await cell.readRoles();
   await runBusyWorkers(cell, getEntry(north), key);
   const rolesAtEnd = await cell.readRoles();
@@ -463,6 +476,7 @@
     ...computeSlopes("starts of one-task jobs", west),
     ...computeSlopes("starts of 20-task jobs", west),
     ...computeSlopes("workers without tasks", south),
+    ...computeSlopes("workers without tasks, at the leader", south),
     ...computeSlopes("workers with 14 tasks", north),
     ...computeSlopes("watchers", fleet),
     ...computeSlopes("watchers with 5 changes a second", fleet),
