--- a/src/cli/dev.ts
+++ b/src/cli/dev.ts
@@ -3,7 +3,6 @@
 import process from "node:process";
 import { command, number, option } from "cmd-ts";
 import { createLogger } from "../common/mod.ts";
-import { DEV_NAME, startDevCell } from "../dev/dev_cell.ts";
 
 const DEFAULT_HTTP_PORT = 8080;
 const DEFAULT_RPC_PORT = 9090;
@@ -16,6 +15,8 @@
 
 /** Starts the cell, prints what to try, and runs until SIGTERM or SIGINT. */
 export async function runDev(options: RunDevOptions): Promise<void> {
+  // Loaded here, so that other commands start without the stand-ins.
+  const { DEV_NAME, startDevCell } = await import("../dev/dev_cell.ts");
   const logger = createLogger({ level: "warn" });
   const keepAlive = setInterval(() => {}, 60_000);
   const cell = await startDevCell({ ...options, logger });
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -164,15 +164,4 @@
 }
 
 /** State of an instance, sent as a heartbeat and in answer to one. */
-export interface HeartbeatMessage {
-  instance: string;
-  dataCentre: string;
-  incarnation: number;
-  configVersion: number;
-  /** Instance that leads the data centre log, or empty. */
-  dataCentreLeader: string;
-  dataCentreEpoch: number;
-  /** Instance that leads the fleet log, or empty. */
-  fleetLeader: string;
-  stopping: boolean;
-}
+export type HeartbeatMessage = InstanceState;
