Seed each process far apart

Members that started in the same millisecond had the same or nearby seeds, and so nearly the same election timeouts.

--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -4,6 +4,7 @@
  */
 
 import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
 import { createSeededRandom, createSystemClock } from "../common/mod.ts";
 import type { Clock, Logger, Random } from "../common/mod.ts";
 import type { AllotmentAsk, AllotmentTransfer } from "../allotments/mod.ts";
@@ -111,6 +112,11 @@
   return host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`;
 }
 
+/** Spreads seeds far apart, so that members that start together do not time out together. */
+function computeSeed(name: string): number {
+  return createHash("sha256").update(name).digest().readInt32BE(0);
+}
+
 /** Returns the name of the log group of a data centre. */
 export function getDataCentreGroup(dataCentre: string): string {
   return `data-centre/${dataCentre}`;
@@ -142,7 +148,7 @@
   const incarnation = clock.wallTime();
   const startedAtMs = clock.now();
   const random = options.random ??
-    createSeededRandom((incarnation ^ instance.length) | 0);
+    createSeededRandom(computeSeed(`${instance}#${incarnation}`));
   const logger = options.logger.with({ instance, dataCentre });
   const handleFailure = options.handleFailure ??
     ((error: unknown) => logger.error("Instance failed", { error }));
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -4,6 +4,8 @@
  * and change together with it.
  */
 
+import type { InstanceState } from "../membership/mod.ts";
+
 /** An empty answer. */
 export type Empty = Record<string, never>;
 
