Check that the addresses are free before the data folder is opened

A second process with the same settings opened the log of the first one before its listener failed. It now ends with exit code 4 and opens nothing.

--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -5,6 +5,7 @@
 import { createLogger } from "../common/mod.ts";
 import { startInstance } from "../instance/mod.ts";
 import { isOperatorInterfaceOpen, loadSettings } from "../settings/mod.ts";
+import { runCommand } from "./shared.ts";
 
 /** Exit code after a failure that makes it impossible to go on. */
 const FAILURE_EXIT_CODE = 1;
@@ -51,5 +52,9 @@
       description: "settings file in JSON",
     }),
   },
-  handler: ({ settings }) => runServe(settings),
+  handler: async ({ settings }) => {
+    await runCommand(() => runServe(settings));
+    // What a failed start has opened would keep the process alive.
+    process.exit();
+  },
 });
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -45,6 +45,7 @@
   startRpcServer,
 } from "../rpc/mod.ts";
 import type { Address, InstanceEntry, Settings } from "../settings/mod.ts";
+import { checkAddress } from "./check_address.ts";
 import { createFleetService, FLEET_GROUP } from "./fleet_service.ts";
 import { readAllBurn } from "./burn_collection.ts";
 import { createObserver } from "./observer.ts";
@@ -144,6 +145,8 @@
   options: InstanceOptions,
 ): Promise<Instance> {
   const { instance, dataCentre } = settings;
+  await checkAddress(settings.listen.rpc);
+  await checkAddress(settings.listen.http);
   const clock = options.clock ?? createSystemClock();
   const incarnation = clock.wallTime();
   const startedAtMs = clock.now();
--- a/test/cli_test.ts
+++ b/test/cli_test.ts
@@ -1,6 +1,7 @@
 /** The command line against a whole cell in one process, as an operator uses it. */
 
 import { execFile } from "node:child_process";
+import { existsSync } from "node:fs";
 import { readFile, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import process from "node:process";
@@ -9,7 +10,7 @@
 import { createSilentLogger } from "../src/common/mod.ts";
 import { type DevCell, startDevCell } from "../src/dev/dev_cell.ts";
 import { callJson, waitUntil } from "./json_http.ts";
-import { createTestFolder, findFreePorts } from "./processes.ts";
+import { createTestFolder, findFreePorts, startProcess } from "./processes.ts";
 
 t.setTimeout(120_000);
 
@@ -145,3 +146,34 @@
   t.match(page, /goldcrestlug_requests_total\{.*team="demo".*\} \d+/);
   t.match(page, "goldcrestlug_task_starts_total");
 });
+
+// Guards against a second process that opens the data folder of a running one.
+t.test("a second process with the same address does not start", async (t) => {
+  const port = Number(new URL(cell.address).port);
+  const [rpcPort = 0] = await findFreePorts(1);
+  const listen = {
+    http: { host: "127.0.0.1", port },
+    rpc: { host: "127.0.0.1", port: rpcPort },
+  };
+  const settings = {
+    instance: "second",
+    dataCentre: "demo",
+    roles: { voter: true },
+    listen,
+    dataFolder: "second-data",
+    instances: [{
+      instance: "second",
+      dataCentre: "demo",
+      ...listen,
+      scheduler: true,
+      voter: true,
+      witnessFor: [],
+    }],
+  };
+  const file = join(folder, "second.json");
+  await writeFile(file, JSON.stringify(settings));
+  const second = startProcess(t, "src/main.js", ["serve", "--settings", file]);
+  const { code } = await second.exited;
+  t.equal(code, 4, second.getLines().join("\n"));
+  t.equal(existsSync(join(folder, "second-data")), false, "nothing opened");
+});
