Count inherited requests against the limits of their teams

Cause: a new leader knew how many requests each endpoint had in flight, but not of which teams, so it let in a team's whole slot limit beside them, and offered the limit to other data centres as idle. A grant that ended with an unknown outcome was also taken off its team at once.

Requests carry the header goldcrestlug-team, and an announcement may carry inFlightByTeam. Where it does not, all requests of the endpoint count against every team until it reports less. While a new leader waits for the announcements it gives away no slot allotment.

Ruled out: to grant nothing to limited teams until all endpoints have announced, since it delays each takeover by an announcement period. With several endpoints, one that announces later than another may thus still carry requests that do not count yet, for at most one announcement period.

--- a/src/data_centre/leadership.ts
+++ b/src/data_centre/leadership.ts
@@ -103,6 +103,7 @@
 function measureLoads(
   scheduler: Scheduler,
   slots: RecordedSlots,
+  held: ReadonlyMap<string, number>,
 ): Map<string, MeasuredLoad> {
   const loads = new Map<string, MeasuredLoad>();
   for (const team of scheduler.getStatus().teams) {
@@ -111,12 +112,22 @@
       waiting: { slots: 0, ...team.queuedResources },
     });
   }
-  for (const team of slots.controller.getStatus().teams) {
-    const known = loads.get(team.team);
+  const { teams, isRebuilding, sharedExcess } = slots.controller.getStatus();
+  const byTeam = new Map(teams.map((team) => [team.team, team]));
+  for (const team of new Set([...byTeam.keys(), ...held.keys()])) {
+    const known = loads.get(team);
     const none = { processors: 0, memoryMb: 0, accelerators: 0 };
-    loads.set(team.team, {
-      running: { ...none, ...known?.running, slots: team.running },
-      waiting: { ...none, ...known?.waiting, slots: team.queued },
+    const running = byTeam.get(team)?.running ?? sharedExcess;
+    // Until the endpoints have announced, requests of a former leader may fill
+    // all that is held; giving it away would exceed the limit elsewhere.
+    const least = isRebuilding ? held.get(team) ?? 0 : 0;
+    loads.set(team, {
+      running: { ...none, ...known?.running, slots: Math.max(running, least) },
+      waiting: {
+        ...none,
+        ...known?.waiting,
+        slots: byTeam.get(team)?.queued ?? 0,
+      },
     });
   }
   return loads;
@@ -198,8 +209,19 @@
     propose: async (command) =>
       await propose({ part: "requests", command }) as never,
   });
+  const measure = () =>
+    measureLoads(
+      scheduler,
+      slots,
+      new Map(
+        state.allotments.listTeams().map((team) => [
+          team,
+          state.allotments.getHeld(team).slots,
+        ]),
+      ),
+    );
   const updateTeams = () => {
-    const loads = measureLoads(scheduler, slots);
+    const loads = measure();
     const { teams } = view.getState();
     for (const team of new Set([...teams.keys(), ...loads.keys()])) {
       const limits = allotments.computeUsable(team, loads.get(team));
@@ -224,7 +246,7 @@
     propose: async (command) =>
       await propose({ part: "allotments", command }) as never,
     holdsLease: options.holdsLease,
-    measureLoads: () => measureLoads(scheduler, slots),
+    measureLoads: measure,
     sendAsk: options.sendAsk,
     sendTransfer: options.sendTransfer,
     handleChange: updateTeams,
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -239,6 +239,7 @@
       address: grant.address,
       requestId: request.requestId,
       queue: request.queue,
+      team: request.team,
       contentType: request.contentType,
       body: request.body,
       timeoutMs: getTimeout(run, attempt),
--- a/src/requests/endpoints.ts
+++ b/src/requests/endpoints.ts
@@ -33,6 +33,12 @@
   type LedgerGrant,
   type SlotLedger,
 } from "./slot_ledger.ts";
+import {
+  createTeamExcess,
+  mergeTeamCounts,
+  type TeamCounts,
+  type TeamExcess,
+} from "./team_excess.ts";
 import type { EndpointAnnouncement } from "./types.ts";
 
 interface EndpointState {
@@ -42,6 +48,7 @@
   isDeparting: boolean;
   isRecounting: boolean;
   ledger: SlotLedger;
+  teamExcess: TeamExcess;
   connections: ConnectionBudget;
 }
 
@@ -79,6 +86,7 @@
   const endpoints = new Map<string, EndpointState>();
   const pools = new Map<string, QueuePool>();
   let poolsSinceMs = -Infinity;
+  let teamExcess: TeamCounts = { byTeam: new Map(), shared: 0 };
   const outliers = createOutlierDetector(clock, options.outliers);
 
   function isAnnounced(state: EndpointState): boolean {
@@ -178,6 +186,14 @@
     if (recounting < atMost) state.isRecounting = true;
   }
 
+  /** Kept as a sum, since the fair queue asks for it at each request and team. */
+  function updateTeamExcess(): void {
+    const states = [...endpoints.values()];
+    teamExcess = mergeTeamCounts(
+      states.map((state) => state.teamExcess.getCounts()),
+    );
+  }
+
   function addEndpoint(announcement: EndpointAnnouncement): void {
     endpoints.set(announcement.endpoint, {
       announcement,
@@ -190,6 +206,11 @@
         grantValidMs,
         arrivalMs: ARRIVAL_MS,
       }),
+      teamExcess: createTeamExcess({
+        ...announcement,
+        hasRestarted: true,
+        mostExcess: announcement.inFlight,
+      }, announcementDelayMs),
       connections: createConnectionBudget({
         // Covers an idle timer that fires late.
         idleMs: GRANT_GRACE_MS +
@@ -216,6 +237,11 @@
     state.announcedAtMs = clock.now();
     const { inFlight } = announcement;
     state.ledger.receiveReport({ inFlight, hasRestarted }, clock.now());
+    state.teamExcess.receiveReport({
+      ...announcement,
+      hasRestarted,
+      mostExcess: state.ledger.getMostExcess(),
+    }, clock.now());
     updateRecount(state);
   }
 
@@ -244,10 +270,12 @@
     const state = endpoints.get(announcement.endpoint);
     if (state === undefined) {
       addEndpoint(announcement);
+      updateTeamExcess();
       return true;
     }
     if (announcement.incarnation < state.announcement.incarnation) return false;
     updateEndpoint(state, announcement);
+    updateTeamExcess();
     return true;
   }
 
@@ -287,6 +315,10 @@
     const hasEnded = outcome !== "unknown" && outcome !== "expired";
     state.ledger.closeGrant(ledgerGrant, { hasEnded, durationMs }, clock.now());
     state.connections.closeGrant(instance, clock.now());
+    if (!hasEnded) {
+      state.teamExcess.addUnproven(granted.team, clock.now());
+      updateTeamExcess();
+    }
     // An expired grant says more about the entry instance than the endpoint.
     if (outcome === "expired") return;
     outliers.recordOutcome(endpoint, outcome === "answered", () => {
@@ -299,7 +331,7 @@
   return {
     receiveAnnouncement,
     pick,
-    openGrant(endpoint, instance) {
+    openGrant(endpoint, { instance, team }) {
       const state = endpoints.get(endpoint);
       if (state === undefined) {
         throw createFault("internal", `Cannot use endpoint "${endpoint}"`);
@@ -309,6 +341,7 @@
         endpoint,
         address: state.announcement.address,
         instance,
+        team,
         state,
         ledgerGrant: state.ledger.openGrant(clock.now()),
         isOpen: true,
@@ -323,6 +356,7 @@
       return false;
     },
     getPool,
+    getTeamExcess: () => teamExcess,
     list: () =>
       [...endpoints].map(([endpoint, state]) => ({
         endpoint,
--- a/src/requests/endpoints_types.ts
+++ b/src/requests/endpoints_types.ts
@@ -3,6 +3,7 @@
 import type { Clock, Random } from "../common/mod.ts";
 import type { QueuePool } from "./fair_queue_types.ts";
 import type { EndpointHealth, OutlierOptions } from "./outliers.ts";
+import type { TeamCounts } from "./team_excess.ts";
 import type { RequestOutcome } from "./types.ts";
 
 /** Settings of an endpoint table; times in milliseconds. */
@@ -38,11 +39,18 @@
   readonly avoid: readonly string[];
 }
 
+/** For whom a grant is opened. */
+export interface GrantHolder {
+  readonly instance: string;
+  readonly team: string;
+}
+
 /** An open grant at an endpoint. */
 export interface EndpointGrant {
   readonly endpoint: string;
   readonly address: string;
   readonly instance: string;
+  readonly team: string;
 }
 
 /** How a grant at an endpoint ended; "expired" when nobody released it. */
@@ -78,11 +86,13 @@
   /** Picks the least loaded usable endpoint; undefined when none has room. */
   pick(need: EndpointNeed): string | undefined;
   /** Takes a slot at an endpoint that `pick` returned. */
-  openGrant(endpoint: string, instance: string): EndpointGrant;
+  openGrant(endpoint: string, holder: GrantHolder): EndpointGrant;
   closeGrant(grant: EndpointGrant, end: EndpointGrantEnd): void;
   /** Tells whether some usable endpoint has a free slot. */
   hasFreeSlot(): boolean;
   /** Slots of the usable endpoints that serve a queue, and the queues they share. */
   getPool(queue: string): QueuePool;
+  /** Counts requests that may be running without an open grant, by team. */
+  getTeamExcess(): TeamCounts;
   list(): EndpointStatus[];
 }
--- a/src/requests/forward.ts
+++ b/src/requests/forward.ts
@@ -42,6 +42,7 @@
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 
 const REQUEST_ID_HEADER = "goldcrestlug-request-id";
+const TEAM_HEADER = "goldcrestlug-team";
 const QUEUE_HEADER = "goldcrestlug-queue";
 const DEFAULT_CONTENT_TYPE = "application/octet-stream";
 
@@ -202,6 +203,7 @@
       "content-type": request.contentType,
       [REQUEST_ID_HEADER]: request.requestId,
       [QUEUE_HEADER]: request.queue,
+      [TEAM_HEADER]: request.team,
     },
     body: request.body,
   };
--- a/src/requests/forward_test.ts
+++ b/src/requests/forward_test.ts
@@ -37,6 +37,7 @@
       address: endpoint.address,
       requestId: `r${number}`,
       queue: "orders",
+      team: "team",
       contentType: "text/plain",
       body: new Uint8Array(Buffer.from(`body ${number}`)),
       timeoutMs: TIMEOUT_MS,
--- a/src/requests/slot_ledger.ts
+++ b/src/requests/slot_ledger.ts
@@ -68,6 +68,8 @@
   getInUse(): number;
   getOpenCount(): number;
   getExcess(): number;
+  /** The excess and what may still be given back to it. */
+  getMostExcess(): number;
   /** Time since which the excess has been above zero. */
   getExcessSince(): number | undefined;
   /** True when every open grant is settled, so that a report at `nowMs` is exact. */
@@ -160,6 +162,7 @@
     getInUse: () => open.size + excess,
     getOpenCount: () => open.size,
     getExcess: () => excess,
+    getMostExcess: () => excess + dropped,
     getExcessSince: () => excessSinceMs,
     isSettled(atMs) {
       for (const grant of open) {
--- a/src/requests/slots.ts
+++ b/src/requests/slots.ts
@@ -16,9 +16,14 @@
 import type { EndpointGrant } from "./endpoints_types.ts";
 import { createExpiryQueue, type ExpiryEntry } from "./expiry_queue.ts";
 import { createFairQueue } from "./fair_queue.ts";
-import type { QueueEntry } from "./fair_queue_types.ts";
+import type { QueueEntry, TeamQueueStatus } from "./fair_queue_types.ts";
 import type { SlotController, SlotControllerOptions } from "./slots_types.ts";
-import type { RequestOutcome, SlotGrant, SlotRequest } from "./types.ts";
+import type {
+  RequestOutcome,
+  SlotGrant,
+  SlotRequest,
+  TeamPolicy,
+} from "./types.ts";
 
 interface Waiter {
   readonly request: SlotRequest;
@@ -60,7 +65,7 @@
 export function createSlotController(
   options: SlotControllerOptions,
 ): SlotController {
-  const { clock, random, logger, epoch, getPolicy, beforeGrant } = options;
+  const { clock, random, logger, epoch, beforeGrant } = options;
   const canGrant = options.canGrant ?? (() => true);
   const grantValidMs = options.grantValidMs ?? GRANT_VALID_MS;
   const grantGraceMs = options.grantGraceMs ?? GRANT_GRACE_MS;
@@ -70,6 +75,7 @@
     ANNOUNCEMENT_DELAY_MS;
   const announcePeriodMs = options.endpoints?.announcePeriodMs ?? 1_000;
   const acceptFromMs = readyAtMs + announcementDelayMs;
+  const rebuiltAtMs = acceptFromMs + 2 * announcePeriodMs;
   const endpoints = createEndpointTable({
     ...options.endpoints,
     clock,
@@ -78,6 +84,29 @@
     acceptFromMs,
     grantValidMs,
   });
+  /** Requests of a team that may be running without an open grant. */
+  function countExcess(team: string): number {
+    const { byTeam, shared } = endpoints.getTeamExcess();
+    return shared + (byTeam.get(team) ?? 0);
+  }
+
+  function getPolicy(team: string): TeamPolicy {
+    const { weight, slotLimit } = options.getPolicy(team);
+    return { weight, slotLimit: Math.max(0, slotLimit - countExcess(team)) };
+  }
+
+  function listTeams(): TeamQueueStatus[] {
+    const queued = queue.listTeams();
+    const known = new Set(queued.map(({ team }) => team));
+    const { byTeam } = endpoints.getTeamExcess();
+    const others = [...byTeam.keys()].filter((team) => !known.has(team))
+      .map((team) => ({ team, queued: 0, running: 0 }));
+    return [...queued, ...others].map((status) => ({
+      ...status,
+      running: status.running + countExcess(status.team),
+    }));
+  }
+
   const queue = createFairQueue<Waiter>({
     ...options.queue,
     clock,
@@ -180,7 +209,7 @@
       token: createToken(),
       waiter,
       entry,
-      endpointGrant: endpoints.openGrant(endpoint, waiter.request.instance),
+      endpointGrant: endpoints.openGrant(endpoint, waiter.request),
       grantedAtMs: clock.now(),
       expiry: undefined,
     };
@@ -205,7 +234,7 @@
 
   /** Work that waits for the first announcements after a takeover is queued. */
   function checkPool(request: SlotRequest): void {
-    const isRebuilding = clock.now() < acceptFromMs + 2 * announcePeriodMs;
+    const isRebuilding = clock.now() < rebuiltAtMs;
     if (isRebuilding) {
       const waitMs = acceptFromMs - clock.now();
       if (waitMs < request.remainingMs) return;
@@ -237,7 +266,7 @@
   }
 
   let unservedTimer = clock.setTimer(
-    acceptFromMs + 2 * announcePeriodMs - clock.now(),
+    rebuiltAtMs - clock.now(),
     refuseUnserved,
   );
 
@@ -326,7 +355,11 @@
       return count;
     },
     receiveAnnouncement(input) {
+      const former = endpoints.getTeamExcess();
+      const hadExcess = former.shared > 0 || former.byTeam.size > 0;
       const isTaken = endpoints.receiveAnnouncement(input);
+      // Teams that were at their limit on account of the excess may go on.
+      if (isTaken && hadExcess) queue.updatePolicies();
       if (isTaken) startWaiting();
       return isTaken;
     },
@@ -339,7 +372,9 @@
       isReady: isReady(),
       queued: queue.getSize(),
       granted: grants.size,
-      teams: queue.listTeams(),
+      isRebuilding: clock.now() < rebuiltAtMs,
+      sharedExcess: endpoints.getTeamExcess().shared,
+      teams: listTeams(),
       endpoints: endpoints.list(),
     }),
     stop() {
--- a/src/requests/slots_types.ts
+++ b/src/requests/slots_types.ts
@@ -51,6 +51,10 @@
 export interface SlotStatus {
   readonly epoch: number;
   readonly isReady: boolean;
+  /** True until the endpoints have had time to announce to a new leader. */
+  readonly isRebuilding: boolean;
+  /** Requests of unknown team that count against every team. */
+  readonly sharedExcess: number;
   readonly queued: number;
   readonly granted: number;
   readonly teams: readonly TeamQueueStatus[];
--- /dev/null
+++ b/src/requests/team_excess_test.ts
@@ -0,0 +1,67 @@
+import t from "tap";
+import { createManualClock } from "../common/mod.ts";
+import {
+  acquireNow,
+  buildAnnouncement,
+  createController,
+  READY_MS,
+} from "../../test/requests_helpers.ts";
+
+const LIMIT = 3;
+
+function createLimited(announced: Record<string, unknown>) {
+  const clock = createManualClock(0);
+  const controller = createController(clock, {
+    getPolicy: () => ({ weight: 1, slotLimit: LIMIT }),
+  });
+  clock.advance(READY_MS);
+  controller.receiveAnnouncement(buildAnnouncement(announced));
+  const countGrants = async (team: string) => {
+    let count = 0;
+    while (await acquireNow(controller, { team }) !== undefined) count += 1;
+    return count;
+  };
+  return { clock, controller, countGrants };
+}
+
+// Guards against a new leader that lets in a whole limit beside what its predecessor let in.
+t.test("inherited requests count against their team", async (t) => {
+  const inFlightByTeam = { lace: 2, toys: 1 };
+  const { controller, countGrants } = createLimited({
+    inFlight: 3,
+    inFlightByTeam,
+  });
+  t.equal(await countGrants("lace"), LIMIT - 2);
+  t.equal(await countGrants("toys"), LIMIT - 1);
+  const running = controller.getStatus().teams
+    .map(({ team, running }) => [team, running]);
+  t.strictSame(running, [["lace", LIMIT], ["toys", LIMIT]]);
+});
+
+// Guards against counting nothing where the endpoint does not report by team.
+t.test("requests of unknown team count against every team", async (t) => {
+  const { controller, countGrants } = createLimited({ inFlight: 2 });
+  t.equal(await countGrants("lace"), LIMIT - 2);
+  t.equal(await countGrants("toys"), LIMIT - 2);
+  controller.receiveAnnouncement(buildAnnouncement({ inFlight: 0 }));
+  t.equal(await countGrants("lace"), 2, "free once the endpoint reports less");
+});
+
+// Guards against a limit that is exceeded by requests whose connection was lost.
+t.test("a request of unknown outcome counts until the endpoint reports less", async (t) => {
+  const { clock, controller, countGrants } = createLimited({});
+  const grant = await acquireNow(controller, { team: "lace" });
+  controller.release(grant?.token ?? "", "unknown", 10);
+  t.equal(await countGrants("lace"), LIMIT - 1);
+  const report = (count: number) =>
+    controller.receiveAnnouncement(
+      buildAnnouncement({ inFlight: count, inFlightByTeam: { lace: count } }),
+    );
+  report(0);
+  t.equal(await countGrants("lace"), 0, "it may not have arrived yet");
+  clock.advance(3_000);
+  report(LIMIT);
+  t.equal(await countGrants("lace"), 0, "it still runs");
+  report(0);
+  t.equal(await countGrants("lace"), 1, "one has ended");
+});
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -22,6 +22,8 @@
   readonly connections: number;
   /** Requests that it is running now. */
   readonly inFlight: number;
+  /** The same by team, as named in the header of each request; absent when the endpoint does not count so. */
+  readonly inFlightByTeam?: Readonly<Record<string, number>> | undefined;
   /** True once it wants no new work. */
   readonly departing: boolean;
 }
@@ -123,6 +125,8 @@
   readonly address: string;
   readonly requestId: string;
   readonly queue: string;
+  /** The team that the slot is charged to. */
+  readonly team: string;
   readonly contentType: string;
   readonly body: Uint8Array;
   /** Milliseconds until the exchange is given up. */
--- a/test/cell.ts
+++ b/test/cell.ts
@@ -49,6 +49,8 @@
   restart(instance: string): Promise<InstanceProcess>;
   /** Sets the mode of every connection between a data centre and the others. */
   setLinks(dataCentre: string, mode: RelayMode): void;
+  /** Makes the open connections between data centres silent for good; new ones work. */
+  silenceOpenLinks(): void;
   /** Base addresses of the instances of a data centre. */
   listAddresses(dataCentre: string): string[];
   /** Hands in a change through the first instance. */
@@ -86,6 +88,7 @@
   /** Returns the instances as `entry` must see them, through its relays. */
   listInstances(entry: CellInstance): CellInstance[];
   setMode(dataCentre: string, mode: RelayMode): void;
+  silenceOpen(): void;
 }
 
 async function createLinks(
@@ -109,6 +112,9 @@
         if (link === undefined) return to;
         return { ...to, rpc: { host: HOST, port: link.relay.port } };
       }),
+    silenceOpen() {
+      for (const { relay } of relays.values()) relay.setOpenMode("silent");
+    },
     setMode(dataCentre, mode) {
       for (const { relay, ends } of relays.values()) {
         if (ends.includes(dataCentre)) relay.setMode(mode);
@@ -184,6 +190,7 @@
       return await start(entry);
     },
     setLinks: (dataCentre, mode) => links?.setMode(dataCentre, mode),
+    silenceOpenLinks: () => links?.silenceOpen(),
     listAddresses: (dataCentre) =>
       entries.filter((entry) => entry.dataCentre === dataCentre)
         .map(({ http }) => `http://${HOST}:${http.port}`),
@@ -211,6 +218,41 @@
   };
 }
 
+/**
+ * Starts an ended instance again and waits until it counts in the log of its
+ * data centre, since a second loss before that may stop the group.
+ */
+export async function restartAndJoin(
+  cell: Cell,
+  instance: string,
+): Promise<void> {
+  const { address, waitUntilReady } = await cell.restart(instance);
+  await waitUntilReady(20_000);
+  const group = `data-centre/${instance.slice(0, instance.lastIndexOf("-"))}`;
+  await waitUntil(
+    async () => {
+      const { body } = await callJson(`${address}/v1/status`);
+      const { logs } = body as { logs: { group: string; role: string }[] };
+      const role = logs.find((log) => log.group === group)?.role;
+      return role === "leader" || role === "follower";
+    },
+    20_000,
+    `the vote of ${instance}`,
+  );
+}
+
+/** Asks an instance which instance leads a data centre. */
+export async function findLeader(
+  address: string,
+  dataCentre: string,
+): Promise<string | undefined> {
+  const { body } = await callJson(`${address}/v1/status`, { timeoutMs: 5_000 });
+  const { dataCentres } = body as {
+    dataCentres: { dataCentre: string; leader?: string }[];
+  };
+  return dataCentres.find((one) => one.dataCentre === dataCentre)?.leader;
+}
+
 /** Options of a caller's request. */
 export interface SendOptions {
   readonly key?: string;
--- a/test/instance_faults_test.ts
+++ b/test/instance_faults_test.ts
@@ -5,8 +5,14 @@
 
 import t, { type Test } from "tap";
 import type { KeySecret } from "../src/fleet/mod.ts";
-import { type Cell, sendRequest, startCell, waitForAnswer } from "./cell.ts";
-import { callJson, wait, waitUntil } from "./json_http.ts";
+import {
+  type Cell,
+  findLeader,
+  sendRequest,
+  startCell,
+  waitForAnswer,
+} from "./cell.ts";
+import { wait, waitUntil } from "./json_http.ts";
 import { type LoadResult, startLoad } from "./load.ts";
 import {
   type StandinEndpoint,
@@ -48,14 +54,6 @@
   );
 }
 
-async function findLeader(address: string, dataCentre: string) {
-  const { body } = await callJson(`${address}/v1/status`, { timeoutMs: 5_000 });
-  const { dataCentres } = body as {
-    dataCentres: { dataCentre: string; leader?: string }[];
-  };
-  return dataCentres.find((one) => one.dataCentre === dataCentre)?.leader;
-}
-
 function countRuns(id: string): number {
   return endpoints.reduce(
     (sum, endpoint) => sum + (endpoint.getCounts().runs[id] ?? 0),
--- a/test/standin_endpoint.ts
+++ b/test/standin_endpoint.ts
@@ -30,6 +30,12 @@
   readonly announcePeriodMs?: number;
   /** Shortest time for which a departing endpoint still serves arrivals. Default 3000. */
   readonly departMs?: number;
+  /** Returns the address to announce for the one that it listens on. */
+  readonly buildAddress?: (address: string) => Promise<string>;
+  /** Whether announcements count requests by team. Default true. */
+  readonly reportsTeams?: boolean;
+  /** Called with 1 when a request starts to run and with -1 when it has ended. */
+  readonly handleInFlight?: (change: 1 | -1) => void;
 }
 
 /** What a stand-in endpoint has seen. */
@@ -89,6 +95,7 @@
   const incarnation = Date.now();
   const runs = new Map<string, number>();
   const sockets = new Set<Socket>();
+  const inFlightByTeam = new Map<string, number>();
   let inFlight = 0;
   let peakInFlight = 0;
   let peakConnections = 0;
@@ -114,11 +121,18 @@
     const body = parseBody(text);
     const count = (runs.get(requestId) ?? 0) + 1;
     runs.set(requestId, count);
+    const team = String(request.headers["goldcrestlug-team"] ?? "");
+    const addToTeam = (change: 1 | -1) =>
+      inFlightByTeam.set(team, (inFlightByTeam.get(team) ?? 0) + change);
     inFlight++;
+    addToTeam(1);
+    options.handleInFlight?.(1);
     peakInFlight = Math.max(peakInFlight, inFlight);
     const delay = { header: "x-delay-ms", field: "delayMs" };
     await wait(getNumber(request, body, delay) ?? 0);
     inFlight--;
+    addToTeam(-1);
+    options.handleInFlight?.(-1);
     const status = { header: "x-status", field: "status" };
     return {
       status: getNumber(request, body, status) ?? 200,
@@ -157,19 +171,24 @@
     return run(request, text);
   });
 
+  const address = await options.buildAddress?.(server.address) ??
+    server.address;
   const announcer = startAnnouncer({
     entries: options.entries,
     path: "/v1/endpoints/announce",
     periodMs: options.announcePeriodMs ?? 1_000,
     build: () => ({
       endpoint: options.name,
-      address: server.address,
+      address,
       dataCentre: options.dataCentre,
       incarnation,
       queues: options.queues,
       slots,
       connections,
       inFlight,
+      ...(options.reportsTeams === false
+        ? {}
+        : { inFlightByTeam: Object.fromEntries(inFlightByTeam) }),
       departing: departedAtMs !== undefined,
     }),
   });
--- /dev/null
+++ b/test/work_fleet.ts
@@ -0,0 +1,305 @@
+/**
+ * Stand-in workers as child processes with everything that ran on them, and
+ * jobs as a caller submits them, for tests of faults under jobs.
+ */
+
+import type { Test } from "tap";
+import type { Cell } from "./cell.ts";
+import { callJson, type JsonAnswer, wait, waitUntil } from "./json_http.ts";
+import { startProcess, type TestProcess, type TestScope } from "./processes.ts";
+import type { StandinTaskStatus } from "./standin_tasks.ts";
+import type { WorkerStatus } from "./standin_worker.ts";
+
+/** Capacity of each worker. */
+export const WORKER_CORES = 8;
+
+/** One run of a task on a worker; times are wall time in milliseconds. */
+export interface TaskRun extends StandinTaskStatus {
+  readonly worker: string;
+}
+
+/** Settings of one worker. */
+export interface FleetWorkerOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly entries: readonly string[];
+  readonly leaseMs: number;
+}
+
+/** A worker process. */
+export interface FleetWorker {
+  readonly options: FleetWorkerOptions;
+  readonly process: TestProcess;
+  readonly address: string;
+}
+
+/** Workers and what ran on them. */
+export interface WorkerFleet {
+  /** Starts a worker, or one that was killed again under its name. */
+  start(options: FleetWorkerOptions): Promise<FleetWorker>;
+  get(name: string): FleetWorker;
+  /** Ends a worker, and with it what runs there. */
+  kill(name: string): Promise<void>;
+  /** Lists all runs so far, also those on killed workers. */
+  listRuns(): Promise<TaskRun[]>;
+  /** Lists what runs now. */
+  listRunning(job?: string): Promise<TaskRun[]>;
+  /** Starts beyond the capacity, which the workers refused. */
+  countViolations(): Promise<number>;
+}
+
+/** Creates a fleet without workers. */
+export function createWorkerFleet(t: TestScope): WorkerFleet {
+  const workers = new Map<string, FleetWorker>();
+  const buried: TaskRun[] = [];
+  let buriedViolations = 0;
+
+  async function read({ address }: FleetWorker): Promise<WorkerStatus> {
+    const { body } = await callJson(`${address}/tasks`, { timeoutMs: 5_000 });
+    return body as WorkerStatus;
+  }
+
+  async function listOf(worker: FleetWorker): Promise<TaskRun[]> {
+    const { tasks } = await read(worker);
+    return tasks.map((task) => ({ ...task, worker: worker.options.name }));
+  }
+
+  function get(name: string): FleetWorker {
+    const found = workers.get(name);
+    if (found === undefined) throw new Error(`no worker "${name}"`);
+    return found;
+  }
+
+  async function listRuns(): Promise<TaskRun[]> {
+    const lists = await Promise.all([...workers.values()].map(listOf));
+    return [...buried, ...lists.flat()];
+  }
+
+  return {
+    async start(options) {
+      const process = startProcess(t, "test/standin_worker.js", [
+        ...["--name", options.name],
+        ...["--data-centre", options.dataCentre],
+        ...["--entry", options.entries.join(",")],
+        ...["--cores", String(WORKER_CORES)],
+        ...["--lease-ms", String(options.leaseMs)],
+      ]);
+      const line = await process.waitForLine(/listening on/);
+      const address = line.replace("listening on ", "");
+      const worker = { options, process, address };
+      workers.set(options.name, worker);
+      return worker;
+    },
+    get,
+    async kill(name) {
+      const worker = get(name);
+      const before = await read(worker);
+      await worker.process.kill();
+      const endedAt = Date.now();
+      workers.delete(name);
+      buriedViolations += before.capacityViolations;
+      for (const task of before.tasks) {
+        const end = task.endedAt ?? endedAt;
+        buried.push({ ...task, endedAt: end, worker: name });
+      }
+    },
+    listRuns,
+    async listRunning(job) {
+      const runs = await listRuns();
+      return runs.filter((run) =>
+        run.state === "running" && run.endedAt === null &&
+        (job === undefined || run.task.startsWith(`${job}/`))
+      );
+    },
+    async countViolations() {
+      const all = await Promise.all([...workers.values()].map(read));
+      return all.reduce(
+        (sum, { capacityViolations }) => sum + capacityViolations,
+        buriedViolations,
+      );
+    },
+  };
+}
+
+function getTaskOf({ task }: TaskRun): string {
+  return task.slice(0, task.lastIndexOf("/"));
+}
+
+function groupBy(
+  runs: readonly TaskRun[],
+  getKey: (run: TaskRun) => string,
+): Map<string, TaskRun[]> {
+  const groups = new Map<string, TaskRun[]>();
+  for (const run of runs) {
+    groups.set(getKey(run), [...groups.get(getKey(run)) ?? [], run]);
+  }
+  return groups;
+}
+
+/** Lists pairs of runs of the same task whose times overlap. */
+export function listOverlaps(runs: readonly TaskRun[]): string[] {
+  const overlaps: string[] = [];
+  for (const [task, same] of groupBy(runs, getTaskOf)) {
+    same.sort((a, b) => a.startedAt - b.startedAt);
+    for (const [index, run] of same.entries()) {
+      const next = same[index + 1];
+      if (next === undefined || (run.endedAt ?? Infinity) <= next.startedAt) {
+        continue;
+      }
+      overlaps.push(`${task}: ${JSON.stringify([run, next])}`);
+    }
+  }
+  return overlaps;
+}
+
+/** Lists workers that ran more than their capacity at some time. */
+export function listOverruns(runs: readonly TaskRun[]): string[] {
+  const overruns: string[] = [];
+  for (const [worker, own] of groupBy(runs, (run) => run.worker)) {
+    const peak = computePeak(own, (run) => run.resources.processors);
+    if (peak > WORKER_CORES * 1_000) overruns.push(`${worker}: ${peak}`);
+  }
+  return overruns;
+}
+
+/** Computes the largest sum over what ran at the same time. */
+export function computePeak(
+  runs: readonly TaskRun[],
+  getSize: (run: TaskRun) => number,
+): number {
+  const edges = runs.flatMap((run) => [
+    { at: run.startedAt, size: getSize(run) },
+    { at: run.endedAt ?? Infinity, size: -getSize(run) },
+  ]);
+  // At the same millisecond an end comes before a start.
+  edges.sort((a, b) => a.at - b.at || a.size - b.size);
+  let sum = 0;
+  let peak = 0;
+  for (const { size } of edges) {
+    sum += size;
+    peak = Math.max(peak, sum);
+  }
+  return peak;
+}
+
+/** Counts the finished runs of each task of a job, by index. */
+export function countFinished(
+  runs: readonly TaskRun[],
+  job: string,
+  taskCount: number,
+): number[] {
+  return Array.from(
+    { length: taskCount },
+    (_, index) =>
+      runs.filter((run) =>
+        getTaskOf(run) === `${job}/${index}` && run.state === "finished"
+      ).length,
+  );
+}
+
+/** A job to submit. */
+export interface JobInput {
+  readonly id: string;
+  readonly policy: "batch" | "service" | "gang";
+  readonly tasks: number;
+  readonly resources: { processors: number; memoryMb?: number };
+  readonly payload?: { runMs: number };
+}
+
+/** The state of a job as callers see it. */
+export interface JobState {
+  readonly id: string;
+  readonly state: string;
+  readonly tasks: { index: number; attempt: number; outcome?: string }[];
+}
+
+/** Calls about jobs, each through the next instance. */
+export interface JobCaller {
+  /** Submits until accepted, then again through another instance. */
+  submit(job: JobInput): Promise<void>;
+  get(id: string): Promise<JobState | undefined>;
+  /** Cancels until the answer is whole; resolves to the last answer. */
+  cancel(id: string): Promise<JobState>;
+  waitForState(id: string, state: string, timeoutMs: number): Promise<JobState>;
+}
+
+/** Creates a caller for a team. */
+export function createJobCaller(cell: Cell, secret: string): JobCaller {
+  const headers = { authorization: `Bearer ${secret}` };
+  let nextAddress = 0;
+
+  async function call(
+    method: string,
+    path: string,
+    body?: unknown,
+  ): Promise<JsonAnswer | undefined> {
+    const address = cell.addresses[nextAddress++ % cell.addresses.length];
+    try {
+      return await callJson(`${address}${path}`, {
+        method,
+        headers,
+        ...(body === undefined ? {} : { body }),
+        timeoutMs: 3_000,
+      });
+    } catch {
+      return undefined;
+    }
+  }
+
+  async function repeat(
+    method: string,
+    path: string,
+    body?: unknown,
+  ): Promise<JobState> {
+    let last: JsonAnswer | undefined;
+    for (const endMs = performance.now() + 20_000; performance.now() < endMs;) {
+      last = await call(method, path, body);
+      if (last?.status === 202) return last.body as JobState;
+      await wait(50);
+    }
+    throw new Error(`Cannot ${method} ${path}: ${JSON.stringify(last)}`);
+  }
+
+  const getPath = (id: string) => `/v1/jobs/${encodeURIComponent(id)}`;
+
+  async function get(id: string): Promise<JobState | undefined> {
+    const answer = await call("GET", getPath(id));
+    return answer?.status === 200 ? answer.body as JobState : undefined;
+  }
+
+  return {
+    async submit(job) {
+      await repeat("POST", "/v1/jobs", job);
+      await repeat("POST", "/v1/jobs", job);
+    },
+    get,
+    cancel: (id) => repeat("DELETE", getPath(id)),
+    async waitForState(id, state, timeoutMs) {
+      let last: JobState | undefined;
+      try {
+        return await waitUntil(
+          async () => {
+            last = await get(id) ?? last;
+            return last?.state === state ? last : undefined;
+          },
+          timeoutMs,
+          `state "${state}" of ${id}`,
+        );
+      } catch (error) {
+        throw new Error(`Last: ${JSON.stringify(last)}`, { cause: error });
+      }
+    },
+  };
+}
+
+/** Checks what must hold of all runs at any time. */
+export async function checkRuns(
+  t: Test,
+  fleet: WorkerFleet,
+): Promise<TaskRun[]> {
+  const runs = await fleet.listRuns();
+  t.strictSame(listOverlaps(runs), [], "no task ran in two places at once");
+  t.strictSame(listOverruns(runs), [], "no worker ran more than its capacity");
+  t.equal(await fleet.countViolations(), 0, "no start beyond the capacity");
+  return runs;
+}
