Pass on a recorded unknown outcome instead of "not run"

Cause: the slot client turns the fault outcomeUnknown of a lost reply into "unavailable, not run". The refusal of the record of an earlier run has the same kind, so a resend of a non-idempotent request that may have run was answered as not run. The refusal of a record is now marked as such.

Test: test/connection_faults_test.ts silences the connection to an endpoint under such a request and resends it: before "unavailable", ran "no"; after "outcomeUnknown"; one run.

Ruled out: a new connection for each retry, since a trial without it passed. An idempotent request leaves a silent connection before its deadline only once the queue has been watched for the length of a deadline, which the test therefore waits for.

--- a/src/instance/request_routing.ts
+++ b/src/instance/request_routing.ts
@@ -70,6 +70,8 @@
 /** Without a grant nothing was sent, so a lost reply of the leader means "not run". */
 function toNotRun(error: unknown): unknown {
   if (!isFault(error, "outcomeUnknown")) return error;
+  // The record of an earlier attempt says that the request may have run.
+  if (error.details["recorded"] === true) return error;
   return createFault("unavailable", "Cannot get a slot: the leader was lost", {
     cause: error,
   });
--- a/src/requests/recorded_slots.ts
+++ b/src/requests/recorded_slots.ts
@@ -39,7 +39,11 @@
 function createRefusalFault(
   decision: RecordDecision & { kind: "refuse" },
 ): Fault {
-  return createFault(decision.fault, decision.message, { ran: decision.ran });
+  return createFault(decision.fault, decision.message, {
+    ran: decision.ran,
+    // Tells an outcome that the record calls unknown from a lost reply.
+    details: { recorded: true },
+  });
 }
 
 function createStopFault(): Fault {
