Write the distance from share by team and minute

Cause: a mean over the run does not show when a team is away from its share. Ruled out: a sample a second in the file, which nobody reads.

--- a/bench/scheduling/driver.ts
+++ b/bench/scheduling/driver.ts
@@ -68,6 +68,8 @@
 export interface RunFigures {
   /** Mean distance between what a team held and its fair share of the cell at the time, by team. */
   readonly distance: Readonly<Record<string, number>>;
+  /** The same, by minute of the run. */
+  readonly distanceByMinute: Readonly<Record<string, readonly number[]>>;
   readonly meanDistance: number;
   /** Mean over time of Jain's index of holdings in proportion to the fair share. */
   readonly jain: number;
@@ -91,6 +93,7 @@
 
 const STEP_MS = 50;
 const SAMPLE_MS = 1_000;
+const SAMPLES_PER_MINUTE = 60_000 / SAMPLE_MS;
 
 /** Puts the library behind the driver's interface. */
 export function createDrivenLibrary(
@@ -218,6 +221,9 @@
   const urgentWaits: number[] = [];
   const waiting = new Map<string, Resources>();
   const distance = Object.fromEntries(teams.map((team) => [team, 0]));
+  const byMinute = Object.fromEntries(
+    teams.map((team): [string, number[]] => [team, []]),
+  );
   const jain: number[] = [];
   const packing: number[] = [];
   let samples = 0;
@@ -337,6 +343,10 @@
       const share = shares.get(team)!;
       const goal = fair.get(team) ?? 0;
       distance[team]! += Math.abs(share - goal);
+      const minute = Math.floor((samples - 1) / SAMPLES_PER_MINUTE);
+      const minutes = byMinute[team]!;
+      minutes[minute] = (minutes[minute] ?? 0) +
+        Math.abs(share - goal) / SAMPLES_PER_MINUTE;
       if (goal > 0) ratios.push(share / goal);
     }
     if (ratios.length > 1) jain.push(computeJainIndex(ratios));
@@ -386,6 +396,7 @@
     values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
   return {
     distance,
+    distanceByMinute: byMinute,
     meanDistance: mean(Object.values(distance)),
     jain: mean(jain),
     waitMeanMs: mean(waits),
--- a/bench/scheduling_bench.ts
+++ b/bench/scheduling_bench.ts
@@ -61,7 +61,7 @@
 }
 
 function formatDistances(figures: RunFigures) {
-  const { distance, ...rest } = figures;
+  const { distance, distanceByMinute: _series, ...rest } = figures;
   const byTeam = Object.entries(distance).map(([team, value]) =>
     [`distance ${team}`, value] as const
   );
