--- a/src/scheduling/leases_test.ts
+++ b/src/scheduling/leases_test.ts
@@ -163,3 +163,23 @@
   t.equal(cell.actions.filter((action) => action.type === "start").length, 2);
   t.end();
 });
+
+// Guards against a repeated start that takes a team above an allotment that has shrunk since the first one.
+t.test("a lost start is not sent again above the allotment", (t) => {
+  const cell = createCell();
+  const worker = cell.addWorker("w0", buildResources(2));
+  cell.setTeam("a", buildResources(2));
+  cell.addJob({ id: "j", tasks: 2 });
+  cell.advance(100);
+  worker.isReachable = false;
+  cell.advance(100);
+  worker.isReachable = true;
+  cell.setTeam("a", buildResources(1));
+  cell.advance(8_000);
+  t.equal(cell.actions.filter((action) => action.type === "start").length, 2);
+  t.strictSame(cell.errors, []);
+  cell.advance(8_000);
+  t.equal(cell.listRunning().length, 1);
+  t.strictSame(cell.errors, []);
+  t.end();
+});
--- a/src/scheduling/policies_test.ts
+++ b/src/scheduling/policies_test.ts
@@ -118,6 +118,19 @@
   t.end();
 });
 
+// Guards against small work that stands still because a larger task before it finds no room.
+t.test("a task without room does not hold up smaller work", (t) => {
+  const cell = createRackedCell(1, 1);
+  cell.addJob({ id: "filler", team: "b", resources: buildResources(4) });
+  cell.advance(500);
+  cell.addJob({ id: "large", team: "a", resources: buildResources(8) });
+  cell.addJob({ id: "small", team: "b" });
+  cell.advance(500);
+  t.equal(countRunning(cell, "large"), 0);
+  t.equal(countRunning(cell, "small"), 1);
+  t.end();
+});
+
 // Guards against a gang that keeps hold of a part when the free room is in pieces that are too small.
 t.test("a gang that does not fit holds nothing", (t) => {
   const cell = createCell();
