Test the controllers of a leadership; fix four faults that it shows

Causes, each shown by a new test that failed before its fix:

- receiveAsk computed an offer from all that is held, also what another ask was just given and whose transfer was not recorded yet.
Two asks at once for 4 idle slots were both given them: 2 held with 6 running.
An offer is now computed from what is held less what is being given.
- A data centre that leaves returned team after team, while the list had been planned before: work could start on a later return.
All are sent at once, so that all are withheld from new work.
- The worker controller ignored the outcome of its records.
An assignment that the records refused as "stale" was started all the same.
It now ends the controller, which is rebuilt from the records.
- After a restart in one epoch the lease still holds, so that stopped controllers went on sending and proposing.
They check for the stop now, and the successor proposes an empty command first, behind which every earlier proposal is applied before it reads the state.

Ruled out: waiting in stop() for open proposals, since they may wait for a quorum for ever; a distinct epoch for each restart, since the term is the epoch.

The empty first proposal of work_service.ts has no focused test yet.

--- a/src/data_centre/allotment_controller.ts
+++ b/src/data_centre/allotment_controller.ts
@@ -98,7 +98,11 @@
   ): TeamLoad {
     const { teams, dataCentres } = options.view.getState();
     return {
-      held: allotments.getHeld(team),
+      // Less what is being given, or a second ask gets the same amount.
+      held: subtractLimits(
+        allotments.getHeld(team),
+        pendingGifts.get(team) ?? NO_LIMITS,
+      ),
       running: load?.running ?? NO_LIMITS,
       // A data centre that is leaving asks for nothing new.
       waiting: dataCentres.includes(options.dataCentre)
@@ -206,15 +210,19 @@
   ): Promise<void> {
     const { dataCentres, leavingDataCentres } = options.view.getState();
     if (!leavingDataCentres.includes(options.dataCentre)) return;
-    for (const item of rebalancer.planReturns(loads, dataCentres)) {
-      await sendTo(item.to, item.team, item.amount);
-    }
+    const returns = rebalancer.planReturns(loads, dataCentres);
+    // All at once, so that no work starts on one while another is recorded.
+    await Promise.all(
+      returns.map(({ to, team, amount }) => sendTo(to, team, amount)),
+    );
   }
 
   async function reconcile(): Promise<void> {
     try {
       if (!options.holdsLease()) return;
       await applyConfiguration();
+      // A successor in the same epoch does not know what is proposed from here.
+      if (isStopped || !options.holdsLease()) return;
       options.handleChange();
       const loads = buildLoads();
       sendAsks(loads);
@@ -240,11 +248,7 @@
   return {
     computeUsable(team, measured) {
       const load = toTeamLoad(team, measured);
-      const kept = addLimits(
-        rebalancer.getOwed(team, load),
-        pendingGifts.get(team) ?? NO_LIMITS,
-      );
-      return subtractLimits(load.held, kept);
+      return subtractLimits(load.held, rebalancer.getOwed(team, load));
     },
     async receiveAsk(ask) {
       const load = options.measureLoads().get(ask.team);
--- /dev/null
+++ b/src/data_centre/allotment_controller_test.ts
@@ -0,0 +1,168 @@
+import t from "tap";
+import { createFakeLog, waitForTurn } from "../../test/controller_fakes.ts";
+import {
+  type AllotmentAsk,
+  type AllotmentCommand,
+  createAllotments,
+  createRebalancer,
+} from "../allotments/mod.ts";
+import {
+  createManualClock,
+  createSeededRandom,
+  createSilentLogger,
+} from "../common/mod.ts";
+import {
+  createFleetState,
+  encodeCommand,
+  type FleetOperation,
+  type FleetView,
+  type Limits,
+  NO_LIMITS,
+} from "../fleet/mod.ts";
+import {
+  createAllotmentController,
+  type MeasuredLoad,
+} from "./allotment_controller.ts";
+
+const slots = (count: number): Limits => ({ ...NO_LIMITS, slots: count });
+
+/** A controller of "a" that holds the whole limit of 10 of the teams "t" and "u". */
+async function createBench() {
+  const clock = createManualClock(1_000_000);
+  const machine = createFleetState();
+  let changes = 0;
+  const change = (...operations: FleetOperation[]) => {
+    const changeId = `c${changes++}`;
+    const command = { at: 0, change: { changeId, operations } };
+    machine.apply(encodeCommand(command), changes);
+  };
+  change({ type: "setDataCentres", names: ["a"] });
+  for (const name of ["t", "u"]) {
+    change({ type: "createTeam", name, share: 1, limits: slots(10) });
+  }
+  const allotments = createAllotments("a");
+  const log = createFakeLog((command: AllotmentCommand) =>
+    allotments.apply(command)
+  );
+  const running = new Map<string, number>();
+  const controller = createAllotmentController({
+    dataCentre: "a",
+    allotments,
+    rebalancer: createRebalancer({
+      dataCentre: "a",
+      clock,
+      random: createSeededRandom(20_261_204),
+    }),
+    view: { getState: () => machine.getState() } as unknown as FleetView,
+    clock,
+    logger: createSilentLogger(),
+    propose: log.propose,
+    holdsLease: () => true,
+    measureLoads: () => {
+      const loads = new Map<string, MeasuredLoad>();
+      for (const [team, count] of running) {
+        loads.set(team, { running: slots(count), waiting: NO_LIMITS });
+      }
+      return loads;
+    },
+    sendAsk: () => Promise.resolve(NO_LIMITS),
+    sendTransfer: () => new Promise(() => {}),
+    handleChange: () => {},
+    handleFailure: (error) => {
+      throw error;
+    },
+  });
+  const startWork = (team: string, count: number) => {
+    const load = { running: slots(count), waiting: NO_LIMITS };
+    if (controller.computeUsable(team, load).slots < count) return;
+    running.set(team, count);
+  };
+  const countOver = () =>
+    [...running].filter(([team, count]) =>
+      count > allotments.getHeld(team).slots
+    ).length;
+  clock.advance(200);
+  await waitForTurn();
+  await log.commitAll();
+  change({ type: "setDataCentres", names: ["a", "b", "c"] });
+  return {
+    clock,
+    log,
+    allotments,
+    controller,
+    change,
+    running,
+    startWork,
+    countOver,
+  };
+}
+
+const buildAsk = (from: string): AllotmentAsk => ({
+  from,
+  to: "a",
+  team: "t",
+  wanted: slots(4),
+  entitled: NO_LIMITS,
+  levelling: false,
+});
+
+// Guards against the same idle allotment being given twice, which leaves less
+// held than runs, so that the team runs more than its limit over the fleet.
+t.test("asks at the same moment share what is idle", async (t) => {
+  const { controller, log, allotments, running, countOver } =
+    await createBench();
+  running.set("t", 6);
+  const offers = [
+    controller.receiveAsk(buildAsk("b")),
+    controller.receiveAsk(buildAsk("c")),
+  ];
+  await waitForTurn();
+  await log.commitAll();
+  const given = (await Promise.all(offers)).map((offer) => offer.slots);
+  t.equal(given[0]! + given[1]!, 4);
+  t.equal(allotments.getHeld("t").slots, 6);
+  t.equal(countOver(), 0);
+});
+
+// Guards against work that starts on allotment whose transfer is not recorded yet.
+t.test("work does not start on what is about to be given", async (t) => {
+  const { controller, log, running, startWork, countOver } =
+    await createBench();
+  running.set("t", 6);
+  void controller.receiveAsk(buildAsk("b"));
+  await waitForTurn();
+  startWork("t", 10);
+  await log.commitAll();
+  t.equal(countOver(), 0);
+});
+
+// Guards against returns that were planned before work started on them.
+t.test("work does not start on what a leaving data centre returns", async (t) => {
+  const { clock, change, log, running, startWork, countOver, allotments } =
+    await createBench();
+  running.set("t", 1).set("u", 1);
+  change({ type: "setDataCentres", names: ["b", "c"] });
+  for (let step = 0; step < 40; step++) {
+    clock.advance(50);
+    await waitForTurn();
+    startWork("t", 2 + step);
+    startWork("u", 2 + step);
+    if (log.pending.length > 0) await log.commitNext();
+    t.equal(countOver(), 0, `step ${step}`);
+  }
+  t.ok(allotments.getTransfersInProgress().length > 0);
+});
+
+// Guards against two controllers of one epoch: what a stopped one proposes is
+// unknown to its successor, which starts work on it.
+t.test("a stopped controller proposes nothing more", async (t) => {
+  const { clock, change, controller, log, running } = await createBench();
+  running.set("t", 1);
+  change({ type: "setDataCentres", names: ["b", "c"] });
+  clock.advance(200);
+  await waitForTurn();
+  t.equal(log.pending[0]?.type, "applyConfiguration");
+  controller.stop();
+  await log.commitNext();
+  t.same(log.pending, []);
+});
--- a/src/data_centre/leadership.ts
+++ b/src/data_centre/leadership.ts
@@ -164,9 +164,8 @@
     records: state.jobs,
     clock,
     logger,
-    propose: async (jobCommands) => {
-      await propose({ part: "jobs", commands: jobCommands });
-    },
+    propose: async (jobCommands) =>
+      await propose({ part: "jobs", commands: jobCommands }) as never,
     holdsLease: options.holdsLease,
     sendCommand: commands.send,
     ...(options.handleTaskStart === undefined
--- a/src/data_centre/worker_controller.ts
+++ b/src/data_centre/worker_controller.ts
@@ -4,7 +4,12 @@
  * only then carries them out. One reconciliation runs at a time.
  */
 
-import type { Clock, Logger, Timer } from "../common/mod.ts";
+import {
+  type Clock,
+  createFault,
+  type Logger,
+  type Timer,
+} from "../common/mod.ts";
 import type {
   JobSpec,
   NeverRunnableReason,
@@ -21,6 +26,7 @@
 import { formatAttempt } from "./attempt_name.ts";
 import type {
   JobCommand,
+  JobCommandResult,
   JobRecord,
   JobRecords,
   RecordedJobSpec,
@@ -42,8 +48,10 @@
   records: JobRecords;
   clock: Clock;
   logger: Logger;
-  /** Appends commands to the data centre log; resolves once they are applied. */
-  propose: (commands: readonly JobCommand[]) => Promise<void>;
+  /** Appends commands to the data centre log; resolves to what each did once they are applied. */
+  propose: (
+    commands: readonly JobCommand[],
+  ) => Promise<readonly JobCommandResult[]>;
   /** Whether this instance may still decide. */
   holdsLease: () => boolean;
   sendCommand: (address: string, command: WorkerCommand) => void;
@@ -53,7 +61,10 @@
   handlePlacement?: (durationMs: number) => void;
   /** Called for each recorded end of an attempt. */
   handleEnd?: (outcome: TaskOutcome) => void;
-  /** Called when a proposal failed; the leadership must end, since the outcome may be unknown. */
+  /**
+   * Called when a proposal failed, since its outcome may be unknown, or when
+   * the records refused an assignment. The controllers must be rebuilt.
+   */
   handleFailure: (error: unknown) => void;
 }
 
@@ -123,6 +134,27 @@
   }
 }
 
+/**
+ * Throws when the records refused an assignment: they then name another worker
+ * for the task, or an end, and a start would run it beside them.
+ */
+function checkAssignments(
+  commands: readonly JobCommand[],
+  results: readonly JobCommandResult[],
+): void {
+  for (const [at, command] of commands.entries()) {
+    if (command.type !== "assign" || results[at] === "applied") continue;
+    const { job, index, attempt, worker } = command;
+    const name = formatAttempt({ job, index, attempt });
+    throw createFault(
+      "internal",
+      `Cannot assign task "${name}" to worker "${worker}": the record is "${
+        results[at]
+      }"`,
+    );
+  }
+}
+
 /** Creates the controller and restores the scheduler from the records. */
 export function createWorkerController(
   options: WorkerControllerOptions,
@@ -217,11 +249,15 @@
   ): Promise<void> {
     recordNeverRunnable(actions);
     const commands = actions.map(toCommand).filter((c) => c !== undefined);
-    if (commands.length > 0) await options.propose(commands);
+    if (commands.length > 0) {
+      checkAssignments(commands, await options.propose(commands));
+    }
     for (const command of commands) {
       if (command.type === "endTask") options.handleEnd?.(command.outcome);
     }
-    if (!options.holdsLease()) return;
+    // After a restart in the same epoch the lease still holds, but a successor
+    // decides from records that may lack what was proposed here.
+    if (isStopped || !options.holdsLease()) return;
     for (const action of actions) {
       if (action.type === "assign") scheduler.confirmAssignment(action);
       else sendAction(action);
--- /dev/null
+++ b/src/data_centre/worker_controller_test.ts
@@ -0,0 +1,220 @@
+import t from "tap";
+import {
+  advanceBy,
+  buildAnnouncement,
+  buildJob,
+  createFakeLog,
+  waitForTurn,
+} from "../../test/controller_fakes.ts";
+import {
+  createFault,
+  createManualClock,
+  createSeededRandom,
+  createSilentLogger,
+} from "../common/mod.ts";
+import { createScheduler } from "../scheduling/mod.ts";
+import { createJobRecords, type JobCommand } from "./job_records.ts";
+import { createWorkerController } from "./worker_controller.ts";
+
+const ROOM = { processors: 100_000, memoryMb: 100_000, accelerators: 0 };
+
+/** Lease of 10 s plus the clock rate bound of 0.01. */
+const HELD_MS = 10_100;
+
+function createBench(records = createJobRecords()) {
+  const clock = createManualClock(1_000_000);
+  const log = createFakeLog((commands: readonly JobCommand[]) =>
+    commands.map((command) => records.apply(command))
+  );
+  const scheduler = createScheduler({ random: createSeededRandom(20_261_204) });
+  scheduler.setTeam({ team: "a", weight: 1, allotment: ROOM });
+  const bench = {
+    clock,
+    log,
+    records,
+    hasLease: true,
+    sent: [] as string[],
+    failures: [] as unknown[],
+  };
+  const controller = createWorkerController({
+    epoch: 1,
+    scheduler,
+    records,
+    clock,
+    logger: createSilentLogger(),
+    propose: log.propose,
+    holdsLease: () => bench.hasLease,
+    sendCommand: (address, { name, body }) =>
+      bench.sent.push(
+        `${name} ${(body as { task: string }).task} ${address}`,
+      ),
+    handleFailure: (error) => bench.failures.push(error),
+  });
+  return { ...bench, bench, controller };
+}
+
+/** Brings a job so far that its assignment is proposed and not yet applied. */
+async function createProposal() {
+  const made = createBench();
+  const { controller, records, log } = made;
+  controller.receiveAnnouncement(buildAnnouncement("w"));
+  await waitForTurn();
+  records.apply({ type: "submitJob", spec: buildJob() });
+  controller.addJob(buildJob());
+  await waitForTurn();
+  if (log.pending[0]?.[0]?.type !== "assign") {
+    throw new Error("Cannot find the proposed assignment");
+  }
+  return made;
+}
+
+type Made = Awaited<ReturnType<typeof createProposal>>;
+
+/** Applies the assignment; the start then waits for the record of another assignment. */
+async function proposeStart({ controller, records, log }: Made) {
+  controller.receiveAnnouncement(buildAnnouncement("v"));
+  records.apply({ type: "submitJob", spec: buildJob({ id: "k" }) });
+  controller.addJob(buildJob({ id: "k" }));
+  await log.commitNext();
+  t.equal(log.pending[0]?.[0]?.type, "assign");
+}
+
+const CASES: {
+  name: string;
+  /** What happens while the assignment is not applied. */
+  run: (made: Made) => Promise<void>;
+  sent: string[];
+  failures: number;
+}[] = [
+  {
+    // Guards against a task that no record knows and that a new leader starts again.
+    name: "the record is not applied yet",
+    run: ({ clock }) => advanceBy(clock, 5_000),
+    sent: [],
+    failures: 0,
+  },
+  {
+    name: "the record is applied",
+    run: ({ log }) => log.commitNext(),
+    sent: ["start j/0/1 http://w"],
+    failures: 0,
+  },
+  {
+    // Guards against commands of a leader that has been replaced.
+    name: "the lease ends first",
+    async run(made) {
+      await proposeStart(made);
+      made.bench.hasLease = false;
+      await made.log.commitNext();
+      await advanceBy(made.clock, 5_000);
+    },
+    sent: [],
+    failures: 0,
+  },
+  {
+    // Guards against two controllers of one epoch: the lease still holds while
+    // the successor is rebuilt from the records.
+    name: "the controller is stopped first",
+    async run(made) {
+      await proposeStart(made);
+      made.controller.stop();
+      await made.log.commitNext();
+      await advanceBy(made.clock, 5_000);
+    },
+    sent: [],
+    failures: 0,
+  },
+  {
+    // Guards against decisions on top of a record whose outcome is unknown.
+    name: "the proposal fails",
+    async run({ controller, log, clock }) {
+      await log.failNext(createFault("outcomeUnknown", "Cannot propose"));
+      controller.receiveAnnouncement(buildAnnouncement("w", { sequence: 2 }));
+      await advanceBy(clock, 5_000);
+    },
+    sent: [],
+    failures: 1,
+  },
+  {
+    // Guards against a start that the records refuse: they name another worker
+    // for the attempt, and a new leader would wait for that one only.
+    name: "the records name another worker for the attempt",
+    async run({ records, log, clock }) {
+      records.apply({
+        type: "assign",
+        job: "j",
+        index: 0,
+        attempt: 1,
+        worker: "other",
+      });
+      await log.commitNext();
+      await advanceBy(clock, 5_000);
+    },
+    sent: [],
+    failures: 1,
+  },
+];
+
+for (const { name, run, sent, failures } of CASES) {
+  t.test(`a start is sent only after its record: ${name}`, async (t) => {
+    const made = await createProposal();
+    await run(made);
+    t.same(made.sent, sent);
+    t.equal(made.failures.length, failures);
+    t.same(made.log.pending.length, name.includes("yet") ? 1 : 0);
+  });
+}
+
+// Guards against a second run of a task whose worker cannot be reached from
+// the new leader but still runs it under its lease.
+t.test("a restored leader waits for the lease of an assigned task", async (t) => {
+  const records = createJobRecords();
+  records.apply({ type: "submitJob", spec: buildJob() });
+  records.apply({
+    type: "assign",
+    job: "j",
+    index: 0,
+    attempt: 1,
+    worker: "lost",
+  });
+  const { clock, controller, log, sent } = createBench(records);
+  const startMs = clock.now();
+  for (let sequence = 1; sent.length === 0 && sequence < 40; sequence++) {
+    controller.receiveAnnouncement(buildAnnouncement("w", { sequence }));
+    for (let spent = 0; sent.length === 0 && spent < 1_000; spent += 50) {
+      await advanceBy(clock, 50);
+      await log.commitAll();
+    }
+  }
+  const waitedMs = clock.now() - startMs;
+  t.same(sent, ["start j/0/2 http://w"]);
+  t.ok(waitedMs >= HELD_MS, `placed again after ${waitedMs} ms`);
+  t.ok(waitedMs < HELD_MS + 2_000, `placed again after ${waitedMs} ms`);
+});
+
+// Guards against a second run while the worker does report the attempt.
+t.test("a restored leader keeps a task that its worker reports", async (t) => {
+  const records = createJobRecords();
+  records.apply({ type: "submitJob", spec: buildJob() });
+  records.apply({
+    type: "assign",
+    job: "j",
+    index: 0,
+    attempt: 1,
+    worker: "w",
+  });
+  const { clock, controller, log, sent } = createBench(records);
+  for (let sequence = 1; sequence < 30; sequence++) {
+    const reply = controller.receiveAnnouncement(
+      buildAnnouncement("w", {
+        sequence,
+        tasks: [{ job: "j", index: 0, attempt: 1, state: "running" }],
+      }),
+    );
+    t.same(reply.renewed, ["j/0/1"]);
+    controller.receiveAnnouncement(buildAnnouncement("v", { sequence }));
+    await advanceBy(clock, 1_000);
+    await log.commitAll();
+  }
+  t.same(sent, []);
+});
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -126,6 +126,10 @@
   async function startEpoch(epoch: number): Promise<void> {
     // Entries of former terms are applied before the controllers read the state.
     await options.getLog()?.confirmLeadership();
+    // So are proposals of stopped controllers of this epoch, which are ahead of
+    // this empty one: a transfer or an assignment applied after the controllers
+    // have read the state would be unknown to them.
+    await propose({ part: "jobs", commands: [] });
     if (wantedEpoch !== epoch || !hasLease(epoch)) return;
     logger.info("Leading the data centre", { epoch });
     leadership = startLeadership({
