Check commands of the data centre log before they are applied

Cause: state_test.ts applied unreadable commands. A batch of job commands with one that could not be read was applied up to it; a change of limits with a missing amount was applied and left NaN in what is held; a request command without a time set the time of the records to NaN; commands of an unknown part byte were read as job commands; unknown types gave no fault.

Fix: command_schema.ts checks the whole command with zod first, with unknown further fields allowed.

job_records_test.ts found no fault: doubled, late and reordered commands leave the records as they are, and a restored copy forgets ended jobs in the same order.

--- /dev/null
+++ b/src/data_centre/command_schema.ts
@@ -0,0 +1,161 @@
+/**
+ * Checks commands of the data centre log before they are applied. A command
+ * that cannot be read as a whole, such as one of a later version, must change
+ * nothing: applied in part it would leave records that no leader decided on.
+ */
+
+import { z } from "zod";
+import type { AllotmentCommand } from "../allotments/mod.ts";
+import { createFault } from "../common/mod.ts";
+import type { RecordCommand } from "../requests/mod.ts";
+import type { JobCommand } from "./job_records.ts";
+
+const countSchema = z.int().min(0);
+const taskFields = {
+  job: z.string(),
+  index: countSchema,
+  attempt: countSchema,
+};
+
+const resourcesSchema = z.looseObject({
+  processors: z.number(),
+  memoryMb: z.number(),
+  accelerators: z.number(),
+});
+
+const limitsSchema = z.strictObject({
+  slots: z.int(),
+  processors: z.int(),
+  memoryMb: z.int(),
+  accelerators: z.int(),
+});
+
+// Only what the records and the scheduler rely on; the values of a job are
+// checked when it is submitted.
+const jobCommandsSchema = z.array(z.discriminatedUnion("type", [
+  z.looseObject({
+    type: z.literal("submitJob"),
+    spec: z.looseObject({
+      id: z.string(),
+      team: z.string(),
+      policy: z.enum(["service", "batch", "gang"]),
+      tasks: z.int().min(1),
+      resources: resourcesSchema,
+      submittedWallMs: z.number(),
+    }),
+  }),
+  z.looseObject({ type: z.literal("cancelJob"), job: z.string() }),
+  z.looseObject({
+    type: z.literal("assign"),
+    ...taskFields,
+    worker: z.string(),
+  }),
+  z.looseObject({
+    type: z.literal("endTask"),
+    ...taskFields,
+    outcome: z.enum([
+      "finished",
+      "failed",
+      "cancelled",
+      "lost",
+      "stopped",
+      "checkpointed",
+    ]),
+    final: z.boolean(),
+    failures: countSchema,
+  }),
+  z.looseObject({
+    type: z.literal("endJob"),
+    job: z.string(),
+    state: z.enum(["finished", "failed", "cancelled"]),
+  }),
+]));
+
+const allotmentCommandSchema = z.discriminatedUnion("type", [
+  z.looseObject({
+    type: z.literal("applyConfiguration"),
+    fromVersion: z.int(),
+    version: z.int(),
+    changes: z.array(z.looseObject({
+      team: z.string(),
+      grant: limitsSchema,
+      cut: limitsSchema,
+    })),
+  }),
+  z.looseObject({
+    type: z.literal("transferOut"),
+    to: z.string(),
+    team: z.string(),
+    amount: limitsSchema,
+  }),
+  z.looseObject({
+    type: z.literal("transferIn"),
+    transfer: z.looseObject({
+      id: z.string(),
+      from: z.string(),
+      to: z.string(),
+      team: z.string(),
+      amount: limitsSchema,
+    }),
+  }),
+  z.looseObject({
+    type: z.literal("transferAcknowledged"),
+    transferId: z.string(),
+  }),
+]);
+
+const runFields = {
+  scope: z.string(),
+  requestId: z.string(),
+  runId: z.string(),
+  // A time that is no number would make every later comparison of times fail.
+  atMs: z.number(),
+};
+
+const recordCommandSchema = z.discriminatedUnion("type", [
+  z.looseObject({
+    type: z.literal("start"),
+    ...runFields,
+    bodyHash: z.string(),
+    endsAtMs: z.number(),
+  }),
+  z.looseObject({
+    type: z.literal("finish"),
+    ...runFields,
+    answer: z.looseObject({
+      status: z.int(),
+      contentType: z.string(),
+      body: z.instanceof(Uint8Array),
+    }).optional(),
+  }),
+  z.looseObject({ type: z.literal("forget"), ...runFields }),
+]);
+
+function checkWith(schema: z.ZodType, command: unknown, what: string): void {
+  const result = schema.safeParse(command);
+  if (result.success) return;
+  const faults = result.error.issues.map(({ path, message }) =>
+    `"${path.join(".") || "(top level)"}": ${message}`
+  );
+  throw createFault("internal", `Cannot read ${what}: ${faults.join("; ")}`, {
+    ran: "no",
+  });
+}
+
+/** Returns the value as job commands; fault `internal` when one cannot be read. */
+export function readJobCommands(value: unknown): JobCommand[] {
+  checkWith(jobCommandsSchema, value, "job commands");
+  return value as JobCommand[];
+}
+
+/** Returns the value as an allotment command; fault `internal` when it cannot be read. */
+export function readAllotmentCommand(value: unknown): AllotmentCommand {
+  checkWith(allotmentCommandSchema, value, "an allotment command");
+  return value as AllotmentCommand;
+}
+
+/** Returns the value as a record command; fault `internal` when it cannot be read. */
+export function readRecordCommand(value: unknown): RecordCommand {
+  checkWith(recordCommandSchema, value, "a request record command");
+  return value as RecordCommand;
+}
--- a/src/data_centre/state.ts
+++ b/src/data_centre/state.ts
@@ -10,7 +10,7 @@
   AllotmentResult,
   Allotments,
 } from "../allotments/mod.ts";
-import { toFault } from "../common/mod.ts";
+import { createFault, toFault } from "../common/mod.ts";
 import type { StateMachine } from "../replicated_log/mod.ts";
 import {
   createRequestRecords,
@@ -21,6 +21,11 @@
   type RequestRecords,
   type RequestRecordsOptions,
 } from "../requests/mod.ts";
+import {
+  readAllotmentCommand,
+  readJobCommands,
+  readRecordCommand,
+} from "./command_schema.ts";
 import {
   createJobRecords,
   type JobCommand,
@@ -113,11 +118,18 @@
 
   function applyPart(part: number, body: Uint8Array): DataCentreResult {
     if (part === PART_BYTES.requests) {
-      return requests.apply(decodeRecordCommand(body));
+      return requests.apply(readRecordCommand(decodeRecordCommand(body)));
+    }
+    if (part !== PART_BYTES.allotments && part !== PART_BYTES.jobs) {
+      throw createFault("internal", `Cannot read a command of part ${part}`, {
+        ran: "no",
+      });
     }
     const parsed = JSON.parse(Buffer.from(body).toString("utf8"));
-    if (part === PART_BYTES.allotments) return allotments.apply(parsed);
-    return (parsed as JobCommand[]).map((command) => jobs.apply(command));
+    if (part === PART_BYTES.allotments) {
+      return allotments.apply(readAllotmentCommand(parsed));
+    }
+    return readJobCommands(parsed).map((command) => jobs.apply(command));
   }
 
   function getPartName(part: number): DataCentreCommand["part"] {
