Add settings for TLS and read certificate files

Cause: the listeners take plain connections only, and a certificate must be replaced without a restart. Ruled out: `fs.watch`, which misses a replaced link target and differs between file systems; and a look at the time of change alone, which misses a file that is written twice within its resolution. The files are small, so they are read. Conclusion: `tls.rpc`, `tls.http` and `tls.reloadMs` name the files. `tls` is always present after the defaults are filled in, like other sections.

--- a/src/settings/resolve.ts
+++ b/src/settings/resolve.ts
@@ -9,7 +9,7 @@
 import { SETTINGS_SCHEMA } from "./schema.ts";
 import type { SettingName, ShapedSettings } from "./schema.ts";
 import { computeConnectionsPerEndpoint, toFrozen } from "./settings.ts";
-import type { Settings } from "./settings.ts";
+import type { Settings, TlsFiles, TlsSettings } from "./settings.ts";
 
 /** One fault of a settings file. */
 export interface SettingFault {
@@ -202,9 +202,29 @@
   }
 }
 
+function resolveTlsFiles<Files extends TlsFiles>(
+  folder: string,
+  files: Files,
+): Files {
+  const paths = Object.entries(files) as [string, string][];
+  return Object.fromEntries(
+    paths.map(([name, path]) => [name, resolve(folder, path)]),
+  ) as unknown as Files;
+}
+
+function resolveTls(folder: string, tls: TlsSettings): TlsSettings {
+  const { rpc, http, reloadMs } = tls;
+  return {
+    reloadMs,
+    ...(rpc === undefined ? {} : { rpc: resolveTlsFiles(folder, rpc) }),
+    ...(http === undefined ? {} : { http: resolveTlsFiles(folder, http) }),
+  };
+}
+
 /**
- * Loads and resolves a settings file. A relative `dataFolder` is taken from the
- * folder of the file, so that it does not depend on where the program starts.
+ * Loads and resolves a settings file. A relative `dataFolder` and the relative
+ * paths of `tls` are taken from the folder of the file, so that they do not
+ * depend on where the program starts.
  * Throws a `badRequest` fault when the file cannot be read or accepted.
  */
 export async function loadSettings(path: string): Promise<Settings> {
@@ -214,9 +234,15 @@
     });
   });
   const settings = resolveSettings(parseJson(text, path));
-  if (settings.dataFolder === undefined) return settings;
-  const dataFolder = resolve(dirname(path), settings.dataFolder);
-  return Object.freeze({ ...settings, dataFolder });
+  const folder = dirname(path);
+  const { dataFolder } = settings;
+  return toFrozen({
+    ...settings,
+    ...(dataFolder === undefined
+      ? {}
+      : { dataFolder: resolve(folder, dataFolder) }),
+    tls: resolveTls(folder, settings.tls),
+  });
 }
 
 /** Tells whether the operators' interface takes calls without a token; this is worth a log line. */
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -71,7 +71,7 @@
 const DATA_FOLDER_RANGE = "the path of a folder";
 const SECTION = { error: "an object" };
 
-const { requests, tasks, scheduling, log, stop } = DEFAULT_SETTINGS;
+const { requests, tasks, scheduling, log, stop, tls } = DEFAULT_SETTINGS;
 
 const REQUESTS = z.strictObject({
   maxBodyBytes: createInteger(1, MAX_BYTES).default(requests.maxBodyBytes),
@@ -115,6 +115,16 @@
   graceMs: createInteger(0, 3_600_000).default(stop.graceMs),
 }, SECTION);
 
+const FILE_RANGE = "the path of a PEM file";
+const FILE = z.string({ error: FILE_RANGE }).min(1, { error: FILE_RANGE });
+const TLS_FILES = { certFile: FILE, keyFile: FILE };
+
+const TLS = z.strictObject({
+  rpc: z.strictObject({ ...TLS_FILES, caFile: FILE }, SECTION).optional(),
+  http: z.strictObject(TLS_FILES, SECTION).optional(),
+  reloadMs: createInteger(100, 3_600_000).default(tls.reloadMs),
+}, SECTION);
+
 const OBJECTIVE = z.strictObject({
   target: createNumber(0, 1),
   limit: createNumber(0, MAX_TIME_MS).optional(),
@@ -162,6 +172,7 @@
   keyStalenessLimitMs: createInteger(0, 7 * MAX_TIME_MS)
     .default(DEFAULT_SETTINGS.keyStalenessLimitMs),
   stop: STOP.prefault({}),
+  tls: TLS.prefault({}),
   objectives: OBJECTIVES.optional(),
   logLevel: createChoice(LOG_LEVELS).default(DEFAULT_SETTINGS.logLevel),
 }, SECTION);
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -94,6 +94,26 @@
   readonly snapshotLogBytes: number;
 }
 
+/** Paths of PEM files; relative ones start at the folder of the settings file. */
+export interface TlsFiles {
+  /** Certificate, followed by those of intermediate authorities if there are any. */
+  readonly certFile: string;
+  /** Private key of the certificate. */
+  readonly keyFile: string;
+  /** Certificates of the authorities whose peers are accepted. */
+  readonly caFile?: string | undefined;
+}
+
+/** TLS on the listeners; a listener without files takes plain connections. */
+export interface TlsSettings {
+  /** Mutual TLS between instances. */
+  readonly rpc?: (TlsFiles & { readonly caFile: string }) | undefined;
+  /** TLS for callers, endpoints, workers and operators. */
+  readonly http?: TlsFiles | undefined;
+  /** Time between looks at the files, in milliseconds. */
+  readonly reloadMs: number;
+}
+
 /** A planned stop. */
 export interface StopSettings {
   /** Time that running requests get to finish, in milliseconds. */
@@ -138,6 +158,7 @@
   /** How long keys are honoured without contact to the fleet log, in milliseconds; 0 is strict. */
   readonly keyStalenessLimitMs: number;
   readonly stop: StopSettings;
+  readonly tls: TlsSettings;
   /** Service-level objectives that differ from the defaults. */
   readonly objectives?: ObjectiveSettings | undefined;
   readonly logLevel: LogLevel;
@@ -157,6 +178,8 @@
   > {
   /** `connectionsPerEndpoint` is computed from the number of instances. */
   readonly requests: Omit<RequestSettings, "connectionsPerEndpoint">;
+  /** Without files, so that listeners take plain connections. */
+  readonly tls: Pick<TlsSettings, "reloadMs">;
 }
 
 /** Freezes `value` and everything that it holds. */
@@ -193,6 +216,7 @@
   },
   keyStalenessLimitMs: 3_600_000,
   stop: { graceMs: 30_000 },
+  tls: { reloadMs: 10_000 },
   logLevel: "info",
 });
 
--- /dev/null
+++ b/src/tls/mod.ts
@@ -0,0 +1,3 @@
+/** Certificates of the listeners, read from files and reloaded. */
+
+export * from "./certificate_files.ts";
