Serve both listeners over TLS

Cause: instances, callers, endpoints and workers exchange keys and work in plain text, and whoever reaches the rpc listener is taken for an instance. Ruled out: `FileWatcherCertificateProvider` of grpc-js 1.14. By its source it withdraws the credentials while a file cannot be read, and the server drops connections while the key does not fit. Static credentials were not needed. Conclusion: an own provider hands the accepted sets to the certificate provider credentials of grpc-js, for the server and for the channels. HTTPS follows with `setSecureContext`.

--- a/src/http/http_server.ts
+++ b/src/http/http_server.ts
@@ -5,8 +5,13 @@
 
 import { Buffer } from "node:buffer";
 import { createServer, type IncomingMessage, type Server } from "node:http";
+import {
+  createServer as createTlsServer,
+  type Server as TlsServer,
+} from "node:https";
 import { H3, type H3Event, toNodeHandler } from "h3";
 import { createFault, type Logger, toFault } from "../common/mod.ts";
+import type { CertificateFiles } from "../tls/mod.ts";
 import { createFilterChain, type Filter } from "./filter_chain.ts";
 import {
   createFaultAnswer,
@@ -31,6 +36,8 @@
   port: number;
   routes: readonly HttpRoute[];
   logger: Logger;
+  /** Serves over TLS with these files; default: plain HTTP. */
+  certificateFiles?: CertificateFiles;
   /** Called after each answer, with the time since the request in milliseconds. */
   handleAnswered?: (
     context: RequestContext,
@@ -69,6 +76,18 @@
   return new Response(body, { status: answer.status, headers: answer.headers });
 }
 
+function createNodeServer(
+  app: H3,
+  files: CertificateFiles | undefined,
+): Server | TlsServer {
+  const handler = toNodeHandler(app);
+  if (files === undefined) return createServer(handler);
+  const server = createTlsServer(files.getCertificate(), handler);
+  // Open connections keep the certificate that they were made with.
+  files.watchCertificate((certificate) => server.setSecureContext(certificate));
+  return server;
+}
+
 /** Starts the listener; fault `unavailable` when the address cannot be bound. */
 export async function startHttpServer(
   options: HttpServerOptions,
@@ -138,7 +157,7 @@
     return toResponse(createFaultAnswer(fault));
   });
 
-  const server: Server = createServer(toNodeHandler(app));
+  const server = createNodeServer(app, options.certificateFiles);
   // Callers set their own deadlines; the default of five minutes would cut longer ones.
   server.requestTimeout = 0;
   server.keepAliveTimeout = 60_000;
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -36,6 +36,7 @@
   type AllotmentOffer,
   createLogSender,
   createPeerSet,
+  createRpcCredentials,
   type HeartbeatMessage,
   type JobReply,
   type JsonBody,
@@ -43,7 +44,13 @@
   type RpcServer,
   startRpcServer,
 } from "../rpc/mod.ts";
-import type { Address, InstanceEntry, Settings } from "../settings/mod.ts";
+import type {
+  Address,
+  InstanceEntry,
+  Settings,
+  TlsFiles,
+} from "../settings/mod.ts";
+import { openCertificateFiles } from "../tls/mod.ts";
 import { createFleetService, FLEET_GROUP } from "./fleet_service.ts";
 import { readAllBurn } from "./burn_collection.ts";
 import { createObserver } from "./observer.ts";
@@ -132,7 +139,10 @@
   });
 }
 
-/** Starts an instance; rejects with a fault when it cannot listen. */
+/**
+ * Starts an instance; rejects with a fault when it cannot listen, of kind
+ * `badRequest` when the files of `tls` cannot be used.
+ */
 export async function startInstance(
   settings: Settings,
   options: InstanceOptions,
@@ -149,6 +159,24 @@
   let isStopping = false;
   let isRefusing = false;
 
+  // Before anything else, so that unusable files leave nothing running.
+  const openFiles = async (setting: string, files: TlsFiles | undefined) =>
+    files === undefined ? undefined : await openCertificateFiles({
+      setting,
+      files,
+      reloadMs: settings.tls.reloadMs,
+      clock,
+      logger,
+    });
+  const rpcFiles = await openFiles("tls.rpc", settings.tls.rpc);
+  const httpFiles = await openFiles("tls.http", settings.tls.http).catch(
+    (error) => {
+      rpcFiles?.close();
+      throw error;
+    },
+  );
+  const credentials = rpcFiles && createRpcCredentials(rpcFiles);
+
   const others = settings.instances
     .filter((entry) => entry.instance !== instance);
   const peers = createPeerSet({
@@ -156,6 +184,7 @@
       instance: entry.instance,
       address: formatAddress(entry.rpc),
     })),
+    ...(credentials && { credentials: credentials.channel }),
   });
   const sender = createLogSender({ peers, clock });
   const members = new Map<string, LogMemberHandle>();
@@ -320,6 +349,7 @@
 
   const rpc: RpcServer = await startRpcServer({
     ...settings.listen.rpc,
+    ...(credentials && { credentials: credentials.server }),
     services: {
       Consensus: {
         writeStreams: {
@@ -507,6 +537,7 @@
   };
   const http: HttpServer = await startHttpServer({
     ...settings.listen.http,
+    ...(httpFiles && { certificateFiles: httpFiles }),
     logger,
     handleAnswered: (context, status, durationMs) =>
       observer.recordHttpAnswer(context.route, status, durationMs),
@@ -598,6 +629,8 @@
     rpc.close();
     sender.close();
     peers.close();
+    rpcFiles?.close();
+    httpFiles?.close();
     logger.info("Stopped");
   }
 
--- a/src/rpc/mod.ts
+++ b/src/rpc/mod.ts
@@ -6,3 +6,4 @@
 export * from "./messages.ts";
 export * from "./peers.ts";
 export * from "./server.ts";
+export * from "./tls_credentials.ts";
