Let the command line check the certificate of an instance

Cause: with `tls.http` the command line could not reach a cell whose authority is not among those of Node. Ruled out: a switch that skips the check, which would send the operators' token to anyone. Conclusion: `--ca FILE` or GOLDCRESTLUG_CA names the authorities, and `createClient` takes them as `ca`.

--- a/src/cli/shared.ts
+++ b/src/cli/shared.ts
@@ -1,9 +1,10 @@
 /** Arguments and output that several commands share. */
 
+import { readFileSync } from "node:fs";
 import process from "node:process";
 import { flag, option, optional, string } from "cmd-ts";
 import { type Client, createClient } from "../client/mod.ts";
-import { type FaultKind, toFault } from "../common/mod.ts";
+import { createFault, type FaultKind, toFault } from "../common/mod.ts";
 
 const DEFAULT_ADDRESS = "http://127.0.0.1:8080";
 
@@ -13,6 +14,9 @@
 /** Environment variable with the key of a team. */
 export const KEY_VARIABLE = "GOLDCRESTLUG_KEY";
 
+/** Environment variable with the path of the authorities' certificates. */
+export const CA_VARIABLE = "GOLDCRESTLUG_CA";
+
 /**
  * Exit codes. A script can tell a refusal that may be repeated from one that
  * must be corrected and from one whose outcome has to be looked up.
@@ -62,6 +66,13 @@
     defaultValue: () => DEFAULT_ADDRESS,
     description: "base address of any instance",
   }),
+  ca: option({
+    type: optional(string),
+    long: "ca",
+    env: CA_VARIABLE,
+    description:
+      "PEM file of the authorities that an https address is checked against",
+  }),
   json: flag({ long: "json", description: "print JSON" }),
 };
 
@@ -75,6 +86,7 @@
 /** Values of `CONNECTION_OPTIONS`. */
 export interface ConnectionArgs {
   address: string;
+  ca?: string | undefined;
   json: boolean;
 }
 
@@ -88,10 +100,21 @@
   return createClientWith(args, process.env[KEY_VARIABLE]);
 }
 
+function readAuthorities(path: string): string {
+  try {
+    return readFileSync(path, "utf8");
+  } catch (cause) {
+    throw createFault("badRequest", `Cannot read authorities file "${path}"`, {
+      cause,
+    });
+  }
+}
+
 function createClientWith(args: ConnectionArgs, token?: string): Client {
   return createClient({
     address: args.address.replace(/\/$/, ""),
     ...(token === undefined ? {} : { token }),
+    ...(args.ca === undefined ? {} : { ca: readAuthorities(args.ca) }),
   });
 }
 
--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -3,7 +3,7 @@
  * that embed it.
  */
 
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { createFault, isFaultKind, type Ran } from "../common/mod.ts";
 
 /** Time for one call, in milliseconds. */
@@ -11,10 +11,12 @@
 
 /** Options of a client. */
 export interface ClientOptions {
-  /** Base address of any instance, such as `http://192.0.2.1:8080`. */
+  /** Base address of any instance, such as `https://192.0.2.1:8080`. */
   address: string;
   /** Key of a team, or the operators' token. */
   token?: string;
+  /** Authorities in PEM that an `https` address is checked against. Default: those of Node. */
+  ca?: string;
   /** Time for one call, in milliseconds. Default 15,000. */
   timeoutMs?: number;
 }
@@ -61,6 +63,9 @@
 /** Creates a client; nothing is sent until a call is made. */
 export function createClient(options: ClientOptions): Client {
   const timeoutMs = options.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
+  const dispatcher = options.ca === undefined
+    ? undefined
+    : new Agent({ connect: { ca: options.ca } });
 
   async function call(
     path: string,
@@ -79,6 +84,7 @@
           ...callOptions.headers,
         },
         ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+        ...(dispatcher && { dispatcher }),
         headersTimeout: timeoutMs,
         bodyTimeout: timeoutMs,
       });
--- a/test/tls_test.ts
+++ b/test/tls_test.ts
@@ -1,10 +1,13 @@
 /** TLS on the listeners of two instances in one data centre and their witness. */
 
 import { Buffer } from "node:buffer";
+import { execFile } from "node:child_process";
 import { X509Certificate } from "node:crypto";
 import { writeFile } from "node:fs/promises";
 import { join } from "node:path";
+import process from "node:process";
 import { connect } from "node:tls";
+import { fileURLToPath } from "node:url";
 import { credentials, ServerCredentials } from "@grpc/grpc-js";
 import type { ChannelCredentials } from "@grpc/grpc-js";
 import t from "tap";
@@ -33,6 +36,7 @@
 
 const HOST = "127.0.0.1";
 const RELOAD_MS = 200;
+const MAIN = fileURLToPath(new URL("../src/main.js", import.meta.url));
 const NAMES = ["north-1", "north-2", "south-1"] as const;
 
 const logger = createLogger({ level: "error" });
@@ -40,6 +44,7 @@
 let folder = "";
 let caFile = "";
 let ca: TestCertificate;
+let foreignCa: TestCertificate;
 let foreign: TestCertificate;
 let settings: Settings[] = [];
 let addresses: string[] = [];
@@ -86,7 +91,8 @@
 t.before(async () => {
   folder = await createTestFolder(t);
   ca = await createAuthority("cell");
-  foreign = await createCertificate(await createAuthority("foreign"));
+  foreignCa = await createAuthority("foreign");
+  foreign = await createCertificate(foreignCa);
   caFile = join(folder, "ca.crt");
   await writeFile(caFile, ca.cert);
   // The stand-ins and helpers call through the global dispatcher.
@@ -366,3 +372,34 @@
     reloadMs: 10_000,
   });
 });
+
+/** Runs the command line; resolves to its exit code. */
+function runProgram(
+  args: readonly string[],
+  variables: Readonly<Record<string, string>> = {},
+): Promise<number> {
+  const env = { ...process.env, GOLDCRESTLUG_CA: "", ...variables };
+  if (env.GOLDCRESTLUG_CA === "") {
+    Reflect.deleteProperty(env, "GOLDCRESTLUG_CA");
+  }
+  return new Promise((resolve) => {
+    execFile(
+      process.execPath,
+      [MAIN, ...args],
+      { env, timeout: 20_000 },
+      (error) => resolve(error === null ? 0 : Number(error.code)),
+    );
+  });
+}
+
+// Guards against a command line that cannot reach the cell, or that trusts any certificate.
+t.test("the command line checks the certificate of an instance", async (t) => {
+  const args = ["status", "--json", "--address", addresses[0] ?? ""];
+  t.equal(await runProgram([...args, "--ca", caFile]), 0);
+  t.equal(await runProgram(args, { GOLDCRESTLUG_CA: caFile }), 0);
+  t.not(await runProgram(args), 0);
+  const foreignFile = join(folder, "foreign-ca.crt");
+  await writeFile(foreignFile, foreignCa.cert);
+  t.not(await runProgram([...args, "--ca", foreignFile]), 0);
+  t.equal(await runProgram([...args, "--ca", join(folder, "missing")]), 2);
+});
