Test that an authority is replaced without a restart

Ruled out: testing the credentials alone, which would leave out the listener. Conclusion: a running instance accepts a foreign certificate after its authority is added to `caFile`, and refuses it after the authority is removed.

--- a/test/tls_test.ts
+++ b/test/tls_test.ts
@@ -308,6 +308,21 @@
   );
 });
 
+// Guards against authorities that are read at the start only, so that changing one needs a stop of the cell.
+t.test("an authority is added and removed without a restart", async (t) => {
+  const channel = createChannel(foreign);
+  const isAnswered = async () => await askRpc(rpcPort, channel) === "answered";
+  const timeoutMs = 20 * RELOAD_MS;
+  t.notOk(await isAnswered());
+  await writeFile(caFile, ca.cert + "\n" + foreignCa.cert);
+  await waitUntil(isAnswered, timeoutMs, "an answer");
+  const own = createChannel(await createCertificate(ca));
+  t.equal(await askRpc(rpcPort, own), "answered");
+  await writeFile(caFile, ca.cert);
+  await waitUntil(async () => !await isAnswered(), timeoutMs, "a refusal");
+  t.equal(await askRpc(rpcPort, own), "answered");
+});
+
 // Guards against an instance that starts without the protection that its settings ask for.
 t.test("unusable files stop the start", async (t) => {
   const [one] = settings;
