Run three data centres under random faults in one process

The leadership takes the way to the workers as an option.

Invariants at each 10 ms: held plus transfers on their way equal what the applied versions grant, and the limit once all have the same one; no more runs than is held, except what was recorded before a limit was lowered; no task on two workers; no start without its record; each log entry is the same for all members; acknowledged jobs stay recorded, end, and members hold one state.

--- a/src/data_centre/leadership.ts
+++ b/src/data_centre/leadership.ts
@@ -33,6 +33,7 @@
 import {
   createWorkerCommandSender,
   type WorkerCommandSender,
+  type WorkerCommandSenderOptions,
 } from "./worker_commands.ts";
 
 /** Options of a leadership. */
@@ -60,6 +61,10 @@
   propose: (command: DataCentreCommand) => Promise<DataCentreResult>;
   sendAsk: (ask: AllotmentAsk) => Promise<Limits>;
   sendTransfer: (transfer: AllotmentTransfer) => Promise<void>;
+  /** Creates the way to the workers. Default: over HTTP. */
+  createCommandSender?: (
+    options: WorkerCommandSenderOptions,
+  ) => WorkerCommandSender;
   /** Called for each start command, with the time since the submission in milliseconds. */
   handleTaskStart?: (spec: JobSpec, waitedMs: number) => void;
   /** Called with the time of one placement decision, in milliseconds. */
@@ -154,7 +159,9 @@
     setTeam(name, share, state.allotments.getHeld(name));
   }
 
-  const commands: WorkerCommandSender = createWorkerCommandSender({
+  const createCommandSender = options.createCommandSender ??
+    createWorkerCommandSender;
+  const commands = createCommandSender({
     logger,
     holdsLease: options.holdsLease,
   });
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -17,7 +17,11 @@
   parseWorkerAnnouncement,
 } from "../data_centre/announcements.ts";
 import type { RecordedJobSpec } from "../data_centre/job_records.ts";
-import { type Leadership, startLeadership } from "../data_centre/leadership.ts";
+import {
+  type Leadership,
+  type LeadershipOptions,
+  startLeadership,
+} from "../data_centre/leadership.ts";
 import {
   type DataCentreCommand,
   type DataCentreResult,
@@ -61,6 +65,7 @@
   /** Sends an ask to the leader of another data centre. */
   sendAsk: (ask: AllotmentAsk) => Promise<Limits>;
   sendTransfer: (transfer: AllotmentTransfer) => Promise<void>;
+  createCommandSender?: LeadershipOptions["createCommandSender"];
 }
 
 /** The service and its connection to the log. */
@@ -151,6 +156,9 @@
       propose,
       sendAsk: options.sendAsk,
       sendTransfer: options.sendTransfer,
+      ...(options.createCommandSender === undefined
+        ? {}
+        : { createCommandSender: options.createCommandSender }),
       handleTaskStart: observer.recordTaskStart,
       handleTaskEnd: observer.recordTaskEnd,
       handlePlacement: (durationMs) =>
--- /dev/null
+++ b/test/cell_schedule.ts
@@ -0,0 +1,760 @@
+/**
+ * Runs three data centres in one process under random faults: a log group of
+ * three members each, the work service of each member, and fake workers. The
+ * logs, messages, commands and times are fakes; what decides is not. The
+ * invariants are checked against what the logs have applied and what the
+ * workers run, never against the books of a leader.
+ */
+
+import { Buffer } from "node:buffer";
+import type { AllotmentAsk, AllotmentTransfer } from "../src/allotments/mod.ts";
+import {
+  type Clock,
+  createFault,
+  createManualClock,
+  createSeededRandom,
+  createSilentLogger,
+} from "../src/common/mod.ts";
+import {
+  formatAttempt,
+  parseAttempt,
+} from "../src/data_centre/attempt_name.ts";
+import {
+  createDataCentreState,
+  type DataCentreState,
+} from "../src/data_centre/state.ts";
+import type { WorkerCommand } from "../src/data_centre/worker_commands.ts";
+import {
+  computeGranted,
+  createFleetState,
+  decodeState,
+  encodeCommand,
+  encodeState,
+  type FleetOperation,
+  type FleetState,
+  type FleetView,
+  type Limits,
+} from "../src/fleet/mod.ts";
+import type { Observer } from "../src/instance/observer.ts";
+import {
+  createWorkService,
+  type WorkService,
+} from "../src/instance/work_service.ts";
+import {
+  decodeLogMessage,
+  encodeLogMessage,
+} from "../src/replicated_log/codec.ts";
+import {
+  createMemoryStorage,
+  createReplicatedLog,
+  type LogMember,
+  type LogStorage,
+  type ReplicatedLog,
+} from "../src/replicated_log/mod.ts";
+import type { JobSpec } from "../src/scheduling/mod.ts";
+import type { Settings } from "../src/settings/mod.ts";
+import {
+  buildReport,
+  createFakeWorker,
+  type FakeTask,
+  type FakeWorker,
+  getTaskKey,
+  isLive,
+  receiveCommand,
+  receiveReply,
+  receiveStart,
+  restartWorker,
+} from "./fake_worker.ts";
+
+const STEP_MS = 10;
+const DATA_CENTRES = ["a", "b", "c"];
+const MEMBER_COUNT = 3;
+const WORKER_COUNT = 2;
+const TASKS_PER_WORKER = 4;
+const TEAMS = ["t", "u"];
+const LEASE_MS = 3_000;
+const ANNOUNCE_PERIOD_MS = 500;
+/** Time between two random events, in milliseconds. */
+const EVENT_PERIOD_MS = 100;
+/** Time in which everything must have ended once the faults have, in milliseconds. */
+const RECOVERY_MS = 90_000;
+
+/** What a run has reached; shows that it is not trivial. */
+export interface CellReport {
+  jobs: number;
+  starts: number;
+  elections: number;
+  restarts: number;
+  transfers: number;
+  versions: number;
+}
+
+interface Member {
+  readonly id: string;
+  readonly dc: string;
+  readonly storage: LogStorage;
+  /** Identifies one life; what an ended life left behind does nothing. */
+  life: number;
+  isUp: boolean;
+  /** Cut off from the other members and data centres; workers still reach it. */
+  isCut: boolean;
+  log: ReplicatedLog | undefined;
+  service: WorkService | undefined;
+  state: DataCentreState | undefined;
+  known: FleetState | undefined;
+  readonly watchers: Set<(state: FleetState) => void>;
+}
+
+interface Cell {
+  readonly name: string;
+  readonly members: Member[];
+  readonly workers: FakeWorker[];
+  /** The state after every entry that some member has applied. */
+  readonly applied: DataCentreState;
+  readonly entries: Buffer[];
+  readonly received: Set<string>;
+  /** By team, what may run above what is held, since a limit was lowered. */
+  readonly excess: Map<string, number>;
+  isCut: boolean;
+}
+
+const toLimits = (count: number): Limits => ({
+  slots: count,
+  processors: count,
+  memoryMb: count,
+  accelerators: 0,
+});
+
+const TASK_SIZE = { processors: 1, memoryMb: 1, accelerators: 0 };
+
+const SETTINGS = {
+  scheduling: { weights: "share", usageSafetyMargin: 0.1 },
+  tasks: { leaseMs: LEASE_MS, announcePeriodMs: ANNOUNCE_PERIOD_MS },
+  requests: { queueLength: 10, grantValidMs: 1_000, connectionsPerEndpoint: 1 },
+};
+
+const OBSERVER = {
+  metrics: { recordDuration: () => {} },
+  recordTaskStart: () => {},
+  recordTaskEnd: () => {},
+  recordSlot: () => {},
+} as unknown as Observer;
+
+function encodeJson(value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value));
+}
+
+function decodeJson(bytes: Uint8Array) {
+  return JSON.parse(Buffer.from(bytes).toString());
+}
+
+/** Runs for `faultMs` of simulated time with faults, then until all work has ended; throws when an invariant breaks. */
+export async function runCellSchedule(
+  seed: number,
+  faultMs: number,
+): Promise<CellReport> {
+  const clock = createManualClock(1_000_000);
+  const random = createSeededRandom(seed);
+  const machine = createFleetState();
+  const states: FleetState[] = [];
+  const report: CellReport = {
+    jobs: 0,
+    starts: 0,
+    elections: 0,
+    restarts: 0,
+    transfers: 0,
+    versions: 0,
+  };
+  const accepted = new Map<string, Cell>();
+  const epochs = new Map<FakeWorker, number>();
+  const finished = new Map<string, number>();
+  let nextJob = 0;
+  let isFaulty = true;
+  let failure: Error | undefined;
+
+  function check(holds: boolean, what: string): void {
+    if (holds || failure !== undefined) return;
+    failure = new Error(`${what} (seed ${seed}, at ${clock.now()} ms)`);
+  }
+
+  function change(operation: FleetOperation): void {
+    const changeId = `c${states.length}`;
+    const command = { at: 0, change: { changeId, operations: [operation] } };
+    machine.apply(encodeCommand(command), states.length + 1);
+    states.push(decodeState(encodeState(machine.getState())));
+    report.versions = states.length;
+  }
+
+  /** Calls `deliver` after a delay, seldom late, twice or never. */
+  function sendLater(deliver: () => void, isReliable = false): void {
+    const isNoisy = isFaulty && !isReliable;
+    if (isNoisy && random.nextFloat() < 0.03) return;
+    const copies = isNoisy && random.nextFloat() < 0.03 ? 2 : 1;
+    for (let copy = 0; copy < copies; copy++) {
+      const isLate = isNoisy && random.nextFloat() < 0.03;
+      clock.setTimer(1 + random.nextInt(isLate ? 1_500 : 15), deliver);
+    }
+  }
+
+  function createLifeClock(member: Member): Clock {
+    const { life } = member;
+    return {
+      now: clock.now,
+      wallTime: clock.wallTime,
+      setTimer: (delayMs, callback) =>
+        clock.setTimer(delayMs, () => {
+          if (member.life === life) callback();
+        }),
+    };
+  }
+
+  /** Writes of an ended life must not reach the storage of the next one. */
+  function createLifeStorage(member: Member): LogStorage {
+    const { life, storage } = member;
+    const run = <T>(write: () => Promise<T>): Promise<T> =>
+      member.life === life ? write() : new Promise(() => {});
+    return {
+      load: () => storage.load(),
+      saveVote: (vote) => run(() => storage.saveVote(vote)),
+      append: (added, from) => run(() => storage.append(added, from)),
+      saveSnapshot: (snapshot) => run(() => storage.saveSnapshot(snapshot)),
+      close: () => Promise.resolve(),
+    };
+  }
+
+  function recordApplied(cell: Cell, command: Uint8Array, index: number): void {
+    const known = cell.entries[index];
+    const bytes = Buffer.from(command);
+    if (known !== undefined) {
+      check(known.equals(bytes), `entry ${index} of ${cell.name} differs`);
+      return;
+    }
+    cell.entries[index] = bytes;
+    const recorded = new Map(
+      TEAMS.map((team) => [team, countRecorded(cell, team)]),
+    );
+    const result = cell.applied.apply(command, index);
+    if (command[0] !== 2) return;
+    const { type, transfer } = decodeJson(command.subarray(1));
+    const { applied } = result as { applied: boolean };
+    if (type === "transferIn" && applied) {
+      report.transfers++;
+      check(!cell.received.has(transfer.id), `${transfer.id} counts twice`);
+      cell.received.add(transfer.id);
+    }
+    if (type !== "applyConfiguration" || !applied) return;
+    for (const team of TEAMS) {
+      const above = recorded.get(team)! - getHeld(cell, team);
+      cell.excess.set(team, Math.max(0, above));
+    }
+  }
+
+  function getHeld(cell: Cell, team: string): number {
+    return cell.applied.allotments.getHeld(team).processors;
+  }
+
+  function countRecorded(cell: Cell, team: string): number {
+    let count = 0;
+    for (const { spec, tasks } of cell.applied.jobs.listOpen()) {
+      if (spec.team !== team) continue;
+      for (const task of tasks.values()) if (task.worker !== undefined) count++;
+    }
+    return count;
+  }
+
+  function createView(member: Member): FleetView {
+    return {
+      getState: () => member.known ?? machine.getState(),
+      watchVersion(callback: (state: FleetState) => void) {
+        member.watchers.add(callback);
+        return () => member.watchers.delete(callback);
+      },
+    } as unknown as FleetView;
+  }
+
+  function isLinked(from: Member, to: Member): boolean {
+    if (from.isCut || to.isCut) return from === to;
+    return from.dc === to.dc ||
+      !(findCell(from.dc).isCut || findCell(to.dc).isCut);
+  }
+
+  const findCell = (name: string) => cells.find((cell) => cell.name === name)!;
+
+  /** Calls the leader of a data centre over a network that may lose the call or its answer. */
+  function callLeader(
+    from: Member | undefined,
+    dc: string,
+    method: string,
+    request: unknown,
+  ): Promise<unknown> {
+    const { members } = findCell(dc);
+    const leader =
+      members.find(({ service }) => service?.getLeadership() !== undefined) ??
+        members[random.nextInt(members.length)]!;
+    return new Promise((resolve, reject) => {
+      clock.setTimer(
+        2_000,
+        () => reject(createFault("outcomeUnknown", "Cannot get an answer")),
+      );
+      const isLost = () => from !== undefined && !isLinked(from, leader);
+      sendLater(() => {
+        if (isLost() || !leader.isUp || leader.service === undefined) return;
+        const { signal } = new AbortController();
+        const answer = async () =>
+          await leader.service!.handlers[method]!(request, { signal });
+        answer().then(
+          (reply) => sendLater(() => isLost() || resolve(reply)),
+          (error) => sendLater(() => isLost() || reject(error)),
+        );
+      });
+    });
+  }
+
+  async function sendAsk(from: Member, ask: AllotmentAsk): Promise<Limits> {
+    const { team, wanted, entitled, levelling } = ask;
+    const message = {
+      fromDataCentre: ask.from,
+      team,
+      wanted,
+      entitled,
+      levelling,
+    };
+    const reply = await callLeader(from, ask.to, "askAllotment", message);
+    return (reply as { offered: Limits }).offered;
+  }
+
+  async function sendTransfer(
+    from: Member,
+    transfer: AllotmentTransfer,
+  ): Promise<void> {
+    await callLeader(from, transfer.to, "transferAllotment", {
+      transferId: transfer.id,
+      fromDataCentre: transfer.from,
+      toDataCentre: transfer.to,
+      team: transfer.team,
+      amount: transfer.amount,
+    });
+  }
+
+  function receiveWorkerCommand(
+    cell: Cell,
+    address: string,
+    { name, body }: WorkerCommand,
+  ): void {
+    const worker = cell.workers.find(({ id }) => address === `http://${id}`);
+    if (worker === undefined || !worker.isReachable) return;
+    const epoch = Number(body["epoch"]);
+    if (epoch < (epochs.get(worker) ?? 0)) return;
+    epochs.set(worker, epoch);
+    const attempt = parseAttempt(String(body["task"]));
+    if (name !== "start") {
+      const action = { type: name, worker: worker.id, ...attempt, ...body };
+      receiveCommand(worker, action as never, true);
+      return;
+    }
+    const before = worker.tasks.size;
+    const spec = {
+      team: body["team"],
+      resources: body["resources"],
+    } as JobSpec;
+    const start = {
+      type: "start",
+      worker: worker.id,
+      ...attempt,
+      ...body,
+      spec,
+    };
+    receiveStart(worker, start as never, clock.now());
+    if (worker.tasks.size > before) report.starts++;
+    checkRunning();
+  }
+
+  async function startMember(cell: Cell, member: Member): Promise<void> {
+    member.isUp = true;
+    const { life } = member;
+    const isAlive = () => member.life === life && member.isUp;
+    const state = createDataCentreState({ dataCentre: cell.name });
+    const founders = cell.members.map(({ id }): LogMember => ({
+      id,
+      role: "voter",
+    }));
+    const isFirst = (await member.storage.load()).vote === undefined;
+    const lifeClock = createLifeClock(member);
+    const service = createWorkService({
+      settings: {
+        ...SETTINGS,
+        instance: member.id,
+        dataCentre: cell.name,
+      } as unknown as Settings,
+      state,
+      view: createView(member),
+      clock: lifeClock,
+      random: createSeededRandom(1_000_003 * random.nextInt(100_000)),
+      logger: createSilentLogger(),
+      observer: OBSERVER,
+      getLog: () => isAlive() ? member.log : undefined,
+      getLeader: () => undefined,
+      sendAsk: (ask) => sendAsk(member, ask),
+      sendTransfer: (transfer) => sendTransfer(member, transfer),
+      createCommandSender: (options) => ({
+        send(address, command) {
+          if (!isAlive() || !options.holdsLease()) return;
+          sendLater(() => receiveWorkerCommand(cell, address, command));
+        },
+        close: () => Promise.resolve(),
+      }),
+    });
+    const log = await createReplicatedLog({
+      group: cell.name,
+      self: member.id,
+      ...(isFirst ? { bootstrap: true, members: founders } : {}),
+      storage: createLifeStorage(member),
+      clock: lifeClock,
+      random: createSeededRandom(1_000_003 * random.nextInt(100_000)),
+      timings: { snapshotLogBytes: 8_192, catchUpEntries: 5 },
+      transport: {
+        send(to, message) {
+          const target = cell.members.find(({ id }) => id === to);
+          if (!isAlive() || target === undefined) return;
+          const bytes = encodeLogMessage(message);
+          sendLater(() => {
+            if (!isLinked(member, target) || !target.isUp) return;
+            target.log?.receive(member.id, decodeLogMessage(bytes));
+          });
+        },
+      },
+      stateMachine: {
+        apply(command, index) {
+          recordApplied(cell, command, index);
+          return state.apply(command, index);
+        },
+        takeSnapshot: state.takeSnapshot,
+        restoreSnapshot: state.restoreSnapshot,
+      },
+      onLeadership(lease) {
+        if (!isAlive()) return;
+        if (lease !== undefined) report.elections++;
+        service.handleLeadership(lease);
+      },
+    });
+    if (!isAlive()) return;
+    member.log = log;
+    member.service = service;
+    member.state = state;
+  }
+
+  function stopMember(member: Member): void {
+    member.life++;
+    member.isUp = false;
+    void member.service?.stop();
+    member.log = undefined;
+    member.service = undefined;
+  }
+
+  const cells = DATA_CENTRES.map((name): Cell => ({
+    name,
+    members: Array.from({ length: MEMBER_COUNT }, (_, at): Member => ({
+      id: `${name}${at}`,
+      dc: name,
+      storage: createMemoryStorage(),
+      life: 0,
+      isUp: false,
+      isCut: false,
+      log: undefined,
+      service: undefined,
+      state: undefined,
+      known: undefined,
+      watchers: new Set(),
+    })),
+    workers: Array.from({ length: WORKER_COUNT }, (_, at) =>
+      createFakeWorker({
+        id: `w-${name}${at}`,
+        rack: `r${at}`,
+        capacity: {
+          processors: TASKS_PER_WORKER,
+          memoryMb: TASKS_PER_WORKER,
+          accelerators: 0,
+        },
+      })),
+    applied: createDataCentreState({ dataCentre: name }),
+    entries: [],
+    received: new Set(),
+    excess: new Map(),
+    isCut: false,
+  }));
+  const members = cells.flatMap((cell) => cell.members);
+
+  function announce(cell: Cell, worker: FakeWorker): void {
+    const sentAtMs = clock.now();
+    const { incarnation } = worker;
+    worker.nextReportMs = sentAtMs + ANNOUNCE_PERIOD_MS;
+    const built = buildReport(worker, sentAtMs);
+    if (!worker.isReachable) return;
+    const body = encodeJson({
+      ...built,
+      address: `http://${worker.id}`,
+      dataCentre: cell.name,
+      tasks: built.tasks.map((task) => ({
+        task: formatAttempt(task),
+        epoch: 0,
+        state: task.state,
+      })),
+    });
+    callLeader(undefined, cell.name, "announceWorker", { body }).then(
+      (reply) => {
+        if (!worker.isReachable || worker.incarnation !== incarnation) return;
+        const { epoch, leaseMs, renewed } = decodeJson(
+          (reply as { body: Uint8Array }).body,
+        );
+        if (epoch < (epochs.get(worker) ?? 0)) return;
+        const attempts = renewed.map(parseAttempt);
+        receiveReply(worker, { renewed: attempts, leaseMs }, sentAtMs);
+      },
+      () => {},
+    );
+  }
+
+  function runTask(task: FakeTask): void {
+    if (clock.now() >= task.leaseUntilMs) {
+      task.state = "stopped";
+    } else if (random.nextFloat() < STEP_MS / 1_500) {
+      const isFailed = isFaulty && random.nextFloat() < 0.1;
+      task.state = isFailed ? "failed" : "finished";
+      const key = getTaskKey(task);
+      if (!isFailed) finished.set(key, (finished.get(key) ?? 0) + 1);
+    }
+  }
+
+  function runWorkers(): void {
+    for (const cell of cells) {
+      for (const worker of cell.workers) {
+        for (const task of worker.tasks.values()) {
+          if (isLive(task)) runTask(task);
+        }
+        if (clock.now() >= worker.nextReportMs) announce(cell, worker);
+      }
+    }
+  }
+
+  function checkRunning(): void {
+    const places = new Map<string, string>();
+    for (const cell of cells) {
+      const running = new Map<string, number>();
+      for (const worker of cell.workers) {
+        const live = [...worker.tasks.values()].filter(isLive);
+        check(live.length <= TASKS_PER_WORKER, `${worker.id} is overcommitted`);
+        for (const task of live) {
+          const key = getTaskKey(task);
+          const other = places.get(key);
+          check(
+            other === undefined,
+            `${key} runs on ${other} and ${worker.id}`,
+          );
+          places.set(key, worker.id);
+          const record = cell.applied.jobs.get(task.job)?.tasks.get(task.index);
+          const isRecorded = record?.worker === worker.id &&
+            record.attempt === task.attempt;
+          check(
+            isRecorded || (record?.attempt ?? 0) >= task.attempt,
+            `${key} runs on ${worker.id} without a record`,
+          );
+          const { team } = task.spec;
+          running.set(team, (running.get(team) ?? 0) + 1);
+        }
+      }
+      for (const [team, count] of running) {
+        const held = getHeld(cell, team);
+        const allowed = cell.excess.get(team) ?? 0;
+        check(
+          count <= held + allowed,
+          `${count} of ${team} run in ${cell.name}, which holds ${held}`,
+        );
+      }
+      for (const [team, allowed] of cell.excess) {
+        const above = Math.max(
+          0,
+          countRecorded(cell, team) - getHeld(cell, team),
+        );
+        cell.excess.set(team, Math.min(allowed, above));
+      }
+    }
+  }
+
+  function checkSums(): void {
+    for (const team of TEAMS) {
+      let held = 0;
+      let granted = 0;
+      const versions = new Set<number>();
+      for (const cell of cells) {
+        const { allotments } = cell.applied;
+        const version = allotments.getAppliedVersion();
+        versions.add(version);
+        held += getHeld(cell, team);
+        if (version > 0) {
+          granted +=
+            computeGranted(states[version - 1]!, team, cell.name).processors;
+        }
+        for (const transfer of allotments.getTransfersInProgress()) {
+          if (transfer.team !== team) continue;
+          const isReceived = findCell(transfer.to).received.has(transfer.id);
+          if (!isReceived) held += transfer.amount.processors;
+        }
+      }
+      check(held === granted, `${held} of ${team} is not granted ${granted}`);
+      const [version] = versions;
+      if (versions.size > 1 || !version) continue;
+      const limit = states[version - 1]!.teams.get(team)?.limits.processors;
+      check(held === (limit ?? 0), `${held} of ${team} is not limit ${limit}`);
+    }
+  }
+
+  function checkJobs(): void {
+    for (const [job, cell] of accepted) {
+      const isKnown = cell.applied.jobs.get(job) !== undefined;
+      check(isKnown, `job ${job} of ${cell.name} is lost`);
+    }
+  }
+
+  /** Members that have applied the same entries must hold the same state. */
+  function checkMembers(): void {
+    for (const { applied, entries, members } of cells) {
+      const wanted = Buffer.from(applied.takeSnapshot());
+      for (const { id, log, state } of members) {
+        const { appliedIndex = 0, role = "" } = log?.getStatus() ?? {};
+        if (appliedIndex < entries.length - 1 || role === "") continue;
+        const found = Buffer.from(state!.takeSnapshot());
+        check(found.equals(wanted), `the state of ${id} differs`);
+      }
+    }
+  }
+
+  function updateViews(): void {
+    const newest = states.at(-1);
+    for (const member of members) {
+      if (member.known === newest || newest === undefined) continue;
+      if (isFaulty && random.nextFloat() > 0.05) continue;
+      member.known = newest;
+      for (const callback of member.watchers) callback(newest);
+    }
+  }
+
+  function submitJob(cell: Cell): void {
+    const id = `j${nextJob++}`;
+    const isGang = random.nextFloat() < 0.2;
+    const job = {
+      id,
+      policy: isGang ? "gang" : "batch",
+      tasks: 1 + random.nextInt(3),
+      resources: TASK_SIZE,
+      urgent: random.nextFloat() < 0.1,
+      maxAttempts: 5,
+    };
+    const team = TEAMS[random.nextInt(TEAMS.length)];
+    const request = { team, job: encodeJson(job) };
+    callLeader(undefined, cell.name, "submitJob", request).then(() => {
+      report.jobs++;
+      accepted.set(id, cell);
+    }, () => {});
+  }
+
+  function cancelJob(): void {
+    const [job, cell] = [...accepted][random.nextInt(accepted.size || 1)] ?? [];
+    if (job === undefined || cell === undefined) return;
+    const team = cell.applied.jobs.get(job)?.spec.team;
+    callLeader(undefined, cell.name, "cancelJob", { team, jobId: job })
+      .catch(() => {});
+  }
+
+  function restartMember(member: Member): void {
+    const cell = findCell(member.dc);
+    if (!member.isUp) return void startMember(cell, member);
+    report.restarts++;
+    stopMember(member);
+    clock.setTimer(random.nextInt(3_000), () => {
+      if (!member.isUp) void startMember(cell, member);
+    });
+  }
+
+  function runEvent(): void {
+    const cell = cells[random.nextInt(cells.length)]!;
+    const member = cell.members[random.nextInt(MEMBER_COUNT)]!;
+    const leader = cell.members.find(({ log }) => log?.getLease()) ?? member;
+    const worker = cell.workers[random.nextInt(WORKER_COUNT)]!;
+    const event = random.nextInt(100);
+    if (event < 40) submitJob(cell);
+    else if (event < 43) cancelJob();
+    else if (event < 46) restartMember(member);
+    else if (event < 48) restartMember(leader);
+    else if (event < 51) leader.isCut = true;
+    else if (event < 53) member.isCut = true;
+    else if (event < 61) { for (const each of members) each.isCut = false; }
+    else if (event < 63) cell.isCut = true;
+    else if (event < 69) { for (const each of cells) each.isCut = false; }
+    else if (event < 72) worker.isReachable = false;
+    else if (event < 78) {
+      for (const { workers } of cells) {
+        for (const each of workers) each.isReachable = true;
+      }
+    } else if (event < 79) restartWorker(worker);
+    else if (event < 86) setLimit(random.nextInt(24));
+  }
+
+  function setLimit(count: number): void {
+    const name = TEAMS[random.nextInt(TEAMS.length)]!;
+    change({ type: "updateTeam", name, limits: toLimits(count) });
+  }
+
+  async function runTurn(): Promise<void> {
+    clock.advance(STEP_MS);
+    // Storage in memory completes within one turn of the event loop.
+    await new Promise((resolve) => setImmediate(resolve));
+    updateViews();
+    runWorkers();
+    checkRunning();
+    checkSums();
+    if (failure !== undefined) throw failure;
+  }
+
+  function isSettled(): boolean {
+    return cells.every(({ applied: { jobs, allotments } }) =>
+      jobs.listOpen().length === 0 &&
+      allotments.getTransfersInProgress().length === 0 &&
+      allotments.getAppliedVersion() === states.length
+    );
+  }
+
+  change({ type: "setDataCentres", names: DATA_CENTRES });
+  for (const name of TEAMS) {
+    change({ type: "createTeam", name, share: 1, limits: toLimits(9) });
+  }
+  for (const member of members) await startMember(findCell(member.dc), member);
+  for (let spent = 0; spent < 2_000; spent += STEP_MS) await runTurn();
+  for (let spent = 0; spent < faultMs; spent += STEP_MS) {
+    if (spent % EVENT_PERIOD_MS === 0) runEvent();
+    await runTurn();
+  }
+  isFaulty = false;
+  for (const name of TEAMS) {
+    change({ type: "updateTeam", name, limits: toLimits(12) });
+  }
+  for (const cell of cells) {
+    cell.isCut = false;
+    for (const worker of cell.workers) worker.isReachable = true;
+  }
+  for (const member of members) {
+    member.isCut = false;
+    if (!member.isUp) await startMember(findCell(member.dc), member);
+  }
+  const untilMs = clock.now() + RECOVERY_MS;
+  while (!isSettled() && clock.now() < untilMs) await runTurn();
+  checkJobs();
+  checkMembers();
+  const open = cells.map(({ name, applied: { jobs, allotments } }) =>
+    `${name}: ${jobs.listOpen().map(({ spec }) => spec.id)} open, ${
+      JSON.stringify(allotments.getTransfersInProgress())
+    }, version ${allotments.getAppliedVersion()} of ${states.length}`
+  );
+  check(isSettled(), `work does not end: ${open.join("; ")}`);
+  if (failure !== undefined) throw failure;
+  return report;
+}
