Withhold a cut of a limit while it is recorded

The trace: the command of a lowered limit (cut of 5 of 9) was proposed, an ask that arrived before it was applied was offered 2 of the 6 then idle, and the transfer was applied after the cut, which left 2. The team could then run one more than its new limit over the fleet.

Fix: from the proposal on, cuts count as not held, for offers and for new work. Ruled out: refusing transfers in the state machine that leave less than runs, since the log does not know what runs.

--- a/src/data_centre/allotment_controller.ts
+++ b/src/data_centre/allotment_controller.ts
@@ -89,6 +89,8 @@
   const { allotments, rebalancer, clock } = options;
   const sentAtMs = new Map<string, number>();
   const pendingGifts = new Map<string, Limits>();
+  /** Cuts of the configuration that is being recorded. */
+  const pendingCuts = new Map<string, Limits>();
   let timer: Timer | undefined;
   let isStopped = false;
 
@@ -98,10 +100,13 @@
   ): TeamLoad {
     const { teams, dataCentres } = options.view.getState();
     return {
-      // Less what is being given, or a second ask gets the same amount.
+      // Less what is being given or cut, or an ask gets that amount as well.
       held: subtractLimits(
         allotments.getHeld(team),
-        pendingGifts.get(team) ?? NO_LIMITS,
+        addLimits(
+          pendingGifts.get(team) ?? NO_LIMITS,
+          pendingCuts.get(team) ?? NO_LIMITS,
+        ),
       ),
       running: load?.running ?? NO_LIMITS,
       // A data centre that is leaving asks for nothing new.
@@ -127,8 +132,11 @@
 
   async function applyConfiguration(): Promise<void> {
     const command = allotments.planConfiguration(options.view.getState());
-    if (command === undefined) return;
+    if (command?.type !== "applyConfiguration") return;
+    for (const { team, cut } of command.changes) pendingCuts.set(team, cut);
+    options.handleChange();
     await options.propose(command);
+    pendingCuts.clear();
     options.handleChange();
   }
 
--- a/src/data_centre/allotment_controller_test.ts
+++ b/src/data_centre/allotment_controller_test.ts
@@ -136,6 +136,23 @@
   t.equal(countOver(), 0);
 });
 
+// Guards against an offer from what a lowered limit takes away: the transfer is
+// applied after the cut and leaves less held than runs.
+t.test("an ask gets nothing of a cut that is being recorded", async (t) => {
+  const { clock, change, controller, log, running, countOver } =
+    await createBench();
+  running.set("t", 6);
+  change({ type: "updateTeam", name: "t", limits: slots(7) });
+  clock.advance(200);
+  await waitForTurn();
+  t.equal(log.pending[0]?.type, "applyConfiguration");
+  const offer = controller.receiveAsk(buildAsk("b"));
+  await waitForTurn();
+  await log.commitAll();
+  t.equal((await offer).slots, 1);
+  t.equal(countOver(), 0);
+});
+
 // Guards against returns that were planned before work started on them.
 t.test("work does not start on what a leaving data centre returns", async (t) => {
   const { clock, change, log, running, startWork, countOver, allotments } =
