--- a/bench/cell_bench.ts
+++ b/bench/cell_bench.ts
@@ -1,6 +1,7 @@
 /**
  * Cost of idle cells of 6 and of 20 real instances on loopback, the time until
- * a change is in effect on all of them, and the cost of a stand-in endpoint.
+ * a change is in effect on all of them, the cost of a stand-in endpoint, and the
+ * size of allotments.
  *
  * `node dist/bench/cell_bench.js [FILE]` takes about two minutes, prints tables
  * and writes the same as JSON to FILE. It judges no bound: docs/CAPACITY.md
@@ -9,6 +10,7 @@
 
 import { writeFileSync } from "node:fs";
 import process from "node:process";
+import { measureAllotmentState } from "./instance/allotment_state.ts";
 import { type CountedCell, startCountedCell } from "./instance/counted_cell.ts";
 import { startCountingRelay } from "./instance/counting_relay.ts";
 import { readProcessUsage } from "./instance/process_usage.ts";
@@ -142,11 +144,21 @@
   console.log(figures.reachMs.map(Math.round).join(" "));
   cells.push(figures);
 }
+const allotments = [
+  measureAllotmentState(89, 10),
+  measureAllotmentState(890, 10),
+  measureAllotmentState(890, 35),
+];
+console.log("\nAllotments of one data centre");
+console.table(allotments);
 const endpoint = await measureEndpoint();
 console.log("\nStand-in endpoint");
 console.table([endpoint]);
 const path = process.argv[2];
 if (path !== undefined) {
-  writeFileSync(path, JSON.stringify({ cells, endpoint }, undefined, 2) + "\n");
+  writeFileSync(
+    path,
+    JSON.stringify({ cells, allotments, endpoint }, undefined, 2) + "\n",
+  );
 }
 process.exit(0);
--- /dev/null
+++ b/bench/instance/allotment_state.ts
@@ -0,0 +1,63 @@
+/** Size of the allotments of one data centre, and the time to plan and apply the first ones. */
+
+import process from "node:process";
+import { createAllotments } from "../../src/allotments/mod.ts";
+import {
+  createFleetState,
+  encodeCommand,
+  type FleetOperation,
+} from "../../src/fleet/mod.ts";
+
+/** Figures for one number of teams. */
+export interface AllotmentStateFigures {
+  readonly teams: number;
+  readonly dataCentres: number;
+  readonly snapshotBytes: number;
+  /** Processor time to plan and apply the allotments of all teams, in milliseconds. */
+  readonly applyMs: number;
+}
+
+/** Gives each team a limit and applies the division in one data centre. */
+export function measureAllotmentState(
+  teams: number,
+  dataCentres: number,
+): AllotmentStateFigures {
+  const names = Array.from({ length: dataCentres }, (_, at) => `region${at}`);
+  const limits = {
+    slots: 400,
+    processors: 640_000,
+    memoryMb: 2_621_440,
+    accelerators: 30,
+  };
+  const operations: FleetOperation[] = [{ type: "setDataCentres", names }];
+  for (let at = 0; at < teams; at++) {
+    operations.push({
+      type: "createTeam",
+      name: `team-${at}`,
+      share: 1,
+      limits,
+    });
+  }
+  const machine = createFleetState();
+  const answer = machine.apply(
+    encodeCommand({
+      at: 1_800_000_000_000,
+      change: { changeId: "change-1", operations },
+    }),
+    1,
+  );
+  if (!answer.accepted) throw new Error(answer.fault.message);
+  const allotments = createAllotments("region0");
+  const before = process.cpuUsage();
+  const command = allotments.planConfiguration(machine.getState());
+  if (command === undefined) throw new Error("Cannot plan the allotments");
+  const result = allotments.apply(command);
+  if (!result.applied) throw new Error("Cannot apply the allotments");
+  const { user, system } = process.cpuUsage(before);
+  return {
+    teams,
+    dataCentres,
+    snapshotBytes: allotments.takeSnapshot().length,
+    applyMs: (user + system) / 1_000,
+  };
+}
