--- a/src/data_centre/allotment_controller.ts
+++ b/src/data_centre/allotment_controller.ts
@@ -89,6 +89,8 @@
   const { allotments, rebalancer, clock } = options;
   const sentAtMs = new Map<string, number>();
   const pendingGifts = new Map<string, Limits>();
+  /** Cuts of the configuration that is being recorded. */
+  const pendingCuts = new Map<string, Limits>();
   let timer: Timer | undefined;
   let isStopped = false;
 
@@ -98,9 +100,19 @@
   ): TeamLoad {
     const { teams, dataCentres } = options.view.getState();
     return {
-      held: allotments.getHeld(team),
+      // Less what is being given or cut, or an ask gets that amount as well.
+      held: subtractLimits(
+        allotments.getHeld(team),
+        addLimits(
+          pendingGifts.get(team) ?? NO_LIMITS,
+          pendingCuts.get(team) ?? NO_LIMITS,
+        ),
+      ),
       running: load?.running ?? NO_LIMITS,
-      waiting: load?.waiting ?? NO_LIMITS,
+      // A data centre that is leaving asks for nothing new.
+      waiting: dataCentres.includes(options.dataCentre)
+        ? load?.waiting ?? NO_LIMITS
+        : NO_LIMITS,
       fair: computeFairPart(
         teams.get(team)?.limits ?? NO_LIMITS,
         dataCentres.length,
@@ -120,8 +132,11 @@
 
   async function applyConfiguration(): Promise<void> {
     const command = allotments.planConfiguration(options.view.getState());
-    if (command === undefined) return;
+    if (command?.type !== "applyConfiguration") return;
+    for (const { team, cut } of command.changes) pendingCuts.set(team, cut);
+    options.handleChange();
     await options.propose(command);
+    pendingCuts.clear();
     options.handleChange();
   }
 
@@ -203,15 +218,19 @@
   ): Promise<void> {
     const { dataCentres, leavingDataCentres } = options.view.getState();
     if (!leavingDataCentres.includes(options.dataCentre)) return;
-    for (const item of rebalancer.planReturns(loads, dataCentres)) {
-      await sendTo(item.to, item.team, item.amount);
-    }
+    const returns = rebalancer.planReturns(loads, dataCentres);
+    // All at once, so that no work starts on one while another is recorded.
+    await Promise.all(
+      returns.map(({ to, team, amount }) => sendTo(to, team, amount)),
+    );
   }
 
   async function reconcile(): Promise<void> {
     try {
       if (!options.holdsLease()) return;
       await applyConfiguration();
+      // A successor in the same epoch does not know what is proposed from here.
+      if (isStopped || !options.holdsLease()) return;
       options.handleChange();
       const loads = buildLoads();
       sendAsks(loads);
@@ -237,11 +256,7 @@
   return {
     computeUsable(team, measured) {
       const load = toTeamLoad(team, measured);
-      const kept = addLimits(
-        rebalancer.getOwed(team, load),
-        pendingGifts.get(team) ?? NO_LIMITS,
-      );
-      return subtractLimits(load.held, kept);
+      return subtractLimits(load.held, rebalancer.getOwed(team, load));
     },
     async receiveAsk(ask) {
       const load = options.measureLoads().get(ask.team);
--- a/src/data_centre/leadership.ts
+++ b/src/data_centre/leadership.ts
@@ -33,6 +33,7 @@
 import {
   createWorkerCommandSender,
   type WorkerCommandSender,
+  type WorkerCommandSenderOptions,
 } from "./worker_commands.ts";
 
 /** Options of a leadership. */
@@ -60,6 +61,10 @@
   propose: (command: DataCentreCommand) => Promise<DataCentreResult>;
   sendAsk: (ask: AllotmentAsk) => Promise<Limits>;
   sendTransfer: (transfer: AllotmentTransfer) => Promise<void>;
+  /** Creates the way to the workers. Default: over HTTP. */
+  createCommandSender?: (
+    options: WorkerCommandSenderOptions,
+  ) => WorkerCommandSender;
   /** Called for each start command, with the time since the submission in milliseconds. */
   handleTaskStart?: (spec: JobSpec, waitedMs: number) => void;
   /** Called with the time of one placement decision, in milliseconds. */
@@ -103,6 +108,7 @@
 function measureLoads(
   scheduler: Scheduler,
   slots: RecordedSlots,
+  held: ReadonlyMap<string, number>,
 ): Map<string, MeasuredLoad> {
   const loads = new Map<string, MeasuredLoad>();
   for (const team of scheduler.getStatus().teams) {
@@ -111,12 +117,22 @@
       waiting: { slots: 0, ...team.queuedResources },
     });
   }
-  for (const team of slots.controller.getStatus().teams) {
-    const known = loads.get(team.team);
+  const { teams, isRebuilding, sharedExcess } = slots.controller.getStatus();
+  const byTeam = new Map(teams.map((team) => [team.team, team]));
+  for (const team of new Set([...byTeam.keys(), ...held.keys()])) {
+    const known = loads.get(team);
     const none = { processors: 0, memoryMb: 0, accelerators: 0 };
-    loads.set(team.team, {
-      running: { ...none, ...known?.running, slots: team.running },
-      waiting: { ...none, ...known?.waiting, slots: team.queued },
+    const running = byTeam.get(team)?.running ?? sharedExcess;
+    // Until the endpoints have announced, requests of a former leader may fill
+    // all that is held; giving it away would exceed the limit elsewhere.
+    const least = isRebuilding ? held.get(team) ?? 0 : 0;
+    loads.set(team, {
+      running: { ...none, ...known?.running, slots: Math.max(running, least) },
+      waiting: {
+        ...none,
+        ...known?.waiting,
+        slots: byTeam.get(team)?.queued ?? 0,
+      },
     });
   }
   return loads;
@@ -154,7 +170,9 @@
     setTeam(name, share, state.allotments.getHeld(name));
   }
 
-  const commands: WorkerCommandSender = createWorkerCommandSender({
+  const createCommandSender = options.createCommandSender ??
+    createWorkerCommandSender;
+  const commands = createCommandSender({
     logger,
     holdsLease: options.holdsLease,
   });
@@ -164,9 +182,8 @@
     records: state.jobs,
     clock,
     logger,
-    propose: async (jobCommands) => {
-      await propose({ part: "jobs", commands: jobCommands });
-    },
+    propose: async (jobCommands) =>
+      await propose({ part: "jobs", commands: jobCommands }) as never,
     holdsLease: options.holdsLease,
     sendCommand: commands.send,
     ...(options.handleTaskStart === undefined
@@ -198,8 +215,19 @@
     propose: async (command) =>
       await propose({ part: "requests", command }) as never,
   });
+  const measure = () =>
+    measureLoads(
+      scheduler,
+      slots,
+      new Map(
+        state.allotments.listTeams().map((team) => [
+          team,
+          state.allotments.getHeld(team).slots,
+        ]),
+      ),
+    );
   const updateTeams = () => {
-    const loads = measureLoads(scheduler, slots);
+    const loads = measure();
     const { teams } = view.getState();
     for (const team of new Set([...teams.keys(), ...loads.keys()])) {
       const limits = allotments.computeUsable(team, loads.get(team));
@@ -224,7 +252,7 @@
     propose: async (command) =>
       await propose({ part: "allotments", command }) as never,
     holdsLease: options.holdsLease,
-    measureLoads: () => measureLoads(scheduler, slots),
+    measureLoads: measure,
     sendAsk: options.sendAsk,
     sendTransfer: options.sendTransfer,
     handleChange: updateTeams,
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -4,6 +4,7 @@
  */
 
 import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
 import { createSeededRandom, createSystemClock } from "../common/mod.ts";
 import type { Clock, Logger, Random } from "../common/mod.ts";
 import type { AllotmentAsk, AllotmentTransfer } from "../allotments/mod.ts";
@@ -36,6 +37,7 @@
   type AllotmentOffer,
   createLogSender,
   createPeerSet,
+  createRpcCredentials,
   type HeartbeatMessage,
   type JobReply,
   type JsonBody,
@@ -43,7 +45,14 @@
   type RpcServer,
   startRpcServer,
 } from "../rpc/mod.ts";
-import type { Address, InstanceEntry, Settings } from "../settings/mod.ts";
+import type {
+  Address,
+  InstanceEntry,
+  Settings,
+  TlsFiles,
+} from "../settings/mod.ts";
+import { openCertificateFiles } from "../tls/mod.ts";
+import { checkAddress } from "./check_address.ts";
 import { createFleetService, FLEET_GROUP } from "./fleet_service.ts";
 import { readAllBurn } from "./burn_collection.ts";
 import { createObserver } from "./observer.ts";
@@ -52,8 +61,14 @@
 import { createRequestRouting } from "./request_routing.ts";
 import { createWorkService, type WorkService } from "./work_service.ts";
 
-/** Time that an announcement may take, in milliseconds. */
-const ANNOUNCE_TIMEOUT_MS = 1_000;
+/** Time that an announcement of a worker may take, in milliseconds. */
+const WORKER_ANNOUNCE_TIMEOUT_MS = 1_000;
+
+/**
+ * Time that an announcement of an endpoint may take, in milliseconds. The
+ * leader counts slots on the assumption that none is older when it arrives.
+ */
+const ENDPOINT_ANNOUNCE_TIMEOUT_MS = 500;
 
 /** Time for handing a job or a question about it to a leader, in milliseconds. */
 const JOB_TIMEOUT_MS = 5_000;
@@ -105,6 +120,11 @@
   return host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`;
 }
 
+/** Spreads seeds far apart, so that members that start together do not time out together. */
+function computeSeed(name: string): number {
+  return createHash("sha256").update(name).digest().readInt32BE(0);
+}
+
 /** Returns the name of the log group of a data centre. */
 export function getDataCentreGroup(dataCentre: string): string {
   return `data-centre/${dataCentre}`;
@@ -126,23 +146,46 @@
   });
 }
 
-/** Starts an instance; rejects with a fault when it cannot listen. */
+/**
+ * Starts an instance; rejects with a fault when it cannot listen, of kind
+ * `badRequest` when the files of `tls` cannot be used.
+ */
 export async function startInstance(
   settings: Settings,
   options: InstanceOptions,
 ): Promise<Instance> {
   const { instance, dataCentre } = settings;
+  await checkAddress(settings.listen.rpc);
+  await checkAddress(settings.listen.http);
   const clock = options.clock ?? createSystemClock();
   const incarnation = clock.wallTime();
   const startedAtMs = clock.now();
   const random = options.random ??
-    createSeededRandom((incarnation ^ instance.length) | 0);
+    createSeededRandom(computeSeed(`${instance}#${incarnation}`));
   const logger = options.logger.with({ instance, dataCentre });
   const handleFailure = options.handleFailure ??
     ((error: unknown) => logger.error("Instance failed", { error }));
   let isStopping = false;
   let isRefusing = false;
 
+  // Before anything else, so that unusable files leave nothing running.
+  const openFiles = async (setting: string, files: TlsFiles | undefined) =>
+    files === undefined ? undefined : await openCertificateFiles({
+      setting,
+      files,
+      reloadMs: settings.tls.reloadMs,
+      clock,
+      logger,
+    });
+  const rpcFiles = await openFiles("tls.rpc", settings.tls.rpc);
+  const httpFiles = await openFiles("tls.http", settings.tls.http).catch(
+    (error) => {
+      rpcFiles?.close();
+      throw error;
+    },
+  );
+  const credentials = rpcFiles && createRpcCredentials(rpcFiles);
+
   const others = settings.instances
     .filter((entry) => entry.instance !== instance);
   const peers = createPeerSet({
@@ -150,6 +193,7 @@
       instance: entry.instance,
       address: formatAddress(entry.rpc),
     })),
+    ...(credentials && { credentials: credentials.channel }),
   });
   const sender = createLogSender({ peers, clock });
   const members = new Map<string, LogMemberHandle>();
@@ -314,6 +358,7 @@
 
   const rpc: RpcServer = await startRpcServer({
     ...settings.listen.rpc,
+    ...(credentials && { credentials: credentials.server }),
     services: {
       Consensus: {
         writeStreams: {
@@ -382,12 +427,11 @@
 
   async function announce(
     method: string,
-    name: string,
     body: Uint8Array,
+    target: { dataCentre: string; timeoutMs: number },
   ) {
     const reply = await calls.call<JsonBody>(method, { body }, {
-      dataCentre: name,
-      timeoutMs: ANNOUNCE_TIMEOUT_MS,
+      ...target,
       idempotent: true,
     });
     return JSON.parse(Buffer.from(reply.body).toString());
@@ -502,6 +546,7 @@
   };
   const http: HttpServer = await startHttpServer({
     ...settings.listen.http,
+    ...(httpFiles && { certificateFiles: httpFiles }),
     logger,
     handleAnswered: (context, status, durationMs) =>
       observer.recordHttpAnswer(context.route, status, durationMs),
@@ -528,8 +573,15 @@
       }),
       ...createAnnounceRoutes({
         announceEndpoint: (name, body) =>
-          announce("announceEndpoint", name, body),
-        announceWorker: (name, body) => announce("announceWorker", name, body),
+          announce("announceEndpoint", body, {
+            dataCentre: name,
+            timeoutMs: ENDPOINT_ANNOUNCE_TIMEOUT_MS,
+          }),
+        announceWorker: (name, body) =>
+          announce("announceWorker", body, {
+            dataCentre: name,
+            timeoutMs: WORKER_ANNOUNCE_TIMEOUT_MS,
+          }),
       }),
       ...createOperatorRoutes({
         ...(settings.operatorTokenHash === undefined
@@ -586,6 +638,8 @@
     rpc.close();
     sender.close();
     peers.close();
+    rpcFiles?.close();
+    httpFiles?.close();
     logger.info("Stopped");
   }
 
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -17,7 +17,11 @@
   parseWorkerAnnouncement,
 } from "../data_centre/announcements.ts";
 import type { RecordedJobSpec } from "../data_centre/job_records.ts";
-import { type Leadership, startLeadership } from "../data_centre/leadership.ts";
+import {
+  type Leadership,
+  type LeadershipOptions,
+  startLeadership,
+} from "../data_centre/leadership.ts";
 import {
   type DataCentreCommand,
   type DataCentreResult,
@@ -61,6 +65,7 @@
   /** Sends an ask to the leader of another data centre. */
   sendAsk: (ask: AllotmentAsk) => Promise<Limits>;
   sendTransfer: (transfer: AllotmentTransfer) => Promise<void>;
+  createCommandSender?: LeadershipOptions["createCommandSender"];
 }
 
 /** The service and its connection to the log. */
@@ -126,6 +131,10 @@
   async function startEpoch(epoch: number): Promise<void> {
     // Entries of former terms are applied before the controllers read the state.
     await options.getLog()?.confirmLeadership();
+    // So are proposals of stopped controllers of this epoch, which are ahead of
+    // this empty one: a transfer or an assignment applied after the controllers
+    // have read the state would be unknown to them.
+    await propose({ part: "jobs", commands: [] });
     if (wantedEpoch !== epoch || !hasLease(epoch)) return;
     logger.info("Leading the data centre", { epoch });
     leadership = startLeadership({
@@ -147,6 +156,9 @@
       propose,
       sendAsk: options.sendAsk,
       sendTransfer: options.sendTransfer,
+      ...(options.createCommandSender === undefined
+        ? {}
+        : { createCommandSender: options.createCommandSender }),
       handleTaskStart: observer.recordTaskStart,
       handleTaskEnd: observer.recordTaskEnd,
       handlePlacement: (durationMs) =>
