--- /dev/null
+++ b/src/instance/fleet_changes_test.ts
@@ -0,0 +1,122 @@
+import t from "tap";
+import { Buffer } from "node:buffer";
+import { advanceBy } from "../../test/controller_fakes.ts";
+import { buildWanted } from "../../test/requests_helpers.ts";
+import {
+  createFault,
+  createManualClock,
+  type Fault,
+  type FaultKind,
+} from "../common/mod.ts";
+import type { ReplicatedLog } from "../replicated_log/mod.ts";
+import type { PeerSet } from "../rpc/mod.ts";
+import { createFleetChanges } from "./fleet_changes.ts";
+
+const CHANGE = { changeId: "c1", operations: [] };
+
+async function submit(
+  answers: readonly (FaultKind | number)[],
+  log?: Partial<ReplicatedLog>,
+  leader: string | undefined = "leader",
+) {
+  const clock = createManualClock(1_000);
+  const hops: number[] = [];
+  let next = 0;
+  const changes = createFleetChanges({
+    instance: "self",
+    getLog: () => log as ReplicatedLog | undefined,
+    findLeader: () => leader,
+    encodeCommand: () => Buffer.alloc(0),
+    peers: {
+      get: () => ({
+        call(_path: string, request: { hops: number }) {
+          hops.push(request.hops);
+          const answer = answers[Math.min(next++, answers.length - 1)]!;
+          return typeof answer === "number"
+            ? Promise.resolve({ version: answer })
+            : Promise.reject(createFault(answer, "Cannot change"));
+        },
+      }),
+    } as unknown as PeerSet,
+    clock,
+  });
+  const outcome = changes.submit(CHANGE).then(
+    (version) => version,
+    (error: Fault) => `${error.kind}, ran ${error.ran}`,
+  );
+  await advanceBy(clock, 7_000, 100);
+  return { outcome: await outcome, hops, changes };
+}
+
+const CASES: {
+  /** What the rule prevents. */
+  name: string;
+  answers: (FaultKind | number)[];
+  outcome: number | string;
+}[] = [
+  { name: "a takeover fails a change", answers: ["notLeader", 7], outcome: 7 },
+  {
+    name: "a lost answer fails a change",
+    answers: ["outcomeUnknown", 7],
+    outcome: 7,
+  },
+  {
+    name: "a refusal is repeated until the time is up",
+    answers: ["versionConflict", 7],
+    outcome: "versionConflict, ran no",
+  },
+  {
+    name: "a change that may be in effect is said not to be",
+    answers: ["outcomeUnknown", "unavailable"],
+    outcome: "outcomeUnknown, ran unknown",
+  },
+  {
+    name: "a change that was never accepted is said to be in doubt",
+    answers: ["unavailable", "notLeader"],
+    outcome: "unavailable, ran no",
+  },
+];
+
+for (const { name, answers, outcome } of CASES) {
+  t.test(`handled, else ${name}`, async (t) => {
+    t.equal((await submit(answers)).outcome, outcome);
+  });
+}
+
+// Guards against a former leader that answers for the log without its lease.
+t.test("a voter without a lease passes the change on", async (t) => {
+  const propose = () => Promise.reject(new Error("must not propose"));
+  const { outcome, hops } = await submit([7], {
+    getLease: () => undefined,
+    propose,
+  });
+  t.equal(outcome, 7);
+  t.same(hops, [1]);
+});
+
+// Guards against changes that circle between instances with stale leader names.
+t.test("a change is passed on a bounded number of times", async (t) => {
+  const { changes, hops } = await submit([7]);
+  await t.rejects(changes.forward(CHANGE, 2), buildWanted("notLeader"));
+  t.same(hops, [1]);
+});
+
+// Guards against a refusal by the log that is answered as a version.
+t.test("a refusal of the log keeps its kind and details", async (t) => {
+  const fault = {
+    kind: "versionConflict",
+    message: "Cannot change",
+    ran: "no",
+    details: { version: 3 },
+  };
+  const { outcome } = await submit([], {
+    getLease: () => ({ term: 1, validUntilMs: Infinity }),
+    propose: () =>
+      Promise.resolve({
+        index: 1,
+        term: 1,
+        result: { accepted: false, fault },
+      }),
+  });
+  t.equal(outcome, "versionConflict, ran no");
+});
--- a/src/instance/key_withdrawals.ts
+++ b/src/instance/key_withdrawals.ts
@@ -39,6 +39,7 @@
 ): LocalKeyWithdrawals {
   const { view, clock } = options;
   let timer: Timer;
+  let isStopped = false;
 
   async function mergeOne(keyId: string): Promise<void> {
     const change: FleetChange = {
@@ -59,6 +60,7 @@
 
   async function mergeAll(): Promise<void> {
     for (const withdrawal of view.getLocalWithdrawals()) {
+      if (isStopped) return;
       if (withdrawal.mergedVersion === undefined) {
         await mergeOne(withdrawal.keyId);
       }
@@ -67,6 +69,8 @@
   }
 
   function setMergeTimer(): void {
+    // The stop may come while a merge is under way.
+    if (isStopped) return;
     timer = clock.setTimer(MERGE_PERIOD_MS, () => void mergeAll());
   }
 
@@ -105,6 +109,9 @@
       return instances.filter((_, index) => told[index]);
     },
     receive,
-    stop: () => timer.cancel(),
+    stop() {
+      isStopped = true;
+      timer.cancel();
+    },
   };
 }
--- a/src/instance/leader_calls.ts
+++ b/src/instance/leader_calls.ts
@@ -4,13 +4,7 @@
  * caller's time, so that a takeover delays a call and does not fail it.
  */
 
-import {
-  type Clock,
-  createFault,
-  type Fault,
-  isFault,
-  toFault,
-} from "../common/mod.ts";
+import { type Clock, createFault, type Fault, toFault } from "../common/mod.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { PeerSet } from "../rpc/mod.ts";
 
@@ -122,6 +116,8 @@
       Math.min(callOptions.lookupMs ?? timeoutMs, timeoutMs);
     let hint: string | undefined;
     let last: Fault | undefined;
+    // An attempt whose answer was lost may have run, whatever later ones say.
+    let unknown: Fault | undefined;
     do {
       const leader = hint ?? findLeader(dataCentre);
       hint = undefined;
@@ -136,6 +132,7 @@
           const fault = toFault(error);
           if (!isWorthRepeating(fault, callOptions.idempotent)) throw fault;
           last = fault;
+          if (fault.kind === "outcomeUnknown") unknown = fault;
           const named = fault.details["leader"];
           if (typeof named === "string" && named !== leader) hint = named;
         }
@@ -143,7 +140,7 @@
       if (signal?.aborted) break;
       await wait(clock, LOOKUP_PERIOD_MS);
     } while (clock.now() < lookupUntilMs);
-    if (isFault(last, "outcomeUnknown")) throw last;
+    if (unknown !== undefined) throw unknown;
     throw createFault(
       "unavailable",
       `Cannot reach a leader of data centre "${dataCentre}"`,
