--- /dev/null
+++ b/src/instance/config_watch_test.ts
@@ -0,0 +1,221 @@
+import t from "tap";
+import { EventEmitter } from "node:events";
+import { advanceBy } from "../../test/controller_fakes.ts";
+import {
+  createManualClock,
+  createSilentLogger,
+  isFault,
+} from "../common/mod.ts";
+import type { ConfigUpdate, FleetView, UpdateHistory } from "../fleet/types.ts";
+import { decodeFault, type PeerSet } from "../rpc/mod.ts";
+import { createConfigSource, type WatchStream } from "./config_source.ts";
+import { startConfigWatch } from "./config_watch.ts";
+
+const buildUpdate = (fields: Partial<ConfigUpdate> = {}): ConfigUpdate => ({
+  version: 1,
+  snapshot: false,
+  data: new Uint8Array([1]),
+  ageMs: 0,
+  ...fields,
+});
+
+interface OpenedStream extends EventEmitter {
+  source: string;
+  isCancelled: boolean;
+}
+
+function createWatch() {
+  const clock = createManualClock(1_000);
+  const opened: OpenedStream[] = [];
+  const bench = { version: 1, hasGap: false, confirmed: 0 };
+  const watch = startConfigWatch({
+    instance: "self",
+    view: {
+      getVersion: () => bench.version,
+      applyUpdate(update: ConfigUpdate) {
+        if (bench.hasGap) return "needsFullState";
+        bench.version = Math.max(bench.version, update.version);
+        return "applied";
+      },
+      confirmVersion: () => {},
+    } as unknown as FleetView,
+    peers: {
+      get: (source: string) => ({
+        openReadStream() {
+          const stream = Object.assign(new EventEmitter(), {
+            source,
+            isCancelled: false,
+            cancel() {
+              stream.isCancelled = true;
+              // A cancelled stream still ends with an error.
+              setImmediate(() => stream.emit("error", new Error("cancelled")));
+            },
+          });
+          opened.push(stream);
+          return stream;
+        },
+      }),
+    } as unknown as PeerSet,
+    clock,
+    logger: createSilentLogger(),
+    listSources: () => ["one", "two"],
+    handleConfirmed: () => bench.confirmed++,
+  });
+  return { clock, opened, bench, watch };
+}
+
+const ENDS: { name: string; run: (stream: OpenedStream) => void }[] = [
+  // Guards against a stream that a frozen source leaves open.
+  { name: "falls silent", run: () => {} },
+  { name: "breaks", run: (stream) => stream.emit("error", new Error("lost")) },
+  { name: "ends", run: (stream) => stream.emit("end") },
+];
+
+for (const { name, run } of ENDS) {
+  t.test(`another source is asked when a stream ${name}`, async (t) => {
+    const { clock, opened, watch } = createWatch();
+    run(opened[0]!);
+    for (let spent = 0; opened.length < 2 && spent < 3_300; spent += 100) {
+      await advanceBy(clock, 100, 100);
+    }
+    t.same(opened.map(({ source }) => source), ["one", "two"]);
+    t.ok(opened[0]!.isCancelled);
+    t.notOk(opened[1]!.isCancelled);
+    // Guards against updates of a dropped stream, which may be old.
+    opened[0]!.emit("data", buildUpdate({ version: 9 }));
+    await advanceBy(clock, 1_000, 100);
+    t.equal(opened.length, 2);
+    watch.stop();
+    await advanceBy(clock, 10_000, 100);
+    t.equal(opened.length, 2, "nothing is opened after the stop");
+  });
+}
+
+// Guards against a live stream that is dropped while nothing changes.
+t.test("a confirmation keeps a stream open", async (t) => {
+  const { clock, opened, bench } = createWatch();
+  for (let second = 0; second < 10; second++) {
+    opened[0]!.emit("data", buildUpdate({ data: new Uint8Array() }));
+    await advanceBy(clock, 1_000, 100);
+  }
+  t.equal(opened.length, 1);
+  t.equal(bench.confirmed, 10);
+});
+
+const UNCONFIRMED: [string, Partial<ConfigUpdate>][] = [
+  ["of a version that is missing here", { version: 5, data: new Uint8Array() }],
+  ["of a source that is itself cut off", { ageMs: 60_000 }],
+];
+
+// Guards against keys that are honoured on the word of an outdated source.
+for (const [name, fields] of UNCONFIRMED) {
+  t.test(`no confirmation is taken ${name}`, (t) => {
+    const { opened, bench } = createWatch();
+    opened[0]!.emit("data", buildUpdate(fields));
+    t.equal(bench.confirmed, 0);
+    t.end();
+  });
+}
+
+// Guards against a copy that stays behind a gap in the versions.
+t.test("a gap in the versions opens the stream again", async (t) => {
+  const { clock, opened, bench } = createWatch();
+  bench.hasGap = true;
+  opened[0]!.emit("data", buildUpdate({ version: 4 }));
+  await advanceBy(clock, 300, 100);
+  t.equal(opened.length, 2);
+  t.equal(bench.confirmed, 0);
+});
+
+function createStream(version: number) {
+  const written: ConfigUpdate[] = [];
+  const stream = Object.assign(new EventEmitter(), {
+    request: { instance: "self", version },
+    written,
+    isFull: false,
+    write(update: ConfigUpdate) {
+      written.push(update);
+      return !stream.isFull;
+    },
+    end: () => {},
+  });
+  return stream;
+}
+
+function createSource() {
+  const clock = createManualClock(1_000);
+  const bench = { version: 3, isReady: true, ageMs: 0 };
+  const source = createConfigSource({
+    history: {
+      buildUpdates: (version: number) =>
+        version >= bench.version
+          ? []
+          : [buildUpdate({ version: bench.version })],
+    } as unknown as UpdateHistory,
+    clock,
+    getAgeMs: () => bench.ageMs,
+    isReady: () => bench.isReady,
+  });
+  const add = (stream: ReturnType<typeof createStream>) =>
+    source.addWatcher(stream as unknown as WatchStream);
+  return { clock, bench, source, add };
+}
+
+// Guards against a slow watcher that fills the memory of its source, and
+// against changes that it misses for ever.
+t.test("a slow watcher gets what it missed once it has drained", (t) => {
+  const { clock, bench, source, add } = createSource();
+  const stream = createStream(1);
+  stream.isFull = true;
+  add(stream);
+  t.same(stream.written.map(({ version }) => version), [3]);
+  bench.version = 8;
+  source.sendUpdates();
+  clock.advance(5_000);
+  t.equal(stream.written.length, 1);
+  stream.isFull = false;
+  stream.emit("drain");
+  t.same(stream.written.map(({ version }) => version), [3, 8]);
+  t.end();
+});
+
+// Guards against confirmations by a source that never was up to date itself.
+t.test("a source confirms only with the age of its own copy", (t) => {
+  const { clock, bench, add } = createSource();
+  const stream = createStream(3);
+  add(stream);
+  bench.ageMs = Infinity;
+  clock.advance(2_000);
+  t.equal(stream.written.length, 0);
+  bench.ageMs = 1_234.5;
+  clock.advance(1_000);
+  t.match(stream.written, [{ version: 3, ageMs: 1_235 }]);
+  t.end();
+});
+
+// Guards against an empty configuration that an instance serves after a restart.
+t.test("a source that is not ready refuses watchers", (t) => {
+  const { bench, source, add } = createSource();
+  bench.isReady = false;
+  const stream = createStream(0);
+  let error: unknown;
+  stream.on("error", (found) => error = found);
+  add(stream);
+  t.ok(isFault(decodeFault(error as never, "one"), "unavailable"));
+  t.equal(stream.written.length, 0);
+  t.equal(source.countWatchers(), 0);
+  t.end();
+});
+
+// Guards against watchers that are kept after they have gone.
+t.test("a watcher that has gone is forgotten", (t) => {
+  const { source, add } = createSource();
+  for (const event of ["cancelled", "error", "close"]) {
+    const stream = createStream(1);
+    add(stream);
+    t.equal(source.countWatchers(), 1);
+    stream.emit(event, new Error("lost"));
+    t.equal(source.countWatchers(), 0, event);
+  }
+  t.end();
+});
--- a/src/instance/request_routing.ts
+++ b/src/instance/request_routing.ts
@@ -157,7 +157,11 @@
         last ??= error;
       }
     }
-    throw last;
+    throw last ?? createFault(
+      "deadlineExceeded",
+      `Cannot run request "${request.requestId}": its deadline has passed`,
+      { ran: "no" },
+    );
   }
 
   return {
--- /dev/null
+++ b/src/instance/request_routing_test.ts
@@ -0,0 +1,181 @@
+import t from "tap";
+import { advanceBy } from "../../test/controller_fakes.ts";
+import {
+  createFault,
+  createManualClock,
+  createSeededRandom,
+  createSilentLogger,
+  type Fault,
+  type FaultKind,
+  type Ran,
+} from "../common/mod.ts";
+import type { FleetView } from "../fleet/mod.ts";
+import type { AdmittedRequest } from "../http/mod.ts";
+import type { Forwarder, RetryBudget } from "../requests/mod.ts";
+import type { LeaderCalls } from "./leader_calls.ts";
+import { createRequestRouting } from "./request_routing.ts";
+
+type Outcome = "ok" | { fault: FaultKind; ran?: Ran };
+
+const REQUEST: AdmittedRequest = {
+  requestId: "r1",
+  scope: "t",
+  team: "t",
+  queue: "orders",
+  idempotent: true,
+  isCallerNamed: true,
+  remainingMs: 5_000,
+  contentType: "text/plain",
+  body: new Uint8Array(),
+} as unknown as AdmittedRequest;
+
+/** Runs a request; each data centre refuses or grants as `outcomes` says. */
+async function runRequest(
+  outcomes: Record<string, Outcome>,
+  request: Partial<AdmittedRequest> = {},
+) {
+  const clock = createManualClock(1_000);
+  const asked: string[] = [];
+  let sent = 0;
+  const routing = createRequestRouting({
+    instance: "self",
+    dataCentre: "own",
+    view: {
+      getState: () => ({ dataCentres: ["own", "near", "far"] }),
+    } as unknown as FleetView,
+    calls: {
+      findLeader: () => undefined,
+      call(method: string, _request: unknown, options: { dataCentre: string }) {
+        if (method !== "acquireSlot") return Promise.resolve({});
+        asked.push(options.dataCentre);
+        const outcome = outcomes[options.dataCentre] ?? "ok";
+        if (outcome !== "ok") {
+          const { fault, ran } = outcome;
+          return Promise.reject(
+            createFault(
+              fault,
+              "Cannot serve",
+              ran === undefined ? {} : { ran },
+            ),
+          );
+        }
+        const grant = {
+          token: "1",
+          endpoint: "e",
+          address: "http://e",
+          epoch: 1,
+          validForMs: 1_000,
+        };
+        return Promise.resolve({ outcome: "grant", grant });
+      },
+    } as unknown as LeaderCalls,
+    forwarder: {
+      send() {
+        sent++;
+        const body = new Uint8Array();
+        return Promise.resolve({
+          kind: "answered",
+          answer: { status: 200, contentType: "", body, durationMs: 1 },
+        });
+      },
+    } as unknown as Forwarder,
+    retryBudget: {
+      take: () => false,
+      recordRequest: () => {},
+    } as unknown as RetryBudget,
+    findHome: () => "far",
+    listOthers: () => ["near", "far"],
+    clock,
+    random: createSeededRandom(20_261_204),
+    logger: createSilentLogger(),
+  });
+  const outcome = routing.execute({ ...REQUEST, ...request }).then(
+    ({ status }) => String(status),
+    (error: Fault | undefined) => `${error?.kind}, ran ${error?.ran}`,
+  );
+  await advanceBy(clock, 10_000, 100);
+  return { outcome: await outcome, asked: [...new Set(asked)], sent };
+}
+
+const CASES: {
+  /** What the rule prevents. */
+  name: string;
+  outcomes?: Record<string, Outcome>;
+  request?: Partial<AdmittedRequest>;
+  outcome: string;
+  asked: string[];
+}[] = [
+  {
+    name: "work leaves its data centre without need",
+    outcome: "200",
+    asked: ["own"],
+  },
+  {
+    name: "a data centre without a leader fails its callers",
+    outcomes: { own: { fault: "unavailable" }, near: { fault: "overloaded" } },
+    outcome: "200",
+    asked: ["own", "near", "far"],
+  },
+  {
+    name: "the caller learns another data centre's refusal only",
+    outcomes: {
+      own: { fault: "overloaded" },
+      near: { fault: "unavailable" },
+      far: { fault: "unavailable" },
+    },
+    outcome: "overloaded, ran no",
+    asked: ["own", "near", "far"],
+  },
+  {
+    name: "a refusal for the caller's fault is tried everywhere",
+    outcomes: { own: { fault: "limitReached" } },
+    outcome: "limitReached, ran no",
+    asked: ["own"],
+  },
+  {
+    name: "a request that may run is run elsewhere as well",
+    outcomes: { own: { fault: "unavailable", ran: "unknown" } },
+    outcome: "unavailable, ran unknown",
+    asked: ["own"],
+  },
+  {
+    name: "a lost leader makes a request unknown that was never sent",
+    outcomes: { own: { fault: "outcomeUnknown" } },
+    outcome: "200",
+    asked: ["own", "near"],
+  },
+  {
+    name: "a request of a caller's identifier runs away from its record",
+    request: { idempotent: false },
+    outcome: "200",
+    asked: ["far"],
+  },
+  {
+    name: "a request runs elsewhere while its home cannot be reached",
+    outcomes: { far: { fault: "unavailable" } },
+    request: { idempotent: false },
+    outcome: "unavailable, ran no",
+    asked: ["far"],
+  },
+  {
+    name: "a request without resends depends on a far home",
+    request: { idempotent: false, isCallerNamed: false },
+    outcome: "200",
+    asked: ["own"],
+  },
+  {
+    name: "a request past its deadline ends without a fault",
+    request: { remainingMs: 0 },
+    outcome: "deadlineExceeded, ran no",
+    asked: [],
+  },
+];
+
+for (const { name, outcomes = {}, request, outcome, asked } of CASES) {
+  t.test(`routed, else ${name}`, async (t) => {
+    const found = await runRequest(outcomes, request);
+    t.equal(found.outcome, outcome);
+    t.same(found.asked, asked);
+    t.ok(found.sent <= 1);
+  });
+}
