--- a/src/requests/team_excess.ts
+++ b/src/requests/team_excess.ts
@@ -33,14 +33,14 @@
   getCounts(): TeamCounts;
 }
 
-function sumOf(values: Iterable<number>): number {
+function computeSum(values: Iterable<number>): number {
   let sum = 0;
   for (const value of values) sum += value;
   return sum;
 }
 
 function countShared({ inFlight, inFlightByTeam = {} }: TeamReport): number {
-  return Math.max(0, inFlight - sumOf(Object.values(inFlightByTeam)));
+  return Math.max(0, inFlight - computeSum(Object.values(inFlightByTeam)));
 }
 
 /** Creates the counts from the endpoint's first report. */
--- a/test/work_fleet.ts
+++ b/test/work_fleet.ts
@@ -210,7 +210,7 @@
 export interface JobState {
   readonly id: string;
   readonly state: string;
-  readonly tasks: { index: number; attempt: number; outcome?: string }[];
+  readonly tasks: { index: number; attempt: number; worker?: string }[];
 }
 
 /** Calls about jobs, each through the next instance. */
