--- a/test/docs_test.ts
+++ b/test/docs_test.ts
@@ -50,6 +50,44 @@
   t.strictSame(described.sort(), served.sort());
 });
 
+/** Tells whether a test file has a test of this name. */
+async function hasTest(file: string, name: string): Promise<boolean> {
+  const text = await readFile(new URL(file, ROOT), "utf8");
+  return /_test\.ts$/.test(file) &&
+    [...text.matchAll(/\.test\(\s*"([^"]+)"/g)].some(([, own]) => own === name);
+}
+
+// Guards against an invariant that is called proved by a test that does not exist, and against empty cells.
+t.test("each test that the page of faults names exists", async (t) => {
+  const text = await readFile(new URL("docs/faults.md", ROOT), "utf8");
+  const rows = text.split("\n").filter((line) => line.startsWith("| "))
+    .map((line) => line.split("|").slice(1, -1).map((cell) => cell.trim()));
+  const codes = new Set<string>();
+  for (const [code = "", test = ""] of rows.filter((row) => row.length === 2)) {
+    if (!/^[A-Z]+\d+$/.test(code)) continue;
+    codes.add(code);
+    const [, file, name] = /^`([^`]+)`: (.+)$/.exec(test) ?? [];
+    if (code.startsWith("N")) t.not(test, "", code);
+    else t.ok(await hasTest(file ?? "", name ?? ""), `${code}: ${test}`);
+  }
+  const failures = rows.filter((row) => row.length === 11).slice(1)
+    .filter(([failure]) => !failure?.startsWith("---"));
+  t.equal(failures.length, 15, "each failure has a row");
+  const used = new Set<string>();
+  for (const [failure, ...cells] of failures) {
+    for (const cell of cells) {
+      const named = cell.split(" ");
+      named.forEach((code) => used.add(code));
+      t.ok(named.every((code) => codes.has(code)), `${failure}: "${cell}"`);
+    }
+  }
+  t.strictSame(
+    [...codes].filter((code) => !used.has(code)),
+    [],
+    "no idle code",
+  );
+});
+
 // Guards against operators who read figures by the wrong objective or metric.
 t.test("the report page names objectives and metrics", async (t) => {
   const rows = await readTable("docs/burn_report.md");
