--- /dev/null
+++ b/src/instance/leader_client.ts
@@ -0,0 +1,157 @@
+/** What an instance asks of the leaders of data centres, with the time for each call. */
+
+import { Buffer } from "node:buffer";
+import type { AllotmentAsk, AllotmentTransfer } from "../allotments/mod.ts";
+import type { Clock } from "../common/mod.ts";
+import type {
+  EndpointAnnouncementReply,
+  WorkerAnnouncementReply,
+} from "../data_centre/announcements.ts";
+import type { FleetView, Limits } from "../fleet/mod.ts";
+import type { JobView, SubmittedJob } from "../http/mod.ts";
+import type { HomeFinder } from "../requests/mod.ts";
+import type {
+  AllotmentOffer,
+  AnnouncementReplies,
+  JobReply,
+  JsonBody,
+} from "../rpc/mod.ts";
+import { createAnnouncementBatches } from "./announcement_batches.ts";
+import type { LeaderCalls } from "./leader_calls.ts";
+
+/** Time that an announcement of a worker may take, in milliseconds. */
+const WORKER_ANNOUNCE_TIMEOUT_MS = 1_000;
+
+/**
+ * Time that an announcement of an endpoint may take, in milliseconds. The
+ * leader counts slots on the assumption that none is older when it arrives.
+ */
+const ENDPOINT_ANNOUNCE_TIMEOUT_MS = 500;
+
+/** Time for handing a job or a question about it to a leader, in milliseconds. */
+const JOB_TIMEOUT_MS = 5_000;
+
+/** Time for an ask or a transfer of allotment, in milliseconds. */
+const ALLOTMENT_TIMEOUT_MS = 1_000;
+
+/** Time for the status of one data centre, in milliseconds. */
+const STATUS_TIMEOUT_MS = 1_000;
+
+/** Options of a leader client. */
+export interface LeaderClientOptions {
+  calls: LeaderCalls;
+  findHome: HomeFinder;
+  view: FleetView;
+  clock: Clock;
+}
+
+/** Asks leaders. */
+export interface LeaderClient {
+  sendAsk(ask: AllotmentAsk): Promise<Limits>;
+  sendTransfer(transfer: AllotmentTransfer): Promise<void>;
+  submitJob(team: string, job: SubmittedJob): Promise<JobView>;
+  getJob(team: string, id: string): Promise<JobView>;
+  cancelJob(team: string, id: string): Promise<JobView>;
+  announceEndpoint(
+    dataCentre: string,
+    body: Uint8Array,
+  ): Promise<EndpointAnnouncementReply>;
+  announceWorker(
+    dataCentre: string,
+    body: Uint8Array,
+  ): Promise<WorkerAnnouncementReply>;
+  /** Never rejects; a data centre that does not answer is described as such. */
+  getStatus(dataCentre: string): Promise<unknown>;
+}
+
+function parseBody(body: Uint8Array) {
+  return JSON.parse(Buffer.from(body).toString());
+}
+
+/** Creates a leader client. */
+export function createLeaderClient(options: LeaderClientOptions): LeaderClient {
+  const { calls, findHome, view, clock } = options;
+
+  async function callHome(
+    method: string,
+    request: { team: string; job?: Buffer; jobId?: string },
+    jobId: string,
+  ): Promise<JobView> {
+    const home = findHome(
+      { scope: `team:${request.team}`, requestId: jobId },
+      view.getState().dataCentres,
+    );
+    const reply = await calls.call<JobReply>(method, request, {
+      dataCentre: home,
+      timeoutMs: JOB_TIMEOUT_MS,
+      // A job's identifier makes a repeated submission harmless.
+      idempotent: true,
+    });
+    return parseBody(reply.job);
+  }
+
+  const announcements = createAnnouncementBatches({
+    clock,
+    sendBatch: (dataCentre, batch) =>
+      calls.call<AnnouncementReplies>("announceWorkers", batch, {
+        dataCentre,
+        timeoutMs: WORKER_ANNOUNCE_TIMEOUT_MS,
+        idempotent: true,
+      }),
+  });
+
+  return {
+    async sendAsk(ask) {
+      const { from, to, team, wanted, entitled, levelling } = ask;
+      const reply = await calls.call<AllotmentOffer>(
+        "askAllotment",
+        { fromDataCentre: from, team, wanted, entitled, levelling },
+        // Asked again, the other side would give twice.
+        { dataCentre: to, timeoutMs: ALLOTMENT_TIMEOUT_MS, idempotent: false },
+      );
+      return reply.offered;
+    },
+    async sendTransfer({ id, from, to, team, amount }) {
+      await calls.call(
+        "transferAllotment",
+        {
+          transferId: id,
+          fromDataCentre: from,
+          toDataCentre: to,
+          team,
+          amount,
+        },
+        { dataCentre: to, timeoutMs: ALLOTMENT_TIMEOUT_MS, idempotent: true },
+      );
+    },
+    submitJob: (team, job) =>
+      callHome(
+        "submitJob",
+        { team, job: Buffer.from(JSON.stringify(job)) },
+        job.id,
+      ),
+    getJob: (team, jobId) => callHome("getJob", { team, jobId }, jobId),
+    cancelJob: (team, jobId) => callHome("cancelJob", { team, jobId }, jobId),
+    async announceEndpoint(dataCentre, body) {
+      const reply = await calls.call<JsonBody>("announceEndpoint", { body }, {
+        dataCentre,
+        timeoutMs: ENDPOINT_ANNOUNCE_TIMEOUT_MS,
+        idempotent: true,
+      });
+      return parseBody(reply.body);
+    },
+    announceWorker: announcements.send,
+    async getStatus(dataCentre) {
+      try {
+        const reply = await calls.call<JsonBody>("getStatus", {}, {
+          dataCentre,
+          timeoutMs: STATUS_TIMEOUT_MS,
+          idempotent: true,
+        });
+        return parseBody(reply.body);
+      } catch (error) {
+        return { dataCentre, unreachable: String(error) };
+      }
+    },
+  };
+}
--- a/src/instance/mod.ts
+++ b/src/instance/mod.ts
@@ -1,3 +1,4 @@
 /** Running instances. */
 
 export * from "./instance.ts";
+export * from "./log_groups.ts";
