Keep accepted connections open while a stopping instance waits

Now only the listening socket is closed; a request that still arrives is refused as not run, for half a second at least.

Ruled out: a longer notice before the stop, since callers that do not look at readiness go on connecting. What remains is a connection that the kernel has accepted and the process has not, in the moment in which it closes the socket.

--- a/src/http/http_server.ts
+++ b/src/http/http_server.ts
@@ -9,6 +9,7 @@
   createServer as createTlsServer,
   type Server as TlsServer,
 } from "node:https";
+import { Server as NetServer } from "node:net";
 import { H3, type H3Event, toNodeHandler } from "h3";
 import { createFault, type Logger, toFault } from "../common/mod.ts";
 import type { CertificateFiles } from "../tls/mod.ts";
@@ -51,7 +52,7 @@
   readonly port: number;
   /** Number of requests without an answer yet. */
   countOpen(): number;
-  /** Takes no new connections; open ones end after their current answer. */
+  /** Takes no new connections; open ones end after their next answer. */
   stopAccepting(): void;
   /** Ends all connections. */
   close(): Promise<void>;
@@ -182,8 +183,9 @@
     countOpen: () => openCount,
     stopAccepting() {
       isStopping = true;
-      server.close();
-      server.closeIdleConnections();
+      // The close of the HTTP server would also end connections whose request
+      // is still on its way, and their callers could not tell what became of it.
+      NetServer.prototype.close.call(server);
     },
     close() {
       server.closeAllConnections();
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -59,6 +59,9 @@
  */
 export const DRAIN_NOTICE_MS = 1_000;
 
+/** Time in which a request may still arrive on a connection that was accepted, in milliseconds. */
+const ARRIVAL_GRACE_MS = 500;
+
 /** Time between looks at the open requests during a stop, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
@@ -422,6 +425,8 @@
     await work?.stop();
     readiness.setRefusing();
     http.stopAccepting();
+    // Requests that are on their way on accepted connections get a refusal.
+    await wait(ARRIVAL_GRACE_MS);
     await waitForOpenRequests();
     await forwarder.close();
     await fleet.stop();
