--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -35,8 +35,10 @@
 import type { LogMember } from "../replicated_log/mod.ts";
 import {
   type AllotmentOffer,
+  type AnnouncementReplies,
   createLogSender,
   createPeerSet,
+  createRpcCredentials,
   type HeartbeatMessage,
   type JobReply,
   type JsonBody,
@@ -44,7 +46,14 @@
   type RpcServer,
   startRpcServer,
 } from "../rpc/mod.ts";
-import type { Address, InstanceEntry, Settings } from "../settings/mod.ts";
+import type {
+  Address,
+  InstanceEntry,
+  Settings,
+  TlsFiles,
+} from "../settings/mod.ts";
+import { openCertificateFiles } from "../tls/mod.ts";
+import { createAnnouncementBatches } from "./announcement_batches.ts";
 import { checkAddress } from "./check_address.ts";
 import { createFleetService, FLEET_GROUP } from "./fleet_service.ts";
 import { readAllBurn } from "./burn_collection.ts";
@@ -139,14 +148,15 @@
   });
 }
 
-/** Starts an instance; rejects with a fault when it cannot listen. */
+/**
+ * Starts an instance; rejects with a fault when it cannot listen, of kind
+ * `badRequest` when the files of `tls` cannot be used.
+ */
 export async function startInstance(
   settings: Settings,
   options: InstanceOptions,
 ): Promise<Instance> {
   const { instance, dataCentre } = settings;
-  await checkAddress(settings.listen.rpc);
-  await checkAddress(settings.listen.http);
   const clock = options.clock ?? createSystemClock();
   const incarnation = clock.wallTime();
   const startedAtMs = clock.now();
@@ -158,6 +168,24 @@
   let isStopping = false;
   let isRefusing = false;
 
+  // Before anything else, so that unusable files leave nothing running.
+  const openFiles = async (setting: string, files: TlsFiles | undefined) =>
+    files === undefined ? undefined : await openCertificateFiles({
+      setting,
+      files,
+      reloadMs: settings.tls.reloadMs,
+      clock,
+      logger,
+    });
+  const rpcFiles = await openFiles("tls.rpc", settings.tls.rpc);
+  const httpFiles = await openFiles("tls.http", settings.tls.http).catch(
+    (error) => {
+      rpcFiles?.close();
+      throw error;
+    },
+  );
+  const credentials = rpcFiles && createRpcCredentials(rpcFiles);
+
   const others = settings.instances
     .filter((entry) => entry.instance !== instance);
   const peers = createPeerSet({
@@ -165,10 +193,14 @@
       instance: entry.instance,
       address: formatAddress(entry.rpc),
     })),
+    ...(credentials && { credentials: credentials.channel }),
   });
   const sender = createLogSender({ peers, clock });
   const members = new Map<string, LogMemberHandle>();
 
+  await checkAddress(settings.listen.rpc);
+  await checkAddress(settings.listen.http);
+
   // The services refer to each other; what is used before its creation is
   // reached through these functions.
   const fleet = await createFleetService({
@@ -329,6 +361,7 @@
 
   const rpc: RpcServer = await startRpcServer({
     ...settings.listen.rpc,
+    ...(credentials && { credentials: credentials.server }),
     services: {
       Consensus: {
         writeStreams: {
@@ -395,18 +428,25 @@
     return JSON.parse(Buffer.from(reply.job).toString());
   }
 
-  async function announce(
-    method: string,
-    body: Uint8Array,
-    target: { dataCentre: string; timeoutMs: number },
-  ) {
-    const reply = await calls.call<JsonBody>(method, { body }, {
-      ...target,
+  async function announceEndpoint(name: string, body: Uint8Array) {
+    const reply = await calls.call<JsonBody>("announceEndpoint", { body }, {
+      dataCentre: name,
+      timeoutMs: ENDPOINT_ANNOUNCE_TIMEOUT_MS,
       idempotent: true,
     });
     return JSON.parse(Buffer.from(reply.body).toString());
   }
 
+  const announcements = createAnnouncementBatches({
+    clock,
+    sendBatch: (name, batch) =>
+      calls.call<AnnouncementReplies>("announceWorkers", batch, {
+        dataCentre: name,
+        timeoutMs: WORKER_ANNOUNCE_TIMEOUT_MS,
+        idempotent: true,
+      }),
+  });
+
   async function getDataCentreStatus(name: string): Promise<unknown> {
     try {
       const reply = await calls.call<JsonBody>("getStatus", {}, {
@@ -516,6 +556,7 @@
   };
   const http: HttpServer = await startHttpServer({
     ...settings.listen.http,
+    ...(httpFiles && { certificateFiles: httpFiles }),
     logger,
     handleAnswered: (context, status, durationMs) =>
       observer.recordHttpAnswer(context.route, status, durationMs),
@@ -541,16 +582,8 @@
           sendJobCall("cancelJob", { team, jobId }, jobId),
       }),
       ...createAnnounceRoutes({
-        announceEndpoint: (name, body) =>
-          announce("announceEndpoint", body, {
-            dataCentre: name,
-            timeoutMs: ENDPOINT_ANNOUNCE_TIMEOUT_MS,
-          }),
-        announceWorker: (name, body) =>
-          announce("announceWorker", body, {
-            dataCentre: name,
-            timeoutMs: WORKER_ANNOUNCE_TIMEOUT_MS,
-          }),
+        announceEndpoint,
+        announceWorker: announcements.send,
       }),
       ...createOperatorRoutes({
         ...(settings.operatorTokenHash === undefined
@@ -607,6 +640,8 @@
     rpc.close();
     sender.close();
     peers.close();
+    rpcFiles?.close();
+    httpFiles?.close();
     logger.info("Stopped");
   }
 
--- a/src/instance/request_routing.ts
+++ b/src/instance/request_routing.ts
@@ -159,7 +159,11 @@
         last ??= error;
       }
     }
-    throw last;
+    throw last ?? createFault(
+      "deadlineExceeded",
+      `Cannot run request "${request.requestId}": its deadline has passed`,
+      { ran: "no" },
+    );
   }
 
   return {
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -11,13 +11,19 @@
   isFault,
   type Logger,
   type Random,
+  renderFault,
+  toFault,
 } from "../common/mod.ts";
 import {
   type EndpointAnnouncementReply,
   parseWorkerAnnouncement,
 } from "../data_centre/announcements.ts";
 import type { RecordedJobSpec } from "../data_centre/job_records.ts";
-import { type Leadership, startLeadership } from "../data_centre/leadership.ts";
+import {
+  type Leadership,
+  type LeadershipOptions,
+  startLeadership,
+} from "../data_centre/leadership.ts";
 import {
   type DataCentreCommand,
   type DataCentreResult,
@@ -30,6 +36,9 @@
 import type {
   AllotmentAsk as AskMessage,
   AllotmentTransfer as TransferMessage,
+  AnnouncementBatch,
+  AnnouncementReplies,
+  AnnouncementReply,
   JobQuery,
   JobReply,
   JobRequest,
@@ -61,6 +70,7 @@
   /** Sends an ask to the leader of another data centre. */
   sendAsk: (ask: AllotmentAsk) => Promise<Limits>;
   sendTransfer: (transfer: AllotmentTransfer) => Promise<void>;
+  createCommandSender?: LeadershipOptions["createCommandSender"];
 }
 
 /** The service and its connection to the log. */
@@ -74,6 +84,8 @@
   stop(): Promise<void>;
 }
 
+const NO_BYTES = new Uint8Array(0);
+
 function encodeJson(value: unknown): Buffer {
   return Buffer.from(JSON.stringify(value));
 }
@@ -151,6 +163,9 @@
       propose,
       sendAsk: options.sendAsk,
       sendTransfer: options.sendTransfer,
+      ...(options.createCommandSender === undefined
+        ? {}
+        : { createCommandSender: options.createCommandSender }),
       handleTaskStart: observer.recordTaskStart,
       handleTaskEnd: observer.recordTaskEnd,
       handlePlacement: (durationMs) =>
@@ -289,11 +304,24 @@
     return Promise.resolve({ body: encodeJson(reply) });
   }
 
-  function announceWorker(message: JsonBody): Promise<JsonBody> {
+  function announceWorkers(
+    batch: AnnouncementBatch,
+  ): Promise<AnnouncementReplies> {
     const { workers } = getLeadership();
-    const announcement = parseWorkerAnnouncement(parseJson(message.body));
-    const reply = workers.receiveAnnouncement(announcement);
-    return Promise.resolve({ body: encodeJson(reply) });
+    const replies = batch.bodies.map((body): AnnouncementReply => {
+      try {
+        const announcement = parseWorkerAnnouncement(parseJson(body));
+        const reply = workers.receiveAnnouncement(announcement);
+        return { body: encodeJson(reply), fault: NO_BYTES };
+      } catch (error) {
+        // One bad announcement must not cost the others their leases.
+        return {
+          body: NO_BYTES,
+          fault: encodeJson(renderFault(toFault(error))),
+        };
+      }
+    });
+    return Promise.resolve({ replies });
   }
 
   async function transferAllotment(message: TransferMessage) {
@@ -355,7 +383,7 @@
         return {};
       },
       announceEndpoint,
-      announceWorker,
+      announceWorkers,
       submitJob,
       getJob: (query: JobQuery) => Promise.resolve(renderReply(query)),
       cancelJob,
