Add refused proposals, slow writes and leaving data centres to the cell runs

Cause: the empty first proposal of a rebuilt leadership was not covered. The runs now refuse 1 proposal of 100, which rebuilds the controllers in the same epoch, delay 1 write of 10 by up to 100 ms, and let data centres leave and join.

With the empty proposal left out on a scratch copy the run now stops: a job that was recorded after the rebuilt controllers had read the state stays unknown to them and never ends. That could happen before.

--- a/test/cell_schedule.ts
+++ b/test/cell_schedule.ts
@@ -169,7 +169,7 @@
   const epochs = new Map<FakeWorker, number>();
   const finished = new Map<string, number>();
   let nextJob = 0;
-  let isFaulty = true;
+  let isFaulty = false;
   let failure: Error | undefined;
 
   function check(holds: boolean, what: string): void {
@@ -211,8 +211,14 @@
   /** Writes of an ended life must not reach the storage of the next one. */
   function createLifeStorage(member: Member): LogStorage {
     const { life, storage } = member;
-    const run = <T>(write: () => Promise<T>): Promise<T> =>
-      member.life === life ? write() : new Promise(() => {});
+    const run = async <T>(write: () => Promise<T>): Promise<T> => {
+      if (isFaulty && random.nextFloat() < 0.1) {
+        await new Promise<void>((resolve) => {
+          clock.setTimer(random.nextInt(100), resolve);
+        });
+      }
+      return member.life === life ? await write() : await new Promise(() => {});
+    };
     return {
       load: () => storage.load(),
       saveVote: (vote) => run(() => storage.saveVote(vote)),
@@ -438,7 +444,15 @@
       },
     });
     if (!isAlive()) return;
-    member.log = log;
+    member.log = {
+      ...log,
+      // A refused proposal rebuilds the controllers within the same epoch,
+      // while proposals of the former ones are still on their way.
+      propose: (command) =>
+        isFaulty && random.nextFloat() < 0.01
+          ? Promise.reject(createFault("overloaded", "Cannot append"))
+          : log.propose(command),
+    };
     member.service = service;
     member.state = state;
   }
@@ -697,6 +711,7 @@
       }
     } else if (event < 79) restartWorker(worker);
     else if (event < 86) setLimit(random.nextInt(24));
+    else if (event < 87) setDataCentres(1 + random.nextInt(7));
   }
 
   function setLimit(count: number): void {
@@ -704,6 +719,12 @@
     change({ type: "updateTeam", name, limits: toLimits(count) });
   }
 
+  /** Makes some data centres leave or join; `mask` selects those that stay. */
+  function setDataCentres(mask: number): void {
+    const names = DATA_CENTRES.filter((_, at) => mask & (1 << at));
+    change({ type: "setDataCentres", names });
+  }
+
   async function runTurn(): Promise<void> {
     clock.advance(STEP_MS);
     // Storage in memory completes within one turn of the event loop.
@@ -729,11 +750,13 @@
   }
   for (const member of members) await startMember(findCell(member.dc), member);
   for (let spent = 0; spent < 2_000; spent += STEP_MS) await runTurn();
+  isFaulty = true;
   for (let spent = 0; spent < faultMs; spent += STEP_MS) {
     if (spent % EVENT_PERIOD_MS === 0) runEvent();
     await runTurn();
   }
   isFaulty = false;
+  change({ type: "setDataCentres", names: DATA_CENTRES });
   for (const name of TEAMS) {
     change({ type: "updateTeam", name, limits: toLimits(12) });
   }
