Announce workers in batches in the cell runs

The run now sends batches of one, and a method that does not exist ends the run with its name, where it looked like a lost call before.

--- a/test/cell_schedule.ts
+++ b/test/cell_schedule.ts
@@ -51,6 +51,7 @@
   type LogStorage,
   type ReplicatedLog,
 } from "../src/replicated_log/mod.ts";
+import type { AnnouncementReplies } from "../src/rpc/mod.ts";
 import type { JobSpec } from "../src/scheduling/mod.ts";
 import type { Settings } from "../src/settings/mod.ts";
 import {
@@ -306,8 +307,10 @@
       sendLater(() => {
         if (isLost() || !leader.isUp || leader.service === undefined) return;
         const { signal } = new AbortController();
-        const answer = async () =>
-          await leader.service!.handlers[method]!(request, { signal });
+        const handler = leader.service.handlers[method];
+        // A renamed method would otherwise look like a lost call.
+        if (handler === undefined) return check(false, `no method "${method}"`);
+        const answer = async () => await handler(request, { signal });
         answer().then(
           (reply) => sendLater(() => isLost() || resolve(reply)),
           (error) => sendLater(() => isLost() || reject(error)),
@@ -514,12 +517,12 @@
         state: task.state,
       })),
     });
-    callLeader(undefined, cell.name, "announceWorker", { body }).then(
+    const batch = { bodies: [body] };
+    callLeader(undefined, cell.name, "announceWorkers", batch).then(
       (reply) => {
         if (!worker.isReachable || worker.incarnation !== incarnation) return;
-        const { epoch, leaseMs, renewed } = decodeJson(
-          (reply as { body: Uint8Array }).body,
-        );
+        const [first] = (reply as AnnouncementReplies).replies;
+        const { epoch, leaseMs, renewed } = decodeJson(first!.body);
         if (epoch < (epochs.get(worker) ?? 0)) return;
         const attempts = renewed.map(parseAttempt);
         receiveReply(worker, { renewed: attempts, leaseMs }, sentAtMs);
