Show why a job cannot run only while the scheduler says so

Cause: the worker controller kept the reasons of the last report, and a job that could run again after the fleet had grown was still shown as one that cannot. The scheduler's own view of the job is the only source now. The command line test adds a worker that is large enough.

--- a/src/data_centre/worker_controller.ts
+++ b/src/data_centre/worker_controller.ts
@@ -12,7 +12,6 @@
 } from "../common/mod.ts";
 import type {
   JobSpec,
-  NeverRunnableReason,
   RestoredJob,
   RestoredTask,
   Scheduler,
@@ -78,8 +77,6 @@
   addJob(spec: RecordedJobSpec): void;
   /** Hands a recorded cancellation to the scheduler. */
   cancelJob(job: string): void;
-  /** Why a job cannot run at present, if so. */
-  findNeverRunnable(job: string): readonly NeverRunnableReason[] | undefined;
   /** Workers heard of, with their addresses. */
   listWorkers(): { worker: string; address: string; silentMs: number }[];
   stop(): void;
@@ -90,8 +87,8 @@
   lastSeenMs: number;
 }
 
-/** Converts a recorded job for the scheduler of a new leader. */
-export function toRestoredJob(record: JobRecord): RestoredTask[] {
+/** Converts the recorded tasks of a job for the scheduler of a new leader. */
+export function toRestoredTasks(record: JobRecord): RestoredTask[] {
   return [...record.tasks].map(([index, task]) => {
     const isWaiting = task.outcome === "checkpointed";
     const state = task.final || isWaiting ? task.outcome : undefined;
@@ -161,7 +158,6 @@
 ): WorkerController {
   const { clock, scheduler, epoch } = options;
   const workers = new Map<string, WorkerEntry>();
-  const neverRunnable = new Map<string, readonly NeverRunnableReason[]>();
   let isRunning = false;
   let isRequested = false;
   let isStopped = false;
@@ -184,7 +180,7 @@
       jobs.push({
         spec: toSpec(record.spec),
         ...(record.cancelled ? { cancelled: true } : {}),
-        tasks: toRestoredJob(record),
+        tasks: toRestoredTasks(record),
       });
       for (const [index, { attempt, worker }] of record.tasks) {
         if (worker !== undefined) {
@@ -231,11 +227,9 @@
     }
   }
 
-  function recordNeverRunnable(actions: readonly SchedulerAction[]): void {
+  function logNeverRunnable(actions: readonly SchedulerAction[]): void {
     for (const action of actions) {
-      if (action.type === "endJob") neverRunnable.delete(action.job);
       if (action.type !== "neverRunnable") continue;
-      neverRunnable.set(action.job, action.reasons);
       options.logger.warn("Job cannot run on the present fleet", {
         job: action.job,
         reasons: action.reasons,
@@ -247,7 +241,7 @@
   async function runActions(
     actions: readonly SchedulerAction[],
   ): Promise<void> {
-    recordNeverRunnable(actions);
+    logNeverRunnable(actions);
     const commands = actions.map(toCommand).filter((c) => c !== undefined);
     if (commands.length > 0) {
       checkAssignments(commands, await options.propose(commands));
@@ -344,7 +338,6 @@
       scheduler.cancelJob(job);
       startStep();
     },
-    findNeverRunnable: (job) => neverRunnable.get(job),
     listWorkers: () =>
       [...workers].map(([worker, entry]) => ({
         worker,
--- a/src/instance/job_view.ts
+++ b/src/instance/job_view.ts
@@ -2,13 +2,7 @@
 
 import type { JobRecord } from "../data_centre/job_records.ts";
 import type { JobView } from "../http/mod.ts";
-import type { Job, NeverRunnableReason } from "../scheduling/mod.ts";
-
-/** What the leader knows beyond the record. */
-export interface JobKnowledge {
-  job?: Job | undefined;
-  neverRunnable?: readonly NeverRunnableReason[] | undefined;
-}
+import type { Job } from "../scheduling/mod.ts";
 
 function getState(record: JobRecord, job: Job | undefined): string {
   if (record.end !== undefined) return record.end;
@@ -16,10 +10,13 @@
   return job?.state ?? "queued";
 }
 
-/** Renders a job; its tasks are those that were ever assigned. */
-export function renderJob(record: JobRecord, known: JobKnowledge): JobView {
+/**
+ * Renders a job; its tasks are those that were ever assigned. `job` is absent
+ * once the scheduler has forgotten an ended job.
+ */
+export function renderJob(record: JobRecord, job: Job | undefined): JobView {
   const { spec } = record;
-  const neverRunnable = known.job?.neverRunnable ?? known.neverRunnable;
+  const neverRunnable = job?.neverRunnable;
   const tasks = [...record.tasks].map(([index, task]) => ({
     index,
     attempt: task.attempt,
@@ -32,12 +29,12 @@
     id: spec.id,
     team: spec.team,
     policy: spec.policy,
-    state: getState(record, known.job),
+    state: getState(record, job),
     taskCount: spec.tasks,
     resources: spec.resources,
     urgent: spec.urgent,
     submittedAt: new Date(spec.submittedWallMs).toISOString(),
-    ...(known.job === undefined ? {} : { counts: known.job.counts }),
+    ...(job === undefined ? {} : { counts: job.counts }),
     ...(neverRunnable === undefined ? {} : { neverRunnable }),
     tasks,
   };
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -208,13 +208,10 @@
   }
 
   function renderReply(query: JobQuery): JobReply {
-    const { workers, scheduler } = getLeadership();
+    const { scheduler } = getLeadership();
     const record = findJob(query);
     return {
-      job: encodeJson(renderJob(record, {
-        job: scheduler.getJob(query.jobId),
-        neverRunnable: workers.findNeverRunnable(query.jobId),
-      })),
+      job: encodeJson(renderJob(record, scheduler.getJob(query.jobId))),
     };
   }
 
--- a/test/cli_test.ts
+++ b/test/cli_test.ts
@@ -11,6 +11,7 @@
 import { type DevCell, startDevCell } from "../src/dev/dev_cell.ts";
 import { callJson, waitUntil } from "./json_http.ts";
 import { createTestFolder, findFreePorts, startProcess } from "./processes.ts";
+import { startStandinWorker } from "./standin_worker.ts";
 
 t.setTimeout(120_000);
 
@@ -177,3 +178,39 @@
   t.equal(code, 4, second.getLines().join("\n"));
   t.equal(existsSync(join(folder, "second-data")), false, "nothing opened");
 });
+
+// Guards against a job that is shown as one that cannot run after the fleet has grown.
+t.test("a job says why it cannot run, for as long as it cannot", async (t) => {
+  const file = join(folder, "large.json");
+  const resources = { processors: 16_000, memoryMb: 65_537 };
+  const job = { id: "demo:large", resources, payload: { runMs: 60_000 } };
+  await writeFile(file, JSON.stringify(job));
+  await runProgram("team", "update", "demo", "--memory-mb", "200000");
+  await runJson("job", "submit", file);
+  const shown = await waitUntil(
+    async () => {
+      const answer = await runJson("job", "show", "demo:large");
+      return answer["neverRunnable"];
+    },
+    10_000,
+    "the reason",
+  );
+  t.match(shown, [{ resource: "memoryMb", requested: 65_537 }]);
+  const worker = await startStandinWorker({
+    name: "large-worker",
+    dataCentre: "demo",
+    rack: "rack-2",
+    entries: [cell.address],
+    capacity: { processors: 32_000, memoryMb: 131_072, accelerators: 0 },
+  });
+  t.teardown(() => worker.stop());
+  const running = await waitUntil(
+    async () => {
+      const answer = await runJson("job", "show", "demo:large");
+      return answer["state"] === "running" ? answer : undefined;
+    },
+    20_000,
+    "the start of the job",
+  );
+  t.equal(running["neverRunnable"], undefined);
+});
