--- a/src/cli/change_commands.ts
+++ b/src/cli/change_commands.ts
@@ -11,7 +11,12 @@
   string,
   subcommands,
 } from "cmd-ts";
-import { grantKey, submitOperations, withdrawKey } from "../client/mod.ts";
+import {
+  grantKey,
+  readFleetState,
+  submitOperations,
+  withdrawKey,
+} from "../client/mod.ts";
 import type { FleetOperation, Limits, QueuePolicy } from "../fleet/mod.ts";
 import { QUEUE_POLICIES } from "../fleet/mod.ts";
 import type { ChangeReport } from "../http/mod.ts";
@@ -21,6 +26,7 @@
   CONNECTION_OPTIONS,
   type ConnectionArgs,
   createOperatorClient,
+  renderTable,
   runCommand,
   writeOutput,
 } from "./shared.ts";
@@ -176,11 +182,35 @@
     }),
 });
 
+const listKeysCommand = command({
+  name: "list",
+  description: "List the keys in force, e.g. `key list`",
+  args: CONNECTION_OPTIONS,
+  handler: (args) =>
+    runCommand(async () => {
+      const state = await readFleetState(createOperatorClient(args));
+      const keys = [...state.keys.values()].map(({ id, team, grantedAt }) => ({
+        id,
+        team,
+        grantedAt: new Date(grantedAt).toISOString(),
+      }));
+      writeOutput(args.json, keys, () =>
+        renderTable(
+          ["key", "team", "granted"],
+          keys.map(({ id, team, grantedAt }) => [id, team, grantedAt]),
+        ));
+    }),
+});
+
 /** `goldcrestlug key`. */
 export const KEY_COMMANDS = subcommands({
   name: "key",
   description: "Keys of teams",
-  cmds: { grant: grantKeyCommand, withdraw: withdrawKeyCommand },
+  cmds: {
+    grant: grantKeyCommand,
+    list: listKeysCommand,
+    withdraw: withdrawKeyCommand,
+  },
 });
 
 function parsePolicy(text: string): QueuePolicy {
