--- a/src/cli/work_commands.ts
+++ b/src/cli/work_commands.ts
@@ -9,6 +9,7 @@
   subcommands,
 } from "cmd-ts";
 import { createFault } from "../common/mod.ts";
+import { REQUEST_ID_HEADER } from "../requests/constants.ts";
 import { readTextFile } from "./change_commands.ts";
 import {
   CONNECTION_OPTIONS,
@@ -116,7 +117,7 @@
         body,
         ...(args.id === undefined
           ? {}
-          : { headers: { "goldcrestlug-request-id": args.id } }),
+          : { headers: { [REQUEST_ID_HEADER]: args.id } }),
       });
       writeOutput(true, answer, () => "");
     }),
--- a/src/http/request_routes.ts
+++ b/src/http/request_routes.ts
@@ -4,6 +4,7 @@
 import { createHash, randomBytes } from "node:crypto";
 import { createFault } from "../common/mod.ts";
 import type { FleetView, Queue } from "../fleet/types.ts";
+import { REQUEST_ID_HEADER } from "../requests/constants.ts";
 import { createTimedRequestId } from "../requests/mod.ts";
 import type { ExecuteRequest, RecordedAnswer } from "../requests/types.ts";
 import {
@@ -20,9 +21,6 @@
   type RequestContext,
 } from "./request_context.ts";
 
-/** Header that names a request; a resend uses the same value. */
-export const REQUEST_ID_HEADER = "goldcrestlug-request-id";
-
 /** Header that marks a non-idempotent request with "false". */
 export const IDEMPOTENT_HEADER = "goldcrestlug-idempotent";
 
--- a/src/instance/leader_client.ts
+++ b/src/instance/leader_client.ts
@@ -9,6 +9,7 @@
 } from "../data_centre/announcements.ts";
 import type { FleetView, Limits } from "../fleet/mod.ts";
 import type { JobView, SubmittedJob } from "../http/mod.ts";
+import { ANNOUNCEMENT_DELAY_MS } from "../requests/constants.ts";
 import type { HomeFinder } from "../requests/mod.ts";
 import type {
   AllotmentOffer,
@@ -22,12 +23,6 @@
 /** Time that an announcement of a worker may take, in milliseconds. */
 const WORKER_ANNOUNCE_TIMEOUT_MS = 1_000;
 
-/**
- * Time that an announcement of an endpoint may take, in milliseconds. The
- * leader counts slots on the assumption that none is older when it arrives.
- */
-const ENDPOINT_ANNOUNCE_TIMEOUT_MS = 500;
-
 /** Time for handing a job or a question about it to a leader, in milliseconds. */
 const JOB_TIMEOUT_MS = 5_000;
 
@@ -135,7 +130,7 @@
     async announceEndpoint(dataCentre, body) {
       const reply = await calls.call<JsonBody>("announceEndpoint", { body }, {
         dataCentre,
-        timeoutMs: ENDPOINT_ANNOUNCE_TIMEOUT_MS,
+        timeoutMs: ANNOUNCEMENT_DELAY_MS,
         idempotent: true,
       });
       return parseBody(reply.body);
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -47,15 +47,13 @@
   RequestReply,
   SlotReply,
 } from "../rpc/mod.ts";
+import { MISSED_ANNOUNCEMENTS } from "../requests/constants.ts";
 import type { SlotRelease, SlotRequest } from "../requests/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { renderJob } from "./job_view.ts";
 import type { WorkHandlers } from "./leader_calls.ts";
 import type { Observer } from "./observer.ts";
 
-/** Announcements missed in a row before an endpoint counts as silent. */
-const MISSED_ANNOUNCEMENTS = 3;
-
 /** Options of the service. */
 export interface WorkServiceOptions {
   settings: Settings;
--- a/src/requests/forward.ts
+++ b/src/requests/forward.ts
@@ -16,7 +16,7 @@
   type ConnectionPool,
   createConnectionPool,
 } from "./connection_pool.ts";
-import { CONNECTION_IDLE_MS } from "./constants.ts";
+import { CONNECTION_IDLE_MS, REQUEST_ID_HEADER } from "./constants.ts";
 import type {
   Forwarder,
   ForwardFailure,
@@ -41,7 +41,6 @@
 const DEFAULT_MAX_ANSWER_BYTES = 16_777_216;
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 
-const REQUEST_ID_HEADER = "goldcrestlug-request-id";
 const TEAM_HEADER = "goldcrestlug-team";
 const QUEUE_HEADER = "goldcrestlug-queue";
 const DEFAULT_CONTENT_TYPE = "application/octet-stream";
