--- /dev/null
+++ b/src/gateway/gateway_client.ts
@@ -0,0 +1,333 @@
+/**
+ * Forwards calls to the leader. The client keeps one stream to each instance
+ * that may lead; each tells in its pulses whether it does. A call that gets no
+ * answer before its stream ends is sent again to the next leader, which is safe
+ * because every call means the same when it comes twice.
+ */
+
+import type { ClientDuplexStream } from "@grpc/grpc-js";
+import {
+  type Clock,
+  createFault,
+  type Logger,
+  type Timer,
+  toFault,
+} from "../common/mod.ts";
+import { createRpcPeer, type RpcPeer } from "../rpc/mod.ts";
+import type {
+  EligibilityAnswer,
+  EligibilityQuestion,
+} from "../workload/mod.ts";
+import {
+  type CoreMessage,
+  decodeAnswer,
+  decodeFrame,
+  encodeFrame,
+  type Frame,
+  type GatewayMessage,
+  type WorkCall,
+} from "./messages.ts";
+
+/** Time between two checks of the streams, in milliseconds. */
+const CHECK_PERIOD_MS = 250;
+
+/** Silence after which a leader's stream is opened anew, in milliseconds; three pulses. */
+const LEADER_SILENCE_MS = 1_300;
+
+/** Silence after which another stream is opened anew, in milliseconds; three pulses. */
+const FOLLOWER_SILENCE_MS = 3_500;
+
+/** Pause before a broken stream is opened again, in milliseconds. */
+const REOPEN_PAUSE_MS = 200;
+
+/** Time during which messages are gathered into one frame, in milliseconds. */
+const FRAME_GATHER_MS = 1;
+
+/** Options of a client. */
+export interface GatewayClientOptions {
+  instance: string;
+  dataCentre: string;
+  /** Names of instances that may lead; more are learned from them. */
+  cores: readonly string[];
+  /** Returns the rpc address `host:port` of an instance. */
+  getAddress: (instance: string) => string;
+  clock: Clock;
+  logger: Logger;
+  /** Asks the eligibility service from this instance. */
+  ask: (
+    question: EligibilityQuestion,
+    timeoutMs: number,
+  ) => Promise<EligibilityAnswer>;
+}
+
+/** Forwards calls to the leader. */
+export interface GatewayClient {
+  /**
+   * Resolves with the leader's answer or rejects with its fault; "unavailable"
+   * when the call was never sent within `timeoutMs`, "deadlineExceeded" when
+   * its outcome is not known.
+   */
+  call(call: WorkCall, timeoutMs: number): Promise<unknown>;
+  /** Tells whether a leader is known. */
+  hasLeader(): boolean;
+  addCores(names: readonly string[]): void;
+  close(): void;
+}
+
+interface Link {
+  readonly core: string;
+  readonly peer: RpcPeer;
+  stream: ClientDuplexStream<Frame, Frame> | undefined;
+  heardMs: number;
+  reopenAtMs: number;
+  isLeading: boolean;
+  term: number;
+  outbox: GatewayMessage[];
+  hasFlushTimer: boolean;
+}
+
+interface PendingCall {
+  readonly id: number;
+  readonly call: WorkCall;
+  readonly timer: Timer;
+  readonly resolve: (value: unknown) => void;
+  readonly reject: (error: unknown) => void;
+  sentTo: Link | undefined;
+  wasSent: boolean;
+}
+
+/** Creates a client and opens its streams. */
+export function createGatewayClient(
+  options: GatewayClientOptions,
+): GatewayClient {
+  const { clock, logger } = options;
+  const links = new Map<string, Link>();
+  const pending = new Map<number, PendingCall>();
+  let leader: Link | undefined;
+  let nextId = 1;
+  let isClosed = false;
+
+  function addLink(core: string): void {
+    if (links.has(core)) return;
+    const link: Link = {
+      core,
+      peer: createRpcPeer({
+        instance: core,
+        address: options.getAddress(core),
+      }),
+      stream: undefined,
+      heardMs: 0,
+      reopenAtMs: 0,
+      isLeading: false,
+      term: 0,
+      outbox: [],
+      hasFlushTimer: false,
+    };
+    links.set(core, link);
+    openStream(link);
+  }
+
+  function openStream(link: Link): void {
+    const stream = link.peer.openDuplexStream<Frame, Frame>("Gateway.exchange");
+    link.stream = stream;
+    link.heardMs = clock.now();
+    link.outbox = [];
+    stream.on("data", (frame: Frame) => {
+      if (link.stream !== stream) return;
+      link.heardMs = clock.now();
+      try {
+        for (const message of decodeFrame<CoreMessage>(frame)) {
+          receive(link, message);
+        }
+      } catch (error) {
+        logger.error("Cannot read a frame", { core: link.core, error });
+      }
+    });
+    const handleEnd = (error?: unknown) => {
+      if (link.stream === stream) closeStream(link, error);
+    };
+    stream.on("error", handleEnd);
+    stream.on("end", handleEnd);
+    const { instance, dataCentre } = options;
+    send(link, { kind: "hello", instance, dataCentre });
+  }
+
+  function closeStream(link: Link, reason: unknown): void {
+    const { stream } = link;
+    link.stream = undefined;
+    link.reopenAtMs = clock.now() + REOPEN_PAUSE_MS;
+    const wasLeading = link === leader;
+    link.isLeading = false;
+    stream?.on("error", () => {});
+    stream?.cancel();
+    if (!wasLeading) return;
+    logger.warn("Lost the stream to the leader", {
+      core: link.core,
+      term: link.term,
+      reason: reason instanceof Error
+        ? reason.message
+        : String(reason ?? "end"),
+    });
+    pickLeader();
+  }
+
+  function send(link: Link, message: GatewayMessage): void {
+    link.outbox.push(message);
+    if (link.hasFlushTimer) return;
+    link.hasFlushTimer = true;
+    clock.setTimer(FRAME_GATHER_MS, () => {
+      link.hasFlushTimer = false;
+      const messages = link.outbox;
+      link.outbox = [];
+      if (messages.length > 0) link.stream?.write(encodeFrame(messages));
+    });
+  }
+
+  function pickLeader(): void {
+    let best: Link | undefined;
+    for (const link of links.values()) {
+      if (!link.isLeading || link.stream === undefined) continue;
+      if (best === undefined || link.term > best.term) best = link;
+    }
+    if (best === leader) return;
+    leader = best;
+    if (best === undefined) return;
+    logger.info("Found the leader", { core: best.core, term: best.term });
+    for (const call of pending.values()) {
+      if (call.sentTo !== best) sendCall(call);
+    }
+  }
+
+  function sendCall(call: PendingCall): void {
+    if (leader === undefined) return;
+    call.sentTo = leader;
+    call.wasSent = true;
+    send(leader, { kind: "call", id: call.id, call: call.call });
+  }
+
+  function receive(link: Link, message: CoreMessage): void {
+    switch (message.kind) {
+      case "pulse":
+        link.isLeading = message.isLeading;
+        link.term = message.term;
+        for (const core of message.cores) addLink(core);
+        pickLeader();
+        break;
+      case "answer":
+        receiveAnswer(link, message);
+        break;
+      case "ask":
+        void runQuestion(link, message);
+        break;
+    }
+  }
+
+  function receiveAnswer(
+    link: Link,
+    message: CoreMessage & { kind: "answer" },
+  ): void {
+    const call = pending.get(message.id);
+    if (call === undefined) return;
+    const { answer } = message;
+    if (answer.fault?.kind === "notLeader") {
+      if (call.sentTo !== link) return;
+      // Not handled there; the next leader gets it.
+      call.sentTo = undefined;
+      link.isLeading = false;
+      return pickLeader();
+    }
+    // The outcome is found out by sending the call again.
+    if (answer.fault?.kind === "outcomeUnknown") {
+      if (call.sentTo === link) call.sentTo = undefined;
+      return;
+    }
+    pending.delete(message.id);
+    call.timer.cancel();
+    try {
+      call.resolve(decodeAnswer(answer));
+    } catch (error) {
+      call.reject(error);
+    }
+  }
+
+  async function runQuestion(
+    link: Link,
+    message: CoreMessage & { kind: "ask" },
+  ): Promise<void> {
+    const { id } = message;
+    try {
+      const answer = await options.ask(message.question, message.timeoutMs);
+      send(link, { kind: "eligibility", id, answer });
+    } catch (error) {
+      send(link, { kind: "eligibility", id, error: toFault(error).message });
+    }
+  }
+
+  function check(): void {
+    if (isClosed) return;
+    const nowMs = clock.now();
+    for (const link of links.values()) {
+      const limitMs = link.isLeading ? LEADER_SILENCE_MS : FOLLOWER_SILENCE_MS;
+      if (link.stream !== undefined && nowMs - link.heardMs > limitMs) {
+        closeStream(link, "no pulse");
+      }
+      if (link.stream === undefined && nowMs >= link.reopenAtMs) {
+        openStream(link);
+      }
+    }
+    for (const call of pending.values()) {
+      if (call.sentTo === undefined) sendCall(call);
+    }
+    clock.setTimer(CHECK_PERIOD_MS, check);
+  }
+
+  for (const core of options.cores) addLink(core);
+  check();
+
+  return {
+    call(call, timeoutMs) {
+      return new Promise((resolve, reject) => {
+        const id = nextId++;
+        const timer = clock.setTimer(timeoutMs, () => {
+          const expired = pending.get(id);
+          pending.delete(id);
+          if (expired?.wasSent === true) {
+            return reject(createFault(
+              "deadlineExceeded",
+              `Cannot tell the outcome of call "${call.kind}": no answer within ${timeoutMs} ms`,
+            ));
+          }
+          reject(createFault(
+            "unavailable",
+            `Cannot pass on call "${call.kind}": no leader within ${timeoutMs} ms`,
+          ));
+        });
+        const created: PendingCall = {
+          id,
+          call,
+          timer,
+          resolve,
+          reject,
+          sentTo: undefined,
+          wasSent: false,
+        };
+        pending.set(id, created);
+        sendCall(created);
+      });
+    },
+    hasLeader: () => leader !== undefined,
+    addCores(names) {
+      for (const name of names) addLink(name);
+    },
+    close() {
+      isClosed = true;
+      for (const link of links.values()) {
+        const { stream } = link;
+        link.stream = undefined;
+        stream?.on("error", () => {});
+        stream?.cancel();
+        link.peer.close();
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/gateway_server.ts
@@ -0,0 +1,256 @@
+/**
+ * The side of the streams that may lead: answers calls while it leads, says in
+ * its pulses whether it does, and puts questions to the eligibility service
+ * through the instances that are connected.
+ */
+
+import type { ServerDuplexStream } from "@grpc/grpc-js";
+import {
+  type Clock,
+  createFault,
+  type Logger,
+  type Timer,
+  toFault,
+} from "../common/mod.ts";
+import type {
+  EligibilityAnswer,
+  EligibilityQuestion,
+} from "../workload/mod.ts";
+import {
+  type CoreMessage,
+  decodeFrame,
+  encodeFaultAnswer,
+  encodeFrame,
+  type Frame,
+  type GatewayMessage,
+  type WorkCall,
+} from "./messages.ts";
+
+/** Time between pulses of a leader, in milliseconds. */
+const LEADER_PULSE_MS = 400;
+
+/** Time between pulses of others, in milliseconds. */
+const FOLLOWER_PULSE_MS = 1_000;
+
+/** Time during which messages are gathered into one frame, in milliseconds. */
+const FRAME_GATHER_MS = 1;
+
+/** Bytes that a stream may hold back before it is ended as one that is not read. */
+const MAX_UNSENT_BYTES = 4 * 1024 * 1024;
+
+/** Options of the server. */
+export interface GatewayServerOptions {
+  clock: Clock;
+  logger: Logger;
+  /** Runs a call on the leader; rejects with a fault. */
+  runCall: (call: WorkCall) => Promise<unknown>;
+  getLeadership: () => { isLeading: boolean; term: number };
+  /** Names of all instances that may lead. */
+  listCores: () => readonly string[];
+  /** Called when the connected instances change. */
+  handleCallers: (names: readonly string[]) => void;
+}
+
+/** Serves the streams of other instances. */
+export interface GatewayServer {
+  handleStream(stream: ServerDuplexStream<Frame, Frame>): void;
+  /** Asks the eligibility service through a connected instance. */
+  ask(
+    caller: string,
+    question: EligibilityQuestion,
+    timeoutMs: number,
+  ): Promise<EligibilityAnswer>;
+  listCallers(): string[];
+  /** Tells all connected instances at once whether this one leads. */
+  sendPulses(): void;
+  close(): void;
+}
+
+interface Session {
+  name: string | undefined;
+  readonly stream: ServerDuplexStream<Frame, Frame>;
+  outbox: CoreMessage[];
+  hasFlushTimer: boolean;
+  sentMs: number;
+}
+
+interface OpenQuestion {
+  readonly session: Session;
+  readonly timer: Timer;
+  readonly resolve: (answer: EligibilityAnswer) => void;
+  readonly reject: (error: unknown) => void;
+}
+
+/** Creates a server without streams. */
+export function createGatewayServer(
+  options: GatewayServerOptions,
+): GatewayServer {
+  const { clock, logger } = options;
+  const sessions = new Set<Session>();
+  const questions = new Map<number, OpenQuestion>();
+  let nextQuestion = 1;
+  let isClosed = false;
+
+  function listCallers(): string[] {
+    const names = new Set<string>();
+    for (const { name } of sessions) if (name !== undefined) names.add(name);
+    return [...names].sort();
+  }
+
+  function send(session: Session, message: CoreMessage): void {
+    session.outbox.push(message);
+    if (session.hasFlushTimer) return;
+    session.hasFlushTimer = true;
+    clock.setTimer(FRAME_GATHER_MS, () => {
+      session.hasFlushTimer = false;
+      if (!sessions.has(session)) return;
+      const messages = session.outbox;
+      session.outbox = [];
+      session.sentMs = clock.now();
+      session.stream.write(encodeFrame(messages));
+      // A peer that is gone without a reset would fill the memory.
+      if (session.stream.writableLength > MAX_UNSENT_BYTES) {
+        endSession(session, "not read");
+        session.stream.end();
+      }
+    });
+  }
+
+  function sendPulse(session: Session): void {
+    const { isLeading, term } = options.getLeadership();
+    const cores = options.listCores();
+    send(session, { kind: "pulse", isLeading, term, cores });
+  }
+
+  function endSession(session: Session, reason: string): void {
+    if (!sessions.delete(session)) return;
+    for (const [id, question] of questions) {
+      if (question.session !== session) continue;
+      questions.delete(id);
+      question.timer.cancel();
+      question.reject(
+        createFault("unavailable", `Cannot ask through "${session.name}"`),
+      );
+    }
+    logger.info("Gateway stream ended", { instance: session.name, reason });
+    options.handleCallers(listCallers());
+  }
+
+  async function runCall(
+    session: Session,
+    message: GatewayMessage & { kind: "call" },
+  ): Promise<void> {
+    const { id, call } = message;
+    try {
+      const value = await options.runCall(call);
+      send(session, { kind: "answer", id, answer: { value } });
+    } catch (error) {
+      const fault = toFault(error);
+      if (fault.kind === "internal") {
+        logger.error("Call failed", { call: call.kind, error: fault });
+      }
+      send(session, { kind: "answer", id, answer: encodeFaultAnswer(fault) });
+    }
+  }
+
+  function receive(session: Session, message: GatewayMessage): void {
+    switch (message.kind) {
+      case "hello":
+        session.name = message.instance;
+        sendPulse(session);
+        options.handleCallers(listCallers());
+        break;
+      case "call":
+        void runCall(session, message);
+        break;
+      case "eligibility": {
+        const question = questions.get(message.id);
+        if (question === undefined) break;
+        questions.delete(message.id);
+        question.timer.cancel();
+        if (message.answer !== undefined) question.resolve(message.answer);
+        else {
+          question.reject(
+            createFault("unavailable", message.error ?? "Cannot ask"),
+          );
+        }
+        break;
+      }
+    }
+  }
+
+  function sendDuePulses(): void {
+    if (isClosed) return;
+    const { isLeading } = options.getLeadership();
+    const periodMs = isLeading ? LEADER_PULSE_MS : FOLLOWER_PULSE_MS;
+    const nowMs = clock.now();
+    for (const session of sessions) {
+      if (nowMs - session.sentMs >= periodMs) sendPulse(session);
+    }
+    clock.setTimer(LEADER_PULSE_MS / 2, sendDuePulses);
+  }
+
+  sendDuePulses();
+
+  return {
+    handleStream(stream) {
+      const session: Session = {
+        name: undefined,
+        stream,
+        outbox: [],
+        hasFlushTimer: false,
+        sentMs: clock.now(),
+      };
+      sessions.add(session);
+      stream.on("data", (frame: Frame) => {
+        try {
+          for (const message of decodeFrame<GatewayMessage>(frame)) {
+            receive(session, message);
+          }
+        } catch (error) {
+          logger.error("Cannot read a frame", {
+            instance: session.name,
+            error,
+          });
+        }
+      });
+      stream.on("error", (error) => endSession(session, error.message));
+      stream.on("cancelled", () => endSession(session, "cancelled"));
+      stream.on("end", () => {
+        endSession(session, "ended");
+        stream.end();
+      });
+    },
+    ask(caller, question, timeoutMs) {
+      return new Promise((resolve, reject) => {
+        const session = [...sessions].find(({ name }) => name === caller);
+        if (session === undefined) {
+          return reject(
+            createFault("unavailable", `Cannot ask through "${caller}"`),
+          );
+        }
+        const id = nextQuestion++;
+        const timer = clock.setTimer(timeoutMs, () => {
+          questions.delete(id);
+          reject(createFault(
+            "deadlineExceeded",
+            `Cannot get an answer through "${caller}" within ${timeoutMs} ms`,
+          ));
+        });
+        questions.set(id, { session, timer, resolve, reject });
+        send(session, { kind: "ask", id, question, timeoutMs });
+      });
+    },
+    listCallers,
+    sendPulses() {
+      for (const session of sessions) sendPulse(session);
+    },
+    close() {
+      isClosed = true;
+      for (const session of [...sessions]) {
+        endSession(session, "closed");
+        session.stream.end();
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/messages.ts
@@ -0,0 +1,114 @@
+/**
+ * The messages between an instance that forwards calls and the instances that
+ * may lead. They travel as JSON lists in the frames of one long-lived stream.
+ */
+
+import { Buffer } from "node:buffer";
+import {
+  createFault,
+  type Fault,
+  type FaultKind,
+  type Ran,
+} from "../common/mod.ts";
+import type {
+  CallerAddress,
+  Configuration,
+  EligibilityAnswer,
+  EligibilityQuestion,
+  JobBody,
+  RunnerAnnouncement,
+} from "../workload/mod.ts";
+
+/** A call that the leader answers. */
+export type WorkCall =
+  | {
+    readonly kind: "submit";
+    readonly address: CallerAddress;
+    readonly body: JobBody;
+  }
+  | { readonly kind: "state"; readonly address: CallerAddress }
+  | { readonly kind: "pending"; readonly address: CallerAddress }
+  | { readonly kind: "cancel"; readonly address: CallerAddress }
+  | { readonly kind: "configure"; readonly configuration: Configuration }
+  | { readonly kind: "readConfiguration" }
+  | { readonly kind: "announce"; readonly announcement: RunnerAnnouncement }
+  | { readonly kind: "depart"; readonly runner: string };
+
+/** The leader's answer. */
+export type WorkAnswer =
+  | { readonly value: unknown; readonly fault?: undefined }
+  | {
+    readonly fault: {
+      readonly kind: FaultKind;
+      readonly message: string;
+      readonly ran: Ran;
+      readonly details: Readonly<Record<string, unknown>>;
+    };
+  };
+
+/** A message to an instance that may lead. */
+export type GatewayMessage =
+  | {
+    readonly kind: "hello";
+    readonly instance: string;
+    readonly dataCentre: string;
+  }
+  | { readonly kind: "call"; readonly id: number; readonly call: WorkCall }
+  | {
+    readonly kind: "eligibility";
+    readonly id: number;
+    /** Absent when the service gave no answer. */
+    readonly answer?: EligibilityAnswer;
+    readonly error?: string;
+  };
+
+/** A message from an instance that may lead. */
+export type CoreMessage =
+  | {
+    readonly kind: "pulse";
+    readonly isLeading: boolean;
+    readonly term: number;
+    /** Names of all instances that may lead. */
+    readonly cores: readonly string[];
+  }
+  | {
+    readonly kind: "answer";
+    readonly id: number;
+    readonly answer: WorkAnswer;
+  }
+  | {
+    readonly kind: "ask";
+    readonly id: number;
+    readonly question: EligibilityQuestion;
+    readonly timeoutMs: number;
+  };
+
+/** One frame of the stream. */
+export interface Frame {
+  data: Uint8Array;
+}
+
+/** Puts messages into one frame. */
+export function encodeFrame(
+  messages: readonly (GatewayMessage | CoreMessage)[],
+): Frame {
+  return { data: Buffer.from(JSON.stringify(messages)) };
+}
+
+/** Takes the messages out of a frame. */
+export function decodeFrame<Message>(frame: Frame): Message[] {
+  return JSON.parse(Buffer.from(frame.data).toString("utf8")) as Message[];
+}
+
+/** Turns a fault into an answer. */
+export function encodeFaultAnswer(fault: Fault): WorkAnswer {
+  const { kind, message, ran, details } = fault;
+  return { fault: { kind, message, ran, details } };
+}
+
+/** Returns the value of an answer, or throws its fault. */
+export function decodeAnswer(answer: WorkAnswer): unknown {
+  if (answer.fault === undefined) return answer.value;
+  const { kind, message, ran, details } = answer.fault;
+  throw createFault(kind, message, { ran, details });
+}
--- /dev/null
+++ b/src/programs/core_program.ts
@@ -0,0 +1,302 @@
+/**
+ * The program of an instance with a disk: a member of the work log, which leads
+ * while it holds the lease. It also forwards calls like any other instance.
+ */
+
+import { join } from "node:path";
+import {
+  type Clock,
+  createFault,
+  type Logger,
+  type Random,
+} from "../common/mod.ts";
+import {
+  createGatewayClient,
+  createGatewayServer,
+  type GatewayClient,
+  type WorkCall,
+} from "../gateway/mod.ts";
+import { startLogMember } from "../instance/log_member.ts";
+import {
+  type LeaderLease,
+  type LogTimings,
+  parseMemberId,
+} from "../replicated_log/mod.ts";
+import {
+  createLogSender,
+  createRpcPeer,
+  type LogEnvelope,
+  type PeerSet,
+  type RpcPeer,
+  startRpcServer,
+} from "../rpc/mod.ts";
+import {
+  createWorkState,
+  type EligibilityAnswer,
+  type EligibilityQuestion,
+  encodeRecords,
+  type RunnerCalls,
+  startWorkController,
+  type WorkController,
+  type WorkRecord,
+} from "../workload/mod.ts";
+import { createLeadershipGuard } from "./leadership_guard.ts";
+
+/** Name of the log that records all work. */
+const WORK_GROUP = "work";
+
+/** Pause before a leadership that could not be confirmed is tried again, in milliseconds. */
+const CONFIRM_PAUSE_MS = 50;
+
+/** Options of the program. */
+export interface CoreProgramOptions {
+  /** Address of this instance, which is also its name. */
+  instance: string;
+  dataCentre: string;
+  /** Port on which instances reach each other; the same everywhere. */
+  rpcPort: number;
+  /** Instances that found the group on the first start of the whole system. */
+  founders: readonly string[];
+  /** True only on the first start of the whole system. */
+  isFirstStart: boolean;
+  dataFolder: string;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  calls: RunnerCalls;
+  ask: (
+    question: EligibilityQuestion,
+    timeoutMs: number,
+  ) => Promise<EligibilityAnswer>;
+  maxLeaseMs: number;
+  keepMs: number;
+  logTimings: Partial<LogTimings>;
+  /** Called when the log cannot go on; the process has to end. */
+  handleFailure: (error: unknown) => void;
+}
+
+/** A running core program. */
+export interface CoreProgram {
+  readonly gateway: GatewayClient;
+  isLeading(): boolean;
+  /** Adds instances that may lead, after a change of the settings. */
+  addCores(names: readonly string[]): void;
+  /** Hands over leadership and ends. */
+  stop(): Promise<void>;
+}
+
+function createAddressPeers(rpcPort: number): PeerSet {
+  const peers = new Map<string, RpcPeer>();
+  return {
+    get(instance) {
+      let peer = peers.get(instance);
+      if (peer === undefined) {
+        peer = createRpcPeer({ instance, address: `${instance}:${rpcPort}` });
+        peers.set(instance, peer);
+      }
+      return peer;
+    },
+    has: () => true,
+    close() {
+      for (const peer of peers.values()) peer.close();
+    },
+  };
+}
+
+/** Starts the program. */
+export async function startCoreProgram(
+  options: CoreProgramOptions,
+): Promise<CoreProgram> {
+  const { clock, logger, instance } = options;
+  const state = createWorkState();
+  const peers = createAddressPeers(options.rpcPort);
+  const sender = createLogSender({ peers, clock });
+  const knownCores = new Set([instance, ...options.founders]);
+  let lease: LeaderLease | undefined;
+  let controller: WorkController | undefined;
+
+  const guard = createLeadershipGuard({
+    clock,
+    logger,
+    getLog: () => member.getLog(),
+  });
+
+  const server = createGatewayServer({
+    clock,
+    logger,
+    runCall,
+    getLeadership: () => ({
+      isLeading: controller !== undefined && guard.isLeading(),
+      term: lease?.term ?? 0,
+    }),
+    listCores() {
+      const status = member.getLog()?.getStatus();
+      const members = status?.members ?? [];
+      return [
+        ...new Set([
+          instance,
+          ...members.map(({ id }) => parseMemberId(id).instance),
+        ]),
+      ];
+    },
+    handleCallers: (names) => controller?.setCallers(names),
+  });
+
+  const rpcServer = await startRpcServer({
+    host: instance,
+    port: options.rpcPort,
+    services: {
+      Consensus: {
+        writeStreams: {
+          send(stream) {
+            stream.on(
+              "data",
+              (envelope: LogEnvelope) => member.receive(envelope),
+            );
+            stream.on("error", () => {});
+          },
+        },
+      },
+      Gateway: {
+        duplexStreams: { exchange: (stream) => server.handleStream(stream) },
+      },
+    },
+  });
+
+  const member = startLogMember({
+    group: WORK_GROUP,
+    instance,
+    members: options.isFirstStart
+      ? options.founders.map((id) => ({ id, role: "voter" }))
+      : options.founders.filter((id) => id !== instance)
+        .map((id) => ({ id, role: "voter" })),
+    folder: join(options.dataFolder, "log"),
+    canLead: true,
+    stateMachine: state,
+    timings: options.logTimings,
+    sender,
+    clock,
+    random: options.random,
+    logger,
+    handleLeadership: (next) => void handleLeadership(next),
+    handleFailure: options.handleFailure,
+  });
+
+  const gateway = createGatewayClient({
+    instance,
+    dataCentre: options.dataCentre,
+    cores: [...knownCores],
+    getAddress: (name) => `${name}:${options.rpcPort}`,
+    clock,
+    logger,
+    ask: options.ask,
+  });
+
+  async function propose(records: readonly WorkRecord[]): Promise<void> {
+    const log = member.getLog();
+    if (log === undefined) {
+      throw createFault(
+        "notLeader",
+        "Cannot record before the log has started",
+      );
+    }
+    await log.propose(encodeRecords(records));
+  }
+
+  function stopController(): void {
+    if (controller === undefined) return;
+    controller.stop();
+    controller = undefined;
+    logger.info("Stopped leading", { term: lease?.term });
+  }
+
+  async function handleLeadership(
+    next: LeaderLease | undefined,
+  ): Promise<void> {
+    if (next?.term === lease?.term && controller !== undefined) return;
+    stopController();
+    lease = next;
+    if (next === undefined) return server.sendPulses();
+    logger.info("Won the leadership", { term: next.term });
+    while (lease === next) {
+      try {
+        // Everything that former leaders have recorded must be applied first.
+        await member.getLog()?.confirmLeadership();
+        break;
+      } catch (error) {
+        logger.info("Leadership not confirmed yet", { term: next.term, error });
+        await new Promise<void>((resolve) =>
+          void clock.setTimer(CONFIRM_PAUSE_MS, resolve)
+        );
+      }
+    }
+    if (lease !== next) return;
+    controller = startWorkController({
+      clock,
+      logger,
+      state,
+      fence: next.term,
+      isLeading: () => guard.isLeading(),
+      propose,
+      calls: options.calls,
+      ask: (caller, question, timeoutMs) =>
+        server.ask(caller, question, timeoutMs),
+      maxLeaseMs: options.maxLeaseMs,
+      keepMs: options.keepMs,
+      handleStaleFence() {
+        logger.warn("A runner has seen a newer leader", { term: next.term });
+        member.getLog()?.confirmLeadership().catch((error: unknown) =>
+          logger.info("Leadership not confirmed", { error })
+        );
+      },
+    });
+    controller.setCallers(server.listCallers());
+    logger.info("Leading", { term: next.term });
+    server.sendPulses();
+  }
+
+  function createNotLeader(): Error {
+    return createFault("notLeader", `Cannot decide on instance "${instance}"`);
+  }
+
+  async function runCall(call: WorkCall): Promise<unknown> {
+    const active = controller;
+    if (active === undefined || !guard.isLeading()) throw createNotLeader();
+    switch (call.kind) {
+      case "submit":
+        return await active.submit(call.address, call.body);
+      case "state":
+        return active.getState(call.address);
+      case "pending":
+        return active.countPending(call.address);
+      case "cancel":
+        return await active.cancel(call.address);
+      case "configure":
+        return await active.changeConfiguration(call.configuration);
+      case "readConfiguration":
+        // An operator must never be shown an older version than was acknowledged.
+        await member.getLog()?.confirmLeadership();
+        return active.readConfiguration();
+      case "announce":
+        return await active.announceRunner(call.announcement);
+      case "depart":
+        return await active.removeRunner(call.runner);
+    }
+  }
+
+  return {
+    gateway,
+    isLeading: () => guard.isLeading(),
+    addCores: (names) => gateway.addCores(names),
+    async stop() {
+      stopController();
+      server.sendPulses();
+      await member.stop();
+      server.close();
+      gateway.close();
+      sender.close();
+      rpcServer.close();
+      peers.close();
+    },
+  };
+}
--- a/src/rpc/client.ts
+++ b/src/rpc/client.ts
@@ -7,6 +7,7 @@
 import {
   type ChannelCredentials,
   Client,
+  type ClientDuplexStream,
   type ClientReadableStream,
   type ClientWritableStream,
   credentials as grpcCredentials,
@@ -50,6 +51,10 @@
     path: RpcPath,
     onEnd: () => void,
   ): ClientWritableStream<Request>;
+  /** Opens a stream in both directions. */
+  openDuplexStream<Request, Reply>(
+    path: RpcPath,
+  ): ClientDuplexStream<Request, Reply>;
   close(): void;
 }
 
@@ -146,6 +151,14 @@
         () => onEnd(),
       );
     },
+    openDuplexStream<Request, Reply>(path: RpcPath) {
+      const method = findMethod(path);
+      return client.makeBidiStreamRequest<Request, Reply>(
+        method.path,
+        method.requestSerialize,
+        method.responseDeserialize as (bytes: Uint8Array) => never,
+      );
+    },
     close: () => client.close(),
   };
 }
--- a/src/rpc/server.ts
+++ b/src/rpc/server.ts
@@ -7,6 +7,7 @@
   type sendUnaryData,
   Server,
   ServerCredentials,
+  type ServerDuplexStream,
   type ServerReadableStream,
   type ServerUnaryCall,
   type ServerWritableStream,
@@ -42,11 +43,18 @@
   stream: ServerReadableStream<any, any>,
 ) => void;
 
+/** Serves a stream in both directions. */
+export type DuplexStreamHandler = (
+  // deno-lint-ignore no-explicit-any -- as above
+  stream: ServerDuplexStream<any, any>,
+) => void;
+
 /** Handlers of one service. */
 export interface ServiceHandlers {
   unary?: Readonly<Record<string, UnaryHandler>>;
   readStreams?: Readonly<Record<string, ReadStreamHandler>>;
   writeStreams?: Readonly<Record<string, WriteStreamHandler>>;
+  duplexStreams?: Readonly<Record<string, DuplexStreamHandler>>;
 }
 
 /** Options of the listener. */
@@ -99,6 +107,9 @@
   for (const [name, handler] of Object.entries(handlers.writeStreams ?? {})) {
     implementation[name] = handler;
   }
+  for (const [name, handler] of Object.entries(handlers.duplexStreams ?? {})) {
+    implementation[name] = handler;
+  }
   return implementation;
 }
 
--- a/src/rpc/services.ts
+++ b/src/rpc/services.ts
@@ -13,7 +13,7 @@
 
 /** The names of the services. */
 export const SERVICE_NAMES = Object.freeze(
-  ["Consensus", "Fleet", "Work", "Membership"] as const,
+  ["Consensus", "Fleet", "Work", "Membership", "Gateway"] as const,
 );
 
 /** The name of a service. */
--- /dev/null
+++ b/src/workload/configuration.ts
@@ -0,0 +1,93 @@
+/**
+ * Checks of a whole configuration and look-ups in the one in force. A
+ * configuration is accepted or refused as a whole.
+ */
+
+import { createFault } from "../common/mod.ts";
+import type {
+  Configuration,
+  QueueSettings,
+  WorkspaceSettings,
+} from "./types.ts";
+
+function createInvalid(
+  configuration: Configuration,
+  reason: string,
+): Error {
+  return createFault(
+    "badRequest",
+    `Cannot accept configuration version ${configuration.version}: ${reason}`,
+  );
+}
+
+/** Throws "badRequest" with the first rule that the configuration breaks. */
+export function checkConfiguration(configuration: Configuration): void {
+  const pools = new Set(configuration.pools.map(({ name }) => name));
+  const places = new Set<string>();
+  for (const queue of configuration.queues) {
+    if (!pools.has(queue.pool)) {
+      throw createInvalid(
+        configuration,
+        `queue "${queue.name}" names unknown pool "${queue.pool}"`,
+      );
+    }
+    const place = `${queue.host} ${queue.pathPrefix}`;
+    if (places.has(place)) {
+      throw createInvalid(
+        configuration,
+        `two queues share host and path "${place}"`,
+      );
+    }
+    places.add(place);
+    if (!(queue.timeoutMs > 0)) {
+      throw createInvalid(
+        configuration,
+        `queue "${queue.name}" has a timeout of ${queue.timeoutMs} ms`,
+      );
+    }
+  }
+  const owners = new Map<string, string>();
+  for (const { name, keys } of configuration.workspaces) {
+    for (const key of keys) {
+      const owner = owners.get(key);
+      if (owner !== undefined && owner !== name) {
+        throw createInvalid(
+          configuration,
+          `workspaces "${owner}" and "${name}" share a key`,
+        );
+      }
+      owners.set(key, name);
+    }
+  }
+}
+
+/** A queue and the rest of the path behind its prefix. */
+export interface QueueMatch {
+  readonly queue: QueueSettings;
+  readonly rest: string;
+}
+
+/** Finds the queue of a call: same host, longest prefix of the path. */
+export function findQueueByPath(
+  configuration: Configuration,
+  host: string,
+  path: string,
+): QueueMatch | undefined {
+  let best: QueueSettings | undefined;
+  for (const queue of configuration.queues) {
+    if (queue.host !== host || !path.startsWith(queue.pathPrefix)) continue;
+    const isLonger = best === undefined ||
+      queue.pathPrefix.length > best.pathPrefix.length;
+    if (isLonger) best = queue;
+  }
+  if (best === undefined) return undefined;
+  return { queue: best, rest: path.slice(best.pathPrefix.length) };
+}
+
+/** Finds the workspace that holds a key. */
+export function findWorkspaceByKey(
+  configuration: Configuration,
+  key: string,
+): WorkspaceSettings | undefined {
+  return configuration.workspaces.find(({ keys }) => keys.includes(key));
+}
--- /dev/null
+++ b/src/workload/constants.ts
@@ -0,0 +1,43 @@
+/** Times and bounds of the workload scheduler that several modules share. */
+
+/**
+ * Slowest rate of a runner's clock against ours. The platform states 2 %; a
+ * lease is taken as ended only after this allowance.
+ */
+export const RUNNER_CLOCK_MIN_RATE = 0.98;
+
+/** Time for which a runner may go on without hearing from us, in milliseconds; longer than a takeover, which takes 1 to 3 s. */
+export const RUNNER_LEASE_MS = 5_500;
+
+/** Longest wait of one look at a runner for an end, in milliseconds; a lease is renewed at least this often. */
+export const HOLD_WAIT_MS = 1_500;
+
+/** Time beyond the wait after which a look counts as unanswered, in milliseconds. */
+export const HOLD_TIMEOUT_MS = 700;
+
+/** Time after which an order to a runner counts as unanswered, in milliseconds; a healthy one answers within 20 ms. */
+export const ORDER_TIMEOUT_MS = 500;
+
+/** Pause after an unanswered call to a runner, in milliseconds. */
+export const RETRY_PAUSE_MS = 150;
+
+/** Attempts to send one start before it is withdrawn; each repeats the same run, which a runner starts once. */
+export const START_ATTEMPTS = 3;
+
+/** Time that a ticket must still be valid when its start is decided, in milliseconds; covers recording and sending. */
+export const TICKET_MARGIN_MS = 150;
+
+/** Time during which records are gathered into one command of the log, in milliseconds. */
+export const RECORD_GATHER_MS = 2;
+
+/** Shortest time between two planning rounds, in milliseconds. */
+export const PLAN_PERIOD_MS = 5;
+
+/** Time between two checks of leases and progress, in milliseconds. */
+export const WATCH_PERIOD_MS = 200;
+
+/** Most runners named in one question to the eligibility service; the service takes 100. */
+export const ELIGIBILITY_RUNNERS = 40;
+
+/** Answers of the eligibility service that take longer are asked for by callers of their own, in milliseconds. */
+export const SLOW_ELIGIBILITY_MS = 200;
--- /dev/null
+++ b/src/workload/eligibility.ts
@@ -0,0 +1,223 @@
+/**
+ * Which runners may run a step. The eligibility service answers one question at
+ * a time for each calling instance, so questions are spread over all instances,
+ * and kinds with long answers are kept apart from kinds with short ones. The
+ * set of eligible runners of a step stays the same; tickets expire.
+ */
+
+import type { Clock, Logger } from "../common/mod.ts";
+import { SLOW_ELIGIBILITY_MS } from "./constants.ts";
+import type { EligibilityTimes } from "./types.ts";
+
+/** A question to the service. */
+export interface EligibilityQuestion {
+  readonly job: string;
+  readonly occurrence: number;
+  readonly step: number;
+  /** Ids of runners. */
+  readonly runners: readonly string[];
+}
+
+/** The service's answer. */
+export interface EligibilityAnswer {
+  /** Ticket by id of the runner; a runner without one may not run the step. */
+  readonly tickets: Readonly<Record<string, string>>;
+  /** Validity that the service states, in milliseconds; 0 when it states none. */
+  readonly validMs: number;
+}
+
+/** A ticket for one runner. */
+export interface Ticket {
+  readonly value: string;
+  /** Local monotonic time at which it is no longer valid. */
+  readonly expiresMs: number;
+}
+
+/** What is known about one step. */
+export interface StepEligibility {
+  /** By id of the runner; false where the service named no ticket. */
+  readonly isEligible: Map<string, boolean>;
+  readonly tickets: Map<string, Ticket>;
+  /** Number of questions on their way. */
+  openQuestions: number;
+  /** Time before which no further question is asked, after a failure. */
+  notBeforeMs: number;
+}
+
+/** One instance that can ask the service. */
+interface Caller {
+  readonly name: string;
+  /** Time at which its present questions are expected to be answered. */
+  busyUntilMs: number;
+  openQuestions: number;
+}
+
+/** Options of the book. */
+export interface EligibilityBookOptions {
+  clock: Clock;
+  logger: Logger;
+  /** Asks through the instance `caller`; rejects when there is no answer. */
+  ask: (
+    caller: string,
+    question: EligibilityQuestion,
+    timeoutMs: number,
+  ) => Promise<EligibilityAnswer>;
+  /** Called after each answer. */
+  handleAnswer: () => void;
+}
+
+/** Tickets of all steps, and the questions on their way. */
+export interface EligibilityBook {
+  get(stepKey: string): StepEligibility | undefined;
+  /** Asks unless too many questions wait already; tells whether it asked. */
+  startQuestion(
+    stepKey: string,
+    question: EligibilityQuestion,
+    times: EligibilityTimes,
+  ): boolean;
+  setCallers(names: readonly string[]): void;
+  /** Drops one ticket that a runner has refused. */
+  removeTicket(stepKey: string, runner: string): void;
+  remove(stepKey: string): void;
+}
+
+/** Questions that one caller may have on their way; more would only wait at the service. */
+const MAX_OPEN_PER_CALLER = 3;
+
+/** Share of the callers that ask for kinds with long answers. */
+const SLOW_CALLER_SHARE = 0.6;
+
+/** Time beyond the expected answer after which a question counts as lost, in milliseconds. */
+const ANSWER_SLACK_MS = 1_000;
+
+/** Pause after a question without an answer, in milliseconds. */
+const FAILURE_PAUSE_MS = 200;
+
+/** Creates an empty book. */
+export function createEligibilityBook(
+  options: EligibilityBookOptions,
+): EligibilityBook {
+  const { clock, logger } = options;
+  const steps = new Map<string, StepEligibility>();
+  const callers = new Map<string, Caller>();
+
+  function getStep(stepKey: string): StepEligibility {
+    let step = steps.get(stepKey);
+    if (step === undefined) {
+      step = {
+        isEligible: new Map(),
+        tickets: new Map(),
+        openQuestions: 0,
+        notBeforeMs: 0,
+      };
+      steps.set(stepKey, step);
+    }
+    return step;
+  }
+
+  function pickCaller(isSlow: boolean, nowMs: number): Caller | undefined {
+    const all = [...callers.values()];
+    const slowCount = Math.max(1, Math.floor(all.length * SLOW_CALLER_SHARE));
+    // With one caller alone both kinds have to share it.
+    const usable = isSlow || all.length < 2
+      ? all.slice(0, slowCount)
+      : all.slice(slowCount);
+    let best: Caller | undefined;
+    for (const caller of usable) {
+      if (caller.openQuestions >= MAX_OPEN_PER_CALLER) continue;
+      const isFreer = best === undefined ||
+        Math.max(caller.busyUntilMs, nowMs) < Math.max(best.busyUntilMs, nowMs);
+      if (isFreer) best = caller;
+    }
+    return best;
+  }
+
+  async function runQuestion(
+    stepKey: string,
+    caller: Caller,
+    question: EligibilityQuestion,
+    timing: {
+      startMs: number;
+      waitMs: number;
+      durationMs: number;
+      validMs: number;
+    },
+  ): Promise<void> {
+    const step = getStep(stepKey);
+    step.openQuestions += 1;
+    caller.openQuestions += 1;
+    try {
+      const answer = await options.ask(
+        caller.name,
+        question,
+        timing.waitMs + timing.durationMs + ANSWER_SLACK_MS,
+      );
+      const nowMs = clock.now();
+      const validMs = answer.validMs > 0 ? answer.validMs : timing.validMs;
+      for (const runner of question.runners) {
+        const value = answer.tickets[runner];
+        step.isEligible.set(runner, value !== undefined);
+        if (value === undefined) step.tickets.delete(runner);
+        // The validity began before the answer arrived, by about the time of one hop.
+        else step.tickets.set(runner, { value, expiresMs: nowMs + validMs });
+      }
+      logger.debug("Eligibility answered", {
+        step: stepKey,
+        caller: caller.name,
+        eligible: Object.keys(answer.tickets).length,
+        asked: question.runners.length,
+        tookMs: Math.round(nowMs - timing.startMs),
+      });
+    } catch (error) {
+      step.notBeforeMs = clock.now() + FAILURE_PAUSE_MS;
+      logger.info("Eligibility question failed", {
+        step: stepKey,
+        caller: caller.name,
+        error,
+      });
+    } finally {
+      step.openQuestions -= 1;
+      caller.openQuestions -= 1;
+      options.handleAnswer();
+    }
+  }
+
+  return {
+    get: (stepKey) => steps.get(stepKey),
+    startQuestion(stepKey, question, times) {
+      const nowMs = clock.now();
+      const step = getStep(stepKey);
+      if (step.openQuestions > 0 || nowMs < step.notBeforeMs) return false;
+      const durationMs = times.baseMs +
+        times.perRunnerMs * question.runners.length;
+      const caller = pickCaller(durationMs >= SLOW_ELIGIBILITY_MS, nowMs);
+      if (caller === undefined) return false;
+      const waitMs = Math.max(0, caller.busyUntilMs - nowMs);
+      // A ticket that waits behind another question for longer than it is valid is asked for too early.
+      if (waitMs > Math.max(durationMs, SLOW_ELIGIBILITY_MS / 2)) return false;
+      caller.busyUntilMs = nowMs + waitMs + durationMs;
+      void runQuestion(stepKey, caller, question, {
+        startMs: nowMs,
+        waitMs,
+        durationMs,
+        validMs: times.validMs,
+      });
+      return true;
+    },
+    setCallers(names) {
+      for (const name of callers.keys()) {
+        if (!names.includes(name)) callers.delete(name);
+      }
+      for (const name of names) {
+        if (callers.has(name)) continue;
+        callers.set(name, { name, busyUntilMs: 0, openQuestions: 0 });
+      }
+    },
+    removeTicket(stepKey, runner) {
+      steps.get(stepKey)?.tickets.delete(runner);
+    },
+    remove(stepKey) {
+      steps.delete(stepKey);
+    },
+  };
+}
--- /dev/null
+++ b/src/workload/mod.ts
@@ -0,0 +1,18 @@
+/** Workloads of several steps on runners that are called. */
+
+export * from "./configuration.ts";
+export * from "./eligibility.ts";
+export * from "./runner_calls.ts";
+export * from "./types.ts";
+export {
+  type CallerAddress,
+  type RunnerAnnouncement,
+  startWorkController,
+  type WorkController,
+  type WorkControllerOptions,
+} from "./work_controller.ts";
+export {
+  createWorkState,
+  encodeRecords,
+  type WorkState,
+} from "./work_state.ts";
--- /dev/null
+++ b/src/workload/open_steps.ts
@@ -0,0 +1,186 @@
+/**
+ * The steps whose tasks may start now: the job is open, its occurrence is due,
+ * the steps before it are done, and tasks wait. Kept up to date by job, so that
+ * a planning round does not look at jobs that have not changed.
+ */
+
+import type { Clock } from "../common/mod.ts";
+import type { OpenStep } from "./planning.ts";
+import { formatStep, type JobSpec, type QueueSettings } from "./types.ts";
+import {
+  countOccurrences,
+  isOpenJob,
+  type JobState,
+  TASK_STATUS,
+  type WorkState,
+} from "./work_state.ts";
+import type { WorkspaceUseBook } from "./workspace_use.ts";
+
+/** Multiple of the objective after which a job earns nothing more; from the platform's rules. */
+const WORTHLESS_FACTOR = 3;
+
+/** Values for a queue that no configuration names any more. */
+const ORPHAN_QUEUE = Object.freeze({
+  priority: 9,
+  slowdownFactor: 10,
+  targetMs: 0,
+});
+
+/** Options of the list. */
+export interface OpenStepsOptions {
+  state: WorkState;
+  clock: Clock;
+  workspaces: WorkspaceUseBook;
+}
+
+/** The list of open steps. */
+export interface OpenSteps {
+  list(): OpenStep[];
+  count(): number;
+  /** Looks at one job again. */
+  refresh(job: string): void;
+  refreshAll(): void;
+  /** Looks at jobs with due times again; tells whether one has become due. */
+  refreshTimed(): boolean;
+  /** Leaves tasks out while their start is being recorded. */
+  setPlanned(step: OpenStep, indexes: readonly number[]): void;
+  clearPlanned(step: OpenStep, indexes: readonly number[]): void;
+}
+
+/** Estimates the longest chain of work of a job in milliseconds. */
+export function estimateChainMs(spec: JobSpec): number {
+  const ends: number[] = [];
+  for (const step of spec.steps) {
+    const before = step.after.map((number) => ends[number] ?? 0);
+    ends.push(Math.max(0, ...before) + step.estimatedMs);
+  }
+  return Math.max(0, ...ends);
+}
+
+/** Creates an empty list. */
+export function createOpenSteps(options: OpenStepsOptions): OpenSteps {
+  const { state, clock, workspaces } = options;
+  const byJob = new Map<string, OpenStep[]>();
+  const timed = new Set<string>();
+  const planned = new Map<string, Set<number>>();
+
+  function countDue(job: JobState): number {
+    const { repetitions, firstRunMs, intervalMs } = job.spec;
+    if (repetitions === 0) return 1;
+    const passedMs = clock.wallTime() - firstRunMs;
+    if (passedMs < 0) return 0;
+    const due = intervalMs > 0 ? Math.floor(passedMs / intervalMs) + 1 : 1;
+    return Math.min(countOccurrences(job.spec), due);
+  }
+
+  function computeTimes(
+    job: JobState,
+    queue: QueueSettings | undefined,
+    occurrence: number,
+  ): { dueMs: number; worthlessMs: number } {
+    const { slowdownFactor, targetMs } = queue ?? ORPHAN_QUEUE;
+    const { spec } = job;
+    const fromMs = spec.repetitions === 0
+      ? spec.submittedMs
+      : spec.firstRunMs + occurrence * spec.intervalMs;
+    const objectiveMs = slowdownFactor * estimateChainMs(spec) + targetMs;
+    return {
+      dueMs: fromMs + objectiveMs,
+      worthlessMs: fromMs + WORTHLESS_FACTOR * objectiveMs,
+    };
+  }
+
+  function listOccurrence(job: JobState, occurrence: number): OpenStep[] {
+    const { spec } = job;
+    const queue = state.findQueue(spec.queue);
+    const recorded = state.getOccurrence(job, occurrence);
+    const open: OpenStep[] = [];
+    spec.steps.forEach((step, number) => {
+      const stepState = recorded.steps[number];
+      if (stepState === undefined) return;
+      const isReady = step.after.every((before) => {
+        const other = recorded.steps[before];
+        return other !== undefined && other.done === other.tasks.length;
+      });
+      if (!isReady) return;
+      const key = formatStep({ job: spec.id, occurrence, step: number });
+      const hidden = planned.get(key);
+      const waiting: number[] = [];
+      const placedOn = new Map<string, number>();
+      stepState.tasks.forEach((task, index) => {
+        if (task.status === TASK_STATUS.active) {
+          placedOn.set(task.life, (placedOn.get(task.life) ?? 0) + 1);
+        } else if (task.status === TASK_STATUS.waiting && !hidden?.has(index)) {
+          waiting.push(index);
+        }
+      });
+      // A gang starts only whole, so it waits until all of its last run has ended.
+      const isPartial = step.gang && waiting.length < stepState.tasks.length;
+      if (waiting.length === 0 || isPartial) return;
+      open.push({
+        key,
+        job: spec.id,
+        occurrence,
+        step: number,
+        spec: step,
+        pool: queue?.pool ?? spec.pool,
+        workspace: spec.workspace,
+        priority: queue?.priority ?? ORPHAN_QUEUE.priority,
+        ...computeTimes(job, queue, occurrence),
+        isExcess: workspaces.isExcess(spec.id),
+        eligibility: queue?.eligibility,
+        waiting,
+        placedOn,
+      });
+    });
+    return open;
+  }
+
+  function refresh(id: string): void {
+    const job = state.getJob(id);
+    if (job === undefined || !isOpenJob(job)) {
+      byJob.delete(id);
+      timed.delete(id);
+      return;
+    }
+    if (job.spec.repetitions > 0) timed.add(id);
+    const open: OpenStep[] = [];
+    const due = countDue(job);
+    for (let occurrence = 0; occurrence < due; occurrence += 1) {
+      if (job.occurrences[occurrence]?.isDone === true) continue;
+      open.push(...listOccurrence(job, occurrence));
+    }
+    if (open.length === 0) byJob.delete(id);
+    else byJob.set(id, open);
+  }
+
+  return {
+    list: () => [...byJob.values()].flat(),
+    count: () => byJob.size,
+    refresh,
+    refreshAll() {
+      for (const job of state.listJobs()) refresh(job.spec.id);
+    },
+    refreshTimed() {
+      let hasNew = false;
+      for (const id of timed) {
+        const before = byJob.get(id)?.length ?? 0;
+        refresh(id);
+        if ((byJob.get(id)?.length ?? 0) > before) hasNew = true;
+      }
+      return hasNew;
+    },
+    setPlanned(step, indexes) {
+      let hidden = planned.get(step.key);
+      if (hidden === undefined) planned.set(step.key, hidden = new Set());
+      for (const index of indexes) hidden.add(index);
+      refresh(step.job);
+    },
+    clearPlanned(step, indexes) {
+      const hidden = planned.get(step.key);
+      for (const index of indexes) hidden?.delete(index);
+      if (hidden?.size === 0) planned.delete(step.key);
+      refresh(step.job);
+    },
+  };
+}
--- /dev/null
+++ b/src/workload/work_state.ts
@@ -0,0 +1,327 @@
+/**
+ * The replicated state of workloads: configuration, jobs with their tasks, and
+ * runners. Every member applies the same records in the same order, so applying
+ * must depend on nothing but the state and the record.
+ */
+
+import { Buffer } from "node:buffer";
+import type { StateMachine } from "../replicated_log/mod.ts";
+import {
+  type Configuration,
+  formatLife,
+  type JobSpec,
+  type QueueSettings,
+  type RunnerEntry,
+  type TaskRef,
+  type WorkJobState,
+  type WorkRecord,
+} from "./types.ts";
+
+/** Status of a task; numbers keep snapshots small. */
+export const TASK_STATUS = Object.freeze({
+  waiting: 0,
+  active: 1,
+  done: 2,
+});
+
+/** What is recorded about one task. */
+export interface TaskState {
+  status: number;
+  /** Highest run number that was ever recorded for the task. */
+  run: number;
+  /** Runner's life of the newest run. */
+  life: string;
+  /** Runs that ended in a failure. */
+  failures: number;
+  /** Newest saved progress. */
+  checkpoint: string;
+}
+
+/** What is recorded about one step of one occurrence. */
+export interface StepState {
+  tasks: TaskState[];
+  /** Number of tasks that are done. */
+  done: number;
+  /** Failed runs of the step as a gang. */
+  gangFailures: number;
+  /** Newest gang run that was counted as failed. */
+  lastFailedRun: number;
+}
+
+/** One occurrence of a job. */
+export interface OccurrenceState {
+  steps: StepState[];
+  isDone: boolean;
+}
+
+/** An accepted job and its tasks. */
+export interface JobState {
+  spec: JobSpec;
+  state: WorkJobState;
+  /** Wall time of the end in milliseconds; 0 while the job goes on. */
+  endedMs: number;
+  /** By number of the occurrence; created on first use. */
+  occurrences: Record<number, OccurrenceState>;
+  doneOccurrences: number;
+}
+
+/** The replicated state and its readers. */
+export interface WorkState extends StateMachine {
+  getConfiguration(): Configuration | undefined;
+  findQueue(name: string): QueueSettings | undefined;
+  getJob(id: string): JobState | undefined;
+  listJobs(): IterableIterator<JobState>;
+  listRunners(): IterableIterator<RunnerEntry>;
+  getRunner(id: string): RunnerEntry | undefined;
+  getOccurrence(job: JobState, occurrence: number): OccurrenceState;
+  getTask(task: TaskRef): TaskState | undefined;
+  /** Calls `listener` with each record after it was applied. */
+  setListener(listener: ((record: WorkRecord) => void) | undefined): void;
+}
+
+interface StoredState {
+  configuration: Configuration | undefined;
+  jobs: JobState[];
+  runners: RunnerEntry[];
+}
+
+/** Encodes records as one command of the log. */
+export function encodeRecords(records: readonly WorkRecord[]): Uint8Array {
+  return Buffer.from(JSON.stringify(records));
+}
+
+function createOccurrence(spec: JobSpec): OccurrenceState {
+  return {
+    isDone: false,
+    steps: spec.steps.map((step) => ({
+      done: 0,
+      gangFailures: 0,
+      lastFailedRun: 0,
+      tasks: Array.from({ length: step.tasks }, () => ({
+        status: TASK_STATUS.waiting,
+        run: 0,
+        life: "",
+        failures: 0,
+        checkpoint: "",
+      })),
+    })),
+  };
+}
+
+/** Tells whether a job still has work to do. */
+export function isOpenJob(job: JobState): boolean {
+  return job.state === "queued" || job.state === "running";
+}
+
+/** Returns the number of occurrences of a job. */
+export function countOccurrences(spec: JobSpec): number {
+  return Math.max(1, spec.repetitions);
+}
+
+/** Creates an empty state. */
+export function createWorkState(): WorkState {
+  let configuration: Configuration | undefined;
+  let queues = new Map<string, QueueSettings>();
+  let jobs = new Map<string, JobState>();
+  let runners = new Map<string, RunnerEntry>();
+  let listener: ((record: WorkRecord) => void) | undefined;
+
+  function setConfiguration(next: Configuration | undefined): void {
+    configuration = next;
+    queues = new Map(next?.queues.map((queue) => [queue.name, queue]));
+  }
+
+  function getOccurrence(job: JobState, occurrence: number): OccurrenceState {
+    return job.occurrences[occurrence] ??= createOccurrence(job.spec);
+  }
+
+  function getMaxAttempts(job: JobState): number {
+    return queues.get(job.spec.queue)?.maxAttempts ?? job.spec.maxAttempts;
+  }
+
+  function endJob(job: JobState, state: WorkJobState, atMs: number): void {
+    if (!isOpenJob(job)) return;
+    job.state = state;
+    job.endedMs = atMs;
+  }
+
+  function applyStart(record: WorkRecord & { kind: "start" }): void {
+    const job = jobs.get(record.job);
+    if (job === undefined) return;
+    if (job.state === "queued") job.state = "running";
+    const step = getOccurrence(job, record.occurrence).steps[record.step];
+    for (const { index, life } of record.entries) {
+      const task = step?.tasks[index];
+      if (task === undefined || task.status === TASK_STATUS.done) continue;
+      task.status = TASK_STATUS.active;
+      task.run = Math.max(task.run, record.run);
+      task.life = life;
+    }
+  }
+
+  function setDone(step: StepState, task: TaskState): void {
+    if (task.status === TASK_STATUS.done) return;
+    task.status = TASK_STATUS.done;
+    task.checkpoint = "";
+    step.done += 1;
+  }
+
+  function applyDone(
+    job: JobState,
+    record: WorkRecord & { kind: "end" },
+  ): void {
+    const { task: ref, run } = record;
+    const spec = job.spec.steps[ref.step];
+    const occurrence = getOccurrence(job, ref.occurrence);
+    const step = occurrence.steps[ref.step];
+    const task = step?.tasks[ref.index];
+    if (spec === undefined || step === undefined || task === undefined) return;
+    if (spec.longRunning) {
+      task.status = TASK_STATUS.waiting;
+      return;
+    }
+    setDone(step, task);
+    if (spec.gang) {
+      // A gang ends as a whole; the end of one member stands for all of its run.
+      for (const member of step.tasks) {
+        if (member.run === run) setDone(step, member);
+      }
+    }
+    const isOccurrenceDone = occurrence.steps.every((other) =>
+      other.done === other.tasks.length
+    );
+    if (!isOccurrenceDone || occurrence.isDone) return;
+    occurrence.isDone = true;
+    job.doneOccurrences += 1;
+    if (job.doneOccurrences >= countOccurrences(job.spec)) {
+      endJob(job, "completed", record.atMs);
+    }
+  }
+
+  function applyFailure(
+    job: JobState,
+    record: WorkRecord & { kind: "end" },
+    step: StepState,
+    task: TaskState,
+  ): void {
+    const spec = job.spec.steps[record.task.step];
+    if (spec === undefined || spec.longRunning) return;
+    task.failures += 1;
+    let failures = task.failures;
+    if (spec.gang) {
+      if (step.lastFailedRun !== record.run) {
+        step.lastFailedRun = record.run;
+        step.gangFailures += 1;
+      }
+      failures = step.gangFailures;
+    }
+    if (failures >= getMaxAttempts(job)) endJob(job, "failed", record.atMs);
+  }
+
+  function applyEnd(record: WorkRecord & { kind: "end" }): void {
+    const { task: ref, run, outcome } = record;
+    const job = jobs.get(ref.job);
+    if (job === undefined) return;
+    const step = getOccurrence(job, ref.occurrence).steps[ref.step];
+    const task = step?.tasks[ref.index];
+    if (step === undefined || task === undefined) return;
+    const isCurrent = task.status === TASK_STATUS.active && task.run === run;
+    if (!isCurrent) return;
+    if (record.checkpoint !== "") task.checkpoint = record.checkpoint;
+    task.status = TASK_STATUS.waiting;
+    if (outcome === "done") applyDone(job, record);
+    else if (outcome === "failed") applyFailure(job, record, step, task);
+  }
+
+  function applyRecord(record: WorkRecord): void {
+    switch (record.kind) {
+      case "configuration": {
+        const isNewer = configuration === undefined ||
+          record.configuration.version > configuration.version;
+        if (isNewer) setConfiguration(record.configuration);
+        break;
+      }
+      case "job":
+        if (jobs.has(record.job.id)) break;
+        jobs.set(record.job.id, {
+          spec: record.job,
+          state: "queued",
+          endedMs: 0,
+          occurrences: {},
+          doneOccurrences: 0,
+        });
+        break;
+      case "cancel": {
+        const job = jobs.get(record.job);
+        if (job !== undefined) endJob(job, "cancelled", record.atMs);
+        break;
+      }
+      case "start":
+        applyStart(record);
+        break;
+      case "end":
+        applyEnd(record);
+        break;
+      case "runner": {
+        const known = runners.get(record.runner.id);
+        // A delayed announcement of a former life must not replace the newer one.
+        const isOlder = known !== undefined &&
+          known.startedMs > record.runner.startedMs;
+        if (!isOlder) runners.set(record.runner.id, record.runner);
+        break;
+      }
+      case "runnerGone":
+        for (const [id, runner] of runners) {
+          if (formatLife(runner) === record.life) runners.delete(id);
+        }
+        break;
+      case "forget":
+        for (const id of record.jobs) jobs.delete(id);
+        break;
+    }
+  }
+
+  return {
+    getConfiguration: () => configuration,
+    findQueue: (name) => queues.get(name),
+    getJob: (id) => jobs.get(id),
+    listJobs: () => jobs.values(),
+    listRunners: () => runners.values(),
+    getRunner: (id) => runners.get(id),
+    getOccurrence,
+    getTask(task) {
+      const job = jobs.get(task.job);
+      return job?.occurrences[task.occurrence]?.steps[task.step]
+        ?.tasks[task.index];
+    },
+    setListener(next) {
+      listener = next;
+    },
+    apply(command) {
+      const records = JSON.parse(
+        Buffer.from(command).toString("utf8"),
+      ) as WorkRecord[];
+      for (const record of records) {
+        applyRecord(record);
+        listener?.(record);
+      }
+      return undefined;
+    },
+    takeSnapshot() {
+      const stored: StoredState = {
+        configuration,
+        jobs: [...jobs.values()],
+        runners: [...runners.values()],
+      };
+      return Buffer.from(JSON.stringify(stored));
+    },
+    restoreSnapshot(data) {
+      const stored = JSON.parse(
+        Buffer.from(data).toString("utf8"),
+      ) as StoredState;
+      setConfiguration(stored.configuration);
+      jobs = new Map(stored.jobs.map((job) => [job.spec.id, job]));
+      runners = new Map(stored.runners.map((runner) => [runner.id, runner]));
+    },
+  };
+}
--- /dev/null
+++ b/src/workload/workspace_use.ts
@@ -0,0 +1,87 @@
+/**
+ * What each workspace has running, its cap, and whether it has handed in more
+ * jobs than its weight gives it a claim to.
+ */
+
+import {
+  addResources,
+  type Clock,
+  NO_RESOURCES,
+  type Resources,
+  subtractResources,
+} from "../common/mod.ts";
+import type { WorkspaceUse } from "./planning.ts";
+import type { JobSpec } from "./types.ts";
+import type { WorkState } from "./work_state.ts";
+
+/** Seconds of its weight that a workspace may save up while it hands in less. */
+const CLAIM_BURST_S = 1;
+
+const MS_PER_SECOND = 1_000;
+
+/** Options of the count. */
+export interface WorkspaceUseOptions {
+  state: WorkState;
+  clock: Clock;
+}
+
+/** Counts what workspaces use. */
+export interface WorkspaceUseBook {
+  add(workspace: string | undefined, amount: Resources): void;
+  remove(workspace: string | undefined, amount: Resources): void;
+  /** Counts a job against the claim of its workspace. */
+  addJob(job: JobSpec): void;
+  /** Tells whether a job was beyond the claim of its workspace. */
+  isExcess(job: string): boolean;
+  /** Use and cap of each workspace of the configuration; a copy that may be changed. */
+  list(): Map<string, WorkspaceUse>;
+}
+
+/** Creates a count that starts from nothing. */
+export function createWorkspaceUse(
+  options: WorkspaceUseOptions,
+): WorkspaceUseBook {
+  const { state } = options;
+  const used = new Map<string, Resources>();
+  const claims = new Map<string, { left: number; atMs: number }>();
+  const excess = new Set<string>();
+
+  function getUsed(workspace: string): Resources {
+    return used.get(workspace) ?? NO_RESOURCES;
+  }
+
+  return {
+    add(workspace, amount) {
+      if (workspace === undefined) return;
+      used.set(workspace, addResources(getUsed(workspace), amount));
+    },
+    remove(workspace, amount) {
+      if (workspace === undefined) return;
+      used.set(workspace, subtractResources(getUsed(workspace), amount));
+    },
+    addJob(job) {
+      const settings = state.getConfiguration()?.workspaces
+        .find(({ name }) => name === job.workspace);
+      if (settings === undefined || settings.weight <= 0) return;
+      const most = settings.weight * CLAIM_BURST_S;
+      const claim = claims.get(settings.name) ??
+        { left: most, atMs: job.submittedMs };
+      const passedS = Math.max(0, job.submittedMs - claim.atMs) / MS_PER_SECOND;
+      claim.left = Math.min(most, claim.left + passedS * settings.weight) - 1;
+      claim.atMs = Math.max(claim.atMs, job.submittedMs);
+      if (claim.left < 0) {
+        claim.left = 0;
+        excess.add(job.id);
+      }
+      claims.set(settings.name, claim);
+    },
+    isExcess: (job) => excess.has(job),
+    list() {
+      const uses = new Map<string, WorkspaceUse>();
+      for (const { name, cap } of state.getConfiguration()?.workspaces ?? []) {
+        uses.set(name, { used: getUsed(name), cap });
+      }
+      return uses;
+    },
+  };
+}
