Count runs whose start is being recorded against the bound of a step on one runner

The bound was counted from recorded starts, so a second planning round placed another task of the step on the same runner while the first start was on its way into the log. Change: the bound counts what occupies the runner, which begins with the decision and lasts until the end is listed.

--- a/src/workload/open_steps.ts
+++ b/src/workload/open_steps.ts
@@ -106,13 +106,10 @@
       const key = formatStep({ job: spec.id, occurrence, step: number });
       const hidden = planned.get(key);
       const waiting: number[] = [];
-      const placedOn = new Map<string, number>();
       stepState.tasks.forEach((task, index) => {
-        if (task.status === TASK_STATUS.active) {
-          placedOn.set(task.life, (placedOn.get(task.life) ?? 0) + 1);
-        } else if (task.status === TASK_STATUS.waiting && !hidden?.has(index)) {
-          waiting.push(index);
-        }
+        const isWaiting = task.status === TASK_STATUS.waiting &&
+          !hidden?.has(index);
+        if (isWaiting) waiting.push(index);
       });
       // A gang starts only whole, so it waits until all of its last run has ended.
       const isPartial = step.gang && waiting.length < stepState.tasks.length;
@@ -130,7 +127,6 @@
         isExcess: workspaces.isExcess(spec.id),
         eligibility: queue?.eligibility,
         waiting,
-        placedOn,
       });
     });
     return open;
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -37,8 +37,6 @@
   readonly eligibility: EligibilityTimes | undefined;
   /** Tasks that wait, by index. */
   waiting: number[];
-  /** Runs of the step by runner's life, for `maxPerRunner`. */
-  readonly placedOn: ReadonlyMap<string, number>;
 }
 
 /** A task placed on a runner. */
@@ -115,6 +113,22 @@
   return runner.entry.labels.at(-1) ?? "";
 }
 
+const NONE_PLACED: ReadonlyMap<Runner, number> = new Map();
+
+/**
+ * Counts the runs of a step that occupy a runner, with those whose start is
+ * still being recorded and those that are being stopped.
+ */
+function countRuns(step: OpenStep, runner: Runner): number {
+  let count = 0;
+  for (const { task } of runner.occupants.values()) {
+    const isSame = task.job === step.job && task.step === step.step &&
+      task.occurrence === step.occurrence;
+    if (isSame) count += 1;
+  }
+  return count;
+}
+
 function isWithinCap(used: Resources, cap: Resources): boolean {
   return (cap.processors === 0 || used.processors <= cap.processors) &&
     (cap.memoryMb === 0 || used.memoryMb <= cap.memoryMb) &&
@@ -164,13 +178,18 @@
   }
 
   /** Returns how many tasks of the step fit on the runner, up to `most`. */
-  function countFitting(step: OpenStep, runner: Runner, most: number): number {
+  function countFitting(
+    step: OpenStep,
+    runner: Runner,
+    most: number,
+    placed: ReadonlyMap<Runner, number> = NONE_PLACED,
+  ): number {
     const { resources, maxPerRunner } = step.spec;
     let bound = most;
     if (maxPerRunner > 0) {
       bound = Math.min(
         bound,
-        maxPerRunner - (step.placedOn.get(runner.life) ?? 0),
+        maxPerRunner - countRuns(step, runner) - (placed.get(runner) ?? 0),
       );
     }
     let room = getRoom(step, runner);
@@ -328,9 +347,8 @@
 
   function planTasks(step: OpenStep, candidates: Runner[]): void {
     const placements: Placement[] = [];
-    const placedHere = new Map(step.placedOn);
+    const placedHere = new Map<Runner, number>();
     const isExpired: Runner[] = [];
-    const current = { ...step, placedOn: placedHere };
     let at = 0;
     for (const runner of candidates) {
       if (at >= step.waiting.length) break;
@@ -338,13 +356,13 @@
       const ticket = getTicket(step, runner);
       while (at < step.waiting.length) {
         if (!hasHeadroom(step, 1) || !fitsCap(step, 1)) break;
-        if (countFitting(current, runner, 1) === 0) break;
+        if (countFitting(step, runner, 1, placedHere) === 0) break;
         if (ticket === undefined) {
           isExpired.push(runner);
           break;
         }
         placements.push({ index: step.waiting[at] ?? 0, runner, ticket });
-        placedHere.set(runner.life, (placedHere.get(runner.life) ?? 0) + 1);
+        placedHere.set(runner, (placedHere.get(runner) ?? 0) + 1);
         take(step, runner);
         at += 1;
       }
