Model runners and a whole cell without a network; look at once after a stop of a run that never began

Cause, found by the new test 'tasks of a runner that comes back run again': a delayed order may reach the next life of a runner, so its run is stopped there before it starts again. The stop was answered at once, but the run only counted as over with the next look, and that one waited up to 1.5 s for an end that could not come. Change: one look without waiting after such a stop. Answers of two looks may overtake each other, so only the newest says what is absent.

--- /dev/null
+++ b/src/model/runner_model.ts
@@ -0,0 +1,423 @@
+/**
+ * A model of runners: what they answer to orders, how long runs take, and how
+ * runners go wrong. It keeps the rules of a runner (leases on its own clock,
+ * fencing, run numbers, gangs) and runs on a given clock, without a network.
+ */
+
+import { type Clock, createFault } from "../common/mod.ts";
+import {
+  formatTask,
+  type HoldReply,
+  type ListedEnd,
+  type OrderReply,
+  type RunnerCalls,
+  type RunnerEntry,
+  type RunnerTarget,
+  type StartOrder,
+  type TaskRef,
+} from "../workload/mod.ts";
+
+/** How a runner misbehaves; each may change while it runs. */
+export interface RunnerTrouble {
+  /** No call arrives and no answer leaves. */
+  isCutOff: boolean;
+  /** Runs begin and never get on. */
+  hangs: boolean;
+  /** Every run fails. */
+  fails: boolean;
+  /** Orders are carried out this much later, without an answer; 0 for at once. */
+  lateMs: number;
+  /** Multiple of each run time. */
+  slowness: number;
+}
+
+/** A run that broke a rule of the platform. */
+export interface Violation {
+  readonly rule: "capacity" | "twice" | "afterDone" | "attempts" | "alone";
+  readonly detail: string;
+}
+
+interface Run {
+  readonly order: StartOrder;
+  readonly startMs: number;
+  readonly endMs: number;
+  readonly willFail: boolean;
+  stopMs: number | undefined;
+}
+
+interface ModelRunner {
+  readonly entry: RunnerEntry;
+  readonly trouble: RunnerTrouble;
+  fence: number;
+  leaseUntilMs: number;
+  runs: Map<string, Run>;
+  /** Highest run that was stopped or has ended, by task. */
+  ended: Map<string, number>;
+  ends: ListedEnd[];
+  nextEnd: number;
+  isGone: boolean;
+  waiters: Set<() => void>;
+}
+
+/** What the model needs to know about a task. */
+export interface TaskFacts {
+  /** Run time on a healthy runner in milliseconds. */
+  readonly durationMs: number;
+  readonly processors: number;
+  readonly memoryMb: number;
+  /** True when every run of the task fails. */
+  readonly isHopeless: boolean;
+  /** Tasks of the gang; 0 when the task works by itself. */
+  readonly gangSize: number;
+}
+
+/** Options of the model. */
+export interface RunnerModelOptions {
+  clock: Clock;
+  getTaskFacts: (task: TaskRef) => TaskFacts;
+  /** Delay of each answer in milliseconds. Default 2. */
+  delayMs?: number;
+  /** Time that a stop takes, in milliseconds. Default 100. */
+  stopMs?: number;
+}
+
+/** The model of all runners. */
+export interface RunnerModel {
+  readonly calls: RunnerCalls;
+  readonly violations: Violation[];
+  /** Runs that were begun. */
+  countStarts(): number;
+  add(entry: RunnerEntry): RunnerTrouble;
+  /** Ends a life at once: everything that ran there is gone. */
+  crash(id: string): void;
+  /** Lists the runs that are at work. */
+  listRunning(): { task: TaskRef; run: number; runner: string }[];
+  getProcessorsUsed(): number;
+}
+
+/** Time that a member of a gang waits for the others, in milliseconds. */
+const GANG_WAIT_MS = 3_000;
+
+/** Time between two looks of the model at its runs, in milliseconds. */
+const TICK_MS = 5;
+
+/** Creates a model without runners. */
+export function createRunnerModel(options: RunnerModelOptions): RunnerModel {
+  const { clock } = options;
+  const delayMs = options.delayMs ?? 2;
+  const stopMs = options.stopMs ?? 100;
+  const runners = new Map<string, ModelRunner>();
+  const violations: Violation[] = [];
+  const doneTasks = new Set<string>();
+  let starts = 0;
+
+  function wait(ms: number): Promise<void> {
+    return new Promise((resolve) => void clock.setTimer(ms, resolve));
+  }
+
+  function findRunner(target: RunnerTarget): ModelRunner | undefined {
+    const runner = runners.get(target.id);
+    return runner === undefined || runner.isGone ? undefined : runner;
+  }
+
+  /** Waits for the way there; rejects after the timeout when nothing answers. */
+  async function reach(
+    target: RunnerTarget,
+    timeoutMs: number,
+  ): Promise<ModelRunner> {
+    await wait(delayMs);
+    const runner = findRunner(target);
+    if (runner !== undefined && !runner.trouble.isCutOff) return runner;
+    await wait(timeoutMs);
+    throw createFault("outcomeUnknown", `Cannot reach runner "${target.id}"`);
+  }
+
+  function checkFence(runner: ModelRunner, fence: number): boolean {
+    if (fence < runner.fence) return false;
+    runner.fence = fence;
+    return true;
+  }
+
+  function endRun(
+    runner: ModelRunner,
+    key: string,
+    outcome: ListedEnd["outcome"],
+  ): void {
+    const run = runner.runs.get(key);
+    if (run === undefined) return;
+    runner.runs.delete(key);
+    runner.ended.set(key, run.order.run);
+    if (outcome === "done") doneTasks.add(key);
+    runner.ends.push({
+      number: runner.nextEnd++,
+      task: run.order.task,
+      run: run.order.run,
+      outcome,
+      checkpoint: "",
+    });
+    for (const wake of [...runner.waiters]) wake();
+  }
+
+  function listGang(task: TaskRef, runNumber: number) {
+    const members: { runner: ModelRunner; key: string; run: Run }[] = [];
+    for (const runner of runners.values()) {
+      for (const [key, run] of runner.runs) {
+        const other = run.order.task;
+        const isMember = other.job === task.job && other.step === task.step &&
+          other.occurrence === task.occurrence && run.order.run === runNumber;
+        if (isMember) members.push({ runner, key, run });
+      }
+    }
+    return members;
+  }
+
+  function checkCapacity(runner: ModelRunner): void {
+    let processors = 0;
+    let memoryMb = 0;
+    for (const { order } of runner.runs.values()) {
+      const facts = options.getTaskFacts(order.task);
+      processors += facts.processors;
+      memoryMb += facts.memoryMb;
+    }
+    const { capacity, id } = runner.entry;
+    const isOver = processors > capacity.processors ||
+      memoryMb > capacity.memoryMb;
+    if (!isOver) return;
+    violations.push({
+      rule: "capacity",
+      detail: `${id}: ${processors} of ${capacity.processors}`,
+    });
+  }
+
+  function beginRun(runner: ModelRunner, order: StartOrder): void {
+    const key = formatTask(order.task);
+    const facts = options.getTaskFacts(order.task);
+    const { trouble, entry } = runner;
+    for (const other of runners.values()) {
+      if (other.runs.has(key)) {
+        violations.push({ rule: "twice", detail: `${key} on ${entry.id}` });
+      }
+    }
+    if (doneTasks.has(key)) {
+      violations.push({ rule: "afterDone", detail: `${key} on ${entry.id}` });
+    }
+    const nowMs = clock.now();
+    const durationMs = trouble.hangs
+      ? Infinity
+      : facts.durationMs * trouble.slowness;
+    starts += 1;
+    runner.runs.set(key, {
+      order,
+      startMs: nowMs,
+      endMs: nowMs + durationMs,
+      willFail: trouble.fails || facts.isHopeless,
+      stopMs: undefined,
+    });
+    checkCapacity(runner);
+  }
+
+  function start(runner: ModelRunner, order: StartOrder): OrderReply {
+    const clockMs = Math.floor(clock.now());
+    if (!checkFence(runner, order.fence)) {
+      return { outcome: "staleFence", clockMs };
+    }
+    runner.leaseUntilMs = Math.max(runner.leaseUntilMs, order.untilMs);
+    const key = formatTask(order.task);
+    if (runner.runs.get(key)?.order.run === order.run) {
+      return { outcome: "accepted", clockMs };
+    }
+    if (order.untilMs <= clockMs) return { outcome: "leaseEnded", clockMs };
+    if ((runner.ended.get(key) ?? 0) >= order.run) {
+      return { outcome: "staleRun", clockMs };
+    }
+    beginRun(runner, order);
+    return { outcome: "accepted", clockMs };
+  }
+
+  async function runLate<Reply>(
+    runner: ModelRunner,
+    timeoutMs: number,
+    carryOut: () => Reply,
+  ): Promise<Reply> {
+    const { lateMs } = runner.trouble;
+    if (lateMs === 0) {
+      const reply = carryOut();
+      await wait(delayMs);
+      return reply;
+    }
+    clock.setTimer(lateMs, () => {
+      if (!runner.isGone) carryOut();
+    });
+    await wait(timeoutMs);
+    throw createFault("outcomeUnknown", `No answer from "${runner.entry.id}"`);
+  }
+
+  function listHold(runner: ModelRunner): HoldReply & { outcome: "accepted" } {
+    const nowMs = clock.now();
+    return {
+      outcome: "accepted",
+      clockMs: Math.floor(nowMs),
+      startedMs: runner.entry.startedMs,
+      running: [...runner.runs.values()].map(({ order, startMs, endMs }) => ({
+        task: order.task,
+        run: order.run,
+        checkpoint: "",
+        percent: endMs === Infinity
+          ? 0
+          : Math.floor(100 * (nowMs - startMs) / (endMs - startMs)),
+      })),
+      ended: [...runner.ends],
+    };
+  }
+
+  function stepGangs(runner: ModelRunner, key: string, run: Run): boolean {
+    const { gangSize } = options.getTaskFacts(run.order.task);
+    if (gangSize <= 1) return true;
+    const members = listGang(run.order.task, run.order.run);
+    if (members.length === gangSize) return true;
+    const nowMs = clock.now();
+    if (nowMs - run.startMs > GANG_WAIT_MS && nowMs < run.endMs) {
+      violations.push({ rule: "alone", detail: `${key}#${run.order.run}` });
+      endRun(runner, key, "alone");
+    }
+    return nowMs >= run.endMs;
+  }
+
+  function step(runner: ModelRunner): void {
+    const nowMs = clock.now();
+    for (const [key, run] of [...runner.runs]) {
+      if (!runner.runs.has(key)) continue;
+      if (run.stopMs !== undefined && nowMs >= run.stopMs) {
+        endRun(runner, key, "stopped");
+        continue;
+      }
+      if (!stepGangs(runner, key, run) || nowMs < run.endMs) continue;
+      const { gangSize } = options.getTaskFacts(run.order.task);
+      const outcome = run.willFail ? "failed" : "done";
+      if (gangSize > 1) {
+        for (const member of listGang(run.order.task, run.order.run)) {
+          const isFirst = member.key === key;
+          const other = run.willFail ? "broken" : "done";
+          endRun(member.runner, member.key, isFirst ? outcome : other);
+        }
+      } else {
+        endRun(runner, key, outcome);
+      }
+    }
+    const hasLapsed = runner.runs.size > 0 && nowMs >= runner.leaseUntilMs;
+    if (!hasLapsed) return;
+    for (const key of [...runner.runs.keys()]) endRun(runner, key, "lapsed");
+  }
+
+  function tick(): void {
+    for (const runner of runners.values()) {
+      if (!runner.isGone) step(runner);
+    }
+    clock.setTimer(TICK_MS, tick);
+  }
+  tick();
+
+  const calls: RunnerCalls = {
+    async start(target, order, timeoutMs) {
+      const runner = await reach(target, timeoutMs);
+      return runLate(runner, timeoutMs, () => start(runner, order));
+    },
+    async stop(target, order, timeoutMs) {
+      const runner = await reach(target, timeoutMs);
+      const clockMs = Math.floor(clock.now());
+      if (!checkFence(runner, order.fence)) {
+        return { outcome: "staleFence", clockMs };
+      }
+      const key = formatTask(order.task);
+      const run = runner.runs.get(key);
+      if (run !== undefined && run.order.run === order.run) {
+        run.stopMs ??= clock.now() + stopMs;
+      } else {
+        const before = runner.ended.get(key) ?? 0;
+        runner.ended.set(key, Math.max(before, order.run));
+      }
+      await wait(delayMs);
+      return { outcome: "accepted", clockMs };
+    },
+    async hold(target, order, timeoutMs) {
+      const runner = await reach(target, timeoutMs);
+      if (!checkFence(runner, order.fence)) return { outcome: "staleFence" };
+      if (order.untilMs !== undefined) {
+        runner.leaseUntilMs = Math.max(runner.leaseUntilMs, order.untilMs);
+      }
+      runner.ends = runner.ends.filter(({ number }) =>
+        number > order.recordedEnds
+      );
+      if (runner.ends.length === 0 && order.waitMs > 0) {
+        await new Promise<void>((resolve) => {
+          const wake = () => {
+            runner.waiters.delete(wake);
+            resolve();
+          };
+          runner.waiters.add(wake);
+          clock.setTimer(order.waitMs, wake);
+        });
+      }
+      if (runner.trouble.isCutOff || runner.isGone) {
+        await wait(timeoutMs);
+        throw createFault("outcomeUnknown", `Lost runner "${target.id}"`);
+      }
+      const reply = listHold(runner);
+      await wait(delayMs);
+      return reply;
+    },
+    release: () => {},
+  };
+
+  return {
+    calls,
+    violations,
+    countStarts: () => starts,
+    add(entry) {
+      const trouble: RunnerTrouble = {
+        isCutOff: false,
+        hangs: false,
+        fails: false,
+        lateMs: 0,
+        slowness: 1,
+      };
+      runners.set(entry.id, {
+        entry,
+        trouble,
+        fence: 0,
+        leaseUntilMs: 0,
+        runs: new Map(),
+        ended: new Map(),
+        ends: [],
+        nextEnd: 1,
+        isGone: false,
+        waiters: new Set(),
+      });
+      return trouble;
+    },
+    crash(id) {
+      const runner = runners.get(id);
+      if (runner === undefined) return;
+      runner.isGone = true;
+      runner.runs.clear();
+    },
+    listRunning() {
+      return [...runners.values()].flatMap((runner) =>
+        [...runner.runs.values()].map(({ order }) => ({
+          task: order.task,
+          run: order.run,
+          runner: runner.entry.id,
+        }))
+      );
+    },
+    getProcessorsUsed() {
+      let sum = 0;
+      for (const runner of runners.values()) {
+        for (const { order } of runner.runs.values()) {
+          sum += options.getTaskFacts(order.task).processors;
+        }
+      }
+      return sum;
+    },
+  };
+}
--- /dev/null
+++ b/src/model/work_model.ts
@@ -0,0 +1,308 @@
+/**
+ * A whole cell without a network: the real controller and its recorded state,
+ * the model of runners, and a model of the eligibility service, on one manual
+ * clock. Takeovers replace the controller and keep the recorded state.
+ */
+
+import {
+  createFault,
+  createManualClock,
+  createSilentLogger,
+  type Logger,
+  type ManualClock,
+} from "../common/mod.ts";
+import {
+  type Configuration,
+  createWorkState,
+  type EligibilityAnswer,
+  type EligibilityQuestion,
+  encodeRecords,
+  type JobBody,
+  type QueueSettings,
+  type RunnerEntry,
+  startWorkController,
+  type StepSpec,
+  type TaskRef,
+  type WorkController,
+  type WorkRecord,
+  type WorkspaceSettings,
+  type WorkState,
+} from "../workload/mod.ts";
+import {
+  createRunnerModel,
+  type RunnerModel,
+  type RunnerTrouble,
+  type TaskFacts,
+} from "./runner_model.ts";
+
+/** Real time is not needed; this is the wall time at the start of the model. */
+const START_WALL_MS = 1_700_000_000_000;
+
+/** Options of the cell. */
+export interface WorkModelOptions {
+  configuration: Configuration;
+  /** Time that a record takes to be committed, in milliseconds. Default 12. */
+  commitMs?: number;
+  /** What tasks do; by default as their steps declare. */
+  getTaskFacts?: (task: TaskRef, step: StepSpec) => TaskFacts;
+  /** Whether a runner may run a step. Default: every one. */
+  isEligible?: (runner: string, step: string) => boolean;
+  /** Instances that can ask the eligibility service. Default three. */
+  callers?: readonly string[];
+  logger?: Logger;
+}
+
+/** The cell. */
+export interface WorkModel {
+  readonly clock: ManualClock;
+  readonly runners: RunnerModel;
+  readonly state: WorkState;
+  getController(): WorkController;
+  /** Adds a runner and announces it. */
+  addRunner(
+    id: string,
+    entry?: Partial<RunnerEntry>,
+  ): Promise<RunnerTrouble>;
+  /** Hands in a job through a queue; resolves once it is accepted. */
+  submit(id: string, body: JobBody, options?: SubmitOptions): Promise<void>;
+  /** Lets time pass. */
+  run(ms: number): Promise<void>;
+  /** Replaces the leader: nothing is left but the recorded state. */
+  takeOver(): void;
+}
+
+/** Where a job is handed in. */
+export interface SubmitOptions {
+  /** Default: the first queue. */
+  queue?: string;
+  /** Default: the first key of the first workspace. */
+  key?: string;
+}
+
+/** A step with defaults for what a test does not care about. */
+export function createStep(step: Partial<StepSpec> = {}): StepSpec {
+  return {
+    tasks: 1,
+    resources: { processors: 1_000, memoryMb: 1_000, accelerators: 0 },
+    estimatedMs: 500,
+    after: [],
+    checkpointing: false,
+    gang: false,
+    singleRack: false,
+    maxPerRunner: 0,
+    longRunning: false,
+    fillsIdle: false,
+    allowedAbsences: 0,
+    targetMs: 0,
+    ...step,
+  };
+}
+
+/** A job with defaults. */
+export function createJob(steps: readonly Partial<StepSpec>[]): JobBody {
+  return {
+    payload: "payload",
+    steps: steps.map(createStep),
+    firstRunMs: 0,
+    intervalMs: 0,
+    repetitions: 0,
+  };
+}
+
+/** A configuration with one pool, one workspace and the given queues. */
+export function createModelConfiguration(
+  options: {
+    queues?: readonly Partial<QueueSettings>[];
+    workspaces?: readonly Partial<WorkspaceSettings>[];
+    version?: number;
+  } = {},
+): Configuration {
+  const queues = options.queues ?? [{}];
+  const workspaces = options.workspaces ?? [{}];
+  return {
+    version: options.version ?? 1,
+    document: "{}",
+    pools: [{ name: "pool", checksAdmission: false }],
+    queues: queues.map((queue, at) => ({
+      name: `queue-${at}`,
+      host: "queue.example",
+      pathPrefix: `/${queue.name ?? `queue-${at}`}/`,
+      pool: "pool",
+      isPublic: false,
+      priority: 1,
+      maxAttempts: 3,
+      slowdownFactor: 2,
+      targetMs: 1_000,
+      timeoutMs: 3_000,
+      ...queue,
+    })),
+    workspaces: workspaces.map((workspace, at) => ({
+      name: `workspace-${at}`,
+      keys: [`key-${at}`],
+      weight: 100,
+      cap: { processors: 0, memoryMb: 0, accelerators: 0 },
+      ...workspace,
+    })),
+  };
+}
+
+/** Lets all promises that are due settle; more of them than any chain here has. */
+async function settlePromises(): Promise<void> {
+  await new Promise<void>((resolve) => setImmediate(resolve));
+}
+
+/** Creates a cell without runners. */
+export function createWorkModel(options: WorkModelOptions): WorkModel {
+  const clock = createManualClock(1_000);
+  const wallClock = { ...clock, wallTime: () => START_WALL_MS + clock.now() };
+  const logger = options.logger ?? createSilentLogger();
+  const state = createWorkState();
+  const callers = options.callers ?? ["a", "b", "c"];
+  const commitMs = options.commitMs ?? 12;
+  let fence = 0;
+  let controller: WorkController | undefined;
+
+  const runners = createRunnerModel({
+    clock,
+    getTaskFacts(task) {
+      const step = state.getJob(task.job)?.spec.steps[task.step] ??
+        createStep();
+      if (options.getTaskFacts !== undefined) {
+        return options.getTaskFacts(task, step);
+      }
+      return {
+        durationMs: step.estimatedMs,
+        processors: step.resources.processors,
+        memoryMb: step.resources.memoryMb,
+        isHopeless: false,
+        gangSize: step.gang ? step.tasks : 0,
+      };
+    },
+  });
+
+  /** The service answers one question at a time for each caller. */
+  const callerFreeMs = new Map<string, number>();
+  function ask(
+    caller: string,
+    question: EligibilityQuestion,
+  ): Promise<EligibilityAnswer> {
+    const queue = state.findQueue(
+      state.getJob(question.job)?.spec.queue ?? "",
+    );
+    const times = queue?.eligibility;
+    if (times === undefined) {
+      throw createFault("badRequest", "Cannot ask for a queue without policy");
+    }
+    const nowMs = clock.now();
+    const freeMs = Math.max(nowMs, callerFreeMs.get(caller) ?? 0) +
+      times.baseMs + times.perRunnerMs * question.runners.length;
+    callerFreeMs.set(caller, freeMs);
+    const step = `${question.job}/${question.step}`;
+    const tickets: Record<string, string> = {};
+    for (const runner of question.runners) {
+      if (options.isEligible?.(runner, step) ?? true) {
+        tickets[runner] = `${step}@${runner}`;
+      }
+    }
+    return new Promise((resolve) =>
+      void clock.setTimer(
+        freeMs - nowMs,
+        () => resolve({ tickets, validMs: times.validMs }),
+      )
+    );
+  }
+
+  function takeOver(): void {
+    controller?.stop();
+    fence += 1;
+    const term = fence;
+    controller = startWorkController({
+      clock: wallClock,
+      logger,
+      state,
+      fence: term,
+      isLeading: () => term === fence,
+      propose(records: readonly WorkRecord[]) {
+        return new Promise((resolve, reject) => {
+          clock.setTimer(commitMs, () => {
+            if (term !== fence) {
+              return reject(createFault("outcomeUnknown", "Leader replaced"));
+            }
+            state.apply(encodeRecords(records), 0);
+            resolve();
+          });
+        });
+      },
+      calls: runners.calls,
+      ask: (caller, question) => ask(caller, question),
+      maxLeaseMs: 10_000,
+      keepMs: 120_000,
+      handleStaleFence: () => {},
+    });
+    controller.setCallers(callers);
+  }
+
+  function getController(): WorkController {
+    if (controller === undefined) takeOver();
+    if (controller === undefined) throw createFault("internal", "No leader");
+    return controller;
+  }
+
+  async function run(ms: number): Promise<void> {
+    const untilMs = clock.now() + ms;
+    while (clock.now() < untilMs) {
+      clock.advance(1);
+      await settlePromises();
+    }
+  }
+
+  state.apply(
+    encodeRecords([{
+      kind: "configuration",
+      configuration: options.configuration,
+    }]),
+    0,
+  );
+  takeOver();
+
+  return {
+    clock,
+    runners,
+    state,
+    getController,
+    async addRunner(id, entry = {}) {
+      const full: RunnerEntry = {
+        id,
+        startedMs: 1,
+        address: `${id}:1`,
+        pool: "pool",
+        dataCentre: "one",
+        capacity: { processors: 4_000, memoryMb: 16_000, accelerators: 0 },
+        labels: ["kind", "rack-1"],
+        isDraining: false,
+        ...entry,
+      };
+      const trouble = runners.add(full);
+      const announced = getController().announceRunner({
+        entry: full,
+        sequence: 1,
+        remainingMs: 0,
+      });
+      await run(commitMs + 20);
+      await announced;
+      return trouble;
+    },
+    submit(id, body, submitOptions = {}) {
+      const { queues, workspaces } = options.configuration;
+      const queue = queues.find(({ name }) => name === submitOptions.queue) ??
+        queues[0];
+      return getController().submit({
+        host: queue?.host ?? "",
+        path: `${queue?.pathPrefix ?? "/"}${id}`,
+        key: submitOptions.key ?? workspaces[0]?.keys[0] ?? "",
+      }, body);
+    },
+    run,
+    takeOver,
+  };
+}
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -64,6 +64,8 @@
   ): Promise<StartResult>;
   /** Sends a stop until it is answered; tells whether it was. */
   runStop(occupant: Occupant): Promise<boolean>;
+  /** Looks once more at once, beside the look that waits for an end. */
+  startLook(): void;
   stop(): void;
 }
 
@@ -102,14 +104,14 @@
     runner.clockSample = { clockMs, atMs: clock.now() };
   }
 
-  async function holdOnce(): Promise<void> {
+  async function holdOnce(mayWait: boolean): Promise<void> {
     const sentAtMs = clock.now();
     // After an unanswered look a further grant would only delay the moment
     // from which the tasks of a lost runner may start elsewhere.
     const untilMs = hasUnansweredHold ? undefined : computeUntil();
     if (untilMs !== undefined) recordGrant(runner, untilMs);
     const isFirst = runner.contactMs === undefined || hasUnansweredHold;
-    const waitMs = isFirst ? 0 : HOLD_WAIT_MS;
+    const waitMs = isFirst || !mayWait ? 0 : HOLD_WAIT_MS;
     const reply = await calls.hold(
       getTarget(),
       { fence, recordedEnds: runner.recordedEnds, untilMs, waitMs },
@@ -132,7 +134,7 @@
   async function holdAgain(): Promise<void> {
     while (await waitUntilLeading()) {
       try {
-        await holdOnce();
+        await holdOnce(true);
       } catch (error) {
         if (!hasUnansweredHold) {
           logger.info("Runner does not answer", { runner: runner.life, error });
@@ -219,6 +221,11 @@
   return {
     runStart,
     runStop,
+    startLook() {
+      holdOnce(false).catch((error: unknown) =>
+        logger.info("Look not answered", { runner: runner.life, error })
+      );
+    },
     stop() {
       isStopped = true;
     },
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -36,6 +36,8 @@
   confirmedMs: number | undefined;
   /** Local time of the answer to its stop; undefined before. */
   stoppedMs: number | undefined;
+  /** True once a look has listed it. */
+  isListed: boolean;
   /** True once an order got no answer, so that it may still be carried out. */
   isUncertain: boolean;
   /** Percent of the work, as last listed. */
@@ -57,6 +59,8 @@
   leaseEndMs: number;
   /** Local time of the last answered look; undefined before the first. */
   contactMs: number | undefined;
+  /** Local time at which the newest answered look was sent. */
+  lookSentMs: number;
   /** Number of the newest end that is recorded. */
   recordedEnds: number;
   /** True once this life is over. */
@@ -90,6 +94,7 @@
     clockSample: undefined,
     leaseEndMs: times.leaseEndMs,
     contactMs: undefined,
+    lookSentMs: 0,
     recordedEnds: 0,
     isClosed: false,
     isLost: false,
@@ -126,6 +131,7 @@
     plannedMs: nowMs,
     confirmedMs: state === "running" ? nowMs : undefined,
     stoppedMs: undefined,
+    isListed: false,
     isUncertain: false,
     progress: 0,
     progressMs: nowMs,
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -256,7 +256,12 @@
     if (occupant.state === "stopping") return;
     occupant.state = "stopping";
     void lane.driver.runStop(occupant).then((isAnswered) => {
-      if (isAnswered) occupant.stoppedMs = clock.now();
+      if (!isAnswered) return;
+      occupant.stoppedMs = clock.now();
+      // A run that never began has no end that would answer the waiting look.
+      const isOpen = !occupant.isListed &&
+        lane.runner.occupants.has(occupant.key);
+      if (isOpen) lane.driver.startLook();
     });
   }
 
@@ -412,6 +417,7 @@
       occupant = assignRun(runner, task, run, "running");
       if (occupant === undefined) return;
     }
+    occupant.isListed = true;
     occupant.confirmedMs ??= nowMs;
     occupant.checkpoint = listed.checkpoint;
     if (listed.percent > occupant.progress) {
@@ -455,12 +461,15 @@
       const record = handleEnd(lane, end);
       if (record !== undefined) records.push(record);
     }
-    for (const listed of reply.running) {
+    // Answers on different connections may overtake each other.
+    const isNewest = sentAtMs >= runner.lookSentMs;
+    runner.lookSentMs = Math.max(runner.lookSentMs, sentAtMs);
+    for (const listed of isNewest ? reply.running : []) {
       listedKeys.add(formatRun(listed.task, listed.run));
       handleListedRun(lane, listed);
     }
     const lost: Occupant[] = [];
-    for (const occupant of [...runner.occupants.values()]) {
+    for (const occupant of isNewest ? [...runner.occupants.values()] : []) {
       if (listedKeys.has(occupant.key)) continue;
       const isOver = occupant.state === "stopping"
         ? occupant.stoppedMs !== undefined && occupant.stoppedMs <= sentAtMs
--- /dev/null
+++ b/src/workload/work_controller_test.ts
@@ -0,0 +1,367 @@
+import t from "tap";
+import { isFault } from "../common/mod.ts";
+import {
+  createJob,
+  createModelConfiguration,
+  createWorkModel,
+  type WorkModel,
+} from "../model/mod.ts";
+
+function createAddress(model: WorkModel, id: string) {
+  const queue = model.state.getConfiguration()?.queues[0];
+  return {
+    host: queue?.host ?? "",
+    path: `${queue?.pathPrefix}${id}`,
+    key: "key-0",
+  };
+}
+
+function getState(model: WorkModel, id: string) {
+  return model.getController().getState(createAddress(model, id));
+}
+
+// Lets the model run while a call is on its way.
+async function runCall<Value>(
+  model: WorkModel,
+  call: Promise<Value>,
+): Promise<Value> {
+  let isDone = false;
+  const ended = call.finally(() => isDone = true);
+  ended.catch(() => {});
+  while (!isDone) await model.run(5);
+  return await ended;
+}
+
+t.test("steps run in order", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1");
+  await runCall(
+    model,
+    model.submit(
+      "job",
+      createJob([
+        { tasks: 3, estimatedMs: 300 },
+        { tasks: 2, estimatedMs: 200, after: [0] },
+      ]),
+    ),
+  );
+  await model.run(200);
+  const early = model.runners.listRunning();
+  t.equal(early.length, 3);
+  t.ok(early.every(({ task }) => task.step === 0));
+  await model.run(250);
+  t.ok(model.runners.listRunning().every(({ task }) => task.step === 1));
+  await model.run(400);
+  t.equal(getState(model, "job"), "completed");
+  t.equal(model.runners.countStarts(), 5);
+  t.strictSame(model.runners.violations, []);
+});
+
+t.test("no runner is filled beyond its capacity", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1");
+  await model.addRunner("r2");
+  for (let number = 0; number < 10; number += 1) {
+    void model.submit(
+      `job-${number}`,
+      createJob([{
+        tasks: 4,
+        resources: { processors: 1_500, memoryMb: 100, accelerators: 0 },
+      }]),
+    );
+  }
+  await model.run(20_000);
+  for (let number = 0; number < 10; number += 1) {
+    t.equal(getState(model, `job-${number}`), "completed");
+  }
+  t.strictSame(model.runners.violations, []);
+});
+
+// Pattern: a second planning round while the first start is being recorded.
+t.test("the bound on one runner holds while starts are recorded", async (t) => {
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    commitMs: 60,
+  });
+  await model.addRunner("r1");
+  await runCall(
+    model,
+    model.submit("job", createJob([{ tasks: 4, maxPerRunner: 1 }])),
+  );
+  let most = 0;
+  for (let round = 0; round < 40; round += 1) {
+    // Each announcement of another runner's life leads to a planning round.
+    model.getController().setCallers(["a"]);
+    await model.run(10);
+    most = Math.max(most, model.runners.listRunning().length);
+  }
+  t.equal(most, 1);
+});
+
+t.test("a gang starts whole, or waits for room", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1");
+  await runCall(
+    model,
+    model.submit(
+      "first",
+      createJob([{
+        tasks: 2,
+        resources: { processors: 1_500, memoryMb: 10, accelerators: 0 },
+        estimatedMs: 400,
+      }]),
+    ),
+  );
+  await runCall(
+    model,
+    model.submit("gang", createJob([{ tasks: 3, gang: true }])),
+  );
+  await model.run(100);
+  t.notOk(model.runners.listRunning().some(({ task }) => task.job === "gang"));
+  await model.run(2_000);
+  t.equal(getState(model, "gang"), "completed");
+  t.strictSame(model.runners.violations, []);
+});
+
+t.test("a takeover neither loses nor doubles a task", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1");
+  await model.addRunner("r2");
+  for (let number = 0; number < 6; number += 1) {
+    await runCall(
+      model,
+      model.submit(`job-${number}`, createJob([{ tasks: 3 }])),
+    );
+    if (number % 2 === 1) model.takeOver();
+    await model.run(37);
+  }
+  await model.run(6_000);
+  for (let number = 0; number < 6; number += 1) {
+    t.equal(getState(model, `job-${number}`), "completed");
+  }
+  t.strictSame(model.runners.violations, []);
+});
+
+t.test("tasks of a runner that comes back run again", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1");
+  await runCall(model, model.submit("job", createJob([{ estimatedMs: 800 }])));
+  await model.run(300);
+  model.runners.crash("r1");
+  await model.run(300);
+  await model.addRunner("r1", { startedMs: 2 });
+  await model.run(1_500);
+  t.equal(getState(model, "job"), "completed");
+  t.strictSame(model.runners.violations, []);
+});
+
+t.test("a cut off runner's tasks wait for the end of its lease", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  const trouble = await model.addRunner("r1");
+  await runCall(
+    model,
+    model.submit("job", createJob([{ estimatedMs: 60_000 }])),
+  );
+  await model.run(200);
+  t.equal(model.runners.listRunning().length, 1);
+  trouble.isCutOff = true;
+  await model.addRunner("r2");
+  await model.run(3_000);
+  t.equal(model.runners.listRunning()[0]?.runner, "r1");
+  await model.run(5_000);
+  t.strictSame(model.runners.listRunning().map(({ runner }) => runner), ["r2"]);
+  t.strictSame(model.runners.violations, []);
+});
+
+t.test("an order that is carried out late does not double a task", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  const trouble = await model.addRunner("r1");
+  trouble.lateMs = 3_000;
+  await runCall(model, model.submit("job", createJob([{ estimatedMs: 400 }])));
+  await model.addRunner("r2");
+  await model.run(1_000);
+  trouble.lateMs = 0;
+  await model.run(8_000);
+  t.equal(getState(model, "job"), "completed");
+  t.strictSame(model.runners.violations, []);
+});
+
+t.test("a cancelled job's tasks are stopped", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1");
+  await runCall(
+    model,
+    model.submit("job", createJob([{ tasks: 3, estimatedMs: 60_000 }])),
+  );
+  await model.run(100);
+  t.equal(model.runners.listRunning().length, 3);
+  await runCall(
+    model,
+    model.getController().cancel(createAddress(model, "job")),
+  );
+  t.equal(getState(model, "job"), "cancelled");
+  await model.run(400);
+  t.equal(model.runners.listRunning().length, 0);
+});
+
+t.test("a hopeless job fails after its attempts", async (t) => {
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    getTaskFacts: (_, step) => ({
+      durationMs: 50,
+      processors: step.resources.processors,
+      memoryMb: step.resources.memoryMb,
+      isHopeless: true,
+      gangSize: 0,
+    }),
+  });
+  await model.addRunner("r1");
+  await runCall(model, model.submit("job", createJob([{}])));
+  await model.run(3_000);
+  t.equal(getState(model, "job"), "failed");
+  t.equal(model.runners.countStarts(), 3);
+});
+
+// Pattern: runners that fail all that they start, while their looks are good.
+t.test("a runner that fails everything gets little work", async (t) => {
+  const model = createWorkModel({
+    configuration: createModelConfiguration({
+      queues: [{ maxAttempts: 4 }],
+    }),
+  });
+  const bad = await model.addRunner("bad");
+  await model.addRunner("good-1");
+  await model.addRunner("good-2");
+  bad.fails = true;
+  for (let number = 0; number < 40; number += 1) {
+    void model.submit(`job-${number}`, createJob([{ estimatedMs: 100 }]));
+    await model.run(50);
+  }
+  await model.run(5_000);
+  let completed = 0;
+  for (let number = 0; number < 40; number += 1) {
+    if (getState(model, `job-${number}`) === "completed") completed += 1;
+  }
+  t.equal(completed, 40);
+});
+
+// Pattern: runners on which tasks stand still.
+t.test("a run that makes no progress is moved", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  const trouble = await model.addRunner("r1");
+  trouble.hangs = true;
+  await runCall(model, model.submit("job", createJob([{ estimatedMs: 400 }])));
+  await model.run(1_000);
+  await model.addRunner("r2");
+  await model.run(10_000);
+  t.equal(getState(model, "job"), "completed");
+  t.strictSame(model.runners.violations, []);
+});
+
+t.test("a workspace stays within its cap", async (t) => {
+  const model = createWorkModel({
+    configuration: createModelConfiguration({
+      workspaces: [{
+        cap: { processors: 2_000, memoryMb: 0, accelerators: 0 },
+      }],
+    }),
+  });
+  await model.addRunner("r1");
+  void model.submit("job", createJob([{ tasks: 8, estimatedMs: 200 }]));
+  let most = 0;
+  for (let round = 0; round < 200; round += 1) {
+    await model.run(10);
+    most = Math.max(most, model.runners.getProcessorsUsed());
+  }
+  t.equal(most, 2_000);
+  t.equal(getState(model, "job"), "completed");
+});
+
+t.test("a step runs on eligible runners only", async (t) => {
+  const model = createWorkModel({
+    configuration: createModelConfiguration({
+      queues: [{
+        eligibility: { baseMs: 50, perRunnerMs: 1, validMs: 1_000 },
+      }],
+    }),
+    isEligible: (runner) => runner === "r2",
+  });
+  await model.addRunner("r1");
+  await model.addRunner("r2");
+  await model.addRunner("r3");
+  void model.submit("job", createJob([{ tasks: 6, estimatedMs: 300 }]));
+  const seen = new Set<string>();
+  for (let round = 0; round < 200; round += 1) {
+    await model.run(10);
+    for (const { runner } of model.runners.listRunning()) seen.add(runner);
+  }
+  t.strictSame([...seen], ["r2"]);
+  t.equal(getState(model, "job"), "completed");
+});
+
+t.test("a resent job is one job", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1");
+  const body = createJob([{ estimatedMs: 100 }]);
+  await runCall(
+    model,
+    Promise.all([model.submit("job", body), model.submit("job", body)]),
+  );
+  await model.run(1_000);
+  await runCall(model, model.submit("job", body));
+  await model.run(1_000);
+  t.equal(model.runners.countStarts(), 1);
+});
+
+t.test("calls without a right are refused", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  const address = createAddress(model, "job");
+  const kinds: unknown[] = [];
+  for (
+    const wrong of [
+      { ...address, key: "unknown" },
+      { ...address, host: "other.example" },
+      { ...address, path: "/unknown/job" },
+      address,
+    ]
+  ) {
+    try {
+      model.getController().getState(wrong);
+    } catch (error) {
+      kinds.push(isFault(error) ? error.kind : error);
+    }
+  }
+  t.strictSame(kinds, ["unauthenticated", "notFound", "notFound", "notFound"]);
+});
+
+t.test("a delayed announcement of a former life changes nothing", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1", { startedMs: 5 });
+  const former = model.state.getRunner("r1");
+  if (former === undefined) throw new Error("not registered");
+  await model.getController().announceRunner({
+    entry: { ...former, startedMs: 4, isDraining: true },
+    sequence: 99,
+    remainingMs: 0,
+  });
+  t.equal(model.state.getRunner("r1")?.startedMs, 5);
+  t.equal(model.state.getRunner("r1")?.isDraining, false);
+});
+
+t.test("a draining runner gets no further task", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1");
+  const entry = model.state.getRunner("r1");
+  if (entry === undefined) throw new Error("not registered");
+  await runCall(
+    model,
+    model.getController().announceRunner({
+      entry: { ...entry, isDraining: true },
+      sequence: 2,
+      remainingMs: 2_000,
+    }),
+  );
+  await runCall(model, model.submit("job", createJob([{}])));
+  await model.run(1_000);
+  t.equal(model.runners.countStarts(), 0);
+});
