--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -32,7 +32,10 @@
 const CHECK_PERIOD_MS = 250;
 
 /** Silence after which a leader's stream is opened anew, in milliseconds; three pulses. */
-const LEADER_SILENCE_MS = 1_300;
+const LEADER_SILENCE_MS = 1_000;
+
+/** Time without a leader during which calls wait for the next one, in milliseconds; a takeover takes less. */
+const TAKEOVER_MS = 1_800;
 
 /** Silence after which another stream is opened anew, in milliseconds; three pulses. */
 const FOLLOWER_SILENCE_MS = 6_500;
@@ -114,6 +117,7 @@
   const links = new Map<string, Link>();
   const pending = new Map<number, PendingCall>();
   let leader: Link | undefined;
+  let leaderLostMs = clock.now();
   let nextId = 1;
   let isClosed = false;
 
@@ -205,6 +209,7 @@
       if (best === undefined || link.term > best.term) best = link;
     }
     if (best === leader) return;
+    if (best === undefined) leaderLostMs = clock.now();
     leader = best;
     if (best === undefined) return;
     logger.info("Found the leader", { core: best.core, term: best.term });
@@ -213,6 +218,24 @@
     }
   }
 
+  /** Gives a call up; only one that was never sent has certainly not run. */
+  function rejectCall(call: PendingCall): void {
+    if (!pending.delete(call.id)) return;
+    call.timer.cancel();
+    const { kind } = call.call;
+    call.reject(
+      call.wasSent
+        ? createFault(
+          "deadlineExceeded",
+          `Cannot tell the outcome of call "${kind}": the leader did not answer`,
+        )
+        : createFault(
+          "unavailable",
+          `Cannot pass on call "${kind}": no leader is known`,
+        ),
+    );
+  }
+
   function sendCall(call: PendingCall): void {
     if (leader === undefined) return;
     call.sentTo = leader;
@@ -294,8 +317,10 @@
         openStream(link);
       }
     }
-    for (const call of pending.values()) {
-      if (call.sentTo === undefined) sendCall(call);
+    const mayComeSoon = nowMs - leaderLostMs < TAKEOVER_MS;
+    for (const call of [...pending.values()]) {
+      if (leader === undefined && !mayComeSoon) rejectCall(call);
+      else if (call.sentTo === undefined) sendCall(call);
     }
     clock.setTimer(CHECK_PERIOD_MS, check);
   }
@@ -307,20 +332,7 @@
     call(call, timeoutMs) {
       return new Promise((resolve, reject) => {
         const id = nextId++;
-        const timer = clock.setTimer(timeoutMs, () => {
-          const expired = pending.get(id);
-          pending.delete(id);
-          if (expired?.wasSent === true) {
-            return reject(createFault(
-              "deadlineExceeded",
-              `Cannot tell the outcome of call "${call.kind}": no answer within ${timeoutMs} ms`,
-            ));
-          }
-          reject(createFault(
-            "unavailable",
-            `Cannot pass on call "${call.kind}": no leader within ${timeoutMs} ms`,
-          ));
-        });
+        const timer = clock.setTimer(timeoutMs, () => rejectCall(created));
         const created: PendingCall = {
           id,
           call,
@@ -331,7 +343,10 @@
           wasSent: false,
         };
         pending.set(id, created);
-        sendCall(created);
+        const isCutOff = leader === undefined &&
+          clock.now() - leaderLostMs > TAKEOVER_MS;
+        if (isCutOff) rejectCall(created);
+        else sendCall(created);
       });
     },
     hasLeader: () => leader !== undefined,
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -27,7 +27,7 @@
 } from "./messages.ts";
 
 /** Time between pulses of a leader, in milliseconds. */
-const LEADER_PULSE_MS = 400;
+const LEADER_PULSE_MS = 300;
 
 /** Time between pulses of others, in milliseconds. */
 const FOLLOWER_PULSE_MS = 2_000;
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -256,6 +256,7 @@
   else if (await hasStore()) {
     startMember(options.founders.filter((name) => name !== instance));
   }
+  gateway.sendHello();
 
   let invitedMs = -Infinity;
   function reconcileVoters(): void {
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -145,6 +145,18 @@
   stop(): void;
 }
 
+/** Throws "unavailable" for work that cannot be done yet, so that it is not accepted and lost. */
+function checkSupported(body: JobBody): void {
+  for (const step of body.steps) {
+    if (!step.fillsIdle && step.targetMs === 0) continue;
+    throw createFault(
+      "unavailable",
+      "Cannot accept tasks that fill idle room or serve users of their own",
+      { ran: "no" },
+    );
+  }
+}
+
 interface Lane {
   readonly runner: Runner;
   readonly driver: RunnerDriver;
@@ -794,6 +806,7 @@
       throw createFault("badRequest", `Cannot use "${id}" as a job identifier`);
     }
     if (state.getJob(id) !== undefined) return;
+    checkSupported(body);
     const open = submissions.get(id);
     if (open !== undefined) return open;
     const job: JobSpec = {
