--- /dev/null
+++ b/test/platform_runner.ts
@@ -0,0 +1,179 @@
+/**
+ * A stand-in for a runner of the users' platform: the model of runners behind
+ * the platform's HTTP interface, with heartbeats to the control listeners.
+ */
+
+import { createSystemClock } from "../src/common/mod.ts";
+import { createRunnerModel, type RunnerModel } from "../src/model/mod.ts";
+import type { TaskRef } from "../src/workload/mod.ts";
+import { callJson, type JsonAnswer, startJsonServer } from "./json_http.ts";
+import type { TestScope } from "./processes.ts";
+
+/** Options of a runner. */
+export interface PlatformRunnerOptions {
+  id: string;
+  /** Base addresses of the control listeners. */
+  controls: readonly string[];
+  /** Time that each task takes, in milliseconds. */
+  durationMs: number;
+}
+
+/** A running stand-in. */
+export interface PlatformRunner {
+  readonly model: RunnerModel;
+}
+
+const HEARTBEAT_MS = 300;
+const START_OF_LIFE_MS = 1_700_000_000_000;
+const CALL_TIMEOUT_MS = 2_500;
+
+const REASONS: Readonly<Record<string, string>> = {
+  staleFence: "fence",
+  staleRun: "old",
+  leaseEnded: "late",
+};
+
+function parseTask(name: string): TaskRef {
+  const [job = "", ...numbers] = name.split(".");
+  const [occurrence = 0, step = 0, index = 0] = numbers.map(Number);
+  return { job, occurrence, step, index };
+}
+
+function formatTaskName(task: TaskRef): string {
+  return `${task.job}.${task.occurrence}.${task.step}.${task.index}`;
+}
+
+function createOrderAnswer(
+  reply: { outcome: string; clockMs?: number | undefined },
+): JsonAnswer {
+  const reason = REASONS[reply.outcome];
+  const body = { clock_ms: reply.clockMs ?? 0 };
+  if (reason === undefined) return { status: 200, body };
+  return { status: 409, body: { ...body, reason } };
+}
+
+/** Starts the stand-in; it ends with the test. */
+export async function startPlatformRunner(
+  t: TestScope,
+  options: PlatformRunnerOptions,
+): Promise<PlatformRunner> {
+  const { id } = options;
+  const model = createRunnerModel({
+    clock: createSystemClock(),
+    getTaskFacts: () => ({
+      durationMs: options.durationMs,
+      processors: 1_000,
+      memoryMb: 100,
+      isHopeless: false,
+      gangSize: 0,
+    }),
+  });
+  const capacity = { processors: 4_000, memoryMb: 16_000, accelerators: 0 };
+  const target = { id, address: "" };
+
+  async function answerHold(order: Record<string, number>) {
+    const reply = await model.calls.hold(target, {
+      fence: order["fencing_token"] ?? 0,
+      recordedEnds: order["ack_cursor"] ?? 0,
+      untilMs: order["until_ms"],
+      waitMs: order["wait_ms"] ?? 0,
+    }, CALL_TIMEOUT_MS);
+    if (reply.outcome !== "accepted") return createOrderAnswer(reply);
+    return {
+      status: 200,
+      body: {
+        clock_ms: reply.clockMs,
+        born: START_OF_LIFE_MS,
+        running: reply.running.map(({ task, run, percent }) => [
+          formatTaskName(task),
+          run,
+          "",
+          percent,
+        ]),
+        finished: reply.ended.map(({ number, task, run, outcome }) => [
+          number,
+          formatTaskName(task),
+          run,
+          outcome,
+          "",
+        ]),
+      },
+    };
+  }
+
+  const server = await startJsonServer(0, async (request, text) => {
+    const order = JSON.parse(text);
+    if (request.headers["goldcrestlug-expected-instance"] !== id) {
+      return { status: 421, body: {} };
+    }
+    if (request.url === "/hold") return await answerHold(order);
+    const run = {
+      task: parseTask(order.task),
+      run: order.run,
+      fence: order.fencing_token,
+    };
+    if (request.url === "/run-stop") {
+      return createOrderAnswer(
+        await model.calls.stop(target, run, CALL_TIMEOUT_MS),
+      );
+    }
+    return createOrderAnswer(
+      await model.calls.start(target, {
+        ...run,
+        payload: order.spec,
+        untilMs: order.until_ms,
+        checkpoint: order.checkpoint ?? "",
+        ticket: order.ticket ?? "",
+      }, CALL_TIMEOUT_MS),
+    );
+  });
+  const address = server.address.replace("http://", "");
+  model.add({
+    id,
+    startedMs: START_OF_LIFE_MS,
+    address,
+    pool: "pool",
+    dataCentre: "zone-1",
+    capacity,
+    labels: ["a", "rack-1"],
+    isDraining: false,
+  });
+
+  let sequence = 0;
+  let isStopped = false;
+  async function sendHeartbeat(): Promise<void> {
+    sequence += 1;
+    for (const control of options.controls) {
+      try {
+        const { status } = await callJson(`${control}/instances/${id}`, {
+          method: "PUT",
+          timeoutMs: 1_000,
+          body: {
+            service: "pool",
+            address,
+            zone: "zone-1",
+            version: "v1",
+            slots: 8,
+            state: "ready",
+            cold_remaining_ms: 0,
+            capacity: { cpu: 4_000, memory_request_mb: 16_000, gpu: 0 },
+            labels: ["a", "rack-1"],
+            clock_ms: 1,
+            sequence,
+            born: START_OF_LIFE_MS,
+          },
+        });
+        if (status === 200) break;
+      } catch {
+        // The next control listener is asked, as a runner does.
+      }
+    }
+    if (!isStopped) setTimeout(() => void sendHeartbeat(), HEARTBEAT_MS);
+  }
+  void sendHeartbeat();
+  t.teardown(async () => {
+    isStopped = true;
+    await server.stop();
+  });
+  return { model };
+}
--- a/test/processes.ts
+++ b/test/processes.ts
@@ -67,10 +67,12 @@
   t: TestScope,
   program: string,
   args: readonly string[] = [],
+  variables: Readonly<Record<string, string>> = {},
 ): TestProcess {
   const path = fileURLToPath(new URL(`../${program}`, import.meta.url));
   const child = spawn(process.execPath, [path, ...args], {
     stdio: ["ignore", "pipe", "pipe"],
+    env: { ...process.env, ...variables },
   });
   running.add(child);
   const lines = collectLines(child);
