--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -13,6 +13,7 @@
   type Timer,
   toFault,
 } from "../common/mod.ts";
+import type { Metrics } from "../report/metrics.ts";
 import { createRpcPeer, type RpcPeer } from "../rpc/mod.ts";
 import type {
   EligibilityAnswer,
@@ -56,6 +57,7 @@
   getAddress: (instance: string) => string;
   clock: Clock;
   logger: Logger;
+  metrics?: Pick<Metrics, "addCount" | "recordDuration">;
   /** Asks the eligibility service from this instance. */
   ask: (
     question: EligibilityQuestion,
@@ -328,26 +330,44 @@
   for (const core of options.cores) addLink(core);
   check();
 
+  function startCall(call: WorkCall, timeoutMs: number): Promise<unknown> {
+    return new Promise((resolve, reject) => {
+      const id = nextId++;
+      const timer = clock.setTimer(timeoutMs, () => rejectCall(created));
+      const created: PendingCall = {
+        id,
+        call,
+        timer,
+        resolve,
+        reject,
+        sentTo: undefined,
+        wasSent: false,
+      };
+      pending.set(id, created);
+      const isCutOff = leader === undefined &&
+        clock.now() - leaderLostMs > TAKEOVER_MS;
+      if (isCutOff) rejectCall(created);
+      else sendCall(created);
+    });
+  }
+
   return {
-    call(call, timeoutMs) {
-      return new Promise((resolve, reject) => {
-        const id = nextId++;
-        const timer = clock.setTimer(timeoutMs, () => rejectCall(created));
-        const created: PendingCall = {
-          id,
-          call,
-          timer,
-          resolve,
-          reject,
-          sentTo: undefined,
-          wasSent: false,
-        };
-        pending.set(id, created);
-        const isCutOff = leader === undefined &&
-          clock.now() - leaderLostMs > TAKEOVER_MS;
-        if (isCutOff) rejectCall(created);
-        else sendCall(created);
-      });
+    async call(call, timeoutMs) {
+      const { kind } = call;
+      const startMs = clock.now();
+      let outcome = "answered";
+      try {
+        return await startCall(call, timeoutMs);
+      } catch (error) {
+        outcome = toFault(error).kind;
+        throw error;
+      } finally {
+        options.metrics?.addCount("work_calls_total", { call: kind, outcome });
+        const durationMs = clock.now() - startMs;
+        options.metrics?.recordDuration("work_call_ms", durationMs, {
+          call: kind,
+        });
+      }
     },
     hasLeader: () => leader !== undefined,
     addCores(names) {
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -22,6 +22,7 @@
   type LogMemberHandle,
   startLogMember,
 } from "../instance/log_member.ts";
+import type { Metrics } from "../report/metrics.ts";
 import {
   type LeaderLease,
   type LogTimings,
@@ -80,6 +81,7 @@
   clock: Clock;
   random: Random;
   logger: Logger;
+  metrics?: Metrics;
   calls: RunnerCalls;
   ask: (
     question: EligibilityQuestion,
@@ -124,7 +126,7 @@
 export async function startCoreProgram(
   options: CoreProgramOptions,
 ): Promise<CoreProgram> {
-  const { clock, logger, instance } = options;
+  const { clock, logger, metrics, instance } = options;
   const state = createWorkState();
   const peers = createAddressPeers(options.rpcPort);
   const sender = createLogSender({ peers, clock });
@@ -244,6 +246,7 @@
     getAddress: (name) => `${name}:${options.rpcPort}`,
     clock,
     logger,
+    ...(metrics === undefined ? {} : { metrics }),
     ask: options.ask,
     isStandby: () => member === undefined,
     handleMembers: (named) => void handleMembers(named),
@@ -335,9 +338,11 @@
       }
     }
     if (lease !== next) return;
+    metrics?.addCount("log_elections_total", { group: WORK_GROUP });
     controller = startWorkController({
       clock,
       logger,
+      ...(metrics === undefined ? {} : { metrics }),
       state,
       fence: next.term,
       isLeading: () => guard.isLeading(),
--- a/src/report/metric_definitions.ts
+++ b/src/report/metric_definitions.ts
@@ -41,6 +41,26 @@
       help: "Ended task attempts by outcome",
       labels: ["outcome"],
     },
+    work_calls_total: {
+      kind: "counter",
+      help: "Calls passed on to the leader, by kind and outcome",
+      labels: ["call", "outcome"],
+    },
+    run_starts_total: {
+      kind: "counter",
+      help: "Start orders to runners by result",
+      labels: ["result"],
+    },
+    run_ends_total: {
+      kind: "counter",
+      help: "Ends of runs that runners listed, by outcome",
+      labels: ["outcome"],
+    },
+    runners_suspended_total: {
+      kind: "counter",
+      help: "Runners that got no work for a while",
+      labels: [],
+    },
     log_elections_total: {
       kind: "counter",
       help: "Leaderships gained by this instance, by log group",
@@ -66,6 +86,11 @@
       help: "Workers known to this leader by state",
       labels: ["state"],
     },
+    steps_waiting: {
+      kind: "gauge",
+      help: "Steps with tasks that wait for a place at this leader",
+      labels: [],
+    },
     config_version: {
       kind: "gauge",
       help: "Version of the configuration in force here",
@@ -81,6 +106,16 @@
       help: "1 while this instance leads the log group",
       labels: ["group"],
     },
+    work_call_ms: {
+      kind: "duration",
+      help: "Time from a call to the leader's answer, by kind",
+      labels: ["call"],
+    },
+    job_ms: {
+      kind: "duration",
+      help: "Time from the acceptance of a job to its end, by queue",
+      labels: ["queue"],
+    },
     http_duration_ms: {
       kind: "duration",
       help: "Time from request to answer by route",
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -11,6 +11,7 @@
   type Logger,
   type Resources,
 } from "../common/mod.ts";
+import type { Metrics } from "../report/metrics.ts";
 import {
   checkConfiguration,
   findQueueByPath,
@@ -106,6 +107,7 @@
 export interface WorkControllerOptions {
   clock: Clock;
   logger: Logger;
+  metrics?: Pick<Metrics, "addCount" | "setGauge" | "recordDuration">;
   state: WorkState;
   /** Fencing token of this leadership. */
   fence: number;
@@ -166,7 +168,7 @@
 export function startWorkController(
   options: WorkControllerOptions,
 ): WorkController {
-  const { clock, logger, state, isLeading } = options;
+  const { clock, logger, metrics, state, isLeading } = options;
   const lanes = new Map<string, Lane>();
   const runnersByPool = new Map<string, Runner[]>();
   const submissions = new Map<string, Promise<void>>();
@@ -385,6 +387,7 @@
       const [first] = runner.failedJobs;
       runner.failedJobs.delete(first ?? "");
     }
+    metrics?.addCount("runners_suspended_total");
     logger.warn("Runner suspended", { runner: runner.life, reason, pauseMs });
   }
 
@@ -400,6 +403,7 @@
       handleFailure(lane, end);
     }
     const isCurrent = isRecordedActive(task, run);
+    metrics?.addCount("run_ends_total", { outcome });
     logger.info("Run ended", {
       run: formatRun(task, run),
       runner: runner.life,
@@ -530,6 +534,7 @@
     );
     const { runner } = lane;
     if (isStopped || !runner.occupants.has(occupant.key)) return;
+    metrics?.addCount("run_starts_total", { result });
     logger.info("Start ordered", {
       run: occupant.key,
       runner: runner.life,
@@ -739,6 +744,9 @@
         );
       }
     });
+    metrics?.recordDuration("job_ms", job.endedMs - job.spec.submittedMs, {
+      queue: job.spec.queue,
+    });
     logger.info("Job ended", {
       job: id,
       state: job.state,
@@ -955,6 +963,7 @@
     }
     if (openSteps.refreshTimed()) startPlan();
     else if (openSteps.count() > 0) startPlan();
+    metrics?.setGauge("steps_waiting", openSteps.list().length);
     forgetJobs();
     clock.setTimer(WATCH_PERIOD_MS, watch);
   }
