Learn how fast runners are, leave slow ones, and say why work waits

Pattern answered: a third of the runners takes 1.3 times as long and the short kind has an objective of 1.5 times its work, so a slow runner alone makes a job late; and runners that turn slow for some seconds (x 6.5), on which short jobs could not end in time. A run that stands still is moved after 2 s in place of 4 s; a gang that does is stopped without suspending its runners.

--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -138,7 +138,7 @@
   }
 
   /** Waits for the way there; rejects after the timeout when nothing answers. */
-  async function reach(
+  async function findReachable(
     target: RunnerTarget,
     timeoutMs: number,
   ): Promise<ModelRunner> {
@@ -225,7 +225,7 @@
     });
   }
 
-  function noteEnds(runner: ModelRunner, recordedEnds: number): void {
+  function recordNotedEnds(runner: ModelRunner, recordedEnds: number): void {
     for (const [key, ends] of doneEnds) {
       for (const end of ends) {
         const isHere = end.runner === runner.entry.id &&
@@ -237,7 +237,7 @@
     }
   }
 
-  function lapseEnds(runner: ModelRunner): void {
+  function setEndsLapsed(runner: ModelRunner): void {
     for (const ends of doneEnds.values()) {
       for (const end of ends) {
         if (end.runner === runner.entry.id && !end.isNoted) {
@@ -253,7 +253,7 @@
       trouble.fails || trouble.lateMs > 0 || trouble.slowness !== 1;
   }
 
-  function beginRun(runner: ModelRunner, order: StartOrder): void {
+  function startRun(runner: ModelRunner, order: StartOrder): void {
     const key = formatTask(order.task);
     const facts = options.getTaskFacts(order.task);
     const { trouble, entry } = runner;
@@ -295,7 +295,7 @@
     if ((runner.ended.get(key) ?? 0) >= order.run) {
       return { outcome: "staleRun", clockMs };
     }
-    beginRun(runner, order);
+    startRun(runner, order);
     return { outcome: "accepted", clockMs };
   }
 
@@ -372,26 +372,26 @@
       }
     }
     if (nowMs < runner.leaseUntilMs) return;
-    lapseEnds(runner);
+    setEndsLapsed(runner);
     for (const key of [...runner.runs.keys()]) endRun(runner, key, "lapsed");
   }
 
-  function tick(): void {
+  function stepRunners(): void {
     for (const runner of runners.values()) {
       if (hasTrouble(runner)) disruptedMs = clock.now();
       if (!runner.isGone) step(runner);
     }
-    clock.setTimer(TICK_MS, tick);
+    clock.setTimer(TICK_MS, stepRunners);
   }
-  tick();
+  stepRunners();
 
   const calls: RunnerCalls = {
     async start(target, order, timeoutMs) {
-      const runner = await reach(target, timeoutMs);
+      const runner = await findReachable(target, timeoutMs);
       return runLate(runner, timeoutMs, () => start(runner, order));
     },
     async stop(target, order, timeoutMs) {
-      const runner = await reach(target, timeoutMs);
+      const runner = await findReachable(target, timeoutMs);
       const clockMs = Math.floor(clock.now());
       if (!checkFence(runner, order.fence)) {
         return { outcome: "staleFence", clockMs };
@@ -408,12 +408,12 @@
       return { outcome: "accepted", clockMs };
     },
     async hold(target, order, timeoutMs) {
-      const runner = await reach(target, timeoutMs);
+      const runner = await findReachable(target, timeoutMs);
       if (!checkFence(runner, order.fence)) return { outcome: "staleFence" };
       if (order.untilMs !== undefined) {
         runner.leaseUntilMs = Math.max(runner.leaseUntilMs, order.untilMs);
       }
-      noteEnds(runner, order.recordedEnds);
+      recordNotedEnds(runner, order.recordedEnds);
       runner.ends = runner.ends.filter(({ number }) =>
         number > order.recordedEnds
       );
@@ -470,7 +470,7 @@
       runner.isGone = true;
       runner.runs.clear();
       // What was not noted died with this life.
-      lapseEnds(runner);
+      setEndsLapsed(runner);
     },
     listRunning() {
       return [...runners.values()].flatMap((runner) =>
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -147,7 +147,7 @@
 }
 
 /** Lets all promises that are due settle; more of them than any chain here has. */
-async function settlePromises(): Promise<void> {
+async function waitForPromises(): Promise<void> {
   await new Promise<void>((resolve) => setImmediate(resolve));
 }
 
@@ -253,7 +253,7 @@
     const untilMs = clock.now() + ms;
     while (clock.now() < untilMs) {
       clock.advance(1);
-      await settlePromises();
+      await waitForPromises();
     }
   }
 
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -22,7 +22,7 @@
   type LogMemberHandle,
   startLogMember,
 } from "../instance/log_member.ts";
-import type { Metrics } from "../report/metrics.ts";
+import type { LazyMetrics } from "../report/lazy_metrics.ts";
 import {
   type LeaderLease,
   type LogTimings,
@@ -81,7 +81,7 @@
   clock: Clock;
   random: Random;
   logger: Logger;
-  metrics?: Metrics;
+  metrics?: LazyMetrics;
   calls: RunnerCalls;
   ask: (
     question: EligibilityQuestion,
@@ -210,7 +210,7 @@
   }
 
   /** Joins with an empty store; what a former membership left is not valid any more. */
-  async function joinGroup(): Promise<void> {
+  async function startJoin(): Promise<void> {
     if (member !== undefined) return;
     logger.info("Joining the work log", { cores: gateway.listCores() });
     await rm(getStoreFolder(logFolder, WORK_GROUP), {
@@ -250,7 +250,7 @@
     ask: options.ask,
     isStandby: () => member === undefined,
     handleMembers: (named) => void handleMembers(named),
-    handleInvite: () => void joinGroup().catch(options.handleFailure),
+    handleInvite: () => void startJoin().catch(options.handleFailure),
   });
 
   const isFounder = options.isFirstStart &&
--- a/src/workload/constants.ts
+++ b/src/workload/constants.ts
@@ -6,11 +6,15 @@
  */
 export const RUNNER_CLOCK_MIN_RATE = 0.98;
 
-/** Time for which a runner may go on without hearing from us, in milliseconds; longer than a takeover, which takes 1 to 3 s. */
-export const RUNNER_LEASE_MS = 5_500;
+/**
+ * Time for which a runner may go on without hearing from us, in milliseconds.
+ * It outlives a restart of all instances, which takes 2 to 3 s; longer, and the
+ * short jobs of a runner that is cut off could not be served elsewhere in time.
+ */
+export const RUNNER_LEASE_MS = 3_500;
 
 /** Longest wait of one look at a runner for an end, in milliseconds; a lease is renewed at least this often. */
-export const HOLD_WAIT_MS = 1_500;
+export const HOLD_WAIT_MS = 500;
 
 /** Time beyond the wait after which a look counts as unanswered, in milliseconds. */
 export const HOLD_TIMEOUT_MS = 700;
--- a/src/workload/open_steps.ts
+++ b/src/workload/open_steps.ts
@@ -19,6 +19,9 @@
 /** Multiple of the objective after which a job earns nothing more; from the platform's rules. */
 const WORTHLESS_FACTOR = 3;
 
+/** Multiple of its work below which a job is late after one slow run. */
+const TIGHT_FACTOR = 2;
+
 /** Values for a queue that no configuration names any more. */
 const ORPHAN_QUEUE = Object.freeze({
   priority: 9,
@@ -123,6 +126,8 @@
         pool: queue?.pool ?? spec.pool,
         workspace: spec.workspace,
         priority: queue?.priority ?? ORPHAN_QUEUE.priority,
+        isTight: (queue?.slowdownFactor ?? ORPHAN_QUEUE.slowdownFactor) <
+          TIGHT_FACTOR,
         ...computeTimes(job, queue, occurrence),
         isExcess: workspaces.isExcess(spec.id),
         eligibility: queue?.eligibility,
@@ -132,7 +137,7 @@
     return open;
   }
 
-  function refresh(id: string): void {
+  function updateJob(id: string): void {
     const job = state.getJob(id);
     if (job === undefined || !isOpenJob(job)) {
       byJob.delete(id);
@@ -153,15 +158,15 @@
   return {
     list: () => [...byJob.values()].flat(),
     count: () => byJob.size,
-    refresh,
+    refresh: updateJob,
     refreshAll() {
-      for (const job of state.listJobs()) refresh(job.spec.id);
+      for (const job of state.listJobs()) updateJob(job.spec.id);
     },
     refreshTimed() {
       let hasNew = false;
       for (const id of timed) {
         const before = byJob.get(id)?.length ?? 0;
-        refresh(id);
+        updateJob(id);
         if ((byJob.get(id)?.length ?? 0) > before) hasNew = true;
       }
       return hasNew;
@@ -170,13 +175,13 @@
       let hidden = planned.get(step.key);
       if (hidden === undefined) planned.set(step.key, hidden = new Set());
       for (const index of indexes) hidden.add(index);
-      refresh(step.job);
+      updateJob(step.job);
     },
     clearPlanned(step, indexes) {
       const hidden = planned.get(step.key);
       for (const index of indexes) hidden?.delete(index);
       if (hidden?.size === 0) planned.delete(step.key);
-      refresh(step.job);
+      updateJob(step.job);
     },
   };
 }
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -28,6 +28,8 @@
   readonly workspace: string | undefined;
   /** 0 is served first. */
   readonly priority: number;
+  /** True when the objective leaves little time beyond the work itself. */
+  readonly isTight: boolean;
   /** Wall time by which the job is on time, in milliseconds. */
   readonly dueMs: number;
   /** Wall time after which the job earns nothing more, in milliseconds. */
@@ -78,10 +80,20 @@
   readonly reservations: ReadonlyMap<string, ReadonlyMap<string, Resources>>;
 }
 
+/** Why tasks of a step do not start. */
+export type WaitReason =
+  | "noRunner"
+  | "noRoom"
+  | "noTicket"
+  | "workspaceCap"
+  | "keptForUrgent";
+
 /** What the planner decided. */
 export interface Plan {
   readonly starts: PlannedStart[];
   readonly questions: PlannedQuestion[];
+  /** Steps with tasks that go on waiting. */
+  readonly waits: { readonly step: OpenStep; readonly reason: WaitReason }[];
 }
 
 /**
@@ -108,6 +120,13 @@
     a.dueMs - b.dueMs || (a.key < b.key ? -1 : 1);
 }
 
+/** Difference of learned slowness, as a logarithm, below which runners count as equally fast. */
+const SPEED_CLASS_WIDTH = 0.14;
+
+function getSpeedClass(runner: Runner): number {
+  return Math.round(runner.slowness / SPEED_CLASS_WIDTH);
+}
+
 /** Finds the rack among a runner's labels: the last one, the kind comes first. */
 export function getRack(runner: Runner): string {
   return runner.entry.labels.at(-1) ?? "";
@@ -138,7 +157,7 @@
 /** Plans one round. */
 export function planStarts(input: PlanInput): Plan {
   const { nowMs } = input;
-  const plan: Plan = { starts: [], questions: [] };
+  const plan: Plan = { starts: [], questions: [], waits: [] };
   const rooms = new Map<Runner, Resources>();
   const poolUse = new Map<string, { used: number; capacity: number }>();
 
@@ -210,6 +229,10 @@
     }
     const failures = a.failedJobs.size - b.failedJobs.size;
     if (failures !== 0) return failures;
+    if (step.isTight) {
+      const speeds = getSpeedClass(a) - getSpeedClass(b);
+      if (speeds !== 0) return speeds;
+    }
     // Fuller runners first, so that room for wide tasks stays in one piece.
     return getRoom(step, a).processors - getRoom(step, b).processors;
   }
@@ -303,6 +326,15 @@
     );
   }
 
+  function addWait(step: OpenStep, reason: WaitReason): void {
+    plan.waits.push({ step, reason });
+  }
+
+  function findBound(step: OpenStep, count: number): WaitReason | undefined {
+    if (!fitsCap(step, count)) return "workspaceCap";
+    return hasHeadroom(step, count) ? undefined : "keptForUrgent";
+  }
+
   function addQuestion(
     step: OpenStep,
     runners: readonly Runner[],
@@ -321,17 +353,20 @@
 
   function planGang(step: OpenStep, candidates: Runner[]): void {
     const count = step.waiting.length;
-    if (!hasHeadroom(step, count) || !fitsCap(step, count)) return;
+    const bound = findBound(step, count);
+    if (bound !== undefined) return addWait(step, bound);
     const eligible = candidates.filter((runner) =>
       isKnownEligible(step, runner)
     );
     const placed = placeGang(step, eligible);
     if (placed === undefined) {
       const unknown = pickUnknown(step, candidates);
+      addWait(step, unknown.length > 0 ? "noTicket" : "noRoom");
       return addQuestion(step, unknown, []);
     }
     const tickets = placed.map((runner) => getTicket(step, runner));
     if (tickets.some((ticket) => ticket === undefined)) {
+      addWait(step, "noTicket");
       return addQuestion(step, placed, placed);
     }
     plan.starts.push({
@@ -369,10 +404,13 @@
     }
     if (placements.length > 0) plan.starts.push({ step, placements });
     if (at >= step.waiting.length) return;
-    if (!hasHeadroom(step, 1) || !fitsCap(step, 1)) return;
+    const bound = findBound(step, 1);
+    if (bound !== undefined) return addWait(step, bound);
     const unknown = step.eligibility === undefined
       ? []
       : pickUnknown(step, candidates);
+    const isAsking = isExpired.length + unknown.length > 0;
+    addWait(step, isAsking ? "noTicket" : "noRoom");
     addQuestion(step, [...isExpired, ...unknown], []);
   }
 
@@ -380,8 +418,8 @@
     if (step.waiting.length === 0) continue;
     const candidates = listCandidates(step)
       .sort((a, b) => compareRunners(step, a, b));
-    if (candidates.length === 0) continue;
-    if (step.spec.gang) planGang(step, candidates);
+    if (candidates.length === 0) addWait(step, "noRunner");
+    else if (step.spec.gang) planGang(step, candidates);
     else planTasks(step, candidates);
   }
   return plan;
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -104,7 +104,7 @@
     runner.clockSample = { clockMs, atMs: clock.now() };
   }
 
-  async function holdOnce(mayWait: boolean): Promise<void> {
+  async function runLook(mayWait: boolean): Promise<void> {
     const sentAtMs = clock.now();
     // After an unanswered look a further grant would only delay the moment
     // from which the tasks of a lost runner may start elsewhere.
@@ -131,10 +131,10 @@
     await options.handleHold(reply, sentAtMs);
   }
 
-  async function holdAgain(): Promise<void> {
+  async function runLooks(): Promise<void> {
     while (await waitUntilLeading()) {
       try {
-        await holdOnce(true);
+        await runLook(true);
       } catch (error) {
         if (!hasUnansweredHold) {
           logger.info("Runner does not answer", { runner: runner.life, error });
@@ -217,12 +217,12 @@
     return false;
   }
 
-  void holdAgain();
+  void runLooks();
   return {
     runStart,
     runStop,
     startLook() {
-      holdOnce(false).catch((error: unknown) =>
+      runLook(false).catch((error: unknown) =>
         logger.info("Look not answered", { runner: runner.life, error })
       );
     },
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -73,6 +73,8 @@
   announcedMs: number;
   /** Local time at which it is expected to be gone; undefined while it stays. */
   leavesMs: number | undefined;
+  /** Logarithm of its learned slowness; 0 is the mean. */
+  slowness: number;
   /** Failures in a row of different jobs. */
   failedJobs: Set<string>;
   /** Local time until which nothing is started on it. */
@@ -101,6 +103,7 @@
     sequence: -1,
     announcedMs: times.nowMs,
     leavesMs: undefined,
+    slowness: 0,
     failedJobs: new Set(),
     suspendedUntilMs: 0,
     suspensions: 0,
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -29,7 +29,17 @@
   type EligibilityQuestion,
 } from "./eligibility.ts";
 import { createOpenSteps } from "./open_steps.ts";
-import { compareSteps, type PlannedStart, planStarts } from "./planning.ts";
+import {
+  compareSteps,
+  type Plan,
+  type PlannedStart,
+  planStarts,
+} from "./planning.ts";
+import {
+  createSpeedBook,
+  estimateRemainingMs,
+  type ProgressSample,
+} from "./runner_speed.ts";
 import { createRecordQueue } from "./record_queue.ts";
 import type {
   HoldReply,
@@ -68,8 +78,23 @@
   type WorkState,
 } from "./work_state.ts";
 
-/** Time without progress after which a run counts as stuck, in milliseconds; several times the slowest percent of the longest declared task. */
-const STALL_MS = 4_000;
+/** Time without progress after which a run counts as stuck, in milliseconds; four looks. */
+const STALL_MS = 2_000;
+
+/** The same for a member of a gang, which has to wait for the others. */
+const GANG_STALL_MS = 4_000;
+
+/** Pause of a runner whose progress shows it to be slow, in milliseconds; each look renews it. */
+const SLOW_PAUSE_MS = 1_500;
+
+/** Remaining time of an urgent run on a slow runner from which it is worth starting anew, in milliseconds. */
+const WORTH_MOVING_MS = 1_500;
+
+/** Time for which a step waits before the log says why, and between two such lines, in milliseconds. */
+const WAIT_LOG_MS = 2_000;
+
+/** Lines about waiting steps in one planning round, so that a long queue does not fill the log. */
+const MAX_WAIT_LINES = 5;
 
 /** Different jobs whose runs fail in a row before a runner is suspended. */
 const FAILED_JOBS_LIMIT = 3;
@@ -175,6 +200,7 @@
   const reservations = new Map<string, Map<string, Resources>>();
   const workspaces = createWorkspaceUse({ state, clock });
   const openSteps = createOpenSteps({ state, clock, workspaces });
+  const speeds = createSpeedBook();
   const queue = createRecordQueue({ clock, propose: options.propose });
   const book = createEligibilityBook({
     clock,
@@ -391,12 +417,70 @@
     logger.warn("Runner suspended", { runner: runner.life, reason, pauseMs });
   }
 
+  /** Learns from a run that did all of its work here. */
+  function recordSpeed(runner: Runner, occupant: Occupant): void {
+    const { task, confirmedMs } = occupant;
+    const job = state.getJob(task.job);
+    const step = job?.spec.steps[task.step];
+    const isWhole = step !== undefined && !step.gang &&
+      state.getTask(task)?.checkpoint === "";
+    if (job === undefined || !isWhole || confirmedMs === undefined) return;
+    speeds.recordRun({
+      step: formatStep(task),
+      runner: runner.entry.id,
+      durationMs: clock.now() - confirmedMs,
+    }, { queue: job.spec.queue, estimatedMs: step.estimatedMs });
+    runner.slowness = speeds.getSlowness(runner.entry.id);
+  }
+
+  /** Moves urgent runs away from a runner whose progress shows it to be slow. */
+  function checkSpeed(lane: Lane): void {
+    const { runner } = lane;
+    const nowMs = clock.now();
+    const samples: ProgressSample[] = [];
+    const urgent: Occupant[] = [];
+    for (const occupant of runner.occupants.values()) {
+      const { task, confirmedMs, progress } = occupant;
+      const job = state.getJob(task.job);
+      const step = job?.spec.steps[task.step];
+      const isSample = job !== undefined && step !== undefined && !step.gang &&
+        !step.longRunning && occupant.isListed && confirmedMs !== undefined &&
+        occupant.state === "running" &&
+        state.getTask(task)?.checkpoint === "";
+      if (!isSample) continue;
+      const elapsedMs = nowMs - confirmedMs;
+      samples.push({
+        queue: job.spec.queue,
+        estimatedMs: step.estimatedMs,
+        elapsedMs,
+        percent: progress,
+      });
+      const isUrgent = state.findQueue(job.spec.queue)?.priority === 0;
+      const remainingMs = estimateRemainingMs(elapsedMs, progress);
+      if (isUrgent && remainingMs > WORTH_MOVING_MS) urgent.push(occupant);
+    }
+    if (!speeds.isSlowNow(samples)) return;
+    const wasSuspended = nowMs < runner.suspendedUntilMs;
+    runner.suspendedUntilMs = Math.max(
+      runner.suspendedUntilMs,
+      nowMs + SLOW_PAUSE_MS,
+    );
+    for (const occupant of urgent) stopRun(lane, occupant);
+    if (wasSuspended && urgent.length === 0) return;
+    logger.warn("Runner is slow", {
+      runner: runner.life,
+      runs: samples.length,
+      moved: urgent.map(({ key }) => key),
+    });
+  }
+
   function handleEnd(lane: Lane, end: ListedEnd): WorkRecord | undefined {
     const { runner } = lane;
     const { task, run, outcome } = end;
     const occupant = runner.occupants.get(formatRun(task, run));
     if (occupant !== undefined) release(runner, occupant);
     if (outcome === "done") {
+      if (occupant !== undefined) recordSpeed(runner, occupant);
       runner.failedJobs.clear();
       runner.suspensions = 0;
     } else if (outcome === "failed") {
@@ -443,8 +527,10 @@
     if (occupant.state === "planned") return;
     if (!isWanted(task, run)) return stopRun(lane, occupant);
     if (occupant.state === "starting") occupant.state = "running";
-    const isStuck = listed.percent < 100 &&
-      nowMs - Math.max(occupant.progressMs, occupant.confirmedMs) > STALL_MS;
+    const step = state.getJob(task.job)?.spec.steps[task.step];
+    const limitMs = step?.gang === true ? GANG_STALL_MS : STALL_MS;
+    const isStuck = listed.percent < 100 && step?.longRunning !== true &&
+      nowMs - Math.max(occupant.progressMs, occupant.confirmedMs) > limitMs;
     if (!isStuck || occupant.state === "stopping") return;
     logger.warn("Run makes no progress", {
       run: occupant.key,
@@ -452,6 +538,8 @@
       percent: listed.percent,
       sinceMs: Math.round(nowMs - occupant.progressMs),
     });
+    // All of a gang stands still when one member does, so it does not tell which runner is at fault.
+    if (step?.gang === true) return stopGang(task, run);
     suspendRunner(runner, "a run makes no progress");
     stopRun(lane, occupant);
   }
@@ -484,6 +572,7 @@
       listedKeys.add(formatRun(listed.task, listed.run));
       handleListedRun(lane, listed);
     }
+    if (isNewest) checkSpeed(lane);
     const lost: Occupant[] = [];
     for (const occupant of isNewest ? [...runner.occupants.values()] : []) {
       if (listedKeys.has(occupant.key)) continue;
@@ -671,6 +760,29 @@
     for (const reserved of reservations.values()) reserved.delete(stepKey);
   }
 
+  const waitLoggedMs = new Map<string, number>();
+
+  /** Says why work waits, for who asks later about one job. */
+  function logWaits(waits: Plan["waits"]): void {
+    const nowMs = clock.now();
+    let lines = 0;
+    for (const { step, reason } of waits) {
+      if (lines >= MAX_WAIT_LINES) return;
+      const lastMs = waitLoggedMs.get(step.key);
+      if (lastMs === undefined) waitLoggedMs.set(step.key, nowMs);
+      if (lastMs === undefined || nowMs - lastMs < WAIT_LOG_MS) continue;
+      waitLoggedMs.set(step.key, nowMs);
+      lines += 1;
+      logger.info("Step waits", {
+        step: step.key,
+        reason,
+        waiting: step.waiting.length,
+        eligible: book.get(step.key)?.isEligible.size,
+        untilDueMs: Math.round(step.dueMs - clock.wallTime()),
+      });
+    }
+  }
+
   function plan(): void {
     isPlanDue = false;
     const wallMs = clock.wallTime();
@@ -691,6 +803,7 @@
       workspaces: workspaces.list(),
       reservations,
     });
+    logWaits(decided.waits);
     for (const start of decided.starts) {
       removeReservation(start.step.key);
       void startPlanned(start);
@@ -739,9 +852,14 @@
     if (job === undefined || isOpenJob(job)) return;
     job.spec.steps.forEach((_, step) => {
       for (const occurrence of Object.keys(job.occurrences)) {
-        book.remove(
-          formatStep({ job: id, occurrence: Number(occurrence), step }),
-        );
+        const key = formatStep({
+          job: id,
+          occurrence: Number(occurrence),
+          step,
+        });
+        book.remove(key);
+        speeds.removeStep(key);
+        waitLoggedMs.delete(key);
       }
     });
     metrics?.recordDuration("job_ms", job.endedMs - job.spec.submittedMs, {
@@ -774,7 +892,7 @@
     });
   }
 
-  function authorize(
+  function findCaller(
     address: CallerAddress,
   ): { queue: QueueSettings; workspace?: WorkspaceSettings; id: string } {
     const configuration = getConfiguration();
@@ -797,7 +915,7 @@
   }
 
   function findJob(address: CallerAddress): JobState {
-    const { id, workspace } = authorize(address);
+    const { id, workspace } = findCaller(address);
     const job = state.getJob(id);
     const owner = job?.spec.workspace;
     const isOther = owner !== undefined && workspace !== undefined &&
@@ -809,7 +927,7 @@
   }
 
   async function submit(address: CallerAddress, body: JobBody): Promise<void> {
-    const { queue: found, workspace, id } = authorize(address);
+    const { queue: found, workspace, id } = findCaller(address);
     if (id === "" || id.includes("/")) {
       throw createFault("badRequest", `Cannot use "${id}" as a job identifier`);
     }
@@ -964,12 +1082,12 @@
     if (openSteps.refreshTimed()) startPlan();
     else if (openSteps.count() > 0) startPlan();
     metrics?.setGauge("steps_waiting", openSteps.list().length);
-    forgetJobs();
+    removeOldJobs();
     clock.setTimer(WATCH_PERIOD_MS, watch);
   }
 
   let nextForgetMs = 0;
-  function forgetJobs(): void {
+  function removeOldJobs(): void {
     const nowMs = clock.now();
     if (nowMs < nextForgetMs) return;
     nextForgetMs = nowMs + FORGET_SLACK_MS;
@@ -989,7 +1107,7 @@
     submit,
     getState: (address) => findJob(address).state,
     countPending(address) {
-      const { queue: found } = authorize(address);
+      const { queue: found } = findCaller(address);
       let count = 0;
       for (const job of state.listJobs()) {
         if (job.spec.queue === found.name && job.state === "queued") count += 1;
