Ask once about all runners of a step; open silent connections anew

A step asked about the runners with room, and again whenever another one got room. Ruled out: failed questions (7), tickets that ran out (the steps knew 8 to 24 of 32 runners). Change: a question names all runners of the pool that are not known yet. A connection that went silent without an error took its streams along; both sides now give up the connection and not only the stream. A caller that is refused for want of a leader may come back after 2 s.

--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -41,6 +41,9 @@
 /** Silence after which another stream is opened anew, in milliseconds; three pulses. */
 const FOLLOWER_SILENCE_MS = 6_500;
 
+/** Time after which a caller may come back when no leader is known, in milliseconds; enough for a restart of all instances. */
+const RETRY_AFTER_MS = 2_000;
+
 /** Pause before a broken stream is opened again, in milliseconds. */
 const REOPEN_PAUSE_MS = 200;
 
@@ -91,7 +94,7 @@
 
 interface Link {
   readonly core: string;
-  readonly peer: RpcPeer;
+  peer: RpcPeer;
   stream: ClientDuplexStream<Frame, Frame> | undefined;
   heardMs: number;
   reopenAtMs: number;
@@ -123,14 +126,18 @@
   let nextId = 1;
   let isClosed = false;
 
+  function openPeer(core: string): RpcPeer {
+    return createRpcPeer({
+      instance: core,
+      address: options.getAddress(core),
+    });
+  }
+
   function addLink(core: string): void {
     if (links.has(core)) return;
     const link: Link = {
       core,
-      peer: createRpcPeer({
-        instance: core,
-        address: options.getAddress(core),
-      }),
+      peer: openPeer(core),
       stream: undefined,
       heardMs: 0,
       reopenAtMs: 0,
@@ -234,6 +241,7 @@
         : createFault(
           "unavailable",
           `Cannot pass on call "${kind}": no leader is known`,
+          { details: { retryAfterMs: RETRY_AFTER_MS } },
         ),
     );
   }
@@ -314,6 +322,9 @@
       const limitMs = link.isLeading ? LEADER_SILENCE_MS : FOLLOWER_SILENCE_MS;
       if (link.stream !== undefined && nowMs - link.heardMs > limitMs) {
         closeStream(link, "no pulse");
+        // The connection itself may have gone silent; another stream on it would be, too.
+        link.peer.close();
+        link.peer = openPeer(link.core);
       }
       if (link.stream === undefined && nowMs >= link.reopenAtMs) {
         openStream(link);
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -58,6 +58,8 @@
   readonly runners: RunnerModel;
   readonly state: WorkState;
   getController(): WorkController;
+  /** Questions to the eligibility service about a job. */
+  countQuestions(job: string): number;
   /** Adds a runner and announces it. */
   addRunner(
     id: string,
@@ -182,6 +184,7 @@
 
   /** The service answers one question at a time for each caller. */
   const callerFreeMs = new Map<string, number>();
+  const questions = new Map<string, number>();
   function ask(
     caller: string,
     question: EligibilityQuestion,
@@ -193,6 +196,7 @@
     if (times === undefined) {
       throw createFault("badRequest", "Cannot ask for a queue without policy");
     }
+    questions.set(question.job, (questions.get(question.job) ?? 0) + 1);
     const nowMs = clock.now();
     const freeMs = Math.max(nowMs, callerFreeMs.get(caller) ?? 0) +
       times.baseMs + times.perRunnerMs * question.runners.length;
@@ -271,6 +275,7 @@
     runners,
     state,
     getController,
+    countQuestions: (job) => questions.get(job) ?? 0,
     async addRunner(id, entry = {}) {
       const full: RunnerEntry = {
         id,
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -32,9 +32,11 @@
   createLogSender,
   createRpcPeer,
   type LogEnvelope,
+  type LogSender,
   type PeerSet,
   type RpcPeer,
   startRpcServer,
+  toInstanceName,
 } from "../rpc/mod.ts";
 import {
   createWorkState,
@@ -61,6 +63,9 @@
 /** Time for which leaders must not have named a member before it takes itself for removed, in milliseconds; longer than joining takes. */
 const REMOVED_MS = 8_000;
 
+/** Silence of a member that is sent to after which its connection is opened anew, in milliseconds; several heartbeats. */
+const SILENT_MS = 1_000;
+
 /** Pause before a leadership that could not be confirmed is tried again, in milliseconds. */
 const CONFIRM_PAUSE_MS = 50;
 
@@ -116,6 +121,10 @@
       return peer;
     },
     has: () => true,
+    restart(instance) {
+      peers.get(instance)?.close();
+      peers.delete(instance);
+    },
     close() {
       for (const peer of peers.values()) peer.close();
     },
@@ -129,7 +138,23 @@
   const { clock, logger, metrics, instance } = options;
   const state = createWorkState();
   const peers = createAddressPeers(options.rpcPort);
-  const sender = createLogSender({ peers, clock });
+  const logSender = createLogSender({ peers, clock });
+  const heardMs = new Map<string, number>();
+  const sender: LogSender = {
+    ...logSender,
+    send(envelope) {
+      const to = toInstanceName(envelope.to);
+      const nowMs = clock.now();
+      const silentMs = nowMs - (heardMs.get(to) ?? nowMs);
+      if (silentMs > SILENT_MS) {
+        logSender.restart(to);
+        heardMs.set(to, nowMs);
+      } else if (!heardMs.has(to)) {
+        heardMs.set(to, nowMs);
+      }
+      logSender.send(envelope);
+    },
+  };
   let lease: LeaderLease | undefined;
   let controller: WorkController | undefined;
   let isStopped = false;
@@ -156,6 +181,11 @@
     handleCallers: (names) => controller?.setCallers(names),
   });
 
+  function handleEnvelope(envelope: LogEnvelope): void {
+    heardMs.set(toInstanceName(envelope.from), clock.now());
+    member?.receive(envelope);
+  }
+
   const rpcServer = await startRpcServer({
     host: instance,
     port: options.rpcPort,
@@ -165,7 +195,7 @@
           send(stream) {
             stream.on(
               "data",
-              (envelope: LogEnvelope) => member?.receive(envelope),
+              handleEnvelope,
             );
             stream.on("error", () => {});
           },
--- a/src/rpc/log_transport.ts
+++ b/src/rpc/log_transport.ts
@@ -16,6 +16,11 @@
 /** Sends envelopes to the instance that holds the member `envelope.to`. */
 export interface LogSender {
   send(envelope: LogEnvelope): void;
+  /**
+   * Gives up the connection to an instance, which may have gone silent without
+   * an error; the next message opens a new one.
+   */
+  restart(instance: string): void;
   close(): void;
 }
 
@@ -36,16 +41,22 @@
   close(): void;
 }
 
-function createPeerStream(peer: RpcPeer, clock: Clock): PeerStream {
+function createPeerStream(
+  getPeer: () => RpcPeer,
+  clock: Clock,
+): PeerStream {
   let stream: ClientWritableStream<LogEnvelope> | undefined;
   let reopenAtMs = 0;
   let isBackedUp = false;
 
   function open(): ClientWritableStream<LogEnvelope> {
-    const opened = peer.openWriteStream<LogEnvelope>("Consensus.send", () => {
-      if (stream === opened) stream = undefined;
-      reopenAtMs = clock.now() + REOPEN_DELAY_MS;
-    });
+    const opened = getPeer().openWriteStream<LogEnvelope>(
+      "Consensus.send",
+      () => {
+        if (stream === opened) stream = undefined;
+        reopenAtMs = clock.now() + REOPEN_DELAY_MS;
+      },
+    );
     opened.on("error", () => {});
     opened.on("drain", () => isBackedUp = false);
     isBackedUp = false;
@@ -77,7 +88,7 @@
     if (known !== undefined) return known;
     if (!options.peers.has(instance)) return undefined;
     const created = createPeerStream(
-      options.peers.get(instance),
+      () => options.peers.get(instance),
       options.clock,
     );
     streams.set(instance, created);
@@ -88,6 +99,11 @@
     send(envelope) {
       getStream(toInstanceName(envelope.to))?.write(envelope);
     },
+    restart(instance) {
+      streams.get(instance)?.close();
+      streams.delete(instance);
+      options.peers.restart(instance);
+    },
     close() {
       for (const stream of streams.values()) stream.close();
     },
--- a/src/rpc/peers.ts
+++ b/src/rpc/peers.ts
@@ -22,13 +22,16 @@
   /** Returns the peer; fault `unavailable` when the name is not in the settings. */
   get(instance: string): RpcPeer;
   has(instance: string): boolean;
+  /** Closes the connection to an instance; the next use opens a new one. */
+  restart(instance: string): void;
   close(): void;
 }
 
 /** Creates the peer set. */
 export function createPeerSet(options: PeerSetOptions): PeerSet {
   const byName = new Map<string, RpcPeer>();
-  for (const peer of options.peers) {
+
+  function openPeer(peer: PeerAddress): void {
     byName.set(
       peer.instance,
       createRpcPeer({
@@ -39,6 +42,8 @@
       }),
     );
   }
+
+  for (const peer of options.peers) openPeer(peer);
   return {
     get(instance) {
       const peer = byName.get(instance);
@@ -49,6 +54,12 @@
       );
     },
     has: (instance) => byName.has(instance),
+    restart(instance) {
+      const address = options.peers.find((peer) => peer.instance === instance);
+      if (address === undefined) return;
+      byName.get(instance)?.close();
+      openPeer(address);
+    },
     close() {
       for (const peer of byName.values()) peer.close();
     },
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -315,15 +315,24 @@
     return undefined;
   }
 
+  /**
+   * Picks the runners of which it is not known whether they may run the step,
+   * if one of them has room. Those without room are named as well, since the
+   * answer stays true and a question of its own for each would take longer.
+   */
   function pickUnknown(
     step: OpenStep,
     candidates: readonly Runner[],
   ): Runner[] {
     const known = input.getEligibility(step.key)?.isEligible;
-    return candidates.filter((runner) =>
-      known?.has(runner.entry.id) !== true &&
+    const unknown = candidates.filter((runner) =>
+      known?.has(runner.entry.id) !== true
+    );
+    const withRoom = unknown.filter((runner) =>
       countFitting(step, runner, 1) > 0
     );
+    if (withRoom.length === 0) return [];
+    return [...new Set([...withRoom, ...unknown])];
   }
 
   function addWait(step: OpenStep, reason: WaitReason): void {
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -366,3 +366,41 @@
   await model.run(1_000);
   t.equal(model.runners.countStarts(), 0);
 });
+
+// Pattern: a slow eligibility service while most runners are full. A question
+// about the few that have room just now would be put again for each that gets room.
+t.test("one question covers runners that are full now", async (t) => {
+  const model = createWorkModel({
+    configuration: createModelConfiguration({
+      queues: [{ name: "slow" }, { name: "plain" }].map((queue) => ({
+        ...queue,
+        ...(queue.name === "slow"
+          ? { eligibility: { baseMs: 500, perRunnerMs: 7, validMs: 2_000 } }
+          : {}),
+      })),
+    }),
+    isEligible: (runner) => runner === "r0",
+  });
+  for (let number = 0; number < 6; number += 1) {
+    await model.addRunner(`r${number}`);
+  }
+  const whole = { processors: 4_000, memoryMb: 10, accelerators: 0 };
+  for (let number = 0; number < 6; number += 1) {
+    // Runners become free one after the other, the eligible one last.
+    const estimatedMs = number === 0 ? 9_000 : 1_500 * number;
+    void model.submit(
+      `filler-${number}`,
+      createJob([{ resources: whole, estimatedMs }]),
+      { queue: "plain" },
+    );
+    await model.run(40);
+  }
+  void model.submit(
+    "job",
+    createJob([{ resources: whole, estimatedMs: 200 }]),
+    { queue: "slow" },
+  );
+  await model.run(14_000);
+  t.equal(getState(model, "job"), "completed");
+  t.ok(model.countQuestions("job") <= 3, `${model.countQuestions("job")}`);
+});
