Refuse at once only on a side that reaches an instance without a leader; leases of 6.5 s

While no instance that may lead is reached, calls now wait for their deadline; on a side that is cut off they are refused at once. The new test 'calls wait while no instance that may lead is reached' failed first: instances that had just come back counted as a side without a leader.

--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -39,7 +39,10 @@
 const TAKEOVER_MS = 1_800;
 
 /** Silence after which another stream is opened anew, in milliseconds; three pulses. */
-const FOLLOWER_SILENCE_MS = 6_500;
+const FOLLOWER_SILENCE_MS = 3_500;
+
+/** Age of the last pulse up to which an instance counts as reached, in milliseconds; less than a takeover, more than a follower's pulse. */
+const REACHED_MS = 1_600;
 
 /** Time after which a caller may come back when no leader is known, in milliseconds; enough for a restart of all instances. */
 const RETRY_AFTER_MS = 2_000;
@@ -97,6 +100,8 @@
   peer: RpcPeer;
   stream: ClientDuplexStream<Frame, Frame> | undefined;
   heardMs: number;
+  /** Local time of the first message on the present stream; undefined before. */
+  reachedMs: number | undefined;
   reopenAtMs: number;
   isLeading: boolean;
   term: number;
@@ -140,6 +145,7 @@
       peer: openPeer(core),
       stream: undefined,
       heardMs: 0,
+      reachedMs: undefined,
       reopenAtMs: 0,
       isLeading: false,
       term: 0,
@@ -154,10 +160,12 @@
     const stream = link.peer.openDuplexStream<Frame, Frame>("Gateway.exchange");
     link.stream = stream;
     link.heardMs = clock.now();
+    link.reachedMs = undefined;
     link.outbox = [];
     stream.on("data", (frame: Frame) => {
       if (link.stream !== stream) return;
       link.heardMs = clock.now();
+      link.reachedMs ??= link.heardMs;
       try {
         for (const message of decodeFrame<CoreMessage>(frame)) {
           receive(link, message);
@@ -227,6 +235,24 @@
     }
   }
 
+  /**
+   * Tells whether this instance is on a side that has no leader: for longer than
+   * a takeover it has reached an instance that could lead, and none leads. While none is reached all of them may be restarting, and calls
+   * that wait are answered soonest.
+   */
+  function isCutOff(): boolean {
+    const nowMs = clock.now();
+    if (leader !== undefined || nowMs - leaderLostMs < TAKEOVER_MS) {
+      return false;
+    }
+    for (const { stream, heardMs, reachedMs } of links.values()) {
+      const isReached = stream !== undefined && reachedMs !== undefined &&
+        nowMs - reachedMs > TAKEOVER_MS && nowMs - heardMs < REACHED_MS;
+      if (isReached) return true;
+    }
+    return false;
+  }
+
   /** Gives a call up; only one that was never sent has certainly not run. */
   function rejectCall(call: PendingCall): void {
     if (!pending.delete(call.id)) return;
@@ -330,9 +356,9 @@
         openStream(link);
       }
     }
-    const mayComeSoon = nowMs - leaderLostMs < TAKEOVER_MS;
+    const isRefusing = isCutOff();
     for (const call of [...pending.values()]) {
-      if (leader === undefined && !mayComeSoon) rejectCall(call);
+      if (isRefusing) rejectCall(call);
       else if (call.sentTo === undefined) sendCall(call);
     }
     clock.setTimer(CHECK_PERIOD_MS, check);
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -30,7 +30,7 @@
 const LEADER_PULSE_MS = 300;
 
 /** Time between pulses of others, in milliseconds. */
-const FOLLOWER_PULSE_MS = 2_000;
+const FOLLOWER_PULSE_MS = 1_000;
 
 /** Time during which messages are gathered into one frame, in milliseconds. */
 const FRAME_GATHER_MS = 1;
--- /dev/null
+++ b/src/gateway/gateway_test.ts
@@ -0,0 +1,170 @@
+import type { AddressInfo } from "node:net";
+import { createServer } from "node:net";
+import t from "tap";
+import {
+  createFault,
+  createSilentLogger,
+  createSystemClock,
+  isFault,
+} from "../common/mod.ts";
+import { startRpcServer } from "../rpc/mod.ts";
+import type { EligibilityQuestion } from "../workload/mod.ts";
+import { createGatewayClient } from "./gateway_client.ts";
+import { createGatewayServer } from "./gateway_server.ts";
+import type { WorkCall } from "./messages.ts";
+
+interface Scope {
+  teardown(end: () => unknown): void;
+}
+
+const clock = createSystemClock();
+const logger = createSilentLogger();
+const CALL: WorkCall = { kind: "readConfiguration" };
+
+async function findPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+async function startCore(t: Scope, name: string, port: number) {
+  const core = {
+    isLeading: false,
+    calls: [] as WorkCall[],
+    runCall: (_: WorkCall): Promise<unknown> => Promise.resolve(name),
+  };
+  const server = createGatewayServer({
+    clock,
+    logger,
+    getLeadership: () => ({ isLeading: core.isLeading, term: 1 }),
+    listCores: () => [name],
+    handleCallers: () => {},
+    runCall(call) {
+      core.calls.push(call);
+      return core.runCall(call);
+    },
+  });
+  const rpc = await startRpcServer({
+    host: "127.0.0.1",
+    port,
+    services: {
+      Gateway: {
+        duplexStreams: { exchange: (stream) => server.handleStream(stream) },
+      },
+    },
+  });
+  const stop = () => {
+    server.close();
+    rpc.close();
+  };
+  t.teardown(stop);
+  return { core, server, stop };
+}
+
+function openClient(t: Scope, ports: Record<string, number>) {
+  const client = createGatewayClient({
+    instance: "entry",
+    dataCentre: "one",
+    cores: Object.keys(ports),
+    getAddress: (name) => `127.0.0.1:${ports[name]}`,
+    clock,
+    logger,
+    ask: (question: EligibilityQuestion) =>
+      Promise.resolve({
+        tickets: { [question.runners[0] ?? ""]: "t" },
+        validMs: 9,
+      }),
+  });
+  t.teardown(() => client.close());
+  return client;
+}
+
+async function runCall(
+  client: ReturnType<typeof openClient>,
+  timeoutMs: number,
+): Promise<{ outcome: unknown; tookMs: number }> {
+  const startMs = performance.now();
+  let outcome: unknown;
+  try {
+    outcome = await client.call(CALL, timeoutMs);
+  } catch (error) {
+    outcome = isFault(error) ? error.kind : error;
+  }
+  return { outcome, tookMs: performance.now() - startMs };
+}
+
+t.test("a call goes to the instance that leads", async (t) => {
+  const ports = { a: await findPort(), b: await findPort() };
+  const a = await startCore(t, "a", ports.a);
+  const b = await startCore(t, "b", ports.b);
+  b.core.isLeading = true;
+  const client = openClient(t, ports);
+  t.equal((await runCall(client, 3_000)).outcome, "b");
+  t.equal(a.core.calls.length, 0);
+  b.core.runCall = () =>
+    Promise.reject(createFault("unauthenticated", "Cannot accept the key"));
+  t.equal((await runCall(client, 3_000)).outcome, "unauthenticated");
+});
+
+t.test("a call without an answer goes to the next leader", async (t) => {
+  const ports = { a: await findPort(), b: await findPort() };
+  const a = await startCore(t, "a", ports.a);
+  const b = await startCore(t, "b", ports.b);
+  a.core.isLeading = true;
+  a.core.runCall = () => new Promise(() => {});
+  const client = openClient(t, ports);
+  const result = runCall(client, 5_000);
+  await new Promise((resolve) => setTimeout(resolve, 600));
+  t.equal(a.core.calls.length, 1);
+  a.stop();
+  b.core.isLeading = true;
+  b.server.sendPulses();
+  t.equal((await result).outcome, "b");
+});
+
+// Pattern: a data centre that is cut off. Its callers have to be sent elsewhere.
+t.test("a side without a leader refuses at once", async (t) => {
+  const ports = { a: await findPort(), b: await findPort() };
+  await startCore(t, "a", ports.a);
+  const client = openClient(t, ports);
+  await new Promise((resolve) => setTimeout(resolve, 3_000));
+  const { outcome, tookMs } = await runCall(client, 3_000);
+  t.equal(outcome, "unavailable");
+  t.ok(tookMs < 400, `${tookMs}`);
+});
+
+// Pattern: all instances that may lead have lost power; what waits is served first.
+t.test("calls wait while no instance that may lead is reached", async (t) => {
+  const ports = { a: await findPort() };
+  const client = openClient(t, ports);
+  await new Promise((resolve) => setTimeout(resolve, 2_500));
+  const result = runCall(client, 5_000);
+  await new Promise((resolve) => setTimeout(resolve, 700));
+  const a = await startCore(t, "a", ports.a);
+  a.core.isLeading = true;
+  t.equal((await result).outcome, "a");
+});
+
+t.test("a call that was sent is not called not run", async (t) => {
+  const ports = { a: await findPort() };
+  const a = await startCore(t, "a", ports.a);
+  a.core.isLeading = true;
+  a.core.runCall = () => new Promise(() => {});
+  const client = openClient(t, ports);
+  t.equal((await runCall(client, 800)).outcome, "deadlineExceeded");
+});
+
+t.test("questions go out through a connected instance", async (t) => {
+  const ports = { a: await findPort() };
+  const a = await startCore(t, "a", ports.a);
+  const client = openClient(t, ports);
+  a.core.isLeading = true;
+  await runCall(client, 3_000);
+  t.strictSame(a.server.listCallers(), ["entry"]);
+  const question = { job: "j", occurrence: 0, step: 0, runners: ["r"] };
+  const answer = await a.server.ask("entry", question, 1_000);
+  t.strictSame(answer.tickets, { r: "t" });
+  await t.rejects(a.server.ask("other", question, 1_000));
+});
--- a/src/workload/constants.ts
+++ b/src/workload/constants.ts
@@ -8,13 +8,14 @@
 
 /**
  * Time for which a runner may go on without hearing from us, in milliseconds.
- * It outlives a restart of all instances, which takes 2 to 3 s; longer, and the
- * short jobs of a runner that is cut off could not be served elsewhere in time.
+ * It outlives a restart of all instances, and a data centre that is cut off for
+ * some seconds: a wide gang nearly always has a member there, and would start
+ * anew as a whole. Runners may accept less.
  */
-export const RUNNER_LEASE_MS = 3_500;
+export const RUNNER_LEASE_MS = 6_500;
 
-/** Longest wait of one look at a runner for an end, in milliseconds; a lease is renewed at least this often. */
-export const HOLD_WAIT_MS = 500;
+/** Longest wait of one look at a runner for an end, in milliseconds; progress is seen at least this often. */
+export const HOLD_WAIT_MS = 700;
 
 /** Time beyond the wait after which a look counts as unanswered, in milliseconds. */
 export const HOLD_TIMEOUT_MS = 700;
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -78,7 +78,7 @@
   type WorkState,
 } from "./work_state.ts";
 
-/** Time without progress after which a run counts as stuck, in milliseconds; four looks. */
+/** Time without progress after which a run counts as stuck, in milliseconds; some three looks. */
 const STALL_MS = 2_000;
 
 /** The same for a member of a gang, which has to wait for the others. */
