--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -381,9 +381,7 @@
         wasSent: false,
       };
       pending.set(id, created);
-      const isCutOff = leader === undefined &&
-        clock.now() - leaderLostMs > TAKEOVER_MS;
-      if (isCutOff) rejectCall(created);
+      if (isCutOff()) rejectCall(created);
       else sendCall(created);
     });
   }
