--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -49,6 +49,8 @@
   isEligible?: (runner: string, step: string) => boolean;
   /** Instances that can ask the eligibility service. Default three. */
   callers?: readonly string[];
+  /** Tells whether a command of the log is refused. Default: none is. */
+  isRefused?: (records: readonly WorkRecord[]) => boolean;
   logger?: Logger;
 }
 
@@ -58,6 +60,8 @@
   readonly runners: RunnerModel;
   readonly state: WorkState;
   getController(): WorkController;
+  /** Returns the wall time that the controller sees, in milliseconds. */
+  getWallTime(): number;
   /** Questions to the eligibility service about a job. */
   countQuestions(job: string): number;
   /** Adds a runner and announces it. */
@@ -228,6 +232,9 @@
       fence: term,
       isLeading: () => term === fence,
       propose(records: readonly WorkRecord[]) {
+        if (options.isRefused?.(records) === true) {
+          return Promise.reject(createFault("overloaded", "Log is full"));
+        }
         return new Promise((resolve, reject) => {
           clock.setTimer(commitMs, () => {
             if (term !== fence) {
@@ -275,6 +282,7 @@
     runners,
     state,
     getController,
+    getWallTime: () => wallClock.wallTime(),
     countQuestions: (job) => questions.get(job) ?? 0,
     async addRunner(id, entry = {}) {
       const full: RunnerEntry = {
--- a/src/workload/mod.ts
+++ b/src/workload/mod.ts
@@ -4,9 +4,9 @@
 export * from "./eligibility.ts";
 export * from "./runner_calls.ts";
 export * from "./types.ts";
+export type { RunnerAnnouncement } from "./runner_fleet.ts";
+export type { CallerAddress } from "./work_calls.ts";
 export {
-  type CallerAddress,
-  type RunnerAnnouncement,
   startWorkController,
   type WorkController,
   type WorkControllerOptions,
--- /dev/null
+++ b/src/workload/runner_health.ts
@@ -0,0 +1,160 @@
+/**
+ * Which runners get work: those that fail, stand still or are slow get none for
+ * a while, and urgent runs on a slow one start anew elsewhere.
+ */
+
+import type { Clock, Logger } from "../common/mod.ts";
+import type { Metrics } from "../report/metrics.ts";
+import {
+  createSpeedBook,
+  estimateRemainingMs,
+  type ProgressSample,
+} from "./runner_speed.ts";
+import type { Occupant, Runner } from "./runner_table.ts";
+import { formatStep } from "./types.ts";
+import type { WorkState } from "./work_state.ts";
+
+/** Pause of a runner whose progress shows it to be slow, in milliseconds; each look renews it. */
+const SLOW_PAUSE_MS = 1_500;
+
+/** Remaining time of an urgent run on a slow runner from which it is worth starting anew, in milliseconds. */
+const WORTH_MOVING_MS = 1_500;
+
+/** Different jobs whose runs fail in a row before a runner is suspended. */
+const FAILED_JOBS_LIMIT = 3;
+
+/** First suspension of a runner in milliseconds; each further one is twice as long. */
+const SUSPENSION_MS = 2_000;
+
+/** Longest suspension of a runner in milliseconds. */
+const MAX_SUSPENSION_MS = 4_000;
+
+/** Share of a pool that may be suspended at the same time. */
+const MAX_SUSPENDED_SHARE = 0.34;
+
+/** Options of the watch. */
+export interface RunnerHealthOptions {
+  clock: Clock;
+  logger: Logger;
+  metrics?: Pick<Metrics, "addCount">;
+  state: WorkState;
+  /** Lists the runners of a pool. */
+  listPool: (pool: string) => readonly Runner[];
+}
+
+/** Watches how well runners work. */
+export interface RunnerHealth {
+  /** Takes in a failed run. */
+  recordFailure(runner: Runner, job: string): void;
+  /** Takes in a run that did all of its work. */
+  recordSuccess(runner: Runner, occupant: Occupant | undefined): void;
+  /** Leaves a runner without new work for a while. */
+  suspendRunner(runner: Runner, reason: string): void;
+  /** Looks at the progress on a runner; returns the urgent runs to move away. */
+  checkSpeed(runner: Runner): Occupant[];
+  /** Forgets what was learned about one step. */
+  removeStep(step: string): void;
+}
+
+/** Creates a watch that has seen nothing. */
+export function createRunnerHealth(
+  options: RunnerHealthOptions,
+): RunnerHealth {
+  const { clock, logger, metrics, state } = options;
+  const speeds = createSpeedBook();
+
+  function suspendRunner(runner: Runner, reason: string): void {
+    const pool = options.listPool(runner.entry.pool);
+    const nowMs = clock.now();
+    const suspended = pool.filter(({ suspendedUntilMs }) =>
+      suspendedUntilMs > nowMs
+    );
+    // Where everything fails, the work is at fault and has to go on somewhere.
+    if (suspended.length >= pool.length * MAX_SUSPENDED_SHARE) return;
+    const pauseMs = Math.min(
+      MAX_SUSPENSION_MS,
+      SUSPENSION_MS * 2 ** runner.suspensions,
+    );
+    runner.suspensions += 1;
+    runner.suspendedUntilMs = clock.now() + pauseMs;
+    // One further failure after the pause suspends it again.
+    while (runner.failedJobs.size >= FAILED_JOBS_LIMIT) {
+      const [first] = runner.failedJobs;
+      runner.failedJobs.delete(first ?? "");
+    }
+    metrics?.addCount("runners_suspended_total");
+    logger.warn("Runner suspended", { runner: runner.life, reason, pauseMs });
+  }
+
+  /** Learns from a run that did all of its work here. */
+  function recordSpeed(runner: Runner, occupant: Occupant): void {
+    const { task, confirmedMs } = occupant;
+    const job = state.getJob(task.job);
+    const step = job?.spec.steps[task.step];
+    const isWhole = step !== undefined && !step.gang &&
+      state.getTask(task)?.checkpoint === "";
+    if (job === undefined || !isWhole || confirmedMs === undefined) return;
+    speeds.recordRun({
+      step: formatStep(task),
+      runner: runner.entry.id,
+      durationMs: clock.now() - confirmedMs,
+    });
+    runner.slowness = speeds.getSlowness(runner.entry.id);
+  }
+
+  /** Suspends a runner whose progress shows it to be slow; lists the urgent runs that are worth moving. */
+  function checkSpeed(runner: Runner): Occupant[] {
+    const nowMs = clock.now();
+    const samples: ProgressSample[] = [];
+    const urgent: Occupant[] = [];
+    for (const occupant of runner.occupants.values()) {
+      const { task, confirmedMs, progress } = occupant;
+      const job = state.getJob(task.job);
+      const step = job?.spec.steps[task.step];
+      const isSample = job !== undefined && step !== undefined && !step.gang &&
+        !step.longRunning && occupant.isListed && confirmedMs !== undefined &&
+        occupant.state === "running" &&
+        state.getTask(task)?.checkpoint === "";
+      if (!isSample) continue;
+      const elapsedMs = nowMs - confirmedMs;
+      samples.push({
+        queue: job.spec.queue,
+        estimatedMs: step.estimatedMs,
+        elapsedMs,
+        percent: progress,
+      });
+      const isUrgent = state.findQueue(job.spec.queue)?.priority === 0;
+      const remainingMs = estimateRemainingMs(elapsedMs, progress);
+      if (isUrgent && remainingMs > WORTH_MOVING_MS) urgent.push(occupant);
+    }
+    if (!speeds.isSlowNow(samples)) return [];
+    const wasSuspended = nowMs < runner.suspendedUntilMs;
+    runner.suspendedUntilMs = Math.max(
+      runner.suspendedUntilMs,
+      nowMs + SLOW_PAUSE_MS,
+    );
+    if (wasSuspended && urgent.length === 0) return urgent;
+    logger.warn("Runner is slow", {
+      runner: runner.life,
+      runs: samples.length,
+      moved: urgent.map(({ key }) => key),
+    });
+    return urgent;
+  }
+
+  return {
+    recordFailure(runner, job) {
+      runner.failedJobs.add(job);
+      if (runner.failedJobs.size < FAILED_JOBS_LIMIT) return;
+      suspendRunner(runner, "runs of several jobs failed in a row");
+    },
+    recordSuccess(runner, occupant) {
+      if (occupant !== undefined) recordSpeed(runner, occupant);
+      runner.failedJobs.clear();
+      runner.suspensions = 0;
+    },
+    suspendRunner,
+    checkSpeed,
+    removeStep: (step) => speeds.removeStep(step),
+  };
+}
--- /dev/null
+++ b/src/workload/work_calls.ts
@@ -0,0 +1,187 @@
+/**
+ * What callers and the operator ask of the leader: jobs are handed in, asked for
+ * and cancelled, and configurations replaced. Whatever changes something is
+ * answered only once it is recorded.
+ */
+
+import { type Clock, createFault, type Logger } from "../common/mod.ts";
+import {
+  checkConfiguration,
+  findQueueByPath,
+  findWorkspaceByKey,
+} from "./configuration.ts";
+import type { RecordQueue } from "./record_queue.ts";
+import type {
+  Configuration,
+  JobBody,
+  JobSpec,
+  QueueSettings,
+  WorkJobState,
+  WorkspaceSettings,
+} from "./types.ts";
+import { isOpenJob, type JobState, type WorkState } from "./work_state.ts";
+
+/** Who calls, for which queue. */
+export interface CallerAddress {
+  readonly host: string;
+  readonly path: string;
+  /** Key that was presented; empty for none. */
+  readonly key: string;
+}
+
+/** Options of the calls. */
+export interface WorkCallsOptions {
+  clock: Clock;
+  logger: Logger;
+  state: WorkState;
+  queue: RecordQueue;
+}
+
+/** What callers and the operator can ask. */
+export interface WorkCalls {
+  /** Accepts a job; resolves once it is recorded. Rejects with a fault that says whether it may run. */
+  submit(address: CallerAddress, body: JobBody): Promise<void>;
+  /** Returns the state of a job; faults "notFound" (details.subject "job" or "queue") and "unauthenticated". */
+  getState(address: CallerAddress): WorkJobState;
+  /** Returns the number of jobs of a queue of which no task has started. */
+  countPending(address: CallerAddress): number;
+  cancel(address: CallerAddress): Promise<void>;
+  changeConfiguration(configuration: Configuration): Promise<void>;
+  /** Returns the document in force; undefined before the first. */
+  readConfiguration(): string | undefined;
+}
+
+/** Throws "unavailable" for work that cannot be done yet, so that it is not accepted and lost. */
+function checkSupported(body: JobBody): void {
+  for (const step of body.steps) {
+    if (!step.fillsIdle && step.targetMs === 0) continue;
+    throw createFault(
+      "unavailable",
+      "Cannot accept tasks that fill idle room or serve users of their own",
+      { ran: "no" },
+    );
+  }
+}
+
+/** Creates the calls for one leadership. */
+export function createWorkCalls(options: WorkCallsOptions): WorkCalls {
+  const { clock, logger, state, queue } = options;
+  const submissions = new Map<string, Promise<void>>();
+
+  function getConfiguration(): Configuration {
+    const configuration = state.getConfiguration();
+    if (configuration !== undefined) return configuration;
+    throw createFault("unavailable", "Cannot serve before a configuration", {
+      ran: "no",
+    });
+  }
+
+  function findCaller(
+    address: CallerAddress,
+  ): { queue: QueueSettings; workspace?: WorkspaceSettings; id: string } {
+    const configuration = getConfiguration();
+    const match = findQueueByPath(configuration, address.host, address.path);
+    if (match === undefined) {
+      throw createFault(
+        "notFound",
+        `Cannot find a queue at "${address.host}${address.path}"`,
+        { details: { subject: "queue" } },
+      );
+    }
+    const { queue: found, rest: id } = match;
+    const workspace = findWorkspaceByKey(configuration, address.key);
+    if (workspace !== undefined) return { queue: found, workspace, id };
+    if (found.isPublic) return { queue: found, id };
+    throw createFault(
+      "unauthenticated",
+      `Cannot accept the key on queue "${found.name}"`,
+    );
+  }
+
+  function findJob(address: CallerAddress): JobState {
+    const { id, workspace } = findCaller(address);
+    const job = state.getJob(id);
+    const owner = job?.spec.workspace;
+    const isOther = owner !== undefined && workspace !== undefined &&
+      owner !== workspace.name;
+    if (job !== undefined && !isOther) return job;
+    throw createFault("notFound", `Cannot find job "${id}"`, {
+      details: { subject: "job" },
+    });
+  }
+
+  async function submit(address: CallerAddress, body: JobBody): Promise<void> {
+    const { queue: found, workspace, id } = findCaller(address);
+    if (id === "" || id.includes("/")) {
+      throw createFault("badRequest", `Cannot use "${id}" as a job identifier`);
+    }
+    if (state.getJob(id) !== undefined) return;
+    checkSupported(body);
+    const open = submissions.get(id);
+    if (open !== undefined) return open;
+    const job: JobSpec = {
+      ...body,
+      id,
+      queue: found.name,
+      pool: found.pool,
+      maxAttempts: found.maxAttempts,
+      ...(workspace === undefined ? {} : { workspace: workspace.name }),
+      submittedMs: clock.wallTime(),
+    };
+    const submission = queue.record([{ kind: "job", job }]);
+    submissions.set(id, submission);
+    try {
+      await submission;
+      logger.info("Job accepted", {
+        job: id,
+        queue: found.name,
+        workspace: workspace?.name,
+        configuration: state.getConfiguration()?.version,
+        steps: body.steps.length,
+        tookMs: clock.wallTime() - job.submittedMs,
+      });
+    } finally {
+      submissions.delete(id);
+    }
+  }
+
+  async function cancel(address: CallerAddress): Promise<void> {
+    const job = findJob(address);
+    if (!isOpenJob(job)) return;
+    await queue.record([{
+      kind: "cancel",
+      job: job.spec.id,
+      atMs: clock.wallTime(),
+    }]);
+    logger.info("Job cancelled", { job: job.spec.id });
+  }
+
+  async function changeConfiguration(next: Configuration): Promise<void> {
+    checkConfiguration(next);
+    const held = state.getConfiguration();
+    if (held !== undefined && held.version >= next.version) return;
+    await queue.record([{ kind: "configuration", configuration: next }]);
+    logger.info("Configuration recorded", {
+      version: next.version,
+      before: held?.version,
+    });
+  }
+
+  function countPending(address: CallerAddress): number {
+    const { queue: found } = findCaller(address);
+    let count = 0;
+    for (const job of state.listJobs()) {
+      if (job.spec.queue === found.name && job.state === "queued") count += 1;
+    }
+    return count;
+  }
+
+  return {
+    submit,
+    getState: (address) => findJob(address).state,
+    countPending,
+    cancel,
+    changeConfiguration,
+    readConfiguration: () => state.getConfiguration()?.document,
+  };
+}
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -404,3 +404,77 @@
   t.equal(getState(model, "job"), "completed");
   t.ok(model.countQuestions("job") <= 3, `${model.countQuestions("job")}`);
 });
+
+// Pattern: the log refuses a command for a moment while it goes on leading.
+t.test("a task whose end could not be recorded goes on", async (t) => {
+  let isFull = false;
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    isRefused: () => isFull,
+  });
+  await model.addRunner("r1");
+  await runCall(model, model.submit("job", createJob([{ estimatedMs: 900 }])));
+  await model.run(200);
+  model.runners.crash("r1");
+  isFull = true;
+  await model.run(8_000);
+  isFull = false;
+  await model.addRunner("r2");
+  await model.run(8_000);
+  t.equal(getState(model, "job"), "completed");
+  t.strictSame(model.runners.violations, []);
+});
+
+t.test("each occurrence of a timed job waits for its time", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1");
+  const firstRunMs = model.getWallTime() + 2_000;
+  await runCall(
+    model,
+    model.submit("job", {
+      ...createJob([{ estimatedMs: 300 }]),
+      firstRunMs,
+      intervalMs: 1_000,
+      repetitions: 3,
+    }),
+  );
+  const starts: number[] = [];
+  while (model.getWallTime() < firstRunMs + 4_000) {
+    await model.run(10);
+    while (starts.length < model.runners.countStarts()) {
+      starts.push(model.getWallTime() - firstRunMs);
+    }
+  }
+  t.equal(starts.length, 3);
+  starts.forEach((startMs, number) => {
+    t.ok(startMs >= number * 1_000, `${startMs}`);
+    t.ok(startMs < number * 1_000 + 600, `${startMs}`);
+  });
+  t.equal(getState(model, "job"), "completed");
+});
+
+t.test("a long-running task is started again until it is cancelled", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1");
+  await runCall(
+    model,
+    model.submit(
+      "job",
+      createJob([{ tasks: 2, longRunning: true, estimatedMs: 1e9 }]),
+    ),
+  );
+  await model.run(500);
+  t.equal(model.runners.listRunning().length, 2);
+  model.runners.crash("r1");
+  await model.addRunner("r1", { startedMs: 2 });
+  await model.run(2_000);
+  t.equal(model.runners.listRunning().length, 2);
+  t.equal(getState(model, "job"), "running");
+  await runCall(
+    model,
+    model.getController().cancel(createAddress(model, "job")),
+  );
+  await model.run(500);
+  t.equal(model.runners.listRunning().length, 0);
+  t.strictSame(model.runners.violations, []);
+});
