Close a listener only right after it has taken the waiting connections

Known red 'a rolling restart interrupts no request': traced to the close of the listening socket while a connection that is complete for its caller waits in the accept queue; it is reset. Ruled out: open connections, which end after their answer. Change: the close waits for a short turn of the event loop and follows it at once.

--- a/src/http/http_server.ts
+++ b/src/http/http_server.ts
@@ -52,12 +52,21 @@
   readonly port: number;
   /** Number of requests without an answer yet. */
   countOpen(): number;
-  /** Takes no new connections; open ones end after their next answer. */
-  stopAccepting(): void;
+  /**
+   * Takes no new connections; open ones end after their next answer. Resolves
+   * once the port is closed.
+   */
+  stopAccepting(): Promise<void>;
   /** Ends all connections. */
   close(): Promise<void>;
 }
 
+/** Turn of the event loop that was too short for connections to wait behind other work, in milliseconds. */
+const QUIET_TURN_MS = 0.5;
+
+/** Longest wait for such a turn, in milliseconds; a process without one is overloaded and closes anyway. */
+const MAX_QUIET_WAIT_MS = 1_000;
+
 interface NodeRuntime {
   runtime?: { node?: { req: IncomingMessage } };
 }
@@ -181,8 +190,17 @@
   return {
     port,
     countOpen: () => openCount,
-    stopAccepting() {
+    async stopAccepting() {
       isStopping = true;
+      // A connection that is complete for its caller but not taken yet would be
+      // reset by the close, so the close comes right after the port was looked at.
+      const untilMs = performance.now() + MAX_QUIET_WAIT_MS;
+      let turnMs = Infinity;
+      while (turnMs > QUIET_TURN_MS && performance.now() < untilMs) {
+        const startMs = performance.now();
+        await new Promise<void>((resolve) => setImmediate(resolve));
+        turnMs = performance.now() - startMs;
+      }
       // The close of the HTTP server would also end connections whose request
       // is still on its way, and their callers could not tell what became of it.
       NetServer.prototype.close.call(server);
--- /dev/null
+++ b/src/http/http_server_test.ts
@@ -0,0 +1,59 @@
+import { connect } from "node:net";
+import process from "node:process";
+import t from "tap";
+import { createSilentLogger } from "../common/mod.ts";
+import { startHttpServer } from "./http_server.ts";
+import { createJsonAnswer } from "./request_context.ts";
+
+const ROUNDS = 20;
+
+t.setTimeout(120_000);
+
+/** Sends one request on a connection of its own; returns how it ended. */
+function callOnce(port: number): Promise<"answered" | "refused" | "reset"> {
+  return new Promise((resolve) => {
+    let hasConnected = false;
+    let hasAnswer = false;
+    const socket = connect(port, "127.0.0.1", () => {
+      hasConnected = true;
+      socket.write("GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    });
+    socket.on("data", () => hasAnswer = true);
+    socket.on("error", () => {});
+    socket.on("close", () => {
+      if (hasAnswer) resolve("answered");
+      else resolve(hasConnected ? "reset" : "refused");
+    });
+  });
+}
+
+// Pattern: callers that do not look at readiness connect until the socket closes.
+// The connection is complete for them while the listener has not seen it yet.
+t.test("a connection that was made before the stop is answered", async (t) => {
+  const outcomes: string[] = [];
+  for (let round = 0; round < ROUNDS; round += 1) {
+    const server = await startHttpServer({
+      host: "127.0.0.1",
+      port: 0,
+      logger: createSilentLogger(),
+      routes: [{
+        method: "GET",
+        path: "/x",
+        filters: [(context) => {
+          context.answer = createJsonAnswer({});
+          return Promise.resolve();
+        }],
+      }],
+    });
+    const call = callOnce(server.port);
+    // The connect call leaves with the next tick, before the listener is polled.
+    await new Promise<void>((resolve) => process.nextTick(resolve));
+    const stopped = server.stopAccepting();
+    outcomes.push(await call);
+    await stopped;
+    outcomes.push(await callOnce(server.port));
+    await server.close();
+  }
+  t.strictSame([...new Set(outcomes)].sort(), ["answered", "refused"]);
+  t.equal(outcomes.filter((outcome) => outcome === "answered").length, ROUNDS);
+});
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -424,7 +424,7 @@
     await Promise.all([...members.values()].map((member) => member.stop()));
     await work?.stop();
     readiness.setRefusing();
-    http.stopAccepting();
+    await http.stopAccepting();
     // Requests that are on their way on accepted connections get a refusal.
     await wait(ARRIVAL_GRACE_MS);
     await waitForOpenRequests();
--- a/test/library_examples_test.ts
+++ b/test/library_examples_test.ts
@@ -18,6 +18,9 @@
   expected: string[];
 }
 
+// The limit of the file must not be below that of its test.
+t.setTimeout(240_000);
+
 async function readExamples(): Promise<Example[]> {
   const page = await readFile(join(ROOT, "docs", "library.md"), "utf8");
   const pattern = /## (.+)\n[^#]*?```ts\n([\s\S]*?)```/g;
--- a/test/platform_path_test.ts
+++ b/test/platform_path_test.ts
@@ -47,6 +47,8 @@
   tenants: [{ name: "one", api_keys: [KEY], weight: 10, cap: {} }],
 };
 
+t.setTimeout(240_000);
+
 async function buildBundle(): Promise<void> {
   await run(process.execPath, ["platform/build.mjs", "dist/platform/bundle"], {
     cwd: ROOT,
--- a/test/tls_test.ts
+++ b/test/tls_test.ts
@@ -36,6 +36,9 @@
 
 const HOST = "127.0.0.1";
 const RELOAD_MS = 200;
+// Each command may take 20 s by itself.
+t.setTimeout(240_000);
+
 const MAIN = fileURLToPath(new URL("../src/main.js", import.meta.url));
 const NAMES = ["north-1", "north-2", "south-1"] as const;
 
--- a/test/work_schedule_test.ts
+++ b/test/work_schedule_test.ts
@@ -2,6 +2,8 @@
 import t from "tap";
 import { runWorkSchedule } from "./work_schedule.ts";
 
+t.setTimeout(240_000);
+
 /** Seeds of CI; a seed that ever failed stays here with a line on its cause. */
 const SEEDS = [1, 2, 3, 4, 5, 6];
 
