Let a whole turn of the event loop pass before a listener closes

Cause found by reading: the wait began in the turn under way, which may be past the point where it looks at the sockets; a short rest of it counted as a quiet turn. That turn is now left out.

--- a/src/http/http_server.ts
+++ b/src/http/http_server.ts
@@ -67,6 +67,11 @@
 /** Longest wait for such a turn, in milliseconds; a process without one is overloaded and closes anyway. */
 const MAX_QUIET_WAIT_MS = 1_000;
 
+/** Waits until the event loop has looked at its sockets, unless it just does. */
+function waitForTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 interface NodeRuntime {
   runtime?: { node?: { req: IncomingMessage } };
 }
@@ -194,11 +199,13 @@
       isStopping = true;
       // A connection that is complete for its caller but not taken yet would be
       // reset by the close, so the close comes right after the port was looked at.
+      // The turn that is under way may be past that point already.
+      await waitForTurn();
       const untilMs = performance.now() + MAX_QUIET_WAIT_MS;
       let turnMs = Infinity;
       while (turnMs > QUIET_TURN_MS && performance.now() < untilMs) {
         const startMs = performance.now();
-        await new Promise<void>((resolve) => setImmediate(resolve));
+        await waitForTurn();
         turnMs = performance.now() - startMs;
       }
       // The close of the HTTP server would also end connections whose request
--- a/src/http/http_server_test.ts
+++ b/src/http/http_server_test.ts
@@ -12,17 +12,18 @@
 /** Sends one request on a connection of its own; returns how it ended. */
 function callOnce(port: number): Promise<"answered" | "refused" | "reset"> {
   return new Promise((resolve) => {
-    let hasConnected = false;
     let hasAnswer = false;
+    let isRefused = false;
     const socket = connect(port, "127.0.0.1", () => {
-      hasConnected = true;
       socket.write("GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
     });
     socket.on("data", () => hasAnswer = true);
-    socket.on("error", () => {});
+    socket.on("error", (error: NodeJS.ErrnoException) => {
+      isRefused = error.code === "ECONNREFUSED";
+    });
     socket.on("close", () => {
       if (hasAnswer) resolve("answered");
-      else resolve(hasConnected ? "reset" : "refused");
+      else resolve(isRefused ? "refused" : "reset");
     });
   });
 }
@@ -54,9 +55,6 @@
     outcomes.push(await callOnce(server.port));
     await server.close();
   }
-  // On a busy machine the system may complete the connection only after the
-  // close; it is refused then, and the caller knows that nothing has run.
-  t.notOk(outcomes.includes("reset"));
-  t.ok(outcomes.includes("answered"));
-  t.ok(outcomes.includes("refused"));
+  t.strictSame([...new Set(outcomes)].sort(), ["answered", "refused"]);
+  t.equal(outcomes.filter((outcome) => outcome === "answered").length, ROUNDS);
 });
