--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -39,6 +39,11 @@
   };
 }
 
+/** Resolves after `ms` milliseconds of the clock. */
+export function wait(clock: Clock, ms: number): Promise<void> {
+  return new Promise((resolve) => void clock.setTimer(ms, resolve));
+}
+
 interface ManualTimer {
   dueMs: number;
   order: number;
--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -235,8 +235,9 @@
 
   /**
    * Tells whether this instance is on a side that has no leader: for longer than
-   * a takeover it has reached an instance that could lead, and none leads. While none is reached all of them may be restarting, and calls
-   * that wait are answered soonest.
+   * a takeover it has reached an instance that could lead, and none leads. While
+   * none is reached all of them may be restarting, and waiting calls are answered
+   * soonest.
    */
   function isCutOff(): boolean {
     const nowMs = clock.now();
--- a/src/http/http_server.ts
+++ b/src/http/http_server.ts
@@ -12,6 +12,7 @@
 import { Server as NetServer } from "node:net";
 import { H3, type H3Event, toNodeHandler } from "h3";
 import { createFault, type Logger, toFault } from "../common/mod.ts";
+import { waitForTurn } from "../report/turns.ts";
 import type { CertificateFiles } from "../tls/mod.ts";
 import { createFilterChain, type Filter } from "./filter_chain.ts";
 import {
@@ -67,11 +68,6 @@
 /** Longest wait for such a turn, in milliseconds; a process without one is overloaded and closes anyway. */
 const MAX_QUIET_WAIT_MS = 1_000;
 
-/** Waits until the event loop has looked at its sockets, unless it just does. */
-function waitForTurn(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
-
 interface NodeRuntime {
   runtime?: { node?: { req: IncomingMessage } };
 }
--- a/src/instance/leader_calls.ts
+++ b/src/instance/leader_calls.ts
@@ -4,7 +4,13 @@
  * caller's time, so that a takeover delays a call and does not fail it.
  */
 
-import { type Clock, createFault, type Fault, toFault } from "../common/mod.ts";
+import {
+  type Clock,
+  createFault,
+  type Fault,
+  toFault,
+  wait,
+} from "../common/mod.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { PeerSet } from "../rpc/mod.ts";
 
@@ -57,10 +63,6 @@
   handlers: WorkHandlers;
 }
 
-function wait(clock: Clock, ms: number): Promise<void> {
-  return new Promise((resolve) => clock.setTimer(ms, resolve));
-}
-
 /** Creates the calling side of the `Work` service. */
 export function createLeaderCalls(options: LeaderCallsOptions): LeaderCalls {
   const { clock, membership, peers } = options;
--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -4,7 +4,7 @@
  * fencing, run numbers, gangs) and runs on a given clock, without a network.
  */
 
-import { type Clock, createFault } from "../common/mod.ts";
+import { type Clock, createFault, wait } from "../common/mod.ts";
 import {
   formatTask,
   type HoldReply,
@@ -128,10 +128,6 @@
   let disruptedMs = -Infinity;
   let starts = 0;
 
-  function wait(ms: number): Promise<void> {
-    return new Promise((resolve) => void clock.setTimer(ms, resolve));
-  }
-
   function findRunner(target: RunnerTarget): ModelRunner | undefined {
     const runner = runners.get(target.id);
     return runner === undefined || runner.isGone ? undefined : runner;
@@ -142,10 +138,10 @@
     target: RunnerTarget,
     timeoutMs: number,
   ): Promise<ModelRunner> {
-    await wait(delayMs);
+    await wait(clock, delayMs);
     const runner = findRunner(target);
     if (runner !== undefined && !runner.trouble.isCutOff) return runner;
-    await wait(timeoutMs);
+    await wait(clock, timeoutMs);
     throw createFault("outcomeUnknown", `Cannot reach runner "${target.id}"`);
   }
 
@@ -307,13 +303,13 @@
     const { lateMs } = runner.trouble;
     if (lateMs === 0) {
       const reply = carryOut();
-      await wait(delayMs);
+      await wait(clock, delayMs);
       return reply;
     }
     clock.setTimer(lateMs, () => {
       if (!runner.isGone) carryOut();
     });
-    await wait(timeoutMs);
+    await wait(clock, timeoutMs);
     throw createFault("outcomeUnknown", `No answer from "${runner.entry.id}"`);
   }
 
@@ -404,7 +400,7 @@
         const before = runner.ended.get(key) ?? 0;
         runner.ended.set(key, Math.max(before, order.run));
       }
-      await wait(delayMs);
+      await wait(clock, delayMs);
       return { outcome: "accepted", clockMs };
     },
     async hold(target, order, timeoutMs) {
@@ -428,11 +424,11 @@
         });
       }
       if (runner.trouble.isCutOff || runner.isGone) {
-        await wait(timeoutMs);
+        await wait(clock, timeoutMs);
         throw createFault("outcomeUnknown", `Lost runner "${target.id}"`);
       }
       const reply = listHold(runner);
-      await wait(delayMs);
+      await wait(clock, delayMs);
       return reply;
     },
     release: () => {},
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -10,6 +10,7 @@
   createFault,
   type Logger,
   type Random,
+  wait,
 } from "../common/mod.ts";
 import {
   createGatewayClient,
@@ -193,10 +194,7 @@
       Consensus: {
         writeStreams: {
           send(stream) {
-            stream.on(
-              "data",
-              handleEnvelope,
-            );
+            stream.on("data", handleEnvelope);
             stream.on("error", () => {});
           },
         },
@@ -362,9 +360,7 @@
         break;
       } catch (error) {
         logger.info("Leadership not confirmed yet", { term: next.term, error });
-        await new Promise<void>((resolve) =>
-          void clock.setTimer(CONFIRM_PAUSE_MS, resolve)
-        );
+        await wait(clock, CONFIRM_PAUSE_MS);
       }
     }
     if (lease !== next) return;
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -6,7 +6,7 @@
  * copy is refused.
  */
 
-import type { Clock, Logger } from "../common/mod.ts";
+import { type Clock, type Logger, wait } from "../common/mod.ts";
 import {
   HOLD_TIMEOUT_MS,
   HOLD_WAIT_MS,
@@ -82,14 +82,10 @@
 
   /** Waits out a doubt about the leadership, during which no order may leave. */
   async function waitUntilLeading(): Promise<boolean> {
-    while (isOpen() && !options.isLeading()) await wait(RETRY_PAUSE_MS);
+    while (isOpen() && !options.isLeading()) await wait(clock, RETRY_PAUSE_MS);
     return isOpen();
   }
 
-  function wait(ms: number): Promise<void> {
-    return new Promise((resolve) => void clock.setTimer(ms, resolve));
-  }
-
   function getTarget() {
     return { id: runner.entry.id, address: runner.entry.address };
   }
@@ -120,7 +116,7 @@
     if (!isOpen()) return;
     if (reply.outcome === "otherLife") return options.handleOtherLife();
     if (reply.outcome === "staleFence") return options.handleStaleFence();
-    if (reply.outcome !== "accepted") return wait(RETRY_PAUSE_MS);
+    if (reply.outcome !== "accepted") return wait(clock, RETRY_PAUSE_MS);
     const isOther = reply.startedMs !== undefined &&
       runner.entry.startedMs !== 0 &&
       reply.startedMs !== runner.entry.startedMs;
@@ -140,7 +136,7 @@
           logger.info("Runner does not answer", { runner: runner.life, error });
         }
         hasUnansweredHold = true;
-        await wait(RETRY_PAUSE_MS);
+        await wait(clock, RETRY_PAUSE_MS);
       }
     }
   }
@@ -212,7 +208,7 @@
           error,
         });
       }
-      await wait(RETRY_PAUSE_MS);
+      await wait(clock, RETRY_PAUSE_MS);
     }
     return false;
   }
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -27,6 +27,7 @@
 } from "./runner_table.ts";
 import {
   formatLife,
+  formatStep,
   type RunnerEntry,
   type RunOutcome,
   type TaskRef,
@@ -179,26 +180,24 @@
   /** Tells whether a run is the current one of a task that still has to be done. */
   function isWanted(task: TaskRef, run: number): boolean {
     const job = state.getJob(task.job);
-    if (job === undefined || !isOpenJob(job)) return false;
-    const recorded = state.getTask(task);
-    return recorded !== undefined && recorded.run === run &&
-      recorded.status === TASK_STATUS.active;
+    return job !== undefined && isOpenJob(job) && isRecordedActive(task, run);
+  }
+
+  function createEnd(
+    { task, run, checkpoint }: RunView,
+    outcome: RunOutcome,
+  ): WorkRecord {
+    const atMs = clock.wallTime();
+    return { kind: "end", task, run, outcome, checkpoint, atMs };
   }
 
   async function endRuns(
     runs: readonly RunView[],
     outcome: RunOutcome,
   ): Promise<void> {
-    const records: WorkRecord[] = runs
+    const records = runs
       .filter(({ task, run }) => isRecordedActive(task, run))
-      .map(({ task, run, checkpoint }) => ({
-        kind: "end",
-        task,
-        run,
-        outcome,
-        checkpoint,
-        atMs: clock.wallTime(),
-      }));
+      .map((view) => createEnd(view, outcome));
     if (records.length === 0) return;
     await options.record(records);
     options.handleChange();
@@ -217,28 +216,27 @@
     });
   }
 
-  function stopGang(task: TaskRef, run: number): void {
+  /** Stops the runs that have been ordered and that `fits` accepts. */
+  function stopRuns(fits: (occupant: Occupant) => boolean): void {
     for (const lane of lanes.values()) {
       for (const occupant of [...lane.runner.occupants.values()]) {
-        const isMember = occupant.task.job === task.job &&
-          occupant.task.occurrence === task.occurrence &&
-          occupant.task.step === task.step && occupant.run === run;
-        if (isMember && occupant.state !== "planned") stopRun(lane, occupant);
+        const isOrdered = occupant.state !== "planned";
+        if (isOrdered && fits(occupant)) stopRun(lane, occupant);
       }
     }
   }
 
+  function stopGang(task: TaskRef, run: number): void {
+    const step = formatStep(task);
+    stopRuns((other) => other.run === run && formatStep(other.task) === step);
+  }
+
   function stopJob(id: string): void {
-    for (const lane of lanes.values()) {
-      for (const occupant of [...lane.runner.occupants.values()]) {
-        const isSent = occupant.task.job === id && occupant.state !== "planned";
-        if (isSent) stopRun(lane, occupant);
-      }
-    }
+    stopRuns(({ task }) => task.job === id);
   }
 
   function startLane(entry: RunnerEntry, leaseEndMs: number): Lane {
-    const runner = createRunner(entry, { leaseEndMs, nowMs: clock.now() });
+    const runner = createRunner(entry, leaseEndMs);
     const lane: Lane = {
       runner,
       driver: startRunnerDriver({
@@ -332,15 +330,7 @@
         ? undefined
         : Math.round(clock.now() - occupant.plannedMs),
     });
-    if (!isCurrent) return undefined;
-    return {
-      kind: "end",
-      task,
-      run,
-      outcome,
-      checkpoint: end.checkpoint,
-      atMs: clock.wallTime(),
-    };
+    return isCurrent ? createEnd(end, outcome) : undefined;
   }
 
   function handleListedRun(lane: Lane, listed: ListedRun): void {
@@ -439,9 +429,9 @@
   async function announceRunner(
     announcement: RunnerAnnouncement,
   ): Promise<void> {
-    const { entry, sequence, remainingMs } = announcement;
+    const { entry, sequence } = announcement;
     const life = formatLife(entry);
-    const nowMs = clock.now();
+    const announcedMs = clock.now();
     const known = findLaneById(entry.id);
     if (known !== undefined && known.runner.entry.startedMs > entry.startedMs) {
       return;
@@ -450,8 +440,6 @@
       const { runner } = known;
       if (sequence <= runner.sequence) return;
       runner.sequence = sequence;
-      runner.announcedMs = nowMs;
-      if (entry.isDraining) runner.leavesMs = nowMs + remainingMs;
       const isSame = runner.entry.isDraining === entry.isDraining &&
         runner.entry.address === entry.address;
       if (isSame) return;
@@ -470,7 +458,7 @@
       address: entry.address,
       pool: entry.pool,
     });
-    const lane = startLane(entry, nowMs);
+    const lane = startLane(entry, announcedMs);
     lane.runner.sequence = sequence;
     for (const other of [...lanes.values()]) {
       const { runner } = other;
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -69,10 +69,6 @@
   isLost: boolean;
   /** Highest sequence of its announcements. */
   sequence: number;
-  /** Local time of the latest announcement. */
-  announcedMs: number;
-  /** Local time at which it is expected to be gone; undefined while it stays. */
-  leavesMs: number | undefined;
   /** Logarithm of its learned slowness; 0 is the mean. */
   slowness: number;
   /** Failures in a row of different jobs. */
@@ -86,7 +82,7 @@
 /** Creates a runner's life without occupants. */
 export function createRunner(
   entry: RunnerEntry,
-  times: { leaseEndMs: number; nowMs: number },
+  leaseEndMs: number,
 ): Runner {
   return {
     entry,
@@ -94,15 +90,13 @@
     used: NO_RESOURCES,
     occupants: new Map(),
     clockSample: undefined,
-    leaseEndMs: times.leaseEndMs,
+    leaseEndMs,
     contactMs: undefined,
     lookSentMs: 0,
     recordedEnds: 0,
     isClosed: false,
     isLost: false,
     sequence: -1,
-    announcedMs: times.nowMs,
-    leavesMs: undefined,
     slowness: 0,
     failedJobs: new Set(),
     suspendedUntilMs: 0,
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -5,7 +5,12 @@
  * kept in memory and rebuilt from the records and from the runners' own lists.
  */
 
-import type { Clock, Logger, Resources } from "../common/mod.ts";
+import {
+  addResources,
+  type Clock,
+  type Logger,
+  type Resources,
+} from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
 import { PLAN_PERIOD_MS, WATCH_PERIOD_MS } from "./constants.ts";
 import {
@@ -269,11 +274,7 @@
       const before = reserved.get(stepKey);
       reserved.set(
         stepKey,
-        before === undefined ? resources : {
-          processors: before.processors + resources.processors,
-          memoryMb: before.memoryMb + resources.memoryMb,
-          accelerators: before.accelerators + resources.accelerators,
-        },
+        before === undefined ? resources : addResources(before, resources),
       );
     }
   }
