--- a/bench/allotment_exchange.ts
+++ b/bench/allotment_exchange.ts
@@ -14,7 +14,7 @@
   createAllotments,
   createRebalancer,
   type Rebalancer,
-  type TeamLoad,
+  type WorkspaceLoad,
 } from "../src/allotments/mod.ts";
 import {
   createManualClock,
@@ -34,9 +34,9 @@
   subtractLimits,
 } from "../src/fleet/mod.ts";
 
-/** Work of one team in one data centre that waits or runs. */
+/** Work of one workspace in one data centre that waits or runs. */
 export interface Work {
-  readonly team: string;
+  readonly workspace: string;
   readonly size: Limits;
 }
 
@@ -54,7 +54,7 @@
 /** Options of `createExchange`; times in milliseconds. */
 export interface ExchangeOptions {
   dataCentres: string[];
-  teams: Record<string, Limits>;
+  workspaces: Record<string, Limits>;
   seed: number;
   /** One way. Default 1.5, as on the design page. */
   latencyMs?: number;
@@ -78,9 +78,9 @@
   readonly sites: ReadonlyMap<string, ExchangeSite>;
   readonly counts: MessageCounts;
   getSite(name: string): ExchangeSite;
-  getHeld(name: string, team: string): Limits;
-  getRunning(name: string, team: string): Limits;
-  /** Adds work; it starts as soon as the team's allotment allows, and runs for `runMs`. */
+  getHeld(name: string, workspace: string): Limits;
+  getRunning(name: string, workspace: string): Limits;
+  /** Adds work; it starts as soon as the workspace's allotment allows, and runs for `runMs`. */
   addWork(name: string, work: Work, runMs: number): void;
   /** Applies operations of the configuration in every site that is not cut off. */
   changeFleet(...operations: FleetOperation[]): void;
@@ -88,7 +88,7 @@
   runUntil(isDone: () => boolean, maxMs: number): boolean;
 }
 
-/** Creates an exchange with all teams configured. */
+/** Creates an exchange with all workspaces configured. */
 export function createExchange(options: ExchangeOptions): Exchange {
   const { latencyMs = 1.5, commitMs = 3, tickMs = 100 } = options;
   const clock = createManualClock();
@@ -113,10 +113,10 @@
 
   const getSite = (name: string) => sites.get(name)!;
 
-  function sumWork(works: Iterable<Work>, team: string): Limits {
+  function sumWork(works: Iterable<Work>, workspace: string): Limits {
     let sum = NO_LIMITS;
     for (const work of works) {
-      if (work.team === team) sum = addLimits(sum, work.size);
+      if (work.workspace === workspace) sum = addLimits(sum, work.size);
     }
     return sum;
   }
@@ -125,15 +125,15 @@
     return machine.getState();
   }
 
-  function getLoad(site: ExchangeSite, team: string): TeamLoad {
-    const { dataCentres, teams } = getState();
+  function getLoad(site: ExchangeSite, workspace: string): WorkspaceLoad {
+    const { dataCentres, workspaces } = getState();
     const isConfigured = dataCentres.includes(site.name);
-    const limits = teams.get(team)?.limits ?? NO_LIMITS;
-    const committing = reserved.get(`${site.name}/${team}`) ?? NO_LIMITS;
+    const limits = workspaces.get(workspace)?.limits ?? NO_LIMITS;
+    const committing = reserved.get(`${site.name}/${workspace}`) ?? NO_LIMITS;
     return {
-      held: subtractLimits(site.allotments.getHeld(team), committing),
-      running: sumWork(site.running, team),
-      waiting: sumWork(site.waiting, team),
+      held: subtractLimits(site.allotments.getHeld(workspace), committing),
+      running: sumWork(site.running, workspace),
+      waiting: sumWork(site.waiting, workspace),
       fair: isConfigured
         ? computeFairPart(limits, dataCentres.length)
         : NO_LIMITS,
@@ -142,8 +142,8 @@
 
   function startWork(site: ExchangeSite): void {
     for (const work of [...site.waiting]) {
-      const load = getLoad(site, work.team);
-      const owed = site.rebalancer.getOwed(work.team, load);
+      const load = getLoad(site, work.workspace);
+      const owed = site.rebalancer.getOwed(work.workspace, load);
       const room = subtractLimits(
         subtractLimits(load.held, owed),
         load.running,
@@ -199,14 +199,14 @@
   function give(
     site: ExchangeSite,
     to: string,
-    team: string,
+    workspace: string,
     amount: Limits,
     handle: (given: Limits) => void,
   ): void {
-    const key = `${site.name}/${team}`;
+    const key = `${site.name}/${workspace}`;
     const before = reserved.get(key) ?? NO_LIMITS;
     reserved.set(key, addLimits(before, amount));
-    commit(site, { type: "transferOut", to, team, amount }, (result) => {
+    commit(site, { type: "transferOut", to, workspace, amount }, (result) => {
       const after = subtractLimits(reserved.get(key)!, amount);
       reserved.set(key, after);
       const isGiven = result.applied && result.transfer !== undefined;
@@ -216,7 +216,10 @@
   }
 
   function handleAsk(site: ExchangeSite, ask: AllotmentAsk): void {
-    const offer = site.rebalancer.computeOffer(ask, getLoad(site, ask.team));
+    const offer = site.rebalancer.computeOffer(
+      ask,
+      getLoad(site, ask.workspace),
+    );
     const answer = (offered: Limits) => {
       counts.offers += 1;
       send(site.name, ask.from, () => {
@@ -225,15 +228,20 @@
       });
     };
     if (!hasPositiveLimit(offer)) answer(offer);
-    else give(site, ask.from, ask.team, offer, answer);
+    else give(site, ask.from, ask.workspace, offer, answer);
   }
 
   function plan(site: ExchangeSite): void {
-    const { dataCentres, teams } = getState();
+    const { dataCentres, workspaces } = getState();
     const isConfigured = dataCentres.includes(site.name);
-    const loads = new Map<string, TeamLoad>();
-    const names = new Set([...teams.keys(), ...site.allotments.listTeams()]);
-    for (const team of names) loads.set(team, getLoad(site, team));
+    const loads = new Map<string, WorkspaceLoad>();
+    const names = new Set([
+      ...workspaces.keys(),
+      ...site.allotments.listWorkspaces(),
+    ]);
+    for (const workspace of names) {
+      loads.set(workspace, getLoad(site, workspace));
+    }
     const peers = dataCentres.filter((name) =>
       name !== site.name && sites.has(name)
     );
@@ -243,8 +251,8 @@
     }
     if (isConfigured) return;
     const returns = site.rebalancer.planReturns(loads, dataCentres);
-    for (const { team, to, amount } of returns) {
-      give(site, to, team, amount, () => {});
+    for (const { workspace, to, amount } of returns) {
+      give(site, to, workspace, amount, () => {});
     }
   }
 
@@ -267,8 +275,8 @@
 
   changeFleet(
     { type: "setDataCentres", names: options.dataCentres },
-    ...Object.entries(options.teams).map(([name, limits]) => (
-      { type: "createTeam" as const, name, share: 1, limits }
+    ...Object.entries(options.workspaces).map(([name, limits]) => (
+      { type: "createWorkspace" as const, name, share: 1, limits }
     )),
   );
   // The leaders do not tick in step.
@@ -282,8 +290,8 @@
     sites,
     counts,
     getSite,
-    getHeld: (name, team) => getSite(name).allotments.getHeld(team),
-    getRunning: (name, team) => sumWork(getSite(name).running, team),
+    getHeld: (name, workspace) => getSite(name).allotments.getHeld(workspace),
+    getRunning: (name, workspace) => sumWork(getSite(name).running, workspace),
     addWork(name, work, runMs) {
       runTimes.set(work, runMs);
       const site = getSite(name);
--- a/bench/fleet_bench.ts
+++ b/bench/fleet_bench.ts
@@ -16,7 +16,7 @@
 import {
   type AllotmentAsk,
   createRebalancer,
-  type TeamLoad,
+  type WorkspaceLoad,
 } from "../src/allotments/mod.ts";
 import { createManualClock, createSeededRandom } from "../src/common/mod.ts";
 import {
@@ -44,7 +44,7 @@
 // What one change may take when a day's changes take 1.1% of a core.
 const CHANGE_MS = MS_PER_DAY * CORE_PART / CHANGES_PER_DAY;
 const CHANGE_BYTES = BYTES_PER_SECOND * SECONDS_PER_DAY / CHANGES_PER_DAY;
-const KEYS_PER_TEAM = 4;
+const KEYS_PER_WORKSPACE = 4;
 // Identifier, names and four amounts in protobuf, with HTTP/2 and gRPC framing.
 const MESSAGE_BYTES = 120;
 
@@ -84,7 +84,7 @@
   secrets: string[];
 }
 
-function createFleet(teamCount: number, dataCentreCount: number): Fleet {
+function createFleet(workspaceCount: number, dataCentreCount: number): Fleet {
   let changes = 0;
   let updates: ConfigUpdate[] = [];
   const secrets: string[] = [];
@@ -105,14 +105,17 @@
   }
 
   change({ type: "setDataCentres", names: createNames(dataCentreCount) });
-  for (let i = 0; i < teamCount; i++) {
-    const team = `team-${i}`;
-    const grants = Array.from({ length: KEYS_PER_TEAM }, (_, k) => {
+  for (let i = 0; i < workspaceCount; i++) {
+    const workspace = `workspace-${i}`;
+    const grants = Array.from({ length: KEYS_PER_WORKSPACE }, (_, k) => {
       const { id, secret, hash } = createKeySecret({ id: `key-${i}-${k}` });
       secrets.push(secret);
-      return { type: "grantKey" as const, id, team, hash };
+      return { type: "grantKey" as const, id, workspace, hash };
     });
-    change({ type: "createTeam", name: team, share: 1 + i, limits }, ...grants);
+    change(
+      { type: "createWorkspace", name: workspace, share: 1 + i, limits },
+      ...grants,
+    );
   }
   return { change, machine, takeUpdates: () => updates, secrets };
 }
@@ -135,11 +138,11 @@
   return process.memoryUsage().heapUsed / 1_048_576;
 }
 
-async function benchSize(teamCount: number): Promise<void> {
-  const dataCentreCount = teamCount > 100 ? 35 : 4;
-  const label = `${teamCount} teams`;
+async function benchSize(workspaceCount: number): Promise<void> {
+  const dataCentreCount = workspaceCount > 100 ? 35 : 4;
+  const label = `${workspaceCount} workspaces`;
   const heapBefore = measureHeapMb();
-  const fleet = createFleet(teamCount, dataCentreCount);
+  const fleet = createFleet(workspaceCount, dataCentreCount);
   const clock = createManualClock();
   const view = createFleetView({ clock });
   const full = encodeState(fleet.machine.getState());
@@ -149,9 +152,9 @@
 
   let next = 0;
   const changeLimit = () => {
-    const name = `team-${next % teamCount}`;
+    const name = `workspace-${next % workspaceCount}`;
     const slots = 40 + (next++ % 7);
-    fleet.change({ type: "updateTeam", name, limits: { slots } });
+    fleet.change({ type: "updateWorkspace", name, limits: { slots } });
   };
   // Updates are made beforehand so that only the view is measured.
   const updates: ConfigUpdate[] = [];
@@ -219,10 +222,10 @@
   const dataCentres = createNames(count);
   const exchange = createExchange({
     dataCentres,
-    teams: { t: { ...NO_LIMITS, slots } },
+    workspaces: { t: { ...NO_LIMITS, slots } },
     seed: SEED,
   });
-  const work = () => ({ team: "t", size: { ...NO_LIMITS, slots: 1 } });
+  const work = () => ({ workspace: "t", size: { ...NO_LIMITS, slots: 1 } });
   if (wasBusy) {
     const each = Math.floor(slots / count);
     for (const name of dataCentres) {
@@ -246,18 +249,18 @@
   addRow(`messages to the whole limit, ${label}`, messages, "messages");
 }
 
-// Every team is short and no peer ever gives: the most asks there can be.
-async function benchContention(teamCount: number): Promise<void> {
+// Every workspace is short and no peer ever gives: the most asks there can be.
+async function benchContention(workspaceCount: number): Promise<void> {
   const clock = createManualClock();
   const random = createSeededRandom(SEED);
   const rebalancer = createRebalancer({ dataCentre: "dc10", clock, random });
   const peers = createNames(35).slice(1);
-  const loads = new Map<string, TeamLoad>();
+  const loads = new Map<string, WorkspaceLoad>();
   const amount = { ...NO_LIMITS, slots: 2 };
-  for (let i = 0; i < teamCount; i++) {
+  for (let i = 0; i < workspaceCount; i++) {
     const waiting = { ...NO_LIMITS, slots: 50 };
     const load = { held: amount, running: amount, waiting, fair: amount };
-    loads.set(`team-${i}`, load);
+    loads.set(`workspace-${i}`, load);
   }
   let asks: AllotmentAsk[] = [];
   const tick = () => {
@@ -271,7 +274,8 @@
     tick();
     sent += asks.length;
   }
-  const label = `${teamCount} teams short everywhere, 35 data centres`;
+  const label =
+    `${workspaceCount} workspaces short everywhere, 35 data centres`;
   addRow(`asks a second of one leader, ${label}`, sent / 60, "messages");
   addRow(
     `bytes a second of asks, ${label}`,
@@ -295,12 +299,12 @@
 }
 
 console.log(`seed ${SEED}`);
-for (const teamCount of [6, 890]) await benchSize(teamCount);
+for (const workspaceCount of [6, 890]) await benchSize(workspaceCount);
 for (const count of [3, 4, 35]) {
   benchReach(count, 100, false);
   benchReach(count, 100, true);
 }
-for (const teamCount of [6, 890]) await benchContention(teamCount);
+for (const workspaceCount of [6, 890]) await benchContention(workspaceCount);
 console.log(render());
 const file = process.argv[2];
 if (file !== undefined) {
--- a/bench/instance/allotment_state.ts
+++ b/bench/instance/allotment_state.ts
@@ -8,18 +8,18 @@
   type FleetOperation,
 } from "../../src/fleet/mod.ts";
 
-/** Figures for one number of teams. */
+/** Figures for one number of workspaces. */
 export interface AllotmentStateFigures {
-  readonly teams: number;
+  readonly workspaces: number;
   readonly dataCentres: number;
   readonly snapshotBytes: number;
-  /** Processor time to plan and apply the allotments of all teams, in milliseconds. */
+  /** Processor time to plan and apply the allotments of all workspaces, in milliseconds. */
   readonly applyMs: number;
 }
 
-/** Gives each team a limit and applies the division in one data centre. */
+/** Gives each workspace a limit and applies the division in one data centre. */
 export function measureAllotmentState(
-  teams: number,
+  workspaces: number,
   dataCentres: number,
 ): AllotmentStateFigures {
   const names = Array.from({ length: dataCentres }, (_, at) => `region${at}`);
@@ -30,10 +30,10 @@
     accelerators: 30,
   };
   const operations: FleetOperation[] = [{ type: "setDataCentres", names }];
-  for (let at = 0; at < teams; at++) {
+  for (let at = 0; at < workspaces; at++) {
     operations.push({
-      type: "createTeam",
-      name: `team-${at}`,
+      type: "createWorkspace",
+      name: `workspace-${at}`,
       share: 1,
       limits,
     });
@@ -55,7 +55,7 @@
   if (!result.applied) throw new Error("Cannot apply the allotments");
   const { user, system } = process.cpuUsage(before);
   return {
-    teams,
+    workspaces,
     dataCentres,
     snapshotBytes: allotments.takeSnapshot().length,
     applyMs: (user + system) / 1_000,
--- a/bench/instance/counted_cell.ts
+++ b/bench/instance/counted_cell.ts
@@ -43,8 +43,8 @@
   readUsage(): CellUsage;
   readRoles(): Promise<CellRoles>;
   change(operations: FleetOperation[]): Promise<number>;
-  /** Creates a team without tight limits; resolves to its key. */
-  addTeam(name: string): Promise<string>;
+  /** Creates a workspace without tight limits; resolves to its key. */
+  addWorkspace(name: string): Promise<string>;
 }
 
 interface Entry {
@@ -189,7 +189,7 @@
     }),
     readRoles,
     change,
-    async addTeam(name) {
+    async addWorkspace(name) {
       const key = createKeySecret();
       const limits = {
         slots: 100_000,
@@ -200,13 +200,13 @@
       const status = await waitUntil(
         async () =>
           await change([
-            { type: "createTeam", name, share: 1, limits },
-            { type: "grantKey", id: key.id, team: name, hash: key.hash },
+            { type: "createWorkspace", name, share: 1, limits },
+            { type: "grantKey", id: key.id, workspace: name, hash: key.hash },
           ]) === 200,
         15_000,
-        "the team",
+        "the workspace",
       );
-      if (!status) throw new Error(`Cannot create team "${name}"`);
+      if (!status) throw new Error(`Cannot create workspace "${name}"`);
       return key.secret;
     },
   };
--- a/bench/instance/record_state.ts
+++ b/bench/instance/record_state.ts
@@ -46,7 +46,7 @@
         type: "submitJob",
         spec: {
           id: job,
-          team: `team-${at % 890}`,
+          workspace: `workspace-${at % 890}`,
           policy: "batch",
           tasks: TASKS_PER_JOB,
           resources: { processors: 1_000, memoryMb: 1_024, accelerators: 0 },
--- a/bench/instance_bench.ts
+++ b/bench/instance_bench.ts
@@ -424,7 +424,7 @@
 
 async function runCell() {
   const cell = await startCountedCell(scope);
-  const key = await cell.addTeam("lace");
+  const key = await cell.addWorkspace("lace");
   await cell.change([{
     type: "createQueue",
     name: "orders",
--- a/bench/requests_bench.ts
+++ b/bench/requests_bench.ts
@@ -1,6 +1,6 @@
 /**
  * Benchmark of the request path: overload against a first-come-first-served
- * baseline, one team's flood, the cost of acquire and release, and hedging.
+ * baseline, one workspace's flood, the cost of acquire and release, and hedging.
  * Prints tables, writes JSON to the path given as the first argument and exits
  * with 1 when a bound is broken.
  *
@@ -25,7 +25,7 @@
   type LoadResult,
   runLoad,
   SLOTS,
-  type TeamLoad,
+  type WorkspaceLoad,
 } from "./requests_simulation.ts";
 
 const SEED = 20261204;
@@ -36,11 +36,11 @@
 /** At least 95 of 100 refusals come within 10 ms: a caller must be able to go elsewhere. */
 const MAX_REFUSAL_P95_MS = 10;
 
-/** A team within its share waits for milliseconds, whatever the others do. */
+/** A workspace within its share waits for milliseconds, whatever the others do. */
 const MAX_QUIET_P99_MS = 10;
 
 const LENGTH_MS = 5_000;
-const TEAMS = 10;
+const WORKSPACES = 10;
 
 interface Check {
   readonly name: string;
@@ -62,19 +62,19 @@
 function listAll(
   result: LoadResult,
   key: "waitMs" | "refusalMs",
-  accepts: (team: string) => boolean = () => true,
+  accepts: (workspace: string) => boolean = () => true,
 ): number[] {
-  return [...result.teams].flatMap(([name, team]) =>
-    accepts(name) ? team[key] : []
+  return [...result.workspaces].flatMap(([name, workspace]) =>
+    accepts(name) ? workspace[key] : []
   );
 }
 
-function sumTeams(
+function sumWorkspaces(
   result: LoadResult,
   key: "offered" | "answered" | "refused",
 ): number {
   let sum = 0;
-  for (const team of result.teams.values()) sum += team[key];
+  for (const workspace of result.workspaces.values()) sum += workspace[key];
   return sum;
 }
 
@@ -85,22 +85,25 @@
 async function runOverload() {
   const rows = [];
   for (const load of [1, 2, 10]) {
-    const teams: TeamLoad[] = Array.from({ length: TEAMS }, (_, i) => ({
-      name: `t${i}`,
-      weight: 1,
-      load: load / TEAMS,
-    }));
+    const workspaces: WorkspaceLoad[] = Array.from(
+      { length: WORKSPACES },
+      (_, i) => ({
+        name: `t${i}`,
+        weight: 1,
+        load: load / WORKSPACES,
+      }),
+    );
     for (const policy of ["fair", "fcfs"] as const) {
-      const options = { seed: SEED, teams, lengthMs: LENGTH_MS, policy };
+      const options = { seed: SEED, workspaces, lengthMs: LENGTH_MS, policy };
       const result = await runLoad(options);
       const refusals = listAll(result, "refusalMs");
       const waits = listAll(result, "waitMs");
       const row = {
         load,
         policy,
-        offered: sumTeams(result, "offered"),
-        answered: sumTeams(result, "answered"),
-        refused: sumTeams(result, "refused"),
+        offered: sumWorkspaces(result, "offered"),
+        answered: sumWorkspaces(result, "answered"),
+        refused: sumWorkspaces(result, "refused"),
         goodput: formatNumber(result.goodput),
         waitP50Ms: computePercentile(waits, 50),
         waitP99Ms: computePercentile(waits, 99),
@@ -125,23 +128,26 @@
 }
 
 async function runFlood() {
-  const quiet: TeamLoad[] = Array.from({ length: TEAMS - 1 }, (_, i) => ({
-    name: `quiet${i}`,
-    weight: 1,
-    load: 0.05,
-  }));
-  const flood: TeamLoad = { name: "flood", weight: 1, load: 10 };
+  const quiet: WorkspaceLoad[] = Array.from(
+    { length: WORKSPACES - 1 },
+    (_, i) => ({
+      name: `quiet${i}`,
+      weight: 1,
+      load: 0.05,
+    }),
+  );
+  const flood: WorkspaceLoad = { name: "flood", weight: 1, load: 10 };
   const rows = [];
   for (const policy of ["fair", "fcfs"] as const) {
-    for (const teams of [quiet, [...quiet, flood]]) {
-      const options = { seed: SEED, teams, lengthMs: LENGTH_MS, policy };
+    for (const workspaces of [quiet, [...quiet, flood]]) {
+      const options = { seed: SEED, workspaces, lengthMs: LENGTH_MS, policy };
       const result = await runLoad(options);
       const isQuiet = (name: string) => name !== "flood";
       const waits = listAll(result, "waitMs", isQuiet);
       const refused = listAll(result, "refusalMs", isQuiet).length;
       const row = {
         policy,
-        flood: teams.length > quiet.length,
+        flood: workspaces.length > quiet.length,
         quietWaitP50Ms: computePercentile(waits, 50),
         quietWaitP99Ms: computePercentile(waits, 99),
         quietRefused: refused,
@@ -155,14 +161,14 @@
         row.quietWaitP99Ms,
         MAX_QUIET_P99_MS,
       );
-      checkAtMost(`quiet teams refused ${name}`, row.quietRefused, 0);
+      checkAtMost(`quiet workspaces refused ${name}`, row.quietRefused, 0);
     }
   }
   return rows;
 }
 
-/** A controller in which `queued` requests of `teams` teams wait behind full endpoints. */
-function createLoadedController(teams: number, queued: number) {
+/** A controller in which `queued` requests of `workspaces` workspaces wait behind full endpoints. */
+function createLoadedController(workspaces: number, queued: number) {
   const clock = createManualClock();
   const controller = createSlotController({
     clock,
@@ -171,7 +177,7 @@
     dataCentre: "kochi",
     epoch: 1,
     getPolicy: () => ({ weight: 1, slotLimit: ENDPOINTS * SLOTS }),
-    queue: { maxQueued: 1e6, maxQueuedPerTeam: 1e6 },
+    queue: { maxQueued: 1e6, maxQueuedPerWorkspace: 1e6 },
     endpoints: { announcePeriodMs: 1e9 },
   });
   clock.advance(1_600);
@@ -195,7 +201,7 @@
     controller.acquire({
       requestId: `r${next}`,
       scope: "s",
-      team: `t${next % teams}`,
+      workspace: `t${next % workspaces}`,
       queue: "orders",
       idempotent: true,
       remainingMs: 1e9,
@@ -218,13 +224,13 @@
 
 async function runCost() {
   const cases = [
-    { name: "empty queue, 10 teams", teams: 10, queued: 0 },
-    { name: "10,000 queued, 10 teams", teams: 10, queued: 10_240 },
-    { name: "10,000 queued, 890 teams", teams: 890, queued: 10_240 },
+    { name: "empty queue, 10 workspaces", workspaces: 10, queued: 0 },
+    { name: "10,000 queued, 10 workspaces", workspaces: 10, queued: 10_240 },
+    { name: "10,000 queued, 890 workspaces", workspaces: 890, queued: 10_240 },
   ];
   const bench = new Bench({ time: 500, warmupTime: 100 });
-  for (const { name, teams, queued } of cases) {
-    const loaded = createLoadedController(teams, queued);
+  for (const { name, workspaces, queued } of cases) {
+    const loaded = createLoadedController(workspaces, queued);
     bench.add(name, () => loaded.runPair());
   }
   await bench.run();
@@ -269,10 +275,12 @@
 
 console.log(`seed ${SEED}`);
 const overload = await runOverload();
-console.log("Overload, 10 teams of equal weight");
+console.log("Overload, 10 workspaces of equal weight");
 console.table(overload);
 const flood = await runFlood();
-console.log("One team offers 10x of capacity, nine offer half of their share");
+console.log(
+  "One workspace offers 10x of capacity, nine offer half of their share",
+);
 console.table(flood);
 const cost = await runCost();
 console.log("Cost of one acquire and release");
--- a/bench/requests_hedging.ts
+++ b/bench/requests_hedging.ts
@@ -145,8 +145,8 @@
       const startedMs = clock.now();
       executor.run({
         requestId: `r${offered}`,
-        scope: "team",
-        team: "team",
+        scope: "workspace",
+        workspace: "workspace",
         queue: "orders",
         idempotent: true,
         contentType: "",
--- a/bench/requests_simulation.ts
+++ b/bench/requests_simulation.ts
@@ -32,8 +32,8 @@
 /** Longer than the deadline, so that queues are full when counting starts. */
 const WARM_UP_MS = 3_000;
 
-/** A team's load as a part of the capacity. */
-export interface TeamLoad {
+/** A workspace's load as a part of the capacity. */
+export interface WorkspaceLoad {
   readonly name: string;
   readonly weight: number;
   readonly load: number;
@@ -42,14 +42,14 @@
 /** What a run offers. */
 export interface LoadOptions {
   readonly seed: number;
-  readonly teams: readonly TeamLoad[];
+  readonly workspaces: readonly WorkspaceLoad[];
   /** Length after the warm-up, in milliseconds. */
   readonly lengthMs: number;
   readonly policy: "fair" | "fcfs";
 }
 
-/** What became of one team's requests that arrived after the warm-up; times in milliseconds. */
-export interface TeamResult {
+/** What became of one workspace's requests that arrived after the warm-up; times in milliseconds. */
+export interface WorkspaceResult {
   offered: number;
   answered: number;
   refused: number;
@@ -61,7 +61,7 @@
 
 /** What became of a run. */
 export interface LoadResult {
-  readonly teams: ReadonlyMap<string, TeamResult>;
+  readonly workspaces: ReadonlyMap<string, WorkspaceResult>;
   /** Useful slot time over the slot time that exists. */
   readonly goodput: number;
   /** Most requests in flight at one endpoint. */
@@ -69,7 +69,7 @@
 }
 
 interface Job {
-  readonly team: TeamResult;
+  readonly workspace: WorkspaceResult;
   readonly arrivedMs: number;
   readonly durationMs: number;
   readonly isCounted: boolean;
@@ -127,34 +127,39 @@
 }
 
 function recordStart(job: Job, clock: ManualClock): void {
-  if (job.isCounted) job.team.waitMs.push(clock.now() - job.arrivedMs);
+  if (job.isCounted) job.workspace.waitMs.push(clock.now() - job.arrivedMs);
 }
 
 /** Counts by the end of the job, so that a backlog left at the end does not count. */
 function recordEnd(job: Job, world: World): void {
   const nowMs = world.clock.now();
   if (nowMs < world.countFromMs || nowMs >= world.countToMs) return;
-  job.team.answered += 1;
-  if (nowMs - job.arrivedMs <= DEADLINE_MS) job.team.usefulMs += job.durationMs;
+  job.workspace.answered += 1;
+  if (nowMs - job.arrivedMs <= DEADLINE_MS) {
+    job.workspace.usefulMs += job.durationMs;
+  }
 }
 
 function recordRefusal(job: Job, clock: ManualClock): void {
   if (!job.isCounted) return;
-  job.team.refused += 1;
-  job.team.refusalMs.push(clock.now() - job.arrivedMs);
+  job.workspace.refused += 1;
+  job.workspace.refusalMs.push(clock.now() - job.arrivedMs);
 }
 
-function createFairSubmit(world: World, teams: readonly TeamLoad[]): Submit {
+function createFairSubmit(
+  world: World,
+  workspaces: readonly WorkspaceLoad[],
+): Submit {
   const { clock, random } = world;
-  const weights = new Map(teams.map(({ name, weight }) => [name, weight]));
+  const weights = new Map(workspaces.map(({ name, weight }) => [name, weight]));
   const controller = createSlotController({
     clock,
     random: createSeededRandom(1),
     logger: createSilentLogger(),
     dataCentre: "kochi",
     epoch: 1,
-    getPolicy: (team) => ({
-      weight: weights.get(team) ?? 1,
+    getPolicy: (workspace) => ({
+      weight: weights.get(workspace) ?? 1,
       slotLimit: ENDPOINTS * SLOTS,
     }),
   });
@@ -182,7 +187,7 @@
     const request: SlotRequest = {
       requestId: `r${next++}`,
       scope: name,
-      team: name,
+      workspace: name,
       queue: "orders",
       idempotent: true,
       remainingMs: DEADLINE_MS,
@@ -261,14 +266,14 @@
 
 /** Runs a load; resolves to what became of the requests. */
 export async function runLoad(options: LoadOptions): Promise<LoadResult> {
-  const { teams, lengthMs } = options;
+  const { workspaces, lengthMs } = options;
   const world = createWorld(options.seed, lengthMs);
   const { clock, random } = world;
   const submit = options.policy === "fair"
-    ? createFairSubmit(world, teams)
+    ? createFairSubmit(world, workspaces)
     : createFcfsSubmit(world);
-  const results = new Map<string, TeamResult>();
-  for (const { name } of teams) {
+  const results = new Map<string, WorkspaceResult>();
+  for (const { name } of workspaces) {
     results.set(name, {
       offered: 0,
       answered: 0,
@@ -285,26 +290,26 @@
     const nowMs = clock.now();
     const isLoaded = nowMs >= LOAD_FROM_MS && nowMs < countToMs;
     for (
-      const { name, load } of isLoaded ? teams : []
+      const { name, load } of isLoaded ? workspaces : []
     ) {
-      const team = results.get(name);
-      if (team === undefined) continue;
+      const workspace = results.get(name);
+      if (workspace === undefined) continue;
       const isCounted = nowMs >= countFromMs;
       for (let i = pickPoisson(random, load * perMs); i > 0; i--) {
-        if (isCounted) team.offered += 1;
+        if (isCounted) workspace.offered += 1;
         const durationMs = Math.round(
           MEAN_DURATION_MS * (0.5 + random.nextFloat()),
         );
-        submit(name, { team, arrivedMs: nowMs, durationMs, isCounted });
+        submit(name, { workspace, arrivedMs: nowMs, durationMs, isCounted });
       }
     }
     // Grants and refusals settle in the millisecond in which they are made.
     await new Promise<void>((resolve) => setImmediate(() => resolve()));
   }
   let usefulMs = 0;
-  for (const team of results.values()) usefulMs += team.usefulMs;
+  for (const workspace of results.values()) usefulMs += workspace.usefulMs;
   return {
-    teams: results,
+    workspaces: results,
     goodput: usefulMs / (ENDPOINTS * SLOTS * lengthMs),
     peak: world.peak,
   };
--- a/bench/scheduling/driver.ts
+++ b/bench/scheduling/driver.ts
@@ -1,4 +1,4 @@
-/** Drives a scheduler through a list of arrivals with a manual clock and measures what the teams get. */
+/** Drives a scheduler through a list of arrivals with a manual clock and measures what the workspaces get. */
 
 import {
   createManualClock,
@@ -56,7 +56,7 @@
   readonly runMs: number;
 }
 
-/** Teams with their weights, the fleet and the arrivals. */
+/** Workspaces with their weights, the fleet and the arrivals. */
 export interface Scenario {
   readonly weights: Readonly<Record<string, number>>;
   readonly capacities: readonly Resources[];
@@ -66,7 +66,7 @@
 
 /** Figures of one run. */
 export interface RunFigures {
-  /** Mean distance between what a team held and its fair share of the cell at the time, by team. */
+  /** Mean distance between what a workspace held and its fair share of the cell at the time, by workspace. */
   readonly distance: Readonly<Record<string, number>>;
   /** The same, by minute of the run. */
   readonly distanceByMinute: Readonly<Record<string, readonly number[]>>;
@@ -106,8 +106,8 @@
     ...options,
   });
   const allotment = { processors: 1e12, memoryMb: 1e12, accelerators: 1e9 };
-  for (const [team, weight] of Object.entries(scenario.weights)) {
-    scheduler.setTeam({ team, weight, allotment });
+  for (const [workspace, weight] of Object.entries(scenario.weights)) {
+    scheduler.setWorkspace({ workspace, weight, allotment });
   }
   const sequences = scenario.capacities.map(() => 0);
 
@@ -162,7 +162,7 @@
   };
 }
 
-/** Divides the cell by weight among teams that want something; what one leaves goes to the others. */
+/** Divides the cell by weight among workspaces that want something; what one leaves goes to the others. */
 function computeFairShares(
   wants: ReadonlyMap<string, number>,
   weights: Readonly<Record<string, number>>,
@@ -172,21 +172,21 @@
   let left = 1;
   while (open.size > 0) {
     const total = [...open.keys()].reduce(
-      (sum, team) => sum + weights[team]!,
+      (sum, workspace) => sum + weights[workspace]!,
       0,
     );
-    const done = [...open].filter(([team, want]) =>
-      want <= left * weights[team]! / total
+    const done = [...open].filter(([workspace, want]) =>
+      want <= left * weights[workspace]! / total
     );
     if (done.length === 0) {
-      for (const team of open.keys()) {
-        fair.set(team, left * weights[team]! / total);
+      for (const workspace of open.keys()) {
+        fair.set(workspace, left * weights[workspace]! / total);
       }
       break;
     }
-    for (const [team, want] of done) {
-      fair.set(team, want);
-      open.delete(team);
+    for (const [workspace, want] of done) {
+      fair.set(workspace, want);
+      open.delete(workspace);
     }
     left -= done.reduce((sum, [, want]) => sum + want, 0);
   }
@@ -211,7 +211,7 @@
   const { capacities, weights, arrivals } = scenario;
   const clock = createManualClock(0);
   const total = sumResources(capacities);
-  const teams = Object.keys(weights);
+  const workspaces = Object.keys(weights);
   const onWorker = capacities.map(() => new Map<string, DrivenTask>());
   const byTask = new Map<string, DrivenTask>();
   const runMs = new Map<string, number>();
@@ -220,9 +220,11 @@
   const waits: number[] = [];
   const urgentWaits: number[] = [];
   const waiting = new Map<string, Resources>();
-  const distance = Object.fromEntries(teams.map((team) => [team, 0]));
+  const distance = Object.fromEntries(
+    workspaces.map((workspace) => [workspace, 0]),
+  );
   const byMinute = Object.fromEntries(
-    teams.map((team): [string, number[]] => [team, []]),
+    workspaces.map((workspace): [string, number[]] => [workspace, []]),
   );
   const jain: number[] = [];
   const packing: number[] = [];
@@ -315,14 +317,16 @@
 
   function sample(): void {
     samples++;
-    const held = new Map<string, Resources[]>(teams.map((team) => [team, []]));
+    const held = new Map<string, Resources[]>(
+      workspaces.map((workspace) => [workspace, []]),
+    );
     const wanted = new Map<string, Resources[]>(
-      teams.map((team) => [team, []]),
+      workspaces.map((workspace) => [workspace, []]),
     );
     for (const tasks of onWorker) {
       for (const task of tasks.values()) {
         if (task.state !== "running") continue;
-        held.get(task.spec.team)!.push(task.spec.resources);
+        held.get(task.spec.workspace)!.push(task.spec.resources);
       }
     }
     for (const [key, size] of waiting) {
@@ -330,21 +334,21 @@
     }
     const shares = new Map<string, number>();
     const wants = new Map<string, number>();
-    for (const team of teams) {
-      const holds = sumResources(held.get(team)!);
-      const waits = sumResources(wanted.get(team)!);
-      shares.set(team, computeDominantShare(holds, total));
+    for (const workspace of workspaces) {
+      const holds = sumResources(held.get(workspace)!);
+      const waits = sumResources(wanted.get(workspace)!);
+      shares.set(workspace, computeDominantShare(holds, total));
       const all = sumResources([holds, waits]);
-      wants.set(team, Math.min(1, computeDominantShare(all, total)));
+      wants.set(workspace, Math.min(1, computeDominantShare(all, total)));
     }
     const fair = computeFairShares(wants, weights);
     const ratios: number[] = [];
-    for (const team of teams) {
-      const share = shares.get(team)!;
-      const goal = fair.get(team) ?? 0;
-      distance[team]! += Math.abs(share - goal);
+    for (const workspace of workspaces) {
+      const share = shares.get(workspace)!;
+      const goal = fair.get(workspace) ?? 0;
+      distance[workspace]! += Math.abs(share - goal);
       const minute = Math.floor((samples - 1) / SAMPLES_PER_MINUTE);
-      const minutes = byMinute[team]!;
+      const minutes = byMinute[workspace]!;
       minutes[minute] = (minutes[minute] ?? 0) +
         Math.abs(share - goal) / SAMPLES_PER_MINUTE;
       if (goal > 0) ratios.push(share / goal);
@@ -380,7 +384,7 @@
     for (const begun of starts) start(begun, nowMs);
     if (nowMs % SAMPLE_MS === 0) sample();
   }
-  for (const team of teams) distance[team]! /= samples;
+  for (const workspace of workspaces) distance[workspace]! /= samples;
   // Work that never started has waited until the end of the run.
   let neverStarted = 0;
   for (const key of waiting.keys()) {
--- a/bench/scheduling/load_bench.ts
+++ b/bench/scheduling/load_bench.ts
@@ -43,7 +43,7 @@
 
 const STEP_MS = 50;
 const DECISIONS_PER_SECOND = 2_000;
-const TEAMS = 890;
+const WORKSPACES = 890;
 
 interface LoadTask extends TaskAttempt {
   state: "running" | "finished";
@@ -86,8 +86,12 @@
     memoryMb: 1e12,
     accelerators: 1e9,
   };
-  for (let team = 0; team < TEAMS; team++) {
-    scheduler.setTeam({ team: `t${team}`, weight: 1 + team % 4, allotment });
+  for (let workspace = 0; workspace < WORKSPACES; workspace++) {
+    scheduler.setWorkspace({
+      workspace: `t${workspace}`,
+      weight: 1 + workspace % 4,
+      allotment,
+    });
   }
   let nowMs = 0;
   let nextJob = 0;
@@ -114,7 +118,7 @@
     const number = nextJob++;
     const spec: JobSpec = {
       id: `j${number}`,
-      team: `t${number % TEAMS}`,
+      workspace: `t${number % WORKSPACES}`,
       policy: number % 5 === 0 ? "service" : "batch",
       tasks: 1,
       resources: {
--- a/bench/scheduling/scenarios.ts
+++ b/bench/scheduling/scenarios.ts
@@ -15,7 +15,7 @@
 }
 
 function buildSpec(
-  fields: Pick<JobSpec, "id" | "team" | "submittedAt"> & Partial<JobSpec>,
+  fields: Pick<JobSpec, "id" | "workspace" | "submittedAt"> & Partial<JobSpec>,
 ): JobSpec {
   return {
     policy: "batch",
@@ -28,19 +28,19 @@
 }
 
 /**
- * Uneven load on a cell of 30 workers for 20 minutes: one team floods the cell
+ * Uneven load on a cell of 30 workers for 20 minutes: one workspace floods the cell
  * from the start, others arrive in bursts, declared times are off by up to a
  * factor of four, and gangs need a quarter of the cell at once.
  */
 export function buildUnevenScenario(seed: number): Scenario {
   const random = createSeededRandom(seed);
-  // The team with the longest jobs has the most weight, so that share and waiting time clash.
+  // The workspace with the longest jobs has the most weight, so that share and waiting time clash.
   const weights = { flood: 3, burst: 1, steady: 1, gangs: 1, services: 1 };
   const arrivals: Arrival[] = [];
   let number = 0;
 
   function add(
-    team: string,
+    workspace: string,
     submittedAt: number,
     options: {
       policy?: JobPolicy;
@@ -54,8 +54,8 @@
     arrivals.push({
       runMs,
       spec: buildSpec({
-        id: `${team}-${number++}`,
-        team,
+        id: `${workspace}-${number++}`,
+        workspace,
         submittedAt,
         policy,
         tasks,
@@ -102,7 +102,7 @@
 }
 
 /**
- * Three teams of equal weight that each need mostly one resource, with more
+ * Three workspaces of equal weight that each need mostly one resource, with more
  * waiting than the cell holds; the rules for shares differ only in such a cell.
  */
 export function buildMixedScenario(seed: number): Scenario {
@@ -114,15 +114,15 @@
   };
   const arrivals: Arrival[] = [];
   for (let count = 0; count < 1_500; count++) {
-    for (const [team, resources] of Object.entries(sizes)) {
+    for (const [workspace, resources] of Object.entries(sizes)) {
       const runMs = 10_000 + random.nextInt(20_000);
       const submittedAt = 100 + 300 * count;
-      const id = `${team}-${count}`;
+      const id = `${workspace}-${count}`;
       arrivals.push({
         runMs,
         spec: buildSpec({
           id,
-          team,
+          workspace,
           submittedAt,
           resources,
           expectedMs: runMs,
@@ -153,7 +153,7 @@
       runMs: 1e9,
       spec: buildSpec({
         id: `fill-${count}`,
-        team: "fill",
+        workspace: "fill",
         submittedAt: 0,
         policy,
         payload,
@@ -166,7 +166,7 @@
       runMs: 10_000,
       spec: buildSpec({
         id: `urgent-${count}`,
-        team: "urgent",
+        workspace: "urgent",
         submittedAt: 20_000 + count * 137 + random.nextInt(100),
         urgent: true,
         expectedMs: 10_000,
--- a/bench/scheduling_bench.ts
+++ b/bench/scheduling_bench.ts
@@ -62,10 +62,10 @@
 
 function formatDistances(figures: RunFigures) {
   const { distance, distanceByMinute: _series, ...rest } = figures;
-  const byTeam = Object.entries(distance).map(([team, value]) =>
-    [`distance ${team}`, value] as const
+  const byWorkspace = Object.entries(distance).map(([workspace, value]) =>
+    [`distance ${workspace}`, value] as const
   );
-  return { ...rest, ...Object.fromEntries(byTeam) };
+  return { ...rest, ...Object.fromEntries(byWorkspace) };
 }
 
 function runPlacement() {
@@ -141,7 +141,7 @@
   return runs;
 }
 
-/** Compares the rules for shares where teams need different resources. */
+/** Compares the rules for shares where workspaces need different resources. */
 function runShareRules() {
   console.log(`\nRules for shares with mixed resources (seed ${SEEDS.mixed})`);
   const scenario = buildMixedScenario(SEEDS.mixed);
--- a/src/allotments/allotments.ts
+++ b/src/allotments/allotments.ts
@@ -41,19 +41,19 @@
   format: z.literal(1),
   dataCentre: z.string(),
   appliedVersion: z.int(),
-  teams: z.array(z.tuple([z.string(), limitsSchema, limitsSchema])),
+  workspaces: z.array(z.tuple([z.string(), limitsSchema, limitsSchema])),
   sent: z.array(z.tuple([z.string(), z.int()])),
   received: z.array(z.tuple([z.string(), z.int(), z.array(z.int())])),
   inProgress: z.array(z.strictObject({
     id: z.string(),
     from: z.string(),
     to: z.string(),
-    team: z.string(),
+    workspace: z.string(),
     amount: limitsSchema,
   })),
 });
 
-interface TeamEntry {
+interface WorkspaceEntry {
   /** Sum of grants minus cuts. */
   granted: Limits;
   held: Limits;
@@ -96,21 +96,26 @@
 
 /** Creates the allotments of `dataCentre`, which at first holds nothing. */
 export function createAllotments(dataCentre: string): Allotments {
-  const teams = new Map<string, TeamEntry>();
+  const workspaces = new Map<string, WorkspaceEntry>();
   const sent = new Map<string, number>();
   const received = new Map<string, Received>();
   const inProgress = new Map<string, AllotmentTransfer>();
   let appliedVersion = 0;
 
-  function addToTeam(team: string, granted: Limits, held: Limits): void {
-    const old = teams.get(team) ?? { granted: NO_LIMITS, held: NO_LIMITS };
+  function addToWorkspace(
+    workspace: string,
+    granted: Limits,
+    held: Limits,
+  ): void {
+    const old = workspaces.get(workspace) ??
+      { granted: NO_LIMITS, held: NO_LIMITS };
     const entry = {
       granted: addLimits(old.granted, granted),
       held: addLimits(old.held, held),
     };
     const isEmpty = isZeroLimits(entry.granted) && isZeroLimits(entry.held);
-    if (isEmpty) teams.delete(team);
-    else teams.set(team, entry);
+    if (isEmpty) workspaces.delete(workspace);
+    else workspaces.set(workspace, entry);
   }
 
   function applyConfiguration(
@@ -124,9 +129,9 @@
         `Cannot apply configuration ${version}: it follows version ${fromVersion}, not ${appliedVersion}`,
       );
     }
-    for (const { team, grant, cut } of changes) {
+    for (const { workspace, grant, cut } of changes) {
       const change = subtractLimits(grant, cut);
-      addToTeam(team, change, change);
+      addToWorkspace(workspace, change, change);
     }
     appliedVersion = version;
     return APPLIED;
@@ -134,13 +139,15 @@
 
   function applyTransferOut(
     to: string,
-    team: string,
+    workspace: string,
     amount: Limits,
   ): AllotmentResult {
-    const held = teams.get(team)?.held ?? NO_LIMITS;
+    const held = workspaces.get(workspace)?.held ?? NO_LIMITS;
     if (to === dataCentre || !isAmount(amount)) {
       return buildRefusal(
-        `Cannot transfer ${JSON.stringify(amount)} of "${team}" to "${to}"`,
+        `Cannot transfer ${
+          JSON.stringify(amount)
+        } of "${workspace}" to "${to}"`,
       );
     }
     const isHeld = LIMIT_NAMES.every((name) =>
@@ -148,17 +155,17 @@
     );
     if (!isHeld) {
       return buildRefusal(
-        `Cannot transfer ${JSON.stringify(amount)} of "${team}": held is ${
+        `Cannot transfer ${JSON.stringify(amount)} of "${workspace}": held is ${
           JSON.stringify(held)
         }`,
       );
     }
     const number = (sent.get(to) ?? 0) + 1;
     const id = `${dataCentre}/${to}/${number}`;
-    const transfer = { id, from: dataCentre, to, team, amount };
+    const transfer = { id, from: dataCentre, to, workspace, amount };
     sent.set(to, number);
     inProgress.set(id, transfer);
-    addToTeam(team, NO_LIMITS, subtractLimits(NO_LIMITS, amount));
+    addToWorkspace(workspace, NO_LIMITS, subtractLimits(NO_LIMITS, amount));
     return { applied: true, transfer };
   }
 
@@ -172,7 +179,7 @@
   }
 
   function applyTransferIn(transfer: AllotmentTransfer): AllotmentResult {
-    const { id, from, to, team, amount } = transfer;
+    const { id, from, to, workspace, amount } = transfer;
     const number = findTransferNumber(transfer);
     const isForUs = to === dataCentre && from !== dataCentre;
     if (!isForUs || number === undefined || !isAmount(amount)) {
@@ -181,7 +188,7 @@
       );
     }
     if (!recordNumber(from, number)) return DUPLICATE;
-    addToTeam(team, NO_LIMITS, amount);
+    addToWorkspace(workspace, NO_LIMITS, amount);
     return APPLIED;
   }
 
@@ -192,7 +199,7 @@
         return applyConfiguration(fromVersion, version, changes);
       }
       case "transferOut":
-        return applyTransferOut(command.to, command.team, command.amount);
+        return applyTransferOut(command.to, command.workspace, command.amount);
       case "transferIn":
         return applyTransferIn(command.transfer);
       case "transferAcknowledged":
@@ -202,14 +209,14 @@
 
   function computeChange(
     state: FleetState,
-    team: string,
+    workspace: string,
   ): AllotmentChange | undefined {
-    const granted = teams.get(team)?.granted ?? NO_LIMITS;
-    const next = computeGranted(state, team, dataCentre);
+    const granted = workspaces.get(workspace)?.granted ?? NO_LIMITS;
+    const next = computeGranted(state, workspace, dataCentre);
     if (isSameLimits(granted, next)) return undefined;
     const change = subtractLimits(next, granted);
     return {
-      team,
+      workspace,
       grant: buildLimits((name) => Math.max(0, change[name])),
       cut: buildLimits((name) => Math.max(0, -change[name])),
     };
@@ -223,8 +230,8 @@
         format: 1,
         dataCentre,
         appliedVersion,
-        teams: [...teams].map(([team, { granted, held }]) => [
-          team,
+        workspaces: [...workspaces].map(([workspace, { granted, held }]) => [
+          workspace,
           granted,
           held,
         ]),
@@ -244,12 +251,12 @@
         );
       }
       appliedVersion = snapshot.appliedVersion;
-      teams.clear();
+      workspaces.clear();
       sent.clear();
       received.clear();
       inProgress.clear();
-      for (const [team, granted, held] of snapshot.teams) {
-        teams.set(team, { granted, held });
+      for (const [workspace, granted, held] of snapshot.workspaces) {
+        workspaces.set(workspace, { granted, held });
       }
       for (const [to, number] of snapshot.sent) sent.set(to, number);
       for (const [from, upTo, beyond] of snapshot.received) {
@@ -260,10 +267,10 @@
       }
     },
     getAppliedVersion: () => appliedVersion,
-    getHeld: (team) => teams.get(team)?.held ?? NO_LIMITS,
-    listTeams() {
-      const names = new Set(teams.keys());
-      for (const { team } of inProgress.values()) names.add(team);
+    getHeld: (workspace) => workspaces.get(workspace)?.held ?? NO_LIMITS,
+    listWorkspaces() {
+      const names = new Set(workspaces.keys());
+      for (const { workspace } of inProgress.values()) names.add(workspace);
       return [...names].sort();
     },
     getTransfersInProgress: () => [...inProgress.values()],
@@ -272,8 +279,8 @@
       const changes: AllotmentChange[] = [];
       // Most changes concern keys, shares or queues and leave limits as they are.
       if (state.divisionVersion > appliedVersion) {
-        for (const team of state.divisions.keys()) {
-          const change = computeChange(state, team);
+        for (const workspace of state.divisions.keys()) {
+          const change = computeChange(state, workspace);
           if (change !== undefined) changes.push(change);
         }
       }
--- a/src/allotments/allotments_property_test.ts
+++ b/src/allotments/allotments_property_test.ts
@@ -26,7 +26,7 @@
 
 const SEED = 20_261_204;
 const NAMES = ["a", "b", "c", "d"];
-const TEAM = "t";
+const WORKSPACE = "t";
 const slots = (count: number) => ({ ...NO_LIMITS, slots: count });
 
 type Message =
@@ -133,8 +133,8 @@
   let inForceVersion = 0;
 
   const getLimit = (state: FleetState) =>
-    state.teams.get(TEAM)?.limits.slots ?? 0;
-  const getHeld = (dc: DataCentre) => dc.allotments.getHeld(TEAM).slots;
+    state.workspaces.get(WORKSPACE)?.limits.slots ?? 0;
+  const getHeld = (dc: DataCentre) => dc.allotments.getHeld(WORKSPACE).slots;
   const find = (name: string) => dataCentres.find((dc) => dc.name === name)!;
 
   function change(operation: FleetOperation): void {
@@ -170,7 +170,7 @@
 
   function sendAmount(dc: DataCentre, to: string, count: number): void {
     if (count <= 0 || to === dc.name) return;
-    const out = { type: "transferOut", to, team: TEAM } as const;
+    const out = { type: "transferOut", to, workspace: WORKSPACE } as const;
     const result = apply(dc, { ...out, amount: slots(count) });
     if (result.applied) send(result.transfer!);
   }
@@ -210,7 +210,7 @@
     switch (step.type) {
       case "limit": {
         const limits = slots(step.limit);
-        change({ type: "updateTeam", name: TEAM, limits });
+        change({ type: "updateWorkspace", name: WORKSPACE, limits });
         break;
       }
       case "setDataCentres":
@@ -298,7 +298,7 @@
     const granted = computeSum((dc) => {
       const version = dc.allotments.getAppliedVersion();
       if (version === 0) return 0;
-      return computeGranted(states[version - 1]!, TEAM, dc.name).slots;
+      return computeGranted(states[version - 1]!, WORKSPACE, dc.name).slots;
     });
     if (total !== granted) throw new Error(`${total} is not ${granted}`);
     if (new Set(versions).size === 1 && versions[0]! > 0) {
@@ -313,15 +313,15 @@
     if (newest === undefined) return;
     const reports = new Map<string, DataCentreReport>();
     for (const dc of dataCentres) {
-      const held = dc.allotments.getHeld(TEAM);
-      const team = { held, running: slots(dc.running) };
+      const held = dc.allotments.getHeld(WORKSPACE);
+      const workspace = { held, running: slots(dc.running) };
       const appliedVersion = dc.allotments.getAppliedVersion();
-      const teams = new Map([[TEAM, team]]);
-      reports.set(dc.name, { appliedVersion, teams });
+      const workspaces = new Map([[WORKSPACE, workspace]]);
+      reports.set(dc.name, { appliedVersion, workspaces });
     }
     const names = listDataCentresInUse(newest);
     for (let version = newest.version; version > inForceVersion; version--) {
-      const query = { team: TEAM, version };
+      const query = { workspace: WORKSPACE, version };
       if (isLimitInForce(names, reports, query).inForce) {
         inForceVersion = version;
       }
@@ -355,7 +355,12 @@
 
   // Starts with something to move, or most runs would end before they held any.
   change({ type: "setDataCentres", names: NAMES.slice(0, 3) });
-  change({ type: "createTeam", name: TEAM, share: 1, limits: slots(20) });
+  change({
+    type: "createWorkspace",
+    name: WORKSPACE,
+    share: 1,
+    limits: slots(20),
+  });
   for (const dc of dataCentres) applyVersion(dc, 2);
   return { run, restoreLinks };
 }
--- a/src/allotments/allotments_test.ts
+++ b/src/allotments/allotments_test.ts
@@ -19,7 +19,7 @@
   fromVersion,
   version,
   changes: [{
-    team: "t",
+    workspace: "t",
     grant: slots(Math.max(0, change)),
     cut: slots(Math.max(0, -change)),
   }],
@@ -28,7 +28,7 @@
   id: `b/a/${number}`,
   from: "b",
   to: "a",
-  team: "t",
+  workspace: "t",
   amount: slots(count),
 });
 
@@ -50,7 +50,7 @@
 t.test("each transfer is applied once on both sides", (t) => {
   const a = createAllotments("a");
   a.apply(configure(0, 1, 5));
-  const out = { type: "transferOut", to: "b", team: "t" } as const;
+  const out = { type: "transferOut", to: "b", workspace: "t" } as const;
   t.match(a.apply({ ...out, amount: slots(6) }), { reason: "refused" });
   t.match(a.apply({ ...out, amount: slots(0) }), { reason: "refused" });
   t.match(a.apply({ ...out, amount: slots(-1) }), { reason: "refused" });
@@ -91,7 +91,7 @@
   const a = createAllotments("a");
   a.apply(configure(0, 1, 5));
   a.apply({ type: "transferIn", transfer: transfer(3) });
-  const out = { type: "transferOut", to: "b", team: "t" } as const;
+  const out = { type: "transferOut", to: "b", workspace: "t" } as const;
   a.apply({ ...out, amount: slots(2) });
   const restarted = createAllotments("a");
   restarted.restoreSnapshot(a.takeSnapshot());
@@ -119,7 +119,7 @@
   };
   change(
     { type: "setDataCentres", names: ["a", "b"] },
-    { type: "createTeam", name: "t", share: 1, limits: slots(4) },
+    { type: "createWorkspace", name: "t", share: 1, limits: slots(4) },
   );
   const a = createAllotments("a");
   const plan = (hasRunningWork = false) =>
@@ -132,13 +132,13 @@
   apply();
   t.equal(plan(), undefined, "holds two");
   const amount = slots(2);
-  a.apply({ type: "transferOut", to: "b", team: "t", amount });
+  a.apply({ type: "transferOut", to: "b", workspace: "t", amount });
   t.equal(plan(), undefined, "the transfer is not acknowledged");
   a.apply({ type: "transferAcknowledged", transferId: "a/b/1" });
   t.equal(plan(true), undefined, "runs work above a cut");
   const close = { type: "closeDataCentre", name: "a", appliedVersion: 2 };
   t.strictSame(plan(), close);
-  change({ type: "updateTeam", name: "t", limits: { slots: 2 } });
+  change({ type: "updateWorkspace", name: "t", limits: { slots: 2 } });
   t.equal(plan(), undefined, "has not applied the cut");
   apply();
   t.equal(a.getHeld("t").slots, -1);
@@ -151,16 +151,19 @@
 t.test("a limit is in force only when it is so everywhere", (t) => {
   const report = (appliedVersion: number, held: number, running: number) => ({
     appliedVersion,
-    teams: new Map([["t", { held: slots(held), running: slots(running) }]]),
+    workspaces: new Map([["t", {
+      held: slots(held),
+      running: slots(running),
+    }]]),
   });
   const reports = new Map([
     ["a", report(5, 2, 2)],
     ["b", report(4, 9, 0)],
     ["c", report(5, 2, 3)],
     ["e", report(5, -1, 0)],
-    ["f", { appliedVersion: 7, teams: new Map() }],
+    ["f", { appliedVersion: 7, workspaces: new Map() }],
   ]);
-  const query = { team: "t", version: 5 };
+  const query = { workspace: "t", version: 5 };
   const names = ["a", "b", "c", "d", "e", "f"];
   const status = isLimitInForce(names, reports, query);
   t.notOk(status.inForce);
--- a/src/allotments/ask_bucket.ts
+++ b/src/allotments/ask_bucket.ts
@@ -2,7 +2,7 @@
 
 import type { Clock } from "../common/mod.ts";
 
-/** Bounds the asks of all teams together. */
+/** Bounds the asks of all workspaces together. */
 export interface AskBucket {
   hasTokens(): boolean;
   /** Takes the token of one ask; false when there is none. */
--- a/src/allotments/limit_status.ts
+++ b/src/allotments/limit_status.ts
@@ -15,7 +15,7 @@
 
 /** What `isLimitInForce` is asked about. */
 export interface LimitQuery {
-  readonly team: string;
+  readonly workspace: string;
   /** The configuration version that set the limit. */
   readonly version: number;
 }
@@ -33,8 +33,10 @@
   if (report.appliedVersion < query.version) {
     return { inForce: false, reason: "notApplied" };
   }
-  const team = report.teams.get(query.team);
-  if (team === undefined || fitsLimits(team.running, team.held)) {
+  const workspace = report.workspaces.get(query.workspace);
+  if (
+    workspace === undefined || fitsLimits(workspace.running, workspace.held)
+  ) {
     return { inForce: true };
   }
   return { inForce: false, reason: "runningAboveHeld" };
@@ -78,8 +80,8 @@
   if (!state.leavingDataCentres.includes(name)) return undefined;
   if (appliedVersion < state.divisionVersion) return undefined;
   const isEmpty = allotments.getTransfersInProgress().length === 0 &&
-    allotments.listTeams().every((team) =>
-      isZeroLimits(allotments.getHeld(team))
+    allotments.listWorkspaces().every((workspace) =>
+      isZeroLimits(allotments.getHeld(workspace))
     );
   if (!isEmpty) return undefined;
   return { type: "closeDataCentre", name, appliedVersion };
--- a/src/allotments/mod.ts
+++ b/src/allotments/mod.ts
@@ -1,4 +1,4 @@
-/** The parts of team limits that a data centre holds, and the policy that moves them. */
+/** The parts of workspace limits that a data centre holds, and the policy that moves them. */
 
 export * from "./allotments.ts";
 export * from "./limit_status.ts";
--- a/src/allotments/peak_tracker.ts
+++ b/src/allotments/peak_tracker.ts
@@ -1,4 +1,4 @@
-/** The highest need of a team in the recent past. */
+/** The highest need of a workspace in the recent past. */
 
 import type { Clock } from "../common/mod.ts";
 import { type Limits, mergeLimits, NO_LIMITS } from "../fleet/mod.ts";
--- a/src/allotments/peer_book.ts
+++ b/src/allotments/peer_book.ts
@@ -1,4 +1,4 @@
-/** What one team's asker knows about its peers: who was asked, who gave, and when to ask again. */
+/** What one workspace's asker knows about its peers: who was asked, who gave, and when to ask again. */
 
 import type { Clock, Random } from "../common/mod.ts";
 import {
@@ -48,7 +48,7 @@
   askTimeoutMs: number;
 }
 
-/** The peers of one team. */
+/** The peers of one workspace. */
 export interface PeerBook {
   /** Peers to ask now: those that got something from here last, then in random order. */
   listCandidates(peers: readonly string[]): string[];
@@ -93,7 +93,7 @@
   }
 
   function wait(peer: Peer): void {
-    // Jitter keeps the asks of many teams from coming in step.
+    // Jitter keeps the asks of many workspaces from coming in step.
     const jitter = 0.75 + random.nextFloat() / 2;
     peer.nextAskAtMs = clock.now() + peer.intervalMs * jitter;
     peer.intervalMs = Math.min(
@@ -124,7 +124,7 @@
     return peer.asked === undefined && peer.nextAskAtMs <= nowMs;
   }
 
-  // With 890 teams short and 34 peers each, looking at every peer on every
+  // With 890 workspaces short and 34 peers each, looking at every peer on every
   // call took a third of a core.
   function computeQuietUntil(names: readonly string[]): number {
     let earliestMs = Infinity;
--- a/src/allotments/rebalancer.ts
+++ b/src/allotments/rebalancer.ts
@@ -36,7 +36,7 @@
   AllotmentReturn,
   Rebalancer,
   RebalancerOptions,
-  TeamLoad,
+  WorkspaceLoad,
 } from "./types.ts";
 
 /** Default settings; times in milliseconds. */
@@ -44,15 +44,15 @@
   minAskIntervalMs: 200,
   maxAskIntervalMs: 5_000,
   askTimeoutMs: 1_000,
-  // Requests of a busy team follow each other within a second or so; the
+  // Requests of a busy workspace follow each other within a second or so; the
   // target "within seconds" leaves room for two.
   keepMs: 2_000,
   stuckMs: 2_000,
   // Work that arrives piece by piece would otherwise send an ask for each
   // piece; once all asks are answered, the next round need not wait.
   minRoundMs: 20,
-  // Nothing waits for levelling. With 890 teams and 35 data centres, asking
-  // as eagerly as for waiting work would flood the peers of a busy team.
+  // Nothing waits for levelling. With 890 workspaces and 35 data centres, asking
+  // as eagerly as for waiting work would flood the peers of a busy workspace.
   minLevelIntervalMs: 5_000,
   maxLevelIntervalMs: 60_000,
   // At about 50 microseconds a message, 5% of a core.
@@ -79,7 +79,7 @@
   untilMs: number;
 }
 
-interface TeamState {
+interface WorkspaceState {
   readonly peers: PeerBook;
   readonly peak: PeakTracker;
   readonly debts: Map<string, Debt>;
@@ -109,12 +109,12 @@
   return buildLimits((name) => Math.min(a[name], b[name]));
 }
 
-function computeShortage(load: TeamLoad): Limits {
+function computeShortage(load: WorkspaceLoad): Limits {
   const needed = addLimits(load.running, load.waiting);
   return takePositive(subtractLimits(needed, load.held));
 }
 
-function computeLevelling(load: TeamLoad): Limits {
+function computeLevelling(load: WorkspaceLoad): Limits {
   return buildLimits((name) => {
     const isLow = load.held[name] < load.fair[name] * LOW_WATER_FACTOR;
     return isLow ? load.fair[name] - load.held[name] : 0;
@@ -140,15 +140,15 @@
 export function createRebalancer(options: RebalancerOptions): Rebalancer {
   const { dataCentre, clock, random } = options;
   const settings = { ...DEFAULT_REBALANCER_OPTIONS, ...options };
-  const teams = new Map<string, TeamState>();
+  const workspaces = new Map<string, WorkspaceState>();
   const bucket = createAskBucket(clock, settings.maxAsksPerSecond);
-  // Where the next call goes on, so that the bound on asks starves no team.
-  let nextTeam: string | undefined;
+  // Where the next call goes on, so that the bound on asks starves no workspace.
+  let nextWorkspace: string | undefined;
 
-  function getTeam(name: string): TeamState {
-    let team = teams.get(name);
-    if (team === undefined) {
-      team = {
+  function getWorkspace(name: string): WorkspaceState {
+    let workspace = workspaces.get(name);
+    if (workspace === undefined) {
+      workspace = {
         peers: createPeerBook(settings),
         peak: createPeakTracker(clock, settings.keepMs),
         debts: new Map(),
@@ -159,68 +159,73 @@
         nextLevelAtMs: clock.now() + settings.minLevelIntervalMs,
         levelIntervalMs: settings.minLevelIntervalMs,
       };
-      teams.set(name, team);
+      workspaces.set(name, workspace);
     }
-    return team;
+    return workspace;
   }
 
-  function updateTeam(team: TeamState, load: TeamLoad): void {
-    team.peak.record(addLimits(load.running, load.waiting));
+  function updateWorkspace(
+    workspace: WorkspaceState,
+    load: WorkspaceLoad,
+  ): void {
+    workspace.peak.record(addLimits(load.running, load.waiting));
     const free = takePositive(subtractLimits(load.held, load.running));
     const isStuck = hasPositiveLimit(computeShortage(load)) &&
       hasPositiveLimit(free) &&
-      isZeroLimits(subtractLimits(load.running, team.lastRunning));
-    if (!isStuck) team.stuckSinceMs = undefined;
-    else team.stuckSinceMs ??= clock.now();
-    team.lastRunning = load.running;
+      isZeroLimits(subtractLimits(load.running, workspace.lastRunning));
+    if (!isStuck) workspace.stuckSinceMs = undefined;
+    else workspace.stuckSinceMs ??= clock.now();
+    workspace.lastRunning = load.running;
   }
 
-  function isLevellingDue(team: TeamState): boolean {
-    if (clock.now() < team.nextLevelAtMs) return false;
-    team.nextLevelAtMs = clock.now() + team.levelIntervalMs;
-    team.levelIntervalMs = Math.min(
+  function isLevellingDue(workspace: WorkspaceState): boolean {
+    if (clock.now() < workspace.nextLevelAtMs) return false;
+    workspace.nextLevelAtMs = clock.now() + workspace.levelIntervalMs;
+    workspace.levelIntervalMs = Math.min(
       settings.maxLevelIntervalMs,
-      team.levelIntervalMs * 2,
+      workspace.levelIntervalMs * 2,
     );
     return true;
   }
 
   // The next levelling after something was given away or received.
-  function restartLevelling(team: TeamState): void {
-    team.levelIntervalMs = settings.minLevelIntervalMs;
-    team.nextLevelAtMs = clock.now() + team.levelIntervalMs;
+  function restartLevelling(workspace: WorkspaceState): void {
+    workspace.levelIntervalMs = settings.minLevelIntervalMs;
+    workspace.nextLevelAtMs = clock.now() + workspace.levelIntervalMs;
   }
 
-  function isInRound(team: TeamState): boolean {
-    const sinceRoundMs = clock.now() - team.lastRoundAtMs;
-    return sinceRoundMs < settings.minRoundMs && team.peers.hasOpenAsks();
+  function isInRound(workspace: WorkspaceState): boolean {
+    const sinceRoundMs = clock.now() - workspace.lastRoundAtMs;
+    return sinceRoundMs < settings.minRoundMs && workspace.peers.hasOpenAsks();
   }
 
   function buildAsks(
     name: string,
-    load: TeamLoad,
+    load: WorkspaceLoad,
     peers: readonly string[],
   ): AllotmentAsk[] {
-    const team = getTeam(name);
+    const workspace = getWorkspace(name);
     const shortage = computeShortage(load);
     const levelling = !hasPositiveLimit(shortage);
     const wanted = levelling ? computeLevelling(load) : shortage;
     if (!hasPositiveLimit(wanted)) return [];
-    if (isInRound(team) || !team.peers.hasCandidates(peers)) return [];
+    if (isInRound(workspace) || !workspace.peers.hasCandidates(peers)) {
+      return [];
+    }
     const need = takePositive(
-      subtractLimits(wanted, team.peers.getExpected()),
+      subtractLimits(wanted, workspace.peers.getExpected()),
     );
     if (!hasPositiveLimit(need)) return [];
-    if (levelling && !isLevellingDue(team)) return [];
+    if (levelling && !isLevellingDue(workspace)) return [];
     // Each ask names the whole difference to the fair part as far as it asks
     // for it: often only one peer has anything above its own fair part.
     const entitled = levelling
       ? NO_LIMITS
       : takePositive(subtractLimits(load.fair, load.held));
-    return sendAsks(team, peers, (to, part) => ({
+    return sendAsks(workspace, peers, (to, part) => ({
       from: dataCentre,
       to,
-      team: name,
+      workspace: name,
       wanted: part,
       entitled: takeSmaller(part, entitled),
       levelling,
@@ -228,12 +233,12 @@
   }
 
   function sendAsks(
-    team: TeamState,
+    workspace: WorkspaceState,
     peers: readonly string[],
     build: (to: string, part: Limits) => AllotmentAsk,
     need: Limits,
   ): AllotmentAsk[] {
-    const candidates = team.peers.listCandidates(peers);
+    const candidates = workspace.peers.listCandidates(peers);
     const count = computePeerCount(need, candidates.length);
     const asks: AllotmentAsk[] = [];
     for (const [i, to] of candidates.slice(0, count).entries()) {
@@ -241,16 +246,18 @@
       if (!hasPositiveLimit(part)) continue;
       if (!bucket.take()) break;
       const ask = build(to, part);
-      team.peers.recordAsk(ask);
+      workspace.peers.recordAsk(ask);
       asks.push(ask);
     }
-    if (asks.length > 0) team.lastRoundAtMs = clock.now();
+    if (asks.length > 0) workspace.lastRoundAtMs = clock.now();
     return asks;
   }
 
-  function listFromNext(loads: ReadonlyMap<string, TeamLoad>): string[] {
+  function listFromNext(loads: ReadonlyMap<string, WorkspaceLoad>): string[] {
     const names = [...loads.keys()];
-    const start = nextTeam === undefined ? 0 : names.indexOf(nextTeam);
+    const start = nextWorkspace === undefined
+      ? 0
+      : names.indexOf(nextWorkspace);
     return [
       ...names.slice(Math.max(0, start)),
       ...names.slice(0, Math.max(0, start)),
@@ -258,61 +265,61 @@
   }
 
   function planAsks(
-    loads: ReadonlyMap<string, TeamLoad>,
+    loads: ReadonlyMap<string, WorkspaceLoad>,
     peers: readonly string[],
   ): AllotmentAsk[] {
-    for (const name of teams.keys()) {
-      if (!loads.has(name)) teams.delete(name);
+    for (const name of workspaces.keys()) {
+      if (!loads.has(name)) workspaces.delete(name);
     }
-    for (const [name, load] of loads) updateTeam(getTeam(name), load);
+    for (const [name, load] of loads) updateWorkspace(getWorkspace(name), load);
     const asks: AllotmentAsk[] = [];
     const order = listFromNext(loads);
-    nextTeam = order[0];
+    nextWorkspace = order[0];
     for (const [i, name] of order.entries()) {
       if (!bucket.hasTokens()) break;
       const built = buildAsks(name, loads.get(name)!, peers);
       asks.push(...built);
-      if (built.length > 0) nextTeam = order[i + 1] ?? order[0];
+      if (built.length > 0) nextWorkspace = order[i + 1] ?? order[0];
     }
     return asks;
   }
 
-  function listDebts(team: TeamState): Debt[] {
+  function listDebts(workspace: WorkspaceState): Debt[] {
     const nowMs = clock.now();
-    for (const [asker, debt] of team.debts) {
-      if (debt.untilMs <= nowMs) team.debts.delete(asker);
+    for (const [asker, debt] of workspace.debts) {
+      if (debt.untilMs <= nowMs) workspace.debts.delete(asker);
     }
-    return [...team.debts.values()];
+    return [...workspace.debts.values()];
   }
 
-  function isPatient(team: TeamState, asker: string): boolean {
-    if (team.stuckSinceMs === undefined) return true;
+  function isPatient(workspace: WorkspaceState, asker: string): boolean {
+    if (workspace.stuckSinceMs === undefined) return true;
     // Unequal patience, so that two that are stuck do not swap their parts.
     const order = dataCentre > asker ? 1 : 2;
-    const factor = team.hasYielded ? YIELDED_PATIENCE_FACTOR : 1;
+    const factor = workspace.hasYielded ? YIELDED_PATIENCE_FACTOR : 1;
     const patienceMs = settings.stuckMs * order * factor;
-    return clock.now() - team.stuckSinceMs < patienceMs;
+    return clock.now() - workspace.stuckSinceMs < patienceMs;
   }
 
-  function computeOffer(ask: AllotmentAsk, load: TeamLoad): Limits {
-    const team = getTeam(ask.team);
-    const offered = computeTeamOffer(team, ask, load);
+  function computeOffer(ask: AllotmentAsk, load: WorkspaceLoad): Limits {
+    const workspace = getWorkspace(ask.workspace);
+    const offered = computeWorkspaceOffer(workspace, ask, load);
     if (hasPositiveLimit(offered)) {
-      team.peers.recordGift(ask.from);
-      restartLevelling(team);
+      workspace.peers.recordGift(ask.from);
+      restartLevelling(workspace);
     }
     return offered;
   }
 
-  function computeTeamOffer(
-    team: TeamState,
+  function computeWorkspaceOffer(
+    workspace: WorkspaceState,
     ask: AllotmentAsk,
-    load: TeamLoad,
+    load: WorkspaceLoad,
   ): Limits {
     const free = takePositive(subtractLimits(load.held, load.running));
     const aboveFair = takePositive(subtractLimits(load.held, load.fair));
     const needed = mergeLimits(
-      team.peak.getPeak(),
+      workspace.peak.getPeak(),
       addLimits(load.running, load.waiting),
     );
     const idle = takePositive(subtractLimits(load.held, needed));
@@ -320,9 +327,9 @@
     if (ask.levelling) {
       return takeSmaller(wanted, takeSmaller(idle, aboveFair));
     }
-    if (!isPatient(team, ask.from)) {
-      team.hasYielded = true;
-      team.stuckSinceMs = undefined;
+    if (!isPatient(workspace, ask.from)) {
+      workspace.hasYielded = true;
+      workspace.stuckSinceMs = undefined;
       return takeSmaller(wanted, free);
     }
     const entitled = takeSmaller(takePositive(ask.entitled), aboveFair);
@@ -330,37 +337,47 @@
       takeSmaller(wanted, idle),
       takeSmaller(entitled, free),
     );
-    recordDebt(team, ask.from, takePositive(subtractLimits(entitled, offered)));
+    recordDebt(
+      workspace,
+      ask.from,
+      takePositive(subtractLimits(entitled, offered)),
+    );
     return offered;
   }
 
-  function recordDebt(team: TeamState, asker: string, amount: Limits): void {
+  function recordDebt(
+    workspace: WorkspaceState,
+    asker: string,
+    amount: Limits,
+  ): void {
     if (!hasPositiveLimit(amount)) {
-      team.debts.delete(asker);
+      workspace.debts.delete(asker);
       return;
     }
     // Long enough for the asker's next ask at its longest interval.
     const untilMs = clock.now() + settings.maxAskIntervalMs * 2;
-    team.debts.set(asker, { amount, untilMs });
+    workspace.debts.set(asker, { amount, untilMs });
   }
 
   return {
     planAsks,
     computeOffer,
     recordOffer(ask, offered) {
-      getTeam(ask.team).peers.recordOffer(ask, offered);
+      getWorkspace(ask.workspace).peers.recordOffer(ask, offered);
     },
     recordReceipt(transfer) {
-      const team = getTeam(transfer.team);
-      team.peers.recordReceipt(transfer.from, transfer.amount);
-      team.hasYielded = false;
-      restartLevelling(team);
+      const workspace = getWorkspace(transfer.workspace);
+      workspace.peers.recordReceipt(transfer.from, transfer.amount);
+      workspace.hasYielded = false;
+      restartLevelling(workspace);
     },
     getOwed(name, load) {
-      const team = teams.get(name);
-      if (team === undefined) return NO_LIMITS;
+      const workspace = workspaces.get(name);
+      if (workspace === undefined) return NO_LIMITS;
       let owed = NO_LIMITS;
-      for (const debt of listDebts(team)) owed = addLimits(owed, debt.amount);
+      for (const debt of listDebts(workspace)) {
+        owed = addLimits(owed, debt.amount);
+      }
       const aboveFair = takePositive(subtractLimits(load.held, load.fair));
       return takeSmaller(owed, aboveFair);
     },
@@ -368,12 +385,12 @@
       const targets = configured.filter((name) => name !== dataCentre);
       const returns: AllotmentReturn[] = [];
       if (targets.length === 0) return returns;
-      for (const [team, load] of loads) {
+      for (const [workspace, load] of loads) {
         if (returns.length >= MAX_RETURNS_PER_CALL) break;
         const amount = takePositive(subtractLimits(load.held, load.running));
         if (!hasPositiveLimit(amount)) continue;
         const to = targets[random.nextInt(targets.length)]!;
-        returns.push({ team, to, amount });
+        returns.push({ workspace, to, amount });
       }
       return returns;
     },
--- a/src/allotments/rebalancer_test.ts
+++ b/src/allotments/rebalancer_test.ts
@@ -6,11 +6,11 @@
 import { createManualClock, createSeededRandom } from "../common/mod.ts";
 import { type Limits, NO_LIMITS } from "../fleet/mod.ts";
 import { createRebalancer } from "./rebalancer.ts";
-import type { AllotmentAsk, TeamLoad } from "./types.ts";
+import type { AllotmentAsk, WorkspaceLoad } from "./types.ts";
 
 const SEED = 20_261_204;
 const slots = (count: number): Limits => ({ ...NO_LIMITS, slots: count });
-const ONE = { team: "t", size: slots(1) };
+const ONE = { workspace: "t", size: slots(1) };
 const LONG_MS = 3_600_000;
 
 function addRequests(
@@ -33,7 +33,7 @@
 const createNames = (count: number) =>
   Array.from({ length: count }, (_, i) => `dc${i + 10}`);
 
-// Guards against a team that cannot use its limit where its work is, although
+// Guards against a workspace that cannot use its limit where its work is, although
 // the other data centres are idle, and against floods of messages.
 t.test("one data centre gets the whole limit within seconds", (t) => {
   t.comment(`seed ${SEED}`);
@@ -41,7 +41,7 @@
     const dataCentres = createNames(count);
     const exchange = createExchange({
       dataCentres,
-      teams: { t: slots(100) },
+      workspaces: { t: slots(100) },
       seed: SEED,
     });
     addRequests(exchange, dataCentres[0]!, 100, LONG_MS);
@@ -60,7 +60,7 @@
 t.test("the limit follows the work from one data centre to another", (t) => {
   const exchange = createExchange({
     dataCentres: ["a", "b", "c"],
-    teams: { t: slots(31) },
+    workspaces: { t: slots(31) },
     seed: SEED,
   });
   for (const name of ["a", "b", "c", "a"]) {
@@ -77,7 +77,7 @@
 t.test("endless work in one data centre does not starve another", (t) => {
   const exchange = createExchange({
     dataCentres: ["a", "b", "c"],
-    teams: { t: slots(30) },
+    workspaces: { t: slots(30) },
     seed: SEED,
   });
   const random = createSeededRandom(SEED);
@@ -111,7 +111,7 @@
 t.test("short gaps in the work move nothing", (t) => {
   const exchange = createExchange({
     dataCentres: ["a", "b"],
-    teams: { t: slots(20) },
+    workspaces: { t: slots(20) },
     seed: SEED,
   });
   for (let round = 0; round < 60; round++) {
@@ -133,10 +133,10 @@
     const dataCentres = createNames(count);
     const exchange = createExchange({
       dataCentres,
-      teams: { t: slots(10) },
+      workspaces: { t: slots(10) },
       seed: SEED,
     });
-    const large = { team: "t", size: slots(8) };
+    const large = { workspace: "t", size: slots(8) };
     for (const name of dataCentres) {
       exchange.addWork(name, { ...large }, 1_000);
       exchange.addWork(name, { ...large }, 1_000);
@@ -161,7 +161,7 @@
 t.test("data centres that come, leave and return get and give", (t) => {
   const exchange = createExchange({
     dataCentres: ["a", "b", "c"],
-    teams: { t: slots(30) },
+    workspaces: { t: slots(30) },
     seed: SEED,
   });
   const getHeld = (name: string) => exchange.getHeld(name, "t").slots;
@@ -186,13 +186,13 @@
 t.test("a lowered limit comes into force", (t) => {
   const exchange = createExchange({
     dataCentres: ["a", "b", "c"],
-    teams: { t: slots(30) },
+    workspaces: { t: slots(30) },
     seed: SEED,
   });
   addRequests(exchange, "a", 30, 3_000);
   exchange.runUntil(() => computeRunning(exchange) === 30, 5_000);
   exchange.changeFleet({
-    type: "updateTeam",
+    type: "updateWorkspace",
     name: "t",
     limits: { slots: 6 },
   });
@@ -209,8 +209,8 @@
 });
 
 // Guards against a policy that never asks again once no peer was reachable, and
-// against more asks than the bound allows or a team that never gets its turn.
-t.test("asks are bounded and every team gets its turn", (t) => {
+// against more asks than the bound allows or a workspace that never gets its turn.
+t.test("asks are bounded and every workspace gets its turn", (t) => {
   const clock = createManualClock();
   const rebalancer = createRebalancer({
     dataCentre: "a",
@@ -218,13 +218,13 @@
     random: createSeededRandom(SEED),
     maxAsksPerSecond: 10,
   });
-  const load: TeamLoad = {
+  const load: WorkspaceLoad = {
     held: slots(0),
     running: slots(0),
     waiting: slots(5),
     fair: slots(2),
   };
-  const names = Array.from({ length: 40 }, (_, i) => `team-${i}`);
+  const names = Array.from({ length: 40 }, (_, i) => `workspace-${i}`);
   const loads = new Map(names.map((name) => [name, load]));
   t.strictSame(rebalancer.planAsks(loads, []), []);
   const asked = new Set<string>();
@@ -232,7 +232,7 @@
   for (let i = 0; i < 200; i++) {
     const asks = rebalancer.planAsks(loads, ["b", "c"]);
     for (const ask of asks) {
-      asked.add(ask.team);
+      asked.add(ask.workspace);
       rebalancer.recordOffer(ask, NO_LIMITS);
     }
     count += asks.length;
@@ -252,7 +252,7 @@
   const rebalancer = createRebalancer({ dataCentre: "a", clock, random });
   const plan = (held: number, peers = ["b", "c", "d"]) => {
     clock.advance(100);
-    const load: TeamLoad = {
+    const load: WorkspaceLoad = {
       held: slots(held),
       running: slots(held),
       waiting: slots(6 - held),
@@ -272,7 +272,7 @@
     id: "b/a/1",
     from: first!.to,
     to: "a",
-    team: "t",
+    workspace: "t",
     amount: first!.wanted,
   });
   t.strictSame(plan(3), [], "half of it has arrived");
--- a/src/allotments/types.ts
+++ b/src/allotments/types.ts
@@ -3,9 +3,9 @@
 import type { Clock, Random } from "../common/mod.ts";
 import type { FleetState, Limits } from "../fleet/types.ts";
 
-/** A grant and a cut of one team in one data centre, of which at most one is above 0 in each limit. */
+/** A grant and a cut of one workspace in one data centre, of which at most one is above 0 in each limit. */
 export interface AllotmentChange {
-  readonly team: string;
+  readonly workspace: string;
   readonly grant: Limits;
   readonly cut: Limits;
 }
@@ -23,7 +23,7 @@
     /** Numbered when it is applied, so that several can be proposed at once. */
     readonly type: "transferOut";
     readonly to: string;
-    readonly team: string;
+    readonly workspace: string;
     readonly amount: Limits;
   }
   | {
@@ -35,13 +35,13 @@
     readonly transferId: string;
   };
 
-/** A part of a team's limit on its way from one data centre to another. */
+/** A part of a workspace's limit on its way from one data centre to another. */
 export interface AllotmentTransfer {
   /** `<from>/<to>/<number>`, numbered without gaps for each pair of data centres. */
   readonly id: string;
   readonly from: string;
   readonly to: string;
-  readonly team: string;
+  readonly workspace: string;
   /** Each part is at least 0, and one is above 0. */
   readonly amount: Limits;
 }
@@ -68,9 +68,9 @@
   /** The configuration version that grants and cuts are applied up to. */
   getAppliedVersion(): number;
   /** Grants − cuts + transfers in − transfers out. Parts can be below 0 after a cut. */
-  getHeld(team: string): Limits;
-  /** Teams with an allotment or a transfer, in order of name. */
-  listTeams(): string[];
+  getHeld(workspace: string): Limits;
+  /** Workspaces with an allotment or a transfer, in order of name. */
+  listWorkspaces(): string[];
   /** Transfers out that are not acknowledged, oldest first; the sender repeats them. */
   getTransfersInProgress(): readonly AllotmentTransfer[];
   /**
@@ -80,8 +80,8 @@
   planConfiguration(state: FleetState): AllotmentCommand | undefined;
 }
 
-/** What a data centre reports about one team. */
-export interface TeamAllotmentReport {
+/** What a data centre reports about one workspace. */
+export interface WorkspaceAllotmentReport {
   readonly held: Limits;
   readonly running: Limits;
 }
@@ -89,7 +89,7 @@
 /** What a data centre reports for the operator's answer about a limit. */
 export interface DataCentreReport {
   readonly appliedVersion: number;
-  readonly teams: ReadonlyMap<string, TeamAllotmentReport>;
+  readonly workspaces: ReadonlyMap<string, WorkspaceAllotmentReport>;
 }
 
 /** Whether a limit is in force in one data centre, and why not. */
@@ -107,21 +107,21 @@
   readonly byDataCentre: ReadonlyMap<string, LimitStatus>;
 }
 
-/** What the rebalancer knows about one team in its own data centre. */
-export interface TeamLoad {
+/** What the rebalancer knows about one workspace in its own data centre. */
+export interface WorkspaceLoad {
   readonly held: Limits;
   readonly running: Limits;
   /** What waits to run beyond `running`. */
   readonly waiting: Limits;
-  /** The even part of the team's limits, from `computeFairPart`. */
+  /** The even part of the workspace's limits, from `computeFairPart`. */
   readonly fair: Limits;
 }
 
-/** An ask for a part of a team's limit. */
+/** An ask for a part of a workspace's limit. */
 export interface AllotmentAsk {
   readonly from: string;
   readonly to: string;
-  readonly team: string;
+  readonly workspace: string;
   readonly wanted: Limits;
   /**
    * The part of `wanted` that brings the asker up to its fair part. A giver
@@ -134,7 +134,7 @@
 
 /** A part of a held allotment that is to be given to another data centre. */
 export interface AllotmentReturn {
-  readonly team: string;
+  readonly workspace: string;
   readonly to: string;
   readonly amount: Limits;
 }
@@ -154,32 +154,32 @@
   keepMs?: number;
   /** How long idle allotment that is too small for the own work is kept. Default 2,000. */
   stuckMs?: number;
-  /** Least time between two rounds of asks for one team. Default 20. */
+  /** Least time between two rounds of asks for one workspace. Default 20. */
   minRoundMs?: number;
-  /** First and longest time between two rounds of levelling asks for one team. Defaults 5,000 and 60,000. */
+  /** First and longest time between two rounds of levelling asks for one workspace. Defaults 5,000 and 60,000. */
   minLevelIntervalMs?: number;
   maxLevelIntervalMs?: number;
-  /** Bound on the asks of all teams together. Default 1,000. */
+  /** Bound on the asks of all workspaces together. Default 1,000. */
   maxAsksPerSecond?: number;
 }
 
 /** The pure policy that moves idle allotment to where it is needed. */
 export interface Rebalancer {
   /**
-   * The asks to send now, given the loads by team and the reachable configured
+   * The asks to send now, given the loads by workspace and the reachable configured
    * data centres. To be called every 100 ms or so, and when work arrives that
    * does not fit. A data centre that is not configured any more passes no
    * waiting work, and then asks only for what it holds below zero.
    */
   planAsks(
-    loads: ReadonlyMap<string, TeamLoad>,
+    loads: ReadonlyMap<string, WorkspaceLoad>,
     peers: readonly string[],
   ): AllotmentAsk[];
   /**
    * What to give for an ask; all zero when nothing can be given now. The
    * caller commits it as a `transferOut` and starts no work on it meanwhile.
    */
-  computeOffer(ask: AllotmentAsk, load: TeamLoad): Limits;
+  computeOffer(ask: AllotmentAsk, load: WorkspaceLoad): Limits;
   /** Records the answer to an ask. */
   recordOffer(ask: AllotmentAsk, offered: Limits): void;
   /** Records a transfer that was committed for the first time. */
@@ -188,10 +188,10 @@
    * What is owed to askers below their fair part: new work starts only while
    * `running + size <= held - owed`.
    */
-  getOwed(team: string, load: TeamLoad): Limits;
+  getOwed(workspace: string, load: WorkspaceLoad): Limits;
   /** For a data centre that is not configured any more: what to give back now, and to whom. */
   planReturns(
-    loads: ReadonlyMap<string, TeamLoad>,
+    loads: ReadonlyMap<string, WorkspaceLoad>,
     configured: readonly string[],
   ): AllotmentReturn[];
 }
--- a/src/cli/change_commands.ts
+++ b/src/cli/change_commands.ts
@@ -1,4 +1,4 @@
-/** Commands that change the configuration: teams, keys, queues and sheets. */
+/** Commands that change the configuration: workspaces, keys, queues and sheets. */
 
 import { readFile } from "node:fs/promises";
 import {
@@ -77,10 +77,10 @@
   writeOutput(args.json, report, () => renderReport(report));
 }
 
-const createTeamCommand = command({
+const createWorkspaceCommand = command({
   name: "create",
   description:
-    "Create a team, e.g. `team create lace --share 2 --slots 40 --processors 64000 --memory-mb 262144`",
+    "Create a workspace, e.g. `workspace create lace --share 2 --slots 40 --processors 64000 --memory-mb 262144`",
   args: {
     name: nameArgument,
     share: option({ type: number, long: "share", defaultValue: () => 1 }),
@@ -91,7 +91,7 @@
   handler: (args) =>
     runCommand(() =>
       submit(args, [{
-        type: "createTeam",
+        type: "createWorkspace",
         name: args.name,
         share: args.share,
         limits: {
@@ -105,9 +105,9 @@
     ),
 });
 
-const updateTeamCommand = command({
+const updateWorkspaceCommand = command({
   name: "update",
-  description: "Change a team, e.g. `team update lace --slots 60`",
+  description: "Change a workspace, e.g. `workspace update lace --slots 60`",
   args: {
     name: nameArgument,
     share: option({ type: optional(number), long: "share" }),
@@ -118,7 +118,7 @@
   handler: (args) =>
     runCommand(() =>
       submit(args, [{
-        type: "updateTeam",
+        type: "updateWorkspace",
         name: args.name,
         ...(args.share === undefined ? {} : { share: args.share }),
         limits: pickLimits(args),
@@ -126,39 +126,46 @@
     ),
 });
 
-const removeTeamCommand = command({
+const removeWorkspaceCommand = command({
   name: "remove",
-  description: "Remove a team and withdraw its keys, e.g. `team remove lace`",
+  description:
+    "Remove a workspace and withdraw its keys, e.g. `workspace remove lace`",
   args: {
     name: nameArgument,
     changeId: CHANGE_ID_OPTION,
     ...CONNECTION_OPTIONS,
   },
   handler: (args) =>
-    runCommand(() => submit(args, [{ type: "removeTeam", name: args.name }])),
+    runCommand(() =>
+      submit(args, [{ type: "removeWorkspace", name: args.name }])
+    ),
 });
 
-/** `goldcrestlug team`. */
-export const TEAM_COMMANDS = subcommands({
-  name: "team",
-  description: "Teams, their shares and limits",
+/** `goldcrestlug workspace`. */
+export const WORKSPACE_COMMANDS = subcommands({
+  name: "workspace",
+  description: "Workspaces, their shares and limits",
   cmds: {
-    create: createTeamCommand,
-    update: updateTeamCommand,
-    remove: removeTeamCommand,
+    create: createWorkspaceCommand,
+    update: updateWorkspaceCommand,
+    remove: removeWorkspaceCommand,
   },
 });
 
 const grantKeyCommand = command({
   name: "grant",
-  description: "Grant a key to a team, e.g. `key grant lace`; it is shown once",
+  description:
+    "Grant a key to a workspace, e.g. `key grant lace`; it is shown once",
   args: {
-    team: positional({ type: string, displayName: "team" }),
+    workspace: positional({ type: string, displayName: "workspace" }),
     ...CONNECTION_OPTIONS,
   },
   handler: (args) =>
     runCommand(async () => {
-      const granted = await grantKey(createOperatorClient(args), args.team);
+      const granted = await grantKey(
+        createOperatorClient(args),
+        args.workspace,
+      );
       const { id, secret, report } = granted;
       writeOutput(
         args.json,
@@ -189,15 +196,19 @@
   handler: (args) =>
     runCommand(async () => {
       const state = await readFleetState(createOperatorClient(args));
-      const keys = [...state.keys.values()].map(({ id, team, grantedAt }) => ({
+      const keys = [...state.keys.values()].map((
+        { id, workspace, grantedAt },
+      ) => ({
         id,
-        team,
+        workspace,
         grantedAt: new Date(grantedAt).toISOString(),
       }));
       writeOutput(args.json, keys, () =>
         renderTable(
-          ["key", "team", "granted"],
-          keys.map(({ id, team, grantedAt }) => [id, team, grantedAt]),
+          ["key", "workspace", "granted"],
+          keys.map((
+            { id, workspace, grantedAt },
+          ) => [id, workspace, grantedAt]),
         ));
     }),
 });
@@ -205,7 +216,7 @@
 /** `goldcrestlug key`. */
 export const KEY_COMMANDS = subcommands({
   name: "key",
-  description: "Keys of teams",
+  description: "Keys of workspaces",
   cmds: {
     grant: grantKeyCommand,
     list: listKeysCommand,
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -4,7 +4,7 @@
 import {
   KEY_COMMANDS,
   QUEUE_COMMANDS,
-  TEAM_COMMANDS,
+  WORKSPACE_COMMANDS,
 } from "./change_commands.ts";
 import { DEV_COMMAND } from "./dev.ts";
 import { REPORT_COMMANDS, SHEET_COMMANDS } from "./report_commands.ts";
@@ -26,7 +26,9 @@
     serve: SERVE_COMMAND,
     dev: DEV_COMMAND,
     check: CHECK_COMMAND,
-    team: TEAM_COMMANDS,
+    workspace: WORKSPACE_COMMANDS,
+    // The word that operators use for it.
+    team: WORKSPACE_COMMANDS,
     key: KEY_COMMANDS,
     queue: QUEUE_COMMANDS,
     sheet: SHEET_COMMANDS,
--- a/src/cli/report_commands.ts
+++ b/src/cli/report_commands.ts
@@ -30,7 +30,7 @@
 const burnCommand = command({
   name: "burn",
   description:
-    "Report how each team is served, e.g. `report burn --html burn.html`",
+    "Report how each workspace is served, e.g. `report burn --html burn.html`",
   args: {
     html: option({
       type: optional(string),
@@ -77,7 +77,8 @@
 
 const planCommand = command({
   name: "plan",
-  description: "Show what a sheet would change, e.g. `sheet plan teams.csv`",
+  description:
+    "Show what a sheet would change, e.g. `sheet plan workspaces.csv`",
   args: { file: fileArgument, ...CONNECTION_OPTIONS },
   handler: (args) =>
     runCommand(async () => {
@@ -89,7 +90,7 @@
 const applyCommand = command({
   name: "apply",
   description:
-    "Apply a sheet whole or not at all, e.g. `sheet apply teams.csv`",
+    "Apply a sheet whole or not at all, e.g. `sheet apply workspaces.csv`",
   args: { file: fileArgument, ...CONNECTION_OPTIONS },
   handler: (args) =>
     runCommand(async () => {
--- a/src/cli/shared.ts
+++ b/src/cli/shared.ts
@@ -11,7 +11,7 @@
 /** Environment variable with the operators' token, so that it stays out of the process list. */
 export const TOKEN_VARIABLE = "GOLDCRESTLUG_TOKEN";
 
-/** Environment variable with the key of a team. */
+/** Environment variable with the key of a workspace. */
 export const KEY_VARIABLE = "GOLDCRESTLUG_KEY";
 
 /** Environment variable with the path of the authorities' certificates. */
@@ -48,7 +48,7 @@
 
 const NEXT_STEP_BY_KIND: Partial<Record<FaultKind, string>> = {
   unauthenticated:
-    `Set ${TOKEN_VARIABLE} (operators) or ${KEY_VARIABLE} (teams) and try again.`,
+    `Set ${TOKEN_VARIABLE} (operators) or ${KEY_VARIABLE} (workspaces) and try again.`,
   versionConflict:
     "Look at the present configuration with `goldcrestlug config` and try again.",
   unavailable:
@@ -95,8 +95,8 @@
   return createClientWith(args, process.env[TOKEN_VARIABLE]);
 }
 
-/** Creates a client with the team's key of the environment. */
-export function createTeamClient(args: ConnectionArgs): Client {
+/** Creates a client with the workspace's key of the environment. */
+export function createWorkspaceClient(args: ConnectionArgs): Client {
   return createClientWith(args, process.env[KEY_VARIABLE]);
 }
 
--- a/src/cli/status_commands.ts
+++ b/src/cli/status_commands.ts
@@ -89,9 +89,9 @@
 interface ConfigAnswer {
   version: number;
   dataCentres: string[];
-  teams: { name: string; share: number; limits: Record<string, number> }[];
+  workspaces: { name: string; share: number; limits: Record<string, number> }[];
   queues: { name: string; open: boolean; policy: string }[];
-  keys: { id: string; team: string }[];
+  keys: { id: string; workspace: string }[];
 }
 
 function renderConfigText(config: ConfigAnswer): string {
@@ -101,8 +101,8 @@
     }.`,
     "",
     renderTable(
-      ["team", "share", "slots", "processors", "memoryMb", "accelerators"],
-      config.teams.map(({ name, share, limits }) => [
+      ["workspace", "share", "slots", "processors", "memoryMb", "accelerators"],
+      config.workspaces.map(({ name, share, limits }) => [
         name,
         share,
         limits["slots"],
@@ -118,8 +118,8 @@
     ),
     "",
     renderTable(
-      ["key", "team"],
-      config.keys.map(({ id, team }) => [id, team]),
+      ["key", "workspace"],
+      config.keys.map(({ id, workspace }) => [id, workspace]),
     ),
   ].join("\n");
 }
--- a/src/cli/work_commands.ts
+++ b/src/cli/work_commands.ts
@@ -13,7 +13,7 @@
 import { readTextFile } from "./change_commands.ts";
 import {
   CONNECTION_OPTIONS,
-  createTeamClient,
+  createWorkspaceClient,
   renderTable,
   runCommand,
   writeOutput,
@@ -51,7 +51,7 @@
   handler: (args) =>
     runCommand(async () => {
       const body = parseJsonText(await readTextFile(args.file), args.file);
-      const job = await createTeamClient(args).call("/v1/jobs", {
+      const job = await createWorkspaceClient(args).call("/v1/jobs", {
         method: "POST",
         body,
       });
@@ -77,7 +77,7 @@
     handler: (args) =>
       runCommand(async () => {
         const path = `/v1/jobs/${encodeURIComponent(args.id)}`;
-        const job = await createTeamClient(args).call(path, { method });
+        const job = await createWorkspaceClient(args).call(path, { method });
         writeOutput(args.json, job, () => renderJobText(job));
       }),
   });
@@ -112,7 +112,7 @@
     runCommand(async () => {
       const body = parseJsonText(await readTextFile(args.file), args.file);
       const path = `/v1/queues/${encodeURIComponent(args.queue)}/requests`;
-      const answer = await createTeamClient(args).call(path, {
+      const answer = await createWorkspaceClient(args).call(path, {
         method: "POST",
         body,
         ...(args.id === undefined
@@ -130,7 +130,7 @@
   handler: (args) =>
     runCommand(async () => {
       const path = `/v1/requests/${encodeURIComponent(args.id)}`;
-      const found = await createTeamClient(args).call(path) as {
+      const found = await createWorkspaceClient(args).call(path) as {
         requestId: string;
         state: string;
       };
--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -13,7 +13,7 @@
 export interface ClientOptions {
   /** Base address of any instance, such as `https://192.0.2.1:8080`. */
   address: string;
-  /** Key of a team, or the operators' token. */
+  /** Key of a workspace, or the operators' token. */
   token?: string;
   /** Authorities in PEM that an `https` address is checked against. Default: those of Node. */
   ca?: string;
--- a/src/client/operator.ts
+++ b/src/client/operator.ts
@@ -37,7 +37,7 @@
     new Map(list.map((item) => [getKey(item), item]));
   return {
     version: config.version,
-    teams: toMap(config.teams, ({ name }) => name),
+    workspaces: toMap(config.workspaces, ({ name }) => name),
     keys: toMap(config.keys, ({ id }) => id),
     queues: toMap(config.queues, ({ name }) => name),
     dataCentres: config.dataCentres,
@@ -63,15 +63,15 @@
   });
 }
 
-/** Grants a new key to a team; the secret is in the answer and nowhere else. */
+/** Grants a new key to a workspace; the secret is in the answer and nowhere else. */
 export async function grantKey(
   client: Client,
-  team: string,
+  workspace: string,
 ): Promise<KeySecret & { report: ChangeReport }> {
   const key = createKeySecret();
   const report = await submitOperations(
     client,
-    [{ type: "grantKey", id: key.id, team, hash: key.hash }],
+    [{ type: "grantKey", id: key.id, workspace, hash: key.hash }],
     { changeId: `grant-key:${key.id}` },
   );
   return { ...key, report };
--- a/src/data_centre/allotment_controller.ts
+++ b/src/data_centre/allotment_controller.ts
@@ -12,7 +12,7 @@
   Allotments,
   AllotmentTransfer,
   Rebalancer,
-  TeamLoad,
+  WorkspaceLoad,
 } from "../allotments/mod.ts";
 import {
   type Clock,
@@ -34,7 +34,7 @@
 /** Time between repetitions of a transfer, in milliseconds. */
 const TRANSFER_REPEAT_MS = 1_000;
 
-/** What a team runs and what waits to run. */
+/** What a workspace runs and what waits to run. */
 export interface MeasuredLoad {
   readonly running: Limits;
   readonly waiting: Limits;
@@ -50,7 +50,7 @@
   logger: Logger;
   propose: (command: AllotmentCommand) => Promise<AllotmentResult>;
   holdsLease: () => boolean;
-  /** Running and waiting work by team. */
+  /** Running and waiting work by workspace. */
   measureLoads: () => Map<string, MeasuredLoad>;
   /** Sends an ask to the leader of `ask.to`; resolves to what it offers. */
   sendAsk: (ask: AllotmentAsk) => Promise<Limits>;
@@ -64,10 +64,10 @@
 /** Controls the allotments of a data centre. */
 export interface AllotmentController {
   /**
-   * What new work of a team may use: what is held, less what is owed to other
+   * What new work of a workspace may use: what is held, less what is owed to other
    * data centres or about to be given to them.
    */
-  computeUsable(team: string, load: MeasuredLoad | undefined): Limits;
+  computeUsable(workspace: string, load: MeasuredLoad | undefined): Limits;
   /** Answers another data centre's ask; what is offered follows as a transfer. */
   receiveAsk(ask: AllotmentAsk): Promise<Limits>;
   /** Takes a transfer; resolves once it is recorded. Fault `unavailable` when refused. */
@@ -94,18 +94,18 @@
   let timer: Timer | undefined;
   let isStopped = false;
 
-  function toTeamLoad(
-    team: string,
+  function toWorkspaceLoad(
+    workspace: string,
     load: MeasuredLoad | undefined,
-  ): TeamLoad {
-    const { teams, dataCentres } = options.view.getState();
+  ): WorkspaceLoad {
+    const { workspaces, dataCentres } = options.view.getState();
     return {
       // Less what is being given or cut, or an ask gets that amount as well.
       held: subtractLimits(
-        allotments.getHeld(team),
+        allotments.getHeld(workspace),
         addLimits(
-          pendingGifts.get(team) ?? NO_LIMITS,
-          pendingCuts.get(team) ?? NO_LIMITS,
+          pendingGifts.get(workspace) ?? NO_LIMITS,
+          pendingCuts.get(workspace) ?? NO_LIMITS,
         ),
       ),
       running: load?.running ?? NO_LIMITS,
@@ -114,18 +114,18 @@
         ? load?.waiting ?? NO_LIMITS
         : NO_LIMITS,
       fair: computeFairPart(
-        teams.get(team)?.limits ?? NO_LIMITS,
+        workspaces.get(workspace)?.limits ?? NO_LIMITS,
         dataCentres.length,
       ),
     };
   }
 
-  function buildLoads(): Map<string, TeamLoad> {
+  function buildLoads(): Map<string, WorkspaceLoad> {
     const measured = options.measureLoads();
-    const names = new Set([...allotments.listTeams(), ...measured.keys()]);
-    const loads = new Map<string, TeamLoad>();
-    for (const team of names) {
-      loads.set(team, toTeamLoad(team, measured.get(team)));
+    const names = new Set([...allotments.listWorkspaces(), ...measured.keys()]);
+    const loads = new Map<string, WorkspaceLoad>();
+    for (const workspace of names) {
+      loads.set(workspace, toWorkspaceLoad(workspace, measured.get(workspace)));
     }
     return loads;
   }
@@ -133,7 +133,9 @@
   async function applyConfiguration(): Promise<void> {
     const command = allotments.planConfiguration(options.view.getState());
     if (command?.type !== "applyConfiguration") return;
-    for (const { team, cut } of command.changes) pendingCuts.set(team, cut);
+    for (const { workspace, cut } of command.changes) {
+      pendingCuts.set(workspace, cut);
+    }
     options.handleChange();
     await options.propose(command);
     pendingCuts.clear();
@@ -172,36 +174,36 @@
     }
   }
 
-  function addPendingGift(team: string, amount: Limits): void {
-    const sum = addLimits(pendingGifts.get(team) ?? NO_LIMITS, amount);
-    if (isZeroLimits(sum)) pendingGifts.delete(team);
-    else pendingGifts.set(team, sum);
+  function addPendingGift(workspace: string, amount: Limits): void {
+    const sum = addLimits(pendingGifts.get(workspace) ?? NO_LIMITS, amount);
+    if (isZeroLimits(sum)) pendingGifts.delete(workspace);
+    else pendingGifts.set(workspace, sum);
   }
 
   async function sendTo(
     to: string,
-    team: string,
+    workspace: string,
     amount: Limits,
   ): Promise<boolean> {
     // No work may start on the amount while the transfer is being recorded.
-    addPendingGift(team, amount);
+    addPendingGift(workspace, amount);
     options.handleChange();
     try {
       const result = await options.propose({
         type: "transferOut",
         to,
-        team,
+        workspace,
         amount,
       });
       if (result.applied) sendTransfers();
       return result.applied;
     } finally {
-      addPendingGift(team, subtractLimits(NO_LIMITS, amount));
+      addPendingGift(workspace, subtractLimits(NO_LIMITS, amount));
       options.handleChange();
     }
   }
 
-  function sendAsks(loads: ReadonlyMap<string, TeamLoad>): void {
+  function sendAsks(loads: ReadonlyMap<string, WorkspaceLoad>): void {
     const { dataCentre } = options;
     const peers = options.view.getState().dataCentres
       .filter((name) => name !== dataCentre);
@@ -214,14 +216,14 @@
   }
 
   async function sendReturns(
-    loads: ReadonlyMap<string, TeamLoad>,
+    loads: ReadonlyMap<string, WorkspaceLoad>,
   ): Promise<void> {
     const { dataCentres, leavingDataCentres } = options.view.getState();
     if (!leavingDataCentres.includes(options.dataCentre)) return;
     const returns = rebalancer.planReturns(loads, dataCentres);
     // All at once, so that no work starts on one while another is recorded.
     await Promise.all(
-      returns.map(({ to, team, amount }) => sendTo(to, team, amount)),
+      returns.map(({ to, workspace, amount }) => sendTo(to, workspace, amount)),
     );
   }
 
@@ -254,15 +256,18 @@
   timer = clock.setTimer(0, () => void reconcile());
 
   return {
-    computeUsable(team, measured) {
-      const load = toTeamLoad(team, measured);
-      return subtractLimits(load.held, rebalancer.getOwed(team, load));
+    computeUsable(workspace, measured) {
+      const load = toWorkspaceLoad(workspace, measured);
+      return subtractLimits(load.held, rebalancer.getOwed(workspace, load));
     },
     async receiveAsk(ask) {
-      const load = options.measureLoads().get(ask.team);
-      const offer = rebalancer.computeOffer(ask, toTeamLoad(ask.team, load));
+      const load = options.measureLoads().get(ask.workspace);
+      const offer = rebalancer.computeOffer(
+        ask,
+        toWorkspaceLoad(ask.workspace, load),
+      );
       if (isZeroLimits(offer)) return offer;
-      return await sendTo(ask.from, ask.team, offer) ? offer : NO_LIMITS;
+      return await sendTo(ask.from, ask.workspace, offer) ? offer : NO_LIMITS;
     },
     async receiveTransfer(transfer) {
       const result = await options.propose({ type: "transferIn", transfer });
--- a/src/data_centre/allotment_controller_test.ts
+++ b/src/data_centre/allotment_controller_test.ts
@@ -26,7 +26,7 @@
 
 const slots = (count: number): Limits => ({ ...NO_LIMITS, slots: count });
 
-/** A controller of "a" that holds the whole limit of 10 of the teams "t" and "u". */
+/** A controller of "a" that holds the whole limit of 10 of the workspaces "t" and "u". */
 async function createBench() {
   const clock = createManualClock(1_000_000);
   const machine = createFleetState();
@@ -38,7 +38,7 @@
   };
   change({ type: "setDataCentres", names: ["a"] });
   for (const name of ["t", "u"]) {
-    change({ type: "createTeam", name, share: 1, limits: slots(10) });
+    change({ type: "createWorkspace", name, share: 1, limits: slots(10) });
   }
   const allotments = createAllotments("a");
   const log = createFakeLog((command: AllotmentCommand) =>
@@ -60,8 +60,8 @@
     holdsLease: () => true,
     measureLoads: () => {
       const loads = new Map<string, MeasuredLoad>();
-      for (const [team, count] of running) {
-        loads.set(team, { running: slots(count), waiting: NO_LIMITS });
+      for (const [workspace, count] of running) {
+        loads.set(workspace, { running: slots(count), waiting: NO_LIMITS });
       }
       return loads;
     },
@@ -72,14 +72,14 @@
       throw error;
     },
   });
-  const startWork = (team: string, count: number) => {
+  const startWork = (workspace: string, count: number) => {
     const load = { running: slots(count), waiting: NO_LIMITS };
-    if (controller.computeUsable(team, load).slots < count) return;
-    running.set(team, count);
+    if (controller.computeUsable(workspace, load).slots < count) return;
+    running.set(workspace, count);
   };
   const countOver = () =>
-    [...running].filter(([team, count]) =>
-      count > allotments.getHeld(team).slots
+    [...running].filter(([workspace, count]) =>
+      count > allotments.getHeld(workspace).slots
     ).length;
   clock.advance(200);
   await waitForTurn();
@@ -100,14 +100,14 @@
 const buildAsk = (from: string): AllotmentAsk => ({
   from,
   to: "a",
-  team: "t",
+  workspace: "t",
   wanted: slots(4),
   entitled: NO_LIMITS,
   levelling: false,
 });
 
 // Guards against the same idle allotment being given twice, which leaves less
-// held than runs, so that the team runs more than its limit over the fleet.
+// held than runs, so that the workspace runs more than its limit over the fleet.
 t.test("asks at the same moment share what is idle", async (t) => {
   const { controller, log, allotments, running, countOver } =
     await createBench();
@@ -142,7 +142,7 @@
   const { clock, change, controller, log, running, countOver } =
     await createBench();
   running.set("t", 6);
-  change({ type: "updateTeam", name: "t", limits: slots(7) });
+  change({ type: "updateWorkspace", name: "t", limits: slots(7) });
   clock.advance(200);
   await waitForTurn();
   t.equal(log.pending[0]?.type, "applyConfiguration");
--- a/src/data_centre/command_schema.ts
+++ b/src/data_centre/command_schema.ts
@@ -37,7 +37,7 @@
     type: z.literal("submitJob"),
     spec: z.looseObject({
       id: z.string(),
-      team: z.string(),
+      workspace: z.string(),
       policy: z.enum(["service", "batch", "gang"]),
       tasks: z.int().min(1),
       resources: resourcesSchema,
@@ -77,7 +77,7 @@
     fromVersion: z.int(),
     version: z.int(),
     changes: z.array(z.looseObject({
-      team: z.string(),
+      workspace: z.string(),
       grant: limitsSchema,
       cut: limitsSchema,
     })),
@@ -85,7 +85,7 @@
   z.looseObject({
     type: z.literal("transferOut"),
     to: z.string(),
-    team: z.string(),
+    workspace: z.string(),
     amount: limitsSchema,
   }),
   z.looseObject({
@@ -94,7 +94,7 @@
       id: z.string(),
       from: z.string(),
       to: z.string(),
-      team: z.string(),
+      workspace: z.string(),
       amount: limitsSchema,
     }),
   }),
--- a/src/data_centre/leadership.ts
+++ b/src/data_centre/leadership.ts
@@ -11,7 +11,7 @@
 import {
   createRecordedSlots,
   type RecordedSlots,
-  type TeamPolicy,
+  type WorkspacePolicy,
 } from "../requests/mod.ts";
 import { createScheduler, type Scheduler } from "../scheduling/mod.ts";
 import type { JobSpec, SchedulingWeights } from "../scheduling/mod.ts";
@@ -85,23 +85,23 @@
   stop(): Promise<void>;
 }
 
-/** Weight of work that belongs to no configured team. */
-const UNKNOWN_TEAM_SHARE = 1;
+/** Weight of work that belongs to no configured workspace. */
+const UNKNOWN_WORKSPACE_SHARE = 1;
 
-/** What each team may run here at present. */
+/** What each workspace may run here at present. */
 type UsableLimits = Map<string, Limits>;
 
-/** Returns what a team may run here; an unknown team, such as that of open queues, has no limit. */
-function getTeamPolicy(
+/** Returns what a workspace may run here; an unknown workspace, such as that of open queues, has no limit. */
+function getWorkspacePolicy(
   view: FleetView,
   usable: UsableLimits,
-  team: string,
-): TeamPolicy {
-  const known = view.getState().teams.get(team);
+  workspace: string,
+): WorkspacePolicy {
+  const known = view.getState().workspaces.get(workspace);
   if (known === undefined) {
-    return { weight: UNKNOWN_TEAM_SHARE, slotLimit: Infinity };
+    return { weight: UNKNOWN_WORKSPACE_SHARE, slotLimit: Infinity };
   }
-  const slots = usable.get(team)?.slots ?? 0;
+  const slots = usable.get(workspace)?.slots ?? 0;
   return { weight: known.share, slotLimit: Math.max(0, slots) };
 }
 
@@ -111,44 +111,47 @@
   held: ReadonlyMap<string, number>,
 ): Map<string, MeasuredLoad> {
   const loads = new Map<string, MeasuredLoad>();
-  for (const team of scheduler.getStatus().teams) {
-    loads.set(team.team, {
-      running: { slots: 0, ...team.committed },
-      waiting: { slots: 0, ...team.queuedResources },
+  for (const workspace of scheduler.getStatus().workspaces) {
+    loads.set(workspace.workspace, {
+      running: { slots: 0, ...workspace.committed },
+      waiting: { slots: 0, ...workspace.queuedResources },
     });
   }
-  const { teams, isRebuilding, sharedExcess } = slots.controller.getStatus();
-  const byTeam = new Map(teams.map((team) => [team.team, team]));
-  for (const team of new Set([...byTeam.keys(), ...held.keys()])) {
-    const known = loads.get(team);
+  const { workspaces, isRebuilding, sharedExcess } = slots.controller
+    .getStatus();
+  const byWorkspace = new Map(
+    workspaces.map((workspace) => [workspace.workspace, workspace]),
+  );
+  for (const workspace of new Set([...byWorkspace.keys(), ...held.keys()])) {
+    const known = loads.get(workspace);
     const none = { processors: 0, memoryMb: 0, accelerators: 0 };
-    const running = byTeam.get(team)?.running ?? sharedExcess;
+    const running = byWorkspace.get(workspace)?.running ?? sharedExcess;
     // Until the endpoints have announced, requests of a former leader may fill
     // all that is held; giving it away would exceed the limit elsewhere.
-    const least = isRebuilding ? held.get(team) ?? 0 : 0;
-    loads.set(team, {
+    const least = isRebuilding ? held.get(workspace) ?? 0 : 0;
+    loads.set(workspace, {
       running: { ...none, ...known?.running, slots: Math.max(running, least) },
       waiting: {
         ...none,
         ...known?.waiting,
-        slots: byTeam.get(team)?.queued ?? 0,
+        slots: byWorkspace.get(workspace)?.queued ?? 0,
       },
     });
   }
   return loads;
 }
 
-/** Creates a function that tells the scheduler the weight and usable limits of a team, if they changed. */
-function createTeamSetter(scheduler: Scheduler) {
+/** Creates a function that tells the scheduler the weight and usable limits of a workspace, if they changed. */
+function createWorkspaceSetter(scheduler: Scheduler) {
   const sent = new Map<string, string>();
 
-  return (team: string, weight: number, usable: Limits): void => {
+  return (workspace: string, weight: number, usable: Limits): void => {
     const key = JSON.stringify([weight, usable]);
-    if (sent.get(team) === key) return;
-    sent.set(team, key);
+    if (sent.get(workspace) === key) return;
+    sent.set(workspace, key);
     const { processors, memoryMb, accelerators } = usable;
-    scheduler.setTeam({
-      team,
+    scheduler.setWorkspace({
+      workspace,
       weight,
       allotment: { processors, memoryMb, accelerators },
     });
@@ -164,10 +167,10 @@
     usageMargin: options.usageMargin,
     leaseMs: options.taskLeaseMs,
   });
-  const setTeam = createTeamSetter(scheduler);
+  const setWorkspace = createWorkspaceSetter(scheduler);
   const usable: UsableLimits = new Map();
-  for (const { name, share } of view.getState().teams.values()) {
-    setTeam(name, share, state.allotments.getHeld(name));
+  for (const { name, share } of view.getState().workspaces.values()) {
+    setWorkspace(name, share, state.allotments.getHeld(name));
   }
 
   const createCommandSender = options.createCommandSender ??
@@ -203,7 +206,7 @@
     logger,
     dataCentre: options.dataCentre,
     epoch,
-    getPolicy: (team) => getTeamPolicy(view, usable, team),
+    getPolicy: (workspace) => getWorkspacePolicy(view, usable, workspace),
     canGrant: options.holdsLease,
     grantValidMs: options.grantValidMs,
     queue: { maxQueued: options.queueLength },
@@ -220,21 +223,21 @@
       scheduler,
       slots,
       new Map(
-        state.allotments.listTeams().map((team) => [
-          team,
-          state.allotments.getHeld(team).slots,
+        state.allotments.listWorkspaces().map((workspace) => [
+          workspace,
+          state.allotments.getHeld(workspace).slots,
         ]),
       ),
     );
-  const updateTeams = () => {
+  const updateWorkspaces = () => {
     const loads = measure();
-    const { teams } = view.getState();
-    for (const team of new Set([...teams.keys(), ...loads.keys()])) {
-      const limits = allotments.computeUsable(team, loads.get(team));
-      usable.set(team, limits);
-      const known = teams.get(team);
-      // Work of a removed team may finish, but nothing new of it starts.
-      setTeam(team, known?.share ?? UNKNOWN_TEAM_SHARE, limits);
+    const { workspaces } = view.getState();
+    for (const workspace of new Set([...workspaces.keys(), ...loads.keys()])) {
+      const limits = allotments.computeUsable(workspace, loads.get(workspace));
+      usable.set(workspace, limits);
+      const known = workspaces.get(workspace);
+      // Work of a removed workspace may finish, but nothing new of it starts.
+      setWorkspace(workspace, known?.share ?? UNKNOWN_WORKSPACE_SHARE, limits);
     }
     slots.controller.updatePolicies();
   };
@@ -255,10 +258,10 @@
     measureLoads: measure,
     sendAsk: options.sendAsk,
     sendTransfer: options.sendTransfer,
-    handleChange: updateTeams,
+    handleChange: updateWorkspaces,
     handleFailure: options.handleFailure,
   });
-  const stopWatching = view.watchVersion(updateTeams);
+  const stopWatching = view.watchVersion(updateWorkspaces);
 
   return {
     epoch,
--- a/src/data_centre/state_test.ts
+++ b/src/data_centre/state_test.ts
@@ -10,8 +10,8 @@
 } from "./state.ts";
 
 const slots = (count: number) => ({ ...NO_LIMITS, slots: count });
-const grant = (team: string) => ({
-  team,
+const grant = (workspace: string) => ({
+  workspace,
   grant: slots(10),
   cut: NO_LIMITS,
 });
@@ -20,7 +20,7 @@
   id: "b/a/1",
   from: "b",
   to: "a",
-  team: "t",
+  workspace: "t",
   amount: slots(2),
 };
 
@@ -58,7 +58,7 @@
   },
   {
     part: "allotments",
-    command: { type: "transferOut", to: "b", team: "t", amount: slots(3) },
+    command: { type: "transferOut", to: "b", workspace: "t", amount: slots(3) },
   },
   { part: "allotments", command: { type: "transferIn", transfer: TRANSFER } },
   start("q"),
@@ -154,7 +154,7 @@
   ["unknown allotment command", toBytes(2, { type: "new" })],
   [
     "a change without amounts",
-    toBytes(2, { ...configuration, changes: [grant("t"), { team: "u" }] }),
+    toBytes(2, { ...configuration, changes: [grant("t"), { workspace: "u" }] }),
   ],
   [
     "a change with a part of the amounts",
--- a/src/data_centre/worker_controller.ts
+++ b/src/data_centre/worker_controller.ts
@@ -207,7 +207,7 @@
           clock.now() - action.spec.submittedAt,
         );
         return send("start", {
-          team: action.spec.team,
+          workspace: action.spec.workspace,
           policy: action.spec.policy,
           resources: action.spec.resources,
           payload: action.spec.payload ?? null,
--- a/src/data_centre/worker_controller_test.ts
+++ b/src/data_centre/worker_controller_test.ts
@@ -27,7 +27,7 @@
     commands.map((command) => records.apply(command))
   );
   const scheduler = createScheduler({ random: createSeededRandom(20_261_204) });
-  scheduler.setTeam({ team: "a", weight: 1, allotment: ROOM });
+  scheduler.setWorkspace({ workspace: "a", weight: 1, allotment: ROOM });
   const bench = {
     clock,
     log,
--- a/src/dev/dev_cell.ts
+++ b/src/dev/dev_cell.ts
@@ -1,6 +1,6 @@
 /**
  * A whole cell in one process on loopback, for a first look: one instance with
- * every role, a stand-in endpoint and a stand-in worker, a team with a key, and
+ * every role, a stand-in endpoint and a stand-in worker, a workspace with a key, and
  * one queue of each kind.
  */
 
@@ -26,7 +26,7 @@
 /** Time for the cell to answer its first request, in milliseconds. */
 const START_TIMEOUT_MS = 15_000;
 
-/** Name of the data centre, the team and the request queue of the cell. */
+/** Name of the data centre, the workspace and the request queue of the cell. */
 export const DEV_NAME = "demo";
 
 /** Options of the cell. */
@@ -40,7 +40,7 @@
 export interface DevCell {
   /** Base address for callers and operators. */
   readonly address: string;
-  /** Key of the team. */
+  /** Key of the workspace. */
   readonly key: string;
   stop(): Promise<void>;
 }
@@ -70,7 +70,7 @@
 function buildOperations(keyId: string, hash: string): FleetOperation[] {
   return [
     {
-      type: "createTeam",
+      type: "createWorkspace",
       name: DEV_NAME,
       share: 1,
       limits: {
@@ -80,7 +80,7 @@
         accelerators: 0,
       },
     },
-    { type: "grantKey", id: keyId, team: DEV_NAME, hash },
+    { type: "grantKey", id: keyId, workspace: DEV_NAME, hash },
     { type: "createQueue", name: DEV_NAME, open: false, policy: "requests" },
     { type: "createQueue", name: "open", open: true, policy: "requests" },
     { type: "createQueue", name: "batch", open: false, policy: "batch" },
--- a/src/fleet/division.ts
+++ b/src/fleet/division.ts
@@ -1,5 +1,5 @@
 /**
- * Division of a team's limits among data centres.
+ * Division of a workspace's limits among data centres.
  *
  * What a data centre has been granted in total is a function of the
  * configuration alone, so every data centre computes the same. For a fixed
@@ -36,9 +36,9 @@
 
 // FNV-1a. Spreads the remainders of small limits, such as one accelerator,
 // over the data centres instead of giving all of them to the first.
-function computeRotation(team: string, limit: LimitName): number {
+function computeRotation(workspace: string, limit: LimitName): number {
   let hash = 0x811c9dc5;
-  for (const character of `${team}/${limit}`) {
+  for (const character of `${workspace}/${limit}`) {
     hash = Math.imul(hash ^ character.codePointAt(0)!, 0x01000193) >>> 0;
   }
   return hash;
@@ -115,23 +115,23 @@
 
 /** What `computeGranted` reads of a state or a draft. */
 export interface DivisionSource {
-  readonly teams: { get(name: string): { limits: Limits } | undefined };
+  readonly workspaces: { get(name: string): { limits: Limits } | undefined };
   readonly divisions: { get(name: string): Division | undefined };
   readonly dataCentreSets: DataCentreSets;
 }
 
 /**
- * Computes the sum of grants minus cuts that `dataCentre` has for `team` at
+ * Computes the sum of grants minus cuts that `dataCentre` has for `workspace` at
  * the version of `state`. A part can be negative after closings and cuts.
  */
 export function computeGranted(
   state: DivisionSource,
-  team: string,
+  workspace: string,
   dataCentre: string,
 ): Limits {
-  const division = state.divisions.get(team);
+  const division = state.divisions.get(workspace);
   if (division === undefined) return NO_LIMITS;
-  const limits = state.teams.get(team)?.limits ?? NO_LIMITS;
+  const limits = state.workspaces.get(workspace)?.limits ?? NO_LIMITS;
   return buildLimits((limit) =>
     computeUnits(
       {
@@ -139,22 +139,22 @@
         division,
         limit,
         amount: limits[limit],
-        rotation: computeRotation(team, limit),
+        rotation: computeRotation(workspace, limit),
       },
       dataCentre,
     )
   );
 }
 
-/** Computes what all data centres together have been granted; equals the team's limits. */
+/** Computes what all data centres together have been granted; equals the workspace's limits. */
 export function computeGrantedSum(
   state: DivisionSource,
-  team: string,
+  workspace: string,
 ): Limits {
   const names = new Set(state.dataCentreSets.flat());
   let sum = NO_LIMITS;
   for (const name of names) {
-    sum = addLimits(sum, computeGranted(state, team, name));
+    sum = addLimits(sum, computeGranted(state, workspace, name));
   }
   return sum;
 }
@@ -183,17 +183,17 @@
 /** Freezes what `dataCentre` has been granted; `currentSet` takes its later grants and cuts. */
 export function closeDivision(
   state: DivisionSource,
-  team: string,
+  workspace: string,
   dataCentre: string,
   currentSet: number,
 ): Division | undefined {
-  const division = state.divisions.get(team);
+  const division = state.divisions.get(workspace);
   if (division === undefined) return undefined;
   const takesPart = listUsedSets(division).some((set) =>
     state.dataCentreSets[set]?.includes(dataCentre)
   );
   if (!takesPart) return undefined;
-  const granted = computeGranted(state, team, dataCentre);
+  const granted = computeGranted(state, workspace, dataCentre);
   return {
     segments: division.segments,
     closings: [...division.closings, {
--- a/src/fleet/division_test.ts
+++ b/src/fleet/division_test.ts
@@ -45,11 +45,13 @@
   switch (step.type) {
     case "limit": {
       const limits = { ...NO_LIMITS, slots: step.slots };
-      const type = state.teams.has("t") ? "updateTeam" : "createTeam";
+      const type = state.workspaces.has("t")
+        ? "updateWorkspace"
+        : "createWorkspace";
       return { type, name: "t", share: 1, limits };
     }
     case "remove":
-      return { type: "removeTeam", name: "t" };
+      return { type: "removeWorkspace", name: "t" };
     case "set":
       return {
         type: "setDataCentres",
@@ -80,7 +82,8 @@
   return states;
 }
 
-const getLimit = (state: FleetState) => state.teams.get("t")?.limits.slots ?? 0;
+const getLimit = (state: FleetState) =>
+  state.workspaces.get("t")?.limits.slots ?? 0;
 const getUnits = (state: FleetState, name: string) =>
   computeGranted(state, "t", name).slots;
 
@@ -143,7 +146,12 @@
   ];
   for (let i = 0; i < 200; i++) {
     const limits = { ...NO_LIMITS, accelerators: 1 };
-    operations.push({ type: "createTeam", name: `t${i}`, share: 1, limits });
+    operations.push({
+      type: "createWorkspace",
+      name: `t${i}`,
+      share: 1,
+      limits,
+    });
   }
   const change = { changeId: "c", operations };
   machine.apply(encodeCommand({ at: 0, change }), 0);
--- a/src/fleet/draft.ts
+++ b/src/fleet/draft.ts
@@ -11,7 +11,7 @@
   FleetState,
   Key,
   Queue,
-  Team,
+  Workspace,
 } from "./types.ts";
 
 /** Writes to one map, kept apart from it. */
@@ -76,7 +76,7 @@
   readonly base: FleetState;
   /** Wall time of the command in milliseconds. */
   readonly at: number;
-  readonly teams: DraftMap<Team>;
+  readonly workspaces: DraftMap<Workspace>;
   readonly keys: DraftMap<Key>;
   readonly queues: DraftMap<Queue>;
   readonly divisions: DraftMap<Division>;
@@ -106,7 +106,7 @@
   state: MutableFleetState,
   options: DraftOptions,
 ): Draft {
-  const teams = createDraftMap<Team>(state.teams);
+  const workspaces = createDraftMap<Workspace>(state.workspaces);
   const keys = createDraftMap<Key>(state.keys);
   const queues = createDraftMap<Queue>(state.queues);
   const divisions = createDraftMap<Division>(state.divisions);
@@ -116,7 +116,7 @@
   return {
     base: state,
     at: options.at,
-    teams,
+    workspaces,
     keys,
     queues,
     divisions,
@@ -136,18 +136,20 @@
       withdrawnKeys.has(keyId) || options.isWithdrawn(keyId),
     buildDelta() {
       const version = state.version + 1;
-      const teamWrites = teams.getWrites();
+      const workspaceWrites = workspaces.getWrites();
       const queueWrites = queues.getWrites();
       const divisionWrites = divisions.getWrites();
-      const changesLimits = teamWrites.removed.length > 0 ||
-        teamWrites.written.some(([name, team]) =>
-          state.teams.get(name)?.limits !== team.limits
+      const changesLimits = workspaceWrites.removed.length > 0 ||
+        workspaceWrites.written.some(([name, workspace]) =>
+          state.workspaces.get(name)?.limits !== workspace.limits
         );
       const changesDivision = dataCentres !== undefined || changesLimits ||
         divisionWrites.written.length > 0;
       const entries = {
-        teams: addIfAny(teamWrites.written.map(([, team]) => team)),
-        removedTeams: addIfAny(teamWrites.removed),
+        workspaces: addIfAny(
+          workspaceWrites.written.map(([, workspace]) => workspace),
+        ),
+        removedWorkspaces: addIfAny(workspaceWrites.removed),
         keys: addIfAny(keys.getWrites().written.map(([, key]) => key)),
         withdrawnKeys: addIfAny(keys.getWrites().removed),
         queues: addIfAny(queueWrites.written.map(([, queue]) => queue)),
--- a/src/fleet/fleet_property_test.ts
+++ b/src/fleet/fleet_property_test.ts
@@ -28,22 +28,22 @@
 
 const operation: fc.Arbitrary<FleetOperation> = fc.oneof(
   fc.record({
-    type: fc.constant("createTeam" as const),
+    type: fc.constant("createWorkspace" as const),
     name,
     share: fc.integer({ min: 1, max: 9 }),
     limits,
   }),
   fc.record({
-    type: fc.constant("updateTeam" as const),
+    type: fc.constant("updateWorkspace" as const),
     name,
     share: fc.integer({ min: 1, max: 9 }),
   }),
-  fc.record({ type: fc.constant("updateTeam" as const), name, limits }),
-  fc.record({ type: fc.constant("removeTeam" as const), name }),
+  fc.record({ type: fc.constant("updateWorkspace" as const), name, limits }),
+  fc.record({ type: fc.constant("removeWorkspace" as const), name }),
   fc.record({
     type: fc.constant("grantKey" as const),
     id: keyId,
-    team: name,
+    workspace: name,
     hash: fc.constant(HASH),
   }),
   fc.record({ type: fc.constant("withdrawKey" as const), id: keyId }),
--- a/src/fleet/fleet_state.ts
+++ b/src/fleet/fleet_state.ts
@@ -1,5 +1,5 @@
 /**
- * The replicated configuration: teams, keys, queues and data centres. It
+ * The replicated configuration: workspaces, keys, queues and data centres. It
  * applies the commands of the fleet log and fits the `StateMachine` of the
  * replicated log. What it does depends on the commands alone, so that every
  * voter reaches the same state and gives the same answer.
--- a/src/fleet/fleet_state_test.ts
+++ b/src/fleet/fleet_state_test.ts
@@ -11,16 +11,16 @@
 } from "./types.ts";
 
 const limits = { slots: 8, processors: 4000, memoryMb: 100, accelerators: 1 };
-const createTeam = (name: string): FleetOperation => ({
-  type: "createTeam",
+const createWorkspace = (name: string): FleetOperation => ({
+  type: "createWorkspace",
   name,
   share: 1,
   limits,
 });
-const grantKey = (id: string, team: string): FleetOperation => ({
+const grantKey = (id: string, workspace: string): FleetOperation => ({
   type: "grantKey",
   id,
-  team,
+  workspace,
   hash: createKeySecret({ id }).hash,
 });
 const withdrawKey = (id: string): FleetOperation => ({
@@ -46,35 +46,35 @@
 // against a resend that is applied again or gets another answer.
 t.test("equal versions and resends", (t) => {
   const machine = createFleetState();
-  const first = apply(machine, "c1", [createTeam("a")], 0);
-  const second = apply(machine, "c2", [createTeam("b")], 0);
+  const first = apply(machine, "c1", [createWorkspace("a")], 0);
+  const second = apply(machine, "c2", [createWorkspace("b")], 0);
   t.equal(getKind(first), "version 1");
   t.equal(getKind(second), "versionConflict");
-  t.equal(apply(machine, "c1", [createTeam("a")], 0), first);
-  t.equal(apply(machine, "c2", [createTeam("b")], 0), second);
+  t.equal(apply(machine, "c1", [createWorkspace("a")], 0), first);
+  t.equal(apply(machine, "c2", [createWorkspace("b")], 0), second);
   t.equal(
-    getKind(apply(machine, "c1", [createTeam("x")], 0)),
+    getKind(apply(machine, "c1", [createWorkspace("x")], 0)),
     "requestIdConflict",
   );
   t.equal(machine.getState().version, 1);
-  t.strictSame([...machine.getState().teams.keys()], ["a"]);
+  t.strictSame([...machine.getState().workspaces.keys()], ["a"]);
   t.end();
 });
 
 // Guards against a change of which a part stays behind after a refusal.
 t.test("a refused change leaves nothing behind", (t) => {
   const machine = createFleetState();
-  apply(machine, "c1", [createTeam("a"), grantKey("k1", "a")]);
+  apply(machine, "c1", [createWorkspace("a"), grantKey("k1", "a")]);
   const before = Buffer.from(machine.takeSnapshot()).toString();
   const state = JSON.parse(before).state;
   const refused: [string, FleetOperation, string][] = [
-    ["notFound", { type: "removeTeam", name: "z" }, "operations[3].name"],
-    ["notFound", { type: "updateTeam", name: "z" }, "operations[3].name"],
-    ["notFound", grantKey("k9", "z"), "operations[3].team"],
+    ["notFound", { type: "removeWorkspace", name: "z" }, "operations[3].name"],
+    ["notFound", { type: "updateWorkspace", name: "z" }, "operations[3].name"],
+    ["notFound", grantKey("k9", "z"), "operations[3].workspace"],
     ["notFound", withdrawKey("k9"), "operations[3].id"],
     ["notFound", { type: "removeQueue", name: "z" }, "operations[3].name"],
     ["notFound", { type: "updateQueue", name: "z" }, "operations[3].name"],
-    ["badRequest", createTeam("a"), "operations[3].name"],
+    ["badRequest", createWorkspace("a"), "operations[3].name"],
     ["badRequest", grantKey("k1", "a"), "operations[3].id"],
     [
       "badRequest",
@@ -89,7 +89,7 @@
   ];
   for (const [i, [kind, operation, path]] of refused.entries()) {
     const operations = [
-      createTeam("b"),
+      createWorkspace("b"),
       withdrawKey("k1"),
       { type: "createQueue", name: "q", open: false, policy: "batch" } as const,
       operation,
@@ -106,15 +106,15 @@
 });
 
 // Guards against a withdrawn key that works again, by a new grant, by the
-// removal of its team or after a restart.
+// removal of its workspace or after a restart.
 t.test("a withdrawal is final", (t) => {
   const machine = createFleetState();
-  apply(machine, "c1", [createTeam("a"), grantKey("k1", "a")]);
+  apply(machine, "c1", [createWorkspace("a"), grantKey("k1", "a")]);
   apply(machine, "c2", [grantKey("k2", "a"), grantKey("k3", "a")]);
   t.equal(getKind(apply(machine, "w1", [withdrawKey("k1")])), "version 3");
   t.equal(getKind(apply(machine, "w2", [withdrawKey("k1")])), "version 4");
-  apply(machine, "c3", [{ type: "removeTeam", name: "a" }]);
-  apply(machine, "c4", [createTeam("a")]);
+  apply(machine, "c3", [{ type: "removeWorkspace", name: "a" }]);
+  apply(machine, "c4", [createWorkspace("a")]);
   const restored = createFleetState();
   restored.restoreSnapshot(machine.takeSnapshot());
   for (const copy of [machine, restored]) {
@@ -133,8 +133,8 @@
 // the configuration meanwhile, or that counts again for each instance.
 t.test("a withdrawal from a cut-off data centre is merged once", (t) => {
   const machine = createFleetState();
-  apply(machine, "c1", [createTeam("a"), grantKey("k1", "a")], 0);
-  apply(machine, "c2", [createTeam("b")], 1);
+  apply(machine, "c1", [createWorkspace("a"), grantKey("k1", "a")], 0);
+  apply(machine, "c2", [createWorkspace("b")], 1);
   const { changeId, operations } = buildWithdrawalChange({ keyId: "k1" });
   for (let i = 0; i < 3; i++) {
     t.equal(getKind(apply(machine, changeId, operations)), "version 3");
@@ -150,11 +150,11 @@
 t.test("a resend past the bound is never applied again", (t) => {
   const machine = createFleetState({ answerMemoryCount: 2 });
   const share = (value: number): FleetOperation => ({
-    type: "updateTeam",
+    type: "updateWorkspace",
     name: "a",
     share: value,
   });
-  apply(machine, "c1", [createTeam("a")], 0);
+  apply(machine, "c1", [createWorkspace("a")], 0);
   apply(machine, "c2", [share(2)]);
   apply(machine, "c3", [share(3)], 2);
   apply(machine, "c4", [grantKey("k1", "a")]);
@@ -166,7 +166,7 @@
     t.equal(getKind(apply(copy, "c2", [share(2)])), "outcomeUnknown");
     t.equal(getKind(apply(copy, "c3", [share(3)], 2)), "versionConflict");
     t.equal(getKind(apply(copy, "c4", [grantKey("k1", "a")])), "badRequest");
-    t.equal(copy.getState().teams.get("a")?.share, 3);
+    t.equal(copy.getState().workspaces.get("a")?.share, 3);
   }
   t.end();
 });
@@ -193,7 +193,7 @@
     name: "y",
     appliedVersion,
   });
-  apply(machine, "c1", [set("x", "y"), createTeam("a")]);
+  apply(machine, "c1", [set("x", "y"), createWorkspace("a")]);
   t.equal(getKind(apply(machine, "d1", [close(1)])), "notFound");
   apply(machine, "c2", [set("x")]);
   t.strictSame(machine.getState().leavingDataCentres, ["y"]);
--- a/src/fleet/fleet_view.ts
+++ b/src/fleet/fleet_view.ts
@@ -25,8 +25,8 @@
   FleetView,
   FleetViewOptions,
   LocalWithdrawal,
-  Team,
   UpdateResult,
+  Workspace,
 } from "./types.ts";
 
 /** How long keys are honoured without a confirmation, as the design page states. */
@@ -131,12 +131,14 @@
     return "applied";
   }
 
-  function checkKey(secret: string | undefined): Team {
+  function checkKey(secret: string | undefined): Workspace {
     const keyId = secret === undefined ? undefined : findSecretKeyId(secret);
     const key = keyId === undefined ? undefined : state.keys.get(keyId);
     const isKnown = isSecretOfHash(secret ?? "", key?.hash);
-    const team = key === undefined ? undefined : state.teams.get(key.team);
-    if (!isKnown || team === undefined || withdrawals.has(keyId!)) {
+    const workspace = key === undefined
+      ? undefined
+      : state.workspaces.get(key.workspace);
+    if (!isKnown || workspace === undefined || withdrawals.has(keyId!)) {
       const message = secret === undefined
         ? "Cannot accept work without a key"
         : "Cannot accept work: the key is unknown or withdrawn";
@@ -151,7 +153,7 @@
         }, the limit is ${limitMs} ms`,
       );
     }
-    return team;
+    return workspace;
   }
 
   return {
--- a/src/fleet/fleet_view_test.ts
+++ b/src/fleet/fleet_view_test.ts
@@ -38,9 +38,9 @@
   const send = (version: number) => history.buildUpdates(version, 0);
 
   change(
-    { type: "createTeam", name: "a", share: 1, limits },
-    { type: "grantKey", id: "k1", team: "a", hash: key1.hash },
-    { type: "grantKey", id: "k2", team: "a", hash: key2.hash },
+    { type: "createWorkspace", name: "a", share: 1, limits },
+    { type: "grantKey", id: "k1", workspace: "a", hash: key1.hash },
+    { type: "grantKey", id: "k2", workspace: "a", hash: key2.hash },
   );
   for (const update of send(0)) view.applyUpdate(update);
   return { machine, history, clock, view, change, send };
@@ -136,7 +136,7 @@
 // the view confirmed at a version that is not the newest.
 t.test("only the last delta of a batch confirms", (t) => {
   const { view, clock, change, send } = createFleet({ keyStalenessLimitMs: 0 });
-  change({ type: "updateTeam", name: "a", share: 2 });
+  change({ type: "updateWorkspace", name: "a", share: 2 });
   change(withdrawKey("k1"));
   clock.advance(KEY_CONFIRMATION_GRACE_MS + 1);
   const updates = send(1);
@@ -155,7 +155,7 @@
   view.addLocalWithdrawals([{ keyId: "k1", at: 5 }]);
   view.addLocalWithdrawals([{ keyId: "k1", at: 9 }]);
   t.equal(checkKey(view, key1.secret), "unauthenticated");
-  change({ type: "updateTeam", name: "a", share: 2 });
+  change({ type: "updateWorkspace", name: "a", share: 2 });
   for (const update of send(0)) view.applyUpdate(update);
   const restarted = createFleetView({ clock, saved: view.saveState() });
   for (const copy of [view, restarted]) {
@@ -201,7 +201,7 @@
   change(withdrawKey("k2"));
   for (const update of send(1)) view.applyUpdate(update);
   stop();
-  change({ type: "removeTeam", name: "a" });
+  change({ type: "removeWorkspace", name: "a" });
   for (const update of send(3)) view.applyUpdate(update);
   t.strictSame(seen, [2, 3]);
   t.end();
--- a/src/fleet/mod.ts
+++ b/src/fleet/mod.ts
@@ -35,7 +35,7 @@
   type SheetColumn,
   type SheetProblem,
   type SheetRow,
-  type TeamRow,
+  type WorkspaceRow,
 } from "./sheet.ts";
 export { planSheet, type SheetPlan } from "./sheet_plan.ts";
 export { buildWithdrawalChange } from "./withdrawal.ts";
--- a/src/fleet/operations.ts
+++ b/src/fleet/operations.ts
@@ -5,10 +5,10 @@
 import type { Draft } from "./draft.ts";
 import { formatValue } from "./format_value.ts";
 import { isSameLimits } from "./limits.ts";
-import type { FleetOperation, Limits, Team } from "./types.ts";
+import type { FleetOperation, Limits, Workspace } from "./types.ts";
 
-/** Team names ever used. Names of removed teams count, since their divisions are kept. */
-export const MAX_TEAM_NAMES = 20_000;
+/** Workspace names ever used. Names of removed workspaces count, since their divisions are kept. */
+export const MAX_WORKSPACE_NAMES = 20_000;
 /** Keys in force at once. */
 export const MAX_KEYS = 100_000;
 /** Queues at once. */
@@ -45,35 +45,51 @@
   return sets.findIndex((set) => set.join("/") === text);
 }
 
-function setTeam(draft: Draft, team: Team): void {
-  const old = draft.teams.get(team.name);
-  draft.teams.set(team.name, team);
-  if (old !== undefined && old.limits === team.limits) return;
-  const division = draft.divisions.get(team.name);
-  const updated = updateDivision(division, team.limits, findCurrentSet(draft));
-  if (updated !== division) draft.divisions.set(team.name, updated);
+function setWorkspace(draft: Draft, workspace: Workspace): void {
+  const old = draft.workspaces.get(workspace.name);
+  draft.workspaces.set(workspace.name, workspace);
+  if (old !== undefined && old.limits === workspace.limits) return;
+  const division = draft.divisions.get(workspace.name);
+  const updated = updateDivision(
+    division,
+    workspace.limits,
+    findCurrentSet(draft),
+  );
+  if (updated !== division) draft.divisions.set(workspace.name, updated);
 }
 
-function applyCreateTeam(draft: Draft, op: Operation<"createTeam">): Outcome {
-  if (draft.teams.get(op.name) !== undefined) {
+function applyCreateWorkspace(
+  draft: Draft,
+  op: Operation<"createWorkspace">,
+): Outcome {
+  if (draft.workspaces.get(op.name) !== undefined) {
     return createProblem("badRequest", "name", op.name, "exists already");
   }
   const isNewName = draft.divisions.get(op.name) === undefined;
-  if (isNewName && draft.divisions.getSize() >= MAX_TEAM_NAMES) {
-    const message = `is one more than ${MAX_TEAM_NAMES} team names`;
+  if (isNewName && draft.divisions.getSize() >= MAX_WORKSPACE_NAMES) {
+    const message = `is one more than ${MAX_WORKSPACE_NAMES} workspace names`;
     return createProblem("limitReached", "name", op.name, message);
   }
-  setTeam(draft, { name: op.name, share: op.share, limits: op.limits });
+  setWorkspace(draft, { name: op.name, share: op.share, limits: op.limits });
 }
 
-function applyUpdateTeam(draft: Draft, op: Operation<"updateTeam">): Outcome {
-  const team = draft.teams.get(op.name);
-  if (team === undefined) {
-    return createProblem("notFound", "name", op.name, "is not a team");
+function applyUpdateWorkspace(
+  draft: Draft,
+  op: Operation<"updateWorkspace">,
+): Outcome {
+  const workspace = draft.workspaces.get(op.name);
+  if (workspace === undefined) {
+    return createProblem("notFound", "name", op.name, "is not a workspace");
   }
-  const merged: Limits = { ...team.limits, ...op.limits };
-  const limits = isSameLimits(merged, team.limits) ? team.limits : merged;
-  setTeam(draft, { name: op.name, share: op.share ?? team.share, limits });
+  const merged: Limits = { ...workspace.limits, ...op.limits };
+  const limits = isSameLimits(merged, workspace.limits)
+    ? workspace.limits
+    : merged;
+  setWorkspace(draft, {
+    name: op.name,
+    share: op.share ?? workspace.share,
+    limits,
+  });
 }
 
 function withdraw(draft: Draft, keyId: string): void {
@@ -83,21 +99,29 @@
   draft.addWithdrawnKey({ ...key, withdrawnAt: draft.at });
 }
 
-function applyRemoveTeam(draft: Draft, op: Operation<"removeTeam">): Outcome {
-  if (draft.teams.get(op.name) === undefined) {
-    return createProblem("notFound", "name", op.name, "is not a team");
+function applyRemoveWorkspace(
+  draft: Draft,
+  op: Operation<"removeWorkspace">,
+): Outcome {
+  if (draft.workspaces.get(op.name) === undefined) {
+    return createProblem("notFound", "name", op.name, "is not a workspace");
   }
   for (const key of draft.keys.list()) {
-    if (key.team === op.name) withdraw(draft, key.id);
+    if (key.workspace === op.name) withdraw(draft, key.id);
   }
-  // The division stays, so that a team of the same name that is created
+  // The division stays, so that a workspace of the same name that is created
   // before some data centre has seen the removal gets no unit twice.
-  draft.teams.remove(op.name);
+  draft.workspaces.remove(op.name);
 }
 
 function applyGrantKey(draft: Draft, op: Operation<"grantKey">): Outcome {
-  if (draft.teams.get(op.team) === undefined) {
-    return createProblem("notFound", "team", op.team, "is not a team");
+  if (draft.workspaces.get(op.workspace) === undefined) {
+    return createProblem(
+      "notFound",
+      "workspace",
+      op.workspace,
+      "is not a workspace",
+    );
   }
   if (draft.isWithdrawn(op.id)) {
     const message = "was withdrawn, which is final; use a new identifier";
@@ -112,7 +136,7 @@
   }
   draft.keys.set(op.id, {
     id: op.id,
-    team: op.team,
+    workspace: op.workspace,
     hash: op.hash,
     grantedAt: draft.at,
   });
@@ -211,18 +235,18 @@
     );
   }
   const currentSet = findCurrentSet(draft);
-  for (const team of draft.divisions.listNames()) {
+  for (const workspace of draft.divisions.listNames()) {
     const division = closeDivision(
       {
-        teams: draft.teams,
+        workspaces: draft.workspaces,
         divisions: draft.divisions,
         dataCentreSets: old.sets,
       },
-      team,
+      workspace,
       op.name,
       currentSet,
     );
-    if (division !== undefined) draft.divisions.set(team, division);
+    if (division !== undefined) draft.divisions.set(workspace, division);
   }
   draft.setDataCentres({
     ...old,
@@ -233,12 +257,12 @@
 
 function applyOperation(draft: Draft, op: FleetOperation): Outcome {
   switch (op.type) {
-    case "createTeam":
-      return applyCreateTeam(draft, op);
-    case "updateTeam":
-      return applyUpdateTeam(draft, op);
-    case "removeTeam":
-      return applyRemoveTeam(draft, op);
+    case "createWorkspace":
+      return applyCreateWorkspace(draft, op);
+    case "updateWorkspace":
+      return applyUpdateWorkspace(draft, op);
+    case "removeWorkspace":
+      return applyRemoveWorkspace(draft, op);
     case "grantKey":
       return applyGrantKey(draft, op);
     case "withdrawKey":
--- a/src/fleet/schema.ts
+++ b/src/fleet/schema.ts
@@ -18,7 +18,7 @@
 export const MAX_LIMIT = 1_000_000_000_000;
 /** The largest share. */
 export const MAX_SHARE = 1_000_000;
-/** Operations in one change: a sheet with 890 teams, their keys and queues fits. */
+/** Operations in one change: a sheet with 890 workspaces, their keys and queues fits. */
 export const MAX_OPERATION_COUNT = 20_000;
 /** Bytes of one encoded command. */
 export const MAX_COMMAND_BYTES = 4_194_304;
@@ -72,22 +72,22 @@
 
 const operationSchema = z.discriminatedUnion("type", [
   z.strictObject({
-    type: z.literal("createTeam"),
+    type: z.literal("createWorkspace"),
     name: nameSchema,
     share: shareSchema,
     limits: limitsSchema,
   }),
   z.strictObject({
-    type: z.literal("updateTeam"),
+    type: z.literal("updateWorkspace"),
     name: nameSchema,
     share: shareSchema.optional(),
     limits: limitsSchema.partial().optional(),
   }),
-  z.strictObject({ type: z.literal("removeTeam"), name: nameSchema }),
+  z.strictObject({ type: z.literal("removeWorkspace"), name: nameSchema }),
   z.strictObject({
     type: z.literal("grantKey"),
     id: keyIdSchema,
-    team: nameSchema,
+    workspace: nameSchema,
     hash: hashSchema,
   }),
   z.strictObject({ type: z.literal("withdrawKey"), id: keyIdSchema }),
--- a/src/fleet/schema_test.ts
+++ b/src/fleet/schema_test.ts
@@ -5,7 +5,7 @@
 import { decodeCommand, encodeCommand, parseChange } from "./schema.ts";
 
 const limits = { slots: 1, processors: 2, memoryMb: 3, accelerators: 0 };
-const team = { type: "createTeam", name: "a", share: 1, limits };
+const workspace = { type: "createWorkspace", name: "a", share: 1, limits };
 const { secret } = createKeySecret({ id: "k1" });
 
 const cases: [string, unknown, string][] = [
@@ -14,24 +14,27 @@
   ["empty", { changeId: "c", operations: [] }, "operations: [] is empty"],
   [
     "unknown field",
-    { changeId: "c", operations: [{ ...team, colour: "red" }] },
+    { changeId: "c", operations: [{ ...workspace, colour: "red" }] },
     'operations[0].colour: "red" is an unknown field',
   ],
   [
     "unknown field at the top",
-    { changeId: "c", force: true, operations: [team] },
+    { changeId: "c", force: true, operations: [workspace] },
     "force: true is an unknown field",
   ],
   [
     "unknown operation",
-    { changeId: "c", operations: [{ type: "dropTeam" }] },
-    'operations[0].type: "dropTeam" is not the name of an operation',
+    { changeId: "c", operations: [{ type: "dropWorkspace" }] },
+    'operations[0].type: "dropWorkspace" is not the name of an operation',
   ],
   [
     "negative limit",
     {
       changeId: "c",
-      operations: [team, { ...team, limits: { ...limits, slots: -3 } }],
+      operations: [workspace, {
+        ...workspace,
+        limits: { ...limits, slots: -3 },
+      }],
     },
     "operations[1].limits.slots: -3 is not an integer from 0",
   ],
@@ -39,35 +42,40 @@
     "fraction",
     {
       changeId: "c",
-      operations: [{ ...team, limits: { ...limits, memoryMb: 1.5 } }],
+      operations: [{ ...workspace, limits: { ...limits, memoryMb: 1.5 } }],
     },
     "operations[0].limits.memoryMb: 1.5 is not an integer",
   ],
   [
     "missing limit",
-    { changeId: "c", operations: [{ ...team, limits: {} }] },
+    { changeId: "c", operations: [{ ...workspace, limits: {} }] },
     "operations[0].limits.slots: nothing is missing",
   ],
   [
     "share 0",
-    { changeId: "c", operations: [{ ...team, share: 0 }] },
+    { changeId: "c", operations: [{ ...workspace, share: 0 }] },
     "operations[0].share: 0 is not a number above 0",
   ],
   [
     "name with a slash",
-    { changeId: "c", operations: [{ type: "removeTeam", name: "a/b" }] },
+    { changeId: "c", operations: [{ type: "removeWorkspace", name: "a/b" }] },
     'operations[0].name: "a/b" is not a name',
   ],
   [
     "negative version",
-    { changeId: "c", expectedVersion: -1, operations: [team] },
+    { changeId: "c", expectedVersion: -1, operations: [workspace] },
     "expectedVersion: -1 is not a version",
   ],
   [
     "secret instead of a hash",
     {
       changeId: "c",
-      operations: [{ type: "grantKey", id: "k1", team: "a", hash: secret }],
+      operations: [{
+        type: "grantKey",
+        id: "k1",
+        workspace: "a",
+        hash: secret,
+      }],
     },
     'operations[0].hash: "gcl_k1_***" is not a SHA-256 hash',
   ],
@@ -91,7 +99,7 @@
 // Guards against a command that a replica reads differently from its proposer,
 // and against one that no replica can read.
 t.test("a command is decoded as it was encoded", (t) => {
-  const change = parseChange({ changeId: "c", operations: [team] });
+  const change = parseChange({ changeId: "c", operations: [workspace] });
   t.strictSame(decodeCommand(encodeCommand({ at: 5, change })), {
     at: 5,
     change,
--- a/src/fleet/sheet.ts
+++ b/src/fleet/sheet.ts
@@ -1,6 +1,6 @@
 /**
  * The planners' sheet: a CSV file with a header row and one row for each
- * team, key or queue. Exports from spreadsheets differ in delimiter, line
+ * workspace, key or queue. Exports from spreadsheets differ in delimiter, line
  * ends, byte order mark and number format; what is clear is read, and
  * everything else is refused with its row and column.
  */
@@ -19,7 +19,12 @@
 } from "./sheet_values.ts";
 import { QUEUE_POLICIES, type QueuePolicy } from "./types.ts";
 
-/** Characters of a sheet; 890 teams with all their keys take a tenth of it. */
+/** Words that planners' exports use beside the names of kinds and columns. */
+const SHEET_WORDS: Readonly<Record<string, string>> = Object.freeze({
+  team: "workspace",
+});
+
+/** Characters of a sheet; 890 workspaces with all their keys take a tenth of it. */
 export const MAX_SHEET_LENGTH = 4_194_304;
 /** Problems named in one message; the rest are counted. */
 const MAX_LISTED_PROBLEM_COUNT = 10;
@@ -35,7 +40,7 @@
     "processors",
     "memoryMb",
     "accelerators",
-    "team",
+    "workspace",
     "hash",
     "open",
     "policy",
@@ -51,9 +56,9 @@
   readonly name: string;
 }
 
-/** A team to create, update or remove. Empty cells leave a value as it is. */
-export interface TeamRow extends RowBase {
-  readonly kind: "team";
+/** A workspace to create, update or remove. Empty cells leave a value as it is. */
+export interface WorkspaceRow extends RowBase {
+  readonly kind: "workspace";
   readonly action: "set" | "remove";
   readonly share?: number;
   readonly slots?: number;
@@ -67,7 +72,7 @@
 export interface KeyRow extends RowBase {
   readonly kind: "key";
   readonly action: "grant" | "withdraw";
-  readonly team?: string;
+  readonly workspace?: string;
   readonly hash?: string;
 }
 
@@ -80,7 +85,7 @@
 }
 
 /** A row that was read. */
-export type SheetRow = TeamRow | KeyRow | QueueRow;
+export type SheetRow = WorkspaceRow | KeyRow | QueueRow;
 
 /** One thing that is wrong with a sheet. */
 export interface SheetProblem {
@@ -128,7 +133,7 @@
 const READERS: Readonly<
   Record<SheetRow["kind"], Partial<Record<SheetColumn, CellReader>>>
 > = Object.freeze({
-  team: {
+  workspace: {
     name: readName,
     action: readSetAction,
     share: parseShareCell,
@@ -140,7 +145,7 @@
   key: {
     name: readKeyId,
     action: createWordReader(["grant", "withdraw"]),
-    team: readName,
+    workspace: readName,
     hash: readHash,
   },
   queue: {
@@ -189,7 +194,8 @@
 }
 
 function toPlainName(text: string): string {
-  return text.toLowerCase().replace(/[\s_-]/g, "");
+  const plain = text.toLowerCase().replace(/[\s_-]/g, "");
+  return SHEET_WORDS[plain] ?? plain;
 }
 
 interface Header {
@@ -267,15 +273,16 @@
     const values = readCells(cells, row);
     if (values.size === 0) return undefined;
     const kindText = values.get("kind") ?? "";
-    const kind = (["team", "key", "queue"] as const).find((word) =>
-      word === kindText.toLowerCase()
+    const kindWord = kindText.toLowerCase();
+    const kind = (["workspace", "key", "queue"] as const).find((word) =>
+      word === (SHEET_WORDS[kindWord] ?? kindWord)
     );
     if (kind === undefined) {
       return addProblem(
         row,
         "kind",
         kindText,
-        "is not one of team, key, queue",
+        "is not one of workspace, key, queue",
       );
     }
     values.delete("kind");
@@ -293,7 +300,7 @@
       addProblem(row, "action", "", "is neither grant nor withdraw");
     }
     if (kind === "key" && entry["action"] === "grant") {
-      for (const column of ["team", "hash"] as const) {
+      for (const column of ["workspace", "hash"] as const) {
         if (!values.has(column)) addProblem(row, column, "", "is empty");
       }
     }
--- a/src/fleet/sheet_plan.ts
+++ b/src/fleet/sheet_plan.ts
@@ -13,7 +13,7 @@
   type QueueRow,
   type SheetProblem,
   type SheetRow,
-  type TeamRow,
+  type WorkspaceRow,
 } from "./sheet.ts";
 import {
   type FleetChange,
@@ -40,9 +40,9 @@
   readonly notes: string[];
   readonly problems: SheetProblem[];
   readonly operations: FleetOperation[];
-  /** Teams that the sheet creates or keeps, and those that it removes. */
-  readonly setTeams: ReadonlySet<string>;
-  readonly removedTeams: ReadonlySet<string>;
+  /** Workspaces that the sheet creates or keeps, and those that it removes. */
+  readonly setWorkspaces: ReadonlySet<string>;
+  readonly removedWorkspaces: ReadonlySet<string>;
 }
 
 function addProblem(
@@ -69,11 +69,11 @@
     .join(", ");
 }
 
-function planNewTeam(planner: Planner, row: TeamRow): void {
+function planNewWorkspace(planner: Planner, row: WorkspaceRow): void {
   const columns = ["share", ...LIMIT_NAMES] as const;
   const missing = columns.filter((column) => row[column] === undefined);
   for (const column of missing) {
-    addProblem(planner, row, column, "", "is empty, and the team is new");
+    addProblem(planner, row, column, "", "is empty, and the workspace is new");
   }
   if (missing.length > 0) return;
   const limits = Object.fromEntries(
@@ -82,77 +82,86 @@
   const { name } = row;
   const share = row.share!;
   planner.lines.push(
-    `team "${name}": create with share ${share}, ${formatLimits(limits)}`,
+    `workspace "${name}": create with share ${share}, ${formatLimits(limits)}`,
   );
-  planner.operations.push({ type: "createTeam", name, share, limits });
+  planner.operations.push({ type: "createWorkspace", name, share, limits });
 }
 
-function planTeam(planner: Planner, row: TeamRow): void {
+function planWorkspace(planner: Planner, row: WorkspaceRow): void {
   const { name } = row;
-  const team = planner.state.teams.get(name);
+  const workspace = planner.state.workspaces.get(name);
   if (row.action === "remove") {
-    if (team === undefined) {
-      planner.notes.push(`row ${row.row}: team "${name}" does not exist`);
+    if (workspace === undefined) {
+      planner.notes.push(`row ${row.row}: workspace "${name}" does not exist`);
       return;
     }
     const keys = [...planner.state.keys.values()].filter((key) =>
-      key.team === name
+      key.workspace === name
     );
     planner.lines.push(
-      `team "${name}": remove, withdraw its ${keys.length} keys`,
+      `workspace "${name}": remove, withdraw its ${keys.length} keys`,
     );
-    planner.operations.push({ type: "removeTeam", name });
+    planner.operations.push({ type: "removeWorkspace", name });
     return;
   }
-  if (team === undefined) {
-    planNewTeam(planner, row);
+  if (workspace === undefined) {
+    planNewWorkspace(planner, row);
     return;
   }
-  const share = row.share ?? team.share;
+  const share = row.share ?? workspace.share;
   const limits = Object.fromEntries(
-    LIMIT_NAMES.map((limit) => [limit, row[limit] ?? team.limits[limit]]),
+    LIMIT_NAMES.map((limit) => [limit, row[limit] ?? workspace.limits[limit]]),
   ) as unknown as Limits;
   const differences = LIMIT_NAMES
-    .filter((limit) => limits[limit] !== team.limits[limit])
+    .filter((limit) => limits[limit] !== workspace.limits[limit])
     .map((limit) =>
-      `${limit} ${formatLimit(limit, team.limits[limit])} → ${
+      `${limit} ${formatLimit(limit, workspace.limits[limit])} → ${
         formatLimit(limit, limits[limit])
       }`
     );
-  if (share !== team.share) {
-    differences.unshift(`share ${team.share} → ${share}`);
+  if (share !== workspace.share) {
+    differences.unshift(`share ${workspace.share} → ${share}`);
   }
   if (differences.length === 0) return;
-  planner.lines.push(`team "${name}": ${differences.join(", ")}`);
+  planner.lines.push(`workspace "${name}": ${differences.join(", ")}`);
   planner.operations.push({
-    type: "updateTeam",
+    type: "updateWorkspace",
     name,
-    ...(share === team.share ? {} : { share }),
-    ...(isSameLimits(limits, team.limits) ? {} : { limits }),
+    ...(share === workspace.share ? {} : { share }),
+    ...(isSameLimits(limits, workspace.limits) ? {} : { limits }),
   });
 }
 
 function planGrant(planner: Planner, row: KeyRow): void {
   const { name: id } = row;
-  const team = row.team!;
+  const workspace = row.workspace!;
   const hash = row.hash!;
   const key = planner.state.keys.get(id);
-  if (planner.removedTeams.has(team)) {
-    addProblem(planner, row, "team", team, "is removed by this sheet");
+  if (planner.removedWorkspaces.has(workspace)) {
+    addProblem(
+      planner,
+      row,
+      "workspace",
+      workspace,
+      "is removed by this sheet",
+    );
     return;
   }
-  if (!planner.state.teams.has(team) && !planner.setTeams.has(team)) {
-    addProblem(planner, row, "team", team, "is not a team");
+  if (
+    !planner.state.workspaces.has(workspace) &&
+    !planner.setWorkspaces.has(workspace)
+  ) {
+    addProblem(planner, row, "workspace", workspace, "is not a workspace");
     return;
   }
   if (key === undefined) {
-    planner.lines.push(`key "${id}": grant to team "${team}"`);
-    planner.operations.push({ type: "grantKey", id, team, hash });
+    planner.lines.push(`key "${id}": grant to workspace "${workspace}"`);
+    planner.operations.push({ type: "grantKey", id, workspace, hash });
     return;
   }
-  if (key.team !== team || key.hash !== hash) {
+  if (key.workspace !== workspace || key.hash !== hash) {
     const message =
-      `is granted to team "${key.team}" already, with another team or hash; use a new identifier`;
+      `is granted to workspace "${key.workspace}" already, with another workspace or hash; use a new identifier`;
     addProblem(planner, row, "name", id, message);
   }
 }
@@ -170,11 +179,17 @@
     );
     return;
   }
-  if (row.team !== undefined && row.team !== key.team) {
-    addProblem(planner, row, "team", row.team, `does not have the key "${id}"`);
+  if (row.workspace !== undefined && row.workspace !== key.workspace) {
+    addProblem(
+      planner,
+      row,
+      "workspace",
+      row.workspace,
+      `does not have the key "${id}"`,
+    );
     return;
   }
-  planner.lines.push(`key "${id}" of team "${key.team}": withdraw`);
+  planner.lines.push(`key "${id}" of workspace "${key.workspace}": withdraw`);
   planner.operations.push({ type: "withdrawKey", id });
 }
 
@@ -209,7 +224,7 @@
 }
 
 function isRemoval(row: SheetRow): boolean {
-  return row.kind === "team" && row.action === "remove";
+  return row.kind === "workspace" && row.action === "remove";
 }
 
 function buildChange(
@@ -236,25 +251,29 @@
   state: FleetState,
   rows: readonly SheetRow[],
 ): SheetPlan {
-  const teamRows = rows.filter((row) => row.kind === "team");
-  const listNames = (action: TeamRow["action"]) =>
-    teamRows.filter((row) => row.action === action).map((row) => row.name);
+  const workspaceRows = rows.filter((row) => row.kind === "workspace");
+  const listNames = (action: WorkspaceRow["action"]) =>
+    workspaceRows.filter((row) => row.action === action).map((row) => row.name);
   const planner: Planner = {
     state,
     lines: [],
     notes: [],
     problems: [],
     operations: [],
-    setTeams: new Set(listNames("set")),
-    removedTeams: new Set(listNames("remove")),
+    setWorkspaces: new Set(listNames("set")),
+    removedWorkspaces: new Set(listNames("remove")),
   };
-  // Keys after the teams that they need; removals last.
+  // Keys after the workspaces that they need; removals last.
   const queueRows = rows.filter((row) => row.kind === "queue");
   const keyRows = rows.filter((row) => row.kind === "key");
   for (const row of queueRows) planQueue(planner, row);
-  for (const row of teamRows) if (!isRemoval(row)) planTeam(planner, row);
+  for (const row of workspaceRows) {
+    if (!isRemoval(row)) planWorkspace(planner, row);
+  }
   for (const row of keyRows) planKey(planner, row);
-  for (const row of teamRows) if (isRemoval(row)) planTeam(planner, row);
+  for (const row of workspaceRows) {
+    if (isRemoval(row)) planWorkspace(planner, row);
+  }
   if (planner.problems.length > 0) throw createSheetFault(planner.problems);
   const { lines, notes, operations } = planner;
   if (operations.length === 0) return { lines, notes };
--- a/src/fleet/sheet_test.ts
+++ b/src/fleet/sheet_test.ts
@@ -10,16 +10,16 @@
 const SEED = 20_261_204;
 const HASH = "ab".repeat(32);
 const HEADER =
-  "kind;name;action;share;slots;processors;memoryMb;accelerators;team;hash;open;policy";
+  "kind;name;action;share;slots;processors;memoryMb;accelerators;workspace;hash;open;policy";
 
 // A real export: byte order mark, semicolons, quotes, decimal commas, empty
 // rows, trailing columns and CR LF.
 const EXPORT = "\uFEFF" + [
   HEADER.replace("memoryMb", '"Memory MB"') + ";;",
-  'team;"kochi-laces";;1,5;8;2,25;4096;0;;;;;;',
+  'workspace;"kochi-laces";;1,5;8;2,25;4096;0;;;;;;',
   ";;;;;;;;;;;;;",
   "",
-  "Team;thrissur.cords;set;2;4;0,5;1024,0;1;;;;",
+  "Workspace;thrissur.cords;set;2;4;0,5;1024,0;1;;;;",
   `key;k-1;grant;;;;;;kochi-laces;${HASH};;;;`,
   "queue;orders;;;;;;;;;no;requests",
   "queue;retail;;;;;;;;;YES;requests;;",
@@ -29,12 +29,12 @@
   ["empty file", "", 'row 1, column "kind": "" is missing in the header'],
   [
     "no header",
-    "team;a;set",
+    "workspace;a;set",
     'row 1, column "a": "a" is not one of kind',
   ],
   [
     "unknown column",
-    "kind,name,colour\nteam,a,red",
+    "kind,name,colour\nworkspace,a,red",
     'row 1, column "colour": "colour" is not one of kind',
   ],
   [
@@ -44,63 +44,79 @@
   ],
   [
     "open quote",
-    'kind;name\nteam;"a',
+    'kind;name\nworkspace;"a',
     "the quotes are not closed",
   ],
   [
     "stray quote",
-    'kind;name\nteam;a"b"',
+    'kind;name\nworkspace;a"b"',
     "the quotes are not closed or stand inside",
   ],
   [
     "value past the header",
-    "kind;name\nteam;a;;7",
+    "kind;name\nworkspace;a;;7",
     'row 2, column "4": "7" stands in a column without name',
   ],
-  ["unknown kind", "kind;name\n\nteams;a", 'row 3, column "kind": "teams" is'],
-  ["no name", "kind;name;slots\nteam;;4", 'row 2, column "name": "" is empty'],
-  ["bad name", "kind;name\nteam;a/b", 'row 2, column "name": "a/b" is not'],
+  [
+    "unknown kind",
+    "kind;name\n\nworkspaces;a",
+    'row 3, column "kind": "workspaces" is',
+  ],
+  [
+    "no name",
+    "kind;name;slots\nworkspace;;4",
+    'row 2, column "name": "" is empty',
+  ],
+  [
+    "bad name",
+    "kind;name\nworkspace;a/b",
+    'row 2, column "name": "a/b" is not',
+  ],
   [
     "row counted after empty rows",
-    "kind;name;slots\r\nteam;a;1\r\n;;\r\n\r\nteam;b;-3",
+    "kind;name;slots\r\nworkspace;a;1\r\n;;\r\n\r\nworkspace;b;-3",
     'row 5, column "slots": "-3" is not a non-negative integer',
   ],
   [
     "row counted after a line break in quotes",
-    'kind;name;slots\nteam;"a\nb";1\nteam;c;x',
+    'kind;name;slots\nworkspace;"a\nb";1\nworkspace;c;x',
     'row 3, column "slots": "x" is not a non-negative integer',
   ],
   [
     "fraction of a slot",
-    "kind;name;slots\nteam;a;1,5",
+    "kind;name;slots\nworkspace;a;1,5",
     '"1,5" is not a non-negative integer',
   ],
   [
     "thousands separator",
-    "kind;name;memoryMb\nteam;a;4.096",
+    "kind;name;memoryMb\nworkspace;a;4.096",
     '"4.096" can mean a thousand times as much',
   ],
   [
     "thousands separator in cores",
-    'kind,name,processors\nteam,a,"1,500"',
+    'kind,name,processors\nworkspace,a,"1,500"',
     '"1,500" can mean a thousand times as much',
   ],
   [
     "two separators",
-    "kind;name;processors\nteam;a;1.234,5",
+    "kind;name;processors\nworkspace;a;1.234,5",
     '"1.234,5" is not a number of cores',
   ],
   [
     "too fine",
-    "kind;name;processors\nteam;a;0,0001",
+    "kind;name;processors\nworkspace;a;0,0001",
     '"0,0001" is not a number of cores',
   ],
-  ["share 0", "kind;name;share\nteam;a;0,0", '"0,0" is not a number above 0'],
-  ["exponent", "kind;name;slots\nteam;a;1E+05", '"1E+05" is not'],
-  ["formula error", "kind;name;slots\nteam;a;#REF!", '"#REF!" is not'],
+  [
+    "share 0",
+    "kind;name;share\nworkspace;a;0,0",
+    '"0,0" is not a number above 0',
+  ],
+  ["exponent", "kind;name;slots\nworkspace;a;1E+05", '"1E+05" is not'],
+  ["formula error", "kind;name;slots\nworkspace;a;#REF!", '"#REF!" is not'],
   [
     "too large",
-    "kind;name;slots\nteam;a;9999999999999",
+    "kind;name;slots\nworkspace;a;9999999999999",
     "is more than 1000000000000",
   ],
   [
@@ -115,22 +131,22 @@
   ],
   [
     "grant without hash",
-    "kind;name;action;team\nkey;k1;grant;a",
+    "kind;name;action;workspace\nkey;k1;grant;a",
     'row 2, column "hash": "" is empty',
   ],
   [
     "secret instead of a hash",
-    `kind;name;action;team;hash\nkey;k1;grant;a;gcl_k1_${"x".repeat(43)}`,
+    `kind;name;action;workspace;hash\nkey;k1;grant;a;gcl_k1_${"x".repeat(43)}`,
     'column "hash": "gcl_k1_***" is not a SHA-256 hash',
   ],
   [
     "name twice",
-    "kind;name;slots\nteam;a;1\nteam;a;2",
+    "kind;name;slots\nworkspace;a;1\nworkspace;a;2",
     'row 3, column "name": "a" is named in row 2 already',
   ],
   [
     "wrong character set",
-    "kind;name\nteam;caf\uFFFD",
+    "kind;name\nworkspace;caf\uFFFD",
     'row 2, column "name": "caf\uFFFD" is not UTF-8 text',
   ],
   ["UTF-16", "k\0i\0n\0d\0", "the file is not UTF-8 text"],
@@ -152,12 +168,28 @@
   t.end();
 });
 
+// Guards against exports of planners who call a workspace a team.
+t.test("team is read as workspace", (t) => {
+  const rows = parseSheet(
+    `Kind;Name;Action;Team;Hash\nTeam;a;remove;;\nkey;k1;grant;b;${HASH}`,
+  );
+  t.match(rows, [
+    { kind: "workspace", name: "a" },
+    { kind: "key", workspace: "b" },
+  ]);
+  t.throws(
+    () => parseSheet("kind;name;team;workspace\nkey;k1;a;b"),
+    { message: /is named twice/ },
+  );
+  t.end();
+});
+
 // Guards against real exports that are refused or read wrongly.
 t.test("a real export is read", (t) => {
   const rows = parseSheet(EXPORT);
   t.strictSame(rows[0], {
     row: 2,
-    kind: "team",
+    kind: "workspace",
     name: "kochi-laces",
     share: 1.5,
     slots: 8,
@@ -197,7 +229,7 @@
   const plan = planSheet(machine.getState(), rows);
   t.equal(plan.lines.length, 5);
   const created =
-    'team "kochi-laces": create with share 1.5, slots 8, processors 2.25, memoryMb 4096, accelerators 0';
+    'workspace "kochi-laces": create with share 1.5, slots 8, processors 2.25, memoryMb 4096, accelerators 0';
   t.ok(plan.lines.includes(created));
   t.strictSame(planSheet(machine.getState(), rows).change, plan.change);
   const answer = send(plan.change!);
@@ -208,18 +240,18 @@
   const next = planSheet(
     machine.getState(),
     parseSheet(
-      "kind,name,action,slots\nteam,kochi-laces,,9\nteam,thrissur.cords,remove,\n" +
+      "kind,name,action,slots\nworkspace,kochi-laces,,9\nworkspace,thrissur.cords,remove,\n" +
         "key,k-1,withdraw,\nkey,k-2,withdraw,\nqueue,none,remove,",
     ),
   );
   t.strictSame(next.lines, [
-    'team "kochi-laces": slots 8 → 9',
-    'key "k-1" of team "kochi-laces": withdraw',
-    'team "thrissur.cords": remove, withdraw its 0 keys',
+    'workspace "kochi-laces": slots 8 → 9',
+    'key "k-1" of workspace "kochi-laces": withdraw',
+    'workspace "thrissur.cords": remove, withdraw its 0 keys',
   ]);
   t.equal(next.notes.length, 2);
   t.match(send(next.change!), { accepted: true, version: 2 });
-  t.equal(machine.getState().teams.get("kochi-laces")?.share, 1.5);
+  t.equal(machine.getState().workspaces.get("kochi-laces")?.share, 1.5);
   t.not(next.change?.changeId, plan.change?.changeId);
   t.end();
 });
@@ -228,19 +260,25 @@
 t.test("rows that do not fit the state are named", (t) => {
   const { machine, send } = createFleet();
   send(planSheet(machine.getState(), parseSheet(EXPORT)).change!);
-  const header = "kind;name;action;team;hash;slots;policy\n";
+  const header = "kind;name;action;workspace;hash;slots;policy\n";
   const misfits: [string, string][] = [
-    ["team;new;;;;4;", 'row 2, column "share": "" is empty, and the team'],
+    [
+      "workspace;new;;;;4;",
+      'row 2, column "share": "" is empty, and the workspace',
+    ],
     ["queue;new;;;;;", 'row 2, column "policy": "" is empty, and the queue'],
-    [`key;k-9;grant;none;${HASH};;`, 'column "team": "none" is not a team'],
+    [
+      `key;k-9;grant;none;${HASH};;`,
+      'column "workspace": "none" is not a workspace',
+    ],
     [
       `key;k-1;grant;kochi-laces;${"cd".repeat(32)};;`,
-      'column "name": "k-1" is granted to team "kochi-laces" already',
+      'column "name": "k-1" is granted to workspace "kochi-laces" already',
     ],
     ["key;k-1;withdraw;thrissur.cords;;;", 'does not have the key "k-1"'],
     [
-      `team;kochi-laces;remove;;;;\nkey;k-9;grant;kochi-laces;${HASH};;`,
-      'row 3, column "team": "kochi-laces" is removed by this sheet',
+      `workspace;kochi-laces;remove;;;;\nkey;k-9;grant;kochi-laces;${HASH};;`,
+      'row 3, column "workspace": "kochi-laces" is removed by this sheet',
     ],
   ];
   for (const [text, expected] of misfits) {
@@ -260,7 +298,17 @@
 t.test("any text is read or refused with a fault", (t) => {
   t.comment(`seed ${SEED}`);
   const cell = fc.oneof(
-    fc.constantFrom("", "team", "key", "queue", "a", "1,5", "8", '"', "set"),
+    fc.constantFrom(
+      "",
+      "workspace",
+      "key",
+      "queue",
+      "a",
+      "1,5",
+      "8",
+      '"',
+      "set",
+    ),
     fc.constantFrom("grant", "withdraw", HASH, "no", "batch", "\r\n", "\0"),
     fc.string(),
   );
--- a/src/fleet/state_codec.ts
+++ b/src/fleet/state_codec.ts
@@ -1,6 +1,6 @@
 /**
  * Encoding of states and deltas as JSON with positional rows. Rows without
- * field names make the full state of 890 teams small enough to send whole.
+ * field names make the full state of 890 workspaces small enough to send whole.
  */
 
 import { Buffer } from "node:buffer";
@@ -14,13 +14,13 @@
   type Limits,
   type Queue,
   QUEUE_POLICIES,
-  type Team,
+  type Workspace,
 } from "./types.ts";
 
 /** A state that its owner changes. */
 export interface MutableFleetState extends FleetState {
   version: number;
-  readonly teams: Map<string, Team>;
+  readonly workspaces: Map<string, Workspace>;
   readonly keys: Map<string, Key>;
   readonly queues: Map<string, Queue>;
   dataCentres: readonly string[];
@@ -35,7 +35,7 @@
 export function createEmptyState(): MutableFleetState {
   return {
     version: 0,
-    teams: new Map(),
+    workspaces: new Map(),
     keys: new Map(),
     queues: new Map(),
     dataCentres: [],
@@ -51,7 +51,7 @@
 
 const names = z.array(z.string());
 const limitsRow = z.tuple([z.int(), z.int(), z.int(), z.int()]);
-const teamRow = z.tuple([z.string(), z.number(), limitsRow]);
+const workspaceRow = z.tuple([z.string(), z.number(), limitsRow]);
 const keyRow = z.union([
   z.tuple([z.string(), z.string(), z.string(), z.number()]),
   z.tuple([z.string(), z.string(), z.string(), z.number(), z.number()]),
@@ -73,7 +73,7 @@
 export const stateRowsSchema = z.strictObject({
   version: z.int(),
   divisionVersion: z.int(),
-  teams: z.array(teamRow),
+  workspaces: z.array(workspaceRow),
   keys: z.array(keyRow),
   queues: z.array(queueRow),
   divisions: z.array(divisionRow),
@@ -83,8 +83,8 @@
 const deltaRowsSchema = z.strictObject({
   version: z.int(),
   divisionVersion: z.int().optional(),
-  teams: z.array(teamRow).optional(),
-  removedTeams: names.optional(),
+  workspaces: z.array(workspaceRow).optional(),
+  removedWorkspaces: names.optional(),
   keys: z.array(keyRow).optional(),
   withdrawnKeys: names.optional(),
   queues: z.array(queueRow).optional(),
@@ -97,7 +97,7 @@
 export type StateRows = z.infer<typeof stateRowsSchema>;
 type KeyRow = z.infer<typeof keyRow>;
 type LimitsRow = z.infer<typeof limitsRow>;
-type TeamRow = z.infer<typeof teamRow>;
+type WorkspaceRow = z.infer<typeof workspaceRow>;
 type DivisionRow = z.infer<typeof divisionRow>;
 
 function toLimitsRow(limits: Limits): LimitsRow {
@@ -114,11 +114,11 @@
   return { slots, processors, memoryMb, accelerators };
 }
 
-function toTeamRow(team: Team): TeamRow {
-  return [team.name, team.share, toLimitsRow(team.limits)];
+function toWorkspaceRow(workspace: Workspace): WorkspaceRow {
+  return [workspace.name, workspace.share, toLimitsRow(workspace.limits)];
 }
 
-function readTeam([name, share, limits]: TeamRow): Team {
+function readWorkspace([name, share, limits]: WorkspaceRow): Workspace {
   return { name, share, limits: readLimits(limits) };
 }
 
@@ -126,16 +126,16 @@
 export function toKeyRow(key: Key): KeyRow {
   const hash = Buffer.from(key.hash, "hex").toString("base64url");
   if (key.withdrawnAt === undefined) {
-    return [key.id, key.team, hash, key.grantedAt];
+    return [key.id, key.workspace, hash, key.grantedAt];
   }
-  return [key.id, key.team, hash, key.grantedAt, key.withdrawnAt];
+  return [key.id, key.workspace, hash, key.grantedAt, key.withdrawnAt];
 }
 
 /** Reads an encoded key. */
 export function readKey(row: KeyRow): Key {
-  const [id, team, hashRow, grantedAt, withdrawnAt] = row;
+  const [id, workspace, hashRow, grantedAt, withdrawnAt] = row;
   const hash = Buffer.from(hashRow, "base64url").toString("hex");
-  const key = { id, team, hash, grantedAt };
+  const key = { id, workspace, hash, grantedAt };
   return withdrawnAt === undefined ? key : { ...key, withdrawnAt };
 }
 
@@ -150,19 +150,19 @@
   return { name, open, policy };
 }
 
-function toDivisionRow([team, division]: readonly [string, Division]) {
+function toDivisionRow([workspace, division]: readonly [string, Division]) {
   const segments = division.segments.map(({ set, tops }) =>
     [set, toLimitsRow(tops)] as [number, LimitsRow]
   );
   const closings = division.closings.map(({ dataCentre, granted, heirs }) =>
     [dataCentre, toLimitsRow(granted), heirs] as [string, LimitsRow, number]
   );
-  return [team, segments, closings] as DivisionRow;
+  return [workspace, segments, closings] as DivisionRow;
 }
 
 function readDivision(row: DivisionRow): [string, Division] {
-  const [team, segments, closings] = row;
-  return [team, {
+  const [workspace, segments, closings] = row;
+  return [workspace, {
     segments: segments.map(([set, tops]) => ({ set, tops: readLimits(tops) })),
     closings: closings.map(([dataCentre, granted, heirs]) => ({
       dataCentre,
@@ -177,7 +177,7 @@
   return {
     version: state.version,
     divisionVersion: state.divisionVersion,
-    teams: [...state.teams.values()].map(toTeamRow),
+    workspaces: [...state.workspaces.values()].map(toWorkspaceRow),
     keys: [...state.keys.values()].map(toKeyRow),
     queues: [...state.queues.values()].map(toQueueRow),
     divisions: [...state.divisions].map(toDivisionRow),
@@ -195,7 +195,9 @@
   return {
     version: rows.version,
     divisionVersion: rows.divisionVersion,
-    teams: new Map(rows.teams.map((row) => [row[0], readTeam(row)])),
+    workspaces: new Map(
+      rows.workspaces.map((row) => [row[0], readWorkspace(row)]),
+    ),
     keys: new Map(rows.keys.map((row) => [row[0], readKey(row)])),
     queues: new Map(rows.queues.map((row) => [row[0], readQueue(row)])),
     divisions: new Map(rows.divisions.map(readDivision)),
@@ -237,7 +239,7 @@
 export function encodeDelta(delta: FleetDelta): Uint8Array {
   const rows = {
     ...delta,
-    teams: delta.teams?.map(toTeamRow),
+    workspaces: delta.workspaces?.map(toWorkspaceRow),
     keys: delta.keys?.map(toKeyRow),
     queues: delta.queues?.map(toQueueRow),
     divisions: delta.divisions?.map(toDivisionRow),
@@ -254,8 +256,8 @@
   if (rows.divisionVersion !== undefined) {
     delta.divisionVersion = rows.divisionVersion;
   }
-  if (rows.teams) delta.teams = rows.teams.map(readTeam);
-  if (rows.removedTeams) delta.removedTeams = rows.removedTeams;
+  if (rows.workspaces) delta.workspaces = rows.workspaces.map(readWorkspace);
+  if (rows.removedWorkspaces) delta.removedWorkspaces = rows.removedWorkspaces;
   if (rows.keys) delta.keys = rows.keys.map(readKey);
   if (rows.withdrawnKeys) delta.withdrawnKeys = rows.withdrawnKeys;
   if (rows.queues) delta.queues = rows.queues.map(readQueue);
@@ -272,14 +274,18 @@
 export function applyDelta(state: MutableFleetState, delta: FleetDelta): void {
   state.version = delta.version;
   state.divisionVersion = delta.divisionVersion ?? state.divisionVersion;
-  for (const team of delta.teams ?? []) state.teams.set(team.name, team);
-  for (const name of delta.removedTeams ?? []) state.teams.delete(name);
+  for (const workspace of delta.workspaces ?? []) {
+    state.workspaces.set(workspace.name, workspace);
+  }
+  for (const name of delta.removedWorkspaces ?? []) {
+    state.workspaces.delete(name);
+  }
   for (const key of delta.keys ?? []) state.keys.set(key.id, key);
   for (const id of delta.withdrawnKeys ?? []) state.keys.delete(id);
   for (const queue of delta.queues ?? []) state.queues.set(queue.name, queue);
   for (const name of delta.removedQueues ?? []) state.queues.delete(name);
-  for (const [team, division] of delta.divisions ?? []) {
-    state.divisions.set(team, division);
+  for (const [workspace, division] of delta.divisions ?? []) {
+    state.divisions.set(workspace, division);
   }
   if (delta.dataCentres !== undefined) {
     state.dataCentres = delta.dataCentres.configured;
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -5,7 +5,7 @@
 
 import type { Clock, FaultBody } from "../common/mod.ts";
 
-/** The names of a team's limits. */
+/** The names of a workspace's limits. */
 export const LIMIT_NAMES = Object.freeze(
   ["slots", "processors", "memoryMb", "accelerators"] as const,
 );
@@ -20,8 +20,8 @@
  */
 export type Limits = Readonly<Record<LimitName, number>>;
 
-/** A team, its weight when the cell is full, and its upper limit across the fleet. */
-export interface Team {
+/** A workspace, its weight when the cell is full, and its upper limit across the fleet. */
+export interface Workspace {
   readonly name: string;
   /** Weight above 0. */
   readonly share: number;
@@ -31,7 +31,7 @@
 /** A granted key. The secret itself is never kept. */
 export interface Key {
   readonly id: string;
-  readonly team: string;
+  readonly workspace: string;
   /** SHA-256 of the secret, in lower-case hex. */
   readonly hash: string;
   /** Wall time in milliseconds. */
@@ -56,7 +56,7 @@
   readonly policy: QueuePolicy;
 }
 
-/** A range of units of a team's limits and the data centres that they are divided among. */
+/** A range of units of a workspace's limits and the data centres that they are divided among. */
 export interface DivisionSegment {
   /** Index into `FleetState.dataCentreSets`. */
   readonly set: number;
@@ -64,7 +64,7 @@
   readonly tops: Limits;
 }
 
-/** The part of a team's limits that a closed data centre had been granted. */
+/** The part of a workspace's limits that a closed data centre had been granted. */
 export interface DivisionClosing {
   readonly dataCentre: string;
   /** What it had been granted when it was closed; others hold it since, by transfers. */
@@ -73,7 +73,7 @@
   readonly heirs: number;
 }
 
-/** How a team's limits are divided among data centres. See `division.ts` for the rule. */
+/** How a workspace's limits are divided among data centres. See `division.ts` for the rule. */
 export interface Division {
   readonly segments: readonly DivisionSegment[];
   readonly closings: readonly DivisionClosing[];
@@ -83,7 +83,7 @@
 export interface FleetState {
   /** Increases by one with each accepted change; 0 before the first. */
   readonly version: number;
-  readonly teams: ReadonlyMap<string, Team>;
+  readonly workspaces: ReadonlyMap<string, Workspace>;
   /** Keys in force, by identifier; withdrawn keys are not among them. */
   readonly keys: ReadonlyMap<string, Key>;
   readonly queues: ReadonlyMap<string, Queue>;
@@ -94,7 +94,7 @@
   /** Data centres that were closed; their names are not used again. */
   readonly closedDataCentres: readonly string[];
   readonly dataCentreSets: readonly (readonly string[])[];
-  /** Divisions by team, including those of removed teams. */
+  /** Divisions by workspace, including those of removed workspaces. */
   readonly divisions: ReadonlyMap<string, Division>;
   /** The version that last changed a limit or the data centres. */
   readonly divisionVersion: number;
@@ -102,15 +102,15 @@
 
 /** One operation of a change. */
 export type FleetOperation =
-  | { type: "createTeam"; name: string; share: number; limits: Limits }
+  | { type: "createWorkspace"; name: string; share: number; limits: Limits }
   | {
-    type: "updateTeam";
+    type: "updateWorkspace";
     name: string;
     share?: number | undefined;
     limits?: Partial<Limits> | undefined;
   }
-  | { type: "removeTeam"; name: string }
-  | { type: "grantKey"; id: string; team: string; hash: string }
+  | { type: "removeWorkspace"; name: string }
+  | { type: "grantKey"; id: string; workspace: string; hash: string }
   | { type: "withdrawKey"; id: string }
   | {
     type: "createQueue";
@@ -156,8 +156,8 @@
 /** What one accepted change altered. */
 export interface FleetDelta {
   readonly version: number;
-  readonly teams?: readonly Team[];
-  readonly removedTeams?: readonly string[];
+  readonly workspaces?: readonly Workspace[];
+  readonly removedWorkspaces?: readonly string[];
   readonly keys?: readonly Key[];
   readonly withdrawnKeys?: readonly string[];
   readonly queues?: readonly Queue[];
@@ -246,11 +246,11 @@
   /** Milliseconds since the configuration was last confirmed; infinite before the first time. */
   getAgeMs(): number;
   /**
-   * Returns the team of a key. Throws `unauthenticated` for a missing, unknown
+   * Returns the workspace of a key. Throws `unauthenticated` for a missing, unknown
    * or withdrawn key, and `unavailable` when the configuration is older than
    * the staleness limit.
    */
-  checkKey(secret: string | undefined): Team;
+  checkKey(secret: string | undefined): Workspace;
   /** Withdraws a key here at once. Calling it again has no effect. */
   addLocalWithdrawals(withdrawals: readonly LocalWithdrawal[]): void;
   /** Withdrawals that the own version does not contain yet. */
--- a/src/http/filters.ts
+++ b/src/http/filters.ts
@@ -32,11 +32,11 @@
   };
 }
 
-/** Requires a key and sets the team that it belongs to. */
+/** Requires a key and sets the workspace that it belongs to. */
 export function createKeyFilter(view: FleetView): HttpFilter {
   return async (context, next) => {
-    context.team = view.checkKey(getBearerToken(context)).name;
-    context.logFields["team"] = context.team;
+    context.workspace = view.checkKey(getBearerToken(context)).name;
+    context.logFields["workspace"] = context.workspace;
     await next();
   };
 }
--- a/src/http/job_routes.ts
+++ b/src/http/job_routes.ts
@@ -42,7 +42,7 @@
 });
 
 /** A job as a caller submits it, checked and with defaults. */
-export type SubmittedJob = Omit<JobSpec, "submittedAt" | "team">;
+export type SubmittedJob = Omit<JobSpec, "submittedAt" | "workspace">;
 
 /** A job and its state as callers see it; the fields are in docs/http.md. */
 export type JobView = Readonly<Record<string, unknown>>;
@@ -54,9 +54,9 @@
   maxBodyBytes: number;
   /** Why new work is refused at present, if it is. */
   getRefusal: () => string | undefined;
-  submitJob: (team: string, job: SubmittedJob) => Promise<JobView>;
-  getJob: (team: string, id: string) => Promise<JobView>;
-  cancelJob: (team: string, id: string) => Promise<JobView>;
+  submitJob: (workspace: string, job: SubmittedJob) => Promise<JobView>;
+  getJob: (workspace: string, id: string) => Promise<JobView>;
+  cancelJob: (workspace: string, id: string) => Promise<JobView>;
 }
 
 function resolvePolicy(
@@ -114,21 +114,21 @@
   const submit: HttpFilter = async (context) => {
     const job = parseJob(parseJson(context.body), options);
     context.logFields["job"] = job.id;
-    const view = await options.submitJob(context.team ?? "", job);
+    const view = await options.submitJob(context.workspace ?? "", job);
     context.answer = createJsonAnswer(view, 202);
   };
 
   const get: HttpFilter = async (context) => {
     const id = context.params["id"] ?? "";
     context.answer = createJsonAnswer(
-      await options.getJob(context.team ?? "", id),
+      await options.getJob(context.workspace ?? "", id),
     );
   };
 
   const cancel: HttpFilter = async (context) => {
     const id = context.params["id"] ?? "";
     context.answer = createJsonAnswer(
-      await options.cancelJob(context.team ?? "", id),
+      await options.cancelJob(context.workspace ?? "", id),
       202,
     );
   };
--- a/src/http/operator_routes.ts
+++ b/src/http/operator_routes.ts
@@ -2,7 +2,7 @@
 
 import { z } from "zod";
 import { parseWith } from "../data_centre/announcements.ts";
-import type { FleetState, Key, Queue, Team } from "../fleet/types.ts";
+import type { FleetState, Key, Queue, Workspace } from "../fleet/types.ts";
 import { parseJson } from "./body.ts";
 import {
   createBodyFilter,
@@ -54,7 +54,7 @@
 export interface RenderedConfig {
   version: number;
   dataCentres: readonly string[];
-  teams: Team[];
+  workspaces: Workspace[];
   queues: Queue[];
   /** Keys in force, with the hashes that a sheet names; a secret cannot be told from its hash. */
   keys: Key[];
@@ -65,7 +65,7 @@
   return {
     version: state.version,
     dataCentres: state.dataCentres,
-    teams: [...state.teams.values()],
+    workspaces: [...state.workspaces.values()],
     queues: [...state.queues.values()],
     keys: [...state.keys.values()],
   };
--- a/src/http/request_context.ts
+++ b/src/http/request_context.ts
@@ -27,8 +27,8 @@
   readonly signal: AbortSignal;
   /** Set by the filter that reads the body. */
   body: Buffer;
-  /** Team of the presented key, once authenticated. */
-  team?: string;
+  /** Workspace of the presented key, once authenticated. */
+  workspace?: string;
   /** Fields for the log line of the request. */
   readonly logFields: Record<string, unknown>;
   answer?: HttpAnswer;
--- a/src/http/request_routes.ts
+++ b/src/http/request_routes.ts
@@ -27,8 +27,8 @@
 /** Header with the milliseconds that the caller will wait. */
 export const DEADLINE_HEADER = "goldcrestlug-deadline-ms";
 
-/** Team that requests without a key on an open queue are charged to. */
-export const OPEN_TEAM = "open";
+/** Workspace that requests without a key on an open queue are charged to. */
+export const OPEN_WORKSPACE = "open";
 
 const REQUEST_ID_PATTERN = /^[A-Za-z0-9][A-Za-z0-9:._-]{0,127}$/;
 
@@ -61,10 +61,10 @@
 
 /** Returns the scope within which a request identifier is unique. */
 export function buildRequestScope(
-  team: string | undefined,
+  workspace: string | undefined,
   queue: string,
 ): string {
-  return team === undefined ? `queue:${queue}` : `team:${team}`;
+  return workspace === undefined ? `queue:${queue}` : `workspace:${workspace}`;
 }
 
 function getDeadlineMs(
@@ -118,10 +118,10 @@
     const token = getBearerToken(context);
     // A key that is presented must be valid, also where none is needed.
     if (token !== undefined || !queue.open) {
-      context.team = options.view.checkKey(token).name;
+      context.workspace = options.view.checkKey(token).name;
     }
     context.logFields["queue"] = queue.name;
-    context.logFields["team"] = context.team;
+    context.logFields["workspace"] = context.workspace;
     await next();
   };
 }
@@ -143,8 +143,8 @@
       "application/octet-stream";
     const answer = await options.execute({
       requestId,
-      scope: buildRequestScope(context.team, queue),
-      team: context.team ?? OPEN_TEAM,
+      scope: buildRequestScope(context.workspace, queue),
+      workspace: context.workspace ?? OPEN_WORKSPACE,
       queue,
       idempotent,
       contentType,
@@ -179,10 +179,10 @@
     const token = getBearerToken(context);
     const queue = new URL(context.request.url ?? "/", "http://localhost")
       .searchParams.get("queue");
-    const team = token === undefined && queue !== null
+    const workspace = token === undefined && queue !== null
       ? undefined
       : options.view.checkKey(token).name;
-    const scope = buildRequestScope(team, queue ?? "");
+    const scope = buildRequestScope(workspace, queue ?? "");
     const requestId = context.params["id"] ?? "";
     checkRequestId(requestId);
     const found = await options.findRequest(scope, requestId);
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -366,7 +366,10 @@
         defaultDeadlineMs: settings.requests.defaultDeadlineMs,
         maxDeadlineMs: settings.requests.maxDeadlineMs,
         execute: (request) =>
-          observer.runRequest(request.team, () => routing.execute(request)),
+          observer.runRequest(
+            request.workspace,
+            () => routing.execute(request),
+          ),
         findRequest: routing.findRequest,
       }),
       ...createJobRoutes({
--- a/src/instance/job_view.ts
+++ b/src/instance/job_view.ts
@@ -27,7 +27,7 @@
   }));
   return {
     id: spec.id,
-    team: spec.team,
+    workspace: spec.workspace,
     policy: spec.policy,
     state: getState(record, job),
     taskCount: spec.tasks,
--- a/src/instance/leader_client.ts
+++ b/src/instance/leader_client.ts
@@ -44,9 +44,9 @@
 export interface LeaderClient {
   sendAsk(ask: AllotmentAsk): Promise<Limits>;
   sendTransfer(transfer: AllotmentTransfer): Promise<void>;
-  submitJob(team: string, job: SubmittedJob): Promise<JobView>;
-  getJob(team: string, id: string): Promise<JobView>;
-  cancelJob(team: string, id: string): Promise<JobView>;
+  submitJob(workspace: string, job: SubmittedJob): Promise<JobView>;
+  getJob(workspace: string, id: string): Promise<JobView>;
+  cancelJob(workspace: string, id: string): Promise<JobView>;
   announceEndpoint(
     dataCentre: string,
     body: Uint8Array,
@@ -69,11 +69,11 @@
 
   async function callHome(
     method: string,
-    request: { team: string; job?: Buffer; jobId?: string },
+    request: { workspace: string; job?: Buffer; jobId?: string },
     jobId: string,
   ): Promise<JobView> {
     const home = findHome(
-      { scope: `team:${request.team}`, requestId: jobId },
+      { scope: `workspace:${request.workspace}`, requestId: jobId },
       view.getState().dataCentres,
     );
     const reply = await calls.call<JobReply>(method, request, {
@@ -97,36 +97,38 @@
 
   return {
     async sendAsk(ask) {
-      const { from, to, team, wanted, entitled, levelling } = ask;
+      const { from, to, workspace, wanted, entitled, levelling } = ask;
       const reply = await calls.call<AllotmentOffer>(
         "askAllotment",
-        { fromDataCentre: from, team, wanted, entitled, levelling },
+        { fromDataCentre: from, workspace, wanted, entitled, levelling },
         // Asked again, the other side would give twice.
         { dataCentre: to, timeoutMs: ALLOTMENT_TIMEOUT_MS, idempotent: false },
       );
       return reply.offered;
     },
-    async sendTransfer({ id, from, to, team, amount }) {
+    async sendTransfer({ id, from, to, workspace, amount }) {
       await calls.call(
         "transferAllotment",
         {
           transferId: id,
           fromDataCentre: from,
           toDataCentre: to,
-          team,
+          workspace,
           amount,
         },
         { dataCentre: to, timeoutMs: ALLOTMENT_TIMEOUT_MS, idempotent: true },
       );
     },
-    submitJob: (team, job) =>
+    submitJob: (workspace, job) =>
       callHome(
         "submitJob",
-        { team, job: Buffer.from(JSON.stringify(job)) },
+        { workspace, job: Buffer.from(JSON.stringify(job)) },
         job.id,
       ),
-    getJob: (team, jobId) => callHome("getJob", { team, jobId }, jobId),
-    cancelJob: (team, jobId) => callHome("cancelJob", { team, jobId }, jobId),
+    getJob: (workspace, jobId) =>
+      callHome("getJob", { workspace, jobId }, jobId),
+    cancelJob: (workspace, jobId) =>
+      callHome("cancelJob", { workspace, jobId }, jobId),
     async announceEndpoint(dataCentre, body) {
       const reply = await calls.call<JsonBody>("announceEndpoint", { body }, {
         dataCentre,
