--- a/src/instance/observer.ts
+++ b/src/instance/observer.ts
@@ -56,34 +56,40 @@
   readonly burn: BurnRecorder;
   recordHttpAnswer(route: string, status: number, durationMs: number): void;
   /** Runs a caller's request and counts how it ended. */
-  runRequest<T>(team: string, run: () => Promise<T>): Promise<T>;
+  runRequest<T>(workspace: string, run: () => Promise<T>): Promise<T>;
   /** Counts a slot that was given after a wait. */
-  recordSlot(team: string, waitedMs: number, attempt: number): void;
+  recordSlot(workspace: string, waitedMs: number, attempt: number): void;
   recordTaskStart(spec: JobSpec, waitedMs: number): void;
   recordTaskEnd(outcome: TaskOutcome): void;
   recordElection(group: string): void;
-  /** Samples how far each team that waits is below its share. */
+  /** Samples how far each workspace that waits is below its share. */
   recordShares(status: SchedulerStatus): void;
 }
 
 /**
- * Computes how far a team is below its share, from 0 to 1, among the teams
- * that run or wait. A team without waiting work has what it wants.
+ * Computes how far a workspace is below its share, from 0 to 1, among the workspaces
+ * that run or wait. A workspace without waiting work has what it wants.
  */
 export function computeShareDistances(
   status: SchedulerStatus,
 ): Map<string, number> {
-  const active = status.teams.filter((team) =>
-    team.dominantShare > 0 || team.queuedTasks > 0
+  const active = status.workspaces.filter((workspace) =>
+    workspace.dominantShare > 0 || workspace.queuedTasks > 0
+  );
+  const totalWeight = active.reduce(
+    (sum, workspace) => sum + workspace.weight,
+    0,
+  );
+  const totalShare = active.reduce(
+    (sum, workspace) => sum + workspace.dominantShare,
+    0,
   );
-  const totalWeight = active.reduce((sum, team) => sum + team.weight, 0);
-  const totalShare = active.reduce((sum, team) => sum + team.dominantShare, 0);
   const distances = new Map<string, number>();
-  for (const team of active) {
-    const due = team.weight / totalWeight;
-    const got = totalShare > 0 ? team.dominantShare / totalShare : 0;
-    const isWaiting = team.queuedTasks > 0;
-    distances.set(team.team, isWaiting ? Math.max(0, due - got) : 0);
+  for (const workspace of active) {
+    const due = workspace.weight / totalWeight;
+    const got = totalShare > 0 ? workspace.dominantShare / totalShare : 0;
+    const isWaiting = workspace.queuedTasks > 0;
+    distances.set(workspace.workspace, isWaiting ? Math.max(0, due - got) : 0);
   }
   return distances;
 }
@@ -97,8 +103,8 @@
     );
   return resolveObjectives({
     default: pickSet(settings.default ?? {}),
-    teams: Object.fromEntries(
-      (settings.teams ?? []).map((set) => [set.team, pickSet(set)]),
+    workspaces: Object.fromEntries(
+      (settings.workspaces ?? []).map((set) => [set.workspace, pickSet(set)]),
     ),
   });
 }
@@ -115,10 +121,14 @@
     objectives: toObjectives(options.objectives),
   });
 
-  function recordFault(team: string, fault: Fault, durationMs: number): void {
-    metrics.addCount("requests_total", { team, outcome: fault.kind });
+  function recordFault(
+    workspace: string,
+    fault: Fault,
+    durationMs: number,
+  ): void {
+    metrics.addCount("requests_total", { workspace, outcome: fault.kind });
     if (NOT_COUNTED.has(fault.kind)) return;
-    burn.recordAnswer(team, {
+    burn.recordAnswer(workspace, {
       answered: fault.ran === "no",
       onTime: false,
       durationMs,
@@ -132,40 +142,46 @@
       metrics.addCount("http_answers_total", { route, status: String(status) });
       metrics.recordDuration("http_duration_ms", durationMs, { route });
     },
-    async runRequest(team, run) {
+    async runRequest(workspace, run) {
       const startMs = clock.now();
       try {
         const answer = await run();
         const durationMs = clock.now() - startMs;
-        metrics.addCount("requests_total", { team, outcome: "answered" });
-        metrics.recordDuration("request_duration_ms", durationMs, { team });
-        burn.recordAnswer(team, { answered: true, onTime: true, durationMs });
+        metrics.addCount("requests_total", { workspace, outcome: "answered" });
+        metrics.recordDuration("request_duration_ms", durationMs, {
+          workspace,
+        });
+        burn.recordAnswer(workspace, {
+          answered: true,
+          onTime: true,
+          durationMs,
+        });
         return answer;
       } catch (error) {
         const fault = isFault(error) ? error : toFault(error);
-        recordFault(team, fault, clock.now() - startMs);
+        recordFault(workspace, fault, clock.now() - startMs);
         throw error;
       }
     },
-    recordSlot(team, waitedMs, attempt) {
+    recordSlot(workspace, waitedMs, attempt) {
       metrics.addCount("slot_grants_total");
-      if (attempt > 0) metrics.addCount("request_retries_total", { team });
-      metrics.recordDuration("request_wait_ms", waitedMs, { team });
-      burn.recordWaiting(team, waitedMs);
+      if (attempt > 0) metrics.addCount("request_retries_total", { workspace });
+      metrics.recordDuration("request_wait_ms", waitedMs, { workspace });
+      burn.recordWaiting(workspace, waitedMs);
     },
     recordTaskStart(spec, waitedMs) {
-      const { policy, team } = spec;
+      const { policy, workspace } = spec;
       metrics.addCount("task_starts_total", { policy });
       metrics.recordDuration("task_wait_ms", waitedMs, { policy });
-      burn.recordWaiting(team, waitedMs);
+      burn.recordWaiting(workspace, waitedMs);
     },
     recordTaskEnd: (outcome) =>
       metrics.addCount("task_ends_total", { outcome }),
     recordElection: (group) =>
       metrics.addCount("log_elections_total", { group }),
     recordShares(status) {
-      for (const [team, distance] of computeShareDistances(status)) {
-        burn.recordShare(team, distance);
+      for (const [workspace, distance] of computeShareDistances(status)) {
+        burn.recordShare(workspace, distance);
       }
     },
   };
--- a/src/instance/request_routing_test.ts
+++ b/src/instance/request_routing_test.ts
@@ -20,7 +20,7 @@
 const REQUEST: AdmittedRequest = {
   requestId: "r1",
   scope: "t",
-  team: "t",
+  workspace: "t",
   queue: "orders",
   idempotent: true,
   isCallerNamed: true,
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -201,7 +201,9 @@
 
   function findJob(query: JobQuery) {
     const record = state.jobs.get(query.jobId);
-    if (record !== undefined && record.spec.team === query.team) return record;
+    if (record !== undefined && record.spec.workspace === query.workspace) {
+      return record;
+    }
     throw createFault("notFound", `Cannot find job "${query.jobId}"`);
   }
 
@@ -218,7 +220,7 @@
     const job = JSON.parse(Buffer.from(request.job).toString());
     const spec: RecordedJobSpec = {
       ...job,
-      team: request.team,
+      workspace: request.workspace,
       submittedWallMs: clock.wallTime(),
     };
     const results = await propose({
@@ -232,7 +234,7 @@
       );
     }
     if (results[0] === "applied") workers.addJob(spec);
-    return renderReply({ team: request.team, jobId: spec.id });
+    return renderReply({ workspace: request.workspace, jobId: spec.id });
   }
 
   async function cancelJob(query: JobQuery): Promise<JobReply> {
@@ -272,7 +274,7 @@
       return { outcome: "answer", answer: reply.answer };
     }
     const waitedMs = clock.now() - startMs;
-    observer.recordSlot(request.team, waitedMs, request.attempt);
+    observer.recordSlot(request.workspace, waitedMs, request.attempt);
     return { outcome: "grant", grant: reply };
   }
 
@@ -325,7 +327,7 @@
       id: message.transferId,
       from: message.fromDataCentre,
       to: message.toDataCentre,
-      team: message.team,
+      workspace: message.workspace,
       amount: message.amount,
     });
     return {};
@@ -336,7 +338,7 @@
     const offered = await allotments.receiveAsk({
       from: message.fromDataCentre,
       to: dataCentre,
-      team: message.team,
+      workspace: message.workspace,
       wanted: message.wanted,
       entitled: message.entitled,
       levelling: message.levelling,
@@ -347,9 +349,9 @@
   function getStatus(): Promise<JsonBody> {
     const { scheduler, slots, epoch, workers } = getLeadership();
     const { allotments } = state;
-    const teams = allotments.listTeams().map((team) => ({
-      team,
-      held: allotments.getHeld(team),
+    const workspaces = allotments.listWorkspaces().map((workspace) => ({
+      workspace,
+      held: allotments.getHeld(workspace),
     }));
     return Promise.resolve({
       body: encodeJson({
@@ -361,7 +363,7 @@
         slots: slots.controller.getStatus(),
         allotments: {
           appliedVersion: allotments.getAppliedVersion(),
-          teams,
+          workspaces,
           transfersInProgress: allotments.getTransfersInProgress().length,
         },
         requestRecords: state.requests.getStatus(),
--- a/src/instance/work_service_test.ts
+++ b/src/instance/work_service_test.ts
@@ -42,7 +42,11 @@
     } as unknown as Settings,
     state,
     view: {
-      getState: () => ({ teams: new Map(), dataCentres: ["a"], version: 0 }),
+      getState: () => ({
+        workspaces: new Map(),
+        dataCentres: ["a"],
+        version: 0,
+      }),
       watchVersion: () => () => {},
     } as unknown as FleetView,
     clock,
@@ -63,8 +67,8 @@
   service.handleLeadership(lease);
   await waitForTurn();
   await log.commitAll();
-  const { submittedWallMs: _, team, ...job } = buildJob();
-  const request = { team, job: Buffer.from(JSON.stringify(job)) };
+  const { submittedWallMs: _, workspace, ...job } = buildJob();
+  const request = { workspace, job: Buffer.from(JSON.stringify(job)) };
   const submitted = service.handlers["submitJob"]!(request, {
     signal: new AbortController().signal,
   }).catch(() => {});
--- a/src/report/burn.ts
+++ b/src/report/burn.ts
@@ -1,5 +1,5 @@
 /**
- * Service-level burn of teams, merged from the snapshots of all instances. A
+ * Service-level burn of workspaces, merged from the snapshots of all instances. A
  * burn rate of 1 uses up the budget exactly within its period; a rate of 14.4
  * uses 2 % of a 30-day budget in one hour.
  */
@@ -8,7 +8,7 @@
 import type {
   BurnSnapshot,
   ObjectiveSnapshot,
-  TeamSnapshot,
+  WorkspaceSnapshot,
 } from "./burn_recorder.ts";
 import type { BurnSnapshots, UnreachedInstance } from "./burn_snapshots.ts";
 import {
@@ -61,9 +61,9 @@
   };
 }
 
-/** The burn of one team. */
-export interface TeamBurn {
-  readonly team: string;
+/** The burn of one workspace. */
+export interface WorkspaceBurn {
+  readonly workspace: string;
   readonly objectives: readonly ObjectiveBurn[];
   readonly answerTimes: DurationSummary;
   readonly waitingTimes: DurationSummary;
@@ -76,12 +76,12 @@
   readonly takenAtMs: number;
 }
 
-/** The burn of all teams. */
+/** The burn of all workspaces. */
 export interface BurnReport {
   readonly reached: readonly ReachedInstance[];
   /** Instances whose part is missing in every figure. */
   readonly unreached: readonly UnreachedInstance[];
-  readonly teams: readonly TeamBurn[];
+  readonly workspaces: readonly WorkspaceBurn[];
 }
 
 /** Computes how fast a budget is used; 1 uses it up within its period. */
@@ -143,11 +143,11 @@
 }
 
 function buildObjective(
-  team: string,
+  workspace: string,
   name: ObjectiveName,
   parts: readonly ObjectiveSnapshot[],
 ): ObjectiveBurn {
-  checkSameObjective(parts, `objective "${name}" of team "${team}"`);
+  checkSameObjective(parts, `objective "${name}" of workspace "${workspace}"`);
   const target = parts[0]?.target ?? 0;
   const limit = parts[0]?.limit;
   const rates = Object.fromEntries(WINDOW_NAMES.map((window) => {
@@ -180,31 +180,34 @@
   return merged.getSummary();
 }
 
-function buildTeam(team: string, parts: readonly TeamSnapshot[]): TeamBurn {
+function buildWorkspace(
+  workspace: string,
+  parts: readonly WorkspaceSnapshot[],
+): WorkspaceBurn {
   const objectives = OBJECTIVE_NAMES.flatMap((name) => {
     const found = parts.flatMap((part) => part.objectives[name] ?? []);
-    return found.length === 0 ? [] : [buildObjective(team, name, found)];
+    return found.length === 0 ? [] : [buildObjective(workspace, name, found)];
   });
   return {
-    team,
+    workspace,
     objectives,
     answerTimes: mergeTimes(parts.map(({ answerTimes }) => answerTimes)),
     waitingTimes: mergeTimes(parts.map(({ waitingTimes }) => waitingTimes)),
   };
 }
 
-function listTeams(snapshots: readonly BurnSnapshot[]): string[] {
-  const names = snapshots.flatMap(({ teams }) => Object.keys(teams));
+function listWorkspaces(snapshots: readonly BurnSnapshot[]): string[] {
+  const names = snapshots.flatMap(({ workspaces }) => Object.keys(workspaces));
   return [...new Set(names)].sort();
 }
 
-// A team may have the name of a property that every object has.
-function listTeamParts(
+// A workspace may have the name of a property that every object has.
+function listWorkspaceParts(
   snapshots: readonly BurnSnapshot[],
-  team: string,
-): TeamSnapshot[] {
-  return snapshots.flatMap(({ teams }) =>
-    Object.hasOwn(teams, team) ? teams[team] ?? [] : []
+  workspace: string,
+): WorkspaceSnapshot[] {
+  return snapshots.flatMap(({ workspaces }) =>
+    Object.hasOwn(workspaces, workspace) ? workspaces[workspace] ?? [] : []
   );
 }
 
@@ -218,8 +221,8 @@
       takenAtMs,
     })),
     unreached,
-    teams: listTeams(snapshots).map((team) =>
-      buildTeam(team, listTeamParts(snapshots, team))
+    workspaces: listWorkspaces(snapshots).map((workspace) =>
+      buildWorkspace(workspace, listWorkspaceParts(snapshots, workspace))
     ),
   };
 }
--- a/src/report/burn_html.ts
+++ b/src/report/burn_html.ts
@@ -1,7 +1,7 @@
 /** Renders a burn report as one HTML page without scripts or outside parts. */
 
 import { BURN_ALERTS } from "./burn.ts";
-import type { BurnReport, ObjectiveBurn, TeamBurn } from "./burn.ts";
+import type { BurnReport, ObjectiveBurn, WorkspaceBurn } from "./burn.ts";
 import {
   listBurnHeadings,
   listBurnRows,
@@ -24,7 +24,7 @@
 .bound { stroke: #c00; stroke-dasharray: 4 3; }
 `;
 
-// Team names come from operators and must not become markup.
+// Workspace names come from operators and must not become markup.
 function encodeText(text: string): string {
   return text.replaceAll("&", "&amp;").replaceAll("<", "&lt;")
     .replaceAll(">", "&gt;").replaceAll('"', "&quot;");
@@ -81,11 +81,11 @@
 </svg>`;
 }
 
-function renderFigure(team: string, objective: ObjectiveBurn): string {
+function renderFigure(workspace: string, objective: ObjectiveBurn): string {
   const startMs = objective.series.startMs;
   const endMs = startMs +
     objective.series.stepMs * objective.series.rates.length;
-  const caption = `${team}: ${objective.name}, ${
+  const caption = `${workspace}: ${objective.name}, ${
     new Date(startMs).toISOString()
   } to ${new Date(endMs).toISOString()}`;
   return `<figure>\n${renderPlot(objective)}\n<figcaption>${
@@ -93,8 +93,8 @@
   }</figcaption>\n</figure>`;
 }
 
-function renderFigures({ team, objectives }: TeamBurn): string {
-  return objectives.map((objective) => renderFigure(team, objective))
+function renderFigures({ workspace, objectives }: WorkspaceBurn): string {
+  return objectives.map((objective) => renderFigure(workspace, objective))
     .join("\n");
 }
 
@@ -116,14 +116,14 @@
 ${missing.join("\n")}
 ${renderTable(["reached", "recording since", "read at"], reached)}
 <h2>Objectives</h2>
-${renderTable(listBurnHeadings(), report.teams.flatMap(listBurnRows))}
+${renderTable(listBurnHeadings(), report.workspaces.flatMap(listBurnRows))}
 <h2>Times</h2>
-${renderTable(listTimeHeadings(), report.teams.flatMap(listTimeRows))}
+${renderTable(listTimeHeadings(), report.workspaces.flatMap(listTimeRows))}
 <h2>Burn rates of the last six hours</h2>
 <p>The dashed lines are the rates of the alerts: ${
     BURN_ALERTS.map(({ name, rate }) => `${name} ${rate}`).join(", ")
   }.</p>
-${report.teams.map(renderFigures).join("\n")}
+${report.workspaces.map(renderFigures).join("\n")}
 </html>
 `;
 }
--- a/src/report/burn_recorder.ts
+++ b/src/report/burn_recorder.ts
@@ -1,4 +1,4 @@
-/** Records what the objectives of teams are about, on one instance. */
+/** Records what the objectives of workspaces are about, on one instance. */
 
 import type { Clock } from "../common/mod.ts";
 import { createDurationHistogram } from "./duration_histogram.ts";
@@ -33,8 +33,8 @@
   readonly series: EventSeries;
 }
 
-/** The counts of one team. */
-export interface TeamSnapshot {
+/** The counts of one workspace. */
+export interface WorkspaceSnapshot {
   /** Objectives that have counts. */
   readonly objectives: Readonly<
     Partial<Record<ObjectiveName, ObjectiveSnapshot>>
@@ -52,7 +52,7 @@
   readonly sinceMs: number;
   /** Wall time of the snapshot, in milliseconds. */
   readonly takenAtMs: number;
-  readonly teams: Readonly<Record<string, TeamSnapshot>>;
+  readonly workspaces: Readonly<Record<string, WorkspaceSnapshot>>;
 }
 
 /** Options of a recorder. */
@@ -62,47 +62,51 @@
   readonly objectives: Objectives;
 }
 
-/** Records events by team. */
+/** Records events by workspace. */
 export interface BurnRecorder {
   /** An entry instance reports each request that its caller did not cancel. */
-  recordAnswer(team: string, answer: AnswerRecord): void;
+  recordAnswer(workspace: string, answer: AnswerRecord): void;
   /** A leader reports how long a request or task waited, in milliseconds. */
-  recordWaiting(team: string, waitedMs: number): void;
+  recordWaiting(workspace: string, waitedMs: number): void;
   /** A leader samples the distance from share, 0 to 1, at even times. */
-  recordShare(team: string, distance: number): void;
+  recordShare(workspace: string, distance: number): void;
   takeSnapshot(): Promise<BurnSnapshot>;
 }
 
-interface TeamRecord {
+interface WorkspaceRecord {
   readonly counts: Map<ObjectiveName, WindowCounts>;
   readonly answerTimes: DurationHistogram;
   readonly waitingTimes: DurationHistogram;
 }
 
-/** Creates an empty recorder. Teams use memory from their first event on. */
+/** Creates an empty recorder. Workspaces use memory from their first event on. */
 export function createBurnRecorder(options: BurnRecorderOptions): BurnRecorder {
   const { clock, objectives } = options;
-  const teams = new Map<string, TeamRecord>();
+  const workspaces = new Map<string, WorkspaceRecord>();
   // Wall time that does not jump: a corrected system clock must not empty the windows.
   const originMs = clock.wallTime() - clock.now();
   const getTime = () => originMs + clock.now();
   const sinceMs = getTime();
 
-  function getTeam(team: string): TeamRecord {
-    let record = teams.get(team);
+  function getWorkspace(workspace: string): WorkspaceRecord {
+    let record = workspaces.get(workspace);
     if (record === undefined) {
       record = {
         counts: new Map(),
         answerTimes: createDurationHistogram(),
         waitingTimes: createDurationHistogram(),
       };
-      teams.set(team, record);
+      workspaces.set(workspace, record);
     }
     return record;
   }
 
-  function recordEvent(team: string, name: ObjectiveName, isGood: boolean) {
-    const { counts } = getTeam(team);
+  function recordEvent(
+    workspace: string,
+    name: ObjectiveName,
+    isGood: boolean,
+  ) {
+    const { counts } = getWorkspace(workspace);
     let objective = counts.get(name);
     if (objective === undefined) {
       objective = createWindowCounts();
@@ -111,12 +115,12 @@
     objective.record(getTime(), isGood);
   }
 
-  function getLimit(team: string, name: ObjectiveName): number {
-    return getObjective(objectives, team, name).limit ?? Infinity;
+  function getLimit(workspace: string, name: ObjectiveName): number {
+    return getObjective(objectives, workspace, name).limit ?? Infinity;
   }
 
   function takeObjective(
-    team: string,
+    workspace: string,
     name: ObjectiveName,
     counts: WindowCounts,
   ): ObjectiveSnapshot {
@@ -125,18 +129,23 @@
       WINDOW_NAMES.map((window) => [window, counts.getWindow(atMs, window)]),
     ) as Record<WindowName, EventCounts>;
     return {
-      ...getObjective(objectives, team, name),
+      ...getObjective(objectives, workspace, name),
       windows,
       budget: counts.getBudget(atMs),
       series: counts.getSeries(atMs),
     };
   }
 
-  function takeTeam(team: string, record: TeamRecord): TeamSnapshot {
+  function takeWorkspace(
+    workspace: string,
+    record: WorkspaceRecord,
+  ): WorkspaceSnapshot {
     const taken: Partial<Record<ObjectiveName, ObjectiveSnapshot>> = {};
     for (const name of OBJECTIVE_NAMES) {
       const counts = record.counts.get(name);
-      if (counts !== undefined) taken[name] = takeObjective(team, name, counts);
+      if (counts !== undefined) {
+        taken[name] = takeObjective(workspace, name, counts);
+      }
     }
     return {
       objectives: taken,
@@ -146,28 +155,32 @@
   }
 
   return {
-    recordAnswer(team, { answered, onTime, durationMs }) {
-      recordEvent(team, "answered", answered);
-      recordEvent(team, "answeredOnTime", answered && onTime);
-      getTeam(team).answerTimes.record(durationMs);
+    recordAnswer(workspace, { answered, onTime, durationMs }) {
+      recordEvent(workspace, "answered", answered);
+      recordEvent(workspace, "answeredOnTime", answered && onTime);
+      getWorkspace(workspace).answerTimes.record(durationMs);
     },
-    recordWaiting(team, waitedMs) {
-      recordEvent(team, "waiting", waitedMs <= getLimit(team, "waiting"));
-      getTeam(team).waitingTimes.record(waitedMs);
+    recordWaiting(workspace, waitedMs) {
+      recordEvent(
+        workspace,
+        "waiting",
+        waitedMs <= getLimit(workspace, "waiting"),
+      );
+      getWorkspace(workspace).waitingTimes.record(waitedMs);
     },
-    recordShare(team, distance) {
-      recordEvent(team, "share", distance <= getLimit(team, "share"));
+    recordShare(workspace, distance) {
+      recordEvent(workspace, "share", distance <= getLimit(workspace, "share"));
     },
     async takeSnapshot() {
-      const taken: Record<string, TeamSnapshot> = {};
-      await runInTurns(teams, ([team, record]) => {
-        taken[team] = takeTeam(team, record);
+      const taken: Record<string, WorkspaceSnapshot> = {};
+      await runInTurns(workspaces, ([workspace, record]) => {
+        taken[workspace] = takeWorkspace(workspace, record);
       });
       return {
         instance: options.instance,
         sinceMs,
         takenAtMs: getTime(),
-        teams: taken,
+        workspaces: taken,
       };
     },
   };
--- a/src/report/burn_snapshots.ts
+++ b/src/report/burn_snapshots.ts
@@ -37,7 +37,7 @@
   instance: z.string(),
   sinceMs: z.number(),
   takenAtMs: z.number(),
-  teams: z.record(
+  workspaces: z.record(
     z.string(),
     z.object({
       objectives: z.partialRecord(z.enum(OBJECTIVE_NAMES), OBJECTIVE),
--- a/src/report/burn_table.ts
+++ b/src/report/burn_table.ts
@@ -1,6 +1,6 @@
 /** Renders a burn report as text for a terminal. */
 
-import type { BurnReport, TeamBurn } from "./burn.ts";
+import type { BurnReport, WorkspaceBurn } from "./burn.ts";
 import { WINDOW_NAMES } from "./window_counts.ts";
 
 /** Formats a burn rate; "-" without an event. */
@@ -16,7 +16,7 @@
 /** Lists the headings of the table of objectives. */
 export function listBurnHeadings(): string[] {
   return [
-    "team",
+    "workspace",
     "objective",
     "target",
     ...WINDOW_NAMES.map((name) => `burn ${name}`),
@@ -25,10 +25,12 @@
   ];
 }
 
-/** Lists the rows of the table of objectives of one team. */
-export function listBurnRows({ team, objectives }: TeamBurn): string[][] {
+/** Lists the rows of the table of objectives of one workspace. */
+export function listBurnRows(
+  { workspace, objectives }: WorkspaceBurn,
+): string[][] {
   return objectives.map((objective) => [
-    team,
+    workspace,
     objective.name,
     formatPart(objective.target),
     ...WINDOW_NAMES.map((name) => formatRate(objective.rates[name])),
@@ -39,11 +41,11 @@
 
 /** Lists the headings of the table of times. */
 export function listTimeHeadings(): string[] {
-  return ["team", "times", "count", "median ms", "p99 ms", "longest ms"];
+  return ["workspace", "times", "count", "median ms", "p99 ms", "longest ms"];
 }
 
-/** Lists the rows of the table of times of one team. */
-export function listTimeRows(burn: TeamBurn): string[][] {
+/** Lists the rows of the table of times of one workspace. */
+export function listTimeRows(burn: WorkspaceBurn): string[][] {
   const all = [
     { name: "answer", times: burn.answerTimes },
     { name: "waiting", times: burn.waitingTimes },
@@ -51,7 +53,7 @@
   return all.map(({ name, times }) => {
     const figures = [times.p50Ms, times.p99Ms, times.maxMs];
     const texts = figures.map((ms) => ms.toFixed(0));
-    return [burn.team, name, String(times.count), ...texts];
+    return [burn.workspace, name, String(times.count), ...texts];
   });
 }
 
@@ -74,8 +76,11 @@
 
 /** Renders the report as two tables, with the unreached instances first. */
 export function renderBurnTable(report: BurnReport): string {
-  const burn = [listBurnHeadings(), ...report.teams.flatMap(listBurnRows)];
-  const times = [listTimeHeadings(), ...report.teams.flatMap(listTimeRows)];
+  const burn = [listBurnHeadings(), ...report.workspaces.flatMap(listBurnRows)];
+  const times = [
+    listTimeHeadings(),
+    ...report.workspaces.flatMap(listTimeRows),
+  ];
   const reached = report.reached.map(({ instance, sinceMs }) =>
     `Reached: ${instance}, recording since ${new Date(sinceMs).toISOString()}`
   );
--- a/src/report/burn_test.ts
+++ b/src/report/burn_test.ts
@@ -38,10 +38,11 @@
 
 function findObjective(
   report: BurnReport,
-  team: string,
+  workspace: string,
   name: ObjectiveName,
 ): ObjectiveBurn | undefined {
-  return report.teams.find((burn) => burn.team === team)?.objectives
+  return report.workspaces.find((burn) => burn.workspace === workspace)
+    ?.objectives
     .find((objective) => objective.name === name);
 }
 
@@ -91,16 +92,16 @@
   t.strictSame(await getAlerts(), []);
 });
 
-// Guards against limits of one team that are applied to another.
-t.test("waiting and share are judged by the limits of the team", async (t) => {
+// Guards against limits of one workspace that are applied to another.
+t.test("waiting and share are judged by the limits of the workspace", async (t) => {
   const objectives = resolveObjectives({
-    teams: { laces: { waiting: { target: 0.9, limit: 100 } } },
+    workspaces: { laces: { waiting: { target: 0.9, limit: 100 } } },
   });
   const recorder = createRecorder(createManualClock(), "a1", objectives);
-  for (const team of ["laces", "cords"]) {
-    recorder.recordWaiting(team, 500);
-    recorder.recordShare(team, 0.1);
-    recorder.recordShare(team, 0.3);
+  for (const workspace of ["laces", "cords"]) {
+    recorder.recordWaiting(workspace, 500);
+    recorder.recordShare(workspace, 0.1);
+    recorder.recordShare(workspace, 0.3);
   }
   const report = await buildReport(recorder);
   t.match(findObjective(report, "laces", "waiting"), { limit: 100 });
@@ -116,7 +117,7 @@
 t.test("merged instances report what one would have", async (t) => {
   const event = fc.record({
     instance: fc.integer({ min: 0, max: 2 }),
-    team: fc.constantFrom("laces", "constructor"),
+    workspace: fc.constantFrom("laces", "constructor"),
     afterMs: fc.integer({ min: 0, max: 600_000 }),
     answered: fc.boolean(),
     onTime: fc.boolean(),
@@ -128,15 +129,15 @@
     const several = ["a1", "a2", "a3"].map((name) =>
       createRecorder(clock, name)
     );
-    for (const { instance, team, afterMs, ...answer } of events) {
+    for (const { instance, workspace, afterMs, ...answer } of events) {
       clock.advance(afterMs);
       for (const recorder of [alone, several[instance]]) {
-        recorder?.recordAnswer(team, answer);
-        recorder?.recordWaiting(team, answer.durationMs);
+        recorder?.recordAnswer(workspace, answer);
+        recorder?.recordWaiting(workspace, answer.durationMs);
       }
     }
     const merged = await buildReport(...several);
-    t.strictSame(merged.teams, (await buildReport(alone)).teams);
+    t.strictSame(merged.workspaces, (await buildReport(alone)).workspaces);
   });
   await fc.assert(property, { seed: SEED, numRuns: 50 });
   t.comment(`seed ${SEED}`);
@@ -149,7 +150,7 @@
   const recorders = [createRecorder(clock), createRecorder(clock, "a2", other)];
   for (const recorder of recorders) recorder.recordAnswer("laces", GOOD);
   await t.rejects(buildReport(...recorders), {
-    message: /^Cannot merge objective "answered" of team "laces"/,
+    message: /^Cannot merge objective "answered" of workspace "laces"/,
   });
   for (const target of [0, 1, 1.5, NaN]) {
     t.throws(
@@ -217,8 +218,11 @@
   const recorder = createRecorder(createManualClock());
   recorder.recordAnswer("laces", GOOD);
   const snapshot = await recorder.takeSnapshot();
-  const team = { ...snapshot.teams["laces"], answerTimes: "%%%" };
-  const broken = parseBurnSnapshot({ ...snapshot, teams: { laces: team } });
+  const workspace = { ...snapshot.workspaces["laces"], answerTimes: "%%%" };
+  const broken = parseBurnSnapshot({
+    ...snapshot,
+    workspaces: { laces: workspace },
+  });
   try {
     buildBurnReport({ snapshots: [broken], unreached: [] });
     t.fail("a broken histogram is accepted");
--- a/src/report/duration_histogram.ts
+++ b/src/report/duration_histogram.ts
@@ -34,7 +34,7 @@
 const UNITS_PER_MS = 1_000;
 
 // Two significant digits keep a histogram below 16 KiB, which allows a few for
-// each of 890 teams.
+// each of 890 workspaces.
 const SIGNIFICANT_DIGITS = 2;
 
 const rawHistograms = new WeakMap<DurationHistogram, Histogram>();
@@ -45,7 +45,7 @@
       ? 0
       : raw.getValueAtPercentile(percentile) / UNITS_PER_MS;
   // The mean of the library walks all buckets; with a histogram for each of 890
-  // teams that held up the process for seconds when the metrics were read.
+  // workspaces that held up the process for seconds when the metrics were read.
   // The sum is an integer, so that it does not depend on the order of merging.
   let sum = raw.totalCount === 0 ? 0 : Math.round(raw.mean * raw.totalCount);
   const histogram: DurationHistogram = {
--- a/src/report/metric_definitions.ts
+++ b/src/report/metric_definitions.ts
@@ -18,13 +18,13 @@
     },
     requests_total: {
       kind: "counter",
-      help: "Requests by team and outcome: answered, or an error kind",
-      labels: ["team", "outcome"],
+      help: "Requests by workspace and outcome: answered, or an error kind",
+      labels: ["workspace", "outcome"],
     },
     request_retries_total: {
       kind: "counter",
-      help: "Retries of requests by team",
-      labels: ["team"],
+      help: "Retries of requests by workspace",
+      labels: ["workspace"],
     },
     slot_grants_total: {
       kind: "counter",
@@ -123,13 +123,13 @@
     },
     request_duration_ms: {
       kind: "duration",
-      help: "Time of a team's requests at this entry instance",
-      labels: ["team"],
+      help: "Time of a workspace's requests at this entry instance",
+      labels: ["workspace"],
     },
     request_wait_ms: {
       kind: "duration",
-      help: "Time that a team's requests waited for a slot at this leader",
-      labels: ["team"],
+      help: "Time that a workspace's requests waited for a slot at this leader",
+      labels: ["workspace"],
     },
     task_wait_ms: {
       kind: "duration",
--- a/src/report/metrics.ts
+++ b/src/report/metrics.ts
@@ -44,7 +44,7 @@
 
 /**
  * Label sets that one metric keeps. Further ones are counted together, so that
- * names that callers make up cannot use up the memory. 890 teams with each of
+ * names that callers make up cannot use up the memory. 890 workspaces with each of
  * 18 outcomes fit a counter; a histogram takes up to 16 KiB, so 2,000 of them
  * take at most 32 MiB.
  */
--- a/src/report/metrics_test.ts
+++ b/src/report/metrics_test.ts
@@ -14,7 +14,7 @@
   metrics.addCount("http_answers_total", { route: "GET /x", status: "200" }, 2);
   metrics.setGauge("config_version", 7);
   for (let ms = 1; ms <= 100; ms++) {
-    metrics.recordDuration("request_duration_ms", ms, { team: 'a"b' });
+    metrics.recordDuration("request_duration_ms", ms, { workspace: 'a"b' });
   }
   const page = await metrics.render();
   const lines = page.split("\n");
@@ -22,7 +22,7 @@
     Number(lines.find((line) => line.startsWith(start))?.split(" ").at(-1));
   t.equal(find('goldcrestlug_http_answers_total{route="GET /x"'), 3);
   t.equal(find('goldcrestlug_config_version{instance="a1"}'), 7);
-  const labels = 'team="a\\"b"';
+  const labels = 'workspace="a\\"b"';
   const median = find(
     `goldcrestlug_request_duration_ms{${labels},quantile="0.5"`,
   );
@@ -51,12 +51,14 @@
 t.test("label sets are bounded", async (t) => {
   const metrics = createMetrics({ labels: {} });
   for (let i = 0; i < MAX_LABEL_SETS.duration + 5; i++) {
-    metrics.recordDuration("request_wait_ms", 1, { team: `t${i}` });
+    metrics.recordDuration("request_wait_ms", 1, { workspace: `t${i}` });
   }
-  const other = metrics.getDuration("request_wait_ms", { team: OTHER_LABEL });
+  const other = metrics.getDuration("request_wait_ms", {
+    workspace: OTHER_LABEL,
+  });
   t.equal(other?.count, 5);
-  metrics.recordDuration("request_wait_ms", 1, { team: "t0" });
-  const first = metrics.getDuration("request_wait_ms", { team: "t0" });
+  metrics.recordDuration("request_wait_ms", 1, { workspace: "t0" });
+  const first = metrics.getDuration("request_wait_ms", { workspace: "t0" });
   t.equal(first?.count, 2);
   await t.resolves(metrics.render());
 });
@@ -65,7 +67,7 @@
 t.test("other work goes on while a page is made", async (t) => {
   const metrics = createMetrics({ labels: {} });
   for (let i = 0; i < 890; i++) {
-    metrics.recordDuration("request_wait_ms", 1, { team: `t${i}` });
+    metrics.recordDuration("request_wait_ms", 1, { workspace: `t${i}` });
   }
   let isDone = false;
   const pages = [metrics.render(), metrics.render()];
--- a/src/report/objectives.ts
+++ b/src/report/objectives.ts
@@ -1,4 +1,4 @@
-/** Service-level objectives of teams. */
+/** Service-level objectives of workspaces. */
 
 import { createFault } from "../common/mod.ts";
 
@@ -21,17 +21,17 @@
   readonly limit?: number;
 }
 
-/** The objectives of one team. */
+/** The objectives of one workspace. */
 export type ObjectiveSet = Readonly<Record<ObjectiveName, Objective>>;
 
-/** The objectives of all teams. */
+/** The objectives of all workspaces. */
 export interface Objectives {
   readonly default: ObjectiveSet;
-  /** Deviations by team. */
-  readonly teams: Readonly<Record<string, Partial<ObjectiveSet>>>;
+  /** Deviations by workspace. */
+  readonly workspaces: Readonly<Record<string, Partial<ObjectiveSet>>>;
 }
 
-/** Objectives of a team that has none of its own. The targets are a starting point for operators. */
+/** Objectives of a workspace that has none of its own. The targets are a starting point for operators. */
 export const DEFAULT_OBJECTIVES: ObjectiveSet = Object.freeze({
   answeredOnTime: Object.freeze({ target: 0.99 }),
   answered: Object.freeze({ target: 0.999 }),
@@ -61,25 +61,25 @@
 export function resolveObjectives(
   input: {
     default?: Partial<ObjectiveSet>;
-    teams?: Objectives["teams"];
+    workspaces?: Objectives["workspaces"];
   } = {},
 ): Objectives {
-  const teams = input.teams ?? {};
+  const workspaces = input.workspaces ?? {};
   checkObjectiveSet(input.default ?? {}, "the default");
-  for (const [team, set] of Object.entries(teams)) {
-    checkObjectiveSet(set, `team "${team}"`);
+  for (const [workspace, set] of Object.entries(workspaces)) {
+    checkObjectiveSet(set, `workspace "${workspace}"`);
   }
-  return { default: { ...DEFAULT_OBJECTIVES, ...input.default }, teams };
+  return { default: { ...DEFAULT_OBJECTIVES, ...input.default }, workspaces };
 }
 
-/** Returns one objective of a team. */
+/** Returns one objective of a workspace. */
 export function getObjective(
   objectives: Objectives,
-  team: string,
+  workspace: string,
   name: ObjectiveName,
 ): Objective {
-  const own = Object.hasOwn(objectives.teams, team)
-    ? objectives.teams[team]?.[name]
+  const own = Object.hasOwn(objectives.workspaces, workspace)
+    ? objectives.workspaces[workspace]?.[name]
     : undefined;
   return own ?? objectives.default[name];
 }
--- a/src/report/turns.ts
+++ b/src/report/turns.ts
@@ -10,7 +10,7 @@
 
 /**
  * Runs `handle` for each item. Requests and heartbeats are served in between:
- * with 890 teams, a page or snapshot takes hundreds of milliseconds in all.
+ * with 890 workspaces, a page or snapshot takes hundreds of milliseconds in all.
  */
 export async function runInTurns<T>(
   items: Iterable<T>,
--- a/src/report/window_counts.ts
+++ b/src/report/window_counts.ts
@@ -39,7 +39,7 @@
   readonly bad: readonly number[];
 }
 
-/** Counts of one objective of one team. */
+/** Counts of one objective of one workspace. */
 export interface WindowCounts {
   record(atMs: number, isGood: boolean, count?: number): void;
   getWindow(atMs: number, name: WindowName): EventCounts;
--- a/src/requests/announcement.ts
+++ b/src/requests/announcement.ts
@@ -20,7 +20,7 @@
   slots: z.int().nonnegative().max(MAX_SLOTS),
   connections: z.int().nonnegative().max(MAX_SLOTS),
   inFlight: z.int().nonnegative(),
-  inFlightByTeam: z.record(NAME, z.int().nonnegative()).optional(),
+  inFlightByWorkspace: z.record(NAME, z.int().nonnegative()).optional(),
   departing: z.boolean(),
 });
 
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -143,7 +143,7 @@
     return slots.acquire({
       requestId: request.requestId,
       scope: request.scope,
-      team: request.team,
+      workspace: request.workspace,
       queue: request.queue,
       idempotent: request.idempotent,
       remainingMs: Math.floor(remainingMs),
@@ -239,7 +239,7 @@
       address: grant.address,
       requestId: request.requestId,
       queue: request.queue,
-      team: request.team,
+      workspace: request.workspace,
       contentType: request.contentType,
       body: request.body,
       timeoutMs: getTimeout(run, attempt),
--- a/src/requests/endpoints.ts
+++ b/src/requests/endpoints.ts
@@ -34,11 +34,11 @@
   type SlotLedger,
 } from "./slot_ledger.ts";
 import {
-  createTeamExcess,
-  mergeTeamCounts,
-  type TeamCounts,
-  type TeamExcess,
-} from "./team_excess.ts";
+  createWorkspaceExcess,
+  mergeWorkspaceCounts,
+  type WorkspaceCounts,
+  type WorkspaceExcess,
+} from "./workspace_excess.ts";
 import type { EndpointAnnouncement } from "./types.ts";
 
 interface EndpointState {
@@ -48,7 +48,7 @@
   isDeparting: boolean;
   isRecounting: boolean;
   ledger: SlotLedger;
-  teamExcess: TeamExcess;
+  workspaceExcess: WorkspaceExcess;
   connections: ConnectionBudget;
 }
 
@@ -86,7 +86,7 @@
   const endpoints = new Map<string, EndpointState>();
   const pools = new Map<string, QueuePool>();
   let poolsSinceMs = -Infinity;
-  let teamExcess: TeamCounts = { byTeam: new Map(), shared: 0 };
+  let workspaceExcess: WorkspaceCounts = { byWorkspace: new Map(), shared: 0 };
   const outliers = createOutlierDetector(clock, options.outliers);
 
   function isAnnounced(state: EndpointState): boolean {
@@ -186,11 +186,11 @@
     if (recounting < atMost) state.isRecounting = true;
   }
 
-  /** Kept as a sum, since the fair queue asks for it at each request and team. */
-  function updateTeamExcess(): void {
+  /** Kept as a sum, since the fair queue asks for it at each request and workspace. */
+  function updateWorkspaceExcess(): void {
     const states = [...endpoints.values()];
-    teamExcess = mergeTeamCounts(
-      states.map((state) => state.teamExcess.getCounts()),
+    workspaceExcess = mergeWorkspaceCounts(
+      states.map((state) => state.workspaceExcess.getCounts()),
     );
   }
 
@@ -206,7 +206,7 @@
         grantValidMs,
         arrivalMs: ARRIVAL_MS,
       }),
-      teamExcess: createTeamExcess({
+      workspaceExcess: createWorkspaceExcess({
         ...announcement,
         mostExcess: announcement.inFlight,
       }, announcementDelayMs),
@@ -236,7 +236,7 @@
     state.announcedAtMs = clock.now();
     const { inFlight } = announcement;
     state.ledger.receiveReport({ inFlight, hasRestarted }, clock.now());
-    state.teamExcess.receiveReport({
+    state.workspaceExcess.receiveReport({
       ...announcement,
       mostExcess: state.ledger.getMostExcess(),
     }, clock.now());
@@ -268,12 +268,12 @@
     const state = endpoints.get(announcement.endpoint);
     if (state === undefined) {
       addEndpoint(announcement);
-      updateTeamExcess();
+      updateWorkspaceExcess();
       return true;
     }
     if (announcement.incarnation < state.announcement.incarnation) return false;
     updateEndpoint(state, announcement);
-    updateTeamExcess();
+    updateWorkspaceExcess();
     return true;
   }
 
@@ -314,8 +314,8 @@
     state.ledger.closeGrant(ledgerGrant, { hasEnded, durationMs }, clock.now());
     state.connections.closeGrant(instance, clock.now());
     if (!hasEnded) {
-      state.teamExcess.addUnproven(granted.team, clock.now());
-      updateTeamExcess();
+      state.workspaceExcess.addUnproven(granted.workspace, clock.now());
+      updateWorkspaceExcess();
     }
     // An expired grant says more about the entry instance than the endpoint.
     if (outcome === "expired") return;
@@ -329,7 +329,7 @@
   return {
     receiveAnnouncement,
     pick,
-    openGrant(endpoint, { instance, team }) {
+    openGrant(endpoint, { instance, workspace }) {
       const state = endpoints.get(endpoint);
       if (state === undefined) {
         throw createFault("internal", `Cannot use endpoint "${endpoint}"`);
@@ -339,7 +339,7 @@
         endpoint,
         address: state.announcement.address,
         instance,
-        team,
+        workspace,
         state,
         ledgerGrant: state.ledger.openGrant(clock.now()),
         isOpen: true,
@@ -354,7 +354,7 @@
       return false;
     },
     getPool,
-    getTeamExcess: () => teamExcess,
+    getWorkspaceExcess: () => workspaceExcess,
     list: () =>
       [...endpoints].map(([endpoint, state]) => ({
         endpoint,
--- a/src/requests/endpoints_types.ts
+++ b/src/requests/endpoints_types.ts
@@ -3,7 +3,7 @@
 import type { Clock, Random } from "../common/mod.ts";
 import type { QueuePool } from "./fair_queue_types.ts";
 import type { EndpointHealth, OutlierOptions } from "./outliers.ts";
-import type { TeamCounts } from "./team_excess.ts";
+import type { WorkspaceCounts } from "./workspace_excess.ts";
 import type { RequestOutcome } from "./types.ts";
 
 /** Settings of an endpoint table; times in milliseconds. */
@@ -42,7 +42,7 @@
 /** For whom a grant is opened. */
 export interface GrantHolder {
   readonly instance: string;
-  readonly team: string;
+  readonly workspace: string;
 }
 
 /** An open grant at an endpoint. */
@@ -50,7 +50,7 @@
   readonly endpoint: string;
   readonly address: string;
   readonly instance: string;
-  readonly team: string;
+  readonly workspace: string;
 }
 
 /** How a grant at an endpoint ended; "expired" when nobody released it. */
@@ -92,7 +92,7 @@
   hasFreeSlot(): boolean;
   /** Slots of the usable endpoints that serve a queue, and the queues they share. */
   getPool(queue: string): QueuePool;
-  /** Counts requests that may be running without an open grant, by team. */
-  getTeamExcess(): TeamCounts;
+  /** Counts requests that may be running without an open grant, by workspace. */
+  getWorkspaceExcess(): WorkspaceCounts;
   list(): EndpointStatus[];
 }
--- a/src/requests/execute.ts
+++ b/src/requests/execute.ts
@@ -1,6 +1,6 @@
 /**
  * Runs a caller's request to its answer, with retries inside the caller's
- * deadline and the team's retry budget.
+ * deadline and the workspace's retry budget.
  *
  * A request is sent again only when the last attempt certainly sent nothing,
  * or when it is idempotent. A refusal claims "not run" only while no attempt
@@ -57,7 +57,7 @@
   const attempts = createAttemptRunner(options);
 
   function runFirst(run: Run): Promise<AttemptEnd> {
-    const { team, queue, idempotent, signal } = run.request;
+    const { workspace, queue, idempotent, signal } = run.request;
     if (hedgeFactor === undefined || !idempotent) {
       return attempts.run(run, 0, { signal });
     }
@@ -67,7 +67,7 @@
         const meanMs = attempts.getMeanAnswerTime(queue);
         return meanMs === undefined ? undefined : hedgeFactor * meanMs;
       },
-      takeToken: () => retryBudget.take(team),
+      takeToken: () => retryBudget.take(workspace),
       runCopy: (copy, watch) => attempts.run(run, copy, watch),
       signal,
     });
@@ -81,7 +81,7 @@
   ): boolean {
     return nextAttempt < maxAttempts &&
       clock.now() + pauseMs < run.deadlineMs &&
-      retryBudget.take(run.request.team);
+      retryBudget.take(run.request.workspace);
   }
 
   async function runAttempts(run: Run): Promise<RecordedAnswer> {
@@ -119,7 +119,7 @@
         avoid: [],
         mayHaveStarted: false,
       };
-      retryBudget.recordRequest(request.team);
+      retryBudget.recordRequest(request.workspace);
       try {
         return await runAttempts(run);
       } catch (error) {
--- a/src/requests/execute_test.ts
+++ b/src/requests/execute_test.ts
@@ -143,8 +143,8 @@
       clock,
       executor.run({
         requestId: "r1",
-        scope: "team",
-        team: "team",
+        scope: "workspace",
+        workspace: "workspace",
         queue: "orders",
         idempotent: true,
         contentType: "text/plain",
@@ -407,7 +407,7 @@
   t.match(released, [{ outcome: "answered", answer: { status: 200 } }]);
 });
 
-// Guards against retries beyond the team's budget.
+// Guards against retries beyond the workspace's budget.
 t.test("retries stop when the budget is used up", async (t) => {
   const retryBudget = createRetryBudget({ maxTokens: 1 });
   const { sent, run } = createSetup({
--- a/src/requests/fair_queue.ts
+++ b/src/requests/fair_queue.ts
@@ -1,16 +1,16 @@
 /**
- * A bounded queue that is fair between teams by weight: start-time fair
+ * A bounded queue that is fair between workspaces by weight: start-time fair
  * queueing over slot time.
  *
- * Each team has a virtual start tag. The eligible team with the lowest tag is
+ * Each workspace has a virtual start tag. The eligible workspace with the lowest tag is
  * served next, and its tag rises by cost / weight. The cost is the time that a
  * slot was held: estimated when the request is taken and corrected when the
- * slot is released. Virtual time is the tag of the request taken last; a team
+ * slot is released. Virtual time is the tag of the request taken last; a workspace
  * that becomes active starts there, so it neither saves credit while idle nor
  * waits for the backlog of others.
  *
  * Deficit round robin was ruled out: it needs the cost before the turn (here
- * it is known only at release) and a returning team waits for a whole round.
+ * it is known only at release) and a returning workspace waits for a whole round.
  * Weighted fair queueing by finish tags was ruled out for the same reason: a
  * wrong estimate decides the order before it can be corrected.
  */
@@ -28,18 +28,18 @@
 import { estimateWait } from "./fair_queue_wait.ts";
 import {
   addToLane,
-  createTeam,
+  createWorkspace,
   type EntryState,
   pickYoungest,
   removeFromLane,
-  type TeamState,
-} from "./fair_queue_team.ts";
+  type WorkspaceState,
+} from "./fair_queue_workspace.ts";
 
 const DEFAULT_MAX_QUEUED = 10_000;
-const DEFAULT_MAX_QUEUED_PER_TEAM = 2_000;
+const DEFAULT_MAX_QUEUED_PER_WORKSPACE = 2_000;
 const DEFAULT_DURATION_MS = 100;
 
-/** Weight of a new sample in the estimate of a team's slot time. */
+/** Weight of a new sample in the estimate of a workspace's slot time. */
 const DURATION_SAMPLE_WEIGHT = 0.1;
 
 /** Mean deviations to add to the mean slot time; covers a uniform spread in full. */
@@ -48,8 +48,8 @@
 /** Factor on the estimated wait, which does not foresee work that arrives later. */
 const WAIT_MARGIN = 1.1;
 
-/** Teams without requests whose history is kept. */
-const MAX_IDLE_TEAMS = 4_096;
+/** Workspaces without requests whose history is kept. */
+const MAX_IDLE_WORKSPACES = 4_096;
 
 /** Creates an empty fair queue. */
 export function createFairQueue<T>(
@@ -57,12 +57,12 @@
 ): FairQueue<T> {
   const { clock, getPolicy, getPool, onRefuse } = options;
   const maxQueued = options.maxQueued ?? DEFAULT_MAX_QUEUED;
-  const maxQueuedPerTeam = options.maxQueuedPerTeam ??
-    DEFAULT_MAX_QUEUED_PER_TEAM;
+  const maxQueuedPerWorkspace = options.maxQueuedPerWorkspace ??
+    DEFAULT_MAX_QUEUED_PER_WORKSPACE;
   const defaultDurationMs = options.defaultDurationMs ?? DEFAULT_DURATION_MS;
-  const teams = new Map<string, TeamState<T>>();
-  // Teams with queued requests that are below their slot limit, as far as known.
-  const eligible = new Set<TeamState<T>>();
+  const workspaces = new Map<string, WorkspaceState<T>>();
+  // Workspaces with queued requests that are below their slot limit, as far as known.
+  const eligible = new Set<WorkspaceState<T>>();
   const deadlines = createExpiryQueue<EntryState<T>>({
     clock,
     onExpire: handleDeadline,
@@ -70,51 +70,55 @@
   const countByQueue = new Map<string, number>();
   let virtualTime = 0;
   let nextOrder = 0;
-  // Of all teams; the first guess for a team without history.
+  // Of all workspaces; the first guess for a workspace without history.
   let meanDurationMs = defaultDurationMs;
   let queuedCount = 0;
   let runningCount = 0;
   let maxTag = 0;
   let isStopped = false;
 
-  function createNewTeam(name: string): TeamState<T> {
-    return createTeam(name, virtualTime, meanDurationMs);
+  function createNewWorkspace(name: string): WorkspaceState<T> {
+    return createWorkspace(name, virtualTime, meanDurationMs);
   }
 
-  function getTeam(name: string): TeamState<T> {
-    let team = teams.get(name);
-    if (team === undefined) {
-      team = createNewTeam(name);
-      teams.set(name, team);
+  function getWorkspace(name: string): WorkspaceState<T> {
+    let workspace = workspaces.get(name);
+    if (workspace === undefined) {
+      workspace = createNewWorkspace(name);
+      workspaces.set(name, workspace);
     }
-    return team;
+    return workspace;
   }
 
   /** The slot time to reserve for an answer in time, like a TCP timeout. */
-  function getNeeded(team: TeamState<T>, remainingMs: number): number {
-    const neededMs = team.durationMs + DEVIATION_FACTOR * team.deviationMs;
-    // A wrong estimate must not shut a team out for good.
+  function getNeeded(
+    workspace: WorkspaceState<T>,
+    remainingMs: number,
+  ): number {
+    const neededMs = workspace.durationMs +
+      DEVIATION_FACTOR * workspace.deviationMs;
+    // A wrong estimate must not shut a workspace out for good.
     return Math.min(neededMs, remainingMs / 2);
   }
 
-  function setEligible(team: TeamState<T>): void {
-    if (team.queued === 0 || eligible.has(team)) return;
-    // A team earns no credit for the time in which it had nothing to run or
+  function setEligible(workspace: WorkspaceState<T>): void {
+    if (workspace.queued === 0 || eligible.has(workspace)) return;
+    // A workspace earns no credit for the time in which it had nothing to run or
     // was at its own limit; otherwise its return would starve the others.
-    team.startTag = Math.max(team.startTag, virtualTime);
-    eligible.add(team);
+    workspace.startTag = Math.max(workspace.startTag, virtualTime);
+    eligible.add(workspace);
   }
 
   function handleIdle(): void {
     if (queuedCount > 0 || runningCount > 0) return;
     // Debts and credits end when nobody competes; otherwise a long request
-    // run alone would cost its team its turns hours later.
+    // run alone would cost its workspace its turns hours later.
     virtualTime = Math.max(virtualTime, maxTag);
-    if (teams.size > MAX_IDLE_TEAMS) teams.clear();
+    if (workspaces.size > MAX_IDLE_WORKSPACES) workspaces.clear();
   }
 
-  function setStartTag(team: TeamState<T>, tag: number): void {
-    team.startTag = tag;
+  function setStartTag(workspace: WorkspaceState<T>, tag: number): void {
+    workspace.startTag = tag;
     maxTag = Math.max(maxTag, tag);
   }
 
@@ -132,23 +136,23 @@
   }
 
   function removeQueued(entry: EntryState<T>): void {
-    const team = entry.team;
+    const workspace = entry.workspace;
     removeFromLane(entry);
     addQueueCount(entry.item.queue, -1);
     entry.isQueued = false;
     queuedCount -= 1;
     if (entry.expiry !== undefined) deadlines.remove(entry.expiry);
-    if (team.queued === 0) eligible.delete(team);
+    if (workspace.queued === 0) eligible.delete(workspace);
   }
 
   function handleDeadline(entry: EntryState<T>): void {
     removeQueued(entry);
-    const { team, queue, value } = entry.item;
+    const { workspace, queue, value } = entry.item;
     onRefuse(
       value,
       createFault(
         "overloaded",
-        `Cannot answer the request of team "${team}" on queue "${queue}" in time: it waited too long`,
+        `Cannot answer the request of workspace "${workspace}" on queue "${queue}" in time: it waited too long`,
       ),
     );
   }
@@ -158,46 +162,47 @@
     if (remainingMs <= 0) {
       throw createFault(
         "deadlineExceeded",
-        `Cannot queue the request of team "${item.team}": its deadline has passed`,
+        `Cannot queue the request of workspace "${item.workspace}": its deadline has passed`,
         { ran: "no" },
       );
     }
-    const own = teams.get(item.team) ?? createNewTeam(item.team);
-    const neededMs = WAIT_MARGIN * getWait(item.team, item.queue) +
+    const own = workspaces.get(item.workspace) ??
+      createNewWorkspace(item.workspace);
+    const neededMs = WAIT_MARGIN * getWait(item.workspace, item.queue) +
       getNeeded(own, remainingMs);
     if (neededMs <= remainingMs) return;
-    // Work that can start at once is never refused on an estimate: a team
+    // Work that can start at once is never refused on an estimate: a workspace
     // whose estimate is too high could otherwise never correct it.
     const used = own.running + own.queued;
-    const isBelowLimit = used < getPolicy(item.team).slotLimit;
+    const isBelowLimit = used < getPolicy(item.workspace).slotLimit;
     if (isBelowLimit && options.canStartNow?.() === true) return;
     throw createFault(
       "overloaded",
-      `Cannot answer the request of team "${item.team}" in time: ` +
+      `Cannot answer the request of workspace "${item.workspace}" in time: ` +
         `${Math.ceil(neededMs)} ms needed, ${
           Math.floor(remainingMs)
         } ms remain`,
     );
   }
 
-  /** Refuses the youngest request of the team with the longest queue for its weight. */
+  /** Refuses the youngest request of the workspace with the longest queue for its weight. */
   function refuseFromLongest(item: QueueItem<T>): void {
-    let longest: TeamState<T> | undefined;
+    let longest: WorkspaceState<T> | undefined;
     let longestLoad = 0;
-    for (const team of teams.values()) {
-      const load = team.queued / getPolicy(team.name).weight;
+    for (const workspace of workspaces.values()) {
+      const load = workspace.queued / getPolicy(workspace.name).weight;
       if (load > longestLoad) {
-        longest = team;
+        longest = workspace;
         longestLoad = load;
       }
     }
-    const ownLoad = ((teams.get(item.team)?.queued ?? 0) + 1) /
-      getPolicy(item.team).weight;
+    const ownLoad = ((workspaces.get(item.workspace)?.queued ?? 0) + 1) /
+      getPolicy(item.workspace).weight;
     const youngest = longest === undefined ? undefined : pickYoungest(longest);
     if (youngest === undefined || ownLoad >= longestLoad) {
       throw createFault(
         "overloaded",
-        `Cannot queue the request of team "${item.team}": the queue is full with ${queuedCount} requests`,
+        `Cannot queue the request of workspace "${item.workspace}": the queue is full with ${queuedCount} requests`,
       );
     }
     removeQueued(youngest);
@@ -205,7 +210,7 @@
       youngest.item.value,
       createFault(
         "overloaded",
-        `Cannot keep the request of team "${youngest.item.team}": the queue is full and the team has the most requests in it`,
+        `Cannot keep the request of workspace "${youngest.item.workspace}": the queue is full and the workspace has the most requests in it`,
       ),
     );
   }
@@ -218,17 +223,19 @@
       throw createFault("unavailable", "Cannot queue the request: stopping");
     }
     checkDeadline(item, addOptions);
-    if ((teams.get(item.team)?.queued ?? 0) >= maxQueuedPerTeam) {
+    if (
+      (workspaces.get(item.workspace)?.queued ?? 0) >= maxQueuedPerWorkspace
+    ) {
       throw createFault(
         "limitReached",
-        `Cannot queue the request of team "${item.team}": ${maxQueuedPerTeam} of its requests are queued`,
+        `Cannot queue the request of workspace "${item.workspace}": ${maxQueuedPerWorkspace} of its requests are queued`,
       );
     }
     if (queuedCount >= maxQueued) refuseFromLongest(item);
-    const team = getTeam(item.team);
+    const workspace = getWorkspace(item.workspace);
     const entry: EntryState<T> = {
       item,
-      team,
+      workspace,
       order: nextOrder++,
       isQueued: true,
       isRunning: false,
@@ -238,34 +245,36 @@
       next: undefined,
       expiry: undefined as ExpiryEntry<EntryState<T>> | undefined,
     };
-    team.weight = getPolicy(team.name).weight;
+    workspace.weight = getPolicy(workspace.name).weight;
     addToLane(entry);
     addQueueCount(item.queue, 1);
     queuedCount += 1;
     // A request that starts too late for its deadline only takes a slot from
     // others: at twice the capacity that cost a fifth of the useful work.
-    const neededMs = getNeeded(team, item.deadlineMs - clock.now());
+    const neededMs = getNeeded(workspace, item.deadlineMs - clock.now());
     entry.expiry = deadlines.add(item.deadlineMs - neededMs, entry);
-    setEligible(team);
+    setEligible(workspace);
     return entry;
   }
 
-  function pickTeam(round: number): TeamState<T> | undefined {
-    let best: TeamState<T> | undefined;
-    for (const team of eligible) {
-      if (team.skippedInRound === round) continue;
-      const isBetter = best === undefined || team.startTag < best.startTag ||
-        (team.startTag === best.startTag && team.lastTaken < best.lastTaken);
-      if (isBetter) best = team;
+  function pickWorkspace(round: number): WorkspaceState<T> | undefined {
+    let best: WorkspaceState<T> | undefined;
+    for (const workspace of eligible) {
+      if (workspace.skippedInRound === round) continue;
+      const isBetter = best === undefined ||
+        workspace.startTag < best.startTag ||
+        (workspace.startTag === best.startTag &&
+          workspace.lastTaken < best.lastTaken);
+      if (isBetter) best = workspace;
     }
     return best;
   }
 
   function pickEntry(
-    team: TeamState<T>,
+    workspace: WorkspaceState<T>,
     canRun: (value: T) => boolean,
   ): EntryState<T> | undefined {
-    const heads = [...team.lanes.values()].map((lane) => lane.first);
+    const heads = [...workspace.lanes.values()].map((lane) => lane.first);
     if (heads.length > 1) heads.sort((a, b) => a.order - b.order);
     return heads.find((entry) => canRun(entry.item.value));
   }
@@ -274,17 +283,17 @@
   let hasSkipped = false;
 
   function startEntry(entry: EntryState<T>, weight: number): void {
-    const team = entry.team;
+    const workspace = entry.workspace;
     removeQueued(entry);
-    virtualTime = Math.max(virtualTime, team.startTag);
+    virtualTime = Math.max(virtualTime, workspace.startTag);
     entry.isRunning = true;
-    entry.chargedMs = team.durationMs;
+    entry.chargedMs = workspace.durationMs;
     entry.weight = weight;
-    setStartTag(team, team.startTag + entry.chargedMs / weight);
-    team.running += 1;
+    setStartTag(workspace, workspace.startTag + entry.chargedMs / weight);
+    workspace.running += 1;
     runningCount += 1;
-    team.lastTaken = nextOrder++;
-    // A team that was passed over because no endpoint could take its work
+    workspace.lastTaken = nextOrder++;
+    // A workspace that was passed over because no endpoint could take its work
     // keeps its turn but saves no credit.
     for (const other of hasSkipped ? eligible : []) {
       if (other.skippedInRound !== round) continue;
@@ -296,21 +305,21 @@
     round += 1;
     hasSkipped = false;
     for (
-      let team = pickTeam(round);
-      team !== undefined;
-      team = pickTeam(round)
+      let workspace = pickWorkspace(round);
+      workspace !== undefined;
+      workspace = pickWorkspace(round)
     ) {
-      const policy = getPolicy(team.name);
-      if (team.running >= policy.slotLimit) {
-        eligible.delete(team);
+      const policy = getPolicy(workspace.name);
+      if (workspace.running >= policy.slotLimit) {
+        eligible.delete(workspace);
         continue;
       }
-      const entry = pickEntry(team, canRun);
+      const entry = pickEntry(workspace, canRun);
       if (entry !== undefined) {
         startEntry(entry, policy.weight);
         return entry;
       }
-      team.skippedInRound = round;
+      workspace.skippedInRound = round;
       hasSkipped = true;
     }
     return undefined;
@@ -320,32 +329,32 @@
     const entry = taken as EntryState<T>;
     if (!entry.isRunning) return;
     entry.isRunning = false;
-    const team = entry.team;
-    team.running -= 1;
+    const workspace = entry.workspace;
+    workspace.running -= 1;
     runningCount -= 1;
     setStartTag(
-      team,
-      team.startTag + (heldMs - entry.chargedMs) / entry.weight,
+      workspace,
+      workspace.startTag + (heldMs - entry.chargedMs) / entry.weight,
     );
     if (heldMs > 0) {
       meanDurationMs += (heldMs - meanDurationMs) * DURATION_SAMPLE_WEIGHT;
-      const errorMs = heldMs - team.durationMs;
-      team.durationMs += errorMs * DURATION_SAMPLE_WEIGHT;
-      team.deviationMs += (Math.abs(errorMs) - team.deviationMs) *
+      const errorMs = heldMs - workspace.durationMs;
+      workspace.durationMs += errorMs * DURATION_SAMPLE_WEIGHT;
+      workspace.deviationMs += (Math.abs(errorMs) - workspace.deviationMs) *
         DURATION_SAMPLE_WEIGHT;
     }
-    setEligible(team);
+    setEligible(workspace);
     handleIdle();
   }
 
-  function getWait(team: string, queue: string): number {
+  function getWait(workspace: string, queue: string): number {
     const pool = getPool(queue);
     return estimateWait({
-      team: teams.get(team) ?? createNewTeam(team),
-      teams: teams.values(),
+      workspace: workspaces.get(workspace) ?? createNewWorkspace(workspace),
+      workspaces: workspaces.values(),
       pool,
       virtualTime,
-      policy: getPolicy(team),
+      policy: getPolicy(workspace),
       isShared: isShared(pool),
     });
   }
@@ -362,25 +371,25 @@
     release,
     estimateWait: getWait,
     updatePolicies() {
-      for (const team of teams.values()) {
-        team.weight = getPolicy(team.name).weight;
-        setEligible(team);
+      for (const workspace of workspaces.values()) {
+        workspace.weight = getPolicy(workspace.name).weight;
+        setEligible(workspace);
       }
     },
     getSize: () => queuedCount,
-    listTeams: () =>
-      [...teams.values()].map(({ name, queued, running }) => ({
-        team: name,
+    listWorkspaces: () =>
+      [...workspaces.values()].map(({ name, queued, running }) => ({
+        workspace: name,
         queued,
         running,
       })),
     stop() {
       isStopped = true;
-      for (const team of [...teams.values()]) {
+      for (const workspace of [...workspaces.values()]) {
         for (
-          let entry = pickYoungest(team);
+          let entry = pickYoungest(workspace);
           entry !== undefined;
-          entry = pickYoungest(team)
+          entry = pickYoungest(workspace)
         ) {
           removeQueued(entry);
           onRefuse(
--- a/src/requests/fair_queue_test.ts
+++ b/src/requests/fair_queue_test.ts
@@ -4,19 +4,19 @@
 import { buildWanted } from "../../test/requests_helpers.ts";
 import { createFairQueue } from "./fair_queue.ts";
 import type { FairQueueOptions, QueueEntry } from "./fair_queue_types.ts";
-import type { TeamPolicy } from "./types.ts";
+import type { WorkspacePolicy } from "./types.ts";
 
 const SEED = 20261204;
 const DURATION_MS = 100;
 fc.configureGlobal({ seed: SEED, numRuns: 200 });
 
 interface Job {
-  team: string;
+  workspace: string;
   number: number;
 }
 
 interface Setup {
-  policies?: Record<string, TeamPolicy>;
+  policies?: Record<string, WorkspacePolicy>;
   slots?: number;
   options?: Partial<FairQueueOptions<Job>>;
 }
@@ -26,7 +26,8 @@
   const refused: { job: Job; fault: Fault }[] = [];
   const queue = createFairQueue<Job>({
     clock,
-    getPolicy: (team) => policies[team] ?? { weight: 1, slotLimit: 1_000 },
+    getPolicy: (workspace) =>
+      policies[workspace] ?? { weight: 1, slotLimit: 1_000 },
     getPool: () => ({ slots, queues: new Set(["q"]) }),
     onRefuse: (job, fault) => void refused.push({ job, fault }),
     defaultDurationMs: DURATION_MS,
@@ -35,25 +36,25 @@
   });
   let next = 0;
   function add(
-    team: string,
+    workspace: string,
     remainingMs = 1e9,
     lane = "q",
     canStartNow = true,
   ) {
-    const value = { team, number: next++ };
+    const value = { workspace, number: next++ };
     const deadlineMs = clock.now() + remainingMs;
-    const item = { team, queue: "q", lane, deadlineMs, value };
+    const item = { workspace, queue: "q", lane, deadlineMs, value };
     return queue.add(item, { canStartNow: () => canStartNow });
   }
   return { clock, queue, refused, add };
 }
 
 function createPolicies(weights: readonly number[]) {
-  const teams = weights.map((_, index) => `t${index}`);
+  const workspaces = weights.map((_, index) => `t${index}`);
   const policies = Object.fromEntries(
     weights.map((weight, i) => [`t${i}`, { weight, slotLimit: 1_000 }]),
   );
-  return { teams, policies };
+  return { workspaces, policies };
 }
 
 const WEIGHTS = fc.array(fc.integer({ min: 1, max: 9 }), {
@@ -62,25 +63,25 @@
 });
 
 // Guards against shares that drift from the weights: with equal costs the
-// served time per weight of two busy teams differs by at most one request of each.
-t.test("busy teams are served by weight within the bound", (t) => {
+// served time per weight of two busy workspaces differs by at most one request of each.
+t.test("busy workspaces are served by weight within the bound", (t) => {
   fc.assert(
     fc.property(WEIGHTS, fc.integer({ min: 1, max: 16 }), (weights, slots) => {
-      const { teams, policies } = createPolicies(weights);
+      const { workspaces, policies } = createPolicies(weights);
       const { queue, add } = createSetup({ policies, slots });
       const running: QueueEntry<Job>[] = [];
-      const served = new Map(teams.map((team) => [team, 0]));
+      const served = new Map(workspaces.map((workspace) => [workspace, 0]));
       for (let step = 0; step < 300; step++) {
-        for (const team of teams) add(team);
+        for (const workspace of workspaces) add(workspace);
         if (running.length === slots) {
           queue.release(running.shift()!, DURATION_MS);
         }
         const entry = queue.take(() => true)!;
         running.push(entry);
-        const { team } = entry.item;
-        served.set(team, served.get(team)! + DURATION_MS);
-        for (const [i, a] of teams.entries()) {
-          for (const [j, b] of teams.entries()) {
+        const { workspace } = entry.item;
+        served.set(workspace, served.get(workspace)! + DURATION_MS);
+        for (const [i, a] of workspaces.entries()) {
+          for (const [j, b] of workspaces.entries()) {
             const wa = weights[i]!, wb = weights[j]!;
             const gap = Math.abs(served.get(a)! / wa - served.get(b)! / wb);
             const bound = DURATION_MS / wa + DURATION_MS / wb + 1e-6;
@@ -93,7 +94,7 @@
   t.end();
 });
 
-// Guards against teams with long requests taking more slot time than their
+// Guards against workspaces with long requests taking more slot time than their
 // weight allows because requests are counted instead of time. The bound is that
 // of start-time fair queueing with `slots` servers.
 t.test("slot time is shared by weight when durations differ", (t) => {
@@ -107,10 +108,12 @@
       durations,
       fc.integer({ min: 1, max: 8 }),
       (weights, lengths, slots) => {
-        const { teams, policies } = createPolicies(weights);
+        const { workspaces, policies } = createPolicies(weights);
         const { clock, queue, add } = createSetup({ policies, slots });
-        const held = new Map(teams.map((team) => [team, 0]));
-        for (const team of teams) for (let i = 0; i < 2_000; i++) add(team);
+        const held = new Map(workspaces.map((workspace) => [workspace, 0]));
+        for (const workspace of workspaces) {
+          for (let i = 0; i < 2_000; i++) add(workspace);
+        }
         const running: {
           endMs: number;
           entry: QueueEntry<Job>;
@@ -119,7 +122,7 @@
         for (let step = 0; step < 600; step++) {
           while (running.length < slots) {
             const entry = queue.take(() => true)!;
-            const lengthMs = lengths[Number(entry.item.team.slice(1))]!;
+            const lengthMs = lengths[Number(entry.item.workspace.slice(1))]!;
             running.push({ endMs: clock.now() + lengthMs, entry, lengthMs });
           }
           running.sort((a, b) => a.endMs - b.endMs);
@@ -127,12 +130,12 @@
           clock.advance(first.endMs - clock.now());
           queue.release(first.entry, first.lengthMs);
           held.set(
-            first.entry.item.team,
-            held.get(first.entry.item.team)! + first.lengthMs,
+            first.entry.item.workspace,
+            held.get(first.entry.item.workspace)! + first.lengthMs,
           );
         }
-        for (const [i, a] of teams.entries()) {
-          for (const [j, b] of teams.entries()) {
+        for (const [i, a] of workspaces.entries()) {
+          for (const [j, b] of workspaces.entries()) {
             const wa = weights[i]!, wb = weights[j]!;
             const gap = Math.abs(held.get(a)! / wa - held.get(b)! / wb);
             const longest = (index: number) =>
@@ -148,27 +151,29 @@
   t.end();
 });
 
-// Guards against starvation: a request of a quiet team waits for at most one
-// request of each flooding team.
-t.test("a quiet team is not starved by floods", (t) => {
+// Guards against starvation: a request of a quiet workspace waits for at most one
+// request of each flooding workspace.
+t.test("a quiet workspace is not starved by floods", (t) => {
   fc.assert(
     fc.property(
       WEIGHTS,
       fc.integer({ min: 0, max: 200 }),
       (weights, before) => {
-        const { teams, policies } = createPolicies(weights);
+        const { workspaces, policies } = createPolicies(weights);
         const { queue, add } = createSetup({ policies });
-        for (const team of teams) for (let i = 0; i < 300; i++) add(team);
+        for (const workspace of workspaces) {
+          for (let i = 0; i < 300; i++) add(workspace);
+        }
         for (let i = 0; i < before; i++) {
           queue.release(queue.take(() => true)!, DURATION_MS);
         }
         add("quiet");
         for (let taken = 0;; taken++) {
           const entry = queue.take(() => true)!;
-          if (entry.item.team === "quiet") break;
+          if (entry.item.workspace === "quiet") break;
           queue.release(entry, DURATION_MS);
-          if (taken >= teams.length) {
-            throw new Error(`quiet team waited for ${taken + 1}`);
+          if (taken >= workspaces.length) {
+            throw new Error(`quiet workspace waited for ${taken + 1}`);
           }
         }
       },
@@ -178,7 +183,7 @@
 });
 
 // Guards against requests of a lane that overtake each other, against more
-// running than a team's limit, and against entries lost or served twice when
+// running than a workspace's limit, and against entries lost or served twice when
 // requests are cancelled, blocked or released in any order.
 t.test("order, limits and counts hold under any operations", (t) => {
   const operation = fc.record({
@@ -199,7 +204,7 @@
       fc.array(operation, { maxLength: 200 }),
       fc.integer({ min: 0, max: 4 }),
       (operations, slotLimit) => {
-        const teams = ["a", "b", "c"];
+        const workspaces = ["a", "b", "c"];
         const policies = { b: { weight: 2, slotLimit } };
         const { clock, queue, refused, add } = createSetup({ policies });
         const queued: QueueEntry<Job>[] = [];
@@ -211,8 +216,8 @@
           if (entry === undefined) return;
           taken += 1;
           running.push(entry);
-          const { team, lane, value } = entry.item;
-          const key = `${team}/${lane}`;
+          const { workspace, lane, value } = entry.item;
+          const key = `${workspace}/${lane}`;
           if (value.number < (lastByLane.get(key) ?? -1)) {
             throw new Error("overtaken");
           }
@@ -221,7 +226,7 @@
         for (const { kind, index } of operations) {
           if (kind === "add") {
             queued.push(
-              add(teams[index % 3]!, 50 + index * 10, `l${index % 2}`),
+              add(workspaces[index % 3]!, 50 + index * 10, `l${index % 2}`),
             );
             added += 1;
           } else if (kind === "take") take(() => true);
@@ -235,8 +240,14 @@
               index * 20,
             );
           }
-          const ofB = running.filter((entry) => entry.item.team === "b").length;
-          if (ofB > slotLimit) throw new Error(`${ofB} of team b are running`);
+          const ofB = running.filter((entry) =>
+            entry.item.workspace === "b"
+          ).length;
+          if (ofB > slotLimit) {
+            throw new Error(
+              `${ofB} of workspace b are running`,
+            );
+          }
           const expected = added - taken - removed - refused.length;
           if (queue.getSize() !== expected) throw new Error("wrong size");
         }
@@ -257,7 +268,7 @@
   t.end();
 });
 
-// Guards against a team that comes back from its limit, or from an idle time,
+// Guards against a workspace that comes back from its limit, or from an idle time,
 // and takes all slots to make up for it.
 t.test("no credit is saved at the limit or while idle", (t) => {
   const policies = { limited: { weight: 1, slotLimit: 1 } };
@@ -266,7 +277,7 @@
     add("limited");
     add("busy");
   }
-  const first = queue.take((job) => job.team === "limited")!;
+  const first = queue.take((job) => job.workspace === "limited")!;
   for (let i = 0; i < 50; i++) {
     queue.release(queue.take(() => true)!, DURATION_MS);
   }
@@ -274,9 +285,9 @@
   const next = [1, 2, 3, 4].map(() => {
     const entry = queue.take(() => true)!;
     queue.release(entry, DURATION_MS);
-    return entry.item.team;
+    return entry.item.workspace;
   });
-  t.equal(next.filter((team) => team === "limited").length, 2);
+  t.equal(next.filter((workspace) => workspace === "limited").length, 2);
   t.end();
 });
 
@@ -289,7 +300,7 @@
   t.throws(() => add("a", 500, "q", false), buildWanted("overloaded", "no"));
   t.doesNotThrow(
     () => add("b", 500, "q", false),
-    "another team is not behind the backlog",
+    "another workspace is not behind the backlog",
   );
   t.throws(() => add("a", 0), buildWanted("deadlineExceeded", "no"));
   t.end();
@@ -308,10 +319,10 @@
   t.end();
 });
 
-// Guards against one team's flood filling the queue and shutting out others.
-t.test("a full queue pushes out the team with the longest queue", (t) => {
+// Guards against one workspace's flood filling the queue and shutting out others.
+t.test("a full queue pushes out the workspace with the longest queue", (t) => {
   const { queue, refused, add } = createSetup({
-    options: { maxQueued: 10, maxQueuedPerTeam: 9 },
+    options: { maxQueued: 10, maxQueuedPerWorkspace: 9 },
   });
   for (let i = 0; i < 9; i++) add("flood");
   t.throws(() => add("flood"), buildWanted("limitReached", "no"));
--- a/src/requests/fair_queue_types.ts
+++ b/src/requests/fair_queue_types.ts
@@ -1,7 +1,7 @@
 /** The interface of the fair queue. */
 
 import type { Clock, Fault } from "../common/mod.ts";
-import type { TeamPolicy } from "./types.ts";
+import type { WorkspacePolicy } from "./types.ts";
 
 /** What a request competes for. */
 export interface QueuePool {
@@ -14,26 +14,26 @@
 /** Settings of a fair queue. */
 export interface FairQueueOptions<T> {
   clock: Clock;
-  /** The weight and the slot limit of a team; read at each decision. */
-  getPolicy: (team: string) => TeamPolicy;
+  /** The weight and the slot limit of a workspace; read at each decision. */
+  getPolicy: (workspace: string) => WorkspacePolicy;
   /** What a request of a queue competes for; used to estimate its wait. */
   getPool: (queue: string) => QueuePool;
   /** Called when a queued request is refused: deadline, push-out or stop. */
   onRefuse: (value: T, fault: Fault) => void;
-  /** Queued requests of all teams. Default 10,000. */
+  /** Queued requests of all workspaces. Default 10,000. */
   maxQueued?: number;
-  /** Queued requests of one team. Default 2,000. */
-  maxQueuedPerTeam?: number;
+  /** Queued requests of one workspace. Default 2,000. */
+  maxQueuedPerWorkspace?: number;
   /** Slot time assumed before any request has ended, in milliseconds. Default 100. */
   defaultDurationMs?: number;
 }
 
 /** A request to queue. */
 export interface QueueItem<T> {
-  readonly team: string;
+  readonly workspace: string;
   readonly queue: string;
   /**
-   * Requests of one lane are served in order of arrival. Lanes of one team are
+   * Requests of one lane are served in order of arrival. Lanes of one workspace are
    * independent, so that a request that cannot run now holds up only its lane.
    */
   readonly lane: string;
@@ -53,17 +53,17 @@
   readonly item: QueueItem<T>;
 }
 
-/** Counts of one team. */
-export interface TeamQueueStatus {
-  readonly team: string;
+/** Counts of one workspace. */
+export interface WorkspaceQueueStatus {
+  readonly workspace: string;
   readonly queued: number;
   readonly running: number;
 }
 
-/** A queue that is fair between teams. */
+/** A queue that is fair between workspaces. */
 export interface FairQueue<T> {
   /**
-   * Queues a request. Throws `limitReached` past the team's bound,
+   * Queues a request. Throws `limitReached` past the workspace's bound,
    * `overloaded` when it cannot start in time or the queue is full, and
    * `deadlineExceeded` when its deadline has passed; all of them not run.
    */
@@ -74,12 +74,12 @@
   take(canRun: (value: T) => boolean): QueueEntry<T> | undefined;
   /** Ends a taken request; `heldMs` is the slot time, 0 when it never ran. */
   release(entry: QueueEntry<T>, heldMs: number): void;
-  /** Estimated milliseconds until a new request of the team would start. */
-  estimateWait(team: string, queue: string): number;
-  /** Lets teams whose policy has changed be considered again. */
+  /** Estimated milliseconds until a new request of the workspace would start. */
+  estimateWait(workspace: string, queue: string): number;
+  /** Lets workspaces whose policy has changed be considered again. */
   updatePolicies(): void;
   getSize(): number;
-  listTeams(): TeamQueueStatus[];
+  listWorkspaces(): WorkspaceQueueStatus[];
   /** Refuses all queued requests as `unavailable`, not run. */
   stop(): void;
 }
--- a/src/requests/forward.ts
+++ b/src/requests/forward.ts
@@ -41,7 +41,7 @@
 const DEFAULT_MAX_ANSWER_BYTES = 16_777_216;
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 
-const TEAM_HEADER = "goldcrestlug-team";
+const WORKSPACE_HEADER = "goldcrestlug-workspace";
 const QUEUE_HEADER = "goldcrestlug-queue";
 const DEFAULT_CONTENT_TYPE = "application/octet-stream";
 
@@ -202,7 +202,7 @@
       "content-type": request.contentType,
       [REQUEST_ID_HEADER]: request.requestId,
       [QUEUE_HEADER]: request.queue,
-      [TEAM_HEADER]: request.team,
+      [WORKSPACE_HEADER]: request.workspace,
     },
     body: request.body,
   };
--- a/src/requests/forward_test.ts
+++ b/src/requests/forward_test.ts
@@ -37,7 +37,7 @@
       address: endpoint.address,
       requestId: `r${number}`,
       queue: "orders",
-      team: "team",
+      workspace: "workspace",
       contentType: "text/plain",
       body: new Uint8Array(Buffer.from(`body ${number}`)),
       timeoutMs: TIMEOUT_MS,
--- a/src/requests/home.ts
+++ b/src/requests/home.ts
@@ -8,7 +8,7 @@
 
 /** A request identifier in its scope. */
 export interface RequestKey {
-  /** The team, or the open queue, within which the identifier is unique. */
+  /** The workspace, or the open queue, within which the identifier is unique. */
   readonly scope: string;
   readonly requestId: string;
 }
--- a/src/requests/recorded_slots_test.ts
+++ b/src/requests/recorded_slots_test.ts
@@ -105,7 +105,7 @@
     "slots of the others are free again",
   );
   t.equal(
-    records.getRecord({ scope: "team", requestId: "r1" })?.state,
+    records.getRecord({ scope: "workspace", requestId: "r1" })?.state,
     "started",
   );
   await t.rejects(
--- a/src/requests/records_test.ts
+++ b/src/requests/records_test.ts
@@ -173,7 +173,7 @@
 }
 
 // Guards against a resend that gets anything but the first answer, or an
-// answer given to a request with another body or of another team.
+// answer given to a request with another body or of another workspace.
 t.test("the decision for a repeated identifier", (t) => {
   const { records, start } = createStarted();
   const ask = (requestId: string, nowMs: number, bodyHash = "x", scope = "s") =>
--- a/src/requests/records_types.ts
+++ b/src/requests/records_types.ts
@@ -12,7 +12,7 @@
   maxClockSkewMs?: number;
   /** Records of all scopes. Default 100,000. */
   maxRecords?: number;
-  /** Records of one scope, so that one team cannot use up all. Default 25,000. */
+  /** Records of one scope, so that one workspace cannot use up all. Default 25,000. */
   maxRecordsPerScope?: number;
   /** Digests of forgotten identifiers without a time. Default 250,000. */
   maxDigests?: number;
--- a/src/requests/retry_budget.ts
+++ b/src/requests/retry_budget.ts
@@ -1,6 +1,6 @@
 /**
- * When a request may be sent again. Retries draw on a token budget by team, so
- * that a team whose requests fail cannot multiply the load on the endpoints;
+ * When a request may be sent again. Retries draw on a token budget by workspace, so
+ * that a workspace whose requests fail cannot multiply the load on the endpoints;
  * each first attempt earns a part of a token.
  */
 
@@ -10,52 +10,52 @@
 export interface RetryBudgetOptions {
   /** Tokens that each first attempt earns: the part of the load that may be retries. Default 0.2. */
   earnedPerRequest?: number;
-  /** Most tokens of a team, and its tokens at the start. Default 10. */
+  /** Most tokens of a workspace, and its tokens at the start. Default 10. */
   maxTokens?: number;
-  /** Teams whose tokens are kept. Default 4,096. */
-  maxTeams?: number;
+  /** Workspaces whose tokens are kept. Default 4,096. */
+  maxWorkspaces?: number;
 }
 
-/** The retry tokens of each team. */
+/** The retry tokens of each workspace. */
 export interface RetryBudget {
-  /** Counts a first attempt of the team. */
-  recordRequest(team: string): void;
-  /** Takes a token for one retry; false when the team has none left. */
-  take(team: string): boolean;
-  getTokens(team: string): number;
+  /** Counts a first attempt of the workspace. */
+  recordRequest(workspace: string): void;
+  /** Takes a token for one retry; false when the workspace has none left. */
+  take(workspace: string): boolean;
+  getTokens(workspace: string): number;
 }
 
 const DEFAULT_EARNED_PER_REQUEST = 0.2;
 const DEFAULT_MAX_TOKENS = 10;
-const DEFAULT_MAX_TEAMS = 4_096;
+const DEFAULT_MAX_WORKSPACES = 4_096;
 
-/** Creates a budget in which every team has all its tokens. */
+/** Creates a budget in which every workspace has all its tokens. */
 export function createRetryBudget(
   options: RetryBudgetOptions = {},
 ): RetryBudget {
   const earned = options.earnedPerRequest ?? DEFAULT_EARNED_PER_REQUEST;
   const maxTokens = options.maxTokens ?? DEFAULT_MAX_TOKENS;
-  const maxTeams = options.maxTeams ?? DEFAULT_MAX_TEAMS;
-  // Only teams that have spent tokens are kept, in order of their last retry.
+  const maxWorkspaces = options.maxWorkspaces ?? DEFAULT_MAX_WORKSPACES;
+  // Only workspaces that have spent tokens are kept, in order of their last retry.
   const spent = new Map<string, number>();
 
-  function getTokens(team: string): number {
-    return spent.get(team) ?? maxTokens;
+  function getTokens(workspace: string): number {
+    return spent.get(workspace) ?? maxTokens;
   }
 
   return {
-    recordRequest(team) {
-      const tokens = spent.get(team);
+    recordRequest(workspace) {
+      const tokens = spent.get(workspace);
       if (tokens === undefined) return;
-      if (tokens + earned >= maxTokens) spent.delete(team);
-      else spent.set(team, tokens + earned);
+      if (tokens + earned >= maxTokens) spent.delete(workspace);
+      else spent.set(workspace, tokens + earned);
     },
-    take(team) {
-      const tokens = getTokens(team);
+    take(workspace) {
+      const tokens = getTokens(workspace);
       if (tokens < 1) return false;
-      spent.delete(team);
-      spent.set(team, tokens - 1);
-      if (spent.size > maxTeams) {
+      spent.delete(workspace);
+      spent.set(workspace, tokens - 1);
+      if (spent.size > maxWorkspaces) {
         for (const oldest of spent.keys()) {
           spent.delete(oldest);
           break;
--- a/src/requests/retry_budget_test.ts
+++ b/src/requests/retry_budget_test.ts
@@ -3,8 +3,8 @@
 import { computeBackoff, createRetryBudget } from "./retry_budget.ts";
 
 // Guards against retries that multiply the load when everything fails, and
-// against one team using up the retries of another.
-t.test("retries are a bounded part of the load of each team", (t) => {
+// against one workspace using up the retries of another.
+t.test("retries are a bounded part of the load of each workspace", (t) => {
   const budget = createRetryBudget({ earnedPerRequest: 0.2, maxTokens: 10 });
   let retries = 0;
   for (let i = 0; i < 1_000; i++) {
--- a/src/requests/slots.ts
+++ b/src/requests/slots.ts
@@ -16,13 +16,13 @@
 import type { EndpointGrant } from "./endpoints_types.ts";
 import { createExpiryQueue, type ExpiryEntry } from "./expiry_queue.ts";
 import { createFairQueue } from "./fair_queue.ts";
-import type { QueueEntry, TeamQueueStatus } from "./fair_queue_types.ts";
+import type { QueueEntry, WorkspaceQueueStatus } from "./fair_queue_types.ts";
 import type { SlotController, SlotControllerOptions } from "./slots_types.ts";
 import type {
   RequestOutcome,
   SlotGrant,
   SlotRequest,
-  TeamPolicy,
+  WorkspacePolicy,
 } from "./types.ts";
 
 interface Waiter {
@@ -84,26 +84,31 @@
     acceptFromMs,
     grantValidMs,
   });
-  /** Requests of a team that may be running without an open grant. */
-  function countExcess(team: string): number {
-    const { byTeam, shared } = endpoints.getTeamExcess();
-    return shared + (byTeam.get(team) ?? 0);
+  /** Requests of a workspace that may be running without an open grant. */
+  function countExcess(workspace: string): number {
+    const { byWorkspace, shared } = endpoints.getWorkspaceExcess();
+    return shared + (byWorkspace.get(workspace) ?? 0);
   }
 
-  function getPolicy(team: string): TeamPolicy {
-    const { weight, slotLimit } = options.getPolicy(team);
-    return { weight, slotLimit: Math.max(0, slotLimit - countExcess(team)) };
+  function getPolicy(workspace: string): WorkspacePolicy {
+    const { weight, slotLimit } = options.getPolicy(workspace);
+    return {
+      weight,
+      slotLimit: Math.max(0, slotLimit - countExcess(workspace)),
+    };
   }
 
-  function listTeams(): TeamQueueStatus[] {
-    const queued = queue.listTeams();
-    const known = new Set(queued.map(({ team }) => team));
-    const { byTeam } = endpoints.getTeamExcess();
-    const others = [...byTeam.keys()].filter((team) => !known.has(team))
-      .map((team) => ({ team, queued: 0, running: 0 }));
+  function listWorkspaces(): WorkspaceQueueStatus[] {
+    const queued = queue.listWorkspaces();
+    const known = new Set(queued.map(({ workspace }) => workspace));
+    const { byWorkspace } = endpoints.getWorkspaceExcess();
+    const others = [...byWorkspace.keys()].filter((workspace) =>
+      !known.has(workspace)
+    )
+      .map((workspace) => ({ workspace, queued: 0, running: 0 }));
     return [...queued, ...others].map((status) => ({
       ...status,
-      running: status.running + countExcess(status.team),
+      running: status.running + countExcess(status.workspace),
     }));
   }
 
@@ -281,7 +286,7 @@
     checkPool(request);
     const isRebuilding = endpoints.getPool(request.queue).slots === 0;
     waiter.entry = queue.add({
-      team: request.team,
+      workspace: request.workspace,
       queue: request.queue,
       // Requests that differ in where they may run must not hold up each other.
       lane: [request.queue, request.instance, ...request.avoid].join("\n"),
@@ -355,10 +360,10 @@
       return count;
     },
     receiveAnnouncement(input) {
-      const former = endpoints.getTeamExcess();
-      const hadExcess = former.shared > 0 || former.byTeam.size > 0;
+      const former = endpoints.getWorkspaceExcess();
+      const hadExcess = former.shared > 0 || former.byWorkspace.size > 0;
       const isTaken = endpoints.receiveAnnouncement(input);
-      // Teams that were at their limit on account of the excess may go on.
+      // Workspaces that were at their limit on account of the excess may go on.
       if (isTaken && hadExcess) queue.updatePolicies();
       if (isTaken) startWaiting();
       return isTaken;
@@ -373,8 +378,8 @@
       queued: queue.getSize(),
       granted: grants.size,
       isRebuilding: clock.now() < rebuiltAtMs,
-      sharedExcess: endpoints.getTeamExcess().shared,
-      teams: listTeams(),
+      sharedExcess: endpoints.getWorkspaceExcess().shared,
+      workspaces: listWorkspaces(),
       endpoints: endpoints.list(),
     }),
     stop() {
--- a/src/requests/slots_test.ts
+++ b/src/requests/slots_test.ts
@@ -430,7 +430,7 @@
   stop.abort();
   await t.rejects(aborted, buildWanted("cancelled", "no"));
   t.equal(controller.getStatus().queued, 2, "only the aborted one is gone");
-  t.equal(controller.cancel("second", { scope: "team" }), 1);
+  t.equal(controller.cancel("second", { scope: "workspace" }), 1);
   await t.rejects(cancelled, buildWanted("cancelled", "no"));
   t.equal(
     controller.cancel("first"),
--- a/src/requests/slots_types.ts
+++ b/src/requests/slots_types.ts
@@ -5,12 +5,15 @@
   EndpointStatus,
   EndpointTableOptions,
 } from "./endpoints_types.ts";
-import type { FairQueueOptions, TeamQueueStatus } from "./fair_queue_types.ts";
+import type {
+  FairQueueOptions,
+  WorkspaceQueueStatus,
+} from "./fair_queue_types.ts";
 import type {
   RequestOutcome,
   SlotGrant,
   SlotRequest,
-  TeamPolicy,
+  WorkspacePolicy,
 } from "./types.ts";
 
 /** Settings of a slot controller; times in milliseconds. */
@@ -21,8 +24,8 @@
   dataCentre: string;
   /** Term of this leader; part of each grant. */
   epoch: number;
-  /** The weight and the slot allotment of a team at this data centre. */
-  getPolicy: (team: string) => TeamPolicy;
+  /** The weight and the slot allotment of a workspace at this data centre. */
+  getPolicy: (workspace: string) => WorkspacePolicy;
   /** False once the leader lease has ended; asked before each grant. */
   canGrant?: () => boolean;
   /**
@@ -39,7 +42,7 @@
   grantGraceMs?: number;
   queue?: Pick<
     FairQueueOptions<unknown>,
-    "maxQueued" | "maxQueuedPerTeam" | "defaultDurationMs"
+    "maxQueued" | "maxQueuedPerWorkspace" | "defaultDurationMs"
   >;
   endpoints?: Omit<
     EndpointTableOptions,
@@ -53,11 +56,11 @@
   readonly isReady: boolean;
   /** True until the endpoints have had time to announce to a new leader. */
   readonly isRebuilding: boolean;
-  /** Requests of unknown team that count against every team. */
+  /** Requests of unknown workspace that count against every workspace. */
   readonly sharedExcess: number;
   readonly queued: number;
   readonly granted: number;
-  readonly teams: readonly TeamQueueStatus[];
+  readonly workspaces: readonly WorkspaceQueueStatus[];
   readonly endpoints: readonly EndpointStatus[];
 }
 
@@ -82,7 +85,7 @@
   cancel(requestId: string, options?: CancelOptions): number;
   /** Takes an endpoint's announcement; see `EndpointTable`. */
   receiveAnnouncement(input: unknown): boolean;
-  /** Considers teams again whose weight or allotment has changed. */
+  /** Considers workspaces again whose weight or allotment has changed. */
   updatePolicies(): void;
   getStatus(): SlotStatus;
   /** Refuses all queued work as not run. Grants that were given stay valid. */
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -22,8 +22,8 @@
   readonly connections: number;
   /** Requests that it is running now. */
   readonly inFlight: number;
-  /** The same by team, as named in the header of each request; absent when the endpoint does not count so. */
-  readonly inFlightByTeam?: Readonly<Record<string, number>> | undefined;
+  /** The same by workspace, as named in the header of each request; absent when the endpoint does not count so. */
+  readonly inFlightByWorkspace?: Readonly<Record<string, number>> | undefined;
   /** True once it wants no new work. */
   readonly departing: boolean;
 }
@@ -46,10 +46,10 @@
 /** An entry instance's wish for a slot. */
 export interface SlotRequest {
   readonly requestId: string;
-  /** The team, or the open queue, within which the identifier is unique. */
+  /** The workspace, or the open queue, within which the identifier is unique. */
   readonly scope: string;
-  /** The team that the slot is charged to. */
-  readonly team: string;
+  /** The workspace that the slot is charged to. */
+  readonly workspace: string;
   readonly queue: string;
   readonly idempotent: boolean;
   /** Milliseconds left until the caller's deadline. */
@@ -111,11 +111,11 @@
   release(release: SlotRelease): Promise<void>;
 }
 
-/** What a request weighs for its team at this data centre. */
-export interface TeamPolicy {
+/** What a request weighs for its workspace at this data centre. */
+export interface WorkspacePolicy {
   /** Weight in the fair queue, above 0. */
   readonly weight: number;
-  /** Requests that the team may run at once here: its `slots` allotment. */
+  /** Requests that the workspace may run at once here: its `slots` allotment. */
   readonly slotLimit: number;
 }
 
@@ -125,8 +125,8 @@
   readonly address: string;
   readonly requestId: string;
   readonly queue: string;
-  /** The team that the slot is charged to. */
-  readonly team: string;
+  /** The workspace that the slot is charged to. */
+  readonly workspace: string;
   readonly contentType: string;
   readonly body: Uint8Array;
   /** Milliseconds until the exchange is given up. */
@@ -185,7 +185,7 @@
 export interface ExecuteRequest {
   readonly requestId: string;
   readonly scope: string;
-  readonly team: string;
+  readonly workspace: string;
   readonly queue: string;
   readonly idempotent: boolean;
   readonly contentType: string;
--- a/src/requests/team_excess_test.ts
+++ b/src/requests/workspace_excess_test.ts
@@ -16,30 +16,32 @@
   });
   clock.advance(READY_MS);
   controller.receiveAnnouncement(buildAnnouncement(announced));
-  const countGrants = async (team: string) => {
+  const countGrants = async (workspace: string) => {
     let count = 0;
-    while (await acquireNow(controller, { team }) !== undefined) count += 1;
+    while (await acquireNow(controller, { workspace }) !== undefined) {
+      count += 1;
+    }
     return count;
   };
   return { clock, controller, countGrants };
 }
 
 // Guards against a new leader that lets in a whole limit beside what its predecessor let in.
-t.test("inherited requests count against their team", async (t) => {
-  const inFlightByTeam = { lace: 2, toys: 1 };
+t.test("inherited requests count against their workspace", async (t) => {
+  const inFlightByWorkspace = { lace: 2, toys: 1 };
   const { controller, countGrants } = createLimited({
     inFlight: 3,
-    inFlightByTeam,
+    inFlightByWorkspace,
   });
   t.equal(await countGrants("lace"), LIMIT - 2);
   t.equal(await countGrants("toys"), LIMIT - 1);
-  const running = controller.getStatus().teams
-    .map(({ team, running }) => [team, running]);
+  const running = controller.getStatus().workspaces
+    .map(({ workspace, running }) => [workspace, running]);
   t.strictSame(running, [["lace", LIMIT], ["toys", LIMIT]]);
 });
 
-// Guards against counting nothing where the endpoint does not report by team.
-t.test("requests of unknown team count against every team", async (t) => {
+// Guards against counting nothing where the endpoint does not report by workspace.
+t.test("requests of unknown workspace count against every workspace", async (t) => {
   const { controller, countGrants } = createLimited({ inFlight: 2 });
   t.equal(await countGrants("lace"), LIMIT - 2);
   t.equal(await countGrants("toys"), LIMIT - 2);
@@ -50,12 +52,15 @@
 // Guards against a limit that is exceeded by requests whose connection was lost.
 t.test("a request of unknown outcome counts until the endpoint reports less", async (t) => {
   const { clock, controller, countGrants } = createLimited({});
-  const grant = await acquireNow(controller, { team: "lace" });
+  const grant = await acquireNow(controller, { workspace: "lace" });
   controller.release(grant?.token ?? "", "unknown", 10);
   t.equal(await countGrants("lace"), LIMIT - 1);
   const report = (count: number) =>
     controller.receiveAnnouncement(
-      buildAnnouncement({ inFlight: count, inFlightByTeam: { lace: count } }),
+      buildAnnouncement({
+        inFlight: count,
+        inFlightByWorkspace: { lace: count },
+      }),
     );
   report(0);
   t.equal(await countGrants("lace"), 0, "it may not have arrived yet");
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -56,7 +56,7 @@
 export interface SlotRequest {
   requestId: string;
   scope: string;
-  team: string;
+  workspace: string;
   queue: string;
   idempotent: boolean;
   remainingMs: number;
@@ -120,15 +120,15 @@
   replies: AnnouncementReply[];
 }
 
-/** A job handed in by a team, as JSON. */
+/** A job handed in by a workspace, as JSON. */
 export interface JobRequest {
-  team: string;
+  workspace: string;
   job: Uint8Array;
 }
 
-/** Names a job of a team. */
+/** Names a job of a workspace. */
 export interface JobQuery {
-  team: string;
+  workspace: string;
   jobId: string;
 }
 
@@ -149,7 +149,7 @@
   answer?: RecordedAnswerMessage;
 }
 
-/** Amounts of a team's limits. */
+/** Amounts of a workspace's limits. */
 export interface LimitsMessage {
   slots: number;
   processors: number;
@@ -162,14 +162,14 @@
   transferId: string;
   fromDataCentre: string;
   toDataCentre: string;
-  team: string;
+  workspace: string;
   amount: LimitsMessage;
 }
 
-/** A request for allotment of a team. */
+/** A request for allotment of a workspace. */
 export interface AllotmentAsk {
   fromDataCentre: string;
-  team: string;
+  workspace: string;
   wanted: LimitsMessage;
   /** Part of `wanted` that brings the asker up to its fair part. */
   entitled: LimitsMessage;
--- a/src/scheduling/feasibility.ts
+++ b/src/scheduling/feasibility.ts
@@ -69,7 +69,7 @@
   readonly resources: Resources;
   /** Tasks that must run at once. */
   readonly tasksAtOnce: number;
-  /** The allotment of the team, if it is known. */
+  /** The allotment of the workspace, if it is known. */
   readonly allotment: Resources | undefined;
 }
 
--- a/src/scheduling/job_queues.ts
+++ b/src/scheduling/job_queues.ts
@@ -34,7 +34,7 @@
     size.accelerators,
     // Jobs within a factor of two in run time are served in order of submission.
     Math.ceil(Math.log2(Math.max(1, expectedMs))),
-    spec.team,
+    spec.workspace,
   ].join("/");
 }
 
@@ -73,7 +73,11 @@
       const key = getKey(job);
       let queue = queues.get(key);
       if (queue === undefined) {
-        queue = { key, team: job.team, jobs: createHeap(compareJobs) };
+        queue = {
+          key,
+          workspace: job.workspace,
+          jobs: createHeap(compareJobs),
+        };
         queues.set(key, queue);
       }
       job.queue = queue;
--- a/src/scheduling/jobs.ts
+++ b/src/scheduling/jobs.ts
@@ -14,8 +14,8 @@
 import type { JobRecord, TaskRecord } from "./records.ts";
 import {
   addQueuedTasks,
-  getTeam,
   getWorker,
+  getWorkspace,
   type SchedulerState,
   toAttempt,
 } from "./state.ts";
@@ -94,7 +94,7 @@
 function buildJob(state: SchedulerState, spec: JobSpec): JobRecord {
   const job: JobRecord = {
     spec,
-    team: getTeam(state, spec.team),
+    workspace: getWorkspace(state, spec.workspace),
     tasks: [],
     size: spec.resources,
     waiting: [],
@@ -187,11 +187,11 @@
   state: SchedulerState,
   job: JobRecord,
 ): NeverRunnableReason[] {
-  const { team, spec } = job;
+  const { workspace, spec } = job;
   return findNeverRunnableReasons({
     resources: job.size,
     tasksAtOnce: spec.policy === "gang" ? spec.tasks - job.ended : 1,
-    allotment: team.isKnown ? team.allotment : undefined,
+    allotment: workspace.isKnown ? workspace.allotment : undefined,
   }, state.classes.list());
 }
 
--- a/src/scheduling/jobs_test.ts
+++ b/src/scheduling/jobs_test.ts
@@ -51,8 +51,8 @@
     ],
   },
   {
-    name: "more than the allotment of the team",
-    spec: { team: "small", resources: buildResources(3, 1) },
+    name: "more than the allotment of the workspace",
+    spec: { workspace: "small", resources: buildResources(3, 1) },
     reasons: [{
       resource: "processors",
       requested: 3_000,
@@ -96,8 +96,8 @@
     const cell = createCell();
     cell.addWorker("w0", buildResources(8, 8));
     cell.addWorker("w1", buildResources(4, 64));
-    cell.setTeam("a", AMPLE);
-    cell.setTeam("small", buildResources(2));
+    cell.setWorkspace("a", AMPLE);
+    cell.setWorkspace("small", buildResources(2));
     cell.advance(100);
     cell.addJob({ id: "j", ...spec });
     cell.advance(100);
@@ -110,7 +110,7 @@
     cell.advance(100);
     t.equal(listReports().length, 2, "reported again when the fleet changes");
     cell.addWorker("w3", buildResources(32, 128, 4));
-    cell.setTeam("small", AMPLE);
+    cell.setWorkspace("small", AMPLE);
     cell.advance(1_000);
     t.equal(cell.getScheduler().getJob("j")?.state, "running");
     t.end();
@@ -122,7 +122,7 @@
   const cell = createCell();
   cell.addWorker("w0", buildResources(2));
   cell.addWorker("w1", buildResources(8)).isDraining = true;
-  cell.setTeam("a", AMPLE);
+  cell.setWorkspace("a", AMPLE);
   cell.advance(1_500);
   cell.addJob({ id: "j", resources: buildResources(8) });
   cell.advance(500);
@@ -140,8 +140,8 @@
   for (let number = 0; number < 100; number++) {
     cell.addWorker(`w${number}`, buildResources(40));
   }
-  cell.setTeam("a", AMPLE);
-  cell.setTeam("b", AMPLE);
+  cell.setWorkspace("a", AMPLE);
+  cell.setWorkspace("b", AMPLE);
   const cancelled: string[] = [];
   function addJobs(prefix: string, count: number): void {
     for (let number = 0; number < count; number++) {
@@ -162,7 +162,7 @@
   t.ok(cancelled.map((id) => cell.cancelJob(id)).every((answer) => answer));
   const before = cell.actions.length;
   for (let number = 0; number < 200; number++) {
-    cell.addJob({ id: `new${number}`, team: "b" });
+    cell.addJob({ id: `new${number}`, workspace: "b" });
   }
   cell.advance(50, 50);
   const assigned = cell.actions.slice(before).filter((action) =>
@@ -188,7 +188,7 @@
 t.test("a task that finishes while it is cancelled counts as finished", (t) => {
   const cell = createCell();
   cell.addWorker("w0", buildResources(1));
-  cell.setTeam("a", AMPLE);
+  cell.setWorkspace("a", AMPLE);
   cell.addJob({ id: "j" });
   cell.advance(500);
   cell.end(cell.listRunning()[0]!.task, "finished");
--- a/src/scheduling/leases_test.ts
+++ b/src/scheduling/leases_test.ts
@@ -10,7 +10,7 @@
   const cell = createCell();
   cell.addWorker("w0", buildResources(1));
   cell.addWorker("w1", buildResources(1));
-  cell.setTeam("a", AMPLE);
+  cell.setWorkspace("a", AMPLE);
   cell.addJob({ id: "j" });
   cell.advance(1_000);
   return cell;
@@ -128,13 +128,13 @@
   t.test(`an assignment does not start when it is ${refusal}`, (t) => {
     const cell = createCell({ confirmsAtOnce: false });
     cell.addWorker("w0", buildResources(1));
-    cell.setTeam("a", AMPLE);
+    cell.setWorkspace("a", AMPLE);
     cell.addJob({ id: "j" });
     cell.advance(100);
     const assignment = cell.pending.splice(0)[0]!;
     if (refusal === "cancelled") cell.cancelJob("j");
     if (refusal === "worker removed") cell.getScheduler().removeWorker("w0");
-    if (refusal === "allotment gone") cell.setTeam("a", buildResources(0));
+    if (refusal === "allotment gone") cell.setWorkspace("a", buildResources(0));
     if (refusal === "abandoned") cell.abandon(assignment);
     else t.equal(cell.getScheduler().confirmAssignment(assignment), false);
     cell.advance(100);
@@ -151,7 +151,7 @@
 t.test("a lost start is sent again", (t) => {
   const cell = createCell({ confirmsAtOnce: false });
   const worker = cell.addWorker("w0", buildResources(1));
-  cell.setTeam("a", AMPLE);
+  cell.setWorkspace("a", AMPLE);
   cell.addJob({ id: "j" });
   cell.advance(100);
   for (const attempt of cell.pending.splice(0)) cell.confirm(attempt);
@@ -164,17 +164,17 @@
   t.end();
 });
 
-// Guards against a repeated start that takes a team above an allotment that has shrunk since the first one.
+// Guards against a repeated start that takes a workspace above an allotment that has shrunk since the first one.
 t.test("a lost start is not sent again above the allotment", (t) => {
   const cell = createCell();
   const worker = cell.addWorker("w0", buildResources(2));
-  cell.setTeam("a", buildResources(2));
+  cell.setWorkspace("a", buildResources(2));
   cell.addJob({ id: "j", tasks: 2 });
   cell.advance(100);
   worker.isReachable = false;
   cell.advance(100);
   worker.isReachable = true;
-  cell.setTeam("a", buildResources(1));
+  cell.setWorkspace("a", buildResources(1));
   cell.advance(8_000);
   t.equal(cell.actions.filter((action) => action.type === "start").length, 2);
   t.strictSame(cell.errors, []);
--- a/src/scheduling/lifecycle.ts
+++ b/src/scheduling/lifecycle.ts
@@ -48,7 +48,7 @@
   else job.tasksInRack.delete(rack);
 }
 
-/** Adds the task to what its worker, job, team and the cell hold; the placer has its resources already. */
+/** Adds the task to what its worker, job, workspace and the cell hold; the placer has its resources already. */
 export function addHeld(
   state: SchedulerState,
   task: TaskRecord,
@@ -61,10 +61,10 @@
   worker.tasks.add(task);
   job.placed++;
   addRackCount(job, rack, 1);
-  job.team.placed.add(task);
+  job.workspace.placed.add(task);
   addQueuedTasks(job, -1);
   state.placedTasks++;
-  addCommitted(state, job.team, task.held);
+  addCommitted(state, job.workspace, task.held);
 }
 
 /** Assigns a task whose resources the placer has committed, and asks for the record. */
@@ -106,11 +106,11 @@
   worker.tasks.delete(task);
   job.placed--;
   addRackCount(job, rack, -1);
-  job.team.placed.delete(task);
+  job.workspace.placed.delete(task);
   addQueuedTasks(job, 1);
   state.placedTasks--;
   state.placer.release(worker.place, task.held);
-  subtractCommitted(state, job.team, task.held);
+  subtractCommitted(state, job.workspace, task.held);
   state.throttled.delete(task);
   if (worker.probe === task) removeProbe(state, worker);
   const isUsed = worker.isKnown && !worker.isGone;
--- a/src/scheduling/options.ts
+++ b/src/scheduling/options.ts
@@ -26,7 +26,7 @@
   /** Ended jobs that are kept for `getJob`. Default 10,000. */
   readonly maxEndedJobs?: number;
   /**
-   * How long a team below its share waits before lent resources are reclaimed.
+   * How long a workspace below its share waits before lent resources are reclaimed.
    * Default 2,000 ms with weights "share", 30,000 ms with "waiting".
    */
   readonly reclaimAfterMs?: number;
--- a/src/scheduling/ordering.ts
+++ b/src/scheduling/ordering.ts
@@ -1,6 +1,6 @@
 /**
  * The order in which waiting groups are served. Urgent work comes first. With
- * weights "share" the team with the lowest weighted share goes next; with
+ * weights "share" the workspace with the lowest weighted share goes next; with
  * "waiting" the job with the least work in proportion to its waiting time, as
  * short work first keeps the mean low and aging keeps long work from starving.
  */
@@ -61,7 +61,7 @@
   let last: Candidate | undefined;
 
   function updateCandidate(candidate: Candidate, job: JobRecord): void {
-    const share = computeWeightedShare(state, candidate.queue.team);
+    const share = computeWeightedShare(state, candidate.queue.workspace);
     const haste = computeHaste(job, state.nowMs);
     candidate.isUrgent = job.spec.urgent;
     candidate.score = isShareFirst ? share : -haste;
@@ -99,7 +99,7 @@
         if (job === undefined) continue;
         const { score } = candidate;
         updateCandidate(candidate, job);
-        // Another group of the team was served meanwhile, so this one may have to wait.
+        // Another group of the workspace was served meanwhile, so this one may have to wait.
         const next = heap.getFirst();
         const isOvertaken = candidate.score > score && next !== undefined &&
           compareCandidates(next, candidate) < 0;
--- a/src/scheduling/placing.ts
+++ b/src/scheduling/placing.ts
@@ -28,14 +28,17 @@
   failedShapes: Resources[];
   /** Jobs that found no room, in the order of serving. */
   readonly blocked: JobRecord[];
-  /** Jobs that their team's allotment held back. */
+  /** Jobs that their workspace's allotment held back. */
   readonly bounded: JobRecord[];
 }
 
 function fitsAllotment(job: JobRecord): boolean {
-  const { team } = job;
-  return team.isKnown &&
-    fitsWithin(addResources(team.committed, job.size), team.allotment);
+  const { workspace } = job;
+  return workspace.isKnown &&
+    fitsWithin(
+      addResources(workspace.committed, job.size),
+      workspace.allotment,
+    );
 }
 
 function hasFailedShape(round: Round, size: Resources): boolean {
@@ -168,9 +171,9 @@
     }
   }
   for (const job of round.bounded) {
-    const { team, spec } = job;
-    if (!spec.urgent || !team.isKnown) continue;
-    removeAllotment(state, team, job.size);
+    const { workspace, spec } = job;
+    if (!spec.urgent || !workspace.isKnown) continue;
+    removeAllotment(state, workspace, job.size);
   }
 }
 
@@ -181,26 +184,26 @@
   entitlements: Entitlements,
 ): void {
   const { nowMs, options } = state;
-  const starved = new Set(round.blocked.map((job) => job.team));
-  for (const team of state.teams.values()) {
-    if (!starved.has(team)) team.starvedSinceMs = undefined;
+  const starved = new Set(round.blocked.map((job) => job.workspace));
+  for (const workspace of state.workspaces.values()) {
+    if (!starved.has(workspace)) workspace.starvedSinceMs = undefined;
   }
   let left = MAX_RECLAIM_PLANS_PER_STEP;
   for (const job of round.blocked) {
-    const { team, spec } = job;
-    if (isOverShare(state, team, entitlements)) continue;
+    const { workspace, spec } = job;
+    if (isOverShare(state, workspace, entitlements)) continue;
     if (!preemption.isBelowShare(job, entitlements)) continue;
-    team.starvedSinceMs ??= nowMs;
+    workspace.starvedSinceMs ??= nowMs;
     if (spec.urgent || spec.policy === "gang") continue;
-    if (nowMs - team.starvedSinceMs < options.reclaimAfterMs) continue;
-    if (nowMs < team.nextReclaimMs) continue;
+    if (nowMs - workspace.starvedSinceMs < options.reclaimAfterMs) continue;
+    if (nowMs < workspace.nextReclaimMs) continue;
     for (const peer of listPeers(job, left)) {
       const isAllowed = left > 0 && preemption.hasReclaimRoom() &&
         preemption.isBelowShare(peer, entitlements);
       if (!isAllowed) break;
       left--;
       if (preemption.plan(peer, "reclaim", entitlements)) continue;
-      team.nextReclaimMs = nowMs + RECLAIM_RETRY_MS;
+      workspace.nextReclaimMs = nowMs + RECLAIM_RETRY_MS;
       break;
     }
   }
--- a/src/scheduling/policies_test.ts
+++ b/src/scheduling/policies_test.ts
@@ -13,7 +13,7 @@
     const rack = `r${Math.floor(number / perRack)}`;
     cell.addWorker(`w${number}`, buildResources(cores), rack);
   }
-  for (const team of ["a", "b", "c"]) cell.setTeam(team, AMPLE);
+  for (const workspace of ["a", "b", "c"]) cell.setWorkspace(workspace, AMPLE);
   return cell;
 }
 
@@ -34,7 +34,7 @@
 t.test("services are spread over racks and batch work is packed", (t) => {
   const cell = createRackedCell(4, 2);
   cell.addJob({ id: "s", policy: "service", tasks: 8 });
-  cell.addJob({ id: "b", policy: "batch", tasks: 7, team: "b" });
+  cell.addJob({ id: "b", policy: "batch", tasks: 7, workspace: "b" });
   cell.advance(500);
   const racks = new Map<string, number>();
   for (const [id, count] of countByWorker(cell, "s")) {
@@ -54,7 +54,7 @@
     cell.addWorker(`large${number}`, buildResources(8), "r0");
   }
   cell.addWorker("small", buildResources(8), "r1");
-  cell.setTeam("a", AMPLE);
+  cell.setWorkspace("a", AMPLE);
   cell.addJob({ id: "s", policy: "service", tasks: 6 });
   cell.advance(500);
   t.equal(countByWorker(cell, "s").get("small"), 3);
@@ -104,7 +104,7 @@
     policy: "gang",
     tasks: 3,
     resources: buildResources(8),
-    team: "b",
+    workspace: "b",
   });
   cell.advance(2_000);
   const first = countRunning(cell, "g1") === 3 ? "g1" : "g2";
@@ -121,10 +121,10 @@
 // Guards against small work that stands still because a larger task before it finds no room.
 t.test("a task without room does not hold up smaller work", (t) => {
   const cell = createRackedCell(1, 1);
-  cell.addJob({ id: "filler", team: "b", resources: buildResources(4) });
+  cell.addJob({ id: "filler", workspace: "b", resources: buildResources(4) });
   cell.advance(500);
-  cell.addJob({ id: "large", team: "a", resources: buildResources(8) });
-  cell.addJob({ id: "small", team: "b" });
+  cell.addJob({ id: "large", workspace: "a", resources: buildResources(8) });
+  cell.addJob({ id: "small", workspace: "b" });
   cell.advance(500);
   t.equal(countRunning(cell, "large"), 0);
   t.equal(countRunning(cell, "small"), 1);
@@ -138,7 +138,7 @@
   cell.addWorker("w1", buildResources(4));
   cell.addWorker("w2", buildResources(4));
   cell.addWorker("w3", buildResources(8)).isDraining = true;
-  cell.setTeam("a", AMPLE);
+  cell.setWorkspace("a", AMPLE);
   cell.advance(1_500);
   cell.addJob({
     id: "g",
@@ -156,7 +156,7 @@
 t.test("a lost gang task runs again after its peers have finished", (t) => {
   const cell = createCell({ obeysCheckpoint: false });
   for (const id of ["w0", "w1", "w2"]) cell.addWorker(id, buildResources(4));
-  cell.setTeam("a", AMPLE);
+  cell.setWorkspace("a", AMPLE);
   cell.addJob({
     id: "g",
     policy: "gang",
@@ -221,10 +221,10 @@
           : undefined,
     });
     for (const id of ["w0", "w1", "w2"]) cell.addWorker(id, buildResources(4));
-    for (const team of ["a", "b"]) cell.setTeam(team, AMPLE);
+    for (const workspace of ["a", "b"]) cell.setWorkspace(workspace, AMPLE);
     for (let second = 0; second < 90; second++) {
       for (let number = 0; number < 8; number++) {
-        cell.addJob({ id: `s${second}-${number}`, team: "b", expectedMs });
+        cell.addJob({ id: `s${second}-${number}`, workspace: "b", expectedMs });
       }
       if (second === 5) {
         cell.addJob({
@@ -257,11 +257,11 @@
     policy: "gang",
     tasks: 2,
     resources: buildResources(8),
-    team: "b",
+    workspace: "b",
   });
   cell.advance(500);
-  cell.addJob({ id: "short", expectedMs: 5_000, team: "c" });
-  cell.addJob({ id: "late", expectedMs: 60_000, team: "c" });
+  cell.addJob({ id: "short", expectedMs: 5_000, workspace: "c" });
+  cell.addJob({ id: "late", expectedMs: 60_000, workspace: "c" });
   cell.advance(1_000);
   t.equal(countRunning(cell, "short"), 1);
   t.equal(countRunning(cell, "late"), 0);
@@ -317,13 +317,13 @@
     const cell = createCell({ obeysCheckpoint });
     cell.addWorker("w0", buildResources(8), "r0");
     cell.addWorker("w1", buildResources(8), "r1");
-    for (const team of ["a", "b"]) cell.setTeam(team, AMPLE);
+    for (const workspace of ["a", "b"]) cell.setWorkspace(workspace, AMPLE);
     const cores = (filler.resources?.processors ?? 1_000) / 1_000;
     cell.addJob({ id: "f", tasks: 16 / cores, ...filler });
     cell.advance(20_000);
     t.equal(cell.getScheduler().getStatus().committed.processors, 16_000);
     const before = cell.actions.length;
-    cell.addJob({ id: "u", team: "b", urgent: true, ...wanted });
+    cell.addJob({ id: "u", workspace: "b", urgent: true, ...wanted });
     cell.advance(3_000);
     t.equal(countRunning(cell, "u"), wanted.tasks ?? 1);
     const sent = cell.actions.slice(before).filter((action) =>
@@ -350,7 +350,7 @@
     id: "u",
     urgent: true,
     resources: buildResources(1, 1),
-    team: "b",
+    workspace: "b",
   });
   cell.advance(3_000);
   t.ok(cell.listRunning().some(({ task }) => task.limit === 1_000));
@@ -364,15 +364,15 @@
   t.end();
 });
 
-// Guards against victims that lose hours of work, and against victims from a team within its share.
+// Guards against victims that lose hours of work, and against victims from a workspace within its share.
 t.test("victims are over their share and lose least", (t) => {
   const cell = createRackedCell(1, 1);
-  cell.addJob({ id: "small-share", team: "b" });
-  cell.addJob({ id: "old", team: "a", tasks: 4 });
+  cell.addJob({ id: "small-share", workspace: "b" });
+  cell.addJob({ id: "old", workspace: "a", tasks: 4 });
   cell.advance(60_000);
-  cell.addJob({ id: "young", team: "a", tasks: 3 });
+  cell.addJob({ id: "young", workspace: "a", tasks: 3 });
   cell.advance(2_000);
-  cell.addJob({ id: "u", team: "c", urgent: true });
+  cell.addJob({ id: "u", workspace: "c", urgent: true });
   cell.advance(3_000);
   const victims = cell.actions.filter((action) => action.type === "checkpoint");
   t.strictSame(victims.map((action) => action.job), ["young"]);
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -18,8 +18,8 @@
 import type {
   JobRecord,
   TaskRecord,
-  TeamRecord,
   WorkerRecord,
+  WorkspaceRecord,
 } from "./records.ts";
 import {
   addCommitted,
@@ -57,7 +57,7 @@
   plan(job: JobRecord, kind: PlanKind, entitlements: Entitlements): boolean;
   /** Places tasks where room has been made, and carries out what follows a command without effect. */
   step(): void;
-  /** Tells whether the team is below its share and stays within it with one more task of the job, open plans included. */
+  /** Tells whether the workspace is below its share and stays within it with one more task of the job, open plans included. */
   isBelowShare(job: JobRecord, entitlements: Entitlements): boolean;
   /** Tells whether another plan to reclaim lent resources may be opened. */
   hasReclaimRoom(): boolean;
@@ -117,8 +117,8 @@
 export function createPreemption(state: SchedulerState): Preemption {
   const plans = new Set<Plan>();
   const planByWorker = new Map<WorkerRecord, Plan>();
-  const leaving = new Map<TeamRecord, Resources>();
-  const planned = new Map<TeamRecord, Resources>();
+  const leaving = new Map<WorkspaceRecord, Resources>();
+  const planned = new Map<WorkspaceRecord, Resources>();
   let reclaimPlans = 0;
 
   function openPlan(plan: Plan): void {
@@ -127,8 +127,8 @@
     planByWorker.set(worker, plan);
     job.plans++;
     if (kind === "reclaim") reclaimPlans++;
-    const sum = planned.get(job.team) ?? NO_RESOURCES;
-    planned.set(job.team, addResources(sum, plan.size));
+    const sum = planned.get(job.workspace) ?? NO_RESOURCES;
+    planned.set(job.workspace, addResources(sum, plan.size));
     worker.isReserved = true;
     updateAccepting(state, worker);
   }
@@ -138,8 +138,8 @@
     planByWorker.delete(plan.worker);
     plan.job.plans--;
     if (plan.kind === "reclaim") reclaimPlans--;
-    const sum = planned.get(plan.job.team) ?? NO_RESOURCES;
-    planned.set(plan.job.team, subtractResources(sum, plan.size));
+    const sum = planned.get(plan.job.workspace) ?? NO_RESOURCES;
+    planned.set(plan.job.workspace, subtractResources(sum, plan.size));
     plan.worker.isReserved = false;
     updateAccepting(state, plan.worker);
   }
@@ -154,29 +154,32 @@
     return sample;
   }
 
-  /** Sums up by team what the victims of open plans still hold. */
+  /** Sums up by workspace what the victims of open plans still hold. */
   function updateLeaving(): void {
     leaving.clear();
     for (const plan of plans) {
       for (const task of plan.victims) {
         if (task.worker === undefined) continue;
-        const { team } = task.job;
-        const sum = leaving.get(team) ?? NO_RESOURCES;
-        leaving.set(team, addResources(sum, task.held));
+        const { workspace } = task.job;
+        const sum = leaving.get(workspace) ?? NO_RESOURCES;
+        leaving.set(workspace, addResources(sum, task.held));
       }
     }
   }
 
-  /** Tells whether the team stays at or above its share without the task. */
+  /** Tells whether the workspace stays at or above its share without the task. */
   function isLent(task: TaskRecord, entitlements: Entitlements): boolean {
-    const { team } = task.job;
-    if (!isOverShare(state, team, entitlements)) return false;
+    const { workspace } = task.job;
+    if (!isOverShare(state, workspace, entitlements)) return false;
     const computeShare = getShareFunction(state.options.shareRule);
     const kept = subtractResources(
-      subtractResources(team.committed, leaving.get(team) ?? NO_RESOURCES),
+      subtractResources(
+        workspace.committed,
+        leaving.get(workspace) ?? NO_RESOURCES,
+      ),
       task.held,
     );
-    const share = computeShare(kept, state.capacity) / team.weight;
+    const share = computeShare(kept, state.capacity) / workspace.weight;
     return share >= entitlements.weightedShare;
   }
 
@@ -188,11 +191,11 @@
   ): Victim[] {
     const victims: Victim[] = [];
     for (const task of worker.tasks) {
-      const { spec, team } = task.job;
+      const { spec, workspace } = task.job;
       if (spec.urgent || isEnding(task) || task.stage === "proposed") continue;
       if (task.state === "lost" || task.isRestored) continue;
       if (kind === "reclaim") {
-        if (spec.policy !== "batch" || team === job.team) continue;
+        if (spec.policy !== "batch" || workspace === job.workspace) continue;
         if (!isLent(task, entitlements)) continue;
       }
       victims.push(computeVictim(state, task, entitlements));
@@ -271,8 +274,8 @@
     const { job, worker } = plan;
     const isLate = state.nowMs >= plan.untilMs;
     if (isLate || !isWaiting(job) || !isUsable(worker)) return closePlan(plan);
-    const wanted = addResources(job.team.committed, job.size);
-    if (!fitsWithin(wanted, job.team.allotment)) return closePlan(plan);
+    const wanted = addResources(job.workspace.committed, job.size);
+    if (!fitsWithin(wanted, job.workspace.allotment)) return closePlan(plan);
     if (!state.placer.commit(worker.place, job.size)) {
       const isHopeless = plan.victims.every((task) =>
         task.worker !== worker || !isEnding(task) && !state.throttled.has(task)
@@ -295,15 +298,15 @@
         continue;
       }
       if (planByWorker.has(worker) || isEnding(task)) continue;
-      const { size, team } = job;
+      const { size, workspace } = job;
       const missing = {
         ...NO_RESOURCES,
         processors: size.processors - task.held.processors,
       };
-      const wanted = addResources(team.committed, missing);
-      if (!fitsWithin(wanted, team.allotment)) continue;
+      const wanted = addResources(workspace.committed, missing);
+      if (!fitsWithin(wanted, workspace.allotment)) continue;
       if (!state.placer.commit(worker.place, missing)) continue;
-      addCommitted(state, team, missing);
+      addCommitted(state, workspace, missing);
       task.held = addResources(task.held, missing);
       // With no limit wanted, a late report of the old one does not lower what is committed.
       sendThrottle(state, task, undefined, "urgentWork");
@@ -349,13 +352,13 @@
       endThrottling();
     },
     isBelowShare(job, entitlements) {
-      const { team } = job;
+      const { workspace } = job;
       const computeShare = getShareFunction(state.options.shareRule);
       const wanted = addResources(
-        addResources(team.committed, job.size),
-        planned.get(team) ?? NO_RESOURCES,
+        addResources(workspace.committed, job.size),
+        planned.get(workspace) ?? NO_RESOURCES,
       );
-      const share = computeShare(wanted, state.capacity) / team.weight;
+      const share = computeShare(wanted, state.capacity) / workspace.weight;
       return share <= entitlements.weightedShare;
     },
     hasReclaimRoom: () =>
--- a/src/scheduling/records.ts
+++ b/src/scheduling/records.ts
@@ -1,4 +1,4 @@
-/** The scheduler's own records of jobs, tasks, workers and teams. */
+/** The scheduler's own records of jobs, tasks, workers and workspaces. */
 
 import type { Resources } from "../common/mod.ts";
 import type { Heap } from "./heap.ts";
@@ -60,7 +60,7 @@
 /** One job. */
 export interface JobRecord {
   readonly spec: JobSpec;
-  readonly team: TeamRecord;
+  readonly workspace: WorkspaceRecord;
   readonly tasks: TaskRecord[];
   /** What a task is given; above the declaration once a task has used more memory. */
   size: Resources;
@@ -113,29 +113,29 @@
   probe: TaskRecord | undefined;
 }
 
-/** One team. */
-export interface TeamRecord {
+/** One workspace. */
+export interface WorkspaceRecord {
   readonly name: string;
   weight: number;
   allotment: Resources;
-  /** False until `setTeam`; nothing of the team starts before. */
+  /** False until `setWorkspace`; nothing of the workspace starts before. */
   isKnown: boolean;
   committed: Resources;
   readonly placed: Set<TaskRecord>;
   queuedTasks: number;
   /** What the queued tasks ask for. */
   queuedResources: Resources;
-  /** Since when the team has been below its share with work that found no room. */
+  /** Since when the workspace has been below its share with work that found no room. */
   starvedSinceMs: number | undefined;
   /** No plan to reclaim lent resources is tried before this time. */
   nextReclaimMs: number;
-  /** Set while the team has to shed work. */
+  /** Set while the workspace has to shed work. */
   isOverAllotment: boolean;
 }
 
-/** Waiting jobs of one team that are alike for placement, in order of submission. */
+/** Waiting jobs of one workspace that are alike for placement, in order of submission. */
 export interface JobQueue {
   readonly key: string;
-  readonly team: TeamRecord;
+  readonly workspace: WorkspaceRecord;
   readonly jobs: Heap<JobRecord>;
 }
--- a/src/scheduling/reports.ts
+++ b/src/scheduling/reports.ts
@@ -60,9 +60,9 @@
   const { place } = task.worker!;
   const held = { ...task.held, processors };
   state.placer.release(place, task.held);
-  subtractCommitted(state, task.job.team, task.held);
+  subtractCommitted(state, task.job.workspace, task.held);
   state.placer.record(place, held);
-  addCommitted(state, task.job.team, held);
+  addCommitted(state, task.job.workspace, held);
   task.held = held;
 }
 
@@ -216,7 +216,7 @@
     if (task.stage !== "started" || task.isRestored) continue;
     if (task.intervention !== undefined) continue;
     // The first start may have been lost, so this one may be what starts the task.
-    if (!isWithinAllotment(task.job.team)) continue;
+    if (!isWithinAllotment(task.job.workspace)) continue;
     if (task.startsSent >= MAX_STARTS_SENT) continue;
     if (state.nowMs - task.sentMs < RESEND_MS) continue;
     sendStart(state, task);
--- a/src/scheduling/reservations.ts
+++ b/src/scheduling/reservations.ts
@@ -84,10 +84,13 @@
   }
 
   function hasAllotment(job: JobRecord): boolean {
-    const { team } = job;
+    const { workspace } = job;
     const wanted = multiplyResources(job.size, computeTaskCount(job));
-    return team.isKnown &&
-      fitsWithin(addResources(team.committed, wanted), team.allotment);
+    return workspace.isKnown &&
+      fitsWithin(
+        addResources(workspace.committed, wanted),
+        workspace.allotment,
+      );
   }
 
   function pickPlace(job: JobRecord, held: readonly WorkerRecord[]) {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -22,32 +22,35 @@
 import { checkAllotments } from "./shedding.ts";
 import {
   createState,
-  getTeam,
+  getWorkspace,
   isWithinAllotment,
   type SchedulerState,
 } from "./state.ts";
 import { buildJobView, buildStatus, buildWorkerStatus } from "./status.ts";
-import type { Scheduler, TaskAttempt, TeamSettings } from "./types.ts";
+import type { Scheduler, TaskAttempt, WorkspaceSettings } from "./types.ts";
 import { checkWorkers, removeWorker } from "./workers.ts";
 
-function updateTeam(state: SchedulerState, settings: TeamSettings): void {
-  const { team: name, weight, allotment } = settings;
+function updateWorkspace(
+  state: SchedulerState,
+  settings: WorkspaceSettings,
+): void {
+  const { workspace: name, weight, allotment } = settings;
   if (!(weight > 0 && Number.isFinite(weight))) {
     throw createFault(
       "badRequest",
-      `Cannot set team "${name}": weight ${weight} is not a number above 0`,
+      `Cannot set workspace "${name}": weight ${weight} is not a number above 0`,
     );
   }
-  const team = getTeam(state, name);
-  const isChanged = !team.isKnown ||
+  const workspace = getWorkspace(state, name);
+  const isChanged = !workspace.isKnown ||
     RESOURCE_NAMES.some((resource) =>
-      team.allotment[resource] !== allotment[resource]
+      workspace.allotment[resource] !== allotment[resource]
     );
-  team.weight = weight;
-  team.allotment = allotment;
-  team.isKnown = true;
+  workspace.weight = weight;
+  workspace.allotment = allotment;
+  workspace.isKnown = true;
   if (isChanged) state.needsFeasibilityCheck = true;
-  team.isOverAllotment = !fitsWithin(team.committed, allotment);
+  workspace.isOverAllotment = !fitsWithin(workspace.committed, allotment);
 }
 
 // A part of the leases that are due is looked at in each step, but never fewer than this.
@@ -74,7 +77,7 @@
   const { job, worker, intervention } = task;
   return !job.isCancelled && !job.isFailing && intervention === undefined &&
     worker !== undefined && !worker.isGone && isWholeGang(job) &&
-    isWithinAllotment(job.team);
+    isWithinAllotment(job.workspace);
 }
 
 function confirmAssignment(
@@ -185,12 +188,13 @@
       const worker = state.workers.get(id);
       if (worker !== undefined) removeWorker(state, worker);
     },
-    setTeam: (settings) => updateTeam(state, settings),
+    setWorkspace: (settings) => updateWorkspace(state, settings),
     restore(jobs, assignments, nowMs) {
       setTime(nowMs);
       restoreJobs(state, jobs, assignments);
-      for (const team of state.teams.values()) {
-        team.isOverAllotment = team.isKnown && !isWithinAllotment(team);
+      for (const workspace of state.workspaces.values()) {
+        workspace.isOverAllotment = workspace.isKnown &&
+          !isWithinAllotment(workspace);
       }
     },
     confirmAssignment: (assignment) => confirmAssignment(state, assignment),
--- a/src/scheduling/scheduler_property_test.ts
+++ b/src/scheduling/scheduler_property_test.ts
@@ -19,7 +19,7 @@
     tasks: number;
     cores: number;
     urgent: boolean;
-    team: string;
+    workspace: string;
   }
   | {
     kind:
@@ -35,12 +35,12 @@
     pick: number;
   }
   | { kind: "takeover" }
-  | { kind: "allot"; team: string; cores: number }
+  | { kind: "allot"; workspace: string; cores: number }
   | { kind: "network"; dropEvery: number; delayMs: number }
   | { kind: "settle"; confirms: boolean; count: number }
   | { kind: "wait"; ms: number };
 
-const team = fc.constantFrom("a", "b", "c");
+const workspace = fc.constantFrom("a", "b", "c");
 const pick = fc.nat({ max: 1_000 });
 const event: fc.Arbitrary<Event> = fc.oneof(
   {
@@ -51,7 +51,7 @@
       tasks: fc.integer({ min: 1, max: 6 }),
       cores: fc.integer({ min: 1, max: 5 }),
       urgent: fc.boolean(),
-      team,
+      workspace,
     }),
   },
   {
@@ -76,7 +76,7 @@
     weight: 1,
     arbitrary: fc.record({
       kind: fc.constant("allot" as const),
-      team,
+      workspace,
       cores: fc.integer({ min: -2, max: 30 }),
     }),
   },
@@ -115,7 +115,7 @@
     case "arrive":
       cell.addJob({
         id: `j${number}`,
-        team: event.team,
+        workspace: event.workspace,
         policy: event.policy,
         tasks: event.tasks,
         resources: buildResources(event.cores),
@@ -171,7 +171,7 @@
       cell.restore();
       break;
     case "allot":
-      cell.setTeam(event.team, buildResources(event.cores));
+      cell.setWorkspace(event.workspace, buildResources(event.cores));
       break;
     case "network":
       cell.setNetwork(event);
@@ -191,7 +191,7 @@
 /** Ends all trouble and lets every job come to its end. */
 function runToEnd(cell: Cell): void {
   cell.setNetwork({});
-  for (const name of ["a", "b", "c"]) cell.setTeam(name, AMPLE);
+  for (const name of ["a", "b", "c"]) cell.setWorkspace(name, AMPLE);
   for (const worker of cell.workers.values()) {
     worker.isReachable = true;
     worker.isDraining = false;
@@ -207,7 +207,7 @@
   }
 }
 
-// Guards against overcommitted workers, teams above their allotment, gangs that
+// Guards against overcommitted workers, workspaces above their allotment, gangs that
 // start in part, tasks that run twice or end twice, and tasks that are forgotten,
 // under any order of arrivals, ends, losses, late reports and takeovers.
 t.test("invariants hold over random sequences", (t) => {
@@ -222,7 +222,7 @@
       cell.addWorker("w2", buildResources(16), "r1");
       cell.addWorker("w3", buildResources(6), "r1");
       for (const name of ["a", "b", "c"]) {
-        cell.setTeam(name, buildResources(20));
+        cell.setWorkspace(name, buildResources(20));
       }
       events.forEach((event, number) => runEvent(cell, event, number));
       runToEnd(cell);
--- a/src/scheduling/shares.ts
+++ b/src/scheduling/shares.ts
@@ -1,12 +1,12 @@
 /**
- * Shares of teams. Two rules are offered: weighted dominant-resource fairness,
- * which compares the largest part that a team holds of any resource, and asset
+ * Shares of workspaces. Two rules are offered: weighted dominant-resource fairness,
+ * which compares the largest part that a workspace holds of any resource, and asset
  * fairness, which compares the sum of the parts. See `docs/scheduling.md`.
  */
 
 import { RESOURCE_NAMES, type Resources } from "../common/mod.ts";
 
-/** How the holdings of teams are compared. */
+/** How the holdings of workspaces are compared. */
 export type ShareRule = "dominant" | "asset";
 
 /** Returns the largest part of any resource of `total` that `held` makes up. */
--- a/src/scheduling/shares_test.ts
+++ b/src/scheduling/shares_test.ts
@@ -19,14 +19,16 @@
   for (const id of ["w0", "w1", "w2", "w3"]) {
     cell.addWorker(id, buildResources(10));
   }
-  for (const [team, weight] of Object.entries(weights)) {
-    cell.setTeam(team, AMPLE, weight);
+  for (const [workspace, weight] of Object.entries(weights)) {
+    cell.setWorkspace(workspace, AMPLE, weight);
   }
   return cell;
 }
 
-function countCores(cell: Cell, team: string): number {
-  return cell.listRunning().filter(({ task }) => task.spec.team === team)
+function countCores(cell: Cell, workspace: string): number {
+  return cell.listRunning().filter(({ task }) =>
+    task.spec.workspace === workspace
+  )
     .reduce((sum, { task }) => sum + task.spec.resources.processors / 1_000, 0);
 }
 
@@ -42,27 +44,27 @@
     cores: { a: 30, b: 10 },
   },
   {
-    name: "three teams",
+    name: "three workspaces",
     weights: { a: 2, b: 1, c: 1 },
     cores: { a: 20, b: 10, c: 10 },
   },
 ];
 
-// Guards against a team that gets more or less than its weight entitles it to in a full cell.
+// Guards against a workspace that gets more or less than its weight entitles it to in a full cell.
 for (const { name, weights, cores } of SHARE_CASES) {
   t.test(`a full cell is divided by ${name}`, (t) => {
     const cell = createFullCell(weights, 4_000);
-    // The team that comes first floods the cell; the others arrive a second later.
-    for (const [position, team] of Object.keys(weights).entries()) {
-      cell.addJob({ id: team, team, tasks: 300, expectedMs: 4_000 });
+    // The workspace that comes first floods the cell; the others arrive a second later.
+    for (const [position, workspace] of Object.keys(weights).entries()) {
+      cell.addJob({ id: workspace, workspace, tasks: 300, expectedMs: 4_000 });
       if (position === 0) cell.advance(1_000);
     }
     cell.advance(15_000);
-    for (const [team, expected] of Object.entries(cores)) {
-      const found = countCores(cell, team);
+    for (const [workspace, expected] of Object.entries(cores)) {
+      const found = countCores(cell, workspace);
       t.ok(
         Math.abs(found - expected) <= 1,
-        `${team} holds ${found} of ${expected} cores`,
+        `${workspace} holds ${found} of ${expected} cores`,
       );
     }
     t.end();
@@ -75,7 +77,7 @@
   cell.addJob({ id: "a", tasks: 100, expectedMs: 3_600_000 });
   cell.advance(2_000);
   t.equal(countCores(cell, "a"), 40);
-  cell.addJob({ id: "b", team: "b", tasks: 100, expectedMs: 3_600_000 });
+  cell.addJob({ id: "b", workspace: "b", tasks: 100, expectedMs: 3_600_000 });
   cell.advance(30_000);
   t.equal(countCores(cell, "a"), 20);
   t.equal(countCores(cell, "b"), 20);
@@ -99,17 +101,17 @@
   },
 ];
 
-// Guards against a team above its allotment, at the start of a task and after the allotment has shrunk.
+// Guards against a workspace above its allotment, at the start of a task and after the allotment has shrunk.
 for (const { name, before, after } of ALLOTMENT_CASES) {
   t.test(`an allotment that shrinks in ${name} is kept`, (t) => {
     const cell = createFullCell({ a: 1 }, Infinity);
-    cell.setTeam("a", before);
+    cell.setWorkspace("a", before);
     cell.addJob({ id: "s", policy: "service", tasks: 3 });
     cell.addJob({ id: "g", policy: "gang", tasks: 3 });
     cell.addJob({ id: "b", tasks: 30 });
     cell.advance(3_000);
     t.equal(countCores(cell, "a"), 12);
-    cell.setTeam("a", after);
+    cell.setWorkspace("a", after);
     cell.advance(5_000);
     const bound = Math.max(
       0,
@@ -124,10 +126,10 @@
   });
 }
 
-// Guards against urgent work that is kept waiting by the allotment that its own team's batch work fills.
-t.test("urgent work takes the place of its team's own batch work", (t) => {
+// Guards against urgent work that is kept waiting by the allotment that its own workspace's batch work fills.
+t.test("urgent work takes the place of its workspace's own batch work", (t) => {
   const cell = createFullCell({ a: 1 }, Infinity);
-  cell.setTeam("a", buildResources(4));
+  cell.setWorkspace("a", buildResources(4));
   cell.addJob({ id: "b", tasks: 9 });
   cell.advance(2_000);
   cell.addJob({ id: "u", urgent: true });
@@ -138,7 +140,7 @@
   t.end();
 });
 
-// Guards against a rule that overlooks the scarce resource of a team, and figures that do not compare.
+// Guards against a rule that overlooks the scarce resource of a workspace, and figures that do not compare.
 t.test("shares and the fairness index", (t) => {
   const total = buildResources(100, 100, 10);
   const held = buildResources(10, 20, 5);
--- a/src/scheduling/shedding.ts
+++ b/src/scheduling/shedding.ts
@@ -1,4 +1,4 @@
-/** Ends work of a team that holds more than its allotment, or that stands in the way of the team's own urgent work. */
+/** Ends work of a workspace that holds more than its allotment, or that stands in the way of the workspace's own urgent work. */
 
 import {
   addResources,
@@ -8,7 +8,7 @@
   type Resources,
   subtractResources,
 } from "../common/mod.ts";
-import type { TaskRecord, TeamRecord } from "./records.ts";
+import type { TaskRecord, WorkspaceRecord } from "./records.ts";
 import type { SchedulerState } from "./state.ts";
 import type { InterventionReason } from "./types.ts";
 import {
@@ -31,9 +31,9 @@
   return RESOURCE_NAMES.some((name) => held[name] > 0 && excess[name] > 0);
 }
 
-function computeEnding(team: TeamRecord): Resources {
+function computeEnding(workspace: WorkspaceRecord): Resources {
   let ending = NO_RESOURCES;
-  for (const task of team.placed) {
+  for (const task of workspace.placed) {
     if (isEnding(task)) ending = addResources(ending, task.held);
   }
   return ending;
@@ -41,12 +41,12 @@
 
 function listVictims(
   state: SchedulerState,
-  team: TeamRecord,
+  workspace: WorkspaceRecord,
   withUrgent: boolean,
 ) {
   const entitlements = computeEntitlements(state);
   const tasks: TaskRecord[] = [];
-  for (const task of team.placed) {
+  for (const task of workspace.placed) {
     if (isEnding(task)) continue;
     if (task.job.spec.urgent && !withUrgent) continue;
     tasks.push(task);
@@ -62,7 +62,7 @@
 
 function endTasks(
   state: SchedulerState,
-  team: TeamRecord,
+  workspace: WorkspaceRecord,
   options: {
     excess: Resources;
     reason: InterventionReason;
@@ -70,9 +70,9 @@
     withUrgent: boolean;
   },
 ): void {
-  let excess = subtractResources(options.excess, computeEnding(team));
+  let excess = subtractResources(options.excess, computeEnding(workspace));
   if (!hasPositive(excess)) return;
-  for (const { task } of listVictims(state, team, options.withUrgent)) {
+  for (const { task } of listVictims(state, workspace, options.withUrgent)) {
     if (!hasPositive(excess)) return;
     if (task.worker === undefined || isEnding(task)) continue;
     if (!hasOverlap(task.held, excess)) continue;
@@ -86,23 +86,23 @@
   }
 }
 
-/** Sheds work of teams whose allotment has shrunk below what they hold. */
+/** Sheds work of workspaces whose allotment has shrunk below what they hold. */
 export function checkAllotments(state: SchedulerState): void {
-  for (const team of state.teams.values()) {
-    if (!team.isOverAllotment) continue;
-    if (fitsWithin(team.committed, team.allotment)) {
-      team.isOverAllotment = false;
+  for (const workspace of state.workspaces.values()) {
+    if (!workspace.isOverAllotment) continue;
+    if (fitsWithin(workspace.committed, workspace.allotment)) {
+      workspace.isOverAllotment = false;
       continue;
     }
     // Holding nothing of a resource is in bounds even when its allotment is negative.
-    const excess = subtractResources(team.committed, team.allotment);
-    endTasks(state, team, {
+    const excess = subtractResources(workspace.committed, workspace.allotment);
+    endTasks(state, workspace, {
       excess: {
-        processors: Math.min(excess.processors, team.committed.processors),
-        memoryMb: Math.min(excess.memoryMb, team.committed.memoryMb),
+        processors: Math.min(excess.processors, workspace.committed.processors),
+        memoryMb: Math.min(excess.memoryMb, workspace.committed.memoryMb),
         accelerators: Math.min(
           excess.accelerators,
-          team.committed.accelerators,
+          workspace.committed.accelerators,
         ),
       },
       reason: "allotment",
@@ -112,15 +112,15 @@
   }
 }
 
-/** Makes room under the team's allotment for a task of its own urgent work. */
+/** Makes room under the workspace's allotment for a task of its own urgent work. */
 export function removeAllotment(
   state: SchedulerState,
-  team: TeamRecord,
+  workspace: WorkspaceRecord,
   size: Resources,
 ): void {
-  const wanted = addResources(team.committed, size);
-  endTasks(state, team, {
-    excess: subtractResources(wanted, team.allotment),
+  const wanted = addResources(workspace.committed, size);
+  endTasks(state, workspace, {
+    excess: subtractResources(wanted, workspace.allotment),
     reason: "urgentWork",
     graceMs: URGENT_GRACE_MS,
     withUrgent: false,
--- a/src/scheduling/state.ts
+++ b/src/scheduling/state.ts
@@ -16,8 +16,8 @@
 import type {
   JobRecord,
   TaskRecord,
-  TeamRecord,
   WorkerRecord,
+  WorkspaceRecord,
 } from "./records.ts";
 import { getShareFunction } from "./shares.ts";
 import type { SchedulerAction, TaskAttempt } from "./types.ts";
@@ -42,7 +42,7 @@
   readonly workers: Map<string, WorkerRecord>;
   /** The workers of the fleet as a list, for sampling. */
   readonly fleet: WorkerRecord[];
-  readonly teams: Map<string, TeamRecord>;
+  readonly workspaces: Map<string, WorkspaceRecord>;
   readonly placer: Placer;
   readonly classes: CapacityClasses;
   readonly queues: JobQueues;
@@ -101,7 +101,7 @@
     endedJobs: [],
     workers: new Map(),
     fleet: [],
-    teams: new Map(),
+    workspaces: new Map(),
     placer: createPlacer(options),
     classes: createCapacityClasses(),
     queues: createJobQueues(),
@@ -126,11 +126,14 @@
   };
 }
 
-/** Returns the team, created without an allotment when it is not known yet. */
-export function getTeam(state: SchedulerState, name: string): TeamRecord {
-  let team = state.teams.get(name);
-  if (team === undefined) {
-    team = {
+/** Returns the workspace, created without an allotment when it is not known yet. */
+export function getWorkspace(
+  state: SchedulerState,
+  name: string,
+): WorkspaceRecord {
+  let workspace = state.workspaces.get(name);
+  if (workspace === undefined) {
+    workspace = {
       name,
       weight: 1,
       allotment: NO_RESOURCES,
@@ -143,9 +146,9 @@
       nextReclaimMs: 0,
       isOverAllotment: false,
     };
-    state.teams.set(name, team);
+    state.workspaces.set(name, workspace);
   }
-  return team;
+  return workspace;
 }
 
 /** Returns the worker, created without capacity when it has not reported yet. */
@@ -198,38 +201,39 @@
     !worker.isSilent && worker.health.mode === "inService";
 }
 
-/** Adds to what a task's team and the cell have committed. */
+/** Adds to what a task's workspace and the cell have committed. */
 export function addCommitted(
   state: SchedulerState,
-  team: TeamRecord,
+  workspace: WorkspaceRecord,
   amount: Resources,
 ): void {
-  team.committed = addResources(team.committed, amount);
+  workspace.committed = addResources(workspace.committed, amount);
   state.committed = addResources(state.committed, amount);
 }
 
-/** Subtracts from what a task's team and the cell have committed. */
+/** Subtracts from what a task's workspace and the cell have committed. */
 export function subtractCommitted(
   state: SchedulerState,
-  team: TeamRecord,
+  workspace: WorkspaceRecord,
   amount: Resources,
 ): void {
-  team.committed = subtractResources(team.committed, amount);
+  workspace.committed = subtractResources(workspace.committed, amount);
   state.committed = subtractResources(state.committed, amount);
 }
 
-/** Returns the team's share by the rule in use, divided by its weight. */
+/** Returns the workspace's share by the rule in use, divided by its weight. */
 export function computeWeightedShare(
   state: SchedulerState,
-  team: TeamRecord,
+  workspace: WorkspaceRecord,
 ): number {
   const computeShare = getShareFunction(state.options.shareRule);
-  return computeShare(team.committed, state.capacity) / team.weight;
+  return computeShare(workspace.committed, state.capacity) / workspace.weight;
 }
 
-/** Tells whether tasks of the team may start. With a negative allotment none may, whatever the team holds. */
-export function isWithinAllotment(team: TeamRecord): boolean {
-  return team.isKnown && fitsWithin(team.committed, team.allotment);
+/** Tells whether tasks of the workspace may start. With a negative allotment none may, whatever the workspace holds. */
+export function isWithinAllotment(workspace: WorkspaceRecord): boolean {
+  return workspace.isKnown &&
+    fitsWithin(workspace.committed, workspace.allotment);
 }
 
 /** Names the attempt of a task for an action. */
@@ -237,12 +241,12 @@
   return { job: task.job.spec.id, index: task.index, attempt: task.attempt };
 }
 
-/** Adds to the number of queued tasks of the job's team. */
+/** Adds to the number of queued tasks of the job's workspace. */
 export function addQueuedTasks(job: JobRecord, count: number): void {
-  const { team } = job;
-  team.queuedTasks += count;
-  team.queuedResources = addResources(
-    team.queuedResources,
+  const { workspace } = job;
+  workspace.queuedTasks += count;
+  workspace.queuedResources = addResources(
+    workspace.queuedResources,
     multiplyResources(job.spec.resources, count),
   );
 }
--- a/src/scheduling/status.ts
+++ b/src/scheduling/status.ts
@@ -48,23 +48,26 @@
 
 /** Builds the figures of the scheduler. */
 export function buildStatus(state: SchedulerState): SchedulerStatus {
-  const teams = [...state.teams.values()];
+  const workspaces = [...state.workspaces.values()];
   return {
     workers: state.fleet.length,
     workersOutOfService: [...state.ejectedWorkers].map(({ id }) => id),
     capacity: state.capacity,
     committed: state.committed,
     jobs: state.jobs.size,
-    queuedTasks: teams.reduce((sum, team) => sum + team.queuedTasks, 0),
+    queuedTasks: workspaces.reduce(
+      (sum, workspace) => sum + workspace.queuedTasks,
+      0,
+    ),
     placedTasks: state.placedTasks,
-    teams: teams.map((team) => ({
-      team: team.name,
-      weight: team.weight,
-      allotment: team.allotment,
-      committed: team.committed,
-      dominantShare: computeDominantShare(team.committed, state.capacity),
-      queuedTasks: team.queuedTasks,
-      queuedResources: team.queuedResources,
+    workspaces: workspaces.map((workspace) => ({
+      workspace: workspace.name,
+      weight: workspace.weight,
+      allotment: workspace.allotment,
+      committed: workspace.committed,
+      dominantShare: computeDominantShare(workspace.committed, state.capacity),
+      queuedTasks: workspace.queuedTasks,
+      queuedResources: workspace.queuedResources,
     })),
   };
 }
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -11,7 +11,7 @@
 /** What a caller asks for. It does not change after submission. */
 export interface JobSpec {
   readonly id: string;
-  readonly team: string;
+  readonly workspace: string;
   readonly policy: JobPolicy;
   /** Number of tasks, at least 1. */
   readonly tasks: number;
@@ -126,12 +126,12 @@
   readonly leaseMs: number;
 }
 
-/** What a team may use in this data centre. */
-export interface TeamSettings {
-  readonly team: string;
+/** What a workspace may use in this data centre. */
+export interface WorkspaceSettings {
+  readonly workspace: string;
   /** Share weight, above 0. */
   readonly weight: number;
-  /** Bound on the resources of the team's tasks; it may shrink at any time, even below zero. */
+  /** Bound on the resources of the workspace's tasks; it may shrink at any time, even below zero. */
   readonly allotment: Resources;
 }
 
@@ -161,7 +161,7 @@
 export interface NeverRunnableReason {
   readonly resource: keyof Resources;
   readonly requested: number;
-  /** The most that any worker, or the team's allotment, or the whole fleet offers. */
+  /** The most that any worker, or the workspace's allotment, or the whole fleet offers. */
   readonly available: number;
   /** Which bound is too small. */
   readonly bound: "worker" | "allotment" | "fleet" | "combination";
@@ -277,14 +277,14 @@
 /** Which of the two aims comes first when they clash. */
 export type SchedulingWeights = "share" | "waiting";
 
-/** Figures of one team. */
-export interface TeamStatus {
-  readonly team: string;
+/** Figures of one workspace. */
+export interface WorkspaceStatus {
+  readonly workspace: string;
   readonly weight: number;
   readonly allotment: Resources;
-  /** Resources of all tasks of the team that hold resources. */
+  /** Resources of all tasks of the workspace that hold resources. */
   readonly committed: Resources;
-  /** The largest part that the team holds of any resource of the fleet, from 0 to 1. */
+  /** The largest part that the workspace holds of any resource of the fleet, from 0 to 1. */
   readonly dominantShare: number;
   readonly queuedTasks: number;
   /** What the queued tasks ask for. */
@@ -300,7 +300,7 @@
   readonly jobs: number;
   readonly queuedTasks: number;
   readonly placedTasks: number;
-  readonly teams: readonly TeamStatus[];
+  readonly workspaces: readonly WorkspaceStatus[];
 }
 
 /** What a worker holds. */
@@ -329,8 +329,8 @@
   receiveWorkerReport(report: WorkerReport, nowMs: number): WorkerReportReply;
   /** Declares a worker gone; its tasks are placed again after their leases have ended. */
   removeWorker(worker: string): void;
-  setTeam(settings: TeamSettings): void;
-  /** Takes over the recorded state; called once, before anything else but `setTeam`. */
+  setWorkspace(settings: WorkspaceSettings): void;
+  /** Takes over the recorded state; called once, before anything else but `setWorkspace`. */
   restore(
     jobs: readonly RestoredJob[],
     assignments: readonly RestoredAssignment[],
--- a/src/scheduling/victims.ts
+++ b/src/scheduling/victims.ts
@@ -1,36 +1,38 @@
-/** Which tasks make room for others: those that lose least, from teams over their share first. */
+/** Which tasks make room for others: those that lose least, from workspaces over their share first. */
 
 import { PROCESSOR_UNITS_PER_CORE, type Resources } from "../common/mod.ts";
 import { sendEnd } from "./lifecycle.ts";
-import type { TaskRecord, TeamRecord } from "./records.ts";
+import type { TaskRecord, WorkspaceRecord } from "./records.ts";
 import { computeWeightedShare, type SchedulerState } from "./state.ts";
 import type { InterventionReason } from "./types.ts";
 
 // An accelerator's time is weighed like that of several cores.
 const CORES_PER_ACCELERATOR = 8;
 
-/** Shares of the teams that want something at the moment. */
+/** Shares of the workspaces that want something at the moment. */
 export interface Entitlements {
-  /** The weighted share of every active team when the cell is divided by weight. */
+  /** The weighted share of every active workspace when the cell is divided by weight. */
   readonly weightedShare: number;
 }
 
-/** Computes the entitlement over teams that hold or want resources. */
+/** Computes the entitlement over workspaces that hold or want resources. */
 export function computeEntitlements(state: SchedulerState): Entitlements {
   let weights = 0;
-  for (const team of state.teams.values()) {
-    if (team.queuedTasks > 0 || team.placed.size > 0) weights += team.weight;
+  for (const workspace of state.workspaces.values()) {
+    if (workspace.queuedTasks > 0 || workspace.placed.size > 0) {
+      weights += workspace.weight;
+    }
   }
   return { weightedShare: weights === 0 ? 1 : 1 / weights };
 }
 
-/** Tells whether the team holds more than its share. */
+/** Tells whether the workspace holds more than its share. */
 export function isOverShare(
   state: SchedulerState,
-  team: TeamRecord,
+  workspace: WorkspaceRecord,
   entitlements: Entitlements,
 ): boolean {
-  return computeWeightedShare(state, team) > entitlements.weightedShare;
+  return computeWeightedShare(state, workspace) > entitlements.weightedShare;
 }
 
 function computeCores(amount: Resources): number {
@@ -62,7 +64,7 @@
   task: TaskRecord,
   entitlements: Entitlements,
 ): Victim {
-  const isOver = isOverShare(state, task.job.team, entitlements);
+  const isOver = isOverShare(state, task.job.workspace, entitlements);
   const rank = POLICY_RANKS[task.job.spec.policy] +
     (isOver ? 0 : UNDER_SHARE_RANK);
   return { task, rank, loss: computeLoss(state, task) };
--- a/src/scheduling/worker_health_test.ts
+++ b/src/scheduling/worker_health_test.ts
@@ -70,7 +70,7 @@
     for (let number = 0; number < 6; number++) {
       cell.addWorker(`w${number}`, buildResources(4));
     }
-    cell.setTeam("a", AMPLE);
+    cell.setWorkspace("a", AMPLE);
     if (hasOldTasks) {
       cell.addJob({ id: "long", policy: "service", tasks: 6 });
       cell.advance(12_000);
@@ -102,7 +102,7 @@
   });
   cell.addWorker("w0", buildResources(4));
   cell.addWorker("w1", buildResources(4));
-  cell.setTeam("a", AMPLE);
+  cell.setWorkspace("a", AMPLE);
   cell.addJob({ id: "j", tasks: 4, maxAttempts: 2 });
   cell.advance(10_000);
   t.equal(cell.getScheduler().getJob("j")?.counts.running, 4);
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -137,18 +137,18 @@
   share: OBJECTIVE.optional(),
 };
 
-const TEAM_NAME_RANGE = "the name of a team";
-const OBJECTIVE_TEAMS_RANGE = "a list of teams with their objectives";
+const WORKSPACE_NAME_RANGE = "the name of a workspace";
+const OBJECTIVE_WORKSPACES_RANGE = "a list of workspaces with their objectives";
 
 const OBJECTIVES = z.strictObject({
   default: z.strictObject(OBJECTIVE_SET, SECTION).optional(),
-  teams: z.array(
+  workspaces: z.array(
     z.strictObject({
-      team: z.string({ error: TEAM_NAME_RANGE })
-        .min(1, { error: TEAM_NAME_RANGE }),
+      workspace: z.string({ error: WORKSPACE_NAME_RANGE })
+        .min(1, { error: WORKSPACE_NAME_RANGE }),
       ...OBJECTIVE_SET,
     }, SECTION),
-    { error: OBJECTIVE_TEAMS_RANGE },
+    { error: OBJECTIVE_WORKSPACES_RANGE },
   ).optional(),
 }, SECTION);
 
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -125,16 +125,16 @@
   { [Name in ObjectiveName]?: Objective | undefined }
 >;
 
-/** Objectives of one team. */
-export interface TeamObjectiveSettings extends ObjectiveSetSettings {
-  readonly team: string;
+/** Objectives of one workspace. */
+export interface WorkspaceObjectiveSettings extends ObjectiveSetSettings {
+  readonly workspace: string;
 }
 
-/** Service-level objectives of all teams. */
+/** Service-level objectives of all workspaces. */
 export interface ObjectiveSettings {
   readonly default?: ObjectiveSetSettings | undefined;
-  /** Deviations by team. */
-  readonly teams?: readonly TeamObjectiveSettings[] | undefined;
+  /** Deviations by workspace. */
+  readonly workspaces?: readonly WorkspaceObjectiveSettings[] | undefined;
 }
 
 /** The complete settings of one instance. */
--- a/test/cell.ts
+++ b/test/cell.ts
@@ -55,8 +55,8 @@
   listAddresses(dataCentre: string): string[];
   /** Hands in a change through the first instance. */
   change(operations: FleetOperation[]): Promise<JsonAnswer>;
-  /** Creates a team and a key for it; resolves to the key. */
-  addTeam(name: string, limits?: Partial<Limits>): Promise<KeySecret>;
+  /** Creates a workspace and a key for it; resolves to the key. */
+  addWorkspace(name: string, limits?: Partial<Limits>): Promise<KeySecret>;
 }
 
 async function createInstances(options: CellOptions): Promise<CellInstance[]> {
@@ -195,11 +195,11 @@
       entries.filter((entry) => entry.dataCentre === dataCentre)
         .map(({ http }) => `http://${HOST}:${http.port}`),
     change,
-    async addTeam(name, limits) {
+    async addWorkspace(name, limits) {
       const key = createKeySecret();
       const answer = await change([
         {
-          type: "createTeam",
+          type: "createWorkspace",
           name,
           share: 1,
           limits: {
@@ -210,7 +210,7 @@
             ...limits,
           },
         },
-        { type: "grantKey", id: key.id, team: name, hash: key.hash },
+        { type: "grantKey", id: key.id, workspace: name, hash: key.hash },
       ]);
       if (answer.status !== 200) throw new Error(JSON.stringify(answer.body));
       return key;
--- a/test/cell_schedule.ts
+++ b/test/cell_schedule.ts
@@ -72,7 +72,7 @@
 const MEMBER_COUNT = 3;
 const WORKER_COUNT = 2;
 const TASKS_PER_WORKER = 4;
-const TEAMS = ["t", "u"];
+const WORKSPACES = ["t", "u"];
 const LEASE_MS = 3_000;
 const ANNOUNCE_PERIOD_MS = 500;
 /** Time between two random events, in milliseconds. */
@@ -114,7 +114,7 @@
   readonly applied: DataCentreState;
   readonly entries: Buffer[];
   readonly received: Set<string>;
-  /** By team, what may run above what is held, since a limit was lowered. */
+  /** By workspace, what may run above what is held, since a limit was lowered. */
   readonly excess: Map<string, number>;
   isCut: boolean;
 }
@@ -238,7 +238,9 @@
     }
     cell.entries[index] = bytes;
     const recorded = new Map(
-      TEAMS.map((team) => [team, countRecorded(cell, team)]),
+      WORKSPACES.map((
+        workspace,
+      ) => [workspace, countRecorded(cell, workspace)]),
     );
     const result = cell.applied.apply(command, index);
     if (command[0] !== 2) return;
@@ -250,20 +252,20 @@
       cell.received.add(transfer.id);
     }
     if (type !== "applyConfiguration" || !applied) return;
-    for (const team of TEAMS) {
-      const above = recorded.get(team)! - getHeld(cell, team);
-      cell.excess.set(team, Math.max(0, above));
+    for (const workspace of WORKSPACES) {
+      const above = recorded.get(workspace)! - getHeld(cell, workspace);
+      cell.excess.set(workspace, Math.max(0, above));
     }
   }
 
-  function getHeld(cell: Cell, team: string): number {
-    return cell.applied.allotments.getHeld(team).processors;
+  function getHeld(cell: Cell, workspace: string): number {
+    return cell.applied.allotments.getHeld(workspace).processors;
   }
 
-  function countRecorded(cell: Cell, team: string): number {
+  function countRecorded(cell: Cell, workspace: string): number {
     let count = 0;
     for (const { spec, tasks } of cell.applied.jobs.listOpen()) {
-      if (spec.team !== team) continue;
+      if (spec.workspace !== workspace) continue;
       for (const task of tasks.values()) if (task.worker !== undefined) count++;
     }
     return count;
@@ -320,10 +322,10 @@
   }
 
   async function sendAsk(from: Member, ask: AllotmentAsk): Promise<Limits> {
-    const { team, wanted, entitled, levelling } = ask;
+    const { workspace, wanted, entitled, levelling } = ask;
     const message = {
       fromDataCentre: ask.from,
-      team,
+      workspace,
       wanted,
       entitled,
       levelling,
@@ -340,7 +342,7 @@
       transferId: transfer.id,
       fromDataCentre: transfer.from,
       toDataCentre: transfer.to,
-      team: transfer.team,
+      workspace: transfer.workspace,
       amount: transfer.amount,
     });
   }
@@ -363,7 +365,7 @@
     }
     const before = worker.tasks.size;
     const spec = {
-      team: body["team"],
+      workspace: body["workspace"],
       resources: body["resources"],
     } as JobSpec;
     const start = {
@@ -575,30 +577,30 @@
             isRecorded || (record?.attempt ?? 0) >= task.attempt,
             `${key} runs on ${worker.id} without a record`,
           );
-          const { team } = task.spec;
-          running.set(team, (running.get(team) ?? 0) + 1);
+          const { workspace } = task.spec;
+          running.set(workspace, (running.get(workspace) ?? 0) + 1);
         }
       }
-      for (const [team, count] of running) {
-        const held = getHeld(cell, team);
-        const allowed = cell.excess.get(team) ?? 0;
+      for (const [workspace, count] of running) {
+        const held = getHeld(cell, workspace);
+        const allowed = cell.excess.get(workspace) ?? 0;
         check(
           count <= held + allowed,
-          `${count} of ${team} run in ${cell.name}, which holds ${held}`,
+          `${count} of ${workspace} run in ${cell.name}, which holds ${held}`,
         );
       }
-      for (const [team, allowed] of cell.excess) {
+      for (const [workspace, allowed] of cell.excess) {
         const above = Math.max(
           0,
-          countRecorded(cell, team) - getHeld(cell, team),
+          countRecorded(cell, workspace) - getHeld(cell, workspace),
         );
-        cell.excess.set(team, Math.min(allowed, above));
+        cell.excess.set(workspace, Math.min(allowed, above));
       }
     }
   }
 
   function checkSums(): void {
-    for (const team of TEAMS) {
+    for (const workspace of WORKSPACES) {
       let held = 0;
       let granted = 0;
       const versions = new Set<number>();
@@ -606,22 +608,29 @@
         const { allotments } = cell.applied;
         const version = allotments.getAppliedVersion();
         versions.add(version);
-        held += getHeld(cell, team);
+        held += getHeld(cell, workspace);
         if (version > 0) {
-          granted +=
-            computeGranted(states[version - 1]!, team, cell.name).processors;
+          granted += computeGranted(states[version - 1]!, workspace, cell.name)
+            .processors;
         }
         for (const transfer of allotments.getTransfersInProgress()) {
-          if (transfer.team !== team) continue;
+          if (transfer.workspace !== workspace) continue;
           const isReceived = findCell(transfer.to).received.has(transfer.id);
           if (!isReceived) held += transfer.amount.processors;
         }
       }
-      check(held === granted, `${held} of ${team} is not granted ${granted}`);
+      check(
+        held === granted,
+        `${held} of ${workspace} is not granted ${granted}`,
+      );
       const [version] = versions;
       if (versions.size > 1 || !version) continue;
-      const limit = states[version - 1]!.teams.get(team)?.limits.processors;
-      check(held === (limit ?? 0), `${held} of ${team} is not limit ${limit}`);
+      const limit = states[version - 1]!.workspaces.get(workspace)?.limits
+        .processors;
+      check(
+        held === (limit ?? 0),
+        `${held} of ${workspace} is not limit ${limit}`,
+      );
     }
   }
 
@@ -666,8 +675,8 @@
       urgent: random.nextFloat() < 0.1,
       maxAttempts: 5,
     };
-    const team = TEAMS[random.nextInt(TEAMS.length)];
-    const request = { team, job: encodeJson(job) };
+    const workspace = WORKSPACES[random.nextInt(WORKSPACES.length)];
+    const request = { workspace, job: encodeJson(job) };
     callLeader(undefined, cell.name, "submitJob", request).then(() => {
       report.jobs++;
       accepted.set(id, cell);
@@ -677,8 +686,8 @@
   function cancelJob(): void {
     const [job, cell] = [...accepted][random.nextInt(accepted.size || 1)] ?? [];
     if (job === undefined || cell === undefined) return;
-    const team = cell.applied.jobs.get(job)?.spec.team;
-    callLeader(undefined, cell.name, "cancelJob", { team, jobId: job })
+    const workspace = cell.applied.jobs.get(job)?.spec.workspace;
+    callLeader(undefined, cell.name, "cancelJob", { workspace, jobId: job })
       .catch(() => {});
   }
 
@@ -718,8 +727,8 @@
   }
 
   function setLimit(count: number): void {
-    const name = TEAMS[random.nextInt(TEAMS.length)]!;
-    change({ type: "updateTeam", name, limits: toLimits(count) });
+    const name = WORKSPACES[random.nextInt(WORKSPACES.length)]!;
+    change({ type: "updateWorkspace", name, limits: toLimits(count) });
   }
 
   /** Makes some data centres leave or join; `mask` selects those that stay. */
@@ -748,8 +757,8 @@
   }
 
   change({ type: "setDataCentres", names: DATA_CENTRES });
-  for (const name of TEAMS) {
-    change({ type: "createTeam", name, share: 1, limits: toLimits(9) });
+  for (const name of WORKSPACES) {
+    change({ type: "createWorkspace", name, share: 1, limits: toLimits(9) });
   }
   for (const member of members) await startMember(findCell(member.dc), member);
   for (let spent = 0; spent < 2_000; spent += STEP_MS) await runTurn();
@@ -760,8 +769,8 @@
   }
   isFaulty = false;
   change({ type: "setDataCentres", names: DATA_CENTRES });
-  for (const name of TEAMS) {
-    change({ type: "updateTeam", name, limits: toLimits(12) });
+  for (const name of WORKSPACES) {
+    change({ type: "updateWorkspace", name, limits: toLimits(12) });
   }
   for (const cell of cells) {
     cell.isCut = false;
--- a/test/cli_test.ts
+++ b/test/cli_test.ts
@@ -58,9 +58,9 @@
 }
 
 // Guards against a key that the operator gets but no instance accepts.
-t.test("a team and a key that an operator creates work", async (t) => {
+t.test("a workspace and a key that an operator creates work", async (t) => {
   const created = await runProgram(
-    "team",
+    "workspace",
     "create",
     "lace",
     "--share",
@@ -94,13 +94,13 @@
 
 // Guards against exit codes and messages from which a script cannot tell what to do.
 t.test("refusals have exit codes and say what to do", async (t) => {
-  const bad = await runProgram("team", "create", "x", "--share", "-1");
+  const bad = await runProgram("workspace", "create", "x", "--share", "-1");
   t.equal(bad.code, 2);
   t.match(bad.stderr, "badRequest: Cannot read change");
   const missing = await runProgram("job", "show", "none");
   t.equal(missing.code, 2);
   t.match(missing.stderr, "notFound");
-  const again = await runProgram("team", "create", "demo");
+  const again = await runProgram("workspace", "create", "demo");
   t.not(again.code, 0);
 });
 
@@ -146,7 +146,7 @@
   t.match(await readFile(html, "utf8"), "<svg");
   const metrics = await fetch(`${cell.address}/metrics`);
   const page = await metrics.text();
-  t.match(page, /goldcrestlug_requests_total\{.*team="demo".*\} \d+/);
+  t.match(page, /goldcrestlug_requests_total\{.*workspace="demo".*\} \d+/);
   t.match(page, "goldcrestlug_task_starts_total");
 });
 
--- a/test/connection_faults_test.ts
+++ b/test/connection_faults_test.ts
@@ -41,7 +41,7 @@
   await cell.change([
     { type: "createQueue", name: QUEUE, open: false, policy: "requests" },
   ]);
-  key = await cell.addTeam("lace");
+  key = await cell.addWorkspace("lace");
   endpoint = await startEndpoint("e1", {
     buildAddress: async (address) => {
       relay = await startRelay({ targetPort: Number(new URL(address).port) });
@@ -234,7 +234,7 @@
 t.test("a withdrawn key stops at each instance under load", {
   timeout: 120_000,
 }, async (t) => {
-  const withdrawn = await cell.addTeam("toys");
+  const withdrawn = await cell.addWorkspace("toys");
   const sendAs = (address: string) =>
     sendRequest(address, QUEUE, { key: withdrawn.secret });
   for (const address of cell.addresses) {
--- a/test/controller_fakes.ts
+++ b/test/controller_fakes.ts
@@ -73,7 +73,7 @@
 ): RecordedJobSpec {
   return {
     id: "j",
-    team: "a",
+    workspace: "a",
     policy: "batch",
     tasks: 1,
     resources: { processors: 1_000, memoryMb: 1_000, accelerators: 0 },
--- a/test/examples_test.ts
+++ b/test/examples_test.ts
@@ -130,10 +130,12 @@
     const rows = parseSheet(text);
     const queues = rows.filter((row) => row.kind === "queue");
     t.equal(queues.length, 6);
-    const teams = rows.filter((row) => row.kind === "team");
-    t.ok(teams.length >= 6);
-    t.ok(teams.every(({ share = 0 }) => share > 0));
-    for (const { name, slots = 0, processors = 0, memoryMb = 0 } of teams) {
+    const workspaces = rows.filter((row) => row.kind === "workspace");
+    t.ok(workspaces.length >= 6);
+    t.ok(workspaces.every(({ share = 0 }) => share > 0));
+    for (
+      const { name, slots = 0, processors = 0, memoryMb = 0 } of workspaces
+    ) {
       t.ok(slots > 0 && slots <= 30 * 8, `${name}: slots`);
       t.ok(
         processors > 0 && processors <= 30 * cores * 1_000,
--- a/test/instance_faults_test.ts
+++ b/test/instance_faults_test.ts
@@ -33,7 +33,7 @@
   await cell.change([
     { type: "createQueue", name: QUEUE, open: false, policy: "requests" },
   ]);
-  key = await cell.addTeam("lace");
+  key = await cell.addWorkspace("lace");
   for (const dataCentre of DATA_CENTRES) {
     const endpoint = await startStandinEndpoint({
       name: `${dataCentre}-e`,
--- a/test/limits_test.ts
+++ b/test/limits_test.ts
@@ -1,5 +1,5 @@
 /**
- * The limits of a team across the whole fleet, with real processes: requests
+ * The limits of a workspace across the whole fleet, with real processes: requests
  * and jobs in all data centres ask for more than the limits while leaders die
  * and a data centre is cut off.
  */
@@ -53,7 +53,10 @@
   await cell.change([
     { type: "createQueue", name: QUEUE, open: false, policy: "requests" },
   ]);
-  key = await cell.addTeam("lace", { slots: SLOTS, processors: PROCESSORS });
+  key = await cell.addWorkspace("lace", {
+    slots: SLOTS,
+    processors: PROCESSORS,
+  });
   for (const dataCentre of DATA_CENTRES) {
     const entries = cell.listAddresses(dataCentre);
     const endpoint = await startStandinEndpoint({
@@ -158,7 +161,7 @@
 }
 
 // Guards against a new leader that does not know whose requests its predecessor let in.
-t.test("a team stays within its limits when leaders die", {
+t.test("a workspace stays within its limits when leaders die", {
   timeout: 120_000,
 }, async (t) => {
   inFlight.peak = 0;
@@ -174,16 +177,18 @@
   readonly dataCentre: string;
   readonly slots?: {
     isRebuilding: boolean;
-    teams: { team: string; running: number }[];
+    workspaces: { workspace: string; running: number }[];
   };
   readonly allotments?: {
     appliedVersion: number;
-    teams: { team: string; held: { slots: number } }[];
+    workspaces: { workspace: string; held: { slots: number } }[];
   };
 }
 
-function getRunning(teams: { team: string; running: number }[]): number {
-  return teams.find(({ team }) => team === "lace")?.running ?? 0;
+function getRunning(
+  workspaces: { workspace: string; running: number }[],
+): number {
+  return workspaces.find(({ workspace }) => workspace === "lace")?.running ?? 0;
 }
 
 /** Applies the rule of the design page: each data centre has applied it and runs at most what it holds. */
@@ -192,10 +197,12 @@
   const { dataCentres } = body as { dataCentres: DataCentreStatus[] };
   return inFlight.now <= LOWERED_SLOTS &&
     dataCentres.every(({ allotments, slots }) => {
-      const held = allotments?.teams.find(({ team }) => team === "lace")?.held;
+      const held = allotments?.workspaces.find(({ workspace }) =>
+        workspace === "lace"
+      )?.held;
       return (allotments?.appliedVersion ?? 0) >= version &&
         slots?.isRebuilding === false &&
-        (held?.slots ?? -1) >= getRunning(slots.teams);
+        (held?.slots ?? -1) >= getRunning(slots.workspaces);
     });
 }
 
@@ -214,7 +221,7 @@
         changeId: randomUUID(),
         operations: [
           {
-            type: "updateTeam",
+            type: "updateWorkspace",
             name: "lace",
             limits: { slots: LOWERED_SLOTS },
           },
--- a/test/partition_test.ts
+++ b/test/partition_test.ts
@@ -27,8 +27,8 @@
   await cell.change([
     { type: "createQueue", name: QUEUE, open: false, policy: "requests" },
   ]);
-  key = await cell.addTeam("lace");
-  withdrawn = await cell.addTeam("toys");
+  key = await cell.addWorkspace("lace");
+  withdrawn = await cell.addWorkspace("toys");
   for (const dataCentre of ["north", "south", "west"]) {
     const endpoint = await startStandinEndpoint({
       name: `${dataCentre}-e`,
--- a/test/requests_helpers.ts
+++ b/test/requests_helpers.ts
@@ -40,8 +40,8 @@
 export function buildRequest(request: Partial<SlotRequest> = {}): SlotRequest {
   return {
     requestId: "r1",
-    scope: "team",
-    team: "team",
+    scope: "workspace",
+    workspace: "workspace",
     queue: "orders",
     idempotent: true,
     remainingMs: 10_000,
--- a/test/requests_path_test.ts
+++ b/test/requests_path_test.ts
@@ -132,8 +132,8 @@
     try {
       return await entries[entry % 3]!.executor.run({
         requestId: `r${number}`,
-        scope: "team",
-        team: "team",
+        scope: "workspace",
+        workspace: "workspace",
         queue: "orders",
         idempotent,
         contentType: "text/plain",
--- a/test/scheduling_cell.ts
+++ b/test/scheduling_cell.ts
@@ -77,7 +77,7 @@
   addWorker(id: string, capacity: Resources, rack?: string): FakeWorker;
   addJob(spec: Partial<JobSpec> & { id: string }): JobSpec;
   cancelJob(id: string): boolean;
-  setTeam(team: string, allotment: Resources, weight?: number): void;
+  setWorkspace(workspace: string, allotment: Resources, weight?: number): void;
   confirm(attempt: TaskAttempt): void;
   abandon(attempt: TaskAttempt): void;
   /** Replaces the scheduler by a new one that knows only the log. */
@@ -120,7 +120,10 @@
     { spec: JobSpec; cancelled: boolean; ended: boolean }
   >();
   const log = new Map<string, TaskLog>();
-  const teams = new Map<string, { allotment: Resources; weight: number }>();
+  const workspaces = new Map<
+    string,
+    { allotment: Resources; weight: number }
+  >();
   const actions: SchedulerAction[] = [];
   const pending: TaskAttempt[] = [];
   const proposals = new Map<string, { attempt: number; worker: string }>();
@@ -163,16 +166,20 @@
   }
 
   function checkAllotment({ spec }: StartAction): void {
-    const team = teams.get(spec.team);
+    const workspace = workspaces.get(spec.workspace);
     const peers = [...started.values()].filter((other) =>
-      other.spec.team === spec.team
+      other.spec.workspace === spec.workspace
     );
     const used = computeUsed(peers.map((other) => {
       const task = workers.get(other.worker)?.tasks.get(getAttemptKey(other));
       return { spec: other.spec, limit: task?.limit };
     }));
-    if (team !== undefined && fitsWithin(used, team.allotment)) return;
-    errors.push(`a start takes team ${spec.team} above its allotment`);
+    if (workspace !== undefined && fitsWithin(used, workspace.allotment)) {
+      return;
+    }
+    errors.push(
+      `a start takes workspace ${spec.workspace} above its allotment`,
+    );
   }
 
   function sendCommand(action: SchedulerAction): void {
@@ -344,7 +351,7 @@
     },
     addJob(partial) {
       const spec: JobSpec = {
-        team: "a",
+        workspace: "a",
         policy: "batch",
         tasks: 1,
         resources: buildResources(1),
@@ -362,9 +369,9 @@
       if (job !== undefined) job.cancelled = true;
       return scheduler.cancelJob(id);
     },
-    setTeam(team, allotment, weight = 1) {
-      teams.set(team, { allotment, weight });
-      scheduler.setTeam({ team, allotment, weight });
+    setWorkspace(workspace, allotment, weight = 1) {
+      workspaces.set(workspace, { allotment, weight });
+      scheduler.setWorkspace({ workspace, allotment, weight });
     },
     confirm,
     abandon(attempt) {
@@ -375,8 +382,8 @@
       scheduler = build();
       proposals.clear();
       pending.length = 0;
-      for (const [team, settings] of teams) {
-        scheduler.setTeam({ team, ...settings });
+      for (const [workspace, settings] of workspaces) {
+        scheduler.setWorkspace({ workspace, ...settings });
       }
       const assignments = [];
       const restored: RestoredJob[] = [];
--- a/test/standin_endpoint.ts
+++ b/test/standin_endpoint.ts
@@ -32,8 +32,8 @@
   readonly departMs?: number;
   /** Returns the address to announce for the one that it listens on. */
   readonly buildAddress?: (address: string) => Promise<string>;
-  /** Whether announcements count requests by team. Default true. */
-  readonly reportsTeams?: boolean;
+  /** Whether announcements count requests by workspace. Default true. */
+  readonly reportsWorkspaces?: boolean;
   /** Called with 1 when a request starts to run and with -1 when it has ended. */
   readonly handleInFlight?: (change: 1 | -1) => void;
 }
@@ -95,7 +95,7 @@
   const incarnation = Date.now();
   const runs = new Map<string, number>();
   const sockets = new Set<Socket>();
-  const inFlightByTeam = new Map<string, number>();
+  const inFlightByWorkspace = new Map<string, number>();
   let inFlight = 0;
   let peakInFlight = 0;
   let peakConnections = 0;
@@ -121,17 +121,20 @@
     const body = parseBody(text);
     const count = (runs.get(requestId) ?? 0) + 1;
     runs.set(requestId, count);
-    const team = String(request.headers["goldcrestlug-team"] ?? "");
-    const addToTeam = (change: 1 | -1) =>
-      inFlightByTeam.set(team, (inFlightByTeam.get(team) ?? 0) + change);
+    const workspace = String(request.headers["goldcrestlug-workspace"] ?? "");
+    const addToWorkspace = (change: 1 | -1) =>
+      inFlightByWorkspace.set(
+        workspace,
+        (inFlightByWorkspace.get(workspace) ?? 0) + change,
+      );
     inFlight++;
-    addToTeam(1);
+    addToWorkspace(1);
     options.handleInFlight?.(1);
     peakInFlight = Math.max(peakInFlight, inFlight);
     const delay = { header: "x-delay-ms", field: "delayMs" };
     await wait(getNumber(request, body, delay) ?? 0);
     inFlight--;
-    addToTeam(-1);
+    addToWorkspace(-1);
     options.handleInFlight?.(-1);
     const status = { header: "x-status", field: "status" };
     return {
@@ -186,9 +189,9 @@
       slots,
       connections,
       inFlight,
-      ...(options.reportsTeams === false
+      ...(options.reportsWorkspaces === false
         ? {}
-        : { inFlightByTeam: Object.fromEntries(inFlightByTeam) }),
+        : { inFlightByWorkspace: Object.fromEntries(inFlightByWorkspace) }),
       departing: departedAtMs !== undefined,
     }),
   });
--- a/test/thin_path_test.ts
+++ b/test/thin_path_test.ts
@@ -40,8 +40,8 @@
     { type: "createQueue", name: "orders", open: false, policy: "requests" },
     { type: "createQueue", name: "public", open: true, policy: "requests" },
   ]);
-  key = await cell.addTeam("lace");
-  other = await cell.addTeam("toys");
+  key = await cell.addWorkspace("lace");
+  other = await cell.addWorkspace("toys");
 });
 
 function getBody(answer: JsonAnswer): Record<string, unknown> {
@@ -154,7 +154,7 @@
   {
     name: "malformed change",
     path: "/v1/changes",
-    body: { changeId: "c", operations: [{ type: "createTeam" }] },
+    body: { changeId: "c", operations: [{ type: "createWorkspace" }] },
     status: 400,
     kind: "badRequest",
   },
--- a/test/work_faults_test.ts
+++ b/test/work_faults_test.ts
@@ -38,7 +38,7 @@
   });
   fleet = createWorkerFleet(t);
   await Promise.all(WORKERS.map((name) => startWorker(name)));
-  const key = await cell.addTeam("lace");
+  const key = await cell.addWorkspace("lace");
   jobs = createJobCaller(cell, key.secret);
 });
 
--- a/test/work_fleet.ts
+++ b/test/work_fleet.ts
@@ -223,7 +223,7 @@
   waitForState(id: string, state: string, timeoutMs: number): Promise<JobState>;
 }
 
-/** Creates a caller for a team. */
+/** Creates a caller for a workspace. */
 export function createJobCaller(cell: Cell, secret: string): JobCaller {
   const headers = { authorization: `Bearer ${secret}` };
   let nextAddress = 0;
