Start no task with the rest of a short lease

Cause: a start's lease counts from the worker's last report.

Ruled out: the wait before a listener closes, which was new then.

Change: no start on a worker that was silent for more than two fifths of the lease (2 s of 5 s; 3 s of the default 10 s as before).

Before: leases_test 12 fails. After: passes.

--- a/src/scheduling/leases_test.ts
+++ b/src/scheduling/leases_test.ts
@@ -183,3 +183,23 @@
   t.strictSame(cell.errors, []);
   t.end();
 });
+
+// Guards against a task that starts with the rest of a short lease and is stopped before its worker is heard again.
+t.test("a start leaves time to renew a short lease", (t) => {
+  const cell = createCell({ scheduler: { leaseMs: 5_000 } });
+  const worker = cell.addWorker("w0", buildResources(1));
+  cell.setWorkspace("a", AMPLE);
+  cell.advance(1_000);
+  worker.isReachable = false;
+  // A report may take a second to its leader, and the next ones come each second.
+  cell.advance(2_100);
+  cell.addJob({ id: "j" });
+  cell.advance(800);
+  const isAssigned = () => cell.actions.some(({ type }) => type === "assign");
+  t.equal(isAssigned(), false);
+  worker.isReachable = true;
+  cell.advance(1_500);
+  t.equal(isAssigned(), true);
+  t.strictSame(cell.errors, []);
+  t.end();
+});
--- a/src/scheduling/options.ts
+++ b/src/scheduling/options.ts
@@ -15,7 +15,11 @@
   readonly leaseMs?: number;
   /** Bound on the difference of clock rates. Default 0.01. */
   readonly clockRateBound?: number;
-  /** A worker silent for this long gets no new task. Default 3,000 ms. */
+  /**
+   * A worker silent for this long gets no new task. Default 3,000 ms, and at
+   * most two fifths of the lease: the lease of a start counts from the worker's
+   * last report, and has to hold until the answer to a later one.
+   */
   readonly workerSilenceMs?: number;
   /** After `restore`, no job is reported as never runnable for this long. Default 3,000 ms. */
   readonly fleetSettleMs?: number;
@@ -39,7 +43,13 @@
 /** Settings with every default filled in. */
 export type ResolvedSchedulerOptions = Required<SchedulerOptions>;
 
-/** The defaults that do not depend on another setting. */
+/**
+ * Longest silence before a start, as a part of the lease. A report may take a
+ * second to its leader, so at five seconds two of them are left to renew it.
+ */
+const MAX_SILENT_LEASE_PART = 0.4;
+
+/** The defaults; the silence of a worker is bounded by the lease as well. */
 export const DEFAULT_SCHEDULER_OPTIONS = Object.freeze(
   {
     weights: "share",
@@ -63,8 +73,13 @@
   options: SchedulerOptions,
 ): ResolvedSchedulerOptions {
   const weights = options.weights ?? DEFAULT_SCHEDULER_OPTIONS.weights;
+  const leaseMs = options.leaseMs ?? DEFAULT_SCHEDULER_OPTIONS.leaseMs;
   const resolved: ResolvedSchedulerOptions = {
     ...DEFAULT_SCHEDULER_OPTIONS,
+    workerSilenceMs: Math.min(
+      DEFAULT_SCHEDULER_OPTIONS.workerSilenceMs,
+      leaseMs * MAX_SILENT_LEASE_PART,
+    ),
     reclaimAfterMs: RECLAIM_AFTER_MS[weights],
     ...options,
   };
