Plan in time on a full pool, and leave time for the rest

Each planning round sorted all runners for each waiting step: with 246 runners and 100 waiting steps a round takes over 100 ms, and a round followed 8 ms after the last, so looks, pulses and answers starved.

Change: places without room are left out before anything is compared; nothing is looked at when no runner has room, or when the cap or the headroom refuses; what is kept for other steps is subtracted once a round.

--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -132,7 +132,64 @@
   return runner.entry.labels.at(-1) ?? "";
 }
 
-const NONE_PLACED: ReadonlyMap<Runner, number> = new Map();
+/** A runner that takes new work, with its room in this round. */
+interface Place {
+  readonly runner: Runner;
+  /** What is free beside all that is kept for steps whose tickets are on their way. */
+  room: Resources;
+  /** What is kept, by step. */
+  readonly reserved: ReadonlyMap<string, Resources> | undefined;
+}
+
+/** The places of one pool, and how full it is. */
+interface PoolPlaces {
+  readonly places: readonly Place[];
+  /** Room that no place exceeds in this round, by resource. */
+  readonly largest: Resources;
+  /** Processors in use, and all of them. */
+  used: number;
+  readonly capacity: number;
+}
+
+const NO_POOL: PoolPlaces = Object.freeze({
+  places: [],
+  largest: NO_RESOURCES,
+  used: 0,
+  capacity: 0,
+});
+
+const NONE_PLACED: ReadonlyMap<Place, number> = new Map();
+
+function takeLarger(a: Resources, b: Resources): Resources {
+  return {
+    processors: Math.max(a.processors, b.processors),
+    memoryMb: Math.max(a.memoryMb, b.memoryMb),
+    accelerators: Math.max(a.accelerators, b.accelerators),
+  };
+}
+
+function listPlaces(
+  runners: readonly Runner[],
+  { nowMs, reservations }: Pick<PlanInput, "nowMs" | "reservations">,
+): PoolPlaces {
+  const places: Place[] = [];
+  let largest = NO_RESOURCES;
+  let used = 0;
+  let capacity = 0;
+  for (const runner of runners) {
+    if (!isPlaceable(runner, nowMs)) continue;
+    let room = computeRoom(runner);
+    largest = takeLarger(largest, room);
+    const reserved = reservations.get(runner.life);
+    for (const amount of reserved?.values() ?? []) {
+      room = subtractResources(room, amount);
+    }
+    places.push({ runner, room, reserved });
+    used += runner.used.processors;
+    capacity += runner.entry.capacity.processors;
+  }
+  return { places, largest, used, capacity };
+}
 
 /**
  * Counts the runs of a step that occupy a runner, with those whose start is
@@ -154,109 +211,149 @@
     (cap.accelerators === 0 || used.accelerators <= cap.accelerators);
 }
 
-/** Plans one round. */
-export function planStarts(input: PlanInput): Plan {
-  const { nowMs } = input;
-  const plan: Plan = { starts: [], questions: [], waits: [] };
-  const rooms = new Map<Runner, Resources>();
-  const poolUse = new Map<string, { used: number; capacity: number }>();
-
-  for (const [pool, runners] of input.runnersByPool) {
-    const use = { used: 0, capacity: 0 };
-    for (const runner of runners) {
-      if (!isPlaceable(runner, nowMs)) continue;
-      rooms.set(runner, computeRoom(runner));
-      use.used += runner.used.processors;
-      use.capacity += runner.entry.capacity.processors;
-    }
-    poolUse.set(pool, use);
+/** Returns the room that a step may use on a place, with what is kept for it. */
+function getRoom(step: OpenStep, place: Place): Resources {
+  const own = place.reserved?.get(step.key);
+  return own === undefined ? place.room : addResources(place.room, own);
+}
+
+/** Returns how many tasks of the step fit on the place, up to `most`. */
+function countFitting(
+  step: OpenStep,
+  place: Place,
+  most: number,
+  placed: ReadonlyMap<Place, number> = NONE_PLACED,
+): number {
+  const { resources, maxPerRunner } = step.spec;
+  let room = getRoom(step, place);
+  if (!fitsWithin(resources, room)) return 0;
+  let bound = most;
+  if (maxPerRunner > 0) {
+    bound = Math.min(
+      bound,
+      maxPerRunner - countRuns(step, place.runner) - (placed.get(place) ?? 0),
+    );
   }
+  let count = 0;
+  while (count < bound && fitsWithin(resources, room)) {
+    room = subtractResources(room, resources);
+    count += 1;
+  }
+  return count;
+}
 
-  function getRoom(step: OpenStep, runner: Runner): Resources {
-    let room = rooms.get(runner) ?? NO_RESOURCES;
-    const reserved = input.reservations.get(runner.life);
-    if (reserved === undefined) return room;
-    for (const [key, amount] of reserved) {
-      if (key !== step.key) room = subtractResources(room, amount);
-    }
-    return room;
+/** Tells whether a runner could run the step if it were idle. */
+function isSuitable(step: OpenStep, { runner }: Place): boolean {
+  const { requiredLabel, resources } = step.spec;
+  const { labels, capacity } = runner.entry;
+  return (requiredLabel === undefined || labels.includes(requiredLabel)) &&
+    fitsWithin(resources, capacity);
+}
+
+function comparePlaces(step: OpenStep, a: Place, b: Place): number {
+  const { preferredRack } = step.spec;
+  if (preferredRack !== undefined) {
+    const isNearA = getRack(a.runner) === preferredRack ? 0 : 1;
+    const isNearB = getRack(b.runner) === preferredRack ? 0 : 1;
+    if (isNearA !== isNearB) return isNearA - isNearB;
+  }
+  const failures = a.runner.failedJobs.size - b.runner.failedJobs.size;
+  if (failures !== 0) return failures;
+  if (step.isTight) {
+    const speeds = getSpeedClass(a.runner) - getSpeedClass(b.runner);
+    if (speeds !== 0) return speeds;
   }
+  // Fuller runners first, so that room for wide tasks stays in one piece.
+  return getRoom(step, a).processors - getRoom(step, b).processors;
+}
 
-  function listCandidates(step: OpenStep): Runner[] {
-    const { requiredLabel, resources } = step.spec;
-    const found: Runner[] = [];
-    for (const runner of input.runnersByPool.get(step.pool) ?? []) {
-      if (!rooms.has(runner)) continue;
-      const { labels, capacity } = runner.entry;
-      if (requiredLabel !== undefined && !labels.includes(requiredLabel)) {
-        continue;
-      }
-      if (fitsWithin(resources, capacity)) found.push(runner);
-    }
-    return found;
+/** The places with room for a task of one step, by what is known of them. */
+interface StepPlaces {
+  /** Best first. */
+  readonly eligible: readonly Place[];
+  readonly unknown: readonly Place[];
+}
+
+/**
+ * Sorts out the places for a step. Those without room are left out first, since
+ * in a full pool they are nearly all and the rest is looked at closely.
+ */
+function findPlaces(
+  step: OpenStep,
+  pool: PoolPlaces,
+  eligibility: StepEligibility | undefined,
+): StepPlaces {
+  const eligible: Place[] = [];
+  const unknown: Place[] = [];
+  if (!fitsWithin(step.spec.resources, pool.largest)) {
+    return { eligible, unknown };
+  }
+  for (const place of pool.places) {
+    if (!fitsWithin(step.spec.resources, getRoom(step, place))) continue;
+    if (!isSuitable(step, place)) continue;
+    if (countFitting(step, place, 1) === 0) continue;
+    const isEligible = step.eligibility === undefined ||
+      eligibility?.isEligible.get(place.runner.entry.id);
+    if (isEligible === true) eligible.push(place);
+    else if (isEligible === undefined) unknown.push(place);
   }
+  const compare = (a: Place, b: Place) => comparePlaces(step, a, b);
+  return { eligible: eligible.sort(compare), unknown: unknown.sort(compare) };
+}
 
-  /** Returns how many tasks of the step fit on the runner, up to `most`. */
-  function countFitting(
-    step: OpenStep,
-    runner: Runner,
-    most: number,
-    placed: ReadonlyMap<Runner, number> = NONE_PLACED,
-  ): number {
-    const { resources, maxPerRunner } = step.spec;
-    let bound = most;
-    if (maxPerRunner > 0) {
-      bound = Math.min(
-        bound,
-        maxPerRunner - countRuns(step, runner) - (placed.get(runner) ?? 0),
-      );
+/** Places all tasks of a gang, on one rack where that is asked for and possible. */
+function placeGang(
+  step: OpenStep,
+  places: readonly Place[],
+): Place[] | undefined {
+  const count = step.waiting.length;
+  const groups = new Map<string, Place[]>();
+  if (step.spec.singleRack) {
+    for (const place of places) {
+      const rack = getRack(place.runner);
+      groups.set(rack, [...groups.get(rack) ?? [], place]);
     }
-    let room = getRoom(step, runner);
-    let count = 0;
-    while (count < bound && fitsWithin(resources, room)) {
-      room = subtractResources(room, resources);
-      count += 1;
+  }
+  for (const group of [...groups.values(), places]) {
+    const placed: Place[] = [];
+    for (const place of group) {
+      const fitting = countFitting(step, place, count - placed.length);
+      for (let index = 0; index < fitting; index += 1) placed.push(place);
+      if (placed.length === count) return placed;
     }
-    return count;
   }
+  return undefined;
+}
 
-  function compareRunners(step: OpenStep, a: Runner, b: Runner): number {
-    const { preferredRack } = step.spec;
-    if (preferredRack !== undefined) {
-      const isNearA = getRack(a) === preferredRack ? 0 : 1;
-      const isNearB = getRack(b) === preferredRack ? 0 : 1;
-      if (isNearA !== isNearB) return isNearA - isNearB;
-    }
-    const failures = a.failedJobs.size - b.failedJobs.size;
-    if (failures !== 0) return failures;
-    if (step.isTight) {
-      const speeds = getSpeedClass(a) - getSpeedClass(b);
-      if (speeds !== 0) return speeds;
-    }
-    // Fuller runners first, so that room for wide tasks stays in one piece.
-    return getRoom(step, a).processors - getRoom(step, b).processors;
+/** Plans one round. */
+export function planStarts(input: PlanInput): Plan {
+  const { nowMs } = input;
+  const plan: Plan = { starts: [], questions: [], waits: [] };
+  const pools = new Map<string, PoolPlaces>();
+  for (const [name, runners] of input.runnersByPool) {
+    pools.set(name, listPlaces(runners, input));
   }
 
-  function take(step: OpenStep, runner: Runner): void {
-    const room = rooms.get(runner) ?? NO_RESOURCES;
-    rooms.set(runner, subtractResources(room, step.spec.resources));
-    const use = poolUse.get(step.pool);
-    if (use !== undefined) use.used += step.spec.resources.processors;
+  function take(step: OpenStep, pool: PoolPlaces, place: Place): void {
+    const { resources } = step.spec;
+    place.room = subtractResources(place.room, resources);
+    pool.used += resources.processors;
     if (step.workspace === undefined) return;
     const workspace = input.workspaces.get(step.workspace);
     if (workspace !== undefined) {
-      workspace.used = addResources(workspace.used, step.spec.resources);
+      workspace.used = addResources(workspace.used, resources);
     }
   }
 
-  function hasHeadroom(step: OpenStep, count: number): boolean {
-    if (step.priority === 0) return true;
-    const use = poolUse.get(step.pool);
-    if (use === undefined) return false;
+  function hasHeadroom(
+    step: OpenStep,
+    pool: PoolPlaces,
+    count: number,
+  ): boolean {
     // A step that could never pass the bound may still start on an idle pool.
-    if (use.used === 0) return true;
-    return use.used + count * step.spec.resources.processors <=
-      use.capacity * (1 - URGENT_HEADROOM);
+    if (step.priority === 0 || pool.used === 0) return true;
+    return pool.used + count * step.spec.resources.processors <=
+      pool.capacity * (1 - URGENT_HEADROOM);
   }
 
   function fitsCap(step: OpenStep, count: number): boolean {
@@ -277,159 +374,145 @@
     return isWithinCap(wanted, wide);
   }
 
-  function getTicket(step: OpenStep, runner: Runner): string | undefined {
+  function findBound(
+    step: OpenStep,
+    pool: PoolPlaces,
+    count: number,
+  ): WaitReason | undefined {
+    if (!fitsCap(step, count)) return "workspaceCap";
+    return hasHeadroom(step, pool, count) ? undefined : "keptForUrgent";
+  }
+
+  function getTicket(
+    step: OpenStep,
+    eligibility: StepEligibility | undefined,
+    { runner }: Place,
+  ): string | undefined {
     if (step.eligibility === undefined) return "";
-    const ticket = input.getEligibility(step.key)?.tickets.get(runner.entry.id);
+    const ticket = eligibility?.tickets.get(runner.entry.id);
     const isValid = ticket !== undefined &&
       ticket.expiresMs >= nowMs + TICKET_MARGIN_MS;
     return isValid ? ticket.value : undefined;
   }
 
-  function isKnownEligible(step: OpenStep, runner: Runner): boolean {
-    if (step.eligibility === undefined) return true;
-    return input.getEligibility(step.key)?.isEligible.get(runner.entry.id) ===
-      true;
+  function addWait(step: OpenStep, reason: WaitReason): void {
+    plan.waits.push({ step, reason });
   }
 
-  /** Places all tasks of a gang, on one rack where that is asked for and possible. */
-  function placeGang(
+  function addQuestion(
     step: OpenStep,
-    candidates: readonly Runner[],
-  ): Runner[] | undefined {
-    const count = step.waiting.length;
-    const groups = new Map<string, Runner[]>();
-    if (step.spec.singleRack) {
-      for (const runner of candidates) {
-        const rack = getRack(runner);
-        groups.set(rack, [...groups.get(rack) ?? [], runner]);
-      }
-    }
-    for (const group of [...groups.values(), candidates]) {
-      const placed: Runner[] = [];
-      for (const runner of group) {
-        const fitting = countFitting(step, runner, count - placed.length);
-        for (let index = 0; index < fitting; index += 1) placed.push(runner);
-        if (placed.length === count) return placed;
-      }
-    }
-    return undefined;
+    places: readonly Place[],
+    reserve: readonly Place[],
+  ): void {
+    const ids = [...new Set(places.map(({ runner }) => runner.entry.id))];
+    plan.questions.push({
+      step,
+      runners: ids.slice(0, ELIGIBILITY_RUNNERS),
+      reserve: reserve.map(({ runner }) => runner),
+    });
   }
 
   /**
-   * Picks the runners of which it is not known whether they may run the step,
-   * if one of them has room. Those without room are named as well, since the
-   * answer stays true and a question of its own for each would take longer.
+   * Asks about places with room. Unknown ones without room are named as well,
+   * since the answer stays true and a question for each would take longer.
    */
-  function pickUnknown(
+  function addQuestionAbout(
     step: OpenStep,
-    candidates: readonly Runner[],
-  ): Runner[] {
-    const known = input.getEligibility(step.key)?.isEligible;
-    const unknown = candidates.filter((runner) =>
-      known?.has(runner.entry.id) !== true
-    );
-    const withRoom = unknown.filter((runner) =>
-      countFitting(step, runner, 1) > 0
-    );
-    if (withRoom.length === 0) return [];
-    return [...new Set([...withRoom, ...unknown])];
-  }
-
-  function addWait(step: OpenStep, reason: WaitReason): void {
-    plan.waits.push({ step, reason });
+    pool: PoolPlaces,
+    eligibility: StepEligibility | undefined,
+    withRoom: readonly Place[],
+  ): void {
+    if ((eligibility?.openQuestions ?? 0) > 0) return;
+    const named = new Set(withRoom);
+    for (const place of pool.places) {
+      if (named.size >= ELIGIBILITY_RUNNERS) break;
+      const isKnown = eligibility?.isEligible.has(place.runner.entry.id);
+      if (isKnown !== true && isSuitable(step, place)) named.add(place);
+    }
+    addQuestion(step, [...named], []);
   }
 
-  function findBound(step: OpenStep, count: number): WaitReason | undefined {
-    if (!fitsCap(step, count)) return "workspaceCap";
-    return hasHeadroom(step, count) ? undefined : "keptForUrgent";
+  function addRoomWait(step: OpenStep, pool: PoolPlaces): void {
+    const hasRunner = pool.places.some((place) => isSuitable(step, place));
+    addWait(step, hasRunner ? "noRoom" : "noRunner");
   }
 
-  function addQuestion(
+  function planGang(
     step: OpenStep,
-    runners: readonly Runner[],
-    reserve: readonly Runner[],
+    pool: PoolPlaces,
+    eligibility: StepEligibility | undefined,
   ): void {
-    const eligibility = input.getEligibility(step.key);
-    if (eligibility !== undefined && eligibility.openQuestions > 0) return;
-    const ids = [...new Set(runners.map(({ entry }) => entry.id))];
-    if (ids.length === 0) return;
-    plan.questions.push({
-      step,
-      runners: ids.slice(0, ELIGIBILITY_RUNNERS),
-      reserve,
-    });
-  }
-
-  function planGang(step: OpenStep, candidates: Runner[]): void {
-    const count = step.waiting.length;
-    const bound = findBound(step, count);
+    const bound = findBound(step, pool, step.waiting.length);
     if (bound !== undefined) return addWait(step, bound);
-    const eligible = candidates.filter((runner) =>
-      isKnownEligible(step, runner)
-    );
+    const { eligible, unknown } = findPlaces(step, pool, eligibility);
     const placed = placeGang(step, eligible);
     if (placed === undefined) {
-      const unknown = pickUnknown(step, candidates);
-      addWait(step, unknown.length > 0 ? "noTicket" : "noRoom");
-      return addQuestion(step, unknown, []);
+      if (unknown.length === 0) return addRoomWait(step, pool);
+      addWait(step, "noTicket");
+      return addQuestionAbout(step, pool, eligibility, unknown);
     }
-    const tickets = placed.map((runner) => getTicket(step, runner));
+    const tickets = placed.map((place) => getTicket(step, eligibility, place));
     if (tickets.some((ticket) => ticket === undefined)) {
       addWait(step, "noTicket");
+      if ((eligibility?.openQuestions ?? 0) > 0) return;
       return addQuestion(step, placed, placed);
     }
     plan.starts.push({
       step,
-      placements: placed.map((runner, at) => ({
+      placements: placed.map(({ runner }, at) => ({
         index: step.waiting[at] ?? 0,
         runner,
         ticket: tickets[at] ?? "",
       })),
     });
-    for (const runner of placed) take(step, runner);
+    for (const place of placed) take(step, pool, place);
   }
 
-  function planTasks(step: OpenStep, candidates: Runner[]): void {
+  function planTasks(
+    step: OpenStep,
+    pool: PoolPlaces,
+    eligibility: StepEligibility | undefined,
+  ): void {
+    const bound = findBound(step, pool, 1);
+    if (bound !== undefined) return addWait(step, bound);
+    const { eligible, unknown } = findPlaces(step, pool, eligibility);
     const placements: Placement[] = [];
-    const placedHere = new Map<Runner, number>();
-    const isExpired: Runner[] = [];
+    const placedHere = new Map<Place, number>();
+    const expired: Place[] = [];
     let at = 0;
-    for (const runner of candidates) {
+    for (const place of eligible) {
       if (at >= step.waiting.length) break;
-      if (!isKnownEligible(step, runner)) continue;
-      const ticket = getTicket(step, runner);
+      const ticket = getTicket(step, eligibility, place);
       while (at < step.waiting.length) {
-        if (!hasHeadroom(step, 1) || !fitsCap(step, 1)) break;
-        if (countFitting(step, runner, 1, placedHere) === 0) break;
+        if (!hasHeadroom(step, pool, 1) || !fitsCap(step, 1)) break;
+        if (countFitting(step, place, 1, placedHere) === 0) break;
         if (ticket === undefined) {
-          isExpired.push(runner);
+          expired.push(place);
           break;
         }
+        const { runner } = place;
         placements.push({ index: step.waiting[at] ?? 0, runner, ticket });
-        placedHere.set(runner, (placedHere.get(runner) ?? 0) + 1);
-        take(step, runner);
+        placedHere.set(place, (placedHere.get(place) ?? 0) + 1);
+        take(step, pool, place);
         at += 1;
       }
     }
     if (placements.length > 0) plan.starts.push({ step, placements });
     if (at >= step.waiting.length) return;
-    const bound = findBound(step, 1);
-    if (bound !== undefined) return addWait(step, bound);
-    const unknown = step.eligibility === undefined
-      ? []
-      : pickUnknown(step, candidates);
-    const isAsking = isExpired.length + unknown.length > 0;
-    addWait(step, isAsking ? "noTicket" : "noRoom");
-    addQuestion(step, [...isExpired, ...unknown], []);
+    const newBound = findBound(step, pool, 1);
+    if (newBound !== undefined) return addWait(step, newBound);
+    const asked = [...expired, ...unknown];
+    if (asked.length === 0) return addRoomWait(step, pool);
+    addWait(step, "noTicket");
+    addQuestionAbout(step, pool, eligibility, asked);
   }
 
   for (const step of input.steps) {
     if (step.waiting.length === 0) continue;
-    const candidates = listCandidates(step)
-      .sort((a, b) => compareRunners(step, a, b));
-    if (candidates.length === 0) addWait(step, "noRunner");
-    else if (step.spec.gang) planGang(step, candidates);
-    else planTasks(step, candidates);
+    const pool = pools.get(step.pool) ?? NO_POOL;
+    const eligibility = input.getEligibility(step.key);
+    if (step.spec.gang) planGang(step, pool, eligibility);
+    else planTasks(step, pool, eligibility);
   }
   return plan;
 }
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -26,6 +26,7 @@
   planStarts,
 } from "./planning.ts";
 import { createRecordQueue } from "./record_queue.ts";
+import { createPacedRounds } from "./paced_rounds.ts";
 import type { RunnerCalls } from "./runner_calls.ts";
 import {
   createRunnerFleet,
@@ -117,9 +118,12 @@
     handleStaleFence: options.handleStaleFence,
     handleChange: () => startPlan(),
   });
+  const planning = createPacedRounds({
+    clock,
+    periodMs: PLAN_PERIOD_MS,
+    runRound: plan,
+  });
   let isStopped = false;
-  let isPlanDue = false;
-  let hasPlanTimer = false;
   let nextForgetMs = 0;
 
   function isActive(): boolean {
@@ -252,13 +256,7 @@
   }
 
   function startPlan(): void {
-    isPlanDue = true;
-    if (hasPlanTimer || isStopped) return;
-    hasPlanTimer = true;
-    clock.setTimer(PLAN_PERIOD_MS, () => {
-      hasPlanTimer = false;
-      if (isPlanDue && isActive()) plan();
-    });
+    planning.request();
   }
 
   function recordReservation(
@@ -305,7 +303,7 @@
   }
 
   function plan(): void {
-    isPlanDue = false;
+    if (!isActive()) return;
     const wallMs = clock.wallTime();
     const steps = openSteps.list()
       .sort((a, b) => compareSteps(a, b, wallMs));
@@ -436,6 +434,7 @@
     },
     stop() {
       isStopped = true;
+      planning.stop();
       state.setListener(undefined);
       fleet.stop();
     },
