Let wide gangs start: keep their room, and ask once for all they need

(1) The room that was kept for a gang during a question was given up before the round in which its answer was used, so a short job took one of 27 places and it asked anew; one step waited for 28 s with 160 runners known. (2) Each freed slot went to work that can wait, so the room never came in one piece; near the bound for urgent work the gang did not even ask. (3) A question named 40 runners at most, also for the tickets of gangs on more of them.

Ruled out: too few callers alone; the same steps went on asking at night's end in an idle pool.

Change: room is kept through the round after the answer. A gang without room keeps patient work from as many of its eligible runners as it needs and claims its processors, within 30 % of the pool; urgent steps only avoid these runners. Gangs that earn nothing any more or fit nowhere keep nothing. One question names up to 100 runners for a gang.

--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -73,10 +73,11 @@
 const CONFIRM_PAUSE_MS = 50;
 
 /**
- * Runners that the leader calls by itself. With some 30 runners it uses 0.18 of
- * a core; at 250 and 500 starts a second the calls alone took about 0.3.
+ * Runners that the leader calls by itself. With 246 runners and 500 starts a
+ * second it uses 0.59 of a core with its calls and 0.52 without them, while all
+ * cores together use a third more with relays (docs/platform.md).
  */
-const DIRECT_RUNNERS = 100;
+const DIRECT_RUNNERS = 300;
 
 /** Options of the program. */
 export interface CoreProgramOptions {
--- a/src/workload/constants.ts
+++ b/src/workload/constants.ts
@@ -41,8 +41,11 @@
 /** Time between two checks of leases and progress, in milliseconds. */
 export const WATCH_PERIOD_MS = 200;
 
-/** Most runners named in one question to the eligibility service; the service takes 100. */
+/** Runners named in one question to the eligibility service; each makes the answer take longer. */
 export const ELIGIBILITY_RUNNERS = 40;
 
+/** Most runners named for a wide gang; the service takes no more. */
+export const MAX_ELIGIBILITY_RUNNERS = 100;
+
 /** Answers of the eligibility service that take longer are asked for by callers of their own, in milliseconds. */
 export const SLOW_ELIGIBILITY_MS = 200;
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -12,7 +12,11 @@
   type Resources,
   subtractResources,
 } from "../common/mod.ts";
-import { ELIGIBILITY_RUNNERS, TICKET_MARGIN_MS } from "./constants.ts";
+import {
+  ELIGIBILITY_RUNNERS,
+  MAX_ELIGIBILITY_RUNNERS,
+  TICKET_MARGIN_MS,
+} from "./constants.ts";
 import type { StepEligibility } from "./eligibility.ts";
 import { computeRoom, isPlaceable, type Runner } from "./runner_table.ts";
 import type { EligibilityTimes, StepSpec } from "./types.ts";
@@ -71,6 +75,7 @@
 /** What the planner looks at. */
 export interface PlanInput {
   readonly nowMs: number;
+  readonly wallMs: number;
   /** Sorted by `compareSteps`. */
   readonly steps: readonly OpenStep[];
   readonly runnersByPool: ReadonlyMap<string, readonly Runner[]>;
@@ -78,6 +83,8 @@
   readonly workspaces: ReadonlyMap<string, WorkspaceUse>;
   /** Room that is kept for steps whose tickets are on their way, by life and step. */
   readonly reservations: ReadonlyMap<string, ReadonlyMap<string, Resources>>;
+  /** Gangs that wait for runners to empty, by life; from the round before. */
+  readonly holds: ReadonlyMap<string, string>;
 }
 
 /** Why tasks of a step do not start. */
@@ -94,6 +101,8 @@
   readonly questions: PlannedQuestion[];
   /** Steps with tasks that go on waiting. */
   readonly waits: { readonly step: OpenStep; readonly reason: WaitReason }[];
+  /** Gangs that wait for runners to empty, by life; for the next round. */
+  readonly holds: Map<string, string>;
 }
 
 /**
@@ -102,6 +111,19 @@
  */
 export const URGENT_HEADROOM = 0.04;
 
+/**
+ * Tasks that would fit on the runners that a waiting gang keeps others from, if
+ * these were empty, as a multiple of its tasks. Some hold long runs, so that a
+ * bare set would take as long as the longest of them.
+ */
+const HOLD_FACTOR = 1.5;
+
+/** Share of a pool's runners that gangs may keep others from. */
+const MAX_HELD_SHARE = 0.3;
+
+/** Share of the runners that is taken as eligible before the service has answered; the strictest policy seen. */
+const ASSUMED_ELIGIBLE_SHARE = 0.3;
+
 /** Share of a cap up to which a gang that is wider than the cap may go; the platform allows 0.1 beyond it. */
 const CAP_TOLERANCE = 0.05;
 
@@ -139,6 +161,8 @@
   room: Resources;
   /** What is kept, by step. */
   readonly reserved: ReadonlyMap<string, Resources> | undefined;
+  /** Gang that waits for this runner to empty; undefined for none. */
+  readonly heldFor: string | undefined;
 }
 
 /** The places of one pool, and how full it is. */
@@ -146,8 +170,9 @@
   readonly places: readonly Place[];
   /** Room that no place exceeds in this round, by resource. */
   readonly largest: Resources;
-  /** Processors in use, and all of them. */
+  /** Processors in use, those that waiting gangs need, and all of them. */
   used: number;
+  claimed: number;
   readonly capacity: number;
 }
 
@@ -155,6 +180,7 @@
   places: [],
   largest: NO_RESOURCES,
   used: 0,
+  claimed: 0,
   capacity: 0,
 });
 
@@ -170,7 +196,7 @@
 
 function listPlaces(
   runners: readonly Runner[],
-  { nowMs, reservations }: Pick<PlanInput, "nowMs" | "reservations">,
+  { nowMs, reservations, holds }: PlanInput,
 ): PoolPlaces {
   const places: Place[] = [];
   let largest = NO_RESOURCES;
@@ -184,11 +210,12 @@
     for (const amount of reserved?.values() ?? []) {
       room = subtractResources(room, amount);
     }
-    places.push({ runner, room, reserved });
+    const heldFor = holds.get(runner.life);
+    places.push({ runner, room, reserved, heldFor });
     used += runner.used.processors;
     capacity += runner.entry.capacity.processors;
   }
-  return { places, largest, used, capacity };
+  return { places, largest, used, claimed: 0, capacity };
 }
 
 /**
@@ -242,6 +269,25 @@
   return count;
 }
 
+/** Returns how many tasks of the step an empty runner holds. */
+function countCapacity(step: OpenStep, { runner }: Place): number {
+  const { processors, memoryMb, accelerators } = step.spec.resources;
+  const { capacity } = runner.entry;
+  const most = Math.min(
+    processors > 0 ? capacity.processors / processors : Infinity,
+    memoryMb > 0 ? capacity.memoryMb / memoryMb : Infinity,
+    accelerators > 0 ? capacity.accelerators / accelerators : Infinity,
+    step.spec.maxPerRunner > 0 ? step.spec.maxPerRunner : Infinity,
+    step.waiting.length,
+  );
+  return Math.floor(most);
+}
+
+/** Tells whether a gang keeps the step from a place; urgent steps only avoid it. */
+function isKeptFrom(step: OpenStep, { heldFor }: Place): boolean {
+  return heldFor !== undefined && heldFor !== step.key && step.priority > 0;
+}
+
 /** Tells whether a runner could run the step if it were idle. */
 function isSuitable(step: OpenStep, { runner }: Place): boolean {
   const { requiredLabel, resources } = step.spec;
@@ -251,6 +297,9 @@
 }
 
 function comparePlaces(step: OpenStep, a: Place, b: Place): number {
+  const isOthersA = a.heldFor !== undefined && a.heldFor !== step.key ? 1 : 0;
+  const isOthersB = b.heldFor !== undefined && b.heldFor !== step.key ? 1 : 0;
+  if (isOthersA !== isOthersB) return isOthersA - isOthersB;
   const { preferredRack } = step.spec;
   if (preferredRack !== undefined) {
     const isNearA = getRack(a.runner) === preferredRack ? 0 : 1;
@@ -290,6 +339,7 @@
   }
   for (const place of pool.places) {
     if (!fitsWithin(step.spec.resources, getRoom(step, place))) continue;
+    if (isKeptFrom(step, place)) continue;
     if (!isSuitable(step, place)) continue;
     if (countFitting(step, place, 1) === 0) continue;
     const isEligible = step.eligibility === undefined ||
@@ -328,7 +378,12 @@
 /** Plans one round. */
 export function planStarts(input: PlanInput): Plan {
   const { nowMs } = input;
-  const plan: Plan = { starts: [], questions: [], waits: [] };
+  const plan: Plan = {
+    starts: [],
+    questions: [],
+    waits: [],
+    holds: new Map(),
+  };
   const pools = new Map<string, PoolPlaces>();
   for (const [name, runners] of input.runnersByPool) {
     pools.set(name, listPlaces(runners, input));
@@ -352,7 +407,7 @@
   ): boolean {
     // A step that could never pass the bound may still start on an idle pool.
     if (step.priority === 0 || pool.used === 0) return true;
-    return pool.used + count * step.spec.resources.processors <=
+    return pool.used + pool.claimed + count * step.spec.resources.processors <=
       pool.capacity * (1 - URGENT_HEADROOM);
   }
 
@@ -407,7 +462,7 @@
     const ids = [...new Set(places.map(({ runner }) => runner.entry.id))];
     plan.questions.push({
       step,
-      runners: ids.slice(0, ELIGIBILITY_RUNNERS),
+      runners: ids.slice(0, MAX_ELIGIBILITY_RUNNERS),
       reserve: reserve.map(({ runner }) => runner),
     });
   }
@@ -423,13 +478,71 @@
     withRoom: readonly Place[],
   ): void {
     if ((eligibility?.openQuestions ?? 0) > 0) return;
-    const named = new Set(withRoom);
+    const most = countRunnersToName(step, withRoom);
+    const named = new Set(withRoom.slice(0, most));
     for (const place of pool.places) {
-      if (named.size >= ELIGIBILITY_RUNNERS) break;
+      if (named.size >= most) break;
       const isKnown = eligibility?.isEligible.has(place.runner.entry.id);
       if (isKnown !== true && isSuitable(step, place)) named.add(place);
     }
-    addQuestion(step, [...named], []);
+    if (named.size > 0) addQuestion(step, [...named], []);
+  }
+
+  /** Returns how many runners one question names: a gang must find all of its places in few answers. */
+  function countRunnersToName(
+    step: OpenStep,
+    places: readonly Place[],
+  ): number {
+    const [first] = places;
+    if (!step.spec.gang || first === undefined) return ELIGIBILITY_RUNNERS;
+    const runners = Math.ceil(
+      step.waiting.length / Math.max(1, countCapacity(step, first)),
+    );
+    const wanted = HOLD_FACTOR * runners / ASSUMED_ELIGIBLE_SHARE;
+    return Math.min(
+      MAX_ELIGIBILITY_RUNNERS,
+      Math.max(ELIGIBILITY_RUNNERS, Math.ceil(wanted)),
+    );
+  }
+
+  /**
+   * Keeps work that can wait from runners until the gang fits on them, and from
+   * the processors that it needs; otherwise each freed slot is taken at once and
+   * its room never comes in one piece. Tells whether enough eligible runners are
+   * known.
+   */
+  function addHolds(
+    step: OpenStep,
+    pool: PoolPlaces,
+    eligibility: StepEligibility | undefined,
+  ): boolean {
+    const found = pool.places.filter((place) =>
+      isSuitable(step, place) &&
+      (step.eligibility === undefined ||
+        eligibility?.isEligible.get(place.runner.entry.id) === true)
+    ).sort((a, b) => b.room.processors - a.room.processors);
+    const known = found.reduce(
+      (sum, place) => sum + countCapacity(step, place),
+      0,
+    );
+    const wanted = step.waiting.length * HOLD_FACTOR;
+    // Nothing waits for a gang that earns nothing any more or fits nowhere.
+    const isHolding = input.wallMs <= step.worthlessMs &&
+      known >= step.waiting.length;
+    if (!isHolding) return known >= wanted;
+    let held = 0;
+    for (const place of found) {
+      const { life } = place.runner;
+      if (held >= wanted || plan.holds.has(life)) continue;
+      if (plan.holds.size >= pool.places.length * MAX_HELD_SHARE) continue;
+      plan.holds.set(life, step.key);
+      held += countCapacity(step, place);
+    }
+    const claim = step.waiting.length * step.spec.resources.processors;
+    if (pool.claimed + claim <= pool.capacity * MAX_HELD_SHARE) {
+      pool.claimed += claim;
+    }
+    return known >= wanted;
   }
 
   function addRoomWait(step: OpenStep, pool: PoolPlaces): void {
@@ -443,11 +556,13 @@
     eligibility: StepEligibility | undefined,
   ): void {
     const bound = findBound(step, pool, step.waiting.length);
-    if (bound !== undefined) return addWait(step, bound);
+    if (bound === "workspaceCap") return addWait(step, bound);
     const { eligible, unknown } = findPlaces(step, pool, eligibility);
-    const placed = placeGang(step, eligible);
+    const placed = bound === undefined ? placeGang(step, eligible) : undefined;
     if (placed === undefined) {
-      if (unknown.length === 0) return addRoomWait(step, pool);
+      const isEnough = addHolds(step, pool, eligibility);
+      if (isEnough && bound !== undefined) return addWait(step, bound);
+      if (isEnough && unknown.length === 0) return addRoomWait(step, pool);
       addWait(step, "noTicket");
       return addQuestionAbout(step, pool, eligibility, unknown);
     }
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -89,6 +89,7 @@
 ): WorkController {
   const { clock, logger, metrics, state, isLeading } = options;
   const reservations = new Map<string, Map<string, Resources>>();
+  let holds: ReadonlyMap<string, string> = new Map();
   const waitLoggedMs = new Map<string, number>();
   const workspaces = createWorkspaceUse({ state, clock });
   const openSteps = createOpenSteps({ state, clock, workspaces });
@@ -307,22 +308,29 @@
     const wallMs = clock.wallTime();
     const steps = openSteps.list()
       .sort((a, b) => compareSteps(a, b, wallMs));
-    if (steps.length === 0) return;
-    // Room is kept only while the question that it is kept for is open.
-    for (const reserved of reservations.values()) {
-      for (const key of reserved.keys()) {
-        if ((book.get(key)?.openQuestions ?? 0) === 0) reserved.delete(key);
-      }
+    if (steps.length === 0) {
+      holds = new Map();
+      return;
     }
     const decided = planStarts({
       nowMs: clock.now(),
+      wallMs,
       steps,
       runnersByPool: fleet.runnersByPool,
       getEligibility: (key) => book.get(key),
       workspaces: workspaces.list(),
       reservations,
+      holds,
     });
+    holds = decided.holds;
     logWaits(decided.waits);
+    // Room is kept while the question that it is kept for is open, and in the
+    // round after its answer, in which the step that asked may start.
+    for (const reserved of reservations.values()) {
+      for (const key of reserved.keys()) {
+        if ((book.get(key)?.openQuestions ?? 0) === 0) reserved.delete(key);
+      }
+    }
     for (const start of decided.starts) {
       removeReservation(start.step.key);
       void startPlanned(start);
