--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -558,7 +558,13 @@
     const bound = findBound(step, pool, step.waiting.length);
     if (bound === "workspaceCap") return addWait(step, bound);
     const { eligible, unknown } = findPlaces(step, pool, eligibility);
-    const placed = bound === undefined ? placeGang(step, eligible) : undefined;
+    const hasTicket = (place: Place) =>
+      getTicket(step, eligibility, place) !== undefined;
+    // The order of the places changes with their room, so those with tickets
+    // come first: otherwise the gang asks for others again and again.
+    const placed = bound === undefined
+      ? placeGang(step, eligible.filter(hasTicket)) ?? placeGang(step, eligible)
+      : undefined;
     if (placed === undefined) {
       const isEnough = addHolds(step, pool, eligibility);
       if (isEnough && bound !== undefined) return addWait(step, bound);
@@ -570,7 +576,12 @@
     if (tickets.some((ticket) => ticket === undefined)) {
       addWait(step, "noTicket");
       if ((eligibility?.openQuestions ?? 0) > 0) return;
-      return addQuestion(step, placed, placed);
+      const named = new Set(placed);
+      const spare = Math.ceil(named.size * HOLD_FACTOR);
+      for (const place of eligible) {
+        if (named.size < spare) named.add(place);
+      }
+      return addQuestion(step, [...named], placed);
     }
     plan.starts.push({
       step,
--- /dev/null
+++ b/src/workload/planning_test.ts
@@ -0,0 +1,116 @@
+import t from "tap";
+import { createStep } from "../model/mod.ts";
+import type { StepEligibility } from "./eligibility.ts";
+import { type OpenStep, planStarts } from "./planning.ts";
+import { addOccupant, createRunner, type Runner } from "./runner_table.ts";
+
+const NOW_MS = 1_000;
+const TASK = { processors: 1_000, memoryMb: 1_000, accelerators: 0 };
+
+function createIdleRunner(id: string): Runner {
+  const runner = createRunner({
+    id,
+    startedMs: 1,
+    address: `${id}:1`,
+    pool: "pool",
+    dataCentre: "one",
+    capacity: { processors: 4_000, memoryMb: 16_000, accelerators: 0 },
+    labels: ["kind", "rack-1"],
+    isDraining: false,
+  }, 0);
+  runner.contactMs = NOW_MS;
+  return runner;
+}
+
+function occupy(runner: Runner): void {
+  const task = { job: "other", occurrence: 0, step: 0, index: 0 };
+  addOccupant(runner, { task, run: 1, resources: TASK }, "running", 0);
+}
+
+function createGang(tasks: number): OpenStep {
+  return {
+    key: "gang/0/0",
+    job: "gang",
+    occurrence: 0,
+    step: 0,
+    spec: createStep({ tasks, gang: true, resources: TASK }),
+    pool: "pool",
+    workspace: undefined,
+    priority: 1,
+    isTight: false,
+    dueMs: 10_000,
+    worthlessMs: 30_000,
+    isExcess: false,
+    eligibility: { baseMs: 430, perRunnerMs: 6, validMs: 1_500 },
+    waiting: Array.from({ length: tasks }, (_, at) => at),
+  };
+}
+
+function planGang(
+  runners: readonly Runner[],
+  eligibility: StepEligibility,
+  tasks: number,
+) {
+  return planStarts({
+    nowMs: NOW_MS,
+    wallMs: NOW_MS,
+    steps: [createGang(tasks)],
+    runnersByPool: new Map([["pool", runners]]),
+    getEligibility: () => eligibility,
+    workspaces: new Map(),
+    reservations: new Map(),
+    holds: new Map(),
+  });
+}
+
+function createEligibility(
+  eligible: readonly string[],
+  tickets: readonly string[],
+): StepEligibility {
+  return {
+    isEligible: new Map(eligible.map((id) => [id, true])),
+    tickets: new Map(
+      tickets.map((id) => [id, { value: "ticket", expiresMs: NOW_MS + 1_000 }]),
+    ),
+    openQuestions: 0,
+    notBeforeMs: 0,
+  };
+}
+
+// Pattern: wide gangs in a busy pool after all machines lost power. Guards
+// against a gang that asks again and again, because a place without a ticket
+// has become fuller than those with one and comes before them.
+t.test("a gang starts on the places that it has tickets for", (t) => {
+  const runners = ["a", "b", "c"].map(createIdleRunner);
+  occupy(runners[2]!);
+  const eligibility = createEligibility(["a", "b", "c"], ["a", "b"]);
+  const plan = planGang(runners, eligibility, 8);
+  t.equal(plan.questions.length, 0);
+  t.strictSame(
+    plan.starts[0]?.placements.map(({ runner }) => runner.entry.id).sort(),
+    ["a", "a", "a", "a", "b", "b", "b", "b"],
+  );
+  t.end();
+});
+
+// Guards against a gang that has to ask anew when one of its places is lost.
+t.test("a question about a gang's places names some more", (t) => {
+  const runners = ["a", "b", "c", "d", "e"].map(createIdleRunner);
+  const eligibility = createEligibility(["a", "b", "c", "d", "e"], []);
+  const [question] = planGang(runners, eligibility, 8).questions;
+  t.equal(question?.runners.length, 3);
+  t.equal(question?.reserve.length, 8, "room is kept for its tasks only");
+  t.end();
+});
+
+// Guards against room that is kept for a gang which could not use it.
+t.test("a gang that fits nowhere keeps no runner from others", (t) => {
+  const runners = ["a", "b"].map(createIdleRunner);
+  occupy(runners[0]!);
+  t.equal(
+    planGang(runners, createEligibility(["a", "b"], []), 8).holds.size,
+    1,
+  );
+  t.equal(planGang(runners, createEligibility(["a"], []), 8).holds.size, 0);
+  t.end();
+});
--- a/test/relay.ts
+++ b/test/relay.ts
@@ -44,6 +44,8 @@
   readonly targetHost?: string;
   /** Default 0, which takes a free port. */
   readonly port?: number;
+  /** Address to listen on. Default "127.0.0.1". */
+  readonly host?: string;
 }
 
 interface Pump {
@@ -176,7 +178,7 @@
   });
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
-    server.listen(options.port ?? 0, "127.0.0.1", resolve);
+    server.listen(options.port ?? 0, options.host ?? "127.0.0.1", resolve);
   });
 
   function setOpenMode(newMode: RelayMode): void {
