--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -205,7 +205,7 @@
   }
 
   /** Sends a request to a connected instance; rejects when no reply comes in time. */
-  function request(
+  function sendRequest(
     instance: string,
     buildMessage: (id: number) => CoreMessage,
     timeoutMs: number,
@@ -277,7 +277,7 @@
       });
     },
     async ask(caller, question, timeoutMs) {
-      const value = await request(
+      const value = await sendRequest(
         caller,
         (id) => ({ kind: "ask", id, question, timeoutMs }),
         timeoutMs,
@@ -285,7 +285,7 @@
       return value as EligibilityAnswer;
     },
     callRunner: (relay, call, timeoutMs) =>
-      request(relay, (id) => ({ kind: "callRunner", id, call }), timeoutMs),
+      sendRequest(relay, (id) => ({ kind: "callRunner", id, call }), timeoutMs),
     listRelays() {
       const names = new Set<string>();
       for (const { name, canCallRunners } of sessions) {
--- a/src/gateway/relayed_calls.ts
+++ b/src/gateway/relayed_calls.ts
@@ -59,7 +59,7 @@
     return use;
   }
 
-  function dropAssignment(address: string): string | undefined {
+  function removeAssignment(address: string): string | undefined {
     const relay = assigned.get(address);
     if (relay === undefined) return undefined;
     assigned.delete(address);
@@ -70,7 +70,7 @@
   /** Returns the relay for an address; undefined when it is called from here. */
   function pickRelay(address: string): string | undefined {
     if (options.countRunners() <= options.directRunners) {
-      dropAssignment(address);
+      removeAssignment(address);
       return undefined;
     }
     const nowMs = clock.now();
@@ -79,7 +79,7 @@
     );
     const known = assigned.get(address);
     if (known !== undefined && usable.includes(known)) return known;
-    dropAssignment(address);
+    removeAssignment(address);
     let best: string | undefined;
     for (const relay of usable) {
       const isFreer = best === undefined ||
@@ -156,7 +156,7 @@
       ),
     release(address) {
       calls.release(address);
-      const relay = dropAssignment(address);
+      const relay = removeAssignment(address);
       if (relay === undefined) return;
       options.callThrough(relay, { order: "release", address }, RELAY_SLACK_MS)
         .catch((error: unknown) =>
--- a/src/gateway/relayed_calls_test.ts
+++ b/src/gateway/relayed_calls_test.ts
@@ -57,7 +57,7 @@
     const target = { id: `r${at}`, address: `r${at}:1` };
     return calls.hold(target, LOOK, TIMEOUT_MS).catch((error) => error);
   };
-  async function lookAtAll(): Promise<Map<string, number>> {
+  async function checkAll(): Promise<Map<string, number>> {
     relayed.length = 0;
     for (let at = 0; at < runners; at += 1) await look(at);
     const counts = new Map<string, number>();
@@ -66,13 +66,13 @@
     }
     return counts;
   }
-  return { clock, calls, direct, relayed, relays, silent, look, lookAtAll };
+  return { clock, calls, direct, relayed, relays, silent, look, checkAll };
 }
 
 // Guards against a hop that a small cell has no use for.
 t.test("a leader of few runners calls them by itself", async (t) => {
   const cell = createCell(100, ["a", "b"]);
-  t.equal((await cell.lookAtAll()).size, 0);
+  t.equal((await cell.checkAll()).size, 0);
   t.equal(cell.direct.length, 100);
 });
 
@@ -80,9 +80,9 @@
 // all calls, and against connections that are opened anew for each.
 t.test("many runners are spread over the relays and stay there", async (t) => {
   const cell = createCell(246, ["a", "b", "c"]);
-  t.strictSame([...(await cell.lookAtAll()).values()], [82, 82, 82]);
+  t.strictSame([...(await cell.checkAll()).values()], [82, 82, 82]);
   const first = cell.relayed.map(({ relay }) => relay);
-  await cell.lookAtAll();
+  await cell.checkAll();
   t.strictSame(cell.relayed.map(({ relay }) => relay), first);
   t.equal(cell.direct.length, 0);
 });
@@ -90,11 +90,11 @@
 // Guards against runners whose leases end because their relay is frozen.
 t.test("a relay without answers is left out for a while", async (t) => {
   const cell = createCell(246, ["a", "b", "c"]);
-  await cell.lookAtAll();
+  await cell.checkAll();
   cell.silent.add("b");
-  await cell.lookAtAll();
+  await cell.checkAll();
   cell.clock.advance(1_000);
-  const during = await cell.lookAtAll();
+  const during = await cell.checkAll();
   t.equal(during.get("b") ?? 0, 0);
   t.equal((during.get("a") ?? 0) + (during.get("c") ?? 0), 246);
   cell.silent.delete("b");
@@ -122,9 +122,9 @@
 t.test("without relays the leader calls by itself", async (t) => {
   const relays = ["a"];
   const cell = createCell(246, relays);
-  await cell.lookAtAll();
+  await cell.checkAll();
   relays.length = 0;
-  await cell.lookAtAll();
+  await cell.checkAll();
   t.equal(cell.direct.length, 246);
 });
 
--- a/src/workload/planning_test.ts
+++ b/src/workload/planning_test.ts
@@ -22,7 +22,7 @@
   return runner;
 }
 
-function occupy(runner: Runner): void {
+function addRun(runner: Runner): void {
   const task = { job: "other", occurrence: 0, step: 0, index: 0 };
   addOccupant(runner, { task, run: 1, resources: TASK }, "running", 0);
 }
@@ -82,7 +82,7 @@
 // has become fuller than those with one and comes before them.
 t.test("a gang starts on the places that it has tickets for", (t) => {
   const runners = ["a", "b", "c"].map(createIdleRunner);
-  occupy(runners[2]!);
+  addRun(runners[2]!);
   const eligibility = createEligibility(["a", "b", "c"], ["a", "b"]);
   const plan = planGang(runners, eligibility, 8);
   t.equal(plan.questions.length, 0);
@@ -106,7 +106,7 @@
 // Guards against room that is kept for a gang which could not use it.
 t.test("a gang that fits nowhere keeps no runner from others", (t) => {
   const runners = ["a", "b"].map(createIdleRunner);
-  occupy(runners[0]!);
+  addRun(runners[0]!);
   t.equal(
     planGang(runners, createEligibility(["a", "b"], []), 8).holds.size,
     1,
