Call what exists in place of writing it again; put the watch for silent links where all senders have it

Found in a read-through; behaviour stays as it is. - createAddressPeers was a second createPeerSet: the set finds addresses by a function and opens on first use. - The watch for silent connections wrapped the log sender in core_program. It is an option of createLogSender now, off by default, and restart is gone from its interface. - Relayed calls named target and timeout twice and had a direct copy of each call: the direct way is runRelayedCall. - The gateway server finds sessions in one place; the planner asks, and looks at kept runners and room, in one place each; the driver takes in order replies in one place. - Models: createRunnerEntry and createTaskFacts serve the tests that had copies.

--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -117,12 +117,26 @@
   let nextRequest = 1;
   let isClosed = false;
 
-  function listCallers(): string[] {
+  /** Lists the instances with a session that `fits` accepts. */
+  function listNames(fits: (session: Session) => boolean): string[] {
     const names = new Set<string>();
-    for (const { name } of sessions) if (name !== undefined) names.add(name);
+    for (const session of sessions) {
+      if (session.name !== undefined && fits(session)) names.add(session.name);
+    }
     return [...names].sort();
   }
 
+  function listCallers(): string[] {
+    return listNames(() => true);
+  }
+
+  function findSession(instance: string): Session | undefined {
+    for (const session of sessions) {
+      if (session.name === instance) return session;
+    }
+    return undefined;
+  }
+
   function send(session: Session, message: CoreMessage): void {
     session.outbox.push(message);
     if (session.hasFlushTimer) return;
@@ -211,7 +225,7 @@
     timeoutMs: number,
   ): Promise<unknown> {
     return new Promise((resolve, reject) => {
-      const session = [...sessions].find(({ name }) => name === instance);
+      const session = findSession(instance);
       if (session === undefined) {
         return reject(
           createFault("unavailable", `Cannot ask through "${instance}"`),
@@ -286,13 +300,7 @@
     },
     callRunner: (relay, call, timeoutMs) =>
       sendRequest(relay, (id) => ({ kind: "callRunner", id, call }), timeoutMs),
-    listRelays() {
-      const names = new Set<string>();
-      for (const { name, canCallRunners } of sessions) {
-        if (name !== undefined && canCallRunners) names.add(name);
-      }
-      return [...names].sort();
-    },
+    listRelays: () => listNames(({ canCallRunners }) => canCallRunners),
     listCallers,
     listStandbys() {
       const found: ConnectedStandby[] = [];
@@ -302,12 +310,7 @@
       }
       return found;
     },
-    getDataCentre(instance) {
-      for (const { name, dataCentre } of sessions) {
-        if (name === instance) return dataCentre;
-      }
-      return undefined;
-    },
+    getDataCentre: (instance) => findSession(instance)?.dataCentre,
     invite(instance) {
       for (const session of sessions) {
         if (session.name !== instance || !session.isStandby) continue;
--- a/src/gateway/relayed_calls.ts
+++ b/src/gateway/relayed_calls.ts
@@ -7,7 +7,7 @@
  */
 
 import { type Clock, createFault, type Logger } from "../common/mod.ts";
-import type { RunnerCalls, RunnerTarget } from "../workload/mod.ts";
+import type { RunnerCalls } from "../workload/mod.ts";
 import type { RunnerCall } from "./messages.ts";
 
 /** Time for the way to the relay and back beyond the call's own, in milliseconds; two gathered frames and a busy turn. */
@@ -107,13 +107,11 @@
   }
 
   async function send<Reply>(
-    target: RunnerTarget,
-    call: RunnerCall,
-    timeoutMs: number,
-    callDirectly: () => Promise<Reply>,
+    call: Exclude<RunnerCall, { order: "release" }>,
   ): Promise<Reply> {
+    const { target, timeoutMs } = call;
     const relay = pickRelay(target.address);
-    if (relay === undefined) return await callDirectly();
+    if (relay === undefined) return await runRelayedCall(calls, call) as Reply;
     try {
       const reply = await options.callThrough(
         relay,
@@ -133,27 +131,12 @@
   }
 
   return {
-    start: (target, order, timeoutMs) =>
-      send(
-        target,
-        { order: "start", target, start: order, timeoutMs },
-        timeoutMs,
-        () => calls.start(target, order, timeoutMs),
-      ),
-    stop: (target, order, timeoutMs) =>
-      send(
-        target,
-        { order: "stop", target, stop: order, timeoutMs },
-        timeoutMs,
-        () => calls.stop(target, order, timeoutMs),
-      ),
-    hold: (target, order, timeoutMs) =>
-      send(
-        target,
-        { order: "hold", target, hold: order, timeoutMs },
-        timeoutMs,
-        () => calls.hold(target, order, timeoutMs),
-      ),
+    start: (target, start, timeoutMs) =>
+      send({ order: "start", target, start, timeoutMs }),
+    stop: (target, stop, timeoutMs) =>
+      send({ order: "stop", target, stop, timeoutMs }),
+    hold: (target, hold, timeoutMs) =>
+      send({ order: "hold", target, hold, timeoutMs }),
     release(address) {
       calls.release(address);
       const relay = removeAssignment(address);
@@ -166,7 +149,7 @@
   };
 }
 
-/** Makes a call on behalf of another instance. */
+/** Makes a call from here, for this instance or on behalf of another. */
 export async function runRelayedCall(
   calls: RunnerCalls,
   call: RunnerCall,
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -135,11 +135,11 @@
 
   const others = settings.instances
     .filter((entry) => entry.instance !== instance);
+  const addresses = new Map(
+    others.map((entry) => [entry.instance, formatAddress(entry.rpc)]),
+  );
   const peers = createPeerSet({
-    peers: others.map((entry) => ({
-      instance: entry.instance,
-      address: formatAddress(entry.rpc),
-    })),
+    findAddress: (name) => addresses.get(name),
     ...(credentials && { credentials: credentials.channel }),
   });
   const sender = createLogSender({ peers, clock });
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -115,6 +115,35 @@
   };
 }
 
+/** A runner with defaults. */
+export function createRunnerEntry(
+  id: string,
+  entry: Partial<RunnerEntry> = {},
+): RunnerEntry {
+  return {
+    id,
+    startedMs: 1,
+    address: `${id}:1`,
+    pool: "pool",
+    dataCentre: "one",
+    capacity: { processors: 4_000, memoryMb: 16_000, accelerators: 0 },
+    labels: ["kind", "rack-1"],
+    isDraining: false,
+    ...entry,
+  };
+}
+
+/** What a task of a step does when it works as declared. */
+export function createTaskFacts(step: StepSpec): TaskFacts {
+  return {
+    durationMs: step.estimatedMs,
+    processors: step.resources.processors,
+    memoryMb: step.resources.memoryMb,
+    isHopeless: false,
+    gangSize: step.gang ? step.tasks : 0,
+  };
+}
+
 /** A configuration with one pool, one workspace and the given queues. */
 export function createModelConfiguration(
   options: {
@@ -173,16 +202,7 @@
     getTaskFacts(task) {
       const step = state.getJob(task.job)?.spec.steps[task.step] ??
         createStep();
-      if (options.getTaskFacts !== undefined) {
-        return options.getTaskFacts(task, step);
-      }
-      return {
-        durationMs: step.estimatedMs,
-        processors: step.resources.processors,
-        memoryMb: step.resources.memoryMb,
-        isHopeless: false,
-        gangSize: step.gang ? step.tasks : 0,
-      };
+      return options.getTaskFacts?.(task, step) ?? createTaskFacts(step);
     },
   });
 
@@ -285,17 +305,7 @@
     getWallTime: () => wallClock.wallTime(),
     countQuestions: (job) => questions.get(job) ?? 0,
     async addRunner(id, entry = {}) {
-      const full: RunnerEntry = {
-        id,
-        startedMs: 1,
-        address: `${id}:1`,
-        pool: "pool",
-        dataCentre: "one",
-        capacity: { processors: 4_000, memoryMb: 16_000, accelerators: 0 },
-        labels: ["kind", "rack-1"],
-        isDraining: false,
-        ...entry,
-      };
+      const full = createRunnerEntry(id, entry);
       const trouble = runners.add(full);
       const announced = getController().announceRunner({
         entry: full,
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -33,13 +33,9 @@
 } from "../replicated_log/mod.ts";
 import {
   createLogSender,
-  createRpcPeer,
+  createPeerSet,
   type LogEnvelope,
-  type LogSender,
-  type PeerSet,
-  type RpcPeer,
   startRpcServer,
-  toInstanceName,
 } from "../rpc/mod.ts";
 import {
   createWorkState,
@@ -119,52 +115,16 @@
   stop(): Promise<void>;
 }
 
-function createAddressPeers(rpcPort: number): PeerSet {
-  const peers = new Map<string, RpcPeer>();
-  return {
-    get(instance) {
-      let peer = peers.get(instance);
-      if (peer === undefined) {
-        peer = createRpcPeer({ instance, address: `${instance}:${rpcPort}` });
-        peers.set(instance, peer);
-      }
-      return peer;
-    },
-    has: () => true,
-    restart(instance) {
-      peers.get(instance)?.close();
-      peers.delete(instance);
-    },
-    close() {
-      for (const peer of peers.values()) peer.close();
-    },
-  };
-}
-
 /** Starts the program. */
 export async function startCoreProgram(
   options: CoreProgramOptions,
 ): Promise<CoreProgram> {
   const { clock, logger, metrics, instance } = options;
   const state = createWorkState();
-  const peers = createAddressPeers(options.rpcPort);
-  const logSender = createLogSender({ peers, clock });
-  const heardMs = new Map<string, number>();
-  const sender: LogSender = {
-    ...logSender,
-    send(envelope) {
-      const to = toInstanceName(envelope.to);
-      const nowMs = clock.now();
-      const silentMs = nowMs - (heardMs.get(to) ?? nowMs);
-      if (silentMs > SILENT_MS) {
-        logSender.restart(to);
-        heardMs.set(to, nowMs);
-      } else if (!heardMs.has(to)) {
-        heardMs.set(to, nowMs);
-      }
-      logSender.send(envelope);
-    },
-  };
+  const peers = createPeerSet({
+    findAddress: (name) => `${name}:${options.rpcPort}`,
+  });
+  const sender = createLogSender({ peers, clock, silenceMs: SILENT_MS });
   let lease: LeaderLease | undefined;
   let controller: WorkController | undefined;
   let isStopped = false;
@@ -192,7 +152,7 @@
   });
 
   function handleEnvelope(envelope: LogEnvelope): void {
-    heardMs.set(toInstanceName(envelope.from), clock.now());
+    sender.recordHeard(envelope.from);
     member?.receive(envelope);
   }
 
--- a/src/rpc/log_transport.ts
+++ b/src/rpc/log_transport.ts
@@ -16,11 +16,8 @@
 /** Sends envelopes to the instance that holds the member `envelope.to`. */
 export interface LogSender {
   send(envelope: LogEnvelope): void;
-  /**
-   * Gives up the connection to an instance, which may have gone silent without
-   * an error; the next message opens a new one.
-   */
-  restart(instance: string): void;
+  /** Notes that a message of the member `from` has arrived. */
+  recordHeard(from: string): void;
   close(): void;
 }
 
@@ -28,6 +25,12 @@
 export interface LogSenderOptions {
   peers: PeerSet;
   clock: Clock;
+  /**
+   * Silence of an instance that is sent to after which its connection is opened
+   * anew, in milliseconds: it may have gone silent without an error. Default:
+   * never.
+   */
+  silenceMs?: number;
 }
 
 /** Returns the instance of a member identity of the form `instance#incarnation`. */
@@ -81,28 +84,39 @@
 
 /** Creates a sender with one stream for each instance, opened on first use. */
 export function createLogSender(options: LogSenderOptions): LogSender {
+  const { clock, peers, silenceMs = Infinity } = options;
   const streams = new Map<string, PeerStream>();
+  const heardMs = new Map<string, number>();
 
   function getStream(instance: string): PeerStream | undefined {
     const known = streams.get(instance);
     if (known !== undefined) return known;
-    if (!options.peers.has(instance)) return undefined;
-    const created = createPeerStream(
-      () => options.peers.get(instance),
-      options.clock,
-    );
+    if (!peers.has(instance)) return undefined;
+    const created = createPeerStream(() => peers.get(instance), clock);
     streams.set(instance, created);
     return created;
   }
 
+  /** Gives up a connection that has gone silent; the next message opens a new one. */
+  function checkSilence(instance: string): void {
+    const nowMs = clock.now();
+    const lastMs = heardMs.get(instance);
+    if (lastMs !== undefined && nowMs - lastMs <= silenceMs) return;
+    heardMs.set(instance, nowMs);
+    if (lastMs === undefined) return;
+    streams.get(instance)?.close();
+    streams.delete(instance);
+    peers.restart(instance);
+  }
+
   return {
     send(envelope) {
-      getStream(toInstanceName(envelope.to))?.write(envelope);
+      const instance = toInstanceName(envelope.to);
+      checkSilence(instance);
+      getStream(instance)?.write(envelope);
     },
-    restart(instance) {
-      streams.get(instance)?.close();
-      streams.delete(instance);
-      options.peers.restart(instance);
+    recordHeard(from) {
+      heardMs.set(toInstanceName(from), clock.now());
     },
     close() {
       for (const stream of streams.values()) stream.close();
--- a/src/rpc/peers.ts
+++ b/src/rpc/peers.ts
@@ -1,19 +1,13 @@
-/** The peers of an instance: one channel for each other instance of the settings. */
+/** The peers of an instance: one channel for each other instance, opened on first use. */
 
 import { createFault } from "../common/mod.ts";
 import type { ChannelCredentials } from "@grpc/grpc-js";
 import { createRpcPeer, type RpcPeer } from "./client.ts";
 
-/** Name and address of an instance. */
-export interface PeerAddress {
-  instance: string;
-  /** `host:port` of its rpc listener. */
-  address: string;
-}
-
 /** Options of a peer set. */
 export interface PeerSetOptions {
-  peers: readonly PeerAddress[];
+  /** Returns `host:port` of an instance's rpc listener; undefined when it is not known. */
+  findAddress: (instance: string) => string | undefined;
   credentials?: ChannelCredentials;
 }
 
@@ -29,39 +23,35 @@
 
 /** Creates the peer set. */
 export function createPeerSet(options: PeerSetOptions): PeerSet {
-  const byName = new Map<string, RpcPeer>();
-
-  function openPeer(peer: PeerAddress): void {
-    byName.set(
-      peer.instance,
-      createRpcPeer({
-        ...peer,
-        ...(options.credentials === undefined
-          ? {}
-          : { credentials: options.credentials }),
-      }),
-    );
-  }
+  const { findAddress, credentials } = options;
+  const peers = new Map<string, RpcPeer>();
 
-  for (const peer of options.peers) openPeer(peer);
   return {
     get(instance) {
-      const peer = byName.get(instance);
-      if (peer !== undefined) return peer;
-      throw createFault(
-        "unavailable",
-        `Cannot find instance "${instance}" in the settings`,
-      );
+      const known = peers.get(instance);
+      if (known !== undefined) return known;
+      const address = findAddress(instance);
+      if (address === undefined) {
+        throw createFault(
+          "unavailable",
+          `Cannot find instance "${instance}" in the settings`,
+        );
+      }
+      const opened = createRpcPeer({
+        instance,
+        address,
+        ...(credentials === undefined ? {} : { credentials }),
+      });
+      peers.set(instance, opened);
+      return opened;
     },
-    has: (instance) => byName.has(instance),
+    has: (instance) => findAddress(instance) !== undefined,
     restart(instance) {
-      const address = options.peers.find((peer) => peer.instance === instance);
-      if (address === undefined) return;
-      byName.get(instance)?.close();
-      openPeer(address);
+      peers.get(instance)?.close();
+      peers.delete(instance);
     },
     close() {
-      for (const peer of byName.values()) peer.close();
+      for (const peer of peers.values()) peer.close();
     },
   };
 }
--- a/src/rpc/rpc_test.ts
+++ b/src/rpc/rpc_test.ts
@@ -160,8 +160,10 @@
     } as unknown as ServiceHandlers,
   };
   let server = await startServer(t, services);
+  const { port } = server;
   const peers = createPeerSet({
-    peers: [{ instance: "far", address: `${HOST}:${server.port}` }],
+    findAddress: (instance) =>
+      instance === "far" ? `${HOST}:${port}` : undefined,
   });
   const sender = createLogSender({ peers, clock: createSystemClock() });
   t.teardown(() => {
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -283,9 +283,13 @@
   return Math.floor(most);
 }
 
+function isHeldForOther(step: OpenStep, { heldFor }: Place): boolean {
+  return heldFor !== undefined && heldFor !== step.key;
+}
+
 /** Tells whether a gang keeps the step from a place; urgent steps only avoid it. */
-function isKeptFrom(step: OpenStep, { heldFor }: Place): boolean {
-  return heldFor !== undefined && heldFor !== step.key && step.priority > 0;
+function isKeptFrom(step: OpenStep, place: Place): boolean {
+  return step.priority > 0 && isHeldForOther(step, place);
 }
 
 /** Tells whether a runner could run the step if it were idle. */
@@ -297,9 +301,9 @@
 }
 
 function comparePlaces(step: OpenStep, a: Place, b: Place): number {
-  const isOthersA = a.heldFor !== undefined && a.heldFor !== step.key ? 1 : 0;
-  const isOthersB = b.heldFor !== undefined && b.heldFor !== step.key ? 1 : 0;
-  if (isOthersA !== isOthersB) return isOthersA - isOthersB;
+  const held = Number(isHeldForOther(step, a)) -
+    Number(isHeldForOther(step, b));
+  if (held !== 0) return held;
   const { preferredRack } = step.spec;
   if (preferredRack !== undefined) {
     const isNearA = getRack(a.runner) === preferredRack ? 0 : 1;
@@ -338,10 +342,8 @@
     return { eligible, unknown };
   }
   for (const place of pool.places) {
-    if (!fitsWithin(step.spec.resources, getRoom(step, place))) continue;
-    if (isKeptFrom(step, place)) continue;
-    if (!isSuitable(step, place)) continue;
     if (countFitting(step, place, 1) === 0) continue;
+    if (isKeptFrom(step, place) || !isSuitable(step, place)) continue;
     const isEligible = step.eligibility === undefined ||
       eligibility?.isEligible.get(place.runner.entry.id);
     if (isEligible === true) eligible.push(place);
@@ -454,11 +456,15 @@
     plan.waits.push({ step, reason });
   }
 
+  /** Asks about places, unless a question of the step is open. */
   function addQuestion(
     step: OpenStep,
+    eligibility: StepEligibility | undefined,
     places: readonly Place[],
     reserve: readonly Place[],
   ): void {
+    const isOpen = eligibility !== undefined && eligibility.openQuestions > 0;
+    if (isOpen || places.length === 0) return;
     const ids = [...new Set(places.map(({ runner }) => runner.entry.id))];
     plan.questions.push({
       step,
@@ -477,7 +483,6 @@
     eligibility: StepEligibility | undefined,
     withRoom: readonly Place[],
   ): void {
-    if ((eligibility?.openQuestions ?? 0) > 0) return;
     const most = countRunnersToName(step, withRoom);
     const named = new Set(withRoom.slice(0, most));
     for (const place of pool.places) {
@@ -485,7 +490,7 @@
       const isKnown = eligibility?.isEligible.has(place.runner.entry.id);
       if (isKnown !== true && isSuitable(step, place)) named.add(place);
     }
-    if (named.size > 0) addQuestion(step, [...named], []);
+    addQuestion(step, eligibility, [...named], []);
   }
 
   /** Returns how many runners one question names: a gang must find all of its places in few answers. */
@@ -575,13 +580,12 @@
     const tickets = placed.map((place) => getTicket(step, eligibility, place));
     if (tickets.some((ticket) => ticket === undefined)) {
       addWait(step, "noTicket");
-      if ((eligibility?.openQuestions ?? 0) > 0) return;
       const named = new Set(placed);
       const spare = Math.ceil(named.size * HOLD_FACTOR);
       for (const place of eligible) {
         if (named.size < spare) named.add(place);
       }
-      return addQuestion(step, [...named], placed);
+      return addQuestion(step, eligibility, [...named], placed);
     }
     plan.starts.push({
       step,
--- a/src/workload/planning_test.ts
+++ b/src/workload/planning_test.ts
@@ -1,5 +1,5 @@
 import t from "tap";
-import { createStep } from "../model/mod.ts";
+import { createRunnerEntry, createStep } from "../model/mod.ts";
 import type { StepEligibility } from "./eligibility.ts";
 import { type OpenStep, planStarts } from "./planning.ts";
 import { addOccupant, createRunner, type Runner } from "./runner_table.ts";
@@ -8,16 +8,7 @@
 const TASK = { processors: 1_000, memoryMb: 1_000, accelerators: 0 };
 
 function createIdleRunner(id: string): Runner {
-  const runner = createRunner({
-    id,
-    startedMs: 1,
-    address: `${id}:1`,
-    pool: "pool",
-    dataCentre: "one",
-    capacity: { processors: 4_000, memoryMb: 16_000, accelerators: 0 },
-    labels: ["kind", "rack-1"],
-    isDraining: false,
-  }, 0);
+  const runner = createRunner(createRunnerEntry(id), 0);
   runner.contactMs = NOW_MS;
   return runner;
 }
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -18,6 +18,7 @@
 import type {
   HoldReply,
   OrderOutcome,
+  OrderReply,
   RunnerCalls,
   StartOrder,
 } from "./runner_calls.ts";
@@ -100,6 +101,12 @@
     runner.clockSample = { clockMs, atMs: clock.now() };
   }
 
+  function receiveOrderReply(reply: OrderReply): void {
+    recordClock(reply.clockMs);
+    if (reply.outcome === "otherLife") options.handleOtherLife();
+    if (reply.outcome === "staleFence") options.handleStaleFence();
+  }
+
   async function runLook(mayWait: boolean): Promise<void> {
     const sentAtMs = clock.now();
     // After an unanswered look a further grant would only delay the moment
@@ -159,9 +166,7 @@
           { ...order, untilMs, fence },
           ORDER_TIMEOUT_MS,
         );
-        recordClock(reply.clockMs);
-        if (reply.outcome === "otherLife") options.handleOtherLife();
-        if (reply.outcome === "staleFence") options.handleStaleFence();
+        receiveOrderReply(reply);
         // An earlier copy may have been carried out before this refusal.
         const isOpen = occupant.isUncertain && reply.outcome !== "accepted" &&
           reply.outcome !== "otherLife";
@@ -189,9 +194,7 @@
           { task: occupant.task, run: occupant.run, fence },
           ORDER_TIMEOUT_MS,
         );
-        recordClock(reply.clockMs);
-        if (reply.outcome === "otherLife") options.handleOtherLife();
-        if (reply.outcome === "staleFence") options.handleStaleFence();
+        receiveOrderReply(reply);
         const isDone = reply.outcome === "accepted" ||
           reply.outcome === "staleRun";
         if (isDone) return true;
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -20,6 +20,13 @@
   return model.getController().getState(createAddress(model, id));
 }
 
+/** Starts a cell with one queue and the named runners. */
+async function startModel(...runners: string[]): Promise<WorkModel> {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  for (const runner of runners) await model.addRunner(runner);
+  return model;
+}
+
 // Lets the model run while a call is on its way.
 async function runCall<Value>(
   model: WorkModel,
@@ -33,8 +40,7 @@
 }
 
 t.test("steps run in order", async (t) => {
-  const model = createWorkModel({ configuration: createModelConfiguration() });
-  await model.addRunner("r1");
+  const model = await startModel("r1");
   await runCall(
     model,
     model.submit(
@@ -58,9 +64,7 @@
 });
 
 t.test("no runner is filled beyond its capacity", async (t) => {
-  const model = createWorkModel({ configuration: createModelConfiguration() });
-  await model.addRunner("r1");
-  await model.addRunner("r2");
+  const model = await startModel("r1", "r2");
   for (let number = 0; number < 10; number += 1) {
     void model.submit(
       `job-${number}`,
@@ -99,8 +103,7 @@
 });
 
 t.test("a gang starts whole, or waits for room", async (t) => {
-  const model = createWorkModel({ configuration: createModelConfiguration() });
-  await model.addRunner("r1");
+  const model = await startModel("r1");
   await runCall(
     model,
     model.submit(
@@ -124,9 +127,7 @@
 });
 
 t.test("a takeover neither loses nor doubles a task", async (t) => {
-  const model = createWorkModel({ configuration: createModelConfiguration() });
-  await model.addRunner("r1");
-  await model.addRunner("r2");
+  const model = await startModel("r1", "r2");
   for (let number = 0; number < 6; number += 1) {
     await runCall(
       model,
@@ -143,8 +144,7 @@
 });
 
 t.test("tasks of a runner that comes back run again", async (t) => {
-  const model = createWorkModel({ configuration: createModelConfiguration() });
-  await model.addRunner("r1");
+  const model = await startModel("r1");
   await runCall(model, model.submit("job", createJob([{ estimatedMs: 800 }])));
   await model.run(300);
   model.runners.crash("r1");
@@ -187,8 +187,7 @@
 });
 
 t.test("a cancelled job's tasks are stopped", async (t) => {
-  const model = createWorkModel({ configuration: createModelConfiguration() });
-  await model.addRunner("r1");
+  const model = await startModel("r1");
   await runCall(
     model,
     model.submit("job", createJob([{ tasks: 3, estimatedMs: 60_000 }])),
@@ -300,8 +299,7 @@
 });
 
 t.test("a resent job is one job", async (t) => {
-  const model = createWorkModel({ configuration: createModelConfiguration() });
-  await model.addRunner("r1");
+  const model = await startModel("r1");
   const body = createJob([{ estimatedMs: 100 }]);
   await runCall(
     model,
@@ -350,8 +348,7 @@
 });
 
 t.test("a draining runner gets no further task", async (t) => {
-  const model = createWorkModel({ configuration: createModelConfiguration() });
-  await model.addRunner("r1");
+  const model = await startModel("r1");
   const entry = model.state.getRunner("r1");
   if (entry === undefined) throw new Error("not registered");
   await runCall(
@@ -426,8 +423,7 @@
 });
 
 t.test("each occurrence of a timed job waits for its time", async (t) => {
-  const model = createWorkModel({ configuration: createModelConfiguration() });
-  await model.addRunner("r1");
+  const model = await startModel("r1");
   const firstRunMs = model.getWallTime() + 2_000;
   await runCall(
     model,
@@ -454,8 +450,7 @@
 });
 
 t.test("a long-running task is started again until it is cancelled", async (t) => {
-  const model = createWorkModel({ configuration: createModelConfiguration() });
-  await model.addRunner("r1");
+  const model = await startModel("r1");
   await runCall(
     model,
     model.submit(
--- a/test/work_schedule.ts
+++ b/test/work_schedule.ts
@@ -6,14 +6,15 @@
 
 import { createSeededRandom, type Random } from "../src/common/mod.ts";
 import {
+  createJob,
   createModelConfiguration,
-  createStep,
+  createTaskFacts,
   createWorkModel,
   type RunnerTrouble,
   type Violation,
   type WorkModel,
 } from "../src/model/mod.ts";
-import type { JobBody, StepSpec } from "../src/workload/mod.ts";
+import type { StepSpec } from "../src/workload/mod.ts";
 
 /** What came of a schedule. */
 export interface ScheduleOutcome {
@@ -37,12 +38,12 @@
 /** Time for everything to end after the last fault; more than a lease and the longest job. */
 const CALM_MS = 40_000;
 
-function createRandomSteps(random: Random): StepSpec[] {
-  const steps: StepSpec[] = [];
+function createRandomSteps(random: Random): Partial<StepSpec>[] {
+  const steps: Partial<StepSpec>[] = [];
   const count = 1 + random.nextInt(3);
   for (let number = 0; number < count; number += 1) {
     const isGang = random.nextFloat() < 0.3;
-    steps.push(createStep({
+    steps.push({
       tasks: 1 + random.nextInt(5),
       gang: isGang,
       estimatedMs: 50 + random.nextInt(1_500),
@@ -53,21 +54,11 @@
         memoryMb: 100,
         accelerators: 0,
       },
-    }));
+    });
   }
   return steps;
 }
 
-function createBody(steps: StepSpec[]): JobBody {
-  return {
-    payload: "soak",
-    steps,
-    firstRunMs: 0,
-    intervalMs: 0,
-    repetitions: 0,
-  };
-}
-
 /** Starts a random fault and returns what ends it. */
 function startFault(
   random: Random,
@@ -137,11 +128,8 @@
     }),
     isEligible: (runner) => runner !== "r5",
     getTaskFacts: (task, step) => ({
-      durationMs: step.estimatedMs,
-      processors: step.resources.processors,
-      memoryMb: step.resources.memoryMb,
+      ...createTaskFacts(step),
       isHopeless: hopeless.has(task.job),
-      gangSize: step.gang ? step.tasks : 0,
     }),
   });
   const runners = new Map<string, RunnerTrouble>();
@@ -160,7 +148,7 @@
       const id = `job${jobs.length}`;
       jobs.push(id);
       if (random.nextFloat() < 0.05) hopeless.add(id);
-      const body = createBody(createRandomSteps(random));
+      const body = createJob(createRandomSteps(random));
       // A takeover may cut the call off; its caller sends it again.
       const submit = () => model.submit(id, body);
       submit().catch(() => submit().catch(() => submit()));
