End a model runner's life when another one replaces it

Two restarts of one runner overlapped, so its third life was added while the second one was not marked as gone; a delayed order to the second was carried out 6 s later, by a process that could not exist any more. Ruled out: the scheduler. The trace of job29/0/0/2 shows the stop for run 1 at the new life before run 2 started elsewhere, and the late start at the old object. Change: adding a life ends the one of the same name. The check stays as it was.

--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -432,13 +432,25 @@
       return reply;
     },
     release: () => {},
+    releaseOwn: () => {},
   };
 
+  function crash(id: string): void {
+    const runner = runners.get(id);
+    if (runner === undefined) return;
+    runner.isGone = true;
+    runner.runs.clear();
+    // What was not noted died with this life.
+    setEndsLapsed(runner);
+  }
+
   return {
     calls,
     violations,
     countStarts: () => starts,
     add(entry) {
+      // A life that another one replaces carries out no delayed order any more.
+      crash(entry.id);
       const trouble: RunnerTrouble = {
         isCutOff: false,
         hangs: false,
@@ -460,14 +472,7 @@
       });
       return trouble;
     },
-    crash(id) {
-      const runner = runners.get(id);
-      if (runner === undefined) return;
-      runner.isGone = true;
-      runner.runs.clear();
-      // What was not noted died with this life.
-      setEndsLapsed(runner);
-    },
+    crash,
     listRunning() {
       return [...runners.values()].flatMap((runner) =>
         [...runner.runs.values()].map(({ order }) => ({
