Let a busy leader keep its leadership, and leave it less to do

After a loss of all machines, leaders followed each other for up to 4 s: a new one opened connections to all runners and looked at each at once, sent no heartbeats meanwhile, and a lease that was lost for a moment ended its controller, so that everything began anew. Ruled out: disks and network; the same leader answers orders after 20 to 30 ms on calm seconds.

--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -70,6 +70,8 @@
   ) => Promise<EligibilityAnswer>;
   /** Calls a runner for the leader. Default: this instance does not. */
   callRunner?: (call: RunnerCall) => Promise<unknown>;
+  /** Time during which messages are gathered into one frame, in milliseconds. Default `FRAME_GATHER_MS`. */
+  gatherMs?: number;
   /** Tells whether this instance could become a member of the log. Default: it could not. */
   isStandby?: () => boolean;
   /** Called with the members that a leader names in each of its pulses. */
@@ -219,7 +221,7 @@
     link.outbox.push(message);
     if (link.hasFlushTimer) return;
     link.hasFlushTimer = true;
-    clock.setTimer(FRAME_GATHER_MS, () => {
+    clock.setTimer(options.gatherMs ?? FRAME_GATHER_MS, () => {
       link.hasFlushTimer = false;
       const messages = link.outbox;
       link.outbox = [];
--- a/src/gateway/relayed_calls.ts
+++ b/src/gateway/relayed_calls.ts
@@ -30,6 +30,8 @@
   countRunners: () => number;
   /** Names of the connected instances that can call runners, without this one. */
   listRelays: () => readonly string[];
+  /** Relays that are used at the same time; fewer get more into one frame. */
+  mostRelays: number;
   /** Calls a runner through `relay`; rejects when the relay gave no answer. */
   callThrough: (
     relay: string,
@@ -67,6 +69,17 @@
     return relay;
   }
 
+  /**
+   * Lists the relays for further runners: those in use first, then by name, so
+   * that the next leader finds the connections of the same ones open.
+   */
+  function listPreferred(usable: readonly string[]): string[] {
+    const isIdle = (relay: string) => Number(getUse(relay).targets === 0);
+    return [...usable]
+      .sort((a, b) => isIdle(a) - isIdle(b) || (a < b ? -1 : 1))
+      .slice(0, options.mostRelays);
+  }
+
   /** Returns the relay for an address; undefined when it is called from here. */
   function pickRelay(address: string): string | undefined {
     if (options.countRunners() <= options.directRunners) {
@@ -81,7 +94,7 @@
     if (known !== undefined && usable.includes(known)) return known;
     removeAssignment(address);
     let best: string | undefined;
-    for (const relay of usable) {
+    for (const relay of listPreferred(usable)) {
       const isFreer = best === undefined ||
         getUse(relay).targets < getUse(best).targets;
       if (isFreer) best = relay;
@@ -137,6 +150,7 @@
       send({ order: "stop", target, stop, timeoutMs }),
     hold: (target, hold, timeoutMs) =>
       send({ order: "hold", target, hold, timeoutMs }),
+    releaseOwn: (address) => calls.releaseOwn(address),
     release(address) {
       calls.release(address);
       const relay = removeAssignment(address);
--- a/src/gateway/relayed_calls_test.ts
+++ b/src/gateway/relayed_calls_test.ts
@@ -32,10 +32,11 @@
       ended: [],
     }),
     release: (address) => void made.push(`release ${address}`),
+    releaseOwn: (address) => void made.push(`release ${address}`),
   };
 }
 
-function createCell(runners: number, relays: string[]) {
+function createCell(runners: number, relays: string[], mostRelays = 3) {
   const clock = createManualClock(0);
   const direct: string[] = [];
   const relayed: { relay: string; call: RunnerCall }[] = [];
@@ -47,6 +48,7 @@
     directRunners: 100,
     countRunners: () => runners,
     listRelays: () => relays,
+    mostRelays,
     async callThrough(relay, call) {
       relayed.push({ relay, call });
       if (silent.has(relay)) throw createFault("deadlineExceeded", "Silent");
@@ -87,6 +89,21 @@
   t.equal(cell.direct.length, 0);
 });
 
+// Guards against frames that carry one message each, and against connections
+// that each new leader opens through other instances.
+t.test("a few relays are used, the same ones by each leader", async (t) => {
+  const first = createCell(246, ["d", "b", "c", "a"], 2);
+  t.strictSame([...(await first.checkAll())], [["a", 123], ["b", 123]]);
+  const next = createCell(246, ["b", "d", "a"], 2);
+  t.strictSame([...(await next.checkAll())], [["a", 123], ["b", 123]]);
+  next.relays.splice(next.relays.indexOf("a"), 1);
+  await next.checkAll();
+  const moved = new Map([["b", 123], ["d", 123]]);
+  t.same(await next.checkAll(), moved);
+  next.relays.push("a");
+  t.same(await next.checkAll(), moved);
+});
+
 // Guards against runners whose leases end because their relay is frozen.
 t.test("a relay without answers is left out for a while", async (t) => {
   const cell = createCell(246, ["a", "b", "c"]);
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -42,11 +42,13 @@
   type EligibilityAnswer,
   type EligibilityQuestion,
   encodeRecords,
+  hasNews,
   type RunnerCalls,
   startWorkController,
   type WorkController,
   type WorkRecord,
 } from "../workload/mod.ts";
+import { createLeaderTenure } from "./leader_tenure.ts";
 import { createLeadershipGuard } from "./leadership_guard.ts";
 import { planVoters } from "./voters.ts";
 
@@ -68,12 +70,14 @@
 /** Pause before a leadership that could not be confirmed is tried again, in milliseconds. */
 const CONFIRM_PAUSE_MS = 50;
 
-/**
- * Runners that the leader calls by itself. With 246 runners and 500 starts a
- * second it uses 0.59 of a core with its calls and 0.52 without them, while all
- * cores together use a third more with relays (docs/platform.md).
- */
-const DIRECT_RUNNERS = 300;
+/** Runners that the leader calls by itself; with 246 of them the calls take half of its processor time (docs/platform.md). */
+const DIRECT_RUNNERS = 100;
+
+/** Instances through which it calls more runners; each carries 250 starts a second with half of a core. */
+const MOST_RELAYS = 2;
+
+/** Time during which this instance gathers what it sends to the leader, in milliseconds; little against a run. */
+const GATHER_MS = 4;
 
 /** Options of the program. */
 export interface CoreProgramOptions {
@@ -107,7 +111,8 @@
 
 /** A running core program. */
 export interface CoreProgram {
-  readonly gateway: GatewayClient;
+  /** Answers a call from what is recorded here if that is enough, and otherwise by the leader. */
+  readonly call: GatewayClient["call"];
   isLeading(): boolean;
   /** Adds instances that may lead, after a change of the settings. */
   addCores(names: readonly string[]): void;
@@ -125,7 +130,7 @@
     findAddress: (name) => `${name}:${options.rpcPort}`,
   });
   const sender = createLogSender({ peers, clock, silenceMs: SILENT_MS });
-  let lease: LeaderLease | undefined;
+  let ledTerm = 0;
   let controller: WorkController | undefined;
   let isStopped = false;
 
@@ -141,7 +146,7 @@
     runCall,
     getLeadership: () => ({
       isLeading: controller !== undefined && guard.isLeading(),
-      term: lease?.term ?? 0,
+      term: ledTerm,
     }),
     listCores() {
       const members = member?.getLog()?.getStatus().members;
@@ -201,7 +206,7 @@
       clock,
       random: options.random,
       logger,
-      handleLeadership: (next) => void handleLeadership(next),
+      handleLeadership: (lease) => tenure.handleLease(lease),
       handleFailure: options.handleFailure,
     });
   }
@@ -246,6 +251,7 @@
     ...(metrics === undefined ? {} : { metrics }),
     ask: options.ask,
     callRunner: (call) => runRelayedCall(options.calls, call),
+    gatherMs: GATHER_MS,
     isStandby: () => member === undefined,
     handleMembers: (named) => void handleMembers(named),
     handleInvite: () => void startJoin().catch(options.handleFailure),
@@ -264,6 +270,7 @@
     logger,
     calls: options.calls,
     directRunners: DIRECT_RUNNERS,
+    mostRelays: MOST_RELAYS,
     countRunners: () => state.countRunners(),
     listRelays: () => server.listRelays().filter((name) => name !== instance),
     callThrough: (relay, call, timeoutMs) =>
@@ -319,39 +326,46 @@
     await log.propose(encodeRecords(records));
   }
 
+  const tenure = createLeaderTenure({
+    clock,
+    getLedTerm() {
+      const status = member?.getLog()?.getStatus();
+      return status?.role === "leader" ? status.term : undefined;
+    },
+    start: (lease) => void startLeading(lease),
+    stop: stopController,
+    handleChange: () => server.sendPulses(),
+  });
+
   function stopController(): void {
     if (controller === undefined) return;
     controller.stop();
     controller = undefined;
-    logger.info("Stopped leading", { term: lease?.term });
+    logger.info("Stopped leading", { term: ledTerm });
   }
 
-  async function handleLeadership(
-    next: LeaderLease | undefined,
-  ): Promise<void> {
-    if (next?.term === lease?.term && controller !== undefined) return;
-    stopController();
-    lease = next;
-    if (next === undefined) return server.sendPulses();
-    logger.info("Won the leadership", { term: next.term });
-    while (lease === next) {
+  async function startLeading(lease: LeaderLease): Promise<void> {
+    const { term } = lease;
+    logger.info("Won the leadership", { term });
+    while (tenure.isCurrent(lease)) {
       try {
         // Everything that former leaders have recorded must be applied first.
         await member?.getLog()?.confirmLeadership();
         break;
       } catch (error) {
-        logger.info("Leadership not confirmed yet", { term: next.term, error });
+        logger.info("Leadership not confirmed yet", { term, error });
         await wait(clock, CONFIRM_PAUSE_MS);
       }
     }
-    if (lease !== next) return;
+    if (!tenure.isCurrent(lease)) return;
+    ledTerm = term;
     metrics?.addCount("log_elections_total", { group: WORK_GROUP });
     controller = startWorkController({
       clock,
       logger,
       ...(metrics === undefined ? {} : { metrics }),
       state,
-      fence: next.term,
+      fence: term,
       isLeading: () => guard.isLeading(),
       propose,
       calls: relayedCalls,
@@ -360,14 +374,14 @@
       maxLeaseMs: options.maxLeaseMs,
       keepMs: options.keepMs,
       handleStaleFence() {
-        logger.warn("A runner has seen a newer leader", { term: next.term });
+        logger.warn("A runner has seen a newer leader", { term });
         member?.getLog()?.confirmLeadership().catch((error: unknown) =>
           logger.info("Leadership not confirmed", { error })
         );
       },
     });
     controller.setCallers(server.listCallers());
-    logger.info("Leading", { term: next.term });
+    logger.info("Leading", { term });
     server.sendPulses();
   }
 
@@ -401,12 +415,16 @@
   }
 
   return {
-    gateway,
+    async call(call, timeoutMs) {
+      const isKnown = call.kind === "announce" &&
+        !hasNews(state, call.announcement.entry);
+      return isKnown ? undefined : await gateway.call(call, timeoutMs);
+    },
     isLeading: () => guard.isLeading(),
     addCores: (names) => gateway.addCores(names),
     async stop() {
       isStopped = true;
-      stopController();
+      tenure.close();
       server.sendPulses();
       await member?.stop();
       server.close();
--- a/src/replicated_log/replicated_log.ts
+++ b/src/replicated_log/replicated_log.ts
@@ -21,6 +21,7 @@
 import { checkStoredLog, createFirstLog } from "./start.ts";
 import { createStoreQueue } from "./store_queue.ts";
 import { resolveLogTimings } from "./timings.ts";
+import { startTickTimer } from "./tick_timer.ts";
 import type {
   LeaderLease,
   LogEntry,
@@ -292,6 +293,7 @@
 
   function closeDriver(): void {
     isStopped = true;
+    timer.cancel();
     inputs.length = 0;
     const refused = proposals;
     proposals = [];
@@ -514,7 +516,6 @@
     try {
       await runHandover();
       if (!isStopped) closeDriver();
-      timer.cancel();
       await queue.waitUntilIdle();
       await storage.close();
     } finally {
@@ -522,11 +523,6 @@
     }
   }
 
-  function handleTimer(): void {
-    step({ kind: "tick" });
-    if (!isStopped) timer = clock.setTimer(computeTickMs(), handleTimer);
-  }
-
   /**
    * An election starts at its deadline and not at the next of a few ticks:
    * members that share ticks would start at once and split the votes.
@@ -538,7 +534,12 @@
     return Math.max(1, Math.min(tickMs, untilElectionMs));
   }
 
-  let timer = clock.setTimer(0, handleTimer);
+  const timer = startTickTimer({
+    clock,
+    getDelayMs: computeTickMs,
+    mayWait: () => state.role !== "leader",
+    runTick: () => step({ kind: "tick" }),
+  });
 
   return {
     propose,
--- a/src/workload/mod.ts
+++ b/src/workload/mod.ts
@@ -1,5 +1,6 @@
 /** Workloads of several steps on runners that are called. */
 
+export * from "./announcements.ts";
 export * from "./configuration.ts";
 export * from "./eligibility.ts";
 export * from "./runner_calls.ts";
--- a/src/workload/runner_calls.ts
+++ b/src/workload/runner_calls.ts
@@ -122,4 +122,9 @@
   ): Promise<HoldReply>;
   /** Closes the connections to an address that is not used any more. */
   release(address: string): void;
+  /**
+   * Closes those connections to a runner that this instance holds itself; other
+   * instances that call for it go on for the next leader.
+   */
+  releaseOwn(address: string): void;
 }
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -53,6 +53,8 @@
   handleOtherLife: () => void;
   /** Called when the runner has seen a higher fencing token. */
   handleStaleFence: () => void;
+  /** Time before the first look in milliseconds. Default 0. */
+  firstLookDelayMs?: number;
 }
 
 /** Sends looks and orders to one runner. */
@@ -135,6 +137,8 @@
   }
 
   async function runLooks(): Promise<void> {
+    const { firstLookDelayMs = 0 } = options;
+    if (firstLookDelayMs > 0) await wait(clock, firstLookDelayMs);
     while (await waitUntilLeading()) {
       try {
         await runLook(true);
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -28,6 +28,7 @@
 import {
   formatLife,
   formatStep,
+  isSameRunner,
   type RunnerEntry,
   type RunOutcome,
   type TaskRef,
@@ -45,6 +46,13 @@
 /** Time between two checks of the recorded runs, in milliseconds; longer than an end takes to be recorded. */
 const AUDIT_PERIOD_MS = 2_000;
 
+/**
+ * Time between the first looks of a new leader, in milliseconds: the time that
+ * one takes in a process that has just started. All looks at once would keep it
+ * from its heartbeats for longer than an election takes.
+ */
+const RESTORE_LOOK_MS = 1;
+
 /** Age beyond which an order without an answer is not carried out any more, in milliseconds; the platform states 12 s. */
 const LATE_ORDER_MS = 13_000;
 
@@ -235,7 +243,11 @@
     stopRuns(({ task }) => task.job === id);
   }
 
-  function startLane(entry: RunnerEntry, leaseEndMs: number): Lane {
+  function startLane(
+    entry: RunnerEntry,
+    leaseEndMs: number,
+    firstLookDelayMs = 0,
+  ): Lane {
     const runner = createRunner(entry, leaseEndMs);
     const lane: Lane = {
       runner,
@@ -250,6 +262,7 @@
         handleHold: (reply, sentAtMs) => handleHold(lane, reply, sentAtMs),
         handleOtherLife: () => void closeLife(lane, "another life answered"),
         handleStaleFence: options.handleStaleFence,
+        firstLookDelayMs,
       }),
     };
     lanes.set(runner.life, lane);
@@ -321,7 +334,9 @@
     }
     const isCurrent = isRecordedActive(task, run);
     metrics?.addCount("run_ends_total", { outcome });
-    logger.info("Run ended", {
+    // Most ends are as planned; their job's line follows from them.
+    const level = isCurrent && outcome === "done" ? "debug" : "info";
+    logger[level]("Run ended", {
       run: formatRun(task, run),
       runner: runner.life,
       outcome,
@@ -440,9 +455,7 @@
       const { runner } = known;
       if (sequence <= runner.sequence) return;
       runner.sequence = sequence;
-      const isSame = runner.entry.isDraining === entry.isDraining &&
-        runner.entry.address === entry.address;
-      if (isSame) return;
+      if (isSameRunner(runner.entry, entry)) return;
       runner.entry = entry;
       await options.queue.record([{ kind: "runner", runner: entry }]);
       logger.info("Runner changed", {
@@ -505,7 +518,11 @@
 
   function restoreRuns(): void {
     const leaseEndMs = clock.now() + RUNNER_LEASE_MS / RUNNER_CLOCK_MIN_RATE;
-    for (const entry of state.listRunners()) startLane(entry, leaseEndMs);
+    let delayMs = 0;
+    for (const entry of state.listRunners()) {
+      startLane(entry, leaseEndMs, delayMs);
+      delayMs += RESTORE_LOOK_MS;
+    }
     const lost: RunView[] = [];
     for (const active of listActiveRuns()) {
       const lane = lanes.get(active.life);
@@ -573,7 +590,7 @@
       isStopped = true;
       for (const lane of lanes.values()) {
         lane.driver.stop();
-        options.calls.release(lane.runner.entry.address);
+        options.calls.releaseOwn(lane.runner.entry.address);
       }
     },
   };
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -205,6 +205,12 @@
   | "failed"
   | "cancelled";
 
+/** Tells whether two announcements of runners say the same about where and how they can be used. */
+export function isSameRunner(a: RunnerEntry, b: RunnerEntry): boolean {
+  return formatLife(a) === formatLife(b) && a.isDraining === b.isDraining &&
+    a.address === b.address;
+}
+
 /** Returns the key of a runner's life. */
 export function formatLife(
   runner: Pick<RunnerEntry, "id" | "startedMs">,
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -143,6 +143,59 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// Pattern: all machines restart below 246 runners. Guards against a leader that
+// is too busy with its first looks to send its heartbeats.
+t.test("a takeover spreads its first looks", async (t) => {
+  const names = Array.from({ length: 60 }, (_, at) => `r${at}`);
+  const model = await startModel(...names);
+  const { calls } = model.runners;
+  const { hold } = calls;
+  let looks = 0;
+  calls.hold = (...call) => {
+    looks += 1;
+    return hold(...call);
+  };
+  model.takeOver();
+  await model.run(10);
+  t.ok(looks <= 25, `${looks} looks in 10 ms`);
+  await model.run(200);
+  t.ok(looks >= 60, `${looks} looks in 210 ms`);
+});
+
+// Pattern: a burst of short jobs on a full pool, where a round over all that
+// waits takes 20 ms and is followed by three times as much for the rest.
+t.test("short jobs do not wait for a round over all that waits", async (t) => {
+  let model: WorkModel | undefined;
+  model = createWorkModel({
+    configuration: createModelConfiguration({
+      queues: [
+        { name: "short", priority: 0, targetMs: 250 },
+        { name: "patient", priority: 1, targetMs: 600_000 },
+      ],
+    }),
+    sortSteps(steps) {
+      if (steps.some(({ priority }) => priority > 0)) model?.clock.advance(20);
+      return [...steps];
+    },
+  });
+  await model.addRunner("r1");
+  const patient = createJob([{ requiredLabel: "none" }]);
+  await runCall(model, model.submit("patient", patient, { queue: "patient" }));
+  const waitsMs: number[] = [];
+  for (let number = 0; number < 10; number += 1) {
+    const before = model.runners.countStarts();
+    const fromMs = model.clock.now();
+    const job = createJob([{ estimatedMs: 20 }]);
+    await runCall(model, model.submit(`short-${number}`, job));
+    while (model.runners.countStarts() === before) await model.run(1);
+    waitsMs.push(model.clock.now() - fromMs);
+    await model.run(130);
+  }
+  const meanMs = waitsMs.reduce((sum, ms) => sum + ms, 0) / waitsMs.length;
+  // A fifth of the queue's target.
+  t.ok(meanMs < 50, `${meanMs} ms`);
+});
+
 t.test("tasks of a runner that comes back run again", async (t) => {
   const model = await startModel("r1");
   await runCall(model, model.submit("job", createJob([{ estimatedMs: 800 }])));
