--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -435,7 +435,7 @@
     releaseOwn: () => {},
   };
 
-  function crash(id: string): void {
+  function endLife(id: string): void {
     const runner = runners.get(id);
     if (runner === undefined) return;
     runner.isGone = true;
@@ -450,7 +450,7 @@
     countStarts: () => starts,
     add(entry) {
       // A life that another one replaces carries out no delayed order any more.
-      crash(entry.id);
+      endLife(entry.id);
       const trouble: RunnerTrouble = {
         isCutOff: false,
         hangs: false,
@@ -472,7 +472,7 @@
       });
       return trouble;
     },
-    crash,
+    crash: endLife,
     listRunning() {
       return [...runners.values()].flatMap((runner) =>
         [...runner.runs.values()].map(({ order }) => ({
