--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -27,6 +27,7 @@
   type Frame,
   FRAME_GATHER_MS,
   type GatewayMessage,
+  RELAY_GATHER_MS,
   type RunnerCall,
   type WorkCall,
 } from "./messages.ts";
@@ -70,8 +71,6 @@
   ) => Promise<EligibilityAnswer>;
   /** Calls a runner for the leader. Default: this instance does not. */
   callRunner?: (call: RunnerCall) => Promise<unknown>;
-  /** Time during which messages are gathered into one frame, in milliseconds. Default `FRAME_GATHER_MS`. */
-  gatherMs?: number;
   /** Tells whether this instance could become a member of the log. Default: it could not. */
   isStandby?: () => boolean;
   /** Called with the members that a leader names in each of its pulses. */
@@ -127,6 +126,9 @@
   options: GatewayClientOptions,
 ): GatewayClient {
   const { clock, logger } = options;
+  const gatherMs = options.callRunner === undefined
+    ? FRAME_GATHER_MS
+    : RELAY_GATHER_MS;
   const links = new Map<string, Link>();
   const pending = new Map<number, PendingCall>();
   let leader: Link | undefined;
@@ -221,7 +223,7 @@
     link.outbox.push(message);
     if (link.hasFlushTimer) return;
     link.hasFlushTimer = true;
-    clock.setTimer(options.gatherMs ?? FRAME_GATHER_MS, () => {
+    clock.setTimer(gatherMs, () => {
       link.hasFlushTimer = false;
       const messages = link.outbox;
       link.outbox = [];
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -24,6 +24,7 @@
   type Frame,
   FRAME_GATHER_MS,
   type GatewayMessage,
+  RELAY_GATHER_MS,
   type RunnerCall,
   type WorkCall,
 } from "./messages.ts";
@@ -141,7 +142,8 @@
     session.outbox.push(message);
     if (session.hasFlushTimer) return;
     session.hasFlushTimer = true;
-    clock.setTimer(FRAME_GATHER_MS, () => {
+    const gatherMs = session.canCallRunners ? RELAY_GATHER_MS : FRAME_GATHER_MS;
+    clock.setTimer(gatherMs, () => {
       session.hasFlushTimer = false;
       if (!sessions.has(session)) return;
       const messages = session.outbox;
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -76,9 +76,6 @@
 /** Instances through which it calls more runners; each carries 250 starts a second with half of a core. */
 const MOST_RELAYS = 2;
 
-/** Time during which this instance gathers what it sends to the leader, in milliseconds; little against a run. */
-const GATHER_MS = 4;
-
 /** Options of the program. */
 export interface CoreProgramOptions {
   /** Address of this instance, which is also its name. */
@@ -251,7 +248,6 @@
     ...(metrics === undefined ? {} : { metrics }),
     ask: options.ask,
     callRunner: (call) => runRelayedCall(options.calls, call),
-    gatherMs: GATHER_MS,
     isStandby: () => member === undefined,
     handleMembers: (named) => void handleMembers(named),
     handleInvite: () => void startJoin().catch(options.handleFailure),
