--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -165,8 +165,7 @@
 // Pattern: a burst of short jobs on a full pool, where a round over all that
 // waits takes 20 ms and is followed by three times as much for the rest.
 t.test("short jobs do not wait for a round over all that waits", async (t) => {
-  let model: WorkModel | undefined;
-  model = createWorkModel({
+  const model: WorkModel = createWorkModel({
     configuration: createModelConfiguration({
       queues: [
         { name: "short", priority: 0, targetMs: 250 },
@@ -174,7 +173,7 @@
       ],
     }),
     sortSteps(steps) {
-      if (steps.some(({ priority }) => priority > 0)) model?.clock.advance(20);
+      if (steps.some(({ priority }) => priority > 0)) model.clock.advance(20);
       return [...steps];
     },
   });
