Resend unanswered calls over a new stream to the same leader

Callers saw 504 after 2.85 s, or an answer only to their own retry, although the leader was there: a call that had been sent over a stream kept its mark when the stream broke. Once the next stream led to the same instance, the call counted as sent and was never resent; only another leader got it.

A broken stream ends the mark; the next leader found, whichever it is, gets the call. All calls are idempotent.

Observability: the lines "Lost the stream to the leader" and "Found the leader" state how many calls were unanswered and resent, and for how long the stream was silent, which told this fault from a busy leader only by hand before.

--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -208,10 +208,13 @@
     link.isLeading = false;
     stream?.on("error", () => {});
     stream?.cancel();
+    const unansweredCalls = releaseCalls(link);
     if (!wasLeading) return;
     logger.warn("Lost the stream to the leader", {
       core: link.core,
       term: link.term,
+      unansweredCalls,
+      silentMs: Math.round(clock.now() - link.lastMessageMs),
       reason: reason instanceof Error
         ? reason.message
         : String(reason ?? "end"),
@@ -219,6 +222,21 @@
     pickLeader();
   }
 
+  /**
+   * Marks the calls sent over a broken stream as not sent, since their answers
+   * cannot arrive any more; the next stream to a leader gets them, also if that
+   * is the same instance. Returns their number.
+   */
+  function releaseCalls(link: Link): number {
+    let count = 0;
+    for (const call of pending.values()) {
+      if (call.sentTo !== link) continue;
+      call.sentTo = undefined;
+      count += 1;
+    }
+    return count;
+  }
+
   function send(link: Link, message: GatewayMessage): void {
     link.outbox.push(message);
     if (link.hasFlushTimer) return;
@@ -241,10 +259,17 @@
     if (best === undefined) leaderLostMs = clock.now();
     leader = best;
     if (best === undefined) return;
-    logger.info("Found the leader", { core: best.core, term: best.term });
+    let resentCalls = 0;
     for (const call of pending.values()) {
-      if (call.sentTo !== best) sendCall(call);
+      if (call.sentTo === best) continue;
+      if (call.wasSent) resentCalls += 1;
+      sendCall(call);
     }
+    logger.info("Found the leader", {
+      core: best.core,
+      term: best.term,
+      resentCalls,
+    });
   }
 
   /**
--- a/src/gateway/gateway_test.ts
+++ b/src/gateway/gateway_test.ts
@@ -1,5 +1,6 @@
 import type { AddressInfo } from "node:net";
 import { createServer } from "node:net";
+import type { ServerDuplexStream } from "@grpc/grpc-js";
 import t from "tap";
 import {
   createFault,
@@ -9,10 +10,10 @@
   wait,
 } from "../common/mod.ts";
 import { startRpcServer } from "../rpc/mod.ts";
-import type { EligibilityQuery } from "../workload/mod.ts";
+import type { EligibilityAnswer, EligibilityQuery } from "../workload/mod.ts";
 import { createGatewayClient } from "./gateway_client.ts";
 import { createGatewayServer } from "./gateway_server.ts";
-import type { WorkCall } from "./messages.ts";
+import type { Frame, WorkCall } from "./messages.ts";
 
 interface Scope {
   teardown(end: () => unknown): void;
@@ -50,12 +51,18 @@
       return core.runCall(call);
     },
   });
+  const streams = new Set<ServerDuplexStream<Frame, Frame>>();
   const rpc = await startRpcServer({
     host: "127.0.0.1",
     port,
     services: {
       Gateway: {
-        duplexStreams: { exchange: (stream) => server.handleStream(stream) },
+        duplexStreams: {
+          exchange(stream) {
+            streams.add(stream);
+            server.handleStream(stream);
+          },
+        },
       },
     },
   });
@@ -63,11 +70,24 @@
     server.close();
     rpc.close();
   };
+  /** Breaks all streams as a network fault does; the instance goes on. */
+  const breakStreams = () => {
+    for (const stream of streams) stream.destroy(new Error("Stream broken"));
+    streams.clear();
+  };
   t.teardown(stop);
-  return { core, server, stop };
+  return { core, server, stop, breakStreams };
 }
 
-function openClient(t: Scope, ports: Record<string, number>) {
+function openClient(
+  t: Scope,
+  ports: Record<string, number>,
+  ask = (question: EligibilityQuery): Promise<EligibilityAnswer> =>
+    Promise.resolve({
+      tickets: { [question.runners[0] ?? ""]: "t" },
+      validMs: 9,
+    }),
+) {
   const client = createGatewayClient({
     instance: "entry",
     dataCentre: "one",
@@ -75,11 +95,7 @@
     getAddress: (name) => `127.0.0.1:${ports[name]}`,
     clock,
     logger,
-    ask: (question: EligibilityQuery) =>
-      Promise.resolve({
-        tickets: { [question.runners[0] ?? ""]: "t" },
-        validMs: 9,
-      }),
+    ask,
     callRunner: (call) =>
       call.order === "release"
         ? Promise.resolve(undefined)
@@ -132,6 +148,21 @@
   t.equal((await result).outcome, "b");
 });
 
+// Guards against calls that wait for their deadline after their stream broke: the
+// leader stays the same instance, so the answer can only come to a second request.
+t.test("an unanswered call is resent over a new stream to the same leader", async (t) => {
+  const ports = { a: await findPort() };
+  const a = await startCore(t, "a", ports.a);
+  a.core.isLeading = true;
+  a.core.runCall = () => new Promise(() => {});
+  const client = openClient(t, ports);
+  const result = runCall(client, 5_000);
+  while (a.core.calls.length === 0) await wait(clock, 10);
+  a.core.runCall = () => Promise.resolve("a");
+  a.breakStreams();
+  t.equal((await result).outcome, "a");
+});
+
 // Models a partitioned data centre: its callers must be told to go elsewhere.
 t.test("a partition without a leader refuses calls at once", async (t) => {
   const ports = { a: await findPort(), b: await findPort() };
