Use the newest stream of an instance and end its former ones

Steps waited for tickets for more than a second: questions about eligibility went over the oldest stream of an instance. After an instance had opened a new one, the old one stayed in the list until its end arrived, which a cut delays by seconds, and an instance could be listed twice as a standby.

Evidence: the new test got "Cannot get a reply from entry within 1000 ms" before and its ticket after. An instance keeps one stream to each other instance, so a greeting on a newer one ends the former ones and rejects what waits there.

--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -184,6 +184,20 @@
     options.handleCallers(listCallers());
   }
 
+  /**
+   * Ends the earlier streams of an instance. It keeps one, so they are broken even
+   * if their end has not arrived here.
+   */
+  function endFormerSessions(newest: Session): void {
+    for (const session of [...sessions]) {
+      // Sessions are in the order in which their streams were opened.
+      if (session === newest) return;
+      if (session.name !== newest.name) continue;
+      endSession(session, "replaced by a newer stream");
+      session.stream.end();
+    }
+  }
+
   async function runCall(
     session: Session,
     message: GatewayMessage & { kind: "call" },
@@ -208,6 +222,7 @@
         session.dataCentre = message.dataCentre;
         session.isStandby = message.isStandby;
         session.canCallRunners = message.canCallRunners;
+        endFormerSessions(session);
         sendPulse(session);
         options.handleCallers(listCallers());
         break;
--- a/src/gateway/gateway_test.ts
+++ b/src/gateway/gateway_test.ts
@@ -163,6 +163,21 @@
   t.equal((await result).outcome, "a");
 });
 
+// Guards against queries that get no answer because they go into a stream that the
+// instance has given up; its end of it reaches the leader late or never.
+t.test("eligibility queries use the newest stream of an instance", async (t) => {
+  const ports = { a: await findPort() };
+  const a = await startCore(t, "a", ports.a);
+  a.core.isLeading = true;
+  openClient(t, ports, () => new Promise(() => {}));
+  while (a.server.listCallers().length === 0) await wait(clock, 10);
+  const newest = openClient(t, ports);
+  await runCall(newest, 3_000);
+  const question = { job: "j", occurrence: 0, step: 0, runners: ["r"] };
+  const answer = await a.server.ask("entry", question, 1_000);
+  t.strictSame(answer.tickets, { r: "t" });
+});
+
 // Models a partitioned data centre: its callers must be told to go elsewhere.
 t.test("a partition without a leader refuses calls at once", async (t) => {
   const ports = { a: await findPort(), b: await findPort() };
