Restart tasks at once whose start was never sent

Short jobs on a runner that had just crashed waited 6.5 s for the end of its lease although their orders never left the leader: a refused connection counted as an unknown outcome, was tried three times within milliseconds, and ended as "unanswered".

A call that never got a connection, or timed out while it waited for one, was not sent and will not be (http_calls aborts it then). It rejects with "unavailable", which says that nothing has run; such a start ends as "undelivered", its run as lost, and the task starts elsewhere. A start of which an earlier copy may have arrived is handled as before. Through relays the outcome stays unknown.

Tests failed before: the job was not completed in 900 ms; a refused call ended as outcomeUnknown.

--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -21,6 +21,8 @@
 export interface RunnerFaults {
   /** Neither calls nor answers get through. */
   isPartitioned: boolean;
+  /** New calls find no connection; the runs go on. */
+  refusesConnections: boolean;
   /** Runs start and never make progress. */
   hangs: boolean;
   /** Every run fails. */
@@ -142,6 +144,9 @@
   ): Promise<ModelRunner> {
     await wait(clock, delayMs);
     const runner = findRunner(target);
+    if (runner?.faults.refusesConnections === true) {
+      throw createFault("unavailable", `Cannot connect to "${target.id}"`);
+    }
     if (runner !== undefined && !runner.faults.isPartitioned) return runner;
     await wait(clock, timeoutMs);
     throw createFault("outcomeUnknown", `Cannot reach runner "${target.id}"`);
@@ -251,7 +256,8 @@
 
   function hasFaults(runner: ModelRunner): boolean {
     const { faults } = runner;
-    return runner.isGone || faults.isPartitioned || faults.hangs ||
+    return runner.isGone || faults.isPartitioned ||
+      faults.refusesConnections || faults.hangs ||
       faults.fails || faults.orderDelayMs > 0 || faults.runTimeFactor !== 1;
   }
 
@@ -470,6 +476,7 @@
       endIncarnation(entry.id);
       const faults: RunnerFaults = {
         isPartitioned: false,
+        refusesConnections: false,
         hangs: false,
         fails: false,
         orderDelayMs: 0,
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -8,7 +8,7 @@
  * lost runners do not use up the leader's processor time.
  */
 
-import { type Clock, type Logger, wait } from "../common/mod.ts";
+import { type Clock, type Logger, toFault, wait } from "../common/mod.ts";
 import {
   LONG_POLL_WAIT_MS,
   MAX_PROBE_PERIOD_MS,
@@ -33,8 +33,12 @@
   type Runner,
 } from "./runner_table.ts";
 
-/** Result of a start; an "unanswered" one may still be executed. */
-export type StartResult = OrderOutcome | "unanswered" | "abandoned";
+/** Result of a start; an "unanswered" one may still be executed, an "undelivered" one was never sent. */
+export type StartResult =
+  | OrderOutcome
+  | "unanswered"
+  | "undelivered"
+  | "abandoned";
 
 /** Options of a driver. */
 export interface RunnerDriverOptions {
@@ -209,14 +213,17 @@
           reply.outcome !== "otherLife";
         return isOpen ? "unanswered" : reply.outcome;
       } catch (error) {
-        occupant.isUncertain = true;
+        const isUndelivered = toFault(error).ran === "no";
+        if (!isUndelivered) occupant.isUncertain = true;
         logger.info("Start order got no reply", {
           run: occupant.key,
           runner: runner.life,
           attempt,
+          isUndelivered,
           error,
         });
         void startProbes();
+        if (!occupant.isUncertain) return "undelivered";
       }
     }
     return "unanswered";
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -97,6 +97,20 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// Guards against the same in the time before a poll has failed: an order that had
+// no connection has not been carried out, so its task needs no lease to end.
+t.test("a start that was never sent is repeated elsewhere at once", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  const first = await model.addRunner("r1");
+  await model.addRunner("r2");
+  await model.run(500);
+  first.refusesConnections = true;
+  await runCall(model, model.submit("job", createJob([{ tasks: 3 }])));
+  await model.run(900);
+  t.equal(getState(model, "job"), "completed");
+  t.strictSame(model.runners.violations, []);
+});
+
 // Guards against a second planning round, while the first start is still being
 // recorded, that places another task on the same runner.
 t.test("the limit per runner holds while starts are recorded", async (t) => {
