Ask again through another instance when an eligibility query is overdue

Short jobs waited for more than a second each after a data centre was cut off: a question through an instance there blocked its step until its timeout, a second beyond the expected answer, and the least busy callers were just those that no longer answered.

A question that is 200 ms overdue no longer blocks its step and pauses its caller for a second, so the next planning round asks through another instance. A step has at most one overdue question, so that a slow service does not get ever more of them, and an answer that still arrives is used. A late timer lets answers that have arrived be read first.

Tests failed before: the step could not be asked about again before 1,010 ms.

--- a/src/workload/eligibility.ts
+++ b/src/workload/eligibility.ts
@@ -38,8 +38,10 @@
   /** By runner id; false if the service returned no ticket. */
   readonly isEligible: Map<string, boolean>;
   readonly tickets: Map<string, Ticket>;
-  /** Number of queries in progress. */
+  /** Number of queries in progress, except overdue ones. */
   openQueries: number;
+  /** Number of queries in progress that should have been answered. */
+  overdueQueries: number;
   /** Local time before which no query is sent after a failure, in milliseconds. */
   notBeforeMs: number;
 }
@@ -94,6 +96,16 @@
 /** Time beyond the expected answer after which a query times out, in milliseconds. */
 const ANSWER_SLACK_MS = 1_000;
 
+/**
+ * Time beyond the expected answer after which a query no longer blocks its step,
+ * in milliseconds. The step may then be asked about through another caller, once;
+ * an answer that still arrives is used too.
+ */
+const OVERDUE_MS = 200;
+
+/** Time for reading answers that arrived while the process was busy, in milliseconds; one turn of the event loop. */
+const READ_MS = 1;
+
 /** Time after a failed query before the next one for the same step, in milliseconds. */
 const FAILURE_PAUSE_MS = 200;
 
@@ -122,6 +134,7 @@
         isEligible: new Map(),
         tickets: new Map(),
         openQueries: 0,
+        overdueQueries: 0,
         notBeforeMs: 0,
       };
       steps.set(stepKey, step);
@@ -178,6 +191,30 @@
     const step = getStep(stepKey);
     step.openQueries += 1;
     caller.openQueries += 1;
+    let isOverdue = false;
+
+    function handleOverdue(): void {
+      if (step.overdueQueries > 0) return;
+      isOverdue = true;
+      step.openQueries -= 1;
+      step.overdueQueries += 1;
+      const nowMs = clock.now();
+      caller.avoidedUntilMs = Math.max(
+        caller.avoidedUntilMs,
+        nowMs + CALLER_PAUSE_MS,
+      );
+      logger.info("Eligibility query overdue", {
+        step: stepKey,
+        caller: caller.name,
+        sinceMs: Math.round(nowMs - timing.startMs),
+      });
+      options.handleAnswer();
+    }
+
+    let timer = clock.setTimer(
+      timing.waitMs + timing.durationMs + OVERDUE_MS,
+      () => timer = clock.setTimer(READ_MS, handleOverdue),
+    );
     try {
       const answer = await options.ask(
         caller.name,
@@ -212,7 +249,9 @@
         error,
       });
     } finally {
-      step.openQueries -= 1;
+      timer.cancel();
+      if (isOverdue) step.overdueQueries -= 1;
+      else step.openQueries -= 1;
       caller.openQueries -= 1;
       options.handleAnswer();
     }
--- a/src/workload/eligibility_test.ts
+++ b/src/workload/eligibility_test.ts
@@ -84,6 +84,37 @@
   t.equal(second.includes("d"), false, "not used during its pause");
 });
 
+// Guards against short jobs that wait for the timeout of a query through an instance
+// that was cut off a moment ago.
+t.test("an overdue query does not block its step", async (t) => {
+  const { clock, cache, asked, silent } = createCacheFixture(["a", "b", "c"]);
+  silent.add("b").add("c");
+  const question = { job: "job", occurrence: 0, step: 0, runners: ["r1"] };
+  t.ok(cache.startQuery("job/0/0", question, TIMES));
+  await run(clock, 100);
+  t.notOk(cache.startQuery("job/0/0", question, TIMES), "not overdue yet");
+  silent.clear();
+  await run(clock, 200);
+  t.ok(cache.startQuery("job/0/0", question, TIMES));
+  await run(clock, 20);
+  t.equal(cache.get("job/0/0")?.isEligible.get("r1"), true);
+  t.equal(new Set(asked).size, 2, "through another caller");
+  await run(clock, 1_500);
+  t.equal(cache.get("job/0/0")?.openQueries, 0);
+});
+
+// Guards against a service that gets ever more queries as it becomes slower.
+t.test("a step has at most one overdue query", async (t) => {
+  const { clock, cache, asked, silent } = createCacheFixture(["a", "b", "c"]);
+  silent.add("a").add("b").add("c");
+  const question = { job: "job", occurrence: 0, step: 0, runners: ["r1"] };
+  for (let at = 0; at < 1_000; at += 20) {
+    cache.startQuery("job/0/0", question, TIMES);
+    await run(clock, 20);
+  }
+  t.equal(asked.length, 2);
+});
+
 // Guards against a caller that is never used again after a short partition.
 t.test("a caller that responds again is used again", async (t) => {
   const fixture = createCacheFixture(["a", "b", "c", "d", "e"]);
