Poll the runners of a new leader one per turn of the event loop

The first leader's log has nothing between seconds 49.06 and 49.50.

The first polls had timers 1 ms apart, set in advance. In a process that has just started a poll takes longer than that, so the timers fall behind, and all that are due run in one turn of the event loop, before any heartbeat is answered or sent.

Each poll now waits for the one before, 1 ms, and a turn in which messages are read.

Ruled out: the disks (records were written in between on the others) and the standby (none was invited).

--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -26,6 +26,7 @@
   type LogMemberHandle,
   startLogMember,
 } from "../instance/log_member.ts";
+import { waitForImmediate } from "../report/event_loop.ts";
 import type { LazyMetrics } from "../report/lazy_metrics.ts";
 import {
   type LeaderLease,
@@ -381,6 +382,7 @@
         server.ask(caller, question, timeoutMs),
       maxLeaseMs: options.maxLeaseMs,
       keepMs: options.keepMs,
+      waitForTurn: waitForImmediate,
       handleStaleFence() {
         logger.warn("Runner has seen a newer fencing token", { term });
         member?.getLog()?.confirmLeadership().catch((error: unknown) =>
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -61,8 +61,8 @@
   handleOtherIncarnation: () => void;
   /** Called when the runner has seen a higher fencing token. */
   handleStaleFence: () => void;
-  /** Delay before the first poll in milliseconds. Default 0. */
-  firstPollDelayMs?: number;
+  /** Resolves when the first poll may be sent. Default: at once. */
+  firstPoll?: Promise<void>;
 }
 
 /** Sends polls and orders to one runner. */
@@ -169,8 +169,7 @@
   }
 
   async function runPolls(): Promise<void> {
-    const { firstPollDelayMs = 0 } = options;
-    if (firstPollDelayMs > 0) await wait(clock, firstPollDelayMs);
+    await options.firstPoll;
     while (await waitUntilLeading()) {
       try {
         await runPoll(true);
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -5,7 +5,7 @@
  * leaves. When its lease ends without contact, its runs count as lost.
  */
 
-import type { Clock, Logger } from "../common/mod.ts";
+import { type Clock, type Logger, wait } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
 import { RUNNER_CLOCK_MIN_RATE, RUNNER_LEASE_MS } from "./constants.ts";
 import type { RecordQueue } from "./record_queue.ts";
@@ -47,7 +47,7 @@
 const RUN_CHECK_PERIOD_MS = 2_000;
 
 /**
- * Delay between the first polls of a new leader, in milliseconds: the time that
+ * Pause between the first polls of a new leader, in milliseconds: the time that
  * one takes in a process that has just started. Polling all runners at once would
  * delay heartbeats for longer than the election timeout.
  */
@@ -82,6 +82,8 @@
   fence: number;
   maxLeaseMs: number;
   isLeading: () => boolean;
+  /** Waits until the messages that have arrived are read. Default: does not wait. */
+  waitForTurn?: (() => Promise<void>) | undefined;
   handleStaleFence: () => void;
   /** Called when free capacity or waiting tasks may have changed. */
   handleChange: () => void;
@@ -246,7 +248,7 @@
   function startSession(
     entry: RunnerEntry,
     leaseEndMs: number,
-    firstPollDelayMs = 0,
+    firstPoll: Promise<void> = Promise.resolve(),
   ): Session {
     const runner = createRunner(entry, leaseEndMs);
     const session: Session = {
@@ -264,7 +266,7 @@
         handleOtherIncarnation: () =>
           void closeIncarnation(session, "another incarnation answered"),
         handleStaleFence: options.handleStaleFence,
-        firstPollDelayMs,
+        firstPoll,
       }),
     };
     sessions.set(runner.life, session);
@@ -527,12 +529,19 @@
     return runs;
   }
 
+  async function waitForNextPoll(): Promise<void> {
+    await wait(clock, RESTORE_POLL_INTERVAL_MS);
+    await options.waitForTurn?.();
+  }
+
   function restoreRuns(): void {
     const leaseEndMs = clock.now() + RUNNER_LEASE_MS / RUNNER_CLOCK_MIN_RATE;
-    let delayMs = 0;
+    // Timers set in advance would all be due after a busy moment, and the polls
+    // would run in one turn of the event loop.
+    let firstPoll = Promise.resolve();
     for (const entry of state.listRunners()) {
-      startSession(entry, leaseEndMs, delayMs);
-      delayMs += RESTORE_POLL_INTERVAL_MS;
+      startSession(entry, leaseEndMs, firstPoll);
+      firstPoll = firstPoll.then(waitForNextPoll);
     }
     const lost: RunView[] = [];
     for (const active of listActiveRuns()) {
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -83,6 +83,8 @@
   keepMs: number;
   /** Called when a runner has seen a higher fencing token than this leadership's. */
   handleStaleFence: () => void;
+  /** Waits until the messages that have arrived are read. Default: does not wait. */
+  waitForTurn?: () => Promise<void>;
   /** Sorts the open steps for a planning round. Default `sortSteps`. */
   sortSteps?: (steps: readonly OpenStep[], wallMs: number) => OpenStep[];
 }
@@ -138,6 +140,7 @@
     fence: options.fence,
     maxLeaseMs: options.maxLeaseMs,
     isLeading: isActive,
+    waitForTurn: options.waitForTurn,
     handleStaleFence: options.handleStaleFence,
     handleChange: () => startPlan(),
   });
