Keep the order of delayed data and ends in the test relay

Traced: the relay set one timer for each piece of data and for the end.

Delayed pieces now wait in one queue with one timer. The relay is used by tests and the fault soak only.

--- a/test/relay.ts
+++ b/test/relay.ts
@@ -58,19 +58,42 @@
   let isHeld = false;
   let waitsForDrain = false;
   let lastDueMs = 0;
+  let isTimerSet = false;
   const held: (() => void)[] = [];
+  const delayed: { readonly dueMs: number; readonly action: () => void }[] = [];
 
   function deliver(action: () => void): void {
     if (isHeld || held.length > 0) held.push(action);
     else action();
   }
 
+  function deliverDue(): void {
+    isTimerSet = false;
+    const nowMs = performance.now();
+    while (delayed[0] !== undefined && delayed[0].dueMs <= nowMs) {
+      const { action } = delayed[0];
+      delayed.shift();
+      deliver(action);
+    }
+    setDeliveryTimer();
+  }
+
+  // One timer for all: separate timers with nearly the same delay may fire in
+  // another order, and the end would overtake the data before it.
+  function setDeliveryTimer(): void {
+    const [next] = delayed;
+    if (isTimerSet || next === undefined) return;
+    isTimerSet = true;
+    setTimeout(deliverDue, Math.ceil(next.dueMs - performance.now()));
+  }
+
   function forward(action: () => void): void {
     const nowMs = performance.now();
     // Data with a shorter delay must not overtake data that is still delayed.
     lastDueMs = Math.max(lastDueMs, nowMs + getDelay());
-    if (lastDueMs <= nowMs) deliver(action);
-    else setTimeout(() => deliver(action), lastDueMs - nowMs);
+    if (delayed.length === 0 && lastDueMs <= nowMs) return deliver(action);
+    delayed.push({ dueMs: lastDueMs, action });
+    setDeliveryTimer();
   }
 
   function updateFlow(): void {
--- a/test/relay_test.ts
+++ b/test/relay_test.ts
@@ -61,6 +61,27 @@
   t.ok(performance.now() - startMs >= 200, "both directions are delayed");
 });
 
+// Guards against an end that overtakes the data before it, when both are delayed
+// and arrive within a millisecond.
+t.test("delayed data arrives before the end of its connection", async (t) => {
+  const relay = await startRelay({ targetPort: await startEcho(t) });
+  t.teardown(() => relay.stop());
+  relay.setDelay(100);
+  let lost = 0;
+  for (let round = 0; round < 10; round += 1) {
+    const clients = Array.from(
+      { length: 50 },
+      () => openClient(t, relay.port),
+    );
+    for (const { socket } of clients) socket.end("late");
+    for (const { isClosed, getText } of clients) {
+      await waitUntil(isClosed, 20_000, "the end");
+      if (getText() !== "late") lost += 1;
+    }
+  }
+  t.equal(lost, 0);
+});
+
 // Guards against a silent connection that closes or passes data, which a keepalive would detect too easily.
 t.test("a silent connection stays open and passes nothing", async (t) => {
   const relay = await startRelay({ targetPort: await startEcho(t) });
