--- a/src/workload/eligibility_test.ts
+++ b/src/workload/eligibility_test.ts
@@ -1,4 +1,5 @@
 import t from "tap";
+import { advanceBy } from "../../test/controller_fakes.ts";
 import {
   createFault,
   createManualClock,
@@ -10,6 +11,9 @@
   type EligibilityCache,
 } from "./eligibility.ts";
 
+/** Step in which the clock advances, in milliseconds. */
+const STEP_MS = 5;
+
 const TIMES = { baseMs: 10, perRunnerMs: 0, validMs: 2_000 };
 
 interface CacheFixture {
@@ -47,13 +51,6 @@
   return { clock, cache, asked, silent };
 }
 
-async function run(clock: ManualClock, ms: number): Promise<void> {
-  for (let at = 0; at < ms; at += 5) {
-    clock.advance(5);
-    await new Promise<void>((resolve) => setImmediate(resolve));
-  }
-}
-
 /** Sends a query for a new step every 20 ms, like many short jobs; returns the callers used. */
 async function askOften(
   { clock, cache, asked }: CacheFixture,
@@ -67,7 +64,7 @@
       { job, occurrence: 0, step: 0, runners: ["r1"] },
       TIMES,
     );
-    await run(clock, 20);
+    await advanceBy(clock, 20, STEP_MS);
   }
   return asked.slice(before);
 }
@@ -91,15 +88,15 @@
   silent.add("b").add("c");
   const question = { job: "job", occurrence: 0, step: 0, runners: ["r1"] };
   t.ok(cache.startQuery("job/0/0", question, TIMES));
-  await run(clock, 100);
+  await advanceBy(clock, 100, STEP_MS);
   t.notOk(cache.startQuery("job/0/0", question, TIMES), "not overdue yet");
   silent.clear();
-  await run(clock, 200);
+  await advanceBy(clock, 200, STEP_MS);
   t.ok(cache.startQuery("job/0/0", question, TIMES));
-  await run(clock, 20);
+  await advanceBy(clock, 20, STEP_MS);
   t.equal(cache.get("job/0/0")?.isEligible.get("r1"), true);
   t.equal(new Set(asked).size, 2, "through another caller");
-  await run(clock, 1_500);
+  await advanceBy(clock, 1_500, STEP_MS);
   t.equal(cache.get("job/0/0")?.openQueries, 0);
 });
 
@@ -110,7 +107,7 @@
   const question = { job: "job", occurrence: 0, step: 0, runners: ["r1"] };
   for (let at = 0; at < 1_000; at += 20) {
     cache.startQuery("job/0/0", question, TIMES);
-    await run(clock, 20);
+    await advanceBy(clock, 20, STEP_MS);
   }
   t.equal(asked.length, 2);
 });
--- a/src/workload/record_queue_test.ts
+++ b/src/workload/record_queue_test.ts
@@ -1,4 +1,5 @@
 import t from "tap";
+import { advanceBy } from "../../test/controller_fakes.ts";
 import { createManualClock } from "../common/mod.ts";
 import { createRecordQueue } from "./record_queue.ts";
 import type { WorkRecord } from "./types.ts";
@@ -27,12 +28,7 @@
       );
     },
   });
-  async function run(ms: number): Promise<void> {
-    for (let passed = 0; passed < ms; passed += 1) {
-      clock.advance(1);
-      await new Promise<void>((resolve) => setImmediate(resolve));
-    }
-  }
+  const run = (ms: number) => advanceBy(clock, ms, 1);
   return { queue, sizes, run, getMostOpen: () => mostOpen };
 }
 
--- a/src/workload/runner_driver_test.ts
+++ b/src/workload/runner_driver_test.ts
@@ -1,50 +1,46 @@
 import t from "tap";
+import { advanceBy } from "../../test/controller_fakes.ts";
 import {
   createFault,
   createManualClock,
   createSilentLogger,
 } from "../common/mod.ts";
+import { createRunnerEntry } from "../model/mod.ts";
 import type { HoldReply, OrderReply, RunnerCalls } from "./runner_calls.ts";
 import { startRunnerDriver } from "./runner_driver.ts";
 import { addOccupant, createRunner } from "./runner_table.ts";
 
 const RUNS = 12;
 
+/** Step in which the clock advances, in milliseconds. */
+const STEP_MS = 5;
+
 /** Longest time in which a cancelled run may go on, in milliseconds; from the platform's rules. */
 const CANCEL_LIMIT_MS = 3_000;
 
 /** A driver whose runner refuses all calls until `isUp` is set. */
 function createDriverFixture() {
   const clock = createManualClock(0);
-  const runner = createRunner({
-    id: "r",
-    startedMs: 1,
-    address: "r:1",
-    pool: "pool",
-    dataCentre: "one",
-    capacity: { processors: 4_000, memoryMb: 4_000, accelerators: 0 },
-    labels: [],
-    isDraining: false,
-  }, 0);
-  const fixture = { isUp: true, polls: 0, stops: 0, clock, runner };
+  const runner = createRunner(createRunnerEntry("r"), 0);
+  const state = { isUp: true, polls: 0, stops: 0 };
 
   function checkConnection(): void {
-    if (!fixture.isUp) throw createFault("unavailable", "Cannot connect");
+    if (!state.isUp) throw createFault("unavailable", "Cannot connect");
   }
 
   const calls: RunnerCalls = {
     start: (): Promise<OrderReply> =>
       Promise.reject(createFault("unavailable", "Cannot connect")),
     async stop(): Promise<OrderReply> {
-      fixture.stops += 1;
+      state.stops += 1;
       checkConnection();
       return await Promise.resolve({ outcome: "accepted", clockMs: 1 });
     },
     hold(_, { waitMs }): Promise<HoldReply> {
-      fixture.polls += 1;
+      state.polls += 1;
       return new Promise((resolve, reject) => {
-        clock.setTimer(fixture.isUp ? waitMs + 2 : 2, () => {
-          if (!fixture.isUp) {
+        clock.setTimer(state.isUp ? waitMs + 2 : 2, () => {
+          if (!state.isUp) {
             return reject(createFault("unavailable", "Cannot connect"));
           }
           resolve({
@@ -73,24 +69,17 @@
     handleStaleFence: () => {},
   });
 
-  async function run(ms: number): Promise<void> {
-    for (let passedMs = 0; passedMs < ms; passedMs += 5) {
-      clock.advance(5);
-      await new Promise<void>((resolve) => setImmediate(resolve));
-    }
-  }
-
-  return { ...fixture, fixture, driver, run };
+  return { clock, runner, state, driver };
 }
 
 // Guards against a leader that spends its processor time on orders to crashed
 // runners: one retry loop for each run, as fast as the runner refuses.
 t.test("orders to an unresponsive runner wait for its polls", async (t) => {
-  const { fixture, driver, runner, clock, run } = createDriverFixture();
-  await run(50);
-  fixture.isUp = false;
-  await run(1_500);
-  fixture.polls = 0;
+  const { clock, runner, state, driver } = createDriverFixture();
+  await advanceBy(clock, 50, STEP_MS);
+  state.isUp = false;
+  await advanceBy(clock, 1_500, STEP_MS);
+  state.polls = 0;
   let stopped = 0;
   for (let index = 0; index < RUNS; index += 1) {
     const occupant = addOccupant(
@@ -105,13 +94,13 @@
     );
     void driver.runStop(occupant).then((isDone) => stopped += Number(isDone));
   }
-  await run(CANCEL_LIMIT_MS);
-  t.ok(fixture.polls >= 4, `${fixture.polls} polls`);
-  t.ok(fixture.polls <= 10, `${fixture.polls} polls`);
+  await advanceBy(clock, CANCEL_LIMIT_MS, STEP_MS);
+  t.ok(state.polls >= 4, `${state.polls} polls`);
+  t.ok(state.polls <= 10, `${state.polls} polls`);
   // Each run is tried again now and then, in case only polls fail.
-  t.ok(fixture.stops <= RUNS * 4, `${fixture.stops} stops`);
-  fixture.isUp = true;
-  await run(1_000);
+  t.ok(state.stops <= RUNS * 4, `${state.stops} stops`);
+  state.isUp = true;
+  await advanceBy(clock, 1_000, STEP_MS);
   t.equal(stopped, RUNS);
   driver.stop();
 });
--- a/src/workload/runner_fleet_test.ts
+++ b/src/workload/runner_fleet_test.ts
@@ -1,7 +1,7 @@
 import t from "tap";
 import { createSilentLogger, createSystemClock } from "../common/mod.ts";
+import { createRunnerEntry } from "../model/mod.ts";
 import { waitForImmediate } from "../report/event_loop.ts";
-
 import { startWorkController } from "./work_controller.ts";
 import { createWorkState, encodeRecords } from "./work_state.ts";
 
@@ -19,20 +19,8 @@
 t.test("the first polls of a new leader leave turns for messages", async (t) => {
   const state = createWorkState();
   for (let at = 0; at < RUNNERS; at += 1) {
-    const record = {
-      kind: "runner",
-      runner: {
-        id: `r${at}`,
-        startedMs: 1,
-        address: `r${at}:1`,
-        pool: "pool",
-        dataCentre: "one",
-        capacity: { processors: 4_000, memoryMb: 4_000, accelerators: 0 },
-        labels: [],
-        isDraining: false,
-      },
-    } as const;
-    state.apply(encodeRecords([record]), at + 1);
+    const runner = createRunnerEntry(`r${at}`);
+    state.apply(encodeRecords([{ kind: "runner", runner }]), at + 1);
   }
   let polls = 0;
   const controller = startWorkController({
--- a/test/relay.ts
+++ b/test/relay.ts
@@ -70,10 +70,9 @@
   function deliverDue(): void {
     isTimerSet = false;
     const nowMs = performance.now();
-    while (delayed[0] !== undefined && delayed[0].dueMs <= nowMs) {
-      const { action } = delayed[0];
-      delayed.shift();
-      deliver(action);
+    while ((delayed[0]?.dueMs ?? Infinity) <= nowMs) {
+      const due = delayed.shift();
+      if (due !== undefined) deliver(due.action);
     }
     setDeliveryTimer();
   }
