State at most one overdue query as a flag, and the contract of undelivered calls

The count of overdue queries of a step was 0 or 1. The default of a session's first poll stood in the fleet and in its driver; the driver's remains. RunnerCalls says now when a fault may claim that a call has not run, on which restarts of tasks rely. Comments on contact speak of accepted polls and of unanswered calls, as the code has since runners are probed. Behaviour is unchanged.

--- a/src/workload/eligibility.ts
+++ b/src/workload/eligibility.ts
@@ -40,8 +40,8 @@
   readonly tickets: Map<string, Ticket>;
   /** Number of queries in progress, except overdue ones. */
   openQueries: number;
-  /** Number of queries in progress that should have been answered. */
-  overdueQueries: number;
+  /** True while a query is in progress that should have been answered. */
+  hasOverdueQuery: boolean;
   /** Local time before which no query is sent after a failure, in milliseconds. */
   notBeforeMs: number;
 }
@@ -134,7 +134,7 @@
         isEligible: new Map(),
         tickets: new Map(),
         openQueries: 0,
-        overdueQueries: 0,
+        hasOverdueQuery: false,
         notBeforeMs: 0,
       };
       steps.set(stepKey, step);
@@ -194,10 +194,10 @@
     let isOverdue = false;
 
     function handleOverdue(): void {
-      if (step.overdueQueries > 0) return;
+      if (step.hasOverdueQuery) return;
       isOverdue = true;
       step.openQueries -= 1;
-      step.overdueQueries += 1;
+      step.hasOverdueQuery = true;
       const nowMs = clock.now();
       caller.avoidedUntilMs = Math.max(
         caller.avoidedUntilMs,
@@ -250,7 +250,7 @@
       });
     } finally {
       timer.cancel();
-      if (isOverdue) step.overdueQueries -= 1;
+      if (isOverdue) step.hasOverdueQuery = false;
       else step.openQueries -= 1;
       caller.openQueries -= 1;
       options.handleAnswer();
--- a/src/workload/planning_test.ts
+++ b/src/workload/planning_test.ts
@@ -67,7 +67,7 @@
       tickets.map((id) => [id, { value: "ticket", expiresMs: NOW_MS + 1_000 }]),
     ),
     openQueries: 0,
-    overdueQueries: 0,
+    hasOverdueQuery: false,
     notBeforeMs: 0,
   };
 }
--- a/src/workload/runner_calls.ts
+++ b/src/workload/runner_calls.ts
@@ -103,7 +103,10 @@
   }
   | { readonly outcome: "staleFence" | "otherLife" | "invalid" | "unhealthy" };
 
-/** Calls to runners. Each rejects with a fault if no reply arrives within `timeoutMs`. */
+/**
+ * Calls to runners. Each rejects with a fault if no reply arrives within `timeoutMs`;
+ * its `ran` is "no" only if the call was never sent and never will be.
+ */
 export interface RunnerCalls {
   start(
     target: RunnerTarget,
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -119,7 +119,7 @@
 
   async function runPoll(mayWait: boolean): Promise<void> {
     const sentAtMs = clock.now();
-    // After an unanswered poll, extending the lease would only delay the restart
+    // After an unanswered call, extending the lease would only delay the restart
     // of a lost runner's tasks elsewhere.
     const untilMs = runner.isUnresponsive ? undefined : computeLeaseEnd();
     if (untilMs !== undefined) recordGrant(runner, untilMs);
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -83,7 +83,7 @@
   maxLeaseMs: number;
   isLeading: () => boolean;
   /** Waits until the messages that have arrived are read. Default: does not wait. */
-  waitForTurn?: (() => Promise<void>) | undefined;
+  waitForTurn?: () => Promise<void>;
   handleStaleFence: () => void;
   /** Called when free capacity or waiting tasks may have changed. */
   handleChange: () => void;
@@ -248,7 +248,7 @@
   function startSession(
     entry: RunnerEntry,
     leaseEndMs: number,
-    firstPoll: Promise<void> = Promise.resolve(),
+    firstPoll?: Promise<void>,
   ): Session {
     const runner = createRunner(entry, leaseEndMs);
     const session: Session = {
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -57,9 +57,9 @@
   clockSample: { clockMs: number; atMs: number } | undefined;
   /** Local time after which its lease has certainly ended, in milliseconds. */
   leaseEndMs: number;
-  /** Local time of the last reply to a poll in milliseconds; undefined before the first. */
+  /** Local time of the last accepted poll in milliseconds; undefined before the first. */
   contactMs: number | undefined;
-  /** True after an unanswered poll or order, until the next reply to a poll. */
+  /** True after an unanswered poll or order, until the next accepted poll. */
   isUnresponsive: boolean;
   /** Local time at which the newest answered poll was sent, in milliseconds. */
   pollSentMs: number;
@@ -186,5 +186,5 @@
     !runner.isUnresponsive && nowMs - runner.contactMs < CONTACT_TIMEOUT_MS;
 }
 
-/** Time since the last contact after which no new task is placed, in milliseconds; two unanswered polls. */
+/** Time since the last accepted poll after which no new task is placed, in milliseconds; an unhealthy runner replies, but accepts none. */
 const CONTACT_TIMEOUT_MS = 4_500;
