--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -310,16 +310,18 @@
   async function runWithDelay<Reply>(
     runner: ModelRunner,
     timeoutMs: number,
-    execute: () => Reply,
+    execute: (runner: ModelRunner) => Reply,
   ): Promise<Reply> {
     const { orderDelayMs } = runner.faults;
     if (orderDelayMs === 0) {
-      const reply = execute();
+      const reply = execute(runner);
       await wait(clock, delayMs);
       return reply;
     }
     clock.setTimer(orderDelayMs, () => {
-      if (!runner.isGone) execute();
+      // An order names the id only, so the next incarnation carries it out as well.
+      const receiver = findRunner(runner.entry);
+      if (receiver !== undefined) execute(receiver);
     });
     await wait(clock, timeoutMs);
     throw createFault(
@@ -402,7 +404,11 @@
   const calls: RunnerCalls = {
     async start(target, order, timeoutMs) {
       const runner = await findReachable(target, timeoutMs);
-      return runWithDelay(runner, timeoutMs, () => start(runner, order));
+      return runWithDelay(
+        runner,
+        timeoutMs,
+        (receiver) => start(receiver, order),
+      );
     },
     async stop(target, order, timeoutMs) {
       const runner = await findReachable(target, timeoutMs);
@@ -472,7 +478,6 @@
     violations,
     countStarts: () => starts,
     add(entry) {
-      // A replaced incarnation must not execute its delayed orders.
       endIncarnation(entry.id);
       const faults: RunnerFaults = {
         isPartitioned: false,
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -3,6 +3,7 @@
 import {
   createJob,
   createModelConfiguration,
+  createRunnerEntry,
   createWorkModel,
   type WorkModel,
 } from "../model/mod.ts";
@@ -238,6 +239,30 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// Guards against a start that got no reply and is carried out by the runner's next
+// incarnation, which has the same id, while its task runs elsewhere.
+t.test("a start that reaches the next incarnation runs its task once", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 600;
+  await runCall(model, model.submit("job", createJob([{ estimatedMs: 800 }])));
+  await model.run(50);
+  await model.addRunner("r2");
+  // The next incarnation answers a poll before it announces itself.
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  model.runners.add(next);
+  await model.run(2_500);
+  void model.getController().announceRunner({
+    entry: next,
+    sequence: 1,
+    remainingMs: 0,
+  });
+  await model.run(3_000);
+  t.equal(getState(model, "job"), "completed");
+  t.strictSame(model.runners.violations, []);
+});
+
 t.test("tasks of a partitioned runner wait until its lease ends", async (t) => {
   const model = createWorkModel({ configuration: createModelConfiguration() });
   const trouble = await model.addRunner("r1");
