Keep a task whose start may still reach its runner's next incarnation

Cause: orders name the runner by its id only. When a poll was answered by another incarnation that had not registered yet, the former one was closed without a successor, and its runs ended as lost at once, although a start without a reply from the former incarnation may be carried out by the next one.

Now a run whose start may still arrive stays with the closed incarnation until the next one registers, is told to stop it and lists it no more, or until the order can no longer arrive (13 s after it was last sent). The incarnation stays recorded for as long, so that a new leader waits as well. Runs that the former incarnation is known to have started, by its list or by a clock reading that the next one cannot have yet, restart at once; before, they were stopped on the successor first. An address taken over by another id cannot receive these orders, so nothing waits there. The check for recorded runs without a runner no longer ends a run that was taken over: after 2 to 4 s it would have started the task elsewhere.

--- a/src/workload/constants.ts
+++ b/src/workload/constants.ts
@@ -23,6 +23,9 @@
 /** Timeout of an order to a runner in milliseconds; a healthy runner answers within 20 ms. */
 export const ORDER_TIMEOUT_MS = 500;
 
+/** Age after which a delayed order can no longer arrive at a runner, in milliseconds; the platform states 12 s. */
+export const MAX_ORDER_DELAY_MS = 13_000;
+
 /** Pause before retrying a failed call to a runner, in milliseconds. */
 export const RETRY_PAUSE_MS = 150;
 
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -28,6 +28,7 @@
 } from "./runner_calls.ts";
 import {
   estimateRunnerClock,
+  isOwnClock,
   type Occupant,
   recordGrant,
   type Runner,
@@ -57,8 +58,8 @@
     reply: HoldReply & { outcome: "accepted" },
     sentAtMs: number,
   ) => Promise<void>;
-  /** Called when another incarnation answered. */
-  handleOtherIncarnation: () => void;
+  /** Called when another incarnation answered; `hasSameId` tells whether under the same runner id. */
+  handleOtherIncarnation: (hasSameId: boolean) => void;
   /** Called when the runner has seen a higher fencing token. */
   handleStaleFence: () => void;
   /** Resolves when the first poll may be sent. Default: at once. */
@@ -113,7 +114,7 @@
 
   function receiveOrderReply(reply: OrderReply): void {
     recordClock(reply.clockMs);
-    if (reply.outcome === "otherLife") options.handleOtherIncarnation();
+    if (reply.outcome === "otherLife") options.handleOtherIncarnation(false);
     if (reply.outcome === "staleFence") options.handleStaleFence();
   }
 
@@ -131,13 +132,15 @@
       waitMs + POLL_TIMEOUT_SLACK_MS,
     );
     if (!isOpen()) return;
-    if (reply.outcome === "otherLife") return options.handleOtherIncarnation();
+    if (reply.outcome === "otherLife") {
+      return options.handleOtherIncarnation(false);
+    }
     if (reply.outcome === "staleFence") return options.handleStaleFence();
     if (reply.outcome !== "accepted") return wait(clock, RETRY_PAUSE_MS);
     const isOther = reply.startedMs !== undefined &&
       runner.entry.startedMs !== 0 &&
       reply.startedMs !== runner.entry.startedMs;
-    if (isOther) return options.handleOtherIncarnation();
+    if (isOther) return options.handleOtherIncarnation(true);
     recordClock(reply.clockMs);
     runner.isUnresponsive = false;
     runner.contactMs = clock.now();
@@ -196,10 +199,13 @@
     for (let attempt = 1; attempt <= START_ATTEMPTS; attempt += 1) {
       const isLeading = await waitUntilLeading();
       const untilMs = computeLeaseEnd();
-      if (!isLeading || !isWanted() || untilMs === undefined) {
+      // The incarnation may have been closed since the leadership was confirmed.
+      const mayStart = isLeading && isOpen() && isWanted();
+      if (!mayStart || untilMs === undefined) {
         return occupant.isUncertain ? "unanswered" : "abandoned";
       }
       recordGrant(runner, untilMs);
+      occupant.orderSentMs = clock.now();
       try {
         const reply = await calls.start(
           getTarget(),
@@ -207,10 +213,12 @@
           ORDER_TIMEOUT_MS,
         );
         receiveOrderReply(reply);
+        occupant.isExecuted ||= reply.outcome === "accepted" &&
+          isOwnClock(runner, reply.clockMs, clock.now());
         // An earlier copy may have been executed before this refusal.
-        const isOpen = occupant.isUncertain && reply.outcome !== "accepted" &&
-          reply.outcome !== "otherLife";
-        return isOpen ? "unanswered" : reply.outcome;
+        const isUndecided = occupant.isUncertain &&
+          reply.outcome !== "accepted" && reply.outcome !== "otherLife";
+        return isUndecided ? "unanswered" : reply.outcome;
       } catch (error) {
         const isUndelivered = toFault(error).ran === "no";
         if (!isUndelivered) occupant.isUncertain = true;
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -21,7 +21,9 @@
   addOccupant,
   createRunner,
   formatRun,
+  isStartPending,
   type Occupant,
+  recordLease,
   removeOccupant,
   type Runner,
 } from "./runner_table.ts";
@@ -53,9 +55,6 @@
  */
 const RESTORE_POLL_INTERVAL_MS = 1;
 
-/** Age after which a delayed order can no longer arrive at a runner, in milliseconds; the platform states 12 s. */
-const MAX_ORDER_DELAY_MS = 13_000;
-
 /** An announcement that a runner sends. */
 export interface RunnerAnnouncement {
   readonly entry: RunnerEntry;
@@ -137,6 +136,8 @@
 export function createRunnerFleet(options: RunnerFleetOptions): RunnerFleet {
   const { clock, logger, metrics, state, workspaces } = options;
   const sessions = new Map<string, Session>();
+  /** Closed incarnations with runs that the next incarnation may still start. */
+  const unsettled = new Set<Runner>();
   const runnersByPool = new Map<string, Runner[]>();
   const health = options.createHealth(listPool);
   let isStopped = false;
@@ -263,8 +264,12 @@
         isLeading: options.isLeading,
         handlePollReply: (reply, sentAtMs) =>
           handlePollReply(session, reply, sentAtMs),
-        handleOtherIncarnation: () =>
-          void closeIncarnation(session, "another incarnation answered"),
+        handleOtherIncarnation: (hasSameId) =>
+          void closeIncarnation(
+            session,
+            "another incarnation answered",
+            hasSameId,
+          ),
         handleStaleFence: options.handleStaleFence,
         firstPoll,
       }),
@@ -274,10 +279,46 @@
     return session;
   }
 
-  /** Closes an incarnation. Its runs end as lost, so that their tasks can run elsewhere. */
+  /** Releases the runs of a runner that no incarnation can start any more, and returns them. */
+  function releaseSettled(runner: Runner): Occupant[] {
+    const nowMs = clock.now();
+    const settled = [...runner.occupants.values()].filter((occupant) =>
+      !isStartPending(occupant, nowMs)
+    );
+    for (const occupant of settled) release(runner, occupant);
+    return settled;
+  }
+
+  /** Takes over the runs that a former incarnation may have left to this one, and stops them. */
+  function stopUnsettled(session: Session): void {
+    const { runner } = session;
+    for (const former of unsettled) {
+      if (former.entry.id !== runner.entry.id) continue;
+      unsettled.delete(former);
+      for (const occupant of [...former.occupants.values()]) {
+        release(former, occupant);
+        const { task, run } = occupant;
+        const moved = assignRun(runner, task, run, "running");
+        if (moved === undefined) continue;
+        moved.checkpoint = occupant.checkpoint;
+        moved.orderSentMs = occupant.orderSentMs;
+        moved.isUncertain = true;
+        stopRun(session, moved);
+      }
+      // The lease in such an order is a time on the clock of the former
+      // incarnation, so this one may have granted its maximum.
+      recordLease(runner, clock.now(), options.maxLeaseMs);
+    }
+  }
+
+  /**
+   * Closes an incarnation. Its runs end as lost, so that their tasks can run
+   * elsewhere, except those that the next incarnation may still start.
+   */
   async function closeIncarnation(
     session: Session,
     reason: string,
+    mayReturn = true,
   ): Promise<void> {
     const { runner } = session;
     if (runner.isClosed) return;
@@ -287,33 +328,51 @@
     const list = listPool(runner.entry.pool);
     list.splice(list.indexOf(runner), 1);
     options.calls.release(runner.entry.address);
+    const lost = mayReturn
+      ? releaseSettled(runner)
+      : [...runner.occupants.values()];
+    for (const occupant of lost) release(runner, occupant);
+    const successor = findSessionById(runner.entry.id);
     logger.info("Runner incarnation closed", {
       runner: runner.life,
       reason,
-      runs: runner.occupants.size,
+      runs: lost.length,
+      unsettledRuns: runner.occupants.size,
+      successor: successor?.runner.life,
     });
-    const successor = findSessionById(runner.entry.id);
-    const lost: RunView[] = [];
-    for (const occupant of [...runner.occupants.values()]) {
-      release(runner, occupant);
-      // Orders are addressed by runner id, so the next incarnation could still
-      // execute a delayed one.
-      const mayArrive = successor !== undefined &&
-        clock.now() - occupant.plannedMs < MAX_ORDER_DELAY_MS;
-      const moved = mayArrive
-        ? assignRun(successor.runner, occupant.task, occupant.run, "running")
-        : undefined;
-      if (moved !== undefined && successor !== undefined) {
-        moved.checkpoint = occupant.checkpoint;
-        stopRun(successor, moved);
-      } else {
-        lost.push(occupant);
-      }
-    }
-    await options.record([{ kind: "runnerGone", life: runner.life }]);
+    if (runner.occupants.size > 0) unsettled.add(runner);
+    if (successor !== undefined) stopUnsettled(successor);
+    // While runs are unsettled, the incarnation stays recorded, so that the next
+    // leader waits for them as well.
+    if (!unsettled.has(runner)) await recordGone(runner);
     await endRuns(lost, "lost");
   }
 
+  async function recordGone(runner: Runner): Promise<void> {
+    await options.record([{ kind: "runnerGone", life: runner.life }]);
+  }
+
+  /** Ends the runs of a runner without contact whose start can no longer arrive. */
+  function endSettled(runner: Runner): void {
+    const lost = releaseSettled(runner);
+    if (lost.length === 0) return;
+    logger.info("Starts without a reply have expired", {
+      runner: runner.life,
+      runs: lost.map(({ key }) => key),
+    });
+    void endRuns(lost, "lost");
+  }
+
+  /** Ends runs without contact to their runner once their start can no longer arrive. */
+  function checkUnsettled(): void {
+    for (const runner of unsettled) {
+      endSettled(runner);
+      if (runner.occupants.size > 0) continue;
+      unsettled.delete(runner);
+      void recordGone(runner);
+    }
+  }
+
   /** Handles the end of a lease without contact: the runner has stopped all its runs. */
   async function handleLeaseEnd(session: Session): Promise<void> {
     const { runner } = session;
@@ -369,6 +428,7 @@
       if (occupant === undefined) return;
     }
     occupant.isListed = true;
+    occupant.isExecuted = true;
     occupant.confirmedMs ??= nowMs;
     occupant.checkpoint = listed.checkpoint;
     if (listed.percent > occupant.progress) {
@@ -484,15 +544,16 @@
     });
     const session = startSession(entry, announcedMs);
     session.runner.sequence = sequence;
+    stopUnsettled(session);
     for (const other of [...sessions.values()]) {
       const { runner } = other;
       const isFormer = runner !== session.runner &&
         (runner.entry.id === entry.id ||
           runner.entry.address === entry.address) &&
         runner.entry.startedMs <= entry.startedMs;
-      if (isFormer) {
-        void closeIncarnation(other, "newer incarnation registered");
-      }
+      if (!isFormer) continue;
+      const mayReturn = runner.entry.id === entry.id;
+      void closeIncarnation(other, "newer incarnation registered", mayReturn);
     }
   }
 
@@ -557,6 +618,15 @@
   let nextRunCheckMs = 0;
   let unmatchedKeys = new Set<string>();
 
+  /** Tells whether a run is unsettled, or was taken over by a newer incarnation of its runner. */
+  function isOnOther(key: string): boolean {
+    const runners = [
+      ...unsettled,
+      ...[...sessions.values()].map(({ runner }) => runner),
+    ];
+    return runners.some(({ occupants }) => occupants.has(key));
+  }
+
   /**
    * Ends runs that are recorded as active but are on no runner, for example after
    * a record could not be written. Otherwise they would stay active until the
@@ -571,7 +641,7 @@
     for (const active of listActiveRuns()) {
       const key = formatRun(active.task, active.run);
       const session = sessions.get(active.life);
-      if (session?.runner.occupants.has(key) === true) continue;
+      if (session?.runner.occupants.has(key) || isOnOther(key)) continue;
       found.add(key);
       if (unmatchedKeys.has(key)) lost.push(active);
     }
@@ -605,6 +675,7 @@
           (runner.contactMs !== undefined || runner.occupants.size > 0);
         if (hasLeaseEnded) void handleLeaseEnd(session);
       }
+      checkUnsettled();
       checkRecordedRuns();
     },
     stop() {
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -10,7 +10,7 @@
   type Resources,
   subtractResources,
 } from "../common/mod.ts";
-import { RUNNER_CLOCK_MIN_RATE } from "./constants.ts";
+import { MAX_ORDER_DELAY_MS, RUNNER_CLOCK_MIN_RATE } from "./constants.ts";
 import {
   formatIncarnation,
   formatTask,
@@ -37,6 +37,10 @@
   stoppedMs: number | undefined;
   /** True once a poll has listed it. */
   isListed: boolean;
+  /** Local time at which its start was last sent in milliseconds; undefined before. */
+  orderSentMs: number | undefined;
+  /** True once this incarnation of the runner is known to have started it. */
+  isExecuted: boolean;
   /** True once a start got no reply, so that it may still be executed. */
   isUncertain: boolean;
   /** Last listed progress in percent. */
@@ -132,6 +136,8 @@
     confirmedMs: state === "running" ? nowMs : undefined,
     stoppedMs: undefined,
     isListed: false,
+    orderSentMs: undefined,
+    isExecuted: false,
     isUncertain: false,
     progress: 0,
     progressMs: nowMs,
@@ -151,6 +157,30 @@
   return true;
 }
 
+/**
+ * Tells whether a start of the run may still be executed by another incarnation.
+ * Orders are addressed by runner id, and the next incarnation may have the same.
+ */
+export function isStartPending(occupant: Occupant, nowMs: number): boolean {
+  const { orderSentMs, isExecuted, isUncertain } = occupant;
+  // No other copy of the order is on its way.
+  if (orderSentMs === undefined || (isExecuted && !isUncertain)) return false;
+  return nowMs - orderSentMs < MAX_ORDER_DELAY_MS;
+}
+
+/**
+ * Tells whether a reply with this clock reading certainly comes from this
+ * incarnation. The next one starts after the last answered poll was sent, and its
+ * clock starts at 0, so it cannot show more than the time since then.
+ */
+export function isOwnClock(
+  runner: Runner,
+  clockMs: number | undefined,
+  nowMs: number,
+): boolean {
+  return clockMs !== undefined && clockMs > nowMs - runner.pollSentMs;
+}
+
 /** Estimates the current time of the runner's clock in milliseconds; undefined before the first reading. */
 export function estimateRunnerClock(
   runner: Runner,
@@ -168,8 +198,16 @@
 export function recordGrant(runner: Runner, untilMs: number): void {
   const sample = runner.clockSample;
   if (sample === undefined) return;
-  const endMs = sample.atMs +
-    Math.max(0, untilMs - sample.clockMs) / RUNNER_CLOCK_MIN_RATE;
+  recordLease(runner, sample.atMs, Math.max(0, untilMs - sample.clockMs));
+}
+
+/** Records that the runner may hold a lease of `leaseMs`, on its own clock, from local time `fromMs`. */
+export function recordLease(
+  runner: Runner,
+  fromMs: number,
+  leaseMs: number,
+): void {
+  const endMs = fromMs + leaseMs / RUNNER_CLOCK_MIN_RATE;
   runner.leaseEndMs = Math.max(runner.leaseEndMs, endMs);
 }
 
