Let a new leader ask the next incarnation before it ends a run

Callers would see the same as before at a leader change: a task runs twice.

Cause: a new leader ended each run at once whose incarnation is no longer recorded, although the newer incarnation with the same id may have carried out the former leader's start. Now the run counts for the newer incarnation until its first poll, sent with the new fencing token: it lists the run, which then goes on, or will never start it.

Evidence: the new test fails without the change (violation "twice", two starts).

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -30,6 +30,7 @@
 import {
   formatIncarnation,
   formatStep,
+  getRunnerId,
   isSameRunner,
   type RunnerEntry,
   type RunOutcome,
@@ -596,7 +597,8 @@
   }
 
   function restoreRuns(): void {
-    const leaseEndMs = clock.now() + RUNNER_LEASE_MS / RUNNER_CLOCK_MIN_RATE;
+    const nowMs = clock.now();
+    const leaseEndMs = nowMs + RUNNER_LEASE_MS / RUNNER_CLOCK_MIN_RATE;
     // Timers set in advance would all be due after a busy moment, and the polls
     // would run in one turn of the event loop.
     let firstPoll = Promise.resolve();
@@ -606,12 +608,23 @@
     }
     const lost: RunView[] = [];
     for (const active of listActiveRuns()) {
-      const session = sessions.get(active.life);
-      if (session === undefined) lost.push(active);
-      else assignRun(session.runner, active.task, active.run, "running");
+      const session = sessions.get(active.life) ??
+        findSessionById(getRunnerId(active.life));
+      if (session === undefined) {
+        lost.push(active);
+        continue;
+      }
+      const { runner } = session;
+      const { task, run, life } = active;
+      const occupant = assignRun(runner, task, run, "running");
+      // The former leader may have sent the start just now.
+      if (occupant !== undefined) occupant.orderSentMs = nowMs;
+      // A start for the former incarnation may have arrived at this one; its first
+      // poll, with the new fencing token, tells.
+      if (life !== runner.life) recordLease(runner, nowMs, options.maxLeaseMs);
     }
-    // If an incarnation is no longer recorded, it was closed but the end of its
-    // runs had not been recorded yet.
+    // If neither the incarnation nor a newer one is recorded, it was closed but the
+    // end of its runs had not been recorded yet.
     void endRuns(lost, "lost");
   }
 
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -219,6 +219,11 @@
   return `${runner.id}@${runner.startedMs}`;
 }
 
+/** Returns the runner id in the key of an incarnation. */
+export function getRunnerId(life: string): string {
+  return life.slice(0, life.lastIndexOf("@"));
+}
+
 /** Returns the key of a task. */
 export function formatTask(task: TaskRef): string {
   return `${task.job}/${task.occurrence}/${task.step}/${task.index}`;
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -7,6 +7,7 @@
   createWorkModel,
   type WorkModel,
 } from "../model/mod.ts";
+import { encodeRecords } from "./work_state.ts";
 
 function createAddress(model: WorkModel, id: string) {
   const queue = model.state.getConfiguration()?.queues[0];
@@ -263,6 +264,27 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// Guards against the same at a leader change: the newer incarnation is recorded, the
+// end of the run on the former one is not.
+t.test("a new leader keeps a run that the next incarnation started", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 100;
+  await runCall(model, model.submit("job", createJob([{ estimatedMs: 800 }])));
+  await model.run(30);
+  await model.addRunner("r2");
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  model.runners.add(next);
+  model.state.apply(encodeRecords([{ kind: "runner", runner: next }]), 0);
+  while (model.runners.countStarts() === 0) await model.run(1);
+  model.changeLeader();
+  await model.run(2_000);
+  t.equal(getState(model, "job"), "completed");
+  t.equal(model.runners.countStarts(), 1);
+  t.strictSame(model.runners.violations, []);
+});
+
 t.test("tasks of a partitioned runner wait until its lease ends", async (t) => {
   const model = createWorkModel({ configuration: createModelConfiguration() });
   const trouble = await model.addRunner("r1");
