Ignore the late announcement of a runner whose address was taken over

Callers saw late jobs after cuts behind which runners crash: an announcement that a cut had held up arrived after another runner had started at the same address.

Cause: only announcements of the same id were compared. The former runner was registered again, its poll was refused by the one now at the address, and closing it closed that one's connections with the orders on them.

Now such an announcement is ignored while a newer runner is known at the address. Evidence: the new test fails without the change, the replaced runner is recorded again.

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -519,6 +519,13 @@
     options.handleChange();
   }
 
+  /** Tells whether a newer runner has taken over the address, so that an announcement is late. */
+  function hasNewerAtAddress({ address, startedMs }: RunnerEntry): boolean {
+    return [...sessions.values()].some(({ runner: { entry } }) =>
+      entry.address === address && entry.startedMs > startedMs
+    );
+  }
+
   async function announceRunner(
     announcement: RunnerAnnouncement,
   ): Promise<void> {
@@ -542,6 +549,7 @@
       });
       return;
     }
+    if (hasNewerAtAddress(entry)) return;
     await options.queue.record([{ kind: "runner", runner: entry }]);
     if (isStopped || sessions.has(life)) return;
     logger.info("Runner registered", {
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -304,6 +304,27 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// Guards against a ghost: an announcement that a cut has delayed arrives after another
+// runner has started at the address, and closing it again cuts that one's connections.
+t.test("a late announcement does not bring back a replaced runner", async (t) => {
+  const model = await startModel("r1");
+  await model.addRunner("r2", { address: "r1:1", startedMs: 2 });
+  const { calls } = model.runners;
+  let releases = 0;
+  calls.release = () => releases += 1;
+  await runCall(
+    model,
+    model.getController().announceRunner({
+      entry: createRunnerEntry("r1"),
+      sequence: 9,
+      remainingMs: 0,
+    }),
+  );
+  await model.run(3_000);
+  t.equal(model.state.getRunner("r1"), undefined);
+  t.equal(releases, 0);
+});
+
 t.test("tasks of a partitioned runner wait until its lease ends", async (t) => {
   const model = createWorkModel({ configuration: createModelConfiguration() });
   const trouble = await model.addRunner("r1");
