Log how long the first polls of a new leader take

First polls are sent one by one since, and no line says when the last one is sent, before which its runner gets no task.

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -620,6 +620,13 @@
       startSession(entry, leaseEndMs, firstPoll);
       firstPoll = firstPoll.then(waitForNextPoll);
     }
+    void firstPoll.then(() => {
+      if (isStopped) return;
+      logger.info("First polls sent", {
+        runners: state.countRunners(),
+        tookMs: Math.round(clock.now() - nowMs),
+      });
+    });
     const lost: RunView[] = [];
     for (const active of listActiveRuns()) {
       const session = sessions.get(active.life) ??
