Ignore a late announcement that is recorded beside a newer one

Callers saw the calls to a restarted runner broken off.

Cause: whether a newer incarnation is known was checked before the announcement was recorded only. Of two announcements in progress the late one could register last; closing it again closed the connections of the runner at that address. It is checked again after the record. Evidence: the new test fails without the change.

hasNewerRunner replaces the two checks by id and by address.

--- a/src/workload/restarted_runner_test.ts
+++ b/src/workload/restarted_runner_test.ts
@@ -264,3 +264,17 @@
   const tookMs = model.clock.now() - fromMs;
   t.ok(tookMs < 9_000, `${tookMs} ms`);
 });
+
+// Guards against a ghost: both announcements are being recorded, the late one last.
+// Closing the ghost cuts the connections of the runner at the address.
+t.test("a late announcement beside that of the next incarnation is ignored", async (t) => {
+  const model = createModel();
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  model.runners.add(next);
+  let releases = 0;
+  model.runners.calls.release = () => releases += 1;
+  announceRunner(model, next);
+  announceRunner(model, createRunnerEntry("r1"), 9);
+  await model.run(3_000);
+  t.equal(releases, 0);
+});
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -548,10 +548,11 @@
     options.handleChange();
   }
 
-  /** Tells whether a newer runner has taken over the address, so that an announcement is late. */
-  function hasNewerAtAddress({ address, startedMs }: RunnerEntry): boolean {
+  /** Tells whether a newer runner has taken over the id or the address, so that an announcement is late. */
+  function hasNewerRunner({ id, address, startedMs }: RunnerEntry): boolean {
     return [...sessions.values()].some(({ runner: { entry } }) =>
-      entry.address === address && entry.startedMs > startedMs
+      (entry.id === id || entry.address === address) &&
+      entry.startedMs > startedMs
     );
   }
 
@@ -562,9 +563,6 @@
     const life = formatIncarnation(entry);
     const announcedMs = clock.now();
     const known = findSessionById(entry.id);
-    if (known !== undefined && known.runner.entry.startedMs > entry.startedMs) {
-      return;
-    }
     if (known !== undefined && known.runner.life === life) {
       const { runner } = known;
       if (sequence <= runner.sequence) return;
@@ -578,9 +576,9 @@
       });
       return;
     }
-    if (hasNewerAtAddress(entry)) return;
+    if (hasNewerRunner(entry)) return;
     await options.queue.record([{ kind: "runner", runner: entry }]);
-    if (isStopped || sessions.has(life)) return;
+    if (isStopped || sessions.has(life) || hasNewerRunner(entry)) return;
     logger.info("Runner registered", {
       runner: life,
       address: entry.address,
