Reproduce tasks that crash each runner that starts them

Callers saw such a job as "running" for as long as they asked, and jobs beside it lost their runs again and again. The cause is that nothing counts the crashes under a task.

The model of the runners knows tasks that crash their runner 10 ms after the start, brings the runner back after some seconds under the same id or under a new one at the same address, and reports the violation "crashes" when a task is started three more times after three crashes under it.

--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -35,7 +35,13 @@
 
 /** A violation of a platform rule by a run. */
 export interface Violation {
-  readonly rule: "capacity" | "twice" | "afterDone" | "attempts" | "alone";
+  readonly rule:
+    | "capacity"
+    | "twice"
+    | "afterDone"
+    | "attempts"
+    | "alone"
+    | "crashes";
   readonly detail: string;
 }
 
@@ -83,6 +89,8 @@
   readonly memoryMb: number;
   /** True when every run of the task fails. */
   readonly alwaysFails: boolean;
+  /** True when the task crashes each runner that starts it. */
+  readonly crashesRunner: boolean;
   /** Number of tasks in the gang; 0 for a task outside of gangs. */
   readonly gangSize: number;
 }
@@ -95,6 +103,8 @@
   delayMs?: number;
   /** Time from a stop order to the end of the run, in milliseconds. Default 100. */
   stopMs?: number;
+  /** Called after each crash; may add the next incarnation later. */
+  handleCrash?: (entry: RunnerEntry) => void;
 }
 
 /** A model of all runners of a cell. */
@@ -107,6 +117,8 @@
   add(entry: RunnerEntry): RunnerFaults;
   /** Ends an incarnation at once; its runs and ends are lost. */
   crash(id: string): void;
+  /** Returns the number of runners that tasks have crashed so far. */
+  countCrashes(): number;
   /** Lists the current runs. */
   listRunning(): { task: TaskRef; run: number; runner: string }[];
   /** Returns the processors of all current runs, in the unit of `TaskFacts`. */
@@ -124,6 +136,15 @@
 /** Longest lease that a runner grants, in milliseconds. */
 const MAX_LEASE_MS = 10_000;
 
+/** Time from the start of a task to the crash that it causes, in milliseconds. */
+const CRASH_DELAY_MS = 10;
+
+/** Number of crashes after which further starts of a task are counted. */
+const MAX_CRASHES = 3;
+
+/** Number of starts after these crashes that is a violation. */
+const MAX_STARTS_AFTER_CRASHES = 3;
+
 /** Time between two updates of the simulated runs, in milliseconds. */
 const TICK_MS = 5;
 
@@ -135,6 +156,9 @@
   const runners = new Map<string, ModelRunner>();
   const violations: Violation[] = [];
   const doneEnds = new Map<string, DoneEnd[]>();
+  /** Crashes under each task that causes them, and its starts after the last one that is allowed. */
+  const crashes = new Map<string, { count: number; startsAfter: number }>();
+  let runnerCrashes = 0;
   let disruptedMs = -Infinity;
   let starts = 0;
 
@@ -279,6 +303,38 @@
       faults.fails || faults.orderDelayMs > 0 || faults.runTimeFactor !== 1;
   }
 
+  function checkCrashes(key: string): void {
+    const known = crashes.get(key);
+    if (known === undefined || known.count < MAX_CRASHES) return;
+    known.startsAfter += 1;
+    if (known.startsAfter < MAX_STARTS_AFTER_CRASHES) return;
+    violations.push({
+      rule: "crashes",
+      detail: `${key} started after ${known.count} crashes`,
+    });
+  }
+
+  function endWithCrash(runner: ModelRunner): void {
+    if (runner.isGone) return;
+    endIncarnation(runner.entry.id);
+    options.handleCrash?.(runner.entry);
+  }
+
+  /** Crashes the runner shortly after the start of a task. */
+  function startCrash(runner: ModelRunner): void {
+    clock.setTimer(CRASH_DELAY_MS, () => {
+      if (runner.isGone) return;
+      runnerCrashes += 1;
+      for (const [running, { order }] of runner.runs) {
+        if (!options.getTaskFacts(order.task).crashesRunner) continue;
+        const known = crashes.get(running) ?? { count: 0, startsAfter: 0 };
+        known.count += 1;
+        crashes.set(running, known);
+      }
+      endWithCrash(runner);
+    });
+  }
+
   function startRun(runner: ModelRunner, order: StartOrder): void {
     const key = formatTask(order.task);
     const facts = options.getTaskFacts(order.task);
@@ -292,6 +348,8 @@
       end.hasStartedAgain = true;
       checkDone(key, end);
     }
+    checkCrashes(key);
+    if (facts.crashesRunner) startCrash(runner);
     const nowMs = clock.now();
     const durationMs = faults.hangs
       ? Infinity
@@ -518,7 +576,11 @@
       });
       return faults;
     },
-    crash: endIncarnation,
+    crash(id) {
+      const runner = runners.get(id);
+      if (runner !== undefined) endWithCrash(runner);
+    },
+    countCrashes: () => runnerCrashes,
     listRunning() {
       return [...runners.values()].flatMap((runner) =>
         [...runner.runs.values()].map(({ order }) => ({
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -53,6 +53,10 @@
   callers?: readonly string[];
   /** Replaces the controller's order of the open steps. */
   sortSteps?: WorkControllerOptions["sortSteps"];
+  /** Id under which a crashed runner is back after some seconds. Default: it stays away. */
+  returnAs?: "sameId" | "newId";
+  /** Time until then, in milliseconds. Default 3,000. */
+  returnMs?: number;
   /** Returns whether the log refuses a command. Default: never. */
   isRefused?: (records: readonly WorkRecord[]) => boolean;
   logger?: Logger;
@@ -145,6 +149,7 @@
     processors: step.resources.processors,
     memoryMb: step.resources.memoryMb,
     alwaysFails: false,
+    crashesRunner: false,
     gangSize: step.gang ? step.tasks : 0,
   };
 }
@@ -209,8 +214,25 @@
         createStep();
       return options.getTaskFacts?.(task, step) ?? createTaskFacts(step);
     },
+    handleCrash(entry) {
+      if (options.returnAs === undefined) return;
+      clock.setTimer(
+        options.returnMs ?? 3_000,
+        () => startNextIncarnation(entry),
+      );
+    },
   });
 
+  function startNextIncarnation(former: RunnerEntry): void {
+    const startedMs = former.startedMs + 1;
+    const id = options.returnAs === "newId" ? `${former.id}+` : former.id;
+    const entry = { ...former, id, startedMs };
+    runners.add(entry);
+    // An announcement to a leader that is replaced meanwhile is lost.
+    void getController().announceRunner({ entry, sequence: 1, remainingMs: 0 })
+      .catch(() => {});
+  }
+
   /** Time at which the service is free for the next query of a caller; it answers one query of each caller at a time. */
   const callerFreeMs = new Map<string, number>();
   const queryCounts = new Map<string, number>();
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -381,6 +381,7 @@
       processors: step.resources.processors,
       memoryMb: step.resources.memoryMb,
       alwaysFails: true,
+      crashesRunner: false,
       gangSize: 0,
     }),
   });
--- a/test/work_schedule.ts
+++ b/test/work_schedule.ts
@@ -133,6 +133,7 @@
     getTaskFacts: (task, step) => ({
       ...createTaskFacts(step),
       alwaysFails: failingJobs.has(task.job),
+      crashesRunner: false,
     }),
   });
   const runners = new Map<string, RunnerFaults>();
