Give up a task that crashes its runners

Callers saw a job whose task crashes each runner that starts it as "running" without end, and each restart took down another runner with its neighbours. The cause: a crashed runner's runs ended as lost, and nothing counted the crashes.

Each crash of a runner that another incarnation follows is now recorded with the tasks that may have caused it, before the ends of the runs. These are the runs whose start was sent less than 500 ms before the runner's last reply, or later. A job ends as failed once one of its tasks is suspected of three crashes, if the last one has no other explanation, or of four. A suspect starts where few runs are, and until it has outlived its start no other job gets a task there. Runs that had already been ended with the lease of a runner count as well.

--- a/src/report/metric_definitions.ts
+++ b/src/report/metric_definitions.ts
@@ -56,6 +56,11 @@
       help: "Ends of runs that runners listed, by outcome",
       labels: ["outcome"],
     },
+    runner_crashes_total: {
+      kind: "counter",
+      help: "Runners that crashed while a leader used them",
+      labels: [],
+    },
     runners_suspended_total: {
       kind: "counter",
       help: "Runners that got no work for a while",
--- a/src/workload/open_steps.ts
+++ b/src/workload/open_steps.ts
@@ -9,6 +9,7 @@
 import type { RunTimes } from "./run_times.ts";
 import { formatStep, type JobSpec, type QueueSettings } from "./types.ts";
 import {
+  countCrashes,
   countOccurrences,
   isOpenJob,
   type JobState,
@@ -190,6 +191,9 @@
         remainingWork,
         isExcess: workspaces.isExcess(spec.id),
         eligibility: queue?.eligibility,
+        isSuspect: waiting.some((index) =>
+          countCrashes(stepState.tasks[index]) > 0
+        ),
         waiting,
       });
     });
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -18,6 +18,7 @@
   MAX_ELIGIBILITY_RUNNERS,
   TICKET_MARGIN_MS,
 } from "./constants.ts";
+import { hasSurvivedStart } from "./crash_suspects.ts";
 import type { StepEligibility } from "./eligibility.ts";
 import {
   computeFreeCapacity,
@@ -38,6 +39,8 @@
   /** True when the objective leaves little time beyond the work itself. */
   readonly isTight: boolean;
   readonly eligibility: EligibilityTimes | undefined;
+  /** True if a waiting task is suspected of crashes. */
+  readonly isSuspect: boolean;
   /** Indexes of the waiting tasks. */
   waiting: number[];
 }
@@ -150,6 +153,10 @@
   readonly reserved: ReadonlyMap<string, Resources> | undefined;
   /** Key of the gang that this runner is held for; undefined for none. */
   readonly heldFor: string | undefined;
+  /** Job of a suspect on this runner that has not outlived its start; undefined for none. */
+  suspectJob: string | undefined;
+  /** Number of tasks placed on it in this round. */
+  placed: number;
 }
 
 /** The candidates of one pool and its utilization. */
@@ -181,6 +188,17 @@
   };
 }
 
+/** Finds the job of a suspect that may still crash the runner. */
+function findSuspectJob(runner: Runner): string | undefined {
+  if (runner.suspects === 0) return undefined;
+  for (const occupant of runner.occupants.values()) {
+    const mayCrash = occupant.isSuspect &&
+      !hasSurvivedStart(occupant, runner.lastReplyMs);
+    if (mayCrash) return occupant.task.job;
+  }
+  return undefined;
+}
+
 function listCandidates(
   runners: readonly Runner[],
   { nowMs, reservations, gangHolds }: PlanInput,
@@ -198,7 +216,8 @@
       free = subtractResources(free, amount);
     }
     const heldFor = gangHolds.get(runner.life);
-    candidates.push({ runner, free, reserved, heldFor });
+    const suspectJob = findSuspectJob(runner);
+    candidates.push({ runner, free, reserved, heldFor, suspectJob, placed: 0 });
     used += runner.used.processors;
     capacity += runner.entry.capacity.processors;
   }
@@ -280,6 +299,14 @@
   return step.priority > 0 && isHeldForOther(step, candidate);
 }
 
+/**
+ * Tells whether a suspect of another job may crash the candidate. Its neighbours
+ * would lose their runs, and the crash would have several explanations.
+ */
+function isNearSuspect(step: OpenStep, { suspectJob }: Candidate): boolean {
+  return suspectJob !== undefined && suspectJob !== step.job;
+}
+
 /** Tells whether an idle runner could execute the step's tasks. */
 function isSuitable(step: OpenStep, { runner }: Candidate): boolean {
   const { requiredLabel, resources } = step.spec;
@@ -288,10 +315,33 @@
     fitsWithin(resources, capacity);
 }
 
+/** Counts the runs on the candidate that may still crash it, including those placed in this round. */
+function countFreshRuns({ runner, placed }: Candidate): number {
+  let count = placed;
+  for (const occupant of runner.occupants.values()) {
+    if (!hasSurvivedStart(occupant, runner.lastReplyMs)) count += 1;
+  }
+  return count;
+}
+
+/**
+ * Compares candidates for a suspect: its crash should have one explanation, and as
+ * few runs as possible should be lost in it.
+ */
+function compareCrashCosts(a: Candidate, b: Candidate): number {
+  const fresh = countFreshRuns(a) - countFreshRuns(b);
+  if (fresh !== 0) return fresh;
+  return a.runner.occupants.size - b.runner.occupants.size;
+}
+
 function compareCandidates(step: OpenStep, a: Candidate, b: Candidate): number {
   const held = Number(isHeldForOther(step, a)) -
     Number(isHeldForOther(step, b));
   if (held !== 0) return held;
+  if (step.isSuspect) {
+    const difference = compareCrashCosts(a, b);
+    if (difference !== 0) return difference;
+  }
   const { preferredRack } = step.spec;
   if (preferredRack !== undefined) {
     const distanceA = getRack(a.runner) === preferredRack ? 0 : 1;
@@ -333,6 +383,7 @@
   }
   for (const candidate of pool.candidates) {
     if (countFitting(step, candidate, 1) === 0) continue;
+    if (isNearSuspect(step, candidate)) continue;
     if (isBlocked(step, candidate) || !isSuitable(step, candidate)) continue;
     const isEligible = step.eligibility === undefined ||
       eligibility?.isEligible.get(candidate.runner.entry.id);
@@ -388,6 +439,8 @@
   ): void {
     const { resources } = step.spec;
     candidate.free = subtractResources(candidate.free, resources);
+    candidate.placed += 1;
+    if (step.isSuspect) candidate.suspectJob ??= step.job;
     pool.used += resources.processors;
     if (step.workspace === undefined) return;
     const workspace = input.workspaces.get(step.workspace);
--- a/src/workload/planning_test.ts
+++ b/src/workload/planning_test.ts
@@ -36,6 +36,7 @@
     remainingWork: 1_000_000,
     isExcess: false,
     eligibility: { baseMs: 430, perRunnerMs: 6, validMs: 1_500 },
+    isSuspect: false,
     waiting: Array.from({ length: tasks }, (_, at) => at),
   };
 }
@@ -114,3 +115,62 @@
   t.equal(planGang(runners, createEligibility(["a"], []), 8).gangHolds.size, 0);
   t.end();
 });
+
+function createStepOf(job: string, isSuspect: boolean): OpenStep {
+  return {
+    ...createGang(1),
+    key: `${job}/0/0`,
+    job,
+    spec: createStep({ resources: TASK }),
+    eligibility: undefined,
+    isSuspect,
+  };
+}
+
+function planSteps(runners: readonly Runner[], ...steps: OpenStep[]) {
+  const { starts } = planStarts({
+    nowMs: NOW_MS,
+    wallMs: NOW_MS,
+    steps,
+    runnersByPool: new Map([["pool", runners]]),
+    getEligibility: () => undefined,
+    workspaces: new Map(),
+    reservations: new Map(),
+    gangHolds: new Map(),
+  });
+  return starts.flatMap(({ step, placements }) =>
+    placements.map(({ runner }) => `${step.job}@${runner.entry.id}`)
+  );
+}
+
+// Guards against neighbours that lose their runs in the crash of a suspect.
+t.test("a suspect starts on the runner with the fewest runs", (t) => {
+  const runners = ["a", "b"].map(createIdleRunner);
+  addRun(runners[0]!);
+  t.strictSame(planSteps(runners, createStepOf("usual", false)), ["usual@a"]);
+  t.strictSame(planSteps(runners, createStepOf("suspect", true)), [
+    "suspect@b",
+  ]);
+  t.end();
+});
+
+// Guards against a crash with two explanations, in one round and in the next.
+t.test("no other job starts beside a suspect", (t) => {
+  const [runner] = ["a"].map(createIdleRunner);
+  const suspect = createStepOf("suspect", true);
+  const others = [createStepOf("usual", false), createStepOf("second", true)];
+  t.strictSame(planSteps([runner!], suspect, ...others), ["suspect@a"]);
+  const task = { job: "suspect", occurrence: 0, step: 0, index: 0 };
+  const occupant = addOccupant(
+    runner!,
+    { task, run: 1, resources: TASK, isSuspect: true },
+    "starting",
+    NOW_MS,
+  );
+  t.strictSame(planSteps([runner!], ...others), []);
+  occupant.orderSentMs = NOW_MS;
+  occupant.isExecuted = true;
+  runner!.lastReplyMs = NOW_MS + 600;
+  t.strictSame(planSteps([runner!], ...others), ["usual@a", "second@a"]);
+  t.end();
+});
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -113,6 +113,8 @@
 
   function receiveOrderReply(reply: OrderReply): void {
     recordClock(reply.clockMs);
+    // After an unanswered call the reply may be that of the next incarnation.
+    if (!runner.isUnresponsive) runner.lastReplyMs = clock.now();
     if (reply.outcome === "otherLife") options.handleOtherIncarnation(false);
     if (reply.outcome === "staleFence") options.handleStaleFence();
   }
@@ -143,6 +145,7 @@
     recordClock(reply.clockMs);
     runner.isUnresponsive = false;
     runner.contactMs = clock.now();
+    runner.lastReplyMs = runner.contactMs;
     await options.handlePollReply(reply, sentAtMs);
   }
 
@@ -214,7 +217,13 @@
           ORDER_TIMEOUT_MS,
         );
         occupant.openStartMs = formerOpenStartMs;
+        // Another incarnation refused it, so it has not crashed this one.
+        const isRefused = reply.outcome === "otherLife" &&
+          !occupant.isUncertain;
+        if (isRefused) occupant.orderSentMs = undefined;
         receiveOrderReply(reply);
+        occupant.isExecuted ||= reply.outcome === "accepted" &&
+          !runner.isUnresponsive;
         // An earlier copy may have been executed before this refusal.
         const isUndecided = occupant.isUncertain &&
           reply.outcome !== "accepted" && reply.outcome !== "otherLife";
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -8,6 +8,7 @@
 import { type Clock, type Logger, wait } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
 import { RUNNER_CLOCK_MIN_RATE, RUNNER_LEASE_MS } from "./constants.ts";
+import { findCrashSuspects, hasSurvivedStart } from "./crash_suspects.ts";
 import { createOpenStarts } from "./open_starts.ts";
 import type { RecordQueue } from "./record_queue.ts";
 import type {
@@ -32,6 +33,7 @@
 import {
   formatIncarnation,
   formatStep,
+  formatTask,
   getRunnerId,
   isSameRunner,
   type RunnerEntry,
@@ -39,7 +41,12 @@
   type TaskRef,
   type WorkRecord,
 } from "./types.ts";
-import { isOpenJob, TASK_STATUS, type WorkState } from "./work_state.ts";
+import {
+  countCrashes,
+  isOpenJob,
+  TASK_STATUS,
+  type WorkState,
+} from "./work_state.ts";
 import type { WorkspaceUsageTracker } from "./workspace_use.ts";
 
 /** Time without progress after which a run counts as stuck, in milliseconds; about three polls. */
@@ -177,7 +184,12 @@
     workspaces.add(job.spec.workspace, resources);
     return addOccupant(
       runner,
-      { task, run, resources },
+      {
+        task,
+        run,
+        resources,
+        isSuspect: countCrashes(state.getTask(task)) > 0,
+      },
       occupantState,
       clock.now(),
     );
@@ -197,6 +209,15 @@
     openStarts.add({ runnerId: runner.entry.id, task, run, sentMs });
   }
 
+  function isOpen(id: string): boolean {
+    const job = state.getJob(id);
+    return job !== undefined && isOpenJob(job);
+  }
+
+  function isLongRunning({ job, step }: TaskRef): boolean {
+    return state.getJob(job)?.spec.steps[step]?.longRunning === true;
+  }
+
   function isRecordedActive(task: TaskRef, run: number): boolean {
     const recorded = state.getTask(task);
     return recorded !== undefined && recorded.run === run &&
@@ -281,7 +302,7 @@
           void closeIncarnation(
             session,
             "another incarnation answered",
-            hasSameId,
+            { mayReturn: hasSameId, hasCrashed: true },
           ),
         handleStaleFence: options.handleStaleFence,
         firstPoll,
@@ -317,6 +338,7 @@
     occupant.orderSentMs = sentMs;
     occupant.openStartMs = sentMs;
     occupant.isUncertain = true;
+    occupant.isInherited = true;
     stopRun(session, occupant);
   }
 
@@ -347,11 +369,15 @@
   async function closeIncarnation(
     session: Session,
     reason: string,
-    mayReturn = true,
+    { mayReturn, hasCrashed }: { mayReturn: boolean; hasCrashed: boolean },
   ): Promise<void> {
     const { runner } = session;
     if (runner.isClosed) return;
     runner.isClosed = true;
+    // Recorded before the ends, so that no task starts again before its crash counts.
+    const crashRecorded = hasCrashed && !runner.entry.isDraining
+      ? recordCrash(runner)
+      : undefined;
     session.driver.stop();
     sessions.delete(runner.life);
     const list = listPool(runner.entry.pool);
@@ -373,34 +399,79 @@
     if (successor !== undefined) stopUnsettled(successor);
     // While runs are unsettled, the incarnation stays recorded, so that the next
     // leader waits for them as well.
+    await crashRecorded;
     await Promise.all([
       endRuns(lost, "lost"),
       unsettled.has(runner) ? undefined : recordGone(runner),
     ]);
   }
 
+  /** Records which tasks may have crashed the runner, before its runs are released. */
+  async function recordCrash(runner: Runner): Promise<void> {
+    const { lastReplyMs } = runner;
+    const occupants = [...runner.lostOccupants, ...runner.occupants.values()];
+    const { tasks, isSingleJob } = findCrashSuspects({
+      occupants,
+      lastReplyMs,
+    });
+    const suspects = tasks.filter(({ job }) => isOpen(job));
+    const counts = suspects.map((task) =>
+      countCrashes(state.getTask(task)) + 1
+    );
+    metrics?.addCount("runner_crashes_total");
+    logger.warn("Runner crashed", {
+      runner: runner.life,
+      suspects: suspects
+        .map((task, at) => `${formatTask(task)}:${counts[at]}`).join(" "),
+      isSingleJob,
+      runs: occupants.length,
+    });
+    const cleared = occupants
+      .filter((occupant) =>
+        isLongRunning(occupant.task) &&
+        countCrashes(state.getTask(occupant.task)) > 0 &&
+        hasSurvivedStart(occupant, lastReplyMs)
+      )
+      .map(({ task }) => task);
+    if (suspects.length === 0 && cleared.length === 0) return;
+    const atMs = clock.wallTime();
+    await options.record([
+      { kind: "crash", suspects, cleared, isSingleJob, atMs },
+    ]);
+    suspects.forEach((task, at) => {
+      if (isOpen(task.job)) return;
+      logger.warn("Job given up after crashes", {
+        job: task.job,
+        task: formatTask(task),
+        crashes: counts[at],
+      });
+    });
+  }
+
   async function recordGone(runner: Runner): Promise<void> {
     await options.record([{ kind: "runnerGone", life: runner.life }]);
   }
 
-  /** Ends the runs of a runner without contact whose start can no longer arrive. */
+  /** Ends the runs of a runner without contact whose start can no longer arrive, and returns them. */
   function endSettled(
     runner: Runner,
     isPending: (occupant: Occupant, nowMs: number) => boolean,
-  ): void {
+  ): Occupant[] {
     const lost = releaseSettled(runner, isPending);
-    if (lost.length === 0) return;
+    if (lost.length === 0) return lost;
     logger.info("Starts without a reply have expired", {
       runner: runner.life,
       runs: lost.map(({ key }) => key),
     });
     void endRuns(lost, "lost");
+    return lost;
   }
 
   /** Ends runs without contact to their runner once their start can no longer arrive. */
   function checkUnsettled(): void {
     for (const { runner } of sessions.values()) {
-      if (runner.isLost) endSettled(runner, hasOpenStart);
+      if (!runner.isLost) continue;
+      runner.lostOccupants.push(...endSettled(runner, hasOpenStart));
     }
     for (const runner of unsettled) {
       endSettled(runner, isStartPending);
@@ -418,6 +489,7 @@
     const { runner } = session;
     runner.isLost = true;
     const lost = releaseSettled(runner, hasOpenStart);
+    runner.lostOccupants = lost;
     logger.warn("Runner lease ended without contact", {
       runner: runner.life,
       runs: lost.length,
@@ -468,6 +540,7 @@
       if (occupant === undefined) return;
     }
     occupant.isListed = true;
+    occupant.isExecuted = true;
     occupant.confirmedMs ??= nowMs;
     occupant.checkpoint = listed.checkpoint;
     if (listed.percent > occupant.progress) {
@@ -503,6 +576,7 @@
     if (isStopped || !options.isLeading() || runner.isClosed) return;
     if (runner.isLost) {
       runner.isLost = false;
+      runner.lostOccupants = [];
       logger.info("Runner responds again", { runner: runner.life });
     }
     const listedKeys = new Set<string>();
@@ -598,7 +672,10 @@
         runner.entry.startedMs <= entry.startedMs;
       if (!isFormer) continue;
       const mayReturn = runner.entry.id === entry.id;
-      void closeIncarnation(other, "newer incarnation registered", mayReturn);
+      void closeIncarnation(other, "newer incarnation registered", {
+        mayReturn,
+        hasCrashed: true,
+      });
     }
   }
 
@@ -608,7 +685,10 @@
     const { runner } = session;
     // A delayed removal of an earlier incarnation must not close the current one.
     if (!runner.entry.isDraining) return;
-    await closeIncarnation(session, "runner left");
+    await closeIncarnation(session, "runner left", {
+      mayReturn: true,
+      hasCrashed: false,
+    });
   }
 
   /** Lists the runs that are recorded as active. */
@@ -674,6 +754,7 @@
       if (occupant !== undefined) {
         occupant.orderSentMs = nowMs;
         occupant.isRestored = true;
+        occupant.isInherited = life !== runner.life;
       }
       // A start for the former incarnation may have arrived at this one; its first
       // poll, with the new fencing token, tells.
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -43,8 +43,14 @@
   openStartMs: number | undefined;
   /** True if a former leader started it, which may have left starts without a reply. */
   isRestored: boolean;
+  /** True once this incarnation of the runner seems to have started it. */
+  isExecuted: boolean;
   /** True once a start got no reply, so that it may still be executed. */
   isUncertain: boolean;
+  /** True if its start was sent to a former incarnation of the runner. */
+  isInherited: boolean;
+  /** True if its task is suspected of crashes. */
+  readonly isSuspect: boolean;
   /** Last listed progress in percent. */
   progress: number;
   /** Local time of the last increase of the progress in milliseconds. */
@@ -59,12 +65,18 @@
   readonly life: string;
   used: Resources;
   readonly occupants: Map<string, Occupant>;
+  /** Number of its runs whose task is suspected of crashes. */
+  suspects: number;
+  /** Runs that were released when its lease ended without contact; needed if it turns out to have crashed. */
+  lostOccupants: Occupant[];
   /** A reading of the runner's clock and the local time of its arrival. */
   clockSample: { clockMs: number; atMs: number } | undefined;
   /** Local time after which its lease has certainly ended, in milliseconds. */
   leaseEndMs: number;
   /** Local time of the last accepted poll in milliseconds; undefined before the first. */
   contactMs: number | undefined;
+  /** Local time of the last reply that certainly came from this incarnation, in milliseconds; undefined before the first. */
+  lastReplyMs: number | undefined;
   /** True after an unanswered poll or order, until the next accepted poll. */
   isUnresponsive: boolean;
   /** Local time at which the newest answered poll was sent, in milliseconds. */
@@ -97,9 +109,12 @@
     life: formatIncarnation(entry),
     used: NO_RESOURCES,
     occupants: new Map(),
+    suspects: 0,
+    lostOccupants: [],
     clockSample: undefined,
     leaseEndMs,
     contactMs: undefined,
+    lastReplyMs: undefined,
     isUnresponsive: false,
     pollSentMs: 0,
     recordedEnds: 0,
@@ -121,7 +136,12 @@
 /** Adds a run to a runner, or returns it if it is there already. */
 export function addOccupant(
   runner: Runner,
-  run: { task: TaskRef; run: number; resources: Resources },
+  run: {
+    task: TaskRef;
+    run: number;
+    resources: Resources;
+    isSuspect?: boolean;
+  },
   state: OccupantState,
   nowMs: number,
 ): Occupant {
@@ -141,13 +161,17 @@
     orderSentMs: undefined,
     openStartMs: undefined,
     isRestored: false,
+    isExecuted: false,
     isUncertain: false,
+    isInherited: false,
+    isSuspect: run.isSuspect ?? false,
     progress: 0,
     progressMs: nowMs,
     checkpoint: "",
   };
   runner.occupants.set(key, occupant);
   runner.used = addResources(runner.used, run.resources);
+  if (occupant.isSuspect) runner.suspects += 1;
   return occupant;
 }
 
@@ -157,6 +181,7 @@
   if (occupant === undefined) return false;
   runner.occupants.delete(key);
   runner.used = subtractResources(runner.used, occupant.resources);
+  if (occupant.isSuspect) runner.suspects -= 1;
   return true;
 }
 
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -193,6 +193,16 @@
     readonly checkpoint: string;
     readonly atMs: number;
   }
+  | {
+    readonly kind: "crash";
+    /** Tasks that may have caused the crash of a runner. */
+    readonly suspects: readonly TaskRef[];
+    /** Long-running tasks suspected of earlier crashes that had outlived their start on this runner. */
+    readonly cleared: readonly TaskRef[];
+    /** True if only runs of one job can have caused it. */
+    readonly isSingleJob: boolean;
+    readonly atMs: number;
+  }
   | { readonly kind: "runner"; readonly runner: RunnerEntry }
   | { readonly kind: "runnerGone"; readonly life: string }
   | { readonly kind: "forget"; readonly jobs: readonly string[] };
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -17,6 +17,7 @@
   URGENT_PLAN_PERIOD_MS,
   WATCH_PERIOD_MS,
 } from "./constants.ts";
+import { START_CRASH_WINDOW_MS } from "./crash_suspects.ts";
 import {
   createEligibilityCache,
   type EligibilityAnswer,
@@ -52,6 +53,9 @@
 /** Time from the decision to the runner's reply from which a start is logged as slow, in milliseconds; several times the usual. */
 const SLOW_START_MS = 250;
 
+/** Time from the reply to the start of a suspect to the poll that shows that its runner is still up, in milliseconds. */
+const START_PROOF_MS = START_CRASH_WINDOW_MS + 50;
+
 /** Maximum number of log lines about waiting steps in one round, so that a long queue does not flood the log. */
 const MAX_WAIT_LOG_LINES = 5;
 
@@ -179,6 +183,15 @@
     }
   }
 
+  /** Polls the runner once a suspect has outlived its start, so that it counts as harmless. */
+  function startProof({ runner, driver }: Session, occupant: Occupant): void {
+    clock.setTimer(START_PROOF_MS, () => {
+      const isThere = !isStopped && !runner.isClosed &&
+        runner.occupants.has(occupant.key);
+      if (isThere) driver.startPoll();
+    });
+  }
+
   async function sendStart(
     session: Session,
     occupant: Occupant,
@@ -214,6 +227,7 @@
     if (result === "accepted") {
       occupant.confirmedMs ??= clock.now();
       if (occupant.state === "starting") occupant.state = "running";
+      if (occupant.isSuspect) startProof(session, occupant);
       if (!fleet.isWanted(task, run)) fleet.stopRun(session, occupant);
       return;
     }
@@ -445,6 +459,12 @@
         openSteps.refresh(record.task.job);
         handleJobEnd(record.task.job);
         break;
+      case "crash":
+        for (const job of new Set(record.suspects.map(({ job }) => job))) {
+          openSteps.refresh(job);
+          handleJobEnd(job);
+        }
+        break;
     }
     startPlan();
   }
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -24,6 +24,18 @@
   done: 2,
 });
 
+/**
+ * Number of crashes of which a task is suspected after which its job ends as
+ * failed; the platform tolerates two starts after three crashes.
+ */
+const MAX_CRASHES = 4;
+
+/**
+ * The same if no other job can have caused the last crash. Two independent crashes
+ * of runners that have just restarted a wide job are common.
+ */
+const MAX_CERTAIN_CRASHES = 3;
+
 /** Recorded state of one task. */
 export interface TaskState {
   status: number;
@@ -33,6 +45,8 @@
   life: string;
   /** Runs that ended in a failure. */
   failures: number;
+  /** Crashes of which the task is suspected, since its last run that outlived its start; absent for none. */
+  crashes?: number;
   /** Newest checkpoint; empty for none. */
   checkpoint: string;
 }
@@ -110,6 +124,11 @@
   };
 }
 
+/** Returns the number of crashes of which a task is suspected. */
+export function countCrashes(task: TaskState | undefined): number {
+  return task?.crashes ?? 0;
+}
+
 /** Tells whether a job is still queued or running. */
 export function isOpenJob(job: JobState): boolean {
   return job.state === "queued" || job.state === "running";
@@ -236,10 +255,31 @@
     if (!isCurrent) return;
     if (record.checkpoint !== "") task.checkpoint = record.checkpoint;
     task.status = TASK_STATUS.waiting;
+    // A runner lists only ends of runs that have not crashed it.
+    if (outcome !== "lost") delete task.crashes;
     if (outcome === "done") applyDone(job, record);
     else if (outcome === "failed") applyFailure(job, record, step, task);
   }
 
+  function findTask(ref: TaskRef): TaskState | undefined {
+    const job = jobs.get(ref.job);
+    return job?.occurrences[ref.occurrence]?.steps[ref.step]?.tasks[ref.index];
+  }
+
+  function applyCrash(record: WorkRecord & { kind: "crash" }): void {
+    for (const ref of record.cleared) delete findTask(ref)?.crashes;
+    for (const ref of record.suspects) {
+      const job = jobs.get(ref.job);
+      if (job === undefined || !isOpenJob(job)) continue;
+      const step = getOccurrence(job, ref.occurrence).steps[ref.step];
+      const task = step?.tasks[ref.index];
+      if (task === undefined || task.status === TASK_STATUS.done) continue;
+      task.crashes = countCrashes(task) + 1;
+      const limit = record.isSingleJob ? MAX_CERTAIN_CRASHES : MAX_CRASHES;
+      if (task.crashes >= limit) endJob(job, "failed", record.atMs);
+    }
+  }
+
   function applyRecord(record: WorkRecord): void {
     switch (record.kind) {
       case "configuration": {
@@ -269,6 +309,9 @@
       case "end":
         applyEnd(record);
         break;
+      case "crash":
+        applyCrash(record);
+        break;
       case "runner": {
         const known = runners.get(record.runner.id);
         // A delayed announcement of an earlier incarnation must not replace a
@@ -298,11 +341,7 @@
     listRunners: () => runners.values(),
     getRunner: (id) => runners.get(id),
     getOccurrence,
-    getTask(task) {
-      const job = jobs.get(task.job);
-      return job?.occurrences[task.occurrence]?.steps[task.step]
-        ?.tasks[task.index];
-    },
+    getTask: findTask,
     setListener(next) {
       listener = next;
     },
--- a/src/workload/work_state_test.ts
+++ b/src/workload/work_state_test.ts
@@ -86,3 +86,83 @@
   t.equal(state.getJob("job")?.state, "completed");
   t.end();
 });
+
+function createCrash(
+  indexes: readonly number[],
+  isSingleJob: boolean,
+): WorkRecord {
+  const suspects = indexes.map((index) => ({
+    job: "job",
+    occurrence: 0,
+    step: 0,
+    index,
+  }));
+  return { kind: "crash", suspects, cleared: [], isSingleJob, atMs: 5 };
+}
+
+// Guards against a job that crashes runner after runner, and against the failure of
+// one that was only near other crashes.
+t.test("a job is given up after crashes under one task", (t) => {
+  const state = createWorkState();
+  apply(state, createSubmission("job", 4));
+  apply(state, createCrash([0], true), createCrash([1], true));
+  apply(state, createCrash([0, 2], true), createCrash([0], false));
+  t.equal(state.getJob("job")?.state, "queued", "three uncertain crashes");
+  const other = createWorkState();
+  // A new leader or a restarted instance knows the counts.
+  other.restoreSnapshot(state.takeSnapshot());
+  apply(state, createCrash([2], true), createCrash([0], false));
+  apply(other, createCrash([2], true), createCrash([2], true));
+  for (const { getJob } of [state, other]) {
+    t.equal(getJob("job")?.state, "failed");
+    t.equal(getJob("job")?.endedMs, 5);
+  }
+  t.end();
+});
+
+// Guards against a long-running task that is given up after crashes in which it had
+// been at work for long, and one in which it had just started.
+t.test("a task that outlived its start is cleared by a crash", (t) => {
+  const state = createWorkState();
+  apply(state, createSubmission("job", 1));
+  const cleared = [{ job: "job", occurrence: 0, step: 0, index: 0 }];
+  for (let round = 0; round < 5; round += 1) {
+    apply(state, createCrash([0], true), {
+      kind: "crash",
+      suspects: [],
+      cleared,
+      isSingleJob: false,
+      atMs: 5,
+    });
+  }
+  t.equal(state.getJob("job")?.state, "queued");
+  t.end();
+});
+
+// Guards against a long-running task that is given up for unrelated crashes, far
+// apart, in each of which it had just started.
+t.test("a run that ends without a crash clears its task", (t) => {
+  const state = createWorkState();
+  apply(state, createSubmission("job", 1));
+  const task = { job: "job", occurrence: 0, step: 0, index: 0 };
+  for (let run = 1; run <= 6; run += 1) {
+    apply(state, createCrash([0], true), {
+      kind: "start",
+      job: "job",
+      occurrence: 0,
+      step: 0,
+      run,
+      entries: [{ index: 0, life: "r@1" }],
+    }, {
+      kind: "end",
+      task,
+      run,
+      outcome: run % 2 === 0 ? "stopped" : "lost",
+      checkpoint: "",
+      atMs: 6,
+    });
+  }
+  t.equal(state.getJob("job")?.state, "running");
+  t.equal(state.getTask(task)?.crashes, undefined);
+  t.end();
+});
