--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -11,6 +11,7 @@
   createSilentLogger,
   type Logger,
   type ManualClock,
+  type Resources,
 } from "../common/mod.ts";
 import {
   type Configuration,
@@ -18,6 +19,7 @@
   type EligibilityAnswer,
   type EligibilityQuery,
   encodeRecords,
+  hasChanges,
   type JobBody,
   type QueueSettings,
   type RunnerEntry,
@@ -78,6 +80,8 @@
     id: string,
     entry?: Partial<RunnerEntry>,
   ): Promise<RunnerFaults>;
+  /** Changes the capacity of a runner and announces it; resolves once the announcement is answered. */
+  changeCapacity(id: string, capacity: Partial<Resources>): Promise<void>;
   /** Submits a job through a queue; resolves once it is accepted. */
   submit(id: string, body: JobBody, options?: SubmitOptions): Promise<void>;
   /** Advances the clock by some milliseconds and runs what becomes due. */
@@ -204,6 +208,8 @@
   const state = createWorkState();
   const callers = options.callers ?? ["a", "b", "c"];
   const commitMs = options.commitMs ?? 12;
+  /** Sequence number of the newest announcement, by runner. */
+  const sequences = new Map<string, number>();
   let fence = 0;
   let controller: WorkController | undefined;
 
@@ -352,6 +358,7 @@
     async addRunner(id, entry = {}) {
       const full = createRunnerEntry(id, entry);
       const faults = runners.add(full);
+      sequences.set(id, 1);
       const announced = getController().announceRunner({
         entry: full,
         sequence: 1,
@@ -361,6 +368,17 @@
       await announced;
       return faults;
     },
+    async changeCapacity(id, capacity) {
+      const entry = runners.changeCapacity(id, {
+        ...createRunnerEntry(id).capacity,
+        ...capacity,
+      });
+      const sequence = (sequences.get(id) ?? 0) + 1;
+      sequences.set(id, sequence);
+      // Like a log member, which answers an announcement without changes itself.
+      if (!hasChanges(state, entry)) return;
+      await getController().announceRunner({ entry, sequence, remainingMs: 0 });
+    },
     submit(id, body, submitOptions = {}) {
       const { queues, workspaces } = options.configuration;
       const queue = queues.find(({ name }) => name === submitOptions.queue) ??
--- a/src/workload/announcements_test.ts
+++ b/src/workload/announcements_test.ts
@@ -14,6 +14,8 @@
   t.ok(hasChanges(state, { ...runner, isDraining: true }), "a draining runner");
   t.ok(hasChanges(state, { ...runner, startedMs: 2 }), "another incarnation");
   t.ok(hasChanges(state, { ...runner, address: "r1:2" }), "another address");
+  const capacity = { ...runner.capacity, processors: 1_000 };
+  t.ok(hasChanges(state, { ...runner, capacity }), "another capacity");
   const { id, startedMs } = runner;
   const life = `${id}@${startedMs}`;
   state.apply(encodeRecords([{ kind: "runnerGone", life }]), 0);
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -1,5 +1,5 @@
 import t from "tap";
-import { isFault } from "../common/mod.ts";
+import { createFault, isFault, wait } from "../common/mod.ts";
 import {
   createJob,
   createModelConfiguration,
@@ -29,6 +29,14 @@
   return model;
 }
 
+/** Starts a cell with runner r1 whose records take `commitMs`. */
+async function startModelWithSlowLog(commitMs: number): Promise<WorkModel> {
+  const configuration = createModelConfiguration();
+  const model = createWorkModel({ configuration, commitMs });
+  await model.addRunner("r1");
+  return model;
+}
+
 // Advances the model until a call has ended.
 async function runCall<Value>(
   model: WorkModel,
@@ -645,3 +653,172 @@
   t.equal(model.runners.listRunning().length, 0);
   t.strictSame(model.runners.violations, []);
 });
+
+// Guards against tasks placed by the capacity of a runner's first announcement.
+t.test("no task starts beyond a shrunk capacity", async (t) => {
+  const model = await startModel("r1");
+  await model.run(100);
+  await runCall(model, model.changeCapacity("r1", { processors: 1_000 }));
+  const job = createJob([{ tasks: 3, estimatedMs: 20_000 }]);
+  await runCall(model, model.submit("job", job));
+  await model.run(6_000);
+  t.equal(model.runners.listRunning().length, 1);
+  t.strictSame(model.runners.violations, []);
+});
+
+// Guards against a shrink that is only used once it is recorded.
+t.test("a shrink counts while it is being recorded", async (t) => {
+  const model = await startModelWithSlowLog(1_000);
+  await model.run(2_000);
+  const job = createJob([{ tasks: 3, estimatedMs: 20_000 }]);
+  const submitted = model.submit("job", job);
+  await model.run(900);
+  void model.changeCapacity("r1", { processors: 1_000 });
+  await runCall(model, submitted);
+  await model.run(2_500);
+  t.equal(model.runners.listRunning().length, 1);
+});
+
+// Guards against a runner that stops running tasks, or takes new ones, while it has
+// less capacity than they use.
+t.test("a runner above its capacity keeps its tasks", async (t) => {
+  const model = await startModel("r1");
+  const job = createJob([{ tasks: 3, estimatedMs: 3_000 }]);
+  await runCall(model, model.submit("job", job));
+  await model.run(100);
+  await runCall(model, model.changeCapacity("r1", { processors: 2_000 }));
+  const resources = { processors: 500, memoryMb: 100, accelerators: 0 };
+  await runCall(model, model.submit("other", createJob([{ resources }])));
+  await model.run(2_000);
+  t.equal(model.runners.countStarts(), 3);
+  t.equal(model.runners.listRunning().length, 3);
+  await model.run(3_000);
+  t.equal(getState(model, "other"), "completed");
+});
+
+// Guards against capacity that stays unused after it has grown again.
+t.test("a grown capacity is used", async (t) => {
+  const model = await startModel("r1");
+  await runCall(model, model.changeCapacity("r1", { processors: 1_000 }));
+  const job = createJob([{ tasks: 6, estimatedMs: 20_000 }]);
+  await runCall(model, model.submit("job", job));
+  await model.run(500);
+  await runCall(model, model.changeCapacity("r1", { processors: 8_000 }));
+  await model.run(500);
+  t.equal(model.runners.listRunning().length, 6);
+  t.strictSame(model.runners.violations, []);
+});
+
+// Guards against a new leader with the capacity of the first announcement.
+t.test("a new leader keeps a shrunk capacity", async (t) => {
+  const model = await startModel("r1");
+  await runCall(model, model.changeCapacity("r1", { processors: 1_000 }));
+  model.changeLeader();
+  await model.run(100);
+  const job = createJob([{ tasks: 3, estimatedMs: 20_000 }]);
+  await runCall(model, model.submit("job", job));
+  await model.run(6_000);
+  t.equal(model.runners.listRunning().length, 1);
+  t.strictSame(model.runners.violations, []);
+});
+
+// Guards against a heartbeat from before the shrink that reaches the next leader,
+// which has not seen the sequence numbers itself.
+t.test("a late announcement to a new leader undoes no shrink", async (t) => {
+  const model = await startModel("r1");
+  const before = createRunnerEntry("r1");
+  await runCall(model, model.changeCapacity("r1", { processors: 1_000 }));
+  t.equal(model.state.getRunner("r1")?.capacity.processors, 1_000);
+  model.changeLeader();
+  await runCall(
+    model,
+    model.getController().announceRunner({
+      entry: before,
+      sequence: 1,
+      remainingMs: 0,
+    }),
+  );
+  t.equal(model.state.getRunner("r1")?.capacity.processors, 1_000);
+});
+
+// Guards against announcements that overtake each other while the first one is
+// being recorded.
+t.test("an overtaken first announcement undoes no shrink", async (t) => {
+  const model = await startModel();
+  const entry = createRunnerEntry("r1");
+  const capacity = { ...entry.capacity, processors: 1_000 };
+  model.runners.add({ ...entry, capacity });
+  const shrunk = { ...entry, capacity };
+  const controller = model.getController();
+  void controller.announceRunner({
+    entry: shrunk,
+    sequence: 2,
+    remainingMs: 0,
+  });
+  void controller.announceRunner({ entry, sequence: 1, remainingMs: 0 });
+  await model.run(200);
+  const job = createJob([{ tasks: 3, estimatedMs: 20_000 }]);
+  await runCall(model, model.submit("job", job));
+  await model.run(500);
+  t.equal(model.state.getRunner("r1")?.capacity.processors, 1_000);
+  t.equal(model.runners.listRunning().length, 1);
+});
+
+// Guards against an order whose start was decided before the shrink.
+t.test("a start being recorded is not sent to a shrunk runner", async (t) => {
+  const model = await startModelWithSlowLog(300);
+  await model.run(1_000);
+  const job = createJob([{ tasks: 3, estimatedMs: 20_000 }]);
+  await runCall(model, model.submit("job", job));
+  // The round has decided the starts, and their record is on its way.
+  await model.run(100);
+  void model.changeCapacity("r1", { processors: 1_000 });
+  await model.run(1_000);
+  t.equal(model.runners.countStarts(), 1);
+  await model.addRunner("r2");
+  await model.run(1_500);
+  t.equal(model.runners.listRunning().length, 3);
+  t.strictSame(model.runners.violations, []);
+});
+
+// Guards against members of a gang that wait for one whose order was held back.
+t.test("a gang being recorded moves as a whole after a shrink", async (t) => {
+  const model = await startModelWithSlowLog(300);
+  await model.run(1_000);
+  const job = createJob([{ tasks: 6, gang: true, estimatedMs: 1_000 }]);
+  await model.addRunner("r2");
+  await model.run(1_000);
+  await runCall(model, model.submit("job", job));
+  await model.run(100);
+  void model.changeCapacity("r1", { processors: 1_000 });
+  await model.run(1_000);
+  t.equal(model.runners.countStarts(), 0);
+  await model.addRunner("r3");
+  await model.run(4_000);
+  t.equal(getState(model, "job"), "completed");
+  t.equal(model.runners.countStarts(), 6);
+  t.strictSame(model.runners.violations, []);
+});
+
+// Guards against a repeated order for a start that got no reply before the shrink.
+t.test("a start without a reply is not repeated on a shrunk runner", async (t) => {
+  const model = await startModel("r1");
+  await model.run(100);
+  const { calls } = model.runners;
+  const { start } = calls;
+  let orders = 0;
+  calls.start = async (target, order, timeoutMs) => {
+    if (target.id !== "r1") return start(target, order, timeoutMs);
+    orders += 1;
+    await wait(model.clock, timeoutMs);
+    throw createFault("outcomeUnknown", "Cannot get an answer");
+  };
+  await runCall(model, model.submit("job", createJob([{}])));
+  await model.run(100);
+  t.equal(orders, 1);
+  await runCall(model, model.changeCapacity("r1", { processors: 500 }));
+  await model.addRunner("r2");
+  await model.run(3_000);
+  t.equal(orders, 1);
+  t.equal(getState(model, "job"), "completed");
+});
