Record and use a runner's changed capacity

Callers would see starts beyond the capacity of a runner that has shrunk (LIMIT), and capacity left unused after it has grown.

Cause: isSameRunner left out the capacity, so a heartbeat with another one was answered by the instance that got it and reached neither the log nor the leader.

A heartbeat with another capacity is forwarded and recorded. A shrink counts on receipt and a growth once recorded. The sequence number is part of the recorded entry, and the records of one incarnation apply in its order, so that a late heartbeat undoes nothing at the leader, at the next leader or in the log.

--- a/src/common/resources.ts
+++ b/src/common/resources.ts
@@ -46,6 +46,20 @@
   };
 }
 
+/** Returns the smaller amount of each resource. */
+export function computeSmallerResources(a: Resources, b: Resources): Resources {
+  return {
+    processors: Math.min(a.processors, b.processors),
+    memoryMb: Math.min(a.memoryMb, b.memoryMb),
+    accelerators: Math.min(a.accelerators, b.accelerators),
+  };
+}
+
+/** Tells whether two amounts are the same. */
+export function isSameAmount(a: Resources, b: Resources): boolean {
+  return fitsWithin(a, b) && fitsWithin(b, a);
+}
+
 /** Returns `amount` times the integer `count`. */
 export function multiplyResources(amount: Resources, count: number): Resources {
   return {
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -5,7 +5,13 @@
  * leaves. When its lease ends without contact, its runs count as lost.
  */
 
-import { type Clock, type Logger, wait } from "../common/mod.ts";
+import {
+  type Clock,
+  computeSmallerResources,
+  isSameAmount,
+  type Logger,
+  wait,
+} from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
 import { RUNNER_CLOCK_MIN_RATE, RUNNER_LEASE_MS } from "./constants.ts";
 import { findCrashSuspects, hasSurvivedStart } from "./crash_suspects.ts";
@@ -633,6 +639,39 @@
     );
   }
 
+  /** Records what a known incarnation newly announces. */
+  async function updateRunner(
+    runner: Runner,
+    { entry, sequence }: RunnerAnnouncement,
+  ): Promise<void> {
+    if (sequence < runner.sequence) return;
+    runner.sequence = sequence;
+    const recorded = state.getRunner(entry.id);
+    const isRecorded = recorded !== undefined && isSameRunner(recorded, entry);
+    if (isRecorded && isSameRunner(runner.entry, entry)) return;
+    const former = runner.entry.capacity;
+    // A shrink counts at once, but a growth only once the next leader knows it:
+    // otherwise that one could find more in use than there is capacity.
+    const capacity = computeSmallerResources(former, entry.capacity);
+    runner.entry = { ...entry, capacity };
+    if (!isRecorded) {
+      await options.queue.record([{
+        kind: "runner",
+        runner: { ...entry, sequence },
+      }]);
+    }
+    // A newer announcement may have arrived meanwhile.
+    if (runner.sequence === sequence) runner.entry = entry;
+    logger.info("Runner changed", {
+      runner: runner.life,
+      draining: entry.isDraining,
+      ...(isSameAmount(former, entry.capacity)
+        ? {}
+        : { formerCapacity: former, capacity: entry.capacity }),
+    });
+    options.handleChange();
+  }
+
   async function announceRunner(
     announcement: RunnerAnnouncement,
   ): Promise<void> {
@@ -640,29 +679,25 @@
     const life = formatIncarnation(entry);
     const announcedMs = clock.now();
     const known = findSessionById(entry.id);
-    if (known !== undefined && known.runner.life === life) {
-      const { runner } = known;
-      if (sequence <= runner.sequence) return;
-      runner.sequence = sequence;
-      if (isSameRunner(runner.entry, entry)) return;
-      runner.entry = entry;
-      await options.queue.record([{ kind: "runner", runner: entry }]);
-      logger.info("Runner changed", {
-        runner: life,
-        draining: entry.isDraining,
-      });
-      return;
+    if (known?.runner.life === life) {
+      return await updateRunner(known.runner, announcement);
+    }
+    if (hasNewerRunner(entry)) return;
+    const recorded = { ...entry, sequence };
+    await options.queue.record([{ kind: "runner", runner: recorded }]);
+    if (isStopped) return;
+    const registered = sessions.get(life);
+    if (registered !== undefined) {
+      // Another announcement has registered it meanwhile.
+      return await updateRunner(registered.runner, announcement);
     }
     if (hasNewerRunner(entry)) return;
-    await options.queue.record([{ kind: "runner", runner: entry }]);
-    if (isStopped || sessions.has(life) || hasNewerRunner(entry)) return;
     logger.info("Runner registered", {
       runner: life,
       address: entry.address,
       pool: entry.pool,
     });
-    const session = startSession(entry, announcedMs);
-    session.runner.sequence = sequence;
+    const session = startSession(recorded, announcedMs);
     stopUnsettled(session);
     for (const other of [...sessions.values()]) {
       const { runner } = other;
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -120,7 +120,7 @@
     recordedEnds: 0,
     isClosed: false,
     isLost: false,
-    sequence: -1,
+    sequence: entry.sequence ?? -1,
     slowness: 0,
     failedJobs: new Set(),
     suspendedUntilMs: 0,
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -4,7 +4,7 @@
  * connection to the scheduler of its own.
  */
 
-import type { Resources } from "../common/mod.ts";
+import { isSameAmount, type Resources } from "../common/mod.ts";
 
 /** One step of a job: a group of identical tasks that may start together. */
 export interface StepSpec {
@@ -137,6 +137,8 @@
   readonly capacity: Resources;
   readonly labels: readonly string[];
   readonly isDraining: boolean;
+  /** Sequence number of the recorded announcement; only set in records. */
+  readonly sequence?: number;
 }
 
 /** Identifies one task. */
@@ -215,11 +217,12 @@
   | "failed"
   | "cancelled";
 
-/** Tells whether two entries have the same incarnation, address and draining flag. */
+/** Tells whether two entries have the same incarnation, address, capacity and draining flag. */
 export function isSameRunner(a: RunnerEntry, b: RunnerEntry): boolean {
   return formatIncarnation(a) === formatIncarnation(b) &&
     a.isDraining === b.isDraining &&
-    a.address === b.address;
+    a.address === b.address &&
+    isSameAmount(a.capacity, b.capacity);
 }
 
 /** Returns the key of a runner's incarnation. */
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -314,10 +314,12 @@
         break;
       case "runner": {
         const known = runners.get(record.runner.id);
-        // A delayed announcement of an earlier incarnation must not replace a
-        // newer one.
+        // A delayed announcement must not replace one of a newer incarnation or
+        // with a higher sequence number.
         const isOlder = known !== undefined &&
-          known.startedMs > record.runner.startedMs;
+          (known.startedMs > record.runner.startedMs ||
+            (known.startedMs === record.runner.startedMs &&
+              (record.runner.sequence ?? Infinity) < (known.sequence ?? -1)));
         if (!isOlder) runners.set(record.runner.id, record.runner);
         break;
       }
