Hold back unsent starts once their runner has shrunk

Callers would see starts beyond the capacity of a runner that shrinks within the moments between the decision to start a task and its order (LIMIT).

Cause: an order was sent, or sent again, without another look at the capacity.

Starts are checked again once they are recorded and before each attempt. While the runner uses more than its capacity, the start is released, so that its task starts elsewhere, a gang as a whole. A start that was sent and got no reply is stopped as before instead of being sent again.

--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -28,6 +28,7 @@
 } from "./runner_calls.ts";
 import {
   estimateRunnerClock,
+  isOverCapacity,
   type Occupant,
   recordGrant,
   type Runner,
@@ -38,6 +39,8 @@
   | OrderOutcome
   | "unanswered"
   | "undelivered"
+  /** Not sent, since the runner's capacity has shrunk below what its runs use. */
+  | "overCapacity"
   | "abandoned";
 
 /** Options of a driver. */
@@ -206,6 +209,9 @@
       if (!mayStart || untilMs === undefined) {
         return occupant.isUncertain ? "unanswered" : "abandoned";
       }
+      if (isOverCapacity(runner)) {
+        return occupant.isUncertain ? "unanswered" : "overCapacity";
+      }
       recordGrant(runner, untilMs);
       const formerOpenStartMs = occupant.openStartMs;
       occupant.orderSentMs = clock.now();
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -6,6 +6,7 @@
 
 import {
   addResources,
+  fitsWithin,
   NO_RESOURCES,
   type Resources,
   subtractResources,
@@ -240,6 +241,11 @@
   return subtractResources(runner.entry.capacity, runner.used);
 }
 
+/** Tells whether the runs of a runner use more than its capacity, which may have shrunk. */
+export function isOverCapacity(runner: Runner): boolean {
+  return !fitsWithin(runner.used, runner.entry.capacity);
+}
+
 /** Tells whether new tasks may be placed on the runner. */
 export function isPlaceable(runner: Runner, nowMs: number): boolean {
   return !runner.isClosed && !runner.isLost && !runner.entry.isDraining &&
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -39,7 +39,7 @@
   type Session,
 } from "./runner_fleet.ts";
 import { createRunnerHealth } from "./runner_health.ts";
-import type { Occupant, Runner } from "./runner_table.ts";
+import { isOverCapacity, type Occupant, type Runner } from "./runner_table.ts";
 import { createRunTimes } from "./run_times.ts";
 import { formatStep, type WorkRecord } from "./types.ts";
 import { sortSteps } from "./urgency.ts";
@@ -62,6 +62,13 @@
 /** Time for which ended jobs are kept beyond `keepMs`, and between two cleanups, in milliseconds. */
 const RETENTION_SLACK_MS = 30_000;
 
+/** A recorded start that is to be sent. */
+interface Order {
+  readonly session: Session;
+  readonly occupant: Occupant;
+  readonly ticket: string;
+}
+
 /** Options of the controller. */
 export interface WorkControllerOptions {
   clock: Clock;
@@ -261,12 +268,36 @@
     return highest + 1;
   }
 
+  /**
+   * Releases the orders to runners whose capacity has shrunk since the decision, so
+   * that their tasks start elsewhere; a gang is released as a whole. Returns them.
+   */
+  function releaseOverCapacity(
+    orders: readonly Order[],
+    isGang: boolean,
+  ): Set<Order> {
+    const released = new Set<Order>();
+    const isOver = ({ session }: Order) => isOverCapacity(session.runner);
+    const isWholeReleased = isGang && orders.some(isOver);
+    for (const order of orders) {
+      if (!isWholeReleased && !isOver(order)) continue;
+      released.add(order);
+      fleet.release(order.session.runner, order.occupant);
+    }
+    if (released.size === 0) return released;
+    const occupants = [...released].map(({ occupant }) => occupant);
+    logger.info("Starts held back after a runner shrank", {
+      runs: occupants.map(({ key }) => key),
+    });
+    void fleet.endRuns(occupants, "lost");
+    return released;
+  }
+
   async function startPlanned(start: PlannedStart): Promise<void> {
     const { step } = start;
     const { job, occurrence } = step;
     const records: WorkRecord[] = [];
-    const orders: { session: Session; occupant: Occupant; ticket: string }[] =
-      [];
+    const orders: Order[] = [];
     // Members of a gang share one run number; other tasks have separate ones.
     const groups = step.spec.gang
       ? [start.placements]
@@ -313,7 +344,10 @@
       }
       return;
     }
-    for (const { session, occupant, ticket } of orders) {
+    const heldBack = releaseOverCapacity(orders, step.spec.gang);
+    for (const order of orders) {
+      const { session, occupant, ticket } = order;
+      if (heldBack.has(order)) continue;
       if (session.runner.isClosed) {
         void fleet.endRuns([occupant], "lost");
       } else if (!fleet.isWanted(occupant.task, occupant.run)) {
