Take no headroom from a pool for what a shrunk runner uses beyond its capacity

Callers would see tasks below priority 0 wait beside idle runners while another runner of the pool uses more than its shrunk capacity.

Cause: the use of all runners is compared with their capacity less the share kept for priority 0, and what one runner uses beyond its capacity counted against the others.

A runner's use now counts up to its capacity.

--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -218,8 +218,10 @@
     const heldFor = gangHolds.get(runner.life);
     const suspectJob = findSuspectJob(runner);
     candidates.push({ runner, free, reserved, heldFor, suspectJob, placed: 0 });
-    used += runner.used.processors;
-    capacity += runner.entry.capacity.processors;
+    const { processors } = runner.entry.capacity;
+    // What a shrunk runner uses beyond its capacity takes nothing from the others.
+    used += Math.min(runner.used.processors, processors);
+    capacity += processors;
   }
   return { candidates, largestFree, used, claimed: 0, capacity };
 }
