Test that a late growth is not used after the next shrink

A runner grows and shrinks back; the heartbeat with the growth is delayed by 7.5 s. The heartbeats since are like the recorded one, so the instances that got them answered them, and the leader takes the late one for the newest until the next heartbeat.

--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -130,6 +130,8 @@
   add(entry: RunnerEntry): RunnerFaults;
   /** Changes the capacity of a runner while it runs; returns what it announces from now on. */
   changeCapacity(id: string, capacity: Resources): RunnerEntry;
+  /** Returns the current time of a runner's own clock in milliseconds. */
+  readClock(id: string): number;
   /** Ends an incarnation at once; its runs and ends are lost. */
   crash(id: string): void;
   /** Returns the number of runners that tasks have crashed so far. */
@@ -207,6 +209,14 @@
     return true;
   }
 
+  function getRunner(id: string): ModelRunner {
+    const runner = findRunner({ id, address: "" });
+    if (runner === undefined) {
+      throw createFault("notFound", `Cannot find runner "${id}"`);
+    }
+    return runner;
+  }
+
   /** Returns the time on the runner's own clock, in whole milliseconds. */
   function readClock(runner: ModelRunner): number {
     return Math.floor(clock.now() - runner.clockStartMs);
@@ -607,10 +617,7 @@
     },
     countCrashes: () => runnerCrashes,
     changeCapacity(id, capacity) {
-      const runner = findRunner({ id, address: "" });
-      if (runner === undefined) {
-        throw createFault("notFound", `Cannot find runner "${id}"`);
-      }
+      const runner = getRunner(id);
       runner.formerCapacities.push({
         capacity: runner.entry.capacity,
         untilMs: clock.now() + SHRINK_DELAY_MS,
@@ -618,6 +625,7 @@
       runner.entry = { ...runner.entry, capacity };
       return runner.entry;
     },
+    readClock: (id) => readClock(getRunner(id)),
     listRunning() {
       return [...runners.values()].flatMap((runner) =>
         [...runner.runs.values()].map(({ order }) => ({
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -377,7 +377,12 @@
       sequences.set(id, sequence);
       // Like a log member, which answers an announcement without changes itself.
       if (!hasChanges(state, entry)) return;
-      await getController().announceRunner({ entry, sequence, remainingMs: 0 });
+      await getController().announceRunner({
+        entry,
+        sequence,
+        remainingMs: 0,
+        clockMs: runners.readClock(id),
+      });
     },
     submit(id, body, submitOptions = {}) {
       const { queues, workspaces } = options.configuration;
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -81,6 +81,8 @@
   readonly sequence: number;
   /** Minimum time until a draining runner leaves, in milliseconds. */
   readonly remainingMs: number;
+  /** Time of the runner's own clock when it was sent, in milliseconds; undefined if unknown. */
+  readonly clockMs?: number;
 }
 
 /** Options of the fleet. */
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -822,3 +822,30 @@
   t.equal(orders, 1);
   t.equal(getState(model, "job"), "completed");
 });
+
+// Guards against a growth that arrives after the runner has shrunk again. The
+// heartbeats since are like the recorded one, so the leader has not seen them.
+t.test("a late growth is not used after the next shrink", async (t) => {
+  const model = await startModel("r1");
+  const grown = createRunnerEntry("r1");
+  await runCall(model, model.changeCapacity("r1", { processors: 1_000 }));
+  model.runners.changeCapacity("r1", grown.capacity);
+  const clockMs = model.runners.readClock("r1");
+  await model.run(1_500);
+  await runCall(model, model.changeCapacity("r1", { processors: 1_000 }));
+  await model.run(6_000);
+  void model.getController().announceRunner({
+    entry: grown,
+    sequence: 3,
+    remainingMs: 0,
+    clockMs,
+  });
+  const job = createJob([{ tasks: 3, estimatedMs: 20_000 }]);
+  await runCall(model, model.submit("job", job));
+  // The next heartbeat corrects it at the latest.
+  await model.run(1_000);
+  await runCall(model, model.changeCapacity("r1", { processors: 1_000 }));
+  await model.run(500);
+  t.equal(model.runners.listRunning().length, 1);
+  t.strictSame(model.runners.violations, []);
+});
