Let a late heartbeat enlarge no capacity

Callers would see starts beyond the capacity of a runner that grew and shrank back, from a delayed heartbeat until the next one (LIMIT).

Cause: a heartbeat like the recorded one is answered by the instance that gets it, so the leader does not see its sequence number, and an older heartbeat that differs passes for a newer one.

A heartbeat carries the runner's clock, which the leader knows from its polls. One that is over 2 s old enlarges nothing; the next heartbeat does, if it still shows the growth.

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -28,6 +28,7 @@
 import {
   addOccupant,
   createRunner,
+  estimateRunnerClock,
   formatRun,
   hasOpenStart,
   isStartPending,
@@ -74,6 +75,13 @@
 /** Pause after each batch of first polls, in milliseconds. */
 const RESTORE_POLL_INTERVAL_MS = 8;
 
+/**
+ * Age of an announcement up to which it may enlarge the capacity, in milliseconds. By
+ * then a runner has sent its next one, and a shrink in it does not count yet: that
+ * takes its contact time of 3 s and one heartbeat of 1.5 s.
+ */
+const MAX_GROWTH_DELAY_MS = 2_000;
+
 /** An announcement that a runner sends. */
 export interface RunnerAnnouncement {
   readonly entry: RunnerEntry;
@@ -641,13 +649,38 @@
     );
   }
 
-  /** Records what a known incarnation newly announces. */
+  /**
+   * Tells whether an announcement was delayed for so long that newer ones must have
+   * been sent. This leader sees none that are like the recorded one, so the sequence
+   * numbers do not tell.
+   */
+  function isLateAnnouncement(
+    runner: Runner,
+    { clockMs }: RunnerAnnouncement,
+  ): boolean {
+    if (clockMs === undefined) return false;
+    const runnerMs = estimateRunnerClock(runner, clock.now());
+    // Without a reading, nothing is placed on the runner anyway.
+    return runnerMs === undefined || runnerMs - clockMs > MAX_GROWTH_DELAY_MS;
+  }
+
+  /** Records what a known incarnation newly announces; a late growth is left out. */
   async function updateRunner(
     runner: Runner,
-    { entry, sequence }: RunnerAnnouncement,
+    announcement: RunnerAnnouncement,
   ): Promise<void> {
+    const { sequence } = announcement;
     if (sequence < runner.sequence) return;
     runner.sequence = sequence;
+    const entry = isLateAnnouncement(runner, announcement)
+      ? {
+        ...announcement.entry,
+        capacity: computeSmallerResources(
+          runner.entry.capacity,
+          announcement.entry.capacity,
+        ),
+      }
+      : announcement.entry;
     const recorded = state.getRunner(entry.id);
     const isRecorded = recorded !== undefined && isSameRunner(recorded, entry);
     if (isRecorded && isSameRunner(runner.entry, entry)) return;
