Test that a growth is used if only the reply to its record is lost

The growth is recorded although the leader was told that it is not. As no heartbeat differs from the record any more, none reaches the leader.

--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -849,3 +849,30 @@
   t.equal(model.runners.listRunning().length, 1);
   t.strictSame(model.runners.violations, []);
 });
+
+// Guards against a growth that no heartbeat shows to the leader any more, since it
+// is recorded although the leader was told that it is not.
+t.test("a growth recorded without a reply is used", async (t) => {
+  let hasReply = true;
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    isRefused(records) {
+      if (hasReply || records[0]?.kind !== "runner") return false;
+      model.state.apply(encodeRecords(records), 0);
+      return true;
+    },
+  });
+  await model.addRunner("r1");
+  await runCall(model, model.changeCapacity("r1", { processors: 1_000 }));
+  hasReply = false;
+  const grown = model.changeCapacity("r1", { processors: 8_000 });
+  t.equal(await runCall(model, grown.catch(() => "refused")), "refused");
+  hasReply = true;
+  t.equal(model.state.getRunner("r1")?.capacity.processors, 8_000);
+  await runCall(model, model.changeCapacity("r1", { processors: 8_000 }));
+  const job = createJob([{ tasks: 6, estimatedMs: 20_000 }]);
+  await runCall(model, model.submit("job", job));
+  await model.run(1_500);
+  t.equal(model.runners.listRunning().length, 6);
+  t.strictSame(model.runners.violations, []);
+});
