Use a growth once it is recorded, even if the reply to its record is lost

Callers would see capacity left unused until the runner's next change or the next leader, after a record that failed at the leader although it was committed.

Cause: only the reply to the record put the grown capacity to use.

Applying a runner's record now does, if it matches the runner's newest announcement.

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -153,6 +153,8 @@
   /** Stops all runs of a job. */
   stopJob(id: string): void;
   announceRunner(announcement: RunnerAnnouncement): Promise<void>;
+  /** Uses the recorded entry of a runner, unless a newer announcement is being recorded. */
+  applyRunner(id: string): void;
   removeRunner(id: string): Promise<void>;
   /** Restores the runners and runs from the recorded state; called once. */
   restore(): void;
@@ -664,6 +666,17 @@
     return runnerMs === undefined || runnerMs - clockMs > MAX_GROWTH_DELAY_MS;
   }
 
+  /**
+   * Uses the recorded entry of a runner once it matches its newest announcement. Its
+   * record may be applied although the reply to it was lost.
+   */
+  function applyRunner(id: string): void {
+    const runner = findSessionById(id)?.runner;
+    const recorded = state.getRunner(id);
+    if (runner === undefined || recorded === undefined) return;
+    if (isSameRunner(recorded, runner.announced)) runner.entry = recorded;
+  }
+
   /** Records what a known incarnation newly announces; a late growth is left out. */
   async function updateRunner(
     runner: Runner,
@@ -689,14 +702,14 @@
     // otherwise that one could find more in use than there is capacity.
     const capacity = computeSmallerResources(former, entry.capacity);
     runner.entry = { ...entry, capacity };
+    runner.announced = entry;
     if (!isRecorded) {
       await options.queue.record([{
         kind: "runner",
         runner: { ...entry, sequence },
       }]);
     }
-    // A newer announcement may have arrived meanwhile.
-    if (runner.sequence === sequence) runner.entry = entry;
+    applyRunner(entry.id);
     logger.info("Runner changed", {
       runner: runner.life,
       draining: entry.isDraining,
@@ -885,6 +898,7 @@
     stopGang,
     stopJob,
     announceRunner,
+    applyRunner,
     removeRunner,
     restore: restoreRuns,
     checkRuns() {
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -61,7 +61,10 @@
 
 /** One incarnation of a runner. */
 export interface Runner {
+  /** What counts of it: a growth only once it is recorded. */
   entry: RunnerEntry;
+  /** Its newest announcement that this leader has received. */
+  announced: RunnerEntry;
   /** Key of this incarnation; see `formatIncarnation`. */
   readonly life: string;
   used: Resources;
@@ -107,6 +110,7 @@
 ): Runner {
   return {
     entry,
+    announced: entry,
     life: formatIncarnation(entry),
     used: NO_RESOURCES,
     occupants: new Map(),
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -499,6 +499,9 @@
           handleJobEnd(job);
         }
         break;
+      case "runner":
+        fleet.applyRunner(record.runner.id);
+        break;
     }
     startPlan();
   }
