--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -190,13 +190,13 @@
   return true;
 }
 
-function canArrive(sentMs: number | undefined, nowMs: number): boolean {
+function isInFlight(sentMs: number | undefined, nowMs: number): boolean {
   return sentMs !== undefined && nowMs - sentMs < MAX_ORDER_DELAY_MS;
 }
 
 /** Tells whether a start of the run is known to have got no reply and may still be executed. */
 export function hasOpenStart(occupant: Occupant, nowMs: number): boolean {
-  return canArrive(occupant.openStartMs, nowMs);
+  return isInFlight(occupant.openStartMs, nowMs);
 }
 
 /**
@@ -207,7 +207,7 @@
 export function isStartPending(occupant: Occupant, nowMs: number): boolean {
   const { orderSentMs, isListed, isRestored } = occupant;
   return hasOpenStart(occupant, nowMs) ||
-    ((!isListed || isRestored) && canArrive(orderSentMs, nowMs));
+    ((!isListed || isRestored) && isInFlight(orderSentMs, nowMs));
 }
 
 /** Estimates the current time of the runner's clock in milliseconds; undefined before the first reading. */
