--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -392,7 +392,7 @@
     const { runner } = session;
     if (runner.isClosed) return;
     runner.isClosed = true;
-    // Recorded before the ends, so that no task starts again before its crash counts.
+    // Its runs are still there, and tell what may have caused the crash.
     const crashRecorded = hasCrashed && !runner.entry.isDraining
       ? recordCrash(runner)
       : undefined;
@@ -415,11 +415,12 @@
     });
     if (runner.occupants.size > 0) unsettled.add(runner);
     if (successor !== undefined) stopUnsettled(successor);
-    // While runs are unsettled, the incarnation stays recorded, so that the next
-    // leader waits for them as well.
+    // Before the ends, so that no task starts again before its crash counts.
     await crashRecorded;
     await Promise.all([
       endRuns(lost, "lost"),
+      // While runs are unsettled, the incarnation stays recorded, so that the next
+      // leader waits for them as well.
       unsettled.has(runner) ? undefined : recordGone(runner),
     ]);
   }
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -79,7 +79,7 @@
   leaseEndMs: number;
   /** Local time of the last accepted poll in milliseconds; undefined before the first. */
   contactMs: number | undefined;
-  /** Local time of the last reply that certainly came from this incarnation, in milliseconds; undefined before the first. */
+  /** Local time of the last reply of this incarnation in milliseconds; undefined before the first. */
   lastReplyMs: number | undefined;
   /** True after an unanswered poll or order, until the next accepted poll. */
   isUnresponsive: boolean;
