--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -7,21 +7,13 @@
   createWorkModel,
   type WorkModel,
 } from "../model/mod.ts";
+import {
+  createJobAddress,
+  getJobState,
+  runCall,
+} from "../../test/work_model_calls.ts";
 import { encodeRecords } from "./work_state.ts";
 
-function createAddress(model: WorkModel, id: string) {
-  const queue = model.state.getConfiguration()?.queues[0];
-  return {
-    host: queue?.host ?? "",
-    path: `${queue?.pathPrefix}${id}`,
-    key: "key-0",
-  };
-}
-
-function getState(model: WorkModel, id: string) {
-  return model.getController().getState(createAddress(model, id));
-}
-
 /** Starts a cell with one queue and the named runners. */
 async function startModel(...runners: string[]): Promise<WorkModel> {
   const model = createWorkModel({ configuration: createModelConfiguration() });
@@ -37,18 +29,6 @@
   return model;
 }
 
-// Advances the model until a call has ended.
-async function runCall<Value>(
-  model: WorkModel,
-  call: Promise<Value>,
-): Promise<Value> {
-  let isDone = false;
-  const ended = call.finally(() => isDone = true);
-  ended.catch(() => {});
-  while (!isDone) await model.run(5);
-  return await ended;
-}
-
 t.test("steps run in order", async (t) => {
   const model = await startModel("r1");
   await runCall(
@@ -68,7 +48,7 @@
   await model.run(250);
   t.ok(model.runners.listRunning().every(({ task }) => task.step === 1));
   await model.run(400);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
   t.equal(model.runners.countStarts(), 5);
   t.strictSame(model.runners.violations, []);
 });
@@ -86,7 +66,7 @@
   }
   await model.run(20_000);
   for (let number = 0; number < 10; number += 1) {
-    t.equal(getState(model, `job-${number}`), "completed");
+    t.equal(getJobState(model, `job-${number}`), "completed");
   }
   t.strictSame(model.runners.violations, []);
 });
@@ -103,7 +83,7 @@
   await model.run(3_300);
   await runCall(model, model.submit("job", createJob([{ tasks: 3 }])));
   await model.run(900);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
   t.strictSame(model.runners.violations, []);
 });
 
@@ -117,7 +97,7 @@
   first.refusesConnections = true;
   await runCall(model, model.submit("job", createJob([{ tasks: 3 }])));
   await model.run(900);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
   t.strictSame(model.runners.violations, []);
 });
 
@@ -163,7 +143,7 @@
   await model.run(100);
   t.notOk(model.runners.listRunning().some(({ task }) => task.job === "gang"));
   await model.run(2_000);
-  t.equal(getState(model, "gang"), "completed");
+  t.equal(getJobState(model, "gang"), "completed");
   t.strictSame(model.runners.violations, []);
 });
 
@@ -179,7 +159,7 @@
   }
   await model.run(6_000);
   for (let number = 0; number < 6; number += 1) {
-    t.equal(getState(model, `job-${number}`), "completed");
+    t.equal(getJobState(model, `job-${number}`), "completed");
   }
   t.strictSame(model.runners.violations, []);
 });
@@ -244,7 +224,7 @@
   await model.run(300);
   await model.addRunner("r1", { startedMs: 2 });
   await model.run(1_500);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
   t.strictSame(model.runners.violations, []);
 });
 
@@ -268,7 +248,7 @@
     remainingMs: 0,
   });
   await model.run(3_000);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
   t.strictSame(model.runners.violations, []);
 });
 
@@ -288,7 +268,7 @@
   while (model.runners.countStarts() === 0) await model.run(1);
   model.changeLeader();
   await model.run(2_000);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
   t.equal(model.runners.countStarts(), 1);
   t.strictSame(model.runners.violations, []);
 });
@@ -308,7 +288,7 @@
   await model.run(10_000);
   await model.addRunner("r1", { startedMs: 2 });
   await model.run(30_000);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
   t.strictSame(model.runners.violations, []);
 });
 
@@ -360,7 +340,7 @@
   await model.run(1_000);
   trouble.orderDelayMs = 0;
   await model.run(8_000);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
   t.strictSame(model.runners.violations, []);
 });
 
@@ -374,9 +354,9 @@
   t.equal(model.runners.listRunning().length, 3);
   await runCall(
     model,
-    model.getController().cancel(createAddress(model, "job")),
+    model.getController().cancel(createJobAddress(model, "job")),
   );
-  t.equal(getState(model, "job"), "cancelled");
+  t.equal(getJobState(model, "job"), "cancelled");
   await model.run(400);
   t.equal(model.runners.listRunning().length, 0);
 });
@@ -396,7 +376,7 @@
   await model.addRunner("r1");
   await runCall(model, model.submit("job", createJob([{}])));
   await model.run(3_000);
-  t.equal(getState(model, "job"), "failed");
+  t.equal(getJobState(model, "job"), "failed");
   t.equal(model.runners.countStarts(), 3);
 });
 
@@ -418,7 +398,7 @@
   await model.run(5_000);
   let completed = 0;
   for (let number = 0; number < 40; number += 1) {
-    if (getState(model, `job-${number}`) === "completed") completed += 1;
+    if (getJobState(model, `job-${number}`) === "completed") completed += 1;
   }
   t.equal(completed, 40);
 });
@@ -432,7 +412,7 @@
   await model.run(1_000);
   await model.addRunner("r2");
   await model.run(10_000);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
   t.strictSame(model.runners.violations, []);
 });
 
@@ -452,7 +432,7 @@
     most = Math.max(most, model.runners.getProcessorsUsed());
   }
   t.equal(most, 2_000);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
 });
 
 t.test("a step runs on eligible runners only", async (t) => {
@@ -474,7 +454,7 @@
     for (const { runner } of model.runners.listRunning()) seen.add(runner);
   }
   t.strictSame([...seen], ["r2"]);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
 });
 
 t.test("a job submitted twice runs once", async (t) => {
@@ -492,7 +472,7 @@
 
 t.test("unauthorized and unknown calls are refused", (t) => {
   const model = createWorkModel({ configuration: createModelConfiguration() });
-  const address = createAddress(model, "job");
+  const address = createJobAddress(model, "job");
   const kinds: unknown[] = [];
   for (
     const wrong of [
@@ -578,7 +558,7 @@
     { queue: "slow" },
   );
   await model.run(14_000);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
   t.ok(model.countQueries("job") <= 3, `${model.countQueries("job")}`);
 });
 
@@ -598,7 +578,7 @@
   isFull = false;
   await model.addRunner("r2");
   await model.run(8_000);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
   t.strictSame(model.runners.violations, []);
 });
 
@@ -626,7 +606,7 @@
     t.ok(startMs >= number * 1_000, `${startMs}`);
     t.ok(startMs < number * 1_000 + 600, `${startMs}`);
   });
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
 });
 
 t.test("a long-running task is restarted until it is cancelled", async (t) => {
@@ -644,10 +624,10 @@
   await model.addRunner("r1", { startedMs: 2 });
   await model.run(2_000);
   t.equal(model.runners.listRunning().length, 2);
-  t.equal(getState(model, "job"), "running");
+  t.equal(getJobState(model, "job"), "running");
   await runCall(
     model,
-    model.getController().cancel(createAddress(model, "job")),
+    model.getController().cancel(createJobAddress(model, "job")),
   );
   await model.run(500);
   t.equal(model.runners.listRunning().length, 0);
@@ -693,7 +673,7 @@
   t.equal(model.runners.countStarts(), 3);
   t.equal(model.runners.listRunning().length, 3);
   await model.run(3_000);
-  t.equal(getState(model, "other"), "completed");
+  t.equal(getJobState(model, "other"), "completed");
 });
 
 // Guards against capacity that stays unused after it has grown again.
@@ -795,7 +775,7 @@
   t.equal(model.runners.countStarts(), 0);
   await model.addRunner("r3");
   await model.run(4_000);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
   t.equal(model.runners.countStarts(), 6);
   t.strictSame(model.runners.violations, []);
 });
@@ -820,7 +800,7 @@
   await model.addRunner("r2");
   await model.run(3_000);
   t.equal(orders, 1);
-  t.equal(getState(model, "job"), "completed");
+  t.equal(getJobState(model, "job"), "completed");
 });
 
 // Guards against a growth that arrives after the runner has shrunk again. The
