--- a/src/workload/open_starts.ts
+++ b/src/workload/open_starts.ts
@@ -4,7 +4,7 @@
  * same id knows nothing of it and would execute the copy.
  */
 
-import { MAX_ORDER_DELAY_MS } from "./constants.ts";
+import { isInFlight } from "./runner_table.ts";
 import type { TaskRef } from "./types.ts";
 
 /** A start without a reply. */
@@ -40,9 +40,7 @@
     },
     removeExpired(nowMs) {
       if (starts.length === 0) return;
-      starts = starts.filter(({ sentMs }) =>
-        nowMs - sentMs < MAX_ORDER_DELAY_MS
-      );
+      starts = starts.filter(({ sentMs }) => isInFlight(sentMs, nowMs));
     },
   };
 }
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -243,8 +243,7 @@
   }
 
   function isWanted(task: TaskRef, run: number): boolean {
-    const job = state.getJob(task.job);
-    return job !== undefined && isOpenJob(job) && isRecordedActive(task, run);
+    return isOpen(task.job) && isRecordedActive(task, run);
   }
 
   function createEnd(
@@ -259,9 +258,11 @@
     runs: readonly RunView[],
     outcome: RunOutcome,
   ): Promise<void> {
-    const current = runs.filter(({ task, run }) => isRecordedActive(task, run));
-    if (current.length === 0) return;
-    await options.record(current.map((view) => createEnd(view, outcome)));
+    const records = runs
+      .filter(({ task, run }) => isRecordedActive(task, run))
+      .map((view) => createEnd(view, outcome));
+    if (records.length === 0) return;
+    await options.record(records);
     options.handleChange();
   }
 
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -190,7 +190,11 @@
   return true;
 }
 
-function isInFlight(sentMs: number | undefined, nowMs: number): boolean {
+/** Tells whether an order sent at local time `sentMs` may still arrive at its runner. */
+export function isInFlight(
+  sentMs: number | undefined,
+  nowMs: number,
+): boolean {
   return sentMs !== undefined && nowMs - sentMs < MAX_ORDER_DELAY_MS;
 }
 
