Give each incarnation of a runner a higher fencing token

Callers could see a task run twice, or run again after it was done, if its runner had crashed and was back under the same id while calls to the former incarnation were on their way: orders name the runner by its id only, and all orders of a leadership had the same fencing token, so the next incarnation obeyed them. A late start renewed its lease although the start itself was refused, and a late poll acknowledged ends that the leader had not seen yet.

The leader now creates a higher token for each incarnation that registers, above all tokens of lower terms. The runner does nothing for a lower token than it has seen, so after its first accepted poll no call to the former incarnation has an effect. The tokens belong to the process, not to the controller: a leader that loses its lease and gets it back in the same term starts a new controller. Replies to a closed incarnation's orders are left out, as its successor refuses its token.

Ruled out: longer assumed leases (13 s for the delay and 10 s for the lease, so each runner that is lost soon after a restart would hold its tasks for over 20 s).

--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -15,6 +15,7 @@
 } from "../common/mod.ts";
 import {
   type Configuration,
+  createFencingTokens,
   createWorkState,
   type EligibilityAnswer,
   type EligibilityQuery,
@@ -210,7 +211,8 @@
   const commitMs = options.commitMs ?? 12;
   /** Sequence number of the newest announcement, by runner. */
   const sequences = new Map<string, number>();
-  let fence = 0;
+  let newestTerm = 0;
+  const fencingTokens = createFencingTokens();
   let controller: WorkController | undefined;
 
   const runners = createRunnerModel({
@@ -279,14 +281,14 @@
   function changeLeader(): void {
     controller?.stop();
     runners.recordDisruption();
-    fence += 1;
-    const term = fence;
+    newestTerm += 1;
+    const term = newestTerm;
     controller = startWorkController({
       clock: wallClock,
       logger,
       state,
-      fence: term,
-      isLeading: () => term === fence,
+      createFencingToken: () => fencingTokens.create(term),
+      isLeading: () => term === newestTerm,
       propose(records: readonly WorkRecord[]) {
         if (options.isRefused?.(records) === true) {
           return Promise.reject(
@@ -298,7 +300,7 @@
         }
         return new Promise((resolve, reject) => {
           clock.setTimer(commitMs, () => {
-            if (term !== fence) {
+            if (term !== newestTerm) {
               return reject(
                 createFault(
                   "outcomeUnknown",
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -40,6 +40,7 @@
   startRpcServer,
 } from "../rpc/mod.ts";
 import {
+  createFencingTokens,
   createWorkState,
   type EligibilityAnswer,
   type EligibilityQuery,
@@ -138,6 +139,7 @@
     clock,
     unresponsiveAfterMs: RECONNECT_AFTER_MS,
   });
+  const fencingTokens = createFencingTokens();
   let ledTerm = 0;
   let controller: WorkController | undefined;
   let isStopped = false;
@@ -374,7 +376,7 @@
       logger,
       ...(metrics === undefined ? {} : { metrics }),
       state,
-      fence: term,
+      createFencingToken: () => fencingTokens.create(term),
       isLeading: () => guard.isLeading(),
       propose,
       calls: relayedCalls,
--- a/src/workload/restarted_runner_test.ts
+++ b/src/workload/restarted_runner_test.ts
@@ -11,6 +11,7 @@
   createWorkModel,
   type WorkModel,
 } from "../model/mod.ts";
+import type { HoldOrder, RunnerTarget } from "./runner_calls.ts";
 import {
   announceRunner,
   createJobAddress,
@@ -23,6 +24,26 @@
   return createWorkModel({ configuration: createModelConfiguration() });
 }
 
+/** Lets a model keep the newest poll, and returns a function that sends it once more. */
+function recordPolls(model: WorkModel) {
+  const { calls } = model.runners;
+  const { hold } = calls;
+  let newest: { target: RunnerTarget; order: HoldOrder } | undefined;
+  calls.hold = (target, order, timeoutMs) => {
+    newest = { target, order };
+    return hold(target, order, timeoutMs);
+  };
+  return {
+    /** Returns a call that sends the newest poll until now, with changes, as a late copy. */
+    takeLatePoll(changes: Partial<HoldOrder>): () => void {
+      const late = newest;
+      if (late === undefined) throw new Error("No poll was sent");
+      const order = { ...late.order, ...changes, waitMs: 0 };
+      return () => void hold(late.target, order, 500).catch(() => {});
+    },
+  };
+}
+
 // The former incarnation has confirmed a stop, of which the next one knows nothing.
 t.test("a start stopped on the former incarnation does not run on the next", async (t) => {
   const model = createModel();
@@ -185,8 +206,13 @@
 // Polls name no incarnation, so a late one acknowledges ends that it was not meant for.
 t.test("a late poll of the former incarnation does not drop an end", async (t) => {
   const model = createModel();
+  const polls = recordPolls(model);
   await model.addRunner("r1");
   await model.run(3_000);
+  const sendLatePoll = polls.takeLatePoll({
+    recordedEnds: 57,
+    untilMs: undefined,
+  });
   await model.addRunner("r1", { startedMs: 2 });
   await model.run(200);
   await runCall(
@@ -198,11 +224,7 @@
   );
   while (model.runners.listRunning().length < 2) await model.run(1);
   while (model.runners.listRunning().length > 0) await model.run(1);
-  void model.runners.calls.hold(
-    { id: "r1", address: "" },
-    { fence: 1, recordedEnds: 57, untilMs: undefined, waitMs: 0 },
-    500,
-  );
+  sendLatePoll();
   await model.run(6_000);
   t.strictSame(model.runners.violations, []);
 });
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -49,7 +49,7 @@
   calls: RunnerCalls;
   clock: Clock;
   logger: Logger;
-  /** Fencing token of the leadership. */
+  /** Fencing token of the orders to this incarnation. */
   fence: number;
   /** Longest lease that the runner accepts, in milliseconds. */
   maxLeaseMs: number;
@@ -115,6 +115,8 @@
   }
 
   function receiveOrderReply(reply: OrderReply): void {
+    // The next incarnation has its own clock and refuses this fencing token.
+    if (!isOpen()) return;
     recordClock(reply.clockMs);
     // After an unanswered call the reply may be that of the next incarnation.
     if (!runner.isUnresponsive) runner.lastReplyMs = clock.now();
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -106,8 +106,8 @@
   /** Writes records to the log; resolves to false if they were not committed or the leadership has ended. */
   record: (records: readonly WorkRecord[]) => Promise<boolean>;
   calls: RunnerCalls;
-  /** Fencing token of this leadership. */
-  fence: number;
+  /** Creates a fencing token that is higher than all earlier ones. */
+  createFencingToken: () => number;
   maxLeaseMs: number;
   isLeading: () => boolean;
   /** Waits until the messages that have arrived are read. Default: does not wait. */
@@ -302,7 +302,7 @@
   function startSession(
     entry: RunnerEntry,
     leaseEndMs: number,
-    firstPoll?: Promise<void>,
+    { fence, firstPoll }: { fence: number; firstPoll?: Promise<void> },
   ): Session {
     const runner = createRunner(entry, leaseEndMs);
     const session: Session = {
@@ -312,7 +312,7 @@
         calls: options.calls,
         clock,
         logger,
-        fence: options.fence,
+        fence,
         maxLeaseMs: options.maxLeaseMs,
         isLeading: options.isLeading,
         handlePollReply: (reply, sentAtMs) =>
@@ -747,7 +747,9 @@
       address: entry.address,
       pool: entry.pool,
     });
-    const session = startSession(recorded, announcedMs);
+    const session = startSession(recorded, announcedMs, {
+      fence: options.createFencingToken(),
+    });
     stopUnsettled(session);
     for (const other of [...sessions.values()]) {
       const { runner } = other;
@@ -808,12 +810,13 @@
   function restoreRuns(): void {
     const nowMs = clock.now();
     const leaseEndMs = nowMs + RUNNER_LEASE_MS / RUNNER_CLOCK_MIN_RATE;
+    const fence = options.createFencingToken();
     // Timers set in advance would all be due after a busy moment, and the polls
     // would run in one turn of the event loop.
     let firstPoll = Promise.resolve();
     let started = 0;
     for (const entry of state.listRunners()) {
-      startSession(entry, leaseEndMs, firstPoll);
+      startSession(entry, leaseEndMs, { fence, firstPoll });
       started += 1;
       if (started % RESTORE_POLL_BATCH !== 0) continue;
       firstPoll = firstPoll.then(waitForNextBatch);
--- a/src/workload/runner_fleet_test.ts
+++ b/src/workload/runner_fleet_test.ts
@@ -38,7 +38,7 @@
     clock: options.clock,
     logger: createSilentLogger(),
     state,
-    fence: 1,
+    createFencingToken: () => 1,
     isLeading: () => true,
     propose: () => Promise.resolve(),
     calls: {
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -75,8 +75,8 @@
   logger: Logger;
   metrics?: Pick<Metrics, "addCount" | "setGauge" | "recordDuration">;
   state: WorkState;
-  /** Fencing token of this leadership. */
-  fence: number;
+  /** Creates a fencing token that is higher than all earlier ones. */
+  createFencingToken: () => number;
   /** Returns whether this process still holds the leadership. */
   isLeading: () => boolean;
   /** Writes records to the log; resolves once they are committed and applied. */
@@ -148,7 +148,7 @@
       }),
     record: recordSafely,
     calls: options.calls,
-    fence: options.fence,
+    createFencingToken: options.createFencingToken,
     maxLeaseMs: options.maxLeaseMs,
     isLeading: isActive,
     waitForTurn: options.waitForTurn,
