Assume the longest lease of a runner that has just come back

Callers could see a task run twice if a runner came back under its id, got a task and was cut off within some seconds: a poll or start for the former incarnation that arrived before the first poll of the next one has a lease on the former clock, which the runner cuts to its maximum of 10 s. The leader expected 6.5 s and started the task elsewhere meanwhile.

The first accepted poll of an incarnation that follows another one under its id within 13 s now counts as granting the longest lease. Later ones need no such allowance, as its fencing token excludes late calls from then on. New ids and a restored incarnation keep the lease that the leader has granted.

--- a/src/workload/restarted_runner_test.ts
+++ b/src/workload/restarted_runner_test.ts
@@ -229,6 +229,34 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// A late poll that arrives before the first one of the next incarnation grants it the
+// longest lease, which is longer than the one that the leader grants.
+t.test("the lease in an early late poll is known when the next incarnation is cut off", async (t) => {
+  const model = createModel();
+  const polls = recordPolls(model);
+  await model.addRunner("r1");
+  await model.run(30_000);
+  const sendLatePoll = polls.takeLatePoll({});
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  const faults = model.runners.add(next);
+  sendLatePoll();
+  announceRunner(model, next);
+  await model.run(30);
+  await runCall(
+    model,
+    model.submit("job", createJob([{ estimatedMs: 60_000 }])),
+  );
+  await runUntil(model, 31_200);
+  await model.addRunner("r2");
+  t.strictSame(
+    model.runners.listRunning().map(({ runner }) => runner),
+    ["r1"],
+  );
+  faults.isPartitioned = true;
+  await model.run(12_000);
+  t.strictSame(model.runners.violations, []);
+});
+
 // Scenario: the incident TWICE. The first poll of the next incarnation lists a run whose
 // end is still being recorded.
 t.test("a run whose end is being recorded is not taken over", async (t) => {
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -31,6 +31,7 @@
   isOverCapacity,
   type Occupant,
   recordGrant,
+  recordLease,
   type Runner,
 } from "./runner_table.ts";
 
@@ -150,6 +151,12 @@
     recordClock(reply.clockMs);
     runner.isUnresponsive = false;
     runner.contactMs = clock.now();
+    if (runner.mayHoldFormerLease) {
+      // From now on the fencing token excludes orders for a former incarnation, but
+      // one of them may have granted the longest lease just before.
+      runner.mayHoldFormerLease = false;
+      recordLease(runner, runner.contactMs, options.maxLeaseMs);
+    }
     runner.lastReplyMs = runner.contactMs;
     await options.handlePollReply(reply, sentAtMs);
   }
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -31,6 +31,7 @@
   estimateRunnerClock,
   formatRun,
   hasOpenStart,
+  isInFlight,
   isStartPending,
   type Occupant,
   recordLease,
@@ -170,6 +171,8 @@
   /** Closed incarnations with runs that the next incarnation may still start. */
   const unsettled = new Set<Runner>();
   const openStarts = createOpenStarts();
+  /** Local time at which the newest incarnation of a runner id was closed, in milliseconds. */
+  const closedMs = new Map<string, number>();
   const runnersByPool = new Map<string, Runner[]>();
   const health = options.createHealth(listPool);
   let isStopped = false;
@@ -399,6 +402,7 @@
       : undefined;
     session.driver.stop();
     sessions.delete(runner.life);
+    closedMs.set(runner.entry.id, clock.now());
     const list = listPool(runner.entry.pool);
     list.splice(list.indexOf(runner), 1);
     options.calls.release(runner.entry.address);
@@ -489,6 +493,9 @@
 
   /** Ends runs without contact to their runner once their start can no longer arrive. */
   function checkUnsettled(): void {
+    for (const [id, atMs] of closedMs) {
+      if (!isInFlight(atMs, clock.now())) closedMs.delete(id);
+    }
     for (const { runner } of sessions.values()) {
       if (!runner.isLost) continue;
       runner.lostOccupants.push(...endSettled(runner, hasOpenStart));
@@ -750,6 +757,8 @@
     const session = startSession(recorded, announcedMs, {
       fence: options.createFencingToken(),
     });
+    session.runner.mayHoldFormerLease = known !== undefined ||
+      isInFlight(closedMs.get(entry.id), announcedMs);
     stopUnsettled(session);
     for (const other of [...sessions.values()]) {
       const { runner } = other;
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -77,6 +77,11 @@
   clockSample: { clockMs: number; atMs: number } | undefined;
   /** Local time after which its lease has certainly ended, in milliseconds. */
   leaseEndMs: number;
+  /**
+   * True until the first accepted poll of an incarnation that may have executed orders
+   * for a former one before.
+   */
+  mayHoldFormerLease: boolean;
   /** Local time of the last accepted poll in milliseconds; undefined before the first. */
   contactMs: number | undefined;
   /** Local time of the last reply of this incarnation in milliseconds; undefined before the first. */
@@ -118,6 +123,7 @@
     lostOccupants: [],
     clockSample: undefined,
     leaseEndMs,
+    mayHoldFormerLease: false,
     contactMs: undefined,
     lastReplyMs: undefined,
     isUnresponsive: false,
