Take the ports of the gateway's tests from below the ephemeral range

The test had let the kernel choose a port, closed the listener and listened on the port again some time later. 44871 lies in the ephemeral range (32768 to 60999), from which the kernel also takes the local ports of outgoing connections, so any of the test processes that run beside it may have taken it in between.

The test now uses findFreePorts, like the other tests that need a port before its listener, which searches below that range and in a block of its own process.

--- a/src/gateway/gateway_test.ts
+++ b/src/gateway/gateway_test.ts
@@ -1,7 +1,6 @@
-import type { AddressInfo } from "node:net";
-import { createServer } from "node:net";
 import type { ServerDuplexStream } from "@grpc/grpc-js";
 import t from "tap";
+import { findFreePorts } from "../../test/processes.ts";
 import {
   createFault,
   createSilentLogger,
@@ -27,10 +26,7 @@
 const CALL: WorkCall = { kind: "readConfiguration" };
 
 async function findPort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
+  const [port = 0] = await findFreePorts(1);
   return port;
 }
 
