--- a/src/workload/restarted_runner_test.ts
+++ b/src/workload/restarted_runner_test.ts
@@ -24,6 +24,18 @@
   return createWorkModel({ configuration: createModelConfiguration() });
 }
 
+/** Submits a job while orders to its only runner are executed late and get no reply. */
+async function startLateJob(
+  { delayMs, estimatedMs }: { delayMs: number; estimatedMs: number },
+) {
+  const model = createModel();
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = delayMs;
+  await runCall(model, model.submit("job", createJob([{ estimatedMs }])));
+  return { model, first };
+}
+
 /** Lets a model keep the newest poll, and returns a function that sends it once more. */
 function recordPolls(model: WorkModel) {
   const { calls } = model.runners;
@@ -46,14 +58,10 @@
 
 // The former incarnation has confirmed a stop, of which the next one knows nothing.
 t.test("a start stopped on the former incarnation does not run on the next", async (t) => {
-  const model = createModel();
-  const first = await model.addRunner("r1");
-  await model.run(100);
-  first.orderDelayMs = 4_000;
-  await runCall(
-    model,
-    model.submit("job", createJob([{ estimatedMs: 20_000 }])),
-  );
+  const { model } = await startLateJob({
+    delayMs: 4_000,
+    estimatedMs: 20_000,
+  });
   await model.run(60);
   await model.addRunner("r2");
   await model.run(800);
@@ -72,14 +80,10 @@
 
 // The same, while the next run is at work on the runner that crashes.
 t.test("an earlier start does not run on the next incarnation beside a later one", async (t) => {
-  const model = createModel();
-  const first = await model.addRunner("r1");
-  await model.run(100);
-  first.orderDelayMs = 4_000;
-  await runCall(
-    model,
-    model.submit("job", createJob([{ estimatedMs: 20_000 }])),
-  );
+  const { model, first } = await startLateJob({
+    delayMs: 4_000,
+    estimatedMs: 20_000,
+  });
   await model.run(1_200);
   first.orderDelayMs = 0;
   await model.addRunner("r2");
@@ -96,14 +100,10 @@
 
 // The stop on the first successor says nothing to the second one.
 t.test("a runner that crashes twice in a row runs no former start", async (t) => {
-  const model = createModel();
-  const first = await model.addRunner("r1");
-  await model.run(100);
-  first.orderDelayMs = 2_000;
-  await runCall(
-    model,
-    model.submit("job", createJob([{ estimatedMs: 5_000 }])),
-  );
+  const { model } = await startLateJob({
+    delayMs: 2_000,
+    estimatedMs: 5_000,
+  });
   await model.run(60);
   await model.addRunner("r1", { startedMs: 2 });
   await model.addRunner("r1", { startedMs: 3 });
@@ -115,14 +115,10 @@
 
 // The copy is of the former leader and arrives before the new fencing token does.
 t.test("an earlier copy of the former leader does not run beside the next run", async (t) => {
-  const model = createModel();
-  const first = await model.addRunner("r1");
-  await model.run(100);
-  first.orderDelayMs = 4_000;
-  await runCall(
-    model,
-    model.submit("job", createJob([{ estimatedMs: 20_000 }])),
-  );
+  const { model, first } = await startLateJob({
+    delayMs: 4_000,
+    estimatedMs: 20_000,
+  });
   await model.run(60);
   first.orderDelayMs = 0;
   await model.run(1_000);
@@ -140,11 +136,10 @@
 
 // A copy may arrive after the run has ended and the next incarnation is at work.
 t.test("an earlier copy of a done run does not run on the next incarnation", async (t) => {
-  const model = createModel();
-  const first = await model.addRunner("r1");
-  await model.run(100);
-  first.orderDelayMs = 3_000;
-  await runCall(model, model.submit("job", createJob([{ estimatedMs: 300 }])));
+  const { model, first } = await startLateJob({
+    delayMs: 3_000,
+    estimatedMs: 300,
+  });
   await model.run(60);
   first.orderDelayMs = 0;
   await model.run(1_500);
@@ -156,14 +151,10 @@
 
 // Guards against a task of a cancelled job that runs until the next long poll.
 t.test("a start of a cancelled job is stopped on the next incarnation at once", async (t) => {
-  const model = createModel();
-  const first = await model.addRunner("r1");
-  await model.run(100);
-  first.orderDelayMs = 4_000;
-  await runCall(
-    model,
-    model.submit("job", createJob([{ estimatedMs: 20_000 }])),
-  );
+  const { model } = await startLateJob({
+    delayMs: 4_000,
+    estimatedMs: 20_000,
+  });
   await model.run(1_200);
   await runCall(
     model,
@@ -260,11 +251,10 @@
 // Scenario: the incident TWICE. The first poll of the next incarnation lists a run whose
 // end is still being recorded.
 t.test("a run whose end is being recorded is not taken over", async (t) => {
-  const model = createModel();
-  const first = await model.addRunner("r1");
-  await model.run(100);
-  first.orderDelayMs = 600;
-  await runCall(model, model.submit("job", createJob([{ estimatedMs: 547 }])));
+  const { model } = await startLateJob({
+    delayMs: 600,
+    estimatedMs: 547,
+  });
   await model.run(50);
   const next = createRunnerEntry("r1", { startedMs: 2 });
   model.runners.add(next);
