--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -13,6 +13,7 @@
 } from "../common/mod.ts";
 import {
   formatTask,
+  type HoldOrder,
   type HoldReply,
   type ListedEnd,
   type OrderReply,
@@ -20,6 +21,7 @@
   type RunnerEntry,
   type RunnerTarget,
   type StartOrder,
+  type StopOrder,
   type TaskRef,
 } from "../workload/mod.ts";
 
@@ -35,6 +37,8 @@
   fails: boolean;
   /** Delay before orders are executed, in milliseconds; such orders get no answer. 0 executes and answers at once. */
   orderDelayMs: number;
+  /** The same for all calls: starts, stops and polls. */
+  callDelayMs: number;
   /** Factor applied to each run time. */
   runTimeFactor: number;
 }
@@ -59,8 +63,10 @@
   stopMs: number | undefined;
 }
 
-/** A run that ended "done", kept to detect that its task is started again. */
-interface DoneEnd {
+/** A run that ended by itself, kept to detect that its task is started again. */
+interface KeptEnd {
+  readonly task: TaskRef;
+  readonly outcome: "done" | "failed";
   readonly runner: string;
   readonly number: number;
   /** True once the scheduler has acknowledged the end, so that the runner may drop it. */
@@ -116,6 +122,10 @@
   delayMs?: number;
   /** Time from a stop order to the end of the run, in milliseconds. Default 100. */
   stopMs?: number;
+  /** Returns the number of failed runs after which a task must not start again. Default: no limit. */
+  getMaxAttempts?: (task: TaskRef) => number;
+  /** Returns the rate of a runner's own clock; the platform states at least 0.98. Default 1. */
+  getClockRate?: (entry: RunnerEntry) => number;
   /** Called after each crash; may add the next incarnation later. */
   handleCrash?: (entry: RunnerEntry) => void;
 }
@@ -168,6 +178,9 @@
 /** Time between two updates of the simulated runs, in milliseconds. */
 const TICK_MS = 5;
 
+/** Reply of another incarnation than the one that an order names. */
+const OTHER_LIFE: OrderReply = { outcome: "otherLife", clockMs: undefined };
+
 /** Creates a model without runners. */
 export function createRunnerModel(options: RunnerModelOptions): RunnerModel {
   const { clock } = options;
@@ -175,25 +188,33 @@
   const stopMs = options.stopMs ?? 100;
   const runners = new Map<string, ModelRunner>();
   const violations: Violation[] = [];
-  const doneEnds = new Map<string, DoneEnd[]>();
+  const keptEnds = new Map<string, KeptEnd[]>();
   /** Crashes under each task that causes them, and its starts after the last one that is allowed. */
   const crashes = new Map<string, { count: number; startsAfter: number }>();
   let runnerCrashes = 0;
   let disruptedMs = -Infinity;
   let starts = 0;
 
-  function findRunner(target: RunnerTarget): ModelRunner | undefined {
-    const runner = runners.get(target.id);
+  function findRunner(id: string): ModelRunner | undefined {
+    const runner = runners.get(id);
     return runner === undefined || runner.isGone ? undefined : runner;
   }
 
+  /** Finds the runner that listens at an address; its id may be another one than the caller expects. */
+  function findListener(address: string): ModelRunner | undefined {
+    for (const runner of runners.values()) {
+      if (!runner.isGone && runner.entry.address === address) return runner;
+    }
+    return undefined;
+  }
+
   /** Waits for the network delay; rejects after the timeout when the runner is unreachable. */
   async function findReachable(
     target: RunnerTarget,
     timeoutMs: number,
   ): Promise<ModelRunner> {
     await wait(clock, delayMs);
-    const runner = findRunner(target);
+    const runner = findListener(target.address);
     if (runner?.faults.refusesConnections === true) {
       throw createFault("unavailable", `Cannot connect to "${target.id}"`);
     }
@@ -210,7 +231,7 @@
   }
 
   function getRunner(id: string): ModelRunner {
-    const runner = findRunner({ id, address: "" });
+    const runner = findRunner(id);
     if (runner === undefined) {
       throw createFault("notFound", `Cannot find runner "${id}"`);
     }
@@ -219,7 +240,8 @@
 
   /** Returns the time on the runner's own clock, in whole milliseconds. */
   function readClock(runner: ModelRunner): number {
-    return Math.floor(clock.now() - runner.clockStartMs);
+    const rate = options.getClockRate?.(runner.entry) ?? 1;
+    return Math.floor(rate * (clock.now() - runner.clockStartMs));
   }
 
   function grantLease(runner: ModelRunner, untilMs: number): void {
@@ -238,10 +260,12 @@
     if (run === undefined) return;
     runner.runs.delete(key);
     runner.ended.set(key, run.order.run);
-    if (outcome === "done") {
-      const ends = doneEnds.get(key) ?? [];
-      doneEnds.set(key, ends);
+    if (outcome === "done" || outcome === "failed") {
+      const ends = keptEnds.get(key) ?? [];
+      keptEnds.set(key, ends);
       ends.push({
+        task: run.order.task,
+        outcome,
         runner: runner.entry.id,
         number: runner.nextEnd,
         isAcknowledged: false,
@@ -296,12 +320,31 @@
     });
   }
 
-  /** Reports a task that was started again although its end "done" is acknowledged, in either order. */
-  function checkDone(key: string, end: DoneEnd): void {
-    if (!end.isAcknowledged || end.hasLapsed || !end.hasStartedAgain) return;
+  /**
+   * Reports a task that was started again after an end "done", or after too many ends
+   * "failed", that are acknowledged; the start and the acknowledgement may come in
+   * either order.
+   */
+  function checkEnds(task: TaskRef, ended: KeptEnd): void {
+    const isCounted = (end: KeptEnd) =>
+      end.isAcknowledged && !end.hasLapsed && end.hasStartedAgain;
+    if (!isCounted(ended)) return;
+    const key = formatTask(task);
+    if (ended.outcome === "done") {
+      violations.push({
+        rule: "afterDone",
+        detail: `${key} after ${ended.runner}`,
+      });
+      return;
+    }
+    const failures =
+      (keptEnds.get(key) ?? []).filter((end) =>
+        end.outcome === "failed" && isCounted(end)
+      ).length;
+    if (failures < (options.getMaxAttempts?.(task) ?? Infinity)) return;
     violations.push({
-      rule: "afterDone",
-      detail: `${key} after ${end.runner}`,
+      rule: "attempts",
+      detail: `${key} after ${failures} failed runs`,
     });
   }
 
@@ -309,19 +352,19 @@
     runner: ModelRunner,
     recordedEnds: number,
   ): void {
-    for (const [key, ends] of doneEnds) {
+    for (const ends of keptEnds.values()) {
       for (const end of ends) {
         const isOwn = end.runner === runner.entry.id &&
           end.number <= recordedEnds;
         if (!isOwn || end.isAcknowledged || runner.isGone) continue;
         end.isAcknowledged = true;
-        checkDone(key, end);
+        checkEnds(end.task, end);
       }
     }
   }
 
   function setEndsLapsed(runner: ModelRunner): void {
-    for (const ends of doneEnds.values()) {
+    for (const ends of keptEnds.values()) {
       for (const end of ends) {
         if (end.runner === runner.entry.id && !end.isAcknowledged) {
           end.hasLapsed = true;
@@ -334,7 +377,8 @@
     const { faults } = runner;
     return runner.isGone || faults.isPartitioned ||
       faults.refusesConnections || faults.hangs ||
-      faults.fails || faults.orderDelayMs > 0 || faults.runTimeFactor !== 1;
+      faults.fails || faults.orderDelayMs > 0 ||
+      faults.callDelayMs > 0 || faults.runTimeFactor !== 1;
   }
 
   function checkCrashes(key: string): void {
@@ -378,9 +422,10 @@
         violations.push({ rule: "twice", detail: `${key} on ${entry.id}` });
       }
     }
-    for (const end of doneEnds.get(key) ?? []) {
+    for (const end of keptEnds.get(key) ?? []) {
+      if (end.hasStartedAgain) continue;
       end.hasStartedAgain = true;
-      checkDone(key, end);
+      checkEnds(order.task, end);
     }
     checkCrashes(key);
     if (facts.crashesRunner) startCrash(runner);
@@ -417,26 +462,40 @@
     return { outcome: "accepted", clockMs };
   }
 
-  async function runWithDelay<Reply>(
-    runner: ModelRunner,
-    timeoutMs: number,
-    execute: (runner: ModelRunner) => Reply,
+  /**
+   * Executes a call at once and answers it, or executes it later without an answer. It
+   * names the id only, so the next incarnation at the address executes it as well.
+   */
+  async function runCall<Reply>(
+    { target, timeoutMs, getFaultDelayMs, otherLife }: {
+      target: RunnerTarget;
+      timeoutMs: number;
+      /** Returns the delay by the faults of the runner, in milliseconds. */
+      getFaultDelayMs: (faults: RunnerFaults) => number;
+      otherLife: Reply;
+    },
+    execute: (runner: ModelRunner) => Reply | Promise<Reply>,
   ): Promise<Reply> {
-    const { orderDelayMs } = runner.faults;
-    if (orderDelayMs === 0) {
-      const reply = execute(runner);
+    const runner = await findReachable(target, timeoutMs);
+    const lateMs = getFaultDelayMs(runner.faults);
+    if (lateMs === 0) {
+      if (runner.entry.id !== target.id) {
+        await wait(clock, delayMs);
+        return otherLife;
+      }
+      const reply = await execute(runner);
       await wait(clock, delayMs);
       return reply;
     }
-    clock.setTimer(orderDelayMs, () => {
-      // An order names the id only, so the next incarnation carries it out as well.
-      const receiver = findRunner(runner.entry);
-      if (receiver !== undefined) execute(receiver);
+    clock.setTimer(lateMs, () => {
+      const receiver = findListener(target.address);
+      if (receiver?.entry.id !== target.id) return;
+      Promise.resolve(execute(receiver)).catch(() => {});
     });
     await wait(clock, timeoutMs);
     throw createFault(
       "outcomeUnknown",
-      `Cannot get an answer from runner "${runner.entry.id}"`,
+      `Cannot get an answer from runner "${target.id}"`,
     );
   }
 
@@ -511,63 +570,88 @@
   }
   stepRunners();
 
-  const calls: RunnerCalls = {
-    async start(target, order, timeoutMs) {
-      const runner = await findReachable(target, timeoutMs);
-      return runWithDelay(
-        runner,
-        timeoutMs,
-        (receiver) => start(receiver, order),
-      );
-    },
-    async stop(target, order, timeoutMs) {
-      const runner = await findReachable(target, timeoutMs);
-      const clockMs = readClock(runner);
-      if (!checkFencingToken(runner, order.fence)) {
-        return { outcome: "staleFence", clockMs };
-      }
-      const key = formatTask(order.task);
-      const run = runner.runs.get(key);
-      if (run !== undefined && run.order.run === order.run) {
-        run.stopMs ??= clock.now() + stopMs;
-      } else {
-        const before = runner.ended.get(key) ?? 0;
-        runner.ended.set(key, Math.max(before, order.run));
-      }
-      await wait(clock, delayMs);
-      return { outcome: "accepted", clockMs };
-    },
-    async hold(target, order, timeoutMs) {
-      const runner = await findReachable(target, timeoutMs);
-      if (!checkFencingToken(runner, order.fence)) {
-        return { outcome: "staleFence" };
-      }
-      if (order.untilMs !== undefined) grantLease(runner, order.untilMs);
-      recordAcknowledgedEnds(runner, order.recordedEnds);
-      runner.ends = runner.ends.filter(({ number }) =>
-        number > order.recordedEnds
+  function stop(runner: ModelRunner, order: StopOrder): OrderReply {
+    const clockMs = readClock(runner);
+    if (!checkFencingToken(runner, order.fence)) {
+      return { outcome: "staleFence", clockMs };
+    }
+    const key = formatTask(order.task);
+    const run = runner.runs.get(key);
+    if (run !== undefined && run.order.run === order.run) {
+      run.stopMs ??= clock.now() + stopMs;
+    } else {
+      const before = runner.ended.get(key) ?? 0;
+      runner.ended.set(key, Math.max(before, order.run));
+    }
+    return { outcome: "accepted", clockMs };
+  }
+
+  async function replyToPoll(
+    runner: ModelRunner,
+    order: HoldOrder,
+    timeoutMs: number,
+  ): Promise<HoldReply> {
+    if (!checkFencingToken(runner, order.fence)) {
+      return { outcome: "staleFence" };
+    }
+    if (order.untilMs !== undefined) grantLease(runner, order.untilMs);
+    recordAcknowledgedEnds(runner, order.recordedEnds);
+    runner.ends = runner.ends.filter(({ number }) =>
+      number > order.recordedEnds
+    );
+    if (runner.ends.length === 0 && order.waitMs > 0) {
+      await new Promise<void>((resolve) => {
+        const wake = () => {
+          runner.waiters.delete(wake);
+          resolve();
+        };
+        runner.waiters.add(wake);
+        clock.setTimer(order.waitMs, wake);
+      });
+    }
+    if (runner.faults.isPartitioned || runner.isGone) {
+      await wait(clock, timeoutMs);
+      throw createFault(
+        "outcomeUnknown",
+        `Cannot get an answer from runner "${runner.entry.id}"`,
       );
-      if (runner.ends.length === 0 && order.waitMs > 0) {
-        await new Promise<void>((resolve) => {
-          const wake = () => {
-            runner.waiters.delete(wake);
-            resolve();
-          };
-          runner.waiters.add(wake);
-          clock.setTimer(order.waitMs, wake);
-        });
-      }
-      if (runner.faults.isPartitioned || runner.isGone) {
-        await wait(clock, timeoutMs);
-        throw createFault(
-          "outcomeUnknown",
-          `Cannot get an answer from runner "${target.id}"`,
-        );
-      }
-      const reply = createHoldReply(runner);
-      await wait(clock, delayMs);
-      return reply;
-    },
+    }
+    return createHoldReply(runner);
+  }
+
+  const calls: RunnerCalls = {
+    start: (target, order, timeoutMs) =>
+      runCall(
+        {
+          target,
+          timeoutMs,
+          getFaultDelayMs: ({ orderDelayMs, callDelayMs }) =>
+            Math.max(orderDelayMs, callDelayMs),
+          otherLife: OTHER_LIFE,
+        },
+        (runner) => start(runner, order),
+      ),
+    stop: (target, order, timeoutMs) =>
+      runCall(
+        {
+          target,
+          timeoutMs,
+          getFaultDelayMs: ({ callDelayMs }) => callDelayMs,
+          otherLife: OTHER_LIFE,
+        },
+        (runner) => stop(runner, order),
+      ),
+    hold: (target, order, timeoutMs) =>
+      runCall<HoldReply>(
+        {
+          target,
+          timeoutMs,
+          getFaultDelayMs: ({ callDelayMs }) => callDelayMs,
+          otherLife: { outcome: "otherLife" },
+        },
+        // Nobody waits for the reply to a late poll.
+        (runner) => replyToPoll(runner, order, timeoutMs),
+      ),
     release: () => {},
     releaseOwn: () => {},
   };
@@ -587,12 +671,15 @@
     countStarts: () => starts,
     add(entry) {
       endIncarnation(entry.id);
+      const former = findListener(entry.address);
+      if (former !== undefined) endIncarnation(former.entry.id);
       const faults: RunnerFaults = {
         isPartitioned: false,
         refusesConnections: false,
         hangs: false,
         fails: false,
         orderDelayMs: 0,
+        callDelayMs: 0,
         runTimeFactor: 1,
       };
       runners.set(entry.id, {
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -60,6 +60,10 @@
   returnAs?: "sameId" | "newId";
   /** Time until then, in milliseconds. Default 3,000. */
   returnMs?: number;
+  /** Called after each crash. */
+  handleCrash?: (entry: RunnerEntry) => void;
+  /** Returns the rate of a runner's own clock. Default 1. */
+  getClockRate?: (entry: RunnerEntry) => number;
   /** Returns whether the log refuses a command. Default: never. */
   isRefused?: (records: readonly WorkRecord[]) => boolean;
   logger?: Logger;
@@ -222,7 +226,16 @@
         createStep();
       return options.getTaskFacts?.(task, step) ?? createTaskFacts(step);
     },
+    getMaxAttempts({ job, step }) {
+      const spec = state.getJob(job)?.spec;
+      const isLimited = spec?.steps[step]?.longRunning === false;
+      return isLimited ? spec.maxAttempts : Infinity;
+    },
+    ...(options.getClockRate === undefined
+      ? {}
+      : { getClockRate: options.getClockRate }),
     handleCrash(entry) {
+      options.handleCrash?.(entry);
       if (options.returnAs === undefined) return;
       clock.setTimer(
         options.returnMs ?? 3_000,
