Move what records crashes out of the fleet

crash_recorder.ts finds the suspects of a crash and records it; runner_fleet.ts only says when a runner has crashed. Behaviour is unchanged. The new tests call the recorder alone.

--- /dev/null
+++ b/src/workload/crash_recorder_test.ts
@@ -0,0 +1,106 @@
+import t from "tap";
+import { createManualClock, createSilentLogger } from "../common/mod.ts";
+import { createJob, createRunnerEntry } from "../model/mod.ts";
+import { createCrashRecorder } from "./crash_recorder.ts";
+import { addOccupant, createRunner, type Runner } from "./runner_table.ts";
+import type { TaskRef, WorkRecord } from "./types.ts";
+import { createWorkState, encodeRecords } from "./work_state.ts";
+
+const NOW_MS = 10_000;
+
+/** A start that was answered 1 s before the last reply of its runner. */
+const OLD_START_MS = NOW_MS - 1_000;
+
+function createTask(job: string): TaskRef {
+  return { job, occurrence: 0, step: 0, index: 0 };
+}
+
+/** Creates a state with open jobs, a runner that replied just now, and a recorder. */
+function createSetup(jobs: readonly string[], { longRunning = false } = {}) {
+  const state = createWorkState();
+  const written: WorkRecord[] = [];
+  const apply = (records: readonly WorkRecord[]) => {
+    written.push(...records);
+    state.apply(encodeRecords(records), 0);
+    return Promise.resolve(true);
+  };
+  for (const id of jobs) {
+    const spec = {
+      ...createJob([{ longRunning }]),
+      id,
+      queue: "queue",
+      pool: "pool",
+      maxAttempts: 3,
+      submittedMs: 0,
+    };
+    void apply([{ kind: "job", job: spec }]);
+  }
+  written.length = 0;
+  const runner = createRunner(createRunnerEntry("r1"), NOW_MS);
+  runner.lastReplyMs = NOW_MS;
+  const recorder = createCrashRecorder({
+    clock: createManualClock(NOW_MS),
+    logger: createSilentLogger(),
+    state,
+    record: apply,
+  });
+  return { state, runner, recorder, written };
+}
+
+/** Adds the run of a job whose start was answered. */
+function addRun(runner: Runner, job: string, orderSentMs: number) {
+  const { resources } = createJob([{}]).steps[0] ?? {};
+  if (resources === undefined) throw new Error("A job has no step");
+  const occupant = addOccupant(
+    runner,
+    { task: createTask(job), run: 1, resources },
+    "running",
+    orderSentMs,
+  );
+  occupant.orderSentMs = orderSentMs;
+  occupant.isExecuted = true;
+  return occupant;
+}
+
+// Guards against a crash that is written although no task can have caused it.
+t.test("a crash without suspects is not recorded", async (t) => {
+  const { runner, recorder, written } = createSetup(["old"]);
+  addRun(runner, "old", OLD_START_MS);
+  await recorder.recordCrash(runner);
+  t.strictSame(written, []);
+});
+
+// Guards against a crash that does not count because the lease had ended before.
+t.test("a run that was released with the lease is a suspect", async (t) => {
+  const { state, runner, recorder } = createSetup(["released"]);
+  const occupant = addRun(runner, "released", NOW_MS);
+  runner.occupants.clear();
+  runner.lostOccupants = [occupant];
+  await recorder.recordCrash(runner);
+  t.equal(state.getTask(createTask("released"))?.crashes, 1);
+});
+
+// Guards against a lasting task that keeps the blame for crashes of others.
+t.test("a long-running task that outlived its start is cleared", async (t) => {
+  const { state, runner, recorder } = createSetup(["lasting"], {
+    longRunning: true,
+  });
+  const occupant = addRun(runner, "lasting", NOW_MS);
+  await recorder.recordCrash(runner);
+  t.equal(state.getTask(createTask("lasting"))?.crashes, 1);
+  occupant.orderSentMs = OLD_START_MS;
+  await recorder.recordCrash(runner);
+  t.equal(state.getTask(createTask("lasting"))?.crashes, undefined);
+});
+
+// Guards against suspects whose job has already ended.
+t.test("a task of an ended job is no suspect", async (t) => {
+  const { state, runner, recorder, written } = createSetup(["ended"]);
+  addRun(runner, "ended", NOW_MS);
+  state.apply(
+    encodeRecords([{ kind: "cancel", job: "ended", atMs: NOW_MS }]),
+    0,
+  );
+  await recorder.recordCrash(runner);
+  t.strictSame(written, []);
+});
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -14,7 +14,7 @@
 } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
 import { RUNNER_CLOCK_MIN_RATE, RUNNER_LEASE_MS } from "./constants.ts";
-import { findCrashSuspects, hasSurvivedStart } from "./crash_suspects.ts";
+import { createCrashRecorder } from "./crash_recorder.ts";
 import { createOpenStarts } from "./open_starts.ts";
 import type { RecordQueue } from "./record_queue.ts";
 import type {
@@ -41,7 +41,6 @@
 import {
   formatIncarnation,
   formatStep,
-  formatTask,
   getRunnerId,
   isSameRunner,
   type RunnerEntry,
@@ -175,6 +174,7 @@
   const closedMs = new Map<string, number>();
   const runnersByPool = new Map<string, Runner[]>();
   const health = options.createHealth(listPool);
+  const crashes = createCrashRecorder(options);
   let isStopped = false;
 
   function listPool(pool: string): Runner[] {
@@ -235,10 +235,6 @@
     return job !== undefined && isOpenJob(job);
   }
 
-  function isLongRunning({ job, step }: TaskRef): boolean {
-    return state.getJob(job)?.spec.steps[step]?.longRunning === true;
-  }
-
   function isRecordedActive(task: TaskRef, run: number): boolean {
     const recorded = state.getTask(task);
     return recorded !== undefined && recorded.run === run &&
@@ -398,7 +394,7 @@
     runner.isClosed = true;
     // Its runs are still there, and tell what may have caused the crash.
     const crashRecorded = hasCrashed && !runner.entry.isDraining
-      ? recordCrash(runner)
+      ? crashes.recordCrash(runner)
       : undefined;
     session.driver.stop();
     sessions.delete(runner.life);
@@ -430,48 +426,6 @@
     ]);
   }
 
-  /** Records which tasks may have crashed the runner, before its runs are released. */
-  async function recordCrash(runner: Runner): Promise<void> {
-    const { lastReplyMs } = runner;
-    const occupants = [...runner.lostOccupants, ...runner.occupants.values()];
-    const { tasks, isSingleJob } = findCrashSuspects({
-      occupants,
-      lastReplyMs,
-    });
-    const suspects = tasks.filter(({ job }) => isOpen(job));
-    const counts = suspects.map((task) =>
-      countCrashes(state.getTask(task)) + 1
-    );
-    metrics?.addCount("runner_crashes_total");
-    logger.warn("Runner crashed", {
-      runner: runner.life,
-      suspects: suspects
-        .map((task, at) => `${formatTask(task)}:${counts[at]}`).join(" "),
-      isSingleJob,
-      runs: occupants.length,
-    });
-    const cleared = occupants
-      .filter((occupant) =>
-        isLongRunning(occupant.task) &&
-        countCrashes(state.getTask(occupant.task)) > 0 &&
-        hasSurvivedStart(occupant, lastReplyMs)
-      )
-      .map(({ task }) => task);
-    if (suspects.length === 0 && cleared.length === 0) return;
-    const atMs = clock.wallTime();
-    await options.record([
-      { kind: "crash", suspects, cleared, isSingleJob, atMs },
-    ]);
-    suspects.forEach((task, at) => {
-      if (isOpen(task.job)) return;
-      logger.warn("Job given up after crashes", {
-        job: task.job,
-        task: formatTask(task),
-        crashes: counts[at],
-      });
-    });
-  }
-
   async function recordGone(runner: Runner): Promise<void> {
     await options.record([{ kind: "runnerGone", life: runner.life }]);
   }
