Test tasks that crash their runners in more kinds of jobs and moments

Gangs, lasting tasks, later steps, a lost reply to the start, a return at another address, eligibility, many deadly jobs on few runners, and independent crashes for over a minute: none of these tests showed a fault in the scheduler.

In the model a runner is found at its address only, a runner answers a call that names another one as such (platform: status 421), a task may crash its runner later than 10 ms after its start, and only while its run is still there. A runner whose leader is replaced announces itself again, as runners do. The cell of runner_crashes_test.js is shared.

--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -104,6 +104,8 @@
   readonly alwaysFails: boolean;
   /** True when the task crashes each runner that starts it. */
   readonly crashesRunner: boolean;
+  /** Time from its start to the crash, in milliseconds. Default 10. */
+  readonly crashDelayMs?: number;
   /** Number of tasks in the gang; 0 for a task outside of gangs. */
   readonly gangSize: number;
 }
@@ -156,7 +158,7 @@
 /** Longest lease that a runner grants, in milliseconds. */
 const MAX_LEASE_MS = 10_000;
 
-/** Time from the start of a task to the crash that it causes, in milliseconds. */
+/** Usual time from the start of a task to the crash that it causes, in milliseconds. */
 const CRASH_DELAY_MS = 10;
 
 /** Number of crashes after which further starts of a task are counted. */
@@ -168,6 +170,12 @@
 /** Time between two updates of the simulated runs, in milliseconds. */
 const TICK_MS = 5;
 
+/** The reply of a runner to an order that names another one. */
+const OTHER_LIFE_REPLY: OrderReply = Object.freeze({
+  outcome: "otherLife",
+  clockMs: undefined,
+});
+
 /** Creates a model without runners. */
 export function createRunnerModel(options: RunnerModelOptions): RunnerModel {
   const { clock } = options;
@@ -182,9 +190,19 @@
   let disruptedMs = -Infinity;
   let starts = 0;
 
-  function findRunner(target: RunnerTarget): ModelRunner | undefined {
-    const runner = runners.get(target.id);
-    return runner === undefined || runner.isGone ? undefined : runner;
+  function findRunner({ id, address }: RunnerTarget): ModelRunner | undefined {
+    const runner = runners.get(id);
+    const isThere = runner !== undefined && !runner.isGone &&
+      runner.entry.address === address;
+    return isThere ? runner : undefined;
+  }
+
+  /** Finds the runner at an address, whatever its id. */
+  function findRunnerAt(address: string): ModelRunner | undefined {
+    for (const runner of runners.values()) {
+      if (!runner.isGone && runner.entry.address === address) return runner;
+    }
+    return undefined;
   }
 
   /** Waits for the network delay; rejects after the timeout when the runner is unreachable. */
@@ -193,7 +211,7 @@
     timeoutMs: number,
   ): Promise<ModelRunner> {
     await wait(clock, delayMs);
-    const runner = findRunner(target);
+    const runner = findRunner(target) ?? findRunnerAt(target.address);
     if (runner?.faults.refusesConnections === true) {
       throw createFault("unavailable", `Cannot connect to "${target.id}"`);
     }
@@ -210,8 +228,8 @@
   }
 
   function getRunner(id: string): ModelRunner {
-    const runner = findRunner({ id, address: "" });
-    if (runner === undefined) {
+    const runner = runners.get(id);
+    if (runner === undefined || runner.isGone) {
       throw createFault("notFound", `Cannot find runner "${id}"`);
     }
     return runner;
@@ -354,10 +372,15 @@
     options.handleCrash?.(runner.entry);
   }
 
-  /** Crashes the runner shortly after the start of a task. */
-  function startCrash(runner: ModelRunner): void {
-    clock.setTimer(CRASH_DELAY_MS, () => {
-      if (runner.isGone) return;
+  /** Crashes the runner some time after the start of a run, if it is still there. */
+  function startCrash(
+    runner: ModelRunner,
+    { task, run }: StartOrder,
+    afterMs: number,
+  ): void {
+    clock.setTimer(afterMs, () => {
+      const current = runner.runs.get(formatTask(task));
+      if (runner.isGone || current?.order.run !== run) return;
       runnerCrashes += 1;
       for (const [running, { order }] of runner.runs) {
         if (!options.getTaskFacts(order.task).crashesRunner) continue;
@@ -383,7 +406,9 @@
       checkDone(key, end);
     }
     checkCrashes(key);
-    if (facts.crashesRunner) startCrash(runner);
+    if (facts.crashesRunner) {
+      startCrash(runner, order, facts.crashDelayMs ?? CRASH_DELAY_MS);
+    }
     const nowMs = clock.now();
     const durationMs = faults.hangs
       ? Infinity
@@ -514,6 +539,7 @@
   const calls: RunnerCalls = {
     async start(target, order, timeoutMs) {
       const runner = await findReachable(target, timeoutMs);
+      if (runner.entry.id !== target.id) return OTHER_LIFE_REPLY;
       return runWithDelay(
         runner,
         timeoutMs,
@@ -522,6 +548,7 @@
     },
     async stop(target, order, timeoutMs) {
       const runner = await findReachable(target, timeoutMs);
+      if (runner.entry.id !== target.id) return OTHER_LIFE_REPLY;
       const clockMs = readClock(runner);
       if (!checkFencingToken(runner, order.fence)) {
         return { outcome: "staleFence", clockMs };
@@ -539,6 +566,7 @@
     },
     async hold(target, order, timeoutMs) {
       const runner = await findReachable(target, timeoutMs);
+      if (runner.entry.id !== target.id) return { outcome: "otherLife" };
       if (!checkFencingToken(runner, order.fence)) {
         return { outcome: "staleFence" };
       }
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -43,6 +43,16 @@
 /** Wall time at the start of the model, in milliseconds; real time is not needed. */
 const START_WALL_MS = 1_700_000_000_000;
 
+/** What changes when a crashed runner comes back. */
+export type RunnerReturn =
+  | "sameId"
+  | "newId"
+  | "newAddress"
+  | "newIdAndAddress";
+
+/** Time after which a runner repeats an announcement that was not recorded, in milliseconds. */
+const ANNOUNCE_PERIOD_MS = 500;
+
 /** Options of the simulated cell. */
 export interface WorkModelOptions {
   configuration: Configuration;
@@ -56,8 +66,8 @@
   callers?: readonly string[];
   /** Replaces the controller's order of the open steps. */
   sortSteps?: WorkControllerOptions["sortSteps"];
-  /** Id under which a crashed runner is back after some seconds. Default: it stays away. */
-  returnAs?: "sameId" | "newId";
+  /** Id and address under which a crashed runner is back after some seconds. Default: it stays away. */
+  returnAs?: RunnerReturn;
   /** Time until then, in milliseconds. Default 3,000. */
   returnMs?: number;
   /** Returns whether the log refuses a command. Default: never. */
@@ -232,13 +242,26 @@
   });
 
   function startNextIncarnation(former: RunnerEntry): void {
+    const { returnAs } = options;
     const startedMs = former.startedMs + 1;
-    const id = options.returnAs === "newId" ? `${former.id}+` : former.id;
-    const entry = { ...former, id, startedMs };
+    const hasNewId = returnAs === "newId" || returnAs === "newIdAndAddress";
+    const isMoved = returnAs === "newAddress" || returnAs === "newIdAndAddress";
+    const entry = {
+      ...former,
+      id: hasNewId ? `${former.id}+` : former.id,
+      address: isMoved ? `${former.address}+` : former.address,
+      startedMs,
+    };
     runners.add(entry);
-    // An announcement to a leader that is replaced meanwhile is lost.
+    startAnnouncing(entry);
+  }
+
+  /** Announces a runner, and again if the leader is replaced meanwhile. */
+  function startAnnouncing(entry: RunnerEntry): void {
     void getController().announceRunner({ entry, sequence: 1, remainingMs: 0 })
-      .catch(() => {});
+      .catch(() =>
+        void clock.setTimer(ANNOUNCE_PERIOD_MS, () => startAnnouncing(entry))
+      );
   }
 
   /** Time at which the service is free for the next query of a caller; it answers one query of each caller at a time. */
--- /dev/null
+++ b/src/workload/deadly_tasks_test.ts
@@ -0,0 +1,136 @@
+/**
+ * Tasks that crash the runners that start them, on the model of a cell: each kind of
+ * job, return and moment. Guards against such tasks that are started for ever, and
+ * against the blame for them on healthy jobs, unless stated.
+ */
+
+import t from "tap";
+import { createFault, createSeededRandom } from "../common/mod.ts";
+import { createModelConfiguration, type WorkModel } from "../model/mod.ts";
+import {
+  checkJobs,
+  runUntilEnded,
+  startDeadlyCell,
+  submitJobs,
+} from "../../test/deadly_cell.ts";
+
+const SETTLE_MS = 60_000;
+
+/** Runs deadly jobs beside healthy ones until they have ended. */
+async function runBoth(
+  model: WorkModel,
+  steps?: Parameters<typeof submitJobs>[3],
+) {
+  const healthy = submitJobs(model, "before", 2);
+  await model.run(1_000);
+  const deadly = submitJobs(model, "deadly", 1, steps);
+  await model.run(20);
+  healthy.push(...submitJobs(model, "after", 2));
+  await runUntilEnded(model, [...deadly, ...healthy], SETTLE_MS);
+  return { deadly, healthy };
+}
+
+for (const tasks of [2, 6]) {
+  t.test(`a deadly gang of ${tasks} is given up`, async (t) => {
+    const model = await startDeadlyCell(4);
+    const jobs = await runBoth(model, [
+      { tasks, gang: true, estimatedMs: 3_000 },
+    ]);
+    checkJobs(t, model, jobs);
+  });
+}
+
+t.test("a gang with one deadly member is given up", async (t) => {
+  const model = await startDeadlyCell(4, {
+    isDeadly: ({ index }) => index === 5,
+  });
+  const jobs = await runBoth(model, [
+    { tasks: 6, gang: true, maxPerRunner: 2, estimatedMs: 6_000 },
+  ]);
+  checkJobs(t, model, jobs);
+});
+
+t.test("a deadly long-running task is given up", async (t) => {
+  const model = await startDeadlyCell(4);
+  checkJobs(t, model, await runBoth(model, [{ longRunning: true }]));
+});
+
+for (const step of [0, 1, 2]) {
+  t.test(`a job whose step ${step} is deadly is given up`, async (t) => {
+    const model = await startDeadlyCell(4, {
+      isDeadly: (task) => task.step === step,
+    });
+    const jobs = await runBoth(model, [
+      { tasks: 3 },
+      { tasks: 2, after: [0] },
+      { tasks: 2, after: [1] },
+    ]);
+    checkJobs(t, model, jobs);
+  });
+}
+
+t.test("a deadly task is given up, back at another address", async (t) => {
+  const model = await startDeadlyCell(6, { returnAs: "newAddress" });
+  checkJobs(t, model, await runBoth(model));
+});
+
+t.test("a task that crashes within 0.3 s of its start is given up", async (t) => {
+  const model = await startDeadlyCell(6, { crashDelayMs: 300 });
+  checkJobs(t, model, await runBoth(model));
+});
+
+for (const returnAs of ["sameId", "newId"] as const) {
+  t.test(`a deadly task whose start reply is lost is given up, ${returnAs}`, async (t) => {
+    const model = await startDeadlyCell(6, { returnAs });
+    const { calls } = model.runners;
+    const { start } = calls;
+    calls.start = async (target, order, timeoutMs) => {
+      const reply = await start(target, order, timeoutMs);
+      if (!order.task.job.startsWith("deadly")) return reply;
+      await new Promise<void>((resolve) =>
+        void model.clock.setTimer(timeoutMs, resolve)
+      );
+      throw createFault("outcomeUnknown", "Cannot get an answer");
+    };
+    checkJobs(t, model, await runBoth(model));
+  });
+}
+
+t.test("many deadly jobs on few runners are given up", async (t) => {
+  const model = await startDeadlyCell(3);
+  const healthy: string[] = [];
+  const deadly = submitJobs(model, "deadly", 8);
+  for (let round = 0; round < 20; round += 1) {
+    healthy.push(...submitJobs(model, `more-${round}`, 1));
+    await model.run(1_000);
+  }
+  await runUntilEnded(model, [...deadly, ...healthy], 200_000);
+  checkJobs(t, model, { deadly, healthy });
+});
+
+t.test("a deadly task of a queue with eligibility is given up", async (t) => {
+  const model = await startDeadlyCell(6, {
+    configuration: createModelConfiguration({
+      queues: [{
+        eligibility: { baseMs: 17, perRunnerMs: 0.2, validMs: 1_500 },
+      }],
+    }),
+    isEligible: (runner, step) =>
+      !step.startsWith("deadly") || ["r0", "r1"].includes(runner),
+  });
+  checkJobs(t, model, await runBoth(model));
+});
+
+// Guards against the blame on healthy tasks whose runners crash again and again.
+t.test("independent crashes for over a minute fail no job", async (t) => {
+  const model = await startDeadlyCell(10);
+  const random = createSeededRandom(11);
+  const healthy: string[] = [];
+  for (let round = 0; round < 200; round += 1) {
+    healthy.push(...submitJobs(model, `round-${round}`, 3));
+    await model.run(random.nextInt(800));
+    if (round % 2 === 0) model.runners.crash(`r${random.nextInt(10)}`);
+  }
+  await runUntilEnded(model, healthy, 60_000);
+  checkJobs(t, model, { deadly: [], healthy });
+});
--- a/src/workload/runner_crashes_test.ts
+++ b/src/workload/runner_crashes_test.ts
@@ -1,50 +1,15 @@
 import t from "tap";
 import {
-  createJob,
-  createModelConfiguration,
-  createTaskFacts,
-  createWorkModel,
-  type WorkModel,
-  type WorkModelOptions,
-} from "../model/mod.ts";
-
-/** Starts a cell in which the tasks of jobs named `deadly...` crash their runners. */
-async function startModel(
-  runners: number,
-  options: Partial<WorkModelOptions> = {},
-): Promise<WorkModel> {
-  const model = createWorkModel({
-    configuration: createModelConfiguration(),
-    getTaskFacts: (task, step) => ({
-      ...createTaskFacts(step),
-      crashesRunner: task.job.startsWith("deadly"),
-    }),
-    returnAs: "sameId",
-    ...options,
-  });
-  for (let at = 0; at < runners; at += 1) await model.addRunner(`r${at}`);
-  await model.run(1_500);
-  return model;
-}
-
-function submitJobs(model: WorkModel, name: string, count: number): string[] {
-  const ids = Array.from({ length: count }, (_, at) => `${name}-${at}`);
-  for (const id of ids) {
-    void model.submit(id, createJob([{ tasks: 2, estimatedMs: 2_500 }]));
-  }
-  return ids;
-}
-
-/** Returns the states of jobs, one entry per state. */
-function listStates(model: WorkModel, ids: readonly string[]): string[] {
-  return [...new Set(ids.map((id) => model.state.getJob(id)?.state ?? ""))];
-}
+  listStates,
+  startDeadlyCell,
+  submitJobs,
+} from "../../test/deadly_cell.ts";
 
 for (const returnAs of ["sameId", "newId"] as const) {
   // Guards against a task that takes down runner after runner, and against
   // neighbours that lose their runs each time.
   t.test(`a deadly task is given up, back as ${returnAs}`, async (t) => {
-    const model = await startModel(4, { returnAs });
+    const model = await startDeadlyCell(4, { returnAs });
     const before = submitJobs(model, "before", 3);
     await model.run(1_000);
     submitJobs(model, "deadly", 1);
@@ -60,7 +25,7 @@
 
 // Guards against a count of crashes that is lost with the leader.
 t.test("a deadly task is given up across leader changes", async (t) => {
-  const model = await startModel(4);
+  const model = await startDeadlyCell(4);
   const healthy = submitJobs(model, "healthy", 3);
   await model.run(1_000);
   submitJobs(model, "deadly", 1);
@@ -83,7 +48,7 @@
 // Guards against crashes that do not count because the lease of the runner, and
 // with it its runs, ended before the runner was back.
 t.test("a deadly task is given up if its runners are back late", async (t) => {
-  const model = await startModel(8, { returnMs: 9_000 });
+  const model = await startDeadlyCell(8, { returnMs: 9_000 });
   const healthy = submitJobs(model, "healthy", 3);
   submitJobs(model, "deadly", 1);
   await model.run(90_000);
@@ -95,7 +60,7 @@
 // Guards against the blame for one deadly task on the runner of the other, or on
 // healthy tasks that are restarted beside them.
 t.test("two deadly jobs fail no healthy one", async (t) => {
-  const model = await startModel(3);
+  const model = await startDeadlyCell(3);
   const healthy = submitJobs(model, "healthy", 2);
   const deadly = submitJobs(model, "deadly", 2);
   for (let round = 0; round < 20; round += 1) {
@@ -111,7 +76,7 @@
 // Guards against the blame on tasks that were on a runner when it crashed for a
 // reason of its own.
 t.test("independent crashes fail no job", async (t) => {
-  const model = await startModel(12);
+  const model = await startDeadlyCell(12);
   const healthy: string[] = [];
   for (let round = 0; round < 40; round += 1) {
     healthy.push(...submitJobs(model, `round-${round}`, 4));
