Count the crash of an incarnation once for a task

Callers could see a job shown as failed after two crashes under its task instead of three: if the leader changes after the crash is recorded and before the ends of the runs are, the next leader restores the incarnation with its runs, learns from the runner at its address that it is gone, and records the crash again.

The record now names the incarnation, and a task is not counted twice for the same one. Records of older versions name none and count as before.

Failed before, with work_state.ts as it was: deadly_tasks_test "leader changes at any moment keep the count, newId" (leader change 3,031, 3,037 and 3,043 ms after the crash) and work_state_test "a crash that two leaders record counts once". Both pass now, as do runner_crashes_test, crash_recorder_test and work_controller_test.

--- a/src/workload/crash_recorder.ts
+++ b/src/workload/crash_recorder.ts
@@ -70,8 +70,9 @@
       .map(({ task }) => task);
     if (suspects.length === 0 && cleared.length === 0) return;
     const atMs = clock.wallTime();
+    const { life } = runner;
     await options.record([
-      { kind: "crash", suspects, cleared, isSingleJob, atMs },
+      { kind: "crash", life, suspects, cleared, isSingleJob, atMs },
     ]);
     suspects.forEach((task, at) => {
       if (isOpen(task)) return;
--- a/src/workload/deadly_tasks_test.ts
+++ b/src/workload/deadly_tasks_test.ts
@@ -16,6 +16,12 @@
 
 const SETTLE_MS = 60_000;
 
+/** Moments of a leader change after a crash; the runner is back after 3 s, and its records follow within 40 ms. */
+const LEADER_CHANGES_MS = [
+  ...[0, 1_500],
+  ...Array.from({ length: 8 }, (_, at) => 3_007 + 6 * at),
+];
+
 /** Runs deadly jobs beside healthy ones until they have ended. */
 async function runBoth(
   model: WorkModel,
@@ -96,6 +102,29 @@
   });
 }
 
+for (const returnAs of ["newId"] as const) {
+  // Guards against a crash that no leader counts, or two do.
+  t.test(`leader changes at any moment keep the count, ${returnAs}`, async (t) => {
+    for (const afterMs of LEADER_CHANGES_MS) {
+      const model = await startDeadlyCell(3, { returnAs });
+      const healthy = submitJobs(model, "healthy", 1);
+      const deadly = submitJobs(model, "deadly", 1);
+      for (let crash = 1; crash <= 6; crash += 1) {
+        const untilMs = model.clock.now() + 12_000;
+        while (
+          model.clock.now() < untilMs && model.runners.countCrashes() < crash
+        ) await model.run(1);
+        if (model.runners.countCrashes() < crash) break;
+        await model.run(afterMs);
+        model.changeLeader();
+      }
+      await runUntilEnded(model, [...deadly, ...healthy], 20_000);
+      checkJobs(t, model, { deadly, healthy }, `${afterMs} ms`);
+      t.ok(model.runners.countCrashes() >= 3, `${afterMs} ms counted once`);
+    }
+  });
+}
+
 t.test("many deadly jobs on few runners are given up", async (t) => {
   const model = await startDeadlyCell(3);
   const healthy: string[] = [];
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -197,6 +197,8 @@
   }
   | {
     readonly kind: "crash";
+    /** Key of the incarnation that crashed; absent in records of older versions. */
+    readonly life?: string;
     /** Tasks that may have caused the crash of a runner. */
     readonly suspects: readonly TaskRef[];
     /** Long-running tasks suspected of earlier crashes that had outlived their start on this runner. */
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -47,6 +47,8 @@
   failures: number;
   /** Crashes of which the task is suspected, since its last run that outlived its start; absent for none. */
   crashes?: number;
+  /** Key of the incarnation whose crash was counted last; absent for none. */
+  crashedLife?: string;
   /** Newest checkpoint; empty for none. */
   checkpoint: string;
 }
@@ -256,7 +258,10 @@
     if (record.checkpoint !== "") task.checkpoint = record.checkpoint;
     task.status = TASK_STATUS.waiting;
     // A runner lists only ends of runs that have not crashed it.
-    if (outcome !== "lost") delete task.crashes;
+    if (outcome !== "lost") {
+      delete task.crashes;
+      delete task.crashedLife;
+    }
     if (outcome === "done") applyDone(job, record);
     else if (outcome === "failed") applyFailure(job, record, step, task);
   }
@@ -274,6 +279,11 @@
       const step = getOccurrence(job, ref.occurrence).steps[ref.step];
       const task = step?.tasks[ref.index];
       if (task === undefined || task.status === TASK_STATUS.done) continue;
+      if (record.life !== undefined) {
+        // Two leaders may record the crash of one incarnation.
+        if (task.crashedLife === record.life) continue;
+        task.crashedLife = record.life;
+      }
       task.crashes = countCrashes(task) + 1;
       const limit = record.isSingleJob ? MAX_CERTAIN_CRASHES : MAX_CRASHES;
       if (task.crashes >= limit) endJob(job, "failed", record.atMs);
--- a/src/workload/work_state_test.ts
+++ b/src/workload/work_state_test.ts
@@ -90,7 +90,7 @@
 function createCrash(
   indexes: readonly number[],
   isSingleJob: boolean,
-): WorkRecord {
+): WorkRecord & { kind: "crash" } {
   const suspects = indexes.map((index) => ({
     job: "job",
     occurrence: 0,
@@ -120,6 +120,20 @@
   t.end();
 });
 
+// Guards against a job that is given up after fewer crashes than its task has caused.
+t.test("a crash that two leaders record counts once", (t) => {
+  const state = createWorkState();
+  apply(state, createSubmission("job", 1));
+  const task = { job: "job", occurrence: 0, step: 0, index: 0 };
+  const lives = ["r@1", "r@1", "r@2", "r@2", "r@3"];
+  const counts = lives.map((life) => {
+    apply(state, { ...createCrash([0], false), life });
+    return state.getTask(task)?.crashes;
+  });
+  t.strictSame(counts, [1, 1, 2, 2, 3]);
+  t.end();
+});
+
 // Guards against a long-running task that is given up after crashes in which it had
 // been at work for long, and one in which it had just started.
 t.test("a task that outlived its start is cleared by a crash", (t) => {
