--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -110,6 +110,8 @@
   readonly alwaysFails: boolean;
   /** True when the task crashes each runner that starts it. */
   readonly crashesRunner: boolean;
+  /** Time from its start to the crash, in milliseconds. Default 10. */
+  readonly crashDelayMs?: number;
   /** Number of tasks in the gang; 0 for a task outside of gangs. */
   readonly gangSize: number;
 }
@@ -166,7 +168,7 @@
 /** Longest lease that a runner grants, in milliseconds. */
 const MAX_LEASE_MS = 10_000;
 
-/** Time from the start of a task to the crash that it causes, in milliseconds. */
+/** Usual time from the start of a task to the crash that it causes, in milliseconds. */
 const CRASH_DELAY_MS = 10;
 
 /** Number of crashes after which further starts of a task are counted. */
@@ -398,10 +400,15 @@
     options.handleCrash?.(runner.entry);
   }
 
-  /** Crashes the runner shortly after the start of a task. */
-  function startCrash(runner: ModelRunner): void {
-    clock.setTimer(CRASH_DELAY_MS, () => {
-      if (runner.isGone) return;
+  /** Crashes the runner some time after the start of a run, if it is still there. */
+  function startCrash(
+    runner: ModelRunner,
+    { task, run }: StartOrder,
+    afterMs: number,
+  ): void {
+    clock.setTimer(afterMs, () => {
+      const current = runner.runs.get(formatTask(task));
+      if (runner.isGone || current?.order.run !== run) return;
       runnerCrashes += 1;
       for (const [running, { order }] of runner.runs) {
         if (!options.getTaskFacts(order.task).crashesRunner) continue;
@@ -428,7 +435,9 @@
       checkEnds(order.task, end);
     }
     checkCrashes(key);
-    if (facts.crashesRunner) startCrash(runner);
+    if (facts.crashesRunner) {
+      startCrash(runner, order, facts.crashDelayMs ?? CRASH_DELAY_MS);
+    }
     const nowMs = clock.now();
     const durationMs = faults.hangs
       ? Infinity
