--- a/src/workload/deadly_tasks_test.ts
+++ b/src/workload/deadly_tasks_test.ts
@@ -22,6 +22,8 @@
   ...Array.from({ length: 8 }, (_, at) => 3_007 + 6 * at),
 ];
 
+t.setTimeout(240_000);
+
 /** Runs deadly jobs beside healthy ones until they have ended. */
 async function runBoth(
   model: WorkModel,
