Show that a new leader expects too short a lease of a restarted runner

Callers could see a task run twice if a runner crashed, came back under its id and was cut off while the leader changed: a poll for the former incarnation that arrives before the first one of the next has a lease on the former clock, which the runner cuts to 10 s. The allowance for this (mayHoldFormerLease) is known to the leader that registered the incarnation only. The next one restores it with 6.5 s, or registers it without a former incarnation, and starts the task elsewhere up to 3.5 s early.

Proposed fix: a leader takes the allowance for each incarnation that it restores or registers within 13 s of its own start, unless a reply shows a runner clock of over 13 + 10 s; and it takes 10 s for a restored runner that never answers if its recorded start is younger than that.

--- /dev/null
+++ b/src/workload/incarnations_test.ts
@@ -0,0 +1,125 @@
+/**
+ * Calls, ends and removals that outlive the incarnation of a runner, or the leadership,
+ * that they were meant for. The tests guard against a task that runs twice, unless
+ * stated.
+ */
+
+import t from "tap";
+import {
+  createJob,
+  createModelConfiguration,
+  createRunnerEntry,
+  createWorkModel,
+  type WorkModel,
+} from "../model/mod.ts";
+import { announceRunner, runCall } from "../../test/work_model_calls.ts";
+import type { HoldOrder, RunnerTarget } from "./runner_calls.ts";
+import type { StepSpec } from "./types.ts";
+
+function createModel(): WorkModel {
+  return createWorkModel({ configuration: createModelConfiguration() });
+}
+
+/** Submits a job with one step; resolves once it is accepted. */
+function submitJob(
+  model: WorkModel,
+  id: string,
+  step: Partial<StepSpec>,
+): Promise<void> {
+  return runCall(model, model.submit(id, createJob([step])));
+}
+
+function listRuns(model: WorkModel): string[] {
+  return model.runners.listRunning().map(({ task, run, runner }) =>
+    `${task.job}#${run}@${runner}`
+  );
+}
+
+/** Lets a model keep the newest poll, and returns a function that takes a late copy of it. */
+function recordPolls(model: WorkModel) {
+  const { calls } = model.runners;
+  const { hold } = calls;
+  let newest: { target: RunnerTarget; order: HoldOrder } | undefined;
+  calls.hold = (target, order, timeoutMs) => {
+    newest = { target, order };
+    return hold(target, order, timeoutMs);
+  };
+  return function takeLatePoll(): () => void {
+    const late = newest;
+    if (late === undefined) throw new Error("No poll was sent");
+    const order = { ...late.order, waitMs: 0 };
+    return () => void hold(late.target, order, 500).catch(() => {});
+  };
+}
+
+// The late poll arrives after the start of the next incarnation, and the leader changes
+// before its first poll: the new leader expects the lease that leaders grant.
+t.test("a new leader knows the lease in an early late poll", async (t) => {
+  const model = createModel();
+  const takeLatePoll = recordPolls(model);
+  await model.addRunner("r1");
+  await model.run(30_000);
+  const sendLatePoll = takeLatePoll();
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  const faults = model.runners.add(next);
+  sendLatePoll();
+  announceRunner(model, next);
+  while (model.state.getRunner("r1")?.startedMs !== 2) await model.run(1);
+  model.changeLeader();
+  await model.run(30);
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(1_000);
+  await model.addRunner("r2");
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  faults.isPartitioned = true;
+  await model.run(12_000);
+  t.strictSame(model.runners.violations, []);
+});
+
+// The same; the leader changes once the runner is cut off, so that it never answers the
+// new one.
+t.test("a new leader waits for the lease in an early late poll", async (t) => {
+  const model = createModel();
+  const takeLatePoll = recordPolls(model);
+  await model.addRunner("r1");
+  await model.run(30_000);
+  const sendLatePoll = takeLatePoll();
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  const faults = model.runners.add(next);
+  sendLatePoll();
+  announceRunner(model, next);
+  await model.run(30);
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(200);
+  await model.addRunner("r2");
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  faults.isPartitioned = true;
+  await model.run(700);
+  model.changeLeader();
+  await model.run(12_000);
+  t.strictSame(model.runners.violations, []);
+});
+
+// The same; the former leader has closed the former incarnation, of which the new leader
+// finds no record.
+t.test("a new leader knows the lease in a late poll for a closed incarnation", async (t) => {
+  const model = createModel();
+  const takeLatePoll = recordPolls(model);
+  await model.addRunner("r1");
+  await model.run(30_000);
+  const sendLatePoll = takeLatePoll();
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  const faults = model.runners.add(next);
+  while (model.state.getRunner("r1") !== undefined) await model.run(1);
+  model.changeLeader();
+  sendLatePoll();
+  announceRunner(model, next);
+  await model.run(40);
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(300);
+  await model.addRunner("r2");
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  faults.isPartitioned = true;
+  await model.run(12_000);
+  t.strictSame(model.runners.violations, []);
+});
