Show that a probe drops an end of the next incarnation

Callers could see a task run again after it was done: a start that is resent to a runner that has crashed reaches its next incarnation, which ends the task before it is registered. The probe that finds the next incarnation carries the number of recorded ends of the former one, so it acknowledges that end, and the list in its reply, which no longer has it, is not read. The run then ends as lost and the task starts again.

The test on the model fails on with the violation "afterDone".

Proposed fix: a poll sent while the runner is unresponsive acknowledges nothing (recordedEnds 0); its ends are listed once more and skipped by number.

--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -12,7 +12,11 @@
   createWorkModel,
   type WorkModel,
 } from "../model/mod.ts";
-import { announceRunner, runCall } from "../../test/work_model_calls.ts";
+import {
+  announceRunner,
+  getJobState,
+  runCall,
+} from "../../test/work_model_calls.ts";
 import type { HoldOrder, RunnerTarget } from "./runner_calls.ts";
 import type { StepSpec } from "./types.ts";
 
@@ -123,3 +127,25 @@
   await model.run(12_000);
   t.strictSame(model.runners.violations, []);
 });
+
+// A probe of the former incarnation acknowledges ends of the next one, before its reply
+// tells that it came from another one. Guards against a start after the task was done.
+t.test("a probe of the former incarnation drops no end of the next", async (t) => {
+  const model = createModel();
+  const first = await model.addRunner("r1");
+  await submitJob(model, "first", { estimatedMs: 100 });
+  await model.run(3_000);
+  t.equal(getJobState(model, "first"), "completed");
+  first.orderDelayMs = 1_000;
+  await submitJob(model, "job", { estimatedMs: 50 });
+  await model.run(60);
+  model.runners.crash("r1");
+  await model.run(900);
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  model.runners.add(next);
+  await model.run(1_500);
+  announceRunner(model, next);
+  await model.run(20_000);
+  t.equal(getJobState(model, "job"), "completed");
+  t.strictSame(model.runners.violations, []);
+});
