Show that a start accepted by the next incarnation has a longer lease

Callers could see a task run twice if a runner crashed and came back under its id before the leader noticed, accepted a start on the open session of the former incarnation and was cut off at once: the lease in the start is a time on the former clock, which the runner cuts to 10 s, while the leader expects 6.5 s. The reply to a start names no incarnation. As the start was answered, it does not count as open when the lease ends.

Proposed fix: a reply to an order whose clock is far below the estimate of the runner's clock is that of another incarnation: take the longest lease from then on, and handle it like a poll that another incarnation has answered.

--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -176,3 +176,19 @@
   t.equal(getJobState(model, "job"), "completed");
   t.strictSame(model.runners.violations, []);
 });
+
+// The reply to a start does not name its incarnation, and the lease in the start is a
+// time on the former clock.
+t.test("the lease in a start that the next incarnation accepts is known", async (t) => {
+  const model = createModel();
+  await model.addRunner("r1");
+  await model.run(30_000);
+  const faults = model.runners.add(createRunnerEntry("r1", { startedMs: 2 }));
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  while (listRuns(model).length === 0) await model.run(1);
+  await model.run(4);
+  faults.isPartitioned = true;
+  await model.addRunner("r2");
+  await model.run(14_000);
+  t.strictSame(model.runners.violations, []);
+});
