Show that a late removal ends runs of the next incarnation

Callers could see a task run twice if a runner left, came back under its id and drained again while the removal that it had sent before was on its way: a removal names the runner by its id only, and closes any incarnation that drains. Its listed runs end as lost and start elsewhere while it works on.

Proposed fix: decode the start of the incarnation from the removal if it has one; otherwise do not close the incarnation of a runner that has answered a call since the removal came in, but poll it without renewing its lease.

--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -192,3 +192,26 @@
   await model.run(14_000);
   t.strictSame(model.runners.violations, []);
 });
+
+// Removals name no incarnation.
+t.test("a late removal of the former incarnation does not end runs of the next", async (t) => {
+  const model = createModel();
+  await model.addRunner("r1");
+  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
+  await model.run(2_000);
+  await model.addRunner("r1", { startedMs: 2 });
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(1_000);
+  await model.addRunner("r2");
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  announceRunner(
+    model,
+    createRunnerEntry("r1", { startedMs: 2, isDraining: true }),
+    2,
+  );
+  await model.run(500);
+  // Was sent by the former incarnation at its end.
+  void model.getController().removeRunner("r1");
+  await model.run(1_000);
+  t.strictSame(model.runners.violations, []);
+});
