Show that late starts are executed before the first higher token

Callers could see a task run twice if a runner came back under its id while a start without a reply was on its way whose run had ended meanwhile. The higher token protects from the first accepted poll of the registered incarnation only. Between the answer to a probe and that poll, the runner knows the token of the former incarnation and obeys it. Before any order, it knows none, and obeys copies of a former leader too, whose starts without a reply the new leader does not know: it ends such runs after 6.6 s, while copies may arrive for 12 s.

Proposed fix: send a poll with a new token, without a lease, when a probe is answered by another incarnation, and when an announcement arrives, before its record. That closes the first window but for one round trip. For the second, record when a start was sent, and let a new leader keep runs younger than 13 s for that long if their runner is away; a lasting task may then miss its 9 s after a leader change, so this is a choice between two rules.

--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -18,7 +18,7 @@
   runCall,
   runUntil,
 } from "../../test/work_model_calls.ts";
-import type { HoldOrder, RunnerTarget } from "./runner_calls.ts";
+import type { HoldOrder, RunnerTarget, StartOrder } from "./runner_calls.ts";
 import type { StepSpec } from "./types.ts";
 
 function createModel(): WorkModel {
@@ -57,6 +57,21 @@
   };
 }
 
+/** Lets a model keep the first start, and returns a function that sends a late copy of it. */
+function recordFirstStart(model: WorkModel): () => void {
+  const { calls } = model.runners;
+  const { start } = calls;
+  let first: { target: RunnerTarget; order: StartOrder } | undefined;
+  calls.start = (target, order, timeoutMs) => {
+    first ??= { target, order };
+    return start(target, order, timeoutMs);
+  };
+  return () => {
+    if (first === undefined) throw new Error("No start was sent");
+    void start(first.target, first.order, 500).catch(() => {});
+  };
+}
+
 // The late poll arrives after the start of the next incarnation, and the leader changes
 // before its first poll: the new leader expects the lease that leaders grant.
 t.test("a new leader knows the lease in an early late poll", async (t) => {
@@ -215,3 +230,51 @@
   await model.run(1_000);
   t.strictSame(model.runners.violations, []);
 });
+
+// Until the next incarnation is registered, it knows the token of the former one at most.
+t.test("no late start is executed once a probe was answered", async (t) => {
+  const model = createModel();
+  const sendLateStart = recordFirstStart(model);
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 12_000;
+  await submitJob(model, "job", { estimatedMs: 20_000 });
+  await model.run(60);
+  await model.addRunner("r2");
+  await model.run(800);
+  // Sends run 2 elsewhere.
+  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
+  await model.run(1_400);
+  t.strictSame(listRuns(model), ["job#2@r2"]);
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  model.runners.add(next);
+  while (model.state.getRunner("r1") !== undefined) await model.run(1);
+  sendLateStart();
+  await model.run(20);
+  announceRunner(model, next);
+  await model.run(2_000);
+  t.strictSame(model.runners.violations, []);
+});
+
+// The new leader does not know which starts of the former one got no reply, and the next
+// incarnation has not seen a token when the copy arrives.
+t.test("a late start of the former leader is not executed after the lease", async (t) => {
+  const model = createModel();
+  const sendLateStart = recordFirstStart(model);
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 12_000;
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(60);
+  model.runners.crash("r1");
+  model.changeLeader();
+  await model.addRunner("r2");
+  await model.run(8_500);
+  t.strictSame(listRuns(model), ["job#2@r2"]);
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  model.runners.add(next);
+  sendLateStart();
+  announceRunner(model, next);
+  await model.run(3_000);
+  t.strictSame(model.runners.violations, []);
+});
