Show that a crash counts again after a leader change

Callers could see a job fail sooner than it should: a closed incarnation stays recorded while its runs are unsettled. A leader that takes over before the next incarnation is registered restores it, finds the other incarnation, and records its crash a second time, with all restored runs as suspects. Three such counts end a job as failed.

The test on the model fails on: two crashes are counted after one. A job that fails this way was not shown.

Proposed fix: keep the incarnation in the crash record, and count each incarnation once per task.

--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -278,3 +278,20 @@
   await model.run(3_000);
   t.strictSame(model.runners.violations, []);
 });
+
+// Guards against a job that fails without cause, as a new leader counts a crash again.
+t.test("a crash counts once when the leader changes before the runner is back", async (t) => {
+  const model = createModel();
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 3_000;
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(60);
+  model.runners.add(createRunnerEntry("r1", { startedMs: 2 }));
+  const task = { job: "job", occurrence: 0, step: 0, index: 0 };
+  await model.run(1_200);
+  t.equal(model.state.getTask(task)?.crashes, 1);
+  model.changeLeader();
+  await model.run(300);
+  t.equal(model.state.getTask(task)?.crashes, 1);
+});
