Show that an expired start may still run

Callers could see a task run twice if a runner came back under its id some 12 s after a start without a reply, executed a late copy, and was cut off before it was registered. The leader ends the run 13 s after the start was sent, when no copy can arrive any more, while the copy that was executed has a lease of 10 s of its own.

Proposed fix: none that is free. By reading, not run: an incarnation that is registered before the cut is waited for, as it takes the run over with the longest lease; one that has only answered a probe is not.

--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -295,3 +295,26 @@
   await model.run(300);
   t.equal(model.state.getTask(task)?.crashes, 1);
 });
+
+// A start counts as expired when no copy can arrive any more, but the next incarnation
+// may have executed one just before, with the longest lease.
+t.test("an expired start does not run on a next incarnation that is cut off", async (t) => {
+  const model = createModel();
+  const sendLateStart = recordFirstStart(model);
+  const first = await model.addRunner("r1");
+  await model.run(5_000);
+  first.orderDelayMs = 100_000;
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  const fromMs = model.clock.now();
+  await model.run(60);
+  model.runners.crash("r1");
+  await model.addRunner("r2");
+  await runUntil(model, fromMs + 11_800);
+  const faults = model.runners.add(createRunnerEntry("r1", { startedMs: 2 }));
+  sendLateStart();
+  await model.run(10);
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  faults.isPartitioned = true;
+  await model.run(14_000);
+  t.strictSame(model.runners.violations, []);
+});
