Acknowledge no ends to a runner that left a call unanswered

Callers could see a task run again after it was done. A start that is sent again reaches a runner that has come back under its id; the task ends before the runner is registered, and the next probe of the former incarnation carries the number of the ends that it had acknowledged. The next incarnation counts its ends from 1, so it drops the new end, and the reply, which tells that another incarnation answered, no longer lists it. It needs no late copy, only a resent start.

A poll after an unanswered call now acknowledges nothing. The same incarnation lists the ends again, and those that are recorded are skipped as before.

--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -131,11 +131,13 @@
     // of a lost runner's tasks elsewhere.
     const untilMs = runner.isUnresponsive ? undefined : computeLeaseEnd();
     if (untilMs !== undefined) recordGrant(runner, untilMs);
+    // After an unanswered call the next incarnation may answer, which must keep its ends.
+    const recordedEnds = runner.isUnresponsive ? 0 : runner.recordedEnds;
     const isFirst = runner.contactMs === undefined || runner.isUnresponsive;
     const waitMs = isFirst || !mayWait ? 0 : LONG_POLL_WAIT_MS;
     const reply = await calls.hold(
       getTarget(),
-      { fence, recordedEnds: runner.recordedEnds, untilMs, waitMs },
+      { fence, recordedEnds, untilMs, waitMs },
       waitMs + POLL_TIMEOUT_SLACK_MS,
     );
     if (!isOpen()) return;
