Raise the fencing token as soon as another incarnation is known

Callers could see a task run twice: between the first answer of a runner's next incarnation and its registration, which takes a heartbeat and a record, the runner knew at most the token of the former incarnation and carried out late starts.

When a poll finds another incarnation under the id, and when one is announced while the former is still open, the leader now polls it with a new token at once, without a lease and without acknowledging ends. Late calls for the former incarnation have no effect from then on, also for a leader that has no record of it.

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -13,11 +13,16 @@
   wait,
 } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
-import { RUNNER_CLOCK_MIN_RATE, RUNNER_LEASE_MS } from "./constants.ts";
+import {
+  POLL_TIMEOUT_SLACK_MS,
+  RUNNER_CLOCK_MIN_RATE,
+  RUNNER_LEASE_MS,
+} from "./constants.ts";
 import { createCrashRecorder } from "./crash_recorder.ts";
 import { createOpenStarts } from "./open_starts.ts";
 import type { RecordQueue } from "./record_queue.ts";
 import type {
+  HoldOrder,
   HoldReply,
   ListedEnd,
   ListedRun,
@@ -320,7 +325,11 @@
           void closeIncarnation(
             session,
             "another incarnation answered",
-            { mayReturn: hasSameId, hasCrashed: true },
+            {
+              mayReturn: hasSameId,
+              hasCrashed: true,
+              hasAnswered: hasSameId,
+            },
           ),
         handleStaleFence: options.handleStaleFence,
         firstPoll,
@@ -344,6 +353,26 @@
     return settled;
   }
 
+  /**
+   * Withdraws late orders for the former incarnation with this id at the next one,
+   * before it is registered.
+   */
+  function withdrawFormerOrders({ id, address }: RunnerEntry): void {
+    const order: HoldOrder = {
+      fence: options.createFencingToken(),
+      recordedEnds: 0,
+      untilMs: undefined,
+      waitMs: 0,
+    };
+    options.calls.hold({ id, address }, order, POLL_TIMEOUT_SLACK_MS)
+      .catch((error: unknown) =>
+        logger.info("Cannot withdraw the orders for a former incarnation", {
+          runner: id,
+          error,
+        })
+      );
+  }
+
   /** Stops a run that a start for a former incarnation may begin on this one. */
   function stopFormerRun(
     session: Session,
@@ -387,7 +416,12 @@
   async function closeIncarnation(
     session: Session,
     reason: string,
-    { mayReturn, hasCrashed }: { mayReturn: boolean; hasCrashed: boolean },
+    { mayReturn, hasCrashed, hasAnswered = false }: {
+      mayReturn: boolean;
+      hasCrashed: boolean;
+      /** True if the next incarnation with its id has answered, but is not registered. */
+      hasAnswered?: boolean;
+    },
   ): Promise<void> {
     const { runner } = session;
     if (runner.isClosed) return;
@@ -402,6 +436,7 @@
     const list = listPool(runner.entry.pool);
     list.splice(list.indexOf(runner), 1);
     options.calls.release(runner.entry.address);
+    if (hasAnswered) withdrawFormerOrders(runner.entry);
     const lost = mayReturn
       ? releaseSettled(runner, isStartPending)
       : [...runner.occupants.values()];
@@ -694,6 +729,7 @@
       return await updateRunner(known.runner, announcement);
     }
     if (hasNewerRunner(entry)) return;
+    if (known !== undefined) withdrawFormerOrders(entry);
     const recorded = { ...entry, sequence };
     await options.queue.record([{ kind: "runner", runner: recorded }]);
     if (isStopped) return;
