Count a crash that the former leader did not get to record

Callers could see a task that crashes its runners started for ever if the leader changes just after it has recorded the next incarnation of a runner under the same id, and before the crash: the next leader knows the runs as left over from a former incarnation, which is never a suspect, and ends them as lost.

A new leader that restores active runs of an incarnation whose id another one has taken over now records its crash first. All these runs are suspects, and other jobs may have caused it as well, so the job is given up only at the fourth. If the crash was recorded after all, it counts once, as the record names the incarnation. A drained runner that left such runs behind and is back looks the same: they are blamed once.

Failed before, with runner_fleet.ts as it was: deadly_tasks_test "leader changes at any moment keep the count, sameId" (3,019 and 3,025 ms after the crash).

--- a/src/workload/crash_recorder.ts
+++ b/src/workload/crash_recorder.ts
@@ -25,6 +25,11 @@
 export interface CrashRecorder {
   /** Records which tasks may have crashed the runner; called before its runs are released. */
   recordCrash(runner: Runner): Promise<void>;
+  /**
+   * Records that an incarnation with these runs has crashed under a former leader. What
+   * else ran on it and when is not known, so they are all suspects.
+   */
+  recordFormerCrash(life: string, suspects: readonly TaskRef[]): Promise<void>;
 }
 
 /** Creates a recorder. */
@@ -42,6 +47,14 @@
     return state.getJob(job)?.spec.steps[step]?.longRunning === true;
   }
 
+  async function writeCrash(
+    crash: Omit<WorkRecord & { kind: "crash" }, "kind" | "atMs">,
+  ): Promise<void> {
+    await options.record([
+      { kind: "crash", ...crash, atMs: clock.wallTime() },
+    ]);
+  }
+
   async function recordCrash(runner: Runner): Promise<void> {
     const { lastReplyMs } = runner;
     const occupants = [...runner.lostOccupants, ...runner.occupants.values()];
@@ -69,11 +82,7 @@
       )
       .map(({ task }) => task);
     if (suspects.length === 0 && cleared.length === 0) return;
-    const atMs = clock.wallTime();
-    const { life } = runner;
-    await options.record([
-      { kind: "crash", life, suspects, cleared, isSingleJob, atMs },
-    ]);
+    await writeCrash({ life: runner.life, suspects, cleared, isSingleJob });
     suspects.forEach((task, at) => {
       if (isOpen(task)) return;
       logger.warn("Job given up after crashes", {
@@ -84,5 +93,14 @@
     });
   }
 
-  return { recordCrash };
+  return {
+    recordCrash,
+    async recordFormerCrash(life, suspects) {
+      logger.warn("Runner crashed under a former leader", {
+        runner: life,
+        suspects: suspects.map(formatTask).join(" "),
+      });
+      await writeCrash({ life, suspects, cleared: [], isSingleJob: false });
+    },
+  };
 }
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -792,6 +792,7 @@
       });
     });
     const lost: RunView[] = [];
+    const inherited = new Map<string, TaskRef[]>();
     for (const active of listActiveRuns()) {
       const session = sessions.get(active.life) ??
         findSessionById(getRunnerId(active.life));
@@ -809,7 +810,13 @@
       }
       // A start for the former incarnation may have arrived at this one; its first
       // poll, with the new fencing token, tells.
-      if (life !== runner.life) recordLease(runner, nowMs, options.maxLeaseMs);
+      if (life === runner.life) continue;
+      recordLease(runner, nowMs, options.maxLeaseMs);
+      inherited.set(life, [...inherited.get(life) ?? [], task]);
+    }
+    // The former leader may have recorded the next incarnation, but not the crash.
+    for (const [life, tasks] of inherited) {
+      void crashes.recordFormerCrash(life, tasks);
     }
     // If neither the incarnation nor a newer one is recorded, it was closed but the
     // end of its runs had not been recorded yet.
