--- a/src/workload/deadly_tasks_test.ts
+++ b/src/workload/deadly_tasks_test.ts
@@ -74,6 +74,21 @@
   checkJobs(t, model, await runBoth(model));
 });
 
+// Guards against a crash of which no announcement tells, as nothing links the next
+// incarnation to the former one.
+t.test("a deadly task is given up, back under another id and address", async (t) => {
+  const model = await startDeadlyCell(6, { returnAs: "newIdAndAddress" });
+  checkJobs(t, model, await runBoth(model));
+});
+
+// Guards against a task that has outlived the time in which it is suspected.
+t.test("a task that crashes 0.6 to 2 s after its start is given up", async (t) => {
+  for (const crashDelayMs of [600, 1_000, 2_000]) {
+    const model = await startDeadlyCell(6, { crashDelayMs });
+    checkJobs(t, model, await runBoth(model), `${crashDelayMs} ms`);
+  }
+});
+
 t.test("a task that crashes within 0.3 s of its start is given up", async (t) => {
   const model = await startDeadlyCell(6, { crashDelayMs: 300 });
   checkJobs(t, model, await runBoth(model));
