--- a/src/workload/restarted_runner_test.ts
+++ b/src/workload/restarted_runner_test.ts
@@ -286,6 +286,47 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// Found by random restarts, seeds 2 and 9. The copy arrives before the leader has reached
+// the next incarnation.
+t.test("an earlier copy of a done run does not run before the first poll", async (t) => {
+  const model = createModel();
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 3_000;
+  await runCall(model, model.submit("job", createJob([{ estimatedMs: 300 }])));
+  await model.run(60);
+  first.orderDelayMs = 0;
+  await model.run(1_500);
+  t.equal(getJobState(model, "job"), "completed");
+  model.runners.crash("r1");
+  model.runners.add(createRunnerEntry("r1", { startedMs: 2 })).isPartitioned =
+    true;
+  await model.run(5_000);
+  t.strictSame(model.runners.violations, []);
+});
+
+// Found by random restarts, seeds 7, 24 and 33. The former incarnation has confirmed the
+// stop of the run, so that its task was started elsewhere.
+t.test("a stopped start does not run before the first poll of the next incarnation", async (t) => {
+  const model = createModel();
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 6_000;
+  await runCall(model, model.submit("job", createJob([{ estimatedMs: 300 }])));
+  await model.run(60);
+  await model.addRunner("r2");
+  await model.run(800);
+  // Sends run 2 elsewhere.
+  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
+  await model.run(2_200);
+  t.equal(getJobState(model, "job"), "completed");
+  model.runners.crash("r1");
+  model.runners.add(createRunnerEntry("r1", { startedMs: 2 })).isPartitioned =
+    true;
+  await model.run(5_000);
+  t.strictSame(model.runners.violations, []);
+});
+
 // Scenario: the incident TWICE. The first poll of the next incarnation lists a run whose
 // end is still being recorded.
 t.test("a run whose end is being recorded is not taken over", async (t) => {
