--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -131,10 +131,11 @@
     // of a lost runner's tasks elsewhere.
     const untilMs = runner.isUnresponsive ? undefined : computeLeaseEnd();
     if (untilMs !== undefined) recordGrant(runner, untilMs);
-    // After an unanswered call the next incarnation may answer, which must keep its ends.
-    const recordedEnds = runner.isUnresponsive ? 0 : runner.recordedEnds;
     const isFirst = runner.contactMs === undefined || runner.isUnresponsive;
     const waitMs = isFirst || !mayWait ? 0 : LONG_POLL_WAIT_MS;
+    // After an unanswered call the next incarnation may read the poll, whose ends have
+    // numbers of their own; 0 acknowledges none.
+    const recordedEnds = runner.isUnresponsive ? 0 : runner.recordedEnds;
     const reply = await calls.hold(
       getTarget(),
       { fence, recordedEnds, untilMs, waitMs },
