Notice another incarnation by its clock in the reply to an order

Callers could see a task run twice: the reply to a start does not name the incarnation, so a start that a runner's next incarnation had accepted counted as granting the lease of the leader, 6.5 s. Its end is a time on the former clock, so the runner granted its maximum of 10 s.

A runner's clock does not run backwards and starts anew with each incarnation. If the reply to an order shows a clock that is 3 s behind the last reading, which is more than replies overtake each other, the leader now assumes the longest lease and closes the incarnation, like after a poll that another incarnation answered. A former incarnation that was younger than that is not told apart.

--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -35,6 +35,9 @@
   type Runner,
 } from "./runner_table.ts";
 
+/** Time by which replies on different connections may overtake each other, in milliseconds; longer than the timeout of each call. */
+const MAX_REPLY_OVERTAKING_MS = 3_000;
+
 /** Result of a start; an "unanswered" one may still be executed, an "undelivered" one was never sent. */
 export type StartResult =
   | OrderOutcome
@@ -115,9 +118,21 @@
     runner.clockSample = { clockMs, atMs: clock.now() };
   }
 
+  /** Tells whether a clock reading is of another incarnation, whose clock started anew. */
+  function isClockReset(clockMs: number | undefined): boolean {
+    const sample = runner.clockSample;
+    return clockMs !== undefined && sample !== undefined &&
+      clockMs < sample.clockMs - MAX_REPLY_OVERTAKING_MS;
+  }
+
   function receiveOrderReply(reply: OrderReply): void {
     // The next incarnation has its own clock and refuses this fencing token.
     if (!isOpen()) return;
+    if (isClockReset(reply.clockMs)) {
+      // The lease in the order is late on the new clock, so the runner granted its maximum.
+      recordLease(runner, clock.now(), options.maxLeaseMs);
+      return options.handleOtherIncarnation(true);
+    }
     recordClock(reply.clockMs);
     // After an unanswered call the reply may be that of the next incarnation.
     if (!runner.isUnresponsive) runner.lastReplyMs = clock.now();
