Confine unproven jobs of a queue while many of its jobs crash runners

Once tasks of many jobs of a queue (a quarter of the pool's runners, at least two) are suspected of a second crash within 4 s, its unproven jobs and suspects start on a quarter of the runners only, one job at a time on each, and all other work elsewhere, until 10 s after the last crash. While no queue is confined nothing changes.

The load model gets a share of deadly jobs.

--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -136,6 +136,8 @@
   crash(id: string): void;
   /** Returns the number of runners that tasks have crashed so far. */
   countCrashes(): number;
+  /** Returns the number of runs that were lost in crashes so far. */
+  countLostRuns(): number;
   /** Lists the current runs. */
   listRunning(): { task: TaskRef; run: number; runner: string }[];
   /** Returns the processors of all current runs, in the unit of `TaskFacts`. */
@@ -179,6 +181,7 @@
   /** Crashes under each task that causes them, and its starts after the last one that is allowed. */
   const crashes = new Map<string, { count: number; startsAfter: number }>();
   let runnerCrashes = 0;
+  let lostRuns = 0;
   let disruptedMs = -Infinity;
   let starts = 0;
 
@@ -350,6 +353,7 @@
 
   function endWithCrash(runner: ModelRunner): void {
     if (runner.isGone) return;
+    lostRuns += runner.runs.size;
     endIncarnation(runner.entry.id);
     options.handleCrash?.(runner.entry);
   }
@@ -616,6 +620,7 @@
       if (runner !== undefined) endWithCrash(runner);
     },
     countCrashes: () => runnerCrashes,
+    countLostRuns: () => lostRuns,
     changeCapacity(id, capacity) {
       const runner = getRunner(id);
       runner.formerCapacities.push({
--- a/src/model/work_load.ts
+++ b/src/model/work_load.ts
@@ -7,7 +7,7 @@
 
 import { createSeededRandom, type Random } from "../common/mod.ts";
 import type { JobBody, StepSpec, TaskRef } from "../workload/mod.ts";
-import type { RunnerFaults, TaskFacts } from "./runner_model.ts";
+import type { RunnerFaults, TaskFacts, Violation } from "./runner_model.ts";
 import {
   createJob,
   createModelConfiguration,
@@ -66,6 +66,8 @@
   readonly name: string;
   /** Returns the factor on the arrival rate of a kind; `atMs` counts from the start of the load. */
   readonly getRateFactor: (kind: string, atMs: number) => number;
+  /** Returns the share of the submitted jobs of a kind whose tasks crash their runners. Default: none. */
+  readonly getDeadlyShare?: (kind: string, atMs: number) => number;
   /** Sets the faults; called every tick. */
   readonly applyFaults?: (
     atMs: number,
@@ -76,10 +78,12 @@
   readonly isLeaderless?: (atMs: number) => boolean;
 }
 
-/** Results of the jobs of one kind. */
+/** Results of the jobs of one kind, those that crash their runners left out. */
 export interface LoadOutcome {
   readonly kind: string;
   readonly jobs: number;
+  /** Jobs that ended as failed. */
+  readonly failed: number;
   /** Jobs that ended within their objective. */
   readonly onTime: number;
   /** Jobs that missed their objective but earned a part of their value. */
@@ -99,6 +103,13 @@
   readonly starts: number;
   /** Eligibility queries, by kind. */
   readonly queries: Readonly<Record<string, number>>;
+  /** Runners that were crashed by tasks, and runs lost in all crashes. */
+  readonly crashes: number;
+  readonly lostRuns: number;
+  /** Jobs whose tasks crash their runners, and those of them that were given up. */
+  readonly deadlyJobs: number;
+  readonly deadlyGivenUp: number;
+  readonly violations: readonly Violation[];
 }
 
 /** Options of a run. */
@@ -113,7 +124,10 @@
   /** Duration of the load, in milliseconds. */
   readonly runMs: number;
   /** Further options of the simulated cell. */
-  readonly cell?: Pick<WorkModelOptions, "commitMs" | "callers" | "sortSteps">;
+  readonly cell?: Pick<
+    WorkModelOptions,
+    "commitMs" | "callers" | "sortSteps" | "returnAs"
+  >;
 }
 
 /** Kinds of jobs like those of the users' larger sheets. */
@@ -279,6 +293,8 @@
   readonly work: number;
   /** Runners that may run the job's steps. */
   readonly eligible: ReadonlySet<string>;
+  /** True if its tasks crash their runners. */
+  readonly isDeadly: boolean;
   readonly sentAtMs: number;
 }
 
@@ -299,7 +315,7 @@
   random: Random,
   kind: LoadKind,
   cell: Pick<LoadOptions, "runners" | "processors">,
-  sentAtMs: number,
+  { sentAtMs, isDeadly }: Pick<GeneratedJob, "sentAtMs" | "isDeadly">,
 ): GeneratedJob {
   const eligible = pickEligible(random, cell.runners, kind.eligibleShare);
   const steps: Partial<StepSpec>[] = [];
@@ -348,6 +364,7 @@
     criticalPathMs,
     work,
     eligible,
+    isDeadly,
     sentAtMs,
   };
 }
@@ -358,10 +375,11 @@
   model: WorkModel,
   startMs: number,
 ): LoadOutcome {
-  const own = [...jobs].filter(([, job]) => job.kind === kind);
+  const own = [...jobs].filter(([, job]) => job.kind === kind && !job.isDeadly);
   const meanWork = own.reduce((sum, [, job]) => sum + job.work, 0) /
     Math.max(1, own.length);
   const waitsMs: number[] = [];
+  let failed = 0;
   let onTime = 0;
   let late = 0;
   let totalValue = 0;
@@ -373,6 +391,7 @@
     );
     totalValue += value;
     const job = model.state.getJob(id);
+    if (job?.state === "failed") failed += 1;
     if (job === undefined || job.state !== "completed") continue;
     const wallStartMs = model.getWallTime() - model.clock.now();
     const tookMs = job.endedMs - wallStartMs - startMs - generated.sentAtMs;
@@ -390,6 +409,7 @@
   return {
     kind: kind.name,
     jobs: own.length,
+    failed,
     onTime,
     late,
     totalValue,
@@ -402,6 +422,8 @@
 export async function runLoad(options: LoadOptions): Promise<LoadResult> {
   const { kinds, pattern } = options;
   const random = createSeededRandom(options.seed);
+  // Separate, so that the other jobs are the same for each share.
+  const deadlyRandom = createSeededRandom(options.seed);
   const jobs = new Map<string, GeneratedJob>();
   const model = createWorkModel({
     ...options.cell,
@@ -419,9 +441,11 @@
       return jobs.get(job)?.eligible.has(runner) ?? false;
     },
     getTaskFacts({ job, step, index }: TaskRef, spec): TaskFacts {
-      const durationMs = jobs.get(job)?.durationsMs[step]?.[index];
+      const generated = jobs.get(job);
+      const durationMs = generated?.durationsMs[step]?.[index];
       const facts = createTaskFacts(spec ?? createStep());
-      return durationMs === undefined ? facts : { ...facts, durationMs };
+      if (generated === undefined || durationMs === undefined) return facts;
+      return { ...facts, durationMs, crashesRunner: generated.isDeadly };
     },
   });
   const runners: RunnerFaults[] = [];
@@ -457,7 +481,11 @@
       const count = rate * TICK_MS / MS_PER_SECOND + random.nextFloat();
       for (let number = 0; number < Math.floor(count); number += 1) {
         const id = `${kind.name}${jobs.size}`;
-        const generated = pickJob(random, kind, options, atMs);
+        const share = pattern.getDeadlyShare?.(kind.name, atMs) ?? 0;
+        const generated = pickJob(random, kind, options, {
+          sentAtMs: atMs,
+          isDeadly: deadlyRandom.nextFloat() < share,
+        });
         jobs.set(id, generated);
         submit(id, generated);
       }
@@ -467,7 +495,13 @@
   await model.run(DRAIN_MS);
   const queries: Record<string, number> = {};
   let tasks = 0;
-  for (const [id, { kind, body }] of jobs) {
+  let deadlyJobs = 0;
+  let deadlyGivenUp = 0;
+  for (const [id, { kind, body, isDeadly }] of jobs) {
+    if (isDeadly) {
+      deadlyJobs += 1;
+      if (model.state.getJob(id)?.state === "failed") deadlyGivenUp += 1;
+    }
     queries[kind.name] = (queries[kind.name] ?? 0) +
       model.countQueries(id);
     for (const step of body.steps) tasks += step.tasks;
@@ -477,5 +511,10 @@
     tasks,
     starts: model.runners.countStarts(),
     queries,
+    crashes: model.runners.countCrashes(),
+    lostRuns: model.runners.countLostRuns(),
+    deadlyJobs,
+    deadlyGivenUp,
+    violations: model.runners.violations,
   };
 }
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -41,6 +41,12 @@
   readonly eligibility: EligibilityTimes | undefined;
   /** True if a waiting task is suspected of crashes. */
   readonly isSuspect: boolean;
+  /** Name of the job's queue. */
+  readonly queue: string;
+  /** True if no task of the job has outlived a start. */
+  readonly isNew: boolean;
+  /** True if it starts only on the runners for confined steps. */
+  readonly isConfined: boolean;
   /** Indexes of the waiting tasks. */
   waiting: number[];
 }
@@ -85,6 +91,8 @@
   readonly reservations: ReadonlyMap<string, ReadonlyMap<string, Resources>>;
   /** Key of the gang that each runner is held for, by incarnation; from the last round. */
   readonly gangHolds: ReadonlyMap<string, string>;
+  /** Runners for confined steps only, by incarnation. */
+  readonly probation: ReadonlySet<string>;
 }
 
 /** Why tasks of a step do not start. */
@@ -155,6 +163,8 @@
   readonly heldFor: string | undefined;
   /** Job of a suspect on this runner that has not outlived its start; undefined for none. */
   suspectJob: string | undefined;
+  /** True if only confined steps may use it. */
+  readonly isOnProbation: boolean;
   /** Number of tasks placed on it in this round. */
   placed: number;
 }
@@ -162,6 +172,8 @@
 /** The candidates of one pool and its utilization. */
 interface PoolCandidates {
   readonly candidates: readonly Candidate[];
+  /** All its runners, also those that accept no tasks at the moment. */
+  readonly runners: readonly Runner[];
   /** Largest free capacity of any candidate, per resource, including reservations. */
   readonly largestFree: Resources;
   /** Processors in use, claimed by waiting gangs, and in total. */
@@ -172,6 +184,7 @@
 
 const NO_POOL: PoolCandidates = Object.freeze({
   candidates: [],
+  runners: [],
   largestFree: NO_RESOURCES,
   used: 0,
   claimed: 0,
@@ -201,7 +214,7 @@
 
 function listCandidates(
   runners: readonly Runner[],
-  { nowMs, reservations, gangHolds }: PlanInput,
+  { nowMs, reservations, gangHolds, probation }: PlanInput,
 ): PoolCandidates {
   const candidates: Candidate[] = [];
   let largestFree = NO_RESOURCES;
@@ -216,14 +229,23 @@
       free = subtractResources(free, amount);
     }
     const heldFor = gangHolds.get(runner.life);
+    const isOnProbation = probation.has(runner.life);
     const suspectJob = findSuspectJob(runner);
-    candidates.push({ runner, free, reserved, heldFor, suspectJob, placed: 0 });
+    candidates.push({
+      runner,
+      free,
+      reserved,
+      heldFor,
+      suspectJob,
+      isOnProbation,
+      placed: 0,
+    });
     const { processors } = runner.entry.capacity;
     // What a shrunk runner uses beyond its capacity takes nothing from the others.
     used += Math.min(runner.used.processors, processors);
     capacity += processors;
   }
-  return { candidates, largestFree, used, claimed: 0, capacity };
+  return { candidates, runners, largestFree, used, claimed: 0, capacity };
 }
 
 /**
@@ -310,7 +332,10 @@
 }
 
 /** Tells whether an idle runner could execute the step's tasks. */
-function isSuitable(step: OpenStep, { runner }: Candidate): boolean {
+function isSuitable(
+  step: OpenStep,
+  { runner }: Pick<Candidate, "runner">,
+): boolean {
   const { requiredLabel, resources } = step.spec;
   const { labels, capacity } = runner.entry;
   return (requiredLabel === undefined || labels.includes(requiredLabel)) &&
@@ -369,6 +394,26 @@
   readonly unknown: readonly Candidate[];
 }
 
+/**
+ * Tells whether the step has to keep to its side of the probation: confined steps on
+ * its runners, all others elsewhere. Not where that side has no runner for it, nor if
+ * the job of an unconfined step has no value left, so that no step waits for ever.
+ */
+function isPartedByProbation(
+  step: OpenStep,
+  { runners }: PoolCandidates,
+  eligibility: StepEligibility | undefined,
+  { probation, wallMs }: PlanInput,
+): boolean {
+  if (probation.size === 0) return false;
+  if (!step.isConfined && wallMs > step.zeroValueMs) return false;
+  return runners.some((runner) =>
+    probation.has(runner.life) === step.isConfined &&
+    isSuitable(step, { runner }) &&
+    eligibility?.isEligible.get(runner.entry.id) !== false
+  );
+}
+
 /**
  * Finds the candidates for a step. Capacity is checked first: it is a cheap test
  * and rules out nearly all runners of a full pool.
@@ -377,14 +422,17 @@
   step: OpenStep,
   pool: PoolCandidates,
   eligibility: StepEligibility | undefined,
+  input: PlanInput,
 ): StepCandidates {
   const eligible: Candidate[] = [];
   const unknown: Candidate[] = [];
   if (!fitsWithin(step.spec.resources, pool.largestFree)) {
     return { eligible, unknown };
   }
+  const isParted = isPartedByProbation(step, pool, eligibility, input);
   for (const candidate of pool.candidates) {
     if (countFitting(step, candidate, 1) === 0) continue;
+    if (isParted && step.isConfined !== candidate.isOnProbation) continue;
     if (isNearSuspect(step, candidate)) continue;
     if (isBlocked(step, candidate) || !isSuitable(step, candidate)) continue;
     const isEligible = step.eligibility === undefined ||
@@ -569,8 +617,10 @@
     pool: PoolCandidates,
     eligibility: StepEligibility | undefined,
   ): boolean {
+    const isParted = isPartedByProbation(step, pool, eligibility, input);
     const found = pool.candidates.filter((candidate) =>
       isSuitable(step, candidate) &&
+      (!isParted || step.isConfined === candidate.isOnProbation) &&
       (step.eligibility === undefined ||
         eligibility?.isEligible.get(candidate.runner.entry.id) === true)
     ).sort((a, b) => b.free.processors - a.free.processors);
@@ -631,7 +681,12 @@
   ): void {
     const bound = findExceededLimit(step, pool, step.waiting.length);
     if (bound === "workspaceCap") return addWait(step, bound);
-    const { eligible, unknown } = findCandidates(step, pool, eligibility);
+    const { eligible, unknown } = findCandidates(
+      step,
+      pool,
+      eligibility,
+      input,
+    );
     const hasTicket = (candidate: Candidate) =>
       getTicket(step, eligibility, candidate) !== undefined;
     // The order of candidates changes with their free capacity. Those with a
@@ -681,7 +736,12 @@
   ): void {
     const bound = findExceededLimit(step, pool, 1);
     if (bound !== undefined) return addWait(step, bound);
-    const { eligible, unknown } = findCandidates(step, pool, eligibility);
+    const { eligible, unknown } = findCandidates(
+      step,
+      pool,
+      eligibility,
+      input,
+    );
     const placements: Placement[] = [];
     const placedHere = new Map<Candidate, number>();
     const expired: Candidate[] = [];
--- a/src/workload/planning_test.ts
+++ b/src/workload/planning_test.ts
@@ -37,6 +37,9 @@
     isExcess: false,
     eligibility: { baseMs: 430, perRunnerMs: 6, validMs: 1_500 },
     isSuspect: false,
+    queue: "queue",
+    isNew: false,
+    isConfined: false,
     waiting: Array.from({ length: tasks }, (_, at) => at),
   };
 }
@@ -55,6 +58,7 @@
     workspaces: new Map(),
     reservations: new Map(),
     gangHolds: new Map(),
+    probation: new Set(),
   });
 }
 
@@ -153,6 +157,7 @@
     workspaces: new Map(),
     reservations: new Map(),
     gangHolds: new Map(),
+    probation: new Set(),
   });
   return starts.flatMap(({ step, placements }) =>
     placements.map(({ runner }) => `${step.job}@${runner.entry.id}`)
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -136,12 +136,13 @@
   readonly runnersByPool: ReadonlyMap<string, readonly Runner[]>;
   readonly health: RunnerHealth;
   getSession(life: string): Session | undefined;
-  /** Assigns a run to a runner; returns undefined if the job is unknown. */
+  /** Assigns a run to a runner; returns undefined if the job is unknown. Default: a suspect if its task counts crashes. */
   assignRun(
     runner: Runner,
     task: TaskRef,
     run: number,
     occupantState: Occupant["state"],
+    isSuspect?: boolean,
   ): Occupant | undefined;
   release(runner: Runner, occupant: Occupant): void;
   /** Tells whether a run is the current one of an unfinished task. */
@@ -195,6 +196,7 @@
     task: TaskRef,
     run: number,
     occupantState: Occupant["state"],
+    isSuspect = false,
   ): Occupant | undefined {
     const job = state.getJob(task.job);
     const resources = job?.spec.steps[task.step]?.resources;
@@ -209,7 +211,7 @@
         task,
         run,
         resources,
-        isSuspect: countCrashes(state.getTask(task)) > 0,
+        isSuspect: isSuspect || countCrashes(state.getTask(task)) > 0,
       },
       occupantState,
       clock.now(),
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -30,6 +30,7 @@
   type PlannedStart,
   planStarts,
 } from "./planning.ts";
+import { createProbation } from "./probation.ts";
 import { createRecordQueue } from "./record_queue.ts";
 import { createPacedRounds } from "./paced_rounds.ts";
 import type { RunnerCalls } from "./runner_calls.ts";
@@ -121,6 +122,7 @@
   const workspaces = createWorkspaceUsageTracker({ state, clock });
   const runTimes = createRunTimes();
   const openSteps = createOpenSteps({ state, clock, workspaces, runTimes });
+  const probation = createProbation({ state, clock, logger });
   const queue = createRecordQueue({ clock, propose: options.propose });
   const calls = createWorkCalls({ clock, logger, state, queue });
   const metricsOptions = metrics === undefined ? {} : { metrics };
@@ -308,7 +310,13 @@
         const task = { job, occurrence, step: step.step, index };
         const session = fleet.getSession(runner.life);
         if (session === undefined) continue;
-        const occupant = fleet.assignRun(runner, task, run, "planned");
+        const occupant = fleet.assignRun(
+          runner,
+          task,
+          run,
+          "planned",
+          step.isConfined,
+        );
         if (occupant !== undefined) orders.push({ session, occupant, ticket });
       }
       records.push({
@@ -438,12 +446,13 @@
     const decided = planStarts({
       nowMs: clock.now(),
       wallMs,
-      steps: sortOpenSteps(open, wallMs),
+      steps: sortOpenSteps(probation.assignSteps(open), wallMs),
       runnersByPool: fleet.runnersByPool,
       getEligibility: (key) => eligibility.get(key),
       workspaces: workspaces.list(),
       reservations,
       gangHolds,
+      probation: probation.pickRunners(fleet.runnersByPool),
     });
     // A reservation lasts while its query is in progress, and for the next round
     // after the answer, in which the step may start.
@@ -494,6 +503,7 @@
         handleJobEnd(record.task.job);
         break;
       case "crash":
+        probation.recordCrash(record);
         for (const job of new Set(record.suspects.map(({ job }) => job))) {
           openSteps.refresh(job);
           handleJobEnd(job);
