Count a task as done whose run was given up but ended done

Callers could see a task run again after it was done. A run counts as lost, for example since its start got no reply and its runner crashed, and the task waits; then the next incarnation lists the run as done, carried out from a late start. The end was acknowledged but not recorded, as the run was no longer active, and the task started again.

The end "done" of the newest run of a waiting task now counts. Other ends of such a run do not: a new leader sees an end again that the former one has recorded, and a failure would count twice.

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -55,6 +55,7 @@
 } from "./types.ts";
 import {
   countCrashes,
+  isOpenEnd,
   isOpenJob,
   TASK_STATUS,
   type WorkState,
@@ -532,7 +533,9 @@
     } else if (outcome === "failed") {
       health.recordFailure(runner, task.job);
     }
-    const isCurrent = isRecordedActive(task, run);
+    const recorded = state.getTask(task);
+    const isCurrent = recorded !== undefined &&
+      isOpenEnd(recorded, run, outcome);
     metrics?.addCount("run_ends_total", { outcome });
     // Most runs end as planned; the log line of their job is enough.
     const level = isCurrent && outcome === "done" ? "debug" : "info";
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -12,6 +12,7 @@
   type JobSpec,
   type QueueSettings,
   type RunnerEntry,
+  type RunOutcome,
   type TaskRef,
   type WorkJobState,
   type WorkRecord,
@@ -141,6 +142,20 @@
   return Math.max(1, spec.repetitions);
 }
 
+/**
+ * Tells whether the end of a run still counts. A run that was given up may have been
+ * done all the same: while its task waits, it need not run again.
+ */
+export function isOpenEnd(
+  task: TaskState,
+  run: number,
+  outcome: RunOutcome,
+): boolean {
+  if (task.run !== run) return false;
+  return task.status === TASK_STATUS.active ||
+    (task.status === TASK_STATUS.waiting && outcome === "done");
+}
+
 /** Creates an empty state. */
 export function createWorkState(): WorkState {
   let configuration: Configuration | undefined;
@@ -253,8 +268,7 @@
     const step = getOccurrence(job, ref.occurrence).steps[ref.step];
     const task = step?.tasks[ref.index];
     if (step === undefined || task === undefined) return;
-    const isCurrent = task.status === TASK_STATUS.active && task.run === run;
-    if (!isCurrent) return;
+    if (!isOpenEnd(task, run, outcome)) return;
     if (record.checkpoint !== "") task.checkpoint = record.checkpoint;
     task.status = TASK_STATUS.waiting;
     // A runner lists only ends of runs that have not crashed it.
