--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -15,10 +15,11 @@
 import {
   announceRunner,
   getJobState,
+  recordPolls,
   runCall,
   runUntil,
 } from "../../test/work_model_calls.ts";
-import type { HoldOrder, RunnerTarget, StartOrder } from "./runner_calls.ts";
+import type { RunnerTarget, StartOrder } from "./runner_calls.ts";
 import type { StepSpec } from "./types.ts";
 
 function createModel(): WorkModel {
@@ -40,23 +41,6 @@
   );
 }
 
-/** Lets a model keep the newest poll, and returns a function that takes a late copy of it. */
-function recordPolls(model: WorkModel) {
-  const { calls } = model.runners;
-  const { hold } = calls;
-  let newest: { target: RunnerTarget; order: HoldOrder } | undefined;
-  calls.hold = (target, order, timeoutMs) => {
-    newest = { target, order };
-    return hold(target, order, timeoutMs);
-  };
-  return function takeLatePoll(): () => void {
-    const late = newest;
-    if (late === undefined) throw new Error("No poll was sent");
-    const order = { ...late.order, waitMs: 0 };
-    return () => void hold(late.target, order, 500).catch(() => {});
-  };
-}
-
 /** Lets a model keep the first start, and returns a function that sends a late copy of it. */
 function recordFirstStart(model: WorkModel): () => void {
   const { calls } = model.runners;
@@ -79,7 +63,7 @@
   const takeLatePoll = recordPolls(model);
   await model.addRunner("r1");
   await model.run(30_000);
-  const sendLatePoll = takeLatePoll();
+  const sendLatePoll = takeLatePoll({});
   const next = createRunnerEntry("r1", { startedMs: 2 });
   const faults = model.runners.add(next);
   sendLatePoll();
@@ -103,7 +87,7 @@
   const takeLatePoll = recordPolls(model);
   await model.addRunner("r1");
   await model.run(30_000);
-  const sendLatePoll = takeLatePoll();
+  const sendLatePoll = takeLatePoll({});
   const next = createRunnerEntry("r1", { startedMs: 2 });
   const faults = model.runners.add(next);
   sendLatePoll();
@@ -127,7 +111,7 @@
   const takeLatePoll = recordPolls(model);
   await model.addRunner("r1");
   await model.run(30_000);
-  const sendLatePoll = takeLatePoll();
+  const sendLatePoll = takeLatePoll({});
   const next = createRunnerEntry("r1", { startedMs: 2 });
   const faults = model.runners.add(next);
   while (model.state.getRunner("r1") !== undefined) await model.run(1);
--- a/src/workload/restarted_runner_test.ts
+++ b/src/workload/restarted_runner_test.ts
@@ -11,11 +11,11 @@
   createWorkModel,
   type WorkModel,
 } from "../model/mod.ts";
-import type { HoldOrder, RunnerTarget } from "./runner_calls.ts";
 import {
   announceRunner,
   createJobAddress,
   getJobState,
+  recordPolls,
   runCall,
   runUntil,
 } from "../../test/work_model_calls.ts";
@@ -36,26 +36,6 @@
   return { model, first };
 }
 
-/** Lets a model keep the newest poll, and returns a function that sends it once more. */
-function recordPolls(model: WorkModel) {
-  const { calls } = model.runners;
-  const { hold } = calls;
-  let newest: { target: RunnerTarget; order: HoldOrder } | undefined;
-  calls.hold = (target, order, timeoutMs) => {
-    newest = { target, order };
-    return hold(target, order, timeoutMs);
-  };
-  return {
-    /** Returns a call that sends the newest poll until now, with changes, as a late copy. */
-    takeLatePoll(changes: Partial<HoldOrder>): () => void {
-      const late = newest;
-      if (late === undefined) throw new Error("No poll was sent");
-      const order = { ...late.order, ...changes, waitMs: 0 };
-      return () => void hold(late.target, order, 500).catch(() => {});
-    },
-  };
-}
-
 // The former incarnation has confirmed a stop, of which the next one knows nothing.
 t.test("a start stopped on the former incarnation does not run on the next", async (t) => {
   const { model } = await startLateJob({
@@ -197,10 +177,10 @@
 // Polls name no incarnation, so a late one acknowledges ends that it was not meant for.
 t.test("a late poll of the former incarnation does not drop an end", async (t) => {
   const model = createModel();
-  const polls = recordPolls(model);
+  const takeLatePoll = recordPolls(model);
   await model.addRunner("r1");
   await model.run(3_000);
-  const sendLatePoll = polls.takeLatePoll({
+  const sendLatePoll = takeLatePoll({
     recordedEnds: 57,
     untilMs: undefined,
   });
@@ -224,10 +204,10 @@
 // longest lease, which is longer than the one that the leader grants.
 t.test("the lease in an early late poll is known when the next incarnation is cut off", async (t) => {
   const model = createModel();
-  const polls = recordPolls(model);
+  const takeLatePoll = recordPolls(model);
   await model.addRunner("r1");
   await model.run(30_000);
-  const sendLatePoll = polls.takeLatePoll({});
+  const sendLatePoll = takeLatePoll({});
   const next = createRunnerEntry("r1", { startedMs: 2 });
   const faults = model.runners.add(next);
   sendLatePoll();
--- a/test/work_model_calls.ts
+++ b/test/work_model_calls.ts
@@ -1,6 +1,11 @@
 /** Calls to the model of a cell, for tests of the workload scheduler. */
 
-import type { RunnerEntry, WorkJobState } from "../src/workload/mod.ts";
+import type {
+  HoldOrder,
+  RunnerEntry,
+  RunnerTarget,
+  WorkJobState,
+} from "../src/workload/mod.ts";
 import type { WorkModel } from "../src/model/mod.ts";
 
 /** Returns the address of a job in the model's first queue, with the key of its first workspace. */
@@ -47,3 +52,25 @@
   const announcement = { entry, sequence, remainingMs: 0 };
   void model.getController().announceRunner(announcement);
 }
+
+/**
+ * Lets a model keep its newest poll. Returns a function that takes that poll; the
+ * returned call sends it once more, with some fields changed, as a late copy.
+ */
+export function recordPolls(
+  model: WorkModel,
+): (changes: Partial<HoldOrder>) => () => void {
+  const { calls } = model.runners;
+  const { hold } = calls;
+  let newest: { target: RunnerTarget; order: HoldOrder } | undefined;
+  calls.hold = (target, order, timeoutMs) => {
+    newest = { target, order };
+    return hold(target, order, timeoutMs);
+  };
+  return (changes) => {
+    const late = newest;
+    if (late === undefined) throw new Error("No poll was sent");
+    const order = { ...late.order, ...changes, waitMs: 0 };
+    return () => void hold(late.target, order, 500).catch(() => {});
+  };
+}
