Show that the clock of a young incarnation does not tell the next one

Callers could see a task run twice. Since the clock in the reply to an order tells another incarnation, but only if it is more than 3 s behind the former one. An incarnation that has lived for less than that, as in a row of crashes, passes: the next one accepts the start, whose lease is a time on the former clock, and so holds it for up to 3 s longer than the leader assumes. It is cut off then, and the task starts elsewhere.

--- /dev/null
+++ b/src/workload/late_orders_test.ts
@@ -0,0 +1,51 @@
+/**
+ * Orders, ends and records that meet another incarnation, run or state of a runner than
+ * the one that they were decided for. The tests guard against a task that runs twice,
+ * unless stated.
+ */
+
+import t from "tap";
+import {
+  createJob,
+  createModelConfiguration,
+  createRunnerEntry,
+  createWorkModel,
+  type WorkModel,
+} from "../model/mod.ts";
+import { runCall } from "../../test/work_model_calls.ts";
+import type { StepSpec } from "./types.ts";
+
+function createModel(): WorkModel {
+  return createWorkModel({ configuration: createModelConfiguration() });
+}
+
+/** Submits a job with one step; resolves once it is accepted. */
+function submitJob(
+  model: WorkModel,
+  id: string,
+  step: Partial<StepSpec>,
+): Promise<void> {
+  return runCall(model, model.submit(id, createJob([step])));
+}
+
+function listRuns(model: WorkModel): string[] {
+  return model.runners.listRunning().map(({ task, run, runner }) =>
+    `${task.job}#${run}@${runner}`
+  );
+}
+
+// The clock of a young incarnation is so near to that of the next one that it does not
+// tell them apart; the lease in the start is longer on the new clock.
+t.test("the lease in a start that the next of a young incarnation accepts is known", async (t) => {
+  const model = createModel();
+  await model.addRunner("r1");
+  await model.run(2_500);
+  const faults = model.runners.add(createRunnerEntry("r1", { startedMs: 2 }));
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  while (listRuns(model).length === 0) await model.run(1);
+  await model.run(4);
+  faults.isPartitioned = true;
+  await model.addRunner("r2");
+  await model.run(14_000);
+  t.strictSame(model.runners.violations, []);
+});
