Show that a start is sent whose run was released while it was recorded

Callers could see a task run twice. When a lease ends without contact while a start is being recorded, the run is released from its runner (handleLeaseEnd), but startPlanned only asks whether the incarnation is closed, and sends the start. Nothing accounts for the run then: recorded runs without a runner are ended as lost 2 to 4 s later, whether the start may still arrive or not. It takes a record that is slower than what is left of the lease (a stalled disk), so the model may delay the record of a command now.

--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -58,6 +58,8 @@
   configuration: Configuration;
   /** Time until a proposed command is committed, in milliseconds. Default 12. */
   commitMs?: number;
+  /** Returns the same for the records of a command. Default: `commitMs`. */
+  getCommitMs?: (records: readonly WorkRecord[]) => number;
   /** Returns the behaviour of a task. Default: as its step declares. */
   getTaskFacts?: (task: TaskRef, step: StepSpec) => TaskFacts;
   /** Returns whether a runner may run a step, given as `JOB/STEP`. Default: always. */
@@ -335,7 +337,8 @@
           );
         }
         return new Promise((resolve, reject) => {
-          clock.setTimer(commitMs, () => {
+          const afterMs = options.getCommitMs?.(records) ?? commitMs;
+          clock.setTimer(afterMs, () => {
             if (term !== newestTerm) {
               return reject(
                 createFault(
--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -12,7 +12,7 @@
   createWorkModel,
   type WorkModel,
 } from "../model/mod.ts";
-import { runCall } from "../../test/work_model_calls.ts";
+import { runCall, runUntil } from "../../test/work_model_calls.ts";
 import type { StepSpec } from "./types.ts";
 
 function createModel(): WorkModel {
@@ -49,3 +49,27 @@
   await model.run(14_000);
   t.strictSame(model.runners.violations, []);
 });
+
+// The lease ends while the start is being recorded, so that the run is released, and its
+// start is sent all the same.
+t.test("a start that is recorded after the lease has ended is not sent", async (t) => {
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    getCommitMs: ([first]) =>
+      first?.kind === "start" && first.run === 1 ? 9_000 : 12,
+  });
+  const faults = await model.addRunner("r1");
+  await model.run(1_000);
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  const fromMs = model.clock.now();
+  await model.run(10);
+  faults.isPartitioned = true;
+  await runUntil(model, fromMs + 8_900);
+  faults.isPartitioned = false;
+  while (listRuns(model).length === 0) await model.run(1);
+  faults.isPartitioned = true;
+  await model.run(500);
+  await model.addRunner("r2");
+  await model.run(20_000);
+  t.strictSame(model.runners.violations, []);
+});
