Show that a runner recorded without a reply is not used

Callers would see capacity unused until the runner changes or the leader does. If the record of a new incarnation is committed but the leader is told otherwise, no session is started; the runner's heartbeats equal the record, so that log members answer them, and the leader never hears of it.

By reading, the log leaves an outcome open only when the leadership of a term has ended, and the controller is replaced then; so this needs a failure that was not shown yet.

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -19,6 +19,7 @@
   runUntil,
 } from "../../test/work_model_calls.ts";
 import type { StepSpec } from "./types.ts";
+import { encodeRecords } from "./work_state.ts";
 
 function createModel(): WorkModel {
   return createWorkModel({ configuration: createModelConfiguration() });
@@ -106,3 +107,28 @@
   t.equal(getJobState(model, "job"), "completed");
   t.strictSame(model.runners.violations, []);
 });
+
+// No heartbeat differs from the record any more, so none reaches the leader. Guards
+// against a runner that is neither polled nor used.
+t.test("a runner recorded without a reply is used", async (t) => {
+  let hasReply = false;
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    isRefused(records) {
+      if (hasReply || records[0]?.kind !== "runner") return false;
+      model.state.apply(encodeRecords(records), 0);
+      return true;
+    },
+  });
+  const entry = createRunnerEntry("r1");
+  model.runners.add(entry);
+  const announced = model.getController()
+    .announceRunner({ entry, sequence: 1, remainingMs: 0 })
+    .catch(() => "refused");
+  t.equal(await runCall(model, announced), "refused");
+  hasReply = true;
+  t.equal(model.state.getRunner("r1")?.startedMs, 1);
+  await submitJob(model, "job", { estimatedMs: 100 });
+  await model.run(5_000);
+  t.equal(getJobState(model, "job"), "completed");
+});
