Show that a lost withdrawal of late orders is not repeated

Callers could see a task run twice. Once a probe has told of the next incarnation, one poll raises its fencing token, since it may register only a heartbeat later. That poll is sent once: a lost one is logged and not repeated, and a reply of an unhealthy runner, which has done nothing, counts as done without a log line. A late start of the former incarnation is then executed beside the next run of its task.

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -5,6 +5,7 @@
  */
 
 import t from "tap";
+import { createFault } from "../common/mod.ts";
 import {
   createJob,
   createModelConfiguration,
@@ -18,6 +19,7 @@
   runCall,
   runUntil,
 } from "../../test/work_model_calls.ts";
+import type { RunnerTarget, StartOrder } from "./runner_calls.ts";
 import type { StepSpec } from "./types.ts";
 import { encodeRecords } from "./work_state.ts";
 
@@ -40,6 +42,36 @@
   );
 }
 
+/** Lets a model keep the first start, and returns a function that sends a late copy of it. */
+function recordFirstStart(model: WorkModel): () => void {
+  const { calls } = model.runners;
+  const { start } = calls;
+  let first: { target: RunnerTarget; order: StartOrder } | undefined;
+  calls.start = (target, order, timeoutMs) => {
+    first ??= { target, order };
+    return start(target, order, timeoutMs);
+  };
+  return () => {
+    if (first === undefined) throw new Error("No start was sent");
+    void start(first.target, first.order, 500).catch(() => {});
+  };
+}
+
+/** Moves the first run of a task to r2 while a start of it on r1 may still arrive. Returns a function that sends a late copy. */
+async function moveLateJob(model: WorkModel): Promise<() => void> {
+  const sendLateStart = recordFirstStart(model);
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 12_000;
+  await submitJob(model, "job", { estimatedMs: 20_000 });
+  await model.run(60);
+  await model.addRunner("r2");
+  await model.run(800);
+  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
+  await model.run(1_400);
+  return sendLateStart;
+}
+
 // The clock of a young incarnation is so near to that of the next one that it does not
 // tell them apart; the lease in the start is longer on the new clock.
 t.test("the lease in a start that the next of a young incarnation accepts is known", async (t) => {
@@ -132,3 +164,39 @@
   await model.run(5_000);
   t.equal(getJobState(model, "job"), "completed");
 });
+
+// A probe tells of the next incarnation; the one poll that then raises its fencing token
+// is lost, or refused by an unhealthy runner, which has done nothing.
+for (const kind of ["lost", "unhealthy"] as const) {
+  t.test(`no late start is executed beside a withdrawal that is ${kind}`, async (t) => {
+    const model = createModel();
+    const sendLateStart = await moveLateJob(model);
+    t.strictSame(listRuns(model), ["job#2@r2"]);
+    const next = createRunnerEntry("r1", { startedMs: 2 });
+    model.runners.add(next);
+    const { calls } = model.runners;
+    const { hold, release } = calls;
+    let isClosed = false;
+    let failures = 0;
+    calls.release = (address) => {
+      isClosed = true;
+      release(address);
+    };
+    calls.hold = (target, order, timeoutMs) => {
+      const fails = isClosed && target.id === "r1" && failures === 0;
+      if (!fails) return hold(target, order, timeoutMs);
+      failures += 1;
+      return kind === "lost"
+        ? Promise.reject(createFault("outcomeUnknown", "Lost"))
+        : Promise.resolve({ outcome: kind });
+    };
+    while (!isClosed) await model.run(1);
+    t.equal(failures, 1);
+    await model.run(700);
+    sendLateStart();
+    await model.run(20);
+    announceRunner(model, next);
+    await model.run(2_000);
+    t.strictSame(model.runners.violations, []);
+  });
+}
