Show that a poll with a refused token is repeated without a pause

A leader whose fencing token is refused by a runner polls it again in the same moment, as often as replies arrive: 750 times in 3 s on the model. All other refusals are followed by a pause. It happens to a leader that was replaced, and to the session of a former incarnation whose successor got a token while its record was refused. Each poll has a price.

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -200,3 +200,23 @@
     t.strictSame(model.runners.violations, []);
   });
 }
+
+// Guards against a runner that is polled without pause by a leader that was replaced.
+t.test("a poll with a refused token is not sent again at once", async (t) => {
+  const model = createModel();
+  await model.addRunner("r1");
+  await model.run(3_000);
+  const { calls } = model.runners;
+  const { hold } = calls;
+  const target = { id: "r1", address: "r1:1" };
+  const order = { fence: 2 ** 40, recordedEnds: 0, untilMs: undefined };
+  void hold(target, { ...order, waitMs: 0 }, 500);
+  await model.run(1_500);
+  let polls = 0;
+  calls.hold = (...call) => {
+    polls += 1;
+    return hold(...call);
+  };
+  await model.run(3_000);
+  t.ok(polls < 30, `${polls} polls`);
+});
