Show that an incarnation with an earlier start is not recorded

If the wall clock of a runner is set back while it restarts, its next incarnation has an earlier start. While runs of the former one are unsettled that one stays recorded, and the record of the next one counts as late: it has a session, but is not in the state, so that the next leader takes the former one for the runner, stops what runs on it and counts a crash. Once stopUnsettled has taken the runs over, nothing removes the former one.

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -220,3 +220,22 @@
   await model.run(3_000);
   t.ok(polls < 30, `${polls} polls`);
 });
+
+// The wall clock of a runner may be set back while it restarts. Guards against a runner
+// that the next leader does not know.
+t.test("an incarnation with an earlier start is recorded", async (t) => {
+  const model = createModel();
+  const first = await model.addRunner("r1", { startedMs: 9 });
+  await model.run(100);
+  first.orderDelayMs = 12_000;
+  await submitJob(model, "job", { estimatedMs: 20_000 });
+  await model.run(60);
+  const next = createRunnerEntry("r1", { startedMs: 5 });
+  model.runners.add(next);
+  await model.run(2_000);
+  announceRunner(model, next);
+  await model.run(20_000);
+  announceRunner(model, next, 2);
+  await model.run(1_000);
+  t.equal(model.state.getRunner("r1")?.startedMs, 5);
+});
