Show that a run whose end is beyond the first 500 counts as lost

Callers could see a task start again after it was done. A runner lists 500 ends at a time (PROTOCOL.md). A run that is done, but whose end is not among the first 500, is in neither list, and so counts as missing: it ends as lost and its task starts again. The next poll lists its end; it only counts if it is there before the next start is recorded, which needs a round trip of less than the 20 ms or so that this takes. The model lists all ends at once, so the test shortens its lists.

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -5,7 +5,7 @@
  */
 
 import t from "tap";
-import { createFault } from "../common/mod.ts";
+import { createFault, wait } from "../common/mod.ts";
 import {
   createJob,
   createModelConfiguration,
@@ -239,3 +239,31 @@
   await model.run(1_000);
   t.equal(model.state.getRunner("r1")?.startedMs, 5);
 });
+
+// A list contains 500 ends at most, so that a run may be in neither list although it is
+// done. Guards against a start after the task was done.
+t.test("a run whose end is not among the first 500 is not lost", async (t) => {
+  const model = createModel();
+  const { calls } = model.runners;
+  const { hold } = calls;
+  calls.hold = async (...call) => {
+    const reply = await hold(...call);
+    // From a data centre that is far away.
+    await wait(model.clock, 40);
+    return reply.outcome === "accepted"
+      ? { ...reply, ended: reply.ended.slice(0, 500) }
+      : reply;
+  };
+  const faults = await model.addRunner("r1");
+  await model.run(1_000);
+  const resources = { processors: 4, memoryMb: 1, accelerators: 0 };
+  await submitJob(model, "job", { tasks: 700, estimatedMs: 400, resources });
+  while (listRuns(model).length < 700) await model.run(1);
+  faults.isPartitioned = true;
+  await model.run(1_500);
+  faults.isPartitioned = false;
+  await model.run(10_000);
+  t.equal(getJobState(model, "job"), "completed");
+  t.equal(model.runners.countStarts(), 700);
+  t.strictSame(model.runners.violations.length, 0);
+});
