--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -10,6 +10,7 @@
   createJob,
   createModelConfiguration,
   createRunnerEntry,
+  createTaskFacts,
   createWorkModel,
   type WorkModel,
 } from "../model/mod.ts";
@@ -267,3 +268,32 @@
   t.equal(model.runners.countStarts(), 700);
   t.strictSame(model.runners.violations.length, 0);
 });
+
+// The end "failed" of a run that was given up is listed while its task waits. Guards
+// against a start after as many failed runs as the queue allows.
+t.test("a late failure of a run that was given up counts", async (t) => {
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    getTaskFacts: (_, step) => ({
+      ...createTaskFacts(step),
+      alwaysFails: true,
+    }),
+  });
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 4_000;
+  await submitJob(model, "job", { estimatedMs: 50 });
+  await model.run(1_100);
+  // Keeps the task waiting.
+  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
+  await runUntil(model, 5_000);
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  model.runners.add(next);
+  while (listRuns(model).length === 0) await model.run(1);
+  await model.run(60);
+  t.strictSame(listRuns(model), []);
+  announceRunner(model, next);
+  await model.run(10_000);
+  t.equal(getJobState(model, "job"), "failed");
+  t.strictSame(model.runners.violations, []);
+});
