--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -297,3 +297,21 @@
   t.equal(getJobState(model, "job"), "failed");
   t.strictSame(model.runners.violations, []);
 });
+
+// The next incarnation announces itself before anything else has reached it.
+t.test("no late start is executed while the next incarnation is recorded", async (t) => {
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    getCommitMs: ([first]) =>
+      first?.kind === "runner" && first.runner.startedMs === 2 ? 300 : 12,
+  });
+  const sendLateStart = await moveLateJob(model);
+  t.strictSame(listRuns(model), ["job#2@r2"]);
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  model.runners.add(next);
+  announceRunner(model, next);
+  await model.run(50);
+  sendLateStart();
+  await model.run(2_000);
+  t.strictSame(model.runners.violations, []);
+});
