Show that polls of the model outlast their timeout

The model lets a pending poll of a runner that crashes, or is cut off, wait to the end of its wait, and then for its whole timeout: 3.1 s instead of 1.9 s. In production the connection breaks at once, or the call times out after 1.9 s. So on the model a leader notices a crash later than in production, with other races than those that the tests are meant to show.

--- a/src/model/runner_model_test.ts
+++ b/src/model/runner_model_test.ts
@@ -115,3 +115,18 @@
   await model.run(1_000);
   t.equal(model.runners.readClock("r1"), 980);
 });
+
+// Guards against a model in which a leader notices a crash later than in production.
+t.test("a poll of a runner that crashes fails within its timeout", async (t) => {
+  const model = createModel();
+  model.runners.add(createRunnerEntry("r1"));
+  const fromMs = model.clock.now();
+  const poll = { fence: 7, recordedEnds: 0, untilMs: 5_000, waitMs: 1_200 };
+  const call = model.runners.calls
+    .hold({ id: "r1", address: "r1:1" }, poll, 1_900)
+    .then(() => -1, () => model.clock.now() - fromMs);
+  await model.run(600);
+  model.runners.crash("r1");
+  const tookMs = await runCall(model, call);
+  t.ok(tookMs > 0 && tookMs <= 1_910, `${tookMs} ms`);
+});
