Show that the model lists all ends at once

PROTOCOL.md: a runner returns ends 500 at a time. The model returns all of them, so that a run is always in one of the two lists.

--- a/src/model/runner_model_test.ts
+++ b/src/model/runner_model_test.ts
@@ -130,3 +130,20 @@
   const tookMs = await runCall(model, call);
   t.ok(tookMs > 0 && tookMs <= 1_910, `${tookMs} ms`);
 });
+
+// Guards against a model that lists more ends than a runner does.
+t.test("a list contains 500 ends at most", async (t) => {
+  const model = createModel();
+  const { calls } = model.runners;
+  const target = { id: "r1", address: "r1:1" };
+  const capacity = { processors: 1e9, memoryMb: 1e9, accelerators: 0 };
+  model.runners.add(createRunnerEntry("r1", { capacity }));
+  for (let index = 0; index < 600; index += 1) {
+    void calls.start(target, createOrder({ task: { ...TASK, index } }), 500);
+  }
+  await model.run(1_000);
+  const poll = { recordedEnds: 0, untilMs: undefined, waitMs: 0 };
+  const order = { ...poll, fence: Number.MAX_SAFE_INTEGER };
+  const reply = await runCall(model, calls.hold(target, order, 500));
+  t.equal(reply.outcome === "accepted" ? reply.ended.length : 0, 500);
+});
