Show that the model forgets a stop when a lower run ends

PROTOCOL.md: a run that is not higher than one that was stopped or has ended there is rejected. The model keeps the number of the run that ended last, also if it is lower.

--- a/src/model/runner_model_test.ts
+++ b/src/model/runner_model_test.ts
@@ -147,3 +147,19 @@
   const reply = await runCall(model, calls.hold(target, order, 500));
   t.equal(reply.outcome === "accepted" ? reply.ended.length : 0, 500);
 });
+
+// Guards against a model that forgets a stop when a lower run of the task ends.
+t.test("a stopped run is refused after a lower one has ended", async (t) => {
+  const model = createModel();
+  const { calls } = model.runners;
+  const target = { id: "r1", address: "r1:1" };
+  model.runners.add(createRunnerEntry("r1"));
+  await runCall(model, calls.start(target, createOrder(), 500));
+  const { fence } = createOrder();
+  await runCall(model, calls.stop(target, { task: TASK, run: 3, fence }, 500));
+  await model.run(1_000);
+  t.strictSame(model.runners.listRunning(), []);
+  const order = createOrder({ run: 2 });
+  const reply = await runCall(model, calls.start(target, order, 500));
+  t.equal(reply.outcome, "staleRun");
+});
