--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -17,6 +17,7 @@
 import {
   announceRunner,
   getJobState,
+  recordPolls,
   runCall,
   runUntil,
 } from "../../test/work_model_calls.ts";
@@ -315,3 +316,34 @@
   await model.run(2_000);
   t.strictSame(model.runners.violations, []);
 });
+
+// The late poll arrives just before the probe that tells of the next incarnation, which
+// announces itself after the former one was closed.
+t.test("the lease in a late poll before a probe is known", async (t) => {
+  const model = createModel();
+  const takeLatePoll = recordPolls(model);
+  await model.addRunner("r1");
+  await model.run(30_000);
+  const sendLatePoll = takeLatePoll({});
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  const faults = model.runners.add(next);
+  const { calls } = model.runners;
+  const { hold } = calls;
+  let isSent = false;
+  calls.hold = (...call) => {
+    if (!isSent) sendLatePoll();
+    isSent = true;
+    return hold(...call);
+  };
+  while (model.state.getRunner("r1") !== undefined) await model.run(1);
+  t.ok(isSent);
+  announceRunner(model, next);
+  await model.run(40);
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(300);
+  await model.addRunner("r2");
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  faults.isPartitioned = true;
+  await model.run(14_000);
+  t.strictSame(model.runners.violations, []);
+});
