Show that a start that waits for the leadership is sent after its release

Callers could see a task run twice without a fault of the runner. A leader that loses its lease and regains it in the same term only pauses. If the lease of a runner ends meanwhile, a run whose start waits to be sent is released, and its end is recorded. When the leader goes on, the start is sent if that record is not applied yet: runStart asks whether the run is wanted, not whether it still occupies its runner. The task then starts elsewhere. It is the cause of the start that is recorded after the lease has ended, in another place. It takes a pause of more than 6.5 s, as when the other members are down, and a record that takes longer than the up to 150 ms until the start is sent; the test delays it by 200 ms. The model may take the lease of its leader away now.

--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -60,6 +60,8 @@
   commitMs?: number;
   /** Returns the same for the records of a command. Default: `commitMs`. */
   getCommitMs?: (records: readonly WorkRecord[]) => number;
+  /** Returns whether the leader holds its lease; without it, it only pauses. Default: always. */
+  hasLease?: () => boolean;
   /** Returns the behaviour of a task. Default: as its step declares. */
   getTaskFacts?: (task: TaskRef, step: StepSpec) => TaskFacts;
   /** Returns whether a runner may run a step, given as `JOB/STEP`. Default: always. */
@@ -326,7 +328,7 @@
       logger,
       state,
       createFencingToken: () => fencingTokens.create(term),
-      isLeading: () => term === newestTerm,
+      isLeading: () => term === newestTerm && (options.hasLease?.() ?? true),
       propose(records: readonly WorkRecord[]) {
         if (options.isRefused?.(records) === true) {
           return Promise.reject(
--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -347,3 +347,34 @@
   await model.run(14_000);
   t.strictSame(model.runners.violations, []);
 });
+
+// The leader loses its lease and regains it in the same term. Meanwhile the lease of the
+// runner ends and the run is released, but its start still waits to be sent.
+t.test("a start that waits for the leadership is not sent after its run was released", async (t) => {
+  let regainsMs = 0;
+  let isPaused = false;
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    hasLease: () => !isPaused,
+    getCommitMs([first]) {
+      const isFirst = first?.kind === "start" && first.run === 1;
+      if (isFirst) regainsMs = model.clock.now() + 7_500;
+      isPaused ||= isFirst;
+      // Nothing else is committed meanwhile, and the first command after it takes longer.
+      const waitMs = regainsMs - model.clock.now();
+      return isFirst || waitMs <= 0 ? 12 : waitMs + 200;
+    },
+  });
+  await model.addRunner("r1");
+  await model.run(1_000);
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  while (!isPaused) await model.run(1);
+  await runUntil(model, regainsMs);
+  isPaused = false;
+  while (listRuns(model).length === 0) await model.run(1);
+  const other = createRunnerEntry("r2");
+  model.runners.add(other);
+  announceRunner(model, other);
+  await model.run(20_000);
+  t.strictSame(model.runners.violations, []);
+});
