--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -60,7 +60,7 @@
 }
 
 /** Moves the first run of a task to r2 while a start of it on r1 may still arrive. Returns a function that sends a late copy. */
-async function moveLateJob(model: WorkModel): Promise<() => void> {
+async function startElsewhere(model: WorkModel): Promise<() => void> {
   const sendLateStart = recordFirstStart(model);
   const first = await model.addRunner("r1");
   await model.run(100);
@@ -172,7 +172,7 @@
 for (const kind of ["lost", "unhealthy"] as const) {
   t.test(`no late start is executed beside a withdrawal that is ${kind}`, async (t) => {
     const model = createModel();
-    const sendLateStart = await moveLateJob(model);
+    const sendLateStart = await startElsewhere(model);
     t.strictSame(listRuns(model), ["job#2@r2"]);
     const next = createRunnerEntry("r1", { startedMs: 2 });
     model.runners.add(next);
@@ -306,7 +306,7 @@
     getCommitMs: ([first]) =>
       first?.kind === "runner" && first.runner.startedMs === 2 ? 300 : 12,
   });
-  const sendLateStart = await moveLateJob(model);
+  const sendLateStart = await startElsewhere(model);
   t.strictSame(listRuns(model), ["job#2@r2"]);
   const next = createRunnerEntry("r1", { startedMs: 2 });
   model.runners.add(next);
