Test that the next incarnation ends the wait for an open start

When an incarnation registers, it is told to stop what a former one that was closed before may have left to it, so that these tasks start again at once. This test fails without it, and passes.

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -378,3 +378,24 @@
   await model.run(20_000);
   t.strictSame(model.runners.violations, []);
 });
+
+// The former incarnation was closed by a probe while a start of it got no reply. Guards
+// against a task that waits until the start can no longer arrive, 13 s.
+t.test("an open start delays its task no longer once the next incarnation registers", async (t) => {
+  const model = createModel();
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 12_000;
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(60);
+  model.runners.crash("r1");
+  // No attempt to send the start reaches the next incarnation.
+  await model.run(2_500);
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  model.runners.add(next);
+  await model.run(1_500);
+  t.strictSame(listRuns(model), []);
+  announceRunner(model, next);
+  await model.run(500);
+  t.strictSame(listRuns(model), ["job#2@r1"]);
+});
