Test that an open start keeps its task after the end of the lease

This test fails without the rule with the violation "twice", and passes: whoever shortens the wait has to keep it green.

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -399,3 +399,26 @@
   await model.run(500);
   t.strictSame(listRuns(model), ["job#2@r1"]);
 });
+
+// The next incarnation executes a late start after the lease of the former one.
+t.test("an open start keeps its task after the end of the lease", async (t) => {
+  const model = createModel();
+  const sendLateStart = recordFirstStart(model);
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 12_000;
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(60);
+  model.runners.crash("r1");
+  await model.addRunner("r2");
+  await model.run(9_000);
+  t.strictSame(listRuns(model), []);
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  model.runners.add(next);
+  sendLateStart();
+  await model.run(10);
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  announceRunner(model, next);
+  await model.run(5_000);
+  t.strictSame(model.runners.violations, []);
+});
