--- a/src/model/runner_model_test.ts
+++ b/src/model/runner_model_test.ts
@@ -115,3 +115,51 @@
   await model.run(1_000);
   t.equal(model.runners.readClock("r1"), 980);
 });
+
+// Guards against a model in which a leader notices a crash later than in production.
+t.test("a poll of a runner that crashes fails within its timeout", async (t) => {
+  const model = createModel();
+  model.runners.add(createRunnerEntry("r1"));
+  const fromMs = model.clock.now();
+  const poll = { fence: 7, recordedEnds: 0, untilMs: 5_000, waitMs: 1_200 };
+  const call = model.runners.calls
+    .hold({ id: "r1", address: "r1:1" }, poll, 1_900)
+    .then(() => -1, () => model.clock.now() - fromMs);
+  await model.run(600);
+  model.runners.crash("r1");
+  const tookMs = await runCall(model, call);
+  t.ok(tookMs > 0 && tookMs <= 1_910, `${tookMs} ms`);
+});
+
+// Guards against a model that lists more ends than a runner does.
+t.test("a list contains 500 ends at most", async (t) => {
+  const model = createModel();
+  const { calls } = model.runners;
+  const target = { id: "r1", address: "r1:1" };
+  const capacity = { processors: 1e9, memoryMb: 1e9, accelerators: 0 };
+  model.runners.add(createRunnerEntry("r1", { capacity }));
+  for (let index = 0; index < 600; index += 1) {
+    void calls.start(target, createOrder({ task: { ...TASK, index } }), 500);
+  }
+  await model.run(1_000);
+  const poll = { recordedEnds: 0, untilMs: undefined, waitMs: 0 };
+  const order = { ...poll, fence: Number.MAX_SAFE_INTEGER };
+  const reply = await runCall(model, calls.hold(target, order, 500));
+  t.equal(reply.outcome === "accepted" ? reply.ended.length : 0, 500);
+});
+
+// Guards against a model that forgets a stop when a lower run of the task ends.
+t.test("a stopped run is refused after a lower one has ended", async (t) => {
+  const model = createModel();
+  const { calls } = model.runners;
+  const target = { id: "r1", address: "r1:1" };
+  model.runners.add(createRunnerEntry("r1"));
+  await runCall(model, calls.start(target, createOrder(), 500));
+  const { fence } = createOrder();
+  await runCall(model, calls.stop(target, { task: TASK, run: 3, fence }, 500));
+  await model.run(1_000);
+  t.strictSame(model.runners.listRunning(), []);
+  const order = createOrder({ run: 2 });
+  const reply = await runCall(model, calls.start(target, order, 500));
+  t.equal(reply.outcome, "staleRun");
+});
