Resend a start only once its runner has answered a poll without the run

Callers saw a task run twice, or start again after it was done: an unanswered start was resent up to three times without a sign of the runner, so a copy could reach the next incarnation of a crashed runner (same id and address) milliseconds after its start, before the leader had reached it, and each copy was one more that could be executed late.

After an unanswered start the driver now waits for this incarnation's answer to a poll that was sent after the start was given up. If it lists the run, running or ended, nothing is sent and the start counts as accepted; otherwise the copy follows the answer at once, also for starts that time out one after the other during one probe. An answer from before a gap in the leadership does not count, nor does one of another incarnation. A first attempt is not sent either while the runner leaves calls unanswered: the run goes elsewhere, as nothing can be executed late. A run that is being stopped is not resent. A runner that answers no probe ends as before: unanswered after 1.5 s.

Ruled out by reading: hidden copies by the HTTP client (undici 7.30.3 fails the running call when its connection closes; only calls that were never written are put on another connection) and by relays (a request is one message, and not repeated when the stream ends; a relay may send it late).

--- a/src/workload/restarted_runner_test.ts
+++ b/src/workload/restarted_runner_test.ts
@@ -390,3 +390,44 @@
   await model.run(3_000);
   t.equal(releases, 0);
 });
+
+// Guards against copies of a start that a restarted runner executes before the leader
+// has reached it: it has seen neither a fencing token nor a stop then.
+t.test("a restarted runner gets no start before its first poll is answered", async (t) => {
+  for (const returnMs of [100, 400, 700, 1_000, 1_300]) {
+    const model = createModel();
+    const first = await model.addRunner("r1");
+    await model.run(100);
+    const { calls } = model.runners;
+    const { start, hold } = calls;
+    let isBack = false;
+    let isReached = false;
+    let starts = 0;
+    calls.start = (target, order, timeoutMs) => {
+      if (isBack && !isReached) starts += 1;
+      return start(target, order, timeoutMs);
+    };
+    calls.hold = async (target, order, timeoutMs) => {
+      const isForNext = isBack;
+      const reply = await hold(target, order, timeoutMs);
+      if (isForNext) isReached = true;
+      return reply;
+    };
+    first.callDelayMs = 20_000;
+    await runCall(
+      model,
+      model.submit("job", createJob([{ tasks: 3, estimatedMs: 20_000 }])),
+    );
+    await model.run(60);
+    model.runners.crash("r1");
+    await model.run(returnMs);
+    const next = model.runners.add(createRunnerEntry("r1", { startedMs: 2 }));
+    isBack = true;
+    next.callDelayMs = 20_000;
+    await model.run(200);
+    next.callDelayMs = 0;
+    await model.run(3_000);
+    t.ok(isReached);
+    t.equal(starts, 0, `back after ${returnMs} ms`);
+  }
+});
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -1,11 +1,13 @@
 /**
  * Drives one incarnation of a runner: polls it continuously, which renews its
  * lease, and sends orders until they are answered. A start without a reply is
- * resent with the same run number, so that the runner executes it only once. If
- * it still gets no reply, a stop for the run makes sure that the runner refuses
- * delayed copies. A runner that leaves a call unanswered is probed by short polls
- * with growing pauses, and stop orders wait for it, so that failed calls to many
- * lost runners do not use up the leader's processor time.
+ * resent with the same run number, so that the runner executes it only once, but
+ * only after this incarnation has answered a poll that does not list the run: each
+ * copy may be executed late, also by the next incarnation. If it still gets no
+ * reply, a stop for the run makes sure that the runner refuses delayed copies. A
+ * runner that leaves a call unanswered is probed by short polls with growing
+ * pauses, and orders wait for it, so that failed calls to many lost runners do not
+ * use up the leader's processor time.
  */
 
 import { type Clock, type Logger, toFault, wait } from "../common/mod.ts";
@@ -28,6 +30,7 @@
 } from "./runner_calls.ts";
 import {
   estimateRunnerClock,
+  formatRun,
   isOverCapacity,
   type Occupant,
   recordGrant,
@@ -38,6 +41,9 @@
 /** Time by which replies on different connections may overtake each other, in milliseconds; longer than the timeout of each call. */
 const MAX_REPLY_OVERTAKING_MS = 3_000;
 
+/** Time from the first attempt of a start after which it is withdrawn, in milliseconds; the other members of a gang wait meanwhile. */
+const START_TIMEOUT_MS = START_ATTEMPTS * ORDER_TIMEOUT_MS;
+
 /** Result of a start; an "unanswered" one may still be executed, an "undelivered" one was never sent. */
 export type StartResult =
   | OrderOutcome
@@ -47,6 +53,25 @@
   | "overCapacity"
   | "abandoned";
 
+/** The reply to a poll that was carried out. */
+type PollReply = HoldReply & { outcome: "accepted" };
+
+/** A wait for the reply to a poll that was sent at `fromMs` or later. */
+interface PollWait {
+  readonly fromMs: number;
+  /** Ends the wait; without a reply if there will be none. */
+  readonly end: (reply: PollReply | undefined) => void;
+}
+
+/** What is known of a start before it is sent. */
+type StartCheck =
+  /** This incarnation answers and does not have the run. */
+  | "ready"
+  /** This incarnation has the run already. */
+  | "listed"
+  /** This incarnation does not answer. */
+  | "silent";
+
 /** Options of a driver. */
 export interface RunnerDriverOptions {
   runner: Runner;
@@ -60,10 +85,7 @@
   /** Returns whether this process may send orders now. */
   isLeading: () => boolean;
   /** Handles the reply to a poll; resolves once the listed ends are recorded. */
-  handlePollReply: (
-    reply: HoldReply & { outcome: "accepted" },
-    sentAtMs: number,
-  ) => Promise<void>;
+  handlePollReply: (reply: PollReply, sentAtMs: number) => Promise<void>;
   /** Called when another incarnation answered; `hasSameId` tells whether under the same runner id. */
   handleOtherIncarnation: (hasSameId: boolean) => void;
   /** Called when the runner has seen a higher fencing token. */
@@ -74,7 +96,7 @@
 
 /** Sends polls and orders to one runner. */
 export interface RunnerDriver {
-  /** Sends a start until it is answered or abandoned. */
+  /** Sends a start until it is answered, found in a list or abandoned. */
   runStart(
     occupant: Occupant,
     order: Omit<StartOrder, "untilMs" | "fence">,
@@ -87,12 +109,20 @@
   stop(): void;
 }
 
+/** Tells whether the runner has the run, or had it until it ended. */
+function isListed({ running, ended }: PollReply, key: string): boolean {
+  const fits = ({ task, run }: Pick<Occupant, "task" | "run">) =>
+    formatRun(task, run) === key;
+  return running.some(fits) || ended.some(fits);
+}
+
 /** Starts polling a runner. */
 export function startRunnerDriver(options: RunnerDriverOptions): RunnerDriver {
   const { runner, calls, clock, logger, fence } = options;
   const leaseMs = Math.min(RUNNER_LEASE_MS, options.maxLeaseMs);
   let isStopped = false;
   let probing: Promise<void> | undefined;
+  const pollWaits = new Set<PollWait>();
 
   function isOpen(): boolean {
     return !isStopped && !runner.isClosed;
@@ -140,7 +170,41 @@
     if (reply.outcome === "staleFence") options.handleStaleFence();
   }
 
-  async function runPoll(mayWait: boolean): Promise<void> {
+  /** Ends the waits for a poll that was sent at this time. */
+  function endPollWaits(reply: PollReply, sentAtMs: number): void {
+    for (const { fromMs, end } of [...pollWaits]) {
+      if (fromMs <= sentAtMs) end(reply);
+    }
+  }
+
+  /**
+   * Probes the runner; resolves with its reply to a poll that was sent at `fromMs` or
+   * later, or without one at `untilMs`.
+   */
+  function waitForPoll(
+    fromMs: number,
+    untilMs: number,
+  ): Promise<PollReply | undefined> {
+    return new Promise((resolve) => {
+      const timer = clock.setTimer(
+        Math.max(0, untilMs - clock.now()),
+        () => end(undefined),
+      );
+      const pollWait: PollWait = { fromMs, end };
+
+      function end(reply: PollReply | undefined): void {
+        timer.cancel();
+        pollWaits.delete(pollWait);
+        resolve(reply);
+      }
+
+      pollWaits.add(pollWait);
+      void startProbes();
+    });
+  }
+
+  /** Returns whether this incarnation has answered. */
+  async function runPoll(mayWait: boolean): Promise<boolean> {
     const sentAtMs = clock.now();
     // After an unanswered call, extending the lease would only delay the restart
     // of a lost runner's tasks elsewhere.
@@ -156,16 +220,18 @@
       { fence, recordedEnds, untilMs, waitMs },
       waitMs + POLL_TIMEOUT_SLACK_MS,
     );
-    if (!isOpen()) return;
-    if (reply.outcome === "otherLife") {
-      return options.handleOtherIncarnation(false);
-    }
-    if (reply.outcome === "staleFence") return options.handleStaleFence();
-    if (reply.outcome !== "accepted") return wait(clock, RETRY_PAUSE_MS);
+    if (!isOpen()) return false;
+    if (reply.outcome === "otherLife") options.handleOtherIncarnation(false);
+    else if (reply.outcome === "staleFence") options.handleStaleFence();
+    else if (reply.outcome !== "accepted") await wait(clock, RETRY_PAUSE_MS);
+    if (reply.outcome !== "accepted") return false;
     const isOther = reply.startedMs !== undefined &&
       runner.entry.startedMs !== 0 &&
       reply.startedMs !== runner.entry.startedMs;
-    if (isOther) return options.handleOtherIncarnation(true);
+    if (isOther) {
+      options.handleOtherIncarnation(true);
+      return false;
+    }
     recordClock(reply.clockMs);
     runner.isUnresponsive = false;
     runner.contactMs = clock.now();
@@ -176,31 +242,39 @@
       recordLease(runner, runner.contactMs, options.maxLeaseMs);
     }
     runner.lastReplyMs = runner.contactMs;
-    await options.handlePollReply(reply, sentAtMs);
+    // Evaluates the lists before it waits for the records of the ends.
+    const handled = options.handlePollReply(reply, sentAtMs);
+    endPollWaits(reply, sentAtMs);
+    await handled;
+    return true;
   }
 
-  /** Polls an unresponsive runner until it replies. */
+  /** Polls the runner until it replies to a poll that was sent after all unanswered calls. */
   async function runProbes(): Promise<void> {
     let periodMs = RETRY_PAUSE_MS;
-    while (await waitUntilLeading() && runner.isUnresponsive) {
+    const isDue = () => runner.isUnresponsive || pollWaits.size > 0;
+    while (await waitUntilLeading() && isDue()) {
       const startMs = clock.now();
+      let isAnswered = false;
       try {
-        await runPoll(false);
+        isAnswered = await runPoll(false);
       } catch (error) {
+        runner.isUnresponsive = true;
         logger.debug("Probe got no reply", { runner: runner.life, error });
       }
-      if (!runner.isUnresponsive) return;
+      // Calls that were given up during the probe need another one at once.
+      if (isAnswered) continue;
       const tookMs = clock.now() - startMs;
       await wait(clock, Math.max(RETRY_PAUSE_MS, periodMs - tookMs));
       periodMs = Math.min(2 * periodMs, MAX_PROBE_PERIOD_MS);
     }
+    probing = undefined;
   }
 
   /** Excludes the runner from new tasks until it replies to a probe. */
   function startProbes(): Promise<void> {
     runner.isUnresponsive = true;
-    probing ??= runProbes().finally(() => probing = undefined);
-    return probing;
+    return probing ??= runProbes();
   }
 
   async function runPolls(): Promise<void> {
@@ -223,16 +297,54 @@
     } while (isOpen() && runner.isUnresponsive && clock.now() < untilMs);
   }
 
+  /**
+   * Makes sure that this incarnation answers before a start is sent to it. If an earlier
+   * copy was given up at `fromMs`, also that it does not have the run according to a
+   * poll that was sent since. Ends at `untilMs`.
+   */
+  async function checkStart(
+    { key, isUncertain }: Occupant,
+    fromMs: number,
+    untilMs: number,
+  ): Promise<StartCheck> {
+    for (
+      let sinceMs = fromMs;
+      await waitUntilLeading();
+      sinceMs = clock.now()
+    ) {
+      if (!isUncertain && !runner.isUnresponsive) return "ready";
+      const reply = await waitForPoll(sinceMs, untilMs);
+      if (reply === undefined) return "silent";
+      if (isListed(reply, key)) return "listed";
+      // Without the leadership nothing may be sent, and the answer gets old.
+      if (isOpen() && options.isLeading()) return "ready";
+    }
+    return "silent";
+  }
+
   async function runStart(
     occupant: Occupant,
     order: Omit<StartOrder, "untilMs" | "fence">,
     isWanted: () => boolean,
   ): Promise<StartResult> {
+    let firstSentMs: number | undefined;
+    let failedMs = -Infinity;
     for (let attempt = 1; attempt <= START_ATTEMPTS; attempt += 1) {
-      const isLeading = await waitUntilLeading();
+      const check = await checkStart(
+        occupant,
+        failedMs,
+        firstSentMs === undefined
+          ? clock.now() + ORDER_TIMEOUT_MS
+          : firstSentMs + START_TIMEOUT_MS,
+      );
+      if (check === "listed") return "accepted";
+      if (check === "silent" && isOpen()) {
+        return occupant.isUncertain ? "unanswered" : "undelivered";
+      }
       const untilMs = computeLeaseEnd();
       // The incarnation may have been closed since the leadership was confirmed.
-      const mayStart = isLeading && isOpen() && isWanted();
+      const mayStart = check === "ready" && isOpen() && isWanted() &&
+        occupant.state !== "stopping";
       if (!mayStart || untilMs === undefined) {
         return occupant.isUncertain ? "unanswered" : "abandoned";
       }
@@ -243,6 +355,7 @@
       const formerOpenStartMs = occupant.openStartMs;
       occupant.orderSentMs = clock.now();
       occupant.openStartMs = occupant.orderSentMs;
+      firstSentMs ??= occupant.orderSentMs;
       try {
         const reply = await calls.start(
           getTarget(),
@@ -262,6 +375,7 @@
           reply.outcome !== "accepted" && reply.outcome !== "otherLife";
         return isUndecided ? "unanswered" : reply.outcome;
       } catch (error) {
+        failedMs = clock.now();
         const isUndelivered = toFault(error).ran === "no";
         if (isUndelivered) occupant.openStartMs = formerOpenStartMs;
         else occupant.isUncertain = true;
@@ -323,6 +437,7 @@
     },
     stop() {
       isStopped = true;
+      for (const { end } of [...pollWaits]) end(undefined);
     },
   };
 }
