Take a start for executed once a poll lists its run and no copy was sent

Callers saw a task away for up to 13 s after its runner was gone for good, and runs stopped on the next incarnation before they started again: a start whose reply was lost counted as still on its way, also when polls listed its run.

If exactly one copy was sent, the run in a list of the same incarnation (born as registered), running or ended, shows that this copy has been executed, so no start of the run is open any more.

The tests of two copies and of a stopped run pin what must not be cleared.

--- a/src/workload/restarted_runner_test.ts
+++ b/src/workload/restarted_runner_test.ts
@@ -377,6 +377,26 @@
   t.ok(tookMs < 9_000, `${tookMs} ms`);
 });
 
+// The same: a poll has listed the run, of which only one start was sent.
+t.test("a listed start whose reply was lost restarts within 9 s of a crash", async (t) => {
+  const model = createModel();
+  const first = await model.addRunner("r1");
+  await model.run(5_000);
+  first.orderDelayMs = 20;
+  await runCall(
+    model,
+    model.submit("job", createJob([{ estimatedMs: 60_000 }])),
+  );
+  await model.run(1_000);
+  await model.addRunner("r2");
+  t.equal(model.runners.countStarts(), 1);
+  model.runners.crash("r1");
+  const fromMs = model.clock.now();
+  while (model.runners.listRunning().length === 0) await model.run(1);
+  const tookMs = model.clock.now() - fromMs;
+  t.ok(tookMs < 9_000, `${tookMs} ms`);
+});
+
 // Guards against a ghost: both announcements are being recorded, the late one last.
 // Closing the ghost cuts the connections of the runner at the address.
 t.test("a late announcement beside that of the next incarnation is ignored", async (t) => {
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -110,12 +110,24 @@
 }
 
 /** Tells whether the runner has the run, or had it until it ended. */
-function isListed({ running, ended }: PollReply, key: string): boolean {
+function isListed(
+  { running, ended }: Pick<PollReply, "running" | "ended">,
+  key: string,
+): boolean {
   const fits = ({ task, run }: Pick<Occupant, "task" | "run">) =>
     formatRun(task, run) === key;
   return running.some(fits) || ended.some(fits);
 }
 
+/**
+ * Tells whether the runner has executed a start of the run. A run that ended as
+ * stopped may have been stopped before its start arrived.
+ */
+function isStartListed({ running, ended }: PollReply, key: string): boolean {
+  const begun = ended.filter(({ outcome }) => outcome !== "stopped");
+  return isListed({ running, ended: begun }, key);
+}
+
 /** Starts polling a runner. */
 export function startRunnerDriver(options: RunnerDriverOptions): RunnerDriver {
   const { runner, calls, clock, logger, fence } = options;
@@ -123,6 +135,8 @@
   let isStopped = false;
   let probing: Promise<void> | undefined;
   const pollWaits = new Set<PollWait>();
+  /** The runs of which exactly one start was sent, which got no reply so far. */
+  const singleStarts = new Set<Occupant>();
 
   function isOpen(): boolean {
     return !isStopped && !runner.isClosed;
@@ -203,6 +217,20 @@
     });
   }
 
+  /** The only copy of a start whose run is listed has been executed, so none can arrive any more. */
+  function closeListedStarts(reply: PollReply): void {
+    const { startedMs } = reply;
+    const isKnown = startedMs !== undefined &&
+      startedMs === runner.entry.startedMs;
+    if (!isKnown) return;
+    for (const occupant of [...singleStarts]) {
+      const isGone = !runner.occupants.has(occupant.key);
+      const isExecuted = isStartListed(reply, occupant.key);
+      if (isExecuted) occupant.openStartMs = undefined;
+      if (isExecuted || isGone) singleStarts.delete(occupant);
+    }
+  }
+
   /** Returns whether this incarnation has answered. */
   async function runPoll(mayWait: boolean): Promise<boolean> {
     const sentAtMs = clock.now();
@@ -242,6 +270,7 @@
       recordLease(runner, runner.contactMs, options.maxLeaseMs);
     }
     runner.lastReplyMs = runner.contactMs;
+    closeListedStarts(reply);
     // Evaluates the lists before it waits for the records of the ends.
     const handled = options.handlePollReply(reply, sentAtMs);
     endPollWaits(reply, sentAtMs);
@@ -355,6 +384,8 @@
       const formerOpenStartMs = occupant.openStartMs;
       occupant.orderSentMs = clock.now();
       occupant.openStartMs = occupant.orderSentMs;
+      if (firstSentMs === undefined) singleStarts.add(occupant);
+      else singleStarts.delete(occupant);
       firstSentMs ??= occupant.orderSentMs;
       try {
         const reply = await calls.start(
@@ -362,6 +393,7 @@
           { ...order, untilMs, fence },
           ORDER_TIMEOUT_MS,
         );
+        singleStarts.delete(occupant);
         occupant.openStartMs = formerOpenStartMs;
         // Another incarnation refused it, so it has not crashed this one.
         const isRefused = reply.outcome === "otherLife" &&
@@ -377,8 +409,12 @@
       } catch (error) {
         failedMs = clock.now();
         const isUndelivered = toFault(error).ran === "no";
-        if (isUndelivered) occupant.openStartMs = formerOpenStartMs;
-        else occupant.isUncertain = true;
+        if (isUndelivered) {
+          singleStarts.delete(occupant);
+          occupant.openStartMs = formerOpenStartMs;
+        } else {
+          occupant.isUncertain = true;
+        }
         logger.info("Start order got no reply", {
           run: occupant.key,
           runner: runner.life,
--- a/src/workload/runner_driver_test.ts
+++ b/src/workload/runner_driver_test.ts
@@ -261,7 +261,8 @@
   driver.stop();
 });
 
-// Guards against copies of a start that was executed, and against a stop of its run.
+// Guards against a wait for copies of a start that was executed, and against a stop of
+// its run.
 for (const isEnded of [false, true]) {
   t.test(`a start that a poll lists is not resent, ended ${isEnded}`, async (t) => {
     const { clock, state, driver, startRun } = createDriverFixture();
@@ -274,10 +275,39 @@
     await advanceBy(clock, 2_000, STEP_MS);
     t.equal(sent.result, "accepted");
     t.equal(state.startsMs.length, 1);
+    t.equal(sent.occupant.openStartMs, undefined);
     driver.stop();
   });
 }
 
+// Guards against a copy that counts as executed although another one was.
+t.test("a start that was sent twice stays open when a poll lists it", async (t) => {
+  const { clock, state, driver, startRun } = createDriverFixture();
+  await advanceBy(clock, 50, STEP_MS);
+  state.losesStarts = true;
+  const sent = startRun();
+  await advanceBy(clock, 700, STEP_MS);
+  t.equal(state.startsMs.length, 2);
+  state.running = [listRun(sent.occupant)];
+  await advanceBy(clock, 2_000, STEP_MS);
+  t.equal(sent.result, "accepted");
+  t.ok(sent.occupant.openStartMs !== undefined);
+  driver.stop();
+});
+
+// A runner may list the end of a run that it was told to stop before it arrived.
+t.test("a start stays open when a poll lists its run as stopped", async (t) => {
+  const { clock, state, driver, startRun } = createDriverFixture();
+  await advanceBy(clock, 50, STEP_MS);
+  state.losesStarts = true;
+  const sent = startRun();
+  state.ended = [{ ...listRun(sent.occupant), number: 1, outcome: "stopped" }];
+  await advanceBy(clock, 2_000, STEP_MS);
+  t.equal(state.startsMs.length, 1);
+  t.ok(sent.occupant.openStartMs !== undefined);
+  driver.stop();
+});
+
 // Guards against a resend that relies on an answer from before the leadership was lost:
 // the runner may have been replaced since.
 t.test("a start is not resent on a probe from before a gap in the leadership", async (t) => {
