Poll a runner before the first start after a gap in the leadership

Runners are not polled while the leadership is not confirmed, so one that was replaced meanwhile got the starts that had waited for the gap to end before the leader noticed. They now wait for an answered poll, like a copy of a start without a reply. A start whose run is no longer on the runner is not sent either.

Failed before: "the first start after a gap in the leadership waits for a poll", startedMs 2, and "a start is not resent once its run is released" in runner_driver_test.ts.

--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -337,26 +337,28 @@
   /**
    * Makes sure that this incarnation answers before a start is sent to it. If an earlier
    * copy was given up at `fromMs`, also that it does not have the run according to a
-   * poll that was sent since. Ends at `untilMs`.
+   * poll that was sent since. Ends at `untilMs`, if given.
    */
   async function checkStart(
     { key, isUncertain }: Occupant,
     fromMs: number,
-    untilMs: number,
+    untilMs?: number,
   ): Promise<StartCheck> {
-    for (
-      let sinceMs = fromMs;
-      await waitUntilLeading();
-      sinceMs = clock.now()
-    ) {
-      if (!isUncertain && !runner.isUnresponsive) return "ready";
-      const reply = await waitForPoll(sinceMs, untilMs);
+    let sinceMs = fromMs;
+    for (;;) {
+      // The runner is not polled without the leadership, and may be replaced meanwhile.
+      const hasGap = !options.isLeading();
+      if (!await waitUntilLeading()) return "silent";
+      if (hasGap) sinceMs = clock.now();
+      else if (!isUncertain && !runner.isUnresponsive) return "ready";
+      const reply = await waitForPoll(
+        sinceMs,
+        untilMs ?? clock.now() + ORDER_TIMEOUT_MS,
+      );
       if (reply === undefined) return "silent";
       if (isListed(reply, key)) return "listed";
-      // Without the leadership nothing may be sent, and the answer gets old.
       if (isOpen() && options.isLeading()) return "ready";
     }
-    return "silent";
   }
 
   /** Looks for runs whose start has got no reply for some time. */
@@ -394,9 +396,7 @@
       const check = await checkStart(
         occupant,
         failedMs,
-        firstSentMs === undefined
-          ? clock.now() + ORDER_TIMEOUT_MS
-          : firstSentMs + START_TIMEOUT_MS,
+        firstSentMs === undefined ? undefined : firstSentMs + START_TIMEOUT_MS,
       );
       if (check === "listed") return "accepted";
       if (check === "silent" && isOpen()) {
@@ -405,7 +405,7 @@
       const untilMs = computeLeaseEnd();
       // The incarnation may have been closed since the leadership was confirmed.
       const mayStart = check === "ready" && isOpen() && isWanted() &&
-        occupant.state !== "stopping";
+        occupant.state !== "stopping" && runner.occupants.has(occupant.key);
       if (!mayStart || untilMs === undefined) {
         return occupant.isUncertain ? "unanswered" : "abandoned";
       }
--- a/src/workload/runner_driver_test.ts
+++ b/src/workload/runner_driver_test.ts
@@ -326,6 +326,37 @@
   driver.stop();
 });
 
+// The same, for a start that was not sent before.
+for (const startedMs of [1, 2]) {
+  t.test(`the first start after a gap in the leadership waits for a poll, startedMs ${startedMs}`, async (t) => {
+    const { clock, state, driver, startRun } = createDriverFixture();
+    await advanceBy(clock, 1_300, STEP_MS);
+    state.isLeading = false;
+    const sent = startRun();
+    await advanceBy(clock, 2_000, STEP_MS);
+    Object.assign(state, { startedMs, isLeading: true });
+    await advanceBy(clock, 300, STEP_MS);
+    const isSame = startedMs === 1;
+    t.equal(state.startsMs.length, isSame ? 1 : 0);
+    t.equal(sent.result, isSame ? "accepted" : "abandoned");
+    t.equal(state.otherIncarnations, isSame ? 0 : 1);
+    driver.stop();
+  });
+}
+
+// Guards against a copy that starts a run which was listed and is gone since.
+t.test("a start is not resent once its run is released", async (t) => {
+  const { clock, runner, state, driver, startRun } = createDriverFixture();
+  await advanceBy(clock, 50, STEP_MS);
+  state.losesStarts = true;
+  const sent = startRun();
+  await advanceBy(clock, 300, STEP_MS);
+  runner.occupants.delete(sent.occupant.key);
+  await advanceBy(clock, 1_500, STEP_MS);
+  t.equal(state.startsMs.length, 1);
+  driver.stop();
+});
+
 // Guards against a copy that starts a run after it was told to stop.
 t.test("a start is not resent once its run is being stopped", async (t) => {
   const { clock, state, driver, startRun } = createDriverFixture();
