--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -1,11 +1,13 @@
 /**
  * Drives one incarnation of a runner: polls it continuously, which renews its
  * lease, and sends orders until they are answered. A start without a reply is
- * resent with the same run number, so that the runner executes it only once. If
- * it still gets no reply, a stop for the run makes sure that the runner refuses
- * delayed copies. A runner that leaves a call unanswered is probed by short polls
- * with growing pauses, and stop orders wait for it, so that failed calls to many
- * lost runners do not use up the leader's processor time.
+ * resent with the same run number, so that the runner executes it only once, but
+ * only after this incarnation has answered a poll that does not list the run: each
+ * copy may be executed late, also by the next incarnation. If it still gets no
+ * reply, a stop for the run makes sure that the runner refuses delayed copies. A
+ * runner that leaves a call unanswered is probed by short polls with growing
+ * pauses, and orders wait for it, so that failed calls to many lost runners do not
+ * use up the leader's processor time.
  */
 
 import { type Clock, type Logger, toFault, wait } from "../common/mod.ts";
@@ -18,6 +20,7 @@
   RETRY_PAUSE_MS,
   RUNNER_LEASE_MS,
   START_ATTEMPTS,
+  START_CHECK_MS,
 } from "./constants.ts";
 import type {
   HoldReply,
@@ -28,6 +31,7 @@
 } from "./runner_calls.ts";
 import {
   estimateRunnerClock,
+  formatRun,
   isOverCapacity,
   type Occupant,
   recordGrant,
@@ -38,6 +42,12 @@
 /** Time by which replies on different connections may overtake each other, in milliseconds; longer than the timeout of each call. */
 const MAX_REPLY_OVERTAKING_MS = 3_000;
 
+/** Time from the first attempt of a start after which it is withdrawn, in milliseconds; the other members of a gang wait meanwhile. */
+const START_TIMEOUT_MS = START_ATTEMPTS * ORDER_TIMEOUT_MS;
+
+/** Minimum time between two polls that look for late starts, in milliseconds; the starts of one planning round share one. */
+const START_CHECK_GAP_MS = 20;
+
 /** Result of a start; an "unanswered" one may still be executed, an "undelivered" one was never sent. */
 export type StartResult =
   | OrderOutcome
@@ -47,6 +57,25 @@
   | "overCapacity"
   | "abandoned";
 
+/** The reply to a poll that was carried out. */
+type PollReply = HoldReply & { outcome: "accepted" };
+
+/** A wait for the reply to a poll that was sent at `fromMs` or later. */
+interface PollWait {
+  readonly fromMs: number;
+  /** Ends the wait; without a reply if there will be none. */
+  readonly end: (reply: PollReply | undefined) => void;
+}
+
+/** What is known of a start before it is sent. */
+type StartCheck =
+  /** This incarnation answers and does not have the run. */
+  | "ready"
+  /** This incarnation has the run already. */
+  | "listed"
+  /** This incarnation does not answer. */
+  | "silent";
+
 /** Options of a driver. */
 export interface RunnerDriverOptions {
   runner: Runner;
@@ -60,10 +89,7 @@
   /** Returns whether this process may send orders now. */
   isLeading: () => boolean;
   /** Handles the reply to a poll; resolves once the listed ends are recorded. */
-  handlePollReply: (
-    reply: HoldReply & { outcome: "accepted" },
-    sentAtMs: number,
-  ) => Promise<void>;
+  handlePollReply: (reply: PollReply, sentAtMs: number) => Promise<void>;
   /** Called when another incarnation answered; `hasSameId` tells whether under the same runner id. */
   handleOtherIncarnation: (hasSameId: boolean) => void;
   /** Called when the runner has seen a higher fencing token. */
@@ -74,7 +100,7 @@
 
 /** Sends polls and orders to one runner. */
 export interface RunnerDriver {
-  /** Sends a start until it is answered or abandoned. */
+  /** Sends a start until it is answered, found in a list or abandoned. */
   runStart(
     occupant: Occupant,
     order: Omit<StartOrder, "untilMs" | "fence">,
@@ -87,12 +113,35 @@
   stop(): void;
 }
 
+/** Tells whether the runner has the run, or had it until it ended. */
+function isListed(
+  { running, ended }: Pick<PollReply, "running" | "ended">,
+  key: string,
+): boolean {
+  const fits = ({ task, run }: Pick<Occupant, "task" | "run">) =>
+    formatRun(task, run) === key;
+  return running.some(fits) || ended.some(fits);
+}
+
+/**
+ * Tells whether the runner has executed a start of the run. A run that ended as
+ * stopped may have been stopped before its start arrived.
+ */
+function isStartListed({ running, ended }: PollReply, key: string): boolean {
+  const begun = ended.filter(({ outcome }) => outcome !== "stopped");
+  return isListed({ running, ended: begun }, key);
+}
+
 /** Starts polling a runner. */
 export function startRunnerDriver(options: RunnerDriverOptions): RunnerDriver {
   const { runner, calls, clock, logger, fence } = options;
   const leaseMs = Math.min(RUNNER_LEASE_MS, options.maxLeaseMs);
   let isStopped = false;
   let probing: Promise<void> | undefined;
+  const pollWaits = new Set<PollWait>();
+  /** The runs of which exactly one start was sent, which got no reply so far. */
+  const singleStarts = new Set<Occupant>();
+  let startCheckMs = -Infinity;
 
   function isOpen(): boolean {
     return !isStopped && !runner.isClosed;
@@ -140,32 +189,85 @@
     if (reply.outcome === "staleFence") options.handleStaleFence();
   }
 
-  async function runPoll(mayWait: boolean): Promise<void> {
+  /** Ends the waits for a poll that was sent at this time. */
+  function endPollWaits(reply: PollReply, sentAtMs: number): void {
+    for (const { fromMs, end } of [...pollWaits]) {
+      if (fromMs <= sentAtMs) end(reply);
+    }
+  }
+
+  /**
+   * Probes the runner; resolves with its reply to a poll that was sent at `fromMs` or
+   * later, or without one at `untilMs`.
+   */
+  function waitForPoll(
+    fromMs: number,
+    untilMs: number,
+  ): Promise<PollReply | undefined> {
+    return new Promise((resolve) => {
+      const timer = clock.setTimer(
+        Math.max(0, untilMs - clock.now()),
+        () => end(undefined),
+      );
+      const pollWait: PollWait = { fromMs, end };
+
+      function end(reply: PollReply | undefined): void {
+        timer.cancel();
+        pollWaits.delete(pollWait);
+        resolve(reply);
+      }
+
+      pollWaits.add(pollWait);
+      void startProbes();
+    });
+  }
+
+  /** The only copy of a start whose run is listed has been executed, so none can arrive any more. */
+  function closeListedStarts(reply: PollReply): void {
+    const { startedMs } = reply;
+    const isKnown = startedMs !== undefined &&
+      startedMs === runner.entry.startedMs;
+    if (!isKnown) return;
+    for (const occupant of [...singleStarts]) {
+      const isGone = !runner.occupants.has(occupant.key);
+      const isExecuted = isStartListed(reply, occupant.key);
+      if (isExecuted) occupant.openStartMs = undefined;
+      if (isExecuted || isGone) singleStarts.delete(occupant);
+    }
+  }
+
+  /** Returns whether this incarnation has answered. */
+  async function runPoll(
+    mayWait: boolean,
+    isProbe = runner.isUnresponsive,
+  ): Promise<boolean> {
     const sentAtMs = clock.now();
     // After an unanswered call, extending the lease would only delay the restart
     // of a lost runner's tasks elsewhere.
-    const untilMs = runner.isUnresponsive ? undefined : computeLeaseEnd();
+    const untilMs = isProbe ? undefined : computeLeaseEnd();
     if (untilMs !== undefined) recordGrant(runner, untilMs);
-    const isFirst = runner.contactMs === undefined || runner.isUnresponsive;
+    const isFirst = runner.contactMs === undefined || isProbe;
     const waitMs = isFirst || !mayWait ? 0 : LONG_POLL_WAIT_MS;
     // After an unanswered call the next incarnation may read the poll, whose ends have
     // numbers of their own; 0 acknowledges none.
-    const recordedEnds = runner.isUnresponsive ? 0 : runner.recordedEnds;
+    const recordedEnds = isProbe ? 0 : runner.recordedEnds;
     const reply = await calls.hold(
       getTarget(),
       { fence, recordedEnds, untilMs, waitMs },
       waitMs + POLL_TIMEOUT_SLACK_MS,
     );
-    if (!isOpen()) return;
-    if (reply.outcome === "otherLife") {
-      return options.handleOtherIncarnation(false);
-    }
-    if (reply.outcome === "staleFence") return options.handleStaleFence();
-    if (reply.outcome !== "accepted") return wait(clock, RETRY_PAUSE_MS);
+    if (!isOpen()) return false;
+    if (reply.outcome === "otherLife") options.handleOtherIncarnation(false);
+    else if (reply.outcome === "staleFence") options.handleStaleFence();
+    else if (reply.outcome !== "accepted") await wait(clock, RETRY_PAUSE_MS);
+    if (reply.outcome !== "accepted") return false;
     const isOther = reply.startedMs !== undefined &&
       runner.entry.startedMs !== 0 &&
       reply.startedMs !== runner.entry.startedMs;
-    if (isOther) return options.handleOtherIncarnation(true);
+    if (isOther) {
+      options.handleOtherIncarnation(true);
+      return false;
+    }
     recordClock(reply.clockMs);
     runner.isUnresponsive = false;
     runner.contactMs = clock.now();
@@ -176,31 +278,40 @@
       recordLease(runner, runner.contactMs, options.maxLeaseMs);
     }
     runner.lastReplyMs = runner.contactMs;
-    await options.handlePollReply(reply, sentAtMs);
+    closeListedStarts(reply);
+    // Evaluates the lists before it waits for the records of the ends.
+    const handled = options.handlePollReply(reply, sentAtMs);
+    endPollWaits(reply, sentAtMs);
+    await handled;
+    return true;
   }
 
-  /** Polls an unresponsive runner until it replies. */
+  /** Polls the runner until it replies to a poll that was sent after all unanswered calls. */
   async function runProbes(): Promise<void> {
     let periodMs = RETRY_PAUSE_MS;
-    while (await waitUntilLeading() && runner.isUnresponsive) {
+    const isDue = () => runner.isUnresponsive || pollWaits.size > 0;
+    while (await waitUntilLeading() && isDue()) {
       const startMs = clock.now();
+      let isAnswered = false;
       try {
-        await runPoll(false);
+        isAnswered = await runPoll(false);
       } catch (error) {
+        runner.isUnresponsive = true;
         logger.debug("Probe got no reply", { runner: runner.life, error });
       }
-      if (!runner.isUnresponsive) return;
+      // Calls that were given up during the probe need another one at once.
+      if (isAnswered) continue;
       const tookMs = clock.now() - startMs;
       await wait(clock, Math.max(RETRY_PAUSE_MS, periodMs - tookMs));
       periodMs = Math.min(2 * periodMs, MAX_PROBE_PERIOD_MS);
     }
+    probing = undefined;
   }
 
   /** Excludes the runner from new tasks until it replies to a probe. */
   function startProbes(): Promise<void> {
     runner.isUnresponsive = true;
-    probing ??= runProbes().finally(() => probing = undefined);
-    return probing;
+    return probing ??= runProbes();
   }
 
   async function runPolls(): Promise<void> {
@@ -223,16 +334,78 @@
     } while (isOpen() && runner.isUnresponsive && clock.now() < untilMs);
   }
 
+  /**
+   * Makes sure that this incarnation answers before a start is sent to it. If an earlier
+   * copy was given up at `fromMs`, also that it does not have the run according to a
+   * poll that was sent since. Ends at `untilMs`, if given.
+   */
+  async function checkStart(
+    { key, isUncertain }: Occupant,
+    fromMs: number,
+    untilMs?: number,
+  ): Promise<StartCheck> {
+    let sinceMs = fromMs;
+    for (;;) {
+      // The runner is not polled without the leadership, and may be replaced meanwhile.
+      const hasGap = !options.isLeading();
+      if (!await waitUntilLeading()) return "silent";
+      if (hasGap) sinceMs = clock.now();
+      else if (!isUncertain && !runner.isUnresponsive) return "ready";
+      const reply = await waitForPoll(
+        sinceMs,
+        untilMs ?? clock.now() + ORDER_TIMEOUT_MS,
+      );
+      if (reply === undefined) return "silent";
+      if (isListed(reply, key)) return "listed";
+      if (isOpen() && options.isLeading()) return "ready";
+    }
+  }
+
+  /** Looks for runs whose start has got no reply for some time. */
+  function checkLateStarts(): void {
+    const nowMs = clock.now();
+    const isDue = isOpen() && options.isLeading() && !runner.isUnresponsive &&
+      nowMs - startCheckMs >= START_CHECK_GAP_MS;
+    if (!isDue) return;
+    startCheckMs = nowMs;
+    runPoll(false, true).catch((error: unknown) =>
+      logger.info("Poll for a late start got no reply", {
+        runner: runner.life,
+        error,
+      })
+    );
+  }
+
+  async function sendStart(order: StartOrder): Promise<OrderReply> {
+    const timer = clock.setTimer(START_CHECK_MS, checkLateStarts);
+    try {
+      return await calls.start(getTarget(), order, ORDER_TIMEOUT_MS);
+    } finally {
+      timer.cancel();
+    }
+  }
+
   async function runStart(
     occupant: Occupant,
     order: Omit<StartOrder, "untilMs" | "fence">,
     isWanted: () => boolean,
   ): Promise<StartResult> {
+    let firstSentMs: number | undefined;
+    let failedMs = -Infinity;
     for (let attempt = 1; attempt <= START_ATTEMPTS; attempt += 1) {
-      const isLeading = await waitUntilLeading();
+      const check = await checkStart(
+        occupant,
+        failedMs,
+        firstSentMs === undefined ? undefined : firstSentMs + START_TIMEOUT_MS,
+      );
+      if (check === "listed") return "accepted";
+      if (check === "silent" && isOpen()) {
+        return occupant.isUncertain ? "unanswered" : "undelivered";
+      }
       const untilMs = computeLeaseEnd();
       // The incarnation may have been closed since the leadership was confirmed.
-      const mayStart = isLeading && isOpen() && isWanted();
+      const mayStart = check === "ready" && isOpen() && isWanted() &&
+        occupant.state !== "stopping" && runner.occupants.has(occupant.key);
       if (!mayStart || untilMs === undefined) {
         return occupant.isUncertain ? "unanswered" : "abandoned";
       }
@@ -243,12 +416,12 @@
       const formerOpenStartMs = occupant.openStartMs;
       occupant.orderSentMs = clock.now();
       occupant.openStartMs = occupant.orderSentMs;
+      if (firstSentMs === undefined) singleStarts.add(occupant);
+      else singleStarts.delete(occupant);
+      firstSentMs ??= occupant.orderSentMs;
       try {
-        const reply = await calls.start(
-          getTarget(),
-          { ...order, untilMs, fence },
-          ORDER_TIMEOUT_MS,
-        );
+        const reply = await sendStart({ ...order, untilMs, fence });
+        singleStarts.delete(occupant);
         occupant.openStartMs = formerOpenStartMs;
         // Another incarnation refused it, so it has not crashed this one.
         const isRefused = reply.outcome === "otherLife" &&
@@ -262,9 +435,14 @@
           reply.outcome !== "accepted" && reply.outcome !== "otherLife";
         return isUndecided ? "unanswered" : reply.outcome;
       } catch (error) {
+        failedMs = clock.now();
         const isUndelivered = toFault(error).ran === "no";
-        if (isUndelivered) occupant.openStartMs = formerOpenStartMs;
-        else occupant.isUncertain = true;
+        if (isUndelivered) {
+          singleStarts.delete(occupant);
+          occupant.openStartMs = formerOpenStartMs;
+        } else {
+          occupant.isUncertain = true;
+        }
         logger.info("Start order got no reply", {
           run: occupant.key,
           runner: runner.life,
@@ -323,6 +501,7 @@
     },
     stop() {
       isStopped = true;
+      for (const { end } of [...pollWaits]) end(undefined);
     },
   };
 }
