Revert "Look for a run whose start has had no reply for 50 ms"

The gain is small: a task waits for 13 s less if its runner crashes between 50 ms and 500 ms after a start whose reply was lost.

--- a/src/workload/constants.ts
+++ b/src/workload/constants.ts
@@ -23,9 +23,6 @@
 /** Timeout of an order to a runner in milliseconds; a healthy runner answers within 20 ms. */
 export const ORDER_TIMEOUT_MS = 500;
 
-/** Time without a reply to a start after which a poll looks for its run, in milliseconds; several times the usual. */
-export const START_CHECK_MS = 50;
-
 /** Age after which a delayed order can no longer arrive at a runner, in milliseconds; the platform states 12 s. */
 export const MAX_ORDER_DELAY_MS = 13_000;
 
@@ -38,7 +35,7 @@
 /** Maximum time for which a stop order waits for an unresponsive runner before its next attempt, in milliseconds; the platform allows 3 s to cancel a run. */
 export const MAX_STOP_DELAY_MS = 1_000;
 
-/** Maximum attempts to send a start before it is withdrawn; all have the same run number, so a runner starts it once. Each is a copy that may be executed late. */
+/** Maximum attempts to send a start before it is withdrawn; all have the same run number, so a runner starts it once. */
 export const START_ATTEMPTS = 3;
 
 /** Minimum remaining validity of a ticket when a start is decided, in milliseconds; covers recording and sending. */
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -20,7 +20,6 @@
   RETRY_PAUSE_MS,
   RUNNER_LEASE_MS,
   START_ATTEMPTS,
-  START_CHECK_MS,
 } from "./constants.ts";
 import type {
   HoldReply,
@@ -45,9 +44,6 @@
 /** Time from the first attempt of a start after which it is withdrawn, in milliseconds; the other members of a gang wait meanwhile. */
 const START_TIMEOUT_MS = START_ATTEMPTS * ORDER_TIMEOUT_MS;
 
-/** Minimum time between two polls that look for late starts, in milliseconds; the starts of one planning round share one. */
-const START_CHECK_GAP_MS = 20;
-
 /** Result of a start; an "unanswered" one may still be executed, an "undelivered" one was never sent. */
 export type StartResult =
   | OrderOutcome
@@ -141,7 +137,6 @@
   const pollWaits = new Set<PollWait>();
   /** The runs of which exactly one start was sent, which got no reply so far. */
   const singleStarts = new Set<Occupant>();
-  let startCheckMs = -Infinity;
 
   function isOpen(): boolean {
     return !isStopped && !runner.isClosed;
@@ -237,20 +232,17 @@
   }
 
   /** Returns whether this incarnation has answered. */
-  async function runPoll(
-    mayWait: boolean,
-    isProbe = runner.isUnresponsive,
-  ): Promise<boolean> {
+  async function runPoll(mayWait: boolean): Promise<boolean> {
     const sentAtMs = clock.now();
     // After an unanswered call, extending the lease would only delay the restart
     // of a lost runner's tasks elsewhere.
-    const untilMs = isProbe ? undefined : computeLeaseEnd();
+    const untilMs = runner.isUnresponsive ? undefined : computeLeaseEnd();
     if (untilMs !== undefined) recordGrant(runner, untilMs);
-    const isFirst = runner.contactMs === undefined || isProbe;
+    const isFirst = runner.contactMs === undefined || runner.isUnresponsive;
     const waitMs = isFirst || !mayWait ? 0 : LONG_POLL_WAIT_MS;
     // After an unanswered call the next incarnation may read the poll, whose ends have
     // numbers of their own; 0 acknowledges none.
-    const recordedEnds = isProbe ? 0 : runner.recordedEnds;
+    const recordedEnds = runner.isUnresponsive ? 0 : runner.recordedEnds;
     const reply = await calls.hold(
       getTarget(),
       { fence, recordedEnds, untilMs, waitMs },
@@ -361,30 +353,6 @@
     }
   }
 
-  /** Looks for runs whose start has got no reply for some time. */
-  function checkLateStarts(): void {
-    const nowMs = clock.now();
-    const isDue = isOpen() && options.isLeading() && !runner.isUnresponsive &&
-      nowMs - startCheckMs >= START_CHECK_GAP_MS;
-    if (!isDue) return;
-    startCheckMs = nowMs;
-    runPoll(false, true).catch((error: unknown) =>
-      logger.info("Poll for a late start got no reply", {
-        runner: runner.life,
-        error,
-      })
-    );
-  }
-
-  async function sendStart(order: StartOrder): Promise<OrderReply> {
-    const timer = clock.setTimer(START_CHECK_MS, checkLateStarts);
-    try {
-      return await calls.start(getTarget(), order, ORDER_TIMEOUT_MS);
-    } finally {
-      timer.cancel();
-    }
-  }
-
   async function runStart(
     occupant: Occupant,
     order: Omit<StartOrder, "untilMs" | "fence">,
@@ -420,7 +388,11 @@
       else singleStarts.delete(occupant);
       firstSentMs ??= occupant.orderSentMs;
       try {
-        const reply = await sendStart({ ...order, untilMs, fence });
+        const reply = await calls.start(
+          getTarget(),
+          { ...order, untilMs, fence },
+          ORDER_TIMEOUT_MS,
+        );
         singleStarts.delete(occupant);
         occupant.openStartMs = formerOpenStartMs;
         // Another incarnation refused it, so it has not crashed this one.
