Look at a removed runner before it is closed

A task could run twice while its runner drained. A removal (DELETE /instances/ID) has no body and names no incarnation, so a late one of a former incarnation closed the next one that drained under the same id: its runs ended as lost and their tasks started again while it was up. A removal in time did the same while its runner had not ended: a runner waits for the acknowledgement first, and ends some seconds later without one.

A removed runner is polled now, without a renewal of its lease and without acknowledging ends. It is closed as before if the call fails, within the timeout of 700 ms, or if another incarnation answers, which then gets a new fencing token. If it still answers, the removal is acknowledged and the runner polled for 5 s with growing pauses, and closed once it does not answer. After that the removal is ignored with a log line; if the lease ends later, the runner is closed, so that it is not polled for good. A resent removal prolongs the same series of polls.

Ruled out: ignoring a removal as soon as the same incarnation answers once, since a runner that waits for its acknowledgement answers, and its runs would then wait for the end of the lease; acknowledging before the poll, since the close would then not be recorded when the call returns; waiting for the lease when a poll gets no answer, since that would delay the tasks of each runner that leaves.

--- /dev/null
+++ b/src/workload/removals_test.ts
@@ -0,0 +1,137 @@
+/**
+ * Runners that announce that they drain, and leave. A runner that leaves sends its
+ * removal, answers until that is acknowledged, and ends with everything that runs on it.
+ */
+
+import t from "tap";
+import {
+  createJob,
+  createModelConfiguration,
+  createRunnerEntry,
+  createWorkModel,
+  type WorkModel,
+} from "../model/mod.ts";
+import { announceRunner, runCall } from "../../test/work_model_calls.ts";
+import type { HoldReply } from "./runner_calls.ts";
+
+/** Creates a model with a long task on a runner that drains, and another runner. */
+async function createDrainingModel(): Promise<WorkModel> {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1");
+  const job = createJob([{ estimatedMs: 60_000 }]);
+  await runCall(model, model.submit("job", job));
+  await model.run(1_000);
+  await model.addRunner("r2");
+  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
+  await model.run(500);
+  return model;
+}
+
+/** Counts the polls of runner `r1` from now on. */
+function countPolls(model: WorkModel): () => number {
+  const { calls } = model.runners;
+  const { hold } = calls;
+  let polls = 0;
+  calls.hold = (target, order, timeoutMs) => {
+    if (target.id === "r1") polls += 1;
+    return hold(target, order, timeoutMs);
+  };
+  return () => polls;
+}
+
+function listRuns(model: WorkModel): string[] {
+  return model.runners.listRunning().map(({ task, run, runner }) =>
+    `${task.job}#${run}@${runner}`
+  );
+}
+
+// The acknowledgement is delayed on its way. Guards against a task that runs twice, on
+// the runner that has not ended yet and on another one.
+t.test("a leaving runner keeps its runs until it has ended", async (t) => {
+  const model = await createDrainingModel();
+  await runCall(model, model.getController().removeRunner("r1"));
+  await model.run(400);
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  model.runners.crash("r1");
+  await model.run(2_000);
+  t.strictSame(listRuns(model), ["job#2@r2"]);
+  t.equal(model.state.getRunner("r1"), undefined);
+  t.strictSame(model.runners.violations, []);
+});
+
+// Guards against a runner that waits for its acknowledgement, and against runs that
+// wait for the end of its lease.
+t.test("a leaving runner is acknowledged while it answers", async (t) => {
+  const model = await createDrainingModel();
+  const fromMs = model.clock.now();
+  await runCall(model, model.getController().removeRunner("r1"));
+  t.ok(model.clock.now() - fromMs < 50);
+  // Its process ends.
+  model.runners.crash("r1");
+  await model.run(1_000);
+  t.strictSame(listRuns(model), ["job#2@r2"]);
+  t.strictSame(model.runners.violations, []);
+});
+
+// Guards against polls without end, and runs that wait for the end of a lease.
+t.test("a removed runner without an answer is closed after one poll", async (t) => {
+  const model = await createDrainingModel();
+  model.runners.crash("r1");
+  const fromMs = model.clock.now();
+  await runCall(model, model.getController().removeRunner("r1"));
+  t.ok(model.clock.now() - fromMs < 800);
+  t.equal(model.state.getRunner("r1"), undefined);
+  await model.run(100);
+  t.strictSame(listRuns(model), ["job#2@r2"]);
+  const getPolls = countPolls(model);
+  await model.run(10_000);
+  t.equal(getPolls(), 0);
+});
+
+// Guards against polls without end.
+t.test("a removed runner that ends late is closed at the end of its lease", async (t) => {
+  const model = await createDrainingModel();
+  await runCall(model, model.getController().removeRunner("r1"));
+  await model.run(9_000);
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  model.runners.crash("r1");
+  await model.run(8_000);
+  t.strictSame(listRuns(model), ["job#2@r2"]);
+  t.equal(model.state.getRunner("r1"), undefined);
+  const getPolls = countPolls(model);
+  await model.run(10_000);
+  t.equal(getPolls(), 0);
+  t.strictSame(model.runners.violations, []);
+});
+
+// The removal is resent. Guards against several series of polls.
+t.test("a runner is looked at once for several removals", async (t) => {
+  const model = await createDrainingModel();
+  const { removeRunner } = model.getController();
+  const getPolls = countPolls(model);
+  for (let at = 0; at < 5; at += 1) await runCall(model, removeRunner("r1"));
+  await model.run(10_000);
+  // The long polls, one for each removal, and one series.
+  t.ok(getPolls() < 9 + 5 + 13, `${getPolls()} polls`);
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  t.strictSame(model.runners.violations, []);
+});
+
+// Guards against late orders to an incarnation that has replaced the leaving one and is
+// not registered yet.
+t.test("a removal that the next incarnation answers withdraws late orders", async (t) => {
+  const model = await createDrainingModel();
+  const { calls } = model.runners;
+  const { hold } = calls;
+  let late: (() => Promise<HoldReply>) | undefined;
+  calls.hold = (target, order, timeoutMs) => {
+    if (target.id === "r1") late ??= () => hold(target, order, timeoutMs);
+    return hold(target, order, timeoutMs);
+  };
+  await model.run(1_500);
+  model.runners.add(createRunnerEntry("r1", { startedMs: 2 }));
+  await runCall(model, model.getController().removeRunner("r1"));
+  t.equal(model.state.getRunner("r1"), undefined);
+  if (late === undefined) throw new Error("No poll was sent");
+  t.strictSame(await runCall(model, late()), { outcome: "staleFence" });
+});
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -14,7 +14,9 @@
 } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
 import {
+  MAX_PROBE_PERIOD_MS,
   POLL_TIMEOUT_SLACK_MS,
+  RETRY_PAUSE_MS,
   RUNNER_CLOCK_MIN_RATE,
   RUNNER_LEASE_MS,
 } from "./constants.ts";
@@ -88,6 +90,12 @@
  */
 const MAX_GROWTH_DELAY_MS = 2_000;
 
+/**
+ * Time for which a runner that answers after its removal is looked at, in milliseconds.
+ * It ends once the removal is acknowledged, or some seconds later.
+ */
+const REMOVAL_CHECK_MS = 5_000;
+
 /** An announcement that a runner sends. */
 export interface RunnerAnnouncement {
   readonly entry: RunnerEntry;
@@ -127,6 +135,12 @@
 export interface Session {
   readonly runner: Runner;
   readonly driver: RunnerDriver;
+  /** Fencing token of the orders to this incarnation. */
+  readonly fence: number;
+  /** Local time of the newest removal after which it still answered, in milliseconds; undefined for none. */
+  removedMs: number | undefined;
+  /** Looks whether it ends after its removal; undefined if it is not looked at. */
+  removal: Promise<void> | undefined;
 }
 
 /** A run and its newest checkpoint. */
@@ -314,6 +328,9 @@
     const runner = createRunner(entry, leaseEndMs);
     const session: Session = {
       runner,
+      fence,
+      removedMs: undefined,
+      removal: undefined,
       driver: startRunnerDriver({
         runner,
         calls: options.calls,
@@ -770,16 +787,80 @@
     }
   }
 
-  async function removeRunner(id: string): Promise<void> {
-    const session = findSessionById(id);
-    if (session === undefined) return;
-    const { runner } = session;
-    // A delayed removal of an earlier incarnation must not close the current one.
-    if (!runner.entry.isDraining) return;
+  /** Asks which incarnation answers for a removed runner; acknowledges and renews nothing. */
+  async function askIncarnation(
+    { runner, fence }: Session,
+  ): Promise<"same" | "next" | "none"> {
+    const { id, address, startedMs } = runner.entry;
+    const order: HoldOrder = {
+      fence,
+      recordedEnds: 0,
+      untilMs: undefined,
+      waitMs: 0,
+    };
+    try {
+      const reply = await options.calls.hold(
+        { id, address },
+        order,
+        POLL_TIMEOUT_SLACK_MS,
+      );
+      if (reply.outcome === "otherLife") return "none";
+      const isOther = reply.outcome === "accepted" &&
+        reply.startedMs !== undefined && startedMs !== 0 &&
+        reply.startedMs !== startedMs;
+      return isOther ? "next" : "same";
+    } catch (error) {
+      logger.info("Removed runner does not respond", {
+        runner: runner.life,
+        error,
+      });
+      return "none";
+    }
+  }
+
+  /** Closes a removed incarnation unless it still answers; returns whether it is closed. */
+  async function closeRemoved(session: Session): Promise<boolean> {
+    const answer = await askIncarnation(session);
+    if (isStopped || session.runner.isClosed) return true;
+    if (answer === "same") return false;
     await closeIncarnation(session, "runner left", {
       mayReturn: true,
       hasCrashed: false,
+      hasAnswered: answer === "next",
     });
+    return true;
+  }
+
+  /** Closes a removed incarnation that still answers as soon as it no longer does. */
+  async function watchRemoval(session: Session): Promise<void> {
+    const { runner } = session;
+    let pauseMs = RETRY_PAUSE_MS;
+    while (clock.now() - (session.removedMs ?? 0) < REMOVAL_CHECK_MS) {
+      await wait(clock, pauseMs);
+      pauseMs = Math.min(2 * pauseMs, MAX_PROBE_PERIOD_MS);
+      if (isStopped || runner.isClosed) return;
+      if (options.isLeading() && await closeRemoved(session)) return;
+    }
+    logger.info("Removal ignored, as the runner still responds", {
+      runner: runner.life,
+    });
+  }
+
+  /**
+   * Removes a runner that leaves. A removal names no incarnation, so it may be a late
+   * one of a former incarnation, and a runner that leaves may answer until its removal is
+   * acknowledged. So this resolves when the incarnation has answered or is closed.
+   */
+  async function removeRunner(id: string): Promise<void> {
+    const session = findSessionById(id);
+    if (session === undefined) return;
+    // A delayed removal of an earlier incarnation must not close the current one.
+    if (!session.runner.entry.isDraining) return;
+    if (await closeRemoved(session)) return;
+    session.removedMs = clock.now();
+    session.removal ??= watchRemoval(session).finally(() =>
+      session.removal = undefined
+    );
   }
 
   /** Lists the runs that are recorded as active. */
@@ -923,7 +1004,15 @@
         const { runner } = session;
         const hasLeaseEnded = !runner.isLost && nowMs > runner.leaseEndMs &&
           (runner.contactMs !== undefined || runner.occupants.size > 0);
-        if (hasLeaseEnded) void handleLeaseEnd(session);
+        if (!hasLeaseEnded) continue;
+        if (session.removedMs === undefined) {
+          void handleLeaseEnd(session);
+        } else {
+          void closeIncarnation(session, "runner left", {
+            mayReturn: true,
+            hasCrashed: false,
+          });
+        }
       }
       checkUnsettled();
       checkRecordedRuns();
