Record when a runner came back, for the lease that a new leader expects

A task could run twice after a leader change. A late poll for the former incarnation of a runner may reach the next one before its first own poll. The lease in it is a time on the former clock, so the runner grants its maximum of 10 s. The leader that registered the incarnation knows that; a new leader expected the usual 6.5 s, and started the tasks again while they still ran.

The record of an incarnation that may have replaced another one under its id has the wall time of its registration (`returnedMs`), which later records of the incarnation keep. A new leader expects the longest lease of an incarnation that came back in the last 13 s, from the leader change and again from its first poll. Records without the field (of older versions, and of runners that did not come back) count as unknown, with the usual lease, so that a leader change makes nothing else slower; the same goes for runners that came back earlier.

Ruled out: a flag without a time, since each runner that ever came back would count at every leader change, or would need another record; the start of the incarnation (`startedMs`) alone, since it is of the runner's clock and says the same of each new runner. The wall clocks of two instances may differ: a time ahead counts like one in the past, and a difference below 9 s matters only if the runner was not polled in the first seconds after its return, as its lease ends 10.2 s after its first poll and the new leader waits for 6.6 s anyway.

--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -10,6 +10,7 @@
   createModelConfiguration,
   createRunnerEntry,
   createWorkModel,
+  type RunnerFaults,
   type WorkModel,
 } from "../model/mod.ts";
 import {
@@ -21,6 +22,7 @@
 } from "../../test/work_model_calls.ts";
 import type { RunnerTarget, StartOrder } from "./runner_calls.ts";
 import type { StepSpec } from "./types.ts";
+import { encodeRecords } from "./work_state.ts";
 
 function createModel(): WorkModel {
   return createWorkModel({ configuration: createModelConfiguration() });
@@ -104,6 +106,34 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// The same; the next incarnation shrinks before the leader changes, and its record is
+// replaced.
+t.test("a new leader knows the lease in an early late poll of a changed runner", async (t) => {
+  const model = createModel();
+  const takeLatePoll = recordPolls(model);
+  await model.addRunner("r1");
+  await model.run(30_000);
+  const sendLatePoll = takeLatePoll({});
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  const faults = model.runners.add(next);
+  sendLatePoll();
+  announceRunner(model, next);
+  await model.run(30);
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(200);
+  const capacity = { ...next.capacity, memoryMb: 4_000 };
+  announceRunner(model, { ...next, capacity }, 2);
+  await model.run(50);
+  t.strictSame(model.state.getRunner("r1")?.capacity, capacity);
+  await model.addRunner("r2");
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  faults.isPartitioned = true;
+  await model.run(700);
+  model.changeLeader();
+  await model.run(12_000);
+  t.strictSame(model.runners.violations, []);
+});
+
 // The same; the former leader has closed the former incarnation, of which the new leader
 // finds no record.
 t.test("a new leader knows the lease in a late poll for a closed incarnation", async (t) => {
@@ -128,6 +158,45 @@
   t.strictSame(model.runners.violations, []);
 });
 
+/** Cuts the runner `r1` off, changes the leader, and waits until the task of a job runs on `r2`; returns the time that took in milliseconds. */
+async function measureLeaseOfNewLeader(
+  model: WorkModel,
+  faults: RunnerFaults,
+): Promise<number> {
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(500);
+  await model.addRunner("r2");
+  faults.isPartitioned = true;
+  model.changeLeader();
+  const fromMs = model.clock.now();
+  while (!listRuns(model).includes("job#2@r2")) await model.run(1);
+  return model.clock.now() - fromMs;
+}
+
+// Guards against leader changes after which the tasks of lost runners wait for longer.
+t.test("a new leader expects the usual lease of a runner that came back long ago", async (t) => {
+  const model = createModel();
+  await model.addRunner("r1");
+  const faults = await model.addRunner("r1", { startedMs: 2 });
+  await model.run(14_000);
+  const tookMs = await measureLeaseOfNewLeader(model, faults);
+  t.ok(tookMs < 7_000, `${tookMs} ms`);
+  t.strictSame(model.runners.violations, []);
+});
+
+// The record of an older version does not say whether the runner has come back.
+t.test("a new leader expects the usual lease of a runner in an older record", async (t) => {
+  const model = createModel();
+  const entry = createRunnerEntry("r1");
+  const faults = model.runners.add(entry);
+  model.state.apply(encodeRecords([{ kind: "runner", runner: entry }]), 0);
+  model.changeLeader();
+  await model.run(200);
+  const tookMs = await measureLeaseOfNewLeader(model, faults);
+  t.ok(tookMs < 7_000, `${tookMs} ms`);
+  t.strictSame(model.runners.violations, []);
+});
+
 // A probe of the former incarnation acknowledges ends of the next one, before its reply
 // tells that it came from another one. Guards against a start after the task was done.
 t.test("a probe of the former incarnation drops no end of the next", async (t) => {
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -14,6 +14,7 @@
 } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
 import {
+  MAX_ORDER_DELAY_MS,
   MAX_PROBE_PERIOD_MS,
   POLL_TIMEOUT_SLACK_MS,
   RETRY_PAUSE_MS,
@@ -724,9 +725,12 @@
     runner.entry = { ...entry, capacity };
     runner.announced = entry;
     if (!isRecorded) {
+      const isSameLife = recorded !== undefined &&
+        formatIncarnation(recorded) === runner.life;
+      const returnedMs = isSameLife ? recorded.returnedMs : undefined;
       await options.queue.record([{
         kind: "runner",
-        runner: { ...entry, sequence },
+        runner: { ...entry, sequence, returnedMs },
       }]);
     }
     applyRunner(entry.id);
@@ -752,7 +756,10 @@
     }
     if (hasNewerRunner(entry)) return;
     if (known !== undefined) withdrawFormerOrders(entry);
-    const recorded = { ...entry, sequence };
+    const mayReplaceOther = known !== undefined ||
+      isInFlight(closedMs.get(entry.id), announcedMs);
+    const returnedMs = mayReplaceOther ? clock.wallTime() : undefined;
+    const recorded = { ...entry, sequence, returnedMs };
     await options.queue.record([{ kind: "runner", runner: recorded }]);
     if (isStopped) return;
     const registered = sessions.get(life);
@@ -769,7 +776,7 @@
     const session = startSession(recorded, announcedMs, {
       fence: options.createFencingToken(),
     });
-    session.runner.mayHoldFormerLease = known !== undefined ||
+    session.runner.mayHoldFormerLease = mayReplaceOther ||
       isInFlight(closedMs.get(entry.id), announcedMs);
     stopUnsettled(session);
     for (const other of [...sessions.values()]) {
@@ -887,6 +894,15 @@
     return runs;
   }
 
+  /**
+   * Tells whether an incarnation came back so recently that orders for the former one
+   * may be on their way. The time is of another instance, whose clock may be ahead.
+   */
+  function hasJustReturned({ returnedMs }: RunnerEntry): boolean {
+    return returnedMs !== undefined &&
+      Math.abs(clock.wallTime() - returnedMs) < MAX_ORDER_DELAY_MS;
+  }
+
   async function waitForNextBatch(): Promise<void> {
     await wait(clock, RESTORE_POLL_INTERVAL_MS);
     await options.waitForTurn?.();
@@ -901,7 +917,13 @@
     let firstPoll = Promise.resolve();
     let started = 0;
     for (const entry of state.listRunners()) {
-      startSession(entry, leaseEndMs, { fence, firstPoll });
+      const { runner } = startSession(entry, leaseEndMs, { fence, firstPoll });
+      if (hasJustReturned(entry)) {
+        // A late poll for the former incarnation may have granted the longest lease, or
+        // may do so until the first poll.
+        runner.mayHoldFormerLease = true;
+        recordLease(runner, nowMs, options.maxLeaseMs);
+      }
       started += 1;
       if (started % RESTORE_POLL_BATCH !== 0) continue;
       firstPoll = firstPoll.then(waitForNextBatch);
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -139,6 +139,12 @@
   readonly isDraining: boolean;
   /** Sequence number of the recorded announcement; only set in records. */
   readonly sequence?: number;
+  /**
+   * Wall time of its registration in milliseconds, if it may have replaced an
+   * incarnation with its id; absent if it has not or if that is not known, as in records
+   * of older versions. Only set in records.
+   */
+  readonly returnedMs?: number;
 }
 
 /** Identifies one task. */
--- a/src/workload/work_state_test.ts
+++ b/src/workload/work_state_test.ts
@@ -1,5 +1,5 @@
 import t from "tap";
-import { createJob } from "../model/mod.ts";
+import { createJob, createRunnerEntry } from "../model/mod.ts";
 import type { WorkRecord } from "./types.ts";
 import {
   createWorkState,
@@ -180,3 +180,20 @@
   t.equal(state.getTask(task)?.crashes, undefined);
   t.end();
 });
+
+// Guards against a leader that cannot read the records and snapshots of older versions.
+t.test("the return of a runner is recorded, or is unknown", (t) => {
+  const state = createWorkState();
+  apply(
+    state,
+    { kind: "runner", runner: createRunnerEntry("r1") },
+    { kind: "runner", runner: { ...createRunnerEntry("r2"), returnedMs: 7 } },
+  );
+  const next = createWorkState();
+  next.restoreSnapshot(state.takeSnapshot());
+  for (const { getRunner } of [state, next]) {
+    t.strictSame(getRunner("r1"), createRunnerEntry("r1"));
+    t.equal(getRunner("r2")?.returnedMs, 7);
+  }
+  t.end();
+});
