Close a draining runner at the end of its lease

A runner that left was polled without end by a new leader, if the former one had received its removal and had not closed it yet, and by the same leader if its removal was lost: it counted as lost only, which is for runners that come back.

A draining runner whose lease ends without contact is closed now, after its runs have been ended as for any lost runner. If it was only cut off it announces itself again within seconds, as it is no longer recorded. No crash is recorded of a draining runner anyway.

--- a/src/workload/removals_test.ts
+++ b/src/workload/removals_test.ts
@@ -104,6 +104,56 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// The former leader has acknowledged the removal, and the new one gets none. Guards
+// against polls without end.
+t.test("a runner that left under a former leader is closed at the end of its lease", async (t) => {
+  const model = await createDrainingModel();
+  await runCall(model, model.getController().removeRunner("r1"));
+  model.changeLeader();
+  model.runners.crash("r1");
+  await model.run(7_500);
+  t.strictSame(listRuns(model), ["job#2@r2"]);
+  t.equal(model.state.getRunner("r1"), undefined);
+  const getPolls = countPolls(model);
+  await model.run(10_000);
+  t.equal(getPolls(), 0);
+  t.strictSame(model.runners.violations, []);
+});
+
+// The same for one without runs, which the new leader never reaches. Guards against polls
+// without end.
+t.test("an idle runner that left under a former leader is closed", async (t) => {
+  const model = createWorkModel({ configuration: createModelConfiguration() });
+  await model.addRunner("r1", { isDraining: true });
+  model.runners.crash("r1");
+  model.changeLeader();
+  await model.run(5_000);
+  t.equal(model.state.countRunners(), 1);
+  await model.run(3_000);
+  t.equal(model.state.countRunners(), 0);
+  const getPolls = countPolls(model);
+  await model.run(10_000);
+  t.equal(getPolls(), 0);
+});
+
+// Its runs have ended with its lease. Guards against a runner that is not known again.
+t.test("a draining runner that was cut off registers again", async (t) => {
+  const model = await createDrainingModel();
+  model.changeLeader();
+  await model.run(100);
+  const { calls } = model.runners;
+  const { hold } = calls;
+  calls.hold = () => Promise.reject(new Error("cut off"));
+  await model.run(8_000);
+  calls.hold = hold;
+  t.equal(model.state.getRunner("r1"), undefined);
+  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 3);
+  await model.run(500);
+  t.equal(model.state.getRunner("r1")?.isDraining, true);
+  t.strictSame(listRuns(model), ["job#2@r2"]);
+  t.strictSame(model.runners.violations, []);
+});
+
 // The removal is resent. Guards against several series of polls.
 t.test("a runner is looked at once for several removals", async (t) => {
   const model = await createDrainingModel();
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -138,6 +138,8 @@
   readonly driver: RunnerDriver;
   /** Fencing token of the orders to this incarnation. */
   readonly fence: number;
+  /** Local time at which this leader began to use it, in milliseconds. */
+  readonly openedMs: number;
   /** Local time of the newest removal after which it still answered, in milliseconds; undefined for none. */
   removedMs: number | undefined;
   /** Looks whether it ends after its removal; undefined if it is not looked at. */
@@ -330,6 +332,7 @@
     const session: Session = {
       runner,
       fence,
+      openedMs: clock.now(),
       removedMs: undefined,
       removal: undefined,
       driver: startRunnerDriver({
@@ -538,6 +541,19 @@
     await endRuns(lost, "lost");
   }
 
+  /**
+   * Tells whether a draining incarnation has been without contact for so long that it
+   * must have left, as its removal did not arrive or a former leader received it. If it
+   * was only cut off, it announces itself again.
+   */
+  function hasLeftUnnoticed({ runner, openedMs }: Session): boolean {
+    const nowMs = clock.now();
+    const isSilent = runner.isLost ||
+      (runner.contactMs === undefined && nowMs > runner.leaseEndMs &&
+        nowMs - openedMs > RUNNER_LEASE_MS);
+    return runner.entry.isDraining && isSilent;
+  }
+
   function handleEnd(
     session: Session,
     end: ListedEnd,
@@ -1026,10 +1042,8 @@
         const { runner } = session;
         const hasLeaseEnded = !runner.isLost && nowMs > runner.leaseEndMs &&
           (runner.contactMs !== undefined || runner.occupants.size > 0);
-        if (!hasLeaseEnded) continue;
-        if (session.removedMs === undefined) {
-          void handleLeaseEnd(session);
-        } else {
+        if (hasLeaseEnded) void handleLeaseEnd(session);
+        if (hasLeftUnnoticed(session)) {
           void closeIncarnation(session, "runner left", {
             mayReturn: true,
             hasCrashed: false,
