Record when a runner has gone, for the lease of one that comes back

A task could run twice if a runner was closed, the leader changed, and the runner came back under its id: a late poll for the former incarnation that arrives before the first poll of the next one makes it grant the longest lease. Only the leader that closed the former incarnation knew when; the new one, which registers the next incarnation, expected the usual lease, as did a leader after it.

The record `runnerGone` has its wall time, and the state keeps it for 60 s by id. A leader takes an incarnation for one that came back if its id was recorded as gone in the last 13 s by its own wall clock.

Ruled out: the longest lease for each runner that registers in the first 13 s of a leadership. It needs no record, but the tasks of new runners that are lost then would start again 3.6 s later.

--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -158,6 +158,60 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// The same; the next incarnation has not seen a token when the late poll arrives, as the
+// former one was removed.
+t.test("a new leader knows the lease in a late poll for a removed incarnation", async (t) => {
+  const model = createModel();
+  const takeLatePoll = recordPolls(model);
+  await model.addRunner("r1");
+  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
+  await model.run(30_000);
+  const sendLatePoll = takeLatePoll({});
+  model.runners.crash("r1");
+  await runCall(model, model.getController().removeRunner("r1"));
+  t.equal(model.state.getRunner("r1"), undefined);
+  model.changeLeader();
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  const faults = model.runners.add(next);
+  sendLatePoll();
+  announceRunner(model, next);
+  await model.run(40);
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(300);
+  await model.addRunner("r2");
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  faults.isPartitioned = true;
+  await model.run(12_000);
+  t.strictSame(model.runners.violations, []);
+});
+
+// The same; the leader changes once more when the runner is cut off.
+t.test("a second leader knows the lease in a late poll for a removed incarnation", async (t) => {
+  const model = createModel();
+  const takeLatePoll = recordPolls(model);
+  await model.addRunner("r1");
+  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
+  await model.run(30_000);
+  const sendLatePoll = takeLatePoll({});
+  model.runners.crash("r1");
+  await runCall(model, model.getController().removeRunner("r1"));
+  model.changeLeader();
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  const faults = model.runners.add(next);
+  sendLatePoll();
+  announceRunner(model, next);
+  await model.run(40);
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(300);
+  await model.addRunner("r2");
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  faults.isPartitioned = true;
+  await model.run(700);
+  model.changeLeader();
+  await model.run(12_000);
+  t.strictSame(model.runners.violations, []);
+});
+
 /** Cuts the runner `r1` off, changes the leader, and waits until the task of a job runs on `r2`; returns the time that took in milliseconds. */
 async function measureLeaseOfNewLeader(
   model: WorkModel,
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -486,7 +486,8 @@
   }
 
   async function recordGone(runner: Runner): Promise<void> {
-    await options.record([{ kind: "runnerGone", life: runner.life }]);
+    const atMs = clock.wallTime();
+    await options.record([{ kind: "runnerGone", life: runner.life, atMs }]);
   }
 
   /** Ends the runs of a runner without contact whose start can no longer arrive, and returns them. */
@@ -680,6 +681,15 @@
     options.handleChange();
   }
 
+  /**
+   * Tells whether orders that were sent by a recorded wall time may still be on their
+   * way. The time is of another instance, whose clock may be ahead.
+   */
+  function isJustRecorded(atMs: number | undefined): boolean {
+    return atMs !== undefined &&
+      Math.abs(clock.wallTime() - atMs) < MAX_ORDER_DELAY_MS;
+  }
+
   /** Tells whether a newer runner has taken over the id or the address, so that an announcement is late. */
   function hasNewerRunner({ id, address, startedMs }: RunnerEntry): boolean {
     return [...sessions.values()].some(({ runner: { entry } }) =>
@@ -773,7 +783,8 @@
     if (hasNewerRunner(entry)) return;
     if (known !== undefined) withdrawFormerOrders(entry);
     const mayReplaceOther = known !== undefined ||
-      isInFlight(closedMs.get(entry.id), announcedMs);
+      isInFlight(closedMs.get(entry.id), announcedMs) ||
+      isJustRecorded(state.getGoneMs(entry.id));
     const returnedMs = mayReplaceOther ? clock.wallTime() : undefined;
     const recorded = { ...entry, sequence, returnedMs };
     await options.queue.record([{ kind: "runner", runner: recorded }]);
@@ -910,15 +921,6 @@
     return runs;
   }
 
-  /**
-   * Tells whether an incarnation came back so recently that orders for the former one
-   * may be on their way. The time is of another instance, whose clock may be ahead.
-   */
-  function hasJustReturned({ returnedMs }: RunnerEntry): boolean {
-    return returnedMs !== undefined &&
-      Math.abs(clock.wallTime() - returnedMs) < MAX_ORDER_DELAY_MS;
-  }
-
   async function waitForNextBatch(): Promise<void> {
     await wait(clock, RESTORE_POLL_INTERVAL_MS);
     await options.waitForTurn?.();
@@ -934,7 +936,7 @@
     let started = 0;
     for (const entry of state.listRunners()) {
       const { runner } = startSession(entry, leaseEndMs, { fence, firstPoll });
-      if (hasJustReturned(entry)) {
+      if (isJustRecorded(entry.returnedMs)) {
         // A late poll for the former incarnation may have granted the longest lease, or
         // may do so until the first poll.
         runner.mayHoldFormerLease = true;
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -214,7 +214,12 @@
     readonly atMs: number;
   }
   | { readonly kind: "runner"; readonly runner: RunnerEntry }
-  | { readonly kind: "runnerGone"; readonly life: string }
+  | {
+    readonly kind: "runnerGone";
+    readonly life: string;
+    /** Wall time of the record in milliseconds; absent in records of older versions. */
+    readonly atMs?: number;
+  }
   | { readonly kind: "forget"; readonly jobs: readonly string[] };
 
 /** The state of a job as reported to callers. */
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -9,6 +9,7 @@
 import {
   type Configuration,
   formatIncarnation,
+  getRunnerId,
   type JobSpec,
   type QueueSettings,
   type RunnerEntry,
@@ -37,6 +38,12 @@
  */
 const MAX_CERTAIN_CRASHES = 3;
 
+/**
+ * Time for which the departure of a runner is kept, in milliseconds; longer than the
+ * delay of an order, also if the wall clocks of two instances differ.
+ */
+const GONE_KEEP_MS = 60_000;
+
 /** Recorded state of one task. */
 export interface TaskState {
   status: number;
@@ -92,6 +99,8 @@
   listRunners(): IterableIterator<RunnerEntry>;
   countRunners(): number;
   getRunner(id: string): RunnerEntry | undefined;
+  /** Returns the wall time at which the last runner with this id was recorded as gone, in milliseconds; undefined if it is unknown or long ago. */
+  getGoneMs(id: string): number | undefined;
   getOccurrence(job: JobState, occurrence: number): OccurrenceState;
   getTask(task: TaskRef): TaskState | undefined;
   /** Sets the function to call with each record after it was applied; undefined removes it. */
@@ -102,6 +111,8 @@
   configuration: Configuration | undefined;
   jobs: JobState[];
   runners: RunnerEntry[];
+  /** Id and wall time of each runner that has gone; absent in snapshots of older versions. */
+  gone?: [string, number][];
 }
 
 /** Encodes records as one command of the log. */
@@ -162,6 +173,7 @@
   let queues = new Map<string, QueueSettings>();
   let jobs = new Map<string, JobState>();
   let runners = new Map<string, RunnerEntry>();
+  let gone = new Map<string, number>();
   let listener: ((record: WorkRecord) => void) | undefined;
 
   function setConfiguration(next: Configuration | undefined): void {
@@ -304,6 +316,20 @@
     }
   }
 
+  function applyGone(
+    { life, atMs }: WorkRecord & { kind: "runnerGone" },
+  ): void {
+    const id = getRunnerId(life);
+    const runner = runners.get(id);
+    if (runner === undefined || formatIncarnation(runner) !== life) return;
+    runners.delete(id);
+    if (atMs === undefined) return;
+    for (const [other, goneMs] of gone) {
+      if (atMs - goneMs > GONE_KEEP_MS) gone.delete(other);
+    }
+    gone.set(id, atMs);
+  }
+
   function applyRecord(record: WorkRecord): void {
     switch (record.kind) {
       case "configuration": {
@@ -348,9 +374,7 @@
         break;
       }
       case "runnerGone":
-        for (const [id, runner] of runners) {
-          if (formatIncarnation(runner) === record.life) runners.delete(id);
-        }
+        applyGone(record);
         break;
       case "forget":
         for (const id of record.jobs) jobs.delete(id);
@@ -366,6 +390,7 @@
     countRunners: () => runners.size,
     listRunners: () => runners.values(),
     getRunner: (id) => runners.get(id),
+    getGoneMs: (id) => gone.get(id),
     getOccurrence,
     getTask: findTask,
     setListener(next) {
@@ -386,6 +411,7 @@
         configuration,
         jobs: [...jobs.values()],
         runners: [...runners.values()],
+        gone: [...gone],
       };
       return Buffer.from(JSON.stringify(stored));
     },
@@ -396,6 +422,7 @@
       setConfiguration(stored.configuration);
       jobs = new Map(stored.jobs.map((job) => [job.spec.id, job]));
       runners = new Map(stored.runners.map((runner) => [runner.id, runner]));
+      gone = new Map(stored.gone ?? []);
     },
   };
 }
--- a/src/workload/work_state_test.ts
+++ b/src/workload/work_state_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import t from "tap";
 import { createJob, createRunnerEntry } from "../model/mod.ts";
 import type { WorkRecord } from "./types.ts";
@@ -197,3 +198,43 @@
   }
   t.end();
 });
+
+// Guards against a leader that does not know that a runner left just before it, and
+// against departures that fill the state.
+t.test("the departure of a runner is known for a while", (t) => {
+  const state = createWorkState();
+  for (const [id, atMs] of [["r1", undefined], ["r2", 7], ["r3", 8]] as const) {
+    const life = `${id}@1`;
+    apply(
+      state,
+      { kind: "runner", runner: createRunnerEntry(id) },
+      { kind: "runnerGone", life: `${id}@0`, atMs: 1 },
+    );
+    t.equal(state.getGoneMs(id), undefined, "another incarnation");
+    apply(state, { kind: "runnerGone", life, atMs });
+    t.equal(state.getRunner(id), undefined);
+  }
+  const next = createWorkState();
+  next.restoreSnapshot(state.takeSnapshot());
+  const ids = ["r1", "r2", "r3"];
+  for (const { getGoneMs } of [state, next]) {
+    t.strictSame(ids.map(getGoneMs), [undefined, 7, 8]);
+  }
+  apply(
+    next,
+    { kind: "runner", runner: createRunnerEntry("r4") },
+    { kind: "runnerGone", life: "r4@1", atMs: 60_008 },
+  );
+  t.strictSame(ids.map(next.getGoneMs), [undefined, undefined, 8]);
+  t.end();
+});
+
+// Guards against a leader that cannot restore the snapshot of an older version.
+t.test("a snapshot without departures is restored", (t) => {
+  const state = createWorkState();
+  const stored = { jobs: [], runners: [createRunnerEntry("r1")] };
+  state.restoreSnapshot(Buffer.from(JSON.stringify(stored)));
+  t.strictSame(state.getRunner("r1"), createRunnerEntry("r1"));
+  t.equal(state.getGoneMs("r1"), undefined);
+  t.end();
+});
