Withdraw late orders from a runner that is back after its removal

A task could run twice when a runner that was removed came back under its id: a late start for the former incarnation that arrived while the announcement of the next one was being recorded was executed, as the runner had seen no token yet. A runner whose former incarnation is still open gets a poll with a new token as soon as it announces itself; one whose former incarnation was closed got its first token when it was registered.

Failed before (violation "twice") and pass: incarnations_test, "no late start is executed once the runner is announced", to the same leader and to a new one.

--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -363,6 +363,38 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// The same; the former incarnation was removed, and the leader first hears of the next one
+// by its announcement, which takes a while to be recorded.
+for (const hasNewLeader of [false, true]) {
+  const leader = hasNewLeader ? "to a new leader" : "to the same leader";
+  t.test(`no late start is executed once the runner is announced ${leader}`, async (t) => {
+    const model = createModel();
+    const sendLateStart = recordFirstStart(model);
+    const first = await model.addRunner("r1");
+    await model.run(100);
+    first.orderDelayMs = 12_000;
+    await submitJob(model, "job", { estimatedMs: 20_000 });
+    await model.run(60);
+    await model.addRunner("r2");
+    await model.run(800);
+    announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
+    await model.run(1_400);
+    t.strictSame(listRuns(model), ["job#2@r2"]);
+    model.runners.crash("r1");
+    await runCall(model, model.getController().removeRunner("r1"));
+    t.equal(model.state.getRunner("r1"), undefined);
+    if (hasNewLeader) model.changeLeader();
+    await model.run(20);
+    const next = createRunnerEntry("r1", { startedMs: 2 });
+    model.runners.add(next);
+    announceRunner(model, next);
+    await model.run(4);
+    sendLateStart();
+    await model.run(2_000);
+    t.strictSame(model.runners.violations, []);
+  });
+}
+
 // The new leader does not know which starts of the former one got no reply, and the next
 // incarnation has not seen a token when the copy arrives.
 t.test("a late start of the former leader is not executed after the lease", async (t) => {
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -781,10 +781,10 @@
       return await updateRunner(known.runner, announcement);
     }
     if (hasNewerRunner(entry)) return;
-    if (known !== undefined) withdrawFormerOrders(entry);
     const mayReplaceOther = known !== undefined ||
       isInFlight(closedMs.get(entry.id), announcedMs) ||
       isJustRecorded(state.getGoneMs(entry.id));
+    if (mayReplaceOther) withdrawFormerOrders(entry);
     const returnedMs = mayReplaceOther ? clock.wallTime() : undefined;
     const recorded = { ...entry, sequence, returnedMs };
     await options.queue.record([{ kind: "runner", runner: recorded }]);
