Ignore a late announcement of a runner whose successor has unsettled runs

A task waited for up to 9 s longer, and a runner that had left was polled without end, when an announcement of a former incarnation arrived after the next one had been closed with runs whose start may still arrive. The leader compared announcements with open incarnations only, so the former one was opened again (its record was ignored, being older), took over these runs, and kept them until a lease that it could not have; the closed incarnation was never recorded as gone.

An announcement that is older than the recorded incarnation of its id is ignored now: a closed incarnation stays recorded while it has unsettled runs. Not done: comparing with incarnations that were recorded as gone as well, since a runner whose wall clock was set back would then not register for 13 s.

Failed before and passes: incarnations_test, "a late announcement does not bring back a runner whose successor has left" (the task did not run 14 s after its start was sent).

--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -457,3 +457,29 @@
   await model.run(14_000);
   t.strictSame(model.runners.violations, []);
 });
+
+// The announcement is of the first incarnation; the second one has left, and a start that
+// was sent to it may still arrive. Guards against a task that waits for longer, and a
+// runner that is polled without end.
+t.test("a late announcement does not bring back a runner whose successor has left", async (t) => {
+  const model = createModel();
+  await model.addRunner("r1");
+  const faults = await model.addRunner("r1", { startedMs: 2 });
+  await model.run(100);
+  faults.orderDelayMs = 100_000;
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  const fromMs = model.clock.now();
+  await model.run(100);
+  const draining = { startedMs: 2, isDraining: true };
+  announceRunner(model, createRunnerEntry("r1", draining), 2);
+  model.runners.crash("r1");
+  await runCall(model, model.getController().removeRunner("r1"));
+  await model.addRunner("r2");
+  await runUntil(model, fromMs + 9_000);
+  announceRunner(model, createRunnerEntry("r1"));
+  await runUntil(model, fromMs + 14_000);
+  t.strictSame(listRuns(model), ["job#2@r2"]);
+  await runUntil(model, fromMs + 40_000);
+  t.equal(model.state.getRunner("r1"), undefined);
+  t.strictSame(model.runners.violations, []);
+});
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -692,6 +692,9 @@
 
   /** Tells whether a newer runner has taken over the id or the address, so that an announcement is late. */
   function hasNewerRunner({ id, address, startedMs }: RunnerEntry): boolean {
+    // A closed one stays recorded while it has unsettled runs.
+    const recorded = state.getRunner(id);
+    if (recorded !== undefined && recorded.startedMs > startedMs) return true;
     return [...sessions.values()].some(({ runner: { entry } }) =>
       (entry.id === id || entry.address === address) &&
       entry.startedMs > startedMs
