Let runners leave in the random schedules of restarts

The random schedules had no runners that drain and leave, so no removal ever met a leader change, a lost announcement or a next incarnation. On request (`hasLeaves`), runners now drain, send their removal, end once it is acknowledged or one to five seconds later, and come back; copies of the removal arrive up to 12 s late. The schedules without it draw the same random numbers as before.

--- a/test/restart_schedule.ts
+++ b/test/restart_schedule.ts
@@ -2,8 +2,9 @@
  * Runs random schedules in which runners crash and come back while calls to them and
  * their announcements are late, and in which their capacity changes. The faults come
  * in overlapping series: crashes in a row or of several runners, returns under the
- * same or another id and address, partitions around a return, leader changes. After
- * the last fault every job must reach its expected state.
+ * same or another id and address, partitions around a return, leader changes, and if
+ * asked for, runners that leave and come back, with late removals. After the last fault
+ * every job must reach its expected state.
  */
 
 import { createSeededRandom, type Random } from "../src/common/mod.ts";
@@ -24,12 +25,20 @@
 import type { ScheduleOptions, ScheduleOutcome } from "./work_schedule.ts";
 import { createJobAddress } from "./work_model_calls.ts";
 
+/** Options of a schedule with restarts. */
+export interface RestartOptions extends ScheduleOptions {
+  /** True if runners also leave. Default: false. */
+  hasLeaves?: boolean;
+}
+
 /** Outcome of a schedule with restarts. */
 export interface RestartOutcome extends ScheduleOutcome {
   /** Crashes of all kinds. */
   readonly crashes: number;
   /** Changes of a capacity. */
   readonly resizes: number;
+  /** Removals that were sent when their runner left. */
+  readonly leaves: number;
 }
 
 /** A place where a runner runs, and its current or last incarnation. */
@@ -78,6 +87,9 @@
 /** Longest delay of a call or an announcement, in milliseconds; the platform states 12 s. */
 const MAX_DELAY_MS = 12_000;
 
+/** Time on the way of a removal that is not late, and of its acknowledgement, in milliseconds. */
+const REMOVAL_DELAY_MS = 2;
+
 /** Longest time between a crash and the return, in milliseconds. */
 const MAX_RETURN_MS = 3_000;
 
@@ -126,7 +138,7 @@
 
 /** Runs one schedule. */
 export async function runRestartSchedule(
-  options: ScheduleOptions,
+  options: RestartOptions,
 ): Promise<RestartOutcome> {
   const random = createSeededRandom(options.seed);
   const hasEligibility = random.nextFloat() < 0.3;
@@ -149,6 +161,7 @@
   const sentTo = new Map<string, string>();
   let crashes = 0;
   let resizes = 0;
+  let leaves = 0;
   let isActive = true;
 
   const model = createWorkModel({
@@ -242,6 +255,7 @@
         : `${machine.name}:${count}`,
       startedMs: Math.round(clock.now()),
       capacity,
+      isDraining: false,
     };
     machine.faults = model.runners.add(machine.entry);
     machine.isUp = true;
@@ -295,10 +309,12 @@
     if (processors === capacity.processors) return;
     resizes += 1;
     if (processors < capacity.processors) machine.shrunkMs = clock.now();
-    machine.entry = model.runners.changeCapacity(machine.entry.id, {
-      ...capacity,
-      processors,
-    });
+    const { isDraining } = machine.entry;
+    const changed = { ...capacity, processors };
+    machine.entry = {
+      ...model.runners.changeCapacity(machine.entry.id, changed),
+      isDraining,
+    };
     if (isLikely(0.5)) sendBeat(machine);
   }
 
@@ -314,6 +330,42 @@
     if (isLikely(0.4)) addAction(random.nextInt(delayMs + 1), changeLeader);
   }
 
+  function sendRemoval(id: string, delayMs: number, end: () => void): void {
+    clock.setTimer(delayMs, () => {
+      model.getController().removeRunner(id).then(
+        () => clock.setTimer(REMOVAL_DELAY_MS, end),
+        () => {},
+      );
+    });
+  }
+
+  /**
+   * Lets a runner drain, and end once its removal is acknowledged or some time later; it
+   * comes back like after a crash. Copies of its removal arrive late.
+   */
+  function startLeaving(machine: Machine): void {
+    if (!machine.isUp) return;
+    const { id } = machine.entry;
+    const life = machine.incarnations;
+    const isSameLife = () => machine.isUp && machine.incarnations === life;
+    machine.entry = { ...machine.entry, isDraining: true };
+    sendBeat(machine);
+    addAction(300 + random.nextInt(3_000), () => {
+      if (!isSameLife()) return;
+      leaves += 1;
+      const end = () => {
+        if (isSameLife()) crash(machine);
+      };
+      const isAnswered = isLikely(0.8);
+      sendRemoval(id, REMOVAL_DELAY_MS, isAnswered ? end : () => {});
+      for (let copy = 0; copy < 2; copy += 1) {
+        if (!isLikely(0.5)) continue;
+        sendRemoval(id, random.nextInt(MAX_DELAY_MS), () => {});
+      }
+      addAction(1_000 + random.nextInt(4_000), end);
+    });
+  }
+
   function changeLeader(): void {
     model.changeLeader();
   }
@@ -322,7 +374,7 @@
   function startSeries(): void {
     const machine = machines[random.nextInt(MACHINES)];
     if (machine === undefined) return;
-    switch (random.nextInt(6)) {
+    switch (random.nextInt(options.hasLeaves === true ? 9 : 6)) {
       case 0:
       case 1:
         if (isLikely(0.8)) startDelays(machine);
@@ -345,6 +397,15 @@
       case 4:
         startDelays(machine);
         break;
+      case 6:
+      case 7:
+        startLeaving(machine);
+        if (isLikely(0.3)) addAction(random.nextInt(4_000), changeLeader);
+        break;
+      case 8:
+        for (const other of machines) if (isLikely(0.4)) startLeaving(other);
+        if (isLikely(0.3)) addAction(random.nextInt(4_000), changeLeader);
+        break;
       default:
         startResizes(machine);
     }
@@ -510,5 +571,6 @@
     starts: model.runners.countStarts(),
     crashes,
     resizes,
+    leaves,
   };
 }
