--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -14,7 +14,10 @@
 } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
 import {
+  MAX_ORDER_DELAY_MS,
+  MAX_PROBE_PERIOD_MS,
   POLL_TIMEOUT_SLACK_MS,
+  RETRY_PAUSE_MS,
   RUNNER_CLOCK_MIN_RATE,
   RUNNER_LEASE_MS,
 } from "./constants.ts";
@@ -88,6 +91,12 @@
  */
 const MAX_GROWTH_DELAY_MS = 2_000;
 
+/**
+ * Time for which a runner that answers after its removal is looked at, in milliseconds.
+ * It ends once the removal is acknowledged, or some seconds later.
+ */
+const REMOVAL_CHECK_MS = 5_000;
+
 /** An announcement that a runner sends. */
 export interface RunnerAnnouncement {
   readonly entry: RunnerEntry;
@@ -127,6 +136,14 @@
 export interface Session {
   readonly runner: Runner;
   readonly driver: RunnerDriver;
+  /** Fencing token of the orders to this incarnation. */
+  readonly fence: number;
+  /** Local time at which this leader began to use it, in milliseconds. */
+  readonly openedMs: number;
+  /** Local time of the newest removal after which it still answered, in milliseconds; undefined for none. */
+  removedMs: number | undefined;
+  /** Looks whether it ends after its removal; undefined if it is not looked at. */
+  removal: Promise<void> | undefined;
 }
 
 /** A run and its newest checkpoint. */
@@ -314,6 +331,10 @@
     const runner = createRunner(entry, leaseEndMs);
     const session: Session = {
       runner,
+      fence,
+      openedMs: clock.now(),
+      removedMs: undefined,
+      removal: undefined,
       driver: startRunnerDriver({
         runner,
         calls: options.calls,
@@ -465,7 +486,8 @@
   }
 
   async function recordGone(runner: Runner): Promise<void> {
-    await options.record([{ kind: "runnerGone", life: runner.life }]);
+    const atMs = clock.wallTime();
+    await options.record([{ kind: "runnerGone", life: runner.life, atMs }]);
   }
 
   /** Ends the runs of a runner without contact whose start can no longer arrive, and returns them. */
@@ -520,6 +542,19 @@
     await endRuns(lost, "lost");
   }
 
+  /**
+   * Tells whether a draining incarnation has been without contact for so long that it
+   * must have left, as its removal did not arrive or a former leader received it. If it
+   * was only cut off, it announces itself again.
+   */
+  function hasLeftUnnoticed({ runner, openedMs }: Session): boolean {
+    const nowMs = clock.now();
+    const isSilent = runner.isLost ||
+      (runner.contactMs === undefined && nowMs > runner.leaseEndMs &&
+        nowMs - openedMs > RUNNER_LEASE_MS);
+    return runner.entry.isDraining && isSilent;
+  }
+
   function handleEnd(
     session: Session,
     end: ListedEnd,
@@ -646,8 +681,20 @@
     options.handleChange();
   }
 
+  /**
+   * Tells whether orders that were sent by a recorded wall time may still be on their
+   * way. The time is of another instance, whose clock may be ahead.
+   */
+  function isJustRecorded(atMs: number | undefined): boolean {
+    return atMs !== undefined &&
+      Math.abs(clock.wallTime() - atMs) < MAX_ORDER_DELAY_MS;
+  }
+
   /** Tells whether a newer runner has taken over the id or the address, so that an announcement is late. */
   function hasNewerRunner({ id, address, startedMs }: RunnerEntry): boolean {
+    // A closed one stays recorded while it has unsettled runs.
+    const recorded = state.getRunner(id);
+    if (recorded !== undefined && recorded.startedMs > startedMs) return true;
     return [...sessions.values()].some(({ runner: { entry } }) =>
       (entry.id === id || entry.address === address) &&
       entry.startedMs > startedMs
@@ -707,9 +754,12 @@
     runner.entry = { ...entry, capacity };
     runner.announced = entry;
     if (!isRecorded) {
+      const isSameLife = recorded !== undefined &&
+        formatIncarnation(recorded) === runner.life;
+      const returnedMs = isSameLife ? recorded.returnedMs : undefined;
       await options.queue.record([{
         kind: "runner",
-        runner: { ...entry, sequence },
+        runner: { ...entry, sequence, returnedMs },
       }]);
     }
     applyRunner(entry.id);
@@ -734,8 +784,12 @@
       return await updateRunner(known.runner, announcement);
     }
     if (hasNewerRunner(entry)) return;
-    if (known !== undefined) withdrawFormerOrders(entry);
-    const recorded = { ...entry, sequence };
+    const mayReplaceOther = known !== undefined ||
+      isInFlight(closedMs.get(entry.id), announcedMs) ||
+      isJustRecorded(state.getGoneMs(entry.id));
+    if (mayReplaceOther) withdrawFormerOrders(entry);
+    const returnedMs = mayReplaceOther ? clock.wallTime() : undefined;
+    const recorded = { ...entry, sequence, returnedMs };
     await options.queue.record([{ kind: "runner", runner: recorded }]);
     if (isStopped) return;
     const registered = sessions.get(life);
@@ -752,7 +806,7 @@
     const session = startSession(recorded, announcedMs, {
       fence: options.createFencingToken(),
     });
-    session.runner.mayHoldFormerLease = known !== undefined ||
+    session.runner.mayHoldFormerLease = mayReplaceOther ||
       isInFlight(closedMs.get(entry.id), announcedMs);
     stopUnsettled(session);
     for (const other of [...sessions.values()]) {
@@ -770,18 +824,82 @@
     }
   }
 
-  async function removeRunner(id: string): Promise<void> {
-    const session = findSessionById(id);
-    if (session === undefined) return;
-    const { runner } = session;
-    // A delayed removal of an earlier incarnation must not close the current one.
-    if (!runner.entry.isDraining) return;
+  /** Asks which incarnation answers for a removed runner; acknowledges and renews nothing. */
+  async function askIncarnation(
+    { runner, fence }: Session,
+  ): Promise<"same" | "next" | "none"> {
+    const { id, address, startedMs } = runner.entry;
+    const order: HoldOrder = {
+      fence,
+      recordedEnds: 0,
+      untilMs: undefined,
+      waitMs: 0,
+    };
+    try {
+      const reply = await options.calls.hold(
+        { id, address },
+        order,
+        POLL_TIMEOUT_SLACK_MS,
+      );
+      if (reply.outcome === "otherLife") return "none";
+      const isOther = reply.outcome === "accepted" &&
+        reply.startedMs !== undefined && startedMs !== 0 &&
+        reply.startedMs !== startedMs;
+      return isOther ? "next" : "same";
+    } catch (error) {
+      logger.info("Removed runner does not respond", {
+        runner: runner.life,
+        error,
+      });
+      return "none";
+    }
+  }
+
+  /** Closes a removed incarnation unless it still answers; returns whether it is closed. */
+  async function closeRemoved(session: Session): Promise<boolean> {
+    const answer = await askIncarnation(session);
+    if (isStopped || session.runner.isClosed) return true;
+    if (answer === "same") return false;
     await closeIncarnation(session, "runner left", {
       mayReturn: true,
       hasCrashed: false,
+      hasAnswered: answer === "next",
+    });
+    return true;
+  }
+
+  /** Closes a removed incarnation that still answers as soon as it no longer does. */
+  async function watchRemoval(session: Session): Promise<void> {
+    const { runner } = session;
+    let pauseMs = RETRY_PAUSE_MS;
+    while (clock.now() - (session.removedMs ?? 0) < REMOVAL_CHECK_MS) {
+      await wait(clock, pauseMs);
+      pauseMs = Math.min(2 * pauseMs, MAX_PROBE_PERIOD_MS);
+      if (isStopped || runner.isClosed) return;
+      if (options.isLeading() && await closeRemoved(session)) return;
+    }
+    logger.info("Removal ignored, as the runner still responds", {
+      runner: runner.life,
     });
   }
 
+  /**
+   * Removes a runner that leaves. A removal names no incarnation, so it may be a late
+   * one of a former incarnation, and a runner that leaves may answer until its removal is
+   * acknowledged. So this resolves when the incarnation has answered or is closed.
+   */
+  async function removeRunner(id: string): Promise<void> {
+    const session = findSessionById(id);
+    if (session === undefined) return;
+    // A delayed removal of an earlier incarnation must not close the current one.
+    if (!session.runner.entry.isDraining) return;
+    if (await closeRemoved(session)) return;
+    session.removedMs = clock.now();
+    session.removal ??= watchRemoval(session).finally(() =>
+      session.removal = undefined
+    );
+  }
+
   /** Lists the runs that are recorded as active. */
   function listActiveRuns(): (RunView & { readonly life: string })[] {
     const runs: (RunView & { readonly life: string })[] = [];
@@ -820,7 +938,13 @@
     let firstPoll = Promise.resolve();
     let started = 0;
     for (const entry of state.listRunners()) {
-      startSession(entry, leaseEndMs, { fence, firstPoll });
+      const { runner } = startSession(entry, leaseEndMs, { fence, firstPoll });
+      if (isJustRecorded(entry.returnedMs)) {
+        // A late poll for the former incarnation may have granted the longest lease, or
+        // may do so until the first poll.
+        runner.mayHoldFormerLease = true;
+        recordLease(runner, nowMs, options.maxLeaseMs);
+      }
       started += 1;
       if (started % RESTORE_POLL_BATCH !== 0) continue;
       firstPoll = firstPoll.then(waitForNextBatch);
@@ -924,6 +1048,12 @@
         const hasLeaseEnded = !runner.isLost && nowMs > runner.leaseEndMs &&
           (runner.contactMs !== undefined || runner.occupants.size > 0);
         if (hasLeaseEnded) void handleLeaseEnd(session);
+        if (hasLeftUnnoticed(session)) {
+          void closeIncarnation(session, "runner left", {
+            mayReturn: true,
+            hasCrashed: false,
+          });
+        }
       }
       checkUnsettled();
       checkRecordedRuns();
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -139,6 +139,12 @@
   readonly isDraining: boolean;
   /** Sequence number of the recorded announcement; only set in records. */
   readonly sequence?: number;
+  /**
+   * Wall time of its registration in milliseconds, if it may have replaced an
+   * incarnation with its id; absent if it has not or if that is not known, as in records
+   * of older versions. Only set in records.
+   */
+  readonly returnedMs?: number;
 }
 
 /** Identifies one task. */
@@ -208,7 +214,12 @@
     readonly atMs: number;
   }
   | { readonly kind: "runner"; readonly runner: RunnerEntry }
-  | { readonly kind: "runnerGone"; readonly life: string }
+  | {
+    readonly kind: "runnerGone";
+    readonly life: string;
+    /** Wall time of the record in milliseconds; absent in records of older versions. */
+    readonly atMs?: number;
+  }
   | { readonly kind: "forget"; readonly jobs: readonly string[] };
 
 /** The state of a job as reported to callers. */
--- a/src/workload/work_state_test.ts
+++ b/src/workload/work_state_test.ts
@@ -1,5 +1,6 @@
+import { Buffer } from "node:buffer";
 import t from "tap";
-import { createJob } from "../model/mod.ts";
+import { createJob, createRunnerEntry } from "../model/mod.ts";
 import type { WorkRecord } from "./types.ts";
 import {
   createWorkState,
@@ -180,3 +181,60 @@
   t.equal(state.getTask(task)?.crashes, undefined);
   t.end();
 });
+
+// Guards against a leader that cannot read the records and snapshots of older versions.
+t.test("the return of a runner is recorded, or is unknown", (t) => {
+  const state = createWorkState();
+  apply(
+    state,
+    { kind: "runner", runner: createRunnerEntry("r1") },
+    { kind: "runner", runner: { ...createRunnerEntry("r2"), returnedMs: 7 } },
+  );
+  const next = createWorkState();
+  next.restoreSnapshot(state.takeSnapshot());
+  for (const { getRunner } of [state, next]) {
+    t.strictSame(getRunner("r1"), createRunnerEntry("r1"));
+    t.equal(getRunner("r2")?.returnedMs, 7);
+  }
+  t.end();
+});
+
+// Guards against a leader that does not know that a runner left just before it, and
+// against departures that fill the state.
+t.test("the departure of a runner is known for a while", (t) => {
+  const state = createWorkState();
+  for (const [id, atMs] of [["r1", undefined], ["r2", 7], ["r3", 8]] as const) {
+    const life = `${id}@1`;
+    apply(
+      state,
+      { kind: "runner", runner: createRunnerEntry(id) },
+      { kind: "runnerGone", life: `${id}@0`, atMs: 1 },
+    );
+    t.equal(state.getGoneMs(id), undefined, "another incarnation");
+    apply(state, { kind: "runnerGone", life, atMs });
+    t.equal(state.getRunner(id), undefined);
+  }
+  const next = createWorkState();
+  next.restoreSnapshot(state.takeSnapshot());
+  const ids = ["r1", "r2", "r3"];
+  for (const { getGoneMs } of [state, next]) {
+    t.strictSame(ids.map(getGoneMs), [undefined, 7, 8]);
+  }
+  apply(
+    next,
+    { kind: "runner", runner: createRunnerEntry("r4") },
+    { kind: "runnerGone", life: "r4@1", atMs: 60_008 },
+  );
+  t.strictSame(ids.map(next.getGoneMs), [undefined, undefined, 8]);
+  t.end();
+});
+
+// Guards against a leader that cannot restore the snapshot of an older version.
+t.test("a snapshot without departures is restored", (t) => {
+  const state = createWorkState();
+  const stored = { jobs: [], runners: [createRunnerEntry("r1")] };
+  state.restoreSnapshot(Buffer.from(JSON.stringify(stored)));
+  t.strictSame(state.getRunner("r1"), createRunnerEntry("r1"));
+  t.equal(state.getGoneMs("r1"), undefined);
+  t.end();
+});
