Count a crash of a runner that is back as another one

What callers saw: a task that crashes its runners was started again and again, after 5 to 8 crashes on the model, if the runners come back under another id and another address, or not at all.

Cause: a crash is recorded when another incarnation takes over the id or the address. Here the former incarnation only loses its lease, and its runs end as lost without a crash.

Change: the end of a lease without contact of a runner that does not drain counts as a crash for the runs that are suspects of one, before they end. Since a job that is given up stays so, this never counts as a crash with a single cause, so it takes four. The crash of one incarnation counts once, also if another one follows: a task keeps the last four incarnations that count, instead of one. If the incarnation replies again, also to the next leader, the count is taken back.

Ruled out: to count only once the runner has been away for some time after its lease. The task would restart before its crash counts, beside other jobs, and a leader change in that time would lose the count.

--- a/src/workload/crash_counts_test.ts
+++ b/src/workload/crash_counts_test.ts
@@ -9,13 +9,21 @@
   submitJobs,
 } from "../../test/deadly_cell.ts";
 
-/** Moments of a leader change after a crash; the runner is back after 3 s, and its records follow within 40 ms. */
-const LEADER_CHANGES_MS = [0, 3_013, 3_019, 3_025, 3_031, 3_037];
+/**
+ * Moments of a leader change after a crash, by the return of the runner. It is back
+ * after 3 s, and its records follow within 40 ms; without its id and address, the
+ * lease has to end.
+ */
+const LEADER_CHANGES_MS = {
+  sameId: [0, 3_013, 3_019, 3_025, 3_031, 3_037],
+  newId: [0, 3_013, 3_019, 3_025, 3_031, 3_037],
+  newIdAndAddress: [0, 3_000, 6_400, 6_600, 6_650, 6_700, 6_800],
+};
 
-for (const returnAs of ["sameId", "newId"] as const) {
+for (const returnAs of ["sameId", "newId", "newIdAndAddress"] as const) {
   // Guards against a crash that no leader counts, or two do.
   t.test(`leader changes at any moment keep the count, ${returnAs}`, async (t) => {
-    for (const afterMs of LEADER_CHANGES_MS) {
+    for (const afterMs of LEADER_CHANGES_MS[returnAs]) {
       const model = await startDeadlyCell(3, { returnAs });
       const healthy = submitJobs(model, "healthy", 1);
       const deadly = submitJobs(model, "deadly", 1);
--- a/src/workload/crash_recorder.ts
+++ b/src/workload/crash_recorder.ts
@@ -16,7 +16,7 @@
   clock: Clock;
   logger: Logger;
   metrics?: Pick<Metrics, "addCount">;
-  state: Pick<WorkState, "getJob" | "getTask">;
+  state: Pick<WorkState, "getJob" | "getTask" | "listJobs">;
   /** Writes records to the log; resolves to false if they were not committed or the leadership has ended. */
   record: (records: readonly WorkRecord[]) => Promise<boolean>;
 }
@@ -25,6 +25,13 @@
 export interface CrashRecorder {
   /** Records which tasks may have crashed the runner; called before its runs are released. */
   recordCrash(runner: Runner): Promise<void>;
+  /**
+   * Records the same for a runner whose lease has ended without contact, so that it may
+   * have crashed; called before its runs end.
+   */
+  recordLeaseEnd(runner: Runner): Promise<void>;
+  /** Takes back a crash that was recorded of a runner that replies. */
+  recordReply(runner: Runner): Promise<void>;
   /**
    * Records that an incarnation with these runs has crashed under a former leader. What
    * else ran on it and when is not known, so they are all suspects.
@@ -37,6 +44,8 @@
   options: CrashRecorderOptions,
 ): CrashRecorder {
   const { clock, logger, metrics, state } = options;
+  /** Tasks suspected of crashes that may turn out not to have happened, by incarnation; undefined until they are read from the state. */
+  let blamed: Map<string, readonly TaskRef[]> | undefined;
 
   function isOpen({ job }: TaskRef): boolean {
     const found = state.getJob(job);
@@ -55,26 +64,59 @@
     ]);
   }
 
-  async function recordCrash(runner: Runner): Promise<void> {
-    const { lastReplyMs } = runner;
+  /** Lists the tasks that the state suspects of crashes, by incarnation. */
+  function listBlamed(): Map<string, TaskRef[]> {
+    const found = new Map<string, TaskRef[]>();
+    for (const job of state.listJobs()) {
+      if (!isOpenJob(job)) continue;
+      for (const [occurrence, { steps }] of Object.entries(job.occurrences)) {
+        steps.forEach(({ tasks }, step) =>
+          tasks.forEach(({ crashedLives = [] }, index) => {
+            for (const life of crashedLives) {
+              const task = {
+                job: job.spec.id,
+                occurrence: Number(occurrence),
+                step,
+                index,
+              };
+              found.set(life, [...found.get(life) ?? [], task]);
+            }
+          })
+        );
+      }
+    }
+    return found;
+  }
+
+  function getBlamed(): Map<string, readonly TaskRef[]> {
+    return blamed ??= listBlamed();
+  }
+
+  async function recordSuspects(
+    runner: Runner,
+    { isConfirmed }: { isConfirmed: boolean },
+  ): Promise<void> {
+    const { life, lastReplyMs } = runner;
+    const blamedBefore = getBlamed().get(life);
     const occupants = [...runner.lostOccupants, ...runner.occupants.values()];
-    const { tasks, isSingleJob } = findCrashSuspects({
-      occupants,
-      lastReplyMs,
-    });
-    const suspects = tasks.filter(isOpen);
+    const found = findCrashSuspects({ occupants, lastReplyMs });
+    const { tasks } = found;
+    // A job that is given up stays so, also if the runner was only cut off.
+    const isSingleJob = isConfirmed && found.isSingleJob;
+    // A crash that was recorded when the lease ended counts since.
+    const isKnown = isConfirmed && blamedBefore !== undefined;
+    const suspects = isKnown ? [] : tasks.filter(isOpen);
     const counts = suspects.map((task) =>
       countCrashes(state.getTask(task)) + 1
     );
-    metrics?.addCount("runner_crashes_total");
-    logger.warn("Runner crashed", {
-      runner: runner.life,
+    logger.warn(isConfirmed ? "Runner crashed" : "Runner may have crashed", {
+      runner: life,
       suspects: suspects
         .map((task, at) => `${formatTask(task)}:${counts[at]}`).join(" "),
       isSingleJob,
       runs: occupants.length,
     });
-    const cleared = occupants
+    const cleared = !isConfirmed ? [] : occupants
       .filter((occupant) =>
         isLongRunning(occupant.task) &&
         countCrashes(state.getTask(occupant.task)) > 0 &&
@@ -82,7 +124,10 @@
       )
       .map(({ task }) => task);
     if (suspects.length === 0 && cleared.length === 0) return;
-    await writeCrash({ life: runner.life, suspects, cleared, isSingleJob });
+    if (!isConfirmed) {
+      getBlamed().set(life, [...blamedBefore ?? [], ...suspects]);
+    }
+    await writeCrash({ life, suspects, cleared, isSingleJob });
     suspects.forEach((task, at) => {
       if (isOpen(task)) return;
       logger.warn("Job given up after crashes", {
@@ -94,7 +139,29 @@
   }
 
   return {
-    recordCrash,
+    async recordCrash(runner) {
+      metrics?.addCount("runner_crashes_total");
+      const recorded = recordSuspects(runner, { isConfirmed: true });
+      getBlamed().delete(runner.life);
+      await recorded;
+    },
+    recordLeaseEnd: (runner) => recordSuspects(runner, { isConfirmed: false }),
+    async recordReply({ life }) {
+      const withdrawn = getBlamed().get(life);
+      if (withdrawn === undefined) return;
+      getBlamed().delete(life);
+      logger.info("Runner has not crashed", {
+        runner: life,
+        suspects: withdrawn.map(formatTask).join(" "),
+      });
+      await writeCrash({
+        life,
+        suspects: [],
+        cleared: [],
+        withdrawn,
+        isSingleJob: false,
+      });
+    },
     async recordFormerCrash(life, suspects) {
       logger.warn("Runner crashed under a former leader", {
         runner: life,
--- a/src/workload/crash_recorder_test.ts
+++ b/src/workload/crash_recorder_test.ts
@@ -38,13 +38,15 @@
   written.length = 0;
   const runner = createRunner(createRunnerEntry("r1"), NOW_MS);
   runner.lastReplyMs = NOW_MS;
-  const recorder = createCrashRecorder({
-    clock: createManualClock(NOW_MS),
-    logger: createSilentLogger(),
-    state,
-    record: apply,
-  });
-  return { state, runner, recorder, written };
+  const createRecorder = () =>
+    createCrashRecorder({
+      clock: createManualClock(NOW_MS),
+      logger: createSilentLogger(),
+      state,
+      record: apply,
+    });
+  const recorder = createRecorder();
+  return { state, runner, recorder, createRecorder, written };
 }
 
 /** Adds the run of a job whose start was answered. */
@@ -104,3 +106,44 @@
   await recorder.recordCrash(runner);
   t.strictSame(written, []);
 });
+
+// Guards against a job that is given up as its runner was cut off, and against a
+// crash that counts with the lease and again with the next incarnation.
+t.test("a lease end counts once and is taken back by a reply", async (t) => {
+  const { state, runner, recorder } = createSetup(["young"]);
+  const count = () => state.getTask(createTask("young"))?.crashes;
+  addRun(runner, "young", NOW_MS);
+  await recorder.recordLeaseEnd(runner);
+  t.equal(count(), 1);
+  await recorder.recordReply(runner);
+  t.equal(count(), undefined);
+  await recorder.recordLeaseEnd(runner);
+  await recorder.recordCrash(runner);
+  t.equal(count(), 1);
+  await recorder.recordReply(runner);
+  t.equal(count(), 1, "a crash that happened is not taken back");
+});
+
+// Guards against a crash that only the leader which recorded it can take back.
+t.test("the next leader takes back a lease end", async (t) => {
+  const { state, runner, recorder, createRecorder } = createSetup(["young"]);
+  addRun(runner, "young", NOW_MS);
+  await recorder.recordLeaseEnd(runner);
+  const next = createRecorder();
+  await next.recordReply(runner);
+  t.equal(state.getTask(createTask("young"))?.crashes, undefined);
+});
+
+// Guards against a job that is given up after three leases, which cannot be undone.
+t.test("three lease ends give no job up", async (t) => {
+  const { state, recorder } = createSetup(["young"]);
+  const states: (string | undefined)[] = [];
+  for (const id of ["r1", "r2", "r3", "r4"]) {
+    const runner = createRunner(createRunnerEntry(id), NOW_MS);
+    runner.lastReplyMs = NOW_MS;
+    addRun(runner, "young", NOW_MS);
+    await recorder.recordLeaseEnd(runner);
+    states.push(state.getJob("young")?.state);
+  }
+  t.strictSame(states, ["queued", "queued", "queued", "failed"]);
+});
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -517,6 +517,8 @@
         ? undefined
         : Math.round(clock.now() - runner.contactMs),
     });
+    // It may have crashed. Before the ends, as in closeIncarnation.
+    if (!runner.entry.isDraining) await crashes.recordLeaseEnd(runner);
     await endRuns(lost, "lost");
   }
 
@@ -600,6 +602,7 @@
       runner.lostOccupants = [];
       logger.info("Runner responds again", { runner: runner.life });
     }
+    void crashes.recordReply(runner);
     const listedKeys = new Set<string>();
     const records: WorkRecord[] = [];
     let newest = runner.recordedEnds;
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -203,6 +203,8 @@
     readonly suspects: readonly TaskRef[];
     /** Long-running tasks suspected of earlier crashes that had outlived their start on this runner. */
     readonly cleared: readonly TaskRef[];
+    /** Tasks that were suspected of its crash, although it has not crashed; absent for none. */
+    readonly withdrawn?: readonly TaskRef[];
     /** True if only runs of one job can have caused it. */
     readonly isSingleJob: boolean;
     readonly atMs: number;
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -504,7 +504,13 @@
         break;
       case "crash":
         probation.recordCrash(record);
-        for (const job of new Set(record.suspects.map(({ job }) => job))) {
+        for (
+          const job of new Set(
+            [...record.suspects, ...record.withdrawn ?? []].map(({ job }) =>
+              job
+            ),
+          )
+        ) {
           openSteps.refresh(job);
           handleJobEnd(job);
         }
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -48,8 +48,8 @@
   failures: number;
   /** Crashes of which the task is suspected, since its last run that outlived its start; absent for none. */
   crashes?: number;
-  /** Key of the incarnation whose crash was counted last; absent for none. */
-  crashedLife?: string;
+  /** Keys of the incarnations whose crashes were counted last, oldest first; absent for none. */
+  crashedLives?: string[];
   /** Newest checkpoint; empty for none. */
   checkpoint: string;
 }
@@ -274,7 +274,7 @@
     // A runner lists only ends of runs that have not crashed it.
     if (outcome !== "lost") {
       delete task.crashes;
-      delete task.crashedLife;
+      delete task.crashedLives;
     }
     if (outcome === "done") applyDone(job, record);
     else if (outcome === "failed") applyFailure(job, record, step, task);
@@ -285,8 +285,24 @@
     return job?.occurrences[ref.occurrence]?.steps[ref.step]?.tasks[ref.index];
   }
 
+  /** Takes back the count of a crash that did not happen. */
+  function withdrawCrash(
+    task: TaskState | undefined,
+    life: string | undefined,
+  ): void {
+    if (task === undefined || life === undefined) return;
+    if (task.crashedLives?.includes(life) !== true) return;
+    task.crashedLives = task.crashedLives.filter((other) => other !== life);
+    if (task.crashedLives.length === 0) delete task.crashedLives;
+    task.crashes = Math.max(0, countCrashes(task) - 1);
+    if (task.crashes === 0) delete task.crashes;
+  }
+
   function applyCrash(record: WorkRecord & { kind: "crash" }): void {
     for (const ref of record.cleared) delete findTask(ref)?.crashes;
+    for (const ref of record.withdrawn ?? []) {
+      withdrawCrash(findTask(ref), record.life);
+    }
     for (const ref of record.suspects) {
       const job = jobs.get(ref.job);
       if (job === undefined || !isOpenJob(job)) continue;
@@ -294,9 +310,11 @@
       const task = step?.tasks[ref.index];
       if (task === undefined || task.status === TASK_STATUS.done) continue;
       if (record.life !== undefined) {
-        // Two leaders may record the crash of one incarnation.
-        if (task.crashedLife === record.life) continue;
-        task.crashedLife = record.life;
+        // Two leaders may record the crash of one incarnation, and one leader may
+        // record it once its lease has ended and once the next one is there.
+        const lives = task.crashedLives ?? [];
+        if (lives.includes(record.life)) continue;
+        task.crashedLives = [...lives, record.life].slice(-MAX_CRASHES);
       }
       task.crashes = countCrashes(task) + 1;
       const limit = record.isSingleJob ? MAX_CERTAIN_CRASHES : MAX_CRASHES;
--- a/src/workload/work_state_test.ts
+++ b/src/workload/work_state_test.ts
@@ -134,6 +134,30 @@
   t.end();
 });
 
+// Guards against a crash that is taken back twice, or instead of another one.
+t.test("only a counted crash is taken back, once", (t) => {
+  const state = createWorkState();
+  apply(state, createSubmission("job", 1));
+  const task = { job: "job", occurrence: 0, step: 0, index: 0 };
+  const withdraw = (life: string) =>
+    apply(state, {
+      ...createCrash([], false),
+      life,
+      withdrawn: [task, { ...task, index: 9 }, { ...task, job: "other" }],
+    });
+  for (const life of ["r@1", "r@2", "r@1"]) {
+    apply(state, { ...createCrash([0], false), life });
+  }
+  t.equal(state.getTask(task)?.crashes, 2);
+  const counts = ["r@3", "r@1", "r@1", "r@2", "r@2"].map((life) => {
+    withdraw(life);
+    return state.getTask(task)?.crashes;
+  });
+  t.strictSame(counts, [2, 1, 1, undefined, undefined]);
+  t.equal(state.getTask(task)?.crashedLives, undefined);
+  t.end();
+});
+
 // Guards against a long-running task that is given up after crashes in which it had
 // been at work for long, and one in which it had just started.
 t.test("a task that outlived its start is cleared by a crash", (t) => {
--- a/test/deadly_cell.ts
+++ b/test/deadly_cell.ts
@@ -6,6 +6,7 @@
   createModelConfiguration,
   createTaskFacts,
   createWorkModel,
+  type RunnerFaults,
   type TaskFacts,
   type WorkModel,
   type WorkModelOptions,
@@ -19,6 +20,8 @@
   isDeadly?: (task: TaskRef) => boolean;
   /** Time from the start of such a task to the crash, in milliseconds. Default: that of the model. */
   crashDelayMs?: number;
+  /** Filled with the faults of the first incarnations, by runner. */
+  faults?: Map<string, RunnerFaults>;
 }
 
 function createFacts(
@@ -44,7 +47,11 @@
     returnAs: "sameId",
     ...options,
   });
-  for (let at = 0; at < runners; at += 1) await model.addRunner(`r${at}`);
+  for (let at = 0; at < runners; at += 1) {
+    const id = `r${at}`;
+    const faults = await model.addRunner(id);
+    options.faults?.set(id, faults);
+  }
   await model.run(1_500);
   return model;
 }
