End the lease of a runner that has just replied no second time

Cause: a runner that replies after its lease has ended gets the next lease with its next poll, which waits until the listed ends are recorded (15 ms in the trace). The check of the leases in that time found the old end of the lease, and gave up the runs that were planned on the runner by then; their starts were recorded and sent all the same, and the tasks started again elsewhere.

Change: a reply after the end of the lease counts as renewing it for the usual time, which the next poll does anyway. What the runner has ended meanwhile is in the reply itself.

--- a/src/workload/cut_runners_test.ts
+++ b/src/workload/cut_runners_test.ts
@@ -126,6 +126,17 @@
   });
 }
 
+// Guards against a start that is sent while its run ends as lost, as the lease of a
+// runner that has just replied seems to end once more.
+t.test("a runner that replies after its lease runs no task twice", async (t) => {
+  await runCuts(t, {
+    seed: 29,
+    cutMs: 9_000,
+    mostPauseMs: 1_000,
+    changesLeader: false,
+  });
+});
+
 // Guards against the blame on healthy jobs of machines that fail for good.
 t.test("runners that crash and are back as others fail no job", async (t) => {
   const model = await startDeadlyCell(10, { returnAs: "newIdAndAddress" });
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -603,6 +603,12 @@
       logger.info("Runner responds again", { runner: runner.life });
     }
     void crashes.recordReply(runner);
+    // It gets its next lease once the listed ends are recorded; until then it would
+    // seem to end again, with runs that are being started.
+    const repliedMs = clock.now();
+    if (repliedMs > runner.leaseEndMs) {
+      recordLease(runner, repliedMs, RUNNER_LEASE_MS);
+    }
     const listedKeys = new Set<string>();
     const records: WorkRecord[] = [];
     let newest = runner.recordedEnds;
