--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -539,6 +539,8 @@
         ? undefined
         : Math.round(clock.now() - runner.contactMs),
     });
+    // It may have crashed. Before the ends, as in closeIncarnation.
+    if (!runner.entry.isDraining) await crashes.recordLeaseEnd(runner);
     await endRuns(lost, "lost");
   }
 
@@ -635,6 +637,13 @@
       runner.lostOccupants = [];
       logger.info("Runner responds again", { runner: runner.life });
     }
+    void crashes.recordReply(runner);
+    // It gets its next lease once the listed ends are recorded; until then it would
+    // seem to end again, with runs that are being started.
+    const repliedMs = clock.now();
+    if (repliedMs > runner.leaseEndMs) {
+      recordLease(runner, repliedMs, RUNNER_LEASE_MS);
+    }
     const listedKeys = new Set<string>();
     const records: WorkRecord[] = [];
     let newest = runner.recordedEnds;
