--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -170,6 +170,9 @@
 /** Longest lease that a runner grants, in milliseconds. */
 const MAX_LEASE_MS = 10_000;
 
+/** Number of ends that a runner lists at most; the rest follow once these are acknowledged. */
+const MAX_LISTED_ENDS = 500;
+
 /** Usual time from the start of a task to the crash that it causes, in milliseconds. */
 const CRASH_DELAY_MS = 10;
 
@@ -256,6 +259,11 @@
     );
   }
 
+  /** Makes the runner refuse the runs of a task up to this one. */
+  function closeRuns(runner: ModelRunner, key: string, run: number): void {
+    runner.ended.set(key, Math.max(runner.ended.get(key) ?? 0, run));
+  }
+
   function endRun(
     runner: ModelRunner,
     key: string,
@@ -264,7 +272,7 @@
     const run = runner.runs.get(key);
     if (run === undefined) return;
     runner.runs.delete(key);
-    runner.ended.set(key, run.order.run);
+    closeRuns(runner, key, run.order.run);
     if (outcome === "done" || outcome === "failed") {
       const ends = keptEnds.get(key) ?? [];
       keptEnds.set(key, ends);
@@ -528,7 +536,7 @@
           ? 0
           : Math.floor(100 * (nowMs - startMs) / (endMs - startMs)),
       })),
-      ended: [...runner.ends],
+      ended: runner.ends.slice(0, MAX_LISTED_ENDS),
     };
   }
 
@@ -593,8 +601,7 @@
     if (run !== undefined && run.order.run === order.run) {
       run.stopMs ??= clock.now() + stopMs;
     } else {
-      const before = runner.ended.get(key) ?? 0;
-      runner.ended.set(key, Math.max(before, order.run));
+      closeRuns(runner, key, order.run);
     }
     return { outcome: "accepted", clockMs };
   }
@@ -602,7 +609,8 @@
   async function replyToPoll(
     runner: ModelRunner,
     order: HoldOrder,
-    timeoutMs: number,
+    /** Time at which the caller gives up, in milliseconds. */
+    timeoutAtMs: number,
   ): Promise<HoldReply> {
     if (!checkFencingToken(runner, order.fence)) {
       return { outcome: "staleFence" };
@@ -623,7 +631,7 @@
       });
     }
     if (runner.faults.isPartitioned || runner.isGone) {
-      await wait(clock, timeoutMs);
+      await wait(clock, Math.max(0, timeoutAtMs - clock.now()));
       throw createFault(
         "outcomeUnknown",
         `Cannot get an answer from runner "${runner.entry.id}"`,
@@ -654,8 +662,9 @@
         },
         (runner) => stop(runner, order),
       ),
-    hold: (target, order, timeoutMs) =>
-      runCall<HoldReply>(
+    hold: (target, order, timeoutMs) => {
+      const timeoutAtMs = clock.now() + timeoutMs;
+      return runCall<HoldReply>(
         {
           target,
           timeoutMs,
@@ -663,8 +672,9 @@
           otherLife: { outcome: "otherLife" },
         },
         // Nobody waits for the reply to a late poll.
-        (runner) => replyToPoll(runner, order, timeoutMs),
-      ),
+        (runner) => replyToPoll(runner, order, timeoutAtMs),
+      );
+    },
     release: () => {},
     releaseOwn: () => {},
   };
