Keep a run whose listed end could not be recorded

A task could start again after it was done. The log refused to record the listed end of a run (for example while it is overloaded), the runner was cut off, and the check of the recorded runs took the run for lost after 2 to 4 s, as it was on no runner any more. The task started elsewhere; after the cut the runner listed the end again, and it was acknowledged.

A listed end that is not recorded yet now keeps its run from being ended by that check, until it is recorded, the lease of its runner ends without contact, or its incarnation is closed. An end that the runner cannot list any more still counts as lost.

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -142,6 +142,8 @@
   readonly openedMs: number;
   /** Local time of the newest removal after which it still answered, in milliseconds; undefined for none. */
   removedMs: number | undefined;
+  /** Keys of its listed ends that are not recorded yet; see `formatRun`. */
+  readonly unrecordedEnds: Set<string>;
   /** Looks whether it ends after its removal; undefined if it is not looked at. */
   removal: Promise<void> | undefined;
 }
@@ -333,6 +335,7 @@
       runner,
       fence,
       openedMs: clock.now(),
+      unrecordedEnds: new Set(),
       removedMs: undefined,
       removal: undefined,
       driver: startRunnerDriver({
@@ -637,13 +640,16 @@
     }
     const listedKeys = new Set<string>();
     const records: WorkRecord[] = [];
+    const endedKeys: string[] = [];
     let newest = runner.recordedEnds;
     for (const end of reply.ended) {
       listedKeys.add(formatRun(end.task, end.run));
       if (end.number <= runner.recordedEnds) continue;
       newest = Math.max(newest, end.number);
       const record = handleEnd(session, end);
-      if (record !== undefined) records.push(record);
+      if (record === undefined) continue;
+      records.push(record);
+      endedKeys.push(formatRun(end.task, end.run));
     }
     // Replies on different connections may arrive out of order.
     const isNewest = sentAtMs >= runner.pollSentMs;
@@ -675,8 +681,10 @@
     }
     options.handleChange();
     if (newest === runner.recordedEnds) return;
+    for (const key of endedKeys) session.unrecordedEnds.add(key);
     // The runner may only drop an end once it is recorded here.
     if (records.length > 0 && !await options.record(records)) return;
+    for (const key of endedKeys) session.unrecordedEnds.delete(key);
     runner.recordedEnds = Math.max(runner.recordedEnds, newest);
     options.handleChange();
   }
@@ -1006,8 +1014,15 @@
   let nextRunCheckMs = 0;
   let unmatchedKeys = new Set<string>();
 
-  /** Tells whether a run is unsettled, or was taken over by a newer incarnation of its runner. */
+  /**
+   * Tells whether a run is unsettled, was taken over by a newer incarnation of its
+   * runner, or has an end that its runner lists until it is recorded.
+   */
   function isOnOther(key: string): boolean {
+    const isEnding = [...sessions.values()].some(({ unrecordedEnds }) =>
+      unrecordedEnds.has(key)
+    );
+    if (isEnding) return true;
     const runners = [
       ...unsettled,
       ...[...sessions.values()].map(({ runner }) => runner),
@@ -1062,7 +1077,11 @@
         const { runner } = session;
         const hasLeaseEnded = !runner.isLost && nowMs > runner.leaseEndMs &&
           (runner.contactMs !== undefined || runner.occupants.size > 0);
-        if (hasLeaseEnded) void handleLeaseEnd(session);
+        if (hasLeaseEnded) {
+          // Ends that were listed before do not count any more.
+          session.unrecordedEnds.clear();
+          void handleLeaseEnd(session);
+        }
         if (hasLeftUnnoticed(session)) {
           void closeIncarnation(session, "runner left", {
             mayReturn: true,
