--- /dev/null
+++ b/test/leaving_schedule_test.ts
@@ -0,0 +1,37 @@
+import process from "node:process";
+import t from "tap";
+import { runRestartSchedule } from "./restart_schedule.ts";
+
+t.setTimeout(240_000);
+
+/** Seeds that CI runs; a seed that ever failed stays here with a line on its cause. */
+const SEEDS = [
+  // A removal ended runs that went on, and their tasks ran twice.
+  1_006,
+  1_020,
+  1_034,
+  // The same after an unanswered call to a slow runner.
+  2_041,
+];
+
+/** Number of further seeds, run by hand: `RESTART_SEEDS=100 node dist/test/leaving_schedule_test.js`. */
+const extra = Number(process.env["RESTART_SEEDS"] ?? 0);
+
+for (
+  const seed of [
+    ...SEEDS,
+    ...Array.from({ length: extra }, (_, at) => 3_000 + at),
+  ]
+) {
+  t.test(`random restarts and leaves ${seed}`, async (t) => {
+    const outcome = await runRestartSchedule({
+      seed,
+      activeMs: 20_000,
+      hasLeaves: true,
+    });
+    t.ok(outcome.jobs > 10);
+    t.ok(outcome.leaves > 0);
+    t.strictSame(outcome.violations, []);
+    t.strictSame(outcome.wrongJobs, []);
+  });
+}
--- a/test/restart_schedule_test.ts
+++ b/test/restart_schedule_test.ts
@@ -17,9 +17,6 @@
   28,
 ];
 
-/** Seeds with runners that leave. In these, a removal ended runs that went on, and their tasks ran twice; in the last one after an unanswered call to a slow runner. */
-const LEAVING_SEEDS = [1_006, 1_020, 1_034, 2_041];
-
 /** Number of further seeds, run by hand: `RESTART_SEEDS=100 node dist/test/restart_schedule_test.js`. */
 const extra = Number(process.env["RESTART_SEEDS"] ?? 0);
 
@@ -37,22 +34,3 @@
     t.strictSame(outcome.wrongJobs, []);
   });
 }
-
-for (
-  const seed of [
-    ...LEAVING_SEEDS,
-    ...Array.from({ length: extra }, (_, at) => 2_000 + at),
-  ]
-) {
-  t.test(`random restarts and leaves ${seed}`, async (t) => {
-    const outcome = await runRestartSchedule({
-      seed,
-      activeMs: 20_000,
-      hasLeaves: true,
-    });
-    t.ok(outcome.jobs > 10);
-    t.ok(outcome.leaves > 0);
-    t.strictSame(outcome.violations, []);
-    t.strictSame(outcome.wrongJobs, []);
-  });
-}
