--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -142,6 +142,8 @@
   readonly openedMs: number;
   /** Local time of the newest removal after which it still answered, in milliseconds; undefined for none. */
   removedMs: number | undefined;
+  /** Keys of its listed ends that are not recorded yet; see `formatRun`. */
+  readonly unrecordedEnds: Set<string>;
   /** Looks whether it ends after its removal; undefined if it is not looked at. */
   removal: Promise<void> | undefined;
 }
@@ -333,6 +335,7 @@
       runner,
       fence,
       openedMs: clock.now(),
+      unrecordedEnds: new Set(),
       removedMs: undefined,
       removal: undefined,
       driver: startRunnerDriver({
@@ -646,13 +649,16 @@
     }
     const listedKeys = new Set<string>();
     const records: WorkRecord[] = [];
+    const endedKeys: string[] = [];
     let newest = runner.recordedEnds;
     for (const end of reply.ended) {
       listedKeys.add(formatRun(end.task, end.run));
       if (end.number <= runner.recordedEnds) continue;
       newest = Math.max(newest, end.number);
       const record = handleEnd(session, end);
-      if (record !== undefined) records.push(record);
+      if (record === undefined) continue;
+      records.push(record);
+      endedKeys.push(formatRun(end.task, end.run));
     }
     // Replies on different connections may arrive out of order.
     const isNewest = sentAtMs >= runner.pollSentMs;
@@ -684,8 +690,10 @@
     }
     options.handleChange();
     if (newest === runner.recordedEnds) return;
+    for (const key of endedKeys) session.unrecordedEnds.add(key);
     // The runner may only drop an end once it is recorded here.
     if (records.length > 0 && !await options.record(records)) return;
+    for (const key of endedKeys) session.unrecordedEnds.delete(key);
     runner.recordedEnds = Math.max(runner.recordedEnds, newest);
     options.handleChange();
   }
@@ -833,10 +841,13 @@
     }
   }
 
-  /** Asks which incarnation answers for a removed runner; acknowledges and renews nothing. */
+  /**
+   * Asks which incarnation answers for a removed runner, if any; acknowledges and renews
+   * nothing. A "silent" one left the call unanswered, which a slow one does as well.
+   */
   async function askIncarnation(
     { runner, fence }: Session,
-  ): Promise<"same" | "next" | "none"> {
+  ): Promise<"same" | "next" | "none" | "silent"> {
     const { id, address, startedMs } = runner.entry;
     const order: HoldOrder = {
       fence,
@@ -844,6 +855,7 @@
       untilMs: undefined,
       waitMs: 0,
     };
+    const sentAtMs = clock.now();
     try {
       const reply = await options.calls.hold(
         { id, address },
@@ -860,15 +872,23 @@
         runner: runner.life,
         error,
       });
-      return "none";
+      const tookMs = clock.now() - sentAtMs;
+      return tookMs < POLL_TIMEOUT_SLACK_MS ? "none" : "silent";
     }
   }
 
-  /** Closes a removed incarnation unless it still answers; returns whether it is closed. */
-  async function closeRemoved(session: Session): Promise<boolean> {
+  /**
+   * Closes a removed incarnation unless it still answers; returns whether it is closed.
+   * `isLasting` tells whether it has answered after its removal was acknowledged: then
+   * silence does not show that it has ended, and its lease is waited for.
+   */
+  async function closeRemoved(
+    session: Session,
+    isLasting: boolean,
+  ): Promise<boolean> {
     const answer = await askIncarnation(session);
     if (isStopped || session.runner.isClosed) return true;
-    if (answer === "same") return false;
+    if (answer === "same" || (answer === "silent" && isLasting)) return false;
     await closeIncarnation(session, "runner left", {
       mayReturn: true,
       hasCrashed: false,
@@ -877,17 +897,20 @@
     return true;
   }
 
-  /** Closes a removed incarnation that still answers as soon as it no longer does. */
+  /** Closes a removed incarnation that has answered as soon as it no longer does. */
   async function watchRemoval(session: Session): Promise<void> {
     const { runner } = session;
     let pauseMs = RETRY_PAUSE_MS;
+    let isLasting = false;
     while (clock.now() - (session.removedMs ?? 0) < REMOVAL_CHECK_MS) {
       await wait(clock, pauseMs);
       pauseMs = Math.min(2 * pauseMs, MAX_PROBE_PERIOD_MS);
       if (isStopped || runner.isClosed) return;
-      if (options.isLeading() && await closeRemoved(session)) return;
+      if (!options.isLeading()) continue;
+      if (await closeRemoved(session, isLasting)) return;
+      isLasting = true;
     }
-    logger.info("Removal ignored, as the runner still responds", {
+    logger.info("Removal ignored, as the runner has not ended", {
       runner: runner.life,
     });
   }
@@ -902,7 +925,7 @@
     if (session === undefined) return;
     // A delayed removal of an earlier incarnation must not close the current one.
     if (!session.runner.entry.isDraining) return;
-    if (await closeRemoved(session)) return;
+    if (await closeRemoved(session, session.removal !== undefined)) return;
     session.removedMs = clock.now();
     session.removal ??= watchRemoval(session).finally(() =>
       session.removal = undefined
@@ -1000,8 +1023,15 @@
   let nextRunCheckMs = 0;
   let unmatchedKeys = new Set<string>();
 
-  /** Tells whether a run is unsettled, or was taken over by a newer incarnation of its runner. */
+  /**
+   * Tells whether a run is unsettled, was taken over by a newer incarnation of its
+   * runner, or has an end that its runner lists until it is recorded.
+   */
   function isOnOther(key: string): boolean {
+    const isEnding = [...sessions.values()].some(({ unrecordedEnds }) =>
+      unrecordedEnds.has(key)
+    );
+    if (isEnding) return true;
     const runners = [
       ...unsettled,
       ...[...sessions.values()].map(({ runner }) => runner),
@@ -1056,7 +1086,11 @@
         const { runner } = session;
         const hasLeaseEnded = !runner.isLost && nowMs > runner.leaseEndMs &&
           (runner.contactMs !== undefined || runner.occupants.size > 0);
-        if (hasLeaseEnded) void handleLeaseEnd(session);
+        if (hasLeaseEnded) {
+          // Ends that were listed before do not count any more.
+          session.unrecordedEnds.clear();
+          void handleLeaseEnd(session);
+        }
         if (hasLeftUnnoticed(session)) {
           void closeIncarnation(session, "runner left", {
             mayReturn: true,
