Repeat the withdrawal of a former incarnation's orders until it is answered

What callers saw: a task that ran twice. When a probe or an announcement told of the next incarnation of a runner, one poll raised its fencing token. If that poll was lost, or refused by an unhealthy runner, which has then done nothing, a late start for the former incarnation was executed until the next one was registered.

Cause: the poll was sent once. A lost one was only logged; a refusal as unhealthy counted as done, without a log line.

Now it is repeated with the pauses of the probes (150 to 600 ms) until it is answered by accepted, a stale token or another runner id, or the next incarnation has been registered and polled, or 13 s have passed, or the leadership has ended; a leader without its lease waits. There is one series per runner id, the newest. While the next incarnation is registered, its driver polls it, so the series does not.

All polls of a series have the same token: with a newer one they would shut out the session that is registered meanwhile. A registered session is told from the former one by its higher token, not by its time.

The tests of the new module have not been run on the former code, which does not have it.

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -56,6 +56,7 @@
   type TaskRef,
   type WorkRecord,
 } from "./types.ts";
+import { createWithdrawals } from "./withdrawals.ts";
 import {
   countCrashes,
   isOpenEnd,
@@ -199,6 +200,10 @@
   const runnersByPool = new Map<string, Runner[]>();
   const health = options.createHealth(listPool);
   const crashes = createCrashRecorder(options);
+  const withdrawals = createWithdrawals({
+    ...options,
+    findSession: findSessionById,
+  });
   let isStopped = false;
 
   function listPool(pool: string): Runner[] {
@@ -377,26 +382,6 @@
     return settled;
   }
 
-  /**
-   * Withdraws late orders for the former incarnation with this id at the next one,
-   * before it is registered.
-   */
-  function withdrawFormerOrders({ id, address }: RunnerEntry): void {
-    const order: HoldOrder = {
-      fence: options.createFencingToken(),
-      recordedEnds: 0,
-      untilMs: undefined,
-      waitMs: 0,
-    };
-    options.calls.hold({ id, address }, order, POLL_TIMEOUT_SLACK_MS)
-      .catch((error: unknown) =>
-        logger.info("Cannot withdraw the orders for a former incarnation", {
-          runner: id,
-          error,
-        })
-      );
-  }
-
   /** Stops a run that a start for a former incarnation may begin on this one. */
   function stopFormerRun(
     session: Session,
@@ -460,7 +445,7 @@
     const list = listPool(runner.entry.pool);
     list.splice(list.indexOf(runner), 1);
     options.calls.release(runner.entry.address);
-    if (hasAnswered) withdrawFormerOrders(runner.entry);
+    if (hasAnswered) withdrawals.start(runner.entry);
     const lost = mayReturn
       ? releaseSettled(runner, isStartPending)
       : [...runner.occupants.values()];
@@ -787,7 +772,7 @@
     const mayReplaceOther = known !== undefined ||
       isInFlight(closedMs.get(entry.id), announcedMs) ||
       isJustRecorded(state.getGoneMs(entry.id));
-    if (mayReplaceOther) withdrawFormerOrders(entry);
+    if (mayReplaceOther) withdrawals.start(entry);
     const returnedMs = mayReplaceOther ? clock.wallTime() : undefined;
     const recorded = { ...entry, sequence, returnedMs };
     await options.queue.record([{ kind: "runner", runner: recorded }]);
@@ -1060,6 +1045,7 @@
     },
     stop() {
       isStopped = true;
+      withdrawals.stop();
       for (const session of sessions.values()) {
         session.driver.stop();
         options.calls.releaseOwn(session.runner.entry.address);
