Expect the lease that a start has granted by the clock in its reply

What callers saw: a task that ran twice. A runner crashed some seconds after it had come up, its next incarnation accepted a start that was meant for the former one and was then cut off; its task was started elsewhere while its lease still ran.

Cause: the lease in the start is a time on the clock of the former incarnation. The reply to a start names no incarnation, and a clock less than 3 s behind is taken for that of the same one, as replies may overtake each other. On the new clock, the lease is longer by the difference.

Now each reply to a start also records the rest of the lease by the clock in the reply, at most what runners accept. That holds for whichever incarnation has answered. Refused starts count as well (the platform takes the lease also from those), but for a refused fencing token, with which a runner does nothing. It only lengthens: recordLease keeps the later end. For the same incarnation the end is later by the time the reply took at most, and the next poll extends it beyond that.

Ruled out: fewer than 3 s as the bound of a reset clock, as replies may overtake each other by the timeout of a call. A poll needs no such rule where its reply names the incarnation; one from a runner that does not name it is not covered.

Failed before, and passes now: "the lease in a start that the next of a young incarnation accepts is known" (late_orders_test.ts).

--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -169,6 +169,20 @@
       clockMs < sample.clockMs - MAX_REPLY_OVERTAKING_MS;
   }
 
+  /**
+   * Records the lease that a start has granted, also one that was refused. The reply may
+   * be that of the next incarnation, on whose clock the order's lease is longer than on
+   * the clock that it was computed for; `recordGrant` does not cover that.
+   */
+  function recordStartLease(reply: OrderReply, untilMs: number): void {
+    // A runner does nothing for a lower token.
+    const isGranted = reply.clockMs !== undefined &&
+      reply.outcome !== "staleFence";
+    if (!isOpen() || !isGranted) return;
+    const grantedMs = Math.min(untilMs - reply.clockMs, options.maxLeaseMs);
+    recordLease(runner, clock.now(), Math.max(0, grantedMs));
+  }
+
   function receiveOrderReply(reply: OrderReply): void {
     // The next incarnation has its own clock and refuses this fencing token.
     if (!isOpen()) return;
@@ -399,6 +413,7 @@
         const isRefused = reply.outcome === "otherLife" &&
           !occupant.isUncertain;
         if (isRefused) occupant.orderSentMs = undefined;
+        recordStartLease(reply, untilMs);
         receiveOrderReply(reply);
         occupant.isExecuted ||= reply.outcome === "accepted" &&
           !runner.isUnresponsive;
