Probe a runner that refuses the fencing token, with pauses

Cause: a refused poll is answered at once, also a long one, and no pause followed.

Now such a runner is treated like one that has left a call unanswered: it is probed with pauses of 150 to 600 ms, nothing new is placed on it, and stops wait for a probe, 1 s at most. It does nothing with this token, so none of these could have an effect. A leader that was replaced is told so by the confirmation of its leadership that each refusal asks for, and then stops, as before.

Ruled out: an end of the polls on the first refusal. A withdrawal of this leader has a higher token than the session of the former incarnation, so a refusal does not show that another instance leads.

Failed before, and passes now: "a poll with a refused token is not sent again at once" (late_orders_test.ts).

--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -195,7 +195,13 @@
     // After an unanswered call the reply may be that of the next incarnation.
     if (!runner.isUnresponsive) runner.lastReplyMs = clock.now();
     if (reply.outcome === "otherLife") options.handleOtherIncarnation(false);
-    if (reply.outcome === "staleFence") options.handleStaleFence();
+    if (reply.outcome === "staleFence") handleStaleFence();
+  }
+
+  /** The runner does nothing with this fencing token, so that only probes are sent to it for now. */
+  function handleStaleFence(): void {
+    options.handleStaleFence();
+    void startProbes();
   }
 
   /** Ends the waits for a poll that was sent at this time. */
@@ -264,7 +270,7 @@
     );
     if (!isOpen()) return false;
     if (reply.outcome === "otherLife") options.handleOtherIncarnation(false);
-    else if (reply.outcome === "staleFence") options.handleStaleFence();
+    else if (reply.outcome === "staleFence") handleStaleFence();
     else if (reply.outcome !== "accepted") await wait(clock, RETRY_PAUSE_MS);
     if (reply.outcome !== "accepted") return false;
     const isOther = reply.startedMs !== undefined &&
@@ -324,7 +330,9 @@
     await options.firstPoll;
     while (await waitUntilLeading()) {
       try {
-        await runPoll(true);
+        const isAnswered = await runPoll(true);
+        // A refused fencing token may be refused for long.
+        if (!isAnswered && runner.isUnresponsive) await startProbes();
       } catch (error) {
         logger.info("Runner does not respond", { runner: runner.life, error });
         await startProbes();
