--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -169,6 +169,20 @@
       clockMs < sample.clockMs - MAX_REPLY_OVERTAKING_MS;
   }
 
+  /**
+   * Records the lease that a start has granted, also one that was refused. The reply may
+   * be that of the next incarnation, on whose clock the order's lease is longer than on
+   * the clock that it was computed for; `recordGrant` does not cover that.
+   */
+  function recordStartLease(reply: OrderReply, untilMs: number): void {
+    // A runner does nothing for a lower token.
+    const isGranted = reply.clockMs !== undefined &&
+      reply.outcome !== "staleFence";
+    if (!isOpen() || !isGranted) return;
+    const grantedMs = Math.min(untilMs - reply.clockMs, options.maxLeaseMs);
+    recordLease(runner, clock.now(), Math.max(0, grantedMs));
+  }
+
   function receiveOrderReply(reply: OrderReply): void {
     // The next incarnation has its own clock and refuses this fencing token.
     if (!isOpen()) return;
@@ -181,7 +195,13 @@
     // After an unanswered call the reply may be that of the next incarnation.
     if (!runner.isUnresponsive) runner.lastReplyMs = clock.now();
     if (reply.outcome === "otherLife") options.handleOtherIncarnation(false);
-    if (reply.outcome === "staleFence") options.handleStaleFence();
+    if (reply.outcome === "staleFence") handleStaleFence();
+  }
+
+  /** The runner does nothing with this fencing token, so that only probes are sent to it for now. */
+  function handleStaleFence(): void {
+    options.handleStaleFence();
+    void startProbes();
   }
 
   /** Ends the waits for a poll that was sent at this time. */
@@ -250,7 +270,7 @@
     );
     if (!isOpen()) return false;
     if (reply.outcome === "otherLife") options.handleOtherIncarnation(false);
-    else if (reply.outcome === "staleFence") options.handleStaleFence();
+    else if (reply.outcome === "staleFence") handleStaleFence();
     else if (reply.outcome !== "accepted") await wait(clock, RETRY_PAUSE_MS);
     if (reply.outcome !== "accepted") return false;
     const isOther = reply.startedMs !== undefined &&
@@ -310,7 +330,9 @@
     await options.firstPoll;
     while (await waitUntilLeading()) {
       try {
-        await runPoll(true);
+        const isAnswered = await runPoll(true);
+        // A refused fencing token may be refused for long.
+        if (!isAnswered && runner.isUnresponsive) await startProbes();
       } catch (error) {
         logger.info("Runner does not respond", { runner: runner.life, error });
         await startProbes();
@@ -399,6 +421,7 @@
         const isRefused = reply.outcome === "otherLife" &&
           !occupant.isUncertain;
         if (isRefused) occupant.orderSentMs = undefined;
+        recordStartLease(reply, untilMs);
         receiveOrderReply(reply);
         occupant.isExecuted ||= reply.outcome === "accepted" &&
           !runner.isUnresponsive;
