Give simulated cells of many runners more than 30 s of real time

cut_runners_test was killed by the runner's limit for a file at load 26, within its last two tests; crash_counts_test took 25 s there. Their checks use simulated time and stay as they are.

--- a/src/workload/crash_counts_test.ts
+++ b/src/workload/crash_counts_test.ts
@@ -9,6 +9,8 @@
   submitJobs,
 } from "../../test/deadly_cell.ts";
 
+t.setTimeout(240_000);
+
 /**
  * Moments of a leader change after a crash, by the return of the runner. It is back
  * after 3 s, and its records follow within 40 ms; without its id and address, the
--- a/src/workload/cut_runners_test.ts
+++ b/src/workload/cut_runners_test.ts
@@ -13,6 +13,8 @@
   submitJobs,
 } from "../../test/deadly_cell.ts";
 
+t.setTimeout(240_000);
+
 const RUNNERS = 12;
 const CUTS = 5;
 const SUBMIT_PERIOD_MS = 100;
--- a/src/workload/deadly_tasks_test.ts
+++ b/src/workload/deadly_tasks_test.ts
@@ -14,6 +14,8 @@
   submitJobs,
 } from "../../test/deadly_cell.ts";
 
+t.setTimeout(240_000);
+
 const SETTLE_MS = 60_000;
 
 /** Runs deadly jobs beside healthy ones until they have ended. */
--- a/src/workload/late_crashes_test.ts
+++ b/src/workload/late_crashes_test.ts
@@ -13,6 +13,8 @@
   startDeadlyCell,
 } from "../../test/deadly_cell.ts";
 
+t.setTimeout(240_000);
+
 const RUNNERS = 16;
 
 /** A pool in which one other lost runner is a common cause. */
--- a/src/workload/probation_test.ts
+++ b/src/workload/probation_test.ts
@@ -27,6 +27,8 @@
   submitJobs,
 } from "../../test/deadly_cell.ts";
 
+t.setTimeout(240_000);
+
 /** Runners of the pool in which healthy jobs are confined, and processors of each. */
 const CONFINED_RUNNERS = 6;
 const RUNNER_PROCESSORS = 4_000;
