Let late confined steps use empty runners while much of the pool is idle

From second 17 (its confinement) to 61 (10 s after the last crash with a suspect) only two of six runners got the queue's unproven jobs; from second 22, when the proven ones had been done, 0 to 13.5 of 24 processors were in use, mostly 7. Each later crash of a deadly job, also of a single one, prolonged it.

Ruled out by the log: no leader (one led from second 15 on), runners that were lost or not registered, starts waiting for an expired order (no such line in that time), a job that hangs for good (each ended in the end).

A confined step that has missed its objective may now also start on a runner outside of the probation that is empty and held for no gang, while less than half of the pool is in use or claimed by gangs. It keeps its isolation there, so a crash costs no other run. Runners of the probation come first.

--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -140,6 +140,13 @@
 /** Share of the cap by which a gang wider than the cap may exceed it; the platform tolerates 0.1. */
 const CAP_TOLERANCE = 0.05;
 
+/**
+ * Share of a pool's processors, in use or claimed by gangs, up to which late confined
+ * steps use runners outside of the probation. The platform's rules ask for a start
+ * while less than half of a service is in use.
+ */
+const MAX_OVERFLOW_SHARE = 0.5;
+
 /** Width of a speed class in units of logarithmic slowness; runners in one class count as equally fast. */
 const SPEED_CLASS_WIDTH = 0.14;
 
@@ -365,6 +372,9 @@
   const held = Number(isHeldForOther(step, a)) -
     Number(isHeldForOther(step, b));
   if (held !== 0) return held;
+  if (step.isConfined && a.isOnProbation !== b.isOnProbation) {
+    return a.isOnProbation ? -1 : 1;
+  }
   if (step.isSuspect) {
     const difference = compareCrashCosts(a, b);
     if (difference !== 0) return difference;
@@ -414,6 +424,23 @@
   );
 }
 
+/**
+ * Tells whether a late confined step may use a runner outside of the probation: an
+ * empty one that is held for no gang, while much of the pool is idle. Its crash costs
+ * no other run, and healthy jobs of its queue do not wait beside idle runners.
+ */
+function isSpare(
+  step: OpenStep,
+  candidate: Candidate,
+  { used, claimed, capacity }: PoolCandidates,
+  { wallMs }: PlanInput,
+): boolean {
+  return step.isConfined && wallMs > step.dueMs &&
+    used + claimed < capacity * MAX_OVERFLOW_SHARE &&
+    candidate.runner.occupants.size === 0 && candidate.placed === 0 &&
+    !isHeldForOther(step, candidate);
+}
+
 /**
  * Finds the candidates for a step. Capacity is checked first: it is a cheap test
  * and rules out nearly all runners of a full pool.
@@ -432,7 +459,9 @@
   const isParted = isPartedByProbation(step, pool, eligibility, input);
   for (const candidate of pool.candidates) {
     if (countFitting(step, candidate, 1) === 0) continue;
-    if (isParted && step.isConfined !== candidate.isOnProbation) continue;
+    const isOtherSide = isParted &&
+      step.isConfined !== candidate.isOnProbation;
+    if (isOtherSide && !isSpare(step, candidate, pool, input)) continue;
     if (isNearSuspect(step, candidate)) continue;
     if (isBlocked(step, candidate) || !isSuitable(step, candidate)) continue;
     const isEligible = step.eligibility === undefined ||
--- a/src/workload/probation_test.ts
+++ b/src/workload/probation_test.ts
@@ -1,16 +1,79 @@
 import t from "tap";
-import { createManualClock, createSilentLogger } from "../common/mod.ts";
+import {
+  createManualClock,
+  createSeededRandom,
+  createSilentLogger,
+} from "../common/mod.ts";
 import {
   createJob,
   createModelConfiguration,
   createRunnerEntry,
   runLoad,
   SHEET_KINDS,
+  type WorkModel,
 } from "../model/mod.ts";
 import { createProbation } from "./probation.ts";
 import { createRunner, type Runner } from "./runner_table.ts";
 import type { WorkRecord } from "./types.ts";
-import { createWorkState, encodeRecords } from "./work_state.ts";
+import {
+  createWorkState,
+  encodeRecords,
+  isOpenJob,
+  TASK_STATUS,
+} from "./work_state.ts";
+import {
+  checkJobs,
+  startDeadlyCell,
+  submitJobs,
+} from "../../test/deadly_cell.ts";
+
+/** Runners of the pool in which healthy jobs are confined, and processors of each. */
+const CONFINED_RUNNERS = 6;
+const RUNNER_PROCESSORS = 4_000;
+
+/** Time for which a runner is away after a crash, with its registration, in milliseconds. */
+const AWAY_MS = 3_200;
+
+/** Time for which a job may wait beside idle runners, in milliseconds; from the platform's rules. */
+const MAX_WAIT_MS = 3_000;
+
+const TICK_MS = 20;
+const SETTLE_MS = 80_000;
+
+const MIXED_JOBS = 160;
+const MIXED_PERIOD_MS = 75;
+
+/** One of this many mixed jobs is deadly. */
+const DEADLY_EACH = 25;
+
+/** Submits more jobs than the runners can execute. */
+async function submitMixedJobs(model: WorkModel, seed: number) {
+  const random = createSeededRandom(seed);
+  const healthy: string[] = [];
+  const deadly: string[] = [];
+  for (let at = 0; at < MIXED_JOBS; at += 1) {
+    const steps = Array.from({ length: 1 + random.nextInt(2) }, (_, step) => ({
+      tasks: 1 + random.nextInt(4),
+      estimatedMs: 100 + random.nextInt(1_400),
+      after: step > 0 ? [step - 1] : [],
+    }));
+    if (at % DEADLY_EACH === 0) {
+      deadly.push(...submitJobs(model, `deadly${at}`, 1, steps));
+    } else healthy.push(...submitJobs(model, `healthy${at}`, 1, steps));
+    await model.run(MIXED_PERIOD_MS);
+  }
+  return { deadly, healthy };
+}
+
+/** Tells whether a run of the job is recorded that has not ended. */
+function hasRun(model: WorkModel, id: string): boolean {
+  const job = model.state.getJob(id);
+  if (job === undefined) return false;
+  const { steps } = model.state.getOccurrence(job, 0);
+  return steps.some(({ tasks }) =>
+    tasks.some(({ status }) => status === TASK_STATUS.active)
+  );
+}
 
 /** Creates a probation on a state with two jobs, and a function that records a crash with suspects. */
 function createCrashes() {
@@ -115,3 +178,40 @@
   t.strictSame(result.kinds.map(({ failed }) => failed), [0, 0, 0]);
   t.strictSame(result.violations, []);
 });
+
+// Guards against a queue whose healthy jobs wait for the few runners of a confinement
+// while the others are idle: no job may wait for 3 s without a run, while less than
+// half of the runners that are up is in use. A run on a crashed runner counts until its
+// end is known, as its task can start no sooner.
+for (const seed of [1, 2, 3]) {
+  t.test(`confined jobs use idle runners, seed ${seed}`, async (t) => {
+    const crashedMs = new Map<string, number>();
+    const model = await startDeadlyCell(CONFINED_RUNNERS, {
+      handleCrash: ({ id }) => void crashedMs.set(id, model.clock.now()),
+    });
+    const { deadly, healthy } = await submitMixedJobs(model, seed);
+    const isOpen = (id: string) => {
+      const job = model.state.getJob(id);
+      return job === undefined || isOpenJob(job);
+    };
+    const waitedMs = new Map<string, number>();
+    let longestMs = 0;
+    const startMs = model.clock.now();
+    const all = [...healthy, ...deadly];
+    while (all.some(isOpen) && model.clock.now() < startMs + SETTLE_MS) {
+      await model.run(TICK_MS);
+      const nowMs = model.clock.now();
+      const away = [...crashedMs.values()].filter((ms) => nowMs - ms < AWAY_MS);
+      const processors = (CONFINED_RUNNERS - away.length) * RUNNER_PROCESSORS;
+      const isHalfIdle = model.runners.getProcessorsUsed() < processors / 2;
+      for (const id of healthy) {
+        const isWaiting = isHalfIdle && isOpen(id) && !hasRun(model, id);
+        const ms = isWaiting ? (waitedMs.get(id) ?? 0) + TICK_MS : 0;
+        waitedMs.set(id, ms);
+        longestMs = Math.max(longestMs, ms);
+      }
+    }
+    t.ok(longestMs < MAX_WAIT_MS, `a job waited for ${longestMs} ms`);
+    checkJobs(t, model, { deadly, healthy });
+  });
+}
