--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -130,6 +130,8 @@
   getClockRate?: (entry: RunnerEntry) => number;
   /** Called after each crash; may add the next incarnation later. */
   handleCrash?: (entry: RunnerEntry) => void;
+  /** Called when a run starts, also by an order that is executed late. */
+  handleStart?: (entry: RunnerEntry, order: StartOrder) => void;
 }
 
 /** A model of all runners of a cell. */
@@ -455,6 +457,7 @@
       stopMs: undefined,
     });
     checkCapacity(runner);
+    options.handleStart?.(entry, order);
   }
 
   function start(runner: ModelRunner, order: StartOrder): OrderReply {
