Count no run as missing while the list of ends is full

Callers saw tasks start again that were done: a runner lists 500 unacknowledged ends at a time, and a run whose end is beyond these is in neither list of the reply, so that it counted as missing, or as stopped, and ended as lost.

While a reply contains that many ends, no run counts as over. The next poll follows as soon as these ends are recorded and acknowledged; a runner with further ends replies to it at once. The limit is part of the runners' contract and named beside their calls.

Ruled out: that the ends themselves are lost. Those beyond the first 500 are listed by the next polls, but by then their tasks have started again.

--- a/src/workload/runner_calls.ts
+++ b/src/workload/runner_calls.ts
@@ -2,6 +2,13 @@
 
 import type { TaskRef } from "./types.ts";
 
+/**
+ * Maximum number of ends in the reply to a poll. A runner lists the lowest numbers
+ * first, and the others once these are acknowledged, so that a run which is in neither
+ * list of a reply with so many may have ended.
+ */
+export const MAX_LISTED_ENDS = 500;
+
 /** Result of an order to a runner. */
 export type OrderOutcome =
   /** Executed, now or by an earlier copy of the order. */
@@ -99,6 +106,7 @@
     /** Start of the replying incarnation as wall time in milliseconds; undefined if not in the reply. */
     readonly startedMs: number | undefined;
     readonly running: readonly ListedRun[];
+    /** Up to `MAX_LISTED_ENDS` ends that are not acknowledged yet. */
     readonly ended: readonly ListedEnd[];
   }
   | { readonly outcome: "staleFence" | "otherLife" | "invalid" | "unhealthy" };
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -24,12 +24,13 @@
 import { createCrashRecorder } from "./crash_recorder.ts";
 import { createOpenStarts } from "./open_starts.ts";
 import type { RecordQueue } from "./record_queue.ts";
-import type {
-  HoldOrder,
-  HoldReply,
-  ListedEnd,
-  ListedRun,
-  RunnerCalls,
+import {
+  type HoldOrder,
+  type HoldReply,
+  type ListedEnd,
+  type ListedRun,
+  MAX_LISTED_ENDS,
+  type RunnerCalls,
 } from "./runner_calls.ts";
 import { type RunnerDriver, startRunnerDriver } from "./runner_driver.ts";
 import type { RunnerHealth } from "./runner_health.ts";
@@ -656,7 +657,10 @@
       stopRun(session, slow);
     }
     const lost: Occupant[] = [];
-    for (const occupant of isNewest ? [...runner.occupants.values()] : []) {
+    // In a full list, the end of a run may be missing. The next poll follows as soon as
+    // these ends are recorded, and lists the others.
+    const isComplete = isNewest && reply.ended.length < MAX_LISTED_ENDS;
+    for (const occupant of isComplete ? [...runner.occupants.values()] : []) {
       if (listedKeys.has(occupant.key)) continue;
       const isOver = occupant.state === "stopping"
         ? occupant.stoppedMs !== undefined && occupant.stoppedMs <= sentAtMs
