Withdraw a start that is not sent when an earlier run turns out to be done

Callers saw a task start again that was done: a run was given up, and its end "done" was listed while the next run was decided, but not yet recorded or sent. The start is recorded first, so that the end of the earlier run was void; it was acknowledged all the same, and the next run was sent.

The fleet now remembers the runs that it has placed (placed_runs.ts). Such an end releases the next run if no order for it was sent, which then refuses to be sent as any released run, and is recorded for both runs in one command: whether the start is recorded before or not at all, exactly one of the two counts. Members of a gang are released together, or not at all if one of them may have been sent, as the end is that of the whole gang. Until the ends are recorded, a second listing of the end records them again instead of acknowledging it alone.

Ruled out: to record the end for the next run alone, as its start may not be recorded; and to let the end of an earlier run count in the replicated state, as the next run is sent as soon as its start is recorded, before the end is.

Not mended: a leader that ends after it has recorded the start and before it has recorded the ends leaves a run of which the next leader does not know that it was never sent.

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -23,6 +23,7 @@
 } from "./constants.ts";
 import { createCrashRecorder } from "./crash_recorder.ts";
 import { createOpenStarts } from "./open_starts.ts";
+import { createPlacedRuns } from "./placed_runs.ts";
 import type { RecordQueue } from "./record_queue.ts";
 import {
   type HoldOrder,
@@ -50,6 +51,7 @@
 import {
   formatIncarnation,
   formatStep,
+  formatTask,
   getRunnerId,
   isSameRunner,
   type RunnerEntry,
@@ -195,6 +197,9 @@
   /** Closed incarnations with runs that the next incarnation may still start. */
   const unsettled = new Set<Runner>();
   const openStarts = createOpenStarts();
+  const placedRuns = createPlacedRuns();
+  /** Numbers of withdrawn runs whose end is not recorded yet, by task, or by step for a gang. */
+  const withdrawn = new Map<string, number>();
   /** Local time at which the newest incarnation of a runner id was closed, in milliseconds. */
   const closedMs = new Map<string, number>();
   const runnersByPool = new Map<string, Runner[]>();
@@ -229,7 +234,7 @@
     const known = runner.occupants.get(key);
     if (known !== undefined) return known;
     workspaces.add(job.spec.workspace, resources);
-    return addOccupant(
+    const occupant = addOccupant(
       runner,
       {
         task,
@@ -240,10 +245,13 @@
       occupantState,
       clock.now(),
     );
+    if (occupantState === "planned") placedRuns.add({ runner, occupant });
+    return occupant;
   }
 
   function removeRun(runner: Runner, occupant: Occupant): boolean {
     if (!removeOccupant(runner, occupant.key)) return false;
+    placedRuns.remove(occupant);
     const job = state.getJob(occupant.task.job);
     workspaces.remove(job?.spec.workspace, occupant.resources);
     return true;
@@ -556,10 +564,35 @@
     return runner.entry.isDraining && isSilent;
   }
 
-  function handleEnd(
-    session: Session,
-    end: ListedEnd,
-  ): WorkRecord | undefined {
+  /**
+   * Withdraws the run that is to repeat a run which was given up, but is done, unless a
+   * start of it may have been sent. Returns its number, also if it was withdrawn before.
+   */
+  function withdrawRepetition({ task, run }: ListedEnd): number | undefined {
+    const step = state.getJob(task.job)?.spec.steps[task.step];
+    const recorded = state.getTask(task);
+    const mayRepeat = step?.longRunning === false && recorded !== undefined &&
+      recorded.status !== TASK_STATUS.done && !isRecordedActive(task, run);
+    if (!mayRepeat) return undefined;
+    // One end is that of the whole gang.
+    const key = step.gang ? formatStep(task) : formatTask(task);
+    const unsent = placedRuns.findUnsent(task, run, step.gang);
+    const [first] = unsent;
+    if (first === undefined) {
+      const known = withdrawn.get(key);
+      return known !== undefined && known > run ? known : undefined;
+    }
+    for (const { runner, occupant } of unsent) release(runner, occupant);
+    withdrawn.set(key, first.occupant.run);
+    logger.info("Starts withdrawn, as an earlier run is done", {
+      run: formatRun(task, run),
+      withdrawn: unsent.map(({ occupant }) => occupant.key),
+    });
+    return first.occupant.run;
+  }
+
+  /** Handles a listed end; returns what to record of it. */
+  function handleEnd(session: Session, end: ListedEnd): WorkRecord[] {
     const { runner } = session;
     const { task, run, outcome } = end;
     const occupant = runner.occupants.get(formatRun(task, run));
@@ -584,7 +617,14 @@
         ? undefined
         : Math.round(clock.now() - occupant.plannedMs),
     });
-    return isCurrent ? createEnd(end, outcome) : undefined;
+    const records = isCurrent ? [createEnd(end, outcome)] : [];
+    const next = outcome === "done" ? withdrawRepetition(end) : undefined;
+    // The start of the next run may be recorded before this end, or not at all: exactly
+    // one of the two ends counts.
+    if (next !== undefined) {
+      records.push(createEnd({ ...end, run: next }, outcome));
+    }
+    return records;
   }
 
   function handleListedRun(session: Session, listed: ListedRun): void {
@@ -643,8 +683,7 @@
       listedKeys.add(formatRun(end.task, end.run));
       if (end.number <= runner.recordedEnds) continue;
       newest = Math.max(newest, end.number);
-      const record = handleEnd(session, end);
-      if (record !== undefined) records.push(record);
+      records.push(...handleEnd(session, end));
     }
     // Replies on different connections may arrive out of order.
     const isNewest = sentAtMs >= runner.pollSentMs;
@@ -681,6 +720,10 @@
     if (newest === runner.recordedEnds) return;
     // The runner may only drop an end once it is recorded here.
     if (records.length > 0 && !await options.record(records)) return;
+    for (const { task } of records.length > 0 ? reply.ended : []) {
+      withdrawn.delete(formatTask(task));
+      withdrawn.delete(formatStep(task));
+    }
     runner.recordedEnds = Math.max(runner.recordedEnds, newest);
     options.handleChange();
   }
