Count a late failure of a run that was given up, once

Callers saw a task start more often than its attempts allow: the end "failed" of a run that was given up was void, since only a late end "done" counted while the task waits, and it was acknowledged, which makes it an attempt.

Such an end counts now.

A failure that is listed after the lease of its runner has ended without contact still does not count if its run was released then: an end whose lease has lapsed before its acknowledgement is no attempt, and the job would fail too early.

Ruled out: to compare with the number of failures alone, which does not tell a second listing from the next run's failure.

Not mended: a late failure that is listed while the next start is recorded is void, and a new leader does not know that the lease ended under the former one. Members of an older version do not count the record, as with late ends "done".

The test "a late failure of a run that was given up counts" failed before ("attempts"), and so does "a late failure counts once" without the rule or without the new field. "A failure that is listed after the lease has ended does not count" fails without the exception; it guards what held before.

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -342,6 +342,31 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// The lease ended before the failure was listed, so that it is no attempt. Guards
+// against a job that fails before its attempts are used up.
+t.test("a failure that is listed after the lease has ended does not count", async (t) => {
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    getTaskFacts: (_, step) => ({
+      ...createTaskFacts(step),
+      alwaysFails: true,
+    }),
+  });
+  const faults = await model.addRunner("r1");
+  await model.run(1_000);
+  await submitJob(model, "job", { estimatedMs: 200 });
+  while (listRuns(model).length === 0) await model.run(1);
+  await model.run(20);
+  faults.isPartitioned = true;
+  await model.run(13_000);
+  faults.isPartitioned = false;
+  await model.run(20_000);
+  const { maxAttempts } = model.state.getJob("job")?.spec ?? {};
+  t.equal(getJobState(model, "job"), "failed");
+  t.equal(model.runners.countStarts(), 1 + (maxAttempts ?? 0));
+  t.strictSame(model.runners.violations, []);
+});
+
 // The next incarnation announces itself before anything else has reached it.
 t.test("no late start is executed while the next incarnation is recorded", async (t) => {
   const model = createWorkModel({
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -591,9 +591,15 @@
     return first.occupant.run;
   }
 
-  /** Handles a listed end; returns what to record of it. */
-  function handleEnd(session: Session, end: ListedEnd): WorkRecord[] {
-    const { runner } = session;
+  /**
+   * Handles a listed end; returns what to record of it. After the end of a lease
+   * without contact, the failure of a run that was given up is no attempt any more.
+   */
+  function handleEnd(
+    { runner }: Session,
+    end: ListedEnd,
+    wasLost: boolean,
+  ): WorkRecord[] {
     const { task, run, outcome } = end;
     const occupant = runner.occupants.get(formatRun(task, run));
     if (occupant !== undefined) release(runner, occupant);
@@ -603,7 +609,8 @@
       health.recordFailure(runner, task.job);
     }
     const recorded = state.getTask(task);
-    const isCurrent = recorded !== undefined &&
+    const hasLapsed = wasLost && occupant === undefined && outcome === "failed";
+    const isCurrent = recorded !== undefined && !hasLapsed &&
       isOpenEnd(recorded, run, outcome);
     metrics?.addCount("run_ends_total", { outcome });
     // Most runs end as planned; the log line of their job is enough.
@@ -671,7 +678,8 @@
   ): Promise<void> {
     const { runner } = session;
     if (isStopped || !options.isLeading() || runner.isClosed) return;
-    if (runner.isLost) {
+    const wasLost = runner.isLost;
+    if (wasLost) {
       runner.isLost = false;
       runner.lostOccupants = [];
       logger.info("Runner responds again", { runner: runner.life });
@@ -683,7 +691,7 @@
       listedKeys.add(formatRun(end.task, end.run));
       if (end.number <= runner.recordedEnds) continue;
       newest = Math.max(newest, end.number);
-      records.push(...handleEnd(session, end));
+      records.push(...handleEnd(session, end, wasLost));
     }
     // Replies on different connections may arrive out of order.
     const isNewest = sentAtMs >= runner.pollSentMs;
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -53,6 +53,8 @@
   life: string;
   /** Runs that ended in a failure. */
   failures: number;
+  /** Number of the newest of these; absent for none. */
+  failedRun?: number;
   /** Crashes of which the task is suspected, since its last run that outlived its start; absent for none. */
   crashes?: number;
   /** Key of the incarnation whose crash was counted last; absent for none. */
@@ -155,7 +157,8 @@
 
 /**
  * Tells whether the end of a run still counts. A run that was given up may have been
- * done all the same: while its task waits, it need not run again.
+ * done all the same: while its task waits, it need not run again. It may also have
+ * failed, which counts once.
  */
 export function isOpenEnd(
   task: TaskState,
@@ -163,8 +166,9 @@
   outcome: RunOutcome,
 ): boolean {
   if (task.run !== run) return false;
-  return task.status === TASK_STATUS.active ||
-    (task.status === TASK_STATUS.waiting && outcome === "done");
+  if (task.status === TASK_STATUS.active) return true;
+  return task.status === TASK_STATUS.waiting &&
+    (outcome === "done" || (outcome === "failed" && task.failedRun !== run));
 }
 
 /** Creates an empty state. */
@@ -262,6 +266,7 @@
     const spec = job.spec.steps[record.task.step];
     if (spec === undefined || spec.longRunning) return;
     task.failures += 1;
+    task.failedRun = record.run;
     let failures = task.failures;
     if (spec.gang) {
       if (step.lastFailedRun !== record.run) {
--- a/src/workload/work_state_test.ts
+++ b/src/workload/work_state_test.ts
@@ -88,6 +88,38 @@
   t.end();
 });
 
+function createEnd(run: number, outcome: "lost" | "failed"): WorkRecord {
+  const task = { job: "job", occurrence: 0, step: 0, index: 0 };
+  return { kind: "end", task, run, outcome, checkpoint: "", atMs: 2 };
+}
+
+// Parallel polls and the next leader list an end again. Guards against a job that fails
+// before its attempts are used up.
+t.test("a late failure counts once", (t) => {
+  const state = createWorkState();
+  const [start] = createRun("job", 1);
+  if (start?.kind !== "start") throw new Error("No start");
+  apply(state, createSubmission("job", 1));
+  const failures: (number | undefined)[] = [];
+  const task = { job: "job", occurrence: 0, step: 0, index: 0 };
+  for (const run of [1, 2]) {
+    apply(state, { ...start, run }, createEnd(run, "lost"));
+    for (let listing = 0; listing < 3; listing += 1) {
+      apply(state, createEnd(run, "failed"));
+      failures.push(state.getTask(task)?.failures);
+    }
+    const next = createWorkState();
+    next.restoreSnapshot(state.takeSnapshot());
+    apply(next, createEnd(run, "failed"), createEnd(run - 1, "failed"));
+    failures.push(next.getTask(task)?.failures);
+  }
+  t.strictSame(failures, [1, 1, 1, 1, 2, 2, 2, 2]);
+  apply(state, { ...start, run: 3 });
+  apply(state, createEnd(3, "failed"), createEnd(3, "failed"));
+  t.equal(state.getJob("job")?.state, "failed");
+  t.end();
+});
+
 function createCrash(
   indexes: readonly number[],
   isSingleJob: boolean,
