Show that a leader change between a start and a late end repeats a done task

A leader that has recorded the start of the next run, and withdrawn it, but ends before the end of the earlier run is recorded, leaves a run that was never sent. The next leader finds it recorded as active, takes the earlier run's end for void and acknowledges it, and starts the task again ("afterDone").

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -185,6 +185,47 @@
   });
 }
 
+// The leader ends once it has recorded the next start, but neither sent it nor recorded
+// the end. Guards against a start after the task was done.
+t.test("a late end that is recorded by the next leader counts", async (t) => {
+  let isRecording = false;
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    getCommitMs(records) {
+      isRecording = records.some((record) =>
+        record.kind === "start" && record.run > 1
+      );
+      return isRecording ? 700 : 12;
+    },
+  });
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 4_000;
+  await submitJob(model, "job", { estimatedMs: 50 });
+  await model.run(1_100);
+  // Keeps the task waiting.
+  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
+  await runUntil(model, 5_000);
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  const faults = model.runners.add(next);
+  while (listRuns(model).length === 0) await model.run(1);
+  await model.run(60);
+  t.strictSame(listRuns(model), []);
+  faults.refusesConnections = true;
+  announceRunner(model, next);
+  await model.run(30);
+  const other = createRunnerEntry("r2");
+  model.runners.add(other);
+  announceRunner(model, other);
+  while (!isRecording) await model.run(1);
+  faults.refusesConnections = false;
+  while (isRecording) await model.run(1);
+  model.changeLeader();
+  await model.run(10_000);
+  t.equal(getJobState(model, "job"), "completed");
+  t.strictSame(model.runners.violations, []);
+});
+
 // No heartbeat differs from the record any more, so none reaches the leader. Guards
 // against a runner that is neither polled nor used.
 t.test("a runner recorded without a reply is used", async (t) => {
