--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -16,6 +16,7 @@
   type HoldOrder,
   type HoldReply,
   type ListedEnd,
+  MAX_LISTED_ENDS,
   type OrderReply,
   type RunnerCalls,
   type RunnerEntry,
@@ -176,9 +177,6 @@
 /** Longest lease that a runner grants, in milliseconds. */
 const MAX_LEASE_MS = 10_000;
 
-/** Number of ends that a runner lists at most; the rest follow once these are acknowledged. */
-const MAX_LISTED_ENDS = 500;
-
 /** Usual time from the start of a task to the crash that it causes, in milliseconds. */
 const CRASH_DELAY_MS = 10;
 
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -23,13 +23,15 @@
 } from "./constants.ts";
 import { createCrashRecorder, getCrashWindow } from "./crash_recorder.ts";
 import { createOpenStarts } from "./open_starts.ts";
+import { createPlacedRuns } from "./placed_runs.ts";
 import type { RecordQueue } from "./record_queue.ts";
-import type {
-  HoldOrder,
-  HoldReply,
-  ListedEnd,
-  ListedRun,
-  RunnerCalls,
+import {
+  type HoldOrder,
+  type HoldReply,
+  type ListedEnd,
+  type ListedRun,
+  MAX_LISTED_ENDS,
+  type RunnerCalls,
 } from "./runner_calls.ts";
 import { type RunnerDriver, startRunnerDriver } from "./runner_driver.ts";
 import type { RunnerHealth } from "./runner_health.ts";
@@ -49,6 +51,7 @@
 import {
   formatIncarnation,
   formatStep,
+  formatTask,
   getRunnerId,
   isSameRunner,
   type RunnerEntry,
@@ -197,6 +200,9 @@
   /** Closed incarnations with runs that the next incarnation may still start. */
   const unsettled = new Set<Runner>();
   const openStarts = createOpenStarts();
+  const placedRuns = createPlacedRuns();
+  /** Numbers of withdrawn runs whose end is not recorded yet, by task, or by step for a gang. */
+  const withdrawn = new Map<string, number>();
   /** Local time at which the newest incarnation of a runner id was closed, in milliseconds. */
   const closedMs = new Map<string, number>();
   const runnersByPool = new Map<string, Runner[]>();
@@ -238,7 +244,7 @@
     const known = runner.occupants.get(key);
     if (known !== undefined) return known;
     workspaces.add(job.spec.workspace, resources);
-    return addOccupant(
+    const occupant = addOccupant(
       runner,
       {
         task,
@@ -250,10 +256,13 @@
       occupantState,
       clock.now(),
     );
+    if (occupantState === "planned") placedRuns.add({ runner, occupant });
+    return occupant;
   }
 
   function removeRun(runner: Runner, occupant: Occupant): boolean {
     if (!removeOccupant(runner, occupant.key)) return false;
+    placedRuns.remove(occupant);
     const job = state.getJob(occupant.task.job);
     workspaces.remove(job?.spec.workspace, occupant.resources);
     return true;
@@ -549,11 +558,42 @@
     return runner.entry.isDraining && isSilent;
   }
 
+  /**
+   * Withdraws the run that is to repeat a run which was given up, but is done, unless a
+   * start of it may have been sent. Returns its number, also if it was withdrawn before.
+   */
+  function withdrawRepetition({ task, run }: ListedEnd): number | undefined {
+    const step = state.getJob(task.job)?.spec.steps[task.step];
+    const recorded = state.getTask(task);
+    const mayRepeat = step?.longRunning === false && recorded !== undefined &&
+      recorded.status !== TASK_STATUS.done && !isRecordedActive(task, run);
+    if (!mayRepeat) return undefined;
+    // One end is that of the whole gang.
+    const key = step.gang ? formatStep(task) : formatTask(task);
+    const unsent = placedRuns.findUnsent(task, run, step.gang);
+    const [first] = unsent;
+    if (first === undefined) {
+      const known = withdrawn.get(key);
+      return known !== undefined && known > run ? known : undefined;
+    }
+    for (const { runner, occupant } of unsent) release(runner, occupant);
+    withdrawn.set(key, first.occupant.run);
+    logger.info("Starts withdrawn, as an earlier run is done", {
+      run: formatRun(task, run),
+      withdrawn: unsent.map(({ occupant }) => occupant.key),
+    });
+    return first.occupant.run;
+  }
+
+  /**
+   * Handles a listed end; returns what to record of it. After the end of a lease
+   * without contact, the failure of a run that was given up is no attempt any more.
+   */
   function handleEnd(
-    session: Session,
+    { runner }: Session,
     end: ListedEnd,
-  ): WorkRecord | undefined {
-    const { runner } = session;
+    wasLost: boolean,
+  ): WorkRecord[] {
     const { task, run, outcome } = end;
     const occupant = runner.occupants.get(formatRun(task, run));
     if (occupant !== undefined) release(runner, occupant);
@@ -563,7 +603,8 @@
       health.recordFailure(runner, task.job);
     }
     const recorded = state.getTask(task);
-    const isCurrent = recorded !== undefined &&
+    const hasLapsed = wasLost && occupant === undefined && outcome === "failed";
+    const isCurrent = recorded !== undefined && !hasLapsed &&
       isOpenEnd(recorded, run, outcome);
     metrics?.addCount("run_ends_total", { outcome });
     // Most runs end as planned; the log line of their job is enough.
@@ -577,7 +618,14 @@
         ? undefined
         : Math.round(clock.now() - occupant.plannedMs),
     });
-    return isCurrent ? createEnd(end, outcome) : undefined;
+    const records = isCurrent ? [createEnd(end, outcome)] : [];
+    const next = outcome === "done" ? withdrawRepetition(end) : undefined;
+    // The start of the next run may be recorded before this end, or not at all: exactly
+    // one of the two ends counts.
+    if (next !== undefined) {
+      records.push(createEnd({ ...end, run: next }, outcome));
+    }
+    return records;
   }
 
   function handleListedRun(session: Session, listed: ListedRun): void {
@@ -624,7 +672,8 @@
   ): Promise<void> {
     const { runner } = session;
     if (isStopped || !options.isLeading() || runner.isClosed) return;
-    if (runner.isLost) {
+    const wasLost = runner.isLost;
+    if (wasLost) {
       runner.isLost = false;
       runner.lostOccupants = [];
       logger.info("Runner responds again", { runner: runner.life });
@@ -644,9 +693,9 @@
       listedKeys.add(formatRun(end.task, end.run));
       if (end.number <= runner.recordedEnds) continue;
       newest = Math.max(newest, end.number);
-      const record = handleEnd(session, end);
-      if (record === undefined) continue;
-      records.push(record);
+      const found = handleEnd(session, end, wasLost);
+      if (found.length === 0) continue;
+      records.push(...found);
       endedKeys.push(formatRun(end.task, end.run));
     }
     // Replies on different connections may arrive out of order.
@@ -660,7 +709,10 @@
       stopRun(session, slow);
     }
     const lost: Occupant[] = [];
-    for (const occupant of isNewest ? [...runner.occupants.values()] : []) {
+    // In a full list, the end of a run may be missing. The next poll follows as soon as
+    // these ends are recorded, and lists the others.
+    const isComplete = isNewest && reply.ended.length < MAX_LISTED_ENDS;
+    for (const occupant of isComplete ? [...runner.occupants.values()] : []) {
       if (listedKeys.has(occupant.key)) continue;
       const isOver = occupant.state === "stopping"
         ? occupant.stoppedMs !== undefined && occupant.stoppedMs <= sentAtMs
@@ -683,6 +735,10 @@
     // The runner may only drop an end once it is recorded here.
     if (records.length > 0 && !await options.record(records)) return;
     for (const key of endedKeys) session.unrecordedEnds.delete(key);
+    for (const { task } of records.length > 0 ? reply.ended : []) {
+      withdrawn.delete(formatTask(task));
+      withdrawn.delete(formatStep(task));
+    }
     runner.recordedEnds = Math.max(runner.recordedEnds, newest);
     options.handleChange();
   }
