Find tasks that crash their runners up to two seconds after their start

What callers saw: a task that crashes its runners 0.6 to 2 s after its start was started for ever, after up to 16 crashes.

Cause: a run is no suspect half a second after its start, and beside jobs that have just started those are blamed instead.

Change: the runs that are 0.5 to 2.5 s old when a runner crashes are late suspects, counted apart. From the second late crash on, all of them count, and the task is a suspect for 2.5 s after its start. Late crashes alone give no job up, and with them it takes four crashes. There are no late suspects if more than a tenth of the other runners of the pool went away within 2 s, but for those with a job in common.

crash_recorder_test, a crash without suspects is not recorded: its run was 1 s old and is a late suspect now, so it is 2.5 s and 1 ms old instead; a test of its own says what is recorded of the former.

--- a/src/workload/crash_recorder.ts
+++ b/src/workload/crash_recorder.ts
@@ -6,10 +6,30 @@
 
 import type { Clock, Logger } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
-import { findCrashSuspects, hasSurvivedStart } from "./crash_suspects.ts";
-import type { Runner } from "./runner_table.ts";
+import {
+  findCrashSuspects,
+  hasSurvivedStart,
+  LATE_CRASH_WINDOW_MS,
+  START_CRASH_WINDOW_MS,
+} from "./crash_suspects.ts";
+import type { Occupant, Runner } from "./runner_table.ts";
 import { formatTask, type TaskRef, type WorkRecord } from "./types.ts";
-import { countCrashes, isOpenJob, type WorkState } from "./work_state.ts";
+import {
+  countCrashes,
+  isLateSuspect,
+  isOpenJob,
+  type TaskState,
+  type WorkState,
+} from "./work_state.ts";
+
+/** Time between the last replies of runners within which they went away together, in milliseconds; longer than a long poll. */
+const COMMON_CAUSE_MS = 2_000;
+
+/** Time for which a crash may belong to that of another runner, in milliseconds; runners are back at different times. */
+const RECENT_CRASH_MS = 15_000;
+
+/** Share of a pool's runners that may be away with a runner, without a common cause. */
+const COMMON_CAUSE_SHARE = 0.1;
 
 /** Options of the recorder. */
 export interface CrashRecorderOptions {
@@ -17,6 +37,8 @@
   logger: Logger;
   metrics?: Pick<Metrics, "addCount">;
   state: Pick<WorkState, "getJob" | "getTask" | "listJobs">;
+  /** Returns the runners of this leadership that are not closed. */
+  listRunners: () => readonly Runner[];
   /** Writes records to the log; resolves to false if they were not committed or the leadership has ended. */
   record: (records: readonly WorkRecord[]) => Promise<boolean>;
 }
@@ -39,11 +61,26 @@
   recordFormerCrash(life: string, suspects: readonly TaskRef[]): Promise<void>;
 }
 
+/** A crash of which this leader has learned. */
+interface RecentCrash {
+  readonly life: string;
+  readonly pool: string;
+  readonly atMs: number;
+  readonly lastReplyMs: number | undefined;
+  readonly occupants: readonly Occupant[];
+}
+
+/** Returns the time after its start in which a task may crash its runner, in milliseconds. */
+export function getCrashWindow(task: TaskState | undefined): number {
+  return isLateSuspect(task) ? LATE_CRASH_WINDOW_MS : START_CRASH_WINDOW_MS;
+}
+
 /** Creates a recorder. */
 export function createCrashRecorder(
   options: CrashRecorderOptions,
 ): CrashRecorder {
   const { clock, logger, metrics, state } = options;
+  let recent: RecentCrash[] = [];
   /** Tasks suspected of crashes that may turn out not to have happened, by incarnation; undefined until they are read from the state. */
   let blamed: Map<string, readonly TaskRef[]> | undefined;
 
@@ -64,6 +101,39 @@
     ]);
   }
 
+  /**
+   * Tells whether so many other runners have gone away as well that there is a common
+   * cause; without those on which a job of this one was, which may crash several.
+   */
+  function hasCommonCause(
+    runner: Runner,
+    occupants: readonly Occupant[],
+  ): boolean {
+    const nowMs = clock.now();
+    recent = recent.filter(({ atMs }) => nowMs - atMs < RECENT_CRASH_MS);
+    const { pool, address } = runner.entry;
+    const jobs = new Set(occupants.map(({ task }) => task.job));
+    const isRelated = (
+      { lastReplyMs }: Pick<Runner, "lastReplyMs">,
+      others: Iterable<Occupant>,
+    ) =>
+      lastReplyMs !== undefined && runner.lastReplyMs !== undefined &&
+      Math.abs(lastReplyMs - runner.lastReplyMs) < COMMON_CAUSE_MS &&
+      ![...others].some(({ task }) => jobs.has(task.job));
+    const runners = options.listRunners().filter(({ entry }) =>
+      entry.pool === pool && entry.address !== address
+    );
+    const away = runners.filter((other) =>
+      (other.isUnresponsive || other.isLost) &&
+      isRelated(other, [...other.occupants.values(), ...other.lostOccupants])
+    );
+    const crashed = recent.filter((other) =>
+      other.pool === pool && other.life !== runner.life &&
+      isRelated(other, other.occupants)
+    );
+    return away.length + crashed.length > runners.length * COMMON_CAUSE_SHARE;
+  }
+
   /** Lists the tasks that the state suspects of crashes, by incarnation. */
   function listBlamed(): Map<string, TaskRef[]> {
     const found = new Map<string, TaskRef[]>();
@@ -71,8 +141,8 @@
       if (!isOpenJob(job)) continue;
       for (const [occurrence, { steps }] of Object.entries(job.occurrences)) {
         steps.forEach(({ tasks }, step) =>
-          tasks.forEach(({ crashedLives = [] }, index) => {
-            for (const life of crashedLives) {
+          tasks.forEach(({ crashedLives = [], lateLives = [] }, index) => {
+            for (const life of [...crashedLives, ...lateLives]) {
               const task = {
                 job: job.spec.id,
                 occurrence: Number(occurrence),
@@ -99,12 +169,21 @@
     const { life, lastReplyMs } = runner;
     const blamedBefore = getBlamed().get(life);
     const occupants = [...runner.lostOccupants, ...runner.occupants.values()];
-    const found = findCrashSuspects({ occupants, lastReplyMs });
+    // A crash that was recorded when the lease ended counts since.
+    const isKnown = isConfirmed && blamedBefore !== undefined;
+    const found = findCrashSuspects({
+      occupants,
+      lastReplyMs,
+      isCommon: hasCommonCause(runner, occupants),
+    });
     const { tasks } = found;
+    const lateSuspects = isKnown ? [] : found.late.filter(isOpen);
+    if (isConfirmed) {
+      const { pool } = runner.entry;
+      recent.push({ life, pool, atMs: clock.now(), lastReplyMs, occupants });
+    }
     // A job that is given up stays so, also if the runner was only cut off.
     const isSingleJob = isConfirmed && found.isSingleJob;
-    // A crash that was recorded when the lease ended counts since.
-    const isKnown = isConfirmed && blamedBefore !== undefined;
     const suspects = isKnown ? [] : tasks.filter(isOpen);
     const counts = suspects.map((task) =>
       countCrashes(state.getTask(task)) + 1
@@ -113,6 +192,7 @@
       runner: life,
       suspects: suspects
         .map((task, at) => `${formatTask(task)}:${counts[at]}`).join(" "),
+      lateSuspects: lateSuspects.map(formatTask).join(" "),
       isSingleJob,
       runs: occupants.length,
     });
@@ -123,11 +203,23 @@
         hasSurvivedStart(occupant, lastReplyMs)
       )
       .map(({ task }) => task);
-    if (suspects.length === 0 && cleared.length === 0) return;
+    const isEmpty = suspects.length === 0 && cleared.length === 0 &&
+      lateSuspects.length === 0;
+    if (isEmpty) return;
     if (!isConfirmed) {
-      getBlamed().set(life, [...blamedBefore ?? [], ...suspects]);
+      getBlamed().set(life, [
+        ...blamedBefore ?? [],
+        ...suspects,
+        ...lateSuspects,
+      ]);
     }
-    await writeCrash({ life, suspects, cleared, isSingleJob });
+    await writeCrash({
+      life,
+      suspects,
+      cleared,
+      isSingleJob,
+      ...(lateSuspects.length > 0 ? { lateSuspects } : {}),
+    });
     suspects.forEach((task, at) => {
       if (isOpen(task)) return;
       logger.warn("Job given up after crashes", {
--- a/src/workload/crash_recorder_test.ts
+++ b/src/workload/crash_recorder_test.ts
@@ -2,9 +2,10 @@
 import { createManualClock, createSilentLogger } from "../common/mod.ts";
 import { createJob, createRunnerEntry } from "../model/mod.ts";
 import { createCrashRecorder } from "./crash_recorder.ts";
+import { LATE_CRASH_WINDOW_MS } from "./crash_suspects.ts";
 import { addOccupant, createRunner, type Runner } from "./runner_table.ts";
 import type { TaskRef, WorkRecord } from "./types.ts";
-import { createWorkState, encodeRecords } from "./work_state.ts";
+import { countCrashes, createWorkState, encodeRecords } from "./work_state.ts";
 
 const NOW_MS = 10_000;
 
@@ -19,6 +20,7 @@
 function createSetup(jobs: readonly string[], { longRunning = false } = {}) {
   const state = createWorkState();
   const written: WorkRecord[] = [];
+  const runners: Runner[] = [];
   const apply = (records: readonly WorkRecord[]) => {
     written.push(...records);
     state.apply(encodeRecords(records), 0);
@@ -43,10 +45,11 @@
       clock: createManualClock(NOW_MS),
       logger: createSilentLogger(),
       state,
+      listRunners: () => runners,
       record: apply,
     });
   const recorder = createRecorder();
-  return { state, runner, recorder, createRecorder, written };
+  return { state, runner, recorder, createRecorder, written, runners };
 }
 
 /** Adds the run of a job whose start was answered. */
@@ -67,11 +70,28 @@
 // Guards against a crash that is written although no task can have caused it.
 t.test("a crash without suspects is not recorded", async (t) => {
   const { runner, recorder, written } = createSetup(["old"]);
-  addRun(runner, "old", OLD_START_MS);
+  addRun(runner, "old", NOW_MS - LATE_CRASH_WINDOW_MS - 1);
   await recorder.recordCrash(runner);
   t.strictSame(written, []);
 });
 
+// Guards against the blame on what ran on a runner that went away with others.
+t.test("a late suspect is recorded unless other runners went away", async (t) => {
+  for (const othersAway of [0, 1]) {
+    const { state, runner, recorder, written, runners } = createSetup(["late"]);
+    for (let at = 0; at < othersAway; at += 1) {
+      const other = createRunner(createRunnerEntry(`o${at}`), NOW_MS);
+      other.lastReplyMs = NOW_MS - 1_900;
+      other.isUnresponsive = true;
+      runners.push(other);
+    }
+    addRun(runner, "late", OLD_START_MS);
+    await recorder.recordCrash(runner);
+    t.equal(written.length, othersAway < 1 ? 1 : 0);
+    t.equal(countCrashes(state.getTask(createTask("late"))), 0);
+  }
+});
+
 // Guards against a crash that does not count because the lease had ended before.
 t.test("a run that was released with the lease is a suspect", async (t) => {
   const { state, runner, recorder } = createSetup(["released"]);
--- a/src/workload/crash_suspects.ts
+++ b/src/workload/crash_suspects.ts
@@ -1,7 +1,8 @@
 /**
  * Decides which runs may have crashed a runner. A task that crashes its runner
- * does so right after its start, so a run that the runner has listed or answered
- * for some time after its start is not to blame.
+ * mostly does so right after its start, so a run that the runner has listed or
+ * answered for some time after its start is not to blame. Some do so up to two
+ * seconds later: runs of that age are suspects apart, of crashes without a common cause.
  */
 
 import type { Occupant, Runner } from "./runner_table.ts";
@@ -10,12 +11,17 @@
 /** Time after its start from which a run is not to blame for a crash, in milliseconds. */
 export const START_CRASH_WINDOW_MS = 500;
 
+/** The same for a task that was near several crashes without a common cause, in milliseconds. */
+export const LATE_CRASH_WINDOW_MS = 2_500;
+
 /** What is known about a runner that has crashed. */
 export interface CrashedRunner {
   /** The runs that were on it. */
   readonly occupants: readonly Occupant[];
   /** Local time of its last reply in milliseconds; undefined for none. */
   readonly lastReplyMs: number | undefined;
+  /** True if other runners went away with it, which has a common cause. Default false. */
+  readonly isCommon?: boolean;
 }
 
 /** The tasks that may have crashed a runner. */
@@ -23,16 +29,29 @@
   readonly tasks: readonly TaskRef[];
   /** True if only runs of one job can have caused the crash. */
   readonly isSingleJob: boolean;
+  /** Those that have outlived the usual window, but not by long. */
+  readonly late: readonly TaskRef[];
 }
 
 /** Tells whether the runner was still up when a crash caused by the run would have happened. */
 export function hasSurvivedStart(
-  { orderSentMs, isExecuted }: Occupant,
+  { orderSentMs, isExecuted, crashWindowMs }: Occupant,
   lastReplyMs: Runner["lastReplyMs"],
 ): boolean {
   return isExecuted && orderSentMs !== undefined &&
     lastReplyMs !== undefined &&
-    orderSentMs < lastReplyMs - START_CRASH_WINDOW_MS;
+    orderSentMs < lastReplyMs - crashWindowMs;
+}
+
+/** Lists the executed runs that have not outlived their start by long, although by the usual window. */
+function listLate(
+  { occupants, lastReplyMs, isCommon = false }: CrashedRunner,
+): readonly Occupant[] {
+  if (lastReplyMs === undefined || isCommon) return [];
+  return occupants.filter(({ orderSentMs, isExecuted }) =>
+    isExecuted && orderSentMs !== undefined &&
+    orderSentMs >= lastReplyMs - LATE_CRASH_WINDOW_MS
+  );
 }
 
 function listCandidates(
@@ -43,9 +62,8 @@
       orderSentMs !== undefined && (!isInherited || isExecuted),
   );
   if (lastReplyMs === undefined) return ordered;
-  const recent = ordered.filter(({ orderSentMs }) =>
-    orderSentMs !== undefined &&
-    orderSentMs >= lastReplyMs - START_CRASH_WINDOW_MS
+  const recent = ordered.filter(({ orderSentMs, crashWindowMs }) =>
+    orderSentMs !== undefined && orderSentMs >= lastReplyMs - crashWindowMs
   );
   // A start without a reply may be executed long after it was sent.
   return recent.length > 0
@@ -55,9 +73,12 @@
 
 /** Finds the tasks that may have crashed a runner. */
 export function findCrashSuspects(runner: CrashedRunner): CrashSuspects {
-  const tasks = listCandidates(runner).map(({ task }) => task);
+  const usual = listCandidates(runner);
+  const late = listLate(runner).filter((occupant) => !usual.includes(occupant));
+  const tasks = usual.map(({ task }) => task);
   return {
     tasks,
     isSingleJob: new Set(tasks.map(({ job }) => job)).size === 1,
+    late: late.map(({ task }) => task),
   };
 }
--- a/src/workload/crash_suspects_test.ts
+++ b/src/workload/crash_suspects_test.ts
@@ -27,6 +27,7 @@
     isUncertain: false,
     isInherited: false,
     isSuspect: false,
+    crashWindowMs: 500,
     progress: 0,
     progressMs: 0,
     checkpoint: "",
@@ -108,3 +109,34 @@
   t.strictSame(listSuspects([executed], LAST_REPLY_MS).jobs, ["inherited"]);
   t.end();
 });
+
+// Guards against a task that crashes its runners only after the usual window, and
+// against the blame on what went away with other runners or has run for long.
+t.test("a run that outlived the usual window is a late suspect", (t) => {
+  const occupants = [
+    createOccupant("old", LAST_REPLY_MS - 2_501),
+    createOccupant("late", LAST_REPLY_MS - 2_500),
+    createOccupant("waiting", LAST_REPLY_MS, { isExecuted: false }),
+    createOccupant("young", LAST_REPLY_MS - 500),
+  ];
+  const listLate = (lastReplyMs: number | undefined, isCommon: boolean) =>
+    findCrashSuspects({ occupants, lastReplyMs, isCommon }).late
+      .map(({ job }) => job);
+  t.strictSame(listLate(LAST_REPLY_MS, false), ["late"]);
+  t.strictSame(listLate(LAST_REPLY_MS, true), []);
+  t.strictSame(listLate(undefined, false), []);
+  t.end();
+});
+
+// Guards against a late suspect that its neighbours' starts hide.
+t.test("a known late suspect is a suspect for longer", (t) => {
+  const known = createOccupant("known", LAST_REPLY_MS - 2_000, {
+    crashWindowMs: 2_500,
+  });
+  const recent = createOccupant("recent", LAST_REPLY_MS - 100);
+  t.strictSame(listSuspects([known, recent], LAST_REPLY_MS).jobs, [
+    "known",
+    "recent",
+  ]);
+  t.end();
+});
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -18,7 +18,7 @@
   RUNNER_CLOCK_MIN_RATE,
   RUNNER_LEASE_MS,
 } from "./constants.ts";
-import { createCrashRecorder } from "./crash_recorder.ts";
+import { createCrashRecorder, getCrashWindow } from "./crash_recorder.ts";
 import { createOpenStarts } from "./open_starts.ts";
 import type { RecordQueue } from "./record_queue.ts";
 import type {
@@ -181,7 +181,10 @@
   const closedMs = new Map<string, number>();
   const runnersByPool = new Map<string, Runner[]>();
   const health = options.createHealth(listPool);
-  const crashes = createCrashRecorder(options);
+  const crashes = createCrashRecorder({
+    ...options,
+    listRunners: () => [...sessions.values()].map(({ runner }) => runner),
+  });
   let isStopped = false;
 
   function listPool(pool: string): Runner[] {
@@ -218,6 +221,7 @@
         run,
         resources,
         isSuspect: isSuspect || countCrashes(state.getTask(task)) > 0,
+        crashWindowMs: getCrashWindow(state.getTask(task)),
       },
       occupantState,
       clock.now(),
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -12,6 +12,7 @@
   subtractResources,
 } from "../common/mod.ts";
 import { MAX_ORDER_DELAY_MS, RUNNER_CLOCK_MIN_RATE } from "./constants.ts";
+import { START_CRASH_WINDOW_MS } from "./crash_suspects.ts";
 import {
   formatIncarnation,
   formatTask,
@@ -52,6 +53,8 @@
   isInherited: boolean;
   /** True if its task is suspected of crashes. */
   readonly isSuspect: boolean;
+  /** Time after its start in which it may crash its runner, in milliseconds; longer for tasks suspected of a late crash. */
+  readonly crashWindowMs: number;
   /** Last listed progress in percent. */
   progress: number;
   /** Local time of the last increase of the progress in milliseconds. */
@@ -152,6 +155,7 @@
     run: number;
     resources: Resources;
     isSuspect?: boolean;
+    crashWindowMs?: number;
   },
   state: OccupantState,
   nowMs: number,
@@ -176,6 +180,7 @@
     isUncertain: false,
     isInherited: false,
     isSuspect: run.isSuspect ?? false,
+    crashWindowMs: run.crashWindowMs ?? START_CRASH_WINDOW_MS,
     progress: 0,
     progressMs: nowMs,
     checkpoint: "",
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -205,6 +205,8 @@
     readonly cleared: readonly TaskRef[];
     /** Tasks that were suspected of its crash, although it has not crashed; absent for none. */
     readonly withdrawn?: readonly TaskRef[];
+    /** Tasks that may have caused it only if they crash their runner later after a start than usual; absent for none. */
+    readonly lateSuspects?: readonly TaskRef[];
     /** True if only runs of one job can have caused it. */
     readonly isSingleJob: boolean;
     readonly atMs: number;
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -17,7 +17,6 @@
   URGENT_PLAN_PERIOD_MS,
   WATCH_PERIOD_MS,
 } from "./constants.ts";
-import { START_CRASH_WINDOW_MS } from "./crash_suspects.ts";
 import {
   createEligibilityCache,
   type EligibilityAnswer,
@@ -55,7 +54,7 @@
 const SLOW_START_MS = 250;
 
 /** Time from the reply to the start of a suspect to the poll that shows that its runner is still up, in milliseconds. */
-const START_PROOF_MS = START_CRASH_WINDOW_MS + 50;
+const START_PROOF_SLACK_MS = 50;
 
 /** Maximum number of log lines about waiting steps in one round, so that a long queue does not flood the log. */
 const MAX_WAIT_LOG_LINES = 5;
@@ -194,7 +193,7 @@
 
   /** Polls the runner once a suspect has outlived its start, so that it counts as harmless. */
   function startProof({ runner, driver }: Session, occupant: Occupant): void {
-    clock.setTimer(START_PROOF_MS, () => {
+    clock.setTimer(occupant.crashWindowMs + START_PROOF_SLACK_MS, () => {
       const isThere = !isStopped && !runner.isClosed &&
         runner.occupants.has(occupant.key);
       if (isThere) driver.startPoll();
@@ -506,9 +505,11 @@
         probation.recordCrash(record);
         for (
           const job of new Set(
-            [...record.suspects, ...record.withdrawn ?? []].map(({ job }) =>
-              job
-            ),
+            [
+              ...record.suspects,
+              ...record.lateSuspects ?? [],
+              ...record.withdrawn ?? [],
+            ].map(({ job }) => job),
           )
         ) {
           openSteps.refresh(job);
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -37,6 +37,9 @@
  */
 const MAX_CERTAIN_CRASHES = 3;
 
+/** Number of late crashes from which they count. */
+const MIN_LATE_CRASHES = 2;
+
 /** Recorded state of one task. */
 export interface TaskState {
   status: number;
@@ -50,6 +53,8 @@
   crashes?: number;
   /** Keys of the incarnations whose crashes were counted last, oldest first; absent for none. */
   crashedLives?: string[];
+  /** Keys of the incarnations that crashed some time after its start, oldest first; absent for none. */
+  lateLives?: string[];
   /** Newest checkpoint; empty for none. */
   checkpoint: string;
 }
@@ -129,7 +134,13 @@
 
 /** Returns the number of crashes of which a task is suspected. */
 export function countCrashes(task: TaskState | undefined): number {
-  return task?.crashes ?? 0;
+  const late = isLateSuspect(task) ? task?.lateLives?.length ?? 0 : 0;
+  return (task?.crashes ?? 0) + late;
+}
+
+/** Tells whether a task may crash its runners some time after its start; one such crash is likely to have another cause. */
+export function isLateSuspect(task: TaskState | undefined): boolean {
+  return (task?.lateLives?.length ?? 0) >= MIN_LATE_CRASHES;
 }
 
 /** Tells whether a job is still queued or running. */
@@ -275,6 +286,7 @@
     if (outcome !== "lost") {
       delete task.crashes;
       delete task.crashedLives;
+      delete task.lateLives;
     }
     if (outcome === "done") applyDone(job, record);
     else if (outcome === "failed") applyFailure(job, record, step, task);
@@ -285,30 +297,44 @@
     return job?.occurrences[ref.occurrence]?.steps[ref.step]?.tasks[ref.index];
   }
 
+  /** Returns a task that is not done, of an open job. */
+  function findOpenTask(ref: TaskRef): TaskState | undefined {
+    const job = jobs.get(ref.job);
+    if (job === undefined || !isOpenJob(job)) return undefined;
+    const step = getOccurrence(job, ref.occurrence).steps[ref.step];
+    const task = step?.tasks[ref.index];
+    return task?.status === TASK_STATUS.done ? undefined : task;
+  }
+
   /** Takes back the count of a crash that did not happen. */
   function withdrawCrash(
     task: TaskState | undefined,
     life: string | undefined,
   ): void {
     if (task === undefined || life === undefined) return;
+    const lateLives = task.lateLives?.filter((other) => other !== life) ?? [];
+    if (lateLives.length > 0) task.lateLives = lateLives;
+    else delete task.lateLives;
     if (task.crashedLives?.includes(life) !== true) return;
     task.crashedLives = task.crashedLives.filter((other) => other !== life);
     if (task.crashedLives.length === 0) delete task.crashedLives;
-    task.crashes = Math.max(0, countCrashes(task) - 1);
+    task.crashes = Math.max(0, (task.crashes ?? 0) - 1);
     if (task.crashes === 0) delete task.crashes;
   }
 
   function applyCrash(record: WorkRecord & { kind: "crash" }): void {
-    for (const ref of record.cleared) delete findTask(ref)?.crashes;
+    for (const ref of record.cleared) {
+      const task = findTask(ref);
+      delete task?.crashes;
+      delete task?.lateLives;
+    }
     for (const ref of record.withdrawn ?? []) {
       withdrawCrash(findTask(ref), record.life);
     }
     for (const ref of record.suspects) {
       const job = jobs.get(ref.job);
-      if (job === undefined || !isOpenJob(job)) continue;
-      const step = getOccurrence(job, ref.occurrence).steps[ref.step];
-      const task = step?.tasks[ref.index];
-      if (task === undefined || task.status === TASK_STATUS.done) continue;
+      const task = findOpenTask(ref);
+      if (job === undefined || task === undefined) continue;
       if (record.life !== undefined) {
         // Two leaders may record the crash of one incarnation, and one leader may
         // record it once its lease has ended and once the next one is there.
@@ -316,9 +342,17 @@
         if (lives.includes(record.life)) continue;
         task.crashedLives = [...lives, record.life].slice(-MAX_CRASHES);
       }
-      task.crashes = countCrashes(task) + 1;
-      const limit = record.isSingleJob ? MAX_CERTAIN_CRASHES : MAX_CRASHES;
-      if (task.crashes >= limit) endJob(job, "failed", record.atMs);
+      task.crashes = (task.crashes ?? 0) + 1;
+      const isCertain = record.isSingleJob && !isLateSuspect(task);
+      const limit = isCertain ? MAX_CERTAIN_CRASHES : MAX_CRASHES;
+      if (countCrashes(task) >= limit) endJob(job, "failed", record.atMs);
+    }
+    for (const ref of record.lateSuspects ?? []) {
+      const task = findOpenTask(ref);
+      if (task === undefined || record.life === undefined) continue;
+      const lives = task.lateLives ?? [];
+      if (lives.includes(record.life)) continue;
+      task.lateLives = [...lives, record.life].slice(-MAX_CRASHES);
     }
   }
 
--- a/src/workload/work_state_test.ts
+++ b/src/workload/work_state_test.ts
@@ -2,6 +2,7 @@
 import { createJob } from "../model/mod.ts";
 import type { WorkRecord } from "./types.ts";
 import {
+  countCrashes,
   createWorkState,
   encodeRecords,
   type WorkState,
@@ -204,3 +205,32 @@
   t.equal(state.getTask(task)?.crashes, undefined);
   t.end();
 });
+
+// Guards against the blame for one crash on whatever ran beside it, and against late
+// crashes that never count.
+t.test("late crashes count from the second one on", (t) => {
+  const state = createWorkState();
+  apply(state, createSubmission("job", 1));
+  const task = { job: "job", occurrence: 0, step: 0, index: 0 };
+  const counts = ["r@1", "r@1", "r@2", "r@3", "r@4"].map((life) => {
+    apply(state, { ...createCrash([], false), life, lateSuspects: [task] });
+    return countCrashes(state.getTask(task));
+  });
+  t.strictSame(counts, [0, 0, 2, 3, 4]);
+  t.equal(state.getJob("job")?.state, "queued", "not given up by them alone");
+  const withdrawn = ["r@2", "r@3", "r@4"];
+  for (const life of withdrawn) {
+    apply(state, { ...createCrash([], false), life, withdrawn: [task] });
+  }
+  t.equal(countCrashes(state.getTask(task)), 0);
+  apply(state, {
+    ...createCrash([], false),
+    life: "r@5",
+    lateSuspects: [task],
+  });
+  apply(state, { ...createCrash([0], true), life: "r@6" });
+  t.equal(state.getJob("job")?.state, "queued", "three crashes");
+  apply(state, { ...createCrash([0], true), life: "r@7" });
+  t.equal(state.getJob("job")?.state, "failed", "four crashes");
+  t.end();
+});
