Call a runner with a new fencing token when it goes on refusing the old one

Cause: a session kept its token for good. A withdrawal of the same leader has a higher one, and its next incarnation may never be registered.

Now the driver takes a new token once 1.5 s have passed since the refusal of the current one, if this process still leads, at most one each 1.5 s and runner. A leader that was replaced is told so by the confirmation that each refusal asks for, and its lease is not valid while another one leads; so a higher token that is still refused by then is not that of a newer leader. Even if it were, a new token of the old term is lower than all of the next term.

Withdrawals are not weakened: late orders for the former incarnation have the older token, and a probe with the new one tells of the next incarnation, which closes the session, or else the runner is the same one. As the token of a session may now rise above that of a withdrawal, withdrawals tell the next session from the former one by its identity.

Ruled out: no further call after a refusal, as the runner would not be used again; a new token at once, as a refusal is normal while the next incarnation is recorded. Not covered: a runner that has seen a token above the term refuses all new ones too; 2^24 tokens a term last 2.8 hours if 2,500 runners refuse for good.

Failed before, and pass now: "a runner that has seen a higher token of its leader is used again" and "a refused token is not used for long" (late_orders_test.ts).

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -16,6 +16,7 @@
 } from "../model/mod.ts";
 import {
   announceRunner,
+  createJobAddress,
   getJobState,
   recordPolls,
   runCall,
@@ -223,6 +224,77 @@
   t.ok(polls < 30, `${polls} polls`);
 });
 
+/** Raises the fencing token of r1 by a poll, to what `getFence` returns for that of the newest poll. */
+async function sendHigherFence(
+  model: WorkModel,
+  getFence: (fence: number) => number,
+): Promise<void> {
+  const { calls } = model.runners;
+  const { hold } = calls;
+  let newest = 0;
+  calls.hold = (target, order, timeoutMs) => {
+    newest = order.fence;
+    return hold(target, order, timeoutMs);
+  };
+  await model.run(3_000);
+  calls.hold = hold;
+  const target = { id: "r1", address: "r1:1" };
+  const fence = getFence(newest);
+  const order = { fence, recordedEnds: 0, untilMs: undefined, waitMs: 0 };
+  void hold(target, order, 500);
+}
+
+// The leader's own withdrawal may raise the token, for an incarnation that is never
+// registered. Guards against a runner that is not used until it restarts.
+t.test("a runner that has seen a higher token of its leader is used again", async (t) => {
+  const model = createModel();
+  await model.addRunner("r1");
+  await sendHigherFence(model, (fence) => fence + 1);
+  await model.run(4_000);
+  await submitJob(model, "job", { estimatedMs: 100 });
+  await model.run(2_000);
+  t.equal(getJobState(model, "job"), "completed");
+  t.strictSame(model.runners.violations, []);
+});
+
+// The platform's rules allow three calls later than 3 s after the refusal.
+t.test("a refused token is not used for long", async (t) => {
+  const model = createModel();
+  await model.addRunner("r1");
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await sendHigherFence(model, () => 2 ** 40);
+  await model.run(100);
+  const refusedMs = new Map<number, number>();
+  let late = 0;
+  const { calls } = model.runners;
+  const countCall = ({ fence }: { fence: number }) => {
+    const nowMs = model.clock.now();
+    const firstMs = refusedMs.get(fence) ?? nowMs;
+    refusedMs.set(fence, firstMs);
+    if (nowMs - firstMs > 3_000) late += 1;
+  };
+  const { hold, stop, start } = calls;
+  calls.hold = (target, order, timeoutMs) => {
+    countCall(order);
+    return hold(target, order, timeoutMs);
+  };
+  calls.start = (target, order, timeoutMs) => {
+    countCall(order);
+    return start(target, order, timeoutMs);
+  };
+  calls.stop = (target, order, timeoutMs) => {
+    countCall(order);
+    return stop(target, order, timeoutMs);
+  };
+  await runCall(
+    model,
+    model.getController().cancel(createJobAddress(model, "job")),
+  );
+  await model.run(20_000);
+  t.ok(refusedMs.size > 0);
+  t.ok(late <= 3, `${late} calls`);
+});
+
 // The wall clock of a runner may be set back while it restarts. Guards against a runner
 // that the next leader does not know.
 t.test("an incarnation with an earlier start is recorded", async (t) => {
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -44,6 +44,13 @@
 /** Time from the first attempt of a start after which it is withdrawn, in milliseconds; the other members of a gang wait meanwhile. */
 const START_TIMEOUT_MS = START_ATTEMPTS * ORDER_TIMEOUT_MS;
 
+/**
+ * Time from the refusal of a fencing token until this leader takes a new one, in
+ * milliseconds. Half of the time after which the platform's rules count further calls
+ * with the refused token; a leader that was replaced has learned of it by then.
+ */
+const REFUSED_FENCE_MS = 1_500;
+
 /** Result of a start; an "unanswered" one may still be executed, an "undelivered" one was never sent. */
 export type StartResult =
   | OrderOutcome
@@ -78,8 +85,10 @@
   calls: RunnerCalls;
   clock: Clock;
   logger: Logger;
-  /** Fencing token of the orders to this incarnation. */
+  /** First fencing token of the orders to this incarnation. */
   fence: number;
+  /** Creates a higher fencing token for the further orders to this incarnation. */
+  updateFence: () => number;
   /** Longest lease that the runner accepts, in milliseconds. */
   maxLeaseMs: number;
   /** Returns whether this process may send orders now. */
@@ -130,7 +139,10 @@
 
 /** Starts polling a runner. */
 export function startRunnerDriver(options: RunnerDriverOptions): RunnerDriver {
-  const { runner, calls, clock, logger, fence } = options;
+  const { runner, calls, clock, logger } = options;
+  let { fence } = options;
+  /** Local time of the first refusal of the current fencing token, in milliseconds; undefined for none. */
+  let refusedMs: number | undefined;
   const leaseMs = Math.min(RUNNER_LEASE_MS, options.maxLeaseMs);
   let isStopped = false;
   let probing: Promise<void> | undefined;
@@ -183,7 +195,7 @@
     recordLease(runner, clock.now(), Math.max(0, grantedMs));
   }
 
-  function receiveOrderReply(reply: OrderReply): void {
+  function receiveOrderReply(reply: OrderReply, sentFence: number): void {
     // The next incarnation has its own clock and refuses this fencing token.
     if (!isOpen()) return;
     if (isClockReset(reply.clockMs)) {
@@ -195,15 +207,34 @@
     // After an unanswered call the reply may be that of the next incarnation.
     if (!runner.isUnresponsive) runner.lastReplyMs = clock.now();
     if (reply.outcome === "otherLife") options.handleOtherIncarnation(false);
-    if (reply.outcome === "staleFence") handleStaleFence();
+    if (reply.outcome === "staleFence") handleStaleFence(sentFence);
   }
 
   /** The runner does nothing with this fencing token, so that only probes are sent to it for now. */
-  function handleStaleFence(): void {
+  function handleStaleFence(sentFence: number): void {
     options.handleStaleFence();
+    if (sentFence === fence) refusedMs ??= clock.now();
     void startProbes();
   }
 
+  /**
+   * Takes a new fencing token some time after the refusal of the current one. While this
+   * process still leads, the higher one was not used by a newer leader.
+   */
+  function updateFence(): void {
+    const isDue = refusedMs !== undefined && options.isLeading() &&
+      clock.now() - refusedMs >= REFUSED_FENCE_MS;
+    if (!isDue) return;
+    const refused = fence;
+    fence = options.updateFence();
+    refusedMs = undefined;
+    logger.info("Fencing token renewed after a refusal", {
+      runner: runner.life,
+      refused,
+      fence,
+    });
+  }
+
   /** Ends the waits for a poll that was sent at this time. */
   function endPollWaits(reply: PollReply, sentAtMs: number): void {
     for (const { fromMs, end } of [...pollWaits]) {
@@ -253,6 +284,8 @@
 
   /** Returns whether this incarnation has answered. */
   async function runPoll(mayWait: boolean): Promise<boolean> {
+    updateFence();
+    const sentFence = fence;
     const sentAtMs = clock.now();
     // After an unanswered call, extending the lease would only delay the restart
     // of a lost runner's tasks elsewhere.
@@ -270,7 +303,7 @@
     );
     if (!isOpen()) return false;
     if (reply.outcome === "otherLife") options.handleOtherIncarnation(false);
-    else if (reply.outcome === "staleFence") handleStaleFence();
+    else if (reply.outcome === "staleFence") handleStaleFence(sentFence);
     else if (reply.outcome !== "accepted") await wait(clock, RETRY_PAUSE_MS);
     if (reply.outcome !== "accepted") return false;
     const isOther = reply.startedMs !== undefined &&
@@ -281,6 +314,7 @@
       return false;
     }
     recordClock(reply.clockMs);
+    if (sentFence === fence) refusedMs = undefined;
     runner.isUnresponsive = false;
     runner.contactMs = clock.now();
     if (runner.mayHoldFormerLease) {
@@ -409,10 +443,11 @@
       if (firstSentMs === undefined) singleStarts.add(occupant);
       else singleStarts.delete(occupant);
       firstSentMs ??= occupant.orderSentMs;
+      const sentFence = fence;
       try {
         const reply = await calls.start(
           getTarget(),
-          { ...order, untilMs, fence },
+          { ...order, untilMs, fence: sentFence },
           ORDER_TIMEOUT_MS,
         );
         singleStarts.delete(occupant);
@@ -422,7 +457,7 @@
           !occupant.isUncertain;
         if (isRefused) occupant.orderSentMs = undefined;
         recordStartLease(reply, untilMs);
-        receiveOrderReply(reply);
+        receiveOrderReply(reply, sentFence);
         occupant.isExecuted ||= reply.outcome === "accepted" &&
           !runner.isUnresponsive;
         // An earlier copy may have been executed before this refusal.
@@ -456,13 +491,14 @@
     while (
       await waitUntilLeading() && runner.occupants.has(occupant.key)
     ) {
+      const sentFence = fence;
       try {
         const reply = await calls.stop(
           getTarget(),
-          { task: occupant.task, run: occupant.run, fence },
+          { task: occupant.task, run: occupant.run, fence: sentFence },
           ORDER_TIMEOUT_MS,
         );
-        receiveOrderReply(reply);
+        receiveOrderReply(reply, sentFence);
         const isDone = reply.outcome === "accepted" ||
           reply.outcome === "staleRun";
         if (isDone) return true;
--- a/src/workload/runner_driver_test.ts
+++ b/src/workload/runner_driver_test.ts
@@ -99,6 +99,7 @@
     clock,
     logger: createSilentLogger(),
     fence: 1,
+    updateFence: () => 2,
     maxLeaseMs: 10_000,
     isLeading: () => state.isLeading,
     handlePollReply: () => Promise.resolve(),
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -137,8 +137,8 @@
 export interface Session {
   readonly runner: Runner;
   readonly driver: RunnerDriver;
-  /** Fencing token of the orders to this incarnation. */
-  readonly fence: number;
+  /** Fencing token of the orders to this incarnation; a higher one follows after a refusal. */
+  fence: number;
   /** Local time at which this leader began to use it, in milliseconds. */
   readonly openedMs: number;
   /** Local time of the newest removal after which it still answered, in milliseconds; undefined for none. */
@@ -202,7 +202,7 @@
   const crashes = createCrashRecorder(options);
   const withdrawals = createWithdrawals({
     ...options,
-    findSession: findSessionById,
+    findRunner: (id) => findSessionById(id)?.runner,
   });
   let isStopped = false;
 
@@ -346,6 +346,7 @@
         clock,
         logger,
         fence,
+        updateFence: () => session.fence = options.createFencingToken(),
         maxLeaseMs: options.maxLeaseMs,
         isLeading: options.isLeading,
         handlePollReply: (reply, sentAtMs) =>
--- a/src/workload/withdrawals.ts
+++ b/src/workload/withdrawals.ts
@@ -24,12 +24,8 @@
   createFencingToken: () => number;
   /** Returns whether this process may send orders now. */
   isLeading: () => boolean;
-  /** Finds the registered incarnation of a runner id and the fencing token of its orders. */
-  findSession: (
-    id: string,
-  ) =>
-    | { readonly fence: number; readonly runner: Pick<Runner, "contactMs"> }
-    | undefined;
+  /** Finds the registered incarnation of a runner id. */
+  findRunner: (id: string) => Pick<Runner, "contactMs"> | undefined;
 }
 
 /** Withdrawals of orders for former incarnations. */
@@ -79,12 +75,11 @@
   ): Promise<void> {
     const { id } = target;
     const fromMs = clock.now();
+    const former = options.findRunner(id);
     let periodMs = RETRY_PAUSE_MS;
     while (pending.get(id) === order && isInFlight(fromMs, clock.now())) {
-      const session = options.findSession(id);
-      const next = session !== undefined && session.fence > order.fence
-        ? session.runner
-        : undefined;
+      const registered = options.findRunner(id);
+      const next = registered === former ? undefined : registered;
       if (next?.contactMs !== undefined) return;
       const startMs = clock.now();
       // The driver of a registered incarnation polls it already.
--- a/src/workload/withdrawals_test.ts
+++ b/src/workload/withdrawals_test.ts
@@ -31,9 +31,7 @@
     /** The reply to each poll; undefined loses the poll. */
     reply: undefined as HoldReply | undefined,
     isLeading: true,
-    session: undefined as
-      | { fence: number; runner: { contactMs: number | undefined } }
-      | undefined,
+    runner: undefined as { contactMs: number | undefined } | undefined,
     polls: [] as { atMs: number; address: string; fence: number }[],
   };
   let newestFence = 0;
@@ -50,7 +48,7 @@
     },
     createFencingToken: () => newestFence += 1,
     isLeading: () => state.isLeading,
-    findSession: () => state.session,
+    findRunner: () => state.runner,
   });
   return {
     state,
@@ -106,21 +104,20 @@
 t.test("the driver of the next incarnation takes over", async (t) => {
   const { state, withdrawals, run } = createSetup();
   // The former incarnation, which is still registered.
-  state.session = { fence: 0, runner: { contactMs: 0 } };
+  state.runner = { contactMs: 0 };
   withdrawals.start(TARGET);
   await run(200);
   t.equal(state.polls.length, 2);
-  const next = { fence: 2, runner: { contactMs: undefined } };
-  state.session = next;
+  state.runner = { contactMs: undefined };
   await run(1_000);
   t.equal(state.polls.length, 2);
-  state.session = undefined;
+  state.runner = undefined;
   await run(1_000);
   const { length } = state.polls;
   t.ok(length > 2);
-  state.session = { ...next, runner: { contactMs: 1 } };
+  state.runner = { contactMs: 1 };
   await run(1_000);
-  state.session = undefined;
+  state.runner = undefined;
   await run(LATE_MS);
   t.equal(state.polls.length, length);
 });
