--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -7,7 +7,6 @@
 import t from "tap";
 import { createFault, wait } from "../common/mod.ts";
 import {
-  createJob,
   createModelConfiguration,
   createRunnerEntry,
   createTaskFacts,
@@ -17,49 +16,17 @@
 import {
   announceRunner,
   createJobAddress,
+  createModel,
   getJobState,
+  listRuns,
+  recordFirstStart,
   recordPolls,
   runCall,
   runUntil,
+  submitJob,
 } from "../../test/work_model_calls.ts";
-import type { RunnerTarget, StartOrder } from "./runner_calls.ts";
-import type { StepSpec } from "./types.ts";
 import { encodeRecords } from "./work_state.ts";
 
-function createModel(): WorkModel {
-  return createWorkModel({ configuration: createModelConfiguration() });
-}
-
-/** Submits a job with one step; resolves once it is accepted. */
-function submitJob(
-  model: WorkModel,
-  id: string,
-  step: Partial<StepSpec>,
-): Promise<void> {
-  return runCall(model, model.submit(id, createJob([step])));
-}
-
-function listRuns(model: WorkModel): string[] {
-  return model.runners.listRunning().map(({ task, run, runner }) =>
-    `${task.job}#${run}@${runner}`
-  );
-}
-
-/** Lets a model keep the first start, and returns a function that sends a late copy of it. */
-function recordFirstStart(model: WorkModel): () => void {
-  const { calls } = model.runners;
-  const { start } = calls;
-  let first: { target: RunnerTarget; order: StartOrder } | undefined;
-  calls.start = (target, order, timeoutMs) => {
-    first ??= { target, order };
-    return start(target, order, timeoutMs);
-  };
-  return () => {
-    if (first === undefined) throw new Error("No start was sent");
-    void start(first.target, first.order, 500).catch(() => {});
-  };
-}
-
 /** Moves the first run of a task to r2 while a start of it on r1 may still arrive. Returns a function that sends a late copy. */
 async function startElsewhere(model: WorkModel): Promise<() => void> {
   const sendLateStart = recordFirstStart(model);
--- a/src/workload/removals_test.ts
+++ b/src/workload/removals_test.ts
@@ -12,7 +12,11 @@
   type RunnerFaults,
   type WorkModel,
 } from "../model/mod.ts";
-import { announceRunner, runCall } from "../../test/work_model_calls.ts";
+import {
+  announceRunner,
+  listRuns,
+  runCall,
+} from "../../test/work_model_calls.ts";
 import type { HoldReply } from "./runner_calls.ts";
 
 /** Creates a model with a long task on a runner that drains, and another runner. */
@@ -42,12 +46,6 @@
   return () => polls;
 }
 
-function listRuns(model: WorkModel): string[] {
-  return model.runners.listRunning().map(({ task, run, runner }) =>
-    `${task.job}#${run}@${runner}`
-  );
-}
-
 // The acknowledgement is delayed on its way. Guards against a task that runs twice, on
 // the runner that has not ended yet and on another one.
 t.test("a leaving runner keeps its runs until it has ended", async (t) => {
--- a/src/workload/restarted_runner_test.ts
+++ b/src/workload/restarted_runner_test.ts
@@ -4,26 +4,17 @@
  */
 
 import t from "tap";
-import {
-  createJob,
-  createModelConfiguration,
-  createRunnerEntry,
-  createWorkModel,
-  type WorkModel,
-} from "../model/mod.ts";
+import { createJob, createRunnerEntry } from "../model/mod.ts";
 import {
   announceRunner,
   createJobAddress,
+  createModel,
   getJobState,
   recordPolls,
   runCall,
   runUntil,
 } from "../../test/work_model_calls.ts";
 
-function createModel(): WorkModel {
-  return createWorkModel({ configuration: createModelConfiguration() });
-}
-
 /** Submits a job while orders to its only runner are executed late and get no reply. */
 async function startLateJob(
   { delayMs, estimatedMs }: { delayMs: number; estimatedMs: number },
--- a/test/work_model_calls.ts
+++ b/test/work_model_calls.ts
@@ -4,9 +4,21 @@
   HoldOrder,
   RunnerEntry,
   RunnerTarget,
+  StartOrder,
+  StepSpec,
   WorkJobState,
 } from "../src/workload/mod.ts";
-import type { WorkModel } from "../src/model/mod.ts";
+import {
+  createJob,
+  createModelConfiguration,
+  createWorkModel,
+  type WorkModel,
+} from "../src/model/mod.ts";
+
+/** Creates a model of a cell with the usual configuration. */
+export function createModel(): WorkModel {
+  return createWorkModel({ configuration: createModelConfiguration() });
+}
 
 /** Returns the address of a job in the model's first queue, with the key of its first workspace. */
 export function createJobAddress(model: WorkModel, id: string) {
@@ -74,3 +86,34 @@
     return () => void hold(late.target, order, 500).catch(() => {});
   };
 }
+
+/** Submits a job with one step; resolves once it is accepted. */
+export function submitJob(
+  model: WorkModel,
+  id: string,
+  step: Partial<StepSpec>,
+): Promise<void> {
+  return runCall(model, model.submit(id, createJob([step])));
+}
+
+/** Lists the runs on all runners, as `JOB#RUN@RUNNER`. */
+export function listRuns(model: WorkModel): string[] {
+  return model.runners.listRunning().map(({ task, run, runner }) =>
+    `${task.job}#${run}@${runner}`
+  );
+}
+
+/** Lets a model keep the first start, and returns a function that sends a late copy of it. */
+export function recordFirstStart(model: WorkModel): () => void {
+  const { calls } = model.runners;
+  const { start } = calls;
+  let first: { target: RunnerTarget; order: StartOrder } | undefined;
+  calls.start = (target, order, timeoutMs) => {
+    first ??= { target, order };
+    return start(target, order, timeoutMs);
+  };
+  return () => {
+    if (first === undefined) throw new Error("No start was sent");
+    void start(first.target, first.order, 500).catch(() => {});
+  };
+}
