--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -15,9 +15,6 @@
 import type { Metrics } from "../report/metrics.ts";
 import {
   MAX_ORDER_DELAY_MS,
-  MAX_PROBE_PERIOD_MS,
-  POLL_TIMEOUT_SLACK_MS,
-  RETRY_PAUSE_MS,
   RUNNER_CLOCK_MIN_RATE,
   RUNNER_LEASE_MS,
 } from "./constants.ts";
@@ -26,13 +23,13 @@
 import { createPlacedRuns } from "./placed_runs.ts";
 import type { RecordQueue } from "./record_queue.ts";
 import {
-  type HoldOrder,
   type HoldReply,
   type ListedEnd,
   type ListedRun,
   MAX_LISTED_ENDS,
   type RunnerCalls,
 } from "./runner_calls.ts";
+import { createRemovals } from "./removals.ts";
 import { type RunnerDriver, startRunnerDriver } from "./runner_driver.ts";
 import type { RunnerHealth } from "./runner_health.ts";
 import {
@@ -95,12 +92,6 @@
  */
 const MAX_GROWTH_DELAY_MS = 2_000;
 
-/**
- * Time for which a runner that answers after its removal is looked at, in milliseconds.
- * It ends once the removal is acknowledged, or some seconds later.
- */
-const REMOVAL_CHECK_MS = 5_000;
-
 /** An announcement that a runner sends. */
 export interface RunnerAnnouncement {
   readonly entry: RunnerEntry;
@@ -144,12 +135,8 @@
   fence: number;
   /** Local time at which this leader began to use it, in milliseconds. */
   readonly openedMs: number;
-  /** Local time of the newest removal after which it still answered, in milliseconds; undefined for none. */
-  removedMs: number | undefined;
   /** Keys of its listed ends that are not recorded yet; see `formatRun`. */
   readonly unrecordedEnds: Set<string>;
-  /** Looks whether it ends after its removal; undefined if it is not looked at. */
-  removal: Promise<void> | undefined;
 }
 
 /** A run and its newest checkpoint. */
@@ -215,6 +202,15 @@
     ...options,
     findRunner: (id) => findSessionById(id)?.runner,
   });
+  const removals = createRemovals<Session>({
+    ...options,
+    close: (session, hasNext) =>
+      closeIncarnation(session, "runner left", {
+        mayReturn: true,
+        hasCrashed: false,
+        hasAnswered: hasNext,
+      }),
+  });
   let isStopped = false;
 
   function listPool(pool: string): Runner[] {
@@ -354,8 +350,6 @@
       fence,
       openedMs: clock.now(),
       unrecordedEnds: new Set(),
-      removedMs: undefined,
-      removal: undefined,
       driver: startRunnerDriver({
         runner,
         calls: options.calls,
@@ -887,95 +881,12 @@
     }
   }
 
-  /**
-   * Asks which incarnation answers for a removed runner, if any; acknowledges and renews
-   * nothing. A "silent" one left the call unanswered, which a slow one does as well.
-   */
-  async function askIncarnation(
-    { runner, fence }: Session,
-  ): Promise<"same" | "next" | "none" | "silent"> {
-    const { id, address, startedMs } = runner.entry;
-    const order: HoldOrder = {
-      fence,
-      recordedEnds: 0,
-      untilMs: undefined,
-      waitMs: 0,
-    };
-    const sentAtMs = clock.now();
-    try {
-      const reply = await options.calls.hold(
-        { id, address },
-        order,
-        POLL_TIMEOUT_SLACK_MS,
-      );
-      if (reply.outcome === "otherLife") return "none";
-      const isOther = reply.outcome === "accepted" &&
-        reply.startedMs !== undefined && startedMs !== 0 &&
-        reply.startedMs !== startedMs;
-      return isOther ? "next" : "same";
-    } catch (error) {
-      logger.info("Removed runner does not respond", {
-        runner: runner.life,
-        error,
-      });
-      const tookMs = clock.now() - sentAtMs;
-      return tookMs < POLL_TIMEOUT_SLACK_MS ? "none" : "silent";
-    }
-  }
-
-  /**
-   * Closes a removed incarnation unless it still answers; returns whether it is closed.
-   * `isLasting` tells whether it has answered after its removal was acknowledged: then
-   * silence does not show that it has ended, and its lease is waited for.
-   */
-  async function closeRemoved(
-    session: Session,
-    isLasting: boolean,
-  ): Promise<boolean> {
-    const answer = await askIncarnation(session);
-    if (isStopped || session.runner.isClosed) return true;
-    if (answer === "same" || (answer === "silent" && isLasting)) return false;
-    await closeIncarnation(session, "runner left", {
-      mayReturn: true,
-      hasCrashed: false,
-      hasAnswered: answer === "next",
-    });
-    return true;
-  }
-
-  /** Closes a removed incarnation that has answered as soon as it no longer does. */
-  async function watchRemoval(session: Session): Promise<void> {
-    const { runner } = session;
-    let pauseMs = RETRY_PAUSE_MS;
-    let isLasting = false;
-    while (clock.now() - (session.removedMs ?? 0) < REMOVAL_CHECK_MS) {
-      await wait(clock, pauseMs);
-      pauseMs = Math.min(2 * pauseMs, MAX_PROBE_PERIOD_MS);
-      if (isStopped || runner.isClosed) return;
-      if (!options.isLeading()) continue;
-      if (await closeRemoved(session, isLasting)) return;
-      isLasting = true;
-    }
-    logger.info("Removal ignored, as the runner has not ended", {
-      runner: runner.life,
-    });
-  }
-
-  /**
-   * Removes a runner that leaves. A removal names no incarnation, so it may be a late
-   * one of a former incarnation, and a runner that leaves may answer until its removal is
-   * acknowledged. So this resolves when the incarnation has answered or is closed.
-   */
   async function removeRunner(id: string): Promise<void> {
     const session = findSessionById(id);
-    if (session === undefined) return;
     // A delayed removal of an earlier incarnation must not close the current one.
-    if (!session.runner.entry.isDraining) return;
-    if (await closeRemoved(session, session.removal !== undefined)) return;
-    session.removedMs = clock.now();
-    session.removal ??= watchRemoval(session).finally(() =>
-      session.removal = undefined
-    );
+    if (session?.runner.entry.isDraining === true) {
+      await removals.remove(session);
+    }
   }
 
   /** Lists the runs that are recorded as active. */
@@ -1150,6 +1061,7 @@
     stop() {
       isStopped = true;
       withdrawals.stop();
+      removals.stop();
       for (const session of sessions.values()) {
         session.driver.stop();
         options.calls.releaseOwn(session.runner.entry.address);
