--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -19,6 +19,7 @@
   recordPolls,
   runCall,
   runUntil,
+  startTaskAndCut,
   submitJob,
 } from "../../test/work_model_calls.ts";
 import { encodeRecords } from "./work_state.ts";
@@ -38,11 +39,7 @@
   while (model.state.getRunner("r1")?.startedMs !== 2) await model.run(1);
   model.changeLeader();
   await model.run(30);
-  await submitJob(model, "job", { estimatedMs: 60_000 });
-  await model.run(1_000);
-  await model.addRunner("r2");
-  t.strictSame(listRuns(model), ["job#1@r1"]);
-  faults.isPartitioned = true;
+  await startTaskAndCut(t, model, faults, 1_000);
   await model.run(12_000);
   t.strictSame(model.runners.violations, []);
 });
@@ -60,11 +57,7 @@
   sendLatePoll();
   announceRunner(model, next);
   await model.run(30);
-  await submitJob(model, "job", { estimatedMs: 60_000 });
-  await model.run(200);
-  await model.addRunner("r2");
-  t.strictSame(listRuns(model), ["job#1@r1"]);
-  faults.isPartitioned = true;
+  await startTaskAndCut(t, model, faults, 200);
   await model.run(700);
   model.changeLeader();
   await model.run(12_000);
@@ -114,11 +107,7 @@
   sendLatePoll();
   announceRunner(model, next);
   await model.run(40);
-  await submitJob(model, "job", { estimatedMs: 60_000 });
-  await model.run(300);
-  await model.addRunner("r2");
-  t.strictSame(listRuns(model), ["job#1@r1"]);
-  faults.isPartitioned = true;
+  await startTaskAndCut(t, model, faults, 300);
   await model.run(12_000);
   t.strictSame(model.runners.violations, []);
 });
@@ -141,11 +130,7 @@
   sendLatePoll();
   announceRunner(model, next);
   await model.run(40);
-  await submitJob(model, "job", { estimatedMs: 60_000 });
-  await model.run(300);
-  await model.addRunner("r2");
-  t.strictSame(listRuns(model), ["job#1@r1"]);
-  faults.isPartitioned = true;
+  await startTaskAndCut(t, model, faults, 300);
   await model.run(12_000);
   t.strictSame(model.runners.violations, []);
 });
@@ -166,11 +151,7 @@
   sendLatePoll();
   announceRunner(model, next);
   await model.run(40);
-  await submitJob(model, "job", { estimatedMs: 60_000 });
-  await model.run(300);
-  await model.addRunner("r2");
-  t.strictSame(listRuns(model), ["job#1@r1"]);
-  faults.isPartitioned = true;
+  await startTaskAndCut(t, model, faults, 300);
   await model.run(700);
   model.changeLeader();
   await model.run(12_000);
--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -23,6 +23,7 @@
   recordPolls,
   runCall,
   runUntil,
+  startTaskAndCut,
   submitJob,
 } from "../../test/work_model_calls.ts";
 import { encodeRecords } from "./work_state.ts";
@@ -487,11 +488,7 @@
   t.ok(isSent);
   announceRunner(model, next);
   await model.run(40);
-  await submitJob(model, "job", { estimatedMs: 60_000 });
-  await model.run(300);
-  await model.addRunner("r2");
-  t.strictSame(listRuns(model), ["job#1@r1"]);
-  faults.isPartitioned = true;
+  await startTaskAndCut(t, model, faults, 300);
   await model.run(14_000);
   t.strictSame(model.runners.violations, []);
 });
--- a/src/workload/removals_test.ts
+++ b/src/workload/removals_test.ts
@@ -3,7 +3,7 @@
  * removal, answers until that is acknowledged, and ends with everything that runs on it.
  */
 
-import t from "tap";
+import t, { type Test } from "tap";
 import {
   createJob,
   createModelConfiguration,
@@ -46,6 +46,13 @@
   return () => polls;
 }
 
+/** Checks that runner `r1` gets no poll for some time. */
+async function checkUnpolled(t: Test, model: WorkModel): Promise<void> {
+  const getPolls = countPolls(model);
+  await model.run(10_000);
+  t.equal(getPolls(), 0);
+}
+
 // The acknowledgement is delayed on its way. Guards against a task that runs twice, on
 // the runner that has not ended yet and on another one.
 t.test("a leaving runner keeps its runs until it has ended", async (t) => {
@@ -102,9 +109,7 @@
   t.equal(model.state.getRunner("r1"), undefined);
   await model.run(100);
   t.strictSame(listRuns(model), ["job#2@r2"]);
-  const getPolls = countPolls(model);
-  await model.run(10_000);
-  t.equal(getPolls(), 0);
+  await checkUnpolled(t, model);
 });
 
 // Guards against polls without end.
@@ -117,9 +122,7 @@
   await model.run(8_000);
   t.strictSame(listRuns(model), ["job#2@r2"]);
   t.equal(model.state.getRunner("r1"), undefined);
-  const getPolls = countPolls(model);
-  await model.run(10_000);
-  t.equal(getPolls(), 0);
+  await checkUnpolled(t, model);
   t.strictSame(model.runners.violations, []);
 });
 
@@ -133,9 +136,7 @@
   await model.run(7_500);
   t.strictSame(listRuns(model), ["job#2@r2"]);
   t.equal(model.state.getRunner("r1"), undefined);
-  const getPolls = countPolls(model);
-  await model.run(10_000);
-  t.equal(getPolls(), 0);
+  await checkUnpolled(t, model);
   t.strictSame(model.runners.violations, []);
 });
 
@@ -150,9 +151,7 @@
   t.equal(model.state.countRunners(), 1);
   await model.run(3_000);
   t.equal(model.state.countRunners(), 0);
-  const getPolls = countPolls(model);
-  await model.run(10_000);
-  t.equal(getPolls(), 0);
+  await checkUnpolled(t, model);
 });
 
 // Its runs have ended with its lease. Guards against a runner that is not known again.
--- a/test/work_model_calls.ts
+++ b/test/work_model_calls.ts
@@ -1,5 +1,6 @@
 /** Calls to the model of a cell, for tests of the workload scheduler. */
 
+import type { Test } from "tap";
 import type {
   HoldOrder,
   RunnerEntry,
@@ -12,6 +13,7 @@
   createJob,
   createModelConfiguration,
   createWorkModel,
+  type RunnerFaults,
   type WorkModel,
 } from "../src/model/mod.ts";
 
@@ -117,3 +119,17 @@
     void start(first.target, first.order, 500).catch(() => {});
   };
 }
+
+/** Starts a long task on runner `r1`, runs it for some time, adds `r2` and cuts `r1` off. */
+export async function startTaskAndCut(
+  t: Test,
+  model: WorkModel,
+  faults: RunnerFaults,
+  runMs: number,
+): Promise<void> {
+  await submitJob(model, "job", { estimatedMs: 60_000 });
+  await model.run(runMs);
+  await model.addRunner("r2");
+  t.strictSame(listRuns(model), ["job#1@r1"]);
+  faults.isPartitioned = true;
+}
