--- a/src/workload/crash_recorder.ts
+++ b/src/workload/crash_recorder.ts
@@ -36,7 +36,7 @@
   clock: Clock;
   logger: Logger;
   metrics?: Pick<Metrics, "addCount">;
-  state: Pick<WorkState, "getJob" | "getTask" | "listJobs">;
+  state: Pick<WorkState, "getJob" | "getTask" | "listOpenTasks">;
   /** Returns the runners of this leadership that are not closed. */
   listRunners: () => readonly Runner[];
   /** Writes records to the log; resolves to false if they were not committed or the leadership has ended. */
@@ -109,8 +109,6 @@
     runner: Runner,
     occupants: readonly Occupant[],
   ): boolean {
-    const nowMs = clock.now();
-    recent = recent.filter(({ atMs }) => nowMs - atMs < RECENT_CRASH_MS);
     const { pool, address } = runner.entry;
     const jobs = new Set(occupants.map(({ task }) => task.job));
     const isRelated = (
@@ -137,22 +135,10 @@
   /** Lists the tasks that the state suspects of crashes, by incarnation. */
   function listBlamed(): Map<string, TaskRef[]> {
     const found = new Map<string, TaskRef[]>();
-    for (const job of state.listJobs()) {
-      if (!isOpenJob(job)) continue;
-      for (const [occurrence, { steps }] of Object.entries(job.occurrences)) {
-        steps.forEach(({ tasks }, step) =>
-          tasks.forEach(({ crashedLives = [], lateLives = [] }, index) => {
-            for (const life of [...crashedLives, ...lateLives]) {
-              const task = {
-                job: job.spec.id,
-                occurrence: Number(occurrence),
-                step,
-                index,
-              };
-              found.set(life, [...found.get(life) ?? [], task]);
-            }
-          })
-        );
+    for (const [task, recorded] of state.listOpenTasks()) {
+      const { crashedLives = [], lateLives = [] } = recorded;
+      for (const life of [...crashedLives, ...lateLives]) {
+        found.set(life, [...found.get(life) ?? [], task]);
       }
     }
     return found;
@@ -167,24 +153,25 @@
     { isConfirmed }: { isConfirmed: boolean },
   ): Promise<void> {
     const { life, lastReplyMs } = runner;
+    const nowMs = clock.now();
+    recent = recent.filter(({ atMs }) => nowMs - atMs < RECENT_CRASH_MS);
     const blamedBefore = getBlamed().get(life);
     const occupants = [...runner.lostOccupants, ...runner.occupants.values()];
-    // A crash that was recorded when the lease ended counts since.
-    const isKnown = isConfirmed && blamedBefore !== undefined;
     const found = findCrashSuspects({
       occupants,
       lastReplyMs,
-      isCommon: hasCommonCause(runner, occupants),
+      hasCommonCause: () => hasCommonCause(runner, occupants),
     });
-    const { tasks } = found;
+    // A crash that was recorded when the lease ended counts since.
+    const isKnown = isConfirmed && blamedBefore !== undefined;
+    const suspects = isKnown ? [] : found.tasks.filter(isOpen);
     const lateSuspects = isKnown ? [] : found.late.filter(isOpen);
     if (isConfirmed) {
       const { pool } = runner.entry;
-      recent.push({ life, pool, atMs: clock.now(), lastReplyMs, occupants });
+      recent.push({ life, pool, atMs: nowMs, lastReplyMs, occupants });
     }
     // A job that is given up stays so, also if the runner was only cut off.
     const isSingleJob = isConfirmed && found.isSingleJob;
-    const suspects = isKnown ? [] : tasks.filter(isOpen);
     const counts = suspects.map((task) =>
       countCrashes(state.getTask(task)) + 1
     );
--- a/src/workload/crash_suspects.ts
+++ b/src/workload/crash_suspects.ts
@@ -20,8 +20,8 @@
   readonly occupants: readonly Occupant[];
   /** Local time of its last reply in milliseconds; undefined for none. */
   readonly lastReplyMs: number | undefined;
-  /** True if other runners went away with it, which has a common cause. Default false. */
-  readonly isCommon?: boolean;
+  /** Tells whether other runners went away with it, which has a common cause. Default: not. */
+  readonly hasCommonCause?: () => boolean;
 }
 
 /** The tasks that may have crashed a runner. */
@@ -45,9 +45,9 @@
 
 /** Lists the executed runs that have not outlived their start by long, although by the usual window. */
 function listLate(
-  { occupants, lastReplyMs, isCommon = false }: CrashedRunner,
+  { occupants, lastReplyMs }: CrashedRunner,
 ): readonly Occupant[] {
-  if (lastReplyMs === undefined || isCommon) return [];
+  if (lastReplyMs === undefined) return [];
   return occupants.filter(({ orderSentMs, isExecuted }) =>
     isExecuted && orderSentMs !== undefined &&
     orderSentMs >= lastReplyMs - LATE_CRASH_WINDOW_MS
@@ -75,10 +75,11 @@
 export function findCrashSuspects(runner: CrashedRunner): CrashSuspects {
   const usual = listCandidates(runner);
   const late = listLate(runner).filter((occupant) => !usual.includes(occupant));
+  const isCommon = late.length > 0 && runner.hasCommonCause?.() === true;
   const tasks = usual.map(({ task }) => task);
   return {
     tasks,
     isSingleJob: new Set(tasks.map(({ job }) => job)).size === 1,
-    late: late.map(({ task }) => task),
+    late: isCommon ? [] : late.map(({ task }) => task),
   };
 }
--- a/src/workload/crash_suspects_test.ts
+++ b/src/workload/crash_suspects_test.ts
@@ -120,7 +120,11 @@
     createOccupant("young", LAST_REPLY_MS - 500),
   ];
   const listLate = (lastReplyMs: number | undefined, isCommon: boolean) =>
-    findCrashSuspects({ occupants, lastReplyMs, isCommon }).late
+    findCrashSuspects({
+      occupants,
+      lastReplyMs,
+      hasCommonCause: () => isCommon,
+    }).late
       .map(({ job }) => job);
   t.strictSame(listLate(LAST_REPLY_MS, false), ["late"]);
   t.strictSame(listLate(LAST_REPLY_MS, true), []);
--- a/src/workload/removals.ts
+++ b/src/workload/removals.ts
@@ -11,8 +11,8 @@
   POLL_TIMEOUT_SLACK_MS,
   RETRY_PAUSE_MS,
 } from "./constants.ts";
-import type { HoldOrder, RunnerCalls } from "./runner_calls.ts";
-import type { Runner } from "./runner_table.ts";
+import { createProbe, type RunnerCalls } from "./runner_calls.ts";
+import { isOtherIncarnation, type Runner } from "./runner_table.ts";
 
 /**
  * Time for which a runner that answers after its removal is watched, in milliseconds.
@@ -61,24 +61,17 @@
   async function askIncarnation(
     { runner, fence }: Session,
   ): Promise<"same" | "next" | "none" | "silent"> {
-    const { id, address, startedMs } = runner.entry;
-    const order: HoldOrder = {
-      fence,
-      recordedEnds: 0,
-      untilMs: undefined,
-      waitMs: 0,
-    };
+    const { id, address } = runner.entry;
     const sentAtMs = clock.now();
     try {
       const reply = await options.calls.hold(
         { id, address },
-        order,
+        createProbe(fence),
         POLL_TIMEOUT_SLACK_MS,
       );
       if (reply.outcome === "otherLife") return "none";
       const isOther = reply.outcome === "accepted" &&
-        reply.startedMs !== undefined && startedMs !== 0 &&
-        reply.startedMs !== startedMs;
+        isOtherIncarnation(runner, reply.startedMs);
       return isOther ? "next" : "same";
     } catch (error) {
       logger.info("Removed runner does not respond", {
--- a/src/workload/runner_calls.ts
+++ b/src/workload/runner_calls.ts
@@ -111,6 +111,11 @@
   }
   | { readonly outcome: "staleFence" | "otherLife" | "invalid" | "unhealthy" };
 
+/** Creates a poll that acknowledges no ends, renews no lease and is answered at once. */
+export function createProbe(fence: number): HoldOrder {
+  return { fence, recordedEnds: 0, untilMs: undefined, waitMs: 0 };
+}
+
 /**
  * Calls to runners. Each rejects with a fault if no reply arrives within `timeoutMs`;
  * its `ran` is "no" only if the call was never sent and never will be.
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -31,6 +31,7 @@
 import {
   estimateRunnerClock,
   formatRun,
+  isOtherIncarnation,
   isOverCapacity,
   type Occupant,
   recordGrant,
@@ -306,10 +307,7 @@
     else if (reply.outcome === "staleFence") handleStaleFence(sentFence);
     else if (reply.outcome !== "accepted") await wait(clock, RETRY_PAUSE_MS);
     if (reply.outcome !== "accepted") return false;
-    const isOther = reply.startedMs !== undefined &&
-      runner.entry.startedMs !== 0 &&
-      reply.startedMs !== runner.entry.startedMs;
-    if (isOther) {
+    if (isOtherIncarnation(runner, reply.startedMs)) {
       options.handleOtherIncarnation(true);
       return false;
     }
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -202,15 +202,7 @@
     ...options,
     findRunner: (id) => findSessionById(id)?.runner,
   });
-  const removals = createRemovals<Session>({
-    ...options,
-    close: (session, hasNext) =>
-      closeIncarnation(session, "runner left", {
-        mayReturn: true,
-        hasCrashed: false,
-        hasAnswered: hasNext,
-      }),
-  });
+  const removals = createRemovals<Session>({ ...options, close: closeLeft });
   let isStopped = false;
 
   function listPool(pool: string): Runner[] {
@@ -481,6 +473,15 @@
     ]);
   }
 
+  /** Closes an incarnation that has left; `hasNext` tells whether its next one has answered. */
+  function closeLeft(session: Session, hasNext = false): Promise<void> {
+    return closeIncarnation(session, "runner left", {
+      mayReturn: true,
+      hasCrashed: false,
+      hasAnswered: hasNext,
+    });
+  }
+
   async function recordGone(runner: Runner): Promise<void> {
     const atMs = clock.wallTime();
     await options.record([{ kind: "runnerGone", life: runner.life, atMs }]);
@@ -891,26 +892,14 @@
 
   /** Lists the runs that are recorded as active. */
   function listActiveRuns(): (RunView & { readonly life: string })[] {
-    const runs: (RunView & { readonly life: string })[] = [];
-    for (const job of state.listJobs()) {
-      if (!isOpenJob(job)) continue;
-      for (const [number, occurrence] of Object.entries(job.occurrences)) {
-        occurrence.steps.forEach((step, stepNumber) => {
-          step.tasks.forEach((recorded, index) => {
-            if (recorded.status !== TASK_STATUS.active) return;
-            const task = {
-              job: job.spec.id,
-              occurrence: Number(number),
-              step: stepNumber,
-              index,
-            };
-            const { run, checkpoint, life } = recorded;
-            runs.push({ task, run, checkpoint, life });
-          });
-        });
-      }
-    }
-    return runs;
+    return [...state.listOpenTasks()]
+      .filter(([, { status }]) => status === TASK_STATUS.active)
+      .map(([task, { run, checkpoint, life }]) => ({
+        task,
+        run,
+        checkpoint,
+        life,
+      }));
   }
 
   async function waitForNextBatch(): Promise<void> {
@@ -1048,12 +1037,7 @@
           session.unrecordedEnds.clear();
           void handleLeaseEnd(session);
         }
-        if (hasLeftUnnoticed(session)) {
-          void closeIncarnation(session, "runner left", {
-            mayReturn: true,
-            hasCrashed: false,
-          });
-        }
+        if (hasLeftUnnoticed(session)) void closeLeft(session);
       }
       checkUnsettled();
       checkRecordedRuns();
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -142,6 +142,18 @@
   };
 }
 
+/**
+ * Tells whether an incarnation that started at wall time `startedMs` is another one than
+ * the runner; not if one of the starts is unknown.
+ */
+export function isOtherIncarnation(
+  { entry }: Runner,
+  startedMs: number | undefined,
+): boolean {
+  return startedMs !== undefined && entry.startedMs !== 0 &&
+    startedMs !== entry.startedMs;
+}
+
 /** Returns the key of a run. */
 export function formatRun(task: TaskRef, run: number): string {
   return `${formatTask(task)}#${run}`;
--- a/src/workload/withdrawals.ts
+++ b/src/workload/withdrawals.ts
@@ -12,7 +12,12 @@
   POLL_TIMEOUT_SLACK_MS,
   RETRY_PAUSE_MS,
 } from "./constants.ts";
-import type { HoldOrder, RunnerCalls, RunnerTarget } from "./runner_calls.ts";
+import {
+  createProbe,
+  type HoldOrder,
+  type RunnerCalls,
+  type RunnerTarget,
+} from "./runner_calls.ts";
 import { isInFlight, type Runner } from "./runner_table.ts";
 
 /** Options of the withdrawals. */
@@ -93,12 +98,7 @@
 
   return {
     start({ id, address }) {
-      const order: HoldOrder = {
-        fence: options.createFencingToken(),
-        recordedEnds: 0,
-        untilMs: undefined,
-        waitMs: 0,
-      };
+      const order = createProbe(options.createFencingToken());
       pending.set(id, order);
       void runPolls({ id, address }, order).finally(() => {
         if (pending.get(id) === order) pending.delete(id);
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -53,7 +53,7 @@
 /** Time from the decision to the runner's reply from which a start is logged as slow, in milliseconds; several times the usual. */
 const SLOW_START_MS = 250;
 
-/** Time from the reply to the start of a suspect to the poll that shows that its runner is still up, in milliseconds. */
+/** Time from the moment at which a suspect has outlived its start to the poll that shows it, in milliseconds. */
 const START_PROOF_SLACK_MS = 50;
 
 /** Maximum number of log lines about waiting steps in one round, so that a long queue does not flood the log. */
@@ -109,6 +109,16 @@
   stop(): void;
 }
 
+/** Lists the jobs of whose tasks a crash changes a count. */
+function listCrashJobs(
+  { suspects, lateSuspects = [], withdrawn = [] }: WorkRecord & {
+    kind: "crash";
+  },
+): ReadonlySet<string> {
+  const tasks = [...suspects, ...lateSuspects, ...withdrawn];
+  return new Set(tasks.map(({ job }) => job));
+}
+
 /** Starts the controller for one leadership. */
 export function startWorkController(
   options: WorkControllerOptions,
@@ -503,15 +513,7 @@
         break;
       case "crash":
         probation.recordCrash(record);
-        for (
-          const job of new Set(
-            [
-              ...record.suspects,
-              ...record.lateSuspects ?? [],
-              ...record.withdrawn ?? [],
-            ].map(({ job }) => job),
-          )
-        ) {
+        for (const job of listCrashJobs(record)) {
           openSteps.refresh(job);
           handleJobEnd(job);
         }
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -110,6 +110,8 @@
   getGoneMs(id: string): number | undefined;
   getOccurrence(job: JobState, occurrence: number): OccurrenceState;
   getTask(task: TaskRef): TaskState | undefined;
+  /** Lists the tasks of the queued and running jobs whose occurrence has begun. */
+  listOpenTasks(): IterableIterator<[TaskRef, TaskState]>;
   /** Sets the function to call with each record after it was applied; undefined removes it. */
   setListener(listener: ((record: WorkRecord) => void) | undefined): void;
 }
@@ -314,6 +316,20 @@
     return job?.occurrences[ref.occurrence]?.steps[ref.step]?.tasks[ref.index];
   }
 
+  function* listOpenTasks(): IterableIterator<[TaskRef, TaskState]> {
+    for (const job of jobs.values()) {
+      if (!isOpenJob(job)) continue;
+      for (const [number, { steps }] of Object.entries(job.occurrences)) {
+        const occurrence = Number(number);
+        for (const [step, { tasks }] of steps.entries()) {
+          for (const [index, task] of tasks.entries()) {
+            yield [{ job: job.spec.id, occurrence, step, index }, task];
+          }
+        }
+      }
+    }
+  }
+
   /** Returns a task that is not done, of an open job. */
   function findOpenTask(ref: TaskRef): TaskState | undefined {
     const job = jobs.get(ref.job);
@@ -450,6 +466,7 @@
     getGoneMs: (id) => gone.get(id),
     getOccurrence,
     getTask: findTask,
+    listOpenTasks,
     setListener(next) {
       listener = next;
     },
