Keep the incarnations in use in a module of their own

The session type and the look-ups by incarnation, id and pool moved from runner_fleet.ts to runner_sessions.ts, since the parts that are taken out next share them.

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -30,8 +30,9 @@
   type RunnerCalls,
 } from "./runner_calls.ts";
 import { createRemovals } from "./removals.ts";
-import { type RunnerDriver, startRunnerDriver } from "./runner_driver.ts";
+import { startRunnerDriver } from "./runner_driver.ts";
 import type { RunnerHealth } from "./runner_health.ts";
+import { createRunnerSessions, type Session } from "./runner_sessions.ts";
 import {
   addOccupant,
   createRunner,
@@ -127,18 +128,6 @@
   handleChange: () => void;
 }
 
-/** One incarnation of a runner and its driver. */
-export interface Session {
-  readonly runner: Runner;
-  readonly driver: RunnerDriver;
-  /** Fencing token of the orders to this incarnation; a higher one follows after a refusal. */
-  fence: number;
-  /** Local time at which this leader began to use it, in milliseconds. */
-  readonly openedMs: number;
-  /** Keys of its listed ends that are not recorded yet; see `formatRun`. */
-  readonly unrecordedEnds: Set<string>;
-}
-
 /** A run and its newest checkpoint. */
 export interface RunView {
   readonly task: TaskRef;
@@ -183,7 +172,8 @@
 /** Creates a fleet without runners. */
 export function createRunnerFleet(options: RunnerFleetOptions): RunnerFleet {
   const { clock, logger, metrics, state, workspaces } = options;
-  const sessions = new Map<string, Session>();
+  const { sessions, runnersByPool, listPool, findSessionById } =
+    createRunnerSessions();
   /** Closed incarnations with runs that the next incarnation may still start. */
   const unsettled = new Set<Runner>();
   const openStarts = createOpenStarts();
@@ -192,7 +182,6 @@
   const withdrawn = new Map<string, number>();
   /** Local time at which the newest incarnation of a runner id was closed, in milliseconds. */
   const closedMs = new Map<string, number>();
-  const runnersByPool = new Map<string, Runner[]>();
   const health = options.createHealth(listPool);
   const crashes = createCrashRecorder({
     ...options,
@@ -205,19 +194,6 @@
   const removals = createRemovals<Session>({ ...options, close: closeLeft });
   let isStopped = false;
 
-  function listPool(pool: string): Runner[] {
-    let list = runnersByPool.get(pool);
-    if (list === undefined) runnersByPool.set(pool, list = []);
-    return list;
-  }
-
-  function findSessionById(id: string): Session | undefined {
-    for (const session of sessions.values()) {
-      if (session.runner.entry.id === id) return session;
-    }
-    return undefined;
-  }
-
   function assignRun(
     runner: Runner,
     task: TaskRef,
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -33,12 +33,9 @@
 import { createRecordQueue } from "./record_queue.ts";
 import { createPacedRounds } from "./paced_rounds.ts";
 import type { RunnerCalls } from "./runner_calls.ts";
-import {
-  createRunnerFleet,
-  type RunnerAnnouncement,
-  type Session,
-} from "./runner_fleet.ts";
+import { createRunnerFleet, type RunnerAnnouncement } from "./runner_fleet.ts";
 import { createRunnerHealth } from "./runner_health.ts";
+import type { Session } from "./runner_sessions.ts";
 import { isOverCapacity, type Occupant, type Runner } from "./runner_table.ts";
 import { createRunTimes } from "./run_times.ts";
 import { formatStep, type WorkRecord } from "./types.ts";
