Keep the runs of a leadership in a module of their own

Assigning, releasing, ending and stopping runs moved from runner_fleet.ts to fleet_runs.ts, since all other parts of the fleet build on them and they on none.

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -18,7 +18,8 @@
   RUNNER_CLOCK_MIN_RATE,
   RUNNER_LEASE_MS,
 } from "./constants.ts";
-import { createCrashRecorder, getCrashWindow } from "./crash_recorder.ts";
+import { createCrashRecorder } from "./crash_recorder.ts";
+import { createFleetRuns, type FleetRuns, type RunView } from "./fleet_runs.ts";
 import { createOpenStarts } from "./open_starts.ts";
 import { createPlacedRuns } from "./placed_runs.ts";
 import type { RecordQueue } from "./record_queue.ts";
@@ -34,7 +35,6 @@
 import type { RunnerHealth } from "./runner_health.ts";
 import { createRunnerSessions, type Session } from "./runner_sessions.ts";
 import {
-  addOccupant,
   createRunner,
   estimateRunnerClock,
   formatRun,
@@ -43,7 +43,6 @@
   isStartPending,
   type Occupant,
   recordLease,
-  removeOccupant,
   type Runner,
 } from "./runner_table.ts";
 import {
@@ -53,18 +52,11 @@
   getRunnerId,
   isSameRunner,
   type RunnerEntry,
-  type RunOutcome,
   type TaskRef,
   type WorkRecord,
 } from "./types.ts";
 import { createWithdrawals } from "./withdrawals.ts";
-import {
-  countCrashes,
-  isOpenEnd,
-  isOpenJob,
-  TASK_STATUS,
-  type WorkState,
-} from "./work_state.ts";
+import { isOpenEnd, TASK_STATUS, type WorkState } from "./work_state.ts";
 import type { WorkspaceUsageTracker } from "./workspace_use.ts";
 
 /** Time without progress after which a run counts as stuck, in milliseconds; about three polls. */
@@ -128,36 +120,21 @@
   handleChange: () => void;
 }
 
-/** A run and its newest checkpoint. */
-export interface RunView {
-  readonly task: TaskRef;
-  readonly run: number;
-  readonly checkpoint: string;
-}
-
 /** The runners of one leadership. */
-export interface RunnerFleet {
+export interface RunnerFleet extends
+  Pick<
+    FleetRuns,
+    | "assignRun"
+    | "release"
+    | "isWanted"
+    | "endRuns"
+    | "stopRun"
+    | "stopGang"
+    | "stopJob"
+  > {
   readonly runnersByPool: ReadonlyMap<string, readonly Runner[]>;
   readonly health: RunnerHealth;
   getSession(life: string): Session | undefined;
-  /** Assigns a run to a runner; returns undefined if the job is unknown. Default: a suspect if its task counts crashes. */
-  assignRun(
-    runner: Runner,
-    task: TaskRef,
-    run: number,
-    occupantState: Occupant["state"],
-    isSuspect?: boolean,
-  ): Occupant | undefined;
-  release(runner: Runner, occupant: Occupant): void;
-  /** Tells whether a run is the current one of an unfinished task. */
-  isWanted(task: TaskRef, run: number): boolean;
-  /** Records the end of those runs that are still current. */
-  endRuns(runs: readonly RunView[], outcome: RunOutcome): Promise<void>;
-  stopRun(session: Session, occupant: Occupant): void;
-  /** Stops all members of one run of a gang. */
-  stopGang(task: TaskRef, run: number): void;
-  /** Stops all runs of a job. */
-  stopJob(id: string): void;
   announceRunner(announcement: RunnerAnnouncement): Promise<void>;
   /** Uses the recorded entry of a runner, unless a newer announcement is being recorded. */
   applyRunner(id: string): void;
@@ -171,13 +148,31 @@
 
 /** Creates a fleet without runners. */
 export function createRunnerFleet(options: RunnerFleetOptions): RunnerFleet {
-  const { clock, logger, metrics, state, workspaces } = options;
+  const { clock, logger, metrics, state } = options;
   const { sessions, runnersByPool, listPool, findSessionById } =
     createRunnerSessions();
   /** Closed incarnations with runs that the next incarnation may still start. */
   const unsettled = new Set<Runner>();
   const openStarts = createOpenStarts();
   const placedRuns = createPlacedRuns();
+  const runs = createFleetRuns({
+    ...options,
+    sessions,
+    openStarts,
+    placedRuns,
+  });
+  const {
+    assignRun,
+    removeRun,
+    release,
+    isRecordedActive,
+    isWanted,
+    createEnd,
+    endRuns,
+    stopRun,
+    stopGang,
+    stopJob,
+  } = runs;
   /** Numbers of withdrawn runs whose end is not recorded yet, by task, or by step for a gang. */
   const withdrawn = new Map<string, number>();
   /** Local time at which the newest incarnation of a runner id was closed, in milliseconds. */
@@ -194,119 +189,6 @@
   const removals = createRemovals<Session>({ ...options, close: closeLeft });
   let isStopped = false;
 
-  function assignRun(
-    runner: Runner,
-    task: TaskRef,
-    run: number,
-    occupantState: Occupant["state"],
-    isSuspect = false,
-  ): Occupant | undefined {
-    const job = state.getJob(task.job);
-    const resources = job?.spec.steps[task.step]?.resources;
-    if (job === undefined || resources === undefined) return undefined;
-    const key = formatRun(task, run);
-    const known = runner.occupants.get(key);
-    if (known !== undefined) return known;
-    workspaces.add(job.spec.workspace, resources);
-    const occupant = addOccupant(
-      runner,
-      {
-        task,
-        run,
-        resources,
-        isSuspect: isSuspect || countCrashes(state.getTask(task)) > 0,
-        crashWindowMs: getCrashWindow(state.getTask(task)),
-      },
-      occupantState,
-      clock.now(),
-    );
-    if (occupantState === "planned") placedRuns.add({ runner, occupant });
-    return occupant;
-  }
-
-  function removeRun(runner: Runner, occupant: Occupant): boolean {
-    if (!removeOccupant(runner, occupant.key)) return false;
-    placedRuns.remove(occupant);
-    const job = state.getJob(occupant.task.job);
-    workspaces.remove(job?.spec.workspace, occupant.resources);
-    return true;
-  }
-
-  function release(runner: Runner, occupant: Occupant): void {
-    if (!removeRun(runner, occupant)) return;
-    const { task, run, openStartMs: sentMs } = occupant;
-    if (sentMs === undefined || !hasOpenStart(occupant, clock.now())) return;
-    openStarts.add({ runnerId: runner.entry.id, task, run, sentMs });
-  }
-
-  function isOpen(id: string): boolean {
-    const job = state.getJob(id);
-    return job !== undefined && isOpenJob(job);
-  }
-
-  function isRecordedActive(task: TaskRef, run: number): boolean {
-    const recorded = state.getTask(task);
-    return recorded !== undefined && recorded.run === run &&
-      recorded.status === TASK_STATUS.active;
-  }
-
-  function isWanted(task: TaskRef, run: number): boolean {
-    return isOpen(task.job) && isRecordedActive(task, run);
-  }
-
-  function createEnd(
-    { task, run, checkpoint }: RunView,
-    outcome: RunOutcome,
-  ): WorkRecord {
-    const atMs = clock.wallTime();
-    return { kind: "end", task, run, outcome, checkpoint, atMs };
-  }
-
-  async function endRuns(
-    runs: readonly RunView[],
-    outcome: RunOutcome,
-  ): Promise<void> {
-    const records = runs
-      .filter(({ task, run }) => isRecordedActive(task, run))
-      .map((view) => createEnd(view, outcome));
-    if (records.length === 0) return;
-    await options.record(records);
-    options.handleChange();
-  }
-
-  function stopRun(session: Session, occupant: Occupant): void {
-    if (occupant.state === "stopping") return;
-    occupant.state = "stopping";
-    void session.driver.runStop(occupant).then((isAnswered) => {
-      if (!isAnswered) return;
-      occupant.stoppedMs = clock.now();
-      // A run that never started has no end, so the pending long poll would not
-      // return for it.
-      const isOpen = !occupant.isListed &&
-        session.runner.occupants.has(occupant.key);
-      if (isOpen) session.driver.startPoll();
-    });
-  }
-
-  /** Stops the matching runs for which a start was sent. */
-  function stopRuns(fits: (occupant: Occupant) => boolean): void {
-    for (const session of sessions.values()) {
-      for (const occupant of [...session.runner.occupants.values()]) {
-        const isOrdered = occupant.state !== "planned";
-        if (isOrdered && fits(occupant)) stopRun(session, occupant);
-      }
-    }
-  }
-
-  function stopGang(task: TaskRef, run: number): void {
-    const step = formatStep(task);
-    stopRuns((other) => other.run === run && formatStep(other.task) === step);
-  }
-
-  function stopJob(id: string): void {
-    stopRuns(({ task }) => task.job === id);
-  }
-
   function startSession(
     entry: RunnerEntry,
     leaseEndMs: number,
