Keep the handling of announcements in a module of its own

Registering announced runners and recording what changes moved from runner_fleet.ts to runner_announcements.ts, with the type of an announcement.

--- a/src/workload/mod.ts
+++ b/src/workload/mod.ts
@@ -6,7 +6,7 @@
 export * from "./fencing_tokens.ts";
 export * from "./runner_calls.ts";
 export * from "./types.ts";
-export type { RunnerAnnouncement } from "./runner_fleet.ts";
+export type { RunnerAnnouncement } from "./runner_announcements.ts";
 export type { CallerAddress } from "./work_calls.ts";
 export {
   startWorkController,
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -5,13 +5,7 @@
  * leaves. When its lease ends without contact, its runs count as lost.
  */
 
-import {
-  type Clock,
-  computeSmallerResources,
-  isSameAmount,
-  type Logger,
-  wait,
-} from "../common/mod.ts";
+import { type Clock, type Logger, wait } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
 import {
   MAX_ORDER_DELAY_MS,
@@ -25,6 +19,10 @@
 import { createPlacedRuns } from "./placed_runs.ts";
 import { createPollReplies } from "./poll_replies.ts";
 import type { RecordQueue } from "./record_queue.ts";
+import {
+  createRunnerAnnouncements,
+  type RunnerAnnouncements,
+} from "./runner_announcements.ts";
 import type { RunnerCalls } from "./runner_calls.ts";
 import { createRemovals } from "./removals.ts";
 import { startRunnerDriver } from "./runner_driver.ts";
@@ -32,16 +30,12 @@
 import { createRunnerSessions, type Session } from "./runner_sessions.ts";
 import {
   createRunner,
-  estimateRunnerClock,
   formatRun,
-  isInFlight,
   recordLease,
   type Runner,
 } from "./runner_table.ts";
 import {
-  formatIncarnation,
   getRunnerId,
-  isSameRunner,
   type RunnerEntry,
   type TaskRef,
   type WorkRecord,
@@ -63,24 +57,6 @@
 /** Pause after each batch of first polls, in milliseconds. */
 const RESTORE_POLL_INTERVAL_MS = 8;
 
-/**
- * Age of an announcement up to which it may enlarge the capacity, in milliseconds. By
- * then a runner has sent its next one, and a shrink in it does not count yet: that
- * takes its contact time of 3 s and one heartbeat of 1.5 s.
- */
-const MAX_GROWTH_DELAY_MS = 2_000;
-
-/** An announcement that a runner sends. */
-export interface RunnerAnnouncement {
-  readonly entry: RunnerEntry;
-  /** Increases with each announcement of one incarnation. */
-  readonly sequence: number;
-  /** Minimum time until a draining runner leaves, in milliseconds. */
-  readonly remainingMs: number;
-  /** Time of the runner's own clock when it was sent, in milliseconds; undefined if unknown. */
-  readonly clockMs?: number;
-}
-
 /** Options of the fleet. */
 export interface RunnerFleetOptions {
   clock: Clock;
@@ -116,13 +92,11 @@
     | "stopRun"
     | "stopGang"
     | "stopJob"
-  > {
+  >,
+  Pick<RunnerAnnouncements, "announceRunner" | "applyRunner"> {
   readonly runnersByPool: ReadonlyMap<string, readonly Runner[]>;
   readonly health: RunnerHealth;
   getSession(life: string): Session | undefined;
-  announceRunner(announcement: RunnerAnnouncement): Promise<void>;
-  /** Uses the recorded entry of a runner, unless a newer announcement is being recorded. */
-  applyRunner(id: string): void;
   removeRunner(id: string): Promise<void>;
   /** Restores the runners and runs from the recorded state; called once. */
   restore(): void;
@@ -162,14 +136,7 @@
     ...options,
     findRunner: (id) => findSessionById(id)?.runner,
   });
-  const {
-    unsettled,
-    closedMs,
-    stopUnsettled,
-    closeIncarnation,
-    closeLeft,
-    checkLeases,
-  } = createClosings({
+  const closings = createClosings({
     ...options,
     runnerSessions,
     openStarts,
@@ -177,6 +144,12 @@
     crashes,
     withdrawals,
   });
+  const {
+    unsettled,
+    closeIncarnation,
+    closeLeft,
+    checkLeases,
+  } = closings;
   const removals = createRemovals<Session>({ ...options, close: closeLeft });
   const pollReplies = createPollReplies({
     ...options,
@@ -185,6 +158,14 @@
     health,
     crashes,
   });
+  const announcements = createRunnerAnnouncements({
+    ...options,
+    runnerSessions,
+    withdrawals,
+    closings,
+    startSession,
+    isJustRecorded,
+  });
   let isStopped = false;
 
   function startSession(
@@ -237,140 +218,6 @@
       Math.abs(clock.wallTime() - atMs) < MAX_ORDER_DELAY_MS;
   }
 
-  /** Tells whether a newer runner has taken over the id or the address, so that an announcement is late. */
-  function hasNewerRunner({ id, address, startedMs }: RunnerEntry): boolean {
-    // A closed one stays recorded while it has unsettled runs.
-    const recorded = state.getRunner(id);
-    if (recorded !== undefined && recorded.startedMs > startedMs) return true;
-    return [...sessions.values()].some(({ runner: { entry } }) =>
-      (entry.id === id || entry.address === address) &&
-      entry.startedMs > startedMs
-    );
-  }
-
-  /**
-   * Tells whether an announcement was delayed for so long that newer ones must have
-   * been sent. This leader sees none that are like the recorded one, so the sequence
-   * numbers do not tell.
-   */
-  function isLateAnnouncement(
-    runner: Runner,
-    { clockMs }: RunnerAnnouncement,
-  ): boolean {
-    if (clockMs === undefined) return false;
-    const runnerMs = estimateRunnerClock(runner, clock.now());
-    // Without a reading, nothing is placed on the runner anyway.
-    return runnerMs === undefined || runnerMs - clockMs > MAX_GROWTH_DELAY_MS;
-  }
-
-  /**
-   * Uses the recorded entry of a runner once it matches its newest announcement. Its
-   * record may be applied although the reply to it was lost.
-   */
-  function applyRunner(id: string): void {
-    const runner = findSessionById(id)?.runner;
-    const recorded = state.getRunner(id);
-    if (runner === undefined || recorded === undefined) return;
-    if (isSameRunner(recorded, runner.announced)) runner.entry = recorded;
-  }
-
-  /** Records what a known incarnation newly announces; a late growth is left out. */
-  async function updateRunner(
-    runner: Runner,
-    announcement: RunnerAnnouncement,
-  ): Promise<void> {
-    const { sequence } = announcement;
-    if (sequence < runner.sequence) return;
-    runner.sequence = sequence;
-    const entry = isLateAnnouncement(runner, announcement)
-      ? {
-        ...announcement.entry,
-        capacity: computeSmallerResources(
-          runner.entry.capacity,
-          announcement.entry.capacity,
-        ),
-      }
-      : announcement.entry;
-    const recorded = state.getRunner(entry.id);
-    const isRecorded = recorded !== undefined && isSameRunner(recorded, entry);
-    if (isRecorded && isSameRunner(runner.entry, entry)) return;
-    const former = runner.entry.capacity;
-    // A shrink counts at once, but a growth only once the next leader knows it:
-    // otherwise that one could find more in use than there is capacity.
-    const capacity = computeSmallerResources(former, entry.capacity);
-    runner.entry = { ...entry, capacity };
-    runner.announced = entry;
-    if (!isRecorded) {
-      const isSameLife = recorded !== undefined &&
-        formatIncarnation(recorded) === runner.life;
-      const returnedMs = isSameLife ? recorded.returnedMs : undefined;
-      await options.queue.record([{
-        kind: "runner",
-        runner: { ...entry, sequence, returnedMs },
-      }]);
-    }
-    applyRunner(entry.id);
-    logger.info("Runner changed", {
-      runner: runner.life,
-      draining: entry.isDraining,
-      ...(isSameAmount(former, entry.capacity)
-        ? {}
-        : { formerCapacity: former, capacity: entry.capacity }),
-    });
-    options.handleChange();
-  }
-
-  async function announceRunner(
-    announcement: RunnerAnnouncement,
-  ): Promise<void> {
-    const { entry, sequence } = announcement;
-    const life = formatIncarnation(entry);
-    const announcedMs = clock.now();
-    const known = findSessionById(entry.id);
-    if (known?.runner.life === life) {
-      return await updateRunner(known.runner, announcement);
-    }
-    if (hasNewerRunner(entry)) return;
-    const mayReplaceOther = known !== undefined ||
-      isInFlight(closedMs.get(entry.id), announcedMs) ||
-      isJustRecorded(state.getGoneMs(entry.id));
-    if (mayReplaceOther) withdrawals.start(entry);
-    const returnedMs = mayReplaceOther ? clock.wallTime() : undefined;
-    const recorded = { ...entry, sequence, returnedMs };
-    await options.queue.record([{ kind: "runner", runner: recorded }]);
-    if (isStopped) return;
-    const registered = sessions.get(life);
-    if (registered !== undefined) {
-      // Another announcement has registered it meanwhile.
-      return await updateRunner(registered.runner, announcement);
-    }
-    if (hasNewerRunner(entry)) return;
-    logger.info("Runner registered", {
-      runner: life,
-      address: entry.address,
-      pool: entry.pool,
-    });
-    const session = startSession(recorded, announcedMs, {
-      fence: options.createFencingToken(),
-    });
-    session.runner.mayHoldFormerLease = mayReplaceOther ||
-      isInFlight(closedMs.get(entry.id), announcedMs);
-    stopUnsettled(session);
-    for (const other of [...sessions.values()]) {
-      const { runner } = other;
-      const isFormer = runner !== session.runner &&
-        (runner.entry.id === entry.id ||
-          runner.entry.address === entry.address) &&
-        runner.entry.startedMs <= entry.startedMs;
-      if (!isFormer) continue;
-      const mayReturn = runner.entry.id === entry.id;
-      void closeIncarnation(other, "newer incarnation registered", {
-        mayReturn,
-        hasCrashed: true,
-      });
-    }
-  }
-
   async function removeRunner(id: string): Promise<void> {
     const session = findSessionById(id);
     // A delayed removal of an earlier incarnation must not close the current one.
@@ -511,8 +358,8 @@
     stopRun,
     stopGang,
     stopJob,
-    announceRunner,
-    applyRunner,
+    announceRunner: announcements.announceRunner,
+    applyRunner: announcements.applyRunner,
     removeRunner,
     restore: restoreRuns,
     checkRuns() {
@@ -522,6 +369,7 @@
     stop() {
       isStopped = true;
       pollReplies.stop();
+      announcements.stop();
       withdrawals.stop();
       removals.stop();
       for (const session of sessions.values()) {
