Keep the comparison with the recorded runs in a module of its own

The restore by a new leader and the check for recorded runs without a runner moved from runner_fleet.ts to recorded_runs.ts. runner_fleet.ts now connects its parts and starts the drivers.

--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -2,23 +2,22 @@
  * Tracks the runners and their runs during one leadership. Each runner is polled
  * continuously, and the runs that it lists are compared with the recorded ones.
  * An incarnation of a runner is closed when a newer one registers or when it
- * leaves. When its lease ends without contact, its runs count as lost.
+ * leaves. When its lease ends without contact, its runs count as lost. Each of these
+ * parts is a module of its own; this one connects them, and starts a driver for each
+ * incarnation.
  */
 
-import { type Clock, type Logger, wait } from "../common/mod.ts";
+import type { Clock, Logger } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
-import {
-  MAX_ORDER_DELAY_MS,
-  RUNNER_CLOCK_MIN_RATE,
-  RUNNER_LEASE_MS,
-} from "./constants.ts";
 import { createClosings } from "./closings.ts";
+import { MAX_ORDER_DELAY_MS } from "./constants.ts";
 import { createCrashRecorder } from "./crash_recorder.ts";
-import { createFleetRuns, type FleetRuns, type RunView } from "./fleet_runs.ts";
+import { createFleetRuns, type FleetRuns } from "./fleet_runs.ts";
 import { createOpenStarts } from "./open_starts.ts";
 import { createPlacedRuns } from "./placed_runs.ts";
 import { createPollReplies } from "./poll_replies.ts";
 import type { RecordQueue } from "./record_queue.ts";
+import { createRecordedRuns } from "./recorded_runs.ts";
 import {
   createRunnerAnnouncements,
   type RunnerAnnouncements,
@@ -28,35 +27,12 @@
 import { startRunnerDriver } from "./runner_driver.ts";
 import type { RunnerHealth } from "./runner_health.ts";
 import { createRunnerSessions, type Session } from "./runner_sessions.ts";
-import {
-  createRunner,
-  formatRun,
-  recordLease,
-  type Runner,
-} from "./runner_table.ts";
-import {
-  getRunnerId,
-  type RunnerEntry,
-  type TaskRef,
-  type WorkRecord,
-} from "./types.ts";
+import { createRunner, type Runner } from "./runner_table.ts";
+import type { RunnerEntry, WorkRecord } from "./types.ts";
 import { createWithdrawals } from "./withdrawals.ts";
-import { TASK_STATUS, type WorkState } from "./work_state.ts";
+import type { WorkState } from "./work_state.ts";
 import type { WorkspaceUsageTracker } from "./workspace_use.ts";
 
-/** Time between two checks of the recorded runs, in milliseconds; longer than recording an end takes. */
-const RUN_CHECK_PERIOD_MS = 2_000;
-
-/**
- * Number of first polls that a new leader sends in one turn of the event loop; in a
- * process that has just started they take some 10 ms. Polling all runners at once
- * would delay heartbeats for longer than the election timeout.
- */
-const RESTORE_POLL_BATCH = 8;
-
-/** Pause after each batch of first polls, in milliseconds. */
-const RESTORE_POLL_INTERVAL_MS = 8;
-
 /** Options of the fleet. */
 export interface RunnerFleetOptions {
   clock: Clock;
@@ -107,7 +83,7 @@
 
 /** Creates a fleet without runners. */
 export function createRunnerFleet(options: RunnerFleetOptions): RunnerFleet {
-  const { clock, logger, state } = options;
+  const { clock, logger } = options;
   const runnerSessions = createRunnerSessions();
   const { sessions, runnersByPool, listPool, findSessionById } = runnerSessions;
   const openStarts = createOpenStarts();
@@ -118,15 +94,8 @@
     openStarts,
     placedRuns,
   });
-  const {
-    assignRun,
-    release,
-    isWanted,
-    endRuns,
-    stopRun,
-    stopGang,
-    stopJob,
-  } = runs;
+  const { assignRun, release, isWanted, endRuns, stopRun, stopGang, stopJob } =
+    runs;
   const health = options.createHealth(listPool);
   const crashes = createCrashRecorder({
     ...options,
@@ -144,12 +113,7 @@
     crashes,
     withdrawals,
   });
-  const {
-    unsettled,
-    closeIncarnation,
-    closeLeft,
-    checkLeases,
-  } = closings;
+  const { closeIncarnation, closeLeft, checkLeases } = closings;
   const removals = createRemovals<Session>({ ...options, close: closeLeft });
   const pollReplies = createPollReplies({
     ...options,
@@ -166,7 +130,15 @@
     startSession,
     isJustRecorded,
   });
-  let isStopped = false;
+  const recordedRuns = createRecordedRuns({
+    ...options,
+    runnerSessions,
+    runs,
+    closings,
+    crashes,
+    startSession,
+    isJustRecorded,
+  });
 
   function startSession(
     entry: RunnerEntry,
@@ -226,127 +198,6 @@
     }
   }
 
-  /** Lists the runs that are recorded as active. */
-  function listActiveRuns(): (RunView & { readonly life: string })[] {
-    return [...state.listOpenTasks()]
-      .filter(([, { status }]) => status === TASK_STATUS.active)
-      .map(([task, { run, checkpoint, life }]) => ({
-        task,
-        run,
-        checkpoint,
-        life,
-      }));
-  }
-
-  async function waitForNextBatch(): Promise<void> {
-    await wait(clock, RESTORE_POLL_INTERVAL_MS);
-    await options.waitForTurn?.();
-  }
-
-  function restoreRuns(): void {
-    const nowMs = clock.now();
-    const leaseEndMs = nowMs + RUNNER_LEASE_MS / RUNNER_CLOCK_MIN_RATE;
-    const fence = options.createFencingToken();
-    // Timers set in advance would all be due after a busy moment, and the polls
-    // would run in one turn of the event loop.
-    let firstPoll = Promise.resolve();
-    let started = 0;
-    for (const entry of state.listRunners()) {
-      const { runner } = startSession(entry, leaseEndMs, { fence, firstPoll });
-      if (isJustRecorded(entry.returnedMs)) {
-        // A late poll for the former incarnation may have granted the longest lease, or
-        // may do so until the first poll.
-        runner.mayHoldFormerLease = true;
-        recordLease(runner, nowMs, options.maxLeaseMs);
-      }
-      started += 1;
-      if (started % RESTORE_POLL_BATCH !== 0) continue;
-      firstPoll = firstPoll.then(waitForNextBatch);
-    }
-    void firstPoll.then(() => {
-      if (isStopped) return;
-      logger.info("First polls sent", {
-        runners: state.countRunners(),
-        tookMs: Math.round(clock.now() - nowMs),
-      });
-    });
-    const lost: RunView[] = [];
-    const inherited = new Map<string, TaskRef[]>();
-    for (const active of listActiveRuns()) {
-      const session = sessions.get(active.life) ??
-        findSessionById(getRunnerId(active.life));
-      if (session === undefined) {
-        lost.push(active);
-        continue;
-      }
-      const { runner } = session;
-      const { task, run, life } = active;
-      const occupant = assignRun(runner, task, run, "running");
-      if (occupant !== undefined) {
-        occupant.orderSentMs = nowMs;
-        occupant.isRestored = true;
-        occupant.isInherited = life !== runner.life;
-      }
-      // A start for the former incarnation may have arrived at this one; its first
-      // poll, with the new fencing token, tells.
-      if (life === runner.life) continue;
-      recordLease(runner, nowMs, options.maxLeaseMs);
-      inherited.set(life, [...inherited.get(life) ?? [], task]);
-    }
-    // The former leader may have recorded the next incarnation, but not the crash.
-    for (const [life, tasks] of inherited) {
-      void crashes.recordFormerCrash(life, tasks);
-    }
-    // If neither the incarnation nor a newer one is recorded, it was closed but the
-    // end of its runs had not been recorded yet.
-    void endRuns(lost, "lost");
-  }
-
-  let nextRunCheckMs = 0;
-  let unmatchedKeys = new Set<string>();
-
-  /**
-   * Tells whether a run is unsettled, was taken over by a newer incarnation of its
-   * runner, or has an end that its runner lists until it is recorded.
-   */
-  function isOnOther(key: string): boolean {
-    const isEnding = [...sessions.values()].some(({ unrecordedEnds }) =>
-      unrecordedEnds.has(key)
-    );
-    if (isEnding) return true;
-    const runners = [
-      ...unsettled,
-      ...[...sessions.values()].map(({ runner }) => runner),
-    ];
-    return runners.some(({ occupants }) => occupants.has(key));
-  }
-
-  /**
-   * Ends runs that are recorded as active but are on no runner, for example after
-   * a record could not be written. Otherwise they would stay active until the
-   * next leader change.
-   */
-  function checkRecordedRuns(): void {
-    const nowMs = clock.now();
-    if (nowMs < nextRunCheckMs) return;
-    nextRunCheckMs = nowMs + RUN_CHECK_PERIOD_MS;
-    const found = new Set<string>();
-    const lost: RunView[] = [];
-    for (const active of listActiveRuns()) {
-      const key = formatRun(active.task, active.run);
-      const session = sessions.get(active.life);
-      if (session?.runner.occupants.has(key) || isOnOther(key)) continue;
-      found.add(key);
-      if (unmatchedKeys.has(key)) lost.push(active);
-    }
-    unmatchedKeys = found;
-    if (lost.length === 0) return;
-    logger.error("Recorded runs without a runner", {
-      runs: lost.map(({ task, run }) => formatRun(task, run)),
-    });
-    void endRuns(lost, "lost");
-  }
-
   return {
     runnersByPool,
     health,
@@ -361,13 +212,13 @@
     announceRunner: announcements.announceRunner,
     applyRunner: announcements.applyRunner,
     removeRunner,
-    restore: restoreRuns,
+    restore: recordedRuns.restoreRuns,
     checkRuns() {
       checkLeases();
-      checkRecordedRuns();
+      recordedRuns.checkRecordedRuns();
     },
     stop() {
-      isStopped = true;
+      recordedRuns.stop();
       pollReplies.stop();
       announcements.stop();
       withdrawals.stop();
