Keep the common causes of crashes in a module of their own

The look for runners that have gone away together, with the recent crashes that only it uses, moved from crash_recorder.ts to common_causes.ts.

--- a/src/workload/crash_recorder.ts
+++ b/src/workload/crash_recorder.ts
@@ -6,13 +6,14 @@
 
 import type { Clock, Logger } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
+import { createCommonCauses } from "./common_causes.ts";
 import {
   findCrashSuspects,
   hasSurvivedStart,
   LATE_CRASH_WINDOW_MS,
   START_CRASH_WINDOW_MS,
 } from "./crash_suspects.ts";
-import type { Occupant, Runner } from "./runner_table.ts";
+import type { Runner } from "./runner_table.ts";
 import { formatTask, type TaskRef, type WorkRecord } from "./types.ts";
 import {
   countCrashes,
@@ -22,15 +23,6 @@
   type WorkState,
 } from "./work_state.ts";
 
-/** Time between the last replies of runners within which they went away together, in milliseconds; longer than a long poll. */
-const COMMON_CAUSE_MS = 2_000;
-
-/** Time for which a crash may belong to that of another runner, in milliseconds; runners are back at different times. */
-const RECENT_CRASH_MS = 15_000;
-
-/** Share of a pool's runners that may be away with a runner, without a common cause. */
-const COMMON_CAUSE_SHARE = 0.1;
-
 /** Options of the recorder. */
 export interface CrashRecorderOptions {
   clock: Clock;
@@ -61,15 +53,6 @@
   recordFormerCrash(life: string, suspects: readonly TaskRef[]): Promise<void>;
 }
 
-/** A crash of which this leader has learned. */
-interface RecentCrash {
-  readonly life: string;
-  readonly pool: string;
-  readonly atMs: number;
-  readonly lastReplyMs: number | undefined;
-  readonly occupants: readonly Occupant[];
-}
-
 /** Returns the time after its start in which a task may crash its runner, in milliseconds. */
 export function getCrashWindow(task: TaskState | undefined): number {
   return isLateSuspect(task) ? LATE_CRASH_WINDOW_MS : START_CRASH_WINDOW_MS;
@@ -80,7 +63,7 @@
   options: CrashRecorderOptions,
 ): CrashRecorder {
   const { clock, logger, metrics, state } = options;
-  let recent: RecentCrash[] = [];
+  const commonCauses = createCommonCauses(options);
   /** Tasks suspected of crashes that may turn out not to have happened, by incarnation; undefined until they are read from the state. */
   let blamed: Map<string, readonly TaskRef[]> | undefined;
 
@@ -101,37 +84,6 @@
     ]);
   }
 
-  /**
-   * Tells whether so many other runners have gone away as well that there is a common
-   * cause; without those on which a job of this one was, which may crash several.
-   */
-  function hasCommonCause(
-    runner: Runner,
-    occupants: readonly Occupant[],
-  ): boolean {
-    const { pool, address } = runner.entry;
-    const jobs = new Set(occupants.map(({ task }) => task.job));
-    const isRelated = (
-      { lastReplyMs }: Pick<Runner, "lastReplyMs">,
-      others: Iterable<Occupant>,
-    ) =>
-      lastReplyMs !== undefined && runner.lastReplyMs !== undefined &&
-      Math.abs(lastReplyMs - runner.lastReplyMs) < COMMON_CAUSE_MS &&
-      ![...others].some(({ task }) => jobs.has(task.job));
-    const runners = options.listRunners().filter(({ entry }) =>
-      entry.pool === pool && entry.address !== address
-    );
-    const away = runners.filter((other) =>
-      (other.isUnresponsive || other.isLost) &&
-      isRelated(other, [...other.occupants.values(), ...other.lostOccupants])
-    );
-    const crashed = recent.filter((other) =>
-      other.pool === pool && other.life !== runner.life &&
-      isRelated(other, other.occupants)
-    );
-    return away.length + crashed.length > runners.length * COMMON_CAUSE_SHARE;
-  }
-
   /** Lists the tasks that the state suspects of crashes, by incarnation. */
   function listBlamed(): Map<string, TaskRef[]> {
     const found = new Map<string, TaskRef[]>();
@@ -154,13 +106,13 @@
   ): Promise<void> {
     const { life, lastReplyMs } = runner;
     const nowMs = clock.now();
-    recent = recent.filter(({ atMs }) => nowMs - atMs < RECENT_CRASH_MS);
+    commonCauses.removeExpired(nowMs);
     const blamedBefore = getBlamed().get(life);
     const occupants = [...runner.lostOccupants, ...runner.occupants.values()];
     const found = findCrashSuspects({
       occupants,
       lastReplyMs,
-      hasCommonCause: () => hasCommonCause(runner, occupants),
+      hasCommonCause: () => commonCauses.hasCommonCause(runner, occupants),
     });
     // A crash that was recorded when the lease ended counts since.
     const isKnown = isConfirmed && blamedBefore !== undefined;
@@ -168,7 +120,7 @@
     const lateSuspects = isKnown ? [] : found.late.filter(isOpen);
     if (isConfirmed) {
       const { pool } = runner.entry;
-      recent.push({ life, pool, atMs: nowMs, lastReplyMs, occupants });
+      commonCauses.add({ life, pool, atMs: nowMs, lastReplyMs, occupants });
     }
     // A job that is given up stays so, also if the runner was only cut off.
     const isSingleJob = isConfirmed && found.isSingleJob;
