--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -2,107 +2,37 @@
  * Tracks the runners and their runs during one leadership. Each runner is polled
  * continuously, and the runs that it lists are compared with the recorded ones.
  * An incarnation of a runner is closed when a newer one registers or when it
- * leaves. When its lease ends without contact, its runs count as lost.
+ * leaves. When its lease ends without contact, its runs count as lost. Each of these
+ * parts is a module of its own; this one connects them, and starts a driver for each
+ * incarnation.
  */
 
-import {
-  type Clock,
-  computeSmallerResources,
-  isSameAmount,
-  type Logger,
-  wait,
-} from "../common/mod.ts";
+import type { Clock, Logger } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
-import {
-  MAX_ORDER_DELAY_MS,
-  RUNNER_CLOCK_MIN_RATE,
-  RUNNER_LEASE_MS,
-} from "./constants.ts";
-import { createCrashRecorder, getCrashWindow } from "./crash_recorder.ts";
+import { createClosings } from "./closings.ts";
+import { MAX_ORDER_DELAY_MS } from "./constants.ts";
+import { createCrashRecorder } from "./crash_recorder.ts";
+import { createFleetRuns, type FleetRuns } from "./fleet_runs.ts";
 import { createOpenStarts } from "./open_starts.ts";
 import { createPlacedRuns } from "./placed_runs.ts";
+import { createPollReplies } from "./poll_replies.ts";
 import type { RecordQueue } from "./record_queue.ts";
+import { createRecordedRuns } from "./recorded_runs.ts";
 import {
-  type HoldReply,
-  type ListedEnd,
-  type ListedRun,
-  MAX_LISTED_ENDS,
-  type RunnerCalls,
-} from "./runner_calls.ts";
+  createRunnerAnnouncements,
+  type RunnerAnnouncements,
+} from "./runner_announcements.ts";
+import type { RunnerCalls } from "./runner_calls.ts";
 import { createRemovals } from "./removals.ts";
-import { type RunnerDriver, startRunnerDriver } from "./runner_driver.ts";
+import { startRunnerDriver } from "./runner_driver.ts";
 import type { RunnerHealth } from "./runner_health.ts";
-import {
-  addOccupant,
-  createRunner,
-  estimateRunnerClock,
-  formatRun,
-  hasOpenStart,
-  isInFlight,
-  isStartPending,
-  type Occupant,
-  recordLease,
-  removeOccupant,
-  type Runner,
-} from "./runner_table.ts";
-import {
-  formatIncarnation,
-  formatStep,
-  formatTask,
-  getRunnerId,
-  isSameRunner,
-  type RunnerEntry,
-  type RunOutcome,
-  type TaskRef,
-  type WorkRecord,
-} from "./types.ts";
+import { createRunnerSessions, type Session } from "./runner_sessions.ts";
+import { createRunner, type Runner } from "./runner_table.ts";
+import type { RunnerEntry, WorkRecord } from "./types.ts";
 import { createWithdrawals } from "./withdrawals.ts";
-import {
-  countCrashes,
-  isOpenEnd,
-  isOpenJob,
-  TASK_STATUS,
-  type WorkState,
-} from "./work_state.ts";
+import type { WorkState } from "./work_state.ts";
 import type { WorkspaceUsageTracker } from "./workspace_use.ts";
 
-/** Time without progress after which a run counts as stuck, in milliseconds; about three polls. */
-const STALL_MS = 2_000;
-
-/** The same for a member of a gang, which waits for the other members. */
-const GANG_STALL_MS = 4_000;
-
-/** Time between two checks of the recorded runs, in milliseconds; longer than recording an end takes. */
-const RUN_CHECK_PERIOD_MS = 2_000;
-
-/**
- * Number of first polls that a new leader sends in one turn of the event loop; in a
- * process that has just started they take some 10 ms. Polling all runners at once
- * would delay heartbeats for longer than the election timeout.
- */
-const RESTORE_POLL_BATCH = 8;
-
-/** Pause after each batch of first polls, in milliseconds. */
-const RESTORE_POLL_INTERVAL_MS = 8;
-
-/**
- * Age of an announcement up to which it may enlarge the capacity, in milliseconds. By
- * then a runner has sent its next one, and a shrink in it does not count yet: that
- * takes its contact time of 3 s and one heartbeat of 1.5 s.
- */
-const MAX_GROWTH_DELAY_MS = 2_000;
-
-/** An announcement that a runner sends. */
-export interface RunnerAnnouncement {
-  readonly entry: RunnerEntry;
-  /** Increases with each announcement of one incarnation. */
-  readonly sequence: number;
-  /** Minimum time until a draining runner leaves, in milliseconds. */
-  readonly remainingMs: number;
-  /** Time of the runner's own clock when it was sent, in milliseconds; undefined if unknown. */
-  readonly clockMs?: number;
-}
-
 /** Options of the fleet. */
 export interface RunnerFleetOptions {
   clock: Clock;
@@ -127,51 +57,22 @@
   handleChange: () => void;
 }
 
-/** One incarnation of a runner and its driver. */
-export interface Session {
-  readonly runner: Runner;
-  readonly driver: RunnerDriver;
-  /** Fencing token of the orders to this incarnation; a higher one follows after a refusal. */
-  fence: number;
-  /** Local time at which this leader began to use it, in milliseconds. */
-  readonly openedMs: number;
-  /** Keys of its listed ends that are not recorded yet; see `formatRun`. */
-  readonly unrecordedEnds: Set<string>;
-}
-
-/** A run and its newest checkpoint. */
-export interface RunView {
-  readonly task: TaskRef;
-  readonly run: number;
-  readonly checkpoint: string;
-}
-
 /** The runners of one leadership. */
-export interface RunnerFleet {
+export interface RunnerFleet extends
+  Pick<
+    FleetRuns,
+    | "assignRun"
+    | "release"
+    | "isWanted"
+    | "endRuns"
+    | "stopRun"
+    | "stopGang"
+    | "stopJob"
+  >,
+  Pick<RunnerAnnouncements, "announceRunner" | "applyRunner"> {
   readonly runnersByPool: ReadonlyMap<string, readonly Runner[]>;
   readonly health: RunnerHealth;
   getSession(life: string): Session | undefined;
-  /** Assigns a run to a runner; returns undefined if the job is unknown. Default: a suspect if its task counts crashes. */
-  assignRun(
-    runner: Runner,
-    task: TaskRef,
-    run: number,
-    occupantState: Occupant["state"],
-    isSuspect?: boolean,
-  ): Occupant | undefined;
-  release(runner: Runner, occupant: Occupant): void;
-  /** Tells whether a run is the current one of an unfinished task. */
-  isWanted(task: TaskRef, run: number): boolean;
-  /** Records the end of those runs that are still current. */
-  endRuns(runs: readonly RunView[], outcome: RunOutcome): Promise<void>;
-  stopRun(session: Session, occupant: Occupant): void;
-  /** Stops all members of one run of a gang. */
-  stopGang(task: TaskRef, run: number): void;
-  /** Stops all runs of a job. */
-  stopJob(id: string): void;
-  announceRunner(announcement: RunnerAnnouncement): Promise<void>;
-  /** Uses the recorded entry of a runner, unless a newer announcement is being recorded. */
-  applyRunner(id: string): void;
   removeRunner(id: string): Promise<void>;
   /** Restores the runners and runs from the recorded state; called once. */
   restore(): void;
@@ -182,17 +83,19 @@
 
 /** Creates a fleet without runners. */
 export function createRunnerFleet(options: RunnerFleetOptions): RunnerFleet {
-  const { clock, logger, metrics, state, workspaces } = options;
-  const sessions = new Map<string, Session>();
-  /** Closed incarnations with runs that the next incarnation may still start. */
-  const unsettled = new Set<Runner>();
+  const { clock, logger } = options;
+  const runnerSessions = createRunnerSessions();
+  const { sessions, runnersByPool, listPool, findSessionById } = runnerSessions;
   const openStarts = createOpenStarts();
   const placedRuns = createPlacedRuns();
-  /** Numbers of withdrawn runs whose end is not recorded yet, by task, or by step for a gang. */
-  const withdrawn = new Map<string, number>();
-  /** Local time at which the newest incarnation of a runner id was closed, in milliseconds. */
-  const closedMs = new Map<string, number>();
-  const runnersByPool = new Map<string, Runner[]>();
+  const runs = createFleetRuns({
+    ...options,
+    sessions,
+    openStarts,
+    placedRuns,
+  });
+  const { assignRun, release, isWanted, endRuns, stopRun, stopGang, stopJob } =
+    runs;
   const health = options.createHealth(listPool);
   const crashes = createCrashRecorder({
     ...options,
@@ -202,134 +105,40 @@
     ...options,
     findRunner: (id) => findSessionById(id)?.runner,
   });
+  const closings = createClosings({
+    ...options,
+    runnerSessions,
+    openStarts,
+    runs,
+    crashes,
+    withdrawals,
+  });
+  const { closeIncarnation, closeLeft, checkLeases } = closings;
   const removals = createRemovals<Session>({ ...options, close: closeLeft });
-  let isStopped = false;
-
-  function listPool(pool: string): Runner[] {
-    let list = runnersByPool.get(pool);
-    if (list === undefined) runnersByPool.set(pool, list = []);
-    return list;
-  }
-
-  function findSessionById(id: string): Session | undefined {
-    for (const session of sessions.values()) {
-      if (session.runner.entry.id === id) return session;
-    }
-    return undefined;
-  }
-
-  function assignRun(
-    runner: Runner,
-    task: TaskRef,
-    run: number,
-    occupantState: Occupant["state"],
-    isSuspect = false,
-  ): Occupant | undefined {
-    const job = state.getJob(task.job);
-    const resources = job?.spec.steps[task.step]?.resources;
-    if (job === undefined || resources === undefined) return undefined;
-    const key = formatRun(task, run);
-    const known = runner.occupants.get(key);
-    if (known !== undefined) return known;
-    workspaces.add(job.spec.workspace, resources);
-    const occupant = addOccupant(
-      runner,
-      {
-        task,
-        run,
-        resources,
-        isSuspect: isSuspect || countCrashes(state.getTask(task)) > 0,
-        crashWindowMs: getCrashWindow(state.getTask(task)),
-      },
-      occupantState,
-      clock.now(),
-    );
-    if (occupantState === "planned") placedRuns.add({ runner, occupant });
-    return occupant;
-  }
-
-  function removeRun(runner: Runner, occupant: Occupant): boolean {
-    if (!removeOccupant(runner, occupant.key)) return false;
-    placedRuns.remove(occupant);
-    const job = state.getJob(occupant.task.job);
-    workspaces.remove(job?.spec.workspace, occupant.resources);
-    return true;
-  }
-
-  function release(runner: Runner, occupant: Occupant): void {
-    if (!removeRun(runner, occupant)) return;
-    const { task, run, openStartMs: sentMs } = occupant;
-    if (sentMs === undefined || !hasOpenStart(occupant, clock.now())) return;
-    openStarts.add({ runnerId: runner.entry.id, task, run, sentMs });
-  }
-
-  function isOpen(id: string): boolean {
-    const job = state.getJob(id);
-    return job !== undefined && isOpenJob(job);
-  }
-
-  function isRecordedActive(task: TaskRef, run: number): boolean {
-    const recorded = state.getTask(task);
-    return recorded !== undefined && recorded.run === run &&
-      recorded.status === TASK_STATUS.active;
-  }
-
-  function isWanted(task: TaskRef, run: number): boolean {
-    return isOpen(task.job) && isRecordedActive(task, run);
-  }
-
-  function createEnd(
-    { task, run, checkpoint }: RunView,
-    outcome: RunOutcome,
-  ): WorkRecord {
-    const atMs = clock.wallTime();
-    return { kind: "end", task, run, outcome, checkpoint, atMs };
-  }
-
-  async function endRuns(
-    runs: readonly RunView[],
-    outcome: RunOutcome,
-  ): Promise<void> {
-    const records = runs
-      .filter(({ task, run }) => isRecordedActive(task, run))
-      .map((view) => createEnd(view, outcome));
-    if (records.length === 0) return;
-    await options.record(records);
-    options.handleChange();
-  }
-
-  function stopRun(session: Session, occupant: Occupant): void {
-    if (occupant.state === "stopping") return;
-    occupant.state = "stopping";
-    void session.driver.runStop(occupant).then((isAnswered) => {
-      if (!isAnswered) return;
-      occupant.stoppedMs = clock.now();
-      // A run that never started has no end, so the pending long poll would not
-      // return for it.
-      const isOpen = !occupant.isListed &&
-        session.runner.occupants.has(occupant.key);
-      if (isOpen) session.driver.startPoll();
-    });
-  }
-
-  /** Stops the matching runs for which a start was sent. */
-  function stopRuns(fits: (occupant: Occupant) => boolean): void {
-    for (const session of sessions.values()) {
-      for (const occupant of [...session.runner.occupants.values()]) {
-        const isOrdered = occupant.state !== "planned";
-        if (isOrdered && fits(occupant)) stopRun(session, occupant);
-      }
-    }
-  }
-
-  function stopGang(task: TaskRef, run: number): void {
-    const step = formatStep(task);
-    stopRuns((other) => other.run === run && formatStep(other.task) === step);
-  }
-
-  function stopJob(id: string): void {
-    stopRuns(({ task }) => task.job === id);
-  }
+  const pollReplies = createPollReplies({
+    ...options,
+    placedRuns,
+    runs,
+    health,
+    crashes,
+  });
+  const announcements = createRunnerAnnouncements({
+    ...options,
+    runnerSessions,
+    withdrawals,
+    closings,
+    startSession,
+    isJustRecorded,
+  });
+  const recordedRuns = createRecordedRuns({
+    ...options,
+    runnerSessions,
+    runs,
+    closings,
+    crashes,
+    startSession,
+    isJustRecorded,
+  });
 
   function startSession(
     entry: RunnerEntry,
@@ -352,7 +161,7 @@
         maxLeaseMs: options.maxLeaseMs,
         isLeading: options.isLeading,
         handlePollReply: (reply, sentAtMs) =>
-          handlePollReply(session, reply, sentAtMs),
+          pollReplies.handlePollReply(session, reply, sentAtMs),
         handleOtherIncarnation: (hasSameId) =>
           void closeIncarnation(
             session,
@@ -372,373 +181,6 @@
     return session;
   }
 
-  /** Releases all runs of a runner but those that still have to wait, and returns them. */
-  function releaseSettled(
-    runner: Runner,
-    isPending: (occupant: Occupant, nowMs: number) => boolean,
-  ): Occupant[] {
-    const nowMs = clock.now();
-    const settled = [...runner.occupants.values()].filter((occupant) =>
-      !isPending(occupant, nowMs)
-    );
-    for (const occupant of settled) release(runner, occupant);
-    return settled;
-  }
-
-  /** Stops a run that a start for a former incarnation may begin on this one. */
-  function stopFormerRun(
-    session: Session,
-    { task, run, checkpoint }: RunView,
-    sentMs: number | undefined,
-  ): void {
-    const occupant = assignRun(session.runner, task, run, "running");
-    if (occupant === undefined) return;
-    occupant.checkpoint = checkpoint;
-    occupant.orderSentMs = sentMs;
-    occupant.openStartMs = sentMs;
-    occupant.isUncertain = true;
-    occupant.isInherited = true;
-    stopRun(session, occupant);
-  }
-
-  /** Takes over the runs that a former incarnation may have left to this one, and stops them. */
-  function stopUnsettled(session: Session): void {
-    const { runner } = session;
-    for (const former of unsettled) {
-      if (former.entry.id !== runner.entry.id) continue;
-      unsettled.delete(former);
-      for (const occupant of [...former.occupants.values()]) {
-        removeRun(former, occupant);
-        stopFormerRun(session, occupant, occupant.orderSentMs);
-      }
-      // The lease in such an order is a time on the clock of the former
-      // incarnation, so this one may have granted its maximum.
-      recordLease(runner, clock.now(), options.maxLeaseMs);
-    }
-    openStarts.removeExpired(clock.now());
-    for (const { task, run, sentMs } of openStarts.remove(runner.entry.id)) {
-      stopFormerRun(session, { task, run, checkpoint: "" }, sentMs);
-    }
-  }
-
-  /**
-   * Closes an incarnation. Its runs end as lost, so that their tasks can run
-   * elsewhere, except those that the next incarnation may still start.
-   */
-  async function closeIncarnation(
-    session: Session,
-    reason: string,
-    { mayReturn, hasCrashed, hasAnswered = false }: {
-      mayReturn: boolean;
-      hasCrashed: boolean;
-      /** True if the next incarnation with its id has answered, but is not registered. */
-      hasAnswered?: boolean;
-    },
-  ): Promise<void> {
-    const { runner } = session;
-    if (runner.isClosed) return;
-    runner.isClosed = true;
-    // Its runs are still there, and tell what may have caused the crash.
-    const crashRecorded = hasCrashed && !runner.entry.isDraining
-      ? crashes.recordCrash(runner)
-      : undefined;
-    session.driver.stop();
-    sessions.delete(runner.life);
-    closedMs.set(runner.entry.id, clock.now());
-    const list = listPool(runner.entry.pool);
-    list.splice(list.indexOf(runner), 1);
-    options.calls.release(runner.entry.address);
-    if (hasAnswered) withdrawals.start(runner.entry);
-    const lost = mayReturn
-      ? releaseSettled(runner, isStartPending)
-      : [...runner.occupants.values()];
-    for (const occupant of lost) release(runner, occupant);
-    const successor = findSessionById(runner.entry.id);
-    logger.info("Runner incarnation closed", {
-      runner: runner.life,
-      reason,
-      runs: lost.length,
-      unsettledRuns: runner.occupants.size,
-      successor: successor?.runner.life,
-    });
-    if (runner.occupants.size > 0) unsettled.add(runner);
-    if (successor !== undefined) stopUnsettled(successor);
-    // Before the ends, so that no task starts again before its crash counts.
-    await crashRecorded;
-    await Promise.all([
-      endRuns(lost, "lost"),
-      // While runs are unsettled, the incarnation stays recorded, so that the next
-      // leader waits for them as well.
-      unsettled.has(runner) ? undefined : recordGone(runner),
-    ]);
-  }
-
-  /** Closes an incarnation that has left; `hasNext` tells whether its next one has answered. */
-  function closeLeft(session: Session, hasNext = false): Promise<void> {
-    return closeIncarnation(session, "runner left", {
-      mayReturn: true,
-      hasCrashed: false,
-      hasAnswered: hasNext,
-    });
-  }
-
-  async function recordGone(runner: Runner): Promise<void> {
-    const atMs = clock.wallTime();
-    await options.record([{ kind: "runnerGone", life: runner.life, atMs }]);
-  }
-
-  /** Ends the runs of a runner without contact whose start can no longer arrive, and returns them. */
-  function endSettled(
-    runner: Runner,
-    isPending: (occupant: Occupant, nowMs: number) => boolean,
-  ): Occupant[] {
-    const lost = releaseSettled(runner, isPending);
-    if (lost.length === 0) return lost;
-    logger.info("Starts without a reply have expired", {
-      runner: runner.life,
-      runs: lost.map(({ key }) => key),
-    });
-    void endRuns(lost, "lost");
-    return lost;
-  }
-
-  /** Ends runs without contact to their runner once their start can no longer arrive. */
-  function checkUnsettled(): void {
-    for (const [id, atMs] of closedMs) {
-      if (!isInFlight(atMs, clock.now())) closedMs.delete(id);
-    }
-    for (const { runner } of sessions.values()) {
-      if (!runner.isLost) continue;
-      runner.lostOccupants.push(...endSettled(runner, hasOpenStart));
-    }
-    for (const runner of unsettled) {
-      endSettled(runner, isStartPending);
-      if (runner.occupants.size > 0) continue;
-      unsettled.delete(runner);
-      void recordGone(runner);
-    }
-  }
-
-  /**
-   * Handles the end of a lease without contact: the runner has stopped all its runs,
-   * but its next incarnation may still start some of them.
-   */
-  async function handleLeaseEnd(session: Session): Promise<void> {
-    const { runner } = session;
-    runner.isLost = true;
-    const lost = releaseSettled(runner, hasOpenStart);
-    runner.lostOccupants = lost;
-    logger.warn("Runner lease ended without contact", {
-      runner: runner.life,
-      runs: lost.length,
-      unsettledRuns: runner.occupants.size,
-      sinceContactMs: runner.contactMs === undefined
-        ? undefined
-        : Math.round(clock.now() - runner.contactMs),
-    });
-    // It may have crashed. Before the ends, as in closeIncarnation.
-    if (!runner.entry.isDraining) await crashes.recordLeaseEnd(runner);
-    await endRuns(lost, "lost");
-  }
-
-  /**
-   * Tells whether a draining incarnation has been without contact for so long that it
-   * must have left, as its removal did not arrive or a former leader received it. If it
-   * was only cut off, it announces itself again.
-   */
-  function hasLeftUnnoticed({ runner, openedMs }: Session): boolean {
-    const nowMs = clock.now();
-    const isSilent = runner.isLost ||
-      (runner.contactMs === undefined && nowMs > runner.leaseEndMs &&
-        nowMs - openedMs > RUNNER_LEASE_MS);
-    return runner.entry.isDraining && isSilent;
-  }
-
-  /**
-   * Withdraws the run that is to repeat a run which was given up, but is done, unless a
-   * start of it may have been sent. Returns its number, also if it was withdrawn before.
-   */
-  function withdrawRepetition({ task, run }: ListedEnd): number | undefined {
-    const step = state.getJob(task.job)?.spec.steps[task.step];
-    const recorded = state.getTask(task);
-    const mayRepeat = step?.longRunning === false && recorded !== undefined &&
-      recorded.status !== TASK_STATUS.done && !isRecordedActive(task, run);
-    if (!mayRepeat) return undefined;
-    // One end is that of the whole gang.
-    const key = step.gang ? formatStep(task) : formatTask(task);
-    const unsent = placedRuns.findUnsent(task, run, step.gang);
-    const [first] = unsent;
-    if (first === undefined) {
-      const known = withdrawn.get(key);
-      return known !== undefined && known > run ? known : undefined;
-    }
-    for (const { runner, occupant } of unsent) release(runner, occupant);
-    withdrawn.set(key, first.occupant.run);
-    logger.info("Starts withdrawn, as an earlier run is done", {
-      run: formatRun(task, run),
-      withdrawn: unsent.map(({ occupant }) => occupant.key),
-    });
-    return first.occupant.run;
-  }
-
-  /**
-   * Handles a listed end; returns what to record of it. After the end of a lease
-   * without contact, the failure of a run that was given up is no attempt any more.
-   */
-  function handleEnd(
-    { runner }: Session,
-    end: ListedEnd,
-    wasLost: boolean,
-  ): WorkRecord[] {
-    const { task, run, outcome } = end;
-    const occupant = runner.occupants.get(formatRun(task, run));
-    if (occupant !== undefined) release(runner, occupant);
-    if (outcome === "done") {
-      health.recordSuccess(runner, occupant);
-    } else if (outcome === "failed") {
-      health.recordFailure(runner, task.job);
-    }
-    const recorded = state.getTask(task);
-    const hasLapsed = wasLost && occupant === undefined && outcome === "failed";
-    const isCurrent = recorded !== undefined && !hasLapsed &&
-      isOpenEnd(recorded, run, outcome);
-    metrics?.addCount("run_ends_total", { outcome });
-    // Most runs end as planned; the log line of their job is enough.
-    const level = isCurrent && outcome === "done" ? "debug" : "info";
-    logger[level]("Run ended", {
-      run: formatRun(task, run),
-      runner: runner.life,
-      outcome,
-      isCurrent,
-      ranMs: occupant === undefined
-        ? undefined
-        : Math.round(clock.now() - occupant.plannedMs),
-    });
-    const records = isCurrent ? [createEnd(end, outcome)] : [];
-    const next = outcome === "done" ? withdrawRepetition(end) : undefined;
-    // The start of the next run may be recorded before this end, or not at all: exactly
-    // one of the two ends counts.
-    if (next !== undefined) {
-      records.push(createEnd({ ...end, run: next }, outcome));
-    }
-    return records;
-  }
-
-  function handleListedRun(session: Session, listed: ListedRun): void {
-    const { runner } = session;
-    const { task, run } = listed;
-    const nowMs = clock.now();
-    let occupant = runner.occupants.get(formatRun(task, run));
-    if (occupant === undefined) {
-      occupant = assignRun(runner, task, run, "running");
-      if (occupant === undefined) return;
-    }
-    occupant.isListed = true;
-    occupant.isExecuted = true;
-    occupant.confirmedMs ??= nowMs;
-    occupant.checkpoint = listed.checkpoint;
-    if (listed.percent > occupant.progress) {
-      occupant.progress = listed.percent;
-      occupant.progressMs = nowMs;
-    }
-    if (occupant.state === "planned") return;
-    if (!isWanted(task, run)) return stopRun(session, occupant);
-    if (occupant.state === "starting") occupant.state = "running";
-    const step = state.getJob(task.job)?.spec.steps[task.step];
-    const limitMs = step?.gang === true ? GANG_STALL_MS : STALL_MS;
-    const isStuck = listed.percent < 100 && step?.longRunning !== true &&
-      nowMs - Math.max(occupant.progressMs, occupant.confirmedMs) > limitMs;
-    if (!isStuck || occupant.state === "stopping") return;
-    logger.warn("Run makes no progress", {
-      run: occupant.key,
-      runner: runner.life,
-      percent: listed.percent,
-      sinceMs: Math.round(nowMs - occupant.progressMs),
-    });
-    // One stuck member blocks its whole gang, so the runner at fault is unknown.
-    if (step?.gang === true) return stopGang(task, run);
-    health.suspendRunner(runner, "a run makes no progress");
-    stopRun(session, occupant);
-  }
-
-  async function handlePollReply(
-    session: Session,
-    reply: HoldReply & { outcome: "accepted" },
-    sentAtMs: number,
-  ): Promise<void> {
-    const { runner } = session;
-    if (isStopped || !options.isLeading() || runner.isClosed) return;
-    const wasLost = runner.isLost;
-    if (wasLost) {
-      runner.isLost = false;
-      runner.lostOccupants = [];
-      logger.info("Runner responds again", { runner: runner.life });
-    }
-    void crashes.recordReply(runner);
-    // It gets its next lease once the listed ends are recorded; until then it would
-    // seem to end again, with runs that are being started.
-    const repliedMs = clock.now();
-    if (repliedMs > runner.leaseEndMs) {
-      recordLease(runner, repliedMs, RUNNER_LEASE_MS);
-    }
-    const listedKeys = new Set<string>();
-    const records: WorkRecord[] = [];
-    const endedKeys: string[] = [];
-    let newest = runner.recordedEnds;
-    for (const end of reply.ended) {
-      listedKeys.add(formatRun(end.task, end.run));
-      if (end.number <= runner.recordedEnds) continue;
-      newest = Math.max(newest, end.number);
-      const found = handleEnd(session, end, wasLost);
-      if (found.length === 0) continue;
-      records.push(...found);
-      endedKeys.push(formatRun(end.task, end.run));
-    }
-    // Replies on different connections may arrive out of order.
-    const isNewest = sentAtMs >= runner.pollSentMs;
-    runner.pollSentMs = Math.max(runner.pollSentMs, sentAtMs);
-    for (const listed of isNewest ? reply.running : []) {
-      listedKeys.add(formatRun(listed.task, listed.run));
-      handleListedRun(session, listed);
-    }
-    for (const slow of isNewest ? health.checkSpeed(runner) : []) {
-      stopRun(session, slow);
-    }
-    const lost: Occupant[] = [];
-    // In a full list, the end of a run may be missing. The next poll follows as soon as
-    // these ends are recorded, and lists the others.
-    const isComplete = isNewest && reply.ended.length < MAX_LISTED_ENDS;
-    for (const occupant of isComplete ? [...runner.occupants.values()] : []) {
-      if (listedKeys.has(occupant.key)) continue;
-      const isOver = occupant.state === "stopping"
-        ? occupant.stoppedMs !== undefined && occupant.stoppedMs <= sentAtMs
-        : occupant.state === "running" && occupant.confirmedMs !== undefined &&
-          occupant.confirmedMs <= sentAtMs;
-      if (!isOver) continue;
-      release(runner, occupant);
-      lost.push(occupant);
-    }
-    if (lost.length > 0) {
-      logger.info("Runs missing on their runner", {
-        runner: runner.life,
-        runs: lost.map(({ key }) => key),
-      });
-      void endRuns(lost, "lost");
-    }
-    options.handleChange();
-    if (newest === runner.recordedEnds) return;
-    for (const key of endedKeys) session.unrecordedEnds.add(key);
-    // The runner may only drop an end once it is recorded here.
-    if (records.length > 0 && !await options.record(records)) return;
-    for (const key of endedKeys) session.unrecordedEnds.delete(key);
-    for (const { task } of records.length > 0 ? reply.ended : []) {
-      withdrawn.delete(formatTask(task));
-      withdrawn.delete(formatStep(task));
-    }
-    runner.recordedEnds = Math.max(runner.recordedEnds, newest);
-    options.handleChange();
-  }
-
   /**
    * Tells whether orders that were sent by a recorded wall time may still be on their
    * way. The time is of another instance, whose clock may be ahead.
@@ -748,140 +190,6 @@
       Math.abs(clock.wallTime() - atMs) < MAX_ORDER_DELAY_MS;
   }
 
-  /** Tells whether a newer runner has taken over the id or the address, so that an announcement is late. */
-  function hasNewerRunner({ id, address, startedMs }: RunnerEntry): boolean {
-    // A closed one stays recorded while it has unsettled runs.
-    const recorded = state.getRunner(id);
-    if (recorded !== undefined && recorded.startedMs > startedMs) return true;
-    return [...sessions.values()].some(({ runner: { entry } }) =>
-      (entry.id === id || entry.address === address) &&
-      entry.startedMs > startedMs
-    );
-  }
-
-  /**
-   * Tells whether an announcement was delayed for so long that newer ones must have
-   * been sent. This leader sees none that are like the recorded one, so the sequence
-   * numbers do not tell.
-   */
-  function isLateAnnouncement(
-    runner: Runner,
-    { clockMs }: RunnerAnnouncement,
-  ): boolean {
-    if (clockMs === undefined) return false;
-    const runnerMs = estimateRunnerClock(runner, clock.now());
-    // Without a reading, nothing is placed on the runner anyway.
-    return runnerMs === undefined || runnerMs - clockMs > MAX_GROWTH_DELAY_MS;
-  }
-
-  /**
-   * Uses the recorded entry of a runner once it matches its newest announcement. Its
-   * record may be applied although the reply to it was lost.
-   */
-  function applyRunner(id: string): void {
-    const runner = findSessionById(id)?.runner;
-    const recorded = state.getRunner(id);
-    if (runner === undefined || recorded === undefined) return;
-    if (isSameRunner(recorded, runner.announced)) runner.entry = recorded;
-  }
-
-  /** Records what a known incarnation newly announces; a late growth is left out. */
-  async function updateRunner(
-    runner: Runner,
-    announcement: RunnerAnnouncement,
-  ): Promise<void> {
-    const { sequence } = announcement;
-    if (sequence < runner.sequence) return;
-    runner.sequence = sequence;
-    const entry = isLateAnnouncement(runner, announcement)
-      ? {
-        ...announcement.entry,
-        capacity: computeSmallerResources(
-          runner.entry.capacity,
-          announcement.entry.capacity,
-        ),
-      }
-      : announcement.entry;
-    const recorded = state.getRunner(entry.id);
-    const isRecorded = recorded !== undefined && isSameRunner(recorded, entry);
-    if (isRecorded && isSameRunner(runner.entry, entry)) return;
-    const former = runner.entry.capacity;
-    // A shrink counts at once, but a growth only once the next leader knows it:
-    // otherwise that one could find more in use than there is capacity.
-    const capacity = computeSmallerResources(former, entry.capacity);
-    runner.entry = { ...entry, capacity };
-    runner.announced = entry;
-    if (!isRecorded) {
-      const isSameLife = recorded !== undefined &&
-        formatIncarnation(recorded) === runner.life;
-      const returnedMs = isSameLife ? recorded.returnedMs : undefined;
-      await options.queue.record([{
-        kind: "runner",
-        runner: { ...entry, sequence, returnedMs },
-      }]);
-    }
-    applyRunner(entry.id);
-    logger.info("Runner changed", {
-      runner: runner.life,
-      draining: entry.isDraining,
-      ...(isSameAmount(former, entry.capacity)
-        ? {}
-        : { formerCapacity: former, capacity: entry.capacity }),
-    });
-    options.handleChange();
-  }
-
-  async function announceRunner(
-    announcement: RunnerAnnouncement,
-  ): Promise<void> {
-    const { entry, sequence } = announcement;
-    const life = formatIncarnation(entry);
-    const announcedMs = clock.now();
-    const known = findSessionById(entry.id);
-    if (known?.runner.life === life) {
-      return await updateRunner(known.runner, announcement);
-    }
-    if (hasNewerRunner(entry)) return;
-    const mayReplaceOther = known !== undefined ||
-      isInFlight(closedMs.get(entry.id), announcedMs) ||
-      isJustRecorded(state.getGoneMs(entry.id));
-    if (mayReplaceOther) withdrawals.start(entry);
-    const returnedMs = mayReplaceOther ? clock.wallTime() : undefined;
-    const recorded = { ...entry, sequence, returnedMs };
-    await options.queue.record([{ kind: "runner", runner: recorded }]);
-    if (isStopped) return;
-    const registered = sessions.get(life);
-    if (registered !== undefined) {
-      // Another announcement has registered it meanwhile.
-      return await updateRunner(registered.runner, announcement);
-    }
-    if (hasNewerRunner(entry)) return;
-    logger.info("Runner registered", {
-      runner: life,
-      address: entry.address,
-      pool: entry.pool,
-    });
-    const session = startSession(recorded, announcedMs, {
-      fence: options.createFencingToken(),
-    });
-    session.runner.mayHoldFormerLease = mayReplaceOther ||
-      isInFlight(closedMs.get(entry.id), announcedMs);
-    stopUnsettled(session);
-    for (const other of [...sessions.values()]) {
-      const { runner } = other;
-      const isFormer = runner !== session.runner &&
-        (runner.entry.id === entry.id ||
-          runner.entry.address === entry.address) &&
-        runner.entry.startedMs <= entry.startedMs;
-      if (!isFormer) continue;
-      const mayReturn = runner.entry.id === entry.id;
-      void closeIncarnation(other, "newer incarnation registered", {
-        mayReturn,
-        hasCrashed: true,
-      });
-    }
-  }
-
   async function removeRunner(id: string): Promise<void> {
     const session = findSessionById(id);
     // A delayed removal of an earlier incarnation must not close the current one.
@@ -890,127 +198,6 @@
     }
   }
 
-  /** Lists the runs that are recorded as active. */
-  function listActiveRuns(): (RunView & { readonly life: string })[] {
-    return [...state.listOpenTasks()]
-      .filter(([, { status }]) => status === TASK_STATUS.active)
-      .map(([task, { run, checkpoint, life }]) => ({
-        task,
-        run,
-        checkpoint,
-        life,
-      }));
-  }
-
-  async function waitForNextBatch(): Promise<void> {
-    await wait(clock, RESTORE_POLL_INTERVAL_MS);
-    await options.waitForTurn?.();
-  }
-
-  function restoreRuns(): void {
-    const nowMs = clock.now();
-    const leaseEndMs = nowMs + RUNNER_LEASE_MS / RUNNER_CLOCK_MIN_RATE;
-    const fence = options.createFencingToken();
-    // Timers set in advance would all be due after a busy moment, and the polls
-    // would run in one turn of the event loop.
-    let firstPoll = Promise.resolve();
-    let started = 0;
-    for (const entry of state.listRunners()) {
-      const { runner } = startSession(entry, leaseEndMs, { fence, firstPoll });
-      if (isJustRecorded(entry.returnedMs)) {
-        // A late poll for the former incarnation may have granted the longest lease, or
-        // may do so until the first poll.
-        runner.mayHoldFormerLease = true;
-        recordLease(runner, nowMs, options.maxLeaseMs);
-      }
-      started += 1;
-      if (started % RESTORE_POLL_BATCH !== 0) continue;
-      firstPoll = firstPoll.then(waitForNextBatch);
-    }
-    void firstPoll.then(() => {
-      if (isStopped) return;
-      logger.info("First polls sent", {
-        runners: state.countRunners(),
-        tookMs: Math.round(clock.now() - nowMs),
-      });
-    });
-    const lost: RunView[] = [];
-    const inherited = new Map<string, TaskRef[]>();
-    for (const active of listActiveRuns()) {
-      const session = sessions.get(active.life) ??
-        findSessionById(getRunnerId(active.life));
-      if (session === undefined) {
-        lost.push(active);
-        continue;
-      }
-      const { runner } = session;
-      const { task, run, life } = active;
-      const occupant = assignRun(runner, task, run, "running");
-      if (occupant !== undefined) {
-        occupant.orderSentMs = nowMs;
-        occupant.isRestored = true;
-        occupant.isInherited = life !== runner.life;
-      }
-      // A start for the former incarnation may have arrived at this one; its first
-      // poll, with the new fencing token, tells.
-      if (life === runner.life) continue;
-      recordLease(runner, nowMs, options.maxLeaseMs);
-      inherited.set(life, [...inherited.get(life) ?? [], task]);
-    }
-    // The former leader may have recorded the next incarnation, but not the crash.
-    for (const [life, tasks] of inherited) {
-      void crashes.recordFormerCrash(life, tasks);
-    }
-    // If neither the incarnation nor a newer one is recorded, it was closed but the
-    // end of its runs had not been recorded yet.
-    void endRuns(lost, "lost");
-  }
-
-  let nextRunCheckMs = 0;
-  let unmatchedKeys = new Set<string>();
-
-  /**
-   * Tells whether a run is unsettled, was taken over by a newer incarnation of its
-   * runner, or has an end that its runner lists until it is recorded.
-   */
-  function isOnOther(key: string): boolean {
-    const isEnding = [...sessions.values()].some(({ unrecordedEnds }) =>
-      unrecordedEnds.has(key)
-    );
-    if (isEnding) return true;
-    const runners = [
-      ...unsettled,
-      ...[...sessions.values()].map(({ runner }) => runner),
-    ];
-    return runners.some(({ occupants }) => occupants.has(key));
-  }
-
-  /**
-   * Ends runs that are recorded as active but are on no runner, for example after
-   * a record could not be written. Otherwise they would stay active until the
-   * next leader change.
-   */
-  function checkRecordedRuns(): void {
-    const nowMs = clock.now();
-    if (nowMs < nextRunCheckMs) return;
-    nextRunCheckMs = nowMs + RUN_CHECK_PERIOD_MS;
-    const found = new Set<string>();
-    const lost: RunView[] = [];
-    for (const active of listActiveRuns()) {
-      const key = formatRun(active.task, active.run);
-      const session = sessions.get(active.life);
-      if (session?.runner.occupants.has(key) || isOnOther(key)) continue;
-      found.add(key);
-      if (unmatchedKeys.has(key)) lost.push(active);
-    }
-    unmatchedKeys = found;
-    if (lost.length === 0) return;
-    logger.error("Recorded runs without a runner", {
-      runs: lost.map(({ task, run }) => formatRun(task, run)),
-    });
-    void endRuns(lost, "lost");
-  }
-
   return {
     runnersByPool,
     health,
@@ -1022,28 +209,18 @@
     stopRun,
     stopGang,
     stopJob,
-    announceRunner,
-    applyRunner,
+    announceRunner: announcements.announceRunner,
+    applyRunner: announcements.applyRunner,
     removeRunner,
-    restore: restoreRuns,
+    restore: recordedRuns.restoreRuns,
     checkRuns() {
-      const nowMs = clock.now();
-      for (const session of [...sessions.values()]) {
-        const { runner } = session;
-        const hasLeaseEnded = !runner.isLost && nowMs > runner.leaseEndMs &&
-          (runner.contactMs !== undefined || runner.occupants.size > 0);
-        if (hasLeaseEnded) {
-          // Ends that were listed before do not count any more.
-          session.unrecordedEnds.clear();
-          void handleLeaseEnd(session);
-        }
-        if (hasLeftUnnoticed(session)) void closeLeft(session);
-      }
-      checkUnsettled();
-      checkRecordedRuns();
+      checkLeases();
+      recordedRuns.checkRecordedRuns();
     },
     stop() {
-      isStopped = true;
+      recordedRuns.stop();
+      pollReplies.stop();
+      announcements.stop();
       withdrawals.stop();
       removals.stop();
       for (const session of sessions.values()) {
