Register a runner whose record is applied although its announcement was refused

What callers would see: a runner that is up and announces itself is neither polled nor used until the next change of leader; with few runners, jobs stay queued.

Cause: an incarnation was registered only by the call that recorded it, once the log replied. If that call fails and the record is applied all the same, every later announcement equals the record, so the log members answer it themselves and none reaches the leader, which has no session for the runner.

Can it occur: the platform's rules don't exclude it, but today's log rejects a proposal that it may still apply only when the leadership of its term ends, and the next leader restores all recorded runners. So this was read, not seen, to be out of reach of the log as it is; the fleet no longer depends on that.

Evidence: "a runner recorded without a reply is used" and the new "a runner recorded after its announcement was refused is used" (the record is applied 50 ms later) failed before, each with expected "completed", actual "queued" and pass now.

Change: the fleet remembers an incarnation whose record failed and registers it as soon as its record is applied, at once if it already is. The caller is still refused, so the runner goes on with the next instance. What an announcement with a reply does is unchanged; its second half is a function now.

Tried and not kept: registering every incarnation when its record is applied, with or without a reply.

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -273,6 +273,33 @@
   t.equal(getJobState(model, "job"), "completed");
 });
 
+// The same, and the record is applied only after the announcement was refused.
+t.test("a runner recorded after its announcement was refused is used", async (t) => {
+  let hasReply = false;
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    isRefused(records) {
+      if (hasReply || records[0]?.kind !== "runner") return false;
+      hasReply = true;
+      model.clock.setTimer(
+        50,
+        () => void model.state.apply(encodeRecords(records), 0),
+      );
+      return true;
+    },
+  });
+  const entry = createRunnerEntry("r1");
+  model.runners.add(entry);
+  const announced = model.getController()
+    .announceRunner({ entry, sequence: 1, remainingMs: 0 })
+    .catch(() => "refused");
+  t.equal(await runCall(model, announced), "refused");
+  t.equal(model.state.getRunner("r1"), undefined);
+  await submitJob(model, "job", { estimatedMs: 100 });
+  await model.run(5_000);
+  t.equal(getJobState(model, "job"), "completed");
+});
+
 // A probe tells of the next incarnation; the one poll that then raises its fencing token
 // is lost, or refused by an unhealthy runner, which has done nothing.
 for (const kind of ["lost", "unhealthy"] as const) {
--- a/src/workload/runner_announcements.ts
+++ b/src/workload/runner_announcements.ts
@@ -66,7 +66,7 @@
 /** Handles the announcements during one leadership. */
 export interface RunnerAnnouncements {
   announceRunner(announcement: RunnerAnnouncement): Promise<void>;
-  /** Uses the recorded entry of a runner, unless a newer announcement is being recorded. */
+  /** Uses the applied record of a runner, unless a newer announcement is being recorded. */
   applyRunner(id: string): void;
   /** Makes announcements that are being recorded register no runner any more. */
   stop(): void;
@@ -80,6 +80,8 @@
     options;
   const { sessions, findSessionById } = options.runnerSessions;
   const { closedMs, stopUnsettled, closeIncarnation } = options.closings;
+  /** Local time of the announcement of each incarnation whose record failed, but may be applied all the same, in milliseconds. */
+  const unconfirmed = new Map<string, number>();
   let isStopped = false;
 
   /** Tells whether a newer runner has taken over the id or the address, so that an announcement is late. */
@@ -109,14 +111,24 @@
   }
 
   /**
-   * Uses the recorded entry of a runner once it matches its newest announcement. Its
-   * record may be applied although the reply to it was lost.
+   * Uses the recorded entry of a runner: registers an incarnation whose record was
+   * applied although the reply to it was lost, and changes a registered one once the
+   * entry matches its newest announcement.
    */
   function applyRunner(id: string): void {
-    const runner = findSessionById(id)?.runner;
     const recorded = state.getRunner(id);
-    if (runner === undefined || recorded === undefined) return;
-    if (isSameRunner(recorded, runner.announced)) runner.entry = recorded;
+    if (isStopped || recorded === undefined) return;
+    const life = formatIncarnation(recorded);
+    const announcedMs = unconfirmed.get(life);
+    unconfirmed.delete(life);
+    const runner = findSessionById(id)?.runner;
+    if (announcedMs !== undefined && runner?.life !== life) {
+      openRunner(recorded, announcedMs);
+    } else if (
+      runner !== undefined && isSameRunner(recorded, runner.announced)
+    ) {
+      runner.entry = recorded;
+    }
   }
 
   /** Records what a known incarnation newly announces; a late growth is left out. */
@@ -182,23 +194,35 @@
     if (mayReplaceOther) withdrawals.start(entry);
     const returnedMs = mayReplaceOther ? clock.wallTime() : undefined;
     const recorded = { ...entry, sequence, returnedMs };
-    await options.queue.record([{ kind: "runner", runner: recorded }]);
+    try {
+      await options.queue.record([{ kind: "runner", runner: recorded }]);
+    } catch (error) {
+      // Once the record is applied, announcements equal it and do not reach this leader.
+      unconfirmed.set(life, announcedMs);
+      applyRunner(entry.id);
+      throw error;
+    }
     if (isStopped) return;
     const registered = sessions.get(life);
     if (registered !== undefined) {
       // Another announcement has registered it meanwhile.
       return await updateRunner(registered.runner, announcement);
     }
+    openRunner(recorded, announcedMs);
+  }
+
+  /** Begins to use a recorded incarnation that has announced itself at `announcedMs`. */
+  function openRunner(entry: RunnerEntry, announcedMs: number): void {
     if (hasNewerRunner(entry)) return;
     logger.info("Runner registered", {
-      runner: life,
+      runner: formatIncarnation(entry),
       address: entry.address,
       pool: entry.pool,
     });
-    const session = startSession(recorded, announcedMs, {
+    const session = startSession(entry, announcedMs, {
       fence: options.createFencingToken(),
     });
-    session.runner.mayHoldFormerLease = mayReplaceOther ||
+    session.runner.mayHoldFormerLease = entry.returnedMs !== undefined ||
       isInFlight(closedMs.get(entry.id), announcedMs);
     stopUnsettled(session);
     for (const other of [...sessions.values()]) {
