Keep the runs of a removed runner that is slow or whose connection breaks

What callers would see: a task runs twice at the same time (TWICE). A draining runner sends its removal and goes on until that is acknowledged. If the look at it before the acknowledgement timed out (a slow runner or link), or failed at once (a broken connection), its runs ended as lost and started elsewhere, while they were still at work there. The removal may also be a late one of a former incarnation; then the runner goes on for long.

Cause: the failure of one call, or of the connection that it was sent on, counted as the end of the incarnation. A broken connection says that only if nothing can be reached over the next one, and silence says it only after the runner has had its acknowledgement.

Change: silence before the acknowledgement ends nothing. The removal is acknowledged, and the runner is watched like one that is known to be slow: closed as soon as calls to it fail at once, another incarnation answers, or its lease ends. A call that fails at once is repeated after 150 ms, and the second one decides. The usual end costs one more poll and 150 ms.

Three tests of incarnations_test.ts and the one about a successor that has left need a former incarnation whose departure is recorded; it leaves there now instead of falling silent, and what they check is the same.

Price: tasks of a runner that falls silent before its removal arrives wait for the end of its lease, up to 6.6 s, and not for 0.7 s.

--- a/src/workload/incarnations_test.ts
+++ b/src/workload/incarnations_test.ts
@@ -121,7 +121,7 @@
   announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
   await model.run(30_000);
   const sendLatePoll = takeLatePoll({});
-  model.runners.crash("r1");
+  model.runners.leave("r1");
   await runCall(model, model.getController().removeRunner("r1"));
   t.equal(model.state.getRunner("r1"), undefined);
   model.changeLeader();
@@ -143,7 +143,7 @@
   announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
   await model.run(30_000);
   const sendLatePoll = takeLatePoll({});
-  model.runners.crash("r1");
+  model.runners.leave("r1");
   await runCall(model, model.getController().removeRunner("r1"));
   model.changeLeader();
   const next = createRunnerEntry("r1", { startedMs: 2 });
@@ -326,7 +326,7 @@
     announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
     await model.run(1_400);
     t.strictSame(listRuns(model), ["job#2@r2"]);
-    model.runners.crash("r1");
+    model.runners.leave("r1");
     await runCall(model, model.getController().removeRunner("r1"));
     t.equal(model.state.getRunner("r1"), undefined);
     if (hasNewLeader) model.changeLeader();
@@ -418,7 +418,7 @@
   await model.run(100);
   const draining = { startedMs: 2, isDraining: true };
   announceRunner(model, createRunnerEntry("r1", draining), 2);
-  model.runners.crash("r1");
+  model.runners.leave("r1");
   await runCall(model, model.getController().removeRunner("r1"));
   await model.addRunner("r2");
   await runUntil(model, fromMs + 9_000);
--- a/src/workload/removals.ts
+++ b/src/workload/removals.ts
@@ -1,8 +1,8 @@
 /**
  * Removes runners that leave. A removal names no incarnation, so it may be a late one of
- * a former incarnation, and a runner that leaves may answer until its removal is
+ * a former incarnation, and a runner that leaves goes on until its removal is
  * acknowledged. So a removed runner is asked first, and watched for some time if it
- * answers.
+ * answers or is silent.
  */
 
 import { type Clock, type Logger, wait } from "../common/mod.ts";
@@ -15,7 +15,7 @@
 import { isOtherIncarnation, type Runner } from "./runner_table.ts";
 
 /**
- * Time for which a runner that answers after its removal is watched, in milliseconds.
+ * Time for which a removed runner that may go on is watched, in milliseconds.
  * It ends once the removal is acknowledged, or some seconds later.
  */
 const REMOVAL_WATCH_MS = 5_000;
@@ -55,12 +55,13 @@
   let isStopped = false;
 
   /**
-   * Asks which incarnation answers, if any; acknowledges and renews nothing. A "silent"
-   * one left the call unanswered, which a slow one does as well.
+   * Asks once which incarnation answers, if any; acknowledges and renews nothing. A
+   * "silent" one left the call unanswered, which a slow one does as well. A "broken" call
+   * has failed at once.
    */
-  async function askIncarnation(
+  async function sendProbe(
     { runner, fence }: Session,
-  ): Promise<"same" | "next" | "none" | "silent"> {
+  ): Promise<"same" | "next" | "none" | "silent" | "broken"> {
     const { id, address } = runner.entry;
     const sentAtMs = clock.now();
     try {
@@ -79,38 +80,60 @@
         error,
       });
       const tookMs = clock.now() - sentAtMs;
-      return tookMs < POLL_TIMEOUT_SLACK_MS ? "none" : "silent";
+      return tookMs < POLL_TIMEOUT_SLACK_MS ? "broken" : "silent";
     }
   }
 
   /**
-   * Closes a removed incarnation unless it still answers; returns whether it is closed.
-   * `isLasting` tells whether it has answered after its removal was acknowledged: then
-   * silence does not show that it has ended, and its lease is waited for.
+   * Asks which incarnation answers, if any. A connection may break while its runner goes
+   * on; where nothing listens any more, the next call fails at once as well.
+   */
+  async function askIncarnation(
+    session: Session,
+  ): Promise<"same" | "next" | "none" | "silent"> {
+    const answer = await sendProbe(session);
+    if (answer !== "broken") return answer;
+    await wait(clock, RETRY_PAUSE_MS);
+    const next = await sendProbe(session);
+    return next === "broken" ? "none" : next;
+  }
+
+  /**
+   * Closes a removed incarnation unless it still answers. If `isUp`, silence does not show
+   * that it has ended, and its lease is waited for.
    */
   async function closeRemoved(
     session: Session,
-    isLasting: boolean,
-  ): Promise<boolean> {
+    isUp: boolean,
+  ): Promise<"closed" | "answered" | "silent"> {
     const answer = await askIncarnation(session);
-    if (isStopped || session.runner.isClosed) return true;
-    if (answer === "same" || (answer === "silent" && isLasting)) return false;
+    if (isStopped || session.runner.isClosed) return "closed";
+    if (answer === "same") return "answered";
+    if (answer === "silent" && isUp) return "silent";
     await options.close(session, answer === "next");
-    return true;
+    return "closed";
   }
 
-  /** Closes a removed incarnation that has answered as soon as it no longer does. */
-  async function watchRemoval(session: Session): Promise<void> {
+  /**
+   * Closes a removed incarnation as soon as it no longer answers. `isSlow` tells whether
+   * it left the call before the acknowledgement of its removal unanswered.
+   */
+  async function watchRemoval(
+    session: Session,
+    isSlow: boolean,
+  ): Promise<void> {
     const { runner } = session;
     let pauseMs = RETRY_PAUSE_MS;
-    let isLasting = false;
+    // One that answers ends with the acknowledgement. If it does not, it may have missed
+    // that, as a slow one may.
+    let isUp = isSlow;
     while (clock.now() - (watched.get(runner.life) ?? 0) < REMOVAL_WATCH_MS) {
       await wait(clock, pauseMs);
       pauseMs = Math.min(2 * pauseMs, MAX_PROBE_PERIOD_MS);
       if (isStopped || runner.isClosed) return;
       if (!options.isLeading()) continue;
-      if (await closeRemoved(session, isLasting)) return;
-      isLasting = true;
+      if (await closeRemoved(session, isUp) === "closed") return;
+      isUp = true;
     }
     logger.info("Removal ignored, as the runner has not ended", {
       runner: runner.life,
@@ -120,12 +143,15 @@
   return {
     async remove(session) {
       const { life } = session.runner;
-      if (await closeRemoved(session, watched.has(life))) return;
+      // A runner goes on until its removal is acknowledged.
+      const seen = await closeRemoved(session, true);
+      if (seen === "closed") return;
       const isWatched = watched.has(life);
       // A repeated removal prolongs the watch.
       watched.set(life, clock.now());
       if (isWatched) return;
-      void watchRemoval(session).finally(() => watched.delete(life));
+      void watchRemoval(session, seen === "silent")
+        .finally(() => watched.delete(life));
     },
     stop() {
       isStopped = true;
