Let the runs that an ended job has left count for the next leader

What callers would see: after a leader change, a workspace runs more than its cap (QUOTA) or a runner more than its capacity (LIMIT).

Cause: the state drops the tasks of a job when it is cancelled or has failed, while their runs go on until their runners have stopped them, or until the lease ends if the runner is cut off. Only the leader that sent the stops counted them. The next one learned of them from the first list of each runner: until then its workspace seemed to have room on all other runners. A first list that arrives while the leadership is not confirmed is not evaluated, but counted as contact, so that tasks were placed on the runner itself.

Change: the record of the job keeps the runs that were active when it ended, with their incarnations (`leftRuns`), until the job is forgotten. A new leader counts those whose incarnation is still recorded. The first list without such a run, or the end of the lease, releases it, as with any other run; one that is listed is stopped. It is added without a time of its order, so it is no suspect of a crash and is not waited for when another incarnation answers.

The model did not check the quota of a workspace; it does now (cap, overage of 10 % and one task more).

--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -48,6 +48,7 @@
 export interface Violation {
   readonly rule:
     | "capacity"
+    | "quota"
     | "twice"
     | "afterDone"
     | "attempts"
@@ -119,10 +120,19 @@
   readonly gangSize: number;
 }
 
+/** Workspace of a task and what it may have running on all runners. */
+export interface TaskQuota {
+  readonly workspace: string;
+  /** Maximum resources in use at once; 0 for no limit. */
+  readonly cap: Resources;
+}
+
 /** Options of the model. */
 export interface RunnerModelOptions {
   clock: Clock;
   getTaskFacts: (task: TaskRef) => TaskFacts;
+  /** Returns the quota of a task; undefined for none. Default: no task has one. */
+  getQuota?: (task: TaskRef) => TaskQuota | undefined;
   /** Network delay of each call and of each answer, in milliseconds. Default 2. */
   delayMs?: number;
   /** Time from a stop order to the end of the run, in milliseconds. Default 100. */
@@ -174,6 +184,9 @@
 /** Time after which a shrunk capacity counts, in milliseconds; the platform states its contact time and one heartbeat. */
 const SHRINK_DELAY_MS = 3_000 + 1_500;
 
+/** Share of a cap by which a workspace may exceed it; the platform allows one task more as well. */
+const QUOTA_OVERAGE = 0.1;
+
 /** Longest lease that a runner grants, in milliseconds. */
 const MAX_LEASE_MS = 10_000;
 
@@ -341,6 +354,34 @@
     });
   }
 
+  /** Reports a start that brings what its workspace has running over its quota. */
+  function checkQuota({ task }: StartOrder): void {
+    const quota = options.getQuota?.(task);
+    if (quota === undefined) return;
+    const { workspace, cap } = quota;
+    if (cap.processors === 0 && cap.memoryMb === 0) return;
+    let processors = 0;
+    let memoryMb = 0;
+    for (const { runs } of runners.values()) {
+      for (const { order } of runs.values()) {
+        if (options.getQuota?.(order.task)?.workspace !== workspace) continue;
+        const facts = options.getTaskFacts(order.task);
+        processors += facts.processors;
+        memoryMb += facts.memoryMb;
+      }
+    }
+    const started = options.getTaskFacts(task);
+    const fitsCap = (used: number, limit: number, one: number) =>
+      limit === 0 || used <= limit * (1 + QUOTA_OVERAGE) + one;
+    const fits = fitsCap(processors, cap.processors, started.processors) &&
+      fitsCap(memoryMb, cap.memoryMb, started.memoryMb);
+    if (fits) return;
+    violations.push({
+      rule: "quota",
+      detail: `${workspace}: ${processors} of ${cap.processors}`,
+    });
+  }
+
   /**
    * Reports a task that was started again after an end "done", or after too many ends
    * "failed", that are acknowledged; the start and the acknowledgement may come in
@@ -471,6 +512,7 @@
       stopMs: undefined,
     });
     checkCapacity(runner);
+    checkQuota(order);
     options.handleStart?.(entry, order);
   }
 
--- a/src/model/runner_model_test.ts
+++ b/src/model/runner_model_test.ts
@@ -163,3 +163,22 @@
   const reply = await runCall(model, calls.start(target, order, 500));
   t.equal(reply.outcome, "staleRun");
 });
+
+// Guards against a model that lets a workspace run more than its cap, the overage and one
+// task.
+t.test("a start beyond the quota of its workspace is a violation", async (t) => {
+  const cap = { processors: 2_000, memoryMb: 0, accelerators: 0 };
+  const model = createWorkModel({
+    configuration: createModelConfiguration({ workspaces: [{ cap }] }),
+  });
+  const { calls } = model.runners;
+  const target = { id: "r1", address: "r1:1" };
+  await runCall(model, model.submit("job", createJob([{ tasks: 4 }])));
+  model.runners.add(createRunnerEntry("r1"));
+  for (let index = 0; index < 4; index += 1) {
+    t.strictSame(model.runners.violations, []);
+    const task = { job: "job", occurrence: 0, step: 0, index };
+    await runCall(model, calls.start(target, createOrder({ task }), 500));
+  }
+  t.strictSame(model.runners.violations.map(({ rule }) => rule), ["quota"]);
+});
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -240,6 +240,12 @@
         createStep();
       return options.getTaskFacts?.(task, step) ?? createTaskFacts(step);
     },
+    getQuota({ job }) {
+      const owner = state.getJob(job)?.spec.workspace;
+      const found = state.getConfiguration()?.workspaces
+        .find(({ name }) => name === owner);
+      return found && { workspace: found.name, cap: found.cap };
+    },
     getMaxAttempts({ job, step }) {
       const spec = state.getJob(job)?.spec;
       const isLimited = spec?.steps[step]?.longRunning === false;
--- a/src/workload/recorded_runs.ts
+++ b/src/workload/recorded_runs.ts
@@ -31,7 +31,10 @@
 export interface RecordedRunsOptions {
   clock: Clock;
   logger: Logger;
-  state: Pick<WorkState, "listRunners" | "countRunners" | "listOpenTasks">;
+  state: Pick<
+    WorkState,
+    "listRunners" | "countRunners" | "listOpenTasks" | "listLeftRuns"
+  >;
   runnerSessions: RunnerSessions;
   runs: Pick<FleetRuns, "assignRun" | "endRuns">;
   closings: Pick<Closings, "unsettled">;
@@ -137,6 +140,12 @@
       recordLease(runner, nowMs, options.maxLeaseMs);
       inherited.set(life, [...inherited.get(life) ?? [], task]);
     }
+    // The former leader may not have stopped the runs of jobs that have ended. Until its
+    // runner was polled, such a run still counts for its workspace.
+    for (const { task, run, life } of state.listLeftRuns()) {
+      const runner = sessions.get(life)?.runner;
+      if (runner !== undefined) assignRun(runner, task, run, "running");
+    }
     // The former leader may have recorded the next incarnation, but not the crash.
     for (const [life, tasks] of inherited) {
       void crashes.recordFormerCrash(life, tasks);
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -95,6 +95,16 @@
   /** By occurrence number; created on first use and dropped when the job ends. */
   occurrences: Record<number, OccurrenceState>;
   doneOccurrences: number;
+  /** Runs that were active when the job ended; absent for none. */
+  leftRuns?: readonly LeftRun[];
+}
+
+/** A run that a job has left behind: it goes on until its runner has stopped it. */
+export interface LeftRun {
+  readonly task: TaskRef;
+  readonly run: number;
+  /** Key of the runner's incarnation; see `formatIncarnation`. */
+  readonly life: string;
 }
 
 /** The replicated state and its accessors. */
@@ -112,6 +122,8 @@
   getTask(task: TaskRef): TaskState | undefined;
   /** Lists the tasks of the queued and running jobs whose occurrence has begun. */
   listOpenTasks(): IterableIterator<[TaskRef, TaskState]>;
+  /** Lists the runs that were active when their jobs ended. */
+  listLeftRuns(): IterableIterator<LeftRun>;
   /** Sets the function to call with each record after it was applied; undefined removes it. */
   setListener(listener: ((record: WorkRecord) => void) | undefined): void;
 }
@@ -208,6 +220,10 @@
 
   function endJob(job: JobState, state: WorkJobState, atMs: number): void {
     if (!isOpenJob(job)) return;
+    const leftRuns = [...listTasks(job)]
+      .filter(([, { status }]) => status === TASK_STATUS.active)
+      .map(([task, { run, life }]) => ({ task, run, life }));
+    if (leftRuns.length > 0) job.leftRuns = leftRuns;
     job.state = state;
     job.endedMs = atMs;
     // Ended jobs are by far the most. Tasks and payload are dropped to keep
@@ -316,20 +332,31 @@
     return job?.occurrences[ref.occurrence]?.steps[ref.step]?.tasks[ref.index];
   }
 
-  function* listOpenTasks(): IterableIterator<[TaskRef, TaskState]> {
-    for (const job of jobs.values()) {
-      if (!isOpenJob(job)) continue;
-      for (const [number, { steps }] of Object.entries(job.occurrences)) {
-        const occurrence = Number(number);
-        for (const [step, { tasks }] of steps.entries()) {
-          for (const [index, task] of tasks.entries()) {
-            yield [{ job: job.spec.id, occurrence, step, index }, task];
-          }
+  function* listTasks(
+    { spec, occurrences }: JobState,
+  ): IterableIterator<[TaskRef, TaskState]> {
+    for (const [number, { steps }] of Object.entries(occurrences)) {
+      const occurrence = Number(number);
+      for (const [step, { tasks }] of steps.entries()) {
+        for (const [index, task] of tasks.entries()) {
+          yield [{ job: spec.id, occurrence, step, index }, task];
         }
       }
     }
   }
 
+  function* listOpenTasks(): IterableIterator<[TaskRef, TaskState]> {
+    for (const job of jobs.values()) {
+      if (isOpenJob(job)) yield* listTasks(job);
+    }
+  }
+
+  function* listLeftRuns(): IterableIterator<LeftRun> {
+    for (const { leftRuns } of jobs.values()) {
+      if (leftRuns !== undefined) yield* leftRuns;
+    }
+  }
+
   /** Returns a task that is not done, of an open job. */
   function findOpenTask(ref: TaskRef): TaskState | undefined {
     const job = jobs.get(ref.job);
@@ -467,6 +494,7 @@
     getOccurrence,
     getTask: findTask,
     listOpenTasks,
+    listLeftRuns,
     setListener(next) {
       listener = next;
     },
--- a/src/workload/work_state_test.ts
+++ b/src/workload/work_state_test.ts
@@ -81,6 +81,25 @@
   t.end();
 });
 
+// Guards against a leader that takes the runs of a job for gone as soon as it has ended.
+t.test("an ended job keeps the runs that were active", (t) => {
+  const state = createWorkState();
+  const [start] = createRun("job", 2);
+  if (start === undefined) throw new Error("No start");
+  apply(state, createSubmission("job", 2), start, {
+    ...createEnd(1, "lost"),
+  }, { kind: "cancel", job: "job", atMs: 2 });
+  apply(state, createSubmission("done", 2), ...createRun("done", 2));
+  const next = createWorkState();
+  next.restoreSnapshot(state.takeSnapshot());
+  t.strictSame(
+    [...next.listLeftRuns()].map(({ task, run }) => `${task.index}#${run}`),
+    ["1#1"],
+  );
+  t.strictSame([...next.listLeftRuns()], [...state.listLeftRuns()]);
+  t.end();
+});
+
 t.test("resubmitting an ended job creates no new job", (t) => {
   const state = createWorkState();
   apply(state, createSubmission("job", 1), ...createRun("job", 1));
