Ignore late announcements of a runner that was closed while it drained

What callers would see: a task starts on a draining runner, after its drain was acknowledged (DRAIN).

Cause: the sequence number of announcements is forgotten with the session and its record. A draining runner that is cut off for longer than its lease is closed, as it must have left. If it has not, and an announcement from before the drain, delayed by the cut, arrives before the next one, it registered as ready and got tasks until the next one.

Change: the state knows for 60 s which incarnations were draining when they were recorded as gone, also after a leader change, and an announcement of such a one that does not drain is ignored, with a log line. An incarnation never stops draining. One whose start is unknown is left out, as its next one has the same key.

--- a/src/workload/removals_test.ts
+++ b/src/workload/removals_test.ts
@@ -221,6 +221,36 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// The session of a draining runner is closed while it is cut off. Guards against a start
+// on it once a late announcement arrives, from before it drained.
+for (const leader of ["that has closed it", "after that"]) {
+  t.test(`a late announcement does not undo a drain, leader ${leader}`, async (t) => {
+    const model = await createDrainingModel();
+    const { calls } = model.runners;
+    const { hold } = calls;
+    calls.hold = (target, order, timeoutMs) =>
+      target.id === "r1"
+        ? Promise.reject(new Error("cut off"))
+        : hold(target, order, timeoutMs);
+    await model.run(8_000);
+    calls.hold = hold;
+    t.equal(model.state.getRunner("r1"), undefined);
+    if (leader === "after that") model.changeLeader();
+    announceRunner(model, createRunnerEntry("r1"), 1);
+    await model.run(500);
+    const job = createJob([{ tasks: 6, estimatedMs: 60_000 }]);
+    await runCall(model, model.submit("next", job));
+    await model.run(1_000);
+    const runs = ["job#2@r2", "next#1@r2", "next#1@r2"];
+    t.strictSame(listRuns(model), runs);
+    announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 3);
+    await model.run(500);
+    t.equal(model.state.getRunner("r1")?.isDraining, true);
+    t.strictSame(listRuns(model), runs);
+    t.strictSame(model.runners.violations, []);
+  });
+}
+
 // The removal is resent. Guards against several series of polls.
 t.test("a runner is looked at once for several removals", async (t) => {
   const model = await createDrainingModel();
--- a/src/workload/runner_announcements.ts
+++ b/src/workload/runner_announcements.ts
@@ -44,7 +44,7 @@
 export interface RunnerAnnouncementsOptions {
   clock: Clock;
   logger: Logger;
-  state: Pick<WorkState, "getRunner" | "getGoneMs">;
+  state: Pick<WorkState, "getRunner" | "getGoneMs" | "hasDrained">;
   queue: Pick<RecordQueue, "record">;
   runnerSessions: RunnerSessions;
   withdrawals: Pick<Withdrawals, "start">;
@@ -188,6 +188,11 @@
       return await updateRunner(known.runner, announcement);
     }
     if (hasNewerRunner(entry)) return;
+    if (!entry.isDraining && state.hasDrained(life)) {
+      // An incarnation that drains does so until it ends.
+      logger.info("Late announcement ignored", { runner: life, sequence });
+      return;
+    }
     const mayReplaceOther = known !== undefined ||
       isInFlight(closedMs.get(entry.id), announcedMs) ||
       isJustRecorded(state.getGoneMs(entry.id));
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -118,6 +118,8 @@
   getRunner(id: string): RunnerEntry | undefined;
   /** Returns the wall time at which the last runner with this id was recorded as gone, in milliseconds; undefined if it is unknown or long ago. */
   getGoneMs(id: string): number | undefined;
+  /** Tells whether an incarnation was draining when it was recorded as gone; false if that was long ago. */
+  hasDrained(life: string): boolean;
   getOccurrence(job: JobState, occurrence: number): OccurrenceState;
   getTask(task: TaskRef): TaskState | undefined;
   /** Lists the tasks of the queued and running jobs whose occurrence has begun. */
@@ -134,6 +136,8 @@
   runners: RunnerEntry[];
   /** Id and wall time of each runner that has gone; absent in snapshots of older versions. */
   gone?: [string, number][];
+  /** Incarnation and wall time of each of them that was draining; absent in snapshots of older versions. */
+  drained?: [string, number][];
 }
 
 /** Encodes records as one command of the log. */
@@ -203,6 +207,7 @@
   let jobs = new Map<string, JobState>();
   let runners = new Map<string, RunnerEntry>();
   let gone = new Map<string, number>();
+  let drained = new Map<string, number>();
   let listener: ((record: WorkRecord) => void) | undefined;
 
   function setConfiguration(next: Configuration | undefined): void {
@@ -424,10 +429,14 @@
     if (runner === undefined || formatIncarnation(runner) !== life) return;
     runners.delete(id);
     if (atMs === undefined) return;
-    for (const [other, goneMs] of gone) {
-      if (atMs - goneMs > GONE_KEEP_MS) gone.delete(other);
+    for (const known of [gone, drained]) {
+      for (const [other, goneMs] of known) {
+        if (atMs - goneMs > GONE_KEEP_MS) known.delete(other);
+      }
     }
     gone.set(id, atMs);
+    // If its start is unknown, its next incarnation has the same key.
+    if (runner.isDraining && runner.startedMs !== 0) drained.set(life, atMs);
   }
 
   function applyRecord(record: WorkRecord): void {
@@ -491,6 +500,7 @@
     listRunners: () => runners.values(),
     getRunner: (id) => runners.get(id),
     getGoneMs: (id) => gone.get(id),
+    hasDrained: (life) => drained.has(life),
     getOccurrence,
     getTask: findTask,
     listOpenTasks,
@@ -514,6 +524,7 @@
         jobs: [...jobs.values()],
         runners: [...runners.values()],
         gone: [...gone],
+        drained: [...drained],
       };
       return Buffer.from(JSON.stringify(stored));
     },
@@ -525,6 +536,7 @@
       jobs = new Map(stored.jobs.map((job) => [job.spec.id, job]));
       runners = new Map(stored.runners.map((runner) => [runner.id, runner]));
       gone = new Map(stored.gone ?? []);
+      drained = new Map(stored.drained ?? []);
     },
   };
 }
--- a/src/workload/work_state_test.ts
+++ b/src/workload/work_state_test.ts
@@ -305,6 +305,39 @@
   t.end();
 });
 
+// Guards against a new leader that uses a draining runner again, and against a runner that
+// is never used again after its start was unknown.
+t.test("an incarnation that drained when it left is known for a while", (t) => {
+  const state = createWorkState();
+  for (
+    const [id, isDraining, startedMs] of [
+      ["r1", false, 1],
+      ["r2", true, 1],
+      ["r3", true, 0],
+    ] as const
+  ) {
+    const runner = createRunnerEntry(id, { isDraining, startedMs });
+    apply(
+      state,
+      { kind: "runner", runner },
+      { kind: "runnerGone", life: `${id}@${startedMs}`, atMs: 7 },
+    );
+  }
+  const next = createWorkState();
+  next.restoreSnapshot(state.takeSnapshot());
+  const lives = ["r1@1", "r2@1", "r2@2", "r3@0"];
+  for (const { hasDrained } of [state, next]) {
+    t.strictSame(lives.map(hasDrained), [false, true, false, false]);
+  }
+  apply(
+    next,
+    { kind: "runner", runner: createRunnerEntry("r4") },
+    { kind: "runnerGone", life: "r4@1", atMs: 60_008 },
+  );
+  t.equal(next.hasDrained("r2@1"), false);
+  t.end();
+});
+
 // Guards against a leader that cannot restore the snapshot of an older version.
 t.test("a snapshot without departures is restored", (t) => {
   const state = createWorkState();
