List a late failure that is not counted as a known red

What callers would see: a task starts again after as many failed runs as its queue allows (BUDGET).

Cause: a late copy of a run that was given up is executed by the next incarnation and fails there. If its end is listed while the next run is decided or at work, it is acknowledged, but not counted: only the end of the newest run counts (isOpenEnd).

Not fixed: counting the failures of earlier runs needs the failures that are void, as the lease ended before they were listed, in the record. Only the leader that saw the lease end knows them now, and a new one would count them in a more common case, a cut.

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -528,6 +528,39 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// Guards against a start after as many failed runs as the queue allows: a late copy of
+// run 1 fails on the next incarnation, and its end is listed during run 2.
+t.test("a late failure that is listed during the next run counts", async (t) => {
+  const model = createWorkModel({
+    configuration: createModelConfiguration({ queues: [{ maxAttempts: 2 }] }),
+    getTaskFacts: (_, step) => ({
+      ...createTaskFacts(step),
+      alwaysFails: true,
+    }),
+  });
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 4_000;
+  await submitJob(model, "job", { estimatedMs: 50 });
+  await model.run(1_100);
+  // Keeps the task waiting.
+  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
+  await runUntil(model, 5_000);
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  model.runners.add(next);
+  while (listRuns(model).length === 0) await model.run(1);
+  await model.run(60);
+  t.strictSame(listRuns(model), []);
+  const other = createRunnerEntry("r2");
+  model.runners.add(other);
+  announceRunner(model, other);
+  while (model.runners.countStarts() < 2) await model.run(1);
+  announceRunner(model, next);
+  await model.run(10_000);
+  t.equal(getJobState(model, "job"), "failed");
+  t.strictSame(model.runners.violations, []);
+});
+
 // The next incarnation announces itself before anything else has reached it.
 t.test("no late start is executed while the next incarnation is recorded", async (t) => {
   const model = createWorkModel({
