Let a simulated cell replace the probation of its controller

A test of what a confinement costs needs the same cell without one; the controller takes the function that creates its probation as an option now, as it does the order of steps. Nothing else changes. Ruled out: a leader change before each crash, after which nothing is confined either, as it changes the rest of the cell too.

--- a/src/model/work_load.ts
+++ b/src/model/work_load.ts
@@ -126,7 +126,7 @@
   /** Further options of the simulated cell. */
   readonly cell?: Pick<
     WorkModelOptions,
-    "commitMs" | "callers" | "sortSteps" | "returnAs"
+    "commitMs" | "callers" | "createProbation" | "sortSteps" | "returnAs"
   >;
 }
 
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -70,6 +70,8 @@
   callers?: readonly string[];
   /** Replaces the controller's order of the open steps. */
   sortSteps?: WorkControllerOptions["sortSteps"];
+  /** Replaces the controller's probation. */
+  createProbation?: WorkControllerOptions["createProbation"];
   /** Id and address under which a crashed runner is back after some seconds. Default: it stays away. */
   returnAs?: RunnerReturn;
   /** Time until then, in milliseconds. Default 3,000. */
@@ -362,6 +364,9 @@
       ...(options.sortSteps === undefined
         ? {}
         : { sortSteps: options.sortSteps }),
+      ...(options.createProbation === undefined
+        ? {}
+        : { createProbation: options.createProbation }),
     });
     controller.setCallers(callers);
   }
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -98,6 +98,8 @@
   waitForTurn?: () => Promise<void>;
   /** Sorts the open steps for a planning round. Default `sortSteps`. */
   sortSteps?: (steps: readonly OpenStep[], wallMs: number) => OpenStep[];
+  /** Decides which steps are confined while runners crash. Default `createProbation`. */
+  createProbation?: typeof createProbation;
 }
 
 /** The leader's interface for callers, operators and runners. */
@@ -131,7 +133,11 @@
   const workspaces = createWorkspaceUsageTracker({ state, clock });
   const runTimes = createRunTimes();
   const openSteps = createOpenSteps({ state, clock, workspaces, runTimes });
-  const probation = createProbation({ state, clock, logger });
+  const probation = (options.createProbation ?? createProbation)({
+    state,
+    clock,
+    logger,
+  });
   const queue = createRecordQueue({ clock, propose: options.propose });
   const calls = createWorkCalls({ clock, logger, state, queue });
   const metricsOptions = metrics === undefined ? {} : { metrics };
