Confine only the suspects of a queue whose jobs crash runners

Callers saw healthy short jobs late while jobs of their queue crash runners: the confinement took all jobs of the queue that had not yet outlived a start.

The confinement takes only steps with a suspected task now; the others of the queue go on on the other three quarters of the pool, like the work of other queues. `isNew` is gone.

--- a/src/workload/open_steps.ts
+++ b/src/workload/open_steps.ts
@@ -104,13 +104,6 @@
   return count;
 }
 
-/** Tells whether a run of the task has ended without a suspicion, so that its next start is not its first. */
-function hasOutlivedStart(task: TaskState): boolean {
-  return task.status === TASK_STATUS.done ||
-    (task.status === TASK_STATUS.waiting && task.run > 0 &&
-      countCrashes(task) === 0);
-}
-
 /** Creates an empty list. */
 export function createOpenSteps(options: OpenStepsOptions): OpenSteps {
   const { state, clock, workspaces, runTimes } = options;
@@ -159,9 +152,6 @@
       0,
     );
     const times = computeTimes(job, queue, occurrence, estimate.chainMs);
-    const isNew = !recorded.steps.some(({ tasks }) =>
-      tasks.some(hasOutlivedStart)
-    );
     const open: OpenStep[] = [];
     spec.steps.forEach((step, number) => {
       const stepState = recorded.steps[number];
@@ -205,7 +195,6 @@
           countCrashes(stepState.tasks[index]) > 0
         ),
         queue: spec.queue,
-        isNew,
         isConfined: false,
         waiting,
       });
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -43,8 +43,6 @@
   readonly isSuspect: boolean;
   /** Name of the job's queue. */
   readonly queue: string;
-  /** True if no task of the job has outlived a start. */
-  readonly isNew: boolean;
   /** True if it starts only on the runners for confined steps. */
   readonly isConfined: boolean;
   /** Indexes of the waiting tasks. */
--- a/src/workload/planning_test.ts
+++ b/src/workload/planning_test.ts
@@ -38,7 +38,6 @@
     eligibility: { baseMs: 430, perRunnerMs: 6, validMs: 1_500 },
     isSuspect: false,
     queue: "queue",
-    isNew: false,
     isConfined: false,
     waiting: Array.from({ length: tasks }, (_, at) => at),
   };
--- a/src/workload/probation.ts
+++ b/src/workload/probation.ts
@@ -1,9 +1,11 @@
 /**
  * Confines tasks that may crash their runners. While jobs of a queue crash one runner
- * after another, those of its jobs that have not yet proven themselves start on a few
- * runners of their pool only, one job at a time on each. So a crash costs few other
- * runs and has one explanation, and everything else goes on on the other runners. All
- * of it is derived from recorded crashes, so a new leader begins without.
+ * after another, those of its jobs that are suspected start on a few runners of their
+ * pool only, one job at a time on each. So their further crashes cost few other runs and
+ * have one explanation, and everything else goes on on the other runners. Its jobs
+ * without a suspicion are not confined: most are healthy, and they would wait for each
+ * other on the few runners. All of it is derived from recorded crashes, so a new leader
+ * begins without.
  */
 
 import type { Clock, Logger } from "../common/mod.ts";
@@ -53,7 +55,7 @@
   pool: string;
   /** Local time of the newest crash of each job suspected of several, in milliseconds. */
   readonly repeatedMs: Map<string, number>;
-  /** Local time until which its unproven jobs are confined, in milliseconds. */
+  /** Local time until which its suspects are confined, in milliseconds. */
   confinedUntilMs: number;
 }
 
@@ -132,8 +134,8 @@
       const names = new Set(listConfined().map(([name]) => name));
       if (names.size === 0) return steps;
       return steps.map((step) =>
-        names.has(step.queue) && (step.isNew || step.isSuspect)
-          ? { ...step, isSuspect: true, isConfined: true }
+        step.isSuspect && names.has(step.queue)
+          ? { ...step, isConfined: true }
           : step
       );
     },
--- a/src/workload/probation_test.ts
+++ b/src/workload/probation_test.ts
@@ -8,11 +8,14 @@
   createJob,
   createModelConfiguration,
   createRunnerEntry,
+  type LoadKind,
+  type LoadOptions,
+  type LoadResult,
   runLoad,
   SHEET_KINDS,
   type WorkModel,
 } from "../model/mod.ts";
-import { createProbation } from "./probation.ts";
+import { createProbation, type Probation } from "./probation.ts";
 import { createRunner, type Runner } from "./runner_table.ts";
 import type { WorkRecord } from "./types.ts";
 import {
@@ -154,26 +157,80 @@
   t.end();
 });
 
-// Guards against a service that is down while three of ten short jobs crash each
-// runner that starts them.
-t.test("other queues go on while many short jobs are deadly", async (t) => {
-  const result = await runLoad({
-    kinds: SHEET_KINDS,
+/** Runs a load whose short jobs are deadly for 12 s with a probability. */
+function runDeadlyLoad(
+  kinds: readonly LoadKind[],
+  deadlyShare: number,
+  options: { seed: number; cell?: LoadOptions["cell"] },
+): Promise<LoadResult> {
+  return runLoad({
+    kinds,
     pattern: {
-      name: "three of ten short jobs deadly",
+      name: "deadly short jobs",
       getRateFactor: () => 1,
       getDeadlyShare: (kind, atMs) =>
-        kind === "short" && atMs >= 4_000 && atMs < 16_000 ? 0.3 : 0,
+        kind === "short" && atMs >= 4_000 && atMs < 16_000 ? deadlyShare : 0,
     },
-    seed: 1,
+    seed: options.seed,
     runners: 32,
     processors: 16_000,
     runMs: 20_000,
     cell: {
+      ...options.cell,
       returnAs: "sameId",
       callers: Array.from({ length: 13 }, (_, at) => `caller-${at}`),
     },
   });
+}
+
+/** Short jobs as of the sheets, and jobs that run for long on few processors. */
+const SHORT_AND_LONG: readonly LoadKind[] = SHEET_KINDS.flatMap((kind) =>
+  kind.name !== "short" ? [] : [kind, {
+    ...kind,
+    name: "long",
+    priority: 2,
+    jobsPerSecond: 0.6,
+    slowdownFactor: 2.2,
+    targetMs: 1_000,
+    tasks: { mean: 2, sigma: 0, max: 2 },
+    durationMs: { mean: 8_000, sigma: 0.3, max: 16_000 },
+    gangShare: 0,
+  }]
+);
+
+/** Creates a probation that confines nothing. */
+function createNoProbation(): Probation {
+  return {
+    recordCrash() {},
+    assignSteps: (steps) => steps,
+    pickRunners: () => new Set(),
+  };
+}
+
+// Guards against a confinement that costs healthy jobs more than it saves: with it at
+// least as many have to be on time and completed as without it in the same cell.
+for (const seed of [1, 2]) {
+  t.test(`a confinement costs no healthy job, seed ${seed}`, async (t) => {
+    const confined = await runDeadlyLoad(SHORT_AND_LONG, 0.1, { seed });
+    const free = await runDeadlyLoad(SHORT_AND_LONG, 0.1, {
+      seed,
+      cell: { createProbation: createNoProbation },
+    });
+    for (const [at, { kind, onTime, waitsMs }] of free.kinds.entries()) {
+      const own = confined.kinds[at];
+      const onTimeText = `${kind} on time: ${own?.onTime}, free ${onTime}`;
+      t.ok((own?.onTime ?? 0) >= onTime, onTimeText);
+      t.ok((own?.waitsMs.length ?? 0) >= waitsMs.length, `${kind} completed`);
+    }
+    t.strictSame(confined.kinds.map(({ failed }) => failed), [0, 0]);
+    t.strictSame(confined.violations, []);
+  });
+}
+
+// Guards against a service that is down while three of ten short jobs crash each
+// runner that starts them.
+t.test("other queues go on while many short jobs are deadly", async (t) => {
+  const result = await runDeadlyLoad(SHEET_KINDS, 0.3, { seed: 1 });
   const wide = result.kinds.find(({ kind }) => kind === "wide");
   t.ok((wide?.onTime ?? 0) >= 0.8 * (wide?.jobs ?? 0), "wide jobs on time");
   t.ok(result.lostRuns < 0.35 * result.starts, "few runs lost");
