--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -4,13 +4,14 @@
  * unless stated.
  */
 
-import t from "tap";
+import t, { type Test } from "tap";
 import { createFault, wait } from "../common/mod.ts";
 import {
   createModelConfiguration,
   createRunnerEntry,
   createTaskFacts,
   createWorkModel,
+  type RunnerFaults,
   type WorkModel,
 } from "../model/mod.ts";
 import {
@@ -26,6 +27,7 @@
   startTaskAndCut,
   submitJob,
 } from "../../test/work_model_calls.ts";
+import type { RunnerEntry } from "./types.ts";
 import { encodeRecords } from "./work_state.ts";
 
 /** Moves the first run of a task to r2 while a start of it on r1 may still arrive. Returns a function that sends a late copy. */
@@ -43,6 +45,30 @@
   return sendLateStart;
 }
 
+/**
+ * Gives up run 1 of a task on r1, whose late copy then runs to its end on the next
+ * incarnation, while the task waits. Returns that incarnation, which has not announced itself.
+ */
+async function endLateCopy(
+  t: Test,
+  model: WorkModel,
+): Promise<{ next: RunnerEntry; faults: RunnerFaults }> {
+  const first = await model.addRunner("r1");
+  await model.run(100);
+  first.orderDelayMs = 4_000;
+  await submitJob(model, "job", { estimatedMs: 50 });
+  await model.run(1_100);
+  // Keeps the task waiting.
+  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
+  await runUntil(model, 5_000);
+  const next = createRunnerEntry("r1", { startedMs: 2 });
+  const faults = model.runners.add(next);
+  while (listRuns(model).length === 0) await model.run(1);
+  await model.run(60);
+  t.strictSame(listRuns(model), []);
+  return { next, faults };
+}
+
 // The clock of a young incarnation is so near to that of the next one that it does not
 // tell them apart; the lease in the start is longer on the new clock.
 t.test("the lease in a start that the next of a young incarnation accepts is known", async (t) => {
@@ -167,19 +193,7 @@
       return isRecording ? 700 : 12;
     },
   });
-  const first = await model.addRunner("r1");
-  await model.run(100);
-  first.orderDelayMs = 4_000;
-  await submitJob(model, "job", { estimatedMs: 50 });
-  await model.run(1_100);
-  // Keeps the task waiting.
-  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
-  await runUntil(model, 5_000);
-  const next = createRunnerEntry("r1", { startedMs: 2 });
-  const faults = model.runners.add(next);
-  while (listRuns(model).length === 0) await model.run(1);
-  await model.run(60);
-  t.strictSame(listRuns(model), []);
+  const { next, faults } = await endLateCopy(t, model);
   faults.refusesConnections = true;
   announceRunner(model, next);
   await model.run(30);
@@ -199,19 +213,7 @@
 // done, once the run that was never executed counts as lost.
 t.test("a late end that is listed after the next start was sent counts", async (t) => {
   const model = createModel();
-  const first = await model.addRunner("r1");
-  await model.run(100);
-  first.orderDelayMs = 4_000;
-  await submitJob(model, "job", { estimatedMs: 50 });
-  await model.run(1_100);
-  // Keeps the task waiting.
-  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
-  await runUntil(model, 5_000);
-  const next = createRunnerEntry("r1", { startedMs: 2 });
-  const faults = model.runners.add(next);
-  while (listRuns(model).length === 0) await model.run(1);
-  await model.run(60);
-  t.strictSame(listRuns(model), []);
+  const { next, faults } = await endLateCopy(t, model);
   faults.refusesConnections = true;
   announceRunner(model, next);
   await model.run(30);
@@ -484,19 +486,7 @@
       alwaysFails: true,
     }),
   });
-  const first = await model.addRunner("r1");
-  await model.run(100);
-  first.orderDelayMs = 4_000;
-  await submitJob(model, "job", { estimatedMs: 50 });
-  await model.run(1_100);
-  // Keeps the task waiting.
-  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
-  await runUntil(model, 5_000);
-  const next = createRunnerEntry("r1", { startedMs: 2 });
-  model.runners.add(next);
-  while (listRuns(model).length === 0) await model.run(1);
-  await model.run(60);
-  t.strictSame(listRuns(model), []);
+  const { next } = await endLateCopy(t, model);
   announceRunner(model, next);
   await model.run(10_000);
   t.equal(getJobState(model, "job"), "failed");
@@ -538,19 +528,7 @@
       alwaysFails: true,
     }),
   });
-  const first = await model.addRunner("r1");
-  await model.run(100);
-  first.orderDelayMs = 4_000;
-  await submitJob(model, "job", { estimatedMs: 50 });
-  await model.run(1_100);
-  // Keeps the task waiting.
-  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
-  await runUntil(model, 5_000);
-  const next = createRunnerEntry("r1", { startedMs: 2 });
-  model.runners.add(next);
-  while (listRuns(model).length === 0) await model.run(1);
-  await model.run(60);
-  t.strictSame(listRuns(model), []);
+  const { next } = await endLateCopy(t, model);
   const other = createRunnerEntry("r2");
   model.runners.add(other);
   announceRunner(model, other);
