Share the set-up of late copies, slow records and refused announcements between tests

late_orders_test.ts wrote the steps of a late copy three times, and the model of a slow record and a refused announcement twice.

--- a/src/workload/late_orders_test.ts
+++ b/src/workload/late_orders_test.ts
@@ -46,29 +46,58 @@
 }
 
 /**
- * Gives up run 1 of a task on r1, whose late copy then runs to its end on the next
+ * Gives up run 1 of each task on r1, whose late copy then runs to its end on the next
  * incarnation, while the task waits. Returns that incarnation, which has not announced itself.
  */
-async function endLateCopy(
+async function endLateCopies(
   t: Test,
   model: WorkModel,
+  { tasks = 1, gang = false, isDraining = false } = {},
 ): Promise<{ next: RunnerEntry; faults: RunnerFaults }> {
   const first = await model.addRunner("r1");
   await model.run(100);
   first.orderDelayMs = 4_000;
-  await submitJob(model, "job", { estimatedMs: 50 });
+  await submitJob(model, "job", { tasks, estimatedMs: 50, gang });
   await model.run(1_100);
-  // Keeps the task waiting.
+  // Keeps the tasks waiting.
   announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
   await runUntil(model, 5_000);
-  const next = createRunnerEntry("r1", { startedMs: 2 });
+  const next = createRunnerEntry("r1", { startedMs: 2, isDraining });
   const faults = model.runners.add(next);
-  while (listRuns(model).length === 0) await model.run(1);
+  while (listRuns(model).length < tasks) await model.run(1);
   await model.run(60);
   t.strictSame(listRuns(model), []);
   return { next, faults };
 }
 
+/** Creates a model whose log takes long for the start of a later run; `isRecording` tells while it does. */
+function createSlowRestartModel(): {
+  model: WorkModel;
+  isRecording: () => boolean;
+} {
+  let isRecording = false;
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    getCommitMs(records) {
+      isRecording = records.some((record) =>
+        record.kind === "start" && record.run > 1
+      );
+      return isRecording ? 700 : 12;
+    },
+  });
+  return { model, isRecording: () => isRecording };
+}
+
+/** Adds runner r1, whose announcement is refused. */
+async function announceRefused(t: Test, model: WorkModel): Promise<void> {
+  const entry = createRunnerEntry("r1");
+  model.runners.add(entry);
+  const announced = model.getController()
+    .announceRunner({ entry, sequence: 1, remainingMs: 0 })
+    .catch(() => "refused");
+  t.equal(await runCall(model, announced), "refused");
+}
+
 // The clock of a young incarnation is so near to that of the next one that it does not
 // tell them apart; the lease in the start is longer on the new clock.
 t.test("the lease in a start that the next of a young incarnation accepts is known", async (t) => {
@@ -113,19 +142,7 @@
 // Guards against a start after the task was done.
 t.test("a late end that is listed while the next start is recorded counts", async (t) => {
   const model = createModel();
-  const first = await model.addRunner("r1");
-  await model.run(100);
-  first.orderDelayMs = 4_000;
-  await submitJob(model, "job", { estimatedMs: 50 });
-  await model.run(1_100);
-  // Keeps the task waiting.
-  announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
-  await runUntil(model, 5_000);
-  const next = createRunnerEntry("r1", { startedMs: 2, isDraining: true });
-  model.runners.add(next);
-  while (listRuns(model).length === 0) await model.run(1);
-  await model.run(60);
-  t.strictSame(listRuns(model), []);
+  const { next } = await endLateCopies(t, model, { isDraining: true });
   const other = createRunnerEntry("r2");
   model.runners.add(other);
   announceRunner(model, other);
@@ -141,29 +158,8 @@
 // recorded after it. All members of a gang are done then.
 for (const gang of [false, true]) {
   t.test(`a late end of a ${gang ? "gang" : "task"} that is recorded after the next start counts`, async (t) => {
-    let isRecording = false;
-    const model = createWorkModel({
-      configuration: createModelConfiguration(),
-      getCommitMs(records) {
-        isRecording = records.some((record) =>
-          record.kind === "start" && record.run > 1
-        );
-        return isRecording ? 700 : 12;
-      },
-    });
-    const first = await model.addRunner("r1");
-    await model.run(100);
-    first.orderDelayMs = 4_000;
-    await submitJob(model, "job", { tasks: 2, estimatedMs: 50, gang });
-    await model.run(1_100);
-    // Keeps the task waiting.
-    announceRunner(model, createRunnerEntry("r1", { isDraining: true }), 2);
-    await runUntil(model, 5_000);
-    const next = createRunnerEntry("r1", { startedMs: 2 });
-    const faults = model.runners.add(next);
-    while (listRuns(model).length < 2) await model.run(1);
-    await model.run(60);
-    t.strictSame(listRuns(model), []);
+    const { model, isRecording } = createSlowRestartModel();
+    const { next, faults } = await endLateCopies(t, model, { tasks: 2, gang });
     const starts = model.runners.countStarts();
     faults.refusesConnections = true;
     announceRunner(model, next);
@@ -171,7 +167,7 @@
     const other = createRunnerEntry("r2");
     model.runners.add(other);
     announceRunner(model, other);
-    while (!isRecording) await model.run(1);
+    while (!isRecording()) await model.run(1);
     faults.refusesConnections = false;
     await model.run(10_000);
     t.equal(getJobState(model, "job"), "completed");
@@ -183,26 +179,17 @@
 // The leader ends once it has recorded the next start, but neither sent it nor recorded
 // the end. Guards against a start after the task was done.
 t.test("a late end that is recorded by the next leader counts", async (t) => {
-  let isRecording = false;
-  const model = createWorkModel({
-    configuration: createModelConfiguration(),
-    getCommitMs(records) {
-      isRecording = records.some((record) =>
-        record.kind === "start" && record.run > 1
-      );
-      return isRecording ? 700 : 12;
-    },
-  });
-  const { next, faults } = await endLateCopy(t, model);
+  const { model, isRecording } = createSlowRestartModel();
+  const { next, faults } = await endLateCopies(t, model);
   faults.refusesConnections = true;
   announceRunner(model, next);
   await model.run(30);
   const other = createRunnerEntry("r2");
   model.runners.add(other);
   announceRunner(model, other);
-  while (!isRecording) await model.run(1);
+  while (!isRecording()) await model.run(1);
   faults.refusesConnections = false;
-  while (isRecording) await model.run(1);
+  while (isRecording()) await model.run(1);
   model.changeLeader();
   await model.run(10_000);
   t.equal(getJobState(model, "job"), "completed");
@@ -213,7 +200,7 @@
 // done, once the run that was never executed counts as lost.
 t.test("a late end that is listed after the next start was sent counts", async (t) => {
   const model = createModel();
-  const { next, faults } = await endLateCopy(t, model);
+  const { next, faults } = await endLateCopies(t, model);
   faults.refusesConnections = true;
   announceRunner(model, next);
   await model.run(30);
@@ -262,12 +249,7 @@
       return true;
     },
   });
-  const entry = createRunnerEntry("r1");
-  model.runners.add(entry);
-  const announced = model.getController()
-    .announceRunner({ entry, sequence: 1, remainingMs: 0 })
-    .catch(() => "refused");
-  t.equal(await runCall(model, announced), "refused");
+  await announceRefused(t, model);
   hasReply = true;
   t.equal(model.state.getRunner("r1")?.startedMs, 1);
   await submitJob(model, "job", { estimatedMs: 100 });
@@ -290,12 +272,7 @@
       return true;
     },
   });
-  const entry = createRunnerEntry("r1");
-  model.runners.add(entry);
-  const announced = model.getController()
-    .announceRunner({ entry, sequence: 1, remainingMs: 0 })
-    .catch(() => "refused");
-  t.equal(await runCall(model, announced), "refused");
+  await announceRefused(t, model);
   t.equal(model.state.getRunner("r1"), undefined);
   await submitJob(model, "job", { estimatedMs: 100 });
   await model.run(5_000);
@@ -486,7 +463,7 @@
       alwaysFails: true,
     }),
   });
-  const { next } = await endLateCopy(t, model);
+  const { next } = await endLateCopies(t, model);
   announceRunner(model, next);
   await model.run(10_000);
   t.equal(getJobState(model, "job"), "failed");
@@ -528,7 +505,7 @@
       alwaysFails: true,
     }),
   });
-  const { next } = await endLateCopy(t, model);
+  const { next } = await endLateCopies(t, model);
   const other = createRunnerEntry("r2");
   model.runners.add(other);
   announceRunner(model, other);
