--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -26,13 +26,19 @@
   advance(ms: number): void;
 }
 
+/** Longest delay of a timer in milliseconds; Node.js turns longer ones into 1 ms. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** Creates a clock on system time. Its timers do not keep the process alive. */
 export function createSystemClock(): Clock {
   return {
     now: () => performance.now(),
     wallTime: () => Date.now(),
     setTimer(delayMs, callback) {
-      const handle = setTimeout(callback, Math.max(0, delayMs));
+      const handle = setTimeout(
+        callback,
+        Math.min(MAX_TIMER_MS, Math.max(0, delayMs)),
+      );
       handle.unref();
       return { cancel: () => clearTimeout(handle) };
     },
--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -19,11 +19,11 @@
 import {
   type CoreMessage,
   decodeAnswer,
-  decodeFrame,
   encodeFrame,
   type Frame,
   FRAME_BATCH_WINDOW_MS,
   type GatewayMessage,
+  handleFrame,
   RELAY_BATCH_WINDOW_MS,
   type RunnerCall,
   type WorkCall,
@@ -171,13 +171,11 @@
       if (link.stream !== stream) return;
       link.lastMessageMs = clock.now();
       link.firstMessageMs ??= link.lastMessageMs;
-      try {
-        for (const message of decodeFrame<CoreMessage>(frame)) {
-          receive(link, message);
-        }
-      } catch (error) {
-        logger.error("Cannot decode a frame", { core: link.core, error });
-      }
+      handleFrame<CoreMessage>(frame, {
+        receive: (message) => receive(link, message),
+        handleError: (error) =>
+          logger.error("Cannot handle a message", { core: link.core, error }),
+      });
     });
     const handleEnd = (error?: unknown) => {
       if (link.stream === stream) closeStream(link, error);
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -15,12 +15,12 @@
 import type { EligibilityAnswer, EligibilityQuery } from "../workload/mod.ts";
 import {
   type CoreMessage,
-  decodeFrame,
   encodeFaultAnswer,
   encodeFrame,
   type Frame,
   FRAME_BATCH_WINDOW_MS,
   type GatewayMessage,
+  handleFrame,
   RELAY_BATCH_WINDOW_MS,
   type RunnerCall,
   type WorkCall,
@@ -298,16 +298,14 @@
       };
       sessions.add(session);
       stream.on("data", (frame: Frame) => {
-        try {
-          for (const message of decodeFrame<GatewayMessage>(frame)) {
-            receive(session, message);
-          }
-        } catch (error) {
-          logger.error("Cannot decode a frame", {
-            instance: session.name,
-            error,
-          });
-        }
+        handleFrame<GatewayMessage>(frame, {
+          receive: (message) => receive(session, message),
+          handleError: (error) =>
+            logger.error("Cannot handle a message", {
+              instance: session.name,
+              error,
+            }),
+        });
       });
       stream.on("error", (error) => endSession(session, error.message));
       stream.on("cancelled", () => endSession(session, "cancelled"));
--- a/src/gateway/messages.ts
+++ b/src/gateway/messages.ts
@@ -143,9 +143,38 @@
   return { data: Buffer.from(JSON.stringify(messages)) };
 }
 
-/** Decodes the messages of a frame; throws a `SyntaxError` when it is not JSON. */
-export function decodeFrame<Message>(frame: Frame): Message[] {
-  return JSON.parse(Buffer.from(frame.data).toString("utf8")) as Message[];
+/** Handles the messages of a frame. */
+export interface FrameHandlers<Message> {
+  readonly receive: (message: Message) => void;
+  /** Called for a frame or a message that cannot be handled. */
+  readonly handleError: (error: unknown) => void;
+}
+
+/** Decodes a frame and handles each of its messages; one that fails leaves the others in force. */
+export function handleFrame<Message>(
+  frame: Frame,
+  { receive, handleError }: FrameHandlers<Message>,
+): void {
+  let messages: readonly Message[];
+  try {
+    messages = decodeFrame(frame);
+  } catch (error) {
+    return handleError(error);
+  }
+  for (const message of messages) {
+    try {
+      receive(message);
+    } catch (error) {
+      handleError(error);
+    }
+  }
+}
+
+/** Decodes the messages of a frame; throws a `SyntaxError` when it is not JSON, and fault "badRequest" when it is no list. */
+function decodeFrame<Message>(frame: Frame): readonly Message[] {
+  const messages = JSON.parse(Buffer.from(frame.data).toString("utf8"));
+  if (Array.isArray(messages)) return messages;
+  throw createFault("badRequest", "Cannot decode a frame: it is not a list");
 }
 
 /** Encodes a fault as an answer. */
