--- a/examples/build.mjs
+++ b/examples/build.mjs
@@ -1,5 +1,5 @@
 // Builds the settings of every instance and the list of endpoints and workers
-// of both example cells: `node examples/build.mjs`. The addresses are from the
+// of the example cells: `node examples/build.mjs`. The addresses are from the
 // ranges that are reserved for documentation.
 
 import { createHash } from "node:crypto";
@@ -51,6 +51,23 @@
     queues: ["plans", "lots", "quotes"],
     worker: { cores: 32, memoryGb: 128, accelerators: 0 },
   },
+  {
+    folder: "asociacion-cuenca",
+    weights: "waiting",
+    dataCentres: [
+      { name: "cuenca", network: "192.0.2.1", instances: 4, racks: [8, 8] },
+      { name: "gualaceo", network: "198.51.100.1", instances: 3, racks: [8] },
+      { name: "azogues", network: "203.0.113.1", instances: 3, racks: [6] },
+    ],
+    voters: ["cuenca-1", "gualaceo-1", "azogues-1"],
+    witnesses: {
+      "cuenca-1": ["gualaceo"],
+      "gualaceo-1": ["azogues"],
+      "azogues-1": ["cuenca"],
+    },
+    queues: ["valuations", "reservations", "stock"],
+    worker: { cores: 32, memoryGb: 64, accelerators: 0 },
+  },
 ];
 
 function listNumbers(count) {
--- a/test/examples_test.ts
+++ b/test/examples_test.ts
@@ -48,6 +48,14 @@
     memoryGb: 128,
     workersPerRack: 8,
   },
+  {
+    folder: "asociacion-cuenca",
+    instances: [4, 3, 3],
+    weights: "waiting",
+    cores: 32,
+    memoryGb: 64,
+    workersPerRack: 8,
+  },
 ];
 
 function countBy<T>(items: readonly T[], getKey: (item: T) => string) {
