Hold back steps that can wait while the leader is busy

Most of its code runs for the first time. Records then take 110 to 400 ms in place of 20, and short jobs start 300 to 680 ms after they were accepted in place of 105, so four of five are late. The lead of the issue, tickets lost with the leader, is not it: all steps are late alike, also after their tickets were there, and the waits end when the event loop has time.

Ruled out: the frozen member (a leader whose followers are all there is as busy after the restart of all); replication to it (it gets empty messages only); creating connection pools (16 ms for 245).

Change: the lateness of planning rounds tells that the process is short of time. While it is, steps that would still be on time 3 s later start two tasks a round; short jobs, gangs and long-running tasks get the rest. Wide jobs are half of the starts there and earn a third as much a start.

Test: the model gets a process that runs one thing at a time, and the pattern "a new leader whose code is slow for 6 s".

--- a/src/model/work_load.ts
+++ b/src/model/work_load.ts
@@ -74,6 +74,8 @@
     model: WorkModel,
     runners: readonly RunnerFaults[],
   ) => void;
+  /** Returns the processor time that the leader needs for a reply of a runner, in milliseconds. Default: none. */
+  readonly getReplyCostMs?: (atMs: number) => number;
   /** Returns whether the cell has no leader; submissions are then retried until it has one. */
   readonly isLeaderless?: (atMs: number) => boolean;
 }
@@ -126,7 +128,11 @@
   /** Further options of the simulated cell. */
   readonly cell?: Pick<
     WorkModelOptions,
-    "commitMs" | "callers" | "createProbation" | "sortSteps" | "returnAs"
+    | "commitMs"
+    | "callers"
+    | "createProbation"
+    | "sortSteps"
+    | "returnAs"
   >;
 }
 
@@ -225,6 +231,15 @@
       if (atMs === 8_000) model.changeLeader();
     },
   },
+  coldLeader: {
+    name: "a new leader whose code is slow for 6 s",
+    getRateFactor: () => 1,
+    // Warm, the load of the sheets takes it about half of its time.
+    getReplyCostMs: (atMs) => isWithin(atMs, 5_000, 6_000) ? 6 : 1.3,
+    applyFaults(atMs, model) {
+      if (atMs === 5_000) model.changeLeader();
+    },
+  },
   lostDataCentre: {
     name: "a quarter of the runners unreachable for 6 s",
     getRateFactor: () => 1,
@@ -425,8 +440,13 @@
   // Separate, so that the other jobs are the same for each share.
   const deadlyRandom = createSeededRandom(options.seed);
   const jobs = new Map<string, GeneratedJob>();
+  const { getReplyCostMs } = pattern;
+  let startMs = Infinity;
   const model = createWorkModel({
     ...options.cell,
+    ...(getReplyCostMs === undefined ? {} : {
+      getReplyCostMs: () => getReplyCostMs(model.clock.now() - startMs),
+    }),
     configuration: createModelConfiguration({
       queues: kinds.map((kind) => ({
         name: kind.name,
@@ -460,7 +480,7 @@
       }),
     );
   }
-  const startMs = model.clock.now();
+  startMs = model.clock.now();
 
   /** Submits a job and retries until it is accepted, as clients do. */
   function submit(id: string, generated: GeneratedJob): void {
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -23,6 +23,7 @@
   hasChanges,
   type JobBody,
   type QueueSettings,
+  type RunnerCalls,
   type RunnerEntry,
   startWorkController,
   type StepSpec,
@@ -80,6 +81,11 @@
   handleCrash?: (entry: RunnerEntry) => void;
   /** Returns the rate of a runner's own clock. Default 1. */
   getClockRate?: (entry: RunnerEntry) => number;
+  /**
+   * Returns the processor time that the leader needs for a reply of a runner, in
+   * milliseconds; its timers run late while it works. Default: none.
+   */
+  getReplyCostMs?: () => number;
   /** Returns whether the log refuses a command. Default: never. */
   isRefused?: (records: readonly WorkRecord[]) => boolean;
   logger?: Logger;
@@ -326,13 +332,52 @@
     );
   }
 
+  /** Time until which the leader's process works. */
+  let busyUntilMs = 0;
+
+  /** Runs a callback once the leader's process has done all earlier work and `costMs` of its own. */
+  function runOnLeader(costMs: number, callback: () => void): void {
+    const nowMs = clock.now();
+    busyUntilMs = Math.max(busyUntilMs, nowMs) + costMs;
+    if (busyUntilMs <= nowMs) callback();
+    else clock.setTimer(busyUntilMs - nowMs, callback);
+  }
+
+  const leaderClock = {
+    ...wallClock,
+    setTimer(delayMs: number, callback: () => void) {
+      let isCancelled = false;
+      const timer = clock.setTimer(delayMs, () =>
+        runOnLeader(0, () => {
+          if (!isCancelled) callback();
+        }));
+      return {
+        cancel() {
+          isCancelled = true;
+          timer.cancel();
+        },
+      };
+    },
+  };
+
+  /** Makes each reply of a runner cost processor time of the leader. */
+  function addReplyCosts(getCostMs: () => number): RunnerCalls {
+    const waitForLeader = () =>
+      new Promise<void>((resolve) => runOnLeader(getCostMs(), resolve));
+    return {
+      ...runners.calls,
+      start: (...order) => runners.calls.start(...order).finally(waitForLeader),
+      hold: (...order) => runners.calls.hold(...order).finally(waitForLeader),
+    };
+  }
+
   function changeLeader(): void {
     controller?.stop();
     runners.recordDisruption();
     newestTerm += 1;
     const term = newestTerm;
     controller = startWorkController({
-      clock: wallClock,
+      clock: leaderClock,
       logger,
       state,
       createFencingToken: () => fencingTokens.create(term),
@@ -362,7 +407,9 @@
           });
         });
       },
-      calls: runners.calls,
+      calls: options.getReplyCostMs === undefined
+        ? runners.calls
+        : addReplyCosts(options.getReplyCostMs),
       ask: (caller, question) => ask(caller, question),
       maxLeaseMs: 10_000,
       keepMs: 120_000,
--- a/src/report/metric_definitions.ts
+++ b/src/report/metric_definitions.ts
@@ -91,6 +91,12 @@
       help: "Workers known to this leader by state",
       labels: ["state"],
     },
+    leader_lateness_ms: {
+      kind: "gauge",
+      help:
+        "Mean time by which planning rounds of this leader begin late, in milliseconds",
+      labels: [],
+    },
     steps_waiting: {
       kind: "gauge",
       help: "Steps with tasks that wait for a place at this leader",
--- a/src/workload/paced_rounds.ts
+++ b/src/workload/paced_rounds.ts
@@ -15,6 +15,8 @@
   /** Minimum time between a request and its round, in milliseconds. */
   periodMs: number;
   runRound: () => void;
+  /** Takes the time by which a round began late, in milliseconds. Default: none. */
+  recordLateness?: (lateMs: number) => void;
 }
 
 /** Runs rounds on request. */
@@ -31,10 +33,11 @@
   let isStopped = false;
   let notBeforeMs = 0;
 
-  function runRound(): void {
+  function runRound(dueMs: number): void {
     isRequested = false;
     if (isStopped) return;
     const startMs = clock.now();
+    options.recordLateness?.(startMs - dueMs);
     options.runRound();
     const endMs = clock.now();
     notBeforeMs = endMs + PAUSE_FACTOR * (endMs - startMs);
@@ -44,8 +47,9 @@
     request() {
       if (isRequested || isStopped) return;
       isRequested = true;
-      const pauseMs = Math.max(periodMs, notBeforeMs - clock.now());
-      clock.setTimer(pauseMs, runRound);
+      const nowMs = clock.now();
+      const pauseMs = Math.max(periodMs, notBeforeMs - nowMs);
+      clock.setTimer(pauseMs, () => runRound(nowMs + pauseMs));
     },
     stop() {
       isStopped = true;
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -20,6 +20,7 @@
 } from "./constants.ts";
 import { hasSurvivedStart } from "./crash_suspects.ts";
 import type { StepEligibility } from "./eligibility.ts";
+import { isPatient } from "./leader_load.ts";
 import {
   computeFreeCapacity,
   isPlaceable,
@@ -91,6 +92,8 @@
   readonly gangHolds: ReadonlyMap<string, string>;
   /** Runners for confined steps only, by incarnation. */
   readonly probation: ReadonlySet<string>;
+  /** Tasks of steps that can wait which may start in this round. Default: any number. */
+  readonly patientStarts?: number;
 }
 
 /** Why tasks of a step do not start. */
@@ -104,7 +107,9 @@
   /** The workspace has reached its cap. */
   | "workspaceCap"
   /** The remaining processors are reserved for urgent steps or waiting gangs. */
-  | "keptForUrgent";
+  | "keptForUrgent"
+  /** The leader has no processor time to spare, and the step can wait. */
+  | "leaderBusy";
 
 /** Result of one planning round. */
 export interface Plan {
@@ -800,12 +805,25 @@
     addQueryAbout(step, pool, eligibility, asked);
   }
 
-  for (const step of input.steps) {
-    if (step.waiting.length === 0) continue;
+  function planStep(step: OpenStep): void {
     const pool = pools.get(step.pool) ?? NO_POOL;
     const eligibility = input.getEligibility(step.key);
     if (step.spec.gang) planGang(step, pool, eligibility);
     else planTasks(step, pool, eligibility);
   }
+
+  let patientStarts = input.patientStarts ?? Infinity;
+  for (const step of input.steps) {
+    if (step.waiting.length === 0) continue;
+    if (patientStarts === Infinity || !isPatient(step, input.wallMs)) {
+      planStep(step);
+    } else if (patientStarts <= 0) {
+      addWait(step, "leaderBusy");
+    } else {
+      planStep({ ...step, waiting: step.waiting.slice(0, patientStarts) });
+      const last = plan.starts.at(-1);
+      if (last?.step.key === step.key) patientStarts -= last.placements.length;
+    }
+  }
   return plan;
 }
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -22,6 +22,7 @@
   type EligibilityAnswer,
   type EligibilityQuery,
 } from "./eligibility.ts";
+import { createLeaderLoad } from "./leader_load.ts";
 import { createOpenSteps } from "./open_steps.ts";
 import {
   type OpenStep,
@@ -170,10 +171,13 @@
     handleStaleFence: options.handleStaleFence,
     handleChange: () => startPlan(),
   });
+  const leaderLoad = createLeaderLoad({ clock, logger, ...metricsOptions });
+  const { recordLateness } = leaderLoad;
   const planning = createPacedRounds({
     clock,
     periodMs: PLAN_PERIOD_MS,
     runRound: planAll,
+    recordLateness,
   });
   // In a full pool many steps wait and a round over all of them takes long, so
   // urgent steps have their own rounds.
@@ -181,6 +185,7 @@
     clock,
     periodMs: URGENT_PLAN_PERIOD_MS,
     runRound: planUrgent,
+    recordLateness,
   });
   let isStopped = false;
   let nextCleanupMs = 0;
@@ -466,6 +471,7 @@
       reservations,
       gangHolds,
       probation: probation.pickRunners(fleet.runnersByPool),
+      patientStarts: leaderLoad.getPatientStarts(),
     });
     // A reservation lasts while its query is in progress, and for the next round
     // after the answer, in which the step may start.
