Plan rounds without a search for steps that wait for an answer

Cause: after a takeover the tickets are lost with the former leader, and all steps ask again at once.

Change: a step without a valid ticket is not searched while its query is open or no caller is free; the order of runners that most steps prefer is kept from step to step and repaired after placements; only racks, suspects, confined steps and holds sort anew.

--- a/src/workload/eligibility.ts
+++ b/src/workload/eligibility.ts
@@ -75,6 +75,8 @@
 /** Eligibility and tickets by step, and the queries in progress. */
 export interface EligibilityCache {
   get(stepKey: string): StepEligibility | undefined;
+  /** Tells whether a caller for queries of this kind has fewer in progress than it may. */
+  hasFreeCaller(times: EligibilityTimes): boolean;
   /** Sends a query unless too many are in progress; returns whether it was sent. */
   startQuery(
     stepKey: string,
@@ -259,6 +261,12 @@
 
   return {
     get: (stepKey) => steps.get(stepKey),
+    hasFreeCaller(times) {
+      // Whether a query is slow depends on the runners that it names.
+      return pickCaller(true, clock.now()) !== undefined ||
+        (times.baseMs < SLOW_ELIGIBILITY_MS &&
+          pickCaller(false, clock.now()) !== undefined);
+    },
     startQuery(stepKey, question, times) {
       const nowMs = clock.now();
       const step = getStep(stepKey);
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -92,6 +92,8 @@
   readonly gangHolds: ReadonlyMap<string, string>;
   /** Runners for confined steps only, by incarnation. */
   readonly probation: ReadonlySet<string>;
+  /** Tells whether a query to a service with these times could be sent now. Default: it could. */
+  readonly mayQuery?: (times: EligibilityTimes) => boolean;
   /** Tasks of steps that can wait which may start in this round. Default: any number. */
   readonly patientStarts?: number;
 }
@@ -165,6 +167,9 @@
 /** A runner that accepts new tasks, with its free capacity in this round. */
 interface Candidate {
   readonly runner: Runner;
+  /** Position in the list of the pool's runners; decides between equal ones. */
+  readonly position: number;
+  readonly speedClass: number;
   /** Free capacity after subtracting all reservations. */
   free: Resources;
   /** Reserved capacity, by step. */
@@ -179,9 +184,26 @@
   placed: number;
 }
 
+/**
+ * Candidates in the order that most steps prefer. It is kept from step to step: a
+ * round over many steps would otherwise sort all runners for each of them.
+ */
+interface CandidateOrder {
+  readonly candidates: Candidate[];
+  /** False after a placement has changed a free capacity. */
+  isSorted: boolean;
+}
+
 /** The candidates of one pool and its utilization. */
 interface PoolCandidates {
   readonly candidates: readonly Candidate[];
+  /** For steps with time to spare, and for tight ones. */
+  readonly orders: {
+    readonly usual: CandidateOrder;
+    readonly tight: CandidateOrder;
+  };
+  /** True if runners are held for gangs. */
+  readonly hasHolds: boolean;
   /** All its runners, also those that accept no tasks at the moment. */
   readonly runners: readonly Runner[];
   /** Largest free capacity of any candidate, per resource, including reservations. */
@@ -192,8 +214,14 @@
   readonly capacity: number;
 }
 
+function createOrder(candidates: readonly Candidate[]): CandidateOrder {
+  return { candidates: [...candidates], isSorted: false };
+}
+
 const NO_POOL: PoolCandidates = Object.freeze({
   candidates: [],
+  orders: { usual: createOrder([]), tight: createOrder([]) },
+  hasHolds: false,
   runners: [],
   largestFree: NO_RESOURCES,
   used: 0,
@@ -243,6 +271,8 @@
     const suspectJob = findSuspectJob(runner);
     candidates.push({
       runner,
+      position: candidates.length,
+      speedClass: getSpeedClass(runner),
       free,
       reserved,
       heldFor,
@@ -255,7 +285,16 @@
     used += Math.min(runner.used.processors, processors);
     capacity += processors;
   }
-  return { candidates, runners, largestFree, used, claimed: 0, capacity };
+  return {
+    candidates,
+    orders: { usual: createOrder(candidates), tight: createOrder(candidates) },
+    hasHolds: candidates.some(({ heldFor }) => heldFor !== undefined),
+    runners,
+    largestFree,
+    used,
+    claimed: 0,
+    capacity,
+  };
 }
 
 /**
@@ -371,7 +410,37 @@
   return a.runner.occupants.size - b.runner.occupants.size;
 }
 
-function compareCandidates(step: OpenStep, a: Candidate, b: Candidate): number {
+/** Compares candidates by what counts for each step. */
+function compareForAny(
+  isTight: boolean,
+  a: Candidate,
+  b: Candidate,
+): number {
+  const failures = a.runner.failedJobs.size - b.runner.failedJobs.size;
+  if (failures !== 0) return failures;
+  if (isTight && a.speedClass !== b.speedClass) {
+    return a.speedClass - b.speedClass;
+  }
+  // Best fit: fuller runners first, so that free capacity for wide tasks is not
+  // fragmented.
+  return a.free.processors - b.free.processors || a.position - b.position;
+}
+
+/** Returns the candidates in the order of `compareForAny`; little is to be done after few placements. */
+function sortCandidates(
+  { orders }: PoolCandidates,
+  isTight: boolean,
+): readonly Candidate[] {
+  const order = isTight ? orders.tight : orders.usual;
+  if (!order.isSorted) {
+    order.candidates.sort((a, b) => compareForAny(isTight, a, b));
+    order.isSorted = true;
+  }
+  return order.candidates;
+}
+
+/** Compares candidates by what counts for one step and comes before the rest. */
+function compareForStep(step: OpenStep, a: Candidate, b: Candidate): number {
   const held = Number(isHeldForOther(step, a)) -
     Number(isHeldForOther(step, b));
   if (held !== 0) return held;
@@ -383,21 +452,15 @@
     if (difference !== 0) return difference;
   }
   const { preferredRack } = step.spec;
-  if (preferredRack !== undefined) {
-    const distanceA = getRack(a.runner) === preferredRack ? 0 : 1;
-    const distanceB = getRack(b.runner) === preferredRack ? 0 : 1;
-    if (distanceA !== distanceB) return distanceA - distanceB;
-  }
-  const failures = a.runner.failedJobs.size - b.runner.failedJobs.size;
-  if (failures !== 0) return failures;
-  if (step.isTight) {
-    const speeds = getSpeedClass(a.runner) - getSpeedClass(b.runner);
-    if (speeds !== 0) return speeds;
-  }
-  // Best fit: fuller runners first, so that free capacity for wide tasks is not
-  // fragmented.
-  return getFreeCapacity(step, a).processors -
-    getFreeCapacity(step, b).processors;
+  if (preferredRack === undefined) return 0;
+  return Number(getRack(a.runner) !== preferredRack) -
+    Number(getRack(b.runner) !== preferredRack);
+}
+
+/** Tells whether `compareForStep` makes a difference for a step. */
+function hasOwnOrder(step: OpenStep, pool: PoolCandidates): boolean {
+  return pool.hasHolds || step.isConfined || step.isSuspect ||
+    step.spec.preferredRack !== undefined;
 }
 
 /** Candidates with capacity for a task of one step, grouped by eligibility. */
@@ -460,7 +523,7 @@
     return { eligible, unknown };
   }
   const isParted = isPartedByProbation(step, pool, eligibility, input);
-  for (const candidate of pool.candidates) {
+  for (const candidate of sortCandidates(pool, step.isTight)) {
     if (countFitting(step, candidate, 1) === 0) continue;
     const isOtherSide = isParted &&
       step.isConfined !== candidate.isOnProbation;
@@ -472,8 +535,12 @@
     if (isEligible === true) eligible.push(candidate);
     else if (isEligible === undefined) unknown.push(candidate);
   }
-  const compare = (a: Candidate, b: Candidate) => compareCandidates(step, a, b);
-  return { eligible: eligible.sort(compare), unknown: unknown.sort(compare) };
+  if (hasOwnOrder(step, pool)) {
+    const compare = (a: Candidate, b: Candidate) => compareForStep(step, a, b);
+    eligible.sort(compare);
+    unknown.sort(compare);
+  }
+  return { eligible, unknown };
 }
 
 /** Places all tasks of a gang, on a single rack if requested and possible; undefined if they do not fit. */
@@ -522,6 +589,8 @@
     const { resources } = step.spec;
     candidate.free = subtractResources(candidate.free, resources);
     candidate.placed += 1;
+    pool.orders.usual.isSorted = false;
+    pool.orders.tight.isSorted = false;
     if (step.isSuspect) candidate.suspectJob ??= step.job;
     pool.used += resources.processors;
     if (step.workspace === undefined) return;
@@ -805,9 +874,28 @@
     addQueryAbout(step, pool, eligibility, asked);
   }
 
+  /** Tells whether a step can neither start nor be asked about in this round. */
+  function isWaitingForAnswer(
+    step: OpenStep,
+    eligibility: StepEligibility | undefined,
+  ): boolean {
+    if (step.eligibility === undefined) return false;
+    if (eligibility !== undefined) {
+      // A gang of which some runners are known holds them while it waits.
+      if (step.spec.gang && eligibility.isEligible.size > 0) return false;
+      for (const { expiresMs } of eligibility.tickets.values()) {
+        if (expiresMs >= nowMs + TICKET_MARGIN_MS) return false;
+      }
+      if (eligibility.openQueries > 0) return true;
+    }
+    return input.mayQuery?.(step.eligibility) === false;
+  }
+
   function planStep(step: OpenStep): void {
     const pool = pools.get(step.pool) ?? NO_POOL;
     const eligibility = input.getEligibility(step.key);
+    // After a takeover this holds for most steps, and the search would be in vain.
+    if (isWaitingForAnswer(step, eligibility)) return addWait(step, "noTicket");
     if (step.spec.gang) planGang(step, pool, eligibility);
     else planTasks(step, pool, eligibility);
   }
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -40,7 +40,7 @@
 import type { Session } from "./runner_sessions.ts";
 import { isOverCapacity, type Occupant, type Runner } from "./runner_table.ts";
 import { createRunTimes } from "./run_times.ts";
-import { formatStep, type WorkRecord } from "./types.ts";
+import { type EligibilityTimes, formatStep, type WorkRecord } from "./types.ts";
 import { sortSteps } from "./urgency.ts";
 import { createWorkCalls, type WorkCalls } from "./work_calls.ts";
 import { countOccurrences, isOpenJob, type WorkState } from "./work_state.ts";
@@ -461,6 +461,7 @@
     wallMs: number,
     isCovered: (stepKey: string) => boolean,
   ): Plan {
+    const free = new Map<EligibilityTimes, boolean>();
     const decided = planStarts({
       nowMs: clock.now(),
       wallMs,
@@ -472,6 +473,11 @@
       gangHolds,
       probation: probation.pickRunners(fleet.runnersByPool),
       patientStarts: leaderLoad.getPatientStarts(),
+      mayQuery(times) {
+        const isFree = free.get(times) ?? eligibility.hasFreeCaller(times);
+        free.set(times, isFree);
+        return isFree;
+      },
     });
     // A reservation lasts while its query is in progress, and for the next round
     // after the answer, in which the step may start.
