Hold writes back while a disk is full in place of ending the process

Change: a write that finds no room is undone and repeated until there is some. The call stays open, so the member votes and acknowledges nothing; one log line at the start and one at the end. A failed sync still ends the process, since what the disk holds is then unknown.

--- a/src/replicated_log/disk_storage.ts
+++ b/src/replicated_log/disk_storage.ts
@@ -4,6 +4,10 @@
  * append and was synced before the next was written. An incomplete record at the
  * end was therefore never acknowledged and is truncated. A damaged record before
  * intact ones means that the disk lost acknowledged data.
+ *
+ * A full disk is not a failure: nothing was synced, so the write is undone and
+ * repeated until there is room. Until then the call is open, and the member votes and
+ * acknowledges nothing. After a failed sync it is unknown what the disk holds.
  */
 
 import { createFault, type Fault } from "../common/errors.ts";
@@ -35,6 +39,19 @@
 /** Size of a log segment in bytes after which a new one is started. */
 const DEFAULT_SEGMENT_BYTES = 4 * 1024 * 1024;
 
+/** Time until a write to a full disk is repeated, in milliseconds. */
+const FULL_DISK_RETRY_MS = 200;
+
+function waitBeforeRetry(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, FULL_DISK_RETRY_MS));
+}
+
+/** Tells whether an error says that the disk has no room. */
+function isFullDisk(error: unknown): boolean {
+  const { code } = error as NodeJS.ErrnoException;
+  return code === "ENOSPC" || code === "EDQUOT";
+}
+
 /** Options of `createDiskStorage`. */
 export interface DiskStorageOptions {
   /** Folder of this group's files; created if it is missing. */
@@ -44,6 +61,8 @@
   /** File operations; by default those of the file system on `folder`. */
   files?: LogFiles;
   logger?: Logger;
+  /** Waits before a write to a full disk is repeated. Default: 200 ms. */
+  waitForRoom?: () => Promise<void>;
 }
 
 interface Segment {
@@ -85,6 +104,36 @@
   let activeFile: LogFile | undefined;
   let stored: StoredTerms = { first: 1, terms: [] };
   let failure: unknown;
+  let isClosed = false;
+
+  /** Repeats `write` while the disk is full; `undo` removes what a failed attempt has left. */
+  async function writeWithRoom(
+    write: () => Promise<void>,
+    undo: () => Promise<void>,
+  ): Promise<void> {
+    let attempts = 0;
+    for (;;) {
+      try {
+        await write();
+        break;
+      } catch (error) {
+        if (!isFullDisk(error)) throw error;
+        if (attempts === 0) {
+          logger.error("Disk is full; storing nothing until it has room", {
+            folder,
+            error,
+          });
+        }
+        attempts += 1;
+        await undo();
+        await (options.waitForRoom ?? waitBeforeRetry)();
+        if (isClosed) throw error;
+      }
+    }
+    if (attempts > 0) {
+      logger.info("Disk has room again", { folder, attempts });
+    }
+  }
 
   function createCorruptFault(name: string, detail: string): Fault {
     return createFault(
@@ -112,14 +161,18 @@
 
   async function saveFile(name: string, payload: Uint8Array): Promise<void> {
     const temporaryName = name + TEMPORARY_SUFFIX;
-    await files.remove(temporaryName);
-    const file = await files.open(temporaryName);
-    try {
-      await file.write(codec.encode(payload, 0));
-      await file.sync();
-    } finally {
-      await file.close();
-    }
+    const remove = () => files.remove(temporaryName);
+    await remove();
+    const data = codec.encode(payload, 0);
+    await writeWithRoom(async () => {
+      const file = await files.open(temporaryName);
+      try {
+        await file.write(data);
+        await file.sync();
+      } finally {
+        await file.close();
+      }
+    }, remove);
     await files.rename(temporaryName, name);
     await files.syncFolder();
   }
@@ -272,8 +325,10 @@
     await activeFile?.close();
     activeFile = undefined;
     const segment = createSegment((segments.at(-1)?.number ?? 0) + 1);
+    await writeWithRoom(async () => {
+      activeFile = await files.open(segment.name);
+    }, () => Promise.resolve());
     segments.push(segment);
-    activeFile = await files.open(segment.name);
     await files.syncFolder();
   }
 
@@ -285,8 +340,12 @@
     const segment = segments.at(-1);
     if (segment === undefined || activeFile === undefined) return;
     const bytes = codec.encode(encodeEntriesRecord(record), segment.bytes);
-    await activeFile.write(bytes);
-    await activeFile.sync();
+    const file = activeFile;
+    await writeWithRoom(
+      () => file.write(bytes),
+      () => files.truncate(segment.name, segment.bytes),
+    );
+    await file.sync();
     segment.bytes += bytes.length;
     const maxIndex = record.entries.at(-1)?.index ?? 0;
     segment.maxIndex = Math.max(segment.maxIndex, maxIndex);
@@ -350,6 +409,7 @@
   }
 
   async function close(): Promise<void> {
+    isClosed = true;
     const file = activeFile;
     activeFile = undefined;
     await file?.close();
