Poll runners without urgent runs less often while the leader is busy

Planning, records and frames are a quarter of its busy time, the rest is the runtime's. While it is busy, each hop of a short job (accept, query, record, start, end) waits for a turn of the event loop with a reply of every runner in it.

Change: a busy leader waits 400 ms before it polls a runner again that has no run of an urgent queue; its ends are gathered meanwhile.

--- a/src/workload/constants.ts
+++ b/src/workload/constants.ts
@@ -20,6 +20,12 @@
 /** Time beyond its wait after which a poll times out, in milliseconds. */
 export const POLL_TIMEOUT_SLACK_MS = 700;
 
+/**
+ * Pause of a busy leader between two polls of a runner without urgent runs, in
+ * milliseconds. Its ends are gathered meanwhile; a lease lasts far longer.
+ */
+export const BUSY_POLL_PAUSE_MS = 400;
+
 /** Timeout of an order to a runner in milliseconds; a healthy runner answers within 20 ms. */
 export const ORDER_TIMEOUT_MS = 500;
 
--- a/src/workload/leader_load.ts
+++ b/src/workload/leader_load.ts
@@ -1,9 +1,10 @@
 /**
  * Tells when the leader's process is short of processor time, from how late its
- * timers run. Each start costs the same time, whatever it earns: a busy leader
- * holds back the steps that can wait, so that short jobs get that time. A process
- * that has just become the leader is busy for some seconds, since most of its code
- * runs for the first time.
+ * timers run. Each start and each poll costs the same time, whatever it earns: a
+ * busy leader holds back the steps that can wait, and polls runners without urgent
+ * runs less often, so that short jobs get that time. A process that has just become
+ * the leader is busy for some seconds, since most of its code runs for the first
+ * time.
  */
 
 import type { Clock, Logger } from "../common/mod.ts";
@@ -37,6 +38,8 @@
 export interface LeaderLoad {
   /** Takes the time by which a timer ran late, in milliseconds. */
   recordLateness(lateMs: number): void;
+  /** Tells whether the process is short of time. */
+  isBusy(): boolean;
   /** Returns how many tasks of patient steps may start in the next round. */
   getPatientStarts(): number;
 }
@@ -78,6 +81,7 @@
         busySinceMs = undefined;
       }
     },
+    isBusy: () => busySinceMs !== undefined,
     getPatientStarts: () =>
       busySinceMs === undefined ? Infinity : PATIENT_STARTS_WHILE_BUSY,
   };
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -102,6 +102,8 @@
   handleStaleFence: () => void;
   /** Resolves when the first poll may be sent. Default: at once. */
   firstPoll?: Promise<void>;
+  /** Resolves when the next poll may be sent after an answered one. Default: at once. */
+  waitBeforePoll?: () => Promise<void>;
 }
 
 /** Sends polls and orders to one runner. */
@@ -365,6 +367,7 @@
         const isAnswered = await runPoll(true);
         // A refused fencing token may be refused for long.
         if (!isAnswered && runner.isUnresponsive) await startProbes();
+        else await options.waitBeforePoll?.();
       } catch (error) {
         logger.info("Runner does not respond", { runner: runner.life, error });
         await startProbes();
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -7,10 +7,10 @@
  * incarnation.
  */
 
-import type { Clock, Logger } from "../common/mod.ts";
+import { type Clock, type Logger, wait } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
 import { createClosings } from "./closings.ts";
-import { MAX_ORDER_DELAY_MS } from "./constants.ts";
+import { BUSY_POLL_PAUSE_MS, MAX_ORDER_DELAY_MS } from "./constants.ts";
 import { createCrashRecorder } from "./crash_recorder.ts";
 import { createFleetRuns, type FleetRuns } from "./fleet_runs.ts";
 import { createOpenStarts } from "./open_starts.ts";
@@ -52,6 +52,8 @@
   isLeading: () => boolean;
   /** Waits until the messages that have arrived are read. Default: does not wait. */
   waitForTurn?: () => Promise<void>;
+  /** Tells whether the leader's process is short of time. */
+  isBusy: () => boolean;
   handleStaleFence: () => void;
   /** Called when free capacity or waiting tasks may have changed. */
   handleChange: () => void;
@@ -174,6 +176,7 @@
           ),
         handleStaleFence: options.handleStaleFence,
         firstPoll,
+        waitBeforePoll: () => waitBeforePoll(runner),
       }),
     };
     sessions.set(runner.life, session);
@@ -181,6 +184,20 @@
     return session;
   }
 
+  function hasUrgentRun({ occupants }: Runner): boolean {
+    for (const { task } of occupants.values()) {
+      const queue = options.state.getJob(task.job)?.spec.queue ?? "";
+      if (options.state.findQueue(queue)?.priority === 0) return true;
+    }
+    return false;
+  }
+
+  /** Lets a busy leader gather the ends of runners whose jobs can wait for them. */
+  async function waitBeforePoll(runner: Runner): Promise<void> {
+    if (!options.isBusy() || hasUrgentRun(runner)) return;
+    await wait(clock, BUSY_POLL_PAUSE_MS);
+  }
+
   /**
    * Tells whether orders that were sent by a recorded wall time may still be on their
    * way. The time is of another instance, whose clock may be ahead.
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -146,6 +146,8 @@
     ask: options.ask,
     handleAnswer: () => startPlan(),
   });
+  const leaderLoad = createLeaderLoad({ clock, logger, ...metricsOptions });
+  const { recordLateness } = leaderLoad;
   const fleet = createRunnerFleet({
     clock,
     logger,
@@ -168,11 +170,10 @@
     maxLeaseMs: options.maxLeaseMs,
     isLeading: isActive,
     waitForTurn: options.waitForTurn,
+    isBusy: leaderLoad.isBusy,
     handleStaleFence: options.handleStaleFence,
     handleChange: () => startPlan(),
   });
-  const leaderLoad = createLeaderLoad({ clock, logger, ...metricsOptions });
-  const { recordLateness } = leaderLoad;
   const planning = createPacedRounds({
     clock,
     periodMs: PLAN_PERIOD_MS,
