--- a/bench/work_experiment.ts
+++ b/bench/work_experiment.ts
@@ -15,7 +15,7 @@
   runLoad,
   SHEET_KINDS,
 } from "../src/model/mod.ts";
-import type { OpenStep } from "../src/workload/planning.ts";
+import type { OpenStep } from "../src/workload/plan_types.ts";
 
 /** A cell configuration in the comparison. */
 interface Variant {
--- a/src/workload/open_steps.ts
+++ b/src/workload/open_steps.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Clock } from "../common/mod.ts";
-import type { OpenStep } from "./planning.ts";
+import type { OpenStep } from "./plan_types.ts";
 import type { RunTimes } from "./run_times.ts";
 import { formatStep, type JobSpec, type QueueSettings } from "./types.ts";
 import {
--- a/src/workload/planning_test.ts
+++ b/src/workload/planning_test.ts
@@ -1,7 +1,8 @@
 import t from "tap";
 import { createRunnerEntry, createStep } from "../model/mod.ts";
 import type { StepEligibility } from "./eligibility.ts";
-import { type OpenStep, planStarts } from "./planning.ts";
+import type { OpenStep } from "./plan_types.ts";
+import { planStarts } from "./planning.ts";
 import { addOccupant, createRunner, type Runner } from "./runner_table.ts";
 
 const NOW_MS = 1_000;
--- a/src/workload/probation.ts
+++ b/src/workload/probation.ts
@@ -9,7 +9,7 @@
  */
 
 import type { Clock, Logger } from "../common/mod.ts";
-import type { OpenStep } from "./planning.ts";
+import type { OpenStep } from "./plan_types.ts";
 import { isPlaceable, type Runner } from "./runner_table.ts";
 import type { TaskRef, WorkRecord } from "./types.ts";
 import { countCrashes, type WorkState } from "./work_state.ts";
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -24,12 +24,8 @@
 } from "./eligibility.ts";
 import { createLeaderLoad } from "./leader_load.ts";
 import { createOpenSteps } from "./open_steps.ts";
-import {
-  type OpenStep,
-  type Plan,
-  type PlannedStart,
-  planStarts,
-} from "./planning.ts";
+import type { OpenStep, Plan, PlannedStart } from "./plan_types.ts";
+import { planStarts } from "./planning.ts";
 import { createProbation } from "./probation.ts";
 import { createRecordQueue } from "./record_queue.ts";
 import { createPacedRounds } from "./paced_rounds.ts";
--- a/src/workload/workspace_use.ts
+++ b/src/workload/workspace_use.ts
@@ -10,7 +10,7 @@
   type Resources,
   subtractResources,
 } from "../common/mod.ts";
-import type { WorkspaceUsage } from "./planning.ts";
+import type { WorkspaceUsage } from "./plan_types.ts";
 import type { JobSpec } from "./types.ts";
 import type { WorkState } from "./work_state.ts";
 
