--- a/src/workload/eligibility.ts
+++ b/src/workload/eligibility.ts
@@ -262,10 +262,11 @@
   return {
     get: (stepKey) => steps.get(stepKey),
     hasFreeCaller(times) {
-      // Whether a query is slow depends on the runners that it names.
-      return pickCaller(true, clock.now()) !== undefined ||
-        (times.baseMs < SLOW_ELIGIBILITY_MS &&
-          pickCaller(false, clock.now()) !== undefined);
+      const nowMs = clock.now();
+      // Whether a query is slow also depends on the number of runners that it names.
+      const mayBeFast = times.baseMs < SLOW_ELIGIBILITY_MS;
+      return pickCaller(true, nowMs) !== undefined ||
+        (mayBeFast && pickCaller(false, nowMs) !== undefined);
     },
     startQuery(stepKey, question, times) {
       const nowMs = clock.now();
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -458,7 +458,8 @@
     wallMs: number,
     isCovered: (stepKey: string) => boolean,
   ): Plan {
-    const free = new Map<EligibilityTimes, boolean>();
+    // Asked for each waiting step, but the same for all steps of a queue in a round.
+    const freeCallers = new Map<EligibilityTimes, boolean>();
     const decided = planStarts({
       nowMs: clock.now(),
       wallMs,
@@ -471,8 +472,9 @@
       probation: probation.pickRunners(fleet.runnersByPool),
       patientStarts: leaderLoad.getPatientStarts(),
       mayQuery(times) {
-        const isFree = free.get(times) ?? eligibility.hasFreeCaller(times);
-        free.set(times, isFree);
+        const isFree = freeCallers.get(times) ??
+          eligibility.hasFreeCaller(times);
+        freeCallers.set(times, isFree);
         return isFree;
       },
     });
