Set the gauge of the leader's lateness with the others, and check tickets in one place

Decisions are unchanged; 566 checks of the workload, report, verbs and docs tests pass, the whole script was not run again.

--- a/src/workload/leader_load.ts
+++ b/src/workload/leader_load.ts
@@ -8,7 +8,6 @@
  */
 
 import type { Clock, Logger } from "../common/mod.ts";
-import type { Metrics } from "../report/metrics.ts";
 import type { StepSpec } from "./types.ts";
 import type { UrgencyInput } from "./urgency.ts";
 
@@ -31,13 +30,14 @@
 export interface LeaderLoadOptions {
   clock: Pick<Clock, "now">;
   logger: Logger;
-  metrics?: Pick<Metrics, "setGauge">;
 }
 
 /** Measures the load of the leader's process. */
 export interface LeaderLoad {
   /** Takes the time by which a timer ran late, in milliseconds. */
   recordLateness(lateMs: number): void;
+  /** Returns the mean time by which timers ran late, in milliseconds. */
+  getLatenessMs(): number;
   /** Tells whether the process is short of time. */
   isBusy(): boolean;
   /** Returns how many tasks of patient steps may start in the next round. */
@@ -61,14 +61,13 @@
 
 /** Creates the measurement of a process that is not busy. */
 export function createLeaderLoad(options: LeaderLoadOptions): LeaderLoad {
-  const { clock, logger, metrics } = options;
+  const { clock, logger } = options;
   let meanMs = 0;
   let busySinceMs: number | undefined;
 
   return {
     recordLateness(lateMs) {
       meanMs += LATENESS_WEIGHT * (Math.max(0, lateMs) - meanMs);
-      metrics?.setGauge("leader_lateness_ms", meanMs);
       if (busySinceMs === undefined && meanMs > BUSY_LATENESS_MS) {
         busySinceMs = clock.now();
         logger.info("Leader is busy; patient steps wait", {
@@ -81,6 +80,7 @@
         busySinceMs = undefined;
       }
     },
+    getLatenessMs: () => meanMs,
     isBusy: () => busySinceMs !== undefined,
     getPatientStarts: () =>
       busySinceMs === undefined ? Infinity : PATIENT_STARTS_WHILE_BUSY,
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -28,7 +28,7 @@
   MAX_ELIGIBILITY_RUNNERS,
   TICKET_MARGIN_MS,
 } from "./constants.ts";
-import type { StepEligibility } from "./eligibility.ts";
+import type { StepEligibility, Ticket } from "./eligibility.ts";
 import { isPatient } from "./leader_load.ts";
 import type {
   OpenStep,
@@ -161,6 +161,10 @@
     return hasHeadroom(step, pool, count) ? undefined : "keptForUrgent";
   }
 
+  function isUsable({ expiresMs }: Ticket): boolean {
+    return expiresMs >= nowMs + TICKET_MARGIN_MS;
+  }
+
   function getTicket(
     step: OpenStep,
     eligibility: StepEligibility | undefined,
@@ -168,9 +172,7 @@
   ): string | undefined {
     if (step.eligibility === undefined) return "";
     const ticket = eligibility?.tickets.get(runner.entry.id);
-    const isValid = ticket !== undefined &&
-      ticket.expiresMs >= nowMs + TICKET_MARGIN_MS;
-    return isValid ? ticket.value : undefined;
+    return ticket !== undefined && isUsable(ticket) ? ticket.value : undefined;
   }
 
   function addWait(step: OpenStep, reason: WaitReason): void {
@@ -406,8 +408,8 @@
     if (eligibility !== undefined) {
       // A gang of which some runners are known holds them while it waits.
       if (step.spec.gang && eligibility.isEligible.size > 0) return false;
-      for (const { expiresMs } of eligibility.tickets.values()) {
-        if (expiresMs >= nowMs + TICKET_MARGIN_MS) return false;
+      for (const ticket of eligibility.tickets.values()) {
+        if (isUsable(ticket)) return false;
       }
       if (eligibility.openQueries > 0) return true;
     }
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -142,7 +142,7 @@
     ask: options.ask,
     handleAnswer: () => startPlan(),
   });
-  const leaderLoad = createLeaderLoad({ clock, logger, ...metricsOptions });
+  const leaderLoad = createLeaderLoad({ clock, logger });
   const { recordLateness } = leaderLoad;
   const fleet = createRunnerFleet({
     clock,
@@ -577,6 +577,7 @@
     fleet.checkRuns();
     if (openSteps.refreshTimed() || openSteps.count() > 0) startPlan();
     metrics?.setGauge("steps_waiting", openSteps.list().length);
+    metrics?.setGauge("leader_lateness_ms", leaderLoad.getLatenessMs());
     removeOldJobs();
     clock.setTimer(WATCH_PERIOD_MS, watch);
   }
