List a pool's runners for the first step that may start there

Cause: a planning round computed the free capacity of all runners before it looked at a step. Urgent rounds run for each change, and most of them find only steps that wait for an answer of the eligibility service.

Also: a relay that is suspended already is not suspended again, nor logged, for each further call that was sent to it before.

--- a/src/gateway/relayed_calls.ts
+++ b/src/gateway/relayed_calls.ts
@@ -173,7 +173,10 @@
   function suspendRelay(relay: string, reason: string): void {
     const state = getRelayState(relay);
     state.failures = 0;
-    state.excludedUntilMs = clock.now() + RELAY_EXCLUSION_MS;
+    const nowMs = clock.now();
+    // Calls that were sent before fail one after the other.
+    if (state.excludedUntilMs > nowMs) return;
+    state.excludedUntilMs = nowMs + RELAY_EXCLUSION_MS;
     const polls = [...state.openPolls];
     logger.warn("Relay excluded", {
       relay,
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -100,8 +100,17 @@
     gangHolds: new Map(),
   };
   const pools = new Map<string, PoolCandidates>();
-  for (const [name, runners] of input.runnersByPool) {
-    pools.set(name, listCandidates(runners, input));
+
+  /** Returns the candidates of a pool, listed for the first step that may start there. */
+  function getPool(name: string): PoolCandidates {
+    const known = pools.get(name);
+    if (known !== undefined) return known;
+    const runners = input.runnersByPool.get(name);
+    const pool = runners === undefined
+      ? NO_POOL
+      : listCandidates(runners, input);
+    pools.set(name, pool);
+    return pool;
   }
 
   function assignCapacity(
@@ -417,10 +426,10 @@
   }
 
   function planStep(step: OpenStep): void {
-    const pool = pools.get(step.pool) ?? NO_POOL;
     const eligibility = input.getEligibility(step.key);
-    // After a takeover this holds for most steps, and the search would be in vain.
+    // This holds for most urgent steps, and the search would be in vain.
     if (isWaitingForAnswer(step, eligibility)) return addWait(step, "noTicket");
+    const pool = getPool(step.pool);
     if (step.spec.gang) planGang(step, pool, eligibility);
     else planTasks(step, pool, eligibility);
   }
--- a/src/workload/planning_rounds_test.ts
+++ b/src/workload/planning_rounds_test.ts
@@ -103,7 +103,9 @@
 
 t.test("no runner is searched for steps that wait for an answer", (t) => {
   const answers = createAnswers(1);
-  const plan = planRound(WAITING, answers);
+  const pools = new CountingMap([["pool", createRunners()]]);
+  const plan = planRound(WAITING, answers, { runnersByPool: pools });
+  t.equal(pools.reads, 0, "nor is its free capacity computed");
   t.equal(answers.isEligible.reads, 0);
   t.equal(plan.starts.length + plan.queries.length, 0);
   t.ok(plan.waits.every(({ reason }) => reason === "noTicket"));
