Log what a busy leader spends its time on, and the end of a job once

Once a second while it is busy it logs the time for planning, orders, replies, records and frames, and the rest, which is the runtime's.

The new test of work_controller_test fails without the change (4 lines in place of 1).

--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -12,6 +12,7 @@
   type Timer,
   toFault,
 } from "../common/mod.ts";
+import { type MeasureTime, runUnmeasured } from "../report/time_use.ts";
 import type { EligibilityAnswer, EligibilityQuery } from "../workload/mod.ts";
 import {
   type CoreMessage,
@@ -19,6 +20,7 @@
   encodeFrame,
   type Frame,
   FRAME_BATCH_WINDOW_MS,
+  type FrameHandlers,
   type GatewayMessage,
   handleFrame,
   RELAY_BATCH_WINDOW_MS,
@@ -54,6 +56,8 @@
   listCores: () => readonly string[];
   /** Called when the connected instances change. */
   handleCallers: (names: readonly string[]) => void;
+  /** Measures the time that frames take. Default: it is not measured. */
+  measure?: MeasureTime;
 }
 
 /** Serves the streams of other instances. */
@@ -124,7 +128,7 @@
 export function createGatewayServer(
   options: GatewayServerOptions,
 ): GatewayServer {
-  const { clock, logger } = options;
+  const { clock, logger, measure = runUnmeasured } = options;
   const sessions = new Set<Session>();
   const requests = new Map<number, OpenRequest>();
   let nextRequest = 1;
@@ -163,7 +167,7 @@
       const messages = session.outbox;
       session.outbox = [];
       session.sentMs = clock.now();
-      session.stream.write(encodeFrame(messages));
+      measure("frames", () => session.stream.write(encodeFrame(messages)));
       // For a peer that vanished without a reset, the buffer would grow without bound.
       if (session.stream.writableLength > MAX_UNSENT_BYTES) {
         endSession(session, "peer does not read");
@@ -315,16 +319,18 @@
         sentMs: clock.now(),
       };
       sessions.add(session);
-      stream.on("data", (frame: Frame) => {
-        handleFrame<GatewayMessage>(frame, {
-          receive: (message) => receive(session, message),
-          handleError: (error) =>
-            logger.error("Cannot handle a message", {
-              instance: session.name,
-              error,
-            }),
-        });
-      });
+      const handlers: FrameHandlers<GatewayMessage> = {
+        receive: (message) => receive(session, message),
+        handleError: (error) =>
+          logger.error("Cannot handle a message", {
+            instance: session.name,
+            error,
+          }),
+      };
+      stream.on(
+        "data",
+        (frame: Frame) => measure("frames", () => handleFrame(frame, handlers)),
+      );
       stream.on("error", (error) => endSession(session, error.message));
       stream.on("cancelled", () => endSession(session, "cancelled"));
       stream.on("end", () => {
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -26,8 +26,9 @@
   type LogMemberHandle,
   startLogMember,
 } from "../instance/log_member.ts";
-import { waitForImmediate } from "../report/event_loop.ts";
+import { readBusyMs, waitForImmediate } from "../report/event_loop.ts";
 import type { LazyMetrics } from "../report/lazy_metrics.ts";
+import { createTimeUse } from "../report/time_use.ts";
 import {
   type LeaderLease,
   type LogTimings,
@@ -129,6 +130,7 @@
     unresponsiveAfterMs: RECONNECT_AFTER_MS,
   });
   const fencingTokens = createFencingTokens();
+  const timeUse = createTimeUse({ clock, logger, readBusyMs });
   let ledTerm = 0;
   let controller: WorkController | undefined;
   let isStopped = false;
@@ -153,6 +155,7 @@
       return [...new Set(members.map(({ id }) => parseMemberId(id).instance))];
     },
     handleCallers: (names) => controller?.setCallers(names),
+    measure: timeUse.measure,
   });
 
   function handleEnvelope(envelope: LogEnvelope): void {
@@ -373,6 +376,7 @@
       maxLeaseMs: options.maxLeaseMs,
       keepMs: options.keepMs,
       waitForTurn: waitForImmediate,
+      timeUse,
       handleStaleFence() {
         logger.warn("Runner has seen a newer fencing token", { term });
         member?.getLog()?.confirmLeadership().catch((error: unknown) =>
--- a/src/report/event_loop.ts
+++ b/src/report/event_loop.ts
@@ -8,6 +8,11 @@
   return new Promise((resolve) => setImmediate(resolve));
 }
 
+/** Returns the time for which the event loop has been busy since the process started, in milliseconds. */
+export function readBusyMs(): number {
+  return performance.eventLoopUtilization().active;
+}
+
 /**
  * Calls `handle` for each item and yields to the event loop after each batch. With
  * 890 workspaces, rendering metrics or taking a snapshot takes hundreds of
--- a/src/workload/constants.ts
+++ b/src/workload/constants.ts
@@ -50,10 +50,7 @@
 /** Time for which records are batched into one log command, in milliseconds. */
 export const RECORD_BATCH_MS = 3;
 
-/**
- * Minimum time between a request and its planning round, in milliseconds. Steps that
- * are not urgent wait for room for seconds.
- */
+/** Minimum time between a request and its planning round, in milliseconds. */
 export const PLAN_PERIOD_MS = 8;
 
 /** The same for rounds over urgent steps, in milliseconds; short jobs have about 0.6 s for everything but their run time. */
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -9,6 +9,7 @@
 
 import { type Clock, type Logger, wait } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
+import type { MeasureTime } from "../report/time_use.ts";
 import { createClosings } from "./closings.ts";
 import { BUSY_POLL_PAUSE_MS, MAX_ORDER_DELAY_MS } from "./constants.ts";
 import { createCrashRecorder } from "./crash_recorder.ts";
@@ -46,6 +47,8 @@
   /** Writes records to the log; resolves to false if they were not committed or the leadership has ended. */
   record: (records: readonly WorkRecord[]) => Promise<boolean>;
   calls: RunnerCalls;
+  /** Measures the time that handling the replies to polls takes. */
+  measure: MeasureTime;
   /** Creates a fencing token that is higher than all earlier ones. */
   createFencingToken: () => number;
   maxLeaseMs: number;
@@ -163,7 +166,10 @@
         maxLeaseMs: options.maxLeaseMs,
         isLeading: options.isLeading,
         handlePollReply: (reply, sentAtMs) =>
-          pollReplies.handlePollReply(session, reply, sentAtMs),
+          options.measure(
+            "replies",
+            () => pollReplies.handlePollReply(session, reply, sentAtMs),
+          ),
         handleOtherIncarnation: (hasSameId) =>
           void closeIncarnation(
             session,
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -12,6 +12,11 @@
   type Resources,
 } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
+import {
+  type MeasureTime,
+  runUnmeasured,
+  type TimeUse,
+} from "../report/time_use.ts";
 import {
   PLAN_PERIOD_MS,
   URGENT_PLAN_PERIOD_MS,
@@ -91,6 +96,8 @@
   handleStaleFence: () => void;
   /** Waits until the messages that have arrived are read. Default: does not wait. */
   waitForTurn?: () => Promise<void>;
+  /** Sums of the time that the leader's process takes. Default: none are kept. */
+  timeUse?: TimeUse;
   /** Sorts the open steps for a planning round. Default `sortSteps`. */
   sortSteps?: (steps: readonly OpenStep[], wallMs: number) => OpenStep[];
   /** Decides which steps are confined while runners crash. Default `createProbation`. */
@@ -116,14 +123,27 @@
   return new Set(tasks.map(({ job }) => job));
 }
 
+/** Measures the time that it takes to send the calls to runners. */
+function measureCalls(calls: RunnerCalls, measure: MeasureTime): RunnerCalls {
+  return {
+    ...calls,
+    start: (...order) => measure("orders", () => calls.start(...order)),
+    stop: (...order) => measure("orders", () => calls.stop(...order)),
+    hold: (...order) => measure("orders", () => calls.hold(...order)),
+  };
+}
+
 /** Starts the controller for one leadership. */
 export function startWorkController(
   options: WorkControllerOptions,
 ): WorkController {
-  const { clock, logger, metrics, state, isLeading } = options;
+  const { clock, logger, metrics, state, isLeading, timeUse } = options;
+  const measure = timeUse?.measure ?? runUnmeasured;
   const reservations = new Map<string, Map<string, Resources>>();
   let gangHolds: ReadonlyMap<string, string> = new Map();
   const waitLoggedMs = new Map<string, number>();
+  /** Ended jobs that are kept; several ends in one command find the job ended. */
+  const endedJobs = new Set<string>();
   const sortOpenSteps = options.sortSteps ?? sortSteps;
   const workspaces = createWorkspaceUsageTracker({ state, clock });
   const runTimes = createRunTimes();
@@ -161,7 +181,8 @@
         listPool,
       }),
     record: recordSafely,
-    calls: options.calls,
+    calls: measureCalls(options.calls, measure),
+    measure,
     createFencingToken: options.createFencingToken,
     maxLeaseMs: options.maxLeaseMs,
     isLeading: isActive,
@@ -173,7 +194,7 @@
   const planning = createPacedRounds({
     clock,
     periodMs: PLAN_PERIOD_MS,
-    runRound: planAll,
+    runRound: () => measure("planning", planAll),
     recordLateness,
   });
   // In a full pool many steps wait and a round over all of them takes long, so
@@ -181,7 +202,7 @@
   const urgentPlanning = createPacedRounds({
     clock,
     periodMs: URGENT_PLAN_PERIOD_MS,
-    runRound: planUrgent,
+    runRound: () => measure("planning", planUrgent),
     recordLateness,
   });
   let isStopped = false;
@@ -533,6 +554,9 @@
           handleJobEnd(job);
         }
         break;
+      case "forget":
+        for (const job of record.jobs) endedJobs.delete(job);
+        break;
       case "runner":
         fleet.applyRunner(record.runner.id);
         break;
@@ -542,7 +566,8 @@
 
   function handleJobEnd(id: string): void {
     const job = state.getJob(id);
-    if (job === undefined || isOpenJob(job)) return;
+    if (job === undefined || isOpenJob(job) || endedJobs.has(id)) return;
+    endedJobs.add(id);
     job.spec.steps.forEach((_, step) => {
       const count = countOccurrences(job.spec);
       for (let occurrence = 0; occurrence < count; occurrence += 1) {
@@ -578,6 +603,7 @@
     if (openSteps.refreshTimed() || openSteps.count() > 0) startPlan();
     metrics?.setGauge("steps_waiting", openSteps.list().length);
     metrics?.setGauge("leader_lateness_ms", leaderLoad.getLatenessMs());
+    timeUse?.report(leaderLoad.isBusy());
     removeOldJobs();
     clock.setTimer(WATCH_PERIOD_MS, watch);
   }
@@ -593,7 +619,7 @@
     if (jobs.length > 0) void recordSafely([{ kind: "forget", jobs }]);
   }
 
-  state.setListener(handleRecord);
+  state.setListener((record) => measure("records", () => handleRecord(record)));
   restore();
   watch();
   startPlan();
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -1,5 +1,10 @@
 import t from "tap";
-import { createFault, isFault, wait } from "../common/mod.ts";
+import {
+  createFault,
+  createSilentLogger,
+  isFault,
+  wait,
+} from "../common/mod.ts";
 import {
   createJob,
   createModelConfiguration,
@@ -53,6 +58,25 @@
   t.strictSame(model.runners.violations, []);
 });
 
+// Guards against a job that counts several times in the duration of jobs, as the ends
+// of its tasks are recorded by one command.
+t.test("the end of a job is reported once", async (t) => {
+  const lines: string[] = [];
+  const model = createWorkModel({
+    configuration: createModelConfiguration(),
+    logger: {
+      ...createSilentLogger(),
+      info: (message) => void lines.push(message),
+    },
+  });
+  await model.addRunner("r1");
+  const body = createJob([{ tasks: 4, estimatedMs: 300 }]);
+  await runCall(model, model.submit("job", body));
+  await model.run(1_000);
+  t.equal(getJobState(model, "job"), "completed");
+  t.equal(lines.filter((line) => line === "Job ended").length, 1);
+});
+
 t.test("no runner is filled beyond its capacity", async (t) => {
   const model = await startModel("r1", "r2");
   for (let number = 0; number < 10; number += 1) {
