Show with a gang that the end of a job is reported once

The repeated lines come from gangs. Each of their runners lists an end, and all of them are recorded, as the first is not yet applied.

--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -142,7 +142,7 @@
   const reservations = new Map<string, Map<string, Resources>>();
   let gangHolds: ReadonlyMap<string, string> = new Map();
   const waitLoggedMs = new Map<string, number>();
-  /** Ended jobs that are kept; several ends in one command find the job ended. */
+  /** Ended jobs that are kept; each member of a gang has an end, and the first one ends the job. */
   const endedJobs = new Set<string>();
   const sortOpenSteps = options.sortSteps ?? sortSteps;
   const workspaces = createWorkspaceUsageTracker({ state, clock });
--- a/src/workload/work_controller_test.ts
+++ b/src/workload/work_controller_test.ts
@@ -58,9 +58,9 @@
   t.strictSame(model.runners.violations, []);
 });
 
-// Guards against a job that counts several times in the duration of jobs, as the ends
-// of its tasks are recorded by one command.
-t.test("the end of a job is reported once", async (t) => {
+// Guards against a job that counts several times in the duration of jobs: the runners
+// of a gang list its ends at the same time, and each of them is recorded.
+t.test("the end of a gang is reported once", async (t) => {
   const lines: string[] = [];
   const model = createWorkModel({
     configuration: createModelConfiguration(),
@@ -69,9 +69,10 @@
       info: (message) => void lines.push(message),
     },
   });
-  await model.addRunner("r1");
-  const body = createJob([{ tasks: 4, estimatedMs: 300 }]);
-  await runCall(model, model.submit("job", body));
+  for (const runner of ["r1", "r2", "r3"]) await model.addRunner(runner);
+  const resources = { processors: 4_000, memoryMb: 1_000, accelerators: 0 };
+  const step = { tasks: 3, gang: true, resources, estimatedMs: 300 };
+  await runCall(model, model.submit("job", createJob([step])));
   await model.run(1_000);
   t.equal(getJobState(model, "job"), "completed");
   t.equal(lines.filter((line) => line === "Job ended").length, 1);
