--- a/src/model/work_load.ts
+++ b/src/model/work_load.ts
@@ -251,6 +251,15 @@
       if (atMs === 4_000) model.changeLeader();
     },
   },
+  frozenRelay: {
+    name:
+      "a relay that stands still for 5 s, then carries out what it was sent",
+    getRateFactor: () => 4,
+    getReplyCostMs: () => 0.45,
+    applyFaults(atMs, model) {
+      if (atMs === 4_000) model.freezeRelay("relay-0", 5_000);
+    },
+  },
   lostDataCentre: {
     name: "a quarter of the runners unreachable for 6 s",
     getRateFactor: () => 1,
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -15,6 +15,7 @@
   type Resources,
   wait,
 } from "../common/mod.ts";
+import type { RunnerCall } from "../gateway/messages.ts";
 import {
   createRelayedCalls,
   type RelayLimits,
@@ -138,6 +139,8 @@
   run(ms: number): Promise<void>;
   /** Replaces the leader; only the replicated state is kept. */
   changeLeader(): void;
+  /** Makes a relay stand still for some milliseconds; it then carries out what has arrived. */
+  freezeRelay(relay: string, forMs: number): void;
 }
 
 /** Destination of a submitted job. */
@@ -424,19 +427,44 @@
       ...(relayLimits === undefined ? {} : { limits: relayLimits }),
       countRunners: () => state.countRunners(),
       listRelays: () => relays,
-      async callViaRelay(relay, call) {
-        await wait(clock, RELAY_DELAY_MS);
-        try {
-          return await runRelayedCall(relayCalls.get(relay) ?? calls, call);
-        } finally {
-          await wait(clock, RELAY_DELAY_MS);
-          const costMs = RELAYED_COST_SHARE * getCostMs();
-          await new Promise<void>((resolve) =>
-            leaderProcessor.run(costMs, resolve)
-          );
-        }
-      },
+      callViaRelay: (relay, call, timeoutMs) =>
+        new Promise((resolve, reject) => {
+          const timer = clock.setTimer(timeoutMs, () =>
+            reject(
+              createFault("deadlineExceeded", `Cannot reach "${relay}"`),
+            ));
+          runOnRelay(relay, relayCalls.get(relay) ?? calls, call)
+            .finally(() => timer.cancel())
+            .then(resolve, reject);
+        }),
     });
+
+    /** Runs a call on a relay; what has arrived there waits while it stands still. */
+    async function runOnRelay(
+      relay: string,
+      ownCalls: RunnerCalls,
+      call: RunnerCall,
+    ): Promise<unknown> {
+      await waitForRelay(relay);
+      try {
+        return await runRelayedCall(ownCalls, call);
+      } finally {
+        await waitForRelay(relay);
+        const costMs = RELAYED_COST_SHARE * getCostMs();
+        await new Promise<void>((resolve) =>
+          leaderProcessor.run(costMs, resolve)
+        );
+      }
+    }
+  }
+
+  /** Local time until which a relay stands still, in milliseconds. */
+  const frozenUntilMs = new Map<string, number>();
+
+  async function waitForRelay(relay: string): Promise<void> {
+    await wait(clock, RELAY_DELAY_MS);
+    const untilMs = frozenUntilMs.get(relay) ?? 0;
+    if (untilMs > clock.now()) await wait(clock, untilMs - clock.now());
   }
 
   function changeLeader(): void {
@@ -578,5 +606,9 @@
     },
     run,
     changeLeader,
+    freezeRelay(relay, forMs) {
+      frozenUntilMs.set(relay, clock.now() + forMs);
+      runners.recordDisruption();
+    },
   };
 }
