Acknowledge nothing with a poll that goes out again after its relay was lost

Cause, found by reading: the poll was repeated as it was. The runner may have come back under its id meanwhile, and its next incarnation numbers its ends anew: the repetition would have acknowledged ends that were never recorded (LOST, TWICE), and renewed a lease. It now acknowledges none and renews none, as each poll after an unanswered one. The new test of relayed_calls_test fails without the change.

--- a/src/gateway/relayed_calls.ts
+++ b/src/gateway/relayed_calls.ts
@@ -17,7 +17,7 @@
   toFault,
   wait,
 } from "../common/mod.ts";
-import type { RunnerCalls } from "../workload/mod.ts";
+import { createProbe, type RunnerCalls } from "../workload/runner_calls.ts";
 import { PEER_STATES } from "./gateway_server.ts";
 import type { RunnerCall } from "./messages.ts";
 
@@ -96,6 +96,22 @@
   return details["peer"] === PEER_STATES.lost;
 }
 
+/**
+ * Returns what is sent again of a call whose relay was lost; undefined for nothing. A
+ * poll may be carried out twice, but the next incarnation of the runner may read it by
+ * now: it acknowledges no ends and renews no lease.
+ */
+function createRepetition(
+  call: AnsweredCall,
+  { ran }: Fault,
+): AnsweredCall | undefined {
+  if (call.order === "hold") {
+    const { fence, waitMs } = call.hold;
+    return { ...call, hold: { ...createProbe(fence), waitMs } };
+  }
+  return ran === "no" ? call : undefined;
+}
+
 /** Creates runner calls that go either directly or through relays. */
 export function createRelayedCalls(options: RelayedCallsOptions): RunnerCalls {
   const { clock, logger, calls, limits = RELAY_LIMITS } = options;
@@ -260,10 +276,10 @@
       const hasReplied = fault.details["peer"] === PEER_STATES.replied;
       if (hasReplied) getRelayState(relay).failures = 0;
       else if (!isRelayLost(fault)) recordFailure(relay);
-      // A poll may be carried out twice.
-      const mayRepeat = isRelayLost(fault) && !isRepeated &&
-        (call.order === "hold" || fault.ran === "no");
-      if (mayRepeat) return await send(call, true);
+      const repetition = isRelayLost(fault) && !isRepeated
+        ? createRepetition(call, fault)
+        : undefined;
+      if (repetition !== undefined) return await send(repetition, true);
       throw createFault(
         fault.ran === "no" ? "unavailable" : "outcomeUnknown",
         `Cannot get an answer from runner "${target.id}" through relay "${relay}"`,
--- a/src/gateway/relayed_calls_test.ts
+++ b/src/gateway/relayed_calls_test.ts
@@ -202,6 +202,19 @@
   t.match(cell.relayed.map(({ relay }) => relay), ["a", "b"]);
 });
 
+// Guards against a repeated poll that acknowledges ends of the runner's next
+// incarnation, which are not recorded, and that renews its lease.
+t.test("a repeated poll acknowledges nothing", async (t) => {
+  const cell = createCell(246, ["a", "b"], 2);
+  cell.frozen.add("a");
+  const poll = { fence: 7, recordedEnds: 12, untilMs: 9_000, waitMs: 500 };
+  await cell.calls.hold({ id: "r0", address: "r0:1" }, poll, TIMEOUT_MS);
+  t.match(cell.relayed.map(({ call }) => call), [
+    { hold: poll },
+    { hold: { fence: 7, recordedEnds: 0, untilMs: undefined, waitMs: 500 } },
+  ]);
+});
+
 const START = {
   task: { job: "j", occurrence: 0, step: 0, index: 0 },
   run: 1,
