--- a/src/gateway/relayed_calls.ts
+++ b/src/gateway/relayed_calls.ts
@@ -186,6 +186,7 @@
     return best;
   }
 
+  /** Excludes a relay for some seconds and rejects the polls that wait there. */
   function suspendRelay(relay: string, reason: string): void {
     const state = getRelayState(relay);
     state.failures = 0;
--- a/src/model/work_load.ts
+++ b/src/model/work_load.ts
@@ -132,7 +132,6 @@
     | "callers"
     | "readsCommits"
     | "relays"
-    | "relayLimits"
     | "createProbation"
     | "sortSteps"
     | "returnAs"
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -18,7 +18,6 @@
 import type { RunnerCall } from "../gateway/messages.ts";
 import {
   createRelayedCalls,
-  type RelayLimits,
   runRelayedCall,
 } from "../gateway/relayed_calls.ts";
 import {
@@ -108,8 +107,6 @@
   readsCommits?: boolean;
   /** Other instances that can call runners for the leader, each with a processor like the leader's. Default: none. */
   relays?: readonly string[];
-  /** Numbers of runners from which they are used. Default `RELAY_LIMITS`. */
-  relayLimits?: RelayLimits;
   /** Returns whether the log refuses a command. Default: never. */
   isRefused?: (records: readonly WorkRecord[]) => boolean;
   logger?: Logger;
@@ -411,33 +408,24 @@
     };
   }
 
+  /** Local time until which a relay stands still, in milliseconds. */
+  const frozenUntilMs = new Map<string, number>();
+
+  async function waitForRelay(relay: string): Promise<void> {
+    await wait(clock, RELAY_DELAY_MS);
+    const untilMs = frozenUntilMs.get(relay) ?? 0;
+    if (untilMs > clock.now()) await wait(clock, untilMs - clock.now());
+  }
+
   /** Creates the leader's calls, directly or through relays. */
   function createLeaderCalls(getCostMs: () => number): RunnerCalls {
     const calls = addReplyCosts(leaderProcessor, getCostMs);
-    const { relays = [], relayLimits } = options;
+    const { relays = [] } = options;
     if (relays.length === 0) return calls;
     const relayCalls = new Map(relays.map((name) => [
       name,
       addReplyCosts(createProcessor(clock), getCostMs),
     ]));
-    return createRelayedCalls({
-      clock: leaderClock,
-      logger,
-      calls,
-      ...(relayLimits === undefined ? {} : { limits: relayLimits }),
-      countRunners: () => state.countRunners(),
-      listRelays: () => relays,
-      callViaRelay: (relay, call, timeoutMs) =>
-        new Promise((resolve, reject) => {
-          const timer = clock.setTimer(timeoutMs, () =>
-            reject(
-              createFault("deadlineExceeded", `Cannot reach "${relay}"`),
-            ));
-          runOnRelay(relay, relayCalls.get(relay) ?? calls, call)
-            .finally(() => timer.cancel())
-            .then(resolve, reject);
-        }),
-    });
 
     /** Runs a call on a relay; what has arrived there waits while it stands still. */
     async function runOnRelay(
@@ -456,15 +444,24 @@
         );
       }
     }
-  }
-
-  /** Local time until which a relay stands still, in milliseconds. */
-  const frozenUntilMs = new Map<string, number>();
 
-  async function waitForRelay(relay: string): Promise<void> {
-    await wait(clock, RELAY_DELAY_MS);
-    const untilMs = frozenUntilMs.get(relay) ?? 0;
-    if (untilMs > clock.now()) await wait(clock, untilMs - clock.now());
+    return createRelayedCalls({
+      clock: leaderClock,
+      logger,
+      calls,
+      countRunners: () => state.countRunners(),
+      listRelays: () => relays,
+      callViaRelay: (relay, call, timeoutMs) =>
+        new Promise((resolve, reject) => {
+          const timer = clock.setTimer(timeoutMs, () =>
+            reject(
+              createFault("deadlineExceeded", `Cannot reach "${relay}"`),
+            ));
+          runOnRelay(relay, relayCalls.get(relay) ?? calls, call)
+            .finally(() => timer.cancel())
+            .then(resolve, reject);
+        }),
+    });
   }
 
   function changeLeader(): void {
