--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -126,10 +126,11 @@
 /** Measures the time that it takes to send the calls to runners. */
 function measureCalls(calls: RunnerCalls, measure: MeasureTime): RunnerCalls {
   return {
-    ...calls,
     start: (...order) => measure("orders", () => calls.start(...order)),
     stop: (...order) => measure("orders", () => calls.stop(...order)),
     hold: (...order) => measure("orders", () => calls.hold(...order)),
+    release: (address) => calls.release(address),
+    releaseOwn: (address) => calls.releaseOwn(address),
   };
 }
 
