Keep the settings of removed queues and workspaces for their open jobs

What callers saw: a configuration that removed or replaced a route with eligibility left its accepted jobs undone.

Cause: an accepted job refers to its queue by name, and the settings that its starts need were looked up at each planning round. For a removed queue there were none, which reads as "needs no ticket". The cap of a removed workspace was lost in the same way.

Change: the state keeps the last settings of removed queues and workspaces while open jobs refer to them, and for eight more changes, as a submission may be recorded after a change that it was accepted before.

Jobs of a replaced queue count as pending at its place.

The model's runners now reject starts without the ticket that their queue's policy asks for.

--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -139,6 +139,8 @@
   stopMs?: number;
   /** Returns the number of failed runs after which a task must not start again. Default: no limit. */
   getMaxAttempts?: (task: TaskRef) => number;
+  /** Tells whether a start carries a ticket that its runner accepts. Default: each does. */
+  hasTicket?: (entry: RunnerEntry, order: StartOrder) => boolean;
   /** Returns the rate of a runner's own clock; the platform states at least 0.98. Default 1. */
   getClockRate?: (entry: RunnerEntry) => number;
   /** Called after each crash; may add the next incarnation later. */
@@ -530,6 +532,9 @@
     if ((runner.ended.get(key) ?? 0) >= order.run) {
       return { outcome: "staleRun", clockMs };
     }
+    if (options.hasTicket?.(runner.entry, order) === false) {
+      return { outcome: "ticketRefused", clockMs };
+    }
     startRun(runner, order);
     return { outcome: "accepted", clockMs };
   }
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -26,6 +26,7 @@
   createWorkState,
   type EligibilityAnswer,
   type EligibilityQuery,
+  type EligibilityTimes,
   encodeRecords,
   hasChanges,
   type JobBody,
@@ -295,6 +296,9 @@
         .find(({ name }) => name === owner);
       return found && { workspace: found.name, cap: found.cap };
     },
+    hasTicket: ({ id }, { task, ticket }) =>
+      findPolicy(task.job) === undefined ||
+      ticket === formatTicket(task, id),
     getMaxAttempts({ job, step }) {
       const spec = state.getJob(job)?.spec;
       const isLimited = spec?.steps[step]?.longRunning === false;
@@ -313,6 +317,20 @@
     },
   });
 
+  /** Returns the policy of a job's queue, which lasts as long as the job: that of the first configuration. */
+  function findPolicy(job: string): EligibilityTimes | undefined {
+    const name = state.getJob(job)?.spec.queue;
+    return options.configuration.queues.find((queue) => queue.name === name)
+      ?.eligibility;
+  }
+
+  function formatTicket(
+    { job, step }: Pick<TaskRef, "job" | "step">,
+    runner: string,
+  ): string {
+    return `${job}/${step}@${runner}`;
+  }
+
   function startNextIncarnation(former: RunnerEntry): void {
     const { returnAs } = options;
     const startedMs = former.startedMs + 1;
@@ -343,10 +361,7 @@
     caller: string,
     question: EligibilityQuery,
   ): Promise<EligibilityAnswer> {
-    const queue = state.findQueue(
-      state.getJob(question.job)?.spec.queue ?? "",
-    );
-    const times = queue?.eligibility;
+    const times = findPolicy(question.job);
     if (times === undefined) {
       throw createFault(
         "badRequest",
@@ -362,7 +377,7 @@
     const tickets: Record<string, string> = {};
     for (const runner of question.runners) {
       if (options.isEligible?.(runner, step) ?? true) {
-        tickets[runner] = `${step}@${runner}`;
+        tickets[runner] = formatTicket(question, runner);
       }
     }
     return new Promise((resolve) =>
--- a/src/workload/open_steps.ts
+++ b/src/workload/open_steps.ts
@@ -7,7 +7,12 @@
 import type { Clock } from "../common/mod.ts";
 import type { OpenStep } from "./plan_types.ts";
 import type { RunTimes } from "./run_times.ts";
-import { formatStep, type JobSpec, type QueueSettings } from "./types.ts";
+import {
+  type EligibilityTimes,
+  formatStep,
+  type JobSpec,
+  type QueueSettings,
+} from "./types.ts";
 import {
   countCrashes,
   countOccurrences,
@@ -25,7 +30,7 @@
 /** Slowdown factor below which a single slow run makes a job late. */
 const TIGHT_SLOWDOWN_FACTOR = 2;
 
-/** Settings of a queue that is no longer configured. */
+/** Settings of a queue that was removed before its settings were retained, by an older version. */
 const REMOVED_QUEUE_DEFAULTS = Object.freeze({
   priority: 9,
   slowdownFactor: 10,
@@ -38,6 +43,8 @@
   clock: Clock;
   workspaces: WorkspaceUsageTracker;
   runTimes: Pick<RunTimes, "estimateMs">;
+  /** Returns the assumed times of the eligibility service for a queue without settings of it; undefined if its starts need no tickets. */
+  findAssumedEligibility: (queue: string) => EligibilityTimes | undefined;
 }
 
 /** The open steps of all jobs. */
@@ -190,7 +197,8 @@
         work: estimate.work,
         remainingWork,
         isExcess: workspaces.isExcess(spec.id),
-        eligibility: queue?.eligibility,
+        eligibility: queue?.eligibility ??
+          options.findAssumedEligibility(spec.queue),
         isSuspect: waiting.some((index) =>
           countCrashes(stepState.tasks[index]) > 0
         ),
--- a/src/workload/work_calls.ts
+++ b/src/workload/work_calls.ts
@@ -167,11 +167,21 @@
     });
   }
 
+  /** Tells whether a queue is the one that callers find at the place of another, which it may have replaced. */
+  function isSuccessor(queue: QueueSettings, former: string): boolean {
+    if (queue.name === former) return true;
+    const settings = state.findQueue(former);
+    return settings?.host === queue.host &&
+      settings.pathPrefix === queue.pathPrefix;
+  }
+
   function countPending(address: CallerAddress): number {
     const { queue: found } = findCaller(address);
     let count = 0;
     for (const job of state.listJobs()) {
-      if (job.spec.queue === found.name && job.state === "queued") count += 1;
+      if (job.state === "queued" && isSuccessor(found, job.spec.queue)) {
+        count += 1;
+      }
     }
     return count;
   }
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -62,6 +62,16 @@
 /** Time for which ended jobs are kept beyond `keepMs`, and between two cleanups, in milliseconds. */
 const RETENTION_SLACK_MS = 30_000;
 
+/**
+ * Times of the eligibility service for a queue without settings of it, whose runners
+ * reject starts without a ticket all the same.
+ */
+const ASSUMED_ELIGIBILITY: EligibilityTimes = Object.freeze({
+  baseMs: 1_000,
+  perRunnerMs: 10,
+  validMs: 1_500,
+});
+
 /** A recorded start that is to be sent. */
 interface Order {
   readonly session: Session;
@@ -148,7 +158,16 @@
   const sortOpenSteps = options.sortSteps ?? sortSteps;
   const workspaces = createWorkspaceUsageTracker({ state, clock });
   const runTimes = createRunTimes();
-  const openSteps = createOpenSteps({ state, clock, workspaces, runTimes });
+  /** Queues without eligibility settings of which a start was rejected for lack of a ticket. */
+  const ticketedQueues = new Set<string>();
+  const openSteps = createOpenSteps({
+    state,
+    clock,
+    workspaces,
+    runTimes,
+    findAssumedEligibility: (name) =>
+      ticketedQueues.has(name) ? ASSUMED_ELIGIBILITY : undefined,
+  });
   const probation = (options.createProbation ?? createProbation)({
     state,
     clock,
@@ -238,6 +257,21 @@
     });
   }
 
+  /**
+   * Makes steps of a queue wait for tickets if it has no eligibility settings. Otherwise
+   * its starts would be repeated without a ticket, and rejected, for ever.
+   */
+  function addTicketedQueue(queueName: string): void {
+    const isKnown = ticketedQueues.has(queueName) ||
+      state.findQueue(queueName)?.eligibility !== undefined;
+    if (isKnown) return;
+    logger.warn("Runners require tickets of a queue without eligibility", {
+      queue: queueName,
+    });
+    ticketedQueues.add(queueName);
+    openSteps.refreshAll();
+  }
+
   async function sendStart(
     session: Session,
     occupant: Occupant,
@@ -289,6 +323,7 @@
       }
       if (result === "ticketRefused") {
         eligibility.removeTicket(formatStep(task), runner.entry.id);
+        addTicketedQueue(job.spec.queue);
       }
       void fleet.endRuns([occupant], "lost");
     }
@@ -531,6 +566,7 @@
     if (isStopped) return;
     switch (record.kind) {
       case "configuration":
+        ticketedQueues.clear();
         openSteps.refreshAll();
         break;
       case "job":
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -6,6 +6,10 @@
 
 import { Buffer } from "node:buffer";
 import type { StateMachine } from "../replicated_log/mod.ts";
+import {
+  createRetainedSettings,
+  type RemovedSettings,
+} from "./retained_settings.ts";
 import {
   type Configuration,
   formatIncarnation,
@@ -17,6 +21,7 @@
   type TaskRef,
   type WorkJobState,
   type WorkRecord,
+  type WorkspaceSettings,
 } from "./types.ts";
 
 /** Status of a task; numbers keep snapshots small. */
@@ -110,7 +115,12 @@
 /** The replicated state and its accessors. */
 export interface WorkState extends StateMachine {
   getConfiguration(): Configuration | undefined;
+  /** Returns the settings of a queue, or its last ones if it was removed while jobs of it are open. */
   findQueue(name: string): QueueSettings | undefined;
+  /** Returns the settings of a workspace like `findQueue`. */
+  findWorkspace(name: string): WorkspaceSettings | undefined;
+  /** Lists the workspaces, with those that were removed while jobs of them are open. */
+  listWorkspaces(): WorkspaceSettings[];
   getJob(id: string): JobState | undefined;
   listJobs(): IterableIterator<JobState>;
   listRunners(): IterableIterator<RunnerEntry>;
@@ -138,6 +148,10 @@
   gone?: [string, number][];
   /** Incarnation and wall time of each of them that was draining; absent in snapshots of older versions. */
   drained?: [string, number][];
+  /** Queues that the configuration no longer has; absent in snapshots of older versions. */
+  removedQueues?: RemovedSettings<QueueSettings>[];
+  /** Workspaces that the configuration no longer has; absent in snapshots of older versions. */
+  removedWorkspaces?: RemovedSettings<WorkspaceSettings>[];
 }
 
 /** Encodes records as one command of the log. */
@@ -203,24 +217,36 @@
 /** Creates an empty state. */
 export function createWorkState(): WorkState {
   let configuration: Configuration | undefined;
-  let queues = new Map<string, QueueSettings>();
+  const queues = createRetainedSettings<QueueSettings>();
+  const workspaces = createRetainedSettings<WorkspaceSettings>();
   let jobs = new Map<string, JobState>();
   let runners = new Map<string, RunnerEntry>();
   let gone = new Map<string, number>();
   let drained = new Map<string, number>();
   let listener: ((record: WorkRecord) => void) | undefined;
 
-  function setConfiguration(next: Configuration | undefined): void {
+  function setConfiguration(next: Configuration): void {
+    const usedQueues = new Set<string>();
+    const usedWorkspaces = new Set<string>();
+    for (const job of jobs.values()) {
+      if (!isOpenJob(job)) continue;
+      usedQueues.add(job.spec.queue);
+      if (job.spec.workspace !== undefined) {
+        usedWorkspaces.add(job.spec.workspace);
+      }
+    }
     configuration = next;
-    queues = new Map(next?.queues.map((queue) => [queue.name, queue]));
+    queues.set(next.queues, (name) => usedQueues.has(name));
+    workspaces.set(next.workspaces, (name) => usedWorkspaces.has(name));
   }
 
   function getOccurrence(job: JobState, occurrence: number): OccurrenceState {
     return job.occurrences[occurrence] ??= createOccurrence(job.spec);
   }
 
-  function getMaxAttempts(job: JobState): number {
-    return queues.get(job.spec.queue)?.maxAttempts ?? job.spec.maxAttempts;
+  /** Reads nothing from retained settings, which a member that has restored an older snapshot lacks. */
+  function getMaxAttempts({ spec }: JobState): number {
+    return queues.findConfigured(spec.queue)?.maxAttempts ?? spec.maxAttempts;
   }
 
   function endJob(job: JobState, state: WorkJobState, atMs: number): void {
@@ -493,7 +519,9 @@
 
   return {
     getConfiguration: () => configuration,
-    findQueue: (name) => queues.get(name),
+    findQueue: queues.find,
+    findWorkspace: workspaces.find,
+    listWorkspaces: workspaces.list,
     getJob: (id) => jobs.get(id),
     listJobs: () => jobs.values(),
     countRunners: () => runners.size,
@@ -525,6 +553,8 @@
         runners: [...runners.values()],
         gone: [...gone],
         drained: [...drained],
+        removedQueues: queues.listRemoved(),
+        removedWorkspaces: workspaces.listRemoved(),
       };
       return Buffer.from(JSON.stringify(stored));
     },
@@ -532,7 +562,12 @@
       const stored = JSON.parse(
         Buffer.from(data).toString("utf8"),
       ) as StoredState;
-      setConfiguration(stored.configuration);
+      configuration = stored.configuration;
+      queues.restore(configuration?.queues ?? [], stored.removedQueues ?? []);
+      workspaces.restore(
+        configuration?.workspaces ?? [],
+        stored.removedWorkspaces ?? [],
+      );
       jobs = new Map(stored.jobs.map((job) => [job.spec.id, job]));
       runners = new Map(stored.runners.map((runner) => [runner.id, runner]));
       gone = new Map(stored.gone ?? []);
--- a/src/workload/workspace_use.ts
+++ b/src/workload/workspace_use.ts
@@ -33,7 +33,7 @@
   addJob(job: JobSpec): void;
   /** Tells whether the bucket was empty when the job was submitted. */
   isExcess(job: string): boolean;
-  /** Returns usage and cap of each configured workspace; the copy may be modified. */
+  /** Returns usage and cap of each workspace that is configured or has open jobs; the copy may be modified. */
   list(): Map<string, WorkspaceUsage>;
 }
 
@@ -60,8 +60,7 @@
       used.set(workspace, subtractResources(getUsed(workspace), amount));
     },
     addJob(job) {
-      const settings = state.getConfiguration()?.workspaces
-        .find(({ name }) => name === job.workspace);
+      const settings = state.findWorkspace(job.workspace ?? "");
       if (settings === undefined || settings.weight <= 0) return;
       const most = settings.weight * WEIGHT_BURST_S;
       const bucket = buckets.get(settings.name) ??
@@ -79,7 +78,7 @@
     isExcess: (job) => excess.has(job),
     list() {
       const uses = new Map<string, WorkspaceUsage>();
-      for (const { name, cap } of state.getConfiguration()?.workspaces ?? []) {
+      for (const { name, cap } of state.listWorkspaces()) {
         uses.set(name, { used: getUsed(name), cap });
       }
       return uses;
