Record the cancellation of a job that has not arrived

Its submission lay in a frozen entry, whose client had left.

Cause: the leader answered a cancellation of an unknown job from what it held, and kept nothing of it, so that the late submission was accepted.

Change: the cancellation is recorded before it is answered, and the order of the records decides: a submission that is recorded after it creates no job and is refused with "unavailable". A cancellation needs a commit now, so a leader that was replaced no longer answers it from an old state.

--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -5,6 +5,7 @@
  */
 
 import { isSameAmount, type Resources } from "../common/mod.ts";
+import type { EarlyCancel } from "./early_cancels.ts";
 
 /** One step of a job: a group of identical tasks that may start together. */
 export interface StepSpec {
@@ -183,7 +184,14 @@
 export type WorkRecord =
   | { readonly kind: "configuration"; readonly configuration: Configuration }
   | { readonly kind: "job"; readonly job: JobSpec }
-  | { readonly kind: "cancel"; readonly job: string; readonly atMs: number }
+  | {
+    readonly kind: "cancel";
+    /** The job, which may not have arrived yet. */
+    readonly job: string;
+    /** Workspace of the caller; absent without a valid key, and in records of older versions. */
+    readonly workspace?: string;
+    readonly atMs: number;
+  }
   | {
     readonly kind: "start";
     readonly job: string;
@@ -224,7 +232,12 @@
     /** Wall time of the record in milliseconds; absent in records of older versions. */
     readonly atMs?: number;
   }
-  | { readonly kind: "forget"; readonly jobs: readonly string[] };
+  | {
+    readonly kind: "forget";
+    readonly jobs: readonly string[];
+    /** Cancellations of jobs that have not arrived; absent for none. */
+    readonly earlyCancels?: readonly EarlyCancel[];
+  };
 
 /** The state of a job as reported to callers. */
 export type WorkJobState =
--- a/src/workload/work_calls.ts
+++ b/src/workload/work_calls.ts
@@ -10,6 +10,7 @@
   findQueueByPath,
   findWorkspaceByKey,
 } from "./configuration.ts";
+import { isSameOwner } from "./early_cancels.ts";
 import type { RecordQueue } from "./record_queue.ts";
 import type {
   Configuration,
@@ -35,6 +36,8 @@
   logger: Logger;
   state: WorkState;
   queue: RecordQueue;
+  /** Time for which the cancellation of a job that has not arrived is kept, in milliseconds. */
+  keepMs: number;
 }
 
 /** The calls for callers and operators. */
@@ -45,12 +48,33 @@
   getState(address: CallerAddress): WorkJobState;
   /** Counts the jobs of a queue without a started task. */
   countPending(address: CallerAddress): number;
+  /**
+   * Cancels a job, also one that has not arrived: throws "notFound" for it, like
+   * `getState`, once its submission will be refused.
+   */
   cancel(address: CallerAddress): Promise<void>;
   changeConfiguration(configuration: Configuration): Promise<void>;
   /** Returns the document of the active configuration; undefined before the first. */
   readConfiguration(): string | undefined;
 }
 
+/** Maximum length of a job's identifier. */
+const MAX_ID_LENGTH = 200;
+
+/** Delay suggested to callers when too many jobs were cancelled that have not arrived, in milliseconds. */
+const CANCEL_RETRY_AFTER_MS = 5_000;
+
+/** Tells whether an identifier may be used for a job. */
+function isJobId(id: string): boolean {
+  return id !== "" && id.length <= MAX_ID_LENGTH && !id.includes("/");
+}
+
+function createUnknownJobFault(id: string): Error {
+  return createFault("notFound", `Cannot find job "${id}"`, {
+    details: { subject: "job" },
+  });
+}
+
 /** Throws "unavailable" for tasks that are not supported yet, so that a job is not accepted and then lost. */
 function checkSupported(body: JobBody): void {
   for (const step of body.steps) {
@@ -101,21 +125,29 @@
   function findJob(address: CallerAddress): JobState {
     const { id, workspace } = findCaller(address);
     const job = state.getJob(id);
-    const owner = job?.spec.workspace;
-    const isOther = owner !== undefined && workspace !== undefined &&
-      owner !== workspace.name;
-    if (job !== undefined && !isOther) return job;
-    throw createFault("notFound", `Cannot find job "${id}"`, {
-      details: { subject: "job" },
-    });
+    const isFound = job !== undefined &&
+      isSameOwner(job.spec.workspace, workspace?.name);
+    if (isFound) return job;
+    throw createUnknownJobFault(id);
+  }
+
+  /** Throws "unavailable" if a job was cancelled before it arrived. */
+  function checkNotCancelled(id: string, workspace: string | undefined): void {
+    if (!state.hasEarlyCancel(id, workspace)) return;
+    throw createFault(
+      "unavailable",
+      `Cannot accept job "${id}": it was cancelled before it arrived`,
+      { ran: "no", details: { retryAfterMs: options.keepMs } },
+    );
   }
 
   async function submit(address: CallerAddress, body: JobBody): Promise<void> {
     const { queue: found, workspace, id } = findCaller(address);
-    if (id === "" || id.includes("/")) {
+    if (!isJobId(id)) {
       throw createFault("badRequest", `Cannot use "${id}" as a job identifier`);
     }
     if (state.getJob(id) !== undefined) return;
+    checkNotCancelled(id, workspace?.name);
     checkSupported(body);
     const open = submissions.get(id);
     if (open !== undefined) return open;
@@ -128,32 +160,71 @@
       ...(workspace === undefined ? {} : { workspace: workspace.name }),
       submittedMs: clock.wallTime(),
     };
-    const submission = queue.record([{ kind: "job", job }]);
+    const submission = recordJob(job);
     submissions.set(id, submission);
     try {
       await submission;
-      logger.info("Job accepted", {
-        job: id,
-        queue: found.name,
-        workspace: workspace?.name,
-        configuration: state.getConfiguration()?.version,
-        steps: body.steps.length,
-        tookMs: clock.wallTime() - job.submittedMs,
-      });
     } finally {
       submissions.delete(id);
     }
   }
 
-  async function cancel(address: CallerAddress): Promise<void> {
-    const job = findJob(address);
-    if (!isOpenJob(job)) return;
+  /** Records an accepted job; rejects with "unavailable" if its cancellation was recorded first. */
+  async function recordJob(job: JobSpec): Promise<void> {
+    const { id, workspace } = job;
+    await queue.record([{ kind: "job", job }]);
+    if (state.getJob(id) === undefined) checkNotCancelled(id, workspace);
+    logger.info("Job accepted", {
+      job: id,
+      queue: job.queue,
+      workspace,
+      configuration: state.getConfiguration()?.version,
+      steps: job.steps.length,
+      tookMs: clock.wallTime() - job.submittedMs,
+    });
+  }
+
+  /** Records the cancellation of a job that has not arrived, so that its submission is refused. */
+  async function cancelEarly(
+    id: string,
+    workspace: WorkspaceSettings | undefined,
+  ): Promise<void> {
+    if (state.hasEarlyCancel(id, workspace?.name)) return;
+    await recordCancel(id, workspace);
+    // Its submission was recorded first, and so was cancelled as well.
+    if (state.getJob(id) !== undefined) return;
+    if (state.hasEarlyCancel(id, workspace?.name)) {
+      logger.info("Job cancelled before it arrived", { job: id });
+      return;
+    }
+    throw createFault(
+      "limitReached",
+      `Cannot cancel job "${id}": too many jobs were cancelled that have not arrived`,
+      { ran: "no", details: { retryAfterMs: CANCEL_RETRY_AFTER_MS } },
+    );
+  }
+
+  async function recordCancel(
+    id: string,
+    workspace: WorkspaceSettings | undefined,
+  ): Promise<void> {
     await queue.record([{
       kind: "cancel",
-      job: job.spec.id,
+      job: id,
+      ...(workspace === undefined ? {} : { workspace: workspace.name }),
       atMs: clock.wallTime(),
     }]);
-    logger.info("Job cancelled", { job: job.spec.id });
+  }
+
+  async function cancel(address: CallerAddress): Promise<void> {
+    const { id, workspace } = findCaller(address);
+    if (state.getJob(id) === undefined && isJobId(id)) {
+      await cancelEarly(id, workspace);
+    }
+    const job = findJob(address);
+    if (!isOpenJob(job)) return;
+    await recordCancel(id, workspace);
+    logger.info("Job cancelled", { job: id });
   }
 
   async function changeConfiguration(next: Configuration): Promise<void> {
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -174,7 +174,13 @@
     logger,
   });
   const queue = createRecordQueue({ clock, propose: options.propose });
-  const calls = createWorkCalls({ clock, logger, state, queue });
+  const calls = createWorkCalls({
+    clock,
+    logger,
+    state,
+    queue,
+    keepMs: options.keepMs,
+  });
   const metricsOptions = metrics === undefined ? {} : { metrics };
   const eligibility = createEligibilityCache({
     clock,
@@ -570,6 +576,7 @@
         openSteps.refreshAll();
         break;
       case "job":
+        if (state.getJob(record.job.id) === undefined) break;
         workspaces.addJob(record.job);
         openSteps.refresh(record.job.id);
         break;
@@ -653,7 +660,10 @@
     const jobs = [...state.listJobs()]
       .filter((job) => !isOpenJob(job) && job.endedMs < limitMs)
       .map(({ spec }) => spec.id);
-    if (jobs.length > 0) void recordSafely([{ kind: "forget", jobs }]);
+    const earlyCancels = state.listEarlyCancels()
+      .filter(({ atMs }) => atMs < limitMs);
+    if (jobs.length + earlyCancels.length === 0) return;
+    void recordSafely([{ kind: "forget", jobs, earlyCancels }]);
   }
 
   state.setListener((record) => measure("records", () => handleRecord(record)));
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -6,6 +6,11 @@
 
 import { Buffer } from "node:buffer";
 import type { StateMachine } from "../replicated_log/mod.ts";
+import {
+  createEarlyCancels,
+  type EarlyCancel,
+  isSameOwner,
+} from "./early_cancels.ts";
 import {
   createRetainedSettings,
   type RemovedSettings,
@@ -136,6 +141,10 @@
   listOpenTasks(): IterableIterator<[TaskRef, TaskState]>;
   /** Lists the runs that were active when their jobs ended. */
   listLeftRuns(): IterableIterator<LeftRun>;
+  /** Tells whether a job of a workspace was cancelled before it arrived. */
+  hasEarlyCancel(job: string, workspace: string | undefined): boolean;
+  /** Lists the cancellations of jobs that have not arrived. */
+  listEarlyCancels(): EarlyCancel[];
   /** Sets the function to call with each record after it was applied; undefined removes it. */
   setListener(listener: ((record: WorkRecord) => void) | undefined): void;
 }
@@ -148,6 +157,8 @@
   gone?: [string, number][];
   /** Incarnation and wall time of each of them that was draining; absent in snapshots of older versions. */
   drained?: [string, number][];
+  /** Cancellations of jobs that have not arrived; absent in snapshots of older versions. */
+  earlyCancels?: EarlyCancel[];
   /** Queues that the configuration no longer has; absent in snapshots of older versions. */
   removedQueues?: RemovedSettings<QueueSettings>[];
   /** Workspaces that the configuration no longer has; absent in snapshots of older versions. */
@@ -219,6 +230,7 @@
   let configuration: Configuration | undefined;
   const queues = createRetainedSettings<QueueSettings>();
   const workspaces = createRetainedSettings<WorkspaceSettings>();
+  const earlyCancels = createEarlyCancels();
   let jobs = new Map<string, JobState>();
   let runners = new Map<string, RunnerEntry>();
   let gone = new Map<string, number>();
@@ -447,6 +459,21 @@
     }
   }
 
+  function applyCancel(
+    { job: id, workspace, atMs }: WorkRecord & { kind: "cancel" },
+  ): void {
+    const job = jobs.get(id);
+    if (job === undefined) {
+      earlyCancels.add({
+        job: id,
+        ...(workspace === undefined ? {} : { workspace }),
+        atMs,
+      });
+    } else if (isSameOwner(job.spec.workspace, workspace)) {
+      endJob(job, "cancelled", atMs);
+    }
+  }
+
   function applyGone(
     { life, atMs }: WorkRecord & { kind: "runnerGone" },
   ): void {
@@ -473,9 +500,10 @@
         if (isNewer) setConfiguration(record.configuration);
         break;
       }
-      case "job":
-        if (jobs.has(record.job.id)) break;
-        jobs.set(record.job.id, {
+      case "job": {
+        const { id, workspace } = record.job;
+        if (jobs.has(id) || earlyCancels.has(id, workspace)) break;
+        jobs.set(id, {
           spec: record.job,
           state: "queued",
           endedMs: 0,
@@ -483,11 +511,10 @@
           doneOccurrences: 0,
         });
         break;
-      case "cancel": {
-        const job = jobs.get(record.job);
-        if (job !== undefined) endJob(job, "cancelled", record.atMs);
-        break;
       }
+      case "cancel":
+        applyCancel(record);
+        break;
       case "start":
         applyStart(record);
         break;
@@ -513,6 +540,7 @@
         break;
       case "forget":
         for (const id of record.jobs) jobs.delete(id);
+        earlyCancels.remove(record.earlyCancels ?? []);
         break;
     }
   }
@@ -533,6 +561,8 @@
     getTask: findTask,
     listOpenTasks,
     listLeftRuns,
+    hasEarlyCancel: earlyCancels.has,
+    listEarlyCancels: earlyCancels.list,
     setListener(next) {
       listener = next;
     },
@@ -553,6 +583,7 @@
         runners: [...runners.values()],
         gone: [...gone],
         drained: [...drained],
+        earlyCancels: earlyCancels.list(),
         removedQueues: queues.listRemoved(),
         removedWorkspaces: workspaces.listRemoved(),
       };
@@ -572,6 +603,7 @@
       runners = new Map(stored.runners.map((runner) => [runner.id, runner]));
       gone = new Map(stored.gone ?? []);
       drained = new Map(stored.drained ?? []);
+      earlyCancels.restore(stored.earlyCancels ?? []);
     },
   };
 }
