Count a job as begun once a runner has started one of its tasks

Cause: the record of a start, which is written when the start is decided, made its job "running", and nothing took that back.

Change: a job is "running" once a runner has accepted a start of it, or lists one of its runs or their ends.

The model's addRunner waited a fixed time for its record, but another command may be in flight; it waits for the record now.

--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -586,7 +586,11 @@
         sequence: 1,
         remainingMs: 0,
       });
+      let isAnnounced = false;
+      void announced.finally(() => isAnnounced = true).catch(() => {});
       await run(commitMs + 20);
+      // Another command may be in flight, and the next one waits for it.
+      while (!isAnnounced) await run(1);
       await announced;
       return faults;
     },
--- a/src/workload/poll_replies.ts
+++ b/src/workload/poll_replies.ts
@@ -7,6 +7,7 @@
 
 import type { Clock, Logger } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
+import type { BegunJobs } from "./begun_jobs.ts";
 import { RUNNER_LEASE_MS } from "./constants.ts";
 import type { CrashRecorder } from "./crash_recorder.ts";
 import type { FleetRuns } from "./fleet_runs.ts";
@@ -39,6 +40,7 @@
   placedRuns: Pick<PlacedRuns, "findUnsent">;
   runs: FleetRuns;
   health: RunnerHealth;
+  begunJobs: Pick<BegunJobs, "add">;
   crashes: Pick<CrashRecorder, "recordReply">;
   /** Writes records to the log; resolves to false if they were not committed or the leadership has ended. */
   record: (records: readonly WorkRecord[]) => Promise<boolean>;
@@ -63,6 +65,7 @@
 export function createPollReplies(options: PollRepliesOptions): PollReplies {
   const { clock, logger, metrics, state, placedRuns, health, crashes } =
     options;
+  const { begunJobs } = options;
   const {
     assignRun,
     release,
@@ -132,6 +135,7 @@
     wasLost: boolean,
   ): WorkRecord[] {
     const { task, run, outcome } = end;
+    begunJobs.add(task.job);
     const occupant = runner.occupants.get(formatRun(task, run));
     if (occupant !== undefined) release(runner, occupant);
     if (outcome === "done") {
@@ -173,6 +177,7 @@
     const { runner } = session;
     const { task, run } = listed;
     const nowMs = clock.now();
+    begunJobs.add(task.job);
     let occupant = runner.occupants.get(formatRun(task, run));
     if (occupant === undefined) {
       occupant = assignRun(runner, task, run, "running");
--- a/src/workload/runner_fleet.ts
+++ b/src/workload/runner_fleet.ts
@@ -10,6 +10,7 @@
 import { type Clock, type Logger, wait } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
 import type { MeasureTime } from "../report/time_use.ts";
+import type { BegunJobs } from "./begun_jobs.ts";
 import { createClosings } from "./closings.ts";
 import { BUSY_POLL_PAUSE_MS, MAX_ORDER_DELAY_MS } from "./constants.ts";
 import { createCrashRecorder } from "./crash_recorder.ts";
@@ -42,6 +43,7 @@
   state: WorkState;
   workspaces: WorkspaceUsageTracker;
   queue: RecordQueue;
+  begunJobs: Pick<BegunJobs, "add">;
   /** Creates the health tracker; `listPool` returns the runners of a pool. */
   createHealth: (listPool: (pool: string) => Runner[]) => RunnerHealth;
   /** Writes records to the log; resolves to false if they were not committed or the leadership has ended. */
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -192,6 +192,11 @@
     readonly workspace?: string;
     readonly atMs: number;
   }
+  | {
+    /** Jobs of which a runner has started a task; written some time after that. */
+    readonly kind: "begun";
+    readonly jobs: readonly string[];
+  }
   | {
     readonly kind: "start";
     readonly job: string;
--- a/src/workload/work_calls.ts
+++ b/src/workload/work_calls.ts
@@ -10,6 +10,7 @@
   findQueueByPath,
   findWorkspaceByKey,
 } from "./configuration.ts";
+import type { BegunJobs } from "./begun_jobs.ts";
 import { isSameOwner } from "./early_cancels.ts";
 import type { RecordQueue } from "./record_queue.ts";
 import type {
@@ -36,6 +37,7 @@
   logger: Logger;
   state: WorkState;
   queue: RecordQueue;
+  begunJobs: Pick<BegunJobs, "has">;
   /** Time for which the cancellation of a job that has not arrived is kept, in milliseconds. */
   keepMs: number;
 }
@@ -89,7 +91,7 @@
 
 /** Creates the calls for one leadership. */
 export function createWorkCalls(options: WorkCallsOptions): WorkCalls {
-  const { clock, logger, state, queue } = options;
+  const { clock, logger, state, queue, begunJobs } = options;
   const submissions = new Map<string, Promise<void>>();
 
   function getConfiguration(): Configuration {
@@ -250,16 +252,22 @@
     const { queue: found } = findCaller(address);
     let count = 0;
     for (const job of state.listJobs()) {
-      if (job.state === "queued" && isSuccessor(found, job.spec.queue)) {
-        count += 1;
-      }
+      const { id, queue: name } = job.spec;
+      const isPending = job.state === "queued" && !begunJobs.has(id) &&
+        isSuccessor(found, name);
+      if (isPending) count += 1;
     }
     return count;
   }
 
+  function getState(address: CallerAddress): WorkJobState {
+    const job = findJob(address);
+    return isOpenJob(job) && begunJobs.has(job.spec.id) ? "running" : job.state;
+  }
+
   return {
     submit,
-    getState: (address) => findJob(address).state,
+    getState,
     countPending,
     cancel,
     changeConfiguration,
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -17,6 +17,7 @@
   runUnmeasured,
   type TimeUse,
 } from "../report/time_use.ts";
+import { createBegunJobs } from "./begun_jobs.ts";
 import {
   PLAN_PERIOD_MS,
   URGENT_PLAN_PERIOD_MS,
@@ -174,11 +175,13 @@
     logger,
   });
   const queue = createRecordQueue({ clock, propose: options.propose });
+  const begunJobs = createBegunJobs({ clock, state, record: recordSafely });
   const calls = createWorkCalls({
     clock,
     logger,
     state,
     queue,
+    begunJobs,
     keepMs: options.keepMs,
   });
   const metricsOptions = metrics === undefined ? {} : { metrics };
@@ -197,6 +200,7 @@
     state,
     workspaces,
     queue,
+    begunJobs,
     createHealth: (listPool) =>
       createRunnerHealth({
         clock,
@@ -311,6 +315,7 @@
       tookMs,
     });
     if (result === "accepted") {
+      begunJobs.add(task.job);
       occupant.confirmedMs ??= clock.now();
       if (occupant.state === "starting") occupant.state = "running";
       if (occupant.isSuspect) startProof(session, occupant);
@@ -682,6 +687,7 @@
     stop() {
       isStopped = true;
       planning.stop();
+      begunJobs.stop();
       urgentPlanning.stop();
       state.setListener(undefined);
       fleet.stop();
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -99,6 +99,7 @@
 export interface JobState {
   /** The payload is empty once the job has ended. */
   spec: JobSpec;
+  /** "running" once it is recorded that a runner has started one of its tasks; see also `BegunJobs`. */
   state: WorkJobState;
   /** Wall time of the end in milliseconds; 0 while the job is open. */
   endedMs: number;
@@ -276,10 +277,13 @@
     job.spec = { ...job.spec, payload: "" };
   }
 
+  function setBegun(job: JobState | undefined): void {
+    if (job?.state === "queued") job.state = "running";
+  }
+
   function applyStart(record: WorkRecord & { kind: "start" }): void {
     const job = jobs.get(record.job);
     if (job === undefined || !isOpenJob(job)) return;
-    if (job.state === "queued") job.state = "running";
     const step = getOccurrence(job, record.occurrence).steps[record.step];
     for (const { index, life } of record.entries) {
       const task = step?.tasks[index];
@@ -354,6 +358,8 @@
     const { task: ref, run, outcome } = record;
     const job = jobs.get(ref.job);
     if (job === undefined || !isOpenJob(job)) return;
+    // A run that was lost may never have started.
+    if (outcome !== "lost") setBegun(job);
     const step = getOccurrence(job, ref.occurrence).steps[ref.step];
     const task = step?.tasks[ref.index];
     if (step === undefined || task === undefined) return;
@@ -515,6 +521,9 @@
       case "cancel":
         applyCancel(record);
         break;
+      case "begun":
+        for (const id of record.jobs) setBegun(jobs.get(id));
+        break;
       case "start":
         applyStart(record);
         break;
