Let restarts of long-running tasks use the reserve for urgent work

Cause: 4 % of a pool's processors are kept for queues of priority 0. If urgent work fills the rest, no other task gets any of it until that ends.

Change: a long-running task that has run before may use the reserve, and runners that are held for gangs, like priority 0. New ones may not.

--- a/src/workload/candidates.ts
+++ b/src/workload/candidates.ts
@@ -238,9 +238,20 @@
   return heldFor !== undefined && heldFor !== step.key;
 }
 
+/**
+ * Tells whether a step may use what is kept for urgent work and waiting gangs. A
+ * long-running task may if it has run before: its users miss it, and urgent work that
+ * goes on could keep it from its room for ever.
+ */
+export function isUrgent(
+  { priority, isRestart }: Pick<OpenStep, "priority" | "isRestart">,
+): boolean {
+  return priority === 0 || isRestart;
+}
+
 /** Tells whether the candidate is held for another gang; urgent steps may still use it, as a last choice. */
 function isBlocked(step: OpenStep, candidate: Candidate): boolean {
-  return step.priority > 0 && isHeldForOther(step, candidate);
+  return !isUrgent(step) && isHeldForOther(step, candidate);
 }
 
 /**
--- a/src/workload/open_steps.ts
+++ b/src/workload/open_steps.ts
@@ -199,6 +199,8 @@
         isExcess: workspaces.isExcess(spec.id),
         eligibility: queue?.eligibility ??
           options.findAssumedEligibility(spec.queue),
+        isRestart: step.longRunning &&
+          waiting.some((index) => (stepState.tasks[index]?.run ?? 0) > 0),
         isSuspect: waiting.some((index) =>
           countCrashes(stepState.tasks[index]) > 0
         ),
--- a/src/workload/plan_types.ts
+++ b/src/workload/plan_types.ts
@@ -17,6 +17,8 @@
   /** True when the objective leaves little time beyond the work itself. */
   readonly isTight: boolean;
   readonly eligibility: EligibilityTimes | undefined;
+  /** True if a long-running task waits to be restarted. */
+  readonly isRestart: boolean;
   /** True if a waiting task is suspected of crashes. */
   readonly isSuspect: boolean;
   /** Name of the job's queue. */
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -19,6 +19,7 @@
   getRack,
   isPartedByProbation,
   isSuitable,
+  isUrgent,
   listCandidates,
   NO_POOL,
   type PoolCandidates,
@@ -39,8 +40,8 @@
 } from "./plan_types.ts";
 
 /**
- * Share of a pool's processors reserved for the most urgent queue, so that short
- * jobs do not wait for long tasks to end.
+ * Share of a pool's processors reserved for the most urgent queue and for restarts of
+ * long-running tasks, so that they do not wait for long tasks to end.
  */
 export const URGENT_HEADROOM = 0.04;
 
@@ -138,7 +139,7 @@
     count: number,
   ): boolean {
     // On an idle pool even a step that exceeds the limit by itself may start.
-    if (step.priority === 0 || pool.used === 0) return true;
+    if (isUrgent(step) || pool.used === 0) return true;
     return pool.used + pool.claimed + count * step.spec.resources.processors <=
       pool.capacity * (1 - URGENT_HEADROOM);
   }
--- a/src/workload/planning_rounds_test.ts
+++ b/src/workload/planning_rounds_test.ts
@@ -50,6 +50,7 @@
     remainingWork: 1,
     isExcess: false,
     eligibility: { baseMs: 20, perRunnerMs: 0.2, validMs: 1_500 },
+    isRestart: false,
     isSuspect: false,
     queue: "queue",
     isConfined: false,
--- a/src/workload/planning_test.ts
+++ b/src/workload/planning_test.ts
@@ -37,6 +37,7 @@
     remainingWork: 1_000_000,
     isExcess: false,
     eligibility: { baseMs: 430, perRunnerMs: 6, validMs: 1_500 },
+    isRestart: false,
     isSuspect: false,
     queue: "queue",
     isConfined: false,
