Restart long-running tasks after any number of crashes

Cause: the number of crashes after which a job is given up applied to long-running tasks as well, for which the platform has no limit.

Change: their crashes no longer end the job. From the crash on that would have, the task pauses until 5 s after the last reply of the crashed runner, so that one that does crash its runners takes one in that time at most. The crash's record has the end of the pause.

--- a/src/workload/crash_recorder.ts
+++ b/src/workload/crash_recorder.ts
@@ -23,6 +23,12 @@
   type WorkState,
 } from "./work_state.ts";
 
+/**
+ * Time from the last reply of a crashed runner to the next start of a long-running task
+ * that has crashed several, in milliseconds. The platform states 6 s, and 3 s for starting.
+ */
+const RESTART_PAUSE_MS = 5_000;
+
 /** Options of the recorder. */
 export interface CrashRecorderOptions {
   clock: Clock;
@@ -152,12 +158,15 @@
         ...lateSuspects,
       ]);
     }
+    const restartMs = clock.wallTime() + RESTART_PAUSE_MS - nowMs +
+      (lastReplyMs ?? nowMs);
     await writeCrash({
       life,
       suspects,
       cleared,
       isSingleJob,
       ...(lateSuspects.length > 0 ? { lateSuspects } : {}),
+      ...(suspects.some(isLongRunning) ? { restartMs } : {}),
     });
     suspects.forEach((task, at) => {
       if (isOpen(task)) return;
--- a/src/workload/lasting_restart_test.ts
+++ b/src/workload/lasting_restart_test.ts
@@ -6,6 +6,7 @@
   type WorkModel,
 } from "../model/mod.ts";
 import { listRuns, runCall } from "../../test/work_model_calls.ts";
+import { isOpenJob } from "./work_state.ts";
 
 /** Time within which a task that lasts runs again after its last run; the platform states 6 s and 3 s. */
 const RESTART_MS = 9_000;
@@ -69,3 +70,27 @@
   await model.run(2_000);
   t.equal(findRunner(model, "lasting"), undefined);
 });
+
+// Guards against a sound long-running job that is shown as failed, as its runners crashed
+// shortly after its starts: only failed runs count, and for such tasks not even those.
+t.test("a long-running job outlives any number of crashes", async (t) => {
+  const model = await startModel();
+  await submit(model, "lasting", "lasting", 50);
+  await model.run(3_000);
+  for (let crash = 0; crash < 8; crash += 1) {
+    const runner = findRunner(model, "lasting") ?? "";
+    model.runners.crash(runner);
+    await model.run(1_000);
+    await model.addRunner(runner, { startedMs: crash + 2 });
+    if (crash % 3 === 2) model.changeLeader();
+    let waitedMs = 1_000;
+    while (findRunner(model, "lasting") === undefined && waitedMs < 20_000) {
+      await model.run(10);
+      waitedMs += 10;
+    }
+    t.ok(waitedMs <= RESTART_MS, `${waitedMs} ms after crash ${crash + 1}`);
+    await model.run(450);
+  }
+  t.ok(isOpenJob(model.state.getJob("lasting")!));
+  t.strictSame(model.runners.violations, []);
+});
--- a/src/workload/open_steps.ts
+++ b/src/workload/open_steps.ts
@@ -55,7 +55,7 @@
   /** Updates the steps of one job. */
   refresh(job: string): void;
   refreshAll(): void;
-  /** Updates the jobs with repetitions; returns whether a step has become open. */
+  /** Updates the jobs with repetitions and with tasks that pause; returns whether a step has become open. */
   refreshTimed(): boolean;
   /** Hides tasks while their start is being recorded. */
   setPlanned(step: OpenStep, indexes: readonly number[]): void;
@@ -103,6 +103,11 @@
   };
 }
 
+/** Tells whether a task pauses after it has crashed several runners. */
+function isPaused({ restartMs = 0 }: TaskState, wallMs: number): boolean {
+  return restartMs > wallMs;
+}
+
 function countWaiting(tasks: readonly TaskState[]): number {
   let count = 0;
   for (const { status } of tasks) {
@@ -115,6 +120,7 @@
 export function createOpenSteps(options: OpenStepsOptions): OpenSteps {
   const { state, clock, workspaces, runTimes } = options;
   const byJob = new Map<string, OpenStep[]>();
+  /** Jobs with steps that open without a record. */
   const timed = new Set<string>();
   const planned = new Map<string, Set<number>>();
 
@@ -149,6 +155,7 @@
     const { spec } = job;
     const queue = state.findQueue(spec.queue);
     const recorded = state.getOccurrence(job, occurrence);
+    const wallMs = clock.wallTime();
     const estimate = estimateJob(
       spec,
       (declaredMs) => runTimes.estimateMs(spec.queue, declaredMs),
@@ -174,7 +181,9 @@
       stepState.tasks.forEach((task, index) => {
         const isWaiting = task.status === TASK_STATUS.waiting &&
           !hidden?.has(index);
-        if (isWaiting) waiting.push(index);
+        if (!isWaiting) return;
+        if (isPaused(task, wallMs)) timed.add(spec.id);
+        else waiting.push(index);
       });
       // A gang starts as a whole, so it waits until its last run has ended on all
       // members.
@@ -220,6 +229,7 @@
       return;
     }
     if (job.spec.repetitions > 0) timed.add(id);
+    else timed.delete(id);
     const open: OpenStep[] = [];
     const due = countDue(job);
     for (let occurrence = 0; occurrence < due; occurrence += 1) {
@@ -239,7 +249,7 @@
     },
     refreshTimed() {
       let hasNew = false;
-      for (const id of timed) {
+      for (const id of [...timed]) {
         const before = byJob.get(id)?.length ?? 0;
         updateJob(id);
         if ((byJob.get(id)?.length ?? 0) > before) hasNew = true;
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -228,6 +228,8 @@
     readonly lateSuspects?: readonly TaskRef[];
     /** True if only runs of one job can have caused it. */
     readonly isSingleJob: boolean;
+    /** Wall time before which long-running suspects of several crashes are not restarted, in milliseconds; absent for none. */
+    readonly restartMs?: number;
     readonly atMs: number;
   }
   | { readonly kind: "runner"; readonly runner: RunnerEntry }
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -38,7 +38,8 @@
 
 /**
  * Number of crashes of which a task is suspected after which its job ends as
- * failed; the platform tolerates two starts after three crashes.
+ * failed; the platform tolerates two starts after three crashes. A long-running task
+ * has no limit.
  */
 const MAX_CRASHES = 4;
 
@@ -74,6 +75,8 @@
   crashedLives?: string[];
   /** Keys of the incarnations that crashed some time after its start, oldest first; absent for none. */
   lateLives?: string[];
+  /** Wall time before which it is not restarted after crashes, in milliseconds; absent for none. */
+  restartMs?: number;
   /** Newest checkpoint; empty for none. */
   checkpoint: string;
 }
@@ -454,7 +457,12 @@
       task.crashes = (task.crashes ?? 0) + 1;
       const isCertain = record.isSingleJob && !isLateSuspect(task);
       const limit = isCertain ? MAX_CERTAIN_CRASHES : MAX_CRASHES;
-      if (countCrashes(task) >= limit) endJob(job, "failed", record.atMs);
+      if (countCrashes(task) < limit) continue;
+      if (job.spec.steps[ref.step]?.longRunning !== true) {
+        endJob(job, "failed", record.atMs);
+      } else if (record.restartMs !== undefined) {
+        task.restartMs = record.restartMs;
+      }
     }
     for (const ref of record.lateSuspects ?? []) {
       const task = findOpenTask(ref);
