Evacuate a data centre and take it back

Cause: nothing in the work log or the planner knew an evacuation.

Planning rounds get only runners outside of evacuated data centres, and a start that is recorded after the order is held back, a gang as a whole. What runs goes on.

--- a/src/gateway/messages.ts
+++ b/src/gateway/messages.ts
@@ -14,6 +14,7 @@
   CallerAddress,
   Configuration,
   EligibilityQuery,
+  EvacuationChange,
   HoldOrder,
   JobBody,
   RunnerAnnouncement,
@@ -35,7 +36,8 @@
   | { readonly kind: "configure"; readonly configuration: Configuration }
   | { readonly kind: "readConfiguration" }
   | { readonly kind: "announce"; readonly announcement: RunnerAnnouncement }
-  | { readonly kind: "depart"; readonly runner: string };
+  | { readonly kind: "depart"; readonly runner: string }
+  | { readonly kind: "evacuate"; readonly change: EvacuationChange };
 
 /** The leader's answer. */
 export type WorkAnswer =
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -46,7 +46,7 @@
   type EligibilityAnswer,
   type EligibilityQuery,
   encodeRecords,
-  hasChanges,
+  isForLeader,
   type RunnerCalls,
   startWorkController,
   type WorkController,
@@ -99,6 +99,8 @@
   ) => Promise<EligibilityAnswer>;
   maxLeaseMs: number;
   keepMs: number;
+  /** Lists the configured data centres. Default: only those of registered runners are known. */
+  listDataCentres?: () => readonly string[];
   logTimings: Partial<LogTimings>;
   /** Called when the log has failed; the process must exit. */
   handleFailure: (error: unknown) => void;
@@ -375,6 +377,7 @@
         server.ask(caller, question, timeoutMs),
       maxLeaseMs: options.maxLeaseMs,
       keepMs: options.keepMs,
+      listDataCentres: options.listDataCentres,
       waitForTurn: waitForImmediate,
       timeUse,
       handleStaleFence() {
@@ -420,13 +423,15 @@
         return await active.announceRunner(call.announcement);
       case "depart":
         return await active.removeRunner(call.runner);
+      case "evacuate":
+        return await active.setEvacuation(call.change);
     }
   }
 
   return {
     async call(call, timeoutMs) {
       const isKnown = call.kind === "announce" &&
-        !hasChanges(state, call.announcement.entry);
+        !isForLeader(state, call.announcement);
       return isKnown ? undefined : await gateway.call(call, timeoutMs);
     },
     isLeading: () => guard.isLeading(),
--- a/src/report/metric_definitions.ts
+++ b/src/report/metric_definitions.ts
@@ -102,6 +102,17 @@
       help: "Steps with tasks that wait for a place at this leader",
       labels: [],
     },
+    evacuated_since_seconds: {
+      kind: "gauge",
+      help:
+        "Unix time since which no task is started in a data centre, in seconds; 0 once its evacuation is withdrawn",
+      labels: ["dataCentre"],
+    },
+    evacuated_runs: {
+      kind: "gauge",
+      help: "Runs that are left in an evacuated data centre",
+      labels: ["dataCentre"],
+    },
     config_version: {
       kind: "gauge",
       help: "Version of the configuration in force here",
--- a/src/workload/announcements.ts
+++ b/src/workload/announcements.ts
@@ -1,5 +1,6 @@
 /** Decides which runner announcements are forwarded to the leader. */
 
+import type { RunnerAnnouncement } from "./runner_announcements.ts";
 import { isSameRunner, type RunnerEntry } from "./types.ts";
 import type { WorkState } from "./work_state.ts";
 
@@ -17,3 +18,14 @@
   const recorded = state.getRunner(entry.id);
   return recorded === undefined || !isSameRunner(recorded, entry);
 }
+
+/**
+ * Tells whether an announcement has to reach the leader. How long a runner remains cold
+ * is not recorded, so no other member can tell whether the leader knows it.
+ */
+export function isForLeader(
+  state: Pick<WorkState, "getRunner">,
+  { entry, coldMs = 0 }: Pick<RunnerAnnouncement, "entry" | "coldMs">,
+): boolean {
+  return coldMs > 0 || hasChanges(state, entry);
+}
--- a/src/workload/candidates.ts
+++ b/src/workload/candidates.ts
@@ -11,6 +11,7 @@
   type Resources,
   subtractResources,
 } from "../common/mod.ts";
+import { isCold, isWarmingUp } from "./cold_runners.ts";
 import { hasSurvivedStart } from "./crash_suspects.ts";
 import type { StepEligibility } from "./eligibility.ts";
 import type { OpenStep, PlanInput } from "./plan_types.ts";
@@ -45,6 +46,8 @@
   /** Position in the list of the pool's runners; decides between equal ones. */
   readonly position: number;
   readonly speedClass: number;
+  /** True while the runner is slow as it has just started. */
+  readonly isCold: boolean;
   /** Free capacity after subtracting all reservations. */
   free: Resources;
   /** Reserved capacity, by step. */
@@ -136,7 +139,7 @@
   let used = 0;
   let capacity = 0;
   for (const runner of runners) {
-    if (!isPlaceable(runner, nowMs)) continue;
+    if (!isPlaceable(runner, nowMs) || isWarmingUp(runner, nowMs)) continue;
     let free = computeFreeCapacity(runner);
     largestFree = computeMaximum(largestFree, free);
     const reserved = reservations.get(runner.life);
@@ -150,6 +153,7 @@
       runner,
       position: candidates.length,
       speedClass: getSpeedClass(runner),
+      isCold: isCold(runner, nowMs),
       free,
       reserved,
       heldFor,
@@ -300,6 +304,7 @@
 ): number {
   const failures = a.runner.failedJobs.size - b.runner.failedJobs.size;
   if (failures !== 0) return failures;
+  if (a.isCold !== b.isCold) return a.isCold ? 1 : -1;
   if (isTight && a.speedClass !== b.speedClass) {
     return a.speedClass - b.speedClass;
   }
--- a/src/workload/mod.ts
+++ b/src/workload/mod.ts
@@ -3,6 +3,7 @@
 export * from "./announcements.ts";
 export * from "./configuration.ts";
 export * from "./eligibility.ts";
+export type { EvacuationChange } from "./evacuation_calls.ts";
 export * from "./fencing_tokens.ts";
 export * from "./runner_calls.ts";
 export * from "./types.ts";
--- a/src/workload/plan_types.ts
+++ b/src/workload/plan_types.ts
@@ -83,6 +83,8 @@
   | "noRunner"
   /** No suitable runner has enough free capacity. */
   | "noRoom"
+  /** The only runners that could execute the tasks are in evacuated data centres. */
+  | "evacuated"
   /** Eligibility or a valid ticket is missing. */
   | "noTicket"
   /** The workspace has reached its cap. */
@@ -92,12 +94,18 @@
   /** The leader has no processor time to spare, and the step can wait. */
   | "leaderBusy";
 
+/** A step whose tasks keep waiting. */
+export interface Wait {
+  readonly step: OpenStep;
+  readonly reason: WaitReason;
+}
+
 /** Result of one planning round. */
 export interface Plan {
   readonly starts: PlannedStart[];
   readonly queries: PlannedQuery[];
   /** Steps whose tasks keep waiting, with the reason. */
-  readonly waits: { readonly step: OpenStep; readonly reason: WaitReason }[];
+  readonly waits: Wait[];
   /** Key of the gang that each runner is held for, by incarnation; for the next round. */
   readonly gangHolds: Map<string, string>;
 }
--- a/src/workload/runner_announcements.ts
+++ b/src/workload/runner_announcements.ts
@@ -11,6 +11,7 @@
   type Logger,
 } from "../common/mod.ts";
 import type { Closings } from "./closings.ts";
+import { updateColdTime } from "./cold_runners.ts";
 import type { RecordQueue } from "./record_queue.ts";
 import type { RunnerSessions, Session } from "./runner_sessions.ts";
 import {
@@ -38,6 +39,8 @@
   readonly remainingMs: number;
   /** Time of the runner's own clock when it was sent, in milliseconds; undefined if unknown. */
   readonly clockMs?: number;
+  /** Time for which the runner remains slow after its start, in milliseconds. Default 0. */
+  readonly coldMs?: number;
 }
 
 /** Options of the announcements. */
@@ -139,6 +142,7 @@
     const { sequence } = announcement;
     if (sequence < runner.sequence) return;
     runner.sequence = sequence;
+    updateColdTime(runner, announcement.coldMs, clock.now());
     const entry = isLateAnnouncement(runner, announcement)
       ? {
         ...announcement.entry,
@@ -214,6 +218,10 @@
       return await updateRunner(registered.runner, announcement);
     }
     openRunner(recorded, announcedMs);
+    const opened = sessions.get(life)?.runner;
+    if (opened !== undefined) {
+      updateColdTime(opened, announcement.coldMs, announcedMs);
+    }
   }
 
   /** Begins to use a recorded incarnation that has announced itself at `announcedMs`. */
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -105,6 +105,8 @@
   slowness: number;
   /** Jobs with failed runs since the last successful run. */
   failedJobs: Set<string>;
+  /** Local time until which it is slow, in milliseconds; see `cold_runners.ts`. */
+  coldUntilMs: number;
   /** Local time until which no task is started on it, in milliseconds. */
   suspendedUntilMs: number;
   /** Number of consecutive suspensions; each doubles the next. */
@@ -137,6 +139,7 @@
     sequence: entry.sequence ?? -1,
     slowness: 0,
     failedJobs: new Set(),
+    coldUntilMs: -Infinity,
     suspendedUntilMs: 0,
     suspensions: 0,
   };
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -6,6 +6,7 @@
 
 import { isSameAmount, type Resources } from "../common/mod.ts";
 import type { EarlyCancel } from "./early_cancels.ts";
+import type { EvacuationRecord } from "./evacuations.ts";
 
 /** One step of a job: a group of identical tasks that may start together. */
 export interface StepSpec {
@@ -232,6 +233,7 @@
     readonly restartMs?: number;
     readonly atMs: number;
   }
+  | EvacuationRecord
   | { readonly kind: "runner"; readonly runner: RunnerEntry }
   | {
     readonly kind: "runnerGone";
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -28,6 +28,11 @@
   type EligibilityAnswer,
   type EligibilityQuery,
 } from "./eligibility.ts";
+import { createEvacuatedRunners } from "./evacuated_runners.ts";
+import {
+  createEvacuationCalls,
+  type EvacuationCalls,
+} from "./evacuation_calls.ts";
 import { createLeaderLoad } from "./leader_load.ts";
 import { createOpenSteps } from "./open_steps.ts";
 import type { OpenStep, Plan, PlannedStart } from "./plan_types.ts";
@@ -103,6 +108,8 @@
   maxLeaseMs: number;
   /** Time for which the state of an ended job remains available, in milliseconds. */
   keepMs: number;
+  /** Lists the configured data centres. Default: only those of registered runners are known. */
+  listDataCentres?: (() => readonly string[]) | undefined;
   /** Called when a runner has seen a higher fencing token than this leadership's. */
   handleStaleFence: () => void;
   /** Waits until the messages that have arrived are read. Default: does not wait. */
@@ -116,7 +123,7 @@
 }
 
 /** The leader's interface for callers, operators and runners. */
-export interface WorkController extends WorkCalls {
+export interface WorkController extends WorkCalls, EvacuationCalls {
   announceRunner(announcement: RunnerAnnouncement): Promise<void>;
   removeRunner(id: string): Promise<void>;
   /** Sets the instances that can send queries to the eligibility service. */
@@ -185,6 +192,15 @@
     keepMs: options.keepMs,
   });
   const metricsOptions = metrics === undefined ? {} : { metrics };
+  const { setEvacuation } = createEvacuationCalls({
+    clock,
+    logger,
+    state,
+    queue,
+    ...(options.listDataCentres === undefined
+      ? {}
+      : { listDataCentres: options.listDataCentres }),
+  });
   const eligibility = createEligibilityCache({
     clock,
     logger,
@@ -221,6 +237,13 @@
     handleStaleFence: options.handleStaleFence,
     handleChange: () => startPlan(),
   });
+  const evacuated = createEvacuatedRunners({
+    clock,
+    logger,
+    ...metricsOptions,
+    state,
+    runnersByPool: fleet.runnersByPool,
+  });
   const planning = createPacedRounds({
     clock,
     periodMs: PLAN_PERIOD_MS,
@@ -354,24 +377,26 @@
   }
 
   /**
-   * Releases the orders to runners whose capacity has shrunk since the decision, so
-   * that their tasks start elsewhere; a gang is released as a whole. Returns them.
+   * Releases the orders to runners whose capacity has shrunk or whose data centre was
+   * evacuated since the decision, so that their tasks start elsewhere; a gang is
+   * released as a whole. Returns them.
    */
-  function releaseOverCapacity(
+  function releaseUnusable(
     orders: readonly Order[],
     isGang: boolean,
   ): Set<Order> {
     const released = new Set<Order>();
-    const isOver = ({ session }: Order) => isOverCapacity(session.runner);
-    const isWholeReleased = isGang && orders.some(isOver);
+    const isUnusable = ({ session: { runner } }: Order) =>
+      isOverCapacity(runner) || evacuated.isEvacuated(runner);
+    const isWholeReleased = isGang && orders.some(isUnusable);
     for (const order of orders) {
-      if (!isWholeReleased && !isOver(order)) continue;
+      if (!isWholeReleased && !isUnusable(order)) continue;
       released.add(order);
       fleet.release(order.session.runner, order.occupant);
     }
     if (released.size === 0) return released;
     const occupants = [...released].map(({ occupant }) => occupant);
-    logger.info("Starts held back after a runner shrank", {
+    logger.info("Starts held back after a runner changed", {
       runs: occupants.map(({ key }) => key),
     });
     void fleet.endRuns(occupants, "lost");
@@ -435,7 +460,7 @@
       }
       return;
     }
-    const heldBack = releaseOverCapacity(orders, step.spec.gang);
+    const heldBack = releaseUnusable(orders, step.spec.gang);
     for (const order of orders) {
       const { session, occupant, ticket } = order;
       if (heldBack.has(order)) continue;
@@ -517,7 +542,7 @@
     }
     const decided = plan(open, clock.wallTime(), () => true);
     gangHolds = decided.gangHolds;
-    logWaits(decided.waits);
+    logWaits(evacuated.explainWaits(decided.waits));
   }
 
   /** Plans a round over some steps and executes it; `isCovered` tells whether the round includes a step. */
@@ -528,16 +553,17 @@
   ): Plan {
     // Asked for each waiting step, but the same for all steps of a queue in a round.
     const freeCallers = new Map<EligibilityTimes, boolean>();
+    const runnersByPool = evacuated.selectOpen();
     const decided = planStarts({
       nowMs: clock.now(),
       wallMs,
       steps: sortOpenSteps(probation.assignSteps(open), wallMs),
-      runnersByPool: fleet.runnersByPool,
+      runnersByPool,
       getEligibility: (key) => eligibility.get(key),
       workspaces: workspaces.list(),
       reservations,
       gangHolds,
-      probation: probation.pickRunners(fleet.runnersByPool),
+      probation: probation.pickRunners(runnersByPool),
       patientStarts: leaderLoad.getPatientStarts(),
       mayQuery(times) {
         const isFree = freeCallers.get(times) ??
@@ -653,6 +679,7 @@
     metrics?.setGauge("steps_waiting", openSteps.list().length);
     metrics?.setGauge("leader_lateness_ms", leaderLoad.getLatenessMs());
     timeUse?.report(leaderLoad.isBusy());
+    evacuated.report();
     removeOldJobs();
     clock.setTimer(WATCH_PERIOD_MS, watch);
   }
@@ -678,6 +705,7 @@
 
   return {
     ...calls,
+    setEvacuation,
     announceRunner: fleet.announceRunner,
     removeRunner: fleet.removeRunner,
     setCallers(names) {
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -11,6 +11,11 @@
   type EarlyCancel,
   isSameOwner,
 } from "./early_cancels.ts";
+import {
+  createEvacuations,
+  type Evacuation,
+  type Evacuations,
+} from "./evacuations.ts";
 import {
   createRetainedSettings,
   type RemovedSettings,
@@ -149,6 +154,8 @@
   hasEarlyCancel(job: string, workspace: string | undefined): boolean;
   /** Lists the cancellations of jobs that have not arrived. */
   listEarlyCancels(): EarlyCancel[];
+  /** The evacuated data centres. */
+  readonly evacuations: Pick<Evacuations, "has" | "list">;
   /** Sets the function to call with each record after it was applied; undefined removes it. */
   setListener(listener: ((record: WorkRecord) => void) | undefined): void;
 }
@@ -163,6 +170,8 @@
   drained?: [string, number][];
   /** Cancellations of jobs that have not arrived; absent in snapshots of older versions. */
   earlyCancels?: EarlyCancel[];
+  /** Evacuated data centres; absent in snapshots of older versions. */
+  evacuations?: Evacuation[];
   /** Queues that the configuration no longer has; absent in snapshots of older versions. */
   removedQueues?: RemovedSettings<QueueSettings>[];
   /** Workspaces that the configuration no longer has; absent in snapshots of older versions. */
@@ -235,6 +244,7 @@
   const queues = createRetainedSettings<QueueSettings>();
   const workspaces = createRetainedSettings<WorkspaceSettings>();
   const earlyCancels = createEarlyCancels();
+  const evacuations = createEvacuations();
   let jobs = new Map<string, JobState>();
   let runners = new Map<string, RunnerEntry>();
   let gone = new Map<string, number>();
@@ -555,6 +565,9 @@
       case "runnerGone":
         applyGone(record);
         break;
+      case "evacuation":
+        evacuations.apply(record);
+        break;
       case "forget":
         for (const id of record.jobs) jobs.delete(id);
         earlyCancels.remove(record.earlyCancels ?? []);
@@ -580,6 +593,7 @@
     listLeftRuns,
     hasEarlyCancel: earlyCancels.has,
     listEarlyCancels: earlyCancels.list,
+    evacuations,
     setListener(next) {
       listener = next;
     },
@@ -601,6 +615,7 @@
         gone: [...gone],
         drained: [...drained],
         earlyCancels: earlyCancels.list(),
+        evacuations: evacuations.list(),
         removedQueues: queues.listRemoved(),
         removedWorkspaces: workspaces.listRemoved(),
       };
@@ -621,6 +636,7 @@
       gone = new Map(stored.gone ?? []);
       drained = new Map(stored.drained ?? []);
       earlyCancels.restore(stored.earlyCancels ?? []);
+      evacuations.restore(stored.evacuations ?? []);
     },
   };
 }
