Add evacuations to the fleet configuration

Cause: operators could empty a data centre only through the work log of the users' platform; the fleet configuration had no order for it.

Change: the operations evacuateDataCentre and readmitDataCentre, each with a name. An unknown or closed data centre is notFound, a repetition is accepted. Closing a data centre ends its evacuation. The limits are not divided anew.

--- a/src/client/operator.ts
+++ b/src/client/operator.ts
@@ -43,6 +43,8 @@
     dataCentres: config.dataCentres,
     leavingDataCentres: [],
     closedDataCentres: [],
+    // Instances of older versions do not send it.
+    evacuatedDataCentres: config.evacuatedDataCentres ?? [],
     dataCentreSets: [],
     divisions: new Map(),
     divisionVersion: 0,
--- a/src/fleet/draft.ts
+++ b/src/fleet/draft.ts
@@ -85,6 +85,8 @@
   addWithdrawnKey(key: Key): void;
   getDataCentres(): DraftDataCentres;
   setDataCentres(dataCentres: DraftDataCentres): void;
+  /** Adds a data centre to the evacuated ones, or removes it; no effect if that is its state already. */
+  setEvacuated(name: string, isEvacuated: boolean): void;
   /** Tells whether a key was withdrawn, by this change or an earlier one. */
   isWithdrawn(keyId: string): boolean;
   /** Builds the delta of the next version. */
@@ -112,6 +114,7 @@
   const divisions = createDraftMap<Division>(state.divisions);
   const withdrawnKeys = new Map<string, Key>();
   let dataCentres: DraftDataCentres | undefined;
+  let evacuated: readonly string[] | undefined;
 
   return {
     base: state,
@@ -132,6 +135,13 @@
     setDataCentres(value) {
       dataCentres = value;
     },
+    setEvacuated(name, isEvacuated) {
+      const old = evacuated ?? state.evacuatedDataCentres;
+      if (old.includes(name) === isEvacuated) return;
+      evacuated = isEvacuated
+        ? [...old, name].sort()
+        : old.filter((other) => other !== name);
+    },
     isWithdrawn: (keyId) =>
       withdrawnKeys.has(keyId) || options.isWithdrawn(keyId),
     buildDelta() {
@@ -156,6 +166,7 @@
         removedQueues: toNonEmpty(queueWrites.removed),
         divisions: toNonEmpty(divisionWrites.written),
         dataCentres,
+        evacuatedDataCentres: evacuated,
         divisionVersion: changesDivision ? version : undefined,
       };
       const present = Object.entries(entries).filter(([, value]) =>
--- a/src/fleet/fleet_property_test.ts
+++ b/src/fleet/fleet_property_test.ts
@@ -58,6 +58,13 @@
     type: fc.constant("setDataCentres" as const),
     names: fc.subarray(["x", "y", "z"], { minLength: 1 }),
   }),
+  fc.record({
+    type: fc.constantFrom(
+      "evacuateDataCentre" as const,
+      "readmitDataCentre" as const,
+    ),
+    name: fc.constantFrom("x", "y"),
+  }),
 );
 
 type Step =
--- a/src/fleet/operations.ts
+++ b/src/fleet/operations.ts
@@ -258,6 +258,20 @@
     leaving: old.leaving.filter((name) => name !== op.name),
     closed: [...old.closed, op.name].sort(),
   });
+  // A closed name is never used again, so nothing could end its evacuation.
+  draft.setEvacuated(op.name, false);
+}
+
+function applyEvacuation(
+  draft: Draft,
+  op: Operation<"evacuateDataCentre" | "readmitDataCentre">,
+): Outcome {
+  const { configured, leaving } = draft.getDataCentres();
+  // A leaving data centre may still run work and take new work.
+  if (!configured.includes(op.name) && !leaving.includes(op.name)) {
+    return createProblem("notFound", "name", op.name, "is not a data centre");
+  }
+  draft.setEvacuated(op.name, op.type === "evacuateDataCentre");
 }
 
 function applyOperation(draft: Draft, op: FleetOperation): Outcome {
@@ -282,6 +296,9 @@
       return applySetDataCentres(draft, op);
     case "closeDataCentre":
       return applyCloseDataCentre(draft, op);
+    case "evacuateDataCentre":
+    case "readmitDataCentre":
+      return applyEvacuation(draft, op);
   }
 }
 
--- a/src/fleet/schema.ts
+++ b/src/fleet/schema.ts
@@ -113,6 +113,8 @@
     name: nameSchema,
     appliedVersion: versionSchema,
   }),
+  z.strictObject({ type: z.literal("evacuateDataCentre"), name: nameSchema }),
+  z.strictObject({ type: z.literal("readmitDataCentre"), name: nameSchema }),
 ], "is not the name of an operation");
 
 const changeSchema = z.strictObject({
--- a/src/fleet/state_codec.ts
+++ b/src/fleet/state_codec.ts
@@ -26,6 +26,7 @@
   dataCentres: readonly string[];
   leavingDataCentres: readonly string[];
   closedDataCentres: readonly string[];
+  evacuatedDataCentres: readonly string[];
   dataCentreSets: readonly (readonly string[])[];
   readonly divisions: Map<string, Division>;
   divisionVersion: number;
@@ -41,6 +42,7 @@
     dataCentres: [],
     leavingDataCentres: [],
     closedDataCentres: [],
+    evacuatedDataCentres: [],
     // Limits may be set before there are data centres. Their units belong to
     // the empty set, which the first `setDataCentres` replaces.
     dataCentreSets: [[]],
@@ -78,6 +80,8 @@
   queues: z.array(queueRow),
   divisions: z.array(divisionRow),
   dataCentres: dataCentresRow,
+  // Missing in states of older versions, which know no evacuations.
+  evacuatedDataCentres: names.optional(),
 });
 
 const deltaRowsSchema = z.strictObject({
@@ -91,6 +95,7 @@
   removedQueues: names.optional(),
   divisions: z.array(divisionRow).optional(),
   dataCentres: dataCentresRow.optional(),
+  evacuatedDataCentres: names.optional(),
 });
 
 /** An encoded state as JSON rows. */
@@ -187,6 +192,11 @@
       closed: [...state.closedDataCentres],
       sets: state.dataCentreSets.map((set) => [...set]),
     },
+    // Left out when empty: older versions reject unknown fields, and must be
+    // able to read a state without evacuations.
+    ...(state.evacuatedDataCentres.length === 0
+      ? {}
+      : { evacuatedDataCentres: [...state.evacuatedDataCentres] }),
   };
 }
 
@@ -204,6 +214,7 @@
     dataCentres: rows.dataCentres.configured,
     leavingDataCentres: rows.dataCentres.leaving,
     closedDataCentres: rows.dataCentres.closed,
+    evacuatedDataCentres: rows.evacuatedDataCentres ?? [],
     dataCentreSets: rows.dataCentres.sets,
   };
 }
@@ -264,6 +275,9 @@
   if (rows.removedQueues) delta.removedQueues = rows.removedQueues;
   if (rows.divisions) delta.divisions = rows.divisions.map(readDivision);
   if (rows.dataCentres) delta.dataCentres = rows.dataCentres;
+  if (rows.evacuatedDataCentres) {
+    delta.evacuatedDataCentres = rows.evacuatedDataCentres;
+  }
   return delta;
 }
 
@@ -293,4 +307,6 @@
     state.closedDataCentres = delta.dataCentres.closed;
     state.dataCentreSets = delta.dataCentres.sets;
   }
+  state.evacuatedDataCentres = delta.evacuatedDataCentres ??
+    state.evacuatedDataCentres;
 }
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -94,6 +94,8 @@
   readonly leavingDataCentres: readonly string[];
   /** Closed data centres; their names cannot be reused. */
   readonly closedDataCentres: readonly string[];
+  /** Data centres where nothing new starts, sorted by name; each is configured or leaving. */
+  readonly evacuatedDataCentres: readonly string[];
   readonly dataCentreSets: readonly (readonly string[])[];
   /** Divisions by workspace, including those of removed workspaces. */
   readonly divisions: ReadonlyMap<string, Division>;
@@ -127,7 +129,9 @@
   }
   | { type: "removeQueue"; name: string }
   | { type: "setDataCentres"; names: string[] }
-  | { type: "closeDataCentre"; name: string; appliedVersion: number };
+  | { type: "closeDataCentre"; name: string; appliedVersion: number }
+  | { type: "evacuateDataCentre"; name: string }
+  | { type: "readmitDataCentre"; name: string };
 
 /** A list of operations that is applied atomically. */
 export interface FleetChange {
@@ -170,6 +174,8 @@
     readonly closed: readonly string[];
     readonly sets: readonly (readonly string[])[];
   };
+  /** All evacuated data centres; present if the change has altered them. */
+  readonly evacuatedDataCentres?: readonly string[];
   readonly divisionVersion?: number;
 }
 
--- a/src/http/operator_routes.ts
+++ b/src/http/operator_routes.ts
@@ -55,6 +55,8 @@
 export interface RenderedConfig {
   version: number;
   dataCentres: readonly string[];
+  /** Data centres where nothing new starts. */
+  evacuatedDataCentres: readonly string[];
   workspaces: Workspace[];
   queues: Queue[];
   /** Active keys, with the hashes used in sheets; the secret cannot be derived from its hash. */
@@ -66,6 +68,7 @@
   return {
     version: state.version,
     dataCentres: state.dataCentres,
+    evacuatedDataCentres: state.evacuatedDataCentres,
     workspaces: [...state.workspaces.values()],
     queues: [...state.queues.values()],
     keys: [...state.keys.values()],
--- a/src/instance/fleet_service.ts
+++ b/src/instance/fleet_service.ts
@@ -333,6 +333,7 @@
     receive: (envelope) => member?.receive(envelope),
     getStatus: () => ({
       version: view.getVersion(),
+      evacuatedDataCentres: view.getState().evacuatedDataCentres,
       ageMs: Number.isFinite(view.getAgeMs())
         ? Math.ceil(view.getAgeMs())
         : null,
