Start nothing new in an evacuated data centre

Cause: the evacuation of the fleet configuration had no effect on the leader of the data centre.

Change: while it lasts, the scheduler assigns, starts and preempts nothing, the command sender drops start commands that wait behind others, and the slot controller refuses requests as unavailable, not run, also queued ones and those whose start is being recorded. Recorded answers are still given. Routing leaves evacuated data centres out, since a leader that is gone or does not know its evacuation yet would cost time or grant a slot. Allotment that is not in use moves to the other data centres.

Result: the schedule of three data centres gets a run with evacuations, whose check fails when the scheduler ignores them. The tests of routing, recorded slots and allotments pass.

--- a/src/data_centre/allotment_controller.ts
+++ b/src/data_centre/allotment_controller.ts
@@ -94,6 +94,17 @@
   let timer: Timer | undefined;
   let isStopped = false;
 
+  function isEvacuated(): boolean {
+    const { evacuatedDataCentres } = options.view.getState();
+    return evacuatedDataCentres.includes(options.dataCentre);
+  }
+
+  /** Returns whether waiting work may start here and needs allotment. */
+  function mayStartWork(): boolean {
+    const { dataCentres } = options.view.getState();
+    return dataCentres.includes(options.dataCentre) && !isEvacuated();
+  }
+
   function toWorkspaceLoad(
     workspace: string,
     load: MeasuredLoad | undefined,
@@ -109,10 +120,9 @@
         ),
       ),
       running: load?.running ?? NO_LIMITS,
-      // A leaving data centre asks for no further allotment.
-      waiting: dataCentres.includes(options.dataCentre)
-        ? load?.waiting ?? NO_LIMITS
-        : NO_LIMITS,
+      // A leaving or evacuated data centre asks for no further allotment, and
+      // offers what its running work does not need.
+      waiting: mayStartWork() ? load?.waiting ?? NO_LIMITS : NO_LIMITS,
       fair: computeFairShare(
         workspaces.get(workspace)?.limits ?? NO_LIMITS,
         dataCentres.length,
@@ -208,6 +218,8 @@
 
   function sendAsks(loads: ReadonlyMap<string, WorkspaceLoad>): void {
     const { dataCentre } = options;
+    // Without waiting work it would still ask for its fair share.
+    if (isEvacuated()) return;
     const peers = options.view.getState().dataCentres
       .filter((name) => name !== dataCentre);
     for (const ask of rebalancer.planAsks(loads, peers)) {
@@ -264,6 +276,9 @@
   return {
     computeUsable(workspace, measured) {
       const load = toWorkspaceLoad(workspace, measured);
+      // A reserved amount would end running work; without new work, allotment
+      // becomes idle as the running work ends.
+      if (isEvacuated()) return load.held;
       return subtractLimits(load.held, rebalancer.getReserved(workspace, load));
     },
     async receiveAsk(ask) {
--- a/src/data_centre/allotment_controller_test.ts
+++ b/src/data_centre/allotment_controller_test.ts
@@ -184,3 +184,18 @@
   await log.commitNext();
   t.same(log.pending, []);
 });
+
+// Guards against limits that stay with an evacuated data centre while requests
+// wait in the only other one, and against ending what runs there.
+t.test("an evacuated data centre offers all but what runs", async (t) => {
+  const { change, controller, log, running } = await createFixture();
+  change({ type: "evacuateDataCentre", name: "a" });
+  running.set("t", 8);
+  const entitled = { ...buildAsk("b"), entitled: slots(4) };
+  const offer = controller.receiveAsk(entitled);
+  await waitForTurn();
+  await log.commitAll();
+  t.equal((await offer).slots, 2);
+  const load = { running: slots(8), waiting: slots(5) };
+  t.equal(controller.computeUsable("t", load).slots, 8);
+});
--- a/src/data_centre/data_centre_property_test.ts
+++ b/src/data_centre/data_centre_property_test.ts
@@ -18,3 +18,13 @@
     t.ok(report.jobs > 20 && report.starts > 20 && report.transfers > 5);
   });
 }
+
+// Guards against a task that starts in an evacuated data centre, also under a
+// leader that came after the order, and against work that an evacuation loses.
+t.test("the invariants hold under faults and evacuations", async (t) => {
+  t.comment(`seed ${SEED}`);
+  const report = await runCellSchedule(SEED, FAULT_MS, { evacuates: true });
+  t.comment(JSON.stringify(report));
+  t.ok(report.evacuatedSteps > 200 && report.elections > 5);
+  t.ok(report.jobs > 20 && report.starts > 20);
+});
--- a/src/data_centre/leadership.ts
+++ b/src/data_centre/leadership.ts
@@ -171,6 +171,21 @@
     usageMargin: options.usageMargin,
     leaseMs: options.taskLeaseMs,
   });
+  const isEvacuated = () =>
+    view.getState().evacuatedDataCentres.includes(options.dataCentre);
+  let wasEvacuated = false;
+  const updateEvacuation = () => {
+    if (isEvacuated() === wasEvacuated) return;
+    wasEvacuated = !wasEvacuated;
+    scheduler.setPlacementSuspended(wasEvacuated);
+    logger.info(
+      wasEvacuated
+        ? "Data centre evacuated; nothing new starts"
+        : "Data centre readmitted",
+      { version: view.getState().version },
+    );
+  };
+  updateEvacuation();
   const setWorkspace = createWorkspaceSetter(scheduler);
   const usable: UsableLimits = new Map();
   for (const { name, share } of view.getState().workspaces.values()) {
@@ -182,6 +197,7 @@
   const commands = createCommandSender({
     logger,
     holdsLease: options.holdsLease,
+    isEvacuated,
   });
   const workers = createWorkerController({
     epoch,
@@ -212,6 +228,7 @@
     epoch,
     getPolicy: (workspace) => getWorkspacePolicy(view, usable, workspace),
     canGrant: options.holdsLease,
+    isEvacuated,
     grantValidMs: options.grantValidMs,
     queue: { maxQueued: options.queueLength },
     endpoints: {
@@ -265,7 +282,10 @@
     handleChange: updateWorkspaces,
     handleFailure: options.handleFailure,
   });
-  const stopWatching = view.watchVersion(updateWorkspaces);
+  const stopWatching = view.watchVersion(() => {
+    updateEvacuation();
+    updateWorkspaces();
+  });
 
   return {
     epoch,
--- a/src/data_centre/worker_commands.ts
+++ b/src/data_centre/worker_commands.ts
@@ -34,6 +34,11 @@
   logger: Logger;
   /** Checked before each command, as a leader without a lease must not send any. */
   holdsLease: () => boolean;
+  /**
+   * Checked before each start command, which may have waited for several
+   * commands that timed out. Default: never evacuated.
+   */
+  isEvacuated?: () => boolean;
 }
 
 /** Creates a command sender. */
@@ -53,6 +58,8 @@
     command: WorkerCommand,
   ): Promise<void> {
     if (!options.holdsLease()) return;
+    // The attempt ends as lost when its first lease has expired.
+    if (command.name === "start" && options.isEvacuated?.()) return;
     try {
       const reply = await request(`${address}/v1/tasks/${command.name}`, {
         method: "POST",
--- a/src/instance/request_routing.ts
+++ b/src/instance/request_routing.ts
@@ -146,12 +146,29 @@
     return executor;
   }
 
+  /**
+   * Lists the data centres to try, without evacuated ones: their leaders may be
+   * gone, and one that does not know its evacuation yet would grant a slot.
+   */
+  function listUsable(request: AdmittedRequest): string[] {
+    const { evacuatedDataCentres } = view.getState();
+    const names = [dataCentre, ...options.listOthers()].filter((name) =>
+      !evacuatedDataCentres.includes(name)
+    );
+    if (names.length > 0) return names;
+    throw createFault(
+      "unavailable",
+      `Cannot run request "${request.requestId}": all data centres are evacuated`,
+      { ran: "no" },
+    );
+  }
+
   async function runWithFallback(
     request: AdmittedRequest,
   ): Promise<RecordedAnswer> {
     const deadlineMs = clock.now() + request.remainingMs;
     let last: unknown;
-    for (const name of [dataCentre, ...options.listOthers()]) {
+    for (const name of listUsable(request)) {
       const remainingMs = deadlineMs - clock.now();
       if (remainingMs <= 0) break;
       try {
--- a/src/instance/request_routing_test.ts
+++ b/src/instance/request_routing_test.ts
@@ -33,6 +33,7 @@
 async function runRequest(
   outcomes: Record<string, Outcome>,
   request: Partial<AdmittedRequest> = {},
+  evacuatedDataCentres: string[] = [],
 ) {
   const clock = createManualClock(1_000);
   const asked: string[] = [];
@@ -41,7 +42,10 @@
     instance: "self",
     dataCentre: "own",
     view: {
-      getState: () => ({ dataCentres: ["own", "near", "far"] }),
+      getState: () => ({
+        dataCentres: ["own", "near", "far"],
+        evacuatedDataCentres,
+      }),
     } as unknown as FleetView,
     calls: {
       findLeader: () => undefined,
@@ -102,6 +106,7 @@
   name: string;
   outcomes?: Record<string, Outcome>;
   request?: Partial<AdmittedRequest>;
+  evacuated?: string[];
   outcome: string;
   asked: string[];
 }[] = [
@@ -169,11 +174,32 @@
     outcome: "deadlineExceeded, ran no",
     asked: [],
   },
+  {
+    name: "runs in the only data centre that is not evacuated",
+    evacuated: ["own", "near"],
+    outcome: "200",
+    asked: ["far"],
+  },
+  {
+    name: "fails if all data centres are evacuated",
+    evacuated: ["own", "near", "far"],
+    outcome: "unavailable, ran no",
+    asked: [],
+  },
+  {
+    name: "gets its recorded answer from an evacuated home",
+    request: { idempotent: false },
+    evacuated: ["far"],
+    outcome: "200",
+    asked: ["far"],
+  },
 ];
 
-for (const { name, outcomes = {}, request, outcome, asked } of CASES) {
+for (
+  const { name, outcomes = {}, request, evacuated, outcome, asked } of CASES
+) {
   t.test(`a request ${name}`, async (t) => {
-    const found = await runRequest(outcomes, request);
+    const found = await runRequest(outcomes, request, evacuated);
     t.equal(found.outcome, outcome);
     t.same(found.asked, asked);
     t.ok(found.sent <= 1);
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -360,6 +360,7 @@
         dataCentre,
         leader: settings.instance,
         epoch,
+        evacuated: view.getState().evacuatedDataCentres.includes(dataCentre),
         scheduler: scheduler.getStatus(),
         workers: workers.listWorkers(),
         slots: slots.controller.getStatus(),
--- a/src/instance/work_service_test.ts
+++ b/src/instance/work_service_test.ts
@@ -45,6 +45,7 @@
       getState: () => ({
         workspaces: new Map(),
         dataCentres: ["a"],
+        evacuatedDataCentres: [],
         version: 0,
       }),
       watchVersion: () => () => {},
--- a/src/requests/recorded_slots.ts
+++ b/src/requests/recorded_slots.ts
@@ -13,7 +13,11 @@
   RecordDecision,
   RequestRecords,
 } from "./records_types.ts";
-import { computeMinElapsed, createSlotController } from "./slots.ts";
+import {
+  computeMinElapsed,
+  createEvacuatedFault,
+  createSlotController,
+} from "./slots.ts";
 import type { SlotController, SlotControllerOptions } from "./slots_types.ts";
 import type { SlotClient, SlotRelease, SlotRequest } from "./types.ts";
 
@@ -67,6 +71,25 @@
   const waiting = new Set<() => void>();
   let isStopped = false;
 
+  /**
+   * Removes the record of a start that an evacuation has overtaken, so that a
+   * resend after it may run, and throws the refusal.
+   */
+  async function refuseRecorded(
+    { scope, requestId }: SlotRequest,
+    token: string,
+  ): Promise<never> {
+    // If this is lost, a resend is answered with "outcomeUnknown": late but safe.
+    await propose({
+      type: "forget",
+      scope,
+      requestId,
+      runId: token,
+      atMs: clock.wallTime(),
+    }).catch(() => undefined);
+    throw createEvacuatedFault(options.dataCentre);
+  }
+
   async function recordStart(
     request: SlotRequest,
     token: string,
@@ -90,7 +113,10 @@
         { ran: "no", cause: error },
       );
     });
-    if (typeof decision === "object" && decision.kind === "run") return;
+    if (typeof decision === "object" && decision.kind === "run") {
+      if (options.isEvacuated?.()) await refuseRecorded(request, token);
+      return;
+    }
     throw createFault(
       "unavailable",
       "Cannot grant a slot: another run was recorded first",
--- a/src/requests/recorded_slots_test.ts
+++ b/src/requests/recorded_slots_test.ts
@@ -28,6 +28,7 @@
   const records = createRequestRecords();
   const leaders: RecordedSlots[] = [];
   let isCutOff = false;
+  let isEvacuated = false;
   async function propose(
     command: RecordCommand,
   ): Promise<RecordDecision | boolean> {
@@ -48,6 +49,7 @@
       getPolicy: () => ({ weight: 1, slotLimit: 100 }),
       records,
       propose,
+      isEvacuated: () => isEvacuated,
     });
     leaders.push(leader);
     clock.advance(READY_MS);
@@ -57,7 +59,11 @@
   const setCutOff = (value: boolean) => {
     isCutOff = value;
   };
-  return { clock, records, createLeader, setCutOff };
+  const setEvacuated = (value: boolean) => {
+    isEvacuated = value;
+    for (const leader of leaders) leader.controller.updatePolicies();
+  };
+  return { clock, records, createLeader, setCutOff, setEvacuated };
 }
 
 const buildOrder = (fields: Partial<SlotRequest> = {}) =>
@@ -191,3 +197,35 @@
   leader.stop();
   await t.rejects(resend, buildExpectedFault("unavailable"));
 });
+
+// Guards against a request that starts after an evacuation or is lost to its
+// caller: a queued one, one whose start is being recorded, and a resend.
+t.test("an evacuated data centre grants nothing and keeps its answers", async (t) => {
+  const { records, createLeader, setEvacuated } = createSetup();
+  const leader = createLeader(1);
+  const refused = buildExpectedFault("unavailable", "no");
+  const done = getGrant(await leader.acquire(buildOrder()));
+  await leader.release(buildRelease(done, "answered"));
+  for (let i = 0; i < 7; i++) {
+    const instance = `other${i}`;
+    await leader.acquire(buildRequest({ requestId: `o${i}`, instance }));
+  }
+  const recording = leader.acquire(buildOrder({ requestId: "r2" }));
+  const queued = leader.acquire(buildRequest({ requestId: "r3" }));
+  setEvacuated(true);
+  await Promise.all([
+    t.rejects(recording, refused),
+    t.rejects(queued, refused),
+  ]);
+  t.equal(
+    records.getRecord({ scope: "workspace", requestId: "r2" }),
+    undefined,
+  );
+  await t.rejects(leader.acquire(buildOrder({ requestId: "r4" })), refused);
+  t.match(await leader.acquire(buildOrder()), { kind: "answer" });
+  t.equal(leader.controller.getStatus().granted, 7, "running requests go on");
+  setEvacuated(false);
+  t.match(await leader.acquire(buildOrder({ requestId: "r2" })), {
+    kind: "grant",
+  });
+});
--- a/src/requests/slots.ts
+++ b/src/requests/slots.ts
@@ -50,6 +50,15 @@
   );
 }
 
+/** Creates the refusal of an evacuated data centre, after which another one is tried. */
+export function createEvacuatedFault(dataCentre: string): Fault {
+  return createFault(
+    "unavailable",
+    `Cannot grant a slot: data centre "${dataCentre}" is evacuated`,
+    { ran: "no" },
+  );
+}
+
 /**
  * Maximum time in the queue. The entry instance measures this time on its own
  * clock; after 25 s, clock drift uses up half of the validity of a grant.
@@ -67,6 +76,7 @@
 ): SlotController {
   const { clock, random, logger, epoch, beforeGrant } = options;
   const canGrant = options.canGrant ?? (() => true);
+  const isEvacuated = options.isEvacuated ?? (() => false);
   const grantValidMs = options.grantValidMs ?? GRANT_VALID_MS;
   const grantGraceMs = options.grantGraceMs ?? GRANT_GRACE_MS;
   const readyAtMs = clock.now() + (options.failoverWaitMs ??
@@ -142,7 +152,8 @@
   }
 
   function isReady(): boolean {
-    return !isStopped && clock.now() >= readyAtMs && canGrant();
+    return !isStopped && clock.now() >= readyAtMs && canGrant() &&
+      !isEvacuated();
   }
 
   function closeGrant(
@@ -204,7 +215,7 @@
     }
     if (grants.has(grant.token)) closeGrant(grant, "notSent", 0);
     grant.waiter.reject(
-      createFault(
+      isEvacuated() ? createEvacuatedFault(options.dataCentre) : createFault(
         "unavailable",
         "Cannot grant a slot: this instance is no longer the leader",
       ),
@@ -261,19 +272,28 @@
     throw createUnservedFault(request.queue);
   }
 
-  /**
-   * Rejects requests waiting for a queue without endpoints, so that the entry
-   * instance can try another data centre before the deadline.
-   */
-  function rejectUnserved(): void {
+  /** Rejects the queued requests for which `createReason` returns a fault. */
+  function rejectWaiting(
+    createReason: (request: SlotRequest) => Fault | undefined,
+  ): void {
     for (const siblings of [...waiters.values()]) {
       for (const waiter of [...siblings]) {
-        const { queue: name } = waiter.request;
-        if (endpoints.getPool(name).slots > 0) continue;
+        const fault = createReason(waiter.request);
+        if (fault === undefined) continue;
         if (waiter.entry === undefined || !queue.remove(waiter.entry)) continue;
-        handleRejection(waiter, createUnservedFault(name));
+        handleRejection(waiter, fault);
       }
     }
+  }
+
+  /**
+   * Rejects requests waiting for a queue without endpoints, so that the entry
+   * instance can try another data centre before the deadline.
+   */
+  function rejectUnserved(): void {
+    rejectWaiting(({ queue: name }) =>
+      endpoints.getPool(name).slots > 0 ? undefined : createUnservedFault(name)
+    );
     unservedTimer = clock.setTimer(announcePeriodMs, rejectUnserved);
   }
 
@@ -296,6 +316,7 @@
         "Cannot grant a slot: this instance has no leader lease",
       );
     }
+    if (isEvacuated()) throw createEvacuatedFault(options.dataCentre);
     checkPool(request);
     const isRebuilding = endpoints.getPool(request.queue).slots === 0;
     waiter.entry = queue.add({
@@ -382,6 +403,9 @@
       return isAccepted;
     },
     updatePolicies() {
+      if (isEvacuated()) {
+        rejectWaiting(() => createEvacuatedFault(options.dataCentre));
+      }
       queue.updatePolicies();
       grantWaiting();
     },
--- a/src/requests/slots_types.ts
+++ b/src/requests/slots_types.ts
@@ -28,6 +28,11 @@
   getPolicy: (workspace: string) => WorkspacePolicy;
   /** Returns false once the leader lease has ended; checked before each grant. */
   canGrant?: () => boolean;
+  /**
+   * Returns whether the data centre is evacuated: no request may start there.
+   * Call `updatePolicies` when it changes. Default: never.
+   */
+  isEvacuated?: () => boolean;
   /**
    * Hook that runs after the slot is reserved and before the grant is returned,
    * for example to record the start of a non-idempotent request. If it rejects,
@@ -88,7 +93,7 @@
   cancel(requestId: string, options?: CancelOptions): number;
   /** Processes an endpoint announcement; see `EndpointTable`. */
   receiveAnnouncement(input: unknown): boolean;
-  /** Applies changed weights and allotments to queued requests. */
+  /** Applies changed weights and allotments to queued requests; rejects them if the data centre is evacuated. */
   updatePolicies(): void;
   getStatus(): SlotStatus;
   /** Rejects all queued requests as not run. Issued grants stay valid. */
--- a/src/scheduling/placement_round.ts
+++ b/src/scheduling/placement_round.ts
@@ -228,6 +228,13 @@
   reservations: Reservations,
   preemption: Preemption,
 ): void {
+  if (state.isPlacementSuspended) {
+    // Plans and reservations keep ending tasks to make room for others.
+    preemption.closePlans();
+    reservations.close();
+    preemption.step();
+    return;
+  }
   preemption.step();
   reservations.step();
   const round = runRound(state, reservations);
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -67,6 +67,8 @@
   isBelowShare(job: JobRecord, entitlements: Entitlements): boolean;
   /** Returns whether another plan to reclaim borrowed resources may be opened. */
   isReclaimAllowed(): boolean;
+  /** Closes all plans. Commands that were sent to victims stay in effect. */
+  closePlans(): void;
 }
 
 const SAMPLED_WORKERS = 64;
@@ -360,6 +362,9 @@
       for (const plan of [...plans]) stepPlan(plan);
       endThrottling();
     },
+    closePlans() {
+      for (const plan of [...plans]) closePlan(plan);
+    },
     isBelowShare(job, entitlements) {
       const { workspace } = job;
       const computeShare = getShareFunction(state.options.shareRule);
--- a/src/scheduling/reports.ts
+++ b/src/scheduling/reports.ts
@@ -213,6 +213,7 @@
 }
 
 function sendMissingStarts(state: SchedulerState, worker: WorkerRecord): void {
+  if (state.isPlacementSuspended) return;
   for (const task of worker.tasks) {
     if (task.stage !== "started" || task.isRestored) continue;
     if (task.intervention !== undefined) continue;
--- a/src/scheduling/reservations.ts
+++ b/src/scheduling/reservations.ts
@@ -42,6 +42,8 @@
   isBackfillAllowed(): boolean;
   /** Places the job of the reservation if it fits now; preempts the blocking tasks if it has waited too long. */
   step(): void;
+  /** Gives up the reservation, if there is one. */
+  close(): void;
 }
 
 const GANG_RETRY_MS = 200;
@@ -284,5 +286,6 @@
       backfillProbesLeft = MAX_BACKFILL_PROBES_PER_STEP;
       if (reservation !== undefined) stepReservation(reservation);
     },
+    close: closeReservation,
   };
 }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -73,9 +73,10 @@
 }
 
 /** Returns whether a recorded assignment is still valid. */
-function isValidAssignment(task: TaskRecord): boolean {
+function isValidAssignment(state: SchedulerState, task: TaskRecord): boolean {
   const { job, worker, intervention } = task;
-  return !job.isCancelled && !job.isFailing && intervention === undefined &&
+  return !state.isPlacementSuspended && !job.isCancelled && !job.isFailing &&
+    intervention === undefined &&
     worker !== undefined && !worker.isGone && isWholeGang(job) &&
     isWithinAllotment(job.workspace);
 }
@@ -89,7 +90,7 @@
   const { job, attempt } = task;
   task.stage = "confirmed";
   job.confirmed++;
-  if (!isValidAssignment(task)) {
+  if (!isValidAssignment(state, task)) {
     endAttempt(state, task, "stopped");
     return false;
   }
@@ -97,15 +98,15 @@
   return true;
 }
 
-function isStartable(task: TaskRecord): boolean {
+function isStartable(state: SchedulerState, task: TaskRecord): boolean {
   return task.worker !== undefined && task.worker.isKnown &&
-    !task.worker.isSilent && isValidAssignment(task);
+    !task.worker.isSilent && isValidAssignment(state, task);
 }
 
 function startGang(state: SchedulerState, job: JobRecord): boolean {
   if (job.confirmed + job.ended < job.tasks.length) return false;
   const tasks = job.tasks.filter((task) => task.stage === "confirmed");
-  const refused = tasks.find((task) => !isStartable(task));
+  const refused = tasks.find((task) => !isStartable(state, task));
   if (refused !== undefined) {
     // Ending one task also ends the other tasks of the gang; none of them has started.
     endAttempt(state, refused, "stopped");
@@ -125,7 +126,7 @@
     if (!isCurrent) continue;
     if (task.job.spec.policy === "gang") {
       if (!startGang(state, task.job)) state.confirmed.push(entry);
-    } else if (isStartable(task)) {
+    } else if (isStartable(state, task)) {
       sendStart(state, task);
     } else {
       endAttempt(state, task, "stopped");
@@ -193,6 +194,9 @@
       if (worker !== undefined) removeWorker(state, worker);
     },
     setWorkspace: (settings) => updateWorkspace(state, settings),
+    setPlacementSuspended(isSuspended) {
+      state.isPlacementSuspended = isSuspended;
+    },
     restore(jobs, assignments, nowMs) {
       setTime(nowMs);
       restoreJobs(state, jobs, assignments);
--- a/src/scheduling/state.ts
+++ b/src/scheduling/state.ts
@@ -50,6 +50,8 @@
   capacity: Resources;
   committed: Resources;
   placedTasks: number;
+  /** Nothing is placed, started or preempted; see `Scheduler.setPlacementSuspended`. */
+  isPlacementSuspended: boolean;
   readonly ejectedWorkers: Set<WorkerRecord>;
   /** Workers out of service that are to get one probe task. */
   readonly probingWorkers: Set<WorkerRecord>;
@@ -111,6 +113,7 @@
     capacity: NO_RESOURCES,
     committed: NO_RESOURCES,
     placedTasks: 0,
+    isPlacementSuspended: false,
     ejectedWorkers: new Set(),
     probingWorkers: new Set(),
     actions: [],
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -330,7 +330,12 @@
   /** Removes a worker; its tasks are placed again after their leases have expired. */
   removeWorker(worker: string): void;
   setWorkspace(settings: WorkspaceSettings): void;
-  /** Restores the recorded state. Call it once, before any other method except `setWorkspace`. */
+  /**
+   * Suspends placement, or ends the suspension. While it lasts, no task is
+   * assigned or started and none is preempted; started tasks go on.
+   */
+  setPlacementSuspended(isSuspended: boolean): void;
+  /** Restores the recorded state. Call it once, before any other method except `setWorkspace` and `setPlacementSuspended`. */
   restore(
     jobs: readonly RestoredJob[],
     assignments: readonly RestoredAssignment[],
--- a/test/cell_schedule.ts
+++ b/test/cell_schedule.ts
@@ -79,6 +79,8 @@
 const EVENT_PERIOD_MS = 100;
 /** Time after the last fault within which all work must end, in milliseconds. */
 const RECOVERY_MS = 90_000;
+/** Time after which nothing starts in an evacuated data centre, in milliseconds; the operators' requirement. */
+const EVACUATION_MS = 5_000;
 
 /** Counts of what happened in a run; tests use them to rule out trivial runs. */
 export interface CellReport {
@@ -88,6 +90,8 @@
   restarts: number;
   transfers: number;
   versions: number;
+  /** Steps that ended with a data centre where no task may start. */
+  evacuatedSteps: number;
 }
 
 interface Member {
@@ -104,6 +108,8 @@
   state: DataCentreState | undefined;
   /** Latest fleet state that the member has received. */
   fleetState: FleetState | undefined;
+  /** Time at which it learned of the evacuation of its data centre; infinite without one. */
+  evacuatedAtMs: number;
   readonly watchers: Set<(state: FleetState) => void>;
 }
 
@@ -151,10 +157,14 @@
   return JSON.parse(Buffer.from(bytes).toString());
 }
 
-/** Simulates `faultMs` with faults, then runs until all work has ended; throws when an invariant is violated. */
+/**
+ * Simulates `faultMs` with faults, then runs until all work has ended; throws
+ * when an invariant is violated. Data centres are evacuated if `evacuates`.
+ */
 export async function runCellSchedule(
   seed: number,
   faultMs: number,
+  { evacuates = false } = {},
 ): Promise<CellReport> {
   const clock = createManualClock(1_000_000);
   const random = createSeededRandom(seed);
@@ -167,6 +177,7 @@
     restarts: 0,
     transfers: 0,
     versions: 0,
+    evacuatedSteps: 0,
   };
   const accepted = new Map<string, Cell>();
   const epochs = new Map<FakeWorker, number>();
@@ -356,6 +367,12 @@
     });
   }
 
+  /** Returns whether every member has known of an evacuation for the time after which nothing may start. */
+  function isEvacuated({ members }: Cell): boolean {
+    const knownAtMs = Math.max(...members.map((each) => each.evacuatedAtMs));
+    return clock.now() - knownAtMs > EVACUATION_MS;
+  }
+
   function receiveWorkerCommand(
     cell: Cell,
     address: string,
@@ -385,7 +402,10 @@
       spec,
     };
     receiveStart(worker, start as never, clock.now());
-    if (worker.tasks.size > before) report.starts++;
+    if (worker.tasks.size > before) {
+      report.starts++;
+      check(!isEvacuated(cell), `a task starts in evacuated ${cell.name}`);
+    }
     checkRunning();
   }
 
@@ -492,6 +512,7 @@
       service: undefined,
       state: undefined,
       fleetState: undefined,
+      evacuatedAtMs: Infinity,
       watchers: new Set(),
     })),
     workers: Array.from({ length: WORKER_COUNT }, (_, at) =>
@@ -669,6 +690,10 @@
       if (member.fleetState === newest || newest === undefined) continue;
       if (isFaulty && random.nextFloat() > 0.05) continue;
       member.fleetState = newest;
+      member.evacuatedAtMs = newest.evacuatedDataCentres
+          .includes(member.dataCentre)
+        ? Math.min(member.evacuatedAtMs, clock.now())
+        : Infinity;
       for (const callback of member.watchers) callback(newest);
     }
   }
@@ -733,6 +758,11 @@
     } else if (event < 79) restartWorker(worker);
     else if (event < 86) setLimit(random.nextInt(24));
     else if (event < 87) setDataCentres(1 + random.nextInt(7));
+    else if (evacuates && event < 89) {
+      change({ type: "evacuateDataCentre", name: cell.name });
+    } else if (evacuates && event < 90) {
+      change({ type: "readmitDataCentre", name: cell.name });
+    }
   }
 
   function setLimit(count: number): void {
@@ -754,6 +784,7 @@
     runWorkers();
     checkRunning();
     checkSums();
+    if (cells.some(isEvacuated)) report.evacuatedSteps++;
     if (failure !== undefined) throw failure;
   }
 
@@ -786,6 +817,7 @@
     change({ type: "updateWorkspace", name, limits: toLimits(12) });
   }
   for (const cell of cells) {
+    if (evacuates) change({ type: "readmitDataCentre", name: cell.name });
     cell.isCut = false;
     for (const worker of cell.workers) worker.isReachable = true;
   }
