Evacuate and readmit data centres on the command line

Cause: operators had to write the change by hand, and the status did not tell whether a data centre was empty.

Change: "data-centre evacuate NAME" and "data-centre readmit NAME"; the status prints for each evacuated data centre how many tasks and requests are left, or that its leader has not confirmed the evacuation or cannot be reached. Without an evacuation the output is as before.

--- a/src/cli/change_commands.ts
+++ b/src/cli/change_commands.ts
@@ -1,4 +1,4 @@
-/** Commands that change the configuration: workspaces, keys and queues. */
+/** Commands that change the configuration: workspaces, keys, queues and evacuations. */
 
 import { readFile } from "node:fs/promises";
 import {
@@ -284,6 +284,41 @@
   cmds: { create: createQueueCommand, remove: removeQueueCommand },
 });
 
+const createEvacuationCommand = (
+  name: string,
+  type: "evacuateDataCentre" | "readmitDataCentre",
+  description: string,
+) =>
+  command({
+    name,
+    description,
+    args: {
+      name: nameArgument,
+      changeId: CHANGE_ID_OPTION,
+      ...CONNECTION_OPTIONS,
+    },
+    handler: (args) =>
+      runCommand(() => submit(args, [{ type, name: args.name }])),
+  });
+
+/** `goldcrestlug data-centre`. */
+export const DATA_CENTRE_COMMANDS = subcommands({
+  name: "data-centre",
+  description: "Evacuation of data centres",
+  cmds: {
+    evacuate: createEvacuationCommand(
+      "evacuate",
+      "evacuateDataCentre",
+      "Start nothing new in a data centre, e.g. `data-centre evacuate kochi`; running work goes on",
+    ),
+    readmit: createEvacuationCommand(
+      "readmit",
+      "readmitDataCentre",
+      "End the evacuation of a data centre, e.g. `data-centre readmit kochi`",
+    ),
+  },
+});
+
 /** Reads a text file. Rejects with a `badRequest` fault if it cannot be read. */
 export async function readTextFile(path: string): Promise<string> {
   try {
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -2,6 +2,7 @@
 
 import { subcommands } from "cmd-ts";
 import {
+  DATA_CENTRE_COMMANDS,
   KEY_COMMANDS,
   QUEUE_COMMANDS,
   WORKSPACE_COMMANDS,
@@ -31,6 +32,7 @@
     team: WORKSPACE_COMMANDS,
     key: KEY_COMMANDS,
     queue: QUEUE_COMMANDS,
+    "data-centre": DATA_CENTRE_COMMANDS,
     sheet: SHEET_COMMANDS,
     job: JOB_COMMANDS,
     request: REQUEST_COMMANDS,
--- a/src/cli/status_commands.ts
+++ b/src/cli/status_commands.ts
@@ -13,9 +13,16 @@
 /** Version of the program, equal to the one in package.json. */
 export const VERSION = "0.1.0";
 
-interface StatusResponse {
+/** The status of an instance, as far as it is printed. */
+export interface StatusResponse {
   self: { instance: string; configVersion: number };
-  fleet: { leader: string; version: number; ageMs: number | null };
+  fleet: {
+    leader: string;
+    version: number;
+    ageMs: number | null;
+    /** Missing in the status of an older version. */
+    evacuatedDataCentres?: string[];
+  };
   peers: {
     instance: string;
     dataCentre: string;
@@ -28,12 +35,29 @@
     unreachable?: string;
     leader?: string;
     epoch?: number;
+    /** Whether the leader knows that its data centre is evacuated. */
+    evacuated?: boolean;
     scheduler?: { workers: number; queuedTasks: number; placedTasks: number };
     slots?: { queued: number; granted: number; endpoints: unknown[] };
   }[];
 }
 
-function renderStatus(status: StatusResponse): string {
+function renderEvacuation(name: string, status: StatusResponse): string {
+  const found = status.dataCentres.find((one) => one.dataCentre === name);
+  if (found === undefined) return `Evacuated: ${name}, which is being removed.`;
+  if (found.unreachable !== undefined) {
+    return `Evacuated: ${name}; its leader cannot be reached.`;
+  }
+  const tasks = found.scheduler?.placedTasks ?? 0;
+  const requests = found.slots?.granted ?? 0;
+  const left = `${tasks} tasks and ${requests} requests are left`;
+  return found.evacuated === true
+    ? `Evacuated: ${name}; ${left}.`
+    : `Evacuated: ${name}; its leader has not confirmed it yet, ${left}.`;
+}
+
+/** Renders the status as text. */
+export function renderStatus(status: StatusResponse): string {
   const instances = renderTable(
     ["instance", "data centre", "state", "configuration"],
     status.peers.map((peer) => [
@@ -59,6 +83,9 @@
     ),
   );
   const { fleet, self } = status;
+  const evacuations = (fleet.evacuatedDataCentres ?? []).map((name) =>
+    renderEvacuation(name, status)
+  );
   return [
     `Status from ${self.instance}. Configuration version ${fleet.version}, fleet log leader: ${
       fleet.leader || "unknown"
@@ -67,6 +94,7 @@
     instances,
     "",
     dataCentres,
+    ...(evacuations.length === 0 ? [] : ["", ...evacuations]),
   ].join("\n");
 }
 
@@ -89,16 +117,20 @@
 interface ConfigResponse {
   version: number;
   dataCentres: string[];
+  /** Missing in the configuration of an older version. */
+  evacuatedDataCentres?: string[];
   workspaces: { name: string; share: number; limits: Record<string, number> }[];
   queues: { name: string; open: boolean; policy: string }[];
   keys: { id: string; workspace: string }[];
 }
 
 function renderConfigText(config: ConfigResponse): string {
+  const evacuated = config.evacuatedDataCentres ?? [];
   return [
     `Version ${config.version}; data centres: ${
       config.dataCentres.join(", ")
     }.`,
+    ...(evacuated.length === 0 ? [] : [`Evacuated: ${evacuated.join(", ")}.`]),
     "",
     renderTable(
       ["workspace", "share", "slots", "processors", "memoryMb", "accelerators"],
