--- a/src/data_centre/allotment_controller.ts
+++ b/src/data_centre/allotment_controller.ts
@@ -100,7 +100,7 @@
   }
 
   /** Returns whether waiting work may start here and needs allotment. */
-  function mayStartWork(): boolean {
+  function isOpenForWork(): boolean {
     const { dataCentres } = options.view.getState();
     return dataCentres.includes(options.dataCentre) && !isEvacuated();
   }
@@ -122,7 +122,7 @@
       running: load?.running ?? NO_LIMITS,
       // A leaving or evacuated data centre asks for no further allotment, and
       // offers what its running work does not need.
-      waiting: mayStartWork() ? load?.waiting ?? NO_LIMITS : NO_LIMITS,
+      waiting: isOpenForWork() ? load?.waiting ?? NO_LIMITS : NO_LIMITS,
       fair: computeFairShare(
         workspaces.get(workspace)?.limits ?? NO_LIMITS,
         dataCentres.length,
