Keep an evacuation when a leader with an older configuration follows

Cause: a new leader whose copy of the configuration is older than that of its predecessor, such as after a restart, started tasks in an evacuated data centre until it was told.

Change: the log of the data centre records the evacuation with each applied version, and the later of the two versions counts.

Result: the schedule with evacuations now lets copies differ by seconds.

--- a/src/allotments/allotments.ts
+++ b/src/allotments/allotments.ts
@@ -41,6 +41,8 @@
   format: z.literal(1),
   dataCentre: z.string(),
   appliedVersion: z.int(),
+  // Left out unless true, so that older versions can read the snapshot.
+  evacuated: z.literal(true).optional(),
   workspaces: z.array(z.tuple([z.string(), limitsSchema, limitsSchema])),
   sent: z.array(z.tuple([z.string(), z.int()])),
   received: z.array(z.tuple([z.string(), z.int(), z.array(z.int())])),
@@ -102,6 +104,7 @@
   const received = new Map<string, Received>();
   const inProgress = new Map<string, AllotmentTransfer>();
   let appliedVersion = 0;
+  let isEvacuated = false;
 
   function addToWorkspace(
     workspace: string,
@@ -120,10 +123,9 @@
   }
 
   function applyConfiguration(
-    fromVersion: number,
-    version: number,
-    changes: readonly AllotmentChange[],
+    command: Extract<AllotmentCommand, { type: "applyConfiguration" }>,
   ): AllotmentResult {
+    const { fromVersion, version, changes } = command;
     if (version <= appliedVersion) return DUPLICATE;
     if (fromVersion !== appliedVersion) {
       return buildRefusal(
@@ -135,6 +137,7 @@
       addToWorkspace(workspace, change, change);
     }
     appliedVersion = version;
+    isEvacuated = command.evacuated === true;
     return APPLIED;
   }
 
@@ -195,10 +198,8 @@
 
   function apply(command: AllotmentCommand): AllotmentResult {
     switch (command.type) {
-      case "applyConfiguration": {
-        const { fromVersion, version, changes } = command;
-        return applyConfiguration(fromVersion, version, changes);
-      }
+      case "applyConfiguration":
+        return applyConfiguration(command);
       case "transferOut":
         return applyTransferOut(command.to, command.workspace, command.amount);
       case "transferIn":
@@ -231,6 +232,7 @@
         format: 1,
         dataCentre,
         appliedVersion,
+        ...(isEvacuated ? { evacuated: true } : {}),
         workspaces: [...workspaces].map(([workspace, { granted, held }]) => [
           workspace,
           granted,
@@ -252,6 +254,7 @@
         );
       }
       appliedVersion = snapshot.appliedVersion;
+      isEvacuated = snapshot.evacuated === true;
       workspaces.clear();
       sent.clear();
       received.clear();
@@ -268,6 +271,7 @@
       }
     },
     getAppliedVersion: () => appliedVersion,
+    isEvacuated: () => isEvacuated,
     getHeld: (workspace) => workspaces.get(workspace)?.held ?? NO_LIMITS,
     listWorkspaces() {
       const names = new Set(workspaces.keys());
@@ -290,6 +294,9 @@
         fromVersion: appliedVersion,
         version: state.version,
         changes,
+        ...(state.evacuatedDataCentres.includes(dataCentre)
+          ? { evacuated: true }
+          : {}),
       };
     },
   };
--- a/src/allotments/types.ts
+++ b/src/allotments/types.ts
@@ -18,6 +18,8 @@
     readonly fromVersion: number;
     readonly version: number;
     readonly changes: readonly AllotmentChange[];
+    /** Present if this version evacuates the data centre. */
+    readonly evacuated?: true | undefined;
   }
   | {
     /** Numbered when applied, so that several can be proposed concurrently. */
@@ -67,6 +69,8 @@
   restoreSnapshot(data: Uint8Array): void;
   /** Returns the configuration version up to which grants and cuts are applied. */
   getAppliedVersion(): number;
+  /** Returns whether the applied version evacuates the data centre. */
+  isEvacuated(): boolean;
   /** Returns grants − cuts + transfers in − transfers out. A limit can be below 0 after a cut. */
   getHeld(workspace: string): Limits;
   /** Lists workspaces with an allotment or an outgoing transfer, sorted by name. */
--- a/src/data_centre/allotment_controller.ts
+++ b/src/data_centre/allotment_controller.ts
@@ -27,6 +27,7 @@
   type Limits,
   subtractLimits,
 } from "../fleet/mod.ts";
+import { isEvacuated } from "./evacuation.ts";
 
 /** Time between reconciliations, in milliseconds. */
 const RECONCILE_PERIOD_MS = 200;
@@ -94,15 +95,12 @@
   let timer: Timer | undefined;
   let isStopped = false;
 
-  function isEvacuated(): boolean {
-    const { evacuatedDataCentres } = options.view.getState();
-    return evacuatedDataCentres.includes(options.dataCentre);
-  }
+  const isEvacuatedNow = () => isEvacuated(options.view, allotments);
 
   /** Returns whether waiting work may start here and needs allotment. */
   function isOpenForWork(): boolean {
     const { dataCentres } = options.view.getState();
-    return dataCentres.includes(options.dataCentre) && !isEvacuated();
+    return dataCentres.includes(options.dataCentre) && !isEvacuatedNow();
   }
 
   function toWorkspaceLoad(
@@ -219,7 +217,7 @@
   function sendAsks(loads: ReadonlyMap<string, WorkspaceLoad>): void {
     const { dataCentre } = options;
     // Without waiting work it would still ask for its fair share.
-    if (isEvacuated()) return;
+    if (isEvacuatedNow()) return;
     const peers = options.view.getState().dataCentres
       .filter((name) => name !== dataCentre);
     for (const ask of rebalancer.planAsks(loads, peers)) {
@@ -278,7 +276,7 @@
       const load = toWorkspaceLoad(workspace, measured);
       // A reserved amount would end running work; without new work, allotment
       // becomes idle as the running work ends.
-      if (isEvacuated()) return load.held;
+      if (isEvacuatedNow()) return load.held;
       return subtractLimits(load.held, rebalancer.getReserved(workspace, load));
     },
     async receiveAsk(ask) {
--- a/src/data_centre/command_schema.ts
+++ b/src/data_centre/command_schema.ts
@@ -81,6 +81,7 @@
       grant: limitsSchema,
       cut: limitsSchema,
     })),
+    evacuated: z.literal(true).optional(),
   }),
   z.looseObject({
     type: z.literal("transferOut"),
--- a/src/data_centre/leadership.ts
+++ b/src/data_centre/leadership.ts
@@ -20,6 +20,7 @@
   createAllotmentController,
   type MeasuredLoad,
 } from "./allotment_controller.ts";
+import { isEvacuated } from "./evacuation.ts";
 import type { TaskOutcome } from "./job_records.ts";
 import type {
   DataCentreCommand,
@@ -171,11 +172,10 @@
     usageMargin: options.usageMargin,
     leaseMs: options.taskLeaseMs,
   });
-  const isEvacuated = () =>
-    view.getState().evacuatedDataCentres.includes(options.dataCentre);
+  const isEvacuatedNow = () => isEvacuated(view, state.allotments);
   let wasEvacuated = false;
   const updateEvacuation = () => {
-    if (isEvacuated() === wasEvacuated) return;
+    if (isEvacuatedNow() === wasEvacuated) return;
     wasEvacuated = !wasEvacuated;
     scheduler.setPlacementSuspended(wasEvacuated);
     logger.info(
@@ -197,7 +197,7 @@
   const commands = createCommandSender({
     logger,
     holdsLease: options.holdsLease,
-    isEvacuated,
+    isEvacuated: isEvacuatedNow,
   });
   const workers = createWorkerController({
     epoch,
@@ -228,7 +228,7 @@
     epoch,
     getPolicy: (workspace) => getWorkspacePolicy(view, usable, workspace),
     canGrant: options.holdsLease,
-    isEvacuated,
+    isEvacuated: isEvacuatedNow,
     grantValidMs: options.grantValidMs,
     queue: { maxQueued: options.queueLength },
     endpoints: {
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -19,6 +19,7 @@
   type EndpointAnnouncementReply,
   parseWorkerAnnouncement,
 } from "../data_centre/announcements.ts";
+import { isEvacuated } from "../data_centre/evacuation.ts";
 import type { RecordedJobSpec } from "../data_centre/job_records.ts";
 import {
   type Leadership,
@@ -360,7 +361,7 @@
         dataCentre,
         leader: settings.instance,
         epoch,
-        evacuated: view.getState().evacuatedDataCentres.includes(dataCentre),
+        evacuated: isEvacuated(view, allotments),
         scheduler: scheduler.getStatus(),
         workers: workers.listWorkers(),
         slots: slots.controller.getStatus(),
--- a/test/cell_schedule.ts
+++ b/test/cell_schedule.ts
@@ -108,8 +108,6 @@
   state: DataCentreState | undefined;
   /** Latest fleet state that the member has received. */
   fleetState: FleetState | undefined;
-  /** Time at which it learned of the evacuation of its data centre; infinite without one. */
-  evacuatedAtMs: number;
   readonly watchers: Set<(state: FleetState) => void>;
 }
 
@@ -124,6 +122,8 @@
   readonly received: Set<string>;
   /** By workspace, the tasks that may run above the held allotment because a limit was lowered. */
   readonly excess: Map<string, number>;
+  /** Configuration versions that evacuate it, and when its log applied them. */
+  readonly evacuations: { atMs: number; version: number }[];
   isCut: boolean;
 }
 
@@ -259,7 +259,7 @@
     );
     const result = cell.applied.apply(command, index);
     if (command[0] !== 2) return;
-    const { type, transfer } = decodeJson(command.subarray(1));
+    const { type, transfer, version } = decodeJson(command.subarray(1));
     const { applied } = result as { applied: boolean };
     if (type === "transferIn" && applied) {
       report.transfers++;
@@ -270,6 +270,9 @@
       cell.received.add(transfer.id);
     }
     if (type !== "applyConfiguration" || !applied) return;
+    if (states[version - 1]!.evacuatedDataCentres.includes(cell.name)) {
+      cell.evacuations.push({ atMs: clock.now(), version });
+    }
     for (const workspace of WORKSPACES) {
       const above = recorded.get(workspace)! - getHeld(cell, workspace);
       cell.excess.set(workspace, Math.max(0, above));
@@ -367,10 +370,14 @@
     });
   }
 
-  /** Returns whether every member has known of an evacuation for the time after which nothing may start. */
-  function isEvacuated({ members }: Cell): boolean {
-    const knownAtMs = Math.max(...members.map((each) => each.evacuatedAtMs));
-    return clock.now() - knownAtMs > EVACUATION_MS;
+  /** Returns whether the log knows of an evacuation since the time after which nothing may start, and no later version ends it. */
+  function isEvacuated({ name, evacuations }: Cell): boolean {
+    return evacuations.some(({ atMs, version }) =>
+      clock.now() - atMs > EVACUATION_MS &&
+      states.slice(version - 1).every(({ evacuatedDataCentres }) =>
+        evacuatedDataCentres.includes(name)
+      )
+    );
   }
 
   function receiveWorkerCommand(
@@ -512,7 +519,6 @@
       service: undefined,
       state: undefined,
       fleetState: undefined,
-      evacuatedAtMs: Infinity,
       watchers: new Set(),
     })),
     workers: Array.from({ length: WORKER_COUNT }, (_, at) =>
@@ -529,6 +535,7 @@
     entries: [],
     received: new Set(),
     excess: new Map(),
+    evacuations: [],
     isCut: false,
   }));
   const members = cells.flatMap((cell) => cell.members);
@@ -688,12 +695,10 @@
     const newest = states.at(-1);
     for (const member of members) {
       if (member.fleetState === newest || newest === undefined) continue;
-      if (isFaulty && random.nextFloat() > 0.05) continue;
+      // With evacuations the copies differ by seconds, also between two leaders.
+      const share = evacuates ? 0.004 : 0.05;
+      if (isFaulty && random.nextFloat() > share) continue;
       member.fleetState = newest;
-      member.evacuatedAtMs = newest.evacuatedDataCentres
-          .includes(member.dataCentre)
-        ? Math.min(member.evacuatedAtMs, clock.now())
-        : Infinity;
       for (const callback of member.watchers) callback(newest);
     }
   }
