Count requests without a grant as left in the status

Cause: the status could print "0 requests" while requests with an unknown outcome may still run, or while a new leader does not know what runs.

Change: the excess of the endpoints is added, and a new leader's number is printed as unknown.

Result: status_commands_test passes with a request of each kind.

--- a/src/cli/status_commands.ts
+++ b/src/cli/status_commands.ts
@@ -38,7 +38,14 @@
     /** Whether the leader knows that its data centre is evacuated. */
     evacuated?: boolean;
     scheduler?: { workers: number; queuedTasks: number; placedTasks: number };
-    slots?: { queued: number; granted: number; endpoints: unknown[] };
+    slots?: {
+      queued: number;
+      granted: number;
+      /** Whether a new leader does not know yet which requests run. */
+      isRebuilding?: boolean;
+      /** `excess`: requests that may run without a grant. */
+      endpoints: { excess?: number }[];
+    };
   }[];
 }
 
@@ -49,7 +56,12 @@
     return `Evacuated: ${name}; its leader cannot be reached.`;
   }
   const tasks = found.scheduler?.placedTasks ?? 0;
-  const requests = found.slots?.granted ?? 0;
+  const requests = found.slots?.isRebuilding === true
+    ? "an unknown number of"
+    : (found.slots?.endpoints ?? []).reduce(
+      (sum, { excess }) => sum + (excess ?? 0),
+      found.slots?.granted ?? 0,
+    );
   const left = `${tasks} tasks and ${requests} requests are left`;
   return found.evacuated === true
     ? `Evacuated: ${name}; ${left}.`
--- a/src/cli/status_commands_test.ts
+++ b/src/cli/status_commands_test.ts
@@ -5,7 +5,7 @@
 // or before the leader acts on the evacuation.
 t.test("the status tells what is left in evacuated data centres", (t) => {
   const scheduler = { workers: 1, queuedTasks: 5, placedTasks: 3 };
-  const slots = { queued: 0, granted: 2, endpoints: [] };
+  const slots = { queued: 0, granted: 1, endpoints: [{ excess: 1 }] };
   const evacuatedDataCentres = ["a", "b"];
   const text = renderStatus({
     self: { instance: "i", configVersion: 1 },
