Keep eligibility answers on the instances that asked

Cause: the answers of the eligibility service are only in the memory of the leader that asked for them. After a change of leader all steps are queried again, though the answers still hold and the tickets may be valid.

A ticket that has expired is reported as empty: the runner stays eligible. The cache of the leader can add a reported answer unless it has a newer one; a refused ticket counts as newer, so that it does not come back. An instance of an older version has no case for the message and ignores it; an older leader never sends it.

Nothing asks yet.

--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -16,6 +16,7 @@
 import type { Metrics } from "../report/metrics.ts";
 import { createRpcPeer, type RpcPeer } from "../rpc/mod.ts";
 import type { EligibilityAnswer, EligibilityQuery } from "../workload/mod.ts";
+import { createKeptAnswers } from "./kept_answers.ts";
 import {
   type CoreMessage,
   decodeAnswer,
@@ -131,6 +132,7 @@
     : RELAY_BATCH_WINDOW_MS;
   const links = new Map<string, Link>();
   const pending = new Map<number, PendingCall>();
+  const keptAnswers = createKeptAnswers({ clock });
   let leader: Link | undefined;
   let leaderLostMs = clock.now();
   let nextId = 1;
@@ -336,7 +338,14 @@
         void runRequest(
           link,
           message.id,
-          () => options.ask(message.question, message.timeoutMs),
+          () => askService(message.question, message.timeoutMs),
+        );
+        break;
+      case "recall":
+        void runRequest(
+          link,
+          message.id,
+          () => Promise.resolve(keptAnswers.list()),
         );
         break;
       case "callRunner":
@@ -373,6 +382,15 @@
     }
   }
 
+  async function askService(
+    question: EligibilityQuery,
+    timeoutMs: number,
+  ): Promise<EligibilityAnswer> {
+    const answer = await options.ask(question, timeoutMs);
+    keptAnswers.record(question, answer);
+    return answer;
+  }
+
   async function callRunner(call: RunnerCall): Promise<unknown> {
     if (options.callRunner !== undefined) return await options.callRunner(call);
     throw createFault("unavailable", "Cannot call runners from this instance");
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -13,7 +13,11 @@
   toFault,
 } from "../common/mod.ts";
 import { type MeasureTime, runUnmeasured } from "../report/time_use.ts";
-import type { EligibilityAnswer, EligibilityQuery } from "../workload/mod.ts";
+import type {
+  EligibilityAnswer,
+  EligibilityQuery,
+  RecalledAnswer,
+} from "../workload/mod.ts";
 import {
   type CoreMessage,
   encodeFaultAnswer,
@@ -74,6 +78,14 @@
     question: EligibilityQuery,
     timeoutMs: number,
   ): Promise<EligibilityAnswer>;
+  /**
+   * Asks a connected instance for the eligibility answers that it has kept; rejects
+   * like `ask`. An instance of an older version does not reply.
+   */
+  listKeptAnswers(
+    instance: string,
+    timeoutMs: number,
+  ): Promise<readonly RecalledAnswer[]>;
   listCallers(): string[];
   /** Calls a runner through a connected instance; rejects like `ask`. */
   callRunner(
@@ -346,6 +358,14 @@
       );
       return value as EligibilityAnswer;
     },
+    async listKeptAnswers(instance, timeoutMs) {
+      const value = await sendRequest(
+        instance,
+        (id) => ({ kind: "recall", id }),
+        timeoutMs,
+      );
+      return value as readonly RecalledAnswer[];
+    },
     callRunner: (relay, call, timeoutMs) =>
       sendRequest(relay, (id) => ({ kind: "callRunner", id, call }), timeoutMs),
     listRelays: () => listNames(({ canCallRunners }) => canCallRunners),
--- a/src/gateway/gateway_test.ts
+++ b/src/gateway/gateway_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import type { ServerDuplexStream } from "@grpc/grpc-js";
 import t from "tap";
 import { findFreePorts } from "../../test/processes.ts";
@@ -71,8 +72,13 @@
     for (const stream of streams) stream.destroy(new Error("Stream broken"));
     streams.clear();
   };
+  /** Sends a message of a kind that no version knows. */
+  const sendUnknown = () => {
+    const data = Buffer.from('[{"kind":"unknown","id":1}]');
+    for (const stream of streams) stream.write({ data });
+  };
   t.teardown(stop);
-  return { core, server, stop, breakStreams };
+  return { core, server, stop, breakStreams, sendUnknown };
 }
 
 function openClient(
@@ -220,6 +226,29 @@
   await t.rejects(a.server.ask("other", question, 1_000));
 });
 
+// Guards against answers that are lost with the leader that asked for them, and against
+// an instance of an older version that fails when a leader asks it to recall: it gets a
+// message of a kind that it does not know.
+t.test("a new leader recalls answers, and unknown messages do no harm", async (t) => {
+  const ports = { a: await findPort(), b: await findPort() };
+  const a = await startCore(t, "a", ports.a);
+  const b = await startCore(t, "b", ports.b);
+  openClient(
+    t,
+    ports,
+    () => Promise.resolve({ tickets: { r: "t" }, validMs: 60_000 }),
+  );
+  while (b.server.listCallers().length === 0) await wait(clock, 10);
+  while (a.server.listCallers().length === 0) await wait(clock, 10);
+  a.sendUnknown();
+  b.sendUnknown();
+  const question = { job: "j", occurrence: 0, step: 0, runners: ["r", "s"] };
+  await a.server.ask("entry", question, 1_000);
+  a.stop();
+  const [recalled] = await b.server.listKeptAnswers("entry", 1_000);
+  t.match(recalled, { ...question, tickets: { r: "t" } });
+});
+
 t.test("a leader calls runners through a connected instance", async (t) => {
   const ports = { a: await findPort() };
   const a = await startCore(t, "a", ports.a);
--- a/src/gateway/messages.ts
+++ b/src/gateway/messages.ts
@@ -120,6 +120,8 @@
     readonly question: EligibilityQuery;
     readonly timeoutMs: number;
   }
+  /** Asks for the kept eligibility answers; an instance of an older version ignores it. */
+  | { readonly kind: "recall"; readonly id: number }
   | {
     readonly kind: "callRunner";
     readonly id: number;
--- a/src/gateway/mod.ts
+++ b/src/gateway/mod.ts
@@ -2,5 +2,6 @@
 
 export * from "./gateway_client.ts";
 export * from "./gateway_server.ts";
+export * from "./kept_answers.ts";
 export * from "./messages.ts";
 export * from "./relayed_calls.ts";
--- a/src/workload/eligibility.ts
+++ b/src/workload/eligibility.ts
@@ -26,6 +26,31 @@
   readonly validMs: number;
 }
 
+/** An answer that an instance has kept, as it reports it to a new leader. */
+export interface RecalledAnswer {
+  readonly job: string;
+  readonly occurrence: number;
+  readonly step: number;
+  /** Ids of the runners that the query named. */
+  readonly runners: readonly string[];
+  /** Ticket by runner id, empty once it has expired; a runner without an entry must not run the step. */
+  readonly tickets: Readonly<Record<string, string>>;
+  /** Time from the arrival of the answer to the report, in milliseconds. */
+  readonly ageMs: number;
+  /** Validity of the tickets that is left at the report, in milliseconds; absent if the service stated none. */
+  readonly validMs?: number;
+}
+
+/** A recalled answer in the leader's own time. */
+export interface DatedAnswer {
+  readonly runners: readonly string[];
+  readonly tickets: Readonly<Record<string, string>>;
+  /** Local time before which the answer did not arrive, in milliseconds. */
+  readonly answeredMs: number;
+  /** Local time until which the tickets are valid at least, in milliseconds. */
+  readonly expiresMs: number;
+}
+
 /** A ticket for one runner. */
 export interface Ticket {
   readonly value: string;
@@ -46,6 +71,12 @@
   notBeforeMs: number;
 }
 
+/** A step with the times of its answers. */
+interface CachedStep extends StepEligibility {
+  /** Local time of the newest answer, or of the refusal of its ticket, by runner id, in milliseconds. */
+  readonly answeredMs: Map<string, number>;
+}
+
 /** An instance that can query the service. */
 interface Caller {
   readonly name: string;
@@ -83,6 +114,11 @@
     question: EligibilityQuery,
     times: EligibilityTimes,
   ): boolean;
+  /** Adds a recalled answer, except where a newer one is known; returns the number of runners and of valid tickets added. */
+  addRecalled(
+    stepKey: string,
+    answer: DatedAnswer,
+  ): { runners: number; tickets: number };
   setCallers(names: readonly string[]): void;
   /** Removes a ticket that a runner has refused. */
   removeTicket(stepKey: string, runner: string): void;
@@ -126,15 +162,16 @@
   options: EligibilityCacheOptions,
 ): EligibilityCache {
   const { clock, logger } = options;
-  const steps = new Map<string, StepEligibility>();
+  const steps = new Map<string, CachedStep>();
   const callers = new Map<string, Caller>();
 
-  function getStep(stepKey: string): StepEligibility {
+  function getStep(stepKey: string): CachedStep {
     let step = steps.get(stepKey);
     if (step === undefined) {
       step = {
         isEligible: new Map(),
         tickets: new Map(),
+        answeredMs: new Map(),
         openQueries: 0,
         hasOverdueQuery: false,
         notBeforeMs: 0,
@@ -229,6 +266,7 @@
       for (const runner of question.runners) {
         const value = answer.tickets[runner];
         step.isEligible.set(runner, value !== undefined);
+        step.answeredMs.set(runner, nowMs);
         if (value === undefined) step.tickets.delete(runner);
         // The validity began about one network hop before the answer arrived.
         else step.tickets.set(runner, { value, expiresMs: nowMs + validMs });
@@ -289,6 +327,23 @@
       });
       return true;
     },
+    addRecalled(stepKey, { runners, tickets, answeredMs, expiresMs }) {
+      const step = getStep(stepKey);
+      const isValid = expiresMs > clock.now();
+      const added = { runners: 0, tickets: 0 };
+      for (const runner of runners) {
+        if ((step.answeredMs.get(runner) ?? -Infinity) >= answeredMs) continue;
+        const value = tickets[runner];
+        added.runners += 1;
+        step.answeredMs.set(runner, answeredMs);
+        step.isEligible.set(runner, value !== undefined);
+        step.tickets.delete(runner);
+        if (value === undefined || value === "" || !isValid) continue;
+        added.tickets += 1;
+        step.tickets.set(runner, { value, expiresMs });
+      }
+      return added;
+    },
     setCallers(names) {
       for (const name of callers.keys()) {
         if (!names.includes(name)) callers.delete(name);
@@ -305,7 +360,10 @@
       }
     },
     removeTicket(stepKey, runner) {
-      steps.get(stepKey)?.tickets.delete(runner);
+      const step = steps.get(stepKey);
+      step?.tickets.delete(runner);
+      // An answer that is recalled later may hold the same ticket.
+      step?.answeredMs.set(runner, clock.now());
     },
     remove(stepKey) {
       steps.delete(stepKey);
