Recall eligibility answers at the start of a leadership

Change: the controller asks each connected instance once for its kept answers, in the first 5 s of a leadership, and adds those about steps of open jobs. Tickets count from the time of the request, which takes the whole delay off their validity. Planning goes on meanwhile. One log line for each leadership and eligibility_recalled_total tell how much was recalled. In the simulated cell the option "keepers" names the callers that keep their answers, and "bindsTickets" makes runners check incarnation and expiry of a ticket; both are off by default.

A recalled ticket for an earlier incarnation is refused and removed, and the step starts with a new one.

--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -15,6 +15,7 @@
   type Resources,
   wait,
 } from "../common/mod.ts";
+import { createKeptAnswers } from "../gateway/kept_answers.ts";
 import type { RunnerCall } from "../gateway/messages.ts";
 import {
   createRelayedCalls,
@@ -31,6 +32,7 @@
   hasChanges,
   type JobBody,
   type QueueSettings,
+  type RecalledAnswer,
   type RunnerCalls,
   type RunnerEntry,
   startWorkController,
@@ -62,6 +64,9 @@
 /** Time for which messages to and from a relay are gathered, in milliseconds. */
 const RELAY_DELAY_MS = 6;
 
+/** Time of a request for kept answers on its way, and of the reply, in milliseconds; a batch window and a network hop. */
+const RECALL_HOP_MS = 10;
+
 /** What changes when a crashed runner comes back. */
 export type RunnerReturn =
   | "sameId"
@@ -87,6 +92,10 @@
   isEligible?: (runner: string, step: string) => boolean;
   /** Instances that can query the eligibility service. Default: three. */
   callers?: readonly string[];
+  /** Those callers that keep their answers for the next leader; the others never reply to it. Default: none. */
+  keepers?: readonly string[];
+  /** True if a ticket is valid for one incarnation of its runner only, and until it expires. Default: false. */
+  bindsTickets?: boolean;
   /** Replaces the controller's order of the open steps. */
   sortSteps?: WorkControllerOptions["sortSteps"];
   /** Replaces the controller's probation. */
@@ -124,6 +133,8 @@
   getWallTime(): number;
   /** Returns the number of eligibility queries about a job. */
   countQueries(job: string): number;
+  /** Returns the number of starts that runners have refused for their tickets. */
+  countRefusedTickets(): number;
   /** Adds a runner and announces it; resolves with its faults once the announcement is recorded. */
   addRunner(
     id: string,
@@ -280,6 +291,7 @@
   /** Sequence number of the newest announcement, by runner. */
   const sequences = new Map<string, number>();
   let newestTerm = 0;
+  let refusedTickets = 0;
   const fencingTokens = createFencingTokens();
   let controller: WorkController | undefined;
 
@@ -296,9 +308,12 @@
         .find(({ name }) => name === owner);
       return found && { workspace: found.name, cap: found.cap };
     },
-    hasTicket: ({ id }, { task, ticket }) =>
-      findPolicy(task.job) === undefined ||
-      ticket === formatTicket(task, id),
+    hasTicket(entry, { task, ticket }) {
+      const isAccepted = findPolicy(task.job) === undefined ||
+        isValidTicket(task, entry, ticket);
+      if (!isAccepted) refusedTickets += 1;
+      return isAccepted;
+    },
     getMaxAttempts({ job, step }) {
       const spec = state.getJob(job)?.spec;
       const isLimited = spec?.steps[step]?.longRunning === false;
@@ -331,6 +346,28 @@
     return `${job}/${step}@${runner}`;
   }
 
+  /** Formats a ticket that binds; the service knows the incarnations that have registered. */
+  function formatBoundTicket(
+    task: Pick<TaskRef, "job" | "step">,
+    runner: string,
+    expiresMs: number,
+  ): string {
+    const startedMs = state.getRunner(runner)?.startedMs;
+    return `${formatTicket(task, runner)}#${startedMs}#${expiresMs}`;
+  }
+
+  function isValidTicket(
+    task: TaskRef,
+    { id, startedMs }: RunnerEntry,
+    ticket: string,
+  ): boolean {
+    const expected = formatTicket(task, id);
+    if (options.bindsTickets !== true) return ticket === expected;
+    const [issued, incarnation, expiresMs] = ticket.split("#");
+    return issued === expected && Number(incarnation) === startedMs &&
+      clock.now() < Number(expiresMs);
+  }
+
   function startNextIncarnation(former: RunnerEntry): void {
     const { returnAs } = options;
     const startedMs = former.startedMs + 1;
@@ -357,6 +394,9 @@
   /** Time at which the service is free for the next query of a caller; it answers one query of each caller at a time. */
   const callerFreeMs = new Map<string, number>();
   const queryCounts = new Map<string, number>();
+  const keptAnswers = new Map(
+    options.keepers?.map((caller) => [caller, createKeptAnswers({ clock })]),
+  );
   function ask(
     caller: string,
     question: EligibilityQuery,
@@ -377,17 +417,35 @@
     const tickets: Record<string, string> = {};
     for (const runner of question.runners) {
       if (options.isEligible?.(runner, step) ?? true) {
-        tickets[runner] = formatTicket(question, runner);
+        tickets[runner] = options.bindsTickets === true
+          ? formatBoundTicket(question, runner, freeMs + times.validMs)
+          : formatTicket(question, runner);
       }
     }
+    const answer = { tickets, validMs: times.validMs };
     return new Promise((resolve) =>
-      void clock.setTimer(
-        freeMs - nowMs,
-        () => resolve({ tickets, validMs: times.validMs }),
-      )
+      void clock.setTimer(freeMs - nowMs, () => {
+        keptAnswers.get(caller)?.record(question, answer);
+        resolve(answer);
+      })
     );
   }
 
+  async function listKeptAnswers(
+    instance: string,
+    timeoutMs: number,
+  ): Promise<readonly RecalledAnswer[]> {
+    const kept = keptAnswers.get(instance);
+    if (kept === undefined) {
+      await wait(clock, timeoutMs);
+      throw createFault("deadlineExceeded", `Cannot reach "${instance}"`);
+    }
+    await wait(clock, RECALL_HOP_MS);
+    const answers = kept.list();
+    await wait(clock, RECALL_HOP_MS);
+    return answers;
+  }
+
   const leaderProcessor = createProcessor(clock);
 
   const leaderClock = {
@@ -532,6 +590,7 @@
         ? runners.calls
         : createLeaderCalls(options.getReplyCostMs),
       ask: (caller, question) => ask(caller, question),
+      ...(options.keepers === undefined ? {} : { listKeptAnswers }),
       maxLeaseMs: 10_000,
       keepMs: 120_000,
       handleStaleFence: () => {},
@@ -577,6 +636,7 @@
     getController,
     getWallTime: () => wallClock.wallTime(),
     countQueries: (job) => queryCounts.get(job) ?? 0,
+    countRefusedTickets: () => refusedTickets,
     async addRunner(id, entry = {}) {
       const full = createRunnerEntry(id, entry);
       const faults = runners.add(full);
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -375,6 +375,8 @@
       calls: relayedCalls,
       ask: (caller, question, timeoutMs) =>
         server.ask(caller, question, timeoutMs),
+      listKeptAnswers: (name, timeoutMs) =>
+        server.listKeptAnswers(name, timeoutMs),
       maxLeaseMs: options.maxLeaseMs,
       keepMs: options.keepMs,
       listDataCentres: options.listDataCentres,
--- a/src/report/metric_definitions.ts
+++ b/src/report/metric_definitions.ts
@@ -71,6 +71,12 @@
       help: "Leaderships gained by this instance, by log group",
       labels: ["group"],
     },
+    eligibility_recalled_total: {
+      kind: "counter",
+      help:
+        "Steps and tickets that this instance as a new leader recalled from answers kept by instances, by kind",
+      labels: ["kind"],
+    },
     requests_waiting: {
       kind: "gauge",
       help: "Requests that wait for a slot at this leader",
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -27,6 +27,7 @@
   createEligibilityCache,
   type EligibilityAnswer,
   type EligibilityQuery,
+  type RecalledAnswer,
 } from "./eligibility.ts";
 import { createEvacuatedRunners } from "./evacuated_runners.ts";
 import {
@@ -40,6 +41,7 @@
 import { createProbation } from "./probation.ts";
 import { createRecordQueue } from "./record_queue.ts";
 import { createPacedRounds } from "./paced_rounds.ts";
+import { startAnswerRecall } from "./recalled_answers.ts";
 import type { RunnerCalls } from "./runner_calls.ts";
 import type { RunnerAnnouncement } from "./runner_announcements.ts";
 import { createRunnerFleet } from "./runner_fleet.ts";
@@ -104,6 +106,11 @@
     question: EligibilityQuery,
     timeoutMs: number,
   ) => Promise<EligibilityAnswer>;
+  /** Asks an instance for the eligibility answers that it has kept. Default: none is asked. */
+  listKeptAnswers?: (
+    instance: string,
+    timeoutMs: number,
+  ) => Promise<readonly RecalledAnswer[]>;
   /** Longest lease that runners accept, in milliseconds. */
   maxLeaseMs: number;
   /** Time for which the state of an ended job remains available, in milliseconds. */
@@ -207,6 +214,17 @@
     ask: options.ask,
     handleAnswer: () => startPlan(),
   });
+  const recall = options.listKeptAnswers && startAnswerRecall({
+    clock,
+    logger,
+    ...metricsOptions,
+    state,
+    eligibility,
+    listKeptAnswers: options.listKeptAnswers,
+    getValidMs: (name) =>
+      (state.findQueue(name)?.eligibility ?? ASSUMED_ELIGIBILITY).validMs,
+    handleAnswers: () => startPlan(),
+  });
   const leaderLoad = createLeaderLoad({ clock, logger });
   const { recordLateness } = leaderLoad;
   const fleet = createRunnerFleet({
@@ -710,12 +728,14 @@
     removeRunner: fleet.removeRunner,
     setCallers(names) {
       eligibility.setCallers(names);
+      recall?.askInstances(names);
       startPlan();
     },
     stop() {
       isStopped = true;
       planning.stop();
       begunJobs.stop();
+      recall?.stop();
       urgentPlanning.stop();
       state.setListener(undefined);
       fleet.stop();
