Ask for kept eligibility answers as soon as an instance is elected

Cause: planning rounds begin some milliseconds after the start of a leadership, before the first report of kept answers.

Change: the requests are sent at the election and answered while the leadership is confirmed by the log. A report keeps the time of its request, from which the validity of its tickets counts. Nothing waits for a report.

--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -31,8 +31,8 @@
   encodeRecords,
   hasChanges,
   type JobBody,
+  type KeptReport,
   type QueueSettings,
-  type RecalledAnswer,
   type RunnerCalls,
   type RunnerEntry,
   startWorkController,
@@ -431,10 +431,11 @@
     );
   }
 
-  async function listKeptAnswers(
+  async function getReport(
     instance: string,
     timeoutMs: number,
-  ): Promise<readonly RecalledAnswer[]> {
+  ): Promise<KeptReport> {
+    const sentMs = clock.now();
     const kept = keptAnswers.get(instance);
     if (kept === undefined) {
       await wait(clock, timeoutMs);
@@ -443,7 +444,7 @@
     await wait(clock, RECALL_HOP_MS);
     const answers = kept.list();
     await wait(clock, RECALL_HOP_MS);
-    return answers;
+    return { answers, sentMs };
   }
 
   const leaderProcessor = createProcessor(clock);
@@ -590,7 +591,7 @@
         ? runners.calls
         : createLeaderCalls(options.getReplyCostMs),
       ask: (caller, question) => ask(caller, question),
-      ...(options.keepers === undefined ? {} : { listKeptAnswers }),
+      ...(options.keepers === undefined ? {} : { getReport }),
       maxLeaseMs: 10_000,
       keepMs: 120_000,
       handleStaleFence: () => {},
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -14,6 +14,7 @@
   wait,
 } from "../common/mod.ts";
 import {
+  createEarlyReports,
   createGatewayClient,
   createGatewayServer,
   createRelayedCalls,
@@ -281,6 +282,12 @@
       server.callRunner(relay, call, timeoutMs),
   });
 
+  const earlyReports = createEarlyReports({
+    clock,
+    listKeptAnswers: (name, timeoutMs) =>
+      server.listKeptAnswers(name, timeoutMs),
+  });
+
   let lastInviteMs = -Infinity;
   function reconcileVoters(): void {
     if (isStopped) return;
@@ -351,6 +358,7 @@
   async function startLeading(lease: LeaderLease): Promise<void> {
     const { term } = lease;
     logger.info("Elected leader", { term });
+    earlyReports.start(server.listCallers());
     while (leadershipTracker.isCurrent(lease)) {
       try {
         // All entries committed by earlier leaders must be applied first.
@@ -375,8 +383,7 @@
       calls: relayedCalls,
       ask: (caller, question, timeoutMs) =>
         server.ask(caller, question, timeoutMs),
-      listKeptAnswers: (name, timeoutMs) =>
-        server.listKeptAnswers(name, timeoutMs),
+      getReport: earlyReports.take,
       maxLeaseMs: options.maxLeaseMs,
       keepMs: options.keepMs,
       listDataCentres: options.listDataCentres,
--- a/src/workload/eligibility.ts
+++ b/src/workload/eligibility.ts
@@ -41,6 +41,13 @@
   readonly validMs?: number;
 }
 
+/** The reply of an instance that was asked for its kept answers. */
+export interface KeptReport {
+  readonly answers: readonly RecalledAnswer[];
+  /** Local time at which the instance was asked, in milliseconds. */
+  readonly sentMs: number;
+}
+
 /** A recalled answer in the leader's own time. */
 export interface DatedAnswer {
   readonly runners: readonly string[];
--- a/src/workload/mod.ts
+++ b/src/workload/mod.ts
@@ -6,6 +6,7 @@
 export type { EvacuationChange } from "./evacuation_calls.ts";
 export * from "./fencing_tokens.ts";
 export * from "./runner_calls.ts";
+export { RECALL_TIMEOUT_MS } from "./recalled_answers.ts";
 export * from "./types.ts";
 export type { RunnerAnnouncement } from "./runner_announcements.ts";
 export type { CallerAddress } from "./work_calls.ts";
--- a/src/workload/recalled_answers.ts
+++ b/src/workload/recalled_answers.ts
@@ -6,7 +6,11 @@
 
 import { type Clock, isFault, type Logger } from "../common/mod.ts";
 import type { Metrics } from "../report/metrics.ts";
-import type { EligibilityCache, RecalledAnswer } from "./eligibility.ts";
+import type {
+  EligibilityCache,
+  KeptReport,
+  RecalledAnswer,
+} from "./eligibility.ts";
 import { formatStep } from "./types.ts";
 import { countOccurrences, isOpenJob, type WorkState } from "./work_state.ts";
 
@@ -31,10 +35,7 @@
   state: WorkState;
   eligibility: Pick<EligibilityCache, "addRecalled">;
   /** Asks an instance for its kept answers; rejects when no reply arrives. */
-  listKeptAnswers: (
-    instance: string,
-    timeoutMs: number,
-  ) => Promise<readonly RecalledAnswer[]>;
+  getReport: (instance: string, timeoutMs: number) => Promise<KeptReport>;
   /** Returns the validity of tickets for a queue of which the service states none, in milliseconds. */
   getValidMs: (queue: string) => number;
   /** Called after each reply with answers that were added. */
@@ -111,10 +112,9 @@
   }
 
   async function askInstance(instance: string): Promise<void> {
-    const sentMs = clock.now();
     asked.add(instance);
     try {
-      const answers = await options.listKeptAnswers(
+      const { answers, sentMs } = await options.getReport(
         instance,
         RECALL_TIMEOUT_MS,
       );
--- a/src/workload/recalled_answers_test.ts
+++ b/src/workload/recalled_answers_test.ts
@@ -4,7 +4,7 @@
 import { createFault, createSilentLogger, wait } from "../common/mod.ts";
 import * as models from "../model/mod.ts";
 import * as modelCalls from "../../test/work_model_calls.ts";
-import { createEligibilityCache, type RecalledAnswer } from "./eligibility.ts";
+import { createEligibilityCache, type KeptReport } from "./eligibility.ts";
 import { RECALL_WINDOW_MS, startAnswerRecall } from "./recalled_answers.ts";
 
 const { listRuns, submitJob } = modelCalls;
@@ -108,17 +108,19 @@
   const recall = startAnswerRecall({
     ...options,
     eligibility: cache,
-    async listKeptAnswers(name): Promise<RecalledAnswer[]> {
+    async getReport(name): Promise<KeptReport> {
+      const sentMs = clock.now();
       asked.push(name);
       await wait(clock, 400);
       if (name === "cut") throw createFault("unavailable", "Stream ended");
       const kept = { job: "open", occurrence: 0, step: 0, ageMs: 50 };
-      return [
+      const answers: KeptReport["answers"] = [
         { ...kept, runners: ["r", "no"], tickets: { r: "t" }, validMs: 900 },
         { ...kept, runners: ["r"], tickets: { r: "older" }, ageMs: 60 },
         { ...kept, runners: ["s"], tickets: { s: "t" }, validMs: 399 },
         { ...kept, runners: ["r"], tickets: { r: "t" }, job: "ended" },
       ];
+      return { answers, sentMs };
     },
     getValidMs: () => 1_500,
     handleAnswers: () => {},
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -27,7 +27,7 @@
   createEligibilityCache,
   type EligibilityAnswer,
   type EligibilityQuery,
-  type RecalledAnswer,
+  type KeptReport,
 } from "./eligibility.ts";
 import { createEvacuatedRunners } from "./evacuated_runners.ts";
 import {
@@ -107,10 +107,7 @@
     timeoutMs: number,
   ) => Promise<EligibilityAnswer>;
   /** Asks an instance for the eligibility answers that it has kept. Default: none is asked. */
-  listKeptAnswers?: (
-    instance: string,
-    timeoutMs: number,
-  ) => Promise<readonly RecalledAnswer[]>;
+  getReport?: (instance: string, timeoutMs: number) => Promise<KeptReport>;
   /** Longest lease that runners accept, in milliseconds. */
   maxLeaseMs: number;
   /** Time for which the state of an ended job remains available, in milliseconds. */
@@ -214,13 +211,13 @@
     ask: options.ask,
     handleAnswer: () => startPlan(),
   });
-  const recall = options.listKeptAnswers && startAnswerRecall({
+  const recall = options.getReport && startAnswerRecall({
     clock,
     logger,
     ...metricsOptions,
     state,
     eligibility,
-    listKeptAnswers: options.listKeptAnswers,
+    getReport: options.getReport,
     getValidMs: (name) =>
       (state.findQueue(name)?.eligibility ?? ASSUMED_ELIGIBILITY).validMs,
     handleAnswers: () => startPlan(),
