Move the starts of the controller into a module

Recording decided starts and ordering them is one job, now in start_orders.ts; the functions are the same.

--- /dev/null
+++ b/src/workload/start_orders.ts
@@ -0,0 +1,241 @@
+/**
+ * Records the starts that a planning round has decided, and then orders them. What has
+ * become impossible meanwhile is given back: the task starts elsewhere.
+ */
+
+import type { Clock, Logger } from "../common/mod.ts";
+import type { Metrics } from "../report/metrics.ts";
+import type { BegunJobs } from "./begun_jobs.ts";
+import type { EligibilityCache } from "./eligibility.ts";
+import type { EvacuatedRunners } from "./evacuated_runners.ts";
+import type { OpenSteps } from "./open_steps.ts";
+import type { PlannedStart } from "./plan_types.ts";
+import type { RunnerFleet } from "./runner_fleet.ts";
+import type { Session } from "./runner_sessions.ts";
+import { isOverCapacity, type Occupant } from "./runner_table.ts";
+import { formatStep, type WorkRecord } from "./types.ts";
+import type { WorkState } from "./work_state.ts";
+
+/** Time from the decision to the runner's reply from which a start is logged as slow, in milliseconds; several times the usual. */
+const SLOW_START_MS = 250;
+
+/** Time from the moment at which a suspect has outlived its start to the poll that shows it, in milliseconds. */
+const START_PROOF_SLACK_MS = 50;
+
+/** A recorded start that is to be sent. */
+interface Order {
+  readonly session: Session;
+  readonly occupant: Occupant;
+  readonly ticket: string;
+}
+
+/** Options of the starts. */
+export interface StartOrdersOptions {
+  clock: Clock;
+  logger: Logger;
+  metrics?: Pick<Metrics, "addCount">;
+  state: Pick<WorkState, "getJob" | "getTask">;
+  fleet: RunnerFleet;
+  begunJobs: Pick<BegunJobs, "add">;
+  eligibility: Pick<EligibilityCache, "removeTicket">;
+  openSteps: Pick<OpenSteps, "setPlanned" | "clearPlanned">;
+  evacuated: Pick<EvacuatedRunners, "isEvacuated">;
+  /** Writes records to the log; resolves to false if they were not committed or the leadership has ended. */
+  record: (records: readonly WorkRecord[]) => Promise<boolean>;
+  /** Returns whether the leadership has ended. */
+  isStopped: () => boolean;
+  /** Called when a runner has refused a start of a queue for lack of a ticket. */
+  handleTicketRefusal: (queue: string) => void;
+}
+
+/** The starts of one leadership. */
+export interface StartOrders {
+  /** Records a decided start and orders its runs. */
+  startPlanned(start: PlannedStart): Promise<void>;
+}
+
+/** Creates the starts of one leadership. */
+export function createStartOrders(options: StartOrdersOptions): StartOrders {
+  const { clock, logger, metrics, state, fleet, evacuated, openSteps } =
+    options;
+
+  /** Polls the runner once a suspect has outlived its start, so that it counts as harmless. */
+  function startProof({ runner, driver }: Session, occupant: Occupant): void {
+    clock.setTimer(occupant.crashWindowMs + START_PROOF_SLACK_MS, () => {
+      const isThere = !options.isStopped() && !runner.isClosed &&
+        runner.occupants.has(occupant.key);
+      if (isThere) driver.startPoll();
+    });
+  }
+
+  async function sendStart(
+    session: Session,
+    occupant: Occupant,
+    ticket: string,
+  ): Promise<void> {
+    const { task, run } = occupant;
+    const job = state.getJob(task.job);
+    if (job === undefined) return;
+    occupant.state = "starting";
+    const result = await session.driver.runStart(
+      occupant,
+      {
+        task,
+        run,
+        payload: job.spec.payload,
+        checkpoint: state.getTask(task)?.checkpoint ?? "",
+        ticket,
+      },
+      () => fleet.isWanted(task, run),
+    );
+    const { runner } = session;
+    if (options.isStopped() || !runner.occupants.has(occupant.key)) return;
+    metrics?.addCount("run_starts_total", { result });
+    const tookMs = Math.round(clock.now() - occupant.plannedMs);
+    // "Starts decided" already lists the runners of normal starts.
+    const isUsual = result === "accepted" && tookMs < SLOW_START_MS;
+    logger[isUsual ? "debug" : "info"]("Start ordered", {
+      run: occupant.key,
+      runner: runner.life,
+      result,
+      tookMs,
+    });
+    if (result === "accepted") {
+      options.begunJobs.add(task.job);
+      occupant.confirmedMs ??= clock.now();
+      if (occupant.state === "starting") occupant.state = "running";
+      if (occupant.isSuspect) startProof(session, occupant);
+      if (!fleet.isWanted(task, run)) fleet.stopRun(session, occupant);
+      return;
+    }
+    if (result === "unanswered") {
+      fleet.stopRun(session, occupant);
+    } else {
+      fleet.release(runner, occupant);
+      if (result === "unhealthy") {
+        fleet.health.suspendRunner(
+          runner,
+          "runner reports that it is unhealthy",
+        );
+      }
+      if (result === "ticketRefused") {
+        options.eligibility.removeTicket(formatStep(task), runner.entry.id);
+        options.handleTicketRefusal(job.spec.queue);
+      }
+      void fleet.endRuns([occupant], "lost");
+    }
+    const isGang = job.spec.steps[task.step]?.gang === true;
+    // The other members of a gang would only wait for this one.
+    if (isGang && result !== "abandoned") fleet.stopGang(task, run);
+  }
+
+  function computeRun(start: PlannedStart): number {
+    const { step } = start;
+    let highest = 0;
+    for (const { index } of start.placements) {
+      const task = state.getTask({ ...step, index });
+      highest = Math.max(highest, task?.run ?? 0);
+    }
+    return highest + 1;
+  }
+
+  /**
+   * Releases the orders to runners whose capacity has shrunk or whose data centre was
+   * evacuated since the decision, so that their tasks start elsewhere; a gang is
+   * released as a whole. Returns them.
+   */
+  function releaseUnusable(
+    orders: readonly Order[],
+    isGang: boolean,
+  ): Set<Order> {
+    const released = new Set<Order>();
+    const isUnusable = ({ session: { runner } }: Order) =>
+      isOverCapacity(runner) || evacuated.isEvacuated(runner);
+    const isWholeReleased = isGang && orders.some(isUnusable);
+    for (const order of orders) {
+      if (!isWholeReleased && !isUnusable(order)) continue;
+      released.add(order);
+      fleet.release(order.session.runner, order.occupant);
+    }
+    if (released.size === 0) return released;
+    const occupants = [...released].map(({ occupant }) => occupant);
+    logger.info("Starts held back after a runner changed", {
+      runs: occupants.map(({ key }) => key),
+    });
+    void fleet.endRuns(occupants, "lost");
+    return released;
+  }
+
+  async function startPlanned(start: PlannedStart): Promise<void> {
+    const { step } = start;
+    const { job, occurrence } = step;
+    const records: WorkRecord[] = [];
+    const orders: Order[] = [];
+    // Members of a gang share one run number; other tasks have separate ones.
+    const groups = step.spec.gang
+      ? [start.placements]
+      : start.placements.map((placement) => [placement]);
+    for (const placements of groups) {
+      const run = computeRun({ step, placements });
+      for (const { index, runner, ticket } of placements) {
+        const task = { job, occurrence, step: step.step, index };
+        const session = fleet.getSession(runner.life);
+        if (session === undefined) continue;
+        const occupant = fleet.assignRun(
+          runner,
+          task,
+          run,
+          "planned",
+          step.isConfined,
+        );
+        if (occupant !== undefined) orders.push({ session, occupant, ticket });
+      }
+      records.push({
+        kind: "start",
+        job,
+        occurrence,
+        step: step.step,
+        run,
+        entries: placements.map(({ index, runner }) => ({
+          index,
+          life: runner.life,
+        })),
+      });
+    }
+    openSteps.setPlanned(step, start.placements.map(({ index }) => index));
+    const isRecorded = await options.record(records);
+    openSteps.clearPlanned(step, start.placements.map(({ index }) => index));
+    const [first] = orders;
+    logger.info("Starts decided", {
+      step: step.key,
+      isRecorded,
+      runs: orders.map(({ session, occupant: { task, run } }) =>
+        `${task.index}#${run}@${session.runner.entry.id}`
+      ).join(" "),
+      untilDueMs: Math.round(step.dueMs - clock.wallTime()),
+      tookMs: first === undefined
+        ? 0
+        : Math.round(clock.now() - first.occupant.plannedMs),
+    });
+    if (!isRecorded) {
+      for (const { session, occupant } of orders) {
+        fleet.release(session.runner, occupant);
+      }
+      return;
+    }
+    const heldBack = releaseUnusable(orders, step.spec.gang);
+    for (const order of orders) {
+      const { session, occupant, ticket } = order;
+      if (heldBack.has(order)) continue;
+      if (session.runner.isClosed) {
+        void fleet.endRuns([occupant], "lost");
+      } else if (!fleet.isWanted(occupant.task, occupant.run)) {
+        fleet.release(session.runner, occupant);
+      } else {
+        void sendStart(session, occupant, ticket);
+      }
+    }
+  }
+
+  return { startPlanned };
+}
