Learn no run times from runs of a former leader

A new leader counts the duration of a restored run from its takeover, since it does not know when the run began. It took that for the whole run time: in the model, runs of 1,000 ms were estimated at 164 ms 0.4 s after a takeover, and the objectives and values of new jobs shrank with them.

Such runs no longer count for the estimates of run times and speeds. The test of admission under a new leader guards against it.

--- a/src/workload/runner_health.ts
+++ b/src/workload/runner_health.ts
@@ -99,6 +99,8 @@
     const isWhole = step !== undefined &&
       state.getTask(task)?.checkpoint === "";
     if (job === undefined || !isWhole || confirmedMs === undefined) return;
+    // It began under a former leader, so that its duration is not known.
+    if (occupant.isRestored) return;
     const durationMs = clock.now() - confirmedMs;
     const declaredMs = step.estimatedMs;
     options.runTimes.recordRun(job.spec.queue, { declaredMs, durationMs });
