Ask for a workspace's tokens without taking one

Admission needs to know whether a job would be beyond the weight of its workspace before the job is recorded.

When the wall clock was set back, the bucket got no tokens until the clock had caught up, and all jobs of the workspace were ordered behind those of others.

--- a/src/workload/workspace_use.ts
+++ b/src/workload/workspace_use.ts
@@ -31,6 +31,8 @@
   remove(workspace: string | undefined, amount: Resources): void;
   /** Takes one token for a job from the bucket of its workspace. */
   addJob(job: JobSpec): void;
+  /** Tells whether the bucket of a job's workspace has no token for it, without taking one. */
+  isBeyondWeight(job: JobSpec): boolean;
   /** Tells whether the bucket was empty when the job was submitted. */
   isExcess(job: string): boolean;
   /** Returns usage and cap of each workspace that is configured or has open jobs; the copy may be modified. */
@@ -50,6 +52,28 @@
     return used.get(workspace) ?? NO_RESOURCES;
   }
 
+  /** Returns the tokens of the job's workspace at its submission; undefined for no limit. */
+  function findBucket(
+    { workspace = "", submittedMs }: JobSpec,
+  ): { name: string; left: number; atMs: number } | undefined {
+    const settings = state.findWorkspace(workspace);
+    if (settings === undefined || settings.weight <= 0) return undefined;
+    const { name, weight } = settings;
+    const most = weight * WEIGHT_BURST_S;
+    const bucket = buckets.get(name) ?? { left: most, atMs: submittedMs };
+    const passedS = (submittedMs - bucket.atMs) / MS_PER_SECOND;
+    // After the clock was set back, the time that has passed is not known. The bucket
+    // would otherwise get no token until the clock has caught up.
+    if (passedS < -WEIGHT_BURST_S) {
+      return { name, left: most, atMs: submittedMs };
+    }
+    return {
+      name,
+      left: Math.min(most, bucket.left + Math.max(0, passedS) * weight),
+      atMs: Math.max(bucket.atMs, submittedMs),
+    };
+  }
+
   return {
     add(workspace, amount) {
       if (workspace === undefined) return;
@@ -60,20 +84,15 @@
       used.set(workspace, subtractResources(getUsed(workspace), amount));
     },
     addJob(job) {
-      const settings = state.findWorkspace(job.workspace ?? "");
-      if (settings === undefined || settings.weight <= 0) return;
-      const most = settings.weight * WEIGHT_BURST_S;
-      const bucket = buckets.get(settings.name) ??
-        { left: most, atMs: job.submittedMs };
-      const passedS = Math.max(0, job.submittedMs - bucket.atMs) /
-        MS_PER_SECOND;
-      bucket.left = Math.min(most, bucket.left + passedS * settings.weight) - 1;
-      bucket.atMs = Math.max(bucket.atMs, job.submittedMs);
-      if (bucket.left < 0) {
-        bucket.left = 0;
-        excess.add(job.id);
-      }
-      buckets.set(settings.name, bucket);
+      const bucket = findBucket(job);
+      if (bucket === undefined) return;
+      const { name, left, atMs } = bucket;
+      if (left < 1) excess.add(job.id);
+      buckets.set(name, { left: Math.max(0, left - 1), atMs });
+    },
+    isBeyondWeight(job) {
+      const bucket = findBucket(job);
+      return bucket !== undefined && bucket.left < 1;
     },
     isExcess: (job) => excess.has(job),
     list() {
