Refuse jobs that cannot end before they lose their value

Nothing was refused under overload: every job was accepted, queried and planned, and jobs lost their value one after another.

Cause: the submission of a job made no decision under load.

Change: the leader estimates when a new job would end, from the processors of the pool as they become free and from the accepted work that comes before it, and refuses the job as "overloaded" with a retry time if that is after three times its objective. The option "admission" of the controller and of the core program switches it on; without it all jobs are accepted as before. The metric jobs_refused_total counts refusals by reason, and the log line has the figures.

--- a/src/model/work_load.ts
+++ b/src/model/work_load.ts
@@ -128,6 +128,7 @@
   /** Further options of the simulated cell. */
   readonly cell?: Pick<
     WorkModelOptions,
+    | "admission"
     | "commitMs"
     | "callers"
     | "readsCommits"
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -87,6 +87,12 @@
   isEligible?: (runner: string, step: string) => boolean;
   /** Instances that can query the eligibility service. Default: three. */
   callers?: readonly string[];
+  /** True if the controller refuses jobs that cannot end in time. Default false. */
+  admission?: boolean;
+  /** Metrics of the controller. Default: none. */
+  metrics?: WorkControllerOptions["metrics"];
+  /** Returns how far the wall clock of the leader has been set, in milliseconds. Default 0. */
+  getWallStepMs?: () => number;
   /** Replaces the controller's order of the open steps. */
   sortSteps?: WorkControllerOptions["sortSteps"];
   /** Replaces the controller's probation. */
@@ -272,7 +278,11 @@
 /** Creates a simulated cell without runners. */
 export function createWorkModel(options: WorkModelOptions): WorkModel {
   const clock = createManualClock(1_000);
-  const wallClock = { ...clock, wallTime: () => START_WALL_MS + clock.now() };
+  const wallClock = {
+    ...clock,
+    wallTime: () =>
+      START_WALL_MS + clock.now() + (options.getWallStepMs?.() ?? 0),
+  };
   const logger = options.logger ?? createSilentLogger();
   const state = createWorkState();
   const callers = options.callers ?? ["a", "b", "c"];
@@ -535,6 +545,8 @@
       maxLeaseMs: 10_000,
       keepMs: 120_000,
       handleStaleFence: () => {},
+      admission: options.admission,
+      ...(options.metrics === undefined ? {} : { metrics: options.metrics }),
       ...(options.sortSteps === undefined
         ? {}
         : { sortSteps: options.sortSteps }),
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -101,6 +101,8 @@
   keepMs: number;
   /** Lists the configured data centres. Default: only those of registered runners are known. */
   listDataCentres?: () => readonly string[];
+  /** True if jobs are refused that cannot end before they lose their value. Default false. */
+  admission?: boolean;
   logTimings: Partial<LogTimings>;
   /** Called when the log has failed; the process must exit. */
   handleFailure: (error: unknown) => void;
@@ -378,6 +380,7 @@
       maxLeaseMs: options.maxLeaseMs,
       keepMs: options.keepMs,
       listDataCentres: options.listDataCentres,
+      admission: options.admission,
       waitForTurn: waitForImmediate,
       timeUse,
       handleStaleFence() {
--- a/src/report/metric_definitions.ts
+++ b/src/report/metric_definitions.ts
@@ -46,6 +46,11 @@
       help: "Calls passed on to the leader, by kind and outcome",
       labels: ["call", "outcome"],
     },
+    jobs_refused_total: {
+      kind: "counter",
+      help: "Jobs that admission refused, by reason",
+      labels: ["reason"],
+    },
     run_starts_total: {
       kind: "counter",
       help: "Start orders to runners by result",
--- a/src/workload/candidates.ts
+++ b/src/workload/candidates.ts
@@ -225,7 +225,10 @@
 }
 
 /** Counts the tasks of the step that would fit on the runner if it were idle. */
-export function countCapacity(step: OpenStep, { runner }: Candidate): number {
+export function countCapacity(
+  step: Pick<OpenStep, "spec" | "waiting">,
+  { runner }: Pick<Candidate, "runner">,
+): number {
   const { processors, memoryMb, accelerators } = step.spec.resources;
   const { capacity } = runner.entry;
   const most = Math.min(
@@ -268,7 +271,7 @@
 
 /** Tells whether an idle runner could execute the step's tasks. */
 export function isSuitable(
-  step: OpenStep,
+  step: Pick<OpenStep, "spec">,
   { runner }: Pick<Candidate, "runner">,
 ): boolean {
   const { requiredLabel, resources } = step.spec;
--- a/src/workload/open_steps.ts
+++ b/src/workload/open_steps.ts
@@ -63,7 +63,7 @@
 }
 
 /** Estimated run times and work of a job. */
-interface JobEstimate {
+export interface JobEstimate {
   /** Length of the critical path in milliseconds. */
   readonly chainMs: number;
   /** Time from the start of a step to the end of the job, by step, in milliseconds. */
@@ -74,7 +74,8 @@
   readonly work: number;
 }
 
-function estimateJob(
+/** Estimates a job from the estimated times of its tasks. */
+export function estimateJob(
   spec: JobSpec,
   estimateMs: (declaredMs: number) => number,
 ): JobEstimate {
@@ -103,6 +104,23 @@
   };
 }
 
+/** Computes the wall times at which an occurrence of a job is late and without value, in milliseconds. */
+export function computeTimes(
+  spec: JobSpec,
+  queue: QueueSettings | undefined,
+  { occurrence, chainMs }: { occurrence: number; chainMs: number },
+): { dueMs: number; zeroValueMs: number } {
+  const { slowdownFactor, targetMs } = queue ?? REMOVED_QUEUE_DEFAULTS;
+  const fromMs = spec.repetitions === 0
+    ? spec.submittedMs
+    : spec.firstRunMs + occurrence * spec.intervalMs;
+  const objectiveMs = slowdownFactor * chainMs + targetMs;
+  return {
+    dueMs: fromMs + objectiveMs,
+    zeroValueMs: fromMs + ZERO_VALUE_FACTOR * objectiveMs,
+  };
+}
+
 /** Tells whether a task pauses after it has crashed several runners. */
 function isPaused({ restartMs = 0 }: TaskState, wallMs: number): boolean {
   return restartMs > wallMs;
@@ -133,24 +151,6 @@
     return Math.min(countOccurrences(job.spec), due);
   }
 
-  function computeTimes(
-    job: JobState,
-    queue: QueueSettings | undefined,
-    occurrence: number,
-    chainMs: number,
-  ): { dueMs: number; zeroValueMs: number } {
-    const { slowdownFactor, targetMs } = queue ?? REMOVED_QUEUE_DEFAULTS;
-    const { spec } = job;
-    const fromMs = spec.repetitions === 0
-      ? spec.submittedMs
-      : spec.firstRunMs + occurrence * spec.intervalMs;
-    const objectiveMs = slowdownFactor * chainMs + targetMs;
-    return {
-      dueMs: fromMs + objectiveMs,
-      zeroValueMs: fromMs + ZERO_VALUE_FACTOR * objectiveMs,
-    };
-  }
-
   function listOccurrence(job: JobState, occurrence: number): OpenStep[] {
     const { spec } = job;
     const queue = state.findQueue(spec.queue);
@@ -165,7 +165,10 @@
         sum + countWaiting(tasks) * (estimate.taskWork[number] ?? 0),
       0,
     );
-    const times = computeTimes(job, queue, occurrence, estimate.chainMs);
+    const times = computeTimes(spec, queue, {
+      occurrence,
+      chainMs: estimate.chainMs,
+    });
     const open: OpenStep[] = [];
     spec.steps.forEach((step, number) => {
       const stepState = recorded.steps[number];
--- a/src/workload/urgency.ts
+++ b/src/workload/urgency.ts
@@ -51,7 +51,11 @@
   return density * (onTime + late);
 }
 
-function getTier(step: UrgencyInput, wallMs: number): number {
+/** Returns the tier of a step: 0 within the weight, 1 beyond it, 2 without value. */
+export function getTier(
+  step: Pick<UrgencyInput, "zeroValueMs" | "isExcess">,
+  wallMs: number,
+): number {
   if (wallMs > step.zeroValueMs) return 2;
   return step.isExcess ? 1 : 0;
 }
--- a/src/workload/work_calls.ts
+++ b/src/workload/work_calls.ts
@@ -5,6 +5,8 @@
  */
 
 import { type Clock, createFault, type Logger } from "../common/mod.ts";
+import type { Metrics } from "../report/metrics.ts";
+import type { Refusal } from "./admission.ts";
 import {
   checkConfiguration,
   findQueueByPath,
@@ -40,6 +42,9 @@
   begunJobs: Pick<BegunJobs, "has">;
   /** Time for which the cancellation of a job that has not arrived is kept, in milliseconds. */
   keepMs: number;
+  metrics?: Pick<Metrics, "addCount">;
+  /** Returns why a new job is refused. Default: all are accepted. */
+  admit?: ((job: JobSpec) => Refusal | undefined) | undefined;
 }
 
 /** The calls for callers and operators. */
@@ -143,6 +148,30 @@
     );
   }
 
+  /** Throws "overloaded" if a new job cannot be served in time; nothing of it is kept. */
+  function checkAdmitted(job: JobSpec): void {
+    const refusal = options.admit?.(job);
+    if (refusal === undefined) return;
+    const { reason, retryAfterMs, figures } = refusal;
+    const { id, queue: name, workspace } = job;
+    options.metrics?.addCount("jobs_refused_total", { reason });
+    logger.info("Job refused", {
+      job: id,
+      queue: name,
+      workspace,
+      reason,
+      retryAfterMs,
+      ...Object.fromEntries(
+        Object.entries(figures).map(([key, value]) => [key, Math.round(value)]),
+      ),
+    });
+    throw createFault(
+      "overloaded",
+      `Cannot accept job "${id}": it cannot end before it loses its value`,
+      { ran: "no", details: { retryAfterMs } },
+    );
+  }
+
   async function submit(address: CallerAddress, body: JobBody): Promise<void> {
     const { queue: found, workspace, id } = findCaller(address);
     if (!isJobId(id)) {
@@ -162,6 +191,7 @@
       ...(workspace === undefined ? {} : { workspace: workspace.name }),
       submittedMs: clock.wallTime(),
     };
+    checkAdmitted(job);
     const submission = recordJob(job);
     submissions.set(id, submission);
     try {
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -17,6 +17,7 @@
   runUnmeasured,
   type TimeUse,
 } from "../report/time_use.ts";
+import { createAdmission } from "./admission.ts";
 import { createBegunJobs } from "./begun_jobs.ts";
 import {
   PLAN_PERIOD_MS,
@@ -110,6 +111,8 @@
   keepMs: number;
   /** Lists the configured data centres. Default: only those of registered runners are known. */
   listDataCentres?: (() => readonly string[]) | undefined;
+  /** True if jobs are refused that cannot end before they lose their value. Default false. */
+  admission?: boolean | undefined;
   /** Called when a runner has seen a higher fencing token than this leadership's. */
   handleStaleFence: () => void;
   /** Waits until the messages that have arrived are read. Default: does not wait. */
@@ -183,15 +186,27 @@
   });
   const queue = createRecordQueue({ clock, propose: options.propose });
   const begunJobs = createBegunJobs({ clock, state, record: recordSafely });
+  const metricsOptions = metrics === undefined ? {} : { metrics };
+  const admission = createAdmission({
+    state,
+    runTimes,
+    workspaces,
+    listSteps: openSteps.list,
+    listRunners: (pool) => fleet.runnersByPool.get(pool) ?? [],
+    listOpenRunners: (pool) => evacuated.selectOpen().get(pool) ?? [],
+  });
   const calls = createWorkCalls({
     clock,
     logger,
+    ...metricsOptions,
     state,
     queue,
     begunJobs,
     keepMs: options.keepMs,
+    admit: options.admission === true
+      ? (job) => admission.checkJob(job, clock.now(), clock.wallTime())
+      : undefined,
   });
-  const metricsOptions = metrics === undefined ? {} : { metrics };
   const { setEvacuation } = createEvacuationCalls({
     clock,
     logger,
