--- a/test/restart_schedule.ts
+++ b/test/restart_schedule.ts
@@ -32,7 +32,7 @@
 }
 
 /** Outcome of a schedule with restarts. */
-export interface RestartOutcome extends ScheduleOutcome {
+export interface RestartOutcome extends Omit<ScheduleOutcome, "lateStarts"> {
   /** Crashes of all kinds. */
   readonly crashes: number;
   /** Changes of a capacity. */
--- a/test/work_schedule.ts
+++ b/test/work_schedule.ts
@@ -23,6 +23,8 @@
   readonly wrongJobs: readonly string[];
   readonly jobs: number;
   readonly starts: number;
+  /** Starts that were sent to an evacuated data centre too late. */
+  readonly lateStarts: readonly string[];
 }
 
 /** Options of a schedule. */
@@ -30,6 +32,8 @@
   seed: number;
   /** Time with jobs and faults, in milliseconds. */
   activeMs: number;
+  /** True to evacuate data centres as well; two runners are in each. Default: false. */
+  evacuations?: boolean;
 }
 
 const RUNNERS = 6;
@@ -96,13 +100,14 @@
         return Promise.resolve();
       };
     case 4: {
+      const dataCentre = model.state.getRunner(name)?.dataCentre ?? "one";
       model.runners.crash(name);
       return async () => {
         const incarnation = (incarnations.get(name) ?? 1) + 1;
         incarnations.set(name, incarnation);
         runners.set(
           name,
-          await model.addRunner(name, { startedMs: incarnation }),
+          await model.addRunner(name, { startedMs: incarnation, dataCentre }),
         );
       };
     }
@@ -112,6 +117,61 @@
   }
 }
 
+/** Time from an acknowledged evacuation after which the leader sends no start there, in milliseconds; the platform allows 5 s. */
+const EVACUATION_MS = 5_000;
+
+const DATA_CENTRES = 3;
+
+/** Evacuates and takes back random data centres, and records starts that are sent to evacuated ones. */
+function createEvacuations(random: Random, model: WorkModel) {
+  /** Time of the acknowledgement in milliseconds; undefined while an order is open. */
+  const evacuatedMs = new Map<string, number | undefined>();
+  const lateStarts: string[] = [];
+  const { calls } = model.runners;
+  const { start } = calls;
+  calls.start = (target, order, timeoutMs) => {
+    const dataCentre = model.state.getRunner(target.id)?.dataCentre ?? "";
+    const sinceMs = model.clock.now() -
+      (evacuatedMs.get(dataCentre) ?? Infinity);
+    if (sinceMs > EVACUATION_MS) lateStarts.push(`${target.id}: ${sinceMs} ms`);
+    return start(target, order, timeoutMs);
+  };
+
+  /** Sends an order until it is acknowledged, like an operator. */
+  function sendOrder(dataCentre: string, isEvacuated: boolean): void {
+    model.getController().setEvacuation({ dataCentre, isEvacuated }).then(
+      () => {
+        if (isEvacuated) evacuatedMs.set(dataCentre, model.clock.now());
+        else evacuatedMs.delete(dataCentre);
+      },
+      () =>
+        void model.clock.setTimer(
+          TICK_MS,
+          () => sendOrder(dataCentre, isEvacuated),
+        ),
+    );
+  }
+
+  return {
+    lateStarts,
+    changeOne(): void {
+      const dataCentre = `dc-${random.nextInt(DATA_CENTRES)}`;
+      const isOpen = evacuatedMs.has(dataCentre) &&
+        evacuatedMs.get(dataCentre) === undefined;
+      if (isOpen) return;
+      const isEvacuated = !evacuatedMs.has(dataCentre);
+      evacuatedMs.set(dataCentre, undefined);
+      sendOrder(dataCentre, isEvacuated);
+    },
+    endAll(): void {
+      for (const dataCentre of [...evacuatedMs.keys()]) {
+        evacuatedMs.set(dataCentre, undefined);
+        sendOrder(dataCentre, false);
+      }
+    },
+  };
+}
+
 /** Runs one schedule. */
 export async function runWorkSchedule(
   options: ScheduleOptions,
@@ -139,8 +199,18 @@
   const runners = new Map<string, RunnerFaults>();
   const incarnations = new Map<string, number>();
   for (let number = 0; number < RUNNERS; number += 1) {
-    runners.set(`r${number}`, await model.addRunner(`r${number}`));
+    const dataCentre = `dc-${number % DATA_CENTRES}`;
+    runners.set(
+      `r${number}`,
+      await model.addRunner(
+        `r${number}`,
+        options.evacuations === true ? { dataCentre } : {},
+      ),
+    );
   }
+  const evacuations = options.evacuations === true
+    ? createEvacuations(random, model)
+    : undefined;
 
   const jobs: string[] = [];
   let activeFaults: { untilMs: number; end: () => Promise<void> }[] = [];
@@ -161,6 +231,9 @@
       const end = startFault(random, model, runners, incarnations);
       activeFaults.push({ untilMs: nowMs + 500 + random.nextInt(7_000), end });
     }
+    if (isActive && evacuations !== undefined && random.nextFloat() < 0.02) {
+      evacuations.changeOne();
+    }
     const due = activeFaults.filter(({ untilMs }) =>
       untilMs <= nowMs || !isActive
     );
@@ -168,6 +241,7 @@
     for (const { end } of due) await end();
     await model.run(TICK_MS);
   }
+  evacuations?.endAll();
   await model.run(SETTLE_MS);
 
   const wrongJobs: string[] = [];
@@ -182,5 +256,6 @@
     wrongJobs,
     jobs: jobs.length,
     starts: model.runners.countStarts(),
+    lateStarts: evacuations?.lateStarts ?? [],
   };
 }
