Measure the load for admission twice a second

Cause: each of 20 measurements a second visits all runs and all open steps, on a leader whose processor time is scarce, after a takeover most of all.

Change: a measurement counts for 500 ms, and jobs that are accepted meanwhile are added to it, also while they are being recorded; so it is no less exact for the backlog. Not seen: other causes were not ruled out by a profile.

--- a/src/workload/admission.ts
+++ b/src/workload/admission.ts
@@ -11,6 +11,7 @@
 import type { WorkspaceUsage } from "./plan_types.ts";
 import { URGENT_HEADROOM } from "./planning.ts";
 import {
+  addClaim,
   type Claim,
   type DecisionTime,
   fitsRunners,
@@ -25,10 +26,12 @@
 import type { WorkState } from "./work_state.ts";
 
 /**
- * Time for which a measured load is used, in milliseconds. Measuring visits all runs;
- * at 70 submissions a second it would else be repeated for each of them.
+ * Time for which a measured load is used, in milliseconds; short beside the seconds
+ * after which jobs lose their value. Measuring visits all runs, and a leader that has
+ * just taken over has little processor time: measuring 20 times a second made short
+ * jobs late.
  */
-const LOAD_AGE_MS = 50;
+const LOAD_AGE_MS = 500;
 
 /** Share of a pool's runners that this leader must have polled before it refuses a job. */
 const MIN_POLLED_SHARE = 2 / 3;
@@ -246,7 +249,9 @@
     job: JobSpec,
     queue: QueueSettings,
     { load, wallMs }: { load: PoolLoad; wallMs: number },
-  ): { figures: RefusalFigures; isExcess: boolean } | undefined {
+  ): { figures: RefusalFigures; isExcess: boolean; claim: Claim } | undefined {
+    const [firstStep] = job.steps;
+    if (firstStep === undefined) return undefined;
     const { chainMs, work } = estimateJob(
       job,
       (declaredMs) => options.runTimes.estimateMs(job.queue, declaredMs),
@@ -267,11 +272,12 @@
       isExcess,
     };
     const drain = createDrain(load, kept);
-    const workAhead = runAhead(drain, {
+    const position = {
       zeroValueMs: times.zeroValueMs,
       rank: getRank(input, wallMs),
       urgency: computeUrgency(input, wallMs),
-    }, { load, wallMs });
+    };
+    const workAhead = runAhead(drain, position, { load, wallMs });
     const startMs = drain.getEndMs();
     drain.run(work);
     return {
@@ -284,6 +290,16 @@
         processors: load.capacity,
       },
       isExcess,
+      claim: {
+        rank: position.rank,
+        urgency: position.urgency,
+        step: {
+          zeroValueMs: times.zeroValueMs,
+          workspace: job.workspace,
+          spec: firstStep,
+          remainingWork: work,
+        },
+      },
     };
   }
 
@@ -298,9 +314,12 @@
       if (load.capacity === 0 || !fits) return undefined;
       const estimate = estimateEnd(job, queue, { load, wallMs });
       if (estimate === undefined) return undefined;
-      const { figures, isExcess } = estimate;
+      const { figures, isExcess, claim } = estimate;
       const { endsInMs, valueEndsInMs } = figures;
-      if (endsInMs <= valueEndsInMs) return undefined;
+      if (endsInMs <= valueEndsInMs) {
+        addClaim(load, claim);
+        return undefined;
+      }
       return {
         reason: isExcess ? "beyondWeight" : "backlog",
         retryAfterMs: computeRetryMs(job.id, {
--- a/src/workload/pool_load.ts
+++ b/src/workload/pool_load.ts
@@ -22,7 +22,10 @@
 /** Waiting work of one occurrence of an accepted job. */
 export interface Claim {
   /** Its first open step; `remainingWork` is that of all waiting tasks of the occurrence. */
-  readonly step: OpenStep;
+  readonly step: Pick<
+    OpenStep,
+    "zeroValueMs" | "workspace" | "spec" | "remainingWork"
+  >;
   /** See `getRank`. */
   readonly rank: number;
   /** See `computeUrgency`. */
@@ -51,8 +54,8 @@
   readonly releases: readonly Release[];
   /** Work that is left of the runs that will end, in millicore-milliseconds. */
   readonly runningWork: number;
-  /** Waiting work by rank, and within a rank by the time at which it loses its value. */
-  readonly claims: readonly Claim[];
+  /** Waiting work in the order of `compareClaims`. */
+  readonly claims: Claim[];
 }
 
 /** Sources of the measurement. */
@@ -119,6 +122,17 @@
   return `${job}/${occurrence}`;
 }
 
+/** Orders claims by rank, and within a rank by the time at which they lose their value. */
+function compareClaims(a: Claim, b: Claim): number {
+  return a.rank - b.rank || a.step.zeroValueMs - b.step.zeroValueMs;
+}
+
+/** Adds the work of a job that was accepted after the measurement. */
+export function addClaim({ claims }: PoolLoad, claim: Claim): void {
+  const at = claims.findIndex((other) => compareClaims(other, claim) > 0);
+  claims.splice(at < 0 ? claims.length : at, 0, claim);
+}
+
 /** Lists the waiting work of a pool; not what its runners cannot execute or what has no value left. */
 function listClaims(
   steps: readonly OpenStep[],
@@ -137,9 +151,7 @@
       urgency: computeUrgency(step, wallMs),
     });
   }
-  return [...claims.values()].sort((a, b) =>
-    a.rank - b.rank || a.step.zeroValueMs - b.step.zeroValueMs
-  );
+  return [...claims.values()].sort(compareClaims);
 }
 
 /** Measures the load of a pool. */
