--- a/src/workload/evacuated_runners.ts
+++ b/src/workload/evacuated_runners.ts
@@ -30,9 +30,9 @@
 export interface EvacuatedRunners {
   isEvacuated(runner: Runner): boolean;
   /** Returns the runners outside of evacuated data centres. */
-  selectOpen(): RunnersByPool;
+  getOpenRunners(): RunnersByPool;
   /** Replaces the reason of steps whose only suitable runners are in evacuated data centres. */
-  explainWaits(waits: Plan["waits"]): Plan["waits"];
+  updateReasons(waits: Plan["waits"]): Plan["waits"];
   /** Updates the metrics, and logs how many runs are left. */
   report(): void;
 }
@@ -62,7 +62,7 @@
 
   return {
     isEvacuated,
-    selectOpen() {
+    getOpenRunners() {
       if (evacuations.list().length === 0) return runnersByPool;
       return new Map(
         [...runnersByPool].map(([pool, runners]) => [
@@ -71,7 +71,7 @@
         ]),
       );
     },
-    explainWaits(waits) {
+    updateReasons(waits) {
       if (evacuations.list().length === 0) return waits;
       return waits.map((wait) => {
         const { step, reason } = wait;
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -184,7 +184,7 @@
     workspaces,
     listSteps: openSteps.list,
     listRunners: (pool) => fleet.runnersByPool.get(pool) ?? [],
-    listOpenRunners: (pool) => evacuated.selectOpen().get(pool) ?? [],
+    listOpenRunners: (pool) => evacuated.getOpenRunners().get(pool) ?? [],
   });
   const calls = createWorkCalls({
     clock,
@@ -395,7 +395,7 @@
     }
     const decided = plan(open, clock.wallTime(), () => true);
     gangHolds = decided.gangHolds;
-    logWaits(evacuated.explainWaits(decided.waits));
+    logWaits(evacuated.updateReasons(decided.waits));
   }
 
   /** Plans a round over some steps and executes it; `isCovered` tells whether the round includes a step. */
@@ -406,7 +406,7 @@
   ): Plan {
     // Asked for each waiting step, but the same for all steps of a queue in a round.
     const freeCallers = new Map<EligibilityTimes, boolean>();
-    const runnersByPool = evacuated.selectOpen();
+    const runnersByPool = evacuated.getOpenRunners();
     const decided = planStarts({
       nowMs: clock.now(),
       wallMs,
