Explain where a request would go

Cause: operators and callers could not tell why a request waits or is refused without sending one (docs/design/hard_load.md, part 5).

Change: `goldcrestlug explain request` and GET /v1/explain/queues/:queue/requests answer from the decision code of the real path. The fair queue, the endpoint table and the slot controller now separate each check from its effect, and both paths call the check. The leader answers 5 explanations a second.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -8,6 +8,7 @@
   WORKSPACE_COMMANDS,
 } from "./change_commands.ts";
 import { DEV_COMMAND } from "./dev.ts";
+import { EXPLAIN_COMMANDS } from "./explain_commands.ts";
 import { REPORT_COMMANDS, SHEET_COMMANDS } from "./report_commands.ts";
 import { RECOVER_COMMAND } from "./recover.ts";
 import { SERVE_COMMAND } from "./serve.ts";
@@ -36,6 +37,7 @@
     sheet: SHEET_COMMANDS,
     job: JOB_COMMANDS,
     request: REQUEST_COMMANDS,
+    explain: EXPLAIN_COMMANDS,
     config: CONFIG_COMMAND,
     status: STATUS_COMMAND,
     report: REPORT_COMMANDS,
--- a/src/cli/shared.ts
+++ b/src/cli/shared.ts
@@ -95,9 +95,12 @@
   return createClientFromArgs(args, process.env[TOKEN_VARIABLE]);
 }
 
-/** Creates a client with the workspace key from the environment. */
-export function createWorkspaceClient(args: ConnectionArgs): Client {
-  return createClientFromArgs(args, process.env[KEY_VARIABLE]);
+/** Creates a client with the given workspace key; default: the one from the environment. */
+export function createWorkspaceClient(
+  args: ConnectionArgs,
+  key = process.env[KEY_VARIABLE],
+): Client {
+  return createClientFromArgs(args, key);
 }
 
 function readCaFile(path: string): string {
@@ -128,6 +131,11 @@
   process.stdout.write(output.endsWith("\n") ? output : output + "\n");
 }
 
+/** Returns the exit code for an error kind. */
+export function getExitCode(kind: FaultKind): number {
+  return EXIT_CODE_BY_KIND[kind] ?? EXIT_CODES.failure;
+}
+
 /** Runs a command. On a fault, prints it with a hint and sets the exit code. */
 export async function runCommand(action: () => Promise<void>): Promise<void> {
   try {
@@ -137,7 +145,7 @@
     const hint = HINT_BY_KIND[fault.kind];
     process.stderr.write(`${fault.kind}: ${fault.message}\n`);
     if (hint !== undefined) process.stderr.write(`${hint}\n`);
-    process.exitCode = EXIT_CODE_BY_KIND[fault.kind] ?? EXIT_CODES.failure;
+    process.exitCode = getExitCode(fault.kind);
   }
 }
 
--- a/src/http/filters.ts
+++ b/src/http/filters.ts
@@ -41,22 +41,28 @@
   };
 }
 
+/** Throws `unauthenticated` without the operator token. Without a hash in the settings, no token is required. */
+export function checkOperatorToken(
+  context: RequestContext,
+  tokenHash?: string,
+): void {
+  if (tokenHash === undefined) return;
+  const token = getBearerToken(context) ?? "";
+  const hash = createHash("sha256").update(token).digest();
+  const expected = Buffer.from(tokenHash, "hex");
+  const isEqual = hash.length === expected.length &&
+    timingSafeEqual(hash, expected);
+  if (isEqual) return;
+  throw createFault(
+    "unauthenticated",
+    "Cannot accept operator token: it is missing or wrong",
+  );
+}
+
 /** Requires the operator token. Without a hash in the settings, no token is required. */
 export function createOperatorTokenFilter(tokenHash?: string): HttpFilter {
   return async (context, next) => {
-    if (tokenHash !== undefined) {
-      const token = getBearerToken(context) ?? "";
-      const hash = createHash("sha256").update(token).digest();
-      const expected = Buffer.from(tokenHash, "hex");
-      const isEqual = hash.length === expected.length &&
-        timingSafeEqual(hash, expected);
-      if (!isEqual) {
-        throw createFault(
-          "unauthenticated",
-          "Cannot accept operator token: it is missing or wrong",
-        );
-      }
-    }
+    checkOperatorToken(context, tokenHash);
     await next();
   };
 }
--- a/src/http/mod.ts
+++ b/src/http/mod.ts
@@ -2,6 +2,7 @@
 
 export * from "./announce_routes.ts";
 export * from "./body.ts";
+export * from "./explain_routes.ts";
 export * from "./filter_chain.ts";
 export * from "./filters.ts";
 export * from "./http_server.ts";
--- a/src/http/request_context.ts
+++ b/src/http/request_context.ts
@@ -6,6 +6,7 @@
   createFault,
   type Fault,
   FAULT_ANSWERS,
+  type FaultKind,
   renderFault,
 } from "../common/mod.ts";
 
@@ -73,14 +74,22 @@
   };
 }
 
+/** Returns after how many seconds a call refused with this kind may be retried; undefined if a retry does not help. */
+export function getRetryAfterSeconds(kind: FaultKind): number | undefined {
+  const isTransient = kind === "overloaded" || kind === "unavailable" ||
+    kind === "limitReached";
+  return isTransient ? 1 : undefined;
+}
+
 /** Creates the response for a fault. Adds `retry-after: 1` if a retry may succeed. */
 export function createFaultResponse(fault: Fault): HttpResponse {
   const answer = createJsonResponse(
     renderFault(fault),
     FAULT_ANSWERS[fault.kind].httpStatus,
   );
-  const isTransient = fault.kind === "overloaded" ||
-    fault.kind === "unavailable" || fault.kind === "limitReached";
-  if (isTransient) answer.headers["retry-after"] = "1";
+  const retryAfter = getRetryAfterSeconds(fault.kind);
+  if (retryAfter !== undefined) {
+    answer.headers["retry-after"] = String(retryAfter);
+  }
   return answer;
 }
--- a/src/http/request_routes.ts
+++ b/src/http/request_routes.ts
@@ -67,9 +67,15 @@
   return workspace === undefined ? `queue:${queue}` : `workspace:${workspace}`;
 }
 
+/** The part of `RequestRoutesOptions` that the admission of a request needs. */
+export type AdmissionOptions = Pick<
+  RequestRoutesOptions,
+  "dataCentre" | "view" | "defaultDeadlineMs" | "maxDeadlineMs"
+>;
+
 function getDeadlineMs(
   context: RequestContext,
-  options: RequestRoutesOptions,
+  options: AdmissionOptions,
 ): number {
   const header = getSingleHeader(context, DEADLINE_HEADER);
   if (header === undefined) return options.defaultDeadlineMs;
@@ -100,7 +106,8 @@
   );
 }
 
-function findQueue(view: FleetView, name: string): Queue {
+/** Finds a queue for requests. Fault `notFound` if it is unknown, `badRequest` if it accepts only jobs. */
+export function findQueue(view: FleetView, name: string): Queue {
   const queue = view.getState().queues.get(name);
   if (queue === undefined) {
     throw createFault("notFound", `Cannot find queue "${name}"`);
@@ -126,38 +133,47 @@
   };
 }
 
+/** Builds the request of an authenticated caller. Fault `badRequest` if a header is invalid. */
+export function buildAdmittedRequest(
+  context: RequestContext,
+  options: AdmissionOptions,
+): AdmittedRequest {
+  const startMs = performance.now();
+  const queue = context.params["queue"] ?? "";
+  const callerRequestId = getSingleHeader(context, REQUEST_ID_HEADER);
+  if (callerRequestId !== undefined) checkRequestId(callerRequestId);
+  // The creation time in the identifier allows its record to be deleted safely later.
+  const requestId = callerRequestId ??
+    `${options.dataCentre}:${
+      createTimedRequestId(Date.now(), randomBytes(10))
+    }`;
+  context.logFields["requestId"] = requestId;
+  const idempotent = isIdempotent(context);
+  const contentType = getSingleHeader(context, "content-type") ??
+    "application/octet-stream";
+  return {
+    requestId,
+    scope: buildRequestScope(context.workspace, queue),
+    workspace: context.workspace ?? OPEN_WORKSPACE,
+    queue,
+    idempotent,
+    contentType,
+    body: context.body,
+    bodyHash: createHash("sha256").update(context.body).digest("hex"),
+    remainingMs: getDeadlineMs(context, options) -
+      (performance.now() - startMs),
+    isCallerNamed: callerRequestId !== undefined,
+    // A disconnected caller does not cancel a non-idempotent request: its answer
+    // is recorded for a later resend.
+    ...(idempotent ? { signal: context.signal } : {}),
+  };
+}
+
 function createExecuteFilter(options: RequestRoutesOptions): HttpFilter {
   return async (context) => {
-    const startMs = performance.now();
-    const queue = context.params["queue"] ?? "";
-    const callerRequestId = getSingleHeader(context, REQUEST_ID_HEADER);
-    if (callerRequestId !== undefined) checkRequestId(callerRequestId);
-    // The creation time in the identifier allows its record to be deleted safely later.
-    const requestId = callerRequestId ??
-      `${options.dataCentre}:${
-        createTimedRequestId(Date.now(), randomBytes(10))
-      }`;
-    context.logFields["requestId"] = requestId;
-    const idempotent = isIdempotent(context);
-    const contentType = getSingleHeader(context, "content-type") ??
-      "application/octet-stream";
-    const answer = await options.execute({
-      requestId,
-      scope: buildRequestScope(context.workspace, queue),
-      workspace: context.workspace ?? OPEN_WORKSPACE,
-      queue,
-      idempotent,
-      contentType,
-      body: context.body,
-      bodyHash: createHash("sha256").update(context.body).digest("hex"),
-      remainingMs: getDeadlineMs(context, options) -
-        (performance.now() - startMs),
-      isCallerNamed: callerRequestId !== undefined,
-      // A disconnected caller does not cancel a non-idempotent request: its answer
-      // is recorded for a later resend.
-      ...(idempotent ? { signal: context.signal } : {}),
-    });
-    context.answer = toHttpResponse(answer, requestId);
+    const request = buildAdmittedRequest(context, options);
+    const answer = await options.execute(request);
+    context.answer = toHttpResponse(answer, request.requestId);
   };
 }
 
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -13,6 +13,7 @@
 } from "../data_centre/state.ts";
 import {
   createAnnounceRoutes,
+  createExplainRoutes,
   createJobRoutes,
   createOperatorRoutes,
   createRequestRoutes,
@@ -360,6 +361,13 @@
     maxBodyBytes: settings.requests.maxBodyBytes,
     getRefusal: readiness.getRefusal,
   };
+  const deadlines = {
+    defaultDeadlineMs: settings.requests.defaultDeadlineMs,
+    maxDeadlineMs: settings.requests.maxDeadlineMs,
+  };
+  const operators = settings.operatorTokenHash === undefined
+    ? {}
+    : { tokenHash: settings.operatorTokenHash };
   const http: HttpServer = await startHttpServer({
     ...settings.listen.http,
     ...(httpFiles && { certificateFiles: httpFiles }),
@@ -369,8 +377,7 @@
     routes: [
       ...createRequestRoutes({
         ...shared,
-        defaultDeadlineMs: settings.requests.defaultDeadlineMs,
-        maxDeadlineMs: settings.requests.maxDeadlineMs,
+        ...deadlines,
         execute: (request) =>
           observer.runRequest(
             request.workspace,
@@ -378,6 +385,12 @@
           ),
         findRequest: routing.findRequest,
       }),
+      ...createExplainRoutes({
+        ...shared,
+        ...deadlines,
+        ...operators,
+        explainRequest: routing.explain,
+      }),
       ...createJobRoutes({
         ...shared,
         submitJob: leaders.submitJob,
@@ -389,9 +402,7 @@
         announceWorker: leaders.announceWorker,
       }),
       ...createOperatorRoutes({
-        ...(settings.operatorTokenHash === undefined
-          ? {}
-          : { tokenHash: settings.operatorTokenHash }),
+        ...operators,
         submitChange: fleet.submitChange,
         getState: fleet.view.getState,
         getStatus: status.getStatus,
--- a/src/instance/request_routing.ts
+++ b/src/instance/request_routing.ts
@@ -5,16 +5,25 @@
  * holds its record.
  */
 
+import { Buffer } from "node:buffer";
 import {
   type Clock,
   createFault,
+  type FaultBody,
   isFault,
   type Logger,
   type Random,
+  renderFault,
 } from "../common/mod.ts";
 import type { FleetView } from "../fleet/mod.ts";
-import type { AdmittedRequest, RequestState } from "../http/mod.ts";
+import type {
+  AdmittedRequest,
+  LeaderExplanation,
+  RequestExplanation,
+  RequestState,
+} from "../http/mod.ts";
 import {
+  buildSlotRequest,
   createRequestExecutor,
   type Forwarder,
   type HomeFinder,
@@ -25,6 +34,7 @@
   type SlotReply,
 } from "../requests/mod.ts";
 import type {
+  JsonBody,
   RequestReply,
   SlotReply as SlotReplyMessage,
 } from "../rpc/mod.ts";
@@ -46,6 +56,15 @@
  */
 const LEADER_WAIT_MS = 2_500;
 
+/**
+ * Time in which a leader is looked up for an explanation, in milliseconds: enough
+ * to follow one redirect. An explanation does not wait for an election.
+ */
+const EXPLAIN_LOOKUP_MS = 100;
+
+/** Timeout of an explanation, in milliseconds; an unresponsive leader is reported as unknown. */
+const EXPLAIN_TIMEOUT_MS = 1_000;
+
 /** Options of the routing. */
 export interface RequestRoutingOptions {
   instance: string;
@@ -65,6 +84,11 @@
 /** Runs requests and finds their records. */
 export interface RequestRouting {
   execute(request: AdmittedRequest): Promise<RecordedAnswer>;
+  /**
+   * Explains what `execute` would do with a request whose identifier is new;
+   * changes nothing. Rejects with `overloaded` if the leader has answered too many.
+   */
+  explain(request: AdmittedRequest): Promise<RequestExplanation>;
   findRequest(scope: string, requestId: string): Promise<RequestState>;
 }
 
@@ -118,16 +142,22 @@
   };
 }
 
-function isRetriableElsewhere(error: unknown): boolean {
-  if (!isFault(error) || error.ran !== "no") return false;
-  return error.kind === "unavailable" || error.kind === "overloaded";
+function isRetriableElsewhere({ kind, ran }: FaultBody): boolean {
+  if (ran !== "no") return false;
+  return kind === "unavailable" || kind === "overloaded";
+}
+
+function listUnknownElsewhere(names: readonly string[]): string[] {
+  return names.map((name) =>
+    `The queue, the limits and the endpoints of data centre "${name}" were not asked for`
+  );
 }
 
 /** Creates the routing. */
 export function createRequestRouting(
   options: RequestRoutingOptions,
 ): RequestRouting {
-  const { clock, dataCentre, view } = options;
+  const { clock, dataCentre, view, calls } = options;
   const executors = new Map<string, RequestExecutor>();
 
   function getExecutor(name: string): RequestExecutor {
@@ -174,7 +204,7 @@
       try {
         return await getExecutor(name).run({ ...request, remainingMs });
       } catch (error) {
-        if (!isRetriableElsewhere(error)) throw error;
+        if (!isFault(error) || !isRetriableElsewhere(error)) throw error;
         // The refusal of the local data centre is more useful to the caller.
         last ??= error;
       }
@@ -186,7 +216,86 @@
     );
   }
 
+  /** Asks the leader of this data centre; undefined if it cannot be reached or is changing. */
+  async function askLeader(
+    request: AdmittedRequest,
+  ): Promise<LeaderExplanation | undefined> {
+    const { instance } = options;
+    const { remainingMs } = request;
+    const sent = { instance, remainingMs, avoid: [], attempt: 0 };
+    try {
+      const reply = await calls.call<JsonBody>(
+        "explainSlot",
+        buildSlotRequest(request, sent),
+        {
+          dataCentre,
+          timeoutMs: EXPLAIN_TIMEOUT_MS,
+          lookupMs: EXPLAIN_LOOKUP_MS,
+          idempotent: true,
+        },
+      );
+      return JSON.parse(Buffer.from(reply.body).toString());
+    } catch (error) {
+      const isUnreachable = isFault(error, "unavailable") ||
+        isFault(error, "outcomeUnknown") || isFault(error, "deadlineExceeded");
+      if (isUnreachable) return undefined;
+      throw error;
+    }
+  }
+
+  async function explainIn(
+    request: AdmittedRequest,
+    order: readonly string[],
+  ): Promise<Omit<RequestExplanation, "dataCentre" | "evacuated" | "order">> {
+    if (order[0] !== dataCentre) {
+      return { outcome: "elsewhere", unknown: listUnknownElsewhere(order) };
+    }
+    const others = listUnknownElsewhere(order.slice(1));
+    const local = await askLeader(request);
+    if (local === undefined) {
+      const reason =
+        `The leader of data centre "${dataCentre}" is changing or did not reply; a request waits up to ${LEADER_WAIT_MS} ms for one before it tries the next data centre`;
+      return { outcome: "unknown", unknown: [reason, ...others] };
+    }
+    const { refusal } = local;
+    if (refusal === undefined) {
+      return { outcome: local.outcome, local, unknown: local.unknown };
+    }
+    const isElsewhere = others.length > 0 && isRetriableElsewhere(refusal);
+    return {
+      outcome: isElsewhere ? "elsewhere" : "refused",
+      refusal,
+      local,
+      unknown: [...local.unknown, ...isElsewhere ? others : []],
+    };
+  }
+
+  async function explain(
+    request: AdmittedRequest,
+  ): Promise<RequestExplanation> {
+    const { evacuatedDataCentres: evacuated } = view.getState();
+    let order: string[];
+    try {
+      order = listUsable(request);
+    } catch (error) {
+      if (!isFault(error)) throw error;
+      const refusal = renderFault(error);
+      const outcome = "refused";
+      return {
+        outcome,
+        dataCentre,
+        order: [],
+        evacuated,
+        refusal,
+        unknown: [],
+      };
+    }
+    const parts = await explainIn(request, order);
+    return { dataCentre, order, evacuated, ...parts };
+  }
+
   return {
+    explain,
     execute(request) {
       const isRepeatable = request.idempotent || !request.isCallerNamed;
       if (isRepeatable) return runWithFallback(request);
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -33,7 +33,7 @@
   encodeDataCentreCommand,
 } from "../data_centre/state.ts";
 import type { FleetView, Limits } from "../fleet/mod.ts";
-import { parseJson } from "../http/mod.ts";
+import { type LeaderExplanation, parseJson } from "../http/mod.ts";
 import type { LeaderLease, ReplicatedLog } from "../replicated_log/mod.ts";
 import type {
   AllotmentAsk as AskMessage,
@@ -52,6 +52,7 @@
 import { MAX_MISSED_ANNOUNCEMENTS } from "../requests/constants.ts";
 import type { SlotRelease, SlotRequest } from "../requests/mod.ts";
 import type { Settings } from "../settings/mod.ts";
+import { createCallRateLimit } from "./call_rate_limit.ts";
 import { renderJob } from "./job_view.ts";
 import type { WorkHandlers } from "./leader_calls.ts";
 import type { Observer } from "./observer.ts";
@@ -86,6 +87,9 @@
 
 const NO_BYTES = new Uint8Array(0);
 
+/** Explanations that a leader answers in a second, as docs/design/hard_load.md states. */
+const EXPLANATIONS_PER_SECOND = 5;
+
 function encodeJson(value: unknown): Buffer {
   return Buffer.from(JSON.stringify(value));
 }
@@ -96,6 +100,11 @@
   const { dataCentre } = settings;
   let leadership: Leadership | undefined;
   let leaseEpoch: number | undefined;
+  const explanations = createCallRateLimit({
+    clock,
+    callsPerSecond: EXPLANATIONS_PER_SECOND,
+    subject: "explanation",
+  });
 
   function hasLease(epoch: number): boolean {
     const lease = options.getLog()?.getLease();
@@ -280,6 +289,17 @@
     return { outcome: "grant", grant: reply };
   }
 
+  function explainSlot(request: SlotRequest): Promise<JsonBody> {
+    const { slots, epoch } = getLeadership();
+    explanations.addCall();
+    const explanation: LeaderExplanation = {
+      leader: settings.instance,
+      epoch,
+      ...slots.explain(request),
+    };
+    return Promise.resolve({ body: encodeJson(explanation) });
+  }
+
   function getRequest(query: RequestQuery): Promise<RequestReply> {
     getLeadership();
     const { scope, requestId } = query;
@@ -379,6 +399,7 @@
   return {
     handlers: {
       acquireSlot,
+      explainSlot,
       releaseSlot: async (release: SlotRelease) => {
         await getLeadership().slots.release(release);
         return {};
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -24,6 +24,7 @@
   SlotClient,
   SlotGrant,
   SlotReply,
+  SlotRequest,
 } from "./types.ts";
 
 /** Dependencies of an attempt runner. */
@@ -132,6 +133,25 @@
   return result.answer.status >= 500 ? "failed" : "answered";
 }
 
+/** Builds the slot request of one attempt; `remainingMs` is rounded down. */
+export function buildSlotRequest(
+  request: ExecuteRequest,
+  sent: Pick<SlotRequest, "instance" | "remainingMs" | "avoid" | "attempt">,
+): SlotRequest {
+  return {
+    requestId: request.requestId,
+    scope: request.scope,
+    workspace: request.workspace,
+    queue: request.queue,
+    idempotent: request.idempotent,
+    remainingMs: Math.floor(sent.remainingMs),
+    bodyHash: request.bodyHash,
+    instance: sent.instance,
+    avoid: sent.avoid,
+    attempt: sent.attempt,
+  };
+}
+
 /** Creates an attempt runner. */
 export function createAttemptRunner(options: AttemptOptions): AttemptRunner {
   const { clock, slots, forwarder, instance } = options;
@@ -147,18 +167,8 @@
     const remainingMs = run.deadlineMs - clock.now();
     if (signal?.aborted === true) throw createCancelFault(run);
     if (remainingMs <= 0) throw createDeadlineFault(run);
-    return slots.acquire({
-      requestId: request.requestId,
-      scope: request.scope,
-      workspace: request.workspace,
-      queue: request.queue,
-      idempotent: request.idempotent,
-      remainingMs: Math.floor(remainingMs),
-      bodyHash: request.bodyHash,
-      instance,
-      avoid: [...run.avoid],
-      attempt,
-    }, signal);
+    const sent = { instance, remainingMs, avoid: [...run.avoid], attempt };
+    return slots.acquire(buildSlotRequest(request, sent), signal);
   }
 
   /**
--- a/src/requests/endpoints.ts
+++ b/src/requests/endpoints.ts
@@ -20,8 +20,10 @@
   REQUEST_TRANSIT_MS,
 } from "./constants.ts";
 import type {
+  EndpointChoice,
   EndpointGrant,
   EndpointGrantEnd,
+  EndpointObstacle,
   EndpointRequirements,
   EndpointTable,
   EndpointTableOptions,
@@ -94,40 +96,54 @@
     return clock.now() - state.announcedAtMs <= announcementTimeoutMs;
   }
 
-  /** Returns whether the endpoint is announced and not departing, regardless of ejection. */
-  function isAvailable(state: EndpointState): boolean {
-    return isAnnounced(state) && !state.isDeparting;
+  /** Returns why the endpoint is not in use, regardless of its free capacity. */
+  function findUseObstacle(state: EndpointState): EndpointObstacle | undefined {
+    if (!isAnnounced(state)) return "silent";
+    if (state.isDeparting) return "draining";
+    const health = outliers.getHealth(state.announcement.endpoint);
+    return health === "ejected" ? "ejected" : undefined;
   }
 
   function isUsable(state: EndpointState): boolean {
-    return isAvailable(state) &&
-      outliers.getHealth(state.announcement.endpoint) !== "ejected";
+    return findUseObstacle(state) === undefined;
   }
 
-  function hasSlot(state: EndpointState): boolean {
-    if (!isUsable(state) || state.isRecounting) return false;
+  /** Returns why the endpoint has no free slot. */
+  function findSlotObstacle(
+    state: EndpointState,
+  ): EndpointObstacle | undefined {
+    const obstacle = findUseObstacle(state);
+    if (obstacle !== undefined) return obstacle;
+    if (state.isRecounting) return "recounting";
     const inUse = state.ledger.getInUse();
-    if (inUse >= state.announcement.slots) return false;
+    if (inUse >= state.announcement.slots) return "full";
     const health = outliers.getHealth(state.announcement.endpoint);
-    return health === "healthy" || state.ledger.getOpenCount() === 0;
+    const isFree = health === "healthy" || state.ledger.getOpenCount() === 0;
+    return isFree ? undefined : "probing";
+  }
+
+  function hasSlot(state: EndpointState): boolean {
+    return findSlotObstacle(state) === undefined;
   }
 
-  function isSuitableFor(
+  /** Returns why an endpoint with a free slot cannot get this request. */
+  function findRequestObstacle(
     state: EndpointState,
     requirements: EndpointRequirements,
-  ): boolean {
+  ): EndpointObstacle | undefined {
     const { endpoint, connections } = state.announcement;
     // A probe may fail. Do not probe with a non-idempotent request while a
     // healthy endpoint serves its queue.
     if (
       !requirements.idempotent && outliers.getHealth(endpoint) === "probing" &&
       hasEndpoint(requirements.queue, isHealthy)
-    ) return false;
-    return state.connections.hasFreeConnection(
+    ) return "probedByIdempotent";
+    const hasFreeConnection = state.connections.hasFreeConnection(
       requirements.instance,
       connections,
       clock.now(),
     );
+    return hasFreeConnection ? undefined : "noConnection";
   }
 
   function isHealthy(state: EndpointState): boolean {
@@ -145,7 +161,14 @@
     return false;
   }
 
-  function pick(requirements: EndpointRequirements): string | undefined {
+  /**
+   * Calls `handleBest` for each suitable endpoint whose load is at most the
+   * lowest one so far; `ties` counts those with this load, starting at 1.
+   */
+  function findLeastLoaded(
+    requirements: EndpointRequirements,
+    handleBest: (endpoint: string, ties: number) => void,
+  ): void {
     const { avoid } = requirements;
     // Waiting for a slot at another endpoint is better than failing again at
     // the same one, but only if another usable endpoint serves the queue.
@@ -154,21 +177,56 @@
       (other) =>
         isUsable(other) && !avoid.includes(other.announcement.endpoint),
     );
-    let best: string | undefined;
     let bestLoad = Infinity;
     let ties = 0;
     for (const [endpoint, state] of endpoints) {
       if (isAvoiding && avoid.includes(endpoint)) continue;
       if (!state.queues.has(requirements.queue) || !hasSlot(state)) continue;
       const load = state.ledger.getInUse() / state.announcement.slots;
-      if (load > bestLoad || !isSuitableFor(state, requirements)) continue;
+      if (load > bestLoad) continue;
+      if (findRequestObstacle(state, requirements) !== undefined) continue;
       ties = load < bestLoad ? 1 : ties + 1;
-      if (ties === 1 || random.nextInt(ties) === 0) best = endpoint;
       bestLoad = load;
+      handleBest(endpoint, ties);
     }
+  }
+
+  function pick(requirements: EndpointRequirements): string | undefined {
+    let best: string | undefined;
+    findLeastLoaded(requirements, (endpoint, ties) => {
+      if (ties === 1 || random.nextInt(ties) === 0) best = endpoint;
+    });
     return best;
   }
 
+  function isPickable(requirements: EndpointRequirements): boolean {
+    let isFound = false;
+    findLeastLoaded(requirements, () => {
+      isFound = true;
+    });
+    return isFound;
+  }
+
+  function explainPick(requirements: EndpointRequirements): EndpointChoice {
+    let chosen: string[] = [];
+    findLeastLoaded(requirements, (endpoint, ties) => {
+      if (ties === 1) chosen = [];
+      chosen.push(endpoint);
+    });
+    const isChosen = new Set(chosen);
+    const passedOver = new Map<EndpointObstacle, string[]>();
+    for (const [endpoint, state] of endpoints) {
+      if (!state.queues.has(requirements.queue)) continue;
+      if (isChosen.has(endpoint)) continue;
+      const reason = findSlotObstacle(state) ??
+        findRequestObstacle(state, requirements) ?? "busier";
+      const names = passedOver.get(reason) ?? [];
+      passedOver.set(reason, names);
+      names.push(endpoint);
+    }
+    return { chosen, passedOver };
+  }
+
   function updateRecount(state: EndpointState): void {
     const { ledger, announcement } = state;
     const sinceMs = ledger.getExcessSince();
@@ -296,9 +354,12 @@
     return { slots, queues };
   }
 
+  function hasFreshPools(): boolean {
+    return clock.now() - poolsSinceMs < POOL_CACHE_MS;
+  }
+
   function getPool(queue: string): QueuePool {
-    const isFresh = clock.now() - poolsSinceMs < POOL_CACHE_MS;
-    if (!isFresh) handlePoolChange();
+    if (!hasFreshPools()) handlePoolChange();
     let pool = pools.get(queue);
     if (pool === undefined) {
       pool = computePool(queue);
@@ -307,6 +368,11 @@
     return pool;
   }
 
+  function findPool(queue: string): QueuePool {
+    return (hasFreshPools() ? pools.get(queue) : undefined) ??
+      computePool(queue);
+  }
+
   function handlePoolChange(): void {
     pools.clear();
     poolsSinceMs = clock.now();
@@ -337,6 +403,8 @@
   return {
     receiveAnnouncement,
     pick,
+    isPickable,
+    explainPick,
     openGrant(endpoint, { instance, workspace }) {
       const state = endpoints.get(endpoint);
       if (state === undefined) {
@@ -365,6 +433,7 @@
       return false;
     },
     getPool,
+    findPool,
     getWorkspaceExcess: () => workspaceExcess,
     list: () =>
       [...endpoints].map(([endpoint, state]) => ({
--- a/src/requests/endpoints_types.ts
+++ b/src/requests/endpoints_types.ts
@@ -80,6 +80,32 @@
   readonly isRecounting: boolean;
 }
 
+/** Why an endpoint gets no request now, or not this request. */
+export type EndpointObstacle =
+  /** Its announcements are missing. */
+  | "silent"
+  /** It accepts no new work. */
+  | "draining"
+  | "ejected"
+  /** It gets no work until its running requests are counted again. */
+  | "recounting"
+  | "full"
+  /** After an ejection it gets one request at a time, and that one is running. */
+  | "probing"
+  /** It is probed with idempotent requests only. */
+  | "probedByIdempotent"
+  | "noConnection"
+  /** Another endpoint has a lower load. */
+  | "busier";
+
+/** Which endpoints a request would get, and why not the others. */
+export interface EndpointChoice {
+  /** The least loaded endpoints; one of them is picked at random. */
+  readonly chosen: readonly string[];
+  /** The other endpoints that serve the queue, by reason. */
+  readonly passedOver: ReadonlyMap<EndpointObstacle, readonly string[]>;
+}
+
 /** The endpoint table. */
 export interface EndpointTable {
   /**
@@ -90,6 +116,10 @@
   receiveAnnouncement(input: unknown): boolean;
   /** Picks the least loaded usable endpoint; undefined if none has free capacity. */
   pick(requirements: EndpointRequirements): string | undefined;
+  /** Returns whether `pick` would return an endpoint; changes nothing. */
+  isPickable(requirements: EndpointRequirements): boolean;
+  /** Explains what `pick` would return for a first attempt; changes nothing. */
+  explainPick(requirements: EndpointRequirements): EndpointChoice;
   /** Reserves a slot at an endpoint returned by `pick`; throws `internal` if it is unknown. */
   openGrant(endpoint: string, holder: GrantHolder): EndpointGrant;
   closeGrant(grant: EndpointGrant, end: EndpointGrantEnd): void;
@@ -100,6 +130,8 @@
    * queues they serve.
    */
   getPool(queue: string): QueuePool;
+  /** Returns what `getPool` would return, without renewing its cache. */
+  findPool(queue: string): QueuePool;
   /** Returns the number of requests that may be running without an open grant, by workspace. */
   getWorkspaceExcess(): WorkspaceCounts;
   list(): EndpointStatus[];
--- a/src/requests/fair_queue.ts
+++ b/src/requests/fair_queue.ts
@@ -24,6 +24,8 @@
   QueueEntry,
   QueueItem,
   QueuePool,
+  QueueStanding,
+  QueueTurn,
 } from "./fair_queue_types.ts";
 import { estimateWait } from "./fair_queue_wait.ts";
 import {
@@ -51,6 +53,16 @@
 /** Maximum number of idle workspaces whose history is kept. */
 const MAX_IDLE_WORKSPACES = 4_096;
 
+/** One pass over the workspaces in the order of their turns. */
+interface Walk<T> {
+  readonly candidates: Iterable<WorkspaceState<T>>;
+  isSkipped(workspace: WorkspaceState<T>): boolean;
+  /** Called for a workspace at its slot limit; it must not be a candidate again. */
+  handleLimit(workspace: WorkspaceState<T>): void;
+  /** Called for a workspace none of whose requests can run; `isSkipped` must then return true. */
+  handleUnserved(workspace: WorkspaceState<T>): void;
+}
+
 /** Creates an empty fair queue. */
 export function createFairQueue<T>(
   options: FairQueueOptions<T>,
@@ -104,11 +116,15 @@
     return Math.min(neededMs, remainingMs / 2);
   }
 
-  function setEligible(workspace: WorkspaceState<T>): void {
-    if (workspace.queued === 0 || eligible.has(workspace)) return;
+  function computeReturnTag(workspace: WorkspaceState<T>): number {
     // A workspace earns no credit while it has no requests or is at its limit.
     // Otherwise it would starve the others on its return.
-    workspace.startTag = Math.max(workspace.startTag, virtualTime);
+    return Math.max(workspace.startTag, virtualTime);
+  }
+
+  function setEligible(workspace: WorkspaceState<T>): void {
+    if (workspace.queued === 0 || eligible.has(workspace)) return;
+    workspace.startTag = computeReturnTag(workspace);
     eligible.add(workspace);
   }
 
@@ -171,8 +187,8 @@
     }
     const own = workspaces.get(item.workspace) ??
       createNewWorkspace(item.workspace);
-    const neededMs =
-      WAIT_MARGIN * estimateQueueWait(item.workspace, item.queue) +
+    const neededMs = WAIT_MARGIN *
+        estimateQueueWait(item.workspace, item.queue, options.getPool) +
       estimateSlotTime(own, remainingMs);
     if (neededMs <= remainingMs) return;
     // Never reject a request that can start immediately. Otherwise a workspace
@@ -190,10 +206,10 @@
   }
 
   /**
-   * Rejects the newest request of the workspace with the most queued requests
-   * relative to its weight.
+   * Returns the newest request of the workspace with the most queued requests
+   * relative to its weight. Throws `overloaded` if that workspace is the item's.
    */
-  function rejectFromLongest(item: QueueItem<T>): void {
+  function findDisplaced(item: QueueItem<T>): EntryState<T> {
     let longest: WorkspaceState<T> | undefined;
     let longestLoad = 0;
     for (const workspace of workspaces.values()) {
@@ -212,20 +228,25 @@
         `Cannot queue the request of workspace "${item.workspace}": the queue is full with ${queuedCount} requests`,
       );
     }
-    removeQueued(youngest);
+    return youngest;
+  }
+
+  function rejectDisplaced(displaced: EntryState<T>): void {
+    removeQueued(displaced);
     onReject(
-      youngest.item.value,
+      displaced.item.value,
       createFault(
         "overloaded",
-        `Cannot keep the request of workspace "${youngest.item.workspace}" queued: the queue is full and the workspace has the most requests for its weight`,
+        `Cannot keep the request of workspace "${displaced.item.workspace}" queued: the queue is full and the workspace has the most requests for its weight`,
       ),
     );
   }
 
-  function add(
+  /** Throws if the request cannot be queued; returns the request to reject in its favour. */
+  function checkAdd(
     item: QueueItem<T>,
-    addOptions: AddOptions = {},
-  ): QueueEntry<T> {
+    addOptions: AddOptions,
+  ): EntryState<T> | undefined {
     if (isStopped) {
       throw createFault(
         "unavailable",
@@ -241,12 +262,18 @@
         `Cannot queue the request of workspace "${item.workspace}": ${maxQueuedPerWorkspace} of its requests are queued`,
       );
     }
-    if (queuedCount >= maxQueued) rejectFromLongest(item);
-    const workspace = getWorkspace(item.workspace);
-    const entry: EntryState<T> = {
+    return queuedCount >= maxQueued ? findDisplaced(item) : undefined;
+  }
+
+  function createEntry(
+    item: QueueItem<T>,
+    workspace: WorkspaceState<T>,
+    order: number,
+  ): EntryState<T> {
+    return {
       item,
       workspace,
-      order: nextOrder++,
+      order,
       isQueued: true,
       isRunning: false,
       chargedMs: 0,
@@ -255,6 +282,16 @@
       next: undefined,
       expiry: undefined as ExpiryEntry<EntryState<T>> | undefined,
     };
+  }
+
+  function add(
+    item: QueueItem<T>,
+    addOptions: AddOptions = {},
+  ): QueueEntry<T> {
+    const displaced = checkAdd(item, addOptions);
+    if (displaced !== undefined) rejectDisplaced(displaced);
+    const workspace = getWorkspace(item.workspace);
+    const entry = createEntry(item, workspace, nextOrder++);
     workspace.weight = getPolicy(workspace.name).weight;
     addToLane(entry);
     addQueueCount(item.queue, 1);
@@ -267,10 +304,10 @@
     return entry;
   }
 
-  function pickWorkspace(round: number): WorkspaceState<T> | undefined {
+  function pickWorkspace(walk: Walk<T>): WorkspaceState<T> | undefined {
     let best: WorkspaceState<T> | undefined;
-    for (const workspace of eligible) {
-      if (workspace.skippedInRound === round) continue;
+    for (const workspace of walk.candidates) {
+      if (walk.isSkipped(workspace)) continue;
       const isBetter = best === undefined ||
         workspace.startTag < best.startTag ||
         (workspace.startTag === best.startTag &&
@@ -311,30 +348,92 @@
     }
   }
 
-  function take(canRun: (value: T) => boolean): QueueEntry<T> | undefined {
-    round += 1;
-    hasSkipped = false;
+  const takeWalk: Walk<T> = {
+    candidates: eligible,
+    isSkipped: (workspace) => workspace.skippedInRound === round,
+    handleLimit: (workspace) => void eligible.delete(workspace),
+    handleUnserved(workspace) {
+      workspace.skippedInRound = round;
+      hasSkipped = true;
+    },
+  };
+
+  /** Returns the first request in turn that can run, and the weight of its workspace. */
+  function findNext(
+    canRun: (value: T) => boolean,
+    walk: Walk<T>,
+  ): { entry: EntryState<T>; weight: number } | undefined {
     for (
-      let workspace = pickWorkspace(round);
+      let workspace = pickWorkspace(walk);
       workspace !== undefined;
-      workspace = pickWorkspace(round)
+      workspace = pickWorkspace(walk)
     ) {
       const policy = getPolicy(workspace.name);
       if (workspace.running >= policy.slotLimit) {
-        eligible.delete(workspace);
+        walk.handleLimit(workspace);
         continue;
       }
       const entry = pickEntry(workspace, canRun);
-      if (entry !== undefined) {
-        startEntry(entry, policy.weight);
-        return entry;
-      }
-      workspace.skippedInRound = round;
-      hasSkipped = true;
+      if (entry !== undefined) return { entry, weight: policy.weight };
+      walk.handleUnserved(workspace);
     }
     return undefined;
   }
 
+  function take(canRun: (value: T) => boolean): QueueEntry<T> | undefined {
+    round += 1;
+    hasSkipped = false;
+    const next = findNext(canRun, takeWalk);
+    if (next === undefined) return undefined;
+    startEntry(next.entry, next.weight);
+    return next.entry;
+  }
+
+  /** Creates a copy of the item's workspace with the item queued. */
+  function createCopyWith(item: QueueItem<T>): WorkspaceState<T> {
+    const known = workspaces.get(item.workspace);
+    const own = known ?? createNewWorkspace(item.workspace);
+    const isEligible = known !== undefined && eligible.has(known);
+    const copy: WorkspaceState<T> = {
+      ...own,
+      startTag: isEligible ? own.startTag : computeReturnTag(own),
+      lanes: new Map(own.lanes),
+    };
+    if (!copy.lanes.has(item.lane)) {
+      const entry = createEntry(item, copy, nextOrder);
+      copy.lanes.set(item.lane, { first: entry, last: entry });
+    }
+    return copy;
+  }
+
+  function explainTurn(
+    item: QueueItem<T>,
+    canRun: (value: T) => boolean,
+  ): QueueTurn {
+    const own = createCopyWith(item);
+    const known = workspaces.get(item.workspace);
+    const candidates = [...eligible].map((other) =>
+      other === known ? own : other
+    );
+    if (!candidates.includes(own)) candidates.push(own);
+    const passed = new Set<WorkspaceState<T>>();
+    let isAtLimit = false;
+    const next = findNext(canRun, {
+      candidates,
+      isSkipped: (workspace) => passed.has(workspace),
+      handleLimit(workspace) {
+        passed.add(workspace);
+        if (workspace === own) isAtLimit = true;
+      },
+      handleUnserved: (workspace) => void passed.add(workspace),
+    });
+    if (next?.entry.item === item) return "next";
+    if (passed.has(own)) return isAtLimit ? "slotLimit" : "noSlot";
+    return next?.entry.item.workspace === item.workspace
+      ? "behindOwn"
+      : "behindOthers";
+  }
+
   function release(taken: QueueEntry<T>, heldMs: number): void {
     const entry = taken as EntryState<T>;
     if (!entry.isRunning) return;
@@ -357,8 +456,12 @@
     handleIdle();
   }
 
-  function estimateQueueWait(workspace: string, queue: string): number {
-    const pool = getPool(queue);
+  function estimateQueueWait(
+    workspace: string,
+    queue: string,
+    findPool = getPool,
+  ): number {
+    const pool = findPool(queue);
     return estimateWait({
       workspace: workspaces.get(workspace) ?? createNewWorkspace(workspace),
       workspaces: workspaces.values(),
@@ -369,8 +472,32 @@
     });
   }
 
+  function getStanding(
+    item: QueueItem<T>,
+    addOptions: AddOptions = {},
+  ): QueueStanding {
+    const own = workspaces.get(item.workspace);
+    return {
+      queued: own?.queued ?? 0,
+      running: own?.running ?? 0,
+      queuedInQueue: countByQueue.get(item.queue) ?? 0,
+      queuedInAll: queuedCount,
+      maxQueued,
+      maxQueuedPerWorkspace,
+      estimatedWaitMs: estimateQueueWait(
+        item.workspace,
+        item.queue,
+        addOptions.getPool,
+      ),
+    };
+  }
+
   return {
     add,
+    checkAdd: (item, addOptions = {}) =>
+      checkAdd(item, addOptions) !== undefined,
+    explainTurn,
+    getStanding,
     remove(entry) {
       const state = entry as EntryState<T>;
       if (!state.isQueued) return false;
@@ -379,7 +506,7 @@
     },
     take,
     release,
-    estimateWait: estimateQueueWait,
+    estimateWait: (workspace, queue) => estimateQueueWait(workspace, queue),
     updatePolicies() {
       for (const workspace of workspaces.values()) {
         workspace.weight = getPolicy(workspace.name).weight;
--- a/src/requests/fair_queue_types.ts
+++ b/src/requests/fair_queue_types.ts
@@ -46,6 +46,8 @@
 export interface AddOptions {
   /** Returns whether a slot is free for the request; checked before rejecting it on an estimate. */
   canStartNow?: () => boolean;
+  /** Replaces the `getPool` of the queue, for a check that must not renew a cache. */
+  getPool?: (queue: string) => QueuePool;
 }
 
 /** A request in the queue or taken from it. */
@@ -60,6 +62,34 @@
   readonly running: number;
 }
 
+/**
+ * What a new request would get from `take`: "next": it would be taken;
+ * "slotLimit": its workspace is at its limit; "noSlot": no endpoint can run it;
+ * "behindOwn" and "behindOthers": an earlier request of the same or of another
+ * workspace would be taken first.
+ */
+export type QueueTurn =
+  | "next"
+  | "slotLimit"
+  | "noSlot"
+  | "behindOwn"
+  | "behindOthers";
+
+/** What waits and runs from the point of view of one workspace. */
+export interface QueueStanding {
+  /** Requests of the workspace. */
+  readonly queued: number;
+  readonly running: number;
+  /** Requests of all workspaces for the same queue. */
+  readonly queuedInQueue: number;
+  /** Requests of all workspaces. */
+  readonly queuedInAll: number;
+  readonly maxQueued: number;
+  readonly maxQueuedPerWorkspace: number;
+  /** Estimated wait of a new request, in milliseconds; `Infinity` without slots. */
+  readonly estimatedWaitMs: number;
+}
+
 /** A queue with weighted fairness between workspaces. */
 export interface FairQueue<T> {
   /**
@@ -69,6 +99,15 @@
    * `stop`; always as not run.
    */
   add(item: QueueItem<T>, options?: AddOptions): QueueEntry<T>;
+  /**
+   * Throws the fault with which `add` would refuse the request. Returns whether
+   * `add` would reject a queued request in its favour. Changes nothing.
+   */
+  checkAdd(item: QueueItem<T>, options?: AddOptions): boolean;
+  /** Returns what `take` would do after `add`; changes nothing. */
+  explainTurn(item: QueueItem<T>, canRun: (value: T) => boolean): QueueTurn;
+  /** Returns the counts that a new request of the workspace meets; changes nothing. */
+  getStanding(item: QueueItem<T>, options?: AddOptions): QueueStanding;
   /** Removes a queued request without rejecting it; returns false if it is not queued. */
   remove(entry: QueueEntry<T>): boolean;
   /** Takes the next request for which `canRun` returns true and counts it as running. */
--- a/src/requests/mod.ts
+++ b/src/requests/mod.ts
@@ -1,6 +1,7 @@
 /** The request path: endpoints, fair queue, slots, records, forwarding and retries. */
 
 export * from "./announcement.ts";
+export { buildSlotRequest } from "./attempt.ts";
 export { computeConnectionShare } from "./connection_budget.ts";
 export * from "./endpoints.ts";
 export * from "./endpoints_types.ts";
@@ -19,6 +20,7 @@
 export * from "./records_types.ts";
 export * from "./request_id.ts";
 export * from "./retry_budget.ts";
+export * from "./slot_explanation.ts";
 export { createSlotController } from "./slots.ts";
 export * from "./slots_types.ts";
 export * from "./types.ts";
--- a/src/requests/recorded_slots.ts
+++ b/src/requests/recorded_slots.ts
@@ -6,7 +6,7 @@
  * grants the slot.
  */
 
-import { createFault, type Fault } from "../common/mod.ts";
+import { createFault, type Fault, renderFault } from "../common/mod.ts";
 import { GRANT_GRACE_MS } from "./constants.ts";
 import type {
   RecordCommand,
@@ -18,6 +18,7 @@
   createEvacuatedFault,
   createSlotController,
 } from "./slots.ts";
+import type { SlotExplanation } from "./slot_explanation.ts";
 import type { SlotController, SlotControllerOptions } from "./slots_types.ts";
 import type { SlotClient, SlotRelease, SlotRequest } from "./types.ts";
 
@@ -33,6 +34,8 @@
 /** The slots and records of a leader. */
 export interface RecordedSlots extends SlotClient {
   readonly controller: SlotController;
+  /** Explains what `acquire` would do with a request that has no record; changes nothing. */
+  explain(request: SlotRequest): SlotExplanation;
   /** Makes waiting resends check their record again; call after each applied command. */
   updateWaiting(): void;
   stop(): void;
@@ -165,17 +168,33 @@
     );
   }
 
-  async function acquireRecorded(request: SlotRequest, signal?: AbortSignal) {
+  function getDecision(request: SlotRequest): RecordDecision {
     const { scope, requestId, bodyHash } = request;
+    const nowMs = clock.wallTime();
+    return records.getDecision({ scope, requestId, bodyHash, nowMs });
+  }
+
+  function explain(request: SlotRequest): SlotExplanation {
+    const explanation = controller.explain(request);
+    if (request.idempotent) return explanation;
+    const decision = getDecision(request);
+    if (decision.kind === "refuse") {
+      const refusal = renderFault(createRefusalFault(decision));
+      const { waitsFor: _, ...rest } = explanation;
+      return { ...rest, outcome: "refused", refusal };
+    }
+    const unknown = [
+      ...explanation.unknown,
+      "The start is recorded in the log before it is granted; whether the log accepts it then is not known",
+    ];
+    return { ...explanation, unknown };
+  }
+
+  async function acquireRecorded(request: SlotRequest, signal?: AbortSignal) {
     const deadlineMs = clock.now() + request.remainingMs;
     const receivedAtMs = clock.now();
     for (;;) {
-      const decision = records.getDecision({
-        scope,
-        requestId,
-        bodyHash,
-        nowMs: clock.wallTime(),
-      });
+      const decision = getDecision(request);
       if (decision.kind === "answer") return decision;
       if (decision.kind === "refuse") throw createRefusalFault(decision);
       if (decision.kind === "wait") {
@@ -214,6 +233,7 @@
 
   return {
     controller,
+    explain,
     acquire(request, signal) {
       return request.idempotent
         ? controller.acquire(request, signal)
--- a/src/requests/slots.ts
+++ b/src/requests/slots.ts
@@ -16,7 +16,18 @@
 import type { EndpointGrant } from "./endpoints_types.ts";
 import { createExpiryQueue, type ExpiryEntry } from "./expiry_queue.ts";
 import { createFairQueue } from "./fair_queue.ts";
-import type { QueueEntry, WorkspaceQueueStatus } from "./fair_queue_types.ts";
+import type {
+  AddOptions,
+  QueueEntry,
+  QueueItem,
+  QueuePool,
+  QueueTurn,
+  WorkspaceQueueStatus,
+} from "./fair_queue_types.ts";
+import {
+  buildSlotExplanation,
+  type SlotExplanation,
+} from "./slot_explanation.ts";
 import type { SlotController, SlotControllerOptions } from "./slots_types.ts";
 import type {
   RequestOutcome,
@@ -256,7 +267,10 @@
    * Throws `unavailable` if no endpoint serves the queue; after a failover,
    * requests wait for announcements.
    */
-  function checkPool(request: SlotRequest): void {
+  function checkPool(
+    request: SlotRequest,
+    getPool: (queue: string) => QueuePool,
+  ): void {
     const isRebuilding = clock.now() < rebuiltAtMs;
     if (isRebuilding) {
       const waitMs = acceptFromMs - clock.now();
@@ -268,7 +282,7 @@
         } ms for earlier grants to expire`,
       );
     }
-    if (endpoints.getPool(request.queue).slots > 0) return;
+    if (getPool(request.queue).slots > 0) return;
     throw createUnservedFault(request.queue);
   }
 
@@ -302,8 +316,11 @@
     rejectUnserved,
   );
 
-  function addWaiter(waiter: Waiter): void {
-    const { request, deadlineMs } = waiter;
+  /** Throws if no request may start or wait here, or none of this queue. */
+  function checkAcceptance(
+    request: SlotRequest,
+    getPool: (queue: string) => QueuePool,
+  ): void {
     if (isStopped) {
       throw createFault(
         "unavailable",
@@ -317,16 +334,26 @@
       );
     }
     if (isEvacuated()) throw createEvacuatedFault(options.dataCentre);
-    checkPool(request);
-    const isRebuilding = endpoints.getPool(request.queue).slots === 0;
-    waiter.entry = queue.add({
+    checkPool(request, getPool);
+  }
+
+  function buildQueueItem(waiter: Waiter): QueueItem<Waiter> {
+    const { request, deadlineMs } = waiter;
+    return {
       workspace: request.workspace,
       queue: request.queue,
       // Requests with different endpoint constraints must not block each other.
       lane: [request.queue, request.instance, ...request.avoid].join("\n"),
       deadlineMs: Math.min(deadlineMs, waiter.receivedAtMs + MAX_QUEUED_MS),
       value: waiter,
-    }, {
+    };
+  }
+
+  function addWaiter(waiter: Waiter): void {
+    const { request } = waiter;
+    checkAcceptance(request, endpoints.getPool);
+    const isRebuilding = endpoints.getPool(request.queue).slots === 0;
+    waiter.entry = queue.add(buildQueueItem(waiter), {
       canStartNow: () => isRebuilding || endpoints.pick(request) !== undefined,
     });
     const siblings = waiters.get(request.requestId) ?? new Set();
@@ -334,6 +361,58 @@
     grantWaiting();
   }
 
+  function createWaiter(
+    request: SlotRequest,
+    settle: Pick<Waiter, "resolve" | "reject">,
+  ): Waiter {
+    const receivedAtMs = clock.now();
+    return {
+      request,
+      receivedAtMs,
+      deadlineMs: receivedAtMs + request.remainingMs,
+      ...settle,
+      entry: undefined,
+    };
+  }
+
+  function explainTurn(item: QueueItem<Waiter>): QueueTurn | "newLeader" {
+    if (!isReady() || clock.now() < acceptFromMs) return "newLeader";
+    // As before each take; with all slots in use no request is considered.
+    if (!endpoints.hasFreeSlot()) return "noSlot";
+    return queue.explainTurn(
+      item,
+      ({ request }) => endpoints.isPickable(request),
+    );
+  }
+
+  function explain(request: SlotRequest): SlotExplanation {
+    const { findPool } = endpoints;
+    const ignore = () => {};
+    const waiter = createWaiter(request, { resolve: ignore, reject: ignore });
+    const item = buildQueueItem(waiter);
+    const addOptions: AddOptions = {
+      canStartNow: () =>
+        findPool(request.queue).slots === 0 || endpoints.isPickable(request),
+      getPool: findPool,
+    };
+    const parts = {
+      policy: getPolicy(request.workspace),
+      excess: countExcess(request.workspace),
+      standing: queue.getStanding(item, addOptions),
+      choice: endpoints.explainPick(request),
+      isRebuilding: clock.now() < rebuiltAtMs,
+      acceptsInMs: Math.max(0, acceptFromMs - clock.now()),
+    };
+    try {
+      checkAcceptance(request, findPool);
+      const displacesOther = queue.checkAdd(item, addOptions);
+      const turn = explainTurn(item);
+      return buildSlotExplanation({ ...parts, turn, displacesOther });
+    } catch (error) {
+      return buildSlotExplanation({ ...parts, refusal: toFault(error) });
+    }
+  }
+
   function createCancelFault(request: SlotRequest): Fault {
     return createFault(
       "cancelled",
@@ -351,16 +430,12 @@
   return {
     acquire(request, signal) {
       return new Promise<SlotGrant>((resolve, reject) => {
-        const receivedAtMs = clock.now();
         let isSettled = false;
         const stop = () => {
           isSettled = true;
           signal?.removeEventListener("abort", handleAbort);
         };
-        const waiter: Waiter = {
-          request,
-          receivedAtMs,
-          deadlineMs: receivedAtMs + request.remainingMs,
+        const waiter = createWaiter(request, {
           resolve(grant) {
             stop();
             resolve(grant);
@@ -369,14 +444,14 @@
             stop();
             reject(fault);
           },
-          entry: undefined,
-        };
+        });
         const handleAbort = () => void cancelWaiter(waiter);
         if (signal?.aborted === true) throw createCancelFault(request);
         addWaiter(waiter);
         if (!isSettled) signal?.addEventListener("abort", handleAbort);
       });
     },
+    explain,
     release(token, outcome, durationMs) {
       const grant = grants.get(token);
       if (grant === undefined) return false;
--- a/src/requests/slots_types.ts
+++ b/src/requests/slots_types.ts
@@ -9,6 +9,7 @@
   FairQueueOptions,
   WorkspaceQueueStatus,
 } from "./fair_queue_types.ts";
+import type { SlotExplanation } from "./slot_explanation.ts";
 import type {
   RequestOutcome,
   SlotGrant,
@@ -87,6 +88,8 @@
    * `signal` cancels only this call, while it is queued.
    */
   acquire(request: SlotRequest, signal?: AbortSignal): Promise<SlotGrant>;
+  /** Returns what `acquire` would do with the request now, and why; changes nothing. */
+  explain(request: SlotRequest): SlotExplanation;
   /** Ends a grant; returns false if the token is unknown, already released or of another epoch. */
   release(token: string, outcome: RequestOutcome, durationMs: number): boolean;
   /** Rejects queued requests with this identifier as cancelled, not run; returns their number. */
