--- a/src/instance/request_routing_test.ts
+++ b/src/instance/request_routing_test.ts
@@ -197,3 +197,103 @@
     t.ok(found.sent <= 1);
   });
 }
+
+interface ExplainCase {
+  name: string;
+  reply: { outcome: string; refusal?: object } | FaultKind;
+  evacuated?: string[];
+  outcome: string;
+  order: string[];
+  isAsked: boolean;
+  unknown: number;
+}
+
+const LOCAL_REFUSAL = { kind: "overloaded", message: "", ran: "no" };
+
+const EXPLAIN_CASES: ExplainCase[] = [
+  {
+    name: "of a request that starts here",
+    reply: { outcome: "starts" },
+    outcome: "starts",
+    order: ["own", "near", "far"],
+    isAsked: true,
+    unknown: 0,
+  },
+  {
+    name: "of a refusal after which the next data centre is tried",
+    reply: { outcome: "refused", refusal: LOCAL_REFUSAL },
+    outcome: "elsewhere",
+    order: ["own", "near", "far"],
+    isAsked: true,
+    unknown: 2,
+  },
+  {
+    name: "of a refusal that is final",
+    reply: {
+      outcome: "refused",
+      refusal: { ...LOCAL_REFUSAL, kind: "limitReached" },
+    },
+    outcome: "refused",
+    order: ["own", "near", "far"],
+    isAsked: true,
+    unknown: 0,
+  },
+  {
+    name: "without a leader",
+    reply: "unavailable",
+    outcome: "unknown",
+    order: ["own", "near", "far"],
+    isAsked: true,
+    unknown: 3,
+  },
+  {
+    name: "in an evacuated data centre",
+    reply: { outcome: "starts" },
+    evacuated: ["own"],
+    outcome: "elsewhere",
+    order: ["near", "far"],
+    isAsked: false,
+    unknown: 2,
+  },
+  {
+    name: "with all data centres evacuated",
+    reply: { outcome: "starts" },
+    evacuated: ["own", "near", "far"],
+    outcome: "refused",
+    order: [],
+    isAsked: false,
+    unknown: 0,
+  },
+];
+
+// Guards against an explanation that names another data centre than the request
+// tries, states what was not asked for, or sends anything else than the question.
+for (const { name, reply, evacuated = [], ...expected } of EXPLAIN_CASES) {
+  t.test(`an explanation ${name}`, async (t) => {
+    const calls: string[] = [];
+    const routing = createRequestRouting(
+      {
+        dataCentre: "own",
+        view: {
+          getState: () => ({ evacuatedDataCentres: evacuated }),
+        },
+        calls: {
+          call(method: string, _request: unknown, to: { dataCentre: string }) {
+            calls.push(`${method} ${to.dataCentre}`);
+            if (typeof reply === "string") {
+              return Promise.reject(createFault(reply, "Cannot serve"));
+            }
+            const body = JSON.stringify({ ...reply, unknown: [] });
+            return Promise.resolve({ body });
+          },
+        },
+        listOthers: () => ["near", "far"],
+      } as unknown as Parameters<typeof createRequestRouting>[0],
+    );
+    const found = await routing.explain(REQUEST);
+    t.equal(found.outcome, expected.outcome);
+    t.same(found.order, expected.order);
+    t.equal(found.unknown.length, expected.unknown);
+    t.same(calls, expected.isAsked ? ["explainSlot own"] : []);
+  });
+}
--- a/test/cli_test.ts
+++ b/test/cli_test.ts
@@ -104,6 +104,53 @@
   t.not(again.code, 0);
 });
 
+interface LeaderStatus {
+  slots: { queued: number; granted: number; workspaces: unknown };
+  [part: string]: unknown;
+}
+
+/** Reads what an explanation must not change; ages and idle connections change by themselves. */
+async function readLeaderState() {
+  const status = await runJson("status") as unknown as {
+    dataCentres: LeaderStatus[];
+  };
+  const [leader] = status.dataCentres;
+  const { slots, allotments, requestRecords, jobs } = leader!;
+  const { queued, granted, workspaces } = slots;
+  const page = await (await fetch(`${cell.address}/metrics`)).text();
+  const counters = page.split("\n").filter((line) =>
+    /^goldcrestlug_(requests|slot|task)\w*[{ ]/.test(line)
+  );
+  const shown = { queued, granted, workspaces };
+  return { shown, allotments, requestRecords, jobs, counters };
+}
+
+// Guards against an explanation that runs the request, that differs from what the
+// request then gets, or whose errors and exit codes differ from the real call.
+t.test("a request is explained without being sent", async (t) => {
+  const before = await readLeaderState();
+  const args = ["explain", "request", "--queue", "demo"];
+  const explanation = await runJson(...args, "--idempotent", "false");
+  t.match(explanation, { outcome: "starts", workspace: "demo" });
+  t.match(explanation["local"], { chosen: { names: ["endpoint-1"] } });
+  t.same(await readLeaderState(), before);
+  const sent = await callJson(`${cell.address}/v1/queues/demo/requests`, {
+    method: "POST",
+    body: {},
+    headers: { authorization: `Bearer ${cell.key}` },
+    timeoutMs: 15_000,
+  });
+  t.equal(sent.status, 200);
+  const text = await runProgram(...args);
+  t.match(text.stdout, 'would start at once in data centre "demo"');
+  const missing = await runProgram("explain", "request", "--queue", "none");
+  t.equal(missing.code, 2);
+  t.match(missing.stderr, "notFound");
+  const refused = await runProgram(...args, "--key", "wrong");
+  t.equal(refused.code, 3);
+  t.match(refused.stderr, "unauthenticated");
+});
+
 // Guards against a sheet that is applied in part or twice.
 t.test("a sheet is planned and applied whole", async (t) => {
   const file = join(folder, "sheet.csv");
