Explain where a job would go

Change: `goldcrestlug explain job` and POST /v1/explain/jobs run the feasibility check and a placement round on a trial state with copies of the placer's index, the workers and the workspace. An explanation of a request compares at most 200 waiting requests with the endpoints.

--- a/src/cli/explain_commands.ts
+++ b/src/cli/explain_commands.ts
@@ -1,16 +1,32 @@
 /** Commands that tell where work would go now, without sending it. */
 
 import process from "node:process";
-import { command, oneOf, option, optional, string, subcommands } from "cmd-ts";
-import type { RenderedExplanation } from "../http/mod.ts";
-import { IDEMPOTENT_HEADER } from "../http/mod.ts";
+import {
+  command,
+  oneOf,
+  option,
+  optional,
+  positional,
+  string,
+  subcommands,
+} from "cmd-ts";
+import type { Client } from "../client/mod.ts";
+import type { Resources } from "../common/mod.ts";
+import {
+  IDEMPOTENT_HEADER,
+  type RenderedExplanation,
+  type RenderedJobExplanation,
+} from "../http/mod.ts";
 import type { ExplainedEndpoints } from "../requests/mod.ts";
+import { readTextFile } from "./change_commands.ts";
 import {
   CONNECTION_OPTIONS,
+  type ConnectionArgs,
   createOperatorClient,
   createWorkspaceClient,
   EXIT_CODES,
   getExitCode,
+  parseJsonText,
   renderTable,
   runCommand,
   writeOutput,
@@ -22,6 +38,7 @@
   behindOwn: "an earlier request of its workspace is next",
   behindOthers: "a request of another workspace is next",
   newLeader: "the leader is new and grants nothing yet",
+  notExamined: "too many requests wait before it",
 } as const;
 
 const PASSED_OVER_TEXTS = {
@@ -132,23 +149,42 @@
   return getExitCode(refusal.kind);
 }
 
+const CALLER_OPTIONS = {
+  key: option({
+    type: optional(string),
+    long: "key",
+    description:
+      "key of the workspace; the environment variable keeps it out of the process list",
+  }),
+  workspace: option({
+    type: optional(string),
+    long: "workspace",
+    description: "workspace, with the operator token in place of a key",
+  }),
+};
+
+/** Creates the client and the query of a caller with a key, or of an operator who names a workspace. */
+function createCaller(
+  args: ConnectionArgs & {
+    key?: string | undefined;
+    workspace?: string | undefined;
+  },
+): { client: Client; query: string } {
+  const { workspace, key } = args;
+  if (workspace === undefined) {
+    return { client: createWorkspaceClient(args, key), query: "" };
+  }
+  const query = `?workspace=${encodeURIComponent(workspace)}`;
+  return { client: createOperatorClient(args), query };
+}
+
 const explainRequestCommand = command({
   name: "request",
   description:
     "Tell where a request would go now, e.g. `explain request --queue orders`",
   args: {
     queue: option({ type: string, long: "queue", description: "queue" }),
-    key: option({
-      type: optional(string),
-      long: "key",
-      description:
-        "key of the workspace; the environment variable keeps it out of the process list",
-    }),
-    workspace: option({
-      type: optional(string),
-      long: "workspace",
-      description: "workspace, with the operator token in place of a key",
-    }),
+    ...CALLER_OPTIONS,
     idempotent: option({
       type: oneOf(["true", "false"]),
       long: "idempotent",
@@ -159,15 +195,10 @@
   },
   handler: (args) =>
     runCommand(async () => {
-      const { queue, workspace, key } = args;
-      const query = workspace === undefined
-        ? ""
-        : `?workspace=${encodeURIComponent(workspace)}`;
-      const client = workspace === undefined
-        ? createWorkspaceClient(args, key)
-        : createOperatorClient(args);
+      const { client, query } = createCaller(args);
+      const queue = encodeURIComponent(args.queue);
       const explanation = await client.call(
-        `/v1/explain/queues/${encodeURIComponent(queue)}/requests${query}`,
+        `/v1/explain/queues/${queue}/requests${query}`,
         { headers: { [IDEMPOTENT_HEADER]: args.idempotent } },
       ) as RenderedExplanation;
       writeOutput(
@@ -179,9 +210,123 @@
     }),
 });
 
+const JOB_WAIT_TEXTS = {
+  allotment: "its workspace's allotment has no room for the next task",
+  capacity: "no worker has enough free capacity for the next task",
+  evacuated: "the data centre is evacuated",
+} as const;
+
+const WORKER_TEXTS = {
+  gone: "gone",
+  draining: "draining",
+  silent: "no report",
+  outOfService: "out of service after failures",
+  reserved: "held for another job",
+  resources: "too small",
+  full: "full",
+  notPicked: "not needed",
+} as const;
+
+function renderJobDecision(explanation: RenderedJobExplanation): string {
+  const { dataCentre, home } = explanation;
+  const place = `in data centre "${dataCentre}"`;
+  const reason = JOB_WAIT_TEXTS[home?.waitsFor ?? "capacity"];
+  const placed = `${home?.placedTasks} of ${explanation.tasks} tasks`;
+  switch (explanation.outcome) {
+    case "starts":
+      return `${placed} would be placed at once ${place}.`;
+    case "startsInPart":
+      return `${placed} would be placed at once ${place}; then ${reason}.`;
+    case "waits":
+      return `The job would wait ${place}: ${reason}.`;
+    case "neverRunnable":
+      return `The job would be accepted ${place}, but cannot run on the current fleet.`;
+    case "unknown":
+      return "Where the job would go is not known now.";
+  }
+}
+
+function renderAmounts(amounts: Resources | null): string {
+  if (amounts === null) return "none";
+  const { processors, memoryMb, accelerators } = amounts;
+  return `${processors} processors, ${memoryMb} MB, ${accelerators} accelerators`;
+}
+
+function renderHome({ home }: RenderedJobExplanation): string[] {
+  if (home === undefined) return [];
+  const { limit, waiting, chosen, chosenWorkers, passedOver } = home;
+  const more = chosenWorkers - chosen.length;
+  const names = chosen.map(({ worker, tasks }) => `${worker} (${tasks})`);
+  if (more > 0) names.push(`${more} more`);
+  const rows = [
+    ["leader", `${home.leader} (epoch ${home.epoch})`],
+    ["allotment here", renderAmounts(limit.allotment)],
+    ["committed", renderAmounts(limit.committed)],
+    ["left", renderAmounts(limit.left)],
+    ["weight", limit.weight],
+    ["queued tasks, workspace", waiting.workspace],
+    ["queued tasks, all", waiting.all],
+    ["queues served before it", waiting.queuesAhead],
+    ["workers (tasks)", names.join(", ") || "none"],
+    ...passedOver.map((group) => [
+      `passed over (${WORKER_TEXTS[group.reason]})`,
+      renderNames(group),
+    ]),
+  ];
+  const reasons = (home.neverRunnable ?? []).map((reason) =>
+    `Cannot currently run: needs ${reason.requested} ${reason.resource}, at most ${reason.available} available.`
+  );
+  const known = home.exists
+    ? ["The same job was submitted before; a submission returns that job."]
+    : [];
+  return [...known, ...reasons, renderTable(["there", ""], rows)];
+}
+
+/** Renders the explanation of a job for people. */
+export function renderJobExplanationText(
+  explanation: RenderedJobExplanation,
+): string {
+  const { workspace, policy, tasks, resources, urgent } = explanation;
+  return [
+    renderJobDecision(explanation),
+    `Workspace "${workspace}", ${policy}${
+      urgent ? ", urgent" : ""
+    }, ${tasks} x ${renderAmounts(resources)}.`,
+    ...renderHome(explanation),
+    ...explanation.unknown.map((text) => `Not known: ${text}.`),
+  ].join("\n");
+}
+
+const explainJobCommand = command({
+  name: "job",
+  description: "Tell where a job would go now, e.g. `explain job job.json`",
+  args: {
+    file: positional({ type: string, displayName: "file" }),
+    ...CALLER_OPTIONS,
+    ...CONNECTION_OPTIONS,
+  },
+  handler: (args) =>
+    runCommand(async () => {
+      const body = parseJsonText(await readTextFile(args.file), args.file);
+      const { client, query } = createCaller(args);
+      const explanation = await client.call(`/v1/explain/jobs${query}`, {
+        method: "POST",
+        body,
+      }) as RenderedJobExplanation;
+      writeOutput(
+        args.json,
+        explanation,
+        () => renderJobExplanationText(explanation),
+      );
+      if (explanation.outcome === "unknown") {
+        process.exitCode = EXIT_CODES.notReachable;
+      }
+    }),
+});
+
 /** `goldcrestlug explain`. */
 export const EXPLAIN_COMMANDS = subcommands({
   name: "explain",
   description: "Tell where work would go now, and why, without sending it",
-  cmds: { request: explainRequestCommand },
+  cmds: { request: explainRequestCommand, job: explainJobCommand },
 });
--- a/src/cli/shared.ts
+++ b/src/cli/shared.ts
@@ -149,6 +149,17 @@
   }
 }
 
+/** Parses the JSON text of a file; fault `badRequest` with the path if it is invalid. */
+export function parseJsonText(text: string, path: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch (error) {
+    throw createFault("badRequest", `Cannot parse file "${path}" as JSON`, {
+      cause: error,
+    });
+  }
+}
+
 /** Renders a text table; each column is as wide as its longest cell. */
 export function renderTable(
   headings: readonly string[],
--- a/src/cli/work_commands.ts
+++ b/src/cli/work_commands.ts
@@ -8,12 +8,12 @@
   string,
   subcommands,
 } from "cmd-ts";
-import { createFault } from "../common/mod.ts";
 import { REQUEST_ID_HEADER } from "../requests/constants.ts";
 import { readTextFile } from "./change_commands.ts";
 import {
   CONNECTION_OPTIONS,
   createWorkspaceClient,
+  parseJsonText,
   renderTable,
   runCommand,
   writeOutput,
@@ -59,16 +59,6 @@
     }),
 });
 
-function parseJsonText(text: string, path: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch (error) {
-    throw createFault("badRequest", `Cannot parse file "${path}" as JSON`, {
-      cause: error,
-    });
-  }
-}
-
 function createJobCommand(name: string, method: "GET" | "DELETE") {
   return command({
     name,
--- a/src/data_centre/job_records.ts
+++ b/src/data_centre/job_records.ts
@@ -85,6 +85,8 @@
 /** The job records of a data centre. */
 export interface JobRecords {
   apply(command: JobCommand): JobCommandResult;
+  /** Returns the result that the submission of the job would have; changes nothing. */
+  checkSubmission(spec: RecordedJobSpec): "applied" | "exists" | "conflict";
   get(job: string): JobRecord | undefined;
   /** Lists the jobs that have not ended. */
   listOpen(): JobRecord[];
@@ -107,11 +109,17 @@
   // In the order in which the jobs ended, which is also the order of removal.
   const ended = new Set<string>();
 
-  function applySubmission(spec: RecordedJobSpec): JobCommandResult {
+  function checkSubmission(
+    spec: RecordedJobSpec,
+  ): "applied" | "exists" | "conflict" {
     const known = jobs.get(spec.id);
-    if (known !== undefined) {
-      return isSameSubmission(known.spec, spec) ? "exists" : "conflict";
-    }
+    if (known === undefined) return "applied";
+    return isSameSubmission(known.spec, spec) ? "exists" : "conflict";
+  }
+
+  function applySubmission(spec: RecordedJobSpec): JobCommandResult {
+    const result = checkSubmission(spec);
+    if (result !== "applied") return result;
     jobs.set(spec.id, { spec, cancelled: false, tasks: new Map() });
     return "applied";
   }
@@ -182,6 +190,7 @@
 
   return {
     apply,
+    checkSubmission,
     get: (job) => jobs.get(job),
     listOpen: () => [...jobs.values()].filter((job) => job.end === undefined),
     count: () => jobs.size,
--- a/src/data_centre/worker_controller.ts
+++ b/src/data_centre/worker_controller.ts
@@ -11,6 +11,7 @@
   type Timer,
 } from "../common/mod.ts";
 import type {
+  JobExplanation,
   JobSpec,
   RestoredJob,
   RestoredTask,
@@ -75,6 +76,8 @@
   ): WorkerAnnouncementReply;
   /** Passes a recorded job to the scheduler. */
   addJob(spec: RecordedJobSpec): void;
+  /** Explains where a new job would be placed; see `Scheduler.explainJob`. */
+  explainJob(spec: RecordedJobSpec): JobExplanation;
   /** Passes a recorded cancellation to the scheduler. */
   cancelJob(job: string): void;
   /** Returns the known workers; `silentMs` is the time since the last announcement. */
@@ -334,6 +337,7 @@
       scheduler.addJob(toSpec(spec));
       startStep();
     },
+    explainJob: (spec) => scheduler.explainJob(toSpec(spec)),
     cancelJob(job) {
       scheduler.cancelJob(job);
       startStep();
--- a/src/http/explain_routes.ts
+++ b/src/http/explain_routes.ts
@@ -1,15 +1,19 @@
-/** Routes that tell where a request would go now, without sending it. */
+/** Routes that tell where a request or a job would go now, without sending it. */
 
-import { createFault, type FaultBody } from "../common/mod.ts";
+import { createFault, type FaultBody, type Resources } from "../common/mod.ts";
 import type { FleetView, Queue, Workspace } from "../fleet/types.ts";
 import { REQUEST_ID_HEADER } from "../requests/constants.ts";
 import type { SlotExplanation } from "../requests/mod.ts";
+import type { JobExplanation } from "../scheduling/types.ts";
+import { parseJson } from "./body.ts";
 import {
   checkOperatorToken,
+  createBodyFilter,
   createRefusalFilter,
   type HttpFilter,
 } from "./filters.ts";
 import type { HttpRoute } from "./http_server.ts";
+import { parseJob, type SubmittedJob } from "./job_routes.ts";
 import {
   createJsonResponse,
   getBearerToken,
@@ -60,6 +64,35 @@
   readonly refusal?: FaultBody & { readonly retryAfterMs?: number };
 }
 
+/** The explanation of a job by the leader of its home data centre. */
+export interface LeaderJobExplanation extends JobExplanation {
+  /** Instance that answered. */
+  readonly leader: string;
+  readonly epoch: number;
+  /** Whether the same job was submitted before; a submission then returns that job. */
+  readonly exists: boolean;
+}
+
+/** Where a job would go now, and why. */
+export interface RoutedJobExplanation {
+  /** "unknown": also if the leader of the home data centre cannot be asked now. */
+  readonly outcome: JobExplanation["outcome"];
+  /** The home data centre of the job's identifier, in which all its tasks run. */
+  readonly dataCentre: string;
+  /** What the leader answered; absent if it could not be asked. */
+  readonly home?: LeaderJobExplanation;
+  readonly unknown: readonly string[];
+}
+
+/** The answer of `POST /v1/explain/jobs`. */
+export interface RenderedJobExplanation extends RoutedJobExplanation {
+  readonly workspace: string;
+  readonly policy: string;
+  readonly tasks: number;
+  readonly resources: Resources;
+  readonly urgent: boolean;
+}
+
 /** Options of `createExplainRoutes`. */
 export interface ExplainRoutesOptions extends AdmissionOptions {
   /** SHA-256 of the operator token in hex; absent: no token is required. */
@@ -67,6 +100,11 @@
   /** Returns why new work is currently rejected; undefined if it is accepted. */
   getRefusal: () => string | undefined;
   explainRequest: (request: AdmittedRequest) => Promise<RequestExplanation>;
+  explainJob: (
+    workspace: string,
+    job: SubmittedJob,
+  ) => Promise<RoutedJobExplanation>;
+  maxBodyBytes: number;
 }
 
 function findWorkspace(view: FleetView, name: string): Workspace {
@@ -75,6 +113,21 @@
   throw createFault("notFound", `Cannot find workspace "${name}"`);
 }
 
+/** Returns the workspace that an operator names in the query; undefined if none is named. */
+function findNamedWorkspace(
+  context: RequestContext,
+  options: ExplainRoutesOptions,
+): string | undefined {
+  const { searchParams } = new URL(
+    context.request.url ?? "/",
+    "http://localhost",
+  );
+  const named = searchParams.get("workspace");
+  if (named === null) return undefined;
+  checkOperatorToken(context, options.tokenHash);
+  return findWorkspace(options.view, named).name;
+}
+
 /**
  * Returns the workspace of the key. An operator names it in the query, or no
  * workspace for a request without a key to an open queue.
@@ -84,15 +137,8 @@
   queue: Queue,
   options: ExplainRoutesOptions,
 ): string | undefined {
-  const { searchParams } = new URL(
-    context.request.url ?? "/",
-    "http://localhost",
-  );
-  const named = searchParams.get("workspace");
-  if (named !== null) {
-    checkOperatorToken(context, options.tokenHash);
-    return findWorkspace(options.view, named).name;
-  }
+  const named = findNamedWorkspace(context, options);
+  if (named !== undefined) return named;
   const token = getBearerToken(context);
   if (token === undefined && queue.open) {
     checkOperatorToken(context, options.tokenHash);
@@ -145,7 +191,39 @@
     );
   };
 
+  const authenticate: HttpFilter = async (context, next) => {
+    context.workspace = findNamedWorkspace(context, options) ??
+      options.view.checkKey(getBearerToken(context)).name;
+    await next();
+  };
+
+  const explainJob: HttpFilter = async (context) => {
+    const workspace = context.workspace ?? "";
+    const job = parseJob(parseJson(context.body), options);
+    const explanation = await options.explainJob(workspace, job);
+    const { policy, tasks, resources, urgent } = job;
+    const rendered: RenderedJobExplanation = {
+      workspace,
+      policy,
+      tasks,
+      resources,
+      urgent,
+      ...explanation,
+    };
+    context.answer = createJsonResponse(rendered);
+  };
+
   return [
+    {
+      method: "POST",
+      path: "/v1/explain/jobs",
+      filters: [
+        createRefusalFilter(options.getRefusal),
+        authenticate,
+        createBodyFilter(options.maxBodyBytes),
+        explainJob,
+      ],
+    },
     {
       method: "GET",
       path: "/v1/explain/queues/:queue/requests",
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -390,6 +390,7 @@
         ...deadlines,
         ...operators,
         explainRequest: routing.explain,
+        explainJob: leaders.explainJob,
       }),
       ...createJobRoutes({
         ...shared,
--- a/src/instance/leader_client.ts
+++ b/src/instance/leader_client.ts
@@ -2,13 +2,18 @@
 
 import { Buffer } from "node:buffer";
 import type { AllotmentAsk, AllotmentTransfer } from "../allotments/mod.ts";
-import type { Clock } from "../common/mod.ts";
+import { type Clock, isFault } from "../common/mod.ts";
 import type {
   EndpointAnnouncementReply,
   WorkerAnnouncementReply,
 } from "../data_centre/announcements.ts";
 import type { FleetView, Limits } from "../fleet/mod.ts";
-import type { JobView, SubmittedJob } from "../http/mod.ts";
+import type {
+  JobView,
+  LeaderJobExplanation,
+  RoutedJobExplanation,
+  SubmittedJob,
+} from "../http/mod.ts";
 import { ANNOUNCEMENT_DELAY_MS } from "../requests/constants.ts";
 import type { HomeFinder } from "../requests/mod.ts";
 import type {
@@ -32,6 +37,21 @@
 /** Timeout for the status of one data centre, in milliseconds. */
 const STATUS_TIMEOUT_MS = 1_000;
 
+/**
+ * Time in which a leader is looked up for an explanation, in milliseconds: enough
+ * to follow one redirect. An explanation does not wait for an election.
+ */
+export const EXPLAIN_LOOKUP_MS = 100;
+
+/** Timeout of an explanation, in milliseconds; an unresponsive leader is reported as unknown. */
+export const EXPLAIN_TIMEOUT_MS = 1_000;
+
+/** Returns whether the fault means that the leader is changing or did not reply. */
+export function isUnreachable(error: unknown): boolean {
+  return isFault(error, "unavailable") || isFault(error, "outcomeUnknown") ||
+    isFault(error, "deadlineExceeded");
+}
+
 /** Options of a leader client. */
 export interface LeaderClientOptions {
   calls: LeaderCalls;
@@ -45,6 +65,11 @@
   sendAsk(ask: AllotmentAsk): Promise<Limits>;
   sendTransfer(transfer: AllotmentTransfer): Promise<void>;
   submitJob(workspace: string, job: SubmittedJob): Promise<JobView>;
+  /** Explains a job at the leader of its home data centre; changes nothing. */
+  explainJob(
+    workspace: string,
+    job: SubmittedJob,
+  ): Promise<RoutedJobExplanation>;
   getJob(workspace: string, id: string): Promise<JobView>;
   cancelJob(workspace: string, id: string): Promise<JobView>;
   announceEndpoint(
@@ -67,15 +92,42 @@
 export function createLeaderClient(options: LeaderClientOptions): LeaderClient {
   const { calls, findHome, view, clock } = options;
 
+  function findJobHome(workspace: string, jobId: string): string {
+    return findHome(
+      { scope: `workspace:${workspace}`, requestId: jobId },
+      view.getState().dataCentres,
+    );
+  }
+
+  async function explainJob(
+    workspace: string,
+    job: SubmittedJob,
+  ): Promise<RoutedJobExplanation> {
+    const dataCentre = findJobHome(workspace, job.id);
+    const request = { workspace, job: Buffer.from(JSON.stringify(job)) };
+    try {
+      const reply = await calls.call<JsonBody>("explainJob", request, {
+        dataCentre,
+        timeoutMs: EXPLAIN_TIMEOUT_MS,
+        lookupMs: EXPLAIN_LOOKUP_MS,
+        idempotent: true,
+      });
+      const home: LeaderJobExplanation = parseBody(reply.body);
+      return { dataCentre, outcome: home.outcome, home, unknown: home.unknown };
+    } catch (error) {
+      if (!isUnreachable(error)) throw error;
+      const reason =
+        `The leader of data centre "${dataCentre}" is changing or did not reply; a submission waits up to ${JOB_TIMEOUT_MS} ms for one`;
+      return { dataCentre, outcome: "unknown", unknown: [reason] };
+    }
+  }
+
   async function callHome(
     method: string,
     request: { workspace: string; job?: Buffer; jobId?: string },
     jobId: string,
   ): Promise<JobView> {
-    const home = findHome(
-      { scope: `workspace:${request.workspace}`, requestId: jobId },
-      view.getState().dataCentres,
-    );
+    const home = findJobHome(request.workspace, jobId);
     const reply = await calls.call<JobReply>(method, request, {
       dataCentre: home,
       timeoutMs: JOB_TIMEOUT_MS,
@@ -125,6 +177,7 @@
         { workspace, job: Buffer.from(JSON.stringify(job)) },
         job.id,
       ),
+    explainJob,
     getJob: (workspace, jobId) =>
       callHome("getJob", { workspace, jobId }, jobId),
     cancelJob: (workspace, jobId) =>
--- a/src/instance/request_routing.ts
+++ b/src/instance/request_routing.ts
@@ -39,6 +39,11 @@
   SlotReply as SlotReplyMessage,
 } from "../rpc/mod.ts";
 import type { LeaderCalls } from "./leader_calls.ts";
+import {
+  EXPLAIN_LOOKUP_MS,
+  EXPLAIN_TIMEOUT_MS,
+  isUnreachable,
+} from "./leader_client.ts";
 
 /** Time after the caller's deadline for the leader's own refusal to arrive, in milliseconds. */
 const ANSWER_MARGIN_MS = 200;
@@ -56,15 +61,6 @@
  */
 const LEADER_WAIT_MS = 2_500;
 
-/**
- * Time in which a leader is looked up for an explanation, in milliseconds: enough
- * to follow one redirect. An explanation does not wait for an election.
- */
-const EXPLAIN_LOOKUP_MS = 100;
-
-/** Timeout of an explanation, in milliseconds; an unresponsive leader is reported as unknown. */
-const EXPLAIN_TIMEOUT_MS = 1_000;
-
 /** Options of the routing. */
 export interface RequestRoutingOptions {
   instance: string;
@@ -236,9 +232,7 @@
       );
       return JSON.parse(Buffer.from(reply.body).toString());
     } catch (error) {
-      const isUnreachable = isFault(error, "unavailable") ||
-        isFault(error, "outcomeUnknown") || isFault(error, "deadlineExceeded");
-      if (isUnreachable) return undefined;
+      if (isUnreachable(error)) return undefined;
       throw error;
     }
   }
--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -33,7 +33,11 @@
   encodeDataCentreCommand,
 } from "../data_centre/state.ts";
 import type { FleetView, Limits } from "../fleet/mod.ts";
-import { type LeaderExplanation, parseJson } from "../http/mod.ts";
+import {
+  type LeaderExplanation,
+  type LeaderJobExplanation,
+  parseJson,
+} from "../http/mod.ts";
 import type { LeaderLease, ReplicatedLog } from "../replicated_log/mod.ts";
 import type {
   AllotmentAsk as AskMessage,
@@ -226,24 +230,45 @@
     };
   }
 
-  async function submitJob(request: JobRequest): Promise<JobReply> {
-    const { workers } = getLeadership();
+  function buildSpec(request: JobRequest): RecordedJobSpec {
     const job = JSON.parse(Buffer.from(request.job).toString());
-    const spec: RecordedJobSpec = {
+    return {
       ...job,
       workspace: request.workspace,
       submittedWallMs: clock.wallTime(),
     };
+  }
+
+  function createConflictFault(jobId: string) {
+    return createFault(
+      "requestIdConflict",
+      `Cannot submit job "${jobId}": another job has this identifier`,
+    );
+  }
+
+  function explainJob(request: JobRequest): Promise<JsonBody> {
+    const { workers, epoch } = getLeadership();
+    explanations.addCall();
+    const spec = buildSpec(request);
+    const result = state.jobs.checkSubmission(spec);
+    if (result === "conflict") throw createConflictFault(spec.id);
+    const explanation: LeaderJobExplanation = {
+      leader: settings.instance,
+      epoch,
+      exists: result === "exists",
+      ...workers.explainJob(spec),
+    };
+    return Promise.resolve({ body: encodeJson(explanation) });
+  }
+
+  async function submitJob(request: JobRequest): Promise<JobReply> {
+    const { workers } = getLeadership();
+    const spec = buildSpec(request);
     const results = await propose({
       part: "jobs",
       commands: [{ type: "submitJob", spec }],
     }) as string[];
-    if (results[0] === "conflict") {
-      throw createFault(
-        "requestIdConflict",
-        `Cannot submit job "${spec.id}": another job has this identifier`,
-      );
-    }
+    if (results[0] === "conflict") throw createConflictFault(spec.id);
     if (results[0] === "applied") workers.addJob(spec);
     return renderReply({ workspace: request.workspace, jobId: spec.id });
   }
@@ -407,6 +432,7 @@
       announceEndpoint,
       announceWorkers,
       submitJob,
+      explainJob,
       getJob: (query: JobQuery) => Promise.resolve(renderReply(query)),
       cancelJob,
       getRequest,
--- a/src/requests/slot_explanation.ts
+++ b/src/requests/slot_explanation.ts
@@ -11,11 +11,17 @@
 /** Number of endpoints named in each group; bounds the size of an answer. */
 export const MAX_EXPLAINED_NAMES = 20;
 
+/**
+ * The turn of a request. "newLeader": nothing is granted yet; "notExamined": too
+ * many requests wait before it.
+ */
+export type ExplainedTurn = QueueTurn | "newLeader" | "notExamined";
+
 /** What the leader of a data centre would do with a request now, and why. */
 export interface SlotExplanation {
   readonly outcome: "starts" | "waits" | "refused";
   /** Why the request would wait. */
-  readonly waitsFor?: Exclude<QueueTurn, "next"> | "newLeader";
+  readonly waitsFor?: Exclude<ExplainedTurn, "next">;
   /** How the request would be refused. */
   readonly refusal?: FaultBody;
   /** Slots of the workspace in this data centre. */
@@ -67,7 +73,7 @@
   /** Milliseconds until a new leader accepts announcements. */
   readonly acceptsInMs: number;
   /** Absent with `refusal`. */
-  readonly turn?: QueueTurn | "newLeader";
+  readonly turn?: ExplainedTurn;
   readonly displacesOther?: boolean;
   readonly refusal?: Fault;
 }
@@ -90,6 +96,11 @@
       } ms, and endpoints may be missing until they have announced themselves`,
     );
   }
+  if (turn === "notExamined") {
+    unknown.push(
+      "So many requests wait before it that it was not examined whether a slot is left for it",
+    );
+  }
   if (turn === "behindOthers" || turn === "behindOwn") {
     unknown.push(
       "Another request is about to start; whether a slot is left after it is not known",
--- a/src/requests/slots.ts
+++ b/src/requests/slots.ts
@@ -21,11 +21,11 @@
   QueueEntry,
   QueueItem,
   QueuePool,
-  QueueTurn,
   WorkspaceQueueStatus,
 } from "./fair_queue_types.ts";
 import {
   buildSlotExplanation,
+  type ExplainedTurn,
   type SlotExplanation,
 } from "./slot_explanation.ts";
 import type { SlotController, SlotControllerOptions } from "./slots_types.ts";
@@ -76,6 +76,12 @@
  */
 const MAX_QUEUED_MS = GRANT_VALID_MS / (2 * CLOCK_RATE_ERROR) / 2;
 
+/**
+ * Waiting requests that an explanation compares with the endpoints. Without a
+ * limit, 900 waiting workspaces make it as slow as a decision, some 50 ms.
+ */
+const MAX_EXAMINED_REQUESTS = 200;
+
 /** Returns the minimum time elapsed on another clock, given `waitedMs` on this clock. */
 export function computeMinElapsed(waitedMs: number): number {
   return waitedMs * (1 - 2 * CLOCK_RATE_ERROR);
@@ -375,14 +381,18 @@
     };
   }
 
-  function explainTurn(item: QueueItem<Waiter>): QueueTurn | "newLeader" {
+  function explainTurn(item: QueueItem<Waiter>): ExplainedTurn {
     if (!isReady() || clock.now() < acceptFromMs) return "newLeader";
     // As before each take; with all slots in use no request is considered.
     if (!endpoints.hasFreeSlot()) return "noSlot";
-    return queue.explainTurn(
-      item,
-      ({ request }) => endpoints.isPickable(request),
-    );
+    let examined = 0;
+    const turn = queue.explainTurn(item, ({ request }) => {
+      examined += 1;
+      // Ends the search, whose cost grows with the number of waiting workspaces.
+      if (examined > MAX_EXAMINED_REQUESTS) return true;
+      return endpoints.isPickable(request);
+    });
+    return examined > MAX_EXAMINED_REQUESTS ? "notExamined" : turn;
   }
 
   function explain(request: SlotRequest): SlotExplanation {
--- a/src/scheduling/job_queues.ts
+++ b/src/scheduling/job_queues.ts
@@ -12,6 +12,8 @@
   add(job: JobRecord): void;
   /** Returns the first job that still waits, and drops the ones before it. */
   getFirst(queue: JobQueue): JobRecord | undefined;
+  /** Lists the first job of each queue, without queues whose first job no longer waits; drops nothing. */
+  listFirst(): JobRecord[];
   /** Removes the job that `getFirst` returned. */
   takeFirst(queue: JobQueue): void;
   /** Lists the queues; empty ones are deleted. */
@@ -83,6 +85,11 @@
       queue.jobs.add(job);
     },
     getFirst,
+    listFirst: () =>
+      [...queues.values()].flatMap((queue) => {
+        const job = queue.jobs.getFirst();
+        return job?.queue === queue && isWaiting(job) ? [job] : [];
+      }),
     takeFirst(queue) {
       const job = queue.jobs.takeFirst();
       if (job?.queue === queue) job.queue = undefined;
--- a/src/scheduling/ordering.ts
+++ b/src/scheduling/ordering.ts
@@ -20,6 +20,8 @@
   submittedAt: number;
 }
 
+type Rank = Omit<Candidate, "queue">;
+
 /** The queues that may still be served in this step. */
 export interface ServingOrder {
   /** Takes the next job; its queue is served again only after `add`. */
@@ -43,15 +45,37 @@
   return (waitedMs + AGING_MS) / (expectedMs * cores);
 }
 
-function compareCandidates(a: Candidate, b: Candidate): number {
+function compareCandidates(a: Rank, b: Rank): number {
   if (a.isUrgent !== b.isUrgent) return a.isUrgent ? -1 : 1;
   return a.score - b.score || a.tieBreakScore - b.tieBreakScore ||
     a.submittedAt - b.submittedAt;
 }
 
+function computeRank(state: SchedulerState, job: JobRecord): Rank {
+  const share = computeWeightedShare(state, job.workspace);
+  const agingPriority = computeAgingPriority(job, state.nowMs);
+  const isShareFirst = state.options.weights === "share";
+  return {
+    isUrgent: job.spec.urgent,
+    score: isShareFirst ? share : -agingPriority,
+    tieBreakScore: isShareFirst ? -agingPriority : share,
+    submittedAt: job.spec.submittedAt,
+  };
+}
+
+/** Returns the number of waiting queues whose first job is served before a job that is not queued. */
+export function countServedBefore(
+  state: SchedulerState,
+  job: JobRecord,
+): number {
+  const rank = computeRank(state, job);
+  return state.queues.listFirst()
+    .filter((other) => compareCandidates(computeRank(state, other), rank) <= 0)
+    .length;
+}
+
 /** Creates the order of one step. */
 export function createServingOrder(state: SchedulerState): ServingOrder {
-  const isShareFirst = state.options.weights === "share";
   const candidates: Candidate[] = [];
   const least = {
     processors: Infinity,
@@ -61,12 +85,7 @@
   let last: Candidate | undefined;
 
   function updateCandidate(candidate: Candidate, job: JobRecord): void {
-    const share = computeWeightedShare(state, candidate.queue.workspace);
-    const agingPriority = computeAgingPriority(job, state.nowMs);
-    candidate.isUrgent = job.spec.urgent;
-    candidate.score = isShareFirst ? share : -agingPriority;
-    candidate.tieBreakScore = isShareFirst ? -agingPriority : share;
-    candidate.submittedAt = job.spec.submittedAt;
+    Object.assign(candidate, computeRank(state, job));
   }
 
   for (const queue of state.queues.list()) {
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -51,6 +51,8 @@
   release(worker: PlacerWorker, amount: Resources): void;
   /** Picks a worker that accepts work and has enough free capacity, without committing it. */
   place(request: PlacementRequest): PlacerWorker | undefined;
+  /** Copies the index of the workers that accept work; picks of both are independent. */
+  copy(random: Random): Placer;
 }
 
 /** Options of a placer. */
@@ -121,12 +123,40 @@
   return buckets.reduce((sum, bucket) => sum + bucket.entries.length, 0);
 }
 
+/** The index of a placer. */
+interface PlacerIndex {
+  readonly nonEmptyBuckets: Bucket[];
+  readonly total: Resources;
+}
+
+/** Copies buckets with their entries in the same order, on which picks depend. */
+function buildBucketCopies(buckets: readonly Bucket[]): Bucket[] {
+  return buckets.map((bucket) => {
+    const copy: Bucket = { ...bucket, entries: [] };
+    for (const entry of bucket.entries) {
+      copy.entries.push({ ...entry, bucket: copy });
+    }
+    return copy;
+  });
+}
+
 /** Creates a placer without workers. */
 export function createPlacer(options: PlacerOptions): Placer {
+  return createIndexedPlacer(options, {
+    nonEmptyBuckets: [],
+    total: NO_RESOURCES,
+  });
+}
+
+function createIndexedPlacer(
+  options: PlacerOptions,
+  { nonEmptyBuckets, total: initialTotal }: PlacerIndex,
+): Placer {
   const { random } = options;
-  const bucketsByKey = new Map<number, Bucket>();
-  const nonEmptyBuckets: Bucket[] = [];
-  let total: Resources = NO_RESOURCES;
+  const bucketsByKey = new Map<number, Bucket>(
+    nonEmptyBuckets.map((bucket) => [bucket.key, bucket]),
+  );
+  let total = initialTotal;
 
   function getBucket(free: Resources): Bucket {
     const processorLevel = toLevel(free.processors);
@@ -396,5 +426,10 @@
         ? placePacked(request)
         : placeSpread(request);
     },
+    copy: (newRandom) =>
+      createIndexedPlacer({ random: newRandom }, {
+        nonEmptyBuckets: buildBucketCopies(nonEmptyBuckets),
+        total,
+      }),
   };
 }
--- a/src/scheduling/placement_round.ts
+++ b/src/scheduling/placement_round.ts
@@ -24,7 +24,7 @@
 const RECLAIM_RETRY_MS = 500;
 
 /** The result of one round. */
-interface PlacementRound {
+export interface PlacementRound {
   unplaceableSizes: Resources[];
   /** Jobs for which no worker had enough free capacity, in serving order. */
   readonly blocked: JobRecord[];
@@ -107,7 +107,8 @@
   round.unplaceableSizes = kept;
 }
 
-function runRound(
+/** Places waiting tasks in serving order, without preemption. */
+export function runRound(
   state: SchedulerState,
   reservations: Reservations,
 ): PlacementRound {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -12,6 +12,7 @@
   endTerminatingJobs,
   restoreJobs,
 } from "./jobs.ts";
+import { explainJob } from "./job_explanation.ts";
 import { addWaiting, endAttempt, hasEnded } from "./lifecycle.ts";
 import { resolveSchedulerOptions, type SchedulerOptions } from "./options.ts";
 import { runPlacements } from "./placement_round.ts";
@@ -184,6 +185,7 @@
 
   return {
     addJob: (spec) => addJob(state, spec),
+    explainJob: (spec) => explainJob(state, spec),
     cancelJob: (job) => cancelJob(state, job),
     receiveWorkerReport(report, nowMs) {
       setTime(nowMs);
--- a/src/scheduling/state.ts
+++ b/src/scheduling/state.ts
@@ -20,7 +20,7 @@
   WorkspaceRecord,
 } from "./records.ts";
 import { getShareFunction } from "./shares.ts";
-import type { SchedulerAction, TaskAttempt } from "./types.ts";
+import type { SchedulerAction, TaskAttempt, WorkerObstacle } from "./types.ts";
 import { createWorkerHealth } from "./worker_health.ts";
 
 /** A scheduled check of a worker. */
@@ -194,17 +194,24 @@
   state: SchedulerState,
   worker: WorkerRecord,
 ): void {
-  const accepting = worker.isKnown && !worker.isGone && !worker.isDraining &&
-    !worker.isSilent && !worker.isReserved &&
-    worker.health.mode === "inService";
+  const accepting = isUsable(worker) && !worker.isReserved;
   if (worker.placerWorker.accepting === accepting) return;
   state.placer.setAccepting(worker.placerWorker, accepting);
 }
 
 /** Returns whether the worker can take work, ignoring its reservation. */
 export function isUsable(worker: WorkerRecord): boolean {
-  return worker.isKnown && !worker.isGone && !worker.isDraining &&
-    !worker.isSilent && worker.health.mode === "inService";
+  return findWorkerObstacle(worker) === undefined;
+}
+
+/** Returns why the worker takes no new work, ignoring its reservation. */
+export function findWorkerObstacle(
+  worker: WorkerRecord,
+): WorkerObstacle | undefined {
+  if (!worker.isKnown || worker.isGone) return "gone";
+  if (worker.isDraining) return "draining";
+  if (worker.isSilent) return "silent";
+  return worker.health.mode === "inService" ? undefined : "outOfService";
 }
 
 /** Adds to the committed resources of the workspace and the cell. */
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -315,10 +315,82 @@
   readonly accepting: boolean;
 }
 
+/** Why a worker takes no new work. */
+export type WorkerObstacle = "gone" | "draining" | "silent" | "outOfService";
+
+/** Why a worker gets no task of the job. */
+export type WorkerPassReason =
+  | WorkerObstacle
+  /** Held for another job by a reservation or a preemption plan. */
+  | "reserved"
+  /** Its whole capacity is too small for a task. */
+  | "resources"
+  /** Its free capacity is too small for a task. */
+  | "full"
+  /** A task would fit, but another worker was picked. */
+  | "notPicked";
+
+/** Workers in an explanation; `names` is cut off. */
+export interface ExplainedWorkers {
+  readonly count: number;
+  readonly names: readonly string[];
+}
+
+/** Where the tasks of a job would go now, and why. */
+export interface JobExplanation {
+  /**
+   * "starts": all examined tasks; "startsInPart": some of them. "neverRunnable":
+   * the job would wait until the fleet or the allotment changes. "unknown": the
+   * gang is too large to be examined.
+   */
+  readonly outcome:
+    | "starts"
+    | "startsInPart"
+    | "waits"
+    | "neverRunnable"
+    | "unknown";
+  /** Why tasks would wait. */
+  readonly waitsFor?: "allotment" | "capacity" | "evacuated";
+  readonly neverRunnable?: readonly NeverRunnableReason[];
+  readonly placedTasks: number;
+  /** Tasks of the job; an explanation places only the first ones of a large job. */
+  readonly tasks: number;
+  readonly limit: {
+    readonly weight: number;
+    /** The workspace's allotment in this data centre; null if it has none. */
+    readonly allotment: Resources | null;
+    readonly committed: Resources;
+    readonly left: Resources | null;
+  };
+  readonly waiting: {
+    /** Queued tasks of the workspace. */
+    readonly workspace: number;
+    readonly all: number;
+    /** Queues of equal jobs that would be served before this job. */
+    readonly queuesAhead: number;
+  };
+  /** The first of the picked workers, with their numbers of tasks. */
+  readonly chosen: readonly {
+    readonly worker: string;
+    readonly tasks: number;
+  }[];
+  readonly chosenWorkers: number;
+  readonly passedOver: readonly (ExplainedWorkers & {
+    readonly reason: WorkerPassReason;
+  })[];
+  /** What the leader does not know. */
+  readonly unknown: readonly string[];
+}
+
 /** The scheduler of the data centre leader. It performs no I/O. */
 export interface Scheduler {
   /** Adds a job; a known identifier is ignored. Throws a `badRequest` fault on an invalid spec. */
   addJob(spec: JobSpec): void;
+  /**
+   * Explains where the tasks of a new job would be placed at the time of the
+   * last step; changes nothing. Throws a `badRequest` fault on an invalid spec.
+   */
+  explainJob(spec: JobSpec): JobExplanation;
   /** Cancels a job; returns false if the job is unknown or has ended. */
   cancelJob(job: string): boolean;
   /**
--- a/test/cli_test.ts
+++ b/test/cli_test.ts
@@ -197,6 +197,44 @@
   t.match(page, "goldcrestlug_task_starts_total");
 });
 
+// Guards against an explanation that submits the job, that names other workers than
+// the job then gets, or whose errors and exit codes differ from a submission.
+t.test("a job is explained without being submitted", async (t) => {
+  const file = join(folder, "explained.json");
+  const job = {
+    id: "demo:explained",
+    tasks: 3,
+    resources: { processors: 100, memoryMb: 10 },
+    payload: { runMs: 50 },
+  };
+  await writeFile(file, JSON.stringify(job));
+  const before = await readLeaderState();
+  const explanation = await runJson("explain", "job", file);
+  t.match(explanation, { outcome: "starts", dataCentre: "demo" });
+  t.match(explanation["home"], { chosen: [{ worker: "worker-1", tasks: 3 }] });
+  t.same(await readLeaderState(), before);
+  t.equal((await runProgram("job", "show", job.id)).code, 2);
+  await runJson("job", "submit", file);
+  const ended = await waitUntil(
+    async () => {
+      const shown = await runJson("job", "show", job.id);
+      return shown["state"] === "finished" ? shown : undefined;
+    },
+    20_000,
+    "the end of the job",
+  );
+  t.match(ended["counts"], { finished: 3 });
+  const again = await runProgram("explain", "job", file);
+  t.match(again.stdout, "The same job was submitted before");
+  for (const change of [{ tasks: 4 }, { queue: "none" }]) {
+    await writeFile(file, JSON.stringify({ ...job, ...change }));
+    const explained = await runProgram("explain", "job", file);
+    const submitted = await runProgram("job", "submit", file);
+    t.equal(explained.code, submitted.code);
+    t.equal(explained.stderr, submitted.stderr);
+  }
+});
+
 // Guards against a second process that opens the data folder of a running one.
 t.test("a second process with the same address does not start", async (t) => {
   const port = Number(new URL(cell.address).port);
