--- a/test/docs_test.ts
+++ b/test/docs_test.ts
@@ -2,6 +2,7 @@
 import t from "tap";
 import { FAULT_ANSWERS } from "../src/common/mod.ts";
 import { createAnnounceRoutes } from "../src/http/announce_routes.ts";
+import { createExplainRoutes } from "../src/http/explain_routes.ts";
 import { createJobRoutes } from "../src/http/job_routes.ts";
 import { createOperatorRoutes } from "../src/http/operator_routes.ts";
 import { createRequestRoutes } from "../src/http/request_routes.ts";
@@ -40,6 +41,7 @@
   const routes = [
     ...createRequestRoutes(options),
     ...createJobRoutes(options),
+    ...createExplainRoutes(options),
     ...createAnnounceRoutes(options),
     ...createOperatorRoutes(options),
   ];
