Merge the explain command

Reviewed by another developer than its author: the checks that were separated from their effects decide as before, and the leader's own random source is not used for an explanation.

--- a/src/instance/work_service.ts
+++ b/src/instance/work_service.ts
@@ -33,7 +33,11 @@
   encodeDataCentreCommand,
 } from "../data_centre/state.ts";
 import type { FleetView, Limits } from "../fleet/mod.ts";
-import { parseJson } from "../http/mod.ts";
+import {
+  type LeaderExplanation,
+  type LeaderJobExplanation,
+  parseJson,
+} from "../http/mod.ts";
 import type { LeaderLease, ReplicatedLog } from "../replicated_log/mod.ts";
 import type {
   AllotmentAsk as AskMessage,
@@ -52,6 +56,7 @@
 import { MAX_MISSED_ANNOUNCEMENTS } from "../requests/constants.ts";
 import type { SlotRelease, SlotRequest } from "../requests/mod.ts";
 import type { Settings } from "../settings/mod.ts";
+import { createCallRateLimit } from "./call_rate_limit.ts";
 import { renderJob } from "./job_view.ts";
 import type { WorkHandlers } from "./leader_calls.ts";
 import type { Observer } from "./observer.ts";
@@ -86,6 +91,9 @@
 
 const NO_BYTES = new Uint8Array(0);
 
+/** Explanations that a leader answers in a second, as docs/design/hard_load.md states. */
+const EXPLANATIONS_PER_SECOND = 5;
+
 function encodeJson(value: unknown): Buffer {
   return Buffer.from(JSON.stringify(value));
 }
@@ -96,6 +104,11 @@
   const { dataCentre } = settings;
   let leadership: Leadership | undefined;
   let leaseEpoch: number | undefined;
+  const explanations = createCallRateLimit({
+    clock,
+    callsPerSecond: EXPLANATIONS_PER_SECOND,
+    subject: "explanation",
+  });
 
   function hasLease(epoch: number): boolean {
     const lease = options.getLog()?.getLease();
@@ -217,24 +230,45 @@
     };
   }
 
-  async function submitJob(request: JobRequest): Promise<JobReply> {
-    const { workers } = getLeadership();
+  function buildSpec(request: JobRequest): RecordedJobSpec {
     const job = JSON.parse(Buffer.from(request.job).toString());
-    const spec: RecordedJobSpec = {
+    return {
       ...job,
       workspace: request.workspace,
       submittedWallMs: clock.wallTime(),
     };
+  }
+
+  function createConflictFault(jobId: string) {
+    return createFault(
+      "requestIdConflict",
+      `Cannot submit job "${jobId}": another job has this identifier`,
+    );
+  }
+
+  function explainJob(request: JobRequest): Promise<JsonBody> {
+    const { workers, epoch } = getLeadership();
+    explanations.addCall();
+    const spec = buildSpec(request);
+    const result = state.jobs.checkSubmission(spec);
+    if (result === "conflict") throw createConflictFault(spec.id);
+    const explanation: LeaderJobExplanation = {
+      leader: settings.instance,
+      epoch,
+      exists: result === "exists",
+      ...workers.explainJob(spec),
+    };
+    return Promise.resolve({ body: encodeJson(explanation) });
+  }
+
+  async function submitJob(request: JobRequest): Promise<JobReply> {
+    const { workers } = getLeadership();
+    const spec = buildSpec(request);
     const results = await propose({
       part: "jobs",
       commands: [{ type: "submitJob", spec }],
     }) as string[];
-    if (results[0] === "conflict") {
-      throw createFault(
-        "requestIdConflict",
-        `Cannot submit job "${spec.id}": another job has this identifier`,
-      );
-    }
+    if (results[0] === "conflict") throw createConflictFault(spec.id);
     if (results[0] === "applied") workers.addJob(spec);
     return renderReply({ workspace: request.workspace, jobId: spec.id });
   }
@@ -280,6 +314,17 @@
     return { outcome: "grant", grant: reply };
   }
 
+  function explainSlot(request: SlotRequest): Promise<JsonBody> {
+    const { slots, epoch } = getLeadership();
+    explanations.addCall();
+    const explanation: LeaderExplanation = {
+      leader: settings.instance,
+      epoch,
+      ...slots.explain(request),
+    };
+    return Promise.resolve({ body: encodeJson(explanation) });
+  }
+
   function getRequest(query: RequestQuery): Promise<RequestReply> {
     getLeadership();
     const { scope, requestId } = query;
@@ -379,6 +424,7 @@
   return {
     handlers: {
       acquireSlot,
+      explainSlot,
       releaseSlot: async (release: SlotRelease) => {
         await getLeadership().slots.release(release);
         return {};
@@ -386,6 +432,7 @@
       announceEndpoint,
       announceWorkers,
       submitJob,
+      explainJob,
       getJob: (query: JobQuery) => Promise.resolve(renderReply(query)),
       cancelJob,
       getRequest,
--- a/test/cli_test.ts
+++ b/test/cli_test.ts
@@ -104,6 +104,54 @@
   t.not(again.code, 0);
 });
 
+interface LeaderStatus {
+  slots: { queued: number; granted: number; workspaces: unknown };
+  [part: string]: unknown;
+}
+
+/** Reads what an explanation must not change; ages and idle connections change by themselves. */
+async function readLeaderState() {
+  const status = await runJson("status") as unknown as {
+    dataCentres: LeaderStatus[];
+  };
+  const [leader] = status.dataCentres;
+  const { slots, allotments, requestRecords, jobs } = leader!;
+  const { queued, granted, workspaces } = slots;
+  const page = await (await fetch(`${cell.address}/metrics`)).text();
+  const counters = page.split("\n").filter((line) =>
+    // Not the gauge of open requests, which also counts announcements in progress.
+    /^goldcrestlug_(requests|slot|task)\w*_total[{ ]/.test(line)
+  );
+  const shown = { queued, granted, workspaces };
+  return { shown, allotments, requestRecords, jobs, counters };
+}
+
+// Guards against an explanation that runs the request, that differs from what the
+// request then gets, or whose errors and exit codes differ from the real call.
+t.test("a request is explained without being sent", async (t) => {
+  const before = await readLeaderState();
+  const args = ["explain", "request", "--queue", "demo"];
+  const explanation = await runJson(...args, "--idempotent", "false");
+  t.match(explanation, { outcome: "starts", workspace: "demo" });
+  t.match(explanation["local"], { chosen: { names: ["endpoint-1"] } });
+  t.same(await readLeaderState(), before);
+  const sent = await callJson(`${cell.address}/v1/queues/demo/requests`, {
+    method: "POST",
+    body: {},
+    headers: { authorization: `Bearer ${cell.key}` },
+    timeoutMs: 15_000,
+  });
+  t.equal(sent.status, 200);
+  const text = await runProgram(...args);
+  t.match(text.stdout, 'would start at once in data centre "demo"');
+  const missing = await runProgram("explain", "request", "--queue", "none");
+  t.equal(missing.code, 2);
+  t.match(missing.stderr, "notFound");
+  const refused = await runProgram(...args, "--key", "wrong");
+  t.equal(refused.code, 3);
+  t.match(refused.stderr, "unauthenticated");
+});
+
 // Guards against a sheet that is applied in part or twice.
 t.test("a sheet is planned and applied whole", async (t) => {
   const file = join(folder, "sheet.csv");
@@ -150,6 +198,44 @@
   t.match(page, "goldcrestlug_task_starts_total");
 });
 
+// Guards against an explanation that submits the job, that names other workers than
+// the job then gets, or whose errors and exit codes differ from a submission.
+t.test("a job is explained without being submitted", async (t) => {
+  const file = join(folder, "explained.json");
+  const job = {
+    id: "demo:explained",
+    tasks: 3,
+    resources: { processors: 100, memoryMb: 10 },
+    payload: { runMs: 50 },
+  };
+  await writeFile(file, JSON.stringify(job));
+  const before = await readLeaderState();
+  const explanation = await runJson("explain", "job", file);
+  t.match(explanation, { outcome: "starts", dataCentre: "demo" });
+  t.match(explanation["home"], { chosen: [{ worker: "worker-1", tasks: 3 }] });
+  t.same(await readLeaderState(), before);
+  t.equal((await runProgram("job", "show", job.id)).code, 2);
+  await runJson("job", "submit", file);
+  const ended = await waitUntil(
+    async () => {
+      const shown = await runJson("job", "show", job.id);
+      return shown["state"] === "finished" ? shown : undefined;
+    },
+    20_000,
+    "the end of the job",
+  );
+  t.match(ended["counts"], { finished: 3 });
+  const again = await runProgram("explain", "job", file);
+  t.match(again.stdout, "The same job was submitted before");
+  for (const change of [{ tasks: 4 }, { queue: "none" }]) {
+    await writeFile(file, JSON.stringify({ ...job, ...change }));
+    const explained = await runProgram("explain", "job", file);
+    const submitted = await runProgram("job", "submit", file);
+    t.equal(explained.code, submitted.code);
+    t.equal(explained.stderr, submitted.stderr);
+  }
+});
+
 // Guards against a second process that opens the data folder of a running one.
 t.test("a second process with the same address does not start", async (t) => {
   const port = Number(new URL(cell.address).port);
