Judge no runner by runs of a former leader

Callers of urgent jobs could wait after a takeover while healthy runners were suspended as slow.

Cause: a leader counts a restored run from its first poll, but the listed progress counts from the run's start. Runs that are nearly done seem many times as fast as estimated, this becomes the learned error of the queue, and runs of the usual speed seem slow beside it.

Evidence: runner_health_test failed before, the usual runner was suspended until 2,000 ms.

--- a/src/workload/runner_health.ts
+++ b/src/workload/runner_health.ts
@@ -124,6 +124,8 @@
       const step = job?.spec.steps[task.step];
       const isSample = job !== undefined && step !== undefined && !step.gang &&
         !step.longRunning && occupant.isListed && confirmedMs !== undefined &&
+        // It began under a former leader, so that its time so far is not known.
+        !occupant.isRestored &&
         occupant.state === "running" &&
         state.getTask(task)?.checkpoint === "";
       if (!isSample) continue;
