--- a/src/workload/evacuation_calls.ts
+++ b/src/workload/evacuation_calls.ts
@@ -16,7 +16,7 @@
   state: Pick<WorkState, "evacuations" | "listRunners">;
   queue: Pick<RecordQueue, "record">;
   /** Lists the configured data centres. Default: only those of registered runners are known. */
-  listDataCentres?: () => readonly string[];
+  listDataCentres?: (() => readonly string[]) | undefined;
 }
 
 /** Which data centre has been evacuated or taken back. */
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -203,9 +203,7 @@
     logger,
     state,
     queue,
-    ...(options.listDataCentres === undefined
-      ? {}
-      : { listDataCentres: options.listDataCentres }),
+    listDataCentres: options.listDataCentres,
   });
   const eligibility = createEligibilityCache({
     clock,
