Review case 8: a schedule with many overdue occurrences stops the system

Cause: each start of a round lists all due occurrences of its job again, in one turn of the event loop. Change: a case with a script.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
