Replace the vote of a core instance before it stops

What callers saw: after two planned replacements of core machines, 4.3 s apart, no instance led any more.

Cause: a voter that got SIGTERM exited without giving up its vote. The leader could only infer from 5 s of silence that it was gone (1.5 s if a standby had connected after the loss), so the second exit took the majority of the listed voters. Evidence: in a run with logs both successors had found the leader 4 s before the first SIGTERM, and it sent no invitation until its leadership ended 0.6 s after the second.

Change: a stopping instance says so in its hello message and goes on voting, and leading if it did. The leader invites a standby, removes the stopping voter once the standby votes, and releases the instance when the removal is committed; a stopping leader hands over first. Without a standby the instance is released at once. The seat is filled before it is vacated, so all listed voters are present after the exit, whatever the time to the next loss. Voter changes have moved from core_program.ts to a module of their own.

--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -71,10 +71,14 @@
   callRunner?: (call: RunnerCall) => Promise<unknown>;
   /** Returns whether this instance could become a member of the log. Default: false. */
   isStandby?: () => boolean;
+  /** Returns whether this instance waits for `handleRelease` before it exits. Default: false. */
+  isStopping?: () => boolean;
   /** Called with the members listed in each pulse of the leader. */
   handleMembers?: (instances: readonly string[]) => void;
   /** Called when the leader asks this instance to become a member. */
   handleInvite?: () => void;
+  /** Called when the leader no longer needs this instance as a member. */
+  handleRelease?: () => void;
 }
 
 /** Forwards calls to the leader. */
@@ -191,12 +195,14 @@
     const { instance, dataCentre } = options;
     const isStandby = options.isStandby?.() ?? false;
     const canCallRunners = options.callRunner !== undefined;
+    const isStopping = options.isStopping?.() ?? false;
     send(link, {
       kind: "hello",
       instance,
       dataCentre,
       isStandby,
       canCallRunners,
+      isStopping,
     });
   }
 
@@ -334,6 +340,9 @@
       case "invite":
         options.handleInvite?.();
         break;
+      case "release":
+        options.handleRelease?.();
+        break;
       case "ask":
         void runRequest(
           link,
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -60,6 +60,8 @@
   listCores: () => readonly string[];
   /** Called when the connected instances change. */
   handleCallers: (names: readonly string[]) => void;
+  /** Called when an instance reports that it is stopping. */
+  handleStopping?: () => void;
   /** Measures the time that frames take. Default: it is not measured. */
   measure?: MeasureTime;
 }
@@ -101,6 +103,10 @@
   listStandbys(): ConnectedStandby[];
   /** Returns the data centre of an instance; undefined when it is not connected. */
   getDataCentre(instance: string): string | undefined;
+  /** Lists the connected instances that wait for `release` before they exit. */
+  listStopping(): string[];
+  /** Tells a stopping instance that the log no longer waits for it. */
+  release(instance: string): void;
   /** Asks a standby to become a member of the log. */
   invite(instance: string): void;
   /** Sends a pulse to all connected instances without waiting for the interval. */
@@ -121,6 +127,7 @@
   dataCentre: string;
   isStandby: boolean;
   canCallRunners: boolean;
+  isStopping: boolean;
   readonly sinceMs: number;
   readonly stream: ServerDuplexStream<Frame, Frame>;
   outbox: CoreMessage[];
@@ -250,9 +257,11 @@
         session.dataCentre = message.dataCentre;
         session.isStandby = message.isStandby;
         session.canCallRunners = message.canCallRunners;
+        session.isStopping = message.isStopping;
         endFormerSessions(session);
         sendPulse(session);
         options.handleCallers(listCallers());
+        if (session.isStopping) options.handleStopping?.();
         break;
       case "call":
         void runCall(session, message);
@@ -324,6 +333,7 @@
         dataCentre: "",
         isStandby: false,
         canCallRunners: false,
+        isStopping: false,
         sinceMs: clock.now(),
         stream,
         outbox: [],
@@ -379,6 +389,14 @@
       }
       return found;
     },
+    listStopping: () => listNames(({ isStopping }) => isStopping),
+    release(instance) {
+      for (const session of sessions) {
+        if (session.name !== instance || !session.isStopping) continue;
+        session.isStopping = false;
+        send(session, { kind: "release" });
+      }
+    },
     getDataCentre: (instance) => findSession(instance)?.dataCentre,
     invite(instance) {
       for (const session of sessions) {
--- a/src/gateway/messages.ts
+++ b/src/gateway/messages.ts
@@ -86,6 +86,8 @@
     readonly isStandby: boolean;
     /** True when the instance can call runners for the leader. */
     readonly canCallRunners: boolean;
+    /** True when the instance waits for the leader to replace its vote before it exits. */
+    readonly isStopping: boolean;
   }
   | { readonly kind: "call"; readonly id: number; readonly call: WorkCall }
   | {
@@ -109,6 +111,8 @@
   }
   /** Asks a standby to become a member of the log. */
   | { readonly kind: "invite" }
+  /** Tells a stopping instance that the log no longer waits for it. */
+  | { readonly kind: "release" }
   | {
     readonly kind: "answer";
     readonly id: number;
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -55,17 +55,12 @@
 } from "../workload/mod.ts";
 import { createLeadershipTracker } from "./leadership_tracker.ts";
 import { createLeadershipGuard } from "./leadership_guard.ts";
-import { planVoters } from "./voters.ts";
+import { createVoteRelease } from "./vote_release.ts";
+import { startVoterChanges } from "./voter_changes.ts";
 
 /** Name of the replicated log that records all work. */
 const WORK_GROUP = "work";
 
-/** Interval at which the leader checks the voters, in milliseconds. */
-const VOTER_CHECK_INTERVAL_MS = 500;
-
-/** Time for an invited instance to join before the next invitation, in milliseconds. */
-const INVITE_INTERVAL_MS = 3_000;
-
 /** Time without being listed by a leader after which a member assumes its removal, in milliseconds; longer than joining takes. */
 const REMOVED_AFTER_MS = 8_000;
 
@@ -116,6 +111,12 @@
   isLeading(): boolean;
   /** Adds instances that may lead, after a settings change. */
   addCores(names: readonly string[]): void;
+  /**
+   * Prepares a planned stop: resolves once a standby has taken over this
+   * instance's vote, or with false when none can or `timeoutMs` has passed. The
+   * program runs as before meanwhile.
+   */
+  releaseVote(timeoutMs: number): Promise<boolean>;
   /** Transfers leadership and stops the program. */
   stop(): Promise<void>;
 }
@@ -138,7 +139,6 @@
   const timeUse = createTimeUse({ clock, logger, readBusyMs });
   let ledTerm = 0;
   let controller: WorkController | undefined;
-  let isStopped = false;
 
   const guard = createLeadershipGuard({
     clock,
@@ -160,6 +160,7 @@
       return [...new Set(members.map(({ id }) => parseMemberId(id).instance))];
     },
     handleCallers: (names) => controller?.setCallers(names),
+    handleStopping: () => voterChanges.checkSoon(),
     measure: timeUse.measure,
   });
 
@@ -220,7 +221,7 @@
 
   /** Joins with an empty store; data of an earlier membership is no longer valid. */
   async function startJoin(): Promise<void> {
-    if (member !== undefined) return;
+    if (member !== undefined || voteRelease.isStopping()) return;
     logger.info("Joining the work log", { cores: gateway.listCores() });
     await rm(getStoreFolder(logFolder, WORK_GROUP), {
       recursive: true,
@@ -250,6 +251,13 @@
     gateway.sendHello();
   }
 
+  const voteRelease = createVoteRelease({
+    clock,
+    logger,
+    isMember: () => member?.getLog() !== undefined,
+    sendHello: () => gateway.sendHello(),
+  });
+
   const gateway = createGatewayClient({
     instance,
     dataCentre: options.dataCentre,
@@ -260,7 +268,9 @@
     ...(metrics === undefined ? {} : { metrics }),
     ask: options.ask,
     callRunner: (call) => runRelayedCall(options.calls, call),
-    isStandby: () => member === undefined,
+    isStandby: () => member === undefined && !voteRelease.isStopping(),
+    isStopping: () => voteRelease.isStopping(),
+    handleRelease: () => voteRelease.handleRelease(),
     handleMembers: (listedMembers) => void handleMembers(listedMembers),
     handleInvite: () => void startJoin().catch(options.handleFailure),
   });
@@ -290,43 +300,16 @@
       server.listKeptAnswers(name, timeoutMs),
   });
 
-  let lastInviteMs = -Infinity;
-  function reconcileVoters(): void {
-    if (isStopped) return;
-    clock.setTimer(VOTER_CHECK_INTERVAL_MS, reconcileVoters);
-    const log = member?.getLog();
-    if (log === undefined || controller === undefined) return;
-    if (!guard.isLeading()) return;
-    const nowMs = clock.now();
-    const { members, lag, self } = log.getStatus();
-    const decision = planVoters({
-      tolerance: options.tolerance,
-      voters: members.filter(({ role }) => role === "voter").map(({ id }) => ({
-        id,
-        instance: parseMemberId(id).instance,
-        dataCentre: server.getDataCentre(parseMemberId(id).instance),
-        contactAgeMs: id === self ? 0 : lag[id]?.ageMs ?? 0,
-      })),
-      hasLearner: members.some(({ role }) => role === "learner"),
-      standbys: server.listStandbys().map((standby) => ({
-        instance: standby.instance,
-        dataCentre: standby.dataCentre,
-        connectedMs: nowMs - standby.sinceMs,
-      })),
-    });
-    if (decision === undefined) return;
-    if (decision.kind === "invite") {
-      if (nowMs - lastInviteMs < INVITE_INTERVAL_MS) return;
-      lastInviteMs = nowMs;
-      logger.info("Inviting a standby to join the work log", decision);
-      return server.invite(decision.instance);
-    }
-    logger.warn("Removing a lost voter from the work log", decision);
-    log.removeMember(decision.id).catch((error: unknown) =>
-      logger.warn("Cannot remove the lost voter", { id: decision.id, error })
-    );
-  }
-  reconcileVoters();
+  const voterChanges = startVoterChanges({
+    clock,
+    logger,
+    tolerance: options.tolerance,
+    getLog: () =>
+      controller !== undefined && guard.isLeading()
+        ? member?.getLog()
+        : undefined,
+    server,
+  });
 
   async function propose(records: readonly WorkRecord[]): Promise<void> {
     const log = member?.getLog();
@@ -448,8 +431,9 @@
     },
     isLeading: () => guard.isLeading(),
     addCores: (names) => gateway.addCores(names),
+    releaseVote: voteRelease.releaseVote,
     async stop() {
-      isStopped = true;
+      voterChanges.close();
       leadershipTracker.close();
       server.sendPulses();
       await member?.stop();
--- a/src/programs/voters.ts
+++ b/src/programs/voters.ts
@@ -1,9 +1,13 @@
 /**
  * Selects the instances with a disk that vote in the work log. A small odd
  * number of voters leaves a majority on one side of a network partition. The
- * other instances are standbys, invited when a voter is lost.
+ * other instances are standbys, invited when a voter is lost or about to stop. A
+ * stopping voter keeps its vote until a standby has taken its place, since
+ * another voter may be lost right after it has exited.
  */
 
+import { computeQuorum } from "../replicated_log/mod.ts";
+
 /** A voting member as seen by the leader. */
 export interface VoterView {
   /** Member identity. */
@@ -12,6 +16,8 @@
   readonly dataCentre: string | undefined;
   /** Time since its last reply to the leader, in milliseconds. */
   readonly contactAgeMs: number;
+  /** True while it waits for a standby to take its place. */
+  readonly isStopping: boolean;
 }
 
 /** A connected instance with a disk that is not a member. */
@@ -26,16 +32,25 @@
 export interface VotersInput {
   /** Number of disks that may be lost at the same time. */
   readonly tolerance: number;
+  /** Member identity of the leader. */
+  readonly self: string;
   readonly voters: readonly VoterView[];
   /** True while a member is being added. */
   readonly hasLearner: boolean;
+  /** Those that are not stopping. */
   readonly standbys: readonly StandbyView[];
 }
 
 /** Next change of the voters. */
 export type VotersDecision =
   | { readonly kind: "invite"; readonly instance: string }
-  | { readonly kind: "remove"; readonly id: string };
+  | {
+    readonly kind: "remove";
+    readonly id: string;
+    readonly reason: "lost" | "stopping";
+  }
+  /** The leader is stopping; only another leader can remove it without interrupting calls. */
+  | { readonly kind: "releaseLeadership" };
 
 /** Time without contact after which a voter counts as lost, in milliseconds; longer than a restart. */
 export const LOST_VOTER_MS = 5_000;
@@ -57,8 +72,9 @@
   fits: (standby: StandbyView) => boolean,
 ): StandbyView | undefined {
   const counts = new Map<string, number>();
-  for (const { dataCentre, contactAgeMs } of input.voters) {
+  for (const { dataCentre, contactAgeMs, isStopping } of input.voters) {
     if (dataCentre === undefined || contactAgeMs > LOST_VOTER_MS) continue;
+    if (isStopping) continue;
     counts.set(dataCentre, (counts.get(dataCentre) ?? 0) + 1);
   }
   const getCount = (standby: StandbyView) =>
@@ -68,6 +84,41 @@
   )[0];
 }
 
+/** Returns whether the voters other than `id` have a responsive majority among themselves. */
+function hasMajorityWithout(voters: readonly VoterView[], id: string): boolean {
+  const others = voters.filter((voter) => voter.id !== id);
+  const responsive = others.filter(({ contactAgeMs }) =>
+    contactAgeMs <= MAX_CONTACT_AGE_MS
+  );
+  return responsive.length >= computeQuorum(others.length);
+}
+
+/** Returns the next step to remove a stopping voter once a standby has taken its place. */
+function planStoppingVoter(input: VotersInput): VotersDecision | undefined {
+  const { self, voters } = input;
+  const stopping = voters.filter(({ isStopping }) => isStopping);
+  const other = stopping.find(({ id }) =>
+    id !== self && hasMajorityWithout(voters, id)
+  );
+  if (other !== undefined) {
+    return { kind: "remove", id: other.id, reason: "stopping" };
+  }
+  const isLeaderStopping = stopping.some(({ id }) => id === self) &&
+    hasMajorityWithout(voters, self);
+  return isLeaderStopping ? { kind: "releaseLeadership" } : undefined;
+}
+
+/**
+ * Returns whether a stopping instance may exit: it has no vote, or no standby can
+ * take its place. Its vote is worth keeping in the second case, as it may return.
+ */
+export function isReleasable(input: VotersInput, instance: string): boolean {
+  const { voters } = input;
+  if (!voters.some((voter) => voter.instance === instance)) return true;
+  return !input.hasLearner && input.standbys.length === 0 &&
+    voters.length <= computeVoterTarget(input.tolerance);
+}
+
 /** Returns the next change of the voters, or undefined if none is needed. */
 export function planVoters(input: VotersInput): VotersDecision | undefined {
   const { voters } = input;
@@ -80,6 +131,10 @@
   if (returned !== undefined) {
     return { kind: "invite", instance: returned.instance };
   }
+  if (voters.length > target) {
+    const decision = planStoppingVoter(input);
+    if (decision !== undefined) return decision;
+  }
   const silent = voters.filter(({ contactAgeMs }) =>
     contactAgeMs > MAX_CONTACT_AGE_MS
   );
@@ -87,9 +142,10 @@
   const [lost] = [...silent].sort((a, b) => b.contactAgeMs - a.contactAgeMs);
   const hasSpareVoter = voters.length > target && lost !== undefined &&
     lost.contactAgeMs > REPLACED_VOTER_MS && silent.length === 1;
-  if (hasSpareVoter) return { kind: "remove", id: lost.id };
-  const isBelowTarget = voters.length < target;
-  const standby = isBelowTarget
+  if (hasSpareVoter) return { kind: "remove", id: lost.id, reason: "lost" };
+  const needsVoter = voters.length < target ||
+    (voters.length === target && voters.some(({ isStopping }) => isStopping));
+  const standby = needsVoter
     ? pickBalancedStandby(input, () => true)
     : voters.length > target || lost === undefined
     ? undefined
--- a/src/programs/voters_test.ts
+++ b/src/programs/voters_test.ts
@@ -1,8 +1,12 @@
 import t from "tap";
-import { planVoters, type VotersInput } from "./voters.ts";
+import { isReleasable, planVoters, type VotersInput } from "./voters.ts";
 
-function createVoter(instance: string, contactAgeMs = 0, dataCentre = "one") {
-  return { id: instance, instance, dataCentre, contactAgeMs };
+function createVoter(
+  instance: string,
+  contactAgeMs = 0,
+  { dataCentre = "one", isStopping = false } = {},
+) {
+  return { id: instance, instance, dataCentre, contactAgeMs, isStopping };
 }
 
 function createStandby(
@@ -16,6 +20,7 @@
 function createInput(input: Partial<VotersInput>): VotersInput {
   return {
     tolerance: 1,
+    self: "a",
     voters: ["a", "b", "c"].map((name) => createVoter(name)),
     hasLearner: false,
     standbys: [createStandby("d")],
@@ -58,7 +63,11 @@
     voters: [...voters, createVoter("d")],
     standbys: [],
   });
-  t.strictSame(planVoters(next), { kind: "remove", id: "c" });
+  t.strictSame(planVoters(next), {
+    kind: "remove",
+    id: "c",
+    reason: "lost",
+  });
   t.end();
 });
 
@@ -92,3 +101,62 @@
   t.equal(planVoters(createInput({ voters, standbys: [] })), undefined);
   t.end();
 });
+
+t.test("a stopping voter is removed once a standby has its place", (t) => {
+  const stopping = createVoter("b", 0, { isStopping: true });
+  const voters = [createVoter("a"), stopping, createVoter("c")];
+  const input = createInput({ voters });
+  t.strictSame(planVoters(input), { kind: "invite", instance: "d" });
+  t.notOk(isReleasable(input, "b"));
+  const joining = createInput({ voters, hasLearner: true, standbys: [] });
+  t.equal(planVoters(joining), undefined);
+  t.notOk(isReleasable(joining, "b"));
+  const joined = createInput({
+    voters: [...voters, createVoter("d")],
+    standbys: [],
+  });
+  t.strictSame(planVoters(joined), {
+    kind: "remove",
+    id: "b",
+    reason: "stopping",
+  });
+  t.notOk(isReleasable(joined, "b"));
+  const removed = joined.voters.filter(({ id }) => id !== "b");
+  t.ok(isReleasable({ ...joined, voters: removed }, "b"));
+  t.end();
+});
+
+t.test("a stopping leader hands over once a standby has its place", (t) => {
+  const stopping = createVoter("a", 0, { isStopping: true });
+  const voters = [stopping, createVoter("b"), createVoter("c")];
+  t.strictSame(planVoters(createInput({ voters })), {
+    kind: "invite",
+    instance: "d",
+  });
+  const joined = [...voters, createVoter("d")];
+  t.strictSame(planVoters(createInput({ voters: joined, standbys: [] })), {
+    kind: "releaseLeadership",
+  });
+  t.end();
+});
+
+t.test("a stopping voter without a standby keeps its vote", (t) => {
+  const stopping = createVoter("b", 0, { isStopping: true });
+  const voters = [createVoter("a"), stopping, createVoter("c")];
+  const input = createInput({ voters, standbys: [] });
+  t.equal(planVoters(input), undefined);
+  t.ok(isReleasable(input, "b"));
+  t.end();
+});
+
+t.test("a stopping voter is not removed without a majority of the others", (t) => {
+  const stopping = createVoter("b", 0, { isStopping: true });
+  const voters = [
+    createVoter("a"),
+    stopping,
+    createVoter("c", 3_000),
+    createVoter("d", 3_000),
+  ];
+  t.equal(planVoters(createInput({ voters, standbys: [] })), undefined);
+  t.end();
+});
--- a/src/replicated_log/mod.ts
+++ b/src/replicated_log/mod.ts
@@ -1,6 +1,7 @@
 /** A replicated log with a leader lease, for state that must survive the loss of instances. */
 
 export { decodeLogMessage, encodeLogMessage } from "./codec.ts";
+export { computeQuorum } from "./consensus_state.ts";
 export { createDiskStorage, type DiskStorageOptions } from "./disk_storage.ts";
 export { createLogFiles, type LogFile, type LogFiles } from "./log_files.ts";
 export { createMemberId, parseMemberId } from "./member_id.ts";
--- a/src/replicated_log/replicated_log.ts
+++ b/src/replicated_log/replicated_log.ts
@@ -499,12 +499,14 @@
       lastIndex: state.log.getLastIndex(),
       snapshotIndex: state.snapshot?.index ?? 0,
       members: getMembers(state),
+      hasCommittedMembers:
+        state.commitIndex >= (state.memberLists.at(-1)?.index ?? 0),
       lag: isStopped ? {} : computeLag(),
     };
   }
 
   /** Hands over leadership. Waits until another member leads, which may need this member's vote. */
-  async function runHandover(): Promise<void> {
+  async function releaseLeadership(): Promise<void> {
     if (state.role !== "leader" || state.progress.size === 0) return;
     step({ kind: "handover" });
     const deadlineMs = clock.now() + timings.handoverTimeoutMs;
@@ -522,7 +524,7 @@
     // process whose listeners are closed would exit during the handover.
     const keepAlive = setInterval(() => {}, timings.heartbeatMs);
     try {
-      await runHandover();
+      await releaseLeadership();
       if (!isStopped) closeDriver();
       await queue.waitUntilIdle();
       await storage.close();
@@ -557,6 +559,7 @@
     receive: (from, message) => step({ kind: "message", from, message }),
     addMember,
     removeMember,
+    releaseLeadership,
     getStatus,
     stop() {
       stopping ??= runStop();
--- a/src/replicated_log/types.ts
+++ b/src/replicated_log/types.ts
@@ -278,6 +278,8 @@
   readonly lastIndex: number;
   readonly snapshotIndex: number;
   readonly members: readonly LogMember[];
+  /** Whether the entry that holds `members` is committed. */
+  readonly hasCommittedMembers: boolean;
   /** Lag by member identity; empty except on the leader. */
   readonly lag: Readonly<Record<string, MemberLag>>;
 }
@@ -308,6 +310,12 @@
   addMember(member: LogMember): Promise<void>;
   /** Removes a member. Rejects like `addMember`, or with "notFound". */
   removeMember(id: string): Promise<void>;
+  /**
+   * Hands over leadership to the most complete responsive voter. Resolves once
+   * another member leads, after `handoverTimeoutMs`, or at once if this member
+   * does not lead. Never rejects.
+   */
+  releaseLeadership(): Promise<void>;
   getStatus(): LogStatus;
   /** Hands over leadership if possible, then syncs and closes the store. */
   stop(): Promise<void>;
