Handle the signals of a process before its role is loaded

Cause: the handlers of SIGHUP, SIGTERM and SIGINT were set after the modules, the settings and the first listener of a role. Until then the default action of the signal ended the process.

Change: the programs handle their signals first and load the role afterwards. The same cause in goldcrestlug serve and dev, which listened for SIGTERM only after their listeners had opened.

--- a/src/cli/dev.ts
+++ b/src/cli/dev.ts
@@ -2,7 +2,7 @@
 
 import process from "node:process";
 import { command, number, option } from "cmd-ts";
-import { createLogger } from "../common/mod.ts";
+import { createLogger, waitForStopSignal } from "../common/mod.ts";
 
 const DEFAULT_HTTP_PORT = 8080;
 const DEFAULT_RPC_PORT = 9090;
@@ -15,6 +15,7 @@
 
 /** Starts the cell, prints example calls, and runs until SIGTERM or SIGINT. */
 export async function runDev(options: RunDevOptions): Promise<void> {
+  const stopped = waitForStopSignal();
   // Imported lazily, so that other commands do not load the stubs.
   const { DEV_NAME, startDevCell } = await import("../dev/dev_cell.ts");
   const logger = createLogger({ level: "warn" });
@@ -35,10 +36,7 @@
     "Stop it with Ctrl-C.",
   ];
   process.stdout.write(lines.join("\n") + "\n");
-  await new Promise<void>((resolve) => {
-    process.once("SIGTERM", resolve);
-    process.once("SIGINT", resolve);
-  });
+  await stopped;
   await cell.stop();
   clearInterval(keepAlive);
   process.exit(0);
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -2,7 +2,7 @@
 
 import process from "node:process";
 import { command, option, string } from "cmd-ts";
-import { createLogger } from "../common/mod.ts";
+import { createLogger, waitForStopSignal } from "../common/mod.ts";
 import { startInstance } from "../instance/mod.ts";
 import { isOperatorInterfaceOpen, loadSettings } from "../settings/mod.ts";
 import { runCommand } from "./shared.ts";
@@ -12,6 +12,7 @@
 
 /** Runs an instance with the settings at `path` until SIGTERM or SIGINT. */
 export async function runServe(path: string): Promise<void> {
+  const stopped = waitForStopSignal();
   const settings = await loadSettings(path);
   const logger = createLogger({ level: settings.logLevel });
   if (isOperatorInterfaceOpen(settings)) {
@@ -35,10 +36,7 @@
       process.exit(FAILURE_EXIT_CODE);
     },
   });
-  await new Promise<void>((resolve) => {
-    process.once("SIGTERM", resolve);
-    process.once("SIGINT", resolve);
-  });
+  await stopped;
   await instance.stop();
   clearInterval(keepAlive);
   process.exit(0);
