Keep the origin of a call that is sent again

Cause: a gateway sends an unanswered call again when it has lost the leader. The next leader held the job, which its predecessor had recorded, and the withdrawal of its key, recorded after it. It checked the key first and refused the call.

Change: each call has an origin that stays the same when it is sent again. It is recorded with a submission or cancellation and kept with the job. A leader looks for the origin before it checks the call, so a recorded call gets its lost answer. A call without a record is refused truthfully: no entry of an earlier term can be committed any more. Two sends to one leader share one run, and what is buffered on a replaced stream is ignored. The same cause with a removed queue (404) and with cancellations.

--- a/src/gateway/gateway_client.ts
+++ b/src/gateway/gateway_client.ts
@@ -2,9 +2,11 @@
  * Forwards calls to the leader. The client keeps one stream to each instance
  * that may lead. Each instance reports in periodic pulses whether it leads. A
  * call without an answer when its stream ends is resent to the next leader,
- * which is safe because all calls are idempotent.
+ * which is safe because all calls are idempotent and keep their origin, so that
+ * the leader knows those that were accepted before.
  */
 
+import { randomBytes } from "node:crypto";
 import type { ClientDuplexStream } from "@grpc/grpc-js";
 import {
   type Clock,
@@ -51,6 +53,9 @@
 /** Delay before a broken stream is reopened, in milliseconds. */
 const REOPEN_DELAY_MS = 200;
 
+/** Length of the random part of origins, which tells apart the processes of an instance, in bytes. */
+const ORIGIN_BYTES = 9;
+
 /** Options of a client. */
 export interface GatewayClientOptions {
   instance: string;
@@ -140,6 +145,7 @@
   let leader: Link | undefined;
   let leaderLostMs = clock.now();
   let nextId = 1;
+  const originPrefix = randomBytes(ORIGIN_BYTES).toString("base64url");
   let isClosed = false;
 
   function openPeer(core: string): RpcPeer {
@@ -322,7 +328,12 @@
     if (leader === undefined) return;
     call.sentTo = leader;
     call.wasSent = true;
-    send(leader, { kind: "call", id: call.id, call: call.call });
+    send(leader, {
+      kind: "call",
+      id: call.id,
+      origin: `${originPrefix}.${call.id.toString(36)}`,
+      call: call.call,
+    });
   }
 
   function receive(link: Link, message: CoreMessage): void {
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -53,8 +53,8 @@
 export interface GatewayServerOptions {
   clock: Clock;
   logger: Logger;
-  /** Runs a call on the leader; rejects with a fault. */
-  runCall: (call: WorkCall) => Promise<unknown>;
+  /** Runs a call on the leader; rejects with a fault. Calls of one origin are one call that was sent again. */
+  runCall: (call: WorkCall, origin: string) => Promise<unknown>;
   getLeadership: () => { isLeading: boolean; term: number };
   /** Names of all instances that may lead. */
   listCores: () => readonly string[];
@@ -237,9 +237,9 @@
     session: Session,
     message: GatewayMessage & { kind: "call" },
   ): Promise<void> {
-    const { id, call } = message;
+    const { id, call, origin } = message;
     try {
-      const value = await options.runCall(call);
+      const value = await options.runCall(call, origin);
       send(session, { kind: "answer", id, answer: { value } });
     } catch (error) {
       const fault = toFault(error);
@@ -251,6 +251,8 @@
   }
 
   function receive(session: Session, message: GatewayMessage): void {
+    // A call that is still buffered on a former stream may have been refused on the newer one.
+    if (!sessions.has(session)) return;
     switch (message.kind) {
       case "hello":
         session.name = message.instance;
--- a/src/gateway/gateway_test.ts
+++ b/src/gateway/gateway_test.ts
@@ -9,11 +9,16 @@
   isFault,
   wait,
 } from "../common/mod.ts";
-import { startRpcServer } from "../rpc/mod.ts";
+import { createRpcPeer, startRpcServer } from "../rpc/mod.ts";
 import type { EligibilityAnswer, EligibilityQuery } from "../workload/mod.ts";
 import { createGatewayClient } from "./gateway_client.ts";
 import { createGatewayServer, PEER_STATES } from "./gateway_server.ts";
-import type { Frame, WorkCall } from "./messages.ts";
+import {
+  encodeFrame,
+  type Frame,
+  type GatewayMessage,
+  type WorkCall,
+} from "./messages.ts";
 
 interface Scope {
   teardown(end: () => unknown): void;
@@ -35,6 +40,7 @@
   const core = {
     isLeading: false,
     calls: [] as WorkCall[],
+    origins: [] as string[],
     runCall: (_: WorkCall): Promise<unknown> => Promise.resolve(name),
   };
   const server = createGatewayServer({
@@ -43,8 +49,9 @@
     getLeadership: () => ({ isLeading: core.isLeading, term: 1 }),
     listCores: () => [name],
     handleCallers: () => {},
-    runCall(call) {
+    runCall(call, origin) {
       core.calls.push(call);
+      core.origins.push(origin);
       return core.runCall(call);
     },
   });
@@ -148,6 +155,9 @@
   b.core.isLeading = true;
   b.server.sendPulses();
   t.equal((await result).outcome, "b");
+  await runCall(client, 5_000);
+  t.equal(b.core.origins[0], a.core.origins[0], "the origin of the first send");
+  t.not(b.core.origins[1], b.core.origins[0], "another call has another one");
 });
 
 // Guards against calls that wait for their deadline after their stream broke: the
@@ -301,3 +311,44 @@
     undefined,
   );
 });
+
+// Guards against a call that runs after its resend over a newer stream was refused.
+t.test("a call on a replaced stream does not run", async (t) => {
+  const port = await findPort();
+  const { core, server } = await startCore(t, "a", port);
+  core.isLeading = true;
+  const peer = createRpcPeer({ instance: "a", address: `127.0.0.1:${port}` });
+  t.teardown(() => peer.close());
+
+  function openStream() {
+    const stream = peer.openDuplexStream<Frame, Frame>("Gateway.exchange");
+    stream.on("data", () => {});
+    stream.on("error", () => {});
+    const send = (message: GatewayMessage) =>
+      void stream.write(encodeFrame([message]));
+    send({
+      kind: "hello",
+      instance: "entry",
+      dataCentre: "one",
+      isStandby: false,
+      canCallRunners: false,
+      isStopping: false,
+    });
+    return send;
+  }
+
+  const sendCall = (send: (message: GatewayMessage) => void, origin: string) =>
+    send({ kind: "call", id: 1, origin, call: CALL });
+  const sendFirst = openStream();
+  while (server.listCallers().length === 0) await wait(clock, 10);
+  sendCall(sendFirst, "e.1");
+  while (core.calls.length === 0) await wait(clock, 10);
+  const sendNewest = openStream();
+  sendCall(sendNewest, "e.1");
+  while (core.calls.length === 1) await wait(clock, 10);
+  sendCall(sendFirst, "e.2");
+  await wait(clock, 200);
+  sendCall(sendNewest, "e.3");
+  while (core.calls.length === 2) await wait(clock, 10);
+  t.strictSame(core.origins, ["e.1", "e.1", "e.3"]);
+});
--- a/src/gateway/messages.ts
+++ b/src/gateway/messages.ts
@@ -89,7 +89,13 @@
     /** True when the instance waits for the leader to replace its vote before it exits. */
     readonly isStopping: boolean;
   }
-  | { readonly kind: "call"; readonly id: number; readonly call: WorkCall }
+  | {
+    readonly kind: "call";
+    readonly id: number;
+    /** Identifies the call over all its sends and all gateways. */
+    readonly origin: string;
+    readonly call: WorkCall;
+  }
   | {
     readonly kind: "reply";
     /** Identifier of the answered request. */
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -394,20 +394,20 @@
     );
   }
 
-  async function runCall(call: WorkCall): Promise<unknown> {
+  async function runCall(call: WorkCall, origin: string): Promise<unknown> {
     const active = controller;
     if (active === undefined || !guard.isLeading()) {
       throw createNotLeaderFault();
     }
     switch (call.kind) {
       case "submit":
-        return await active.submit(call.address, call.body);
+        return await active.submit(call.address, call.body, { origin });
       case "state":
         return active.getState(call.address);
       case "pending":
         return active.countPending(call.address);
       case "cancel":
-        return await active.cancel(call.address);
+        return await active.cancel(call.address, { origin });
       case "configure":
         return await active.changeConfiguration(call.configuration);
       case "readConfiguration":
--- a/src/workload/types.ts
+++ b/src/workload/types.ts
@@ -184,7 +184,12 @@
 /** A record of the replicated log. Every member applies all records in order. */
 export type WorkRecord =
   | { readonly kind: "configuration"; readonly configuration: Configuration }
-  | { readonly kind: "job"; readonly job: JobSpec }
+  | {
+    readonly kind: "job";
+    readonly job: JobSpec;
+    /** Origin of the submission; see `CallOrigins`. Absent in records of older versions. */
+    readonly origin?: string;
+  }
   | {
     readonly kind: "cancel";
     /** The job, which may not have arrived yet. */
@@ -192,6 +197,8 @@
     /** Workspace of the caller; absent without a valid key, and in records of older versions. */
     readonly workspace?: string;
     readonly atMs: number;
+    /** Origin of the call; see `CallOrigins`. Absent in records of older versions. */
+    readonly origin?: string;
   }
   | {
     /** Jobs of which a runner has started a task; written some time after that. */
--- a/src/workload/work_calls.ts
+++ b/src/workload/work_calls.ts
@@ -13,6 +13,7 @@
   findWorkspaceByKey,
 } from "./configuration.ts";
 import type { BegunJobs } from "./begun_jobs.ts";
+import { createRunOnce } from "./call_origins.ts";
 import { isSameOwner } from "./early_cancels.ts";
 import type { RecordQueue } from "./record_queue.ts";
 import type {
@@ -33,6 +34,12 @@
   readonly key: string;
 }
 
+/** Options of one call. */
+export interface CallOptions {
+  /** Identifies the call over all its sends. Default: it is sent once. */
+  readonly origin?: string | undefined;
+}
+
 /** Options of the calls. */
 export interface WorkCallsOptions {
   clock: Clock;
@@ -50,7 +57,11 @@
 /** The calls for callers and operators. */
 export interface WorkCalls {
   /** Submits a job; resolves once it is recorded. Rejects with a fault that tells whether the job may run. */
-  submit(address: CallerAddress, body: JobBody): Promise<void>;
+  submit(
+    address: CallerAddress,
+    body: JobBody,
+    options?: CallOptions,
+  ): Promise<void>;
   /** Returns the state of a job; throws "notFound" (details.subject "job" or "queue") or "unauthenticated". */
   getState(address: CallerAddress): WorkJobState;
   /** Counts the jobs of a queue without a started task. */
@@ -59,7 +70,7 @@
    * Cancels a job, also one that has not arrived: throws "notFound" for it, like
    * `getState`, once its submission will be refused.
    */
-  cancel(address: CallerAddress): Promise<void>;
+  cancel(address: CallerAddress, options?: CallOptions): Promise<void>;
   changeConfiguration(configuration: Configuration): Promise<void>;
   /** Returns the document of the active configuration; undefined before the first. */
   readConfiguration(): string | undefined;
@@ -98,6 +109,7 @@
 export function createWorkCalls(options: WorkCallsOptions): WorkCalls {
   const { clock, logger, state, queue, begunJobs } = options;
   const submissions = new Map<string, Promise<void>>();
+  const runOnce = createRunOnce();
 
   function getConfiguration(): Configuration {
     const configuration = state.getConfiguration();
@@ -172,7 +184,12 @@
     );
   }
 
-  async function submit(address: CallerAddress, body: JobBody): Promise<void> {
+  async function submit(
+    address: CallerAddress,
+    body: JobBody,
+    { origin }: CallOptions,
+  ): Promise<void> {
+    if (state.findRecordedCall(origin) !== undefined) return;
     const { queue: found, workspace, id } = findCaller(address);
     if (!isJobId(id)) {
       throw createFault("badRequest", `Cannot use "${id}" as a job identifier`);
@@ -192,7 +209,7 @@
       submittedMs: clock.wallTime(),
     };
     checkAdmitted(job);
-    const submission = recordJob(job);
+    const submission = recordJob(job, origin);
     submissions.set(id, submission);
     try {
       await submission;
@@ -202,9 +219,16 @@
   }
 
   /** Records an accepted job; rejects with "unavailable" if its cancellation was recorded first. */
-  async function recordJob(job: JobSpec): Promise<void> {
+  async function recordJob(
+    job: JobSpec,
+    origin: string | undefined,
+  ): Promise<void> {
     const { id, workspace } = job;
-    await queue.record([{ kind: "job", job }]);
+    await queue.record([{
+      kind: "job",
+      job,
+      ...(origin === undefined ? {} : { origin }),
+    }]);
     if (state.getJob(id) === undefined) checkNotCancelled(id, workspace);
     logger.info("Job accepted", {
       job: id,
@@ -220,9 +244,10 @@
   async function cancelEarly(
     id: string,
     workspace: WorkspaceSettings | undefined,
+    { origin }: CallOptions,
   ): Promise<void> {
     if (state.hasEarlyCancel(id, workspace?.name)) return;
-    await recordCancel(id, workspace);
+    await recordCancel(id, workspace, { origin });
     // Its submission was recorded first, and so was cancelled as well.
     if (state.getJob(id) !== undefined) return;
     if (state.hasEarlyCancel(id, workspace?.name)) {
@@ -239,23 +264,33 @@
   async function recordCancel(
     id: string,
     workspace: WorkspaceSettings | undefined,
+    { origin }: CallOptions,
   ): Promise<void> {
     await queue.record([{
       kind: "cancel",
       job: id,
       ...(workspace === undefined ? {} : { workspace: workspace.name }),
       atMs: clock.wallTime(),
+      ...(origin === undefined ? {} : { origin }),
     }]);
   }
 
-  async function cancel(address: CallerAddress): Promise<void> {
+  async function cancel(
+    address: CallerAddress,
+    options: CallOptions,
+  ): Promise<void> {
+    const recorded = state.findRecordedCall(options.origin);
+    if (recorded !== undefined) {
+      if (state.getJob(recorded) !== undefined) return;
+      throw createUnknownJobFault(recorded);
+    }
     const { id, workspace } = findCaller(address);
     if (state.getJob(id) === undefined && isJobId(id)) {
-      await cancelEarly(id, workspace);
+      await cancelEarly(id, workspace, options);
     }
     const job = findJob(address);
     if (!isOpenJob(job)) return;
-    await recordCancel(id, workspace);
+    await recordCancel(id, workspace, options);
     logger.info("Job cancelled", { job: id });
   }
 
@@ -296,10 +331,12 @@
   }
 
   return {
-    submit,
+    submit: (address, body, call = {}) =>
+      runOnce(call.origin, () => submit(address, body, call)),
     getState,
     countPending,
-    cancel,
+    cancel: (address, call = {}) =>
+      runOnce(call.origin, () => cancel(address, call)),
     changeConfiguration,
     readConfiguration: () => state.getConfiguration()?.document,
   };
--- a/src/workload/work_state.ts
+++ b/src/workload/work_state.ts
@@ -6,6 +6,7 @@
 
 import { Buffer } from "node:buffer";
 import type { StateMachine } from "../replicated_log/mod.ts";
+import { createCallOrigins } from "./call_origins.ts";
 import {
   createEarlyCancels,
   type EarlyCancel,
@@ -150,6 +151,8 @@
   listOpenTasks(): IterableIterator<[TaskRef, TaskState]>;
   /** Lists the runs that were active when their jobs ended. */
   listLeftRuns(): IterableIterator<LeftRun>;
+  /** Returns the job that an accepted submission or cancellation of this origin was about. */
+  findRecordedCall(origin: string | undefined): string | undefined;
   /** Tells whether a job of a workspace was cancelled before it arrived. */
   hasEarlyCancel(job: string, workspace: string | undefined): boolean;
   /** Lists the cancellations of jobs that have not arrived. */
@@ -170,6 +173,8 @@
   drained?: [string, number][];
   /** Cancellations of jobs that have not arrived; absent in snapshots of older versions. */
   earlyCancels?: EarlyCancel[];
+  /** Origins of recorded calls by job; absent in snapshots of older versions. */
+  callOrigins?: [string, readonly string[]][];
   /** Evacuated data centres; absent in snapshots of older versions. */
   evacuations?: Evacuation[];
   /** Queues that the configuration no longer has; absent in snapshots of older versions. */
@@ -244,6 +249,7 @@
   const queues = createRetainedSettings<QueueSettings>();
   const workspaces = createRetainedSettings<WorkspaceSettings>();
   const earlyCancels = createEarlyCancels();
+  const callOrigins = createCallOrigins();
   const evacuations = createEvacuations();
   let jobs = new Map<string, JobState>();
   let runners = new Map<string, RunnerEntry>();
@@ -484,7 +490,7 @@
   }
 
   function applyCancel(
-    { job: id, workspace, atMs }: WorkRecord & { kind: "cancel" },
+    { job: id, workspace, atMs, origin }: WorkRecord & { kind: "cancel" },
   ): void {
     const job = jobs.get(id);
     if (job === undefined) {
@@ -493,8 +499,10 @@
         ...(workspace === undefined ? {} : { workspace }),
         atMs,
       });
+      if (earlyCancels.has(id, workspace)) callOrigins.add(origin, id);
     } else if (isSameOwner(job.spec.workspace, workspace)) {
       endJob(job, "cancelled", atMs);
+      callOrigins.add(origin, id);
     }
   }
 
@@ -526,7 +534,9 @@
       }
       case "job": {
         const { id, workspace } = record.job;
-        if (jobs.has(id) || earlyCancels.has(id, workspace)) break;
+        if (!jobs.has(id) && earlyCancels.has(id, workspace)) break;
+        callOrigins.add(record.origin, id);
+        if (jobs.has(id)) break;
         jobs.set(id, {
           spec: record.job,
           state: "queued",
@@ -571,6 +581,10 @@
       case "forget":
         for (const id of record.jobs) jobs.delete(id);
         earlyCancels.remove(record.earlyCancels ?? []);
+        for (const id of record.jobs) callOrigins.remove(id);
+        for (const { job } of record.earlyCancels ?? []) {
+          callOrigins.remove(job);
+        }
         break;
     }
   }
@@ -581,6 +595,7 @@
     findWorkspace: workspaces.find,
     listWorkspaces: workspaces.list,
     getJob: (id) => jobs.get(id),
+    findRecordedCall: callOrigins.find,
     listJobs: () => jobs.values(),
     countRunners: () => runners.size,
     listRunners: () => runners.values(),
@@ -615,6 +630,7 @@
         gone: [...gone],
         drained: [...drained],
         earlyCancels: earlyCancels.list(),
+        callOrigins: callOrigins.list(),
         evacuations: evacuations.list(),
         removedQueues: queues.listRemoved(),
         removedWorkspaces: workspaces.listRemoved(),
@@ -636,6 +652,7 @@
       gone = new Map(stored.gone ?? []);
       drained = new Map(stored.drained ?? []);
       earlyCancels.restore(stored.earlyCancels ?? []);
+      callOrigins.restore(stored.callOrigins ?? []);
       evacuations.restore(stored.evacuations ?? []);
     },
   };
