Remove a learner that is lost before it votes

What callers would see: after the loss of a standby that was joining, no voter is replaced any more, and the next loss can end the leadership for good.

Cause: the leader plans no change of the voters while a learner is listed, and a learner that is gone stays listed.

Change: a learner without contact for 5 s, or whose instance is a standby again, is removed from the list. A learner that was only silent asks to be added again, as it did before.

--- a/src/programs/voter_changes.ts
+++ b/src/programs/voter_changes.ts
@@ -14,6 +14,7 @@
 } from "../replicated_log/mod.ts";
 import {
   isReleasable,
+  type LearnerView,
   planVoters,
   type VotersDecision,
   type VotersInput,
@@ -62,6 +63,8 @@
 export function startVoterChanges(options: VoterChangesOptions): VoterChanges {
   const { clock, logger, server } = options;
   let invitation: Invitation | undefined;
+  /** Time at which each learner was first seen, in milliseconds. */
+  let learnersSince = new Map<string, number>();
   let isChanging = false;
   let isClosed = false;
   let timer: Timer | undefined;
@@ -75,10 +78,28 @@
     return !hasJoined && clock.now() - sentMs < INVITE_TIMEOUT_MS;
   }
 
+  function listLearners({ members, lag }: LogStatus): LearnerView[] {
+    const nowMs = clock.now();
+    const ids = members.filter(({ role }) => role === "learner")
+      .map(({ id }) => id);
+    learnersSince = new Map(
+      ids.map((id) => [id, learnersSince.get(id) ?? nowMs]),
+    );
+    return ids.map((id) => ({
+      id,
+      instance: parseMemberId(id).instance,
+      contactAgeMs: Math.min(
+        lag[id]?.ageMs ?? Infinity,
+        nowMs - (learnersSince.get(id) ?? nowMs),
+      ),
+    }));
+  }
+
   function buildInput(
-    { members, lag, self }: LogStatus,
+    status: LogStatus,
     stopping: readonly string[],
   ): VotersInput {
+    const { members, lag, self } = status;
     const nowMs = clock.now();
     return {
       tolerance: options.tolerance,
@@ -93,7 +114,7 @@
           isStopping: stopping.includes(instance),
         };
       }),
-      hasLearner: members.some(({ role }) => role === "learner"),
+      learners: listLearners(status),
       standbys: server.listStandbys()
         .filter(({ instance }) => !stopping.includes(instance))
         .map(({ instance, dataCentre, sinceMs }) => ({
@@ -134,7 +155,7 @@
         return server.invite(decision.instance);
       case "remove":
         logger.warn(
-          `Removing a ${decision.reason} voter from the work log`,
+          `Removing a ${decision.reason} ${decision.role} from the work log`,
           decision,
         );
         return void runChange(() => log.removeMember(decision.id));
--- a/src/programs/voter_changes_test.ts
+++ b/src/programs/voter_changes_test.ts
@@ -32,6 +32,7 @@
     removeMember: (id: string) => {
       calls.push(`remove ${id}`);
       fakes.members = fakes.members.filter((member) => member !== id);
+      fakes.learners = fakes.learners.filter((learner) => learner !== id);
       return Promise.resolve();
     },
     releaseLeadership: () => {
@@ -130,3 +131,13 @@
   await run(300);
   t.strictSame(calls, ["invite d", "releaseLeadership"]);
 });
+
+t.test("a learner that never replies is removed after a time", async (t) => {
+  const { fakes, calls, run } = startFakes();
+  fakes.standbys = [];
+  fakes.learners = ["d"];
+  await run(4_500);
+  t.strictSame(calls, []);
+  await run(1_500);
+  t.strictSame(calls, ["remove d"]);
+});
--- a/src/programs/voters.ts
+++ b/src/programs/voters.ts
@@ -20,6 +20,14 @@
   readonly isStopping: boolean;
 }
 
+/** A member that catches up before it votes. */
+export interface LearnerView {
+  readonly id: string;
+  readonly instance: string;
+  /** Time since its last reply to the leader, or since it was added, in milliseconds. */
+  readonly contactAgeMs: number;
+}
+
 /** A connected instance with a disk that is not a member. */
 export interface StandbyView {
   readonly instance: string;
@@ -35,8 +43,8 @@
   /** Member identity of the leader. */
   readonly self: string;
   readonly voters: readonly VoterView[];
-  /** True while a member is being added. */
-  readonly hasLearner: boolean;
+  /** Members that are being added. */
+  readonly learners: readonly LearnerView[];
   /** Those that are not stopping. */
   readonly standbys: readonly StandbyView[];
 }
@@ -47,6 +55,7 @@
   | {
     readonly kind: "remove";
     readonly id: string;
+    readonly role: "voter" | "learner";
     readonly reason: "lost" | "stopping";
   }
   /** The leader is stopping; only another leader can remove it without interrupting calls. */
@@ -101,7 +110,12 @@
     id !== self && hasMajorityWithout(voters, id)
   );
   if (other !== undefined) {
-    return { kind: "remove", id: other.id, reason: "stopping" };
+    return {
+      kind: "remove",
+      id: other.id,
+      role: "voter",
+      reason: "stopping",
+    };
   }
   const isLeaderStopping = stopping.some(({ id }) => id === self) &&
     hasMajorityWithout(voters, self);
@@ -115,14 +129,27 @@
 export function isReleasable(input: VotersInput, instance: string): boolean {
   const { voters } = input;
   if (!voters.some((voter) => voter.instance === instance)) return true;
-  return !input.hasLearner && input.standbys.length === 0 &&
+  return input.learners.length === 0 && input.standbys.length === 0 &&
     voters.length <= computeVoterTarget(input.tolerance);
 }
 
 /** Returns the next change of the voters, or undefined if none is needed. */
 export function planVoters(input: VotersInput): VotersDecision | undefined {
-  const { voters } = input;
-  if (input.hasLearner) return undefined;
+  const { learners, voters } = input;
+  // One that is gone would keep its place, and with it all further changes, for good.
+  const lostLearner = learners.find(({ instance, contactAgeMs }) =>
+    contactAgeMs > LOST_VOTER_MS ||
+    input.standbys.some((standby) => standby.instance === instance)
+  );
+  if (lostLearner !== undefined) {
+    return {
+      kind: "remove",
+      id: lostLearner.id,
+      role: "learner",
+      reason: "lost",
+    };
+  }
+  if (learners.length > 0) return undefined;
   const target = computeVoterTarget(input.tolerance);
   // A voter that lost its store reconnects as a standby under the same name.
   const returned = input.standbys.find(({ instance }) =>
@@ -142,7 +169,9 @@
   const [lost] = [...silent].sort((a, b) => b.contactAgeMs - a.contactAgeMs);
   const hasSpareVoter = voters.length > target && lost !== undefined &&
     lost.contactAgeMs > REPLACED_VOTER_MS && silent.length === 1;
-  if (hasSpareVoter) return { kind: "remove", id: lost.id, reason: "lost" };
+  if (hasSpareVoter) {
+    return { kind: "remove", id: lost.id, role: "voter", reason: "lost" };
+  }
   const needsVoter = voters.length < target ||
     (voters.length === target && voters.some(({ isStopping }) => isStopping));
   const standby = needsVoter
--- a/src/programs/voters_test.ts
+++ b/src/programs/voters_test.ts
@@ -17,12 +17,16 @@
   return { instance, dataCentre, connectedMs };
 }
 
+function createLearner(instance: string, contactAgeMs = 0) {
+  return { id: `${instance}#1`, instance, contactAgeMs };
+}
+
 function createInput(input: Partial<VotersInput>): VotersInput {
   return {
     tolerance: 1,
     self: "a",
     voters: ["a", "b", "c"].map((name) => createVoter(name)),
-    hasLearner: false,
+    learners: [],
     standbys: [createStandby("d")],
     ...input,
   };
@@ -42,7 +46,7 @@
     ],
   });
   t.strictSame(planVoters(input), { kind: "invite", instance: "e" });
-  t.equal(planVoters({ ...input, hasLearner: true }), undefined);
+  t.equal(planVoters({ ...input, learners: [createLearner("f")] }), undefined);
   t.end();
 });
 
@@ -66,6 +70,7 @@
   t.strictSame(planVoters(next), {
     kind: "remove",
     id: "c",
+    role: "voter",
     reason: "lost",
   });
   t.end();
@@ -108,7 +113,11 @@
   const input = createInput({ voters });
   t.strictSame(planVoters(input), { kind: "invite", instance: "d" });
   t.notOk(isReleasable(input, "b"));
-  const joining = createInput({ voters, hasLearner: true, standbys: [] });
+  const joining = createInput({
+    voters,
+    learners: [createLearner("d")],
+    standbys: [],
+  });
   t.equal(planVoters(joining), undefined);
   t.notOk(isReleasable(joining, "b"));
   const joined = createInput({
@@ -118,6 +127,7 @@
   t.strictSame(planVoters(joined), {
     kind: "remove",
     id: "b",
+    role: "voter",
     reason: "stopping",
   });
   t.notOk(isReleasable(joined, "b"));
@@ -160,3 +170,33 @@
   t.equal(planVoters(createInput({ voters, standbys: [] })), undefined);
   t.end();
 });
+
+// Guards against a standby that is lost while it joins: no voter was replaced any more.
+t.test("a lost learner makes way for another standby", (t) => {
+  const voters = [createVoter("a"), createVoter("b"), createVoter("c", 9_000)];
+  const removal = {
+    kind: "remove",
+    id: "d#1",
+    role: "learner",
+    reason: "lost",
+  };
+  const joining = createInput({
+    voters,
+    learners: [createLearner("d", 4_000)],
+    standbys: [createStandby("e")],
+  });
+  t.equal(planVoters(joining), undefined);
+  const lost = { ...joining, learners: [createLearner("d", 6_000)] };
+  t.strictSame(planVoters(lost), removal);
+  const returned = { ...joining, standbys: [createStandby("d", 10)] };
+  t.strictSame(
+    planVoters(returned),
+    removal,
+    "it came back with an empty disk",
+  );
+  t.strictSame(planVoters({ ...joining, learners: [] }), {
+    kind: "invite",
+    instance: "e",
+  });
+  t.end();
+});
