Form the log without a founder that is lost in the first start

Cause: a founder with an empty store needs the replies of all other founders of three. The killed one comes back with bootstrap=false, is a standby and replies to nobody, while it waits for the invitation of a leader.

Change: a reply says whether the store of its sender can have lost anything. On the first start of the whole system a majority of founders that are sure forms the group, after 2 s in which the others may still reply. Each quorum has a member of that majority, which has never voted, so nothing can have been acknowledged. Stores that may have been lost do not count.

--- a/src/instance/log_member.ts
+++ b/src/instance/log_member.ts
@@ -35,6 +35,8 @@
   /** Data folder that holds the log; without it the log is kept in memory. */
   folder?: string | undefined;
   canLead: boolean;
+  /** True if this is the first start of the whole system. Default false. */
+  isFirstStart?: boolean;
   stateMachine: StateMachine;
   timings: Partial<LogTimings>;
   sender: LogSender;
@@ -100,6 +102,7 @@
       group,
       instance,
       members: options.members,
+      isFirstStart: options.isFirstStart,
       storage,
       transport,
       clock,
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -208,6 +208,7 @@
       members: members.map((id) => ({ id, role: "voter" })),
       folder: logFolder,
       canLead: true,
+      isFirstStart: options.isFirstStart,
       stateMachine: state,
       timings: options.logTimings,
       sender,
--- a/src/replicated_log/codec.ts
+++ b/src/replicated_log/codec.ts
@@ -119,6 +119,7 @@
     to,
     nonce: z.string(),
     hasHistory: z.boolean(),
+    isIntact: z.boolean().optional(),
   }),
 ]);
 
--- a/src/replicated_log/consensus.ts
+++ b/src/replicated_log/consensus.ts
@@ -69,7 +69,13 @@
   const hasHistory = state.term > 1 || state.votedFor !== undefined ||
     state.log.getLastIndex() !== 1 || state.snapshot !== undefined;
   const { nonce } = request;
-  sendMessage(context, { kind: "historyReply", to: from, nonce, hasHistory });
+  sendMessage(context, {
+    kind: "historyReply",
+    to: from,
+    nonce,
+    hasHistory,
+    ...(hasHistory ? {} : { isIntact: true }),
+  });
 }
 
 function handleMessage(
--- a/src/replicated_log/start.ts
+++ b/src/replicated_log/start.ts
@@ -1,7 +1,9 @@
 /**
  * Distinguishes the bootstrap of a group from the loss of a member's store. An
  * empty store may bootstrap the group only if the replies of other members rule
- * out that an earlier incarnation of this member has voted.
+ * out that an earlier incarnation of this member has voted. On the first start of
+ * the whole system there was no earlier incarnation; a majority that agrees on this
+ * is then enough, so that the group forms without a member that is lost meanwhile.
  */
 
 import type { Clock } from "../common/clock.ts";
@@ -19,6 +21,9 @@
   StoredLog,
 } from "./types.ts";
 
+/** Time for all members to reply before a majority is enough, in milliseconds; a late one would have to join under a new identity. */
+const MISSING_MEMBER_WAIT_MS = 2_000;
+
 /** Term of the entry that holds the bootstrap members. */
 const BOOTSTRAP_TERM = 1;
 
@@ -112,6 +117,8 @@
   transport: LogTransport;
   clock: Clock;
   random: Random;
+  /** True if this is the first start of the whole system, so that no store can have been lost. Default false. */
+  isFirstStart?: boolean | undefined;
   /** Milliseconds between history requests. Default 250. */
   retryMs?: number;
 }
@@ -146,6 +153,8 @@
   );
   const nonce = createMemberId(instance, options);
   const emptyMembers = new Set<string>();
+  const intactMembers = new Set<string>([instance]);
+  const startMs = clock.now();
   let isDone = false;
   let fulfill: (start: LogStart) => void = () => {};
   let reject: (error: unknown) => void = () => {};
@@ -165,8 +174,14 @@
     resolveDecision({ mode: "join", self: createMemberId(instance, options) });
   }
 
+  function hasFirstStartMajority(): boolean {
+    return options.isFirstStart === true &&
+      intactMembers.size >= computeQuorum(voters.length) &&
+      clock.now() - startMs >= MISSING_MEMBER_WAIT_MS;
+  }
+
   function check(): void {
-    if (emptyMembers.size >= requiredReplies) {
+    if (emptyMembers.size >= requiredReplies || hasFirstStartMajority()) {
       resolveDecision({ mode: "bootstrap", self: instance });
     }
   }
@@ -204,12 +219,15 @@
           to: from,
           nonce: message.nonce,
           hasHistory: false,
+          ...(options.isFirstStart === true ? { isIntact: true } : {}),
         });
       }
       if (message.kind !== "historyReply" || message.nonce !== nonce) return;
       if (message.hasHistory) return resolveJoin();
       const sender = parseMemberId(from).instance;
-      if (others.includes(sender)) emptyMembers.add(sender);
+      if (!others.includes(sender)) return;
+      emptyMembers.add(sender);
+      if (message.isIntact === true) intactMembers.add(sender);
       check();
     },
     stop() {
--- a/src/replicated_log/types.ts
+++ b/src/replicated_log/types.ts
@@ -220,6 +220,8 @@
   readonly nonce: string;
   /** False only while the member's store holds no more than the bootstrap. */
   readonly hasHistory: boolean;
+  /** True if the store cannot have lost anything; absent if it may have. */
+  readonly isIntact?: boolean;
 }
 
 /** A message between members. */
