--- a/src/programs/voter_changes.ts
+++ b/src/programs/voter_changes.ts
@@ -155,7 +155,7 @@
         return server.invite(decision.instance);
       case "remove":
         logger.warn(
-          `Removing a ${decision.reason} ${decision.role} from the work log`,
+          `Removing a ${decision.reason} ${decision.memberRole} from the work log`,
           decision,
         );
         return void runChange(() => log.removeMember(decision.id));
--- a/src/programs/voters.ts
+++ b/src/programs/voters.ts
@@ -55,7 +55,7 @@
   | {
     readonly kind: "remove";
     readonly id: string;
-    readonly role: "voter" | "learner";
+    readonly memberRole: "voter" | "learner";
     readonly reason: "lost" | "stopping";
   }
   /** The leader is stopping; only another leader can remove it without interrupting calls. */
@@ -113,7 +113,7 @@
     return {
       kind: "remove",
       id: other.id,
-      role: "voter",
+      memberRole: "voter",
       reason: "stopping",
     };
   }
@@ -145,7 +145,7 @@
     return {
       kind: "remove",
       id: lostLearner.id,
-      role: "learner",
+      memberRole: "learner",
       reason: "lost",
     };
   }
@@ -170,7 +170,7 @@
   const hasSpareVoter = voters.length > target && lost !== undefined &&
     lost.contactAgeMs > REPLACED_VOTER_MS && silent.length === 1;
   if (hasSpareVoter) {
-    return { kind: "remove", id: lost.id, role: "voter", reason: "lost" };
+    return { kind: "remove", id: lost.id, memberRole: "voter", reason: "lost" };
   }
   const needsVoter = voters.length < target ||
     (voters.length === target && voters.some(({ isStopping }) => isStopping));
--- a/src/programs/voters_test.ts
+++ b/src/programs/voters_test.ts
@@ -70,7 +70,7 @@
   t.strictSame(planVoters(next), {
     kind: "remove",
     id: "c",
-    role: "voter",
+    memberRole: "voter",
     reason: "lost",
   });
   t.end();
@@ -127,7 +127,7 @@
   t.strictSame(planVoters(joined), {
     kind: "remove",
     id: "b",
-    role: "voter",
+    memberRole: "voter",
     reason: "stopping",
   });
   t.notOk(isReleasable(joined, "b"));
@@ -177,7 +177,7 @@
   const removal = {
     kind: "remove",
     id: "d#1",
-    role: "learner",
+    memberRole: "learner",
     reason: "lost",
   };
   const joining = createInput({
