List open steps once a round, by occurrence

Cause: each start of a round and each record of a job listed all its due occurrences anew, so the cost of a round grew with the square of them and took longer than the lease. Evidence: a drain of 2,000 occurrences reads an occurrence 12,002,000 times on the former code.

Change: a change marks the occurrence that it concerns, and the next listing updates each marked one once. At most 256 occurrences of a job are open at once; others that are due follow in their order.

In a copy with logs the schedule ran to its end, but the leader still changed several times at a load average of 25, as it sent up to 1,300 orders a second.

--- a/src/workload/open_steps.ts
+++ b/src/workload/open_steps.ts
@@ -1,7 +1,9 @@
 /**
  * Lists the steps with tasks that may start now: the job is open, the occurrence
- * is due, earlier steps are done, and tasks are waiting. The list is updated per
- * job, so that a planning round does not visit unchanged jobs.
+ * is due, earlier steps are done, and tasks are waiting. A change only marks the
+ * occurrence that it concerns; the next listing updates each marked one once. So a
+ * planning round visits no unchanged jobs, and its cost grows with what has changed
+ * rather than with the number of changes times the size of a job.
  */
 
 import type { Clock } from "../common/mod.ts";
@@ -37,11 +39,17 @@
   targetMs: 0,
 });
 
+/**
+ * Maximum occurrences of one job that are open at once. Others that are due follow in
+ * their order as these start, so that a long overdue schedule does not fill the rounds.
+ */
+export const MAX_OPEN_OCCURRENCES = 256;
+
 /** Options of the list. */
 export interface OpenStepsOptions {
   state: WorkState;
   clock: Clock;
-  workspaces: WorkspaceUsageTracker;
+  workspaces: Pick<WorkspaceUsageTracker, "isExcess">;
   runTimes: Pick<RunTimes, "estimateMs">;
   /** Returns the assumed times of the eligibility service for a queue without settings of it; undefined if its starts need no tickets. */
   findAssumedEligibility: (queue: string) => EligibilityTimes | undefined;
@@ -52,8 +60,8 @@
   list(): OpenStep[];
   /** Counts the jobs that have open steps. */
   count(): number;
-  /** Updates the steps of one job. */
-  refresh(job: string): void;
+  /** Marks one occurrence of a job as changed, or all open ones. */
+  refresh(job: string, occurrence?: number): void;
   refreshAll(): void;
   /** Updates the jobs with repetitions and with tasks that pause; returns whether a step has become open. */
   refreshTimed(): boolean;
@@ -134,12 +142,37 @@
   return count;
 }
 
+/** The open steps of one job. */
+interface JobSteps {
+  /** By occurrence; only those with open steps. */
+  readonly open: Map<number, readonly OpenStep[]>;
+  /** Occurrences with tasks that pause. */
+  readonly paused: Set<number>;
+  /** Occurrences to be listed anew. */
+  readonly changed: Set<number>;
+  /** First occurrence that has not been opened. */
+  nextOccurrence: number;
+}
+
+function createJobSteps(): JobSteps {
+  return {
+    open: new Map(),
+    paused: new Set(),
+    changed: new Set(),
+    nextOccurrence: 0,
+  };
+}
+
 /** Creates an empty list. */
 export function createOpenSteps(options: OpenStepsOptions): OpenSteps {
   const { state, clock, workspaces, runTimes } = options;
-  const byJob = new Map<string, OpenStep[]>();
+  const byJob = new Map<string, JobSteps>();
+  /** Those with open steps. */
+  const openJobs = new Map<string, JobSteps>();
   /** Jobs with steps that open without a record. */
-  const timed = new Set<string>();
+  const timedJobs = new Set<string>();
+  /** Jobs to be updated before the next listing. */
+  const changedJobs = new Set<string>();
   const planned = new Map<string, Set<number>>();
 
   function countDue(job: JobState): number {
@@ -151,8 +184,14 @@
     return Math.min(countOccurrences(job.spec), due);
   }
 
-  function listOccurrence(job: JobState, occurrence: number): OpenStep[] {
+  function listOccurrence(
+    job: JobState,
+    occurrence: number,
+    steps: JobSteps,
+  ): OpenStep[] {
     const { spec } = job;
+    steps.paused.delete(occurrence);
+    if (job.occurrences[occurrence]?.isDone === true) return [];
     const queue = state.findQueue(spec.queue);
     const recorded = state.getOccurrence(job, occurrence);
     const wallMs = clock.wallTime();
@@ -185,7 +224,7 @@
         const isWaiting = task.status === TASK_STATUS.waiting &&
           !hidden?.has(index);
         if (!isWaiting) return;
-        if (isPaused(task, wallMs)) timed.add(spec.id);
+        if (isPaused(task, wallMs)) steps.paused.add(occurrence);
         else waiting.push(index);
       });
       // A gang starts as a whole, so it waits until its last run has ended on all
@@ -224,38 +263,96 @@
     return open;
   }
 
+  function updateOccurrence(
+    job: JobState,
+    occurrence: number,
+    steps: JobSteps,
+  ): void {
+    const open = listOccurrence(job, occurrence, steps);
+    if (open.length === 0) steps.open.delete(occurrence);
+    else steps.open.set(occurrence, open);
+  }
+
+  /** Opens occurrences that are due. */
+  function openDue(job: JobState, steps: JobSteps): void {
+    const due = countDue(job);
+    while (
+      steps.nextOccurrence < due && steps.open.size < MAX_OPEN_OCCURRENCES
+    ) {
+      updateOccurrence(job, steps.nextOccurrence, steps);
+      steps.nextOccurrence += 1;
+    }
+  }
+
   function updateJob(id: string): void {
     const job = state.getJob(id);
     if (job === undefined || !isOpenJob(job)) {
-      byJob.delete(id);
-      timed.delete(id);
+      for (const list of [byJob, openJobs, timedJobs]) list.delete(id);
       return;
     }
-    if (job.spec.repetitions > 0) timed.add(id);
-    else timed.delete(id);
-    const open: OpenStep[] = [];
-    const due = countDue(job);
-    for (let occurrence = 0; occurrence < due; occurrence += 1) {
-      if (job.occurrences[occurrence]?.isDone === true) continue;
-      open.push(...listOccurrence(job, occurrence));
+    const steps = byJob.get(id) ?? createJobSteps();
+    byJob.set(id, steps);
+    for (const occurrence of steps.changed) {
+      updateOccurrence(job, occurrence, steps);
+    }
+    steps.changed.clear();
+    openDue(job, steps);
+    if (steps.open.size > 0) openJobs.set(id, steps);
+    else openJobs.delete(id);
+    const isTimed = job.spec.repetitions > 0 || steps.paused.size > 0;
+    if (isTimed) timedJobs.add(id);
+    else timedJobs.delete(id);
+  }
+
+  function updateChanged(): void {
+    for (const id of changedJobs) updateJob(id);
+    changedJobs.clear();
+  }
+
+  function refresh(id: string, occurrence?: number): void {
+    changedJobs.add(id);
+    const steps = byJob.get(id);
+    if (steps === undefined) return;
+    if (occurrence === undefined) {
+      for (const known of steps.open.keys()) steps.changed.add(known);
+      for (const known of steps.paused) steps.changed.add(known);
+    } else if (occurrence < steps.nextOccurrence) {
+      steps.changed.add(occurrence);
+    }
+  }
+
+  function countSteps(id: string): number {
+    let count = 0;
+    for (const open of openJobs.get(id)?.open.values() ?? []) {
+      count += open.length;
     }
-    if (open.length === 0) byJob.delete(id);
-    else byJob.set(id, open);
+    return count;
   }
 
   return {
-    list: () => [...byJob.values()].flat(),
-    count: () => byJob.size,
-    refresh: updateJob,
+    list() {
+      updateChanged();
+      return [...openJobs.values()].flatMap(({ open }) =>
+        [...open.values()].flat()
+      );
+    },
+    count() {
+      updateChanged();
+      return openJobs.size;
+    },
+    refresh,
     refreshAll() {
-      for (const job of state.listJobs()) updateJob(job.spec.id);
+      for (const job of state.listJobs()) refresh(job.spec.id);
     },
     refreshTimed() {
+      updateChanged();
       let hasNew = false;
-      for (const id of [...timed]) {
-        const before = byJob.get(id)?.length ?? 0;
+      for (const id of [...timedJobs]) {
+        const before = countSteps(id);
+        refresh(id);
         updateJob(id);
-        if ((byJob.get(id)?.length ?? 0) > before) hasNew = true;
+        changedJobs.delete(id);
+        if (countSteps(id) > before) hasNew = true;
       }
       return hasNew;
     },
@@ -263,13 +360,13 @@
       let hidden = planned.get(step.key);
       if (hidden === undefined) planned.set(step.key, hidden = new Set());
       for (const index of indexes) hidden.add(index);
-      updateJob(step.job);
+      refresh(step.job, step.occurrence);
     },
     clearPlanned(step, indexes) {
       const hidden = planned.get(step.key);
       for (const index of indexes) hidden?.delete(index);
       if (hidden?.size === 0) planned.delete(step.key);
-      updateJob(step.job);
+      refresh(step.job, step.occurrence);
     },
   };
 }
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -467,10 +467,10 @@
         fleet.stopJob(record.job);
         break;
       case "start":
-        openSteps.refresh(record.job);
+        openSteps.refresh(record.job, record.occurrence);
         break;
       case "end":
-        openSteps.refresh(record.task.job);
+        openSteps.refresh(record.task.job, record.task.occurrence);
         handleJobEnd(record.task.job);
         break;
       case "crash":
