Limit the starts of a planning round

Cause: the orders of all starts of a round are sent in one turn of the event loop.

At most 64 occurrences of a job are open at once.

--- a/src/workload/leader_load.ts
+++ b/src/workload/leader_load.ts
@@ -45,18 +45,25 @@
 }
 
 /**
- * Tells whether a step can wait: its job would still be on time, and its tasks need
- * not start together. Long-running ones are missed by their users at once.
+ * Tells whether a step can wait: its job would still be on time, or has no value
+ * left, and its tasks need not start together. Long-running ones are missed by their
+ * users at once.
  */
 export function isPatient(
-  step: Pick<UrgencyInput, "priority" | "dueMs" | "remainingMs"> & {
-    readonly spec: Pick<StepSpec, "gang" | "longRunning">;
-  },
+  step:
+    & Pick<
+      UrgencyInput,
+      "priority" | "dueMs" | "zeroValueMs" | "remainingMs"
+    >
+    & {
+      readonly spec: Pick<StepSpec, "gang" | "longRunning">;
+    },
   wallMs: number,
 ): boolean {
-  const { priority, spec, dueMs, remainingMs } = step;
-  return priority > 0 && !spec.gang && !spec.longRunning &&
-    dueMs - wallMs - remainingMs > PATIENT_SLACK_MS;
+  const { priority, spec, dueMs, zeroValueMs, remainingMs } = step;
+  if (spec.gang || spec.longRunning) return false;
+  if (wallMs > zeroValueMs) return true;
+  return priority > 0 && dueMs - wallMs - remainingMs > PATIENT_SLACK_MS;
 }
 
 /** Creates the measurement of a process that is not busy. */
--- a/src/workload/leader_load_test.ts
+++ b/src/workload/leader_load_test.ts
@@ -66,6 +66,7 @@
 const STEP = {
   priority: 2,
   dueMs: 20_000,
+  zeroValueMs: 60_000,
   remainingMs: 5_000,
   spec: createStep(),
 };
@@ -78,3 +79,14 @@
   t.notOk(isPatient({ ...STEP, spec: createStep({ longRunning: true }) }, 0));
   t.end();
 });
+
+// Guards against overdue work that takes the time of a busy leader from the rest.
+t.test("a step without value is patient, whatever its priority", (t) => {
+  const urgent = { ...STEP, priority: 0 };
+  t.notOk(isPatient(urgent, 59_000));
+  t.ok(isPatient(urgent, 61_000));
+  t.ok(isPatient(STEP, 61_000));
+  const gang = { ...urgent, spec: createStep({ gang: true }) };
+  t.notOk(isPatient(gang, 61_000));
+  t.end();
+});
--- a/src/workload/open_steps.ts
+++ b/src/workload/open_steps.ts
@@ -43,7 +43,7 @@
  * Maximum occurrences of one job that are open at once. Others that are due follow in
  * their order as these start, so that a long overdue schedule does not fill the rounds.
  */
-export const MAX_OPEN_OCCURRENCES = 256;
+export const MAX_OPEN_OCCURRENCES = 64;
 
 /** Options of the list. */
 export interface OpenStepsOptions {
@@ -309,7 +309,7 @@
     changedJobs.clear();
   }
 
-  function refresh(id: string, occurrence?: number): void {
+  function setChanged(id: string, occurrence?: number): void {
     changedJobs.add(id);
     const steps = byJob.get(id);
     if (steps === undefined) return;
@@ -340,16 +340,16 @@
       updateChanged();
       return openJobs.size;
     },
-    refresh,
+    refresh: setChanged,
     refreshAll() {
-      for (const job of state.listJobs()) refresh(job.spec.id);
+      for (const job of state.listJobs()) setChanged(job.spec.id);
     },
     refreshTimed() {
       updateChanged();
       let hasNew = false;
       for (const id of [...timedJobs]) {
         const before = countSteps(id);
-        refresh(id);
+        setChanged(id);
         updateJob(id);
         changedJobs.delete(id);
         if (countSteps(id) > before) hasNew = true;
@@ -360,13 +360,13 @@
       let hidden = planned.get(step.key);
       if (hidden === undefined) planned.set(step.key, hidden = new Set());
       for (const index of indexes) hidden.add(index);
-      refresh(step.job, step.occurrence);
+      setChanged(step.job, step.occurrence);
     },
     clearPlanned(step, indexes) {
       const hidden = planned.get(step.key);
       for (const index of indexes) hidden?.delete(index);
       if (hidden?.size === 0) planned.delete(step.key);
-      refresh(step.job, step.occurrence);
+      setChanged(step.job, step.occurrence);
     },
   };
 }
--- a/src/workload/plan_types.ts
+++ b/src/workload/plan_types.ts
@@ -92,7 +92,9 @@
   /** The remaining processors are reserved for urgent steps or waiting gangs. */
   | "keptForUrgent"
   /** The leader has no processor time to spare, and the step can wait. */
-  | "leaderBusy";
+  | "leaderBusy"
+  /** The round has no starts left; the next one follows at once. */
+  | "nextRound";
 
 /** A step whose tasks keep waiting. */
 export interface Wait {
--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -30,7 +30,6 @@
   TICKET_MARGIN_MS,
 } from "./constants.ts";
 import type { StepEligibility, Ticket } from "./eligibility.ts";
-import { isPatient } from "./leader_load.ts";
 import type {
   OpenStep,
   Placement,
@@ -38,6 +37,7 @@
   PlanInput,
   WaitReason,
 } from "./plan_types.ts";
+import { createStartBudget } from "./start_budget.ts";
 
 /**
  * Share of a pool's processors reserved for the most urgent queue and for restarts of
@@ -435,18 +435,18 @@
     else planTasks(step, pool, eligibility);
   }
 
-  let patientStarts = input.patientStarts ?? Infinity;
+  const budget = createStartBudget(input);
   for (const step of input.steps) {
     if (step.waiting.length === 0) continue;
-    if (patientStarts === Infinity || !isPatient(step, input.wallMs)) {
-      planStep(step);
-    } else if (patientStarts <= 0) {
-      addWait(step, "leaderBusy");
-    } else {
-      planStep({ ...step, waiting: step.waiting.slice(0, patientStarts) });
-      const last = plan.starts.at(-1);
-      if (last?.step.key === step.key) patientStarts -= last.placements.length;
+    const share = budget.getShare(step);
+    if ("reason" in share) {
+      addWait(step, share.reason);
+      continue;
     }
+    planStep(share.step);
+    const last = plan.starts.at(-1);
+    if (last?.step.key !== step.key) continue;
+    budget.subtract(step, last.placements.length);
   }
   return plan;
 }
