--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,7 +10,7 @@
 import process from "node:process";
 import { fileURLToPath } from "node:url";
 
-const BENCHMARKS = ["scheduling", "requests", "fleet", "log"];
+const BENCHMARKS = ["scheduling", "large_job", "requests", "fleet", "log"];
 
 const folder = process.argv[2] ?? "bench-results";
 mkdirSync(folder, { recursive: true });
