Configure the limits of a job

Cause: the limits on the steps and tasks of a job, its bytes, and its open occurrences were constants, and a refusal did not name the limit, so neither an operator nor a caller could tell what to change. Change: src/workload/job_limits.ts has the limits and their defaults, which are the former constants. Occurrences beyond the limit are held back, not refused.

--- a/src/http/explain_routes.ts
+++ b/src/http/explain_routes.ts
@@ -104,7 +104,9 @@
     workspace: string,
     job: SubmittedJob,
   ) => Promise<RoutedJobExplanation>;
+  /** Maximum size and number of tasks of a job that a question is about. */
   maxBodyBytes: number;
+  maxTasks: number;
 }
 
 function findWorkspace(view: FleetView, name: string): Workspace {
--- a/src/http/job_routes.ts
+++ b/src/http/job_routes.ts
@@ -20,16 +20,13 @@
 /** Default number of attempts before a task fails; `service` jobs have their own default. */
 export const DEFAULT_MAX_ATTEMPTS_COUNT = 3;
 
-/** Maximum number of tasks of a job. */
-export const MAX_TASKS_COUNT = 10_000;
-
 const amountSchema = z.number().int().min(0);
 
 const jobSchema = z.strictObject({
   id: z.string().regex(JOB_ID_PATTERN).optional(),
   queue: z.string().min(1).max(128).optional(),
   policy: z.enum(["service", "batch", "gang"]).optional(),
-  tasks: z.number().int().min(1).max(MAX_TASKS_COUNT).default(1),
+  tasks: z.number().int().min(1).default(1),
   resources: z.strictObject({
     processors: amountSchema.default(0),
     memoryMb: amountSchema.default(0),
@@ -52,6 +49,8 @@
   dataCentre: string;
   view: FleetView;
   maxBodyBytes: number;
+  /** Maximum number of tasks of a job. */
+  maxTasks: number;
   /** Returns why new work is currently rejected; undefined if it is accepted. */
   getRefusal: () => string | undefined;
   submitJob: (workspace: string, job: SubmittedJob) => Promise<JobView>;
@@ -85,13 +84,20 @@
 
 /**
  * Validates a submitted job and fills in its defaults. Fault `badRequest` if it is
- * invalid, `notFound` if its queue does not exist.
+ * invalid or exceeds a limit, `notFound` if its queue does not exist.
  */
 export function parseJob(
   input: unknown,
-  options: Pick<JobRoutesOptions, "dataCentre" | "view">,
+  options: Pick<JobRoutesOptions, "dataCentre" | "view" | "maxTasks">,
 ): SubmittedJob {
   const job = parseWithSchema(jobSchema, input, "the job");
+  const { maxTasks } = options;
+  if (job.tasks > maxTasks) {
+    throw createFault(
+      "badRequest",
+      `Cannot accept a job of ${job.tasks} tasks: the limit "jobs.maxTasks" is ${maxTasks}`,
+    );
+  }
   const policy = resolvePolicy(options.view, job.queue, job.policy);
   const defaultAttempts = policy === "service"
     ? 1_000_000
--- a/src/instance/instance.ts
+++ b/src/instance/instance.ts
@@ -358,7 +358,6 @@
   const shared = {
     dataCentre,
     view: fleet.view,
-    maxBodyBytes: settings.requests.maxBodyBytes,
     getRefusal: readiness.getRefusal,
   };
   const deadlines = {
@@ -378,6 +377,7 @@
       ...createRequestRoutes({
         ...shared,
         ...deadlines,
+        maxBodyBytes: settings.requests.maxBodyBytes,
         execute: (request) =>
           observer.runRequest(
             request.workspace,
@@ -389,11 +389,13 @@
         ...shared,
         ...deadlines,
         ...operators,
+        ...settings.jobs,
         explainRequest: routing.explain,
         explainJob: leaders.explainJob,
       }),
       ...createJobRoutes({
         ...shared,
+        ...settings.jobs,
         submitJob: leaders.submitJob,
         getJob: leaders.getJob,
         cancelJob: leaders.cancelJob,
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -99,6 +99,8 @@
   listDataCentres?: () => readonly string[];
   /** True if jobs are refused that cannot end before they lose their value. Default false. */
   admission?: boolean;
+  /** Maximum occurrences of one job that are open at once; see `JobLimits`. */
+  maxOpenOccurrences?: number;
   logTimings: Partial<LogTimings>;
   /** Called when the log has failed; the process must exit. */
   handleFailure: (error: unknown) => void;
@@ -374,6 +376,7 @@
       keepMs: options.keepMs,
       listDataCentres: options.listDataCentres,
       admission: options.admission,
+      maxOpenOccurrences: options.maxOpenOccurrences,
       waitForTurn: waitForImmediate,
       timeUse,
       handleStaleFence() {
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -71,7 +71,7 @@
 const DATA_FOLDER_RANGE = "the path of a folder";
 const SECTION = { error: "an object" };
 
-const { requests, tasks, scheduling, log, stop, tls } = DEFAULT_SETTINGS;
+const { requests, tasks, jobs, scheduling, log, stop, tls } = DEFAULT_SETTINGS;
 
 const REQUESTS = z.strictObject({
   maxBodyBytes: createInteger(1, MAX_BYTES).default(requests.maxBodyBytes),
@@ -96,6 +96,11 @@
   announcePeriodMs: createInteger(10, 60_000).default(tasks.announcePeriodMs),
 }, SECTION);
 
+const JOBS = z.strictObject({
+  maxBodyBytes: createInteger(1, MAX_BYTES).default(jobs.maxBodyBytes),
+  maxTasks: createInteger(1, 100_000).default(jobs.maxTasks),
+}, SECTION);
+
 const SCHEDULING = z.strictObject({
   weights: createChoice(["share", "waiting"]).default(scheduling.weights),
   usageSafetyMargin: createNumber(0, 2).default(scheduling.usageSafetyMargin),
@@ -167,6 +172,7 @@
     .regex(/^[0-9a-f]{64}$/, { error: TOKEN_HASH_RANGE }).optional(),
   requests: REQUESTS.prefault({}),
   tasks: TASKS.prefault({}),
+  jobs: JOBS.prefault({}),
   scheduling: SCHEDULING.prefault({}),
   log: LOG.prefault({}),
   keyStalenessLimitMs: createInteger(0, 7 * MAX_TIME_MS)
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -75,6 +75,14 @@
   readonly announcePeriodMs: number;
 }
 
+/** Limits of one job. */
+export interface JobSettings {
+  /** Maximum size of a submitted job, in bytes. */
+  readonly maxBodyBytes: number;
+  /** Maximum number of tasks of a job. */
+  readonly maxTasks: number;
+}
+
 /** Scheduling decisions of the data centre log leader. */
 export interface SchedulingSettings {
   readonly weights: SchedulingObjective;
@@ -153,6 +161,7 @@
   readonly operatorTokenHash?: string | undefined;
   readonly requests: RequestSettings;
   readonly tasks: TaskSettings;
+  readonly jobs: JobSettings;
   readonly scheduling: SchedulingSettings;
   readonly log: LogSettings;
   /** How long keys are accepted without contact to the fleet log, in milliseconds; 0 is the strict setting. */
@@ -170,6 +179,7 @@
     Settings,
     | "roles"
     | "tasks"
+    | "jobs"
     | "scheduling"
     | "log"
     | "keyStalenessLimitMs"
@@ -207,6 +217,7 @@
     retryBudgetRatio: 0.1,
   },
   tasks: { leaseMs: 10_000, announcePeriodMs: 1_000 },
+  jobs: { maxBodyBytes: 1_048_576, maxTasks: 10_000 },
   scheduling: { weights: "share", usageSafetyMargin: 0.1 },
   log: {
     heartbeatMs: 100,
--- a/src/workload/open_steps.ts
+++ b/src/workload/open_steps.ts
@@ -7,6 +7,7 @@
  */
 
 import type { Clock } from "../common/mod.ts";
+import { DEFAULT_JOB_LIMITS } from "./job_limits.ts";
 import type { OpenStep } from "./plan_types.ts";
 import type { RunTimes } from "./run_times.ts";
 import {
@@ -39,12 +40,6 @@
   targetMs: 0,
 });
 
-/**
- * Maximum occurrences of one job that are open at once. Others that are due follow in
- * their order as these start, so that a long overdue schedule does not fill the rounds.
- */
-export const MAX_OPEN_OCCURRENCES = 64;
-
 /** Options of the list. */
 export interface OpenStepsOptions {
   state: WorkState;
@@ -53,6 +48,12 @@
   runTimes: Pick<RunTimes, "estimateMs">;
   /** Returns the assumed times of the eligibility service for a queue without settings of it; undefined if its starts need no tickets. */
   findAssumedEligibility: (queue: string) => EligibilityTimes | undefined;
+  /**
+   * Maximum occurrences of one job that are open at once. Others that are due follow in
+   * their order as these start, so that a long overdue schedule does not fill the rounds.
+   * Default: the one of `DEFAULT_JOB_LIMITS`.
+   */
+  maxOpenOccurrences?: number | undefined;
 }
 
 /** The open steps of all jobs. */
@@ -165,7 +166,13 @@
 
 /** Creates an empty list. */
 export function createOpenSteps(options: OpenStepsOptions): OpenSteps {
-  const { state, clock, workspaces, runTimes } = options;
+  const {
+    state,
+    clock,
+    workspaces,
+    runTimes,
+    maxOpenOccurrences = DEFAULT_JOB_LIMITS.maxOpenOccurrences,
+  } = options;
   const byJob = new Map<string, JobSteps>();
   /** Those with open steps. */
   const openJobs = new Map<string, JobSteps>();
@@ -277,7 +284,7 @@
   function openDue(job: JobState, steps: JobSteps): void {
     const due = countDue(job);
     while (
-      steps.nextOccurrence < due && steps.open.size < MAX_OPEN_OCCURRENCES
+      steps.nextOccurrence < due && steps.open.size < maxOpenOccurrences
     ) {
       updateOccurrence(job, steps.nextOccurrence, steps);
       steps.nextOccurrence += 1;
--- a/src/workload/open_steps_test.ts
+++ b/src/workload/open_steps_test.ts
@@ -1,7 +1,8 @@
 import t from "tap";
 import { createManualClock } from "../common/mod.ts";
 import { createJob, createModelConfiguration } from "../model/mod.ts";
-import { createOpenSteps, MAX_OPEN_OCCURRENCES } from "./open_steps.ts";
+import { DEFAULT_JOB_LIMITS } from "./job_limits.ts";
+import { createOpenSteps, type OpenStepsOptions } from "./open_steps.ts";
 import type { OpenStep } from "./plan_types.ts";
 import type { JobBody, WorkRecord } from "./types.ts";
 import { createWorkState, encodeRecords } from "./work_state.ts";
@@ -11,7 +12,10 @@
 const INTERVAL_MS = 1_000;
 
 /** Starts a list of the steps of one job, and counts how often an occurrence is read. */
-function startList(body: JobBody) {
+function startList(
+  body: JobBody,
+  options: Pick<OpenStepsOptions, "maxOpenOccurrences"> = {},
+) {
   const clock = createManualClock(NOW_MS);
   const state = createWorkState();
   let index = 0;
@@ -43,6 +47,7 @@
     workspaces: { isExcess: () => false },
     runTimes: { estimateMs: (_, declaredMs) => declaredMs },
     findAssumedEligibility: () => undefined,
+    ...options,
   });
   openSteps.refresh("job");
 
@@ -96,7 +101,7 @@
   for (;;) {
     const steps = openSteps.list();
     if (steps.length === 0) break;
-    t.ok(steps.length <= MAX_OPEN_OCCURRENCES);
+    t.ok(steps.length <= DEFAULT_JOB_LIMITS.maxOpenOccurrences);
     started.push(...listOccurrences(steps));
     startAll(steps);
   }
@@ -105,6 +110,17 @@
   t.end();
 });
 
+t.test("no more occurrences are open than configured", (t) => {
+  const { openSteps, startAll } = startList(createSchedule(5, 0), {
+    maxOpenOccurrences: 2,
+  });
+  const steps = openSteps.list();
+  t.strictSame(listOccurrences(steps), [0, 1]);
+  startAll(steps);
+  t.strictSame(listOccurrences(openSteps.list()), [2, 3]);
+  t.end();
+});
+
 // Guards against the same cost with the steps of one occurrence.
 t.test("the starts of a round read a job of many steps once", (t) => {
   const steps = Array.from({ length: 1_000 }, () => ({ estimatedMs: 100 }));
@@ -132,7 +148,7 @@
 
 // Guards against a run that is lost while other occurrences fill the list.
 t.test("an occurrence opens again after its run is lost", (t) => {
-  const count = 2 * MAX_OPEN_OCCURRENCES;
+  const count = 2 * DEFAULT_JOB_LIMITS.maxOpenOccurrences;
   const { openSteps, startAll, end } = startList(
     createSchedule(count, NOW_MS - count * INTERVAL_MS),
   );
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -104,6 +104,8 @@
   listDataCentres?: (() => readonly string[]) | undefined;
   /** True if jobs are refused that cannot end before they lose their value. Default false. */
   admission?: boolean | undefined;
+  /** Maximum occurrences of one job that are open at once; see `JobLimits`. */
+  maxOpenOccurrences?: number | undefined;
   /** Called when a runner has seen a higher fencing token than this leadership's. */
   handleStaleFence: () => void;
   /** Waits until the messages that have arrived are read. Default: does not wait. */
@@ -169,6 +171,7 @@
     runTimes,
     findAssumedEligibility: (name) =>
       ticketedQueues.has(name) ? ASSUMED_ELIGIBILITY : undefined,
+    maxOpenOccurrences: options.maxOpenOccurrences,
   });
   const probation = (options.createProbation ?? createProbation)({
     state,
