Log the copies of a start and the acknowledgement of a leaving

Cause: the log had the decision of a start and the time until its result. It could not tell whether a leader knew that the runner leaves, nor where an order was held. Change: each start has a trace: when it was decided and committed, when each copy was sent, through which instance, and how long it was on its way on the runner's clock. It is logged for slow starts and for those to leaving runners. The instance that acknowledges a leaving logs that, and whether it asked the leader. Two metrics: leaving_runner_starts_total, run_start_delivery_ms. No decision has changed.

--- a/src/gateway/relayed_calls.ts
+++ b/src/gateway/relayed_calls.ts
@@ -17,7 +17,11 @@
   toFault,
   wait,
 } from "../common/mod.ts";
-import { createProbe, type RunnerCalls } from "../workload/runner_calls.ts";
+import {
+  createProbe,
+  type OrderReply,
+  type RunnerCalls,
+} from "../workload/runner_calls.ts";
 import { PEER_STATES } from "./gateway_server.ts";
 import type { RunnerCall } from "./messages.ts";
 
@@ -271,7 +275,9 @@
     try {
       const reply = await callRelay(relay, call);
       getRelayState(relay).failures = 0;
-      return reply as Reply;
+      return (call.order === "start"
+        ? { ...reply as OrderReply, relay }
+        : reply) as Reply;
     } catch (error) {
       const fault = toFault(error);
       const hasReplied = fault.details["peer"] === PEER_STATES.replied;
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -47,6 +47,7 @@
   type EligibilityAnswer,
   type EligibilityQuery,
   encodeRecords,
+  formatIncarnation,
   isForLeader,
   type RunnerCalls,
   startWorkController,
@@ -429,9 +430,18 @@
 
   return {
     async call(call, timeoutMs) {
-      const isKnown = call.kind === "announce" &&
-        !isForLeader(state, call.announcement);
-      return isKnown ? undefined : await gateway.call(call, timeoutMs);
+      if (call.kind !== "announce") return await gateway.call(call, timeoutMs);
+      const { announcement } = call;
+      const isKnown = !isForLeader(state, announcement);
+      if (!isKnown) await gateway.call(call, timeoutMs);
+      if (announcement.entry.isDraining) {
+        logger.info("Runner leaves; announcement acknowledged", {
+          runner: formatIncarnation(announcement.entry),
+          sequence: announcement.sequence,
+          isKnown,
+        });
+      }
+      return undefined;
     },
     isLeading: () => guard.isLeading(),
     addCores: (names) => gateway.addCores(names),
--- a/src/report/metric_definitions.ts
+++ b/src/report/metric_definitions.ts
@@ -56,6 +56,16 @@
       help: "Start orders to runners by result",
       labels: ["result"],
     },
+    leaving_runner_starts_total: {
+      kind: "counter",
+      help: "Start orders sent to runners that had announced that they leave",
+      labels: [],
+    },
+    run_start_delivery_ms: {
+      kind: "duration",
+      help: "Time from sending a start order to its execution by the runner",
+      labels: [],
+    },
     run_ends_total: {
       kind: "counter",
       help: "Ends of runs that runners listed, by outcome",
--- a/src/workload/runner_announcements.ts
+++ b/src/workload/runner_announcements.ts
@@ -161,6 +161,7 @@
     const capacity = computeSmallerResources(former, entry.capacity);
     runner.entry = { ...entry, capacity };
     runner.announced = entry;
+    if (entry.isDraining) runner.leavingMs ??= clock.now();
     if (!isRecorded) {
       const isSameLife = recorded !== undefined &&
         formatIncarnation(recorded) === runner.life;
--- a/src/workload/runner_calls.ts
+++ b/src/workload/runner_calls.ts
@@ -96,6 +96,8 @@
 export interface OrderReply {
   readonly outcome: OrderOutcome;
   readonly clockMs: number | undefined;
+  /** Instance that made the call for the leader; undefined for a direct call. */
+  readonly relay?: string;
 }
 
 /** The reply to a poll. */
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -38,6 +38,7 @@
   recordLease,
   type Runner,
 } from "./runner_table.ts";
+import type { StartTrace } from "./start_trace.ts";
 
 /** Time by which replies on different connections may overtake each other, in milliseconds; longer than the timeout of each call. */
 const MAX_REPLY_OVERTAKING_MS = 3_000;
@@ -106,13 +107,21 @@
   waitBeforePoll?: () => Promise<void>;
 }
 
+/** What a start depends on. */
+export interface StartConditions {
+  /** Tells whether the run is still the current one of its task. */
+  isWanted: () => boolean;
+  /** Receives the copies that are sent. */
+  trace?: Pick<StartTrace, "recordSend" | "recordReply">;
+}
+
 /** Sends polls and orders to one runner. */
 export interface RunnerDriver {
   /** Sends a start until it is answered, found in a list or abandoned. */
   runStart(
     occupant: Occupant,
     order: Omit<StartOrder, "untilMs" | "fence">,
-    isWanted: () => boolean,
+    conditions: StartConditions,
   ): Promise<StartResult>;
   /** Sends a stop until it is answered; returns whether the run is stopped. */
   runStop(occupant: Occupant): Promise<boolean>;
@@ -413,7 +422,7 @@
   async function runStart(
     occupant: Occupant,
     order: Omit<StartOrder, "untilMs" | "fence">,
-    isWanted: () => boolean,
+    { isWanted, trace }: StartConditions,
   ): Promise<StartResult> {
     let firstSentMs: number | undefined;
     let failedMs = -Infinity;
@@ -445,12 +454,14 @@
       else singleStarts.delete(occupant);
       firstSentMs ??= occupant.orderSentMs;
       const sentFence = fence;
+      trace?.recordSend();
       try {
         const reply = await calls.start(
           getTarget(),
           { ...order, untilMs, fence: sentFence },
           ORDER_TIMEOUT_MS,
         );
+        trace?.recordReply(reply);
         singleStarts.delete(occupant);
         occupant.openStartMs = formerOpenStartMs;
         // Another incarnation refused it, so it has not crashed this one.
--- a/src/workload/runner_driver_test.ts
+++ b/src/workload/runner_driver_test.ts
@@ -128,7 +128,7 @@
     void driver.runStart(
       occupant,
       { task, run: 1, payload: "", checkpoint: "", ticket: "" },
-      isWanted,
+      { isWanted },
     ).then((result) => {
       sent.result = result;
       sent.endedMs = clock.now();
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -101,6 +101,8 @@
   isLost: boolean;
   /** Highest sequence number of its announcements. */
   sequence: number;
+  /** Local time at which this leader learned that it leaves, in milliseconds; undefined if it has not announced that since. */
+  leavingMs: number | undefined;
   /** Natural logarithm of its learned slowness; 0 is the mean of all runners. */
   slowness: number;
   /** Jobs with failed runs since the last successful run. */
@@ -137,6 +139,7 @@
     isClosed: false,
     isLost: false,
     sequence: entry.sequence ?? -1,
+    leavingMs: undefined,
     slowness: 0,
     failedJobs: new Set(),
     coldUntilMs: -Infinity,
--- a/src/workload/start_orders.ts
+++ b/src/workload/start_orders.ts
@@ -11,8 +11,10 @@
 import type { OpenSteps } from "./open_steps.ts";
 import type { PlannedStart } from "./plan_types.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
+import type { StartResult } from "./runner_driver.ts";
 import type { Session } from "./runner_sessions.ts";
 import { isOverCapacity, type Occupant } from "./runner_table.ts";
+import { createStartTrace, type StartTrace } from "./start_trace.ts";
 import { formatStep, type WorkRecord } from "./types.ts";
 import type { WorkState } from "./work_state.ts";
 
@@ -27,13 +29,14 @@
   readonly session: Session;
   readonly occupant: Occupant;
   readonly ticket: string;
+  readonly trace: StartTrace;
 }
 
 /** Options of the starts. */
 export interface StartOrdersOptions {
   clock: Clock;
   logger: Logger;
-  metrics?: Pick<Metrics, "addCount">;
+  metrics?: Pick<Metrics, "addCount" | "recordDuration">;
   state: Pick<WorkState, "getJob" | "getTask">;
   fleet: RunnerFleet;
   begunJobs: Pick<BegunJobs, "add">;
@@ -68,10 +71,18 @@
     });
   }
 
+  function recordMetrics(result: StartResult, trace: StartTrace): void {
+    metrics?.addCount("run_starts_total", { result });
+    if (trace.getSinceLeavingMs() !== undefined) {
+      metrics?.addCount("leaving_runner_starts_total");
+    }
+    const deliveryMs = trace.getDeliveryMs();
+    if (deliveryMs === undefined) return;
+    metrics?.recordDuration("run_start_delivery_ms", Math.max(0, deliveryMs));
+  }
+
   async function sendStart(
-    session: Session,
-    occupant: Occupant,
-    ticket: string,
+    { session, occupant, ticket, trace }: Order,
   ): Promise<void> {
     const { task, run } = occupant;
     const job = state.getJob(task.job);
@@ -86,19 +97,22 @@
         checkpoint: state.getTask(task)?.checkpoint ?? "",
         ticket,
       },
-      () => fleet.isWanted(task, run),
+      { isWanted: () => fleet.isWanted(task, run), trace },
     );
     const { runner } = session;
     if (options.isStopped() || !runner.occupants.has(occupant.key)) return;
-    metrics?.addCount("run_starts_total", { result });
     const tookMs = Math.round(clock.now() - occupant.plannedMs);
+    const isLeaving = trace.getSinceLeavingMs() !== undefined;
+    recordMetrics(result, trace);
     // "Starts decided" already lists the runners of normal starts.
-    const isUsual = result === "accepted" && tookMs < SLOW_START_MS;
+    const isUsual = result === "accepted" && tookMs < SLOW_START_MS &&
+      !isLeaving;
     logger[isUsual ? "debug" : "info"]("Start ordered", {
       run: occupant.key,
       runner: runner.life,
       result,
       tookMs,
+      ...(isUsual ? {} : trace.formatFields()),
     });
     if (result === "accepted") {
       options.begunJobs.add(task.job);
@@ -188,7 +202,10 @@
           "planned",
           step.isConfined,
         );
-        if (occupant !== undefined) orders.push({ session, occupant, ticket });
+        if (occupant === undefined) continue;
+        const decidedMs = occupant.plannedMs;
+        const trace = createStartTrace({ clock, runner, decidedMs });
+        orders.push({ session, occupant, ticket, trace });
       }
       records.push({
         kind: "start",
@@ -225,14 +242,15 @@
     }
     const heldBack = releaseUnusable(orders, step.spec.gang);
     for (const order of orders) {
-      const { session, occupant, ticket } = order;
+      const { session, occupant, trace } = order;
       if (heldBack.has(order)) continue;
+      trace.recordCommit();
       if (session.runner.isClosed) {
         void fleet.endRuns([occupant], "lost");
       } else if (!fleet.isWanted(occupant.task, occupant.run)) {
         fleet.release(session.runner, occupant);
       } else {
-        void sendStart(session, occupant, ticket);
+        void sendStart(order);
       }
     }
   }
