Show starts that outlive what they were decided on

Cause: not changed here. A start that waits for the lease, is sent again or is held on its way is not looked at again; callers saw tasks begin on runners that had said that they leave (DRAIN). The model reports a start later than 2 s after a leaving was acknowledged, and its relays can be limited in number.

--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -53,7 +53,8 @@
     | "afterDone"
     | "attempts"
     | "alone"
-    | "crashes";
+    | "crashes"
+    | "leaving";
   readonly detail: string;
 }
 
@@ -101,6 +102,8 @@
   isGone: boolean;
   /** True if its process has ended while its machine goes on, which refuses connections. */
   hasLeft: boolean;
+  /** Time at which the scheduler acknowledged that it leaves, in milliseconds; undefined before. */
+  leavingMs: number | undefined;
   waiters: Set<() => void>;
 }
 
@@ -159,6 +162,10 @@
   add(entry: RunnerEntry): RunnerFaults;
   /** Changes the capacity of a runner while it runs; returns what it announces from now on. */
   changeCapacity(id: string, capacity: Resources): RunnerEntry;
+  /** Makes a runner announce that it leaves; returns what it announces from now on. */
+  startLeaving(id: string): RunnerEntry;
+  /** Records that the scheduler has acknowledged that a runner leaves. */
+  recordLeaving(id: string): void;
   /** Returns the current time of a runner's own clock in milliseconds. */
   readClock(id: string): number;
   /** Ends an incarnation at once; its runs and ends are lost, and calls get no answer. */
@@ -186,6 +193,9 @@
 /** Time after which a shrunk capacity counts, in milliseconds; the platform states its contact time and one heartbeat. */
 const SHRINK_DELAY_MS = 3_000 + 1_500;
 
+/** Time after the acknowledgement that a runner leaves from which no task may start there, in milliseconds; the platform states 2 s or more. */
+const LEAVING_NOTICE_MS = 2_000;
+
 /** Share of a cap by which a workspace may exceed it; the platform allows one task more as well. */
 const QUOTA_OVERAGE = 0.1;
 
@@ -486,7 +496,27 @@
     });
   }
 
-  function startRun(runner: ModelRunner, order: StartOrder): void {
+  /** Reports a start on a runner that the scheduler knows to leave; not one that the runner itself has held up. */
+  function checkLeaving(
+    { leavingMs, entry }: ModelRunner,
+    { task }: StartOrder,
+    isHeldUp: boolean,
+  ): void {
+    if (leavingMs === undefined || isHeldUp) return;
+    const sinceMs = clock.now() - leavingMs;
+    if (sinceMs <= LEAVING_NOTICE_MS) return;
+    violations.push({
+      rule: "leaving",
+      detail: `${formatTask(task)} on ${entry.id} after ${sinceMs} ms`,
+    });
+  }
+
+  function startRun(
+    runner: ModelRunner,
+    order: StartOrder,
+    isHeldUp: boolean,
+  ): void {
+    checkLeaving(runner, order, isHeldUp);
     const key = formatTask(order.task);
     const facts = options.getTaskFacts(order.task);
     const { faults, entry } = runner;
@@ -521,7 +551,11 @@
     options.handleStart?.(entry, order);
   }
 
-  function start(runner: ModelRunner, order: StartOrder): OrderReply {
+  function start(
+    runner: ModelRunner,
+    order: StartOrder,
+    isHeldUp: boolean,
+  ): OrderReply {
     const clockMs = readClock(runner);
     if (!checkFencingToken(runner, order.fence)) {
       return { outcome: "staleFence", clockMs };
@@ -538,7 +572,7 @@
     if (options.hasTicket?.(runner.entry, order) === false) {
       return { outcome: "ticketRefused", clockMs };
     }
-    startRun(runner, order);
+    startRun(runner, order, isHeldUp);
     return { outcome: "accepted", clockMs };
   }
 
@@ -554,7 +588,11 @@
       getFaultDelayMs: (faults: RunnerFaults) => number;
       otherLife: Reply;
     },
-    execute: (runner: ModelRunner) => Reply | Promise<Reply>,
+    execute: (
+      runner: ModelRunner,
+      /** True if the runner has held the call up. */
+      isHeldUp: boolean,
+    ) => Reply | Promise<Reply>,
   ): Promise<Reply> {
     const runner = await findReachable(target, timeoutMs);
     const lateMs = getFaultDelayMs(runner.faults);
@@ -563,14 +601,14 @@
         await wait(clock, delayMs);
         return otherLife;
       }
-      const reply = await execute(runner);
+      const reply = await execute(runner, false);
       await wait(clock, delayMs);
       return reply;
     }
     clock.setTimer(lateMs, () => {
       const receiver = findListener(target.address);
       if (receiver?.entry.id !== target.id) return;
-      Promise.resolve(execute(receiver)).catch(() => {});
+      Promise.resolve(execute(receiver, true)).catch(() => {});
     });
     await wait(clock, timeoutMs);
     throw createFault(
@@ -709,7 +747,7 @@
             Math.max(orderDelayMs, callDelayMs),
           otherLife: OTHER_LIFE,
         },
-        (runner) => start(runner, order),
+        (runner, isHeldUp) => start(runner, order, isHeldUp),
       ),
     stop: (target, order, timeoutMs) =>
       runCall(
@@ -777,6 +815,7 @@
         nextEnd: 1,
         isGone: false,
         hasLeft: false,
+        leavingMs: undefined,
         waiters: new Set(),
       });
       return faults;
@@ -802,6 +841,14 @@
       runner.entry = { ...runner.entry, capacity };
       return runner.entry;
     },
+    startLeaving(id) {
+      const runner = getRunner(id);
+      runner.entry = { ...runner.entry, isDraining: true };
+      return runner.entry;
+    },
+    recordLeaving(id) {
+      getRunner(id).leavingMs ??= clock.now();
+    },
     readClock: (id) => readClock(getRunner(id)),
     listRunning() {
       return [...runners.values()].flatMap((runner) =>
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -19,6 +19,7 @@
 import type { RunnerCall } from "../gateway/messages.ts";
 import {
   createRelayedCalls,
+  type RelayLimits,
   runRelayedCall,
 } from "../gateway/relayed_calls.ts";
 import {
@@ -123,6 +124,8 @@
   readsCommits?: boolean;
   /** Other instances that can call runners for the leader, each with a processor like the leader's. Default: none. */
   relays?: readonly string[];
+  /** Default: those of the product. */
+  relayLimits?: RelayLimits;
   /** Returns whether the log refuses a command. Default: never. */
   isRefused?: (records: readonly WorkRecord[]) => boolean;
   logger?: Logger;
@@ -148,6 +151,8 @@
   ): Promise<RunnerFaults>;
   /** Changes the capacity of a runner and announces it; resolves once the announcement is answered. */
   changeCapacity(id: string, capacity: Partial<Resources>): Promise<void>;
+  /** Announces that a runner leaves; resolves once that is acknowledged. */
+  announceLeaving(id: string): Promise<void>;
   /** Submits a job through a queue; resolves once it is accepted. */
   submit(id: string, body: JobBody, options?: SubmitOptions): Promise<void>;
   /** Advances the clock by some milliseconds and runs what becomes due. */
@@ -533,6 +538,9 @@
       clock: leaderClock,
       logger,
       calls,
+      ...(options.relayLimits === undefined
+        ? {}
+        : { limits: options.relayLimits }),
       countRunners: () => state.countRunners(),
       listRelays: () => relays,
       callViaRelay: (relay, call, timeoutMs) =>
@@ -617,6 +625,21 @@
     controller.setCallers(callers);
   }
 
+  /** Announces what has changed of a runner. */
+  async function announceChange(entry: RunnerEntry): Promise<void> {
+    const { id } = entry;
+    const sequence = (sequences.get(id) ?? 0) + 1;
+    sequences.set(id, sequence);
+    // Like a log member, which answers an announcement without changes itself.
+    if (!hasChanges(state, entry)) return;
+    await getController().announceRunner({
+      entry,
+      sequence,
+      remainingMs: 0,
+      clockMs: runners.readClock(id),
+    });
+  }
+
   function getController(): WorkController {
     if (controller === undefined) changeLeader();
     if (controller === undefined) {
@@ -672,16 +695,11 @@
         ...createRunnerEntry(id).capacity,
         ...capacity,
       });
-      const sequence = (sequences.get(id) ?? 0) + 1;
-      sequences.set(id, sequence);
-      // Like a log member, which answers an announcement without changes itself.
-      if (!hasChanges(state, entry)) return;
-      await getController().announceRunner({
-        entry,
-        sequence,
-        remainingMs: 0,
-        clockMs: runners.readClock(id),
-      });
+      await announceChange(entry);
+    },
+    async announceLeaving(id) {
+      await announceChange(runners.startLeaving(id));
+      runners.recordLeaving(id);
     },
     submit(id, body, submitOptions = {}) {
       const { queues, workspaces } = options.configuration;
