Check before each send that a decided start may still begin

Cause: a start was looked at when it was decided, and after its record for capacity and evacuation only. Between that and each copy lie the wait for a lost lease, the wait for a runner that left a call unanswered, and earlier copies without a reply; then only the capacity was looked at. So a recorded start was sent, or sent again, whatever the leader had learned meanwhile. Change: start_obstacles names what keeps a decided start from being sent: a leaving runner, an evacuated data centre, a capacity or a cap that was lowered below what is used. It is asked after the record and before each copy; a start of which an earlier copy may still begin is stopped. The comparison of caps moves out of planning.ts into a module of its own. Why it works: the leader learns of each of these before it acknowledges them, and from then on no copy leaves it.

--- a/src/workload/planning.ts
+++ b/src/workload/planning.ts
@@ -8,7 +8,6 @@
 import {
   addResources,
   multiplyResources,
-  type Resources,
   subtractResources,
 } from "../common/mod.ts";
 import {
@@ -38,6 +37,7 @@
   WaitReason,
 } from "./plan_types.ts";
 import { createStartBudget } from "./start_budget.ts";
+import { computeGangCap, isWithinCap } from "./workspace_caps.ts";
 
 /**
  * Share of a pool's processors reserved for the most urgent queue and for restarts of
@@ -58,15 +58,6 @@
 /** Share of runners assumed eligible before the service answers; matches the strictest policy seen. */
 const ASSUMED_ELIGIBLE_SHARE = 0.3;
 
-/** Share of the cap by which a gang wider than the cap may exceed it; the platform tolerates 0.1. */
-const CAP_TOLERANCE = 0.05;
-
-function isWithinCap(used: Resources, cap: Resources): boolean {
-  return (cap.processors === 0 || used.processors <= cap.processors) &&
-    (cap.memoryMb === 0 || used.memoryMb <= cap.memoryMb) &&
-    (cap.accelerators === 0 || used.accelerators <= cap.accelerators);
-}
-
 /** Places all tasks of a gang, on a single rack if requested and possible; undefined if they do not fit. */
 function placeGang(
   step: OpenStep,
@@ -154,12 +145,7 @@
     if (isWithinCap(addResources(used, wanted), cap)) return true;
     // A gang wider than the cap may use the tolerance if nothing else is running.
     if (count === 1 || used.processors > 0) return false;
-    const wide = {
-      processors: Math.floor(cap.processors * (1 + CAP_TOLERANCE)),
-      memoryMb: Math.floor(cap.memoryMb * (1 + CAP_TOLERANCE)),
-      accelerators: cap.accelerators,
-    };
-    return isWithinCap(wanted, wide);
+    return isWithinCap(wanted, computeGangCap(cap));
   }
 
   function findExceededLimit(
--- a/src/workload/runner_driver.ts
+++ b/src/workload/runner_driver.ts
@@ -32,12 +32,12 @@
   estimateRunnerClock,
   formatRun,
   isOtherIncarnation,
-  isOverCapacity,
   type Occupant,
   recordGrant,
   recordLease,
   type Runner,
 } from "./runner_table.ts";
+import type { StartObstacle } from "./start_obstacles.ts";
 import type { StartTrace } from "./start_trace.ts";
 
 /** Time by which replies on different connections may overtake each other, in milliseconds; longer than the timeout of each call. */
@@ -58,8 +58,8 @@
   | OrderOutcome
   | "unanswered"
   | "undelivered"
-  /** Not sent, since the runner's capacity has shrunk below what its runs use. */
-  | "overCapacity"
+  /** Not sent, or not sent again, because of an obstacle. */
+  | StartObstacle
   | "abandoned";
 
 /** The reply to a poll that was carried out. */
@@ -111,6 +111,8 @@
 export interface StartConditions {
   /** Tells whether the run is still the current one of its task. */
   isWanted: () => boolean;
+  /** Finds what keeps a copy from being sent. Default: nothing does. */
+  findObstacle?: () => StartObstacle | undefined;
   /** Receives the copies that are sent. */
   trace?: Pick<StartTrace, "recordSend" | "recordReply">;
 }
@@ -422,7 +424,7 @@
   async function runStart(
     occupant: Occupant,
     order: Omit<StartOrder, "untilMs" | "fence">,
-    { isWanted, trace }: StartConditions,
+    { isWanted, findObstacle, trace }: StartConditions,
   ): Promise<StartResult> {
     let firstSentMs: number | undefined;
     let failedMs = -Infinity;
@@ -443,8 +445,9 @@
       if (!mayStart || untilMs === undefined) {
         return occupant.isUncertain ? "unanswered" : "abandoned";
       }
-      if (isOverCapacity(runner)) {
-        return occupant.isUncertain ? "unanswered" : "overCapacity";
+      const obstacle = findObstacle?.();
+      if (obstacle !== undefined) {
+        return occupant.isUncertain ? "unanswered" : obstacle;
       }
       recordGrant(runner, untilMs);
       const formerOpenStartMs = occupant.openStartMs;
--- a/src/workload/start_orders.ts
+++ b/src/workload/start_orders.ts
@@ -7,13 +7,17 @@
 import type { Metrics } from "../report/metrics.ts";
 import type { BegunJobs } from "./begun_jobs.ts";
 import type { EligibilityCache } from "./eligibility.ts";
-import type { EvacuatedRunners } from "./evacuated_runners.ts";
 import type { OpenSteps } from "./open_steps.ts";
 import type { PlannedStart } from "./plan_types.ts";
 import type { RunnerFleet } from "./runner_fleet.ts";
 import type { StartResult } from "./runner_driver.ts";
 import type { Session } from "./runner_sessions.ts";
-import { isOverCapacity, type Occupant } from "./runner_table.ts";
+import type { Occupant } from "./runner_table.ts";
+import {
+  createStartObstacles,
+  type StartObstacle,
+  type StartObstaclesOptions,
+} from "./start_obstacles.ts";
 import { createStartTrace, type StartTrace } from "./start_trace.ts";
 import { formatStep, type WorkRecord } from "./types.ts";
 import type { WorkState } from "./work_state.ts";
@@ -33,7 +37,7 @@
 }
 
 /** Options of the starts. */
-export interface StartOrdersOptions {
+export interface StartOrdersOptions extends StartObstaclesOptions {
   clock: Clock;
   logger: Logger;
   metrics?: Pick<Metrics, "addCount" | "recordDuration">;
@@ -42,7 +46,6 @@
   begunJobs: Pick<BegunJobs, "add">;
   eligibility: Pick<EligibilityCache, "removeTicket">;
   openSteps: Pick<OpenSteps, "setPlanned" | "clearPlanned">;
-  evacuated: Pick<EvacuatedRunners, "isEvacuated">;
   /** Writes records to the log; resolves to false if they were not committed or the leadership has ended. */
   record: (records: readonly WorkRecord[]) => Promise<boolean>;
   /** Returns whether the leadership has ended. */
@@ -59,8 +62,8 @@
 
 /** Creates the starts of one leadership. */
 export function createStartOrders(options: StartOrdersOptions): StartOrders {
-  const { clock, logger, metrics, state, fleet, evacuated, openSteps } =
-    options;
+  const { clock, logger, metrics, state, fleet, openSteps } = options;
+  const findObstacle = createStartObstacles(options);
 
   /** Polls the runner once a suspect has outlived its start, so that it counts as harmless. */
   function startProof({ runner, driver }: Session, occupant: Occupant): void {
@@ -97,7 +100,11 @@
         checkpoint: state.getTask(task)?.checkpoint ?? "",
         ticket,
       },
-      { isWanted: () => fleet.isWanted(task, run), trace },
+      {
+        isWanted: () => fleet.isWanted(task, run),
+        findObstacle: () => findObstacle(session.runner, task),
+        trace,
+      },
     );
     const { runner } = session;
     if (options.isStopped() || !runner.occupants.has(occupant.key)) return;
@@ -154,26 +161,33 @@
   }
 
   /**
-   * Releases the orders to runners whose capacity has shrunk or whose data centre was
-   * evacuated since the decision, so that their tasks start elsewhere; a gang is
-   * released as a whole. Returns them.
+   * Releases the orders that have met an obstacle since the decision, so that their tasks
+   * start elsewhere; a gang is released as a whole. Returns them.
    */
-  function releaseUnusable(
+  function releaseObstructed(
     orders: readonly Order[],
     isGang: boolean,
   ): Set<Order> {
     const released = new Set<Order>();
-    const isUnusable = ({ session: { runner } }: Order) =>
-      isOverCapacity(runner) || evacuated.isEvacuated(runner);
-    const isWholeReleased = isGang && orders.some(isUnusable);
+    const obstacles = new Set<StartObstacle>();
+
+    function isObstructed({ session, occupant }: Order): boolean {
+      const obstacle = findObstacle(session.runner, occupant.task);
+      if (obstacle !== undefined) obstacles.add(obstacle);
+      return obstacle !== undefined;
+    }
+
+    const isWholeReleased = isGang && orders.some(isObstructed);
     for (const order of orders) {
-      if (!isWholeReleased && !isUnusable(order)) continue;
+      // What was released before may leave room under a cap for the others.
+      if (!isWholeReleased && !isObstructed(order)) continue;
       released.add(order);
       fleet.release(order.session.runner, order.occupant);
     }
     if (released.size === 0) return released;
     const occupants = [...released].map(({ occupant }) => occupant);
-    logger.info("Starts held back after a runner changed", {
+    logger.info("Starts held back", {
+      obstacles: [...obstacles],
       runs: occupants.map(({ key }) => key),
     });
     void fleet.endRuns(occupants, "lost");
@@ -240,7 +254,7 @@
       }
       return;
     }
-    const heldBack = releaseUnusable(orders, step.spec.gang);
+    const heldBack = releaseObstructed(orders, step.spec.gang);
     for (const order of orders) {
       const { session, occupant, trace } = order;
       if (heldBack.has(order)) continue;
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -272,6 +272,7 @@
     eligibility,
     openSteps,
     evacuated,
+    workspaces,
     record: recordSafely,
     isStopped: () => isStopped,
     handleTicketRefusal: addTicketedQueue,
--- a/src/workload/workspace_use.ts
+++ b/src/workload/workspace_use.ts
@@ -13,6 +13,7 @@
 import type { WorkspaceUsage } from "./plan_types.ts";
 import type { JobSpec } from "./types.ts";
 import type { WorkState } from "./work_state.ts";
+import { computeGangCap, isWithinCap } from "./workspace_caps.ts";
 
 /** Token bucket size of a workspace, in seconds of its weight. */
 const WEIGHT_BURST_S = 1;
@@ -35,6 +36,8 @@
   isBeyondWeight(job: JobSpec): boolean;
   /** Tells whether the bucket was empty when the job was submitted. */
   isExcess(job: string): boolean;
+  /** Tells whether a workspace uses more than its cap allows, which may have been lowered. */
+  isOverCap(workspace: string | undefined): boolean;
   /** Returns usage and cap of each workspace that is configured or has open jobs; the copy may be modified. */
   list(): Map<string, WorkspaceUsage>;
 }
@@ -95,6 +98,13 @@
       return bucket !== undefined && bucket.left < 1;
     },
     isExcess: (job) => excess.has(job),
+    isOverCap(workspace) {
+      const cap = workspace === undefined
+        ? undefined
+        : state.findWorkspace(workspace)?.cap;
+      return workspace !== undefined && cap !== undefined &&
+        !isWithinCap(getUsed(workspace), computeGangCap(cap));
+    },
     list() {
       const uses = new Map<string, WorkspaceUsage>();
       for (const { name, cap } of state.listWorkspaces()) {
