--- a/test/log_group.ts
+++ b/test/log_group.ts
@@ -92,10 +92,16 @@
   // Seeds are far apart: close ones give nearly equal first numbers, and so split votes.
   let nextSeed = 123_456_789;
 
+  /** Number of times that an instance was killed. */
+  const kills = new Map<string, number>();
+
+  /** Creates the transport of a process, which sends nothing once it is killed. */
   function createTransport(from: string) {
     const instance = parseMemberId(from).instance;
+    const startKills = kills.get(instance) ?? 0;
     return {
       send(to: string, message: LogMessage) {
+        if ((kills.get(instance) ?? 0) !== startKills) return;
         const target = parseMemberId(to).instance;
         if (group.drop(instance, target, message)) return;
         const bytes = encodeLogMessage(message);
@@ -150,6 +156,7 @@
     kill(instance) {
       members.delete(instance);
       receivers.delete(instance);
+      kills.set(instance, (kills.get(instance) ?? 0) + 1);
     },
     async runFor(ms) {
       for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += STEP_MS) {
