Ignore late announcements of a closed incarnation

Callers would see: tasks begin on a runner that leaves, for as long as it goes on (DRAIN). Cause: a leaving runner that is silent for the time of its lease is closed. While one of its starts may still arrive it stays recorded as leaving, but an announcement finds no session, and only incarnations that are recorded as gone were known to have drained. So an announcement that was delayed from before the leaving opened a session that was ready. Its record was refused as older, but the session was opened with the content of the announcement. Evidence: in the model a start 9,149 ms after the acknowledgement. Change: an announcement is late if the incarnation is recorded with a higher sequence number. That also covers a larger capacity from before a shrink. Why it works: sequence numbers rise with each announcement of an incarnation.

--- a/src/workload/outdated_starts_test.ts
+++ b/src/workload/outdated_starts_test.ts
@@ -3,6 +3,7 @@
 import {
   createJob,
   createModelConfiguration,
+  createRunnerEntry,
   createWorkModel,
   type RunnerFaults,
   type WorkModel,
@@ -164,3 +165,25 @@
   t.equal(model.runners.countStarts(), 3, "all tasks run in turn");
   t.strictSame(model.runners.violations, []);
 });
+
+// Guards against a late announcement that makes a leaving runner ready again, once its
+// silent incarnation is closed while a start without a reply may still arrive there.
+t.test("a late announcement does not bring a leaving runner back", async (t) => {
+  const { model, faults: [fault] } = await createCell();
+  if (fault !== undefined) fault.orderDelayMs = 60_000;
+  await planStarts(model);
+  await model.run(COMMIT_MS + 20);
+  await runCall(model, model.announceLeaving("r"));
+  if (fault !== undefined) fault.isPartitioned = true;
+  await model.run(9_000);
+  if (fault !== undefined) {
+    fault.isPartitioned = false;
+    fault.orderDelayMs = 0;
+  }
+  const entry = createRunnerEntry("r", { dataCentre: "one" });
+  const late = { entry, sequence: 1, remainingMs: 0 };
+  await runCall(model, model.getController().announceRunner(late));
+  await model.run(3_000);
+  t.equal(model.runners.countStarts(), 0);
+  t.strictSame(model.runners.violations, []);
+});
--- a/src/workload/runner_announcements.ts
+++ b/src/workload/runner_announcements.ts
@@ -98,6 +98,20 @@
     );
   }
 
+  /**
+   * Tells whether a newer announcement of an incarnation without a session was recorded:
+   * it stays recorded while it has unsettled runs, and it drains until it ends.
+   */
+  function isOutdated(entry: RunnerEntry, sequence: number): boolean {
+    const life = formatIncarnation(entry);
+    if (!entry.isDraining && state.hasDrained(life)) return true;
+    const recorded = state.getRunner(entry.id);
+    // If its start is unknown, its next incarnation has the same key.
+    return recorded !== undefined && entry.startedMs !== 0 &&
+      formatIncarnation(recorded) === life &&
+      (recorded.sequence ?? -1) > sequence;
+  }
+
   /**
    * Tells whether an announcement was delayed for so long that newer ones must have
    * been sent. This leader sees none that are like the recorded one, so the sequence
@@ -193,8 +207,7 @@
       return await updateRunner(known.runner, announcement);
     }
     if (hasNewerRunner(entry)) return;
-    if (!entry.isDraining && state.hasDrained(life)) {
-      // An incarnation that drains does so until it ends.
+    if (isOutdated(entry, sequence)) {
       logger.info("Late announcement ignored", { runner: life, sequence });
       return;
     }
