Do not start assigned tasks on a draining worker

Callers would see: a task begins on a worker that has reported that it drains, which "gets no new tasks" (src/scheduling/types.ts), and ends with it. Cause: the class of the starts on leaving runners. An assignment that is being recorded was checked again for its job, its allotment and a worker that is gone, not for one that drains; and a start that may have been lost was sent again on each report, also on the one that says that the worker drains. Change: both look at it. Such a start ends with its lease if it was lost, and the task is placed elsewhere.

--- a/src/scheduling/leases_test.ts
+++ b/src/scheduling/leases_test.ts
@@ -124,6 +124,7 @@
 const REFUSALS = [
   "job cancelled",
   "worker removed",
+  "worker drains",
   "allotment removed",
   "abandoned",
 ];
@@ -132,13 +133,17 @@
 for (const refusal of REFUSALS) {
   t.test(`an assignment does not start: ${refusal}`, (t) => {
     const cell = createCell({ confirmsAtOnce: false });
-    cell.addWorker("w0", buildResources(1));
+    const worker = cell.addWorker("w0", buildResources(1));
     cell.setWorkspace("a", AMPLE_RESOURCES);
     cell.addJob({ id: "j" });
     cell.advance(100);
     const assignment = cell.pending.splice(0)[0]!;
     if (refusal === "job cancelled") cell.cancelJob("j");
     if (refusal === "worker removed") cell.getScheduler().removeWorker("w0");
+    if (refusal === "worker drains") {
+      worker.isDraining = true;
+      cell.sendReport(worker);
+    }
     if (refusal === "allotment removed") {
       cell.setWorkspace("a", buildResources(0));
     }
@@ -171,6 +176,26 @@
   t.end();
 });
 
+// Guards against a repeated start on a worker that has begun to drain since the first start.
+t.test("a lost start is not sent again to a draining worker", (t) => {
+  const cell = createCell();
+  const worker = cell.addWorker("w0", buildResources(1));
+  cell.setWorkspace("a", AMPLE_RESOURCES);
+  cell.addJob({ id: "j" });
+  worker.isReachable = false;
+  cell.advance(200);
+  worker.isReachable = true;
+  worker.isDraining = true;
+  cell.addWorker("w1", buildResources(1));
+  cell.advance(30_000);
+  const starts = cell.actions.flatMap((action) =>
+    action.type === "start" ? [action.worker] : []
+  );
+  t.strictSame(starts, ["w0", "w1"]);
+  t.strictSame(cell.errors, []);
+  t.end();
+});
+
 // Guards against a repeated start that exceeds an allotment that has shrunk since the first start.
 t.test("a lost start is not sent again above the allotment", (t) => {
   const cell = createCell();
--- a/src/scheduling/reports.ts
+++ b/src/scheduling/reports.ts
@@ -213,11 +213,12 @@
 }
 
 function sendMissingStarts(state: SchedulerState, worker: WorkerRecord): void {
-  if (state.isPlacementSuspended) return;
+  // The first start may have been lost, so another one may start the task.
+  if (state.isPlacementSuspended || worker.isDraining) return;
   for (const task of worker.tasks) {
     if (task.stage !== "started" || task.isRestored) continue;
     if (task.intervention !== undefined) continue;
-    // The first start may have been lost, so this one may start the task and is subject to the allotment.
+    // It is also subject to the allotment.
     if (!isWithinAllotment(task.job.workspace)) continue;
     if (task.startsSent >= MAX_STARTS_SENT) continue;
     if (state.nowMs - task.sentMs < RESEND_AFTER_MS) continue;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -78,7 +78,8 @@
   const { job, worker, intervention } = task;
   return !state.isPlacementSuspended && !job.isCancelled && !job.isFailing &&
     intervention === undefined &&
-    worker !== undefined && !worker.isGone && isWholeGang(job) &&
+    worker !== undefined && !worker.isGone && !worker.isDraining &&
+    isWholeGang(job) &&
     isWithinAllotment(job.workspace);
 }
 
