Let runners leave beside pauses of the leader in random schedules

Cause: no test let a runner leave while a start waited; the schedules had no loss of the lease, and did not check starts after a leaving. Change: the model checks each start on a leaving runner in the restart schedules too, and a third kind of series takes the lease from the leader for 0.5 to 4.5 s right after a runner has announced that it leaves.

--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -164,8 +164,8 @@
   changeCapacity(id: string, capacity: Resources): RunnerEntry;
   /** Makes a runner announce that it leaves; returns what it announces from now on. */
   startLeaving(id: string): RunnerEntry;
-  /** Records that the scheduler has acknowledged that a runner leaves. */
-  recordLeaving(id: string): void;
+  /** Records that the scheduler has acknowledged that an incarnation leaves, unless that is gone. */
+  recordLeaving(entry: RunnerEntry): void;
   /** Returns the current time of a runner's own clock in milliseconds. */
   readClock(id: string): number;
   /** Ends an incarnation at once; its runs and ends are lost, and calls get no answer. */
@@ -846,8 +846,11 @@
       runner.entry = { ...runner.entry, isDraining: true };
       return runner.entry;
     },
-    recordLeaving(id) {
-      getRunner(id).leavingMs ??= clock.now();
+    recordLeaving({ id, startedMs }) {
+      const runner = findRunner(id);
+      if (runner?.entry.startedMs === startedMs) {
+        runner.leavingMs ??= clock.now();
+      }
     },
     readClock: (id) => readClock(getRunner(id)),
     listRunning() {
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -698,8 +698,9 @@
       await announceChange(entry);
     },
     async announceLeaving(id) {
-      await announceChange(runners.startLeaving(id));
-      runners.recordLeaving(id);
+      const entry = runners.startLeaving(id);
+      await announceChange(entry);
+      runners.recordLeaving(entry);
     },
     submit(id, body, submitOptions = {}) {
       const { queues, workspaces } = options.configuration;
--- a/test/leaving_schedule_test.ts
+++ b/test/leaving_schedule_test.ts
@@ -35,3 +35,30 @@
     t.strictSame(outcome.wrongJobs, []);
   });
 }
+
+/** Seeds of schedules in which the leader also loses its lease while runners leave. */
+const PAUSE_SEEDS = [
+  // Starts that had waited for the lease began on runners that were leaving.
+  4_004,
+  4_025,
+];
+
+for (
+  const seed of [
+    ...PAUSE_SEEDS,
+    ...Array.from({ length: extra }, (_, at) => 4_000 + at),
+  ]
+) {
+  t.test(`random leaves beside pauses ${seed}`, async (t) => {
+    const outcome = await runRestartSchedule({
+      seed,
+      activeMs: 20_000,
+      hasLeaves: true,
+      hasPauses: true,
+    });
+    t.ok(outcome.jobs > 10);
+    t.ok(outcome.leaves > 0);
+    t.strictSame(outcome.violations, []);
+    t.strictSame(outcome.wrongJobs, []);
+  });
+}
--- a/test/restart_schedule.ts
+++ b/test/restart_schedule.ts
@@ -27,6 +27,8 @@
 
 /** Options of a schedule with restarts. */
 export interface RestartOptions extends ScheduleOptions {
+  /** True if runners also leave, and the leader pauses meanwhile. Default: false. */
+  hasPauses?: boolean;
   /** True if runners also leave. Default: false. */
   hasLeaves?: boolean;
 }
@@ -99,6 +101,9 @@
 /** Time for all jobs to end after the last fault, in milliseconds; more than a lease, the longest delay and the longest job. */
 const SETTLE_MS = 45_000;
 
+/** Time of a commit in schedules with pauses, so that starts are often being recorded, in milliseconds. */
+const SLOW_COMMIT_MS = 150;
+
 /** Part of it after which lasting tasks must run and cancelled ones must not, in milliseconds. */
 const CALM_AFTER_MS = 30_000;
 
@@ -163,6 +168,7 @@
   let resizes = 0;
   let leaves = 0;
   let isActive = true;
+  let hasLease = true;
 
   const model = createWorkModel({
     configuration: createModelConfiguration({
@@ -182,6 +188,8 @@
       crashesRunner: deadlyJobs.has(task.job),
     }),
     getClockRate: ({ address }) => clockRates[Number(address.slice(1, 2))] ?? 1,
+    hasLease: () => hasLease,
+    ...(options.hasPauses === true ? { commitMs: SLOW_COMMIT_MS } : {}),
     handleCrash,
   });
   const { clock } = model;
@@ -205,11 +213,21 @@
     },
   ): void {
     clock.setTimer(delayMs, () => {
+      // A leader without its lease forwards nothing to its controller.
+      if (!hasLease) return;
       // Like a log member, which answers an announcement without changes itself.
-      if (!hasChanges(model.state, copy.entry)) return;
+      const isKnown = !hasChanges(model.state, copy.entry);
+      const answered = isKnown
+        ? Promise.resolve()
+        : model.getController().announceRunner(copy);
       // A leader that is replaced meanwhile records nothing; the next announcement
       // tells the same.
-      model.getController().announceRunner(copy).catch(() => {});
+      answered.then(
+        () => {
+          if (copy.entry.isDraining) model.runners.recordLeaving(copy.entry);
+        },
+        () => {},
+      );
     });
   }
 
@@ -367,14 +385,26 @@
   }
 
   function changeLeader(): void {
+    hasLease = true;
     model.changeLeader();
   }
 
+  /** Takes the lease from the leader for some time, in which it pauses. */
+  function startPause(): void {
+    hasLease = false;
+    addAction(500 + random.nextInt(4_000), () => hasLease = true);
+  }
+
+  function countSeries(): number {
+    if (options.hasPauses === true) return 12;
+    return options.hasLeaves === true ? 9 : 6;
+  }
+
   /** Starts a series of faults. */
   function startSeries(): void {
     const machine = machines[random.nextInt(MACHINES)];
     if (machine === undefined) return;
-    switch (random.nextInt(options.hasLeaves === true ? 9 : 6)) {
+    switch (random.nextInt(countSeries())) {
       case 0:
       case 1:
         if (isLikely(0.8)) startDelays(machine);
@@ -406,6 +436,12 @@
         for (const other of machines) if (isLikely(0.4)) startLeaving(other);
         if (isLikely(0.3)) addAction(random.nextInt(4_000), changeLeader);
         break;
+      case 9:
+      case 10:
+      case 11:
+        startLeaving(machine);
+        addAction(random.nextInt(100), startPause);
+        break;
       default:
         startResizes(machine);
     }
@@ -513,6 +549,7 @@
     await step();
   }
   isActive = false;
+  hasLease = true;
   for (const machine of machines) {
     machine.partitionedUntilMs = 0;
     resize(machine, PROCESSORS);
