Name the leaving of runners with the code's word, draining

Cause: read as a newcomer, the change had two words for one thing. And a reading of a runner's clock that is a little behind may be of the next incarnation if the start of the runner is unknown; the former estimate would then have made its lease look shorter than it is. Change: drainNoticeMs, drainingSinceMs, the obstacle and the model's rule "draining", draining_runner_starts_total, "Draining runner acknowledged". recordClock replaces a delayed reading only if the start is known. Measured: "a reading behind counts if the start of the runner is unknown" is new.

--- a/src/model/runner_model.ts
+++ b/src/model/runner_model.ts
@@ -54,7 +54,7 @@
     | "attempts"
     | "alone"
     | "crashes"
-    | "leaving";
+    | "draining";
   readonly detail: string;
 }
 
@@ -102,8 +102,8 @@
   isGone: boolean;
   /** True if its process has ended while its machine goes on, which refuses connections. */
   hasLeft: boolean;
-  /** Time at which the scheduler acknowledged that it leaves, in milliseconds; undefined before. */
-  leavingMs: number | undefined;
+  /** Time at which the scheduler acknowledged that it drains, in milliseconds; undefined before. */
+  drainingSinceMs: number | undefined;
   waiters: Set<() => void>;
 }
 
@@ -162,10 +162,10 @@
   add(entry: RunnerEntry): RunnerFaults;
   /** Changes the capacity of a runner while it runs; returns what it announces from now on. */
   changeCapacity(id: string, capacity: Resources): RunnerEntry;
-  /** Makes a runner announce that it leaves; returns what it announces from now on. */
-  startLeaving(id: string): RunnerEntry;
-  /** Records that the scheduler has acknowledged that an incarnation leaves, unless that is gone. */
-  recordLeaving(entry: RunnerEntry): void;
+  /** Makes a runner announce that it drains; returns what it announces from now on. */
+  startDraining(id: string): RunnerEntry;
+  /** Records that the scheduler has acknowledged that an incarnation drains, unless that is gone. */
+  recordDraining(entry: RunnerEntry): void;
   /** Returns the current time of a runner's own clock in milliseconds. */
   readClock(id: string): number;
   /** Ends an incarnation at once; its runs and ends are lost, and calls get no answer. */
@@ -193,8 +193,8 @@
 /** Time after which a shrunk capacity counts, in milliseconds; the platform states its contact time and one heartbeat. */
 const SHRINK_DELAY_MS = 3_000 + 1_500;
 
-/** Time after the acknowledgement that a runner leaves from which no task may start there, in milliseconds; the platform states 2 s or more. */
-const LEAVING_NOTICE_MS = 2_000;
+/** Time after the acknowledgement that a runner drains from which no task may start there, in milliseconds; the platform states 2 s or more. */
+const DRAIN_NOTICE_MS = 2_000;
 
 /** Share of a cap by which a workspace may exceed it; the platform allows one task more as well. */
 const QUOTA_OVERAGE = 0.1;
@@ -496,17 +496,17 @@
     });
   }
 
-  /** Reports a start on a runner that the scheduler knows to leave; not one that the runner itself has held up. */
-  function checkLeaving(
-    { leavingMs, entry }: ModelRunner,
+  /** Reports a start on a runner that the scheduler knows to drain; not one that the runner itself has held up. */
+  function checkDraining(
+    { drainingSinceMs, entry }: ModelRunner,
     { task }: StartOrder,
     isHeldUp: boolean,
   ): void {
-    if (leavingMs === undefined || isHeldUp) return;
-    const sinceMs = clock.now() - leavingMs;
-    if (sinceMs <= LEAVING_NOTICE_MS) return;
+    if (drainingSinceMs === undefined || isHeldUp) return;
+    const sinceMs = clock.now() - drainingSinceMs;
+    if (sinceMs <= DRAIN_NOTICE_MS) return;
     violations.push({
-      rule: "leaving",
+      rule: "draining",
       detail: `${formatTask(task)} on ${entry.id} after ${sinceMs} ms`,
     });
   }
@@ -516,7 +516,7 @@
     order: StartOrder,
     isHeldUp: boolean,
   ): void {
-    checkLeaving(runner, order, isHeldUp);
+    checkDraining(runner, order, isHeldUp);
     const key = formatTask(order.task);
     const facts = options.getTaskFacts(order.task);
     const { faults, entry } = runner;
@@ -815,7 +815,7 @@
         nextEnd: 1,
         isGone: false,
         hasLeft: false,
-        leavingMs: undefined,
+        drainingSinceMs: undefined,
         waiters: new Set(),
       });
       return faults;
@@ -841,15 +841,15 @@
       runner.entry = { ...runner.entry, capacity };
       return runner.entry;
     },
-    startLeaving(id) {
+    startDraining(id) {
       const runner = getRunner(id);
       runner.entry = { ...runner.entry, isDraining: true };
       return runner.entry;
     },
-    recordLeaving({ id, startedMs }) {
+    recordDraining({ id, startedMs }) {
       const runner = findRunner(id);
       if (runner?.entry.startedMs === startedMs) {
-        runner.leavingMs ??= clock.now();
+        runner.drainingSinceMs ??= clock.now();
       }
     },
     readClock: (id) => readClock(getRunner(id)),
--- a/src/model/work_model.ts
+++ b/src/model/work_model.ts
@@ -151,8 +151,8 @@
   ): Promise<RunnerFaults>;
   /** Changes the capacity of a runner and announces it; resolves once the announcement is answered. */
   changeCapacity(id: string, capacity: Partial<Resources>): Promise<void>;
-  /** Announces that a runner leaves; resolves once that is acknowledged. */
-  announceLeaving(id: string): Promise<void>;
+  /** Announces that a runner drains; resolves once that is acknowledged. */
+  announceDraining(id: string): Promise<void>;
   /** Submits a job through a queue; resolves once it is accepted. */
   submit(id: string, body: JobBody, options?: SubmitOptions): Promise<void>;
   /** Advances the clock by some milliseconds and runs what becomes due. */
@@ -697,10 +697,10 @@
       });
       await announceChange(entry);
     },
-    async announceLeaving(id) {
-      const entry = runners.startLeaving(id);
+    async announceDraining(id) {
+      const entry = runners.startDraining(id);
       await announceChange(entry);
-      runners.recordLeaving(entry);
+      runners.recordDraining(entry);
     },
     submit(id, body, submitOptions = {}) {
       const { queues, workspaces } = options.configuration;
--- a/src/programs/core_program.ts
+++ b/src/programs/core_program.ts
@@ -95,8 +95,8 @@
     timeoutMs: number,
   ) => Promise<EligibilityAnswer>;
   maxLeaseMs: number;
-  /** Time for which a leaving runner may still be started on, in milliseconds. Default: that of the controller. */
-  leavingNoticeMs?: number;
+  /** Time for which a draining runner may still be started on, in milliseconds. Default: that of the controller. */
+  drainNoticeMs?: number;
   keepMs: number;
   /** Lists the configured data centres. Default: only those of registered runners are known. */
   listDataCentres?: () => readonly string[];
@@ -376,7 +376,7 @@
         server.ask(caller, question, timeoutMs),
       getReport: earlyReports.take,
       maxLeaseMs: options.maxLeaseMs,
-      leavingNoticeMs: options.leavingNoticeMs,
+      drainNoticeMs: options.drainNoticeMs,
       keepMs: options.keepMs,
       listDataCentres: options.listDataCentres,
       admission: options.admission,
@@ -438,7 +438,7 @@
       const isKnown = !isForLeader(state, announcement);
       if (!isKnown) await gateway.call(call, timeoutMs);
       if (announcement.entry.isDraining) {
-        logger.info("Runner leaves; announcement acknowledged", {
+        logger.info("Draining runner acknowledged", {
           runner: formatIncarnation(announcement.entry),
           sequence: announcement.sequence,
           isKnown,
--- a/src/report/metric_definitions.ts
+++ b/src/report/metric_definitions.ts
@@ -56,9 +56,9 @@
       help: "Start orders to runners by result",
       labels: ["result"],
     },
-    leaving_runner_starts_total: {
+    draining_runner_starts_total: {
       kind: "counter",
-      help: "Start orders sent to runners that had announced that they leave",
+      help: "Start orders sent to runners that had announced that they drain",
       labels: [],
     },
     run_start_delivery_ms: {
--- a/src/workload/outdated_starts_test.ts
+++ b/src/workload/outdated_starts_test.ts
@@ -16,7 +16,7 @@
 /** Time to record a start, in milliseconds. */
 const COMMIT_MS = 40;
 
-/** Time for which a start is held, in milliseconds; longer than a runner may be started on once it leaves. */
+/** Time for which a start is held, in milliseconds; longer than a runner may be started on once it drains. */
 const HELD_MS = 3_000;
 
 /** Options of a cell in which orders go through a relay while there is one. */
@@ -70,11 +70,11 @@
 }
 
 // Guards against a start that waits for the lease of a busy leader while its runner
-// announces that it leaves.
-t.test("a start that waited is not sent to a leaving runner", async (t) => {
+// announces that it drains.
+t.test("a start that waited is not sent to a draining runner", async (t) => {
   const { model, lease } = await createCell();
   await planStarts(model);
-  await recordDuringPause(model, lease, model.announceLeaving("r"));
+  await recordDuringPause(model, lease, model.announceDraining("r"));
   t.equal(model.runners.countStarts(), 0);
   await model.addRunner("other");
   await model.run(2_000);
@@ -83,20 +83,20 @@
 });
 
 // Guards against a further copy of a start to a runner that has announced meanwhile that
-// it leaves.
-t.test("no further copy of a start is sent to a leaving runner", async (t) => {
+// it drains.
+t.test("no further copy of a start is sent to a draining runner", async (t) => {
   const { model, faults: [fault] } = await createCell();
   if (fault !== undefined) fault.orderDelayMs = 60_000;
   await planStarts(model);
   await model.run(COMMIT_MS + 20);
-  await runCall(model, model.announceLeaving("r"));
+  await runCall(model, model.announceDraining("r"));
   if (fault !== undefined) fault.orderDelayMs = 0;
   await model.run(HELD_MS);
   t.equal(model.runners.countStarts(), 0);
 });
 
 /**
- * Lets a relay hold the order, and the runner announce that it leaves. Until the relay
+ * Lets a relay hold the order, and the runner announce that it drains. Until the relay
  * goes on, nothing else reaches the runner.
  */
 async function recordDuringFreeze(
@@ -109,24 +109,24 @@
   await model.run(COMMIT_MS);
   changeLeader();
   if (fault !== undefined) fault.refusesConnections = true;
-  await runCall(model, model.announceLeaving("r"));
+  await runCall(model, model.announceDraining("r"));
   const relayMs = model.clock.now() + HELD_MS - 2 * COMMIT_MS - 15;
   while (model.clock.now() < relayMs) await model.run(5);
   if (fault !== undefined) fault.refusesConnections = false;
   await model.run(1_000);
 }
 
-// Guards against a start that a relay has held while the runner announced that it leaves.
-t.test("a held start does not begin on a leaving runner", async (t) => {
+// Guards against a start that a relay has held while the runner announced that it drains.
+t.test("a held start does not begin on a draining runner", async (t) => {
   const { model, faults: [fault] } = await createCell(RELAYED);
   await recordDuringFreeze(model, fault);
   t.equal(model.runners.countStarts(), 0);
   t.strictSame(model.runners.violations, []);
 });
 
-// Guards against a held start of a former leader on a leaving runner that its successor
+// Guards against a held start of a former leader on a draining runner that its successor
 // does not reach.
-t.test("a former leader's start does not begin on a leaving runner", async (t) => {
+t.test("a former leader's start does not begin on a draining runner", async (t) => {
   const { model, faults: [fault] } = await createCell(RELAYED);
   await recordDuringFreeze(model, fault, model.changeLeader);
   t.equal(model.runners.countStarts(), 0);
@@ -166,14 +166,14 @@
   t.strictSame(model.runners.violations, []);
 });
 
-// Guards against a late announcement that makes a leaving runner ready again, once its
+// Guards against a late announcement that makes a draining runner ready again, once its
 // silent incarnation is closed while a start without a reply may still arrive there.
-t.test("a late announcement does not bring a leaving runner back", async (t) => {
+t.test("a late announcement does not bring a draining runner back", async (t) => {
   const { model, faults: [fault] } = await createCell();
   if (fault !== undefined) fault.orderDelayMs = 60_000;
   await planStarts(model);
   await model.run(COMMIT_MS + 20);
-  await runCall(model, model.announceLeaving("r"));
+  await runCall(model, model.announceDraining("r"));
   if (fault !== undefined) fault.isPartitioned = true;
   await model.run(9_000);
   if (fault !== undefined) {
--- a/src/workload/runner_announcements.ts
+++ b/src/workload/runner_announcements.ts
@@ -175,7 +175,7 @@
     const capacity = computeSmallerResources(former, entry.capacity);
     runner.entry = { ...entry, capacity };
     runner.announced = entry;
-    if (entry.isDraining) runner.leavingMs ??= clock.now();
+    if (entry.isDraining) runner.drainingSinceMs ??= clock.now();
     if (!isRecorded) {
       const isSameLife = recorded !== undefined &&
         formatIncarnation(recorded) === runner.life;
--- a/src/workload/runner_table.ts
+++ b/src/workload/runner_table.ts
@@ -101,8 +101,8 @@
   isLost: boolean;
   /** Highest sequence number of its announcements. */
   sequence: number;
-  /** Local time at which this leader learned that it leaves, in milliseconds; undefined if it has not announced that since. */
-  leavingMs: number | undefined;
+  /** Local time at which this leader learned that it drains, in milliseconds; undefined if it has not announced that since. */
+  drainingSinceMs: number | undefined;
   /** Natural logarithm of its learned slowness; 0 is the mean of all runners. */
   slowness: number;
   /** Jobs with failed runs since the last successful run. */
@@ -139,7 +139,7 @@
     isClosed: false,
     isLost: false,
     sequence: entry.sequence ?? -1,
-    leavingMs: undefined,
+    drainingSinceMs: undefined,
     slowness: 0,
     failedJobs: new Set(),
     coldUntilMs: -Infinity,
@@ -249,7 +249,8 @@
 /**
  * Records a reading of the runner's clock that arrived at `nowMs`; undefined for none. A
  * reading that took long to arrive is behind what earlier ones tell, and is replaced by
- * that; one that is far behind is of the next incarnation.
+ * that. One that is far behind is of the next incarnation, and any that is behind may be
+ * if the start of the runner is unknown, as nothing else tells the two apart.
  */
 export function recordClock(
   runner: Runner,
@@ -261,7 +262,7 @@
   const leastMs = former === undefined ? clockMs : Math.floor(
     former.clockMs + RUNNER_CLOCK_MIN_RATE * (nowMs - former.atMs),
   );
-  const isDelayed = clockMs < leastMs &&
+  const isDelayed = runner.entry.startedMs !== 0 && clockMs < leastMs &&
     clockMs > leastMs - MAX_REPLY_OVERTAKING_MS;
   runner.clockSample = { clockMs: isDelayed ? leastMs : clockMs, atMs: nowMs };
 }
--- a/src/workload/start_obstacles.ts
+++ b/src/workload/start_obstacles.ts
@@ -14,8 +14,8 @@
 
 /** Why a decided start must not be sent. */
 export type StartObstacle =
-  /** The runner has announced that it leaves. */
-  | "leaving"
+  /** The runner has announced that it drains. */
+  | "draining"
   /** The data centre of the runner was evacuated. */
   | "evacuated"
   /** The runner's capacity has shrunk below what its runs use. */
@@ -41,7 +41,7 @@
   { state, evacuated, workspaces }: StartObstaclesOptions,
 ): FindStartObstacle {
   return function findObstacle(runner, { job }) {
-    if (runner.entry.isDraining) return "leaving";
+    if (runner.entry.isDraining) return "draining";
     if (evacuated.isEvacuated(runner)) return "evacuated";
     if (isOverCapacity(runner)) return "overCapacity";
     const workspace = state.getJob(job)?.spec.workspace;
--- a/src/workload/start_orders.ts
+++ b/src/workload/start_orders.ts
@@ -76,8 +76,8 @@
 
   function recordMetrics(result: StartResult, trace: StartTrace): void {
     metrics?.addCount("run_starts_total", { result });
-    if (trace.getSinceLeavingMs() !== undefined) {
-      metrics?.addCount("leaving_runner_starts_total");
+    if (trace.getSinceDrainingMs() !== undefined) {
+      metrics?.addCount("draining_runner_starts_total");
     }
     const deliveryMs = trace.getDeliveryMs();
     if (deliveryMs === undefined) return;
@@ -109,11 +109,11 @@
     const { runner } = session;
     if (options.isStopped() || !runner.occupants.has(occupant.key)) return;
     const tookMs = Math.round(clock.now() - occupant.plannedMs);
-    const isLeaving = trace.getSinceLeavingMs() !== undefined;
+    const isDraining = trace.getSinceDrainingMs() !== undefined;
     recordMetrics(result, trace);
     // "Starts decided" already lists the runners of normal starts.
     const isUsual = result === "accepted" && tookMs < SLOW_START_MS &&
-      !isLeaving;
+      !isDraining;
     logger[isUsual ? "debug" : "info"]("Start ordered", {
       run: occupant.key,
       runner: runner.life,
--- a/src/workload/start_trace.ts
+++ b/src/workload/start_trace.ts
@@ -34,8 +34,8 @@
   recordReply(reply: OrderReply): void;
   /** Returns the time that the answered copy was on its way, in milliseconds; undefined if unknown. */
   getDeliveryMs(): number | undefined;
-  /** Returns the time from the announcement that the runner leaves to the newest copy, in milliseconds; undefined if it had not announced that. */
-  getSinceLeavingMs(): number | undefined;
+  /** Returns the time from the announcement that the runner drains to the newest copy, in milliseconds; undefined if it had not announced that. */
+  getSinceDrainingMs(): number | undefined;
   /** Formats the trace; times are in milliseconds since the decision. */
   formatFields(): LogFields;
 }
@@ -67,12 +67,12 @@
     return newest === undefined ? undefined : computeDelivery(newest);
   }
 
-  function getSinceLeavingMs(): number | undefined {
+  function getSinceDrainingMs(): number | undefined {
     const sentMs = copies.at(-1)?.sentMs;
-    const { leavingMs } = runner;
-    const isLate = sentMs !== undefined && leavingMs !== undefined &&
-      sentMs >= leavingMs;
-    return isLate ? sentMs - leavingMs : undefined;
+    const { drainingSinceMs } = runner;
+    const isLate = sentMs !== undefined && drainingSinceMs !== undefined &&
+      sentMs >= drainingSinceMs;
+    return isLate ? sentMs - drainingSinceMs : undefined;
   }
 
   return {
@@ -91,17 +91,17 @@
       if (newest !== undefined) newest.reply = reply;
     },
     getDeliveryMs,
-    getSinceLeavingMs,
+    getSinceDrainingMs,
     formatFields() {
-      const sinceLeavingMs = getSinceLeavingMs();
+      const sinceDrainingMs = getSinceDrainingMs();
       return {
         committedMs: committedMs === undefined
           ? undefined
           : Math.round(committedMs - decidedMs),
         copies: copies.map(formatCopy).join(" "),
-        ...(sinceLeavingMs === undefined
+        ...(sinceDrainingMs === undefined
           ? {}
-          : { sinceLeavingMs: Math.round(sinceLeavingMs) }),
+          : { sinceDrainingMs: Math.round(sinceDrainingMs) }),
       };
     },
   };
--- a/src/workload/start_trace_test.ts
+++ b/src/workload/start_trace_test.ts
@@ -26,20 +26,20 @@
     copies: "20@+? 520@core-2+30",
   });
   t.equal(trace.getDeliveryMs(), 30);
-  t.equal(trace.getSinceLeavingMs(), undefined);
+  t.equal(trace.getSinceDrainingMs(), undefined);
   t.end();
 });
 
-// Guards against a start to a leaving runner that no log line shows.
-t.test("a trace tells how long the runner had been leaving", (t) => {
+// Guards against a start to a draining runner that no log line shows.
+t.test("a trace tells how long the runner had been draining", (t) => {
   const { clock, runner, trace } = createTraceFixture();
   trace.recordSend();
   clock.advance(100);
-  runner.leavingMs = clock.now();
-  t.equal(trace.getSinceLeavingMs(), undefined, "sent before");
+  runner.drainingSinceMs = clock.now();
+  t.equal(trace.getSinceDrainingMs(), undefined, "sent before");
   clock.advance(250);
   trace.recordSend();
-  t.equal(trace.getSinceLeavingMs(), 250);
-  t.match(trace.formatFields(), { sinceLeavingMs: 250 });
+  t.equal(trace.getSinceDrainingMs(), 250);
+  t.match(trace.formatFields(), { sinceDrainingMs: 250 });
   t.end();
 });
--- a/src/workload/start_validity.ts
+++ b/src/workload/start_validity.ts
@@ -11,15 +11,15 @@
 /** Share of the notice for which a start is valid; the rest covers what the runner's clock is off. */
 const NOTICE_SHARE = 0.75;
 
-/** Time for which a leaving runner may still be started on, unless the settings say otherwise, in milliseconds. */
-export const LEAVING_NOTICE_MS = 2_000;
+/** Time for which a draining runner may still be started on, unless the settings say otherwise, in milliseconds. */
+export const DRAIN_NOTICE_MS = 2_000;
 
 /**
- * Computes the validity of a start in milliseconds, from the time for which a leaving
+ * Computes the validity of a start in milliseconds, from the time for which a draining
  * runner may still be started on; 0 for no limit.
  */
-export function computeStartValidity(leavingNoticeMs: number): number {
-  return leavingNoticeMs === 0
+export function computeStartValidity(drainNoticeMs: number): number {
+  return drainNoticeMs === 0
     ? MAX_START_VALIDITY_MS
-    : Math.min(MAX_START_VALIDITY_MS, NOTICE_SHARE * leavingNoticeMs);
+    : Math.min(MAX_START_VALIDITY_MS, NOTICE_SHARE * drainNoticeMs);
 }
--- a/src/workload/start_validity_test.ts
+++ b/src/workload/start_validity_test.ts
@@ -13,8 +13,8 @@
 } from "./runner_table.ts";
 import { computeStartValidity } from "./start_validity.ts";
 
-// Guards against a start that is valid for longer than a leaving runner may be started on.
-t.test("a start is valid for less than the notice of a leaving runner", (t) => {
+// Guards against a start that is valid for longer than a draining runner may be started on.
+t.test("a start is valid for less than the notice of a draining runner", (t) => {
   for (const noticeMs of [400, 1_000, 2_000, 2_500, 10_000]) {
     const validMs = computeStartValidity(noticeMs);
     t.ok(validMs < noticeMs, `${validMs} ms of ${noticeMs} ms`);
@@ -45,6 +45,15 @@
   t.end();
 });
 
+// Guards against a lease that counts as shorter than the next incarnation has granted it.
+t.test("a reading behind counts if the start of the runner is unknown", (t) => {
+  const runner = createRunner(createRunnerEntry("r", { startedMs: 0 }), 0);
+  recordClock(runner, 2_000, 100);
+  recordClock(runner, 20, 200);
+  t.equal(estimateRunnerClock(runner, 300), 120);
+  t.end();
+});
+
 // Guards against a task that waits for a new decision because the first reading of its
 // runner's clock was delayed.
 t.test("a start that is refused as late is sent again", async (t) => {
--- a/src/workload/work_controller.ts
+++ b/src/workload/work_controller.ts
@@ -50,7 +50,7 @@
 import type { Runner } from "./runner_table.ts";
 import { createRunTimes } from "./run_times.ts";
 import { createStartOrders } from "./start_orders.ts";
-import { computeStartValidity, LEAVING_NOTICE_MS } from "./start_validity.ts";
+import { computeStartValidity, DRAIN_NOTICE_MS } from "./start_validity.ts";
 import { type EligibilityTimes, formatStep, type WorkRecord } from "./types.ts";
 import { sortSteps } from "./urgency.ts";
 import { createWorkCalls, type WorkCalls } from "./work_calls.ts";
@@ -99,8 +99,8 @@
   getReport?: (instance: string, timeoutMs: number) => Promise<KeptReport>;
   /** Longest lease that runners accept, in milliseconds. */
   maxLeaseMs: number;
-  /** Time for which a leaving runner may still be started on, in milliseconds; 0 for no limit. Default `LEAVING_NOTICE_MS`. */
-  leavingNoticeMs?: number | undefined;
+  /** Time for which a draining runner may still be started on, in milliseconds; 0 for no limit. Default `DRAIN_NOTICE_MS`. */
+  drainNoticeMs?: number | undefined;
   /** Time for which the state of an ended job remains available, in milliseconds. */
   keepMs: number;
   /** Lists the configured data centres. Default: only those of registered runners are known. */
@@ -253,7 +253,7 @@
     createFencingToken: options.createFencingToken,
     maxLeaseMs: options.maxLeaseMs,
     startValidityMs: computeStartValidity(
-      options.leavingNoticeMs ?? LEAVING_NOTICE_MS,
+      options.drainNoticeMs ?? DRAIN_NOTICE_MS,
     ),
     isLeading: isActive,
     waitForTurn: options.waitForTurn,
--- a/test/restart_schedule.ts
+++ b/test/restart_schedule.ts
@@ -224,7 +224,7 @@
       // tells the same.
       answered.then(
         () => {
-          if (copy.entry.isDraining) model.runners.recordLeaving(copy.entry);
+          if (copy.entry.isDraining) model.runners.recordDraining(copy.entry);
         },
         () => {},
       );
