--- a/test/power_loss_test.ts
+++ b/test/power_loss_test.ts
@@ -17,6 +17,7 @@
   type PowerLeader,
   startPowerCell,
 } from "./power_cell.ts";
+import { createJobAddress } from "./work_model_calls.ts";
 
 t.setTimeout(240_000);
 
@@ -32,17 +33,8 @@
   isKept: (leader: PowerLeader, cell: PowerCell) => boolean;
 }
 
-function getAddress({ state }: PowerLeader, id: string) {
-  const queue = state.getConfiguration()?.queues[0];
-  return {
-    host: queue?.host ?? "",
-    path: `${queue?.pathPrefix}${id}`,
-    key: "key-0",
-  };
-}
-
 function submit(leader: PowerLeader, id: string): Promise<void> {
-  return leader.controller.submit(getAddress(leader, id), JOB);
+  return leader.controller.submit(createJobAddress(leader, id), JOB);
 }
 
 /** Resolves once a call has failed as it does for an unknown job. */
@@ -70,13 +62,15 @@
   {
     name: "a cancellation",
     prepare: (_, leader) => submit(leader, "job"),
-    call: (leader) => leader.controller.cancel(getAddress(leader, "job")),
+    call: (leader) => leader.controller.cancel(createJobAddress(leader, "job")),
     isKept: ({ state }) => state.getJob("job")?.state === "cancelled",
   },
   {
     name: "a cancellation before its job",
     call: (leader) =>
-      ignoreNotFound(leader.controller.cancel(getAddress(leader, "early"))),
+      ignoreNotFound(
+        leader.controller.cancel(createJobAddress(leader, "early")),
+      ),
     isKept: ({ state }) => state.hasEarlyCancel("early", "workspace-0"),
   },
   {
@@ -100,7 +94,7 @@
       })),
     isKept(leader) {
       try {
-        leader.controller.getState(getAddress(leader, "job"));
+        leader.controller.getState(createJobAddress(leader, "job"));
       } catch (error) {
         return isFault(error, "unauthenticated");
       }
--- a/test/work_model_calls.ts
+++ b/test/work_model_calls.ts
@@ -23,7 +23,10 @@
 }
 
 /** Returns the address of a job in the model's first queue, with the key of its first workspace. */
-export function createJobAddress(model: WorkModel, id: string) {
+export function createJobAddress(
+  model: Pick<WorkModel, "state">,
+  id: string,
+) {
   const queue = model.state.getConfiguration()?.queues[0];
   return {
     host: queue?.host ?? "",
